Lay out the workspace: crate borders, shared types and the ownership parts

Cause: an empty repository.

A single elected scheduler was ruled out because its whole cost falls on one small host; optimistic placement by every daemon was ruled out because limits would need agreement on every start.

--- /dev/null
+++ b/crates/ownership/src/lib.rs
@@ -0,0 +1,26 @@
+//! Parts for agreeing on owners through a key-value store that only offers compare-and-swap.
+//!
+//! Everything here is a value or a pure transition: the caller carries out the store calls. The
+//! daemons use these functions, and so does the state exploration of the protocol, so what is
+//! explored is what runs. Nothing depends on this scheduler's tables, so another program can
+//! embed the crate.
+
+mod budget;
+mod fence;
+mod isolation;
+mod journal;
+mod piece;
+mod record;
+mod rendezvous;
+mod takeover;
+
+pub use {
+    budget::WriteBudget,
+    fence::{EpochFence, FenceVerdict},
+    isolation::{MemberStanding, StandingInput, judge_standing},
+    journal::{FoundSegment, JournalSegment, JournalStep, JournalWriter, SegmentError},
+    piece::{ParsePieceError, PieceName},
+    record::{MemberRecord, OwnerRecord, RecordError},
+    rendezvous::suggest_owner,
+    takeover::{PieceStep, PieceView, next_piece_step},
+};
