Date peers' news by echoed clocks and make a repeated submission an inquiry

Cause: a heartbeat or store answer that waits in a socket while the process is paused would look fresh on waking. Ruled out: a fixed settling time after a detected pause, because a busy host can exceed any such time. Heartbeats now echo the receiver's clock, and a peer says whether the receiver is still listed, so a member that only a relay connects to the store learns that it may be replaced.

A repeated submission carries the same job number and the epoch it may have reached, which replaces a separate inquiry message.

--- a/crates/ownership/src/isolation.rs
+++ b/crates/ownership/src/isolation.rs
@@ -2,17 +2,27 @@
 //!
 //! Fences stop a former owner at every receiver that its successor has reached. A receiver that
 //! only the former owner reaches is not covered, so a daemon that may have been replaced must
-//! stop by itself within a stated time. It may have been replaced only if somebody else reaches
-//! the store, which it can rule out while it hears current news of the store, or while it hears
-//! more than half of the members, because the rest take nothing over then.
+//! stop by itself within a stated time. It may have been replaced only by members that reach the
+//! store and hear at least half of the members. A daemon rules that out while it has current news
+//! of the store that show its own record, or while it hears more than half of the members and
+//! none of them has news of the store.
+//!
+//! All ages are measured in the daemon's own clock from the moment it *asked*: the start of the
+//! store call, or the heartbeat that a peer's heartbeat echoes. News that waited in a socket while
+//! the process was paused are therefore as old as they really are.
 
 /// What a daemon knows about its connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StandingInput {
-    /// Age of the freshest answer of the store, its own or relayed by a peer, in milliseconds.
+    /// Age of the freshest news of the store, in milliseconds: its own answer, or one that a peer
+    /// relayed together with the statement that this daemon's record is listed.
     pub store_age_ms: u64,
-    /// Time since more than half of the members were last heard together, in milliseconds.
-    pub majority_age_ms: u64,
+    /// Whether a peer with current news of the store states that this daemon's record is gone.
+    pub is_delisted: bool,
+    /// Members that were heard within the stated time, this daemon included.
+    pub heard: usize,
+    /// Members that are known, this daemon included.
+    pub known: usize,
     /// The stated time, in milliseconds.
     pub isolation_ms: u64,
 }
@@ -20,38 +30,52 @@
 /// How much a daemon may do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum MemberStanding {
-    /// It hears the store and more than half of the members: it may do everything.
+    /// It hears the store and at least half of the members: it may do everything.
     Connected,
-    /// It hears the store but misses half or more of the members: it keeps what it owns and takes
-    /// nothing over.
+    /// It hears the store but fewer than half of the members: it keeps what it owns, takes
+    /// nothing over and changes no configuration.
     Minority,
-    /// It hears more than half of the members but nothing current of the store: nobody can have
+    /// It hears more than half of the members and none has news of the store: nobody can have
     /// replaced it, so it keeps what it owns.
     StoreSilent,
-    /// It hears neither: it starts nothing and renews nothing.
+    /// It cannot rule out that it has been replaced: it starts nothing and renews nothing.
     Isolated,
 }
 
 /// Judges what a daemon may do.
 ///
+/// Of two sides of a partition only one reaches the store. If that side hears at least half of
+/// the members, the other hears at most half and is isolated.
+///
 /// # Examples
 ///
 /// ```
 /// use damaskrack_ownership::{MemberStanding, StandingInput, judge_standing};
 ///
-/// let cut_off = StandingInput { store_age_ms: 9_000, majority_age_ms: 9_000, isolation_ms: 2_000 };
+/// let cut_off = StandingInput {
+///     store_age_ms: 9_000,
+///     is_delisted: false,
+///     heard: 4,
+///     known: 8,
+///     isolation_ms: 2_000,
+/// };
 /// assert_eq!(judge_standing(cut_off), MemberStanding::Isolated);
-/// let outage = StandingInput { majority_age_ms: 100, ..cut_off };
+/// let outage = StandingInput { heard: 5, ..cut_off };
 /// assert_eq!(judge_standing(outage), MemberStanding::StoreSilent);
+/// let other_side = StandingInput { store_age_ms: 100, ..cut_off };
+/// assert_eq!(judge_standing(other_side), MemberStanding::Connected);
 /// ```
 #[must_use]
 pub fn judge_standing(input: StandingInput) -> MemberStanding {
     let hears_store = input.store_age_ms <= input.isolation_ms;
-    let hears_majority = input.majority_age_ms <= input.isolation_ms;
-    match (hears_store, hears_majority) {
-        (true, true) => MemberStanding::Connected,
-        (true, false) => MemberStanding::Minority,
-        (false, true) => MemberStanding::StoreSilent,
-        (false, false) => MemberStanding::Isolated,
+    let hears_half = input.heard * 2 >= input.known;
+    let hears_majority = input.heard * 2 > input.known;
+    if hears_store {
+        return if hears_half { MemberStanding::Connected } else { MemberStanding::Minority };
+    }
+    if hears_majority && !input.is_delisted {
+        MemberStanding::StoreSilent
+    } else {
+        MemberStanding::Isolated
     }
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -14,6 +14,12 @@
 pub struct SubmitOrder {
     /// Queue that the work was handed to.
     pub queue: QueueName,
+    /// Random number that the entry drew for the job's id. A repeated submission with the same
+    /// number is an inquiry about the first.
+    pub nonce: u64,
+    /// Epoch of the team's owner that the work may have reached first; `None` if it has certainly
+    /// reached nobody. Another owner may start work that may have run only if it is idempotent.
+    pub first_epoch: Option<Epoch>,
     /// Key that the caller showed; `None` on an open queue. The owner checks it again.
     pub key: Option<KeyName>,
     /// The caller's own name for the work, so that a repeat gets the first answer.
@@ -184,9 +190,17 @@
     Heartbeat {
         /// Manifest version that the sender holds.
         version: u64,
-        /// Age of the freshest answer of the store that the sender knows of, its own or one that
-        /// a peer relayed, in milliseconds; `u64::MAX` if none.
+        /// Age of the freshest answer that the sender itself has of the store, in milliseconds;
+        /// `u64::MAX` if none.
         store_age_ms: u64,
+        /// Whether the store's member list, as the sender knows it, holds the receiver under its
+        /// present boot number.
+        sees_receiver: bool,
+        /// The sender's clock, in milliseconds.
+        clock_ms: u64,
+        /// Latest `clock_ms` that the sender has got from the receiver; 0 if none. The receiver
+        /// dates this heartbeat by it, in its own clock.
+        echo_ms: u64,
         /// Whether the sender is shutting down.
         is_leaving: bool,
     },
@@ -225,18 +239,6 @@
         /// The job.
         job: JobId,
     },
-    /// Asks what became of a submitted call whose answer may have been lost.
-    CallInquire {
-        /// Team whose owner is asked.
-        team: TeamName,
-        /// The calls.
-        calls: Vec<CallId>,
-    },
-    /// The calls are not known to the receiver of the inquiry, and never will be.
-    CallsVoid {
-        /// The calls.
-        calls: Vec<CallId>,
-    },
     /// The receiver of a call does not own the team; the call took no effect.
     NotOwner {
         /// The call.
