Choose victims, judge workers and limit retries

A claim on lent share, a worker that fails everything and a wave of retries each need a decision that does not make matters worse. Victims are taken only from borrowers and only down to their entitlement, since a victim below it could displace in turn; superfluous ones are dropped again. Workers are judged against the others of the fleet, with a velocity limit and probes, and a job that most workers fail is blamed itself. Retries are paid for by fresh work. Usage estimates rank choices only; admission counts declared sizes.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,12 +5,20 @@
 //! the decision bench calls them without a daemon.
 
 mod entitlement;
+mod health;
 mod packing;
 mod ranking;
+mod retry;
 mod shape;
+mod usage;
+mod victim;
 
 pub use {
     entitlement::{TeamDemand, entitlements},
+    health::{HealthChange, HealthGate, WorkerHealth},
     packing::{WorkerRoom, choose_worker},
     ranking::{MAX_CANDIDATES, RackRoom, rank_full_racks, rank_racks},
+    retry::{RetryBudget, backoff_ms},
+    usage::UsageEstimate,
+    victim::{VictimRow, choose_victims},
 };
