--- a/crates/node/src/buffer.rs
+++ b/crates/node/src/buffer.rs
@@ -85,6 +85,16 @@
         self.actions.push(NodeAction::Count { metric, amount });
     }
 
+    /// Records a duration.
+    pub(crate) fn timing(&mut self, metric: &'static str, millis: u64) {
+        self.actions.push(NodeAction::Timing { metric, millis });
+    }
+
+    /// Sets a gauge.
+    pub(crate) fn gauge(&mut self, metric: &'static str, value: u64) {
+        self.actions.push(NodeAction::Gauge { metric, value });
+    }
+
     /// Draws a random number.
     pub(crate) fn draw(&mut self) -> u64 {
         self.rng.next_u64()
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -74,7 +74,7 @@
             max_jobs_per_team: 20_000,
             max_tasks_per_job: 10_000,
             intent_window: 32,
-            shutdown_ms: 20_000,
+            shutdown_ms: 600_000,
         }
     }
 
--- /dev/null
+++ b/crates/node/src/entry.rs
@@ -0,0 +1,426 @@
+//! The entry role: takes callers' requests, judges their keys and passes them to queue owners.
+//!
+//! A call that may have reached an owner is never given up as `not_run`. Submitting it again
+//! under the same job number is an inquiry: an owner that knows the job answers for it, and one
+//! that does not may start it only if that cannot be a second run.
+
+use {
+    crate::{
+        CallerRequest, NodeAction, NodeConfig, ShownKey, buffer::ActionBuffer,
+        refusal::WorkRefusal, view::ClusterView,
+    },
+    damaskrack_manifest::{KeyVerdict, QueueEntry},
+    damaskrack_model::{
+        AnswerReason, CallId, ClockTime, Epoch, JobId, KeyName, MemberName, OutcomeKind, QueueName,
+        TeamName, WorkAnswer, WorkKind, WorkSpec,
+    },
+    damaskrack_ownership::PieceName,
+    damaskrack_wire::{PeerMessage, SubmitOrder},
+    std::collections::BTreeMap,
+};
+
+/// Longest time to wait for acceptance when the caller set no deadline, in milliseconds.
+const ACCEPT_WAIT_MS: u64 = 20_000;
+/// Time added to a deadline before the entry itself answers, in milliseconds.
+const OWNER_GRACE_MS: u64 = 2_000;
+/// Time that a call which may have reached an owner waits for somebody to take over, in
+/// milliseconds.
+const LOST_OWNER_WAIT_MS: u64 = 60_000;
+/// First interval after which an unanswered call is sent again, in milliseconds.
+const RESEND_MIN_MS: u64 = 1_000;
+/// Longest interval after which an unanswered call is sent again, in milliseconds.
+const RESEND_MAX_MS: u64 = 8_000;
+/// Most calls under way at once.
+const MAX_CALLS: usize = 10_000;
+/// Largest payload, in bytes.
+const MAX_PAYLOAD_BYTES: usize = 64 << 10;
+/// Longest idempotency key, in bytes.
+const MAX_IDEMPOTENCY_KEY_BYTES: usize = 128;
+
+/// What a call asks the team's owner.
+#[derive(Debug)]
+enum EntryQuestion {
+    Submit(Box<SubmitOrder>),
+    Query(JobId),
+    Cancel(JobId),
+}
+
+/// A caller's call under way.
+#[derive(Debug)]
+struct EntryCall {
+    driver_call: u64,
+    team: TeamName,
+    question: EntryQuestion,
+    started_at: ClockTime,
+    /// When the entry answers by itself; `None` while the work may run for as long as it needs.
+    gives_up_at: Option<ClockTime>,
+    /// Whether the waiting time has passed once already without a reachable owner.
+    is_overdue: bool,
+    sent_to: Option<(MemberName, u64, Epoch)>,
+    resend_at: ClockTime,
+    resend_ms: u64,
+}
+
+/// A request that passed the entry's checks.
+struct AdmittedCall {
+    team: TeamName,
+    question: EntryQuestion,
+    gives_up_at: ClockTime,
+}
+
+/// Calls under way.
+#[derive(Debug, Default)]
+pub(crate) struct EntryRole {
+    calls: BTreeMap<u64, EntryCall>,
+}
+
+impl EntryRole {
+    /// Tells whether no caller waits.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.calls.is_empty()
+    }
+
+    /// Returns the number of callers that wait.
+    pub(crate) fn len(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Takes a caller's request.
+    pub(crate) fn on_request(
+        &mut self,
+        driver_call: u64,
+        request: CallerRequest,
+        view: &ClusterView,
+        config: &NodeConfig,
+        out: &mut ActionBuffer,
+    ) {
+        out.count("entry.requests", 1);
+        match self.admit(request, view, config, out) {
+            Ok(AdmittedCall { team, question, gives_up_at }) => {
+                let call = EntryCall {
+                    driver_call,
+                    team,
+                    question,
+                    started_at: view.now,
+                    gives_up_at: Some(gives_up_at),
+                    is_overdue: false,
+                    sent_to: None,
+                    resend_at: view.now,
+                    resend_ms: RESEND_MIN_MS,
+                };
+                let serial = out.take_number();
+                self.calls.insert(serial, call);
+                self.advance(serial, view, config, out);
+            }
+            Err(refusal) => {
+                out.count("entry.refused", 1);
+                let answer = refusal.into_answer();
+                out.push(NodeAction::CallerAnswer { call: driver_call, answer });
+            }
+        }
+    }
+
+    fn admit(
+        &self,
+        request: CallerRequest,
+        view: &ClusterView,
+        config: &NodeConfig,
+        out: &mut ActionBuffer,
+    ) -> Result<AdmittedCall, WorkRefusal> {
+        check_standing(view)?;
+        if self.calls.len() >= MAX_CALLS {
+            let detail = "this daemon has too many calls under way";
+            return Err(WorkRefusal::new(AnswerReason::Overloaded, detail));
+        }
+        let default_end = view.now.plus(ACCEPT_WAIT_MS);
+        match request {
+            CallerRequest::Submit { key, queue, idempotency_key, is_waiting, spec } => {
+                let entry = find_queue(view, &queue)?;
+                let key = judge_key(key.as_ref(), entry, view)?;
+                check_spec(&spec, entry, config)?;
+                check_idempotency_key(idempotency_key.as_deref())?;
+                let gives_up_at = submit_end(&spec, view.now);
+                let team = entry.team.clone();
+                let order = SubmitOrder {
+                    queue,
+                    nonce: out.draw(),
+                    first_epoch: None,
+                    key,
+                    idempotency_key,
+                    is_waiting,
+                    version: view.manifest.version,
+                    spec,
+                };
+                Ok(AdmittedCall {
+                    team,
+                    question: EntryQuestion::Submit(Box::new(order)),
+                    gives_up_at,
+                })
+            }
+            CallerRequest::Query { key, job } => {
+                judge_job_key(key.as_ref(), &job, view)?;
+                let team = job.team.clone();
+                Ok(AdmittedCall {
+                    team,
+                    question: EntryQuestion::Query(job),
+                    gives_up_at: default_end,
+                })
+            }
+            CallerRequest::Cancel { key, job } => {
+                judge_job_key(key.as_ref(), &job, view)?;
+                let team = job.team.clone();
+                Ok(AdmittedCall {
+                    team,
+                    question: EntryQuestion::Cancel(job),
+                    gives_up_at: default_end,
+                })
+            }
+        }
+    }
+
+    /// Forgets a caller that has gone. Its work goes on.
+    pub(crate) fn on_caller_gone(&mut self, driver_call: u64) {
+        self.calls.retain(|_, call| call.driver_call != driver_call);
+    }
+
+    /// Takes an answer. An answer for a call that has ended is dropped.
+    pub(crate) fn on_answer(
+        &mut self,
+        from: &MemberName,
+        call: CallId,
+        answer: WorkAnswer,
+        view: &ClusterView,
+        config: &NodeConfig,
+        out: &mut ActionBuffer,
+    ) {
+        if call.boot != config.boot {
+            return;
+        }
+        out.send(from, PeerMessage::AnswerAck { calls: vec![call] });
+        let Some(ended) = self.calls.remove(&call.serial) else {
+            out.count("entry.late_answers", 1);
+            return;
+        };
+        let millis = view.now.since(ended.started_at);
+        out.push(NodeAction::Timing { metric: "entry.call", millis });
+        out.push(NodeAction::CallerAnswer { call: ended.driver_call, answer });
+    }
+
+    /// Takes the statement that a call reached a member that does not own the team.
+    pub(crate) fn on_not_owner(&mut self, from: &MemberName, call: CallId, view: &ClusterView) {
+        let Some(ended) = self.calls.get_mut(&call.serial) else { return };
+        let is_current = ended.sent_to.as_ref().is_some_and(|(member, ..)| member == from);
+        if !is_current {
+            return;
+        }
+        if let (EntryQuestion::Submit(order), Some((_, _, epoch))) =
+            (&mut ended.question, &ended.sent_to)
+            && order.first_epoch == Some(*epoch)
+        {
+            order.first_epoch = None;
+        }
+        ended.sent_to = None;
+        ended.resend_at = view.now.plus(RESEND_MIN_MS / 10);
+    }
+
+    /// Sends calls on the way to a lost peer again as soon as possible.
+    pub(crate) fn on_link_lost(&mut self, member: &MemberName, now: ClockTime) {
+        for call in self.calls.values_mut() {
+            if call.sent_to.as_ref().is_some_and(|(to, ..)| to == member) {
+                call.resend_at = now;
+            }
+        }
+    }
+
+    /// Sends what is due and answers what has waited too long.
+    pub(crate) fn tick(&mut self, view: &ClusterView, config: &NodeConfig, out: &mut ActionBuffer) {
+        let due: Vec<u64> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| {
+                view.now >= call.resend_at
+                    || call.gives_up_at.is_some_and(|at| view.now >= at)
+                    || is_owner_changed(call, view)
+            })
+            .map(|(serial, _)| *serial)
+            .collect();
+        for serial in due {
+            self.advance(serial, view, config, out);
+        }
+    }
+
+    fn advance(
+        &mut self,
+        serial: u64,
+        view: &ClusterView,
+        config: &NodeConfig,
+        out: &mut ActionBuffer,
+    ) {
+        let Some(call) = self.calls.get_mut(&serial) else { return };
+        if call.gives_up_at.is_some_and(|at| view.now >= at)
+            && let Some(answer) = call.give_up(view)
+        {
+            let driver_call = call.driver_call;
+            self.calls.remove(&serial);
+            out.push(NodeAction::CallerAnswer { call: driver_call, answer });
+            return;
+        }
+        let is_due = view.now >= call.resend_at || is_owner_changed(call, view);
+        if is_due {
+            call.send(CallId { boot: config.boot, serial }, view, out);
+        }
+    }
+}
+
+fn is_owner_changed(call: &EntryCall, view: &ClusterView) -> bool {
+    let piece = PieceName::Team(call.team.clone());
+    let Some((_, boot, epoch)) = &call.sent_to else { return false };
+    view.owners.get(&piece).is_some_and(|row| {
+        row.record.owner.is_some() && (row.record.epoch != *epoch || row.record.boot != *boot)
+    })
+}
+
+impl EntryCall {
+    /// Sends the call to the team's owner, if there is one.
+    fn send(&mut self, id: CallId, view: &ClusterView, out: &mut ActionBuffer) {
+        let piece = PieceName::Team(self.team.clone());
+        let row = view.owners.get(&piece);
+        let Some((owner, record)) =
+            row.and_then(|row| row.record.owner.as_ref().map(|owner| (owner, &row.record)))
+        else {
+            self.resend_at = view.now.plus(RESEND_MIN_MS / 10);
+            return;
+        };
+        if self.sent_to.is_some() {
+            self.resend_ms = (self.resend_ms * 2).min(RESEND_MAX_MS);
+            out.count("entry.resends", 1);
+        }
+        self.resend_at = view.now.plus(self.resend_ms);
+        self.sent_to = Some((owner.clone(), record.boot, record.epoch));
+        let message = match &mut self.question {
+            EntryQuestion::Submit(order) => {
+                let copy = order.as_ref().clone();
+                order.first_epoch = order.first_epoch.or(Some(record.epoch));
+                PeerMessage::Submit { call: id, team: self.team.clone(), order: copy }
+            }
+            EntryQuestion::Query(job) => PeerMessage::JobQuery { call: id, job: job.clone() },
+            EntryQuestion::Cancel(job) => PeerMessage::JobCancel { call: id, job: job.clone() },
+        };
+        out.send(owner, message);
+    }
+
+    /// Returns the entry's own answer at the end of the waiting time, or `None` to wait on.
+    ///
+    /// Work that certainly reached nobody is refused. For work that may have reached an owner the
+    /// entry waits on while there is one: the owner enforces the deadline and its answer is the
+    /// truth.
+    fn give_up(&mut self, view: &ClusterView) -> Option<WorkAnswer> {
+        let unknown =
+            |detail| Some(WorkAnswer::new(OutcomeKind::Unknown, AnswerReason::Lost, detail));
+        let EntryQuestion::Submit(order) = &self.question else {
+            return unknown("the team's owner did not answer in time");
+        };
+        if order.first_epoch.is_none() {
+            let detail = "no owner of the team could be reached before the deadline";
+            return Some(WorkAnswer::refused(AnswerReason::DeadlinePassed, detail));
+        }
+        let has_owner = self.sent_to.as_ref().is_some_and(|(owner, ..)| {
+            let row = view.members.get(owner);
+            *owner == view.me || row.is_some_and(|row| row.is_listed)
+        });
+        if self.is_overdue && !has_owner {
+            return unknown("the team's owner is lost and nobody has taken over");
+        }
+        self.is_overdue = !has_owner;
+        self.gives_up_at = Some(view.now.plus(LOST_OWNER_WAIT_MS));
+        None
+    }
+}
+
+fn submit_end(spec: &WorkSpec, now: ClockTime) -> ClockTime {
+    if spec.deadline_ms == 0 {
+        now.plus(ACCEPT_WAIT_MS)
+    } else {
+        now.plus(spec.deadline_ms.saturating_add(OWNER_GRACE_MS))
+    }
+}
+
+fn check_standing(view: &ClusterView) -> Result<(), WorkRefusal> {
+    if view.is_leaving {
+        return Err(WorkRefusal::new(AnswerReason::Leaving, "this daemon is shutting down"));
+    }
+    if !view.may_start() {
+        let detail = "this daemon cannot prove that its configuration is current";
+        return Err(WorkRefusal::new(AnswerReason::Isolated, detail));
+    }
+    Ok(())
+}
+
+fn find_queue<'a>(view: &'a ClusterView, queue: &QueueName) -> Result<&'a QueueEntry, WorkRefusal> {
+    view.queue(queue).ok_or_else(|| {
+        WorkRefusal::new(AnswerReason::UnknownQueue, &format!("there is no queue {queue}"))
+    })
+}
+
+/// Judges the key for a queue. Only an open queue takes work without one.
+fn judge_key(
+    shown: Option<&ShownKey>,
+    queue: &QueueEntry,
+    view: &ClusterView,
+) -> Result<Option<KeyName>, WorkRefusal> {
+    let Some(shown) = shown else {
+        return if queue.open { Ok(None) } else { Err(key_refusal()) };
+    };
+    match view.manifest.keys.check_key(&shown.text, view.now.0) {
+        KeyVerdict::Valid { key, team } if team == queue.team => Ok(Some(key)),
+        KeyVerdict::Valid { .. } if queue.open => Ok(None),
+        _ => Err(key_refusal()),
+    }
+}
+
+fn judge_job_key(
+    shown: Option<&ShownKey>,
+    job: &JobId,
+    view: &ClusterView,
+) -> Result<(), WorkRefusal> {
+    let queue = find_queue(view, &job.queue)?;
+    if queue.team != job.team {
+        return Err(WorkRefusal::new(AnswerReason::UnknownJob, "there is no such job"));
+    }
+    judge_key(shown, queue, view).map(|_| ())
+}
+
+fn key_refusal() -> WorkRefusal {
+    WorkRefusal::new(AnswerReason::KeyRefused, "the key is missing or not valid for this queue")
+}
+
+fn check_spec(spec: &WorkSpec, queue: &QueueEntry, config: &NodeConfig) -> Result<(), WorkRefusal> {
+    let refuse = |detail: &str| Err(WorkRefusal::new(AnswerReason::Invalid, detail));
+    if spec.tasks == 0 || spec.tasks > config.max_tasks_per_job {
+        return refuse(&format!("tasks must be from 1 to {}", config.max_tasks_per_job));
+    }
+    if spec.kind == WorkKind::Request && spec.tasks != 1 {
+        return refuse("a request has exactly one task");
+    }
+    if spec.priority > queue.highest_priority {
+        return refuse("the queue does not allow this priority");
+    }
+    if spec.payload.len() > MAX_PAYLOAD_BYTES {
+        return refuse(&format!("the payload has more than {MAX_PAYLOAD_BYTES} bytes"));
+    }
+    if spec.resources.checked_mul(spec.tasks.into()).is_none() {
+        return refuse("the resources of all tasks together are too large to add up");
+    }
+    Ok(())
+}
+
+fn check_idempotency_key(key: Option<&str>) -> Result<(), WorkRefusal> {
+    match key {
+        Some(key) if key.is_empty() || key.len() > MAX_IDEMPOTENCY_KEY_BYTES => {
+            let detail =
+                format!("Idempotency-Key must have 1 to {MAX_IDEMPOTENCY_KEY_BYTES} bytes");
+            Err(WorkRefusal::new(AnswerReason::Invalid, &detail))
+        }
+        _ => Ok(()),
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,9 +9,17 @@
 mod action;
 mod buffer;
 mod config;
+mod entry;
+mod exchange;
 mod input;
+mod manifest;
+mod membership;
 mod node;
+mod pieces;
+mod queue;
 mod rack;
+mod refusal;
+
 mod view;
 
 pub use {
--- /dev/null
+++ b/crates/node/src/manifest/change.rs
@@ -0,0 +1,335 @@
+//! Changes the manifest on behalf of operators.
+//!
+//! The sections are written first, under keys of their own, then the head is exchanged by
+//! compare-and-swap against the version that the operator started from. Each change carries a
+//! random number: when the answer to the exchange is lost, reading the head back tells whether it
+//! took effect, and it is never written twice.
+
+use {
+    super::fetch::{changed_sections, section_id},
+    crate::{
+        LogLevel, NodeAction, NodeConfig, buffer::ActionBuffer, refusal::WorkRefusal,
+        view::ClusterView,
+    },
+    damaskrack_manifest::{HEAD_KEY, ManifestHead, parse_manifest, section_key},
+    damaskrack_model::{AnswerReason, ClockTime, MemberName, OutcomeKind, WorkAnswer},
+    damaskrack_ownership::MemberStanding,
+    damaskrack_platform::{StoreCall, StoreFailure, StoreReply},
+    std::collections::VecDeque,
+};
+
+/// Longest time to wait until every member has confirmed a change, in milliseconds.
+const SPREAD_WAIT_MS: u64 = 6_000;
+/// Longest time to try to write a change, in milliseconds.
+const WRITE_WAIT_MS: u64 = 8_000;
+/// Pause after a failed call, in milliseconds.
+const RETRY_MS: u64 = 200;
+/// Most changes that wait for their turn.
+const MAX_WAITING: usize = 64;
+
+#[derive(Debug)]
+enum ChangePhase {
+    /// Sections that are still to be written.
+    Sections(VecDeque<(String, String)>),
+    /// The head is to be exchanged.
+    Head,
+    /// The answer was lost; the head is to be read.
+    ReadBack,
+    /// Written; waits until every member has confirmed.
+    Spreading { since: ClockTime },
+}
+
+/// A change that was handed in.
+#[derive(Debug)]
+struct ManifestChange {
+    operator_call: u64,
+    head: ManifestHead,
+    base_revision: u64,
+    phase: ChangePhase,
+    store_call: u64,
+    started_at: ClockTime,
+    next_at: ClockTime,
+    obsolete: Vec<String>,
+    /// Whether the exchange of the head may have taken effect.
+    is_uncertain: bool,
+}
+
+#[derive(Debug)]
+struct WaitingChange {
+    operator_call: u64,
+    base: u64,
+    json: String,
+}
+
+/// Writes changes, one after the other.
+#[derive(Debug, Default)]
+pub(crate) struct ManifestWriter {
+    current: Option<ManifestChange>,
+    waiting: VecDeque<WaitingChange>,
+    spreading: Vec<ManifestChange>,
+}
+
+/// What to do with the change in hand after a store call.
+enum ChangeStep {
+    Continue,
+    Spread,
+    Answer(WorkAnswer),
+}
+
+impl ManifestWriter {
+    /// Takes a change from an operator.
+    pub(crate) fn submit(
+        &mut self,
+        operator_call: u64,
+        base: u64,
+        json: String,
+        view: &ClusterView,
+        out: &mut ActionBuffer,
+    ) {
+        if self.waiting.len() >= MAX_WAITING {
+            let answer = WorkAnswer::refused(AnswerReason::Overloaded, "too many changes wait");
+            return answer_operator(operator_call, answer, view, out);
+        }
+        self.waiting.push_back(WaitingChange { operator_call, base, json });
+    }
+
+    /// Tells whether a change is under way.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.current.is_none() && self.waiting.is_empty() && self.spreading.is_empty()
+    }
+
+    /// Starts what is due and answers what has spread.
+    pub(crate) fn tick(
+        &mut self,
+        head_version: u64,
+        head_revision: u64,
+        view: &ClusterView,
+        config: &NodeConfig,
+        out: &mut ActionBuffer,
+    ) {
+        self.settle_spreading(view, out);
+        let is_current =
+            head_version <= view.manifest.version || view.standing != MemberStanding::Connected;
+        if self.current.is_none()
+            && is_current
+            && let Some(next) = self.waiting.pop_front()
+        {
+            match begin_change(&next, head_version, head_revision, view, out) {
+                Ok(change) => self.current = Some(change),
+                Err(refusal) => {
+                    answer_operator(next.operator_call, refusal.into_answer(), view, out);
+                }
+            }
+        }
+        let Some(change) = &mut self.current else { return };
+        if change.store_call != 0 || view.now < change.next_at {
+            return;
+        }
+        if view.now.since(change.started_at) > WRITE_WAIT_MS {
+            let answer = change.timeout_answer();
+            let call = change.operator_call;
+            self.current = None;
+            return answer_operator(call, answer, view, out);
+        }
+        let request = change.next_request();
+        change.store_call = out.store(request, config.store_timeout_ms);
+    }
+
+    /// Tells whether a store call belongs to the writer.
+    pub(crate) fn owns_call(&self, call: u64) -> bool {
+        self.current.as_ref().is_some_and(|change| change.store_call == call)
+    }
+
+    /// Takes the end of a store call.
+    pub(crate) fn on_store(
+        &mut self,
+        result: Result<StoreReply, StoreFailure>,
+        view: &ClusterView,
+        config: &NodeConfig,
+        out: &mut ActionBuffer,
+    ) {
+        let Some(mut change) = self.current.take() else { return };
+        change.store_call = 0;
+        match change.on_reply(result, view.now) {
+            ChangeStep::Continue => self.current = Some(change),
+            ChangeStep::Answer(answer) => {
+                answer_operator(change.operator_call, answer, view, out);
+            }
+            ChangeStep::Spread => {
+                out.log(LogLevel::Info, "manifest_written", &[("version", &change.head.version)]);
+                for key in change.obsolete.drain(..) {
+                    let to = format!("{key}\0");
+                    out.store(StoreCall::DeleteRange { from: key, to }, config.store_timeout_ms);
+                }
+                change.phase = ChangePhase::Spreading { since: view.now };
+                self.spreading.push(change);
+            }
+        }
+    }
+
+    fn settle_spreading(&mut self, view: &ClusterView, out: &mut ActionBuffer) {
+        self.spreading.retain(|change| {
+            let ChangePhase::Spreading { since } = change.phase else { return false };
+            let laggard = find_laggard(change.head.version, view);
+            let is_late = view.now.since(since) > SPREAD_WAIT_MS;
+            if laggard.is_some() && !is_late {
+                return true;
+            }
+            let answer = spread_answer(laggard);
+            answer_operator(change.operator_call, answer, view, out);
+            false
+        });
+    }
+}
+
+fn spread_answer(laggard: Option<&MemberName>) -> WorkAnswer {
+    match laggard {
+        None => WorkAnswer::new(OutcomeKind::Done, AnswerReason::Ok, "in force on every member"),
+        Some(member) => {
+            let detail = format!("written, spreading; not confirmed by {member}");
+            WorkAnswer::new(OutcomeKind::Done, AnswerReason::Spreading, &detail)
+        }
+    }
+}
+
+/// Finds a member that may still act on an earlier version: one that is listed or still owns
+/// pieces and has not confirmed.
+fn find_laggard(version: u64, view: &ClusterView) -> Option<&MemberName> {
+    if view.manifest.version < version {
+        return Some(&view.me);
+    }
+    view.members
+        .iter()
+        .find(|(member, row)| {
+            let counts = row.is_listed || view.owns_anything(member);
+            **member != view.me && counts && row.version < version
+        })
+        .map(|(member, _)| member)
+}
+
+fn begin_change(
+    next: &WaitingChange,
+    head_version: u64,
+    head_revision: u64,
+    view: &ClusterView,
+    out: &mut ActionBuffer,
+) -> Result<ManifestChange, WorkRefusal> {
+    if view.standing != MemberStanding::Connected {
+        let detail = "this daemon does not reach the store and half of the members";
+        return Err(WorkRefusal::new(AnswerReason::StoreUnavailable, detail));
+    }
+    if next.base != head_version || head_version != view.manifest.version {
+        return Err(conflict_refusal(next.base, head_version));
+    }
+    let document = parse_manifest(&next.json).map_err(|faults| {
+        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        WorkRefusal::new(AnswerReason::Invalid, &lines.join("\n"))
+    })?;
+    let version = head_version + 1;
+    let mut sections = view.manifest.head.sections.clone();
+    let mut puts = VecDeque::new();
+    let mut obsolete = Vec::new();
+    for (section, json) in changed_sections(view, &document) {
+        let id = section_id(version, &json);
+        puts.push_back((section_key(section, &id), json));
+        if let Some(former) = sections.insert(section.name().to_owned(), id) {
+            obsolete.push(section_key(section, &former));
+        }
+    }
+    Ok(ManifestChange {
+        operator_call: next.operator_call,
+        head: ManifestHead { version, change: out.draw(), sections },
+        base_revision: head_revision,
+        phase: ChangePhase::Sections(puts),
+        store_call: 0,
+        started_at: view.now,
+        next_at: view.now,
+        obsolete,
+        is_uncertain: false,
+    })
+}
+
+fn conflict_refusal(base: u64, current: u64) -> WorkRefusal {
+    let detail = format!("the manifest is at version {current}, not {base}; read it and try again");
+    WorkRefusal::new(AnswerReason::Conflict, &detail)
+}
+
+impl ManifestChange {
+    fn next_request(&mut self) -> StoreCall {
+        if let ChangePhase::Sections(puts) = &self.phase {
+            if let Some((key, value)) = puts.front().cloned() {
+                return StoreCall::Put { key, expected: 0, value, lease: 0 };
+            }
+            self.phase = ChangePhase::Head;
+        }
+        match self.phase {
+            ChangePhase::ReadBack => StoreCall::Get { key: HEAD_KEY.to_owned() },
+            _ => StoreCall::Put {
+                key: HEAD_KEY.to_owned(),
+                expected: self.base_revision,
+                value: self.head.to_json(),
+                lease: 0,
+            },
+        }
+    }
+
+    fn on_reply(&mut self, result: Result<StoreReply, StoreFailure>, now: ClockTime) -> ChangeStep {
+        match (&mut self.phase, result) {
+            // A section's key holds its hash, so one that exists has the same content.
+            (
+                ChangePhase::Sections(puts),
+                Ok(StoreReply::Written { .. } | StoreReply::Conflict { .. }),
+            ) => {
+                puts.pop_front();
+                ChangeStep::Continue
+            }
+            (ChangePhase::Head, Ok(StoreReply::Written { .. })) => ChangeStep::Spread,
+            (ChangePhase::Head, Ok(StoreReply::Conflict { current })) => {
+                self.judge_head(current.map(|entry| entry.value).as_deref())
+            }
+            (ChangePhase::ReadBack, Ok(StoreReply::Entries { entries, .. })) => {
+                self.phase = ChangePhase::Head;
+                self.judge_head(entries.first().map(|entry| entry.value.as_str()))
+            }
+            (ChangePhase::Head, Err(StoreFailure::Lost)) => {
+                self.is_uncertain = true;
+                self.phase = ChangePhase::ReadBack;
+                self.retry(now)
+            }
+            _ => self.retry(now),
+        }
+    }
+
+    fn retry(&mut self, now: ClockTime) -> ChangeStep {
+        self.next_at = now.plus(RETRY_MS);
+        ChangeStep::Continue
+    }
+
+    /// Judges by the head in the store whether the exchange took effect.
+    fn judge_head(&self, value: Option<&str>) -> ChangeStep {
+        let found = value.and_then(|text| ManifestHead::from_json(text).ok()).unwrap_or_default();
+        if found.change == self.head.change {
+            return ChangeStep::Spread;
+        }
+        if found.version < self.head.version {
+            return ChangeStep::Continue;
+        }
+        // A later change replaced this one or won the race against it. Whether this one was in
+        // force in between cannot be told if its answer was lost.
+        let mut answer = conflict_refusal(self.head.version - 1, found.version).into_answer();
+        if self.is_uncertain {
+            answer.outcome = OutcomeKind::Unknown;
+        }
+        ChangeStep::Answer(answer)
+    }
+
+    fn timeout_answer(&self) -> WorkAnswer {
+        let detail = "the store did not take the change in time";
+        let outcome = if self.is_uncertain { OutcomeKind::Unknown } else { OutcomeKind::NotRun };
+        WorkAnswer::new(outcome, AnswerReason::StoreUnavailable, detail)
+    }
+}
+
+fn answer_operator(call: u64, answer: WorkAnswer, view: &ClusterView, out: &mut ActionBuffer) {
+    out.push(NodeAction::OperatorAnswer { call, version: view.manifest.version, answer });
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,29 +1,108 @@
 //! The node: tables and the tick.
 
 use {
-    crate::{NodeAction, NodeConfig, NodeInput},
-    damaskrack_model::ClockTime,
+    crate::{
+        NodeAction, NodeConfig, NodeInput, OperatorRequest,
+        buffer::ActionBuffer,
+        entry::EntryRole,
+        exchange::DigestExchange,
+        manifest::{ManifestReader, ManifestWriter},
+        membership::{
+            FollowedChange, HeartbeatView, MemberRegistration, PeerMonitor, StoreFollower,
+        },
+        pieces::{PieceChange, PieceRole},
+        queue::QueueRole,
+        rack::RackRole,
+        view::ClusterView,
+    },
+    damaskrack_manifest::HEAD_KEY,
+    damaskrack_model::{AnswerReason, ClockTime, MemberName, OutcomeKind, WorkAnswer},
+    damaskrack_ownership::{MemberRecord, MemberStanding, PieceName},
+    damaskrack_platform::{StoreFailure, StoreReply},
+    damaskrack_wire::PeerMessage,
+    serde_json::json,
 };
 
+/// Most rounds of messages to this daemon itself in one tick.
+const MAX_LOOPBACK_ROUNDS: usize = 8;
+
 /// One daemon's tables.
+///
+/// # Examples
+///
+/// ```
+/// use damaskrack_model::ClockTime;
+/// use damaskrack_node::{NodeConfig, SchedulerNode};
+///
+/// let config = NodeConfig::new("entry-1".parse()?, "zone-a".parse()?, "127.0.0.1:7001".parse()?, 42);
+/// let mut node = SchedulerNode::new(config);
+/// let actions = node.tick(ClockTime(1_000), Vec::new());
+/// assert!(!actions.is_empty(), "it asks the store for a lease and for the records");
+/// assert!(!node.is_ready());
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
 #[derive(Debug)]
 pub struct SchedulerNode {
     config: NodeConfig,
+    view: ClusterView,
+    out: ActionBuffer,
+    follower: StoreFollower,
+    registration: MemberRegistration,
+    monitor: PeerMonitor,
+    reader: ManifestReader,
+    writer: ManifestWriter,
+    pieces: PieceRole,
+    entry: EntryRole,
+    queues: QueueRole,
+    racks: RackRole,
+    exchange: DigestExchange,
+    shutdown_at: Option<ClockTime>,
+    has_exited: bool,
 }
 
 impl SchedulerNode {
     /// Makes a node that knows nothing yet. Its first ticks register it in the store.
     #[must_use]
     pub fn new(config: NodeConfig) -> Self {
-        Self { config }
+        Self {
+            view: ClusterView::new(config.member.clone()),
+            out: ActionBuffer::new(config.member.clone(), config.boot),
+            follower: StoreFollower::new(),
+            registration: MemberRegistration::new(),
+            monitor: PeerMonitor::new(),
+            reader: ManifestReader::new(),
+            writer: ManifestWriter::default(),
+            pieces: PieceRole::new(&config),
+            entry: EntryRole::default(),
+            queues: QueueRole::new(&config),
+            racks: RackRole::default(),
+            exchange: DigestExchange::default(),
+            shutdown_at: None,
+            has_exited: false,
+            config,
+        }
     }
 
     /// Takes what has arrived, in order, and returns what to do, in order.
     ///
-    /// The driver calls it whenever something has arrived and at least every 50 ms.
+    /// The driver calls it whenever something has arrived and at least every 50 ms. The standing
+    /// is judged before anything that arrived is looked at, so a process that wakes from a pause
+    /// acts on nothing that waited for it.
     pub fn tick(&mut self, now: ClockTime, inputs: Vec<NodeInput>) -> Vec<NodeAction> {
-        let _ = (now, inputs);
-        Vec::new()
+        self.view.now = now;
+        self.judge_standing();
+        for input in inputs {
+            self.take_input(input);
+            self.deliver_loopback();
+        }
+        self.judge_standing();
+        self.run_systems();
+        self.deliver_loopback();
+        self.queues.tick(&self.view, &self.config, &mut self.out);
+        self.racks.tick(&self.config, &self.view, &mut self.out);
+        self.deliver_loopback();
+        self.exit_if_done();
+        self.out.take_actions()
     }
 
     /// Tells whether this daemon should get callers' requests.
@@ -31,12 +110,284 @@
     /// It does not depend on the store: a store outage must not take every daemon out at once.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        false
+        self.view.may_start() && !self.view.is_leaving
     }
 
-    /// Returns every table, as JSON for a person.
+    /// Returns every table, as JSON for a person. It holds no keys.
     #[must_use]
     pub fn dump(&self) -> serde_json::Value {
-        serde_json::json!({ "member": self.config.member })
+        json!({
+            "member": self.config.member,
+            "boot": self.config.boot,
+            "now_ms": self.view.now,
+            "standing": format!("{:?}", self.view.standing),
+            "is_leaving": self.view.is_leaving,
+            "is_ready": self.is_ready(),
+            "store_seen_revision": self.follower.seen_revision(),
+            "store_news_at_ms": self.follower.news_at(),
+            "manifest_version": self.view.manifest.version,
+            "members": self.view.members,
+            "owners": self.view.owners.iter().map(|(piece, row)| json!({
+                "piece": piece,
+                "owner": row.record.owner,
+                "epoch": row.record.epoch,
+            })).collect::<Vec<_>>(),
+            "owned": self.pieces.owned(),
+            "entitlements": self.view.entitlements.iter().map(|(team, share)| json!({
+                "team": team,
+                "share": share,
+                "usage": self.view.cell_usage.get(team),
+            })).collect::<Vec<_>>(),
+            "starved": self.view.starved,
+            "cell_capacity": self.view.cell_capacity,
+            "calls": self.entry.len(),
+            "teams": self.queues.dump(),
+            "racks": self.racks.dump(),
+        })
+    }
+
+    fn judge_standing(&mut self) {
+        let news_at = self.follower.news_at();
+        let standing = self.monitor.judge(&self.view, &self.config, news_at);
+        if standing != self.view.standing {
+            let (old, new) = (format!("{:?}", self.view.standing), format!("{standing:?}"));
+            let level = if standing == MemberStanding::Connected {
+                crate::LogLevel::Info
+            } else {
+                crate::LogLevel::Warning
+            };
+            self.out.log(level, "standing_changed", &[("from", &old), ("to", &new)]);
+        }
+        self.view.standing = standing;
+    }
+
+    fn take_input(&mut self, input: NodeInput) {
+        let (view, config, out) = (&mut self.view, &self.config, &mut self.out);
+        match input {
+            NodeInput::Caller { call, request } => {
+                self.entry.on_request(call, request, view, config, out);
+            }
+            NodeInput::CallerGone { call } => self.entry.on_caller_gone(call),
+            NodeInput::Operator { call, request } => self.take_operator(call, request),
+            NodeInput::PeerUp { .. } => {}
+            NodeInput::PeerDown { member } => self.entry.on_link_lost(&member, view.now),
+            NodeInput::Peer { member, boot, message } => self.take_message(&member, boot, message),
+            NodeInput::Store { call, result } => self.take_store(call, result),
+            NodeInput::Worker { call, result } => self.racks.on_worker(call, result, view, out),
+            NodeInput::Hosts { rows } => view.hosts = rows,
+            NodeInput::Shutdown => self.begin_shutdown(),
+        }
+    }
+
+    fn take_operator(&mut self, call: u64, request: OperatorRequest) {
+        let (view, out) = (&self.view, &mut self.out);
+        match request {
+            OperatorRequest::ManifestPut { base, json } => {
+                self.writer.submit(call, base, json, view, out);
+            }
+            OperatorRequest::ManifestGet => {
+                let json = serde_json::to_string(&view.manifest.document).unwrap_or_default();
+                let answer = WorkAnswer::new(OutcomeKind::Done, AnswerReason::Ok, &json);
+                let version = view.manifest.version;
+                out.push(NodeAction::OperatorAnswer { call, version, answer });
+            }
+        }
     }
+
+    fn take_message(&mut self, from: &MemberName, boot: u64, message: PeerMessage) {
+        let (view, config, out) = (&mut self.view, &self.config, &mut self.out);
+        match message {
+            PeerMessage::Heartbeat {
+                version,
+                store_age_ms,
+                sees_receiver,
+                clock_ms,
+                echo_ms,
+                is_leaving,
+            } => {
+                let beat = HeartbeatView {
+                    version,
+                    store_age_ms,
+                    sees_receiver,
+                    clock_ms,
+                    echo_ms,
+                    is_leaving,
+                };
+                self.monitor.on_heartbeat(from, boot, beat, view);
+            }
+            PeerMessage::ManifestPull { have } => self.reader.on_pull(from, have, view, out),
+            PeerMessage::ManifestPush { version, json } => {
+                self.reader.on_push(version, &json, view, out);
+            }
+            PeerMessage::Answer { call, answer } => {
+                self.entry.on_answer(from, call, answer, view, config, out);
+            }
+            PeerMessage::NotOwner { call, .. } => self.entry.on_not_owner(from, call, view),
+            PeerMessage::AnswerAck { .. } => {}
+            PeerMessage::RackDigests { summaries } => {
+                self.exchange.on_racks(from, summaries, view);
+            }
+            PeerMessage::TeamDigests { teams } => self.exchange.on_teams(teams, view),
+            message if is_for_racks(&message) => self.racks.on_message(from, message, view, out),
+            message => self.queues.on_message(from, message, view, config, out),
+        }
+    }
+
+    fn take_store(&mut self, call: u64, result: Result<StoreReply, StoreFailure>) {
+        let (view, config, out) = (&mut self.view, &self.config, &mut self.out);
+        out.count("store.replies", 1);
+        if result.is_err() {
+            out.count("store.failures", 1);
+        }
+        if self.follower.owns_call(call) {
+            let changes = self.follower.on_store(view.now, call, result);
+            for change in changes {
+                self.apply_change(&change);
+            }
+        } else if self.registration.owns_call(call) {
+            self.registration.on_store(view.now, config, result);
+        } else if self.reader.owns_call(call) {
+            self.reader.on_store(call, result, view, out);
+        } else if self.writer.owns_call(call) {
+            self.writer.on_store(result, view, config, out);
+        } else if self.queues.owns_call(call) {
+            self.queues.on_store(call, result, view, config, out);
+        }
+    }
+
+    fn apply_change(&mut self, change: &FollowedChange) {
+        if change.key.starts_with(MemberRecord::KEY_PREFIX) {
+            self.view.apply_member(change);
+        } else if change.key == HEAD_KEY {
+            self.reader.on_head(change.value.as_deref(), change.revision);
+        } else if let Some(piece) = self.view.apply_owner(change) {
+            let step = self.pieces.on_record(&piece, &self.view, &self.config);
+            if let PieceName::Rack(rack) = &piece {
+                let (view, config, out) = (&self.view, &self.config, &mut self.out);
+                self.queues.on_rack_moved(rack, view, config, out);
+            }
+            if let Some(step) = step {
+                self.apply_piece(&step);
+            }
+        }
+    }
+
+    fn apply_piece(&mut self, change: &PieceChange) {
+        let level = crate::LogLevel::Info;
+        let (piece, event) = match change {
+            PieceChange::Taken(piece) => (piece, "piece_taken"),
+            PieceChange::Lost(piece) => (piece, "piece_lost"),
+            PieceChange::Freeze(piece) => (piece, "piece_frozen"),
+            PieceChange::Thaw(piece) => (piece, "piece_thawed"),
+        };
+        let epoch = self.view.epoch(piece);
+        self.out.log(level, event, &[("piece", piece), ("epoch", &epoch.0)]);
+        match (change, piece) {
+            (PieceChange::Taken(_), PieceName::Team(team)) => self.queues.take(team, epoch),
+            (PieceChange::Lost(_), PieceName::Team(team)) => self.queues.forget(team),
+            (PieceChange::Freeze(_), PieceName::Team(team)) => self.queues.freeze(team),
+            (PieceChange::Thaw(_), PieceName::Team(team)) => self.queues.thaw(team),
+            (PieceChange::Taken(_), PieceName::Rack(rack)) => {
+                self.racks.take(rack, epoch, &self.view);
+            }
+            (PieceChange::Lost(_), PieceName::Rack(rack)) => self.racks.forget(rack),
+            (PieceChange::Freeze(_), PieceName::Rack(rack)) => self.racks.freeze(rack),
+            (PieceChange::Thaw(_), PieceName::Rack(rack)) => self.racks.thaw(rack),
+        }
+    }
+
+    fn run_systems(&mut self) {
+        let (view, config, out) = (&mut self.view, &self.config, &mut self.out);
+        self.follower.tick(view.now, config.store_timeout_ms, out);
+        self.registration.tick(view.now, config, view.is_leaving, out);
+        self.monitor.tick(view, config, self.follower.news_at(), out);
+        self.reader.tick(view, config, out);
+        let (head, revision) = (self.reader.head_version(), self.reader.head_revision());
+        self.writer.tick(head, revision, view, config, out);
+        if self.follower.is_listed() {
+            self.review_pieces();
+        }
+        let (view, config, out) = (&mut self.view, &self.config, &mut self.out);
+        let (racks, queues) = (&self.racks, &self.queues);
+        let summaries = racks.summaries(view);
+        let digests = queues.digests(view);
+        self.exchange.tick(|| summaries, || digests, view, config, out);
+        self.entry.tick(view, config, out);
+        self.queues.tick(view, config, out);
+        self.racks.tick(config, view, out);
+    }
+
+    fn review_pieces(&mut self) {
+        let (queues, racks) = (&self.queues, &self.racks);
+        let is_settled = |piece: &PieceName| match piece {
+            PieceName::Team(team) => queues.is_settled(team),
+            PieceName::Rack(rack) => racks.is_settled(rack),
+        };
+        let (view, config, out) = (&self.view, &self.config, &mut self.out);
+        for change in self.pieces.review(view, config, is_settled, out) {
+            self.apply_piece(&change);
+        }
+    }
+
+    fn deliver_loopback(&mut self) {
+        let me = self.config.member.clone();
+        let boot = self.config.boot;
+        for _ in 0..MAX_LOOPBACK_ROUNDS {
+            let mut was_empty = true;
+            while let Some(message) = self.out.pop_loopback() {
+                was_empty = false;
+                self.take_message(&me, boot, message);
+            }
+            if was_empty {
+                return;
+            }
+        }
+    }
+
+    fn begin_shutdown(&mut self) {
+        if self.shutdown_at.is_some() {
+            return;
+        }
+        self.shutdown_at = Some(self.view.now);
+        self.view.is_leaving = true;
+        let me = self.config.member.clone();
+        if let Some(row) = self.view.members.get_mut(&me) {
+            row.is_leaving = true;
+        }
+        self.out.log(crate::LogLevel::Info, "shutdown_begun", &[("member", &me)]);
+    }
+
+    /// Ends the process once nothing depends on it: no caller waits, nothing is owned, and the
+    /// member lease is given up. The deadline bounds the wait.
+    fn exit_if_done(&mut self) {
+        let Some(since) = self.shutdown_at else { return };
+        if self.has_exited {
+            return;
+        }
+        let is_overdue = self.view.now.since(since) > self.config.shutdown_ms;
+        let is_idle =
+            self.entry.is_idle() && self.pieces.owned().is_empty() && self.writer.is_idle();
+        if !is_idle && !is_overdue {
+            return;
+        }
+        self.registration.revoke(self.config.store_timeout_ms, &mut self.out);
+        if self.registration.is_revoked() || is_overdue {
+            self.has_exited = true;
+            self.out.log(crate::LogLevel::Info, "shutdown_done", &[("is_overdue", &is_overdue)]);
+            self.out.push(NodeAction::Exit);
+        }
+    }
+}
+
+fn is_for_racks(message: &PeerMessage) -> bool {
+    matches!(
+        message,
+        PeerMessage::Place { .. }
+            | PeerMessage::Commit { .. }
+            | PeerMessage::Release { .. }
+            | PeerMessage::StopAttempts { .. }
+            | PeerMessage::Inquire { .. }
+            | PeerMessage::EndedAck { .. }
+            | PeerMessage::RollCall { .. }
+    )
 }
--- /dev/null
+++ b/crates/node/src/queue/accept.rs
@@ -0,0 +1,378 @@
+//! Takes work, questions and cancellations from entries.
+
+use {
+    super::{
+        JobKey, QueueContext,
+        job::JobRow,
+        record::JournalRecord,
+        settle,
+        team::{EarlySubmit, TeamPhase, TeamQueue},
+    },
+    crate::refusal::WorkRefusal,
+    damaskrack_model::{
+        AnswerReason, CallId, JobId, MemberName, OutcomeKind, WorkAnswer, WorkKind, WorkSpec,
+    },
+    damaskrack_wire::{PeerMessage, SubmitOrder},
+};
+
+/// Most submissions that wait for the journal to be read.
+const MAX_EARLY: usize = 2_000;
+/// Most records that wait for the store.
+const MAX_PENDING_RECORDS: usize = 20_000;
+/// Most payload bytes of journalled jobs of one team, so that a snapshot fits into one value.
+const MAX_JOURNALLED_BYTES: usize = 512 << 10;
+
+/// What to do with a submission.
+enum SubmitStep {
+    /// The job is known; the caller joins it.
+    Join(JobKey),
+    /// The job is new.
+    Accept,
+    /// The work is refused.
+    Refuse(WorkRefusal),
+    /// It may have run under a former owner and is lost.
+    Lost,
+}
+
+/// Takes a submission.
+pub(super) fn on_submit(
+    queue: &mut TeamQueue,
+    from: &MemberName,
+    call: CallId,
+    order: SubmitOrder,
+    context: &mut QueueContext<'_>,
+) {
+    let is_stale = order.first_epoch.is_some_and(|epoch| epoch > queue.epoch);
+    let is_released = queue.is_frozen || is_stale || matches!(queue.phase, TeamPhase::Fenced);
+    if is_released && !queue.by_nonce.contains_key(&order.nonce) {
+        context.out.send(from, PeerMessage::NotOwner { call, owner: None });
+        return;
+    }
+    if !queue.knows_jobs() {
+        if queue.early.len() < MAX_EARLY {
+            queue.early.push(EarlySubmit { from: from.clone(), call, order });
+        }
+        return;
+    }
+    let reply_to = from.clone();
+    match judge_submit(queue, &order, context) {
+        SubmitStep::Join(key) => join_job(queue, key, reply_to, call, context),
+        SubmitStep::Accept => accept_job(queue, reply_to, call, &order, context),
+        SubmitStep::Refuse(refusal) => {
+            context.out.count("queue.refused", 1);
+            let answer = refusal.into_answer();
+            context.out.send(from, PeerMessage::Answer { call, answer });
+        }
+        SubmitStep::Lost => {
+            let id = job_id(queue, &order);
+            let answer = lost_answer().with_job(id);
+            context.out.send(from, PeerMessage::Answer { call, answer });
+        }
+    }
+}
+
+fn job_id(queue: &TeamQueue, order: &SubmitOrder) -> JobId {
+    JobId { team: queue.team.clone(), queue: order.queue.clone(), nonce: order.nonce }
+}
+
+fn lost_answer() -> WorkAnswer {
+    let detail = "a former owner may have started it and its result is lost";
+    WorkAnswer::new(OutcomeKind::Unknown, AnswerReason::Lost, detail)
+}
+
+fn judge_submit(queue: &TeamQueue, order: &SubmitOrder, context: &QueueContext<'_>) -> SubmitStep {
+    if let Some(&key) = queue.by_nonce.get(&order.nonce) {
+        return SubmitStep::Join(key);
+    }
+    if let Some(step) = judge_idempotency_key(queue, order) {
+        return step;
+    }
+    let may_have_run = order.first_epoch.is_some_and(|epoch| epoch < queue.epoch);
+    if may_have_run {
+        let is_found = queue.orphan_ends.contains_key(&order.nonce)
+            || queue.attempts.values().any(|attempt| attempt.id.job.nonce == order.nonce);
+        let is_active = matches!(queue.phase, TeamPhase::Active);
+        return if order.spec.idempotent || is_found || !is_active {
+            SubmitStep::Accept
+        } else {
+            SubmitStep::Lost
+        };
+    }
+    match check_submit(queue, order, context) {
+        Ok(()) => SubmitStep::Accept,
+        Err(refusal) => SubmitStep::Refuse(refusal),
+    }
+}
+
+fn judge_idempotency_key(queue: &TeamQueue, order: &SubmitOrder) -> Option<SubmitStep> {
+    let name = order.idempotency_key.clone()?;
+    let &key = queue.by_key.get(&(order.queue.clone(), name))?;
+    if is_same_work(&queue.jobs[key].spec, &order.spec) {
+        return Some(SubmitStep::Join(key));
+    }
+    let detail = "the Idempotency-Key was used for other work";
+    Some(SubmitStep::Refuse(WorkRefusal::new(AnswerReason::Invalid, detail)))
+}
+
+/// Compares work; the deadline of a repeat may differ.
+fn is_same_work(left: &WorkSpec, right: &WorkSpec) -> bool {
+    left.kind == right.kind
+        && left.tasks == right.tasks
+        && left.resources == right.resources
+        && left.payload == right.payload
+}
+
+fn check_submit(
+    queue: &TeamQueue,
+    order: &SubmitOrder,
+    context: &QueueContext<'_>,
+) -> Result<(), WorkRefusal> {
+    let view = context.view;
+    let refuse = |reason, detail: &str| Err(WorkRefusal::new(reason, detail));
+    if !view.may_start() {
+        return refuse(AnswerReason::Isolated, "the owner cannot prove that it is current");
+    }
+    let Some(entry) = view.queue(&order.queue).filter(|entry| entry.team == queue.team) else {
+        return refuse(AnswerReason::UnknownQueue, "the queue does not exist");
+    };
+    let is_key_good = match &order.key {
+        Some(key) => view.manifest.keys.is_key_valid(key, &queue.team, view.now.0),
+        None => entry.open,
+    };
+    if !is_key_good {
+        return refuse(AnswerReason::KeyRefused, "the key is not valid any more");
+    }
+    let Some(team) = view.team(&queue.team) else {
+        return refuse(AnswerReason::UnknownQueue, "the team does not exist");
+    };
+    let spec = &order.spec;
+    let needed_tasks = if spec.kind == WorkKind::Gang { spec.tasks } else { 1 };
+    let needed = spec.resources.checked_mul(needed_tasks.into()).unwrap_or(spec.resources);
+    if needed_tasks > team.limit.tasks || !team.limit.resources.covers(needed) {
+        return refuse(AnswerReason::AboveLimit, "it exceeds the team's upper limit on its own");
+    }
+    if !context.board.could_ever_hold(spec.resources) {
+        return refuse(AnswerReason::TooLarge, "no worker could ever hold a task of this size");
+    }
+    check_load(queue, order, context)
+}
+
+/// Sheds load early: the lowest class first, at half of the queue's length.
+fn check_load(
+    queue: &TeamQueue,
+    order: &SubmitOrder,
+    context: &QueueContext<'_>,
+) -> Result<(), WorkRefusal> {
+    let max = context.config.max_jobs_per_team;
+    let allowed = match order.spec.priority {
+        damaskrack_model::PriorityClass::Low => max / 2,
+        damaskrack_model::PriorityClass::Normal => max / 10 * 9,
+        damaskrack_model::PriorityClass::Urgent => max,
+    };
+    if queue.jobs.len() - queue.retained.len() >= allowed {
+        let detail = "the team has too many jobs waiting; try again later";
+        return Err(WorkRefusal::new(AnswerReason::Overloaded, detail));
+    }
+    let is_durable = is_journalled(order);
+    if is_durable && queue.journal.pending_len() >= MAX_PENDING_RECORDS {
+        let detail = "too many writes wait for the store";
+        return Err(WorkRefusal::new(AnswerReason::StoreUnavailable, detail));
+    }
+    if is_durable && queue.journalled_bytes() + order.spec.payload.len() > MAX_JOURNALLED_BYTES {
+        let detail = "the team's accepted jobs hold too many payload bytes";
+        return Err(WorkRefusal::new(AnswerReason::Overloaded, detail));
+    }
+    Ok(())
+}
+
+/// Tells whether work must be durable before it is accepted.
+fn is_journalled(order: &SubmitOrder) -> bool {
+    let is_request = order.spec.kind == WorkKind::Request;
+    !is_request || (!order.spec.idempotent && order.idempotency_key.is_some())
+}
+
+/// Adds a caller to a known job.
+fn join_job(
+    queue: &mut TeamQueue,
+    key: JobKey,
+    from: MemberName,
+    call: CallId,
+    context: &mut QueueContext<'_>,
+) {
+    let job = &mut queue.jobs[key];
+    job.callers.retain(|(_, known)| *known != call);
+    job.callers.push((from, call));
+    settle::answer_callers(queue, key, context);
+}
+
+fn accept_job(
+    queue: &mut TeamQueue,
+    from: MemberName,
+    call: CallId,
+    order: &SubmitOrder,
+    context: &mut QueueContext<'_>,
+) {
+    let sequence = queue.take_sequence();
+    let mut job = JobRow::new(job_id(queue, order), order.spec.clone(), sequence, context.view.now);
+    job.idempotency_key.clone_from(&order.idempotency_key);
+    job.is_waiting = order.is_waiting;
+    job.callers.push((from, call));
+    job.is_inherited = order.first_epoch.is_some_and(|epoch| epoch < queue.epoch);
+    job.is_journalled = is_journalled(order);
+    if order.spec.kind == WorkKind::Request {
+        // A request is one task: its acceptance, where it is journalled, is its intent.
+        job.intent_below = u32::MAX;
+    }
+    if job.is_journalled {
+        let record = JournalRecord::Accept(Box::new(job.accept_record()));
+        job.accept_position = queue.journal.append(record);
+    }
+    let position = job.accept_position;
+    let key = queue.insert_job(job);
+    if position > 0 {
+        queue.unaccepted.insert((position, key));
+    }
+    context.out.count("queue.accepted", 1);
+    settle::adopt_orphans(queue, key, context);
+}
+
+/// Answers for jobs whose acceptance has become durable.
+pub(super) fn settle_accepted(queue: &mut TeamQueue, context: &mut QueueContext<'_>) {
+    let durable = queue.journal.durable_position();
+    while let Some(&(position, key)) = queue.unaccepted.first() {
+        if position > durable {
+            break;
+        }
+        queue.unaccepted.pop_first();
+        if let Some(job) = queue.jobs.get_mut(key) {
+            job.accept_position = 0;
+        }
+        queue.refresh_job(key);
+        settle::answer_callers(queue, key, context);
+    }
+    let due = queue.cancelling.extract_if(.., |(position, ..)| *position <= durable);
+    for (_, key, member, call) in due.collect::<Vec<_>>() {
+        answer_status(queue, key, &member, call, AnswerReason::Cancelled, context);
+    }
+}
+
+/// Takes a question about a job.
+pub(super) fn on_query(
+    queue: &mut TeamQueue,
+    from: &MemberName,
+    call: CallId,
+    id: &JobId,
+    context: &mut QueueContext<'_>,
+) {
+    if !queue.knows_jobs() {
+        return;
+    }
+    match queue.find_job(id) {
+        Some(key) => answer_status(queue, key, from, call, AnswerReason::Ok, context),
+        None => answer_unknown_job(from, call, context),
+    }
+}
+
+/// Takes a cancellation. The cost is that of the tasks that are cancelled.
+pub(super) fn on_cancel(
+    queue: &mut TeamQueue,
+    from: &MemberName,
+    call: CallId,
+    id: &JobId,
+    context: &mut QueueContext<'_>,
+) {
+    if !queue.knows_jobs() {
+        return;
+    }
+    let Some(key) = queue.find_job(id) else {
+        return answer_unknown_job(from, call, context);
+    };
+    let position = cancel_job(queue, key, context);
+    if position > queue.journal.durable_position() {
+        queue.cancelling.push((position, key, from.clone(), call));
+    } else {
+        answer_status(queue, key, from, call, AnswerReason::Cancelled, context);
+    }
+}
+
+/// Cancels a job; returns the journal position that makes it durable, or 0.
+fn cancel_job(queue: &mut TeamQueue, key: JobKey, context: &mut QueueContext<'_>) -> u64 {
+    let job = &mut queue.jobs[key];
+    if job.is_cancelled || job.is_ended() {
+        return 0;
+    }
+    job.is_cancelled = true;
+    job.parked = None;
+    job.end_waiting();
+    let nonce = job.id.nonce;
+    let position = if job.is_journalled {
+        queue.journal.append(JournalRecord::Cancel { job: nonce })
+    } else {
+        0
+    };
+    context.out.count("queue.cancelled", 1);
+    let attempts: Vec<_> = queue.jobs[key].attempts().collect();
+    settle::stop_attempts(queue, &attempts, context);
+    queue.refresh_job(key);
+    settle::finish_if_ended(queue, key, context);
+    position
+}
+
+fn answer_status(
+    queue: &TeamQueue,
+    key: JobKey,
+    to: &MemberName,
+    call: CallId,
+    reason: AnswerReason,
+    context: &mut QueueContext<'_>,
+) {
+    let Some(job) = queue.jobs.get(key) else {
+        return answer_unknown_job(to, call, context);
+    };
+    let answer = WorkAnswer::new(OutcomeKind::Done, reason, "")
+        .with_job(job.id.clone())
+        .with_status(job.status());
+    context.out.send(to, PeerMessage::Answer { call, answer });
+}
+
+fn answer_unknown_job(to: &MemberName, call: CallId, context: &mut QueueContext<'_>) {
+    let answer = WorkAnswer::refused(AnswerReason::UnknownJob, "there is no such job");
+    context.out.send(to, PeerMessage::Answer { call, answer });
+}
+
+/// Ends work whose deadline has passed.
+pub(super) fn expire(queue: &mut TeamQueue, context: &mut QueueContext<'_>) {
+    while let Some(&(at, key)) = queue.deadlines.first() {
+        if at > context.view.now {
+            break;
+        }
+        queue.deadlines.pop_first();
+        expire_job(queue, key, context);
+    }
+}
+
+fn expire_job(queue: &mut TeamQueue, key: JobKey, context: &mut QueueContext<'_>) {
+    let Some(job) = queue.jobs.get_mut(key) else { return };
+    if job.is_ended() || job.spec.kind == WorkKind::Service {
+        return;
+    }
+    let position = job.accept_position;
+    job.output = "the deadline passed".to_owned();
+    job.is_cancelled = true;
+    let nonce = job.id.nonce;
+    if position > 0 && queue.journal.withdraw(position) {
+        job.is_journalled = false;
+        job.accept_position = 0;
+    } else if position > 0 {
+        // The acceptance is on its way to the store. A successor may read it there and start the
+        // job, so it cannot be called not run.
+        job.is_inherited = true;
+    }
+    job.end_waiting();
+    if job.is_journalled {
+        queue.journal.append(JournalRecord::Cancel { job: nonce });
+    }
+    queue.unaccepted.retain(|(_, job)| *job != key);
+    queue.refresh_job(key);
+    settle::finish_if_ended(queue, key, context);
+}
--- /dev/null
+++ b/crates/node/src/queue/enforce.rs
@@ -0,0 +1,104 @@
+//! Enforces a lowered upper limit on what runs, and asks about attempts without news.
+
+use {
+    super::{
+        AttemptKey, QueueContext,
+        attempt::AttemptStage,
+        settle::{self, ASK_MS},
+        team::{TeamPhase, TeamQueue},
+    },
+    damaskrack_manifest::TeamLimit,
+    damaskrack_model::{AttemptId, RackName, Resources},
+    damaskrack_ownership::PieceName,
+    damaskrack_wire::PeerMessage,
+    std::{cmp::Reverse, collections::BTreeMap},
+};
+
+/// Most attempts that are asked about in one tick.
+const MAX_QUESTIONS: usize = 512;
+
+/// Stops the newest attempts above the limit, those first that may run again.
+pub(super) fn stop_excess(queue: &mut TeamQueue, context: &mut QueueContext<'_>) {
+    if !queue.knows_jobs() {
+        return;
+    }
+    let none = TeamLimit { tasks: 0, resources: Resources::ZERO };
+    let limit = context.view.team(&queue.team).map_or(none, |team| team.limit);
+    if queue.running_tasks <= limit.tasks && limit.resources.covers(queue.running) {
+        return;
+    }
+    let excess = choose_excess(queue, limit);
+    if excess.is_empty() {
+        return;
+    }
+    context.out.count("queue.limit_stops", excess.len() as u64);
+    settle::stop_attempts(queue, &excess, context);
+}
+
+fn choose_excess(queue: &TeamQueue, limit: TeamLimit) -> Vec<AttemptKey> {
+    let mut tasks = queue.running_tasks;
+    let mut running = queue.running;
+    let mut rows: Vec<_> = queue.attempts.iter().collect();
+    rows.sort_by_key(|(_, row)| {
+        (row.stopping_at.is_none(), !row.idempotent, Reverse(row.sequence))
+    });
+    let mut excess = Vec::new();
+    for (key, row) in rows {
+        if tasks <= limit.tasks && limit.resources.covers(running) {
+            break;
+        }
+        tasks -= 1;
+        running = running.saturating_sub(row.resources);
+        if row.stopping_at.is_none() {
+            excess.push(key);
+        }
+    }
+    excess
+}
+
+/// Asks racks about attempts that have had no news for too long.
+pub(super) fn ask(queue: &mut TeamQueue, context: &mut QueueContext<'_>) {
+    if matches!(queue.phase, TeamPhase::Loading { .. } | TeamPhase::Fencing | TeamPhase::Fenced) {
+        return;
+    }
+    let now = context.view.now;
+    let due: Vec<AttemptKey> = queue
+        .questions
+        .iter()
+        .take_while(|(at, _)| *at <= now)
+        .take(MAX_QUESTIONS)
+        .map(|(_, key)| *key)
+        .collect();
+    let mut inquiries: BTreeMap<RackName, Vec<AttemptId>> = BTreeMap::new();
+    let mut stops = Vec::new();
+    for key in due {
+        queue.set_question(key, Some(now.plus(ASK_MS)));
+        let attempt = &queue.attempts[key];
+        if attempt.stopping_at.is_some() {
+            stops.push(key);
+        }
+        inquiries.entry(attempt.rack.clone()).or_default().push(attempt.id.clone());
+    }
+    settle::stop_attempts(queue, &stops, context);
+    for (rack, attempts) in inquiries {
+        let (team, epoch) = (queue.team.clone(), queue.epoch);
+        if let Some(owner) = context.view.owner(&PieceName::Rack(rack.clone())) {
+            context.out.send(owner, PeerMessage::Inquire { team, epoch, rack, attempts });
+        }
+    }
+}
+
+/// Asks about every attempt in a rack whose owner has changed: the new owner knows what it found
+/// there, and an attempt whose worker was lost with the former owner is found nowhere.
+pub(super) fn on_rack_moved(queue: &mut TeamQueue, rack: &RackName, context: &QueueContext<'_>) {
+    let now = context.view.now;
+    let moved: Vec<AttemptKey> = queue
+        .attempts
+        .iter()
+        .filter(|(_, row)| row.rack == *rack && row.stage != AttemptStage::Held)
+        .map(|(key, _)| key)
+        .collect();
+    for key in moved {
+        queue.set_question(key, Some(now));
+    }
+}
--- /dev/null
+++ b/crates/node/src/queue/gang.rs
@@ -0,0 +1,190 @@
+//! Places gangs: all tasks or none.
+//!
+//! Room is held for every task, and only when all of it is held are the tasks told to start. A
+//! hold that is refused or takes too long releases all others, and the next try waits a random
+//! time. No gang waits while it holds, beyond that bound, so two gangs cannot wait for each other
+//! for good.
+
+use {
+    super::{
+        AttemptKey, JobKey, QueueContext,
+        attempt::AttemptStage,
+        dispatch::{self, PlaceBatch},
+        job::{GangStage, TaskStage},
+        settle,
+        team::TeamQueue,
+    },
+    damaskrack_model::{AttemptId, OutcomeKind, RackName, TaskResult},
+    damaskrack_ownership::PieceName,
+    damaskrack_policy::backoff_ms,
+    damaskrack_wire::{PeerMessage, PlaceMode},
+    std::collections::BTreeMap,
+};
+
+/// Longest time to hold room for a gang, in milliseconds.
+const HOLD_MS: u64 = 2_500;
+/// Shortest pause between two tries at a gang, in milliseconds.
+const RETRY_MIN_MS: u64 = 100;
+/// Most failed runs of a gang that may run again.
+const MAX_FAILURES: u32 = 3;
+/// Index under which a gang's failures are counted.
+const GANG_FAILURES: u32 = u32::MAX;
+
+/// Tries to place a whole gang. Returns whether room for all of it was asked for.
+pub(super) fn place(
+    queue: &mut TeamQueue,
+    key: JobKey,
+    batch: &mut PlaceBatch,
+    context: &mut QueueContext<'_>,
+) -> bool {
+    let job = &queue.jobs[key];
+    if job.queued.len() < job.spec.tasks as usize || context.view.now < job.not_before {
+        return false;
+    }
+    let tasks: Vec<u32> = job.queued.iter().copied().collect();
+    let choices = dispatch::choose_racks(queue, key, &tasks, context);
+    if choices.len() < tasks.len() {
+        let pause = RETRY_MIN_MS + backoff_ms(1, context.out.draw());
+        queue.jobs[key].not_before = context.view.now.plus(pause);
+        return false;
+    }
+    queue.jobs[key].queued.clear();
+    for choice in choices {
+        dispatch::send_task(queue, key, &choice, PlaceMode::Hold, batch, context);
+    }
+    queue.jobs[key].gang = GangStage::Holding(context.view.now.plus(HOLD_MS));
+    queue.holding.insert(key);
+    queue.refresh_job(key);
+    true
+}
+
+/// Starts the gang once everything is held.
+pub(super) fn on_progress(queue: &mut TeamQueue, key: AttemptKey, context: &mut QueueContext<'_>) {
+    let Some(job_key) = queue.attempts[key].job else { return };
+    let Some(job) = queue.jobs.get(job_key) else { return };
+    if !matches!(job.gang, GangStage::Holding(_)) || job.is_cancelled {
+        return;
+    }
+    let attempts: Vec<AttemptKey> = job.attempts().collect();
+    let is_complete = attempts.len() == job.spec.tasks as usize
+        && attempts.iter().all(|&part| queue.attempts[part].stage == AttemptStage::Held);
+    if !is_complete {
+        return;
+    }
+    queue.jobs[job_key].gang = GangStage::Started;
+    let mut by_rack: BTreeMap<RackName, Vec<AttemptId>> = BTreeMap::new();
+    for part in attempts {
+        let attempt = &queue.attempts[part];
+        by_rack.entry(attempt.rack.clone()).or_default().push(attempt.id.clone());
+        queue.set_attempt_stage(part, AttemptStage::Placing);
+        queue.set_question(part, Some(context.view.now.plus(settle::ASK_MS)));
+    }
+    for (rack, attempts) in by_rack {
+        let (team, epoch) = (queue.team.clone(), queue.epoch);
+        if let Some(owner) = context.view.owner(&PieceName::Rack(rack.clone())) {
+            context.out.send(owner, PeerMessage::Commit { team, epoch, rack, attempts });
+        }
+    }
+}
+
+/// Takes the end of one part.
+pub(super) fn settle_part(
+    queue: &mut TeamQueue,
+    key: JobKey,
+    task: u32,
+    result: TaskResult,
+    output: &str,
+    context: &mut QueueContext<'_>,
+) {
+    match result {
+        TaskResult::Succeeded => settle::end_task(queue, key, task, OutcomeKind::Done, output),
+        TaskResult::NeverStarted => queue.jobs[key].set_stage(task, TaskStage::Waiting),
+        _ if queue.jobs[key].spec.idempotent => {
+            queue.jobs[key].set_stage(task, TaskStage::Waiting);
+            note_failure(queue, key, result, output);
+        }
+        TaskResult::Lapsed => settle::end_task(queue, key, task, OutcomeKind::Unknown, output),
+        TaskResult::Failed | TaskResult::Stopped => {
+            settle::end_task(queue, key, task, OutcomeKind::Failed, output);
+        }
+    }
+    if result != TaskResult::Succeeded {
+        unwind(queue, key, context);
+    }
+    restart_if_unwound(queue, key, context);
+}
+
+fn note_failure(queue: &mut TeamQueue, key: JobKey, result: TaskResult, output: &str) {
+    let job = &mut queue.jobs[key];
+    // Parts that are stopped while the gang unwinds are a consequence, not another failure.
+    if job.gang == GangStage::Unwinding || result == TaskResult::Stopped {
+        return;
+    }
+    *job.failures.entry(GANG_FAILURES).or_default() += 1;
+    output.clone_into(&mut job.output);
+}
+
+/// Stops or releases every part that is under way.
+pub(super) fn unwind(queue: &mut TeamQueue, key: JobKey, context: &mut QueueContext<'_>) {
+    let job = &mut queue.jobs[key];
+    if job.gang == GangStage::Unwinding {
+        return;
+    }
+    job.gang = GangStage::Unwinding;
+    let attempts: Vec<AttemptKey> = job.attempts().collect();
+    settle::stop_attempts(queue, &attempts, context);
+}
+
+/// Queues the gang again, or ends it, once nothing of it is under way.
+pub(super) fn restart_if_unwound(
+    queue: &mut TeamQueue,
+    key: JobKey,
+    context: &mut QueueContext<'_>,
+) {
+    let job = &mut queue.jobs[key];
+    if job.gang != GangStage::Unwinding || job.counts.active > 0 {
+        return;
+    }
+    job.gang = GangStage::Idle;
+    let failures = job.failures.get(&GANG_FAILURES).copied().unwrap_or(0);
+    let has_ended_parts = job.counts.done + job.counts.failed + job.counts.unknown > 0;
+    let may_repeat = job.spec.idempotent || !has_ended_parts;
+    if job.is_cancelled || failures >= MAX_FAILURES || !may_repeat {
+        end_rest(queue, key);
+        return;
+    }
+    job.restart_all();
+    let pause = RETRY_MIN_MS + backoff_ms(failures + 1, context.out.draw());
+    job.not_before = context.view.now.plus(pause);
+}
+
+fn end_rest(queue: &mut TeamQueue, key: JobKey) {
+    let job = &mut queue.jobs[key];
+    job.is_cancelled = true;
+    job.end_waiting();
+}
+
+/// Gives up gangs that held room for too long.
+pub(super) fn expire_holds(queue: &mut TeamQueue, context: &mut QueueContext<'_>) {
+    let now = context.view.now;
+    let late: Vec<JobKey> = queue
+        .holding
+        .iter()
+        .copied()
+        .filter(|&key| match queue.jobs.get(key).map(|job| (job.gang, job.is_cancelled)) {
+            Some((GangStage::Holding(until), is_cancelled)) => until <= now || is_cancelled,
+            _ => false,
+        })
+        .collect();
+    for key in late {
+        context.out.count("queue.gang_holds_expired", 1);
+        unwind(queue, key, context);
+        restart_if_unwound(queue, key, context);
+        queue.refresh_job(key);
+        settle::finish_if_ended(queue, key, context);
+    }
+    let jobs = &queue.jobs;
+    queue
+        .holding
+        .retain(|&key| jobs.get(key).is_some_and(|job| matches!(job.gang, GangStage::Holding(_))));
+}
--- /dev/null
+++ b/crates/node/src/queue/settle.rs
@@ -0,0 +1,508 @@
+//! Takes verdicts, phases and ends of attempts, and ends tasks and jobs.
+//!
+//! An attempt leaves the table, and stops counting against the upper limit, only on proof that it
+//! does not run: a refusal, an end, or a void row under the rack epoch that it was sent under.
+
+use {
+    super::{
+        AttemptKey, JobKey, QueueContext,
+        attempt::{AttemptRow, AttemptStage},
+        gang,
+        job::TaskStage,
+        record::JournalRecord,
+        team::{OrphanEnd, PendingAck, TeamQueue},
+    },
+    damaskrack_model::{
+        AnswerReason, AttemptId, Epoch, MemberName, OutcomeKind, RackName, TaskResult, WorkAnswer,
+        WorkKind,
+    },
+    damaskrack_ownership::PieceName,
+    damaskrack_policy::backoff_ms,
+    damaskrack_wire::{
+        AttemptPhase, AttemptRow as PhaseRow, EndedNotice, PeerMessage, PlaceVerdict,
+    },
+};
+
+/// Most failed tries of one task of an idempotent job.
+const MAX_FAILURES: u32 = 3;
+/// Interval at which an attempt without a verdict is asked about, in milliseconds.
+pub(super) const ASK_MS: u64 = 1_000;
+/// Time for which an ended job that a caller may ask about is remembered, in milliseconds.
+const RETAIN_MS: u64 = 3_600_000;
+/// Time for which an answered request without an idempotency key is remembered, in milliseconds.
+const RETAIN_REQUEST_MS: u64 = 30_000;
+/// Most ended jobs that are remembered.
+const MAX_RETAINED: usize = 5_000;
+/// Longest output that is kept, in bytes.
+const MAX_OUTPUT_BYTES: usize = 64 << 10;
+
+/// What becomes of a task whose attempt is over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum TaskStep {
+    /// It ended.
+    End(OutcomeKind),
+    /// It is tried again at once.
+    Requeue,
+    /// It is tried again after a while.
+    Backoff,
+}
+
+/// Takes the verdicts of a rack owner.
+pub(super) fn on_placed(
+    queue: &mut TeamQueue,
+    verdicts: Vec<(AttemptId, PlaceVerdict)>,
+    context: &mut QueueContext<'_>,
+) {
+    for (id, verdict) in verdicts {
+        let Some(&key) = queue.by_attempt.get(&id) else { continue };
+        match verdict {
+            PlaceVerdict::Started(_) => note_started(queue, key, context),
+            PlaceVerdict::Held(_) => {
+                if queue.attempts[key].stage == AttemptStage::Placing {
+                    queue.set_attempt_stage(key, AttemptStage::Held);
+                    queue.set_question(key, None);
+                }
+                gang::on_progress(queue, key, context);
+            }
+            PlaceVerdict::Refused(_) => {
+                let rack = queue.attempts[key].rack.clone();
+                context.board.mark_refused(&rack, context.view.now);
+                context.out.count("queue.place_refused", 1);
+                give_back(queue, key, context);
+            }
+        }
+    }
+}
+
+fn note_started(queue: &mut TeamQueue, key: AttemptKey, context: &mut QueueContext<'_>) {
+    let attempt = &queue.attempts[key];
+    let is_stopping = attempt.stopping_at.is_some();
+    if attempt.stage != AttemptStage::Running {
+        if let Some(job) = attempt.job.and_then(|job| queue.jobs.get(job)) {
+            let millis = context.view.now.since(job.accepted_at);
+            context.out.timing("queue.wait", millis);
+        }
+        context.out.count("queue.started", 1);
+        queue.set_attempt_stage(key, AttemptStage::Running);
+        if is_stopping {
+            // The release came too late; now it is a running task that must be stopped.
+            stop_attempts(queue, &[key], context);
+        }
+    }
+    if !is_stopping {
+        queue.set_question(key, None);
+    }
+}
+
+/// Takes back an attempt that certainly never started.
+pub(super) fn give_back(queue: &mut TeamQueue, key: AttemptKey, context: &mut QueueContext<'_>) {
+    let Some(attempt) = queue.remove_attempt(key) else { return };
+    let result = TaskResult::NeverStarted;
+    let end = AttemptEnd { task: attempt.id.task, result, output: "", is_wanted: false };
+    settle_task(queue, attempt.job, end, context);
+}
+
+/// Takes the phases of attempts that were asked about.
+pub(super) fn on_phases(
+    queue: &mut TeamQueue,
+    rack: &RackName,
+    epoch: Epoch,
+    rows: Vec<PhaseRow>,
+    context: &mut QueueContext<'_>,
+) {
+    for row in rows {
+        let Some(&key) = queue.by_attempt.get(&row.attempt) else { continue };
+        match row.phase {
+            AttemptPhase::Running => note_started(queue, key, context),
+            AttemptPhase::Held if queue.attempts[key].stage == AttemptStage::Placing => {
+                queue.set_attempt_stage(key, AttemptStage::Held);
+                queue.set_question(key, None);
+                gang::on_progress(queue, key, context);
+            }
+            AttemptPhase::Held | AttemptPhase::Pending | AttemptPhase::Starting => {}
+            AttemptPhase::Ended { result, output } => {
+                let notice =
+                    EndedNotice { attempt: row.attempt, result, output, is_displaced: false };
+                on_ended(queue, rack, notice, context);
+            }
+            AttemptPhase::Void => settle_void(queue, key, epoch, context),
+        }
+    }
+}
+
+/// Settles an attempt that its rack does not know.
+///
+/// Under the epoch that it was sent under this proves that it never ran. Under a later epoch it
+/// may have run on a worker that was lost since.
+fn settle_void(
+    queue: &mut TeamQueue,
+    key: AttemptKey,
+    epoch: Epoch,
+    context: &mut QueueContext<'_>,
+) {
+    let attempt = &queue.attempts[key];
+    let is_proof = attempt.rack_epoch == epoch && attempt.stage != AttemptStage::Running;
+    if is_proof {
+        return give_back(queue, key, context);
+    }
+    if let Some(attempt) = queue.remove_attempt(key) {
+        let output = "its worker was lost";
+        let result = TaskResult::Lapsed;
+        let end = AttemptEnd { task: attempt.id.task, result, output, is_wanted: true };
+        settle_task(queue, attempt.job, end, context);
+    }
+}
+
+/// Takes the end of an attempt.
+pub(super) fn on_ended(
+    queue: &mut TeamQueue,
+    rack: &RackName,
+    notice: EndedNotice,
+    context: &mut QueueContext<'_>,
+) {
+    if !queue.knows_jobs() {
+        return;
+    }
+    let EndedNotice { attempt: id, result, output, is_displaced } = notice;
+    let mut job = queue.find_job(&id.job);
+    let mut is_wanted = !is_displaced;
+    if let Some(&key) = queue.by_attempt.get(&id)
+        && let Some(attempt) = queue.remove_attempt(key)
+    {
+        is_wanted &= attempt.stopping_at.is_none();
+        job = attempt.job.or(job);
+    } else if job.is_some_and(|job| queue.jobs[job].stage(id.task) != Some(TaskStage::Waiting)) {
+        // Another attempt of the task is current, or the task has ended: a repeated notice.
+        return acknowledge(queue, rack, id, context);
+    }
+    let Some(key) = job else {
+        return keep_orphan_end(queue, rack, id, result, output, context);
+    };
+    take_from_queue(queue, key, id.task);
+    let end = AttemptEnd { task: id.task, result, output: &output, is_wanted };
+    settle_task(queue, Some(key), end, context);
+    acknowledge(queue, rack, id, context);
+}
+
+/// Takes a task off its job's queue, because an attempt of it turned up.
+fn take_from_queue(queue: &mut TeamQueue, key: JobKey, task: u32) {
+    let job = &mut queue.jobs[key];
+    if job.stage(task) == Some(TaskStage::Waiting) {
+        job.queued.retain(|queued| *queued != task);
+        job.backoff.retain(|(_, queued)| *queued != task);
+    }
+}
+
+/// Keeps an end whose job is unknown, unacknowledged, for as long as its entry may still ask.
+fn keep_orphan_end(
+    queue: &mut TeamQueue,
+    rack: &RackName,
+    id: AttemptId,
+    result: TaskResult,
+    output: String,
+    context: &mut QueueContext<'_>,
+) {
+    let nonce = id.job.nonce;
+    let since = context.view.now;
+    let end = OrphanEnd { attempt: id, rack: rack.clone(), result, output, since };
+    queue.orphan_ends.insert(nonce, end);
+}
+
+/// Acknowledges an end as soon as the journal holds everything appended so far.
+fn acknowledge(
+    queue: &mut TeamQueue,
+    rack: &RackName,
+    attempt: AttemptId,
+    context: &mut QueueContext<'_>,
+) {
+    let is_journalled =
+        queue.find_job(&attempt.job).is_some_and(|key| queue.jobs[key].is_journalled);
+    if is_journalled {
+        let position = queue.last_position();
+        queue.acks.push_back(PendingAck { position, rack: rack.clone(), attempt });
+    } else {
+        send_ack(rack, attempt, context);
+    }
+}
+
+/// Sends the acknowledgements whose records are durable.
+pub(super) fn settle_acks(queue: &mut TeamQueue, context: &mut QueueContext<'_>) {
+    let durable = queue.journal.durable_position();
+    while queue.acks.front().is_some_and(|ack| ack.position <= durable) {
+        let Some(ack) = queue.acks.pop_front() else { break };
+        send_ack(&ack.rack, ack.attempt, context);
+    }
+}
+
+fn send_ack(rack: &RackName, attempt: AttemptId, context: &mut QueueContext<'_>) {
+    let piece = PieceName::Rack(rack.clone());
+    if let Some(owner) = context.view.owner(&piece) {
+        let message = PeerMessage::EndedAck { rack: rack.clone(), attempts: vec![attempt] };
+        context.out.send(owner, message);
+    }
+}
+
+/// How an attempt of a task was over.
+#[derive(Debug, Clone, Copy)]
+struct AttemptEnd<'a> {
+    task: u32,
+    result: TaskResult,
+    output: &'a str,
+    /// Whether the end was not of this scheduler's making.
+    is_wanted: bool,
+}
+
+/// Moves the task of an attempt that is over.
+fn settle_task(
+    queue: &mut TeamQueue,
+    job: Option<JobKey>,
+    end: AttemptEnd<'_>,
+    context: &mut QueueContext<'_>,
+) {
+    let Some(key) = job.filter(|&key| queue.jobs.contains_key(key)) else { return };
+    if end.result != TaskResult::NeverStarted {
+        queue.jobs[key].tried.insert(end.task);
+    }
+    if queue.jobs[key].spec.kind == WorkKind::Gang {
+        gang::settle_part(queue, key, end.task, end.result, end.output, context);
+    } else {
+        let step = next_task_step(queue, key, end.task, end.result, end.is_wanted);
+        apply_task_step(queue, key, end.task, step, end.output, context);
+    }
+    queue.refresh_job(key);
+    finish_if_ended(queue, key, context);
+}
+
+fn next_task_step(
+    queue: &mut TeamQueue,
+    key: JobKey,
+    task: u32,
+    result: TaskResult,
+    is_wanted: bool,
+) -> TaskStep {
+    let job = &mut queue.jobs[key];
+    let is_service = job.spec.kind == WorkKind::Service;
+    let is_request = job.spec.kind == WorkKind::Request;
+    if result == TaskResult::NeverStarted {
+        let outcome = job.unstarted_outcome(task);
+        return if job.is_cancelled { TaskStep::End(outcome) } else { TaskStep::Requeue };
+    }
+    if job.is_cancelled && result != TaskResult::Succeeded {
+        return TaskStep::End(OutcomeKind::Failed);
+    }
+    match result {
+        TaskResult::Succeeded if !is_service => return TaskStep::End(OutcomeKind::Done),
+        TaskResult::Failed if is_request => return TaskStep::End(OutcomeKind::Failed),
+        TaskResult::Failed if !job.spec.idempotent => return TaskStep::End(OutcomeKind::Failed),
+        TaskResult::Stopped if !job.spec.idempotent => return TaskStep::End(OutcomeKind::Failed),
+        TaskResult::Lapsed if !job.spec.idempotent => return TaskStep::End(OutcomeKind::Unknown),
+        TaskResult::Stopped if !is_wanted => return TaskStep::Requeue,
+        _ => {}
+    }
+    if is_service {
+        return TaskStep::Backoff;
+    }
+    let failures = job.failures.entry(task).or_default();
+    *failures += 1;
+    if *failures >= MAX_FAILURES {
+        return TaskStep::End(OutcomeKind::Failed);
+    }
+    if result == TaskResult::Failed { TaskStep::Backoff } else { TaskStep::Requeue }
+}
+
+fn apply_task_step(
+    queue: &mut TeamQueue,
+    key: JobKey,
+    task: u32,
+    step: TaskStep,
+    output: &str,
+    context: &mut QueueContext<'_>,
+) {
+    match step {
+        TaskStep::Requeue => queue.jobs[key].requeue(task),
+        TaskStep::Backoff => {
+            let failures = queue.jobs[key].failures.get(&task).copied().unwrap_or(1);
+            let delay_ms = backoff_ms(failures, context.out.draw());
+            queue.jobs[key].requeue_at(task, context.view.now.plus(delay_ms));
+            context.out.count("queue.retries", 1);
+        }
+        TaskStep::End(outcome) => end_task(queue, key, task, outcome, output),
+    }
+}
+
+/// Ends a task for good.
+pub(super) fn end_task(
+    queue: &mut TeamQueue,
+    key: JobKey,
+    task: u32,
+    outcome: OutcomeKind,
+    output: &str,
+) {
+    let job = &mut queue.jobs[key];
+    job.set_stage(task, TaskStage::Ended(outcome));
+    if job.spec.kind == WorkKind::Request || outcome != OutcomeKind::Done {
+        let mut end = output.len().min(MAX_OUTPUT_BYTES);
+        while !output.is_char_boundary(end) {
+            end -= 1;
+        }
+        output[..end].clone_into(&mut job.output);
+    }
+    // A gang that may run again as a whole is recorded when all of it has ended.
+    let is_recorded_whole = job.spec.kind == WorkKind::Gang && job.spec.idempotent;
+    if !job.is_journalled || is_recorded_whole {
+        return;
+    }
+    let nonce = job.id.nonce;
+    let text = job.output.clone();
+    let is_request = job.spec.kind == WorkKind::Request;
+    queue.append_ended(nonce, task, outcome);
+    if is_request && !text.is_empty() {
+        queue.journal.append(JournalRecord::Output { job: nonce, text });
+    }
+}
+
+/// Retires a job whose tasks have all ended and answers its callers.
+pub(super) fn finish_if_ended(queue: &mut TeamQueue, key: JobKey, context: &mut QueueContext<'_>) {
+    let Some(job) = queue.jobs.get_mut(key) else { return };
+    if !job.is_ended() || job.ended_at.is_some() {
+        return;
+    }
+    job.ended_at = Some(context.view.now);
+    if job.is_journalled {
+        // Ends of single tasks are recorded as they happen; this adds those that never started.
+        for record in job.ended_runs() {
+            queue.journal.append(record);
+        }
+    }
+    let is_remembered = job.is_journalled || job.idempotency_key.is_some();
+    let retain_ms = if is_remembered { RETAIN_MS } else { RETAIN_REQUEST_MS };
+    queue.retained.push_back((context.view.now.plus(retain_ms), key));
+    context.out.count("queue.ended", 1);
+    answer_callers(queue, key, context);
+}
+
+/// Answers the callers of a job as far as there is an answer.
+pub(super) fn answer_callers(queue: &mut TeamQueue, key: JobKey, context: &mut QueueContext<'_>) {
+    let Some(job) = queue.jobs.get_mut(key) else { return };
+    let answer = match (job.is_waiting, job.outcome()) {
+        (true, Some(outcome)) => end_answer(outcome, &job.output, job.is_cancelled),
+        (true, None) => return,
+        (false, Some(outcome)) if job.accept_position > 0 => {
+            end_answer(outcome, &job.output, job.is_cancelled)
+        }
+        (false, _) if job.accept_position > 0 => return,
+        (false, Some(OutcomeKind::NotRun)) if !job.is_journalled => {
+            end_answer(OutcomeKind::NotRun, &job.output, job.is_cancelled)
+        }
+        (false, _) => {
+            WorkAnswer::new(OutcomeKind::Done, AnswerReason::Accepted, "").with_status(job.status())
+        }
+    };
+    let answer = answer.with_job(job.id.clone());
+    for (member, call) in std::mem::take(&mut job.callers) {
+        let message = PeerMessage::Answer { call, answer: answer.clone() };
+        context.out.send(&member, message);
+    }
+}
+
+fn end_answer(outcome: OutcomeKind, output: &str, is_cancelled: bool) -> WorkAnswer {
+    let reason = match outcome {
+        OutcomeKind::Done => AnswerReason::Ok,
+        OutcomeKind::Failed => AnswerReason::TaskFailed,
+        OutcomeKind::NotRun if output.is_empty() && is_cancelled => AnswerReason::Cancelled,
+        OutcomeKind::NotRun => AnswerReason::DeadlinePassed,
+        OutcomeKind::Unknown => AnswerReason::Lost,
+    };
+    WorkAnswer::new(outcome, reason, output)
+}
+
+/// Forgets ended jobs whose time has passed.
+pub(super) fn forget_old(queue: &mut TeamQueue, context: &mut QueueContext<'_>) {
+    while let Some(&(until, key)) = queue.retained.front() {
+        let is_crowded = queue.retained.len() > MAX_RETAINED;
+        if until > context.view.now && !is_crowded {
+            break;
+        }
+        queue.retained.pop_front();
+        let Some(job) = queue.jobs.get(key) else { continue };
+        if job.is_journalled {
+            let nonce = job.id.nonce;
+            queue.journal.append(JournalRecord::Forget { job: nonce });
+        }
+        queue.remove_job(key);
+    }
+    let now = context.view.now;
+    let is_old = |end: &mut OrphanEnd| now.since(end.since) >= RETAIN_REQUEST_MS;
+    let old: Vec<_> = queue.orphan_ends.extract_if(|_, end| is_old(end)).collect();
+    for (_, end) in old {
+        send_ack(&end.rack, end.attempt, context);
+    }
+}
+
+/// Gives a new job the attempts and ends that a former owner left behind.
+pub(super) fn adopt_orphans(queue: &mut TeamQueue, key: JobKey, context: &mut QueueContext<'_>) {
+    let nonce = queue.jobs[key].id.nonce;
+    if let Some(end) = queue.orphan_ends.remove(&nonce) {
+        let OrphanEnd { attempt, rack, result, output, .. } = end;
+        let notice = EndedNotice { attempt, result, output, is_displaced: false };
+        return on_ended(queue, &rack, notice, context);
+    }
+    if !queue.jobs[key].is_inherited {
+        return;
+    }
+    let found: Vec<AttemptKey> = queue
+        .attempts
+        .iter()
+        .filter(|(_, attempt)| attempt.job.is_none() && attempt.id.job.nonce == nonce)
+        .map(|(attempt, _)| attempt)
+        .collect();
+    for attempt in found {
+        attach_attempt(queue, key, attempt);
+    }
+    queue.refresh_job(key);
+}
+
+/// Makes an attempt the current one of its task.
+pub(super) fn attach_attempt(queue: &mut TeamQueue, job: JobKey, attempt: AttemptKey) {
+    let task = queue.attempts[attempt].id.task;
+    if queue.jobs[job].stage(task) != Some(TaskStage::Waiting) {
+        return;
+    }
+    queue.attempts[attempt].job = Some(job);
+    take_from_queue(queue, job, task);
+    queue.jobs[job].set_stage(task, TaskStage::Active(attempt));
+}
+
+/// Tells racks to stop attempts.
+pub(super) fn stop_attempts(
+    queue: &mut TeamQueue,
+    attempts: &[AttemptKey],
+    context: &mut QueueContext<'_>,
+) {
+    for &key in attempts {
+        let now = context.view.now;
+        let Some(attempt) = queue.attempts.get_mut(key) else { continue };
+        attempt.stopping_at = Some(now);
+        let rack = attempt.rack.clone();
+        let ids = vec![attempt.id.clone()];
+        let is_started = attempt.stage == AttemptStage::Running;
+        queue.set_question(key, Some(now.plus(ASK_MS)));
+        let (team, epoch) = (queue.team.clone(), queue.epoch);
+        let piece = PieceName::Rack(rack.clone());
+        let Some(owner) = context.view.owner(&piece) else { continue };
+        let message = if is_started {
+            PeerMessage::StopAttempts { team, epoch, rack, attempts: ids }
+        } else {
+            PeerMessage::Release { team, epoch, rack, attempts: ids }
+        };
+        context.out.send(owner, message);
+    }
+}
+
+/// Returns the owner of the rack that an attempt was sent to.
+pub(super) fn rack_owner<'a>(
+    attempt: &AttemptRow,
+    context: &'a QueueContext<'_>,
+) -> Option<&'a MemberName> {
+    context.view.owner(&PieceName::Rack(attempt.rack.clone()))
+}
--- /dev/null
+++ b/crates/node/src/queue/takeover.rs
@@ -0,0 +1,314 @@
+//! Takes a team over from its former owner.
+//!
+//! First the journal is read and closed with a record of this owner, after which the former owner
+//! can record nothing. Then every rack raises the team's epoch and says what it runs: nothing of
+//! the former owner starts any more, and what it started is counted. Only then does work start.
+
+use {
+    super::{
+        JobKey, QueueContext, accept,
+        attempt::{AttemptRow, AttemptStage},
+        job::{GangStage, JobRow, TaskStage},
+        record::{AcceptRecord, JournalRecord},
+        settle,
+        team::{TeamPhase, TeamQueue},
+    },
+    crate::LogLevel,
+    damaskrack_model::{Epoch, JobId, MemberName, OutcomeKind, RackName, WorkKind},
+    damaskrack_ownership::{JournalSegment, JournalWriter, PieceName},
+    damaskrack_platform::{StoreCall, StoreFailure, StoreReply},
+    damaskrack_wire::{AttemptPhase, AttemptRow as PhaseRow, EndedNotice, PeerMessage},
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// Pause after a failed read, in milliseconds.
+const RETRY_MS: u64 = 200;
+/// Interval at which racks that have not answered are asked again, in milliseconds.
+const ROLL_CALL_MS: u64 = 500;
+
+/// Advances the takeover.
+pub(super) fn run(queue: &mut TeamQueue, context: &mut QueueContext<'_>) {
+    let now = context.view.now;
+    match &queue.phase {
+        TeamPhase::Loading { call: 0, retry_at } if now >= *retry_at => {
+            let request = StoreCall::List { prefix: queue.journal_prefix() };
+            let call = context.out.store(request, context.config.store_timeout_ms);
+            queue.phase = TeamPhase::Loading { call, retry_at: now };
+        }
+        TeamPhase::Fencing if queue.journal.durable_position() > 0 => {
+            begin_roll_call(queue, context)
+        }
+        TeamPhase::Fencing if queue.journal.is_fenced() => restart(queue, context),
+        TeamPhase::RollCall { missing, .. } if missing.is_empty() => activate(queue, context),
+        TeamPhase::RollCall { ask_at, .. } if now >= *ask_at => ask_racks(queue, context),
+        _ => {}
+    }
+}
+
+/// Reads the journal again: the former owner wrote one more segment.
+fn restart(queue: &mut TeamQueue, context: &QueueContext<'_>) {
+    let early = std::mem::take(&mut queue.early);
+    *queue = TeamQueue::new(queue.team.clone(), queue.epoch);
+    queue.early = early;
+    queue.phase = TeamPhase::Loading { call: 0, retry_at: context.view.now };
+}
+
+/// Tells whether a store call is this team's read of its journal.
+pub(super) fn is_loading_call(queue: &TeamQueue, wanted: u64) -> bool {
+    matches!(queue.phase, TeamPhase::Loading { call, .. } if call == wanted)
+}
+
+/// Takes the journal as read.
+pub(super) fn on_loaded(
+    queue: &mut TeamQueue,
+    result: Result<StoreReply, StoreFailure>,
+    context: &mut QueueContext<'_>,
+) {
+    let Ok(StoreReply::Entries { entries, .. }) = result else {
+        let retry_at = context.view.now.plus(RETRY_MS);
+        queue.phase = TeamPhase::Loading { call: 0, retry_at };
+        return;
+    };
+    let mut last = 0;
+    let mut records = Vec::new();
+    for entry in entries {
+        let number = entry.key.rsplit('/').next().and_then(|hex| u64::from_str_radix(hex, 16).ok());
+        let segment = JournalSegment::<JournalRecord>::from_json(&entry.value);
+        let (Some(number), Ok(segment)) = (number, segment) else {
+            context.out.log(LogLevel::Error, "journal_malformed", &[("key", &entry.key)]);
+            continue;
+        };
+        last = last.max(number);
+        if segment.is_snapshot {
+            records.clear();
+        }
+        records.extend(segment.records);
+    }
+    for record in records {
+        replay(queue, record, context);
+    }
+    queue.journal = JournalWriter::new(queue.epoch, last + 1);
+    queue.journal.append(JournalRecord::Takeover);
+    queue.phase = TeamPhase::Fencing;
+}
+
+fn replay(queue: &mut TeamQueue, record: JournalRecord, context: &QueueContext<'_>) {
+    match record {
+        JournalRecord::Takeover => {}
+        JournalRecord::Accept(record) => replay_accept(queue, *record, context),
+        JournalRecord::Intent { job, below } => {
+            if let Some(job) = find(queue, job) {
+                job.intent_below = job.intent_below.max(below);
+            }
+        }
+        JournalRecord::Ended { job, from, to, outcome } => {
+            if let Some(job) = find(queue, job) {
+                for task in from..to {
+                    job.set_stage(task, TaskStage::Ended(outcome));
+                }
+            }
+        }
+        JournalRecord::Output { job, text } => {
+            if let Some(job) = find(queue, job) {
+                job.output = text;
+            }
+        }
+        JournalRecord::Cancel { job } => {
+            if let Some(job) = find(queue, job) {
+                job.is_cancelled = true;
+            }
+        }
+        JournalRecord::Forget { job } => {
+            if let Some(key) = queue.by_nonce.get(&job).copied() {
+                queue.remove_job(key);
+            }
+        }
+    }
+}
+
+fn find(queue: &mut TeamQueue, nonce: u64) -> Option<&mut JobRow> {
+    queue.by_nonce.get(&nonce).copied().and_then(|key| queue.jobs.get_mut(key))
+}
+
+fn replay_accept(queue: &mut TeamQueue, record: AcceptRecord, context: &QueueContext<'_>) {
+    let id = JobId { team: queue.team.clone(), queue: record.queue, nonce: record.job };
+    let sequence = queue.take_sequence();
+    let mut job = JobRow::new(id, record.spec, sequence, context.view.now);
+    job.deadline_at = record.deadline_at;
+    job.idempotency_key = record.idempotency_key;
+    job.is_journalled = true;
+    job.is_inherited = true;
+    job.callers.extend(record.caller.filter(|_| job.is_waiting));
+    if job.spec.kind == WorkKind::Request {
+        job.intent_below = u32::MAX;
+    }
+    queue.insert_job(job);
+}
+
+/// Asks every rack what it runs of this team.
+fn begin_roll_call(queue: &mut TeamQueue, context: &mut QueueContext<'_>) {
+    let missing: BTreeSet<RackName> = context
+        .view
+        .owners
+        .keys()
+        .filter_map(|piece| match piece {
+            PieceName::Rack(rack) => Some(rack.clone()),
+            PieceName::Team(_) => None,
+        })
+        .collect();
+    let since = context.view.now;
+    queue.phase = TeamPhase::RollCall { missing, ask_at: since, since };
+    ask_racks(queue, context);
+    for early in std::mem::take(&mut queue.early) {
+        accept::on_submit(queue, &early.from, early.call, early.order, context);
+    }
+}
+
+fn ask_racks(queue: &mut TeamQueue, context: &mut QueueContext<'_>) {
+    let TeamPhase::RollCall { missing, ask_at, .. } = &mut queue.phase else { return };
+    *ask_at = context.view.now.plus(ROLL_CALL_MS);
+    let mut by_owner: BTreeMap<&MemberName, Vec<RackName>> = BTreeMap::new();
+    for rack in missing.iter() {
+        if let Some(owner) = context.view.owner(&PieceName::Rack(rack.clone())) {
+            by_owner.entry(owner).or_default().push(rack.clone());
+        }
+    }
+    for (owner, racks) in by_owner {
+        let (team, epoch) = (queue.team.clone(), queue.epoch);
+        context.out.send(owner, PeerMessage::RollCall { team, epoch, racks });
+    }
+}
+
+/// Takes a rack's answer.
+pub(super) fn on_roll_answer(
+    queue: &mut TeamQueue,
+    epoch: Epoch,
+    rack: &RackName,
+    rows: Vec<PhaseRow>,
+    context: &mut QueueContext<'_>,
+) {
+    if epoch != queue.epoch {
+        return;
+    }
+    let TeamPhase::RollCall { missing, .. } = &mut queue.phase else { return };
+    if !missing.remove(rack) {
+        return;
+    }
+    for row in rows {
+        adopt(queue, rack, row, context);
+    }
+}
+
+fn adopt(queue: &mut TeamQueue, rack: &RackName, row: PhaseRow, context: &mut QueueContext<'_>) {
+    let stage = match row.phase {
+        AttemptPhase::Void => return,
+        AttemptPhase::Ended { result, output } => {
+            let notice = EndedNotice { attempt: row.attempt, result, output, is_displaced: false };
+            return settle::on_ended(queue, rack, notice, context);
+        }
+        AttemptPhase::Running => AttemptStage::Running,
+        AttemptPhase::Held | AttemptPhase::Pending | AttemptPhase::Starting => {
+            AttemptStage::Placing
+        }
+    };
+    if queue.by_attempt.contains_key(&row.attempt) {
+        return;
+    }
+    let is_unstarted = matches!(row.phase, AttemptPhase::Held | AttemptPhase::Pending);
+    let job = queue.find_job(&row.attempt.job);
+    let sequence = queue.take_sequence();
+    let attempt = AttemptRow {
+        id: row.attempt,
+        job: None,
+        resources: row.resources,
+        rack: rack.clone(),
+        rack_epoch: context.view.epoch(&PieceName::Rack(rack.clone())),
+        stage,
+        idempotent: job.is_none_or(|job| queue.jobs[job].spec.idempotent),
+        ask_at: (stage == AttemptStage::Placing).then(|| context.view.now.plus(settle::ASK_MS)),
+        stopping_at: None,
+        sequence,
+    };
+    let key = queue.insert_attempt(attempt);
+    if let Some(job) = job {
+        settle::attach_attempt(queue, job, key);
+    }
+    if is_unstarted {
+        settle::stop_attempts(queue, &[key], context);
+    }
+}
+
+/// Starts work: everything that runs is known.
+fn activate(queue: &mut TeamQueue, context: &mut QueueContext<'_>) {
+    if let TeamPhase::RollCall { since, .. } = queue.phase {
+        let millis = context.view.now.since(since);
+        context.out.timing("queue.roll_call", millis);
+    }
+    queue.phase = TeamPhase::Active;
+    let fields: &[(&'static str, &dyn std::fmt::Display)] =
+        &[("team", &queue.team), ("epoch", &queue.epoch.0), ("jobs", &queue.jobs.len())];
+    context.out.log(LogLevel::Info, "team_active", fields);
+    let keys: Vec<JobKey> = queue.jobs.keys().collect();
+    for key in keys {
+        resolve_inherited(queue, key, context);
+        queue.refresh_job(key);
+        settle::finish_if_ended(queue, key, context);
+    }
+}
+
+/// Decides about the tasks of a job that a former owner may have started and no rack knows.
+fn resolve_inherited(queue: &mut TeamQueue, key: JobKey, context: &mut QueueContext<'_>) {
+    let job = &mut queue.jobs[key];
+    if !job.is_inherited || job.is_ended() {
+        return;
+    }
+    if job.is_cancelled {
+        job.end_waiting();
+        let attempts: Vec<_> = job.attempts().collect();
+        return settle::stop_attempts(queue, &attempts, context);
+    }
+    if job.spec.kind == WorkKind::Gang {
+        return resolve_gang(queue, key, context);
+    }
+    let lost: Vec<u32> = if job.spec.idempotent {
+        Vec::new()
+    } else {
+        let is_lost =
+            |task: &u32| job.stage(*task) == Some(TaskStage::Waiting) && !job.lacks_intent(*task);
+        (0..job.spec.tasks).filter(is_lost).collect()
+    };
+    job.queued = (0..job.spec.tasks)
+        .filter(|&task| job.stage(task) == Some(TaskStage::Waiting) && !lost.contains(&task))
+        .collect();
+    let output = "a former owner may have started it and its result is lost";
+    for task in lost {
+        settle::end_task(queue, key, task, OutcomeKind::Unknown, output);
+    }
+}
+
+/// A gang that is not whole any more is stopped and runs again, if it may.
+fn resolve_gang(queue: &mut TeamQueue, key: JobKey, context: &mut QueueContext<'_>) {
+    let job = &mut queue.jobs[key];
+    let is_whole = job.counts.active == job.spec.tasks;
+    let is_untouched = job.counts.waiting == job.spec.tasks;
+    let output = "a former owner may have started it and its result is lost";
+    if is_whole {
+        job.gang = GangStage::Started;
+        job.queued.clear();
+    } else if is_untouched && (job.spec.idempotent || job.intent_below == 0) {
+        job.gang = GangStage::Idle;
+    } else if job.spec.idempotent {
+        job.queued.clear();
+        super::gang::unwind(queue, key, context);
+        super::gang::restart_if_unwound(queue, key, context);
+    } else {
+        job.queued.clear();
+        job.gang = GangStage::Started;
+        let waiting: Vec<u32> = (0..job.spec.tasks)
+            .filter(|&task| job.stage(task) == Some(TaskStage::Waiting))
+            .collect();
+        for task in waiting {
+            settle::end_task(queue, key, task, OutcomeKind::Unknown, output);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/queue/team.rs
@@ -0,0 +1,318 @@
+//! Tables of one team's queues.
+
+use {
+    super::{
+        AttemptKey, JobKey,
+        attempt::{AttemptRow, AttemptStage},
+        job::{JobRow, TaskStage},
+        record::JournalRecord,
+    },
+    damaskrack_model::{
+        AttemptId, CallId, ClockTime, Epoch, JobId, MemberName, OutcomeKind, PriorityClass,
+        QueueName, RackName, Resources, TaskResult, TeamName, WorkKind,
+    },
+    damaskrack_ownership::JournalWriter,
+    damaskrack_wire::SubmitOrder,
+    rustc_hash::FxHashMap,
+    slotmap::SlotMap,
+    std::{
+        cmp::Reverse,
+        collections::{BTreeMap, BTreeSet, VecDeque},
+    },
+};
+
+/// How far the takeover of a team has come.
+#[derive(Debug)]
+pub(super) enum TeamPhase {
+    /// The journal is being read.
+    Loading { call: u64, retry_at: ClockTime },
+    /// The takeover record is being written, which fences the former owner's journal.
+    Fencing,
+    /// Racks that have not yet said what they run of this team.
+    RollCall { missing: BTreeSet<RackName>, ask_at: ClockTime, since: ClockTime },
+    /// Everything that runs is known; work starts.
+    Active,
+    /// Another owner has written the journal; nothing is done any more.
+    Fenced,
+}
+
+/// Order in which ready jobs start: class, then kind, then arrival.
+pub(super) type ReadyOrder = (Reverse<PriorityClass>, u8, u64);
+
+/// An ended attempt whose job is not known here yet.
+#[derive(Debug)]
+pub(super) struct OrphanEnd {
+    pub(super) attempt: AttemptId,
+    pub(super) rack: RackName,
+    pub(super) result: TaskResult,
+    pub(super) output: String,
+    pub(super) since: ClockTime,
+}
+
+/// A submission that arrived before the journal was read.
+#[derive(Debug)]
+pub(super) struct EarlySubmit {
+    pub(super) from: MemberName,
+    pub(super) call: CallId,
+    pub(super) order: SubmitOrder,
+}
+
+/// An end to acknowledge once the journal holds it.
+#[derive(Debug)]
+pub(super) struct PendingAck {
+    pub(super) position: u64,
+    pub(super) rack: RackName,
+    pub(super) attempt: AttemptId,
+}
+
+/// Everything about one team that this daemon owns.
+#[derive(Debug)]
+pub(super) struct TeamQueue {
+    pub(super) team: TeamName,
+    pub(super) epoch: Epoch,
+    pub(super) phase: TeamPhase,
+    /// Whether the team is about to be released.
+    pub(super) is_frozen: bool,
+    pub(super) journal: JournalWriter<JournalRecord>,
+    /// Journal write on the way; 0 if none.
+    pub(super) journal_call: u64,
+    /// When a failed journal write is tried again.
+    pub(super) journal_retry_at: ClockTime,
+    pub(super) jobs: SlotMap<JobKey, JobRow>,
+    pub(super) by_nonce: FxHashMap<u64, JobKey>,
+    pub(super) by_key: FxHashMap<(QueueName, String), JobKey>,
+    /// Jobs with tasks that can be started.
+    pub(super) ready: BTreeMap<ReadyOrder, JobKey>,
+    /// Jobs with tasks in backoff.
+    pub(super) backing_off: BTreeSet<JobKey>,
+    pub(super) parked: BTreeSet<JobKey>,
+    /// Gangs that hold room and have not started.
+    pub(super) holding: BTreeSet<JobKey>,
+    pub(super) deadlines: BTreeSet<(ClockTime, JobKey)>,
+    /// Jobs whose acceptance is not durable yet.
+    pub(super) unaccepted: BTreeSet<(u64, JobKey)>,
+    /// Jobs whose cancellation is to be answered once it is durable.
+    pub(super) cancelling: Vec<(u64, JobKey, MemberName, CallId)>,
+    /// Ended jobs that are still remembered, oldest first.
+    pub(super) retained: VecDeque<(ClockTime, JobKey)>,
+    pub(super) attempts: SlotMap<AttemptKey, AttemptRow>,
+    pub(super) by_attempt: FxHashMap<AttemptId, AttemptKey>,
+    /// When attempts are asked about.
+    pub(super) questions: BTreeSet<(ClockTime, AttemptKey)>,
+    pub(super) orphan_ends: FxHashMap<u64, OrphanEnd>,
+    pub(super) early: Vec<EarlySubmit>,
+    pub(super) acks: VecDeque<PendingAck>,
+    /// What all attempts take.
+    pub(super) running: Resources,
+    pub(super) running_tasks: u32,
+    /// What all waiting tasks would take.
+    pub(super) waiting: Resources,
+    pub(super) next_sequence: u64,
+    /// Payload bytes of the jobs that the journal holds.
+    journalled_bytes: usize,
+}
+
+/// Rank of a kind within a class: callers that wait come first.
+fn kind_rank(kind: WorkKind) -> u8 {
+    match kind {
+        WorkKind::Request => 0,
+        WorkKind::Service => 1,
+        WorkKind::Gang => 2,
+        WorkKind::Batch => 3,
+    }
+}
+
+impl TeamQueue {
+    pub(super) fn new(team: TeamName, epoch: Epoch) -> Self {
+        Self {
+            team,
+            epoch,
+            phase: TeamPhase::Loading { call: 0, retry_at: ClockTime::default() },
+            is_frozen: false,
+            journal: JournalWriter::new(epoch, 1),
+            journal_call: 0,
+            journal_retry_at: ClockTime::default(),
+            jobs: SlotMap::with_key(),
+            by_nonce: FxHashMap::default(),
+            by_key: FxHashMap::default(),
+            ready: BTreeMap::new(),
+            backing_off: BTreeSet::new(),
+            parked: BTreeSet::new(),
+            holding: BTreeSet::new(),
+            deadlines: BTreeSet::new(),
+            unaccepted: BTreeSet::new(),
+            cancelling: Vec::new(),
+            retained: VecDeque::new(),
+            attempts: SlotMap::with_key(),
+            by_attempt: FxHashMap::default(),
+            questions: BTreeSet::new(),
+            orphan_ends: FxHashMap::default(),
+            early: Vec::new(),
+            acks: VecDeque::new(),
+            running: Resources::ZERO,
+            running_tasks: 0,
+            waiting: Resources::ZERO,
+            next_sequence: 0,
+            journalled_bytes: 0,
+        }
+    }
+
+    /// Tells whether work may be placed.
+    pub(super) fn is_active(&self) -> bool {
+        matches!(self.phase, TeamPhase::Active) && !self.is_frozen
+    }
+
+    /// Tells whether the journal has been read, so that jobs are known.
+    pub(super) fn knows_jobs(&self) -> bool {
+        matches!(self.phase, TeamPhase::RollCall { .. } | TeamPhase::Active)
+    }
+
+    /// Returns the position of the last record that was appended.
+    pub(super) fn last_position(&self) -> u64 {
+        self.journal.appended_position()
+    }
+
+    /// Records the end of a task.
+    pub(super) fn append_ended(&mut self, job: u64, task: u32, outcome: OutcomeKind) {
+        self.journal.append(JournalRecord::Ended { job, from: task, to: task + 1, outcome });
+    }
+
+    /// Returns the payload bytes of the jobs that the journal holds.
+    pub(super) fn journalled_bytes(&self) -> usize {
+        self.journalled_bytes
+    }
+
+    /// Returns the store key prefix of the team's journal.
+    pub(super) fn journal_prefix(&self) -> String {
+        format!("journal/{}/", self.team)
+    }
+
+    /// Takes the next number for ordering.
+    pub(super) fn take_sequence(&mut self) -> u64 {
+        self.next_sequence += 1;
+        self.next_sequence
+    }
+
+    /// Finds a job by its id.
+    pub(super) fn find_job(&self, id: &JobId) -> Option<JobKey> {
+        self.by_nonce.get(&id.nonce).copied().filter(|&key| self.jobs[key].id == *id)
+    }
+
+    /// Adds a job to every index.
+    pub(super) fn insert_job(&mut self, job: JobRow) -> JobKey {
+        let nonce = job.id.nonce;
+        let index = job.idempotency_key.clone().map(|key| (job.id.queue.clone(), key));
+        let deadline = job.deadline_at;
+        if job.is_journalled {
+            self.journalled_bytes += job.spec.payload.len();
+        }
+        let key = self.jobs.insert(job);
+        self.by_nonce.insert(nonce, key);
+        if let Some(index) = index {
+            self.by_key.insert(index, key);
+        }
+        if let Some(at) = deadline {
+            self.deadlines.insert((at, key));
+        }
+        self.refresh_job(key);
+        key
+    }
+
+    /// Removes a job from every index.
+    pub(super) fn remove_job(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(key) else { return };
+        if job.is_journalled {
+            self.journalled_bytes = self.journalled_bytes.saturating_sub(job.spec.payload.len());
+        }
+        let order = ready_order(job);
+        let nonce = job.id.nonce;
+        let index = job.idempotency_key.clone().map(|name| (job.id.queue.clone(), name));
+        let deadline = job.deadline_at;
+        self.ready.remove(&order);
+        self.by_nonce.remove(&nonce);
+        if let Some(index) = index {
+            self.by_key.remove(&index);
+        }
+        if let Some(at) = deadline {
+            self.deadlines.remove(&(at, key));
+        }
+        self.backing_off.remove(&key);
+        self.parked.remove(&key);
+        self.unaccepted.retain(|(_, job)| *job != key);
+        self.jobs.remove(key);
+    }
+
+    /// Brings the indexes of a job up to date with its tasks.
+    pub(super) fn refresh_job(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(key) else { return };
+        let order = ready_order(job);
+        let is_accepted = job.accept_position == 0;
+        let is_gang_idle =
+            job.spec.kind != WorkKind::Gang || job.gang == super::job::GangStage::Idle;
+        let is_ready =
+            !job.queued.is_empty() && job.parked.is_none() && is_accepted && is_gang_idle;
+        let is_backing_off = !job.backoff.is_empty();
+        if is_ready {
+            self.ready.insert(order, key);
+        } else {
+            self.ready.remove(&order);
+        }
+        if is_backing_off {
+            self.backing_off.insert(key);
+        } else {
+            self.backing_off.remove(&key);
+        }
+    }
+
+    /// Adds an attempt and counts it.
+    pub(super) fn insert_attempt(&mut self, attempt: AttemptRow) -> AttemptKey {
+        self.running = self.running.saturating_add(attempt.resources);
+        self.running_tasks += 1;
+        let id = attempt.id.clone();
+        let (job, task, ask_at) = (attempt.job, attempt.id.task, attempt.ask_at);
+        let key = self.attempts.insert(attempt);
+        self.by_attempt.insert(id, key);
+        if let Some(at) = ask_at {
+            self.questions.insert((at, key));
+        }
+        if let Some(job) = job.and_then(|job| self.jobs.get_mut(job)) {
+            job.set_stage(task, TaskStage::Active(key));
+        }
+        key
+    }
+
+    /// Removes an attempt, which no longer counts. Its task is left to the caller.
+    pub(super) fn remove_attempt(&mut self, key: AttemptKey) -> Option<AttemptRow> {
+        let attempt = self.attempts.remove(key)?;
+        self.by_attempt.remove(&attempt.id);
+        self.running = self.running.saturating_sub(attempt.resources);
+        self.running_tasks -= 1;
+        if let Some(at) = attempt.ask_at {
+            self.questions.remove(&(at, key));
+        }
+        Some(attempt)
+    }
+
+    /// Sets when an attempt is asked about next.
+    pub(super) fn set_question(&mut self, key: AttemptKey, at: Option<ClockTime>) {
+        let Some(attempt) = self.attempts.get_mut(key) else { return };
+        if let Some(former) = std::mem::replace(&mut attempt.ask_at, at) {
+            self.questions.remove(&(former, key));
+        }
+        if let Some(at) = at {
+            self.questions.insert((at, key));
+        }
+    }
+
+    /// Moves an attempt to another stage.
+    pub(super) fn set_attempt_stage(&mut self, key: AttemptKey, stage: AttemptStage) {
+        if let Some(attempt) = self.attempts.get_mut(key) {
+            attempt.stage = stage;
+        }
+    }
+}
+
+/// Returns the place of a job among the ready ones.
+pub(super) fn ready_order(job: &JobRow) -> ReadyOrder {
+    (Reverse(job.spec.priority), kind_rank(job.spec.kind), job.sequence)
+}
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -1,7 +1,10 @@
 //! What every role may read: members, owners, manifest, hosts and digests.
 
 use {
-    damaskrack_manifest::{ManifestDocument, QueueEntry, TeamEntry, ZoneState},
+    crate::{NodeConfig, membership::FollowedChange},
+    damaskrack_manifest::{
+        KeyIndex, ManifestDocument, ManifestHead, QueueEntry, TeamEntry, ZoneState,
+    },
     damaskrack_model::{
         ClockTime, Epoch, MemberName, QueueName, RackName, Resources, TeamName, ZoneName,
     },
@@ -10,7 +13,7 @@
     damaskrack_wire::{RackSummary, TeamDigest},
     rustc_hash::FxHashMap,
     serde::Serialize,
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// A member as this daemon knows it.
@@ -40,13 +43,16 @@
 }
 
 /// A manifest with its version.
-#[derive(Debug, Clone, Default, Serialize)]
+#[derive(Debug, Default)]
 pub(crate) struct ManifestRow {
     /// Version; 0 if there is none yet.
     pub(crate) version: u64,
-    /// The manifest. Keys are left out of dumps.
-    #[serde(skip)]
+    /// Head that the document was read under.
+    pub(crate) head: ManifestHead,
+    /// The manifest.
     pub(crate) document: ManifestDocument,
+    /// Its keys, found by name.
+    pub(crate) keys: KeyIndex,
 }
 
 /// A rack summary with the time it arrived.
@@ -72,7 +78,9 @@
     /// Members by name, this daemon included once it is registered.
     pub(crate) members: BTreeMap<MemberName, MemberRow>,
     /// Ownership records.
-    pub(crate) owners: FxHashMap<PieceName, OwnerRow>,
+    pub(crate) owners: BTreeMap<PieceName, OwnerRow>,
+    /// Number of pieces that each member is recorded as the owner of.
+    owned_counts: FxHashMap<MemberName, usize>,
     /// The manifest.
     pub(crate) manifest: ManifestRow,
     /// The host list.
@@ -81,6 +89,10 @@
     pub(crate) summaries: BTreeMap<RackName, SummaryRow>,
     /// Team digests, this daemon's own included.
     pub(crate) digests: BTreeMap<TeamName, TeamDigest>,
+    /// Grows whenever `summaries` changes.
+    pub(crate) summaries_generation: u64,
+    /// Teams that wait below their entitlement.
+    pub(crate) starved: Vec<TeamName>,
     /// Dominant share of the cell that each team with demand is entitled to, from 0 to 1.
     pub(crate) entitlements: FxHashMap<TeamName, f64>,
     /// What all open racks have.
@@ -97,17 +109,123 @@
             standing: MemberStanding::Isolated,
             is_leaving: false,
             members: BTreeMap::new(),
-            owners: FxHashMap::default(),
+            owners: BTreeMap::new(),
+            owned_counts: FxHashMap::default(),
             manifest: ManifestRow::default(),
             hosts: Vec::new(),
             summaries: BTreeMap::new(),
             digests: BTreeMap::new(),
+            summaries_generation: 0,
+            starved: Vec::new(),
             entitlements: FxHashMap::default(),
             cell_capacity: Resources::ZERO,
             cell_usage: FxHashMap::default(),
         }
     }
 
+    /// Returns the other members that count for a majority: those that are listed, and those
+    /// that still own something under the boot number they were last listed with.
+    pub(crate) fn known_members(&self) -> Vec<&MemberRow> {
+        self.members
+            .iter()
+            .filter(|(member, row)| **member != self.me && self.is_known(member, row))
+            .map(|(_, row)| row)
+            .collect()
+    }
+
+    fn is_known(&self, member: &MemberName, row: &MemberRow) -> bool {
+        row.is_listed || self.owns_anything(member)
+    }
+
+    /// Tells whether a member is recorded as the owner of any piece.
+    pub(crate) fn owns_anything(&self, member: &MemberName) -> bool {
+        self.owned_counts.get(member).is_some_and(|&count| count > 0)
+    }
+
+    /// Applies a change of a member record.
+    pub(crate) fn apply_member(&mut self, change: &FollowedChange) {
+        let record = change.value.as_deref().and_then(|text| MemberRecord::from_json(text).ok());
+        match record {
+            Some(record) => self.list_member(record),
+            None => self.unlist_member(&change.key),
+        }
+    }
+
+    fn list_member(&mut self, record: MemberRecord) {
+        let known = self.members.remove(&record.member);
+        let same_boot = known.filter(|row| row.record.boot == record.boot);
+        let (heard_at, version) = same_boot.map_or((None, 0), |row| (row.heard_at, row.version));
+        let is_leaving = record.is_leaving;
+        let member = record.member.clone();
+        let row =
+            MemberRow { record, is_listed: true, heard_at, unlisted_at: None, version, is_leaving };
+        self.members.insert(member, row);
+    }
+
+    fn unlist_member(&mut self, key: &str) {
+        let name = key.strip_prefix(MemberRecord::KEY_PREFIX).and_then(|name| name.parse().ok());
+        let row = name.and_then(|name: MemberName| self.members.get_mut(&name));
+        if let Some(row) = row {
+            row.is_listed = false;
+            row.unlisted_at = Some(self.now);
+        }
+    }
+
+    /// Applies a change of an ownership record; returns its piece.
+    pub(crate) fn apply_owner(&mut self, change: &FollowedChange) -> Option<PieceName> {
+        let piece = PieceName::from_store_key(&change.key)?;
+        let record = change.value.as_deref().and_then(|text| OwnerRecord::from_json(text).ok());
+        if let Some(owner) = self.owner(&piece).cloned()
+            && let Some(count) = self.owned_counts.get_mut(&owner)
+        {
+            *count -= 1;
+        }
+        let Some(record) = record else {
+            self.owners.remove(&piece);
+            return Some(piece);
+        };
+        if let Some(owner) = &record.owner {
+            *self.owned_counts.entry(owner.clone()).or_default() += 1;
+        }
+        self.owners.insert(piece.clone(), OwnerRow { record, revision: change.revision });
+        Some(piece)
+    }
+
+    /// Returns the members that may be given pieces.
+    pub(crate) fn takers(&self) -> impl Iterator<Item = &MemberName> {
+        self.members
+            .iter()
+            .filter(|(_, row)| row.is_listed && !row.is_leaving && !row.record.is_leaving)
+            .map(|(member, _)| member)
+    }
+
+    /// Returns every piece: those with a record, the manifest's teams and the listed racks.
+    pub(crate) fn pieces(&self) -> BTreeSet<PieceName> {
+        let teams = self.manifest.document.teams.iter();
+        let teams = teams.map(|team| PieceName::Team(team.name.clone()));
+        let racks = self.hosts.iter().map(|row| PieceName::Rack(row.rack.clone()));
+        self.owners.keys().cloned().chain(teams).chain(racks).collect()
+    }
+
+    /// Tells whether a recorded owner is gone: the store lists it no more under its boot number,
+    /// and no message of it came for a member lease.
+    pub(crate) fn is_owner_gone(&self, record: &OwnerRecord, config: &NodeConfig) -> bool {
+        let Some(owner) = &record.owner else { return true };
+        let Some(row) = self.members.get(owner) else { return true };
+        if row.is_listed {
+            return row.record.boot != record.boot;
+        }
+        let is_silent = row.heard_at.is_none_or(|at| self.now.since(at) > config.member_lease_ms);
+        is_silent || row.record.boot != record.boot
+    }
+
+    /// Tells whether the recorded owner of a piece is this very process.
+    pub(crate) fn is_mine(&self, piece: &PieceName, boot: u64) -> bool {
+        self.owners.get(piece).is_some_and(|row| {
+            row.record.owner.as_ref() == Some(&self.me) && row.record.boot == boot
+        })
+    }
+
     /// Returns the recorded owner of a piece.
     pub(crate) fn owner(&self, piece: &PieceName) -> Option<&MemberName> {
         self.owners.get(piece).and_then(|row| row.record.owner.as_ref())
@@ -146,6 +264,24 @@
         used.dominant_share(self.cell_capacity) - entitlement
     }
 
+    /// Returns the dominant share of the cell that a team may claim.
+    ///
+    /// The part that its weight guarantees needs no exchange of demand: no division of the cell
+    /// gives a team that wants it less.
+    pub(crate) fn entitlement(&self, team: &TeamName) -> f64 {
+        let teams = &self.manifest.document.teams;
+        let total: u64 = teams.iter().map(|entry| u64::from(entry.share)).sum();
+        let weight = self.team(team).map_or(0, |entry| u64::from(entry.share));
+        #[allow(clippy::cast_precision_loss)]
+        let guaranteed = if total == 0 { 0.0 } else { weight as f64 / total as f64 };
+        self.entitlements.get(team).copied().unwrap_or(0.0).max(guaranteed)
+    }
+
+    /// Tells whether any other team waits below its entitlement.
+    pub(crate) fn is_any_starved_but(&self, team: &TeamName) -> bool {
+        self.starved.iter().any(|starved| starved != team)
+    }
+
     /// Tells whether this daemon may start work: its configuration is provably current.
     pub(crate) fn may_start(&self) -> bool {
         self.standing != MemberStanding::Isolated && self.manifest.version > 0
--- a/crates/ownership/src/journal.rs
+++ b/crates/ownership/src/journal.rs
@@ -110,7 +110,8 @@
     write: u64,
     in_flight: Vec<R>,
     in_flight_is_snapshot: bool,
-    pending: Vec<R>,
+    /// Records that no write has carried yet; `None` where one was withdrawn.
+    pending: Vec<Option<R>>,
     pending_snapshot: Option<Vec<R>>,
     appended: u64,
     durable: u64,
@@ -142,11 +143,29 @@
     /// Adds a record and returns its position.
     pub fn append(&mut self, record: R) -> u64 {
         self.pending_snapshot = None;
-        self.pending.push(record);
+        self.pending.push(Some(record));
         self.appended += 1;
         self.appended
     }
 
+    /// Takes back a record that no write has carried yet.
+    ///
+    /// Returns whether that was possible. If not, the record may be or become durable.
+    pub fn withdraw(&mut self, position: u64) -> bool {
+        let first = self.appended - self.pending.len() as u64 + 1;
+        let index = position.checked_sub(first).and_then(|index| usize::try_from(index).ok());
+        match index.and_then(|index| self.pending.get_mut(index)) {
+            Some(record) => record.take().is_some(),
+            None => false,
+        }
+    }
+
+    /// Returns how many records wait to be written.
+    #[must_use]
+    pub fn pending_len(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Restates everything in the next segment. `records` must include what is still pending; a
     /// later [`append`](Self::append) discards the snapshot.
     pub fn snapshot(&mut self, records: Vec<R>) {
@@ -159,6 +178,12 @@
         self.durable
     }
 
+    /// Returns the position of the last record that was appended.
+    #[must_use]
+    pub fn appended_position(&self) -> u64 {
+        self.appended
+    }
+
     /// Returns how many segments follow the last snapshot.
     #[must_use]
     pub fn segments_since_snapshot(&self) -> u64 {
@@ -217,7 +242,7 @@
             return JournalStep::Idle;
         } else {
             let count = self.pending.len().min(Self::MAX_RECORDS);
-            self.in_flight = self.pending.drain(..count).collect();
+            self.in_flight = self.pending.drain(..count).flatten().collect();
             self.in_flight_is_snapshot = false;
         }
         self.write = draw();
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -324,6 +324,9 @@
     Phases {
         /// Rack that answers.
         rack: RackName,
+        /// Epoch of the rack's owner. A void row proves that an attempt never ran only if the
+        /// attempt was sent under the same epoch.
+        epoch: Epoch,
         /// The attempts.
         rows: Vec<AttemptRow>,
     },
