--- a/crates/node/src/queue/takeover.rs
+++ b/crates/node/src/queue/takeover.rs
@@ -36,7 +36,7 @@
             queue.phase = TeamPhase::Loading { call, retry_at: now };
         }
         TeamPhase::Fencing if queue.journal.durable_position() > 0 => {
-            begin_roll_call(queue, context)
+            begin_roll_call(queue, context);
         }
         TeamPhase::Fencing if queue.journal.is_fenced() => restart(queue, context),
         TeamPhase::RollCall { missing, .. } if missing.is_empty() => activate(queue, context),
