--- /dev/null
+++ b/crates/standin/src/store_table.rs
@@ -0,0 +1,412 @@
+//! The store's logic without a server or a clock.
+//!
+//! Every method takes the time, so the same table serves the HTTP stand-in and a simulated clock.
+//! Leases stand still during an outage and get their full time again after it: a client that
+//! could not reach the store had no way to keep its lease.
+
+use {
+    crate::{RateLimit, StoreStats},
+    damaskrack_platform::{StoreCall, StoreEntry, StoreEvent, StoreFailure, StoreReply},
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::{BTreeMap, VecDeque},
+        ops::Bound,
+    },
+};
+
+/// Prefixes of the keys whose writes are kept for observers.
+const OBSERVED_PREFIXES: [&str; 2] = ["owner/", "manifest/head"];
+
+/// Bounds of a [`StoreTable`].
+#[derive(Debug, Clone)]
+pub struct StorePlan {
+    /// Writes served a second.
+    pub writes_per_s: u32,
+    /// Reads and watches served a second.
+    pub reads_per_s: u32,
+    /// Longest value, in bytes.
+    pub max_value_bytes: usize,
+    /// Changes kept for watches.
+    pub max_events: usize,
+    /// Total size of the values kept for watches, in bytes.
+    pub max_event_bytes: usize,
+    /// Writes kept for observers.
+    pub max_history: usize,
+}
+
+impl Default for StorePlan {
+    fn default() -> Self {
+        Self {
+            writes_per_s: 300,
+            reads_per_s: 2_000,
+            max_value_bytes: 1_000_000,
+            max_events: 20_000,
+            max_event_bytes: 64 << 20,
+            max_history: 100_000,
+        }
+    }
+}
+
+/// A write of an ownership record or of the manifest's head, kept for observers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WriteRecord {
+    /// When it took effect, in milliseconds of the common clock.
+    pub at_ms: u64,
+    /// The key.
+    pub key: String,
+    /// The value, or `None` for a deletion.
+    pub value: Option<String>,
+    /// Store revision of the write.
+    pub revision: u64,
+}
+
+#[derive(Debug)]
+struct StoredValue {
+    value: String,
+    revision: u64,
+    lease: u64,
+}
+
+#[derive(Debug)]
+struct LeaseRow {
+    ttl_ms: u64,
+    lapses_ms: u64,
+}
+
+/// Keys, leases and the changes that watches can still ask for.
+///
+/// # Examples
+///
+/// ```
+/// use {
+///     damaskrack_platform::{StoreCall, StoreReply},
+///     damaskrack_standin::{StorePlan, StoreTable},
+/// };
+///
+/// let mut table = StoreTable::new(StorePlan::default());
+/// let put = StoreCall::Put { key: "a".into(), expected: 0, value: "1".into(), lease: 0 };
+/// assert_eq!(table.handle(&put, 0), StoreReply::Written { revision: 1 });
+/// assert!(matches!(table.handle(&put, 0), StoreReply::Conflict { current: Some(_) }));
+/// ```
+#[derive(Debug)]
+pub struct StoreTable {
+    plan: StorePlan,
+    values: BTreeMap<String, StoredValue>,
+    leases: BTreeMap<u64, LeaseRow>,
+    next_lease: u64,
+    revision: u64,
+    compacted: u64,
+    events: VecDeque<StoreEvent>,
+    event_bytes: usize,
+    history: VecDeque<WriteRecord>,
+    write_limit: RateLimit,
+    read_limit: RateLimit,
+    stats: StoreStats,
+    is_out: bool,
+}
+
+impl StoreTable {
+    /// Makes an empty store.
+    #[must_use]
+    pub fn new(plan: StorePlan) -> Self {
+        Self {
+            values: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            next_lease: 1,
+            revision: 0,
+            compacted: 0,
+            events: VecDeque::new(),
+            event_bytes: 0,
+            history: VecDeque::new(),
+            write_limit: RateLimit::new(plan.writes_per_s),
+            read_limit: RateLimit::new(plan.reads_per_s),
+            stats: StoreStats::default(),
+            is_out: false,
+            plan,
+        }
+    }
+
+    /// Counts a call and carries it out unless the store is out, over its rate or the value is
+    /// too long. A watch is answered at once; see [`StoreTable::poll_watch`].
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreFailure::Unavailable`] for a refused call, which took no effect.
+    pub fn serve(&mut self, call: &StoreCall, now_ms: u64) -> Result<StoreReply, StoreFailure> {
+        self.advance(now_ms);
+        self.stats.count(call);
+        if self.is_admitted(call, now_ms) {
+            return Ok(self.handle(call, now_ms));
+        }
+        self.stats.refused += 1;
+        Err(StoreFailure::Unavailable)
+    }
+
+    fn is_admitted(&mut self, call: &StoreCall, now_ms: u64) -> bool {
+        if self.is_out {
+            return false;
+        }
+        if let StoreCall::Put { value, .. } = call
+            && value.len() > self.plan.max_value_bytes
+        {
+            return false;
+        }
+        match is_write(call) {
+            true => self.write_limit.take(now_ms),
+            false => self.read_limit.take(now_ms),
+        }
+    }
+
+    /// Carries out a call, without counters, limits or outage. A watch is answered at once,
+    /// with no events if there are none yet.
+    pub fn handle(&mut self, call: &StoreCall, now_ms: u64) -> StoreReply {
+        self.advance(now_ms);
+        match call {
+            StoreCall::Get { key } => self.get(key),
+            StoreCall::List { prefix } => self.list(prefix),
+            StoreCall::Put { key, expected, value, lease } => {
+                self.put(key, *expected, value, *lease, now_ms)
+            }
+            StoreCall::Delete { key, expected } => self.delete(key, *expected, now_ms),
+            StoreCall::DeleteRange { from, to } => self.delete_range(from, to, now_ms),
+            StoreCall::LeaseGrant { ttl_ms } => self.grant(*ttl_ms, now_ms),
+            StoreCall::LeaseKeep { lease } => self.keep(*lease, now_ms),
+            StoreCall::LeaseRevoke { lease } => {
+                self.end_lease(*lease, now_ms);
+                StoreReply::LeaseGone
+            }
+            StoreCall::Watch { prefixes, since, .. } => self
+                .poll_watch(prefixes, *since)
+                .unwrap_or(StoreReply::Events { events: Vec::new(), revision: self.revision }),
+        }
+    }
+
+    /// Returns what a watch would be answered now, or `None` if it is to wait.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use damaskrack_standin::{StorePlan, StoreTable};
+    ///
+    /// let table = StoreTable::new(StorePlan::default());
+    /// assert_eq!(table.poll_watch(&["owner/".to_owned()], 0), None);
+    /// ```
+    #[must_use]
+    pub fn poll_watch(&self, prefixes: &[String], since: u64) -> Option<StoreReply> {
+        if since < self.compacted || since > self.revision {
+            return Some(StoreReply::Compacted);
+        }
+        let first = self.events.partition_point(|event| event.revision <= since);
+        let is_watched =
+            |event: &&StoreEvent| prefixes.iter().any(|prefix| event.key.starts_with(prefix));
+        let events: Vec<_> = self.events.range(first..).filter(is_watched).cloned().collect();
+        (!events.is_empty()).then_some(StoreReply::Events { events, revision: self.revision })
+    }
+
+    /// Lets leases lapse whose time is over.
+    pub fn advance(&mut self, now_ms: u64) {
+        if self.is_out {
+            return;
+        }
+        let is_over = |(id, row): (&u64, &LeaseRow)| (row.lapses_ms <= now_ms).then_some(*id);
+        let lapsed: Vec<u64> = self.leases.iter().filter_map(is_over).collect();
+        for lease in lapsed {
+            self.stats.lapsed_leases += 1;
+            self.end_lease(lease, now_ms);
+        }
+    }
+
+    /// Returns when the next lease lapses unless it is kept.
+    #[must_use]
+    pub fn next_event_ms(&self) -> Option<u64> {
+        if self.is_out {
+            return None;
+        }
+        self.leases.values().map(|row| row.lapses_ms).min()
+    }
+
+    /// Starts or ends an outage.
+    pub fn set_outage(&mut self, is_out: bool, now_ms: u64) {
+        self.advance(now_ms);
+        if self.is_out && !is_out {
+            for row in self.leases.values_mut() {
+                row.lapses_ms = now_ms.saturating_add(row.ttl_ms);
+            }
+        }
+        self.is_out = is_out;
+    }
+
+    /// Tells whether the store is out.
+    #[must_use]
+    pub fn is_out(&self) -> bool {
+        self.is_out
+    }
+
+    /// Returns the store's revision.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns the call counters.
+    #[must_use]
+    pub fn stats(&self) -> &StoreStats {
+        &self.stats
+    }
+
+    /// Returns the writes of ownership records and of the manifest's head, oldest first.
+    pub fn history(&self) -> impl Iterator<Item = &WriteRecord> {
+        self.history.iter()
+    }
+
+    /// Returns a key's entry, for observers; not counted.
+    #[must_use]
+    pub fn entry(&self, key: &str) -> Option<StoreEntry> {
+        self.values.get(key).map(|stored| to_entry(key, stored))
+    }
+
+    fn get(&self, key: &str) -> StoreReply {
+        StoreReply::Entries {
+            entries: self.entry(key).into_iter().collect(),
+            revision: self.revision,
+        }
+    }
+
+    fn list(&self, prefix: &str) -> StoreReply {
+        let from = (Bound::Included(prefix), Bound::Unbounded);
+        let entries = self
+            .values
+            .range::<str, _>(from)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .map(|(key, stored)| to_entry(key, stored))
+            .collect();
+        StoreReply::Entries { entries, revision: self.revision }
+    }
+
+    fn put(
+        &mut self,
+        key: &str,
+        expected: u64,
+        value: &str,
+        lease: u64,
+        now_ms: u64,
+    ) -> StoreReply {
+        if lease != 0 && !self.leases.contains_key(&lease) {
+            return StoreReply::LeaseGone;
+        }
+        if !self.has_revision(key, expected) {
+            return StoreReply::Conflict { current: self.entry(key) };
+        }
+        self.revision += 1;
+        let revision = self.revision;
+        self.values
+            .insert(key.to_owned(), StoredValue { value: value.to_owned(), revision, lease });
+        self.record(key, Some(value), now_ms);
+        StoreReply::Written { revision }
+    }
+
+    fn delete(&mut self, key: &str, expected: u64, now_ms: u64) -> StoreReply {
+        if !self.has_revision(key, expected) || expected == 0 {
+            return StoreReply::Conflict { current: self.entry(key) };
+        }
+        self.delete_keys(vec![key.to_owned()], now_ms);
+        StoreReply::Written { revision: self.revision }
+    }
+
+    fn delete_range(&mut self, from: &str, to: &str, now_ms: u64) -> StoreReply {
+        if from < to {
+            let range = (Bound::Included(from), Bound::Excluded(to));
+            let keys = self.values.range::<str, _>(range).map(|(key, _)| key.clone()).collect();
+            self.delete_keys(keys, now_ms);
+        }
+        StoreReply::Written { revision: self.revision }
+    }
+
+    fn has_revision(&self, key: &str, expected: u64) -> bool {
+        self.values.get(key).map_or(0, |stored| stored.revision) == expected
+    }
+
+    /// Deletes keys that exist, all at one revision.
+    fn delete_keys(&mut self, keys: Vec<String>, now_ms: u64) {
+        if keys.is_empty() {
+            return;
+        }
+        self.revision += 1;
+        for key in keys {
+            self.values.remove(&key);
+            self.record(&key, None, now_ms);
+        }
+    }
+
+    fn grant(&mut self, ttl_ms: u64, now_ms: u64) -> StoreReply {
+        let lease = self.next_lease;
+        self.next_lease += 1;
+        self.leases.insert(lease, LeaseRow { ttl_ms, lapses_ms: now_ms.saturating_add(ttl_ms) });
+        StoreReply::Lease { lease }
+    }
+
+    fn keep(&mut self, lease: u64, now_ms: u64) -> StoreReply {
+        match self.leases.get_mut(&lease) {
+            Some(row) => {
+                row.lapses_ms = now_ms.saturating_add(row.ttl_ms);
+                StoreReply::Lease { lease }
+            }
+            None => StoreReply::LeaseGone,
+        }
+    }
+
+    fn end_lease(&mut self, lease: u64, now_ms: u64) {
+        if self.leases.remove(&lease).is_none() {
+            return;
+        }
+        let is_hung = |stored: &StoredValue| stored.lease == lease;
+        let keys = self.values.iter().filter(|(_, stored)| is_hung(stored));
+        let keys = keys.map(|(key, _)| key.clone()).collect();
+        self.delete_keys(keys, now_ms);
+    }
+
+    fn record(&mut self, key: &str, value: Option<&str>, now_ms: u64) {
+        let (value, revision) = (value.map(str::to_owned), self.revision);
+        if OBSERVED_PREFIXES.iter().any(|prefix| key.starts_with(prefix)) {
+            let value = value.clone();
+            self.history.push_back(WriteRecord {
+                at_ms: now_ms,
+                key: key.to_owned(),
+                value,
+                revision,
+            });
+        }
+        self.event_bytes += value.as_ref().map_or(0, String::len);
+        self.events.push_back(StoreEvent { key: key.to_owned(), value, revision });
+        self.trim();
+    }
+
+    fn trim(&mut self) {
+        while self.history.len() > self.plan.max_history {
+            self.history.pop_front();
+        }
+        while self.events.len() > self.plan.max_events
+            || self.event_bytes > self.plan.max_event_bytes
+        {
+            let Some(event) = self.events.pop_front() else { break };
+            self.event_bytes -= event.value.as_ref().map_or(0, String::len);
+            self.compacted = event.revision;
+        }
+    }
+}
+
+fn to_entry(key: &str, stored: &StoredValue) -> StoreEntry {
+    StoreEntry { key: key.to_owned(), value: stored.value.clone(), revision: stored.revision }
+}
+
+fn is_write(call: &StoreCall) -> bool {
+    match call {
+        StoreCall::Get { .. } | StoreCall::List { .. } | StoreCall::Watch { .. } => false,
+        StoreCall::Put { .. }
+        | StoreCall::Delete { .. }
+        | StoreCall::DeleteRange { .. }
+        | StoreCall::LeaseGrant { .. }
+        | StoreCall::LeaseKeep { .. }
+        | StoreCall::LeaseRevoke { .. } => true,
+    }
+}
