Add HTTP adapters for the platform and servers for its stand-ins

The daemon needs clients whose verdict is truthful: a call counts as not sent only if no connection could be made or the server says 'not served' itself. A bare 503 was ruled out as proof, since something between the two ends may send it after passing the call on.

The stand-ins wrap their tables in gotham servers. Sockets pass through a gate that can silence, cut or close them, which an HTTP handler alone cannot do. Calls run to their end even when the client gives up, so a late write still takes effect.

--- /dev/null
+++ b/crates/platform/src/http_hosts.rs
@@ -0,0 +1,46 @@
+//! The host list over HTTP and JSON.
+
+use {
+    crate::{
+        HostList, HostRow,
+        http_client::{AddressClient, CallEnd},
+    },
+    std::net::SocketAddr,
+};
+
+/// A host list that is read as a JSON array of [`HostRow`] by `GET /v1/hosts`.
+///
+/// # Examples
+///
+/// ```
+/// use damaskrack_platform::{HostList, HttpHosts};
+///
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> Result<(), std::net::AddrParseError> {
+/// let hosts = HttpHosts::new("127.0.0.1:9".parse()?);
+/// assert_eq!(hosts.read(1_000).await, None);
+/// # Ok(())
+/// # }
+/// ```
+#[derive(Debug)]
+pub struct HttpHosts {
+    client: AddressClient,
+}
+
+impl HttpHosts {
+    /// Makes a client; connects only when it is used.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        Self { client: AddressClient::new(address) }
+    }
+}
+
+#[async_trait::async_trait]
+impl HostList for HttpHosts {
+    async fn read(&self, timeout_ms: u64) -> Option<Vec<HostRow>> {
+        match self.client.get("/v1/hosts", timeout_ms).await {
+            CallEnd::Answered(body) => serde_json::from_slice(&body).ok(),
+            CallEnd::NotServed | CallEnd::Lost => None,
+        }
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,11 +5,19 @@
 //! published protocol is met by another implementation of a trait.
 
 mod hosts;
+mod http_client;
+mod http_hosts;
+mod http_store;
+mod http_worker;
 mod store;
 mod worker;
 
 pub use {
     hosts::{HostList, HostRow, HostState},
+    http_client::NOT_SERVED,
+    http_hosts::HttpHosts,
+    http_store::HttpStore,
+    http_worker::HttpWorker,
     store::{PlatformStore, StoreCall, StoreEntry, StoreEvent, StoreFailure, StoreReply},
     worker::{
         EndedRow, RunningRow, StartOrder, StartVerdict, WorkerBody, WorkerCall, WorkerFailure,
--- /dev/null
+++ b/crates/standin/src/connection_gate.rs
@@ -0,0 +1,107 @@
+//! The open connections of one server, and the switches for them.
+
+use {
+    crate::gated_stream::{ConnectionMode, ConnectionSwitch, GatedStream},
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicBool, Ordering},
+        },
+    },
+    tokio::net::TcpStream,
+};
+
+type SwitchRows = HashMap<SocketAddr, Arc<ConnectionSwitch>>;
+
+#[derive(Debug)]
+struct GateShared {
+    rows: Mutex<SwitchRows>,
+    max_connections: usize,
+    is_cut: AtomicBool,
+}
+
+impl GateShared {
+    fn lock(&self) -> MutexGuard<'_, SwitchRows> {
+        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Counts, cuts and closes the connections of a server.
+#[derive(Debug, Clone)]
+pub(crate) struct ConnectionGate {
+    shared: Arc<GateShared>,
+}
+
+/// Takes its connection off the gate's list when it is dropped.
+#[derive(Debug)]
+pub(crate) struct GateGuard {
+    shared: Arc<GateShared>,
+    address: SocketAddr,
+}
+
+impl Drop for GateGuard {
+    fn drop(&mut self) {
+        self.shared.lock().remove(&self.address);
+    }
+}
+
+impl ConnectionGate {
+    pub(crate) fn new(max_connections: usize) -> Self {
+        let (rows, is_cut) = (Mutex::default(), AtomicBool::new(false));
+        Self { shared: Arc::new(GateShared { rows, max_connections, is_cut }) }
+    }
+
+    /// Lists a new connection, or returns `None` if there are too many already.
+    pub(crate) fn admit(&self, stream: TcpStream) -> Option<GatedStream<GateGuard>> {
+        let address = stream.peer_addr().ok()?;
+        stream.set_nodelay(true).ok()?;
+        let switch = Arc::new(ConnectionSwitch::default());
+        if self.shared.is_cut.load(Ordering::Acquire) {
+            switch.set(ConnectionMode::Silent);
+        }
+        let mut rows = self.shared.lock();
+        if rows.len() >= self.shared.max_connections {
+            return None;
+        }
+        rows.insert(address, Arc::clone(&switch));
+        drop(rows);
+        let guard = GateGuard { shared: Arc::clone(&self.shared), address };
+        Some(GatedStream::new(stream, switch, guard))
+    }
+
+    /// Makes every open connection go silent for good; new ones work.
+    pub(crate) fn silence(&self) {
+        self.set_all(ConnectionMode::Silent);
+    }
+
+    /// Makes open and new connections go silent until the cut ends; those stay silent then.
+    pub(crate) fn set_cut(&self, is_cut: bool) {
+        self.shared.is_cut.store(is_cut, Ordering::Release);
+        if is_cut {
+            self.silence();
+        }
+    }
+
+    /// Closes the connection of a client without another byte.
+    pub(crate) fn close(&self, address: SocketAddr) {
+        if let Some(switch) = self.shared.lock().get(&address) {
+            switch.set(ConnectionMode::Closed);
+        }
+    }
+
+    /// Closes every connection.
+    pub(crate) fn close_all(&self) {
+        self.set_all(ConnectionMode::Closed);
+    }
+
+    /// Returns the number of open connections.
+    pub(crate) fn len(&self) -> usize {
+        self.shared.lock().len()
+    }
+
+    fn set_all(&self, mode: ConnectionMode) {
+        self.shared.lock().values().for_each(|switch| switch.set(mode));
+    }
+}
--- /dev/null
+++ b/crates/standin/src/host_server.rs
@@ -0,0 +1,145 @@
+//! The host list over HTTP.
+
+use {
+    crate::{
+        HostTable,
+        common_clock::common_now_ms,
+        connection_gate::ConnectionGate,
+        http_server::{ServedCall, Shared, StandinServer, answer_served},
+    },
+    damaskrack_model::WorkerName,
+    damaskrack_platform::{HostRow, HostState},
+    gotham::{
+        handler::HandlerResult,
+        middleware::state::StateMiddleware,
+        pipeline::{single_middleware, single_pipeline},
+        prelude::{DefineSingleRoute, DrawRoutes, FromState},
+        router::{Router, build_router},
+        state::State,
+    },
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::BTreeMap,
+        io,
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+    },
+};
+
+/// Changes to the host list; what is left out stays as it is.
+///
+/// # Examples
+///
+/// ```
+/// use damaskrack_standin::HostFaults;
+///
+/// let faults: HostFaults = serde_json::from_str(r#"{"mark":{"a1-1":"leaving"}}"#)?;
+/// assert_eq!(faults.mark.len(), 1);
+/// # Ok::<(), serde_json::Error>(())
+/// ```
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct HostFaults {
+    /// Whether the list cannot be read.
+    pub outage: Option<bool>,
+    /// Time until a later change shows, in milliseconds.
+    pub lag_ms: Option<u64>,
+    /// Hosts whose state changes.
+    pub mark: BTreeMap<WorkerName, HostState>,
+    /// Hosts that are added or replaced.
+    pub put: Vec<HostRow>,
+    /// Hosts that are taken off the list.
+    pub remove: Vec<WorkerName>,
+}
+
+#[derive(Debug)]
+struct HostService {
+    table: Mutex<HostTable>,
+    gate: ConnectionGate,
+}
+
+impl HostService {
+    fn lock(&self) -> MutexGuard<'_, HostTable> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A listening host list; dropping it closes it.
+#[derive(Debug)]
+pub struct HostServer {
+    service: Arc<HostService>,
+    server: StandinServer,
+}
+
+impl HostServer {
+    /// Listens on `address`; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the address cannot be listened on.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use {
+    ///     damaskrack_platform::{HostList, HttpHosts},
+    ///     damaskrack_standin::{HostServer, HostTable},
+    /// };
+    ///
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// let server = HostServer::start("127.0.0.1:0".parse()?, HostTable::new(0)).await?;
+    /// let hosts = HttpHosts::new(server.address());
+    /// assert_eq!(hosts.read(1_000).await, Some(Vec::new()));
+    /// # Ok(())
+    /// # }
+    /// ```
+    pub async fn start(address: SocketAddr, table: HostTable) -> io::Result<Self> {
+        let gate = ConnectionGate::new(usize::MAX);
+        let service = Arc::new(HostService { table: Mutex::new(table), gate: gate.clone() });
+        let server = StandinServer::start(address, build_routes(&service), gate).await?;
+        Ok(Self { service, server })
+    }
+
+    /// Returns where the list is read.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Changes the list.
+    pub fn change_faults(&self, faults: &HostFaults) {
+        let now_ms = common_now_ms();
+        let mut table = self.service.lock();
+        if let Some(is_out) = faults.outage {
+            table.set_outage(is_out);
+        }
+        if let Some(lag_ms) = faults.lag_ms {
+            table.set_lag_ms(lag_ms);
+        }
+        for row in &faults.put {
+            table.put(row.clone(), now_ms);
+        }
+        for (worker, host_state) in &faults.mark {
+            table.mark(worker, *host_state, now_ms);
+        }
+        for worker in &faults.remove {
+            table.remove(worker, now_ms);
+        }
+    }
+}
+
+fn build_routes(service: &Arc<HostService>) -> Router {
+    let middleware = StateMiddleware::new(Shared::new(Arc::clone(service)));
+    let (chain, pipelines) = single_pipeline(single_middleware(middleware));
+    build_router(chain, pipelines, |route| {
+        route.get("/v1/hosts").to_async(serve_list);
+    })
+}
+
+async fn serve_list(state: State) -> HandlerResult {
+    let service = Shared::<HostService>::borrow_from(&state).clone();
+    let rows = service.lock().read(common_now_ms());
+    let served = rows.map_or(ServedCall::Refused, ServedCall::Answered);
+    answer_served(state, &served, &service.gate)
+}
--- a/crates/standin/src/store_table.rs
+++ b/crates/standin/src/store_table.rs
@@ -248,6 +248,11 @@
         self.revision
     }
 
+    /// Counts an answer that was dropped after its call took effect.
+    pub fn count_lost_answer(&mut self) {
+        self.stats.lost_answers += 1;
+    }
+
     /// Returns the call counters.
     #[must_use]
     pub fn stats(&self) -> &StoreStats {
--- /dev/null
+++ b/crates/standin/src/worker_server.rs
@@ -0,0 +1,124 @@
+//! A worker over HTTP.
+
+use {
+    crate::{
+        CheckpointPlace, ObservedRun, WorkerFaults, WorkerPlan,
+        http_server::{
+            Shared, StandinServer, answer_bad_request, answer_json, answer_served, finish,
+            read_json,
+        },
+        worker_service::WorkerService,
+    },
+    damaskrack_platform::WorkerCall,
+    gotham::{
+        handler::HandlerResult,
+        middleware::state::StateMiddleware,
+        pipeline::{single_middleware, single_pipeline},
+        prelude::{DefineSingleRoute, DrawRoutes, FromState},
+        router::{Router, build_router},
+        state::State,
+    },
+    std::{io, net::SocketAddr, sync::Arc},
+    tokio::task::JoinHandle,
+};
+
+/// A listening worker; dropping it closes it.
+#[derive(Debug)]
+pub struct WorkerServer {
+    service: Arc<WorkerService>,
+    server: StandinServer,
+    tasks: JoinHandle<()>,
+}
+
+impl WorkerServer {
+    /// Listens on `address`; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the address cannot be listened on.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use {
+    ///     damaskrack_model::Resources,
+    ///     damaskrack_standin::{CheckpointPlace, WorkerPlan, WorkerServer},
+    /// };
+    ///
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// let plan = WorkerPlan::new("w1".parse()?, "a".parse()?, Resources::ZERO, 7);
+    /// let place = CheckpointPlace::default();
+    /// let server = WorkerServer::start("127.0.0.1:0".parse()?, plan, place).await?;
+    /// assert!(server.observations().is_empty());
+    /// # Ok(())
+    /// # }
+    /// ```
+    pub async fn start(
+        address: SocketAddr,
+        plan: WorkerPlan,
+        checkpoints: CheckpointPlace,
+    ) -> io::Result<Self> {
+        let service = Arc::new(WorkerService::new(plan, checkpoints));
+        let gate = service.gate().clone();
+        let server = StandinServer::start(address, build_routes(&service), gate).await?;
+        let task_service = Arc::clone(&service);
+        let tasks = tokio::spawn(async move { task_service.run_tasks().await });
+        Ok(Self { service, server, tasks })
+    }
+
+    /// Returns where the worker listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the number of open connections.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.service.gate().len()
+    }
+
+    /// Changes how the worker fails.
+    pub fn change_faults(&self, faults: &WorkerFaults) {
+        self.service.change_faults(faults);
+    }
+
+    /// Returns every run since the start, oldest start first.
+    #[must_use]
+    pub fn observations(&self) -> Vec<ObservedRun> {
+        self.service.observations()
+    }
+}
+
+impl Drop for WorkerServer {
+    fn drop(&mut self) {
+        self.tasks.abort();
+    }
+}
+
+fn build_routes(service: &Arc<WorkerService>) -> Router {
+    let middleware = StateMiddleware::new(Shared::new(Arc::clone(service)));
+    let (chain, pipelines) = single_pipeline(single_middleware(middleware));
+    build_router(chain, pipelines, |route| {
+        route.post("/v1/worker").to_async(serve_call);
+        route.get("/v1/observer").to_async(serve_observer);
+    })
+}
+
+async fn serve_call(mut state: State) -> HandlerResult {
+    let service = Shared::<WorkerService>::borrow_from(&state).clone();
+    match read_json::<WorkerCall>(&mut state).await {
+        Ok(call) => {
+            let caller = service.clone();
+            let served = finish(async move { caller.call(&call).await }).await;
+            answer_served(state, &served, service.gate())
+        }
+        Err(reason) => answer_bad_request(state, reason),
+    }
+}
+
+async fn serve_observer(state: State) -> HandlerResult {
+    let service = Shared::<WorkerService>::borrow_from(&state).clone();
+    answer_json(state, &service.observations())
+}
--- a/crates/standin/src/worker_table.rs
+++ b/crates/standin/src/worker_table.rs
@@ -267,7 +267,6 @@
         self.ended.clear();
         self.remembered.clear();
         self.highest = Epoch(0);
-        self.number = 1;
         self.plan.boot = boot;
     }
 
@@ -277,6 +276,12 @@
         self.frozen_ms.is_some()
     }
 
+    /// Returns the number of the current report.
+    #[must_use]
+    pub fn report_number(&self) -> u64 {
+        self.number
+    }
+
     /// Returns the worker's plan.
     #[must_use]
     pub fn plan(&self) -> &WorkerPlan {
