--- a/crates/platform/src/http_client.rs
+++ b/crates/platform/src/http_client.rs
@@ -3,6 +3,10 @@
 //! A connection can go silent for good while new ones work, and every pooled connection to the
 //! same address may have gone the same way. After a timeout the whole pool of the address is
 //! therefore replaced; the calls that still wait on the old connections keep them until they end.
+//!
+//! A call that is given up leaves its connection to a background task to close. Its place counts
+//! as taken until that is surely done, so that a burst of timeouts does not open twice the allowed
+//! number of connections.
 
 use {
     bytes::Bytes,
@@ -15,12 +19,12 @@
     },
     std::{
         net::SocketAddr,
-        sync::{Mutex, MutexGuard, PoisonError},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
     tokio::{
-        sync::Semaphore,
-        time::{Instant, timeout_at},
+        sync::{OwnedSemaphorePermit, Semaphore},
+        time::{Instant, sleep, timeout_at},
     },
 };
 
@@ -38,6 +42,8 @@
 const MAX_IDLE: usize = 8;
 /// Most calls on the way to an address; with the unused connections they make 64.
 const MAX_CALLS: usize = 56;
+/// Time for which the place of a call that was given up stays taken, in milliseconds.
+const CLOSE_GRACE_MS: u64 = 100;
 /// Longest deadline, in milliseconds; longer ones are shortened to it.
 const MAX_DEADLINE_MS: u64 = 3_600_000;
 /// Longest accepted answer, in bytes.
@@ -67,7 +73,7 @@
 pub(crate) struct AddressClient {
     address: SocketAddr,
     pool: Mutex<PooledClient>,
-    calls: Semaphore,
+    calls: Arc<Semaphore>,
 }
 
 impl AddressClient {
@@ -76,7 +82,7 @@
         Self {
             address,
             pool: Mutex::new(PooledClient { client: build_client(), generation: 0 }),
-            calls: Semaphore::new(MAX_CALLS),
+            calls: Arc::new(Semaphore::new(MAX_CALLS)),
         }
     }
 
@@ -96,14 +102,19 @@
         let request = Request::builder().method(method).uri(uri);
         let request = request.header(CONTENT_TYPE, "application/json").body(Full::new(body));
         let Ok(request) = request else { return CallEnd::NotServed };
-        let Ok(Ok(_permit)) = timeout_at(due, self.calls.acquire()).await else {
+        let place = Arc::clone(&self.calls).acquire_owned();
+        let Ok(Ok(place)) = timeout_at(due, place).await else { return CallEnd::NotServed };
+        // Calls whose deadlines pass together free their places just then; a call that takes over
+        // such a place would be sent with no time left, and be lost instead of not sent.
+        if Instant::now() >= due {
             return CallEnd::NotServed;
-        };
+        }
         let (client, generation) = self.current_client();
         match timeout_at(due, exchange(&client, request)).await {
             Ok(end) => end,
             Err(_) => {
                 self.replace_client(generation);
+                free_later(place);
                 CallEnd::Lost
             }
         }
@@ -127,6 +138,13 @@
     }
 }
 
+fn free_later(place: OwnedSemaphorePermit) {
+    tokio::spawn(async move {
+        sleep(Duration::from_millis(CLOSE_GRACE_MS)).await;
+        drop(place);
+    });
+}
+
 fn build_client() -> HttpClient {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
