--- /dev/null
+++ b/crates/node/src/membership.rs
@@ -0,0 +1,7 @@
+//! How this daemon takes part in the cell: its record, its view of the store, its peers.
+
+mod follower;
+mod monitor;
+mod registration;
+
+pub(crate) use {follower::StoreFollower, monitor::PeerMonitor, registration::MemberRegistration};
--- /dev/null
+++ b/crates/node/src/membership/registration.rs
@@ -0,0 +1,162 @@
+//! Keeps this daemon's member record in the store.
+//!
+//! The record hangs on one store lease, renewed once a daemon and not once a piece, so the cost
+//! does not grow with what the daemon owns.
+
+use {
+    crate::{NodeConfig, buffer::ActionBuffer},
+    damaskrack_model::ClockTime,
+    damaskrack_ownership::MemberRecord,
+    damaskrack_platform::{StoreCall, StoreFailure, StoreReply},
+};
+
+/// Pause after a failed call, in milliseconds.
+const RETRY_MS: u64 = 300;
+/// Parts of the lease time between two renewals.
+const KEEPS_PER_LEASE: u64 = 3;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RegistrationPhase {
+    Unleased,
+    Granting,
+    Leased,
+    Writing,
+    Listed,
+    Keeping,
+    Revoking,
+    Revoked,
+}
+
+/// This daemon's lease and member record.
+#[derive(Debug)]
+pub(crate) struct MemberRegistration {
+    phase: RegistrationPhase,
+    call: u64,
+    lease: u64,
+    revision: u64,
+    is_leaving_written: bool,
+    next_at: ClockTime,
+}
+
+impl MemberRegistration {
+    pub(crate) fn new() -> Self {
+        Self {
+            phase: RegistrationPhase::Unleased,
+            call: 0,
+            lease: 0,
+            revision: 0,
+            is_leaving_written: false,
+            next_at: ClockTime::default(),
+        }
+    }
+
+    /// Tells whether the lease is given up for good.
+    pub(crate) fn is_revoked(&self) -> bool {
+        self.phase == RegistrationPhase::Revoked
+    }
+
+    /// Starts giving the lease up, which tells the others at once that this daemon has gone.
+    pub(crate) fn revoke(&mut self, timeout_ms: u64, out: &mut ActionBuffer) {
+        if matches!(self.phase, RegistrationPhase::Revoking | RegistrationPhase::Revoked) {
+            return;
+        }
+        if self.lease == 0 {
+            self.phase = RegistrationPhase::Revoked;
+            return;
+        }
+        self.call = out.store(StoreCall::LeaseRevoke { lease: self.lease }, timeout_ms);
+        self.phase = RegistrationPhase::Revoking;
+    }
+
+    /// Starts the next call that is due.
+    pub(crate) fn tick(
+        &mut self,
+        now: ClockTime,
+        config: &NodeConfig,
+        is_leaving: bool,
+        out: &mut ActionBuffer,
+    ) {
+        if self.phase == RegistrationPhase::Listed && is_leaving && !self.is_leaving_written {
+            self.phase = RegistrationPhase::Leased;
+        }
+        if now < self.next_at {
+            return;
+        }
+        let (request, phase) = match self.phase {
+            RegistrationPhase::Unleased => {
+                let request = StoreCall::LeaseGrant { ttl_ms: config.member_lease_ms };
+                (request, RegistrationPhase::Granting)
+            }
+            RegistrationPhase::Leased => {
+                self.is_leaving_written = is_leaving;
+                (self.put_request(config, is_leaving), RegistrationPhase::Writing)
+            }
+            RegistrationPhase::Listed => {
+                (StoreCall::LeaseKeep { lease: self.lease }, RegistrationPhase::Keeping)
+            }
+            _ => return,
+        };
+        self.call = out.store(request, config.store_timeout_ms);
+        self.phase = phase;
+    }
+
+    fn put_request(&self, config: &NodeConfig, is_leaving: bool) -> StoreCall {
+        let record = MemberRecord {
+            member: config.member.clone(),
+            boot: config.boot,
+            address: config.peer_address,
+            zone: config.zone.clone(),
+            is_leaving,
+        };
+        StoreCall::Put {
+            key: MemberRecord::store_key(&config.member),
+            expected: self.revision,
+            value: record.to_json(),
+            lease: self.lease,
+        }
+    }
+
+    /// Tells whether a store call belongs to the registration.
+    pub(crate) fn owns_call(&self, call: u64) -> bool {
+        self.call == call
+    }
+
+    /// Takes the end of a call.
+    pub(crate) fn on_store(
+        &mut self,
+        now: ClockTime,
+        config: &NodeConfig,
+        result: Result<StoreReply, StoreFailure>,
+    ) {
+        let keep_ms = config.member_lease_ms / KEEPS_PER_LEASE;
+        let (phase, delay_ms) = match (self.phase, result) {
+            (RegistrationPhase::Granting, Ok(StoreReply::Lease { lease })) => {
+                self.lease = lease;
+                (RegistrationPhase::Leased, 0)
+            }
+            (RegistrationPhase::Writing, Ok(StoreReply::Written { revision })) => {
+                self.revision = revision;
+                (RegistrationPhase::Listed, keep_ms)
+            }
+            (RegistrationPhase::Writing, Ok(StoreReply::Conflict { current })) => {
+                self.revision = current.map_or(0, |entry| entry.revision);
+                (RegistrationPhase::Leased, 0)
+            }
+            (RegistrationPhase::Keeping, Ok(StoreReply::Lease { .. })) => {
+                (RegistrationPhase::Listed, keep_ms)
+            }
+            (RegistrationPhase::Revoking, _) => (RegistrationPhase::Revoked, 0),
+            (_, Ok(StoreReply::LeaseGone)) => {
+                self.lease = 0;
+                self.is_leaving_written = false;
+                (RegistrationPhase::Unleased, 0)
+            }
+            (RegistrationPhase::Granting, _) => (RegistrationPhase::Unleased, RETRY_MS),
+            (RegistrationPhase::Writing, _) => (RegistrationPhase::Leased, RETRY_MS),
+            (_, _) => (RegistrationPhase::Listed, RETRY_MS),
+        };
+        self.phase = phase;
+        self.next_at = now.plus(delay_ms);
+        self.call = 0;
+    }
+}
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -108,6 +108,25 @@
         }
     }
 
+    /// Returns the other members that count for a majority: those that are listed, and those
+    /// that still own something under the boot number they were last listed with.
+    pub(crate) fn known_members(&self) -> Vec<&MemberRow> {
+        self.members
+            .iter()
+            .filter(|(member, row)| **member != self.me && self.is_known(member, row))
+            .map(|(_, row)| row)
+            .collect()
+    }
+
+    fn is_known(&self, member: &MemberName, row: &MemberRow) -> bool {
+        row.is_listed || self.owns_anything(member)
+    }
+
+    /// Tells whether a member is recorded as the owner of any piece.
+    pub(crate) fn owns_anything(&self, member: &MemberName) -> bool {
+        self.owners.values().any(|row| row.record.owner.as_ref() == Some(member))
+    }
+
     /// Returns the recorded owner of a piece.
     pub(crate) fn owner(&self, piece: &PieceName) -> Option<&MemberName> {
         self.owners.get(piece).and_then(|row| row.record.owner.as_ref())
