--- /dev/null
+++ b/crates/scenario/src/expect.rs
@@ -0,0 +1,154 @@
+//! Judges what a script expects.
+
+use {
+    crate::{
+        observe::{RunHistory, SeenLoss, SeenRun, SeenWork},
+        script::{AnswerCount, ExpectKind, ScriptExpect},
+    },
+    damaskrack_model::OutcomeKind,
+};
+
+/// How a caller's work stands at a moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum WorkStanding {
+    Open,
+    Broken,
+    Answered(OutcomeKind),
+}
+
+fn standing_at(work: &SeenWork, by_ms: u64) -> WorkStanding {
+    if let Some((at_ms, outcome)) = work.ended
+        && at_ms <= by_ms
+    {
+        return outcome.map_or(WorkStanding::Open, WorkStanding::Answered);
+    }
+    let Some(last) = work.tries.iter().rfind(|attempt| attempt.at_ms <= by_ms) else {
+        return WorkStanding::Open;
+    };
+    let answer = last.answers.iter().find(|answer| answer.at_ms <= by_ms);
+    match answer {
+        Some(answer)
+            if work.is_job && answer.job.is_some() && answer.outcome != OutcomeKind::NotRun =>
+        {
+            WorkStanding::Open
+        }
+        Some(answer) => WorkStanding::Answered(answer.outcome),
+        None if last.is_broken => WorkStanding::Broken,
+        None => WorkStanding::Open,
+    }
+}
+
+fn is_counted(standing: WorkStanding, count: AnswerCount) -> bool {
+    match count {
+        AnswerCount::Done => standing == WorkStanding::Answered(OutcomeKind::Done),
+        AnswerCount::Failed => standing == WorkStanding::Answered(OutcomeKind::Failed),
+        AnswerCount::NotRun => standing == WorkStanding::Answered(OutcomeKind::NotRun),
+        AnswerCount::Unknown => standing == WorkStanding::Answered(OutcomeKind::Unknown),
+        AnswerCount::Broken => standing == WorkStanding::Broken,
+        AnswerCount::All => matches!(standing, WorkStanding::Answered(_)),
+    }
+}
+
+fn is_tagged(work: &SeenWork, tag: Option<&str>) -> bool {
+    tag.is_none() || work.tag.as_deref() == tag
+}
+
+fn is_acknowledged(work: &SeenWork) -> bool {
+    let mut answers = work.tries.iter().flat_map(|attempt| &attempt.answers);
+    work.is_job
+        && answers.any(|answer| answer.job.is_some() && answer.outcome != OutcomeKind::NotRun)
+}
+
+fn runs_of(history: &RunHistory, work: usize) -> impl Iterator<Item = &SeenRun> {
+    history.runs.iter().filter(move |seen| history.work_index(&seen.token) == Some(work))
+}
+
+/// Returns why an expectation is not met; `None` if it is.
+pub(crate) fn judge_expect(expect: &ScriptExpect, history: &RunHistory) -> Option<String> {
+    let by_ms = expect.by_ms.unwrap_or(history.end_ms);
+    let found = match &expect.kind {
+        ExpectKind::Answers { count, tag, compare, bound } => {
+            let works = history.works.iter().filter(|work| is_tagged(work, tag.as_deref()));
+            let value = works.filter(|work| is_counted(standing_at(work, by_ms), *count)).count();
+            (!compare.holds(value as u64, *bound)).then(|| format!("found {value}"))
+        }
+        ExpectKind::JobsEnded { tag } => unended(history, tag.as_deref(), by_ms),
+        ExpectKind::JobsParked { tag } => unparked(history, tag),
+        ExpectKind::Starts { tag, compare, bound } => {
+            let is_hit = |seen: &&SeenRun| {
+                let work = history.find_token(&seen.token).map(|(work, _)| work);
+                work.is_some_and(|work| is_tagged(work, Some(tag))) && seen.run.start_ms <= by_ms
+            };
+            let value = history.runs.iter().filter(is_hit).count();
+            (!compare.holds(value as u64, *bound)).then(|| format!("found {value}"))
+        }
+        ExpectKind::Takeover { bound_ms } => slow_takeover(history, *bound_ms),
+        ExpectKind::StartDelay { tag, bound_ms } => slow_start(history, tag, *bound_ms),
+        ExpectKind::ChangesAccepted { at_least } => (history.accepted_changes < *at_least)
+            .then(|| format!("found {}", history.accepted_changes)),
+        ExpectKind::Exit { bound_ms } => slow_exit(history, *bound_ms),
+    };
+    found.map(|found| format!("line {}: {}: {found}", expect.line, expect.text))
+}
+
+fn unended(history: &RunHistory, tag: Option<&str>, by_ms: u64) -> Option<String> {
+    let is_open = |work: &&SeenWork| {
+        is_tagged(work, tag)
+            && is_acknowledged(work)
+            && work.ended.is_none_or(|(at_ms, _)| at_ms > by_ms)
+    };
+    let open = history.works.iter().filter(is_open).count();
+    (open > 0).then(|| format!("{open} acknowledged jobs have not ended"))
+}
+
+fn unparked(history: &RunHistory, tag: &str) -> Option<String> {
+    let mut works = history.works.iter().filter(|work| is_tagged(work, Some(tag)));
+    works.any(|work| !work.is_parked).then(|| "a job is not parked".to_owned())
+}
+
+/// Returns how long the store misbehaved for everybody from `from_ms` until `until_ms`.
+fn outage_ms(history: &RunHistory, from_ms: u64, until_ms: u64) -> u64 {
+    let global = history.disturbances.iter().filter(|disturbance| disturbance.node.is_none());
+    let overlap = |disturbance: &crate::observe::SeenDisturbance| {
+        let from_ms = disturbance.from_ms.max(from_ms);
+        disturbance.until_ms.min(until_ms).saturating_sub(from_ms)
+    };
+    global.map(overlap).sum()
+}
+
+fn slow_takeover(history: &RunHistory, bound_ms: u64) -> Option<String> {
+    let is_slow = |loss: &&SeenLoss| {
+        let end_ms = loss.replaced_ms.unwrap_or(history.end_ms);
+        let due_ms = loss.lost_ms + bound_ms + outage_ms(history, loss.lost_ms, end_ms);
+        let is_back = loss.returned_ms.is_some_and(|at_ms| at_ms <= due_ms);
+        let is_replaced = loss.replaced_ms.is_some_and(|at_ms| at_ms <= due_ms);
+        due_ms <= history.end_ms && !is_back && !is_replaced
+    };
+    let loss = history.losses.iter().find(is_slow)?;
+    Some(format!(
+        "{} was lost at {} and replaced at {:?}",
+        loss.piece, loss.lost_ms, loss.replaced_ms
+    ))
+}
+
+fn slow_start(history: &RunHistory, tag: &str, bound_ms: u64) -> Option<String> {
+    for (index, work) in history.works.iter().enumerate() {
+        let Some(first) = work.tries.first() else { continue };
+        if !is_tagged(work, Some(tag)) {
+            continue;
+        }
+        let start_ms = runs_of(history, index).map(|seen| seen.run.start_ms).min();
+        if start_ms.is_none_or(|start_ms| start_ms > first.at_ms + bound_ms) {
+            return Some(format!("{} of {} started at {start_ms:?}", first.token, first.at_ms));
+        }
+    }
+    None
+}
+
+fn slow_exit(history: &RunHistory, bound_ms: u64) -> Option<String> {
+    let shutdowns = history.shutdowns.iter().filter(|shutdown| !shutdown.is_spoiled);
+    let mut slow = shutdowns.filter(|shutdown| {
+        shutdown.ended_ms.is_none_or(|ended_ms| ended_ms > shutdown.asked_ms + bound_ms)
+    });
+    slow.next().map(|shutdown| format!("{shutdown:?}"))
+}
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -1,1 +1,24 @@
-//! Placeholder.
+//! Scripted scenarios: a small language, a simulated cell and observers.
+//!
+//! A script runs the real node logic against a fake clock, network, store, workers and host list
+//! in one process. The same script and seed give the same verdict every run.
+
+mod chaos;
+mod expect;
+mod observe;
+mod runner;
+mod script;
+mod world;
+
+pub use {
+    observe::{
+        AtMostOnce, BoundPlan, CancelledWork, ConfigSpread, GracefulExit, HistoryObserver, KeyTeam,
+        LeavingWorker, LostJob, NotRunTruth, RunHistory, SeenAnswer, SeenConfig, SeenDisturbance,
+        SeenLeaving, SeenLoss, SeenRun, SeenShutdown, SeenTry, SeenVersion, SeenWork, SeenWorker,
+        SingleRun, TeamLimits, Violation, WholeAnswer, WithdrawnKey, WorkerCapacity, ZoneOut,
+        every_observer,
+    },
+    runner::{RunFigures, RunOptions, RunVerdict, run_script},
+    script::{ScenarioScript, ScriptError},
+    world::TraceFilter,
+};
--- /dev/null
+++ b/crates/scenario/src/observe/single_run.rs
@@ -0,0 +1,34 @@
+//! Observer: no task runs in two places at once.
+
+use {
+    crate::observe::{BoundPlan, HistoryObserver, RunHistory, Violation},
+    damaskrack_standin::{ObservedRun, find_double_runs},
+};
+
+/// No task runs in two places at once.
+#[derive(Debug)]
+pub struct SingleRun;
+
+impl HistoryObserver for SingleRun {
+    fn point(&self) -> &'static str {
+        "single-run"
+    }
+
+    fn check(&self, history: &RunHistory, _bounds: &BoundPlan) -> Vec<Violation> {
+        let runs: Vec<ObservedRun> = history.runs.iter().map(|seen| seen.run.clone()).collect();
+        let doubles = find_double_runs(&runs).into_iter();
+        let describe = |(first, second): (&ObservedRun, &ObservedRun)| {
+            let detail = format!(
+                "{} on {} until {:?} and {} on {} from {}",
+                first.attempt,
+                first.worker,
+                first.end_ms,
+                second.attempt,
+                second.worker,
+                second.start_ms
+            );
+            self.violation(second.start_ms, detail)
+        };
+        doubles.map(describe).collect()
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/observe/team_limit.rs
@@ -0,0 +1,79 @@
+//! Observer: no team ever has more running across the fleet than its upper limit.
+
+use {
+    crate::observe::{BoundPlan, HistoryObserver, RunHistory, SeenRun, Violation},
+    damaskrack_manifest::TeamLimit,
+    damaskrack_model::{Resources, TeamName},
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// No team ever has more running across the fleet than its upper limit.
+///
+/// A limit that was lowered is judged against what runs once its bound has passed.
+#[derive(Debug)]
+pub struct TeamLimits;
+
+/// Returns the loosest limit that may be in force.
+fn limit_at(
+    history: &RunHistory,
+    bounds: &BoundPlan,
+    team: &TeamName,
+    at_ms: u64,
+) -> Option<TeamLimit> {
+    let limits = history.configs_at(at_ms, bounds.limit_ms).filter_map(|config| {
+        let mut teams = config.document.teams.iter();
+        teams.find(|entry| entry.name == *team).map(|entry| entry.limit)
+    });
+    limits.reduce(|a, b| TeamLimit {
+        tasks: a.tasks.max(b.tasks),
+        resources: Resources {
+            millicores: a.resources.millicores.max(b.resources.millicores),
+            memory_bytes: a.resources.memory_bytes.max(b.resources.memory_bytes),
+            accelerators: a.resources.accelerators.max(b.resources.accelerators),
+        },
+    })
+}
+
+/// Returns the moments at which a team's use may newly be above its limit.
+fn moments(history: &RunHistory, bounds: &BoundPlan, runs: &[&SeenRun]) -> BTreeSet<u64> {
+    let starts = runs.iter().map(|seen| seen.run.start_ms);
+    let due = history.configs.iter().filter_map(|config| config.accepted_ms);
+    let due = due.map(|at_ms| at_ms + bounds.limit_ms + 1).filter(|&at_ms| at_ms <= history.end_ms);
+    starts.chain(due).collect()
+}
+
+fn use_at(runs: &[&SeenRun], at_ms: u64) -> (u32, Resources) {
+    let is_held = |seen: &&&SeenRun| {
+        seen.run.start_ms <= at_ms && seen.run.end_ms.is_none_or(|end_ms| end_ms > at_ms)
+    };
+    runs.iter().filter(is_held).fold((0, Resources::ZERO), |(tasks, sum), seen| {
+        (tasks + 1, sum.saturating_add(seen.run.resources))
+    })
+}
+
+impl HistoryObserver for TeamLimits {
+    fn point(&self) -> &'static str {
+        "team-limit"
+    }
+
+    fn check(&self, history: &RunHistory, bounds: &BoundPlan) -> Vec<Violation> {
+        let mut teams: BTreeMap<&TeamName, Vec<&SeenRun>> = BTreeMap::new();
+        for seen in &history.runs {
+            teams.entry(&seen.run.attempt.job.team).or_default().push(seen);
+        }
+        let mut violations = Vec::new();
+        for (team, runs) in teams {
+            for at_ms in moments(history, bounds, &runs) {
+                let (tasks, resources) = use_at(&runs, at_ms);
+                let Some(limit) = limit_at(history, bounds, team, at_ms) else { continue };
+                if tasks > limit.tasks || !limit.resources.covers(resources) {
+                    let detail = format!(
+                        "{team} has {tasks} tasks and {resources:?} running with {limit:?}"
+                    );
+                    violations.push(self.violation(at_ms, detail));
+                }
+            }
+        }
+        violations
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/observe/zone_out.rs
@@ -0,0 +1,31 @@
+//! Observer: no task starts in a zone some seconds after it was taken out.
+
+use {
+    crate::observe::{BoundPlan, HistoryObserver, RunHistory, SeenRun, Violation},
+    damaskrack_manifest::ZoneState,
+};
+
+/// No task starts in a zone some seconds after it was taken out.
+#[derive(Debug)]
+pub struct ZoneOut;
+
+impl HistoryObserver for ZoneOut {
+    fn point(&self) -> &'static str {
+        "zone-out"
+    }
+
+    fn check(&self, history: &RunHistory, bounds: &BoundPlan) -> Vec<Violation> {
+        let is_in = |seen: &SeenRun| {
+            history.configs_at(seen.run.start_ms, bounds.zone_ms).any(|config| {
+                let mut zones = config.document.zones.iter();
+                zones.any(|zone| zone.name == seen.run.zone && zone.state == ZoneState::In)
+            })
+        };
+        let late = history.runs.iter().filter(|seen| !is_in(seen));
+        late.map(|seen| {
+            let detail = format!("{} started in {}", seen.run.attempt, seen.run.zone);
+            self.violation(seen.run.start_ms, detail)
+        })
+        .collect()
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/runner.rs
@@ -0,0 +1,142 @@
+//! Runs a script with a seed and judges what was seen.
+
+use {
+    crate::{
+        expect::judge_expect,
+        observe::{Violation, every_observer},
+        script::ScenarioScript,
+        world::{SimWorld, TraceFilter},
+    },
+    serde::Serialize,
+    std::panic::{AssertUnwindSafe, catch_unwind},
+};
+
+/// What a run amounted to.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct RunFigures {
+    /// Faults injected.
+    pub faults: u64,
+    /// Starts on workers, each checked by the observers.
+    pub starts: u64,
+    /// Answers that callers got, each checked by the observers.
+    pub answers: u64,
+    /// Pieces of work that callers handed in.
+    pub works: u64,
+    /// Starts that a worker refused for want of room.
+    pub refused_full: u64,
+    /// Calls that a worker refused for a stale epoch.
+    pub refused_stale: u64,
+    /// Starts that a worker refused because their lease had ended.
+    pub refused_expired: u64,
+    /// Calls to the store.
+    pub store_calls: u64,
+}
+
+impl RunFigures {
+    /// Adds the figures of another run.
+    pub fn add(&mut self, other: &Self) {
+        self.faults += other.faults;
+        self.starts += other.starts;
+        self.answers += other.answers;
+        self.works += other.works;
+        self.refused_full += other.refused_full;
+        self.refused_stale += other.refused_stale;
+        self.refused_expired += other.refused_expired;
+        self.store_calls += other.store_calls;
+    }
+}
+
+/// What a run is found to be.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunVerdict {
+    /// Its seed.
+    pub seed: u64,
+    /// What must never be seen, and was.
+    pub violations: Vec<Violation>,
+    /// Expectations that were not met.
+    pub failures: Vec<String>,
+    /// What it amounted to.
+    pub figures: RunFigures,
+    /// Each node's tables at the end, if they were asked for.
+    pub dumps: Vec<String>,
+}
+
+impl RunVerdict {
+    /// Tells whether nothing is wrong.
+    #[must_use]
+    pub fn is_good(&self) -> bool {
+        self.violations.is_empty() && self.failures.is_empty()
+    }
+
+    /// Returns a line for each thing that is wrong.
+    #[must_use]
+    pub fn complaints(&self) -> Vec<String> {
+        let violations = self.violations.iter().map(|violation| {
+            format!("at {} ms: {}: {}", violation.at_ms, violation.point, violation.detail)
+        });
+        violations.chain(self.failures.iter().cloned()).collect()
+    }
+}
+
+/// How a script is run.
+#[derive(Debug, Clone, Default)]
+pub struct RunOptions {
+    /// What is traced; `None` for nothing.
+    pub trace: Option<TraceFilter>,
+    /// Whether each node's tables are kept at the end.
+    pub keeps_dumps: bool,
+}
+
+/// Runs a script with a seed. The same two give the same verdict every time.
+///
+/// # Examples
+///
+/// ```
+/// use damaskrack_scenario::{RunOptions, ScenarioScript, run_script};
+///
+/// let script = ScenarioScript::parse("cell nodes=1 racks=1\nrun 100ms\n")?;
+/// let options = RunOptions::default();
+/// assert_eq!(run_script(&script, 7, &options), run_script(&script, 7, &options));
+/// # Ok::<(), damaskrack_scenario::ScriptError>(())
+/// ```
+#[must_use]
+pub fn run_script(script: &ScenarioScript, seed: u64, options: &RunOptions) -> RunVerdict {
+    let run = AssertUnwindSafe(|| run_world(script, seed, options));
+    catch_unwind(run).unwrap_or_else(|payload| {
+        let text = payload.downcast_ref::<String>().map(String::as_str);
+        let text = text.or_else(|| payload.downcast_ref::<&str>().copied()).unwrap_or("no message");
+        failed_run(seed, format!("the node panicked: {text}"))
+    })
+}
+
+fn failed_run(seed: u64, reason: String) -> RunVerdict {
+    RunVerdict {
+        seed,
+        violations: Vec::new(),
+        failures: vec![reason],
+        figures: RunFigures::default(),
+        dumps: Vec::new(),
+    }
+}
+
+fn run_world(script: &ScenarioScript, seed: u64, options: &RunOptions) -> RunVerdict {
+    let mut world = match SimWorld::new(script, seed, options.trace.clone()) {
+        Ok(world) => world,
+        Err(error) => return failed_run(seed, error.to_string()),
+    };
+    world.run_until(script.run_ms);
+    let dumps = if options.keeps_dumps { world.dumps() } else { Vec::new() };
+    let mut figures = world.figures();
+    let history = world.take_history();
+    figures.starts = history.runs.len() as u64;
+    figures.works = history.works.len() as u64;
+    let tries = history.works.iter().flat_map(|work| &work.tries);
+    figures.answers = tries.map(|attempt| attempt.answers.len() as u64).sum();
+    let observers = every_observer();
+    let found = observers.iter().flat_map(|observer| observer.check(&history, &script.bounds));
+    let mut violations: Vec<Violation> = found.collect();
+    violations.sort_by_key(|violation| violation.at_ms);
+    let failures =
+        script.expects.iter().filter_map(|expect| judge_expect(expect, &history)).collect();
+    RunVerdict { seed, violations, failures, figures, dumps }
+}
--- /dev/null
+++ b/crates/scenario/src/script.rs
@@ -0,0 +1,22 @@
+//! The scenario language: from text to plans.
+
+mod cursor;
+mod error;
+mod fault;
+mod parse;
+mod plan;
+mod submit;
+mod word;
+
+pub(crate) use {
+    cursor::LineCursor,
+    plan::{
+        AnswerCount, CellPlan, ChaosFault, ChaosPlan, Comparison, ExpectKind, FaultKind,
+        FaultTarget, ManifestEdit, ScriptAction, ScriptExpect, ScriptStep, StepTiming, SubmitPlan,
+    },
+    word::{ScriptWord, split_line},
+};
+pub use {
+    error::ScriptError,
+    plan::{BoundPlan, ScenarioScript},
+};
--- /dev/null
+++ b/crates/scenario/src/script/error.rs
@@ -0,0 +1,28 @@
+//! What is wrong with a script.
+
+use std::fmt;
+
+/// A fault of a script, with its place.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ScriptError {
+    /// Line, from 1.
+    pub line: usize,
+    /// Column, from 1.
+    pub column: usize,
+    /// What is wrong there.
+    pub reason: String,
+}
+
+impl ScriptError {
+    pub(crate) fn new(line: usize, column: usize, reason: impl Into<String>) -> Self {
+        Self { line, column, reason: reason.into() }
+    }
+}
+
+impl fmt::Display for ScriptError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "line {}, column {}: {}", self.line, self.column, self.reason)
+    }
+}
+
+impl std::error::Error for ScriptError {}
--- /dev/null
+++ b/crates/scenario/src/world/act.rs
@@ -0,0 +1,183 @@
+//! Carries out what a node wants done.
+
+use {
+    super::{CallKind, CallOrigin, CallWaiter, NetPlace, SimWorld, WorldEvent},
+    crate::observe::SeenVersion,
+    damaskrack_model::{MemberName, WorkAnswer},
+    damaskrack_node::{NodeAction, NodeInput},
+    damaskrack_platform::{StoreCall, WorkerCall},
+    damaskrack_wire::PeerMessage,
+    std::net::SocketAddr,
+};
+
+impl SimWorld {
+    pub(crate) fn carry_out(&mut self, node: usize, action: NodeAction) {
+        match action {
+            NodeAction::CallerAnswer { call, answer } => self.on_caller_answer(node, call, &answer),
+            NodeAction::OperatorAnswer { call, version, answer } => {
+                self.on_operator_answer(node, call, version, &answer);
+            }
+            NodeAction::Peer { member, message } => self.send_frame(node, &member, message),
+            NodeAction::Connect { member, .. } => self.want_link(node, &member),
+            NodeAction::Disconnect { member } => {
+                if let Some(to) = self.node_index(&member) {
+                    self.links.forget(node, to);
+                }
+            }
+            NodeAction::Store { call, request, timeout_ms } => {
+                self.send_store_call(node, call, request, timeout_ms);
+            }
+            NodeAction::Worker { call, address, request, timeout_ms } => {
+                self.send_worker_call(node, call, address, request, timeout_ms);
+            }
+            NodeAction::Log(line) => self.trace.line(self.now_ms, || {
+                let fields =
+                    line.fields.iter().map(|field| format!(" {}={}", field.name, field.value));
+                let fields: String = fields.collect();
+                format!("node-{} LOG {:?} {}{fields}", node + 1, line.level, line.event)
+            }),
+            NodeAction::Count { .. } | NodeAction::Timing { .. } | NodeAction::Gauge { .. } => {}
+            NodeAction::Exit => self.on_exit(node),
+        }
+    }
+
+    pub(crate) fn node_index(&self, member: &MemberName) -> Option<usize> {
+        self.nodes.iter().position(|process| process.member == *member)
+    }
+
+    fn want_link(&mut self, node: usize, member: &MemberName) {
+        if let Some(to) = self.node_index(member)
+            && to != node
+        {
+            self.links.want(node, to);
+        }
+    }
+
+    fn send_frame(&mut self, node: usize, member: &MemberName, message: PeerMessage) {
+        let Some(to) = self.node_index(member) else { return };
+        self.note_version(node, &message);
+        let at_ms = self.now_ms + self.draw_latency_ms();
+        let Some(at_ms) = self.links.reserve_arrival((node, to), at_ms) else {
+            self.trace_frame("no link", node, to, &message);
+            return;
+        };
+        let Some(row) = self.links.get(node, to) else { return };
+        if row.is_silent || self.cuts.is_cut(NetPlace::Node(node), NetPlace::Node(to)) {
+            self.trace_frame("lost", node, to, &message);
+            return;
+        }
+        let generation = row.generation;
+        self.trace_frame("sent", node, to, &message);
+        let boot = self.nodes[node].boot;
+        self.queue.push(at_ms, WorldEvent::Frame { from: node, to, generation, boot, message });
+    }
+
+    fn note_version(&mut self, node: usize, message: &PeerMessage) {
+        let PeerMessage::Heartbeat { version, .. } = message else { return };
+        let (life, version) = (self.nodes[node].life, *version);
+        let versions = &mut self.record.versions;
+        let last = versions.iter().rev().find(|seen| seen.node == node && seen.life == life);
+        if last.is_none_or(|seen| seen.version != version) {
+            versions.push(SeenVersion { at_ms: self.now_ms, node, life, version });
+        }
+    }
+
+    fn send_store_call(&mut self, node: usize, call: u64, request: StoreCall, timeout_ms: u64) {
+        let life = self.nodes[node].life;
+        let origin = CallOrigin { kind: CallKind::Store, node, life, call };
+        self.nodes[node].pending.insert(origin);
+        let wait_ms = match &request {
+            StoreCall::Watch { wait_ms, .. } => *wait_ms,
+            _ => 0,
+        };
+        self.queue.push(self.now_ms + wait_ms + timeout_ms, WorldEvent::CallTimeout { origin });
+        if !matches!(request, StoreCall::Watch { .. }) || self.trace.is_verbose() {
+            self.trace.line(self.now_ms, || format!("node-{} store#{call} {request:?}", node + 1));
+        }
+        if self.cuts.is_cut(NetPlace::Node(node), NetPlace::Store) {
+            return;
+        }
+        let at_ms = self.now_ms + self.draw_latency_ms() + self.store.slow_ms;
+        self.queue.push(at_ms, WorldEvent::StoreArrive { origin, request });
+    }
+
+    fn send_worker_call(
+        &mut self,
+        node: usize,
+        call: u64,
+        address: SocketAddr,
+        request: WorkerCall,
+        timeout_ms: u64,
+    ) {
+        let life = self.nodes[node].life;
+        let origin = CallOrigin { kind: CallKind::Worker, node, life, call };
+        self.nodes[node].pending.insert(origin);
+        let wait_ms = match &request {
+            WorkerCall::Sync { wait_ms, .. } => *wait_ms,
+            _ => 0,
+        };
+        self.queue.push(self.now_ms + wait_ms + timeout_ms, WorldEvent::CallTimeout { origin });
+        let Some(&worker) = self.addresses.get(&address) else { return };
+        if !matches!(request, WorkerCall::Sync { .. }) || self.trace.is_verbose() {
+            self.trace.line(self.now_ms, || {
+                format!("node-{} worker-{}#{call} {request:?}", node + 1, worker + 1)
+            });
+        }
+        if self.cuts.is_cut(NetPlace::Node(node), NetPlace::Worker(worker)) {
+            return;
+        }
+        let at_ms = self.now_ms + self.draw_latency_ms();
+        self.queue.push(at_ms, WorldEvent::WorkerArrive { origin, worker, request });
+    }
+
+    fn on_caller_answer(&mut self, node: usize, call: u64, answer: &WorkAnswer) {
+        self.trace.line(self.now_ms, || {
+            format!(
+                "node-{} answers caller#{call} {:?} {} {} job={:?}",
+                node + 1,
+                answer.outcome,
+                answer.reason,
+                answer.detail,
+                answer.job.as_ref().map(ToString::to_string)
+            )
+        });
+        match self.nodes[node].waiters.remove(&call) {
+            Some(CallWaiter::Work { work, attempt }) => self.on_work_answer(work, attempt, answer),
+            Some(CallWaiter::Query { work }) => self.on_query_answer(work, answer),
+            Some(CallWaiter::Cancel { work }) => self.on_cancel_answer(work, answer),
+            Some(CallWaiter::Change { .. }) | None => self.record.stray_answers.push(call),
+        }
+    }
+
+    pub(crate) fn trace_inputs(&self, node: usize, inputs: &[NodeInput]) {
+        for input in inputs {
+            let is_dull = match input {
+                NodeInput::Hosts { .. } | NodeInput::Peer { .. } => true,
+                NodeInput::Worker { result: Ok(reply), .. } => {
+                    matches!(reply.body, damaskrack_platform::WorkerBody::Report(_))
+                }
+                _ => false,
+            };
+            if !is_dull || self.trace.is_verbose() {
+                self.trace.line(self.now_ms, || {
+                    let text = format!("{input:?}");
+                    format!("node-{} <= {}", node + 1, text.chars().take(600).collect::<String>())
+                });
+            }
+        }
+    }
+
+    pub(crate) fn trace_frame(&self, what: &str, from: usize, to: usize, message: &PeerMessage) {
+        let is_dull = matches!(
+            message,
+            PeerMessage::Heartbeat { .. }
+                | PeerMessage::RackDigests { .. }
+                | PeerMessage::TeamDigests { .. }
+        );
+        if !is_dull || self.trace.is_verbose() {
+            self.trace.line(self.now_ms, || {
+                format!("node-{} -> node-{} {what} {message:?}", from + 1, to + 1)
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/world/build.rs
@@ -0,0 +1,237 @@
+//! Makes a world from a script and a seed, and its history at the end.
+
+use {
+    super::{
+        CallerBook, CutTable, EventQueue, FleetRow, LinkTable, NodeProcess, SimWorld, StoreFront,
+        SweepPlan, TraceFilter, TraceLog, WorldEvent, WorldRecord,
+    },
+    crate::{
+        chaos::plan_chaos,
+        observe::{RunHistory, SeenConfig, SeenRun, SeenWorker, token_of},
+        runner::RunFigures,
+        script::{ManifestEdit, ScenarioScript, StepTiming},
+    },
+    damaskrack_manifest::{
+        HEAD_KEY, ManifestDocument, ManifestHead, ManifestSection, section_hash, section_json,
+    },
+    damaskrack_model::{MemberName, NameError, RackName, WorkerName, ZoneName},
+    damaskrack_ownership::OwnerRecord,
+    damaskrack_platform::{HostRow, HostState},
+    damaskrack_standin::{CheckpointPlace, HostTable, WorkerPlan, WorkerTable},
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    std::net::{Ipv4Addr, SocketAddr},
+};
+
+/// Port of every node's peer address; nothing listens there.
+const NODE_PORT: u16 = 7_000;
+
+/// Port of every worker's address; nothing listens there.
+const WORKER_PORT: u16 = 8_000;
+
+fn address(port: u16, index: usize) -> SocketAddr {
+    let [high, low] = u16::try_from(index).unwrap_or(u16::MAX).to_be_bytes();
+    SocketAddr::from((Ipv4Addr::new(10, 0, high, low), port))
+}
+
+fn zone_name(index: usize) -> Result<ZoneName, NameError> {
+    format!("zone-{}", index + 1).parse()
+}
+
+impl SimWorld {
+    /// Makes a world in which nothing has happened yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns the rule that a generated name breaks, which would be a fault of this crate.
+    pub(crate) fn new(
+        script: &ScenarioScript,
+        seed: u64,
+        filter: Option<TraceFilter>,
+    ) -> Result<Self, NameError> {
+        let mut dice = SmallRng::seed_from_u64(seed);
+        let nodes = make_nodes(script)?;
+        let fleet = make_fleet(script, &mut dice)?;
+        let rows = fleet.iter().map(|row| HostRow {
+            worker: row.worker.clone(),
+            rack: row.rack.clone(),
+            zone: row.table.plan().zone.clone(),
+            address: row.address,
+            capacity: row.table.plan().capacity,
+            state: HostState::Live,
+        });
+        let hosts = HostTable::with_rows(rows, script.cell.host_lag_ms);
+        let addresses = fleet.iter().enumerate().map(|(index, row)| (row.address, index)).collect();
+        let mut steps = script.steps.clone();
+        steps.extend(plan_chaos(script, &mut dice));
+        let mut world = Self {
+            script: script.clone(),
+            steps,
+            now_ms: 0,
+            queue: EventQueue::new(),
+            dice,
+            nodes,
+            links: LinkTable::default(),
+            cuts: CutTable::default(),
+            store: StoreFront::new(),
+            fleet,
+            sweeps: SweepPlan::default(),
+            addresses,
+            hosts,
+            book: CallerBook::default(),
+            changes: Vec::new(),
+            documents: Vec::new(),
+            active: std::collections::BTreeMap::new(),
+            next_fault: 0,
+            next_call: 0,
+            record: WorldRecord::default(),
+            trace: TraceLog::new(filter),
+        };
+        world.begin();
+        Ok(world)
+    }
+
+    fn begin(&mut self) {
+        for node in 0..self.nodes.len() {
+            self.start_node(node);
+        }
+        self.queue.push(1, WorldEvent::LinkCheck);
+        self.begin_change(ManifestEdit::Whole, None);
+        for index in 0..self.steps.len() {
+            match self.steps[index].timing {
+                StepTiming::At(at_ms) => self.queue.push(at_ms, WorldEvent::Step { index }),
+                StepTiming::Every { every_ms, from_ms, until_ms } => {
+                    let mut at_ms = from_ms;
+                    while at_ms < until_ms {
+                        self.queue.push(at_ms, WorldEvent::Step { index });
+                        at_ms += every_ms;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Gathers what was seen. Frozen workers are woken first, because a lease that lapsed in a
+    /// frozen worker only shows when it wakes.
+    pub(crate) fn take_history(&mut self) -> RunHistory {
+        let now_ms = self.now_ms;
+        for row in &mut self.fleet {
+            row.table.set_frozen(false, now_ms);
+            row.table.advance(now_ms);
+        }
+        let record = std::mem::take(&mut self.record);
+        let mut history = RunHistory {
+            runs: self.fleet.iter().flat_map(seen_runs).collect(),
+            workers: self.fleet.iter().map(seen_worker).collect(),
+            works: self.book.works.iter().map(|row| row.seen.clone()).collect(),
+            configs: self.seen_configs(&record),
+            versions: record.versions,
+            disturbances: record.disturbances,
+            leavings: record.leavings,
+            shutdowns: record.shutdowns,
+            losses: record.losses,
+            stray_answers: record.stray_answers,
+            accepted_changes: self.changes.iter().filter(|row| row.is_accepted()).count() as u64,
+            nodes: self.nodes.len(),
+            lives: record.lives,
+            end_ms: now_ms,
+        };
+        history.runs.sort_by_key(|seen| seen.run.start_ms);
+        self.resolve_losses(&mut history);
+        history
+    }
+
+    /// Returns what the run amounted to, as far as the world counts it.
+    pub(crate) fn figures(&self) -> RunFigures {
+        let stats = self.store.table.stats();
+        RunFigures {
+            faults: self.record.faults,
+            refused_full: self.record.refused_full,
+            refused_stale: self.record.refused_stale,
+            refused_expired: self.record.refused_expired,
+            store_calls: stats.writes() + stats.reads(),
+            ..RunFigures::default()
+        }
+    }
+
+    /// Returns each live node's tables.
+    pub(crate) fn dumps(&self) -> Vec<String> {
+        let cores = self.nodes.iter().filter_map(|process| process.core.as_ref());
+        cores.map(|core| format!("{:#}", core.dump())).collect()
+    }
+
+    fn seen_configs(&self, record: &WorldRecord) -> Vec<SeenConfig> {
+        let heads = self.store.table.history().filter(|write| write.key == HEAD_KEY);
+        let config = |write: &damaskrack_standin::WriteRecord| {
+            let head = ManifestHead::from_json(write.value.as_deref()?).ok()?;
+            let document = self.documents.iter().find(|document| is_of_head(document, &head))?;
+            Some(SeenConfig {
+                version: head.version,
+                document: document.clone(),
+                written_ms: write.at_ms,
+                accepted_ms: record.accepted.get(&head.version).copied(),
+            })
+        };
+        heads.filter_map(config).collect()
+    }
+
+    fn resolve_losses(&self, history: &mut RunHistory) {
+        for loss in &mut history.losses {
+            let key = loss.piece.store_key();
+            let writes = self.store.table.history().filter(|write| write.key == key);
+            let is_later = |write: &&damaskrack_standin::WriteRecord| {
+                let record = write.value.as_deref().map(OwnerRecord::from_json);
+                matches!(record, Some(Ok(record)) if record.epoch > loss.epoch)
+            };
+            loss.replaced_ms = writes.filter(is_later).map(|write| write.at_ms).next();
+        }
+    }
+}
+
+fn is_of_head(document: &ManifestDocument, head: &ManifestHead) -> bool {
+    ManifestSection::ALL.into_iter().all(|section| {
+        let hash = section_hash(&section_json(document, section));
+        head.sections.get(section.name()) == Some(&hash)
+    })
+}
+
+fn seen_runs(row: &FleetRow) -> Vec<SeenRun> {
+    let observations = row.table.observations().iter();
+    let seen = |run: &damaskrack_standin::ObservedRun| SeenRun {
+        run: run.clone(),
+        token: row.payloads.get(&run.attempt).map(|payload| token_of(payload)).unwrap_or_default(),
+    };
+    observations.map(seen).collect()
+}
+
+fn seen_worker(row: &FleetRow) -> SeenWorker {
+    let plan = row.table.plan();
+    SeenWorker { worker: row.worker.clone(), capacity: plan.capacity, slots: plan.slots }
+}
+
+fn make_nodes(script: &ScenarioScript) -> Result<Vec<NodeProcess>, NameError> {
+    (0..script.cell.nodes)
+        .map(|index| {
+            let member: MemberName = format!("node-{}", index + 1).parse()?;
+            let zone = zone_name(index % script.cell.zones)?;
+            Ok(NodeProcess::new(member, zone, address(NODE_PORT, index)))
+        })
+        .collect()
+}
+
+fn make_fleet(script: &ScenarioScript, dice: &mut SmallRng) -> Result<Vec<FleetRow>, NameError> {
+    let cell = &script.cell;
+    let checkpoints = CheckpointPlace::default();
+    let mut fleet = Vec::new();
+    for index in 0..cell.racks * cell.workers_per_rack {
+        let rack_index = index / cell.workers_per_rack;
+        let worker: WorkerName = format!("worker-{}", index + 1).parse()?;
+        let rack: RackName = format!("rack-{}", rack_index + 1).parse()?;
+        let zone = zone_name(rack_index % cell.zones)?;
+        let boot = dice.random_range(1..u64::MAX);
+        let mut plan = WorkerPlan::new(worker.clone(), zone, cell.capacity, boot);
+        plan.slots = cell.slots;
+        let table = WorkerTable::new(plan, checkpoints.clone());
+        fleet.push(FleetRow::new(worker, rack, address(WORKER_PORT, index), table));
+    }
+    Ok(fleet)
+}
--- /dev/null
+++ b/crates/scenario/src/world/callers.rs
@@ -0,0 +1,289 @@
+//! Callers: what they hand in, what they are told, and when they try again.
+
+use {
+    super::{CallWaiter, SimWorld, WorldEvent},
+    crate::{
+        observe::{SeenAnswer, SeenTry, SeenWork, make_token},
+        script::{FaultTarget, SubmitPlan},
+    },
+    damaskrack_model::{
+        AnswerReason, JobId, JobState, OutcomeKind, WorkAnswer, WorkKind, WorkSpec,
+    },
+    damaskrack_node::{CallerRequest, NodeInput, ShownKey},
+};
+
+/// Time between tries of a caller, in milliseconds.
+const RETRY_MS: u64 = 300;
+
+/// Time after which a balancer offers another node to a caller that was refused a connection, in
+/// milliseconds.
+const RECONNECT_MS: u64 = 100;
+
+/// Time between questions about a job, in milliseconds.
+const QUERY_MS: u64 = 500;
+
+/// Time that a caller waits for an answer, in milliseconds.
+const CALLER_TIMEOUT_MS: u64 = 30_000;
+
+/// A caller's piece of work while it is under way.
+#[derive(Debug)]
+pub(crate) struct WorkRow {
+    pub(crate) plan: SubmitPlan,
+    pub(crate) seen: SeenWork,
+    pub(crate) job: Option<JobId>,
+    pub(crate) retries_left: u32,
+    pub(crate) is_cancelling: bool,
+}
+
+/// Everything that callers handed in.
+#[derive(Debug, Default)]
+pub(crate) struct CallerBook {
+    pub(crate) works: Vec<WorkRow>,
+}
+
+impl CallerBook {
+    /// Adds a piece of work and returns its index.
+    pub(crate) fn add(&mut self, plan: &SubmitPlan) -> usize {
+        let seen = SeenWork {
+            tag: plan.tag.clone(),
+            queue: plan.queue.clone(),
+            key: plan.key.clone(),
+            idempotent: plan.idempotent,
+            has_idempotency_key: plan.has_idempotency_key,
+            is_job: plan.is_job,
+            is_service: plan.kind == WorkKind::Service,
+            tries: Vec::new(),
+            cancelled_ms: None,
+            forgotten_ms: None,
+            is_parked: false,
+            ended: None,
+        };
+        let retries_left = plan.retries;
+        let row =
+            WorkRow { plan: plan.clone(), seen, job: None, retries_left, is_cancelling: false };
+        self.works.push(row);
+        self.works.len() - 1
+    }
+}
+
+impl WorkRow {
+    fn request(&self, work: usize, shown: Option<ShownKey>, token: &str) -> CallerRequest {
+        let plan = &self.plan;
+        let payload = serde_json::json!({
+            "run_ms": if plan.kind == WorkKind::Service { None } else { Some(plan.run_ms) },
+            "output": token,
+            "fail": plan.is_failing,
+        });
+        CallerRequest::Submit {
+            key: shown,
+            queue: plan.queue.clone(),
+            idempotency_key: plan.has_idempotency_key.then(|| format!("caller-key-{work}")),
+            is_waiting: !plan.is_job,
+            spec: WorkSpec {
+                kind: plan.kind,
+                tasks: plan.tasks,
+                resources: plan.resources,
+                idempotent: plan.idempotent,
+                priority: plan.priority,
+                expected_ms: plan.run_ms,
+                deadline_ms: plan.deadline_ms,
+                payload: payload.to_string(),
+            },
+        }
+    }
+
+    fn may_repeat(&self, answer: Option<&WorkAnswer>) -> bool {
+        let is_safe = self.plan.idempotent || self.plan.has_idempotency_key;
+        match answer {
+            None => is_safe,
+            Some(answer) => match answer.outcome {
+                OutcomeKind::NotRun => is_passing(answer.reason),
+                OutcomeKind::Unknown => is_safe && !self.plan.has_idempotency_key,
+                OutcomeKind::Done | OutcomeKind::Failed => false,
+            },
+        }
+    }
+}
+
+/// Tells whether a refusal may be gone a moment later.
+fn is_passing(reason: AnswerReason) -> bool {
+    matches!(
+        reason,
+        AnswerReason::Isolated
+            | AnswerReason::Leaving
+            | AnswerReason::Overloaded
+            | AnswerReason::StoreUnavailable
+            | AnswerReason::Lost
+            | AnswerReason::DeadlinePassed
+            | AnswerReason::UnknownQueue
+    )
+}
+
+impl SimWorld {
+    /// Hands in the work of a script's line.
+    pub(crate) fn begin_work(&mut self, plan: &SubmitPlan) {
+        for _ in 0..plan.count {
+            let work = self.book.add(plan);
+            self.queue.push(self.now_ms, WorldEvent::SubmitTry { work });
+        }
+    }
+
+    /// Chooses the node that a caller's connection reaches: a ready one, as the balancer sees it,
+    /// or the one that the script names.
+    pub(crate) fn choose_entry(&mut self, via: Option<&FaultTarget>) -> Option<usize> {
+        if let Some(target) = via {
+            let node = self.resolve_nodes(target).first().copied()?;
+            return self.nodes[node].is_alive().then_some(node);
+        }
+        let is_ready = |node: &usize| {
+            self.nodes[*node].core.as_ref().is_some_and(damaskrack_node::SchedulerNode::is_ready)
+        };
+        let ready: Vec<usize> = (0..self.nodes.len()).filter(is_ready).collect();
+        let index = self.draw(ready.len() as u64);
+        ready.get(usize::try_from(index).unwrap_or(0)).copied()
+    }
+
+    fn shown_key(&self, work: usize) -> Option<ShownKey> {
+        let key = self.book.works[work].plan.key.as_ref()?;
+        let secret = self.script.secrets.get(key).cloned().unwrap_or_default();
+        Some(ShownKey { text: format!("{key}.{secret}") })
+    }
+
+    /// Sends a caller's request to a node; the request is gone if the node does not answer.
+    fn send_caller(&mut self, node: usize, waiter: CallWaiter, request: CallerRequest) {
+        let call = self.take_call();
+        let life = self.nodes[node].life;
+        self.nodes[node].waiters.insert(call, waiter);
+        self.trace.line(self.now_ms, || format!("caller#{call} {waiter:?} -> node-{}", node + 1));
+        let timeout_ms = self.now_ms + CALLER_TIMEOUT_MS;
+        self.queue.push(timeout_ms, WorldEvent::CallerTimeout { node, life, call });
+        self.push_input(node, NodeInput::Caller { call, request });
+    }
+
+    pub(crate) fn on_submit_try(&mut self, work: usize) {
+        let via = self.book.works[work].plan.via.clone();
+        let Some(node) = self.choose_entry(via.as_ref()) else {
+            self.queue.push(self.now_ms + RECONNECT_MS, WorldEvent::SubmitTry { work });
+            return;
+        };
+        let attempt = self.book.works[work].seen.tries.len();
+        let token = make_token(work, attempt);
+        let shown = self.shown_key(work);
+        let row = &mut self.book.works[work];
+        let request = row.request(work, shown, &token);
+        let (at_ms, answers) = (self.now_ms, Vec::new());
+        row.seen.tries.push(SeenTry { token, at_ms, node, answers, is_broken: false });
+        self.send_caller(node, CallWaiter::Work { work, attempt }, request);
+    }
+
+    pub(crate) fn on_work_answer(&mut self, work: usize, attempt: usize, answer: &WorkAnswer) {
+        let at_ms = self.now_ms;
+        let row = &mut self.book.works[work];
+        row.seen.tries[attempt].answers.push(SeenAnswer {
+            at_ms,
+            outcome: answer.outcome,
+            reason: answer.reason,
+            detail: answer.detail.clone(),
+            job: answer.job.clone(),
+        });
+        let is_accepted = row.plan.is_job
+            && answer.job.is_some()
+            && matches!(answer.reason, AnswerReason::Accepted | AnswerReason::Ok);
+        if is_accepted {
+            if row.job.is_none() {
+                row.job.clone_from(&answer.job);
+                self.queue.push(at_ms + QUERY_MS, WorldEvent::QueryJob { work });
+            }
+        } else if row.may_repeat(Some(answer)) && row.retries_left > 0 {
+            row.retries_left -= 1;
+            self.queue.push(at_ms + RETRY_MS, WorldEvent::SubmitTry { work });
+        }
+    }
+
+    /// Tells a waiter that its connection broke.
+    pub(crate) fn break_waiter(&mut self, waiter: CallWaiter) {
+        match waiter {
+            CallWaiter::Work { work, attempt } => {
+                let row = &mut self.book.works[work];
+                row.seen.tries[attempt].is_broken = true;
+                if row.may_repeat(None) && row.retries_left > 0 {
+                    row.retries_left -= 1;
+                    self.queue.push(self.now_ms + RETRY_MS, WorldEvent::SubmitTry { work });
+                }
+            }
+            CallWaiter::Query { work } => {
+                self.queue.push(self.now_ms + QUERY_MS, WorldEvent::QueryJob { work });
+            }
+            CallWaiter::Cancel { work } => {
+                self.queue.push(self.now_ms + RETRY_MS, WorldEvent::CancelJob { work });
+            }
+            CallWaiter::Change { change } => {
+                self.queue.push(self.now_ms + RETRY_MS, WorldEvent::ChangeTry { change });
+            }
+        }
+    }
+
+    pub(crate) fn on_caller_timeout(&mut self, node: usize, life: u64, call: u64) {
+        if self.nodes[node].life != life {
+            return;
+        }
+        if let Some(waiter) = self.nodes[node].waiters.remove(&call) {
+            self.push_input(node, NodeInput::CallerGone { call });
+            self.break_waiter(waiter);
+        }
+    }
+
+    pub(crate) fn on_query_job(&mut self, work: usize) {
+        let (Some(job), Some(node)) = (self.book.works[work].job.clone(), self.choose_entry(None))
+        else {
+            self.queue.push(self.now_ms + QUERY_MS, WorldEvent::QueryJob { work });
+            return;
+        };
+        let request = CallerRequest::Query { key: self.shown_key(work), job };
+        self.send_caller(node, CallWaiter::Query { work }, request);
+    }
+
+    pub(crate) fn on_query_answer(&mut self, work: usize, answer: &WorkAnswer) {
+        let row = &mut self.book.works[work];
+        if let Some(status) = &answer.status {
+            row.seen.is_parked = status.state == JobState::Parked;
+            if status.state == JobState::Ended {
+                row.seen.ended = Some((self.now_ms, status.outcome));
+                return;
+            }
+        }
+        if answer.reason == AnswerReason::UnknownJob {
+            row.seen.forgotten_ms.get_or_insert(self.now_ms);
+        }
+        self.queue.push(self.now_ms + QUERY_MS, WorldEvent::QueryJob { work });
+    }
+
+    /// Cancels every piece of work with a tag.
+    pub(crate) fn begin_cancel(&mut self, tag: &str) {
+        for work in 0..self.book.works.len() {
+            let row = &mut self.book.works[work];
+            if row.plan.tag.as_deref() == Some(tag) && row.plan.is_job && !row.is_cancelling {
+                row.is_cancelling = true;
+                self.queue.push(self.now_ms, WorldEvent::CancelJob { work });
+            }
+        }
+    }
+
+    pub(crate) fn on_cancel_job(&mut self, work: usize) {
+        let (Some(job), Some(node)) = (self.book.works[work].job.clone(), self.choose_entry(None))
+        else {
+            self.queue.push(self.now_ms + RETRY_MS, WorldEvent::CancelJob { work });
+            return;
+        };
+        let request = CallerRequest::Cancel { key: self.shown_key(work), job };
+        self.send_caller(node, CallWaiter::Cancel { work }, request);
+    }
+
+    pub(crate) fn on_cancel_answer(&mut self, work: usize, answer: &WorkAnswer) {
+        if is_passing(answer.reason) {
+            self.queue.push(self.now_ms + RETRY_MS, WorldEvent::CancelJob { work });
+        } else {
+            self.book.works[work].seen.cancelled_ms = Some(self.now_ms);
+        }
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/world/network.rs
@@ -0,0 +1,113 @@
+//! Frames and connections between nodes, and the ends of calls.
+
+use {
+    super::{CallKind, CallOrigin, NetPlace, SILENCE_LIMIT_MS, SimWorld, WorldEvent},
+    damaskrack_node::NodeInput,
+    damaskrack_platform::{StoreFailure, WorkerFailure},
+    damaskrack_wire::PeerMessage,
+};
+
+/// Interval at which connections are looked at, in milliseconds.
+const LINK_CHECK_MS: u64 = 100;
+
+impl SimWorld {
+    pub(crate) fn on_frame(
+        &mut self,
+        from: usize,
+        to: usize,
+        generation: u64,
+        boot: u64,
+        message: PeerMessage,
+    ) {
+        let is_current = self.links.get(from, to).is_none_or(|row| row.generation == generation);
+        let is_cut = self.cuts.is_cut(NetPlace::Node(from), NetPlace::Node(to));
+        if !is_current || is_cut || !self.nodes[to].is_alive() {
+            self.trace_frame("dropped on the way", from, to, &message);
+            return;
+        }
+        let member = self.nodes[from].member.clone();
+        self.push_input(to, NodeInput::Peer { member, boot, message });
+    }
+
+    pub(crate) fn on_link_check(&mut self) {
+        self.queue.push(self.now_ms + LINK_CHECK_MS, WorldEvent::LinkCheck);
+        for (from, to) in self.links.pairs() {
+            self.check_link(from, to);
+        }
+    }
+
+    fn check_link(&mut self, from: usize, to: usize) {
+        if !self.nodes[from].is_running() {
+            return;
+        }
+        let is_cut = self.cuts.is_cut_either_way(NetPlace::Node(from), NetPlace::Node(to));
+        let is_reachable = !is_cut && self.nodes[to].is_running();
+        let (now_ms, life, boot) = (self.now_ms, self.nodes[to].life, self.nodes[to].boot);
+        let member = self.nodes[to].member.clone();
+        let Some(row) = self.links.get_mut(from, to) else { return };
+        if !row.is_up {
+            if is_reachable {
+                row.is_up = true;
+                row.is_silent = false;
+                row.generation += 1;
+                row.blocked_since_ms = None;
+                row.peer_life = life;
+                self.push_input(from, NodeInput::PeerUp { member, boot });
+            }
+            return;
+        }
+        if is_reachable && !row.is_silent && row.peer_life == life {
+            row.blocked_since_ms = None;
+            return;
+        }
+        let since_ms = *row.blocked_since_ms.get_or_insert(now_ms);
+        if row.peer_life != life || now_ms - since_ms >= SILENCE_LIMIT_MS {
+            row.is_up = false;
+            self.push_input(from, NodeInput::PeerDown { member });
+        }
+    }
+
+    /// Breaks the connections to a node whose process has ended.
+    pub(crate) fn break_links(&mut self, node: usize) {
+        self.links.forget_from(node);
+        let member = self.nodes[node].member.clone();
+        for from in 0..self.nodes.len() {
+            let is_cut = self.cuts.is_cut_either_way(NetPlace::Node(from), NetPlace::Node(node));
+            match self.links.get_mut(from, node) {
+                Some(row) if row.is_up && !is_cut => row.is_up = false,
+                _ => continue,
+            }
+            self.push_input(from, NodeInput::PeerDown { member: member.clone() });
+        }
+    }
+
+    /// Gives the end of a call to the node that made it, unless it has had one.
+    pub(crate) fn finish_call(&mut self, origin: CallOrigin, input: NodeInput) {
+        let process = &mut self.nodes[origin.node];
+        if process.life == origin.life && process.pending.remove(&origin) {
+            self.push_input(origin.node, input);
+        }
+    }
+
+    pub(crate) fn on_call_timeout(&mut self, origin: CallOrigin) {
+        let process = &mut self.nodes[origin.node];
+        if process.life != origin.life || !process.pending.contains(&origin) {
+            return;
+        }
+        if process.is_paused {
+            process.late.push(origin);
+            return;
+        }
+        let input = self.lost_input(origin);
+        self.finish_call(origin, input);
+    }
+
+    /// Makes the end of a call that got no answer.
+    pub(crate) fn lost_input(&self, origin: CallOrigin) -> NodeInput {
+        let call = origin.call;
+        match origin.kind {
+            CallKind::Store => NodeInput::Store { call, result: Err(StoreFailure::Lost) },
+            CallKind::Worker => NodeInput::Worker { call, result: Err(WorkerFailure::Lost) },
+        }
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/world/operators.rs
@@ -0,0 +1,219 @@
+//! Operators: they read the manifest, change it and hand it in with the version they read.
+//!
+//! Two operators that start at the same time read the same version, so one of them gets a
+//! conflict, reads again and repeats its change on top of the other's.
+
+use {
+    super::{CallWaiter, SimWorld, WorldEvent},
+    crate::script::ManifestEdit,
+    damaskrack_manifest::{ManifestDocument, ZoneState, make_key},
+    damaskrack_model::{AnswerReason, OutcomeKind, WorkAnswer},
+    damaskrack_node::{NodeInput, OperatorRequest},
+};
+
+/// Time between tries, in milliseconds.
+const RETRY_MS: u64 = 400;
+
+/// Time that an operator waits for an answer, in milliseconds.
+const TIMEOUT_MS: u64 = 8_000;
+
+/// Salt of keys that are granted during a run; scenario keys protect nothing.
+const GRANT_SALT: &[u8; 16] = b"granted-salt--16";
+
+/// How far an operator has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ChangeStage {
+    Reading,
+    Writing,
+    Accepted,
+}
+
+/// An operator's change.
+#[derive(Debug)]
+pub(crate) struct ChangeRow {
+    edit: ManifestEdit,
+    via: Option<usize>,
+    stage: ChangeStage,
+    call: u64,
+    base: u64,
+    document: ManifestDocument,
+}
+
+impl ChangeRow {
+    pub(crate) fn new(edit: ManifestEdit, via: Option<usize>) -> Self {
+        Self {
+            edit,
+            via,
+            stage: ChangeStage::Reading,
+            call: 0,
+            base: 0,
+            document: ManifestDocument::default(),
+        }
+    }
+
+    pub(crate) fn is_accepted(&self) -> bool {
+        self.stage == ChangeStage::Accepted
+    }
+}
+
+fn apply_edit(edit: &ManifestEdit, document: &mut ManifestDocument, whole: &ManifestDocument) {
+    match edit {
+        ManifestEdit::Whole => document.clone_from(whole),
+        ManifestEdit::Zone { zone, is_in } => {
+            let state = if *is_in { ZoneState::In } else { ZoneState::Out };
+            let rows = document.zones.iter_mut().filter(|row| row.name == *zone);
+            rows.for_each(|row| row.state = state);
+        }
+        ManifestEdit::Withdraw { key } => document.keys.retain(|row| row.name != *key),
+        ManifestEdit::Grant { key, team } => {
+            document.keys.retain(|row| row.name != *key);
+            document.keys.push(make_key(key, team, &format!("secret-of-{key}"), GRANT_SALT));
+        }
+        ManifestEdit::Limit { team, tasks, millicores } => {
+            for row in document.teams.iter_mut().filter(|row| row.name == *team) {
+                row.limit.tasks = tasks.unwrap_or(row.limit.tasks);
+                let resources = &mut row.limit.resources;
+                resources.millicores = millicores.unwrap_or(resources.millicores);
+            }
+        }
+        ManifestEdit::Share { team, share } => {
+            let rows = document.teams.iter_mut().filter(|row| row.name == *team);
+            rows.for_each(|row| row.share = *share);
+        }
+    }
+}
+
+impl SimWorld {
+    pub(crate) fn on_change_try(&mut self, change: usize) {
+        let via = self.changes[change].via;
+        let entry = match via {
+            Some(node) => self.nodes[node].is_alive().then_some(node),
+            None => self.choose_operator_node(),
+        };
+        let Some(node) = entry else {
+            self.queue.push(self.now_ms + RETRY_MS, WorldEvent::ChangeTry { change });
+            return;
+        };
+        let row = &mut self.changes[change];
+        let is_first = matches!(row.edit, ManifestEdit::Whole) && row.stage == ChangeStage::Reading;
+        row.stage = if is_first { ChangeStage::Writing } else { ChangeStage::Reading };
+        if is_first {
+            row.document.clone_from(&self.script.document);
+            self.send_write(node, change);
+        } else {
+            self.send_operator(node, change, OperatorRequest::ManifestGet);
+        }
+    }
+
+    fn choose_operator_node(&mut self) -> Option<usize> {
+        let alive: Vec<usize> =
+            (0..self.nodes.len()).filter(|&node| self.nodes[node].is_alive()).collect();
+        let index = self.draw(alive.len() as u64);
+        alive.get(usize::try_from(index).unwrap_or(0)).copied()
+    }
+
+    fn send_operator(&mut self, node: usize, change: usize, request: OperatorRequest) {
+        let call = self.take_call();
+        self.changes[change].call = call;
+        self.nodes[node].waiters.insert(call, CallWaiter::Change { change });
+        self.trace.line(self.now_ms, || {
+            let text: String = format!("{request:?}").chars().take(60).collect();
+            format!("operator#{call} change {change} {text} -> node-{}", node + 1)
+        });
+        let at_ms = self.now_ms + TIMEOUT_MS;
+        self.queue.push(at_ms, WorldEvent::ChangeTimeout { change, call });
+        self.push_input(node, NodeInput::Operator { call, request });
+    }
+
+    fn send_write(&mut self, node: usize, change: usize) {
+        let row = &self.changes[change];
+        let json = serde_json::to_string(&row.document).unwrap_or_default();
+        let base = row.base;
+        self.documents.push(row.document.clone());
+        self.send_operator(node, change, OperatorRequest::ManifestPut { base, json });
+    }
+
+    pub(crate) fn on_change_timeout(&mut self, change: usize, call: u64) {
+        let is_open = self.changes[change].call == call && !self.changes[change].is_accepted();
+        if !is_open {
+            return;
+        }
+        for process in &mut self.nodes {
+            if process.waiters.remove(&call).is_some() {
+                self.queue.push(self.now_ms, WorldEvent::ChangeTry { change });
+            }
+        }
+    }
+
+    pub(crate) fn on_operator_answer(
+        &mut self,
+        node: usize,
+        call: u64,
+        version: u64,
+        answer: &WorkAnswer,
+    ) {
+        self.trace.line(self.now_ms, || {
+            let detail: String = answer.detail.chars().take(100).collect();
+            format!(
+                "node-{} answers operator#{call} v{version} {:?} {} {detail}",
+                node + 1,
+                answer.outcome,
+                answer.reason
+            )
+        });
+        let Some(CallWaiter::Change { change }) = self.nodes[node].waiters.remove(&call) else {
+            self.record.stray_answers.push(call);
+            return;
+        };
+        match self.changes[change].stage {
+            ChangeStage::Reading => self.on_manifest_read(node, change, version, answer),
+            ChangeStage::Writing => self.on_manifest_written(change, version, answer),
+            ChangeStage::Accepted => {}
+        }
+    }
+
+    fn on_manifest_read(&mut self, node: usize, change: usize, version: u64, answer: &WorkAnswer) {
+        let Ok(document) = serde_json::from_str::<ManifestDocument>(&answer.detail) else {
+            let is_empty = version == 0 && matches!(self.changes[change].edit, ManifestEdit::Whole);
+            if is_empty {
+                self.changes[change].stage = ChangeStage::Reading;
+            }
+            self.queue.push(self.now_ms + RETRY_MS, WorldEvent::ChangeTry { change });
+            return;
+        };
+        let row = &mut self.changes[change];
+        let mut edited = document.clone();
+        apply_edit(&row.edit, &mut edited, &self.script.document);
+        if edited == document {
+            row.stage = ChangeStage::Accepted;
+            self.note_accepted(version);
+            return;
+        }
+        row.document = edited;
+        row.base = version;
+        row.stage = ChangeStage::Writing;
+        self.send_write(node, change);
+    }
+
+    fn on_manifest_written(&mut self, change: usize, version: u64, answer: &WorkAnswer) {
+        let is_accepted = matches!(
+            answer.reason,
+            AnswerReason::Ok | AnswerReason::Accepted | AnswerReason::Spreading
+        ) && answer.outcome != OutcomeKind::NotRun;
+        if is_accepted {
+            self.changes[change].stage = ChangeStage::Accepted;
+            self.note_accepted(version);
+        } else {
+            let row = &mut self.changes[change];
+            let is_read_next = !matches!(row.edit, ManifestEdit::Whole)
+                || matches!(answer.reason, AnswerReason::Conflict | AnswerReason::Lost);
+            row.stage = if is_read_next { ChangeStage::Writing } else { ChangeStage::Reading };
+            self.queue.push(self.now_ms + RETRY_MS, WorldEvent::ChangeTry { change });
+        }
+    }
+
+    fn note_accepted(&mut self, version: u64) {
+        let now_ms = self.now_ms;
+        self.record.accepted.entry(version).or_insert(now_ms);
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/world/platform.rs
@@ -0,0 +1,160 @@
+//! Calls that arrive at the stand-ins, and their answers on the way back.
+
+use {
+    super::{CallOrigin, NetPlace, SimWorld, StoreStep, WorkerStep, WorldEvent},
+    damaskrack_node::NodeInput,
+    damaskrack_platform::{
+        StartVerdict, StoreCall, StoreFailure, StoreReply, WorkerBody, WorkerCall, WorkerFailure,
+        WorkerReply,
+    },
+};
+
+/// Interval at which a node reads the host list, in milliseconds.
+const HOSTS_READ_MS: u64 = 500;
+
+impl SimWorld {
+    pub(crate) fn on_store_arrive(&mut self, origin: CallOrigin, request: StoreCall) {
+        let node = NetPlace::Node(origin.node);
+        let is_hanging = self.store.table.is_out() && self.draws_percent(50);
+        if self.cuts.is_cut(node, NetPlace::Store) || is_hanging {
+            return;
+        }
+        let wait_ms = match &request {
+            StoreCall::Watch { wait_ms, .. } => *wait_ms,
+            _ => 0,
+        };
+        match self.store.take(origin, request, self.now_ms) {
+            StoreStep::Wait => {
+                self.queue.push(self.now_ms + wait_ms, WorldEvent::WatchExpire { origin });
+            }
+            StoreStep::Answer(result) => self.return_store(origin, result),
+        }
+        self.sweep_store();
+    }
+
+    fn return_store(&mut self, origin: CallOrigin, result: Result<StoreReply, StoreFailure>) {
+        if self.cuts.is_cut(NetPlace::Store, NetPlace::Node(origin.node)) {
+            return;
+        }
+        let is_lost = result.is_ok() && self.draws_percent(u64::from(self.store.loses_percent));
+        let result = if is_lost { Err(StoreFailure::Lost) } else { result };
+        let at_ms = self.now_ms + self.draw_latency_ms();
+        self.queue.push(at_ms, WorldEvent::StoreReturn { origin, result });
+    }
+
+    /// Answers the watches that have news and plans the next lapse of a lease.
+    pub(crate) fn sweep_store(&mut self) {
+        for (origin, reply) in self.store.take_ready(self.now_ms) {
+            self.return_store(origin, Ok(reply));
+        }
+        let Some(at_ms) = self.store.table.next_event_ms() else { return };
+        let at_ms = at_ms.max(self.now_ms + 1);
+        if self.sweeps.plan(NetPlace::Store, self.now_ms, at_ms) {
+            self.queue.push(at_ms, WorldEvent::StoreSweep);
+        }
+    }
+
+    pub(crate) fn on_watch_expire(&mut self, origin: CallOrigin) {
+        if let Some(reply) = self.store.take_expired(origin) {
+            self.return_store(origin, Ok(reply));
+        }
+    }
+
+    pub(crate) fn on_worker_arrive(
+        &mut self,
+        origin: CallOrigin,
+        worker: usize,
+        request: WorkerCall,
+    ) {
+        if self.cuts.is_cut(NetPlace::Node(origin.node), NetPlace::Worker(worker)) {
+            return;
+        }
+        if self.fleet[worker].is_down {
+            let at_ms = self.now_ms + self.draw_latency_ms();
+            let result = Err(WorkerFailure::Unreachable);
+            self.queue.push(at_ms, WorldEvent::WorkerReturn { origin, result });
+            return;
+        }
+        self.take_worker_call(origin, worker, request);
+    }
+
+    pub(crate) fn take_worker_call(
+        &mut self,
+        origin: CallOrigin,
+        worker: usize,
+        request: WorkerCall,
+    ) {
+        let wait_ms = match &request {
+            WorkerCall::Sync { wait_ms, .. } => *wait_ms,
+            _ => 0,
+        };
+        match self.fleet[worker].take(origin, request, self.now_ms) {
+            WorkerStep::Answer(reply) => {
+                self.note_reply(worker, &reply);
+                self.return_worker(origin, worker, reply);
+            }
+            WorkerStep::Wait => {
+                let at_ms = self.now_ms + wait_ms;
+                self.queue.push(at_ms, WorldEvent::SyncExpire { origin, worker });
+            }
+        }
+        self.sweep_worker(worker);
+    }
+
+    fn note_reply(&mut self, worker: usize, reply: &WorkerReply) {
+        match &reply.body {
+            WorkerBody::Starts { verdicts } => {
+                self.trace
+                    .line(self.now_ms, || format!("worker-{} starts {verdicts:?}", worker + 1));
+                for verdict in verdicts {
+                    match verdict {
+                        StartVerdict::Started => {}
+                        StartVerdict::Full => self.record.refused_full += 1,
+                        StartVerdict::Expired => self.record.refused_expired += 1,
+                    }
+                }
+            }
+            WorkerBody::Stale { .. } => self.record.refused_stale += 1,
+            WorkerBody::Report(_) | WorkerBody::Accepted => {}
+        }
+    }
+
+    fn return_worker(&mut self, origin: CallOrigin, worker: usize, reply: WorkerReply) {
+        if self.cuts.is_cut(NetPlace::Worker(worker), NetPlace::Node(origin.node)) {
+            return;
+        }
+        let at_ms = self.now_ms + self.draw_latency_ms();
+        self.queue.push(at_ms, WorldEvent::WorkerReturn { origin, result: Ok(reply) });
+    }
+
+    /// Answers the waiting calls of a worker that have news and plans its next change.
+    pub(crate) fn sweep_worker(&mut self, worker: usize) {
+        for (origin, reply) in self.fleet[worker].take_ready(self.now_ms) {
+            self.return_worker(origin, worker, reply);
+        }
+        let Some(at_ms) = self.fleet[worker].table.next_event_ms() else { return };
+        let at_ms = at_ms.max(self.now_ms + 1);
+        if self.sweeps.plan(NetPlace::Worker(worker), self.now_ms, at_ms) {
+            self.queue.push(at_ms, WorldEvent::WorkerSweep { worker });
+        }
+    }
+
+    pub(crate) fn on_sync_expire(&mut self, origin: CallOrigin, worker: usize) {
+        if let Some(reply) = self.fleet[worker].take_expired(origin, self.now_ms) {
+            self.return_worker(origin, worker, reply);
+        }
+    }
+
+    pub(crate) fn on_hosts_read(&mut self, node: usize, life: u64) {
+        if self.nodes[node].life != life {
+            return;
+        }
+        self.queue.push(self.now_ms + HOSTS_READ_MS, WorldEvent::HostsRead { node, life });
+        if self.nodes[node].is_paused {
+            return;
+        }
+        if let Some(rows) = self.hosts.read(self.now_ms) {
+            self.push_input(node, NodeInput::Hosts { rows });
+        }
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/world/store_front.rs
@@ -0,0 +1,75 @@
+//! The store stand-in behind a network.
+
+use {
+    super::CallOrigin,
+    damaskrack_platform::{StoreCall, StoreFailure, StoreReply},
+    damaskrack_standin::{StorePlan, StoreTable},
+};
+
+/// What the store does with a call that arrives.
+#[derive(Debug)]
+pub(crate) enum StoreStep {
+    /// It answers.
+    Answer(Result<StoreReply, StoreFailure>),
+    /// The watch waits for a change.
+    Wait,
+}
+
+/// The table, its waiting watches and how it misbehaves.
+#[derive(Debug)]
+pub(crate) struct StoreFront {
+    pub(crate) table: StoreTable,
+    pub(crate) slow_ms: u64,
+    pub(crate) loses_percent: u32,
+    watches: Vec<(CallOrigin, StoreCall)>,
+}
+
+impl StoreFront {
+    pub(crate) fn new() -> Self {
+        let table = StoreTable::new(StorePlan::default());
+        Self { table, slow_ms: 0, loses_percent: 0, watches: Vec::new() }
+    }
+
+    pub(crate) fn take(&mut self, origin: CallOrigin, call: StoreCall, now_ms: u64) -> StoreStep {
+        let reply = self.table.serve(&call, now_ms);
+        let is_empty = matches!(&reply, Ok(StoreReply::Events { events, .. }) if events.is_empty());
+        if is_empty {
+            self.watches.push((origin, call));
+            return StoreStep::Wait;
+        }
+        StoreStep::Answer(reply)
+    }
+
+    /// Takes every watch that now has an answer.
+    pub(crate) fn take_ready(&mut self, now_ms: u64) -> Vec<(CallOrigin, StoreReply)> {
+        self.table.advance(now_ms);
+        let mut ready = Vec::new();
+        let table = &self.table;
+        self.watches.retain(|(origin, call)| {
+            let StoreCall::Watch { prefixes, since, .. } = call else { return false };
+            match table.poll_watch(prefixes, *since) {
+                Some(reply) => {
+                    ready.push((*origin, reply));
+                    false
+                }
+                None => true,
+            }
+        });
+        ready
+    }
+
+    /// Takes a watch whose waiting time is over.
+    pub(crate) fn take_expired(&mut self, origin: CallOrigin) -> Option<StoreReply> {
+        let index = self.watches.iter().position(|(waiting, _)| *waiting == origin)?;
+        self.watches.swap_remove(index);
+        Some(StoreReply::Events { events: Vec::new(), revision: self.table.revision() })
+    }
+
+    /// Drops the waiting watches of a node without an answer.
+    pub(crate) fn drop_watches(&mut self, node: Option<usize>) -> Vec<CallOrigin> {
+        let is_hit = |origin: &CallOrigin| node.is_none_or(|node| origin.node == node);
+        let dropped = self.watches.iter().map(|(origin, _)| *origin).filter(is_hit).collect();
+        self.watches.retain(|(origin, _)| !is_hit(origin));
+        dropped
+    }
+}
