--- a/crates/node/src/rack.rs
+++ b/crates/node/src/rack.rs
@@ -1,74 +1,308 @@
-//! The rack owner role: placeholder until the role's modules land.
+//! The rack owner role.
+//!
+//! For each rack there is one table of workers and attempts, and systems that run over it. The
+//! table holds nothing that must last: after a change of owner it is rebuilt from what the
+//! workers themselves list. Systems of a rack run when something has happened to it, and
+//! otherwise at a slow fixed rate, so that many quiet racks cost little.
+
+mod attempt;
+mod drain;
+mod hosts;
+mod notify;
+mod place;
+mod preempt;
+mod report;
+mod room;
+mod shared;
+mod start;
+mod stop;
+mod summary;
+mod sync;
+mod table;
+#[cfg(test)]
+mod tests;
+mod worker;
 
 use {
-    crate::{NodeConfig, buffer::ActionBuffer, view::ClusterView},
-    damaskrack_model::{Epoch, MemberName, RackName},
+    crate::{LogLevel, NodeConfig, buffer::ActionBuffer, view::ClusterView},
+    damaskrack_model::{AttemptId, ClockTime, Epoch, MemberName, RackName, TeamName},
+    damaskrack_ownership::MemberStanding,
     damaskrack_platform::{WorkerFailure, WorkerReply},
-    damaskrack_wire::{PeerMessage, RackSummary},
+    damaskrack_policy::HealthChange,
+    damaskrack_wire::{PeerMessage, PlaceOrder, PlaceVerdict, RackSummary, RefusalReason},
+    place::OwnerClaim,
+    std::collections::BTreeMap,
+};
+
+pub(crate) use {
+    attempt::{EndMark, LocalPhase, StartMark, StopReason, TrackedAttempt},
+    shared::{CallKind, CallRow, RackIntervals, RackShared},
+    table::{RackTable, RollRow, WorkerLoad},
+    worker::{BootStep, WorkerRow},
 };
 
+slotmap::new_key_type! {
+    /// Key of a worker in its rack's table.
+    pub(crate) struct WorkerKey;
+    /// Key of an attempt in its rack's table.
+    pub(crate) struct AttemptKey;
+}
+
+/// Time after which a rack's systems run though nothing has happened, in milliseconds.
+const IDLE_RUN_MS: u64 = 50;
+
+/// Interval at which the host list is followed and expired rows are dropped, in milliseconds.
+const UPKEEP_MS: u64 = 500;
+
 /// Tables of every rack that this daemon owns.
 #[derive(Debug, Default)]
-pub(crate) struct RackRole {}
+pub(crate) struct RackRole {
+    racks: BTreeMap<RackName, RackTable>,
+    shared: RackShared,
+    upkeep_at: ClockTime,
+    ticked_at: Option<ClockTime>,
+}
 
 impl RackRole {
     /// Takes a rack under a new epoch and starts its rebuild.
     ///
     /// Team fences start at the epochs of the ownership records in `view`, which the caller has
     /// read after the rack's own record was written.
-    pub(crate) fn take(&mut self, _rack: &RackName, _epoch: Epoch, _view: &ClusterView) {}
+    pub(crate) fn take(&mut self, rack: &RackName, epoch: Epoch, view: &ClusterView) {
+        self.racks.insert(rack.clone(), RackTable::new(rack.clone(), epoch, view.now));
+        self.upkeep_at = ClockTime::default();
+    }
 
     /// Stops taking work for a rack that is about to be released.
-    pub(crate) fn freeze(&mut self, _rack: &RackName) {}
+    pub(crate) fn freeze(&mut self, rack: &RackName) {
+        self.set_frozen(rack, true);
+    }
 
     /// Takes work again for a rack whose release did not happen.
-    pub(crate) fn thaw(&mut self, _rack: &RackName) {}
+    pub(crate) fn thaw(&mut self, rack: &RackName) {
+        self.set_frozen(rack, false);
+    }
+
+    fn set_frozen(&mut self, rack: &RackName, is_frozen: bool) {
+        if let Some(table) = self.racks.get_mut(rack) {
+            table.is_frozen = is_frozen;
+            table.is_dirty = true;
+        }
+    }
 
     /// Tells whether a frozen rack has no start on the way, so that it can be released.
-    pub(crate) fn is_settled(&self, _rack: &RackName) -> bool {
-        true
+    pub(crate) fn is_settled(&self, rack: &RackName) -> bool {
+        self.racks.get(rack).is_none_or(|table| {
+            !table.attempts.values().any(|attempt| match &attempt.phase {
+                LocalPhase::Starting(mark) => mark.call.is_some(),
+                _ => attempt.is_unsent(),
+            })
+        })
     }
 
     /// Forgets a rack that this daemon no longer owns.
-    pub(crate) fn forget(&mut self, _rack: &RackName) {}
+    pub(crate) fn forget(&mut self, rack: &RackName) {
+        self.racks.remove(rack);
+    }
 
     /// Handles a message that concerns racks: `Place`, `Commit`, `Release`, `StopAttempts`,
     /// `Inquire`, `EndedAck`, `RollCall`.
     pub(crate) fn on_message(
         &mut self,
-        _from: &MemberName,
-        _message: PeerMessage,
-        _view: &ClusterView,
-        _out: &mut ActionBuffer,
+        from: &MemberName,
+        message: PeerMessage,
+        view: &ClusterView,
+        out: &mut ActionBuffer,
+    ) {
+        match message {
+            PeerMessage::Place { team, epoch, rack, orders } => {
+                self.on_place((from, &team, epoch), &rack, orders, view, out);
+            }
+            PeerMessage::Commit { team, epoch, rack, attempts } => {
+                self.with_rack((from, &team, epoch), &rack, view, out, |table, claim| {
+                    place::commit(table, view, claim, attempts);
+                });
+            }
+            PeerMessage::Release { team, epoch, rack, attempts } => {
+                self.with_rack((from, &team, epoch), &rack, view, out, |table, claim| {
+                    place::release(table, view.now, claim, attempts);
+                });
+            }
+            PeerMessage::StopAttempts { team, epoch, rack, attempts } => {
+                self.with_rack((from, &team, epoch), &rack, view, out, |table, claim| {
+                    place::stop_attempts(table, view.now, claim, attempts);
+                });
+            }
+            PeerMessage::Inquire { team, epoch, rack, attempts } => {
+                self.with_rack((from, &team, epoch), &rack, view, out, |table, claim| {
+                    place::inquire(table, view.now, claim, attempts);
+                });
+            }
+            PeerMessage::RollCall { team, epoch, racks } => {
+                for rack in racks {
+                    self.with_rack((from, &team, epoch), &rack, view, out, |table, claim| {
+                        place::roll_call(table, view.now, claim);
+                    });
+                }
+            }
+            PeerMessage::EndedAck { rack, attempts } => self.on_ended_ack(&rack, attempts),
+            _ => {}
+        }
+    }
+
+    fn on_place(
+        &mut self,
+        (from, team, epoch): (&MemberName, &TeamName, Epoch),
+        rack: &RackName,
+        orders: Vec<PlaceOrder>,
+        view: &ClusterView,
+        out: &mut ActionBuffer,
+    ) {
+        let verdict = self.shared.judge(team, epoch, view);
+        let Some(table) = self.racks.get_mut(rack) else {
+            return refuse_foreign(from, rack, orders, out);
+        };
+        let claim = OwnerClaim { asker: from, team, epoch, verdict };
+        for order in orders {
+            place::place(table, &mut self.shared, view, claim, order);
+        }
+        send_outputs(table, &mut self.shared, view, out);
+    }
+
+    fn with_rack(
+        &mut self,
+        (from, team, epoch): (&MemberName, &TeamName, Epoch),
+        rack: &RackName,
+        view: &ClusterView,
+        out: &mut ActionBuffer,
+        handle: impl FnOnce(&mut RackTable, OwnerClaim<'_>),
     ) {
+        let verdict = self.shared.judge(team, epoch, view);
+        let Some(table) = self.racks.get_mut(rack) else { return };
+        handle(table, OwnerClaim { asker: from, team, epoch, verdict });
+        send_outputs(table, &mut self.shared, view, out);
+    }
+
+    fn on_ended_ack(&mut self, rack: &RackName, attempts: Vec<AttemptId>) {
+        if let Some(table) = self.racks.get_mut(rack) {
+            place::acknowledge(table, attempts);
+        }
     }
 
     /// Handles the end of a worker call.
     pub(crate) fn on_worker(
         &mut self,
-        _call: u64,
-        _result: Result<WorkerReply, WorkerFailure>,
-        _view: &ClusterView,
-        _out: &mut ActionBuffer,
+        call: u64,
+        result: Result<WorkerReply, WorkerFailure>,
+        view: &ClusterView,
+        out: &mut ActionBuffer,
     ) {
+        let Some(row) = self.shared.calls.remove(&call) else { return };
+        let Some(table) = self.racks.get_mut(&row.rack) else { return };
+        if table.epoch == row.epoch {
+            report::on_call_end(table, &mut self.shared, (call, &row), result, view, out);
+        }
     }
 
     /// Runs the role's systems.
-    pub(crate) fn tick(
-        &mut self,
-        _config: &NodeConfig,
-        _view: &ClusterView,
-        _out: &mut ActionBuffer,
-    ) {
+    pub(crate) fn tick(&mut self, config: &NodeConfig, view: &ClusterView, out: &mut ActionBuffer) {
+        self.shared.intervals = RackIntervals::from_config(config);
+        self.note_pause(view);
+        if view.now >= self.upkeep_at {
+            self.upkeep_at = view.now.plus(UPKEEP_MS);
+            self.run_upkeep(view, out);
+        }
+        for table in self.racks.values_mut() {
+            if table.is_dirty || view.now >= table.due_at {
+                run_systems(table, &mut self.shared, view, out);
+                table.is_dirty = false;
+                table.due_at = view.now.plus(IDLE_RUN_MS);
+            }
+        }
+    }
+
+    /// Notes that this daemon was paused or is isolated, after which silence proves nothing yet.
+    fn note_pause(&mut self, view: &ClusterView) {
+        let gap_ms = self.ticked_at.map_or(0, |then| view.now.since(then));
+        let was_paused = gap_ms > self.shared.intervals.isolation_ms;
+        if was_paused || view.standing == MemberStanding::Isolated {
+            self.shared.resumed_at = view.now;
+        }
+        self.ticked_at = Some(view.now);
+    }
+
+    fn run_upkeep(&mut self, view: &ClusterView, out: &mut ActionBuffer) {
+        hosts::follow_hosts(&mut self.racks, &mut self.shared, view);
+        self.shared.expire_displacements(view.now);
+        for table in self.racks.values_mut() {
+            table.voids.retain(|_, until| view.now < *until);
+        }
+        let workers = self.racks.values().map(|table| table.workers.len()).sum();
+        for change in self.shared.health.review(workers, view.now) {
+            log_health(&change, out);
+        }
     }
 
     /// Returns the summary of every owned rack.
-    pub(crate) fn summaries(&self, _view: &ClusterView) -> Vec<RackSummary> {
-        Vec::new()
+    pub(crate) fn summaries(&self, view: &ClusterView) -> Vec<RackSummary> {
+        self.racks
+            .values()
+            .filter_map(|table| summary::summarise(table, &self.shared, view))
+            .collect()
     }
 
     /// Returns the role's tables, as JSON for a person.
     pub(crate) fn dump(&self) -> serde_json::Value {
-        serde_json::Value::Null
+        self.racks.values().map(summary::dump_rack).collect()
     }
 }
+
+fn run_systems(
+    table: &mut RackTable,
+    shared: &mut RackShared,
+    view: &ClusterView,
+    out: &mut ActionBuffer,
+) {
+    sync::run_lapses(table, shared, view, out);
+    start::expire_unsent(table, shared, view);
+    drain::run_drain(table, view, out);
+    preempt::run_pending(table, shared, view);
+    send_outputs(table, shared, view, out);
+    notify::send_notices(table, view, out);
+    sync::run_syncs(table, shared, view, out);
+}
+
+/// Sends what has been decided, without waiting for the next tick.
+fn send_outputs(
+    table: &mut RackTable,
+    shared: &mut RackShared,
+    view: &ClusterView,
+    out: &mut ActionBuffer,
+) {
+    start::run_starts(table, shared, view, out);
+    stop::run_stops(table, shared, view.now, out);
+    notify::send_answers(table, out);
+    notify::answer_rolls(table, view, out);
+}
+
+/// Refuses orders for a rack that this daemon does not own.
+fn refuse_foreign(
+    from: &MemberName,
+    rack: &RackName,
+    orders: Vec<PlaceOrder>,
+    out: &mut ActionBuffer,
+) {
+    let refusal = PlaceVerdict::Refused(RefusalReason::NotOwner);
+    let verdicts = orders.into_iter().map(|order| (order.attempt, refusal.clone())).collect();
+    out.send(from, PeerMessage::Placed { rack: rack.clone(), verdicts });
+}
+
+fn log_health(change: &HealthChange<damaskrack_model::WorkerName>, out: &mut ActionBuffer) {
+    let (level, event, worker) = match change {
+        HealthChange::Quarantined(worker) => (LogLevel::Warning, "worker_quarantined", worker),
+        HealthChange::Probing(worker) => (LogLevel::Info, "worker_probing", worker),
+        HealthChange::Returned(worker) => (LogLevel::Info, "worker_returned", worker),
+    };
+    out.log(level, event, &[("worker", worker)]);
+    out.count("rack.health_changes", 1);
+}
--- /dev/null
+++ b/crates/node/src/rack/drain.rs
@@ -0,0 +1,59 @@
+//! Availability zones that go out of service and come back.
+//!
+//! Out: nothing starts from the moment the manifest says so, and what runs is stopped with a
+//! checkpoint at a bounded rate, so that the other zones are not flooded with restarts. Requests
+//! are short and get time to end by themselves; work that cannot run again is left to end. Back:
+//! starts are limited for a while, so that the empty zone does not draw everything at once.
+
+use {
+    super::{AttemptKey, RackTable, StopReason, TrackedAttempt},
+    crate::{LogLevel, buffer::ActionBuffer, view::ClusterView},
+    damaskrack_model::{ClockTime, WorkKind},
+};
+
+/// Time that requests get to end by themselves, in milliseconds.
+const REQUEST_GRACE_MS: u64 = 5_000;
+
+/// Time for which starts are limited after a zone came back, in milliseconds.
+const RAMP_MS: u64 = 5_000;
+
+/// Follows the state of the rack's zone.
+pub(crate) fn run_drain(rack: &mut RackTable, view: &ClusterView, out: &mut ActionBuffer) {
+    let Some(zone) = &rack.zone else { return };
+    if view.manifest.version == 0 {
+        return;
+    }
+    match (view.is_zone_in(zone), rack.zone_out_since) {
+        (true, None) => {}
+        (true, Some(_)) => {
+            rack.zone_out_since = None;
+            rack.ramp_until = view.now.plus(RAMP_MS);
+            out.log(LogLevel::Info, "rack_ramping", &[("rack", &rack.name), ("zone", zone)]);
+        }
+        (false, None) => {
+            out.log(LogLevel::Info, "rack_draining", &[("rack", &rack.name), ("zone", zone)]);
+            rack.zone_out_since = Some(view.now);
+            stop_some(rack, view.now, view.now);
+        }
+        (false, Some(since)) => stop_some(rack, since, view.now),
+    }
+}
+
+fn stop_some(rack: &mut RackTable, since: ClockTime, now: ClockTime) {
+    let are_requests_due = now.since(since) >= REQUEST_GRACE_MS;
+    let keys: Vec<AttemptKey> = rack.keys_where(|attempt| {
+        is_drainable(attempt) && (are_requests_due || attempt.kind != Some(WorkKind::Request))
+    });
+    for key in keys {
+        if !rack.drain_budget.try_take(now) {
+            break;
+        }
+        if let Some(attempt) = rack.attempts.get_mut(key) {
+            attempt.want_stop(StopReason::Drained, now);
+        }
+    }
+}
+
+fn is_drainable(attempt: &TrackedAttempt) -> bool {
+    attempt.is_running() && attempt.is_preemptible && attempt.stop.is_none()
+}
--- /dev/null
+++ b/crates/node/src/rack/hosts.rs
@@ -0,0 +1,73 @@
+//! Workers of the host list.
+//!
+//! The list lags, so a worker that has vanished from it is still followed while anything is known
+//! to run there, and one that is leaving keeps what it runs.
+
+use {
+    super::{RackShared, RackTable, WorkerRow},
+    crate::view::ClusterView,
+    damaskrack_model::{ClockTime, RackName, WorkerName},
+    damaskrack_platform::HostRow,
+    std::collections::BTreeMap,
+};
+
+/// Brings the workers of every rack in line with the list. An empty list is one that has not been
+/// read and changes nothing.
+pub(crate) fn follow_hosts(
+    racks: &mut BTreeMap<RackName, RackTable>,
+    shared: &mut RackShared,
+    view: &ClusterView,
+) {
+    if view.hosts.is_empty() {
+        return;
+    }
+    for worker in racks.values_mut().flat_map(|rack| rack.workers.values_mut()) {
+        worker.listed = None;
+    }
+    for row in &view.hosts {
+        if let Some(rack) = racks.get_mut(&row.rack) {
+            follow_host(rack, row, view.now);
+        }
+    }
+    for rack in racks.values_mut() {
+        drop_vanished(rack, shared);
+    }
+}
+
+fn follow_host(rack: &mut RackTable, row: &HostRow, now: ClockTime) {
+    if rack.zone.is_none() {
+        rack.zone = Some(row.zone.clone());
+    }
+    let key = match rack.worker_keys.get(&row.worker) {
+        Some(&key) => key,
+        None => {
+            let worker = WorkerRow::new(row.worker.clone(), row.address, now);
+            rack.is_dirty = true;
+            let key = rack.workers.insert(worker);
+            rack.worker_keys.insert(row.worker.clone(), key);
+            key
+        }
+    };
+    if let Some(worker) = rack.workers.get_mut(key) {
+        worker.listed = Some(row.state);
+        worker.address = row.address;
+    }
+}
+
+fn drop_vanished(rack: &mut RackTable, shared: &mut RackShared) {
+    let vanished: Vec<WorkerName> =
+        rack.workers.values().filter(|worker| is_done(worker)).map(|w| w.name.clone()).collect();
+    for name in vanished {
+        if let Some(key) = rack.worker_keys.remove(&name) {
+            rack.workers.remove(key);
+        }
+        shared.health.forget(&name);
+        rack.is_dirty = true;
+    }
+}
+
+fn is_done(worker: &WorkerRow) -> bool {
+    worker.listed.is_none()
+        && worker.attempts.is_empty()
+        && (worker.is_lapsed || (worker.has_reported && worker.acks.is_empty()))
+}
--- /dev/null
+++ b/crates/node/src/rack/notify.rs
@@ -0,0 +1,88 @@
+//! What queue owners are told: verdicts, phases, roll answers and ends.
+
+use {
+    super::{AttemptKey, LocalPhase, RackTable, TrackedAttempt},
+    crate::{buffer::ActionBuffer, view::ClusterView},
+    damaskrack_model::{ClockTime, MemberName, TeamName},
+    damaskrack_ownership::{MemberStanding, PieceName},
+    damaskrack_wire::{EndedNotice, PeerMessage},
+    std::collections::BTreeMap,
+};
+
+/// Time after which an unacknowledged end is told again, in milliseconds.
+const REPEAT_MS: u64 = 500;
+
+/// Time after which unacknowledged ends are looked at for a change of owner, in milliseconds.
+const SCAN_MS: u64 = 100;
+
+/// Most ends in one message.
+const MAX_NOTICES: usize = 128;
+
+/// Sends the queued verdicts and phases.
+pub(crate) fn send_answers(rack: &mut RackTable, out: &mut ActionBuffer) {
+    for (member, verdicts) in std::mem::take(&mut rack.verdicts) {
+        out.send(&member, PeerMessage::Placed { rack: rack.name.clone(), verdicts });
+    }
+    for (member, rows) in std::mem::take(&mut rack.phases) {
+        out.send(&member, PeerMessage::Phases { rack: rack.name.clone(), rows });
+    }
+}
+
+/// Answers roll calls once the rack is rebuilt. A rack that somebody else may own by now does
+/// not answer, because its list may be out of date.
+pub(crate) fn answer_rolls(rack: &mut RackTable, view: &ClusterView, out: &mut ActionBuffer) {
+    let is_entitled_to_answer =
+        !rack.is_rebuilding && !rack.is_fenced && view.standing != MemberStanding::Isolated;
+    if !is_entitled_to_answer {
+        return;
+    }
+    for (team, roll) in std::mem::take(&mut rack.rolls) {
+        let rows = rack
+            .attempts
+            .values()
+            .filter(|attempt| *attempt.team() == team)
+            .map(TrackedAttempt::row)
+            .collect();
+        let answer =
+            PeerMessage::RollAnswer { team, epoch: roll.epoch, rack: rack.name.clone(), rows };
+        out.send(&roll.asker, answer);
+    }
+}
+
+/// Tells queue owners about ends that they have not acknowledged.
+pub(crate) fn send_notices(rack: &mut RackTable, view: &ClusterView, out: &mut ActionBuffer) {
+    if rack.is_fenced || view.now < rack.notice_at {
+        return;
+    }
+    rack.notice_at = view.now.plus(SCAN_MS);
+    let mut owners: BTreeMap<TeamName, Option<MemberName>> = BTreeMap::new();
+    let mut notices: BTreeMap<MemberName, Vec<EndedNotice>> = BTreeMap::new();
+    let keys: Vec<AttemptKey> = rack.keys_where(TrackedAttempt::is_ended);
+    for key in keys {
+        let Some(attempt) = rack.attempts.get_mut(key) else { continue };
+        let owner = owners
+            .entry(attempt.team().clone())
+            .or_insert_with_key(|team| view.owner(&PieceName::Team(team.clone())).cloned());
+        let Some(target) = owner.clone().or_else(|| attempt.asker.clone()) else { continue };
+        if is_told(attempt, &target, view.now) {
+            continue;
+        }
+        if let Some(notice) = attempt.notice() {
+            notices.entry(target.clone()).or_default().push(notice);
+        }
+        if let LocalPhase::Ended(end) = &mut attempt.phase {
+            end.told = Some((target, view.now));
+        }
+    }
+    for (owner, notices) in notices {
+        for part in notices.chunks(MAX_NOTICES) {
+            let message = PeerMessage::Ended { rack: rack.name.clone(), notices: part.to_vec() };
+            out.send(&owner, message);
+        }
+    }
+}
+
+fn is_told(attempt: &TrackedAttempt, target: &MemberName, now: ClockTime) -> bool {
+    let LocalPhase::Ended(end) = &attempt.phase else { return true };
+    end.told.as_ref().is_some_and(|(to, at)| to == target && now.since(*at) < REPEAT_MS)
+}
--- /dev/null
+++ b/crates/node/src/rack/place.rs
@@ -0,0 +1,335 @@
+//! Admission of attempts and what queue owners ask about them.
+//!
+//! The rack owner is the one authority for what its workers run, so it decides against its own
+//! table and answers at once. An attempt that it knows is never admitted again; an attempt that
+//! was inquired about before it arrived never starts.
+
+use {
+    super::{
+        LocalPhase, RackShared, RackTable, RollRow, StopReason, TrackedAttempt, WorkerKey,
+        preempt::claim_room, room::find_room,
+    },
+    crate::view::ClusterView,
+    damaskrack_model::{AttemptId, ClockTime, Epoch, MemberName, PriorityClass, TeamName},
+    damaskrack_ownership::FenceVerdict,
+    damaskrack_wire::{
+        AttemptPhase, AttemptRow, PlaceMode, PlaceOrder, PlaceVerdict, RefusalReason,
+    },
+};
+
+/// Time that room is held for a gang, in milliseconds.
+pub(crate) const HOLD_MS: u64 = 3_000;
+
+/// The sender of a command, as the fence judged it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct OwnerClaim<'a> {
+    /// The member that sent it.
+    pub(crate) asker: &'a MemberName,
+    /// The team whose queues it says it owns.
+    pub(crate) team: &'a TeamName,
+    /// Epoch of that ownership.
+    pub(crate) epoch: Epoch,
+    /// Whether a higher epoch is known.
+    pub(crate) verdict: FenceVerdict,
+}
+
+/// What to do with an order.
+#[derive(Debug)]
+enum PlaceStep {
+    /// It is known: say how far it has come.
+    Repeat(super::AttemptKey),
+    /// Do not take it.
+    Refuse(RefusalReason),
+    /// Take it on a worker with room.
+    Admit(WorkerKey),
+    /// Keep room on a worker whose victims are being stopped.
+    Await(WorkerKey),
+}
+
+/// Handles a place order.
+pub(crate) fn place(
+    rack: &mut RackTable,
+    shared: &mut RackShared,
+    view: &ClusterView,
+    claim: OwnerClaim<'_>,
+    order: PlaceOrder,
+) {
+    match next_step(rack, shared, view, claim, &order) {
+        PlaceStep::Repeat(key) => repeat_phase(rack, key),
+        PlaceStep::Refuse(reason) => {
+            rack.answer(claim.asker, order.attempt, PlaceVerdict::Refused(reason));
+        }
+        PlaceStep::Admit(worker) => {
+            let (mode, entry) = (order.mode, track(order, claim, worker, view.now));
+            let key = rack.insert(entry);
+            if mode == PlaceMode::Hold {
+                rack.confirm(key, PlaceVerdict::Held);
+            }
+        }
+        PlaceStep::Await(worker) => {
+            let phase = LocalPhase::Pending { since: view.now, mode: order.mode };
+            let entry = TrackedAttempt { phase, ..track(order, claim, worker, view.now) };
+            rack.insert(entry);
+        }
+    }
+}
+
+fn next_step(
+    rack: &mut RackTable,
+    shared: &mut RackShared,
+    view: &ClusterView,
+    claim: OwnerClaim<'_>,
+    order: &PlaceOrder,
+) -> PlaceStep {
+    if let Some(key) = rack.find(&order.attempt) {
+        return PlaceStep::Repeat(key);
+    }
+    if rack.voids.contains_key(&order.attempt) {
+        return PlaceStep::Refuse(RefusalReason::Void);
+    }
+    if claim.verdict == FenceVerdict::Stale || order.attempt.job.team != *claim.team {
+        return PlaceStep::Refuse(RefusalReason::StaleEpoch);
+    }
+    if let Some(reason) = closed_reason(rack, view) {
+        return PlaceStep::Refuse(reason);
+    }
+    let is_urgent = order.is_entitled && order.priority == PriorityClass::Urgent;
+    if !is_urgent && view.now < rack.ramp_until && !rack.ramp_budget.try_take(view.now) {
+        return PlaceStep::Refuse(RefusalReason::Full);
+    }
+    if let Some(worker) = find_room(rack, shared, order.resources, view.now) {
+        return PlaceStep::Admit(worker);
+    }
+    let victims_of = order.is_entitled.then_some((&order.attempt.job.team, order.priority));
+    match victims_of
+        .and_then(|(team, class)| claim_room(rack, shared, view, team, class, order.resources))
+    {
+        Some(worker) => PlaceStep::Await(worker),
+        None => PlaceStep::Refuse(RefusalReason::Full),
+    }
+}
+
+/// Returns why the rack starts nothing now, if so.
+pub(crate) fn closed_reason(rack: &RackTable, view: &ClusterView) -> Option<RefusalReason> {
+    if rack.is_frozen || rack.is_fenced {
+        Some(RefusalReason::NotOwner)
+    } else if !view.may_start() {
+        Some(RefusalReason::Isolated)
+    } else if rack.is_rebuilding {
+        Some(RefusalReason::Rebuilding)
+    } else if !rack.zone.as_ref().is_some_and(|zone| view.is_zone_in(zone)) {
+        Some(RefusalReason::ZoneOut)
+    } else {
+        None
+    }
+}
+
+fn track(
+    order: PlaceOrder,
+    claim: OwnerClaim<'_>,
+    worker: WorkerKey,
+    now: ClockTime,
+) -> TrackedAttempt {
+    let phase = match order.mode {
+        PlaceMode::Start => LocalPhase::Ready,
+        PlaceMode::Hold => LocalPhase::Held { expires_at: now.plus(HOLD_MS) },
+    };
+    TrackedAttempt {
+        id: order.attempt,
+        epoch: claim.epoch,
+        asker: Some(claim.asker.clone()),
+        worker,
+        resources: order.resources,
+        kind: Some(order.kind),
+        class: order.priority,
+        is_entitled: order.is_entitled,
+        is_preemptible: order.idempotent,
+        payload: order.payload,
+        started_at: now,
+        phase,
+        stop: None,
+        over_since: None,
+    }
+}
+
+/// Says again how far a known attempt has come; while a start is under way its verdict follows.
+fn repeat_phase(rack: &mut RackTable, key: super::AttemptKey) {
+    match rack.attempts.get_mut(key).map(|attempt| &mut attempt.phase) {
+        Some(LocalPhase::Running { .. }) => rack.confirm(key, PlaceVerdict::Started),
+        Some(LocalPhase::Held { .. }) => rack.confirm(key, PlaceVerdict::Held),
+        Some(LocalPhase::Ended(end)) => {
+            end.told = None;
+            rack.notice_at = ClockTime::default();
+        }
+        _ => {}
+    }
+}
+
+/// Handles a commit of held attempts.
+pub(crate) fn commit(
+    rack: &mut RackTable,
+    view: &ClusterView,
+    claim: OwnerClaim<'_>,
+    attempts: Vec<AttemptId>,
+) {
+    for id in attempts {
+        let key = rack.find(&id);
+        let is_held = key
+            .and_then(|key| rack.attempts.get(key))
+            .is_some_and(|attempt| matches!(attempt.phase, LocalPhase::Held { .. }));
+        match (key, is_held) {
+            (Some(key), true) if claim.verdict == FenceVerdict::Stale => {
+                rack.refuse(key, RefusalReason::StaleEpoch);
+            }
+            (Some(key), true) => match closed_reason(rack, view) {
+                Some(reason) => rack.refuse(key, reason),
+                None => start_held(rack, key),
+            },
+            (Some(key), false) => repeat_phase(rack, key),
+            (None, _) if rack.is_rebuilding => {}
+            (None, _) => {
+                rack.make_void(id.clone(), view.now);
+                let reason = RefusalReason::HoldExpired;
+                rack.answer(claim.asker, id, PlaceVerdict::Refused(reason));
+            }
+        }
+    }
+}
+
+fn start_held(rack: &mut RackTable, key: super::AttemptKey) {
+    if let Some(attempt) = rack.attempts.get_mut(key) {
+        attempt.phase = LocalPhase::Ready;
+        rack.is_dirty = true;
+    }
+}
+
+/// Handles a release of attempts that have not started.
+pub(crate) fn release(
+    rack: &mut RackTable,
+    now: ClockTime,
+    claim: OwnerClaim<'_>,
+    attempts: Vec<AttemptId>,
+) {
+    drop_unsent(rack, now, claim, &attempts);
+    tell_phases(rack, now, claim, attempts);
+}
+
+/// Handles a stop of attempts, started or not.
+pub(crate) fn stop_attempts(
+    rack: &mut RackTable,
+    now: ClockTime,
+    claim: OwnerClaim<'_>,
+    attempts: Vec<AttemptId>,
+) {
+    if claim.verdict == FenceVerdict::Stale {
+        return;
+    }
+    drop_unsent(rack, now, claim, &attempts);
+    let mut gone = Vec::new();
+    for id in attempts {
+        match rack.find(&id).and_then(|key| rack.attempts.get_mut(key)) {
+            Some(attempt) if attempt.is_ended() => gone.push(id),
+            Some(attempt) => {
+                attempt.want_stop(StopReason::Requested, now);
+                rack.is_dirty = true;
+            }
+            None => gone.push(id),
+        }
+    }
+    tell_phases(rack, now, claim, gone);
+}
+
+/// Handles a question about attempts. One that has not been seen becomes void, so that the
+/// answer stays true.
+pub(crate) fn inquire(
+    rack: &mut RackTable,
+    now: ClockTime,
+    claim: OwnerClaim<'_>,
+    attempts: Vec<AttemptId>,
+) {
+    tell_phases(rack, now, claim, attempts);
+}
+
+fn drop_unsent(
+    rack: &mut RackTable,
+    now: ClockTime,
+    claim: OwnerClaim<'_>,
+    attempts: &[AttemptId],
+) {
+    if claim.verdict == FenceVerdict::Stale {
+        return;
+    }
+    for id in attempts {
+        let Some(key) = rack.find(id) else { continue };
+        if rack.attempts.get(key).is_some_and(TrackedAttempt::is_unsent) {
+            rack.remove(key);
+            rack.make_void(id.clone(), now);
+        }
+    }
+}
+
+/// Queues the phases of attempts. Nothing is said of an unseen attempt during the rebuild, since
+/// a worker that has not reported yet may run it.
+fn tell_phases(
+    rack: &mut RackTable,
+    now: ClockTime,
+    claim: OwnerClaim<'_>,
+    attempts: Vec<AttemptId>,
+) {
+    let mut rows = Vec::with_capacity(attempts.len());
+    for id in attempts {
+        match rack.find(&id).and_then(|key| rack.attempts.get(key)) {
+            Some(attempt) => rows.push(attempt.row()),
+            None if rack.is_rebuilding || rack.is_fenced => {}
+            None => {
+                rack.make_void(id.clone(), now);
+                rows.push(void_row(id));
+            }
+        }
+    }
+    if !rows.is_empty() {
+        rack.phases.entry(claim.asker.clone()).or_default().extend(rows);
+        rack.is_dirty = true;
+    }
+}
+
+fn void_row(attempt: AttemptId) -> AttemptRow {
+    AttemptRow { attempt, resources: damaskrack_model::Resources::ZERO, phase: AttemptPhase::Void }
+}
+
+/// Handles acknowledgements of ended attempts.
+pub(crate) fn acknowledge(rack: &mut RackTable, attempts: Vec<AttemptId>) {
+    for id in attempts {
+        let Some(key) = rack.find(&id) else { continue };
+        if !rack.attempts.get(key).is_some_and(TrackedAttempt::is_ended) {
+            continue;
+        }
+        if let Some(attempt) = rack.remove(key)
+            && let Some(worker) = rack.workers.get_mut(attempt.worker)
+        {
+            worker.acks.insert(id);
+        }
+    }
+}
+
+/// Handles a roll call: what a former owner placed and what was not sent yet never starts, and
+/// the answer follows once the rack is rebuilt.
+pub(crate) fn roll_call(rack: &mut RackTable, now: ClockTime, claim: OwnerClaim<'_>) {
+    if claim.verdict == FenceVerdict::Stale {
+        return;
+    }
+    let outdated = rack.keys_where(|attempt| {
+        attempt.team() == claim.team && attempt.is_unsent() && attempt.epoch < claim.epoch
+    });
+    for key in outdated {
+        if let Some(attempt) = rack.remove(key) {
+            rack.make_void(attempt.id, now);
+        }
+    }
+    for attempt in rack.attempts.values_mut().filter(|attempt| attempt.team() == claim.team) {
+        attempt.asker = Some(claim.asker.clone());
+    }
+    let row = RollRow { epoch: claim.epoch, asker: claim.asker.clone() };
+    rack.rolls.insert(claim.team.clone(), row);
+    rack.is_dirty = true;
+}
--- /dev/null
+++ b/crates/node/src/rack/report.rs
@@ -0,0 +1,345 @@
+//! What a worker's answers change.
+//!
+//! A report lists everything that the worker knows, so the rack's table follows it: attempts that
+//! were not known are adopted, which is how the table is rebuilt after a take.
+
+use {
+    super::{
+        AttemptKey, BootStep, CallKind, CallRow, EndMark, LocalPhase, RackShared, RackTable,
+        StopReason, TrackedAttempt, WorkerKey,
+        shared::blamed_job,
+        start::{confirm_start, on_lost, on_unreached, on_verdicts},
+        stop::{stop_forgotten, throttle},
+        sync::{end_sync, lapse_attempt},
+    },
+    crate::{LogLevel, buffer::ActionBuffer, view::ClusterView},
+    damaskrack_model::{AttemptId, ClockTime, Epoch, PriorityClass, Resources, TaskResult},
+    damaskrack_platform::{
+        EndedRow, RunningRow, WorkerBody, WorkerFailure, WorkerReply, WorkerReport,
+    },
+    damaskrack_wire::RefusalReason,
+    std::collections::BTreeSet,
+};
+
+/// Use above the declared size that is let pass, in percent; usage reports are not exact.
+const OVERUSE_TOLERANCE_PERCENT: u64 = 10;
+
+/// Time that a throttled attempt may go on using more than it declared, in milliseconds.
+const OVERUSE_STOP_MS: u64 = 5_000;
+
+/// Handles the end of a worker call.
+pub(crate) fn on_call_end(
+    rack: &mut RackTable,
+    shared: &mut RackShared,
+    (call, row): (u64, &CallRow),
+    result: Result<WorkerReply, WorkerFailure>,
+    view: &ClusterView,
+    out: &mut ActionBuffer,
+) {
+    rack.is_dirty = true;
+    let Some(worker) = rack.workers.get_mut(row.worker) else {
+        return end_without_worker(rack, &row.kind, result.err());
+    };
+    end_sync(worker, call, result.is_ok(), view.now);
+    let reply = match result {
+        Ok(reply) => reply,
+        Err(failure) => return on_failure(rack, row, failure),
+    };
+    if let WorkerBody::Stale { epoch } = reply.body {
+        return on_stale(rack, row, epoch, out);
+    }
+    match worker.note_reply(reply.boot, reply.clock_ms, view.now) {
+        BootStep::Former => return on_failure(rack, row, WorkerFailure::Lost),
+        BootStep::Restarted => lapse_former(rack, row.worker),
+        BootStep::Same => {}
+    }
+    match (&row.kind, reply.body) {
+        (CallKind::Sync, WorkerBody::Report(report)) => {
+            let mut reader = ReportReader {
+                worker: row.worker,
+                clock_ms: reply.clock_ms,
+                rack,
+                shared,
+                now: view.now,
+            };
+            reader.read(report, out);
+        }
+        (CallKind::Start(keys), WorkerBody::Starts { verdicts }) => {
+            on_verdicts(rack, keys, &verdicts, reply.clock_ms);
+        }
+        (CallKind::Start(keys), _) => on_lost(rack, keys),
+        (CallKind::Sync | CallKind::Command, _) => {}
+    }
+}
+
+fn end_without_worker(rack: &mut RackTable, kind: &CallKind, failure: Option<WorkerFailure>) {
+    let CallKind::Start(keys) = kind else { return };
+    match failure {
+        Some(WorkerFailure::Unreachable) => {
+            on_unreached(rack, keys, RefusalReason::WorkerRefused);
+        }
+        _ => keys.iter().for_each(|&key| lapse_attempt(rack, key)),
+    }
+}
+
+fn on_failure(rack: &mut RackTable, row: &CallRow, failure: WorkerFailure) {
+    if let Some(worker) = rack.workers.get_mut(row.worker) {
+        worker.is_suspect = true;
+    }
+    match (&row.kind, failure) {
+        (CallKind::Start(keys), WorkerFailure::Unreachable) => {
+            on_unreached(rack, keys, RefusalReason::WorkerRefused);
+        }
+        (CallKind::Start(keys), WorkerFailure::Lost) => on_lost(rack, keys),
+        (CallKind::Sync | CallKind::Command, _) => {}
+    }
+}
+
+/// A worker has seen a later owner of the rack: this one is not the owner any more.
+fn on_stale(rack: &mut RackTable, row: &CallRow, epoch: Epoch, out: &mut ActionBuffer) {
+    if !rack.is_fenced {
+        out.log(
+            LogLevel::Warning,
+            "rack_fenced",
+            &[("rack", &rack.name), ("epoch", &rack.epoch.0), ("seen", &epoch.0)],
+        );
+    }
+    rack.is_fenced = true;
+    if let CallKind::Start(keys) = &row.kind {
+        on_unreached(rack, keys, RefusalReason::NotOwner);
+    }
+}
+
+/// Ends what a replaced worker process ran. A start that is not confirmed may have reached the new
+/// process, so it stays open.
+fn lapse_former(rack: &mut RackTable, worker: WorkerKey) {
+    let Some(row) = rack.workers.get(worker) else { return };
+    for key in row.attempts.clone() {
+        if rack.attempts.get(key).is_some_and(TrackedAttempt::is_running) {
+            lapse_attempt(rack, key);
+        }
+    }
+}
+
+/// What a report means for an attempt that it does not list.
+#[derive(Debug, Clone, Copy)]
+enum UnlistedStep {
+    /// Nothing yet.
+    Keep,
+    /// It ran, or may have, and is gone.
+    Lapse,
+    /// It was never started and cannot be any more.
+    Void,
+}
+
+/// Applies one report.
+#[derive(Debug)]
+struct ReportReader<'a> {
+    rack: &'a mut RackTable,
+    shared: &'a mut RackShared,
+    worker: WorkerKey,
+    clock_ms: u64,
+    now: ClockTime,
+}
+
+impl ReportReader<'_> {
+    fn read(&mut self, report: WorkerReport, out: &mut ActionBuffer) {
+        let listed: BTreeSet<AttemptId> = report
+            .running
+            .iter()
+            .map(|row| &row.attempt)
+            .chain(report.ended.iter().map(|row| &row.attempt))
+            .cloned()
+            .collect();
+        self.note_worker(&report, &listed);
+        let mut unwanted = Vec::new();
+        let mut overusing = Vec::new();
+        for row in report.running {
+            unwanted.extend(self.read_running(row, &mut overusing));
+        }
+        for row in report.ended {
+            self.read_ended(row);
+        }
+        self.settle_unlisted(&listed);
+        stop_forgotten(self.rack, self.shared, self.worker, unwanted, out);
+        throttle(self.rack, self.shared, self.worker, &overusing, out);
+    }
+
+    fn note_worker(&mut self, report: &WorkerReport, listed: &BTreeSet<AttemptId>) {
+        if let Some(worker) = self.rack.workers.get_mut(self.worker) {
+            worker.seen = report.number;
+            worker.capacity = report.capacity;
+            worker.slots = report.slots;
+            worker.has_reported = true;
+            worker.is_lapsed = false;
+            worker.acks.retain(|attempt| listed.contains(attempt));
+        }
+    }
+
+    /// Reads an attempt that runs; returns it if it must not.
+    fn read_running(
+        &mut self,
+        row: RunningRow,
+        overusing: &mut Vec<AttemptKey>,
+    ) -> Option<AttemptId> {
+        let Some(key) = self.rack.find(&row.attempt) else {
+            return self.adopt_running(row);
+        };
+        let attempt = self.rack.attempts.get(key)?;
+        if attempt.is_ended() || attempt.worker != self.worker {
+            return Some(row.attempt);
+        }
+        confirm_start(self.rack, key, self.clock_ms);
+        if self.is_overuse_new(key, row.usage) {
+            overusing.push(key);
+        }
+        None
+    }
+
+    fn adopt_running(&mut self, row: RunningRow) -> Option<AttemptId> {
+        let is_unwanted = self.is_acked(&row.attempt) || self.rack.voids.contains_key(&row.attempt);
+        if is_unwanted {
+            return Some(row.attempt);
+        }
+        let started_at = ClockTime(self.now.0.saturating_sub(row.age_ms));
+        let phase = LocalPhase::Running { confirmed_ms: self.clock_ms };
+        let entry = TrackedAttempt {
+            resources: row.resources,
+            is_preemptible: row.preemptible,
+            ..self.adopted(row.attempt, started_at, phase)
+        };
+        self.rack.insert(entry);
+        None
+    }
+
+    fn read_ended(&mut self, row: EndedRow) {
+        let Some(key) = self.rack.find(&row.attempt) else {
+            if !self.is_acked(&row.attempt) {
+                let phase = LocalPhase::Ended(EndMark {
+                    result: row.result,
+                    output: row.output,
+                    told: None,
+                });
+                let entry = self.adopted(row.attempt, self.now, phase);
+                self.rack.insert(entry);
+                self.rack.notice_at = ClockTime::default();
+            }
+            return;
+        };
+        let Some(attempt) = self.rack.attempts.get(key) else { return };
+        if attempt.is_ended() || attempt.worker != self.worker {
+            return;
+        }
+        let job = blamed_job(&attempt.id.job, attempt.kind);
+        confirm_start(self.rack, key, self.clock_ms);
+        if let (Some(is_failed), Some(worker)) =
+            (is_failure(row.result), self.rack.workers.get(self.worker))
+        {
+            self.shared.health.record(worker.name.clone(), job, is_failed, self.now);
+        }
+        self.rack.end(key, row.result, row.output);
+    }
+
+    /// Settles attempts that the worker should know and does not list. A report may be older than
+    /// the answer to a start, so only one that is later by the worker's clock counts.
+    fn settle_unlisted(&mut self, listed: &BTreeSet<AttemptId>) {
+        let Some(worker) = self.rack.workers.get(self.worker) else { return };
+        let worker_boot = worker.boot;
+        for key in worker.attempts.clone() {
+            let Some(attempt) = self.rack.attempts.get(key) else { continue };
+            if listed.contains(&attempt.id) {
+                continue;
+            }
+            match self.next_unlisted_step(attempt, worker_boot) {
+                UnlistedStep::Keep => {}
+                UnlistedStep::Lapse => self.rack.end(key, TaskResult::Lapsed, String::new()),
+                UnlistedStep::Void => {
+                    let id = attempt.id.clone();
+                    self.rack.make_void(id, self.now);
+                    self.rack.refuse(key, RefusalReason::WorkerRefused);
+                }
+            }
+        }
+    }
+
+    fn next_unlisted_step(&self, attempt: &TrackedAttempt, boot: Option<u64>) -> UnlistedStep {
+        match &attempt.phase {
+            LocalPhase::Running { confirmed_ms } if self.clock_ms > *confirmed_ms => {
+                UnlistedStep::Lapse
+            }
+            LocalPhase::Starting(mark) if Some(mark.boot) == boot => {
+                let is_refused_now = self.clock_ms > mark.lease_until_ms;
+                if is_refused_now { UnlistedStep::Void } else { UnlistedStep::Keep }
+            }
+            // The process that the start was meant for is gone and its clock with it, so only
+            // this daemon's own clock tells when the start can no longer take effect.
+            LocalPhase::Starting(mark) if mark.call.is_none() => {
+                let lapse_ms = self.shared.intervals.lapse_ms();
+                let is_over = self.now.since(attempt.started_at) > lapse_ms;
+                if is_over { UnlistedStep::Lapse } else { UnlistedStep::Keep }
+            }
+            _ => UnlistedStep::Keep,
+        }
+    }
+
+    /// Tells whether an attempt has just begun to use too much; stops it if it goes on.
+    fn is_overuse_new(&mut self, key: AttemptKey, usage: Resources) -> bool {
+        let Some(attempt) = self.rack.attempts.get_mut(key) else { return false };
+        if !is_overuse(attempt.resources, usage) {
+            attempt.over_since = None;
+            return false;
+        }
+        match attempt.over_since {
+            None => {
+                attempt.over_since = Some(self.now);
+                true
+            }
+            Some(since) => {
+                if self.now.since(since) >= OVERUSE_STOP_MS {
+                    attempt.want_stop(StopReason::Overuse, self.now);
+                }
+                false
+            }
+        }
+    }
+
+    fn is_acked(&self, attempt: &AttemptId) -> bool {
+        self.rack.workers.get(self.worker).is_some_and(|worker| worker.acks.contains(attempt))
+    }
+
+    fn adopted(&self, id: AttemptId, started_at: ClockTime, phase: LocalPhase) -> TrackedAttempt {
+        TrackedAttempt {
+            epoch: id.epoch,
+            id,
+            asker: None,
+            worker: self.worker,
+            resources: Resources::ZERO,
+            kind: None,
+            class: PriorityClass::Normal,
+            is_entitled: false,
+            is_preemptible: false,
+            payload: String::new(),
+            started_at,
+            phase,
+            stop: None,
+            over_since: None,
+        }
+    }
+}
+
+fn is_failure(result: TaskResult) -> Option<bool> {
+    match result {
+        TaskResult::Succeeded => Some(false),
+        TaskResult::Failed => Some(true),
+        TaskResult::Stopped | TaskResult::Lapsed | TaskResult::NeverStarted => None,
+    }
+}
+
+fn is_overuse(declared: Resources, usage: Resources) -> bool {
+    let is_over = |declared: u64, used: u64| {
+        used > declared.saturating_add(declared / 100 * OVERUSE_TOLERANCE_PERCENT)
+    };
+    is_over(declared.millicores, usage.millicores)
+        || is_over(declared.memory_bytes, usage.memory_bytes)
+        || usage.accelerators > declared.accelerators
+}
--- /dev/null
+++ b/crates/node/src/rack/room.rs
@@ -0,0 +1,56 @@
+//! What room each worker of a rack offers.
+
+use {
+    super::{RackShared, RackTable, WorkerKey, WorkerRow},
+    damaskrack_model::{ClockTime, Resources},
+    damaskrack_platform::HostState,
+    damaskrack_policy::{HealthGate, WorkerRoom, choose_worker},
+};
+
+/// Tells whether a worker may get new work at all.
+pub(crate) fn is_worker_open(worker: &WorkerRow, shared: &RackShared, now: ClockTime) -> bool {
+    worker.listed == Some(HostState::Live)
+        && worker.has_reported
+        && !worker.is_lapsed
+        && !worker.is_suspect
+        && worker.is_heard_within(shared.intervals.silence_ms(), now)
+        && shared.health.gate(&worker.name) != HealthGate::Closed
+}
+
+/// Returns the room of a worker. What is kept for pending attempts counts as taken.
+pub(crate) fn worker_room(
+    rack: &RackTable,
+    worker: &WorkerRow,
+    shared: &RackShared,
+    now: ClockTime,
+) -> WorkerRoom {
+    let load = rack.load(worker);
+    let taken_slots = load.present_slots + load.pending_slots;
+    let slots = match shared.health.gate(&worker.name) {
+        HealthGate::Open => worker.slots,
+        HealthGate::Probe => worker.slots.min(1),
+        HealthGate::Closed => 0,
+    };
+    WorkerRoom {
+        capacity: worker.capacity,
+        free: worker.capacity.saturating_sub(load.present).saturating_sub(load.pending),
+        free_slots: slots.saturating_sub(taken_slots),
+        is_open: is_worker_open(worker, shared, now),
+    }
+}
+
+/// Chooses the worker for a task that needs `need`.
+pub(crate) fn find_room(
+    rack: &RackTable,
+    shared: &RackShared,
+    need: Resources,
+    now: ClockTime,
+) -> Option<WorkerKey> {
+    let (keys, rooms): (Vec<_>, Vec<_>) = rack
+        .worker_keys
+        .values()
+        .filter_map(|&key| Some((key, rack.workers.get(key)?)))
+        .map(|(key, worker)| (key, worker_room(rack, worker, shared, now)))
+        .unzip();
+    choose_worker(&rooms, need).map(|index| keys[index])
+}
--- /dev/null
+++ b/crates/node/src/rack/start.rs
@@ -0,0 +1,178 @@
+//! Starts and what comes back of them.
+//!
+//! A start whose answer is lost is neither repeated nor refused: it stays uncertain until the
+//! worker's own list shows it, or until the worker's clock has passed the time after which it
+//! would have refused the start.
+
+use {
+    super::{
+        AttemptKey, CallKind, CallRow, LocalPhase, RackShared, RackTable, StartMark, WorkerKey,
+        place::closed_reason, room::is_worker_open,
+    },
+    crate::{buffer::ActionBuffer, view::ClusterView},
+    damaskrack_model::{ClockTime, Epoch, TeamName},
+    damaskrack_ownership::FenceVerdict,
+    damaskrack_platform::{StartOrder, StartVerdict, WorkerCall},
+    damaskrack_wire::{PlaceVerdict, RefusalReason},
+    std::collections::BTreeMap,
+};
+
+/// Sends every admitted attempt to its worker, one batch a worker.
+pub(crate) fn run_starts(
+    rack: &mut RackTable,
+    shared: &mut RackShared,
+    view: &ClusterView,
+    out: &mut ActionBuffer,
+) {
+    let mut batches: BTreeMap<WorkerKey, Vec<AttemptKey>> = BTreeMap::new();
+    for key in rack.keys_where(|attempt| matches!(attempt.phase, LocalPhase::Ready)) {
+        match start_obstacle(rack, shared, view, key) {
+            Some(reason) => rack.refuse(key, reason),
+            None => {
+                if let Some(attempt) = rack.attempts.get(key) {
+                    batches.entry(attempt.worker).or_default().push(key);
+                }
+            }
+        }
+    }
+    for (worker, keys) in batches {
+        send_batch(rack, shared, worker, keys, view.now, out);
+    }
+}
+
+/// Refuses what was not sent when the rack may no longer start it.
+pub(crate) fn expire_unsent(rack: &mut RackTable, shared: &mut RackShared, view: &ClusterView) {
+    let closed = closed_reason(rack, view);
+    for key in rack.keys_where(super::TrackedAttempt::is_unsent) {
+        let Some(attempt) = rack.attempts.get(key) else { continue };
+        let (team, epoch) = (attempt.team().clone(), attempt.epoch);
+        let is_expired =
+            matches!(attempt.phase, LocalPhase::Held { expires_at } if view.now >= expires_at);
+        if let Some(reason) = closed {
+            rack.refuse(key, reason);
+        } else if is_outdated(shared, view, &team, epoch) {
+            rack.refuse(key, RefusalReason::StaleEpoch);
+        } else if is_expired {
+            rack.refuse(key, RefusalReason::HoldExpired);
+        }
+    }
+}
+
+fn is_outdated(shared: &mut RackShared, view: &ClusterView, team: &TeamName, epoch: Epoch) -> bool {
+    shared.judge(team, epoch, view) == FenceVerdict::Stale
+}
+
+fn start_obstacle(
+    rack: &RackTable,
+    shared: &mut RackShared,
+    view: &ClusterView,
+    key: AttemptKey,
+) -> Option<RefusalReason> {
+    let attempt = rack.attempts.get(key)?;
+    if let Some(reason) = closed_reason(rack, view) {
+        return Some(reason);
+    }
+    if is_outdated(shared, view, attempt.team(), attempt.epoch) {
+        return Some(RefusalReason::StaleEpoch);
+    }
+    let is_open = rack
+        .workers
+        .get(attempt.worker)
+        .is_some_and(|worker| is_worker_open(worker, shared, view.now));
+    (!is_open).then_some(RefusalReason::WorkerRefused)
+}
+
+fn send_batch(
+    rack: &mut RackTable,
+    shared: &mut RackShared,
+    worker: WorkerKey,
+    keys: Vec<AttemptKey>,
+    now: ClockTime,
+    out: &mut ActionBuffer,
+) {
+    let Some(row) = rack.workers.get(worker) else { return };
+    let (address, boot) = (row.address, row.boot.unwrap_or_default());
+    let lease_until_ms = row.clock_ms.saturating_add(shared.intervals.lease_ms);
+    let orders = keys.iter().filter_map(|&key| take_order(rack, key)).collect();
+    let request =
+        WorkerCall::Start { rack: rack.name.clone(), epoch: rack.epoch, orders, lease_until_ms };
+    let call = out.worker(address, request, shared.intervals.timeout_ms);
+    out.count("rack.starts", keys.len() as u64);
+    for &key in &keys {
+        if let Some(attempt) = rack.attempts.get_mut(key) {
+            attempt.started_at = now;
+            attempt.phase =
+                LocalPhase::Starting(StartMark { call: Some(call), lease_until_ms, boot });
+        }
+    }
+    let kind = CallKind::Start(keys);
+    let row = CallRow { rack: rack.name.clone(), epoch: rack.epoch, worker, kind };
+    shared.calls.insert(call, row);
+}
+
+fn take_order(rack: &mut RackTable, key: AttemptKey) -> Option<StartOrder> {
+    let attempt = rack.attempts.get_mut(key)?;
+    Some(StartOrder {
+        attempt: attempt.id.clone(),
+        resources: attempt.resources,
+        payload: std::mem::take(&mut attempt.payload),
+        preemptible: attempt.is_preemptible,
+    })
+}
+
+/// Handles the verdicts on a batch.
+pub(crate) fn on_verdicts(
+    rack: &mut RackTable,
+    keys: &[AttemptKey],
+    verdicts: &[StartVerdict],
+    clock_ms: u64,
+) {
+    for (index, &key) in keys.iter().enumerate() {
+        match verdicts.get(index) {
+            Some(StartVerdict::Started) => confirm_start(rack, key, clock_ms),
+            Some(StartVerdict::Full | StartVerdict::Expired) if is_starting(rack, key) => {
+                rack.refuse(key, RefusalReason::WorkerRefused);
+            }
+            Some(_) => {}
+            None => lose_answer(rack, key),
+        }
+    }
+}
+
+/// Notes that a worker has started an attempt, and tells its queue owner.
+pub(crate) fn confirm_start(rack: &mut RackTable, key: AttemptKey, clock_ms: u64) {
+    if is_starting(rack, key) {
+        if let Some(attempt) = rack.attempts.get_mut(key) {
+            attempt.phase = LocalPhase::Running { confirmed_ms: clock_ms };
+        }
+        rack.confirm(key, PlaceVerdict::Started);
+    }
+}
+
+/// Handles a batch that provably did not arrive.
+pub(crate) fn on_unreached(rack: &mut RackTable, keys: &[AttemptKey], reason: RefusalReason) {
+    for &key in keys {
+        if is_starting(rack, key) {
+            rack.refuse(key, reason);
+        }
+    }
+}
+
+/// Handles a batch whose answer is lost: the next reports decide.
+pub(crate) fn on_lost(rack: &mut RackTable, keys: &[AttemptKey]) {
+    for &key in keys {
+        lose_answer(rack, key);
+    }
+}
+
+fn lose_answer(rack: &mut RackTable, key: AttemptKey) {
+    if let Some(attempt) = rack.attempts.get_mut(key)
+        && let LocalPhase::Starting(mark) = &mut attempt.phase
+    {
+        mark.call = None;
+    }
+}
+
+fn is_starting(rack: &RackTable, key: AttemptKey) -> bool {
+    rack.attempts.get(key).is_some_and(|attempt| matches!(attempt.phase, LocalPhase::Starting(_)))
+}
--- /dev/null
+++ b/crates/node/src/rack/summary.rs
@@ -0,0 +1,91 @@
+//! What the other daemons and operators see of a rack.
+
+use {
+    super::{LocalPhase, RackShared, RackTable, room::worker_room},
+    crate::view::ClusterView,
+    damaskrack_model::{Resources, TeamName, ZoneName},
+    damaskrack_policy::WorkerRoom,
+    damaskrack_wire::RackSummary,
+    serde_json::{Value, json},
+    std::collections::BTreeMap,
+};
+
+/// Summarises a rack; `None` until the host list has named its zone.
+pub(crate) fn summarise(
+    rack: &RackTable,
+    shared: &RackShared,
+    view: &ClusterView,
+) -> Option<RackSummary> {
+    let zone = rack.zone.clone()?;
+    let rooms: Vec<WorkerRoom> = rack
+        .workers
+        .values()
+        .map(|worker| worker_room(rack, worker, shared, view.now))
+        .filter(|room| room.is_open)
+        .collect();
+    let is_open =
+        rack.is_serving() && view.may_start() && view.is_zone_in(&zone) && !rooms.is_empty();
+    Some(RackSummary { is_open, ..count_rooms(rack, zone, &rooms) })
+}
+
+fn count_rooms(rack: &RackTable, zone: ZoneName, rooms: &[WorkerRoom]) -> RackSummary {
+    let with_slots = || rooms.iter().filter(|room| room.free_slots > 0);
+    let sum = |sum: Resources, amount: Resources| sum.saturating_add(amount);
+    RackSummary {
+        rack: rack.name.clone(),
+        zone,
+        epoch: rack.epoch,
+        is_open: false,
+        capacity: rooms.iter().map(|room| room.capacity).fold(Resources::ZERO, sum),
+        free: with_slots().map(|room| room.free).fold(Resources::ZERO, sum),
+        free_slots: rooms.iter().map(|room| room.free_slots).sum(),
+        largest_free: largest(with_slots().map(|room| (room.free, room.capacity))),
+        largest_worker: largest(rooms.iter().map(|room| (room.capacity, room.capacity))),
+        used: used_by_team(rack),
+    }
+}
+
+/// Returns the amount that is largest in processors and memory together.
+fn largest(amounts: impl Iterator<Item = (Resources, Resources)>) -> Resources {
+    let size = |amount: Resources| {
+        (u128::from(amount.millicores) + 1) * (u128::from(amount.memory_bytes) + 1)
+    };
+    amounts.map(|(amount, _)| amount).max_by_key(|&amount| size(amount)).unwrap_or_default()
+}
+
+fn used_by_team(rack: &RackTable) -> Vec<(TeamName, Resources)> {
+    let mut used: BTreeMap<&TeamName, Resources> = BTreeMap::new();
+    for attempt in rack.attempts.values() {
+        if matches!(attempt.phase, LocalPhase::Pending { .. } | LocalPhase::Ended(_)) {
+            continue;
+        }
+        let sum = used.entry(attempt.team()).or_default();
+        *sum = sum.saturating_add(attempt.resources);
+    }
+    used.into_iter().map(|(team, sum)| (team.clone(), sum)).collect()
+}
+
+/// Returns a rack's table, as JSON for a person.
+pub(crate) fn dump_rack(rack: &RackTable) -> Value {
+    let worker_name = |attempt: &super::TrackedAttempt| {
+        rack.workers.get(attempt.worker).map(|worker| worker.name.clone())
+    };
+    let attempts: Vec<Value> = rack
+        .attempts
+        .values()
+        .map(|attempt| json!({ "worker": worker_name(attempt), "attempt": attempt }))
+        .collect();
+    json!({
+        "rack": rack.name,
+        "zone": rack.zone,
+        "epoch": rack.epoch,
+        "taken_at": rack.taken_at,
+        "is_rebuilding": rack.is_rebuilding,
+        "is_frozen": rack.is_frozen,
+        "is_fenced": rack.is_fenced,
+        "zone_out_since": rack.zone_out_since,
+        "voids": rack.voids.len(),
+        "workers": rack.workers.values().collect::<Vec<_>>(),
+        "attempts": attempts,
+    })
+}
--- /dev/null
+++ b/crates/node/src/rack/sync.rs
@@ -0,0 +1,149 @@
+//! Renewal of leases and the rebuild after a take.
+//!
+//! One sync a worker is outstanding at any time: it renews the leases, acknowledges ends and
+//! waits for news. A new lease counts from the last clock reading that the worker itself sent,
+//! so silence of a worker for a lease and a margin proves that whatever it ran has stopped.
+
+use {
+    super::{CallKind, CallRow, LocalPhase, RackShared, RackTable, WorkerKey, WorkerRow},
+    crate::{LogLevel, buffer::ActionBuffer, view::ClusterView},
+    damaskrack_model::{ClockTime, TaskResult},
+    damaskrack_ownership::MemberStanding,
+    damaskrack_platform::WorkerCall,
+    damaskrack_wire::RefusalReason,
+};
+
+/// Time after which a failed sync is tried again, in milliseconds.
+const RETRY_MS: u64 = 250;
+
+/// Time beyond its deadline after which a sync counts as lost in any case, in milliseconds.
+const OVERDUE_MS: u64 = 1_000;
+
+/// Sends the syncs that are due.
+pub(crate) fn run_syncs(
+    rack: &mut RackTable,
+    shared: &mut RackShared,
+    view: &ClusterView,
+    out: &mut ActionBuffer,
+) {
+    if rack.is_fenced {
+        return;
+    }
+    let is_renewing = view.standing != MemberStanding::Isolated;
+    let wait_ms = shared.intervals.sync_wait_ms();
+    let overdue_ms = wait_ms + shared.intervals.timeout_ms + OVERDUE_MS;
+    for (key, worker) in &mut rack.workers {
+        if worker.sync.is_some_and(|(_, sent_at)| view.now.since(sent_at) > overdue_ms) {
+            worker.sync = None;
+        }
+        let is_due = worker.sync.is_none() && view.now >= worker.sync_at;
+        if !is_due || !worker.sync_budget.try_take(view.now) {
+            continue;
+        }
+        let lease_until_ms = match is_renewing && worker.has_reported {
+            true => worker.clock_ms.saturating_add(shared.intervals.lease_ms),
+            false => 0,
+        };
+        let request = WorkerCall::Sync {
+            rack: rack.name.clone(),
+            epoch: rack.epoch,
+            lease_until_ms,
+            acks: worker.acks.iter().cloned().collect(),
+            seen: worker.seen,
+            wait_ms: if worker.has_reported && !worker.is_suspect { wait_ms } else { 0 },
+        };
+        let call = out.worker(worker.address, request, shared.intervals.timeout_ms);
+        worker.sync = Some((call, view.now));
+        let kind = CallKind::Sync;
+        let row = CallRow { rack: rack.name.clone(), epoch: rack.epoch, worker: key, kind };
+        shared.calls.insert(call, row);
+    }
+}
+
+/// Notes that the outstanding sync has ended.
+pub(crate) fn end_sync(worker: &mut WorkerRow, call: u64, has_answer: bool, now: ClockTime) {
+    if let Some((outstanding, _)) = worker.sync
+        && outstanding == call
+    {
+        worker.sync = None;
+        worker.sync_at = if has_answer { now } else { now.plus(RETRY_MS) };
+    }
+}
+
+/// Declares leases lapsed that nobody can have renewed, and ends the rebuild once every worker
+/// is accounted for.
+///
+/// An isolated daemon declares nothing: another owner may be renewing.
+pub(crate) fn run_lapses(
+    rack: &mut RackTable,
+    shared: &RackShared,
+    view: &ClusterView,
+    out: &mut ActionBuffer,
+) {
+    if rack.is_fenced || view.standing == MemberStanding::Isolated {
+        return;
+    }
+    let lapsed: Vec<WorkerKey> = rack
+        .workers
+        .iter()
+        .filter(|(_, worker)| !worker.is_lapsed && is_silent(worker, shared, view.now))
+        .map(|(key, _)| key)
+        .collect();
+    for key in lapsed {
+        declare_lapsed(rack, key, out);
+    }
+    let takeover_ms = shared.intervals.isolation_ms + shared.intervals.lapse_ms();
+    let is_listed = !rack.workers.is_empty() || view.now.since(rack.taken_at) > takeover_ms;
+    if rack.is_rebuilding && is_listed && rack.workers.values().all(WorkerRow::is_accounted_for) {
+        rack.is_rebuilding = false;
+        rack.is_dirty = true;
+        out.log(
+            LogLevel::Info,
+            "rack_rebuilt",
+            &[("rack", &rack.name), ("epoch", &rack.epoch.0), ("attempts", &rack.attempts.len())],
+        );
+    }
+}
+
+/// Tells whether every lease on a worker has ended.
+///
+/// A worker that answered under this epoch refuses former owners, so its leases end a lease after
+/// that answer. One that has not may have been renewed by a former owner until that had to stop
+/// by the isolation rule.
+fn is_silent(worker: &WorkerRow, shared: &RackShared, now: ClockTime) -> bool {
+    let (since, limit_ms) = match worker.heard_at {
+        Some(heard_at) => (heard_at, shared.intervals.lapse_ms()),
+        None => (worker.added_at, shared.intervals.isolation_ms + shared.intervals.lapse_ms()),
+    };
+    now.since(since.max(shared.resumed_at)) > limit_ms
+}
+
+fn declare_lapsed(rack: &mut RackTable, key: WorkerKey, out: &mut ActionBuffer) {
+    let Some(worker) = rack.workers.get_mut(key) else { return };
+    worker.is_lapsed = true;
+    worker.has_reported = false;
+    worker.seen = 0;
+    let attempts = worker.attempts.clone();
+    out.log(
+        LogLevel::Warning,
+        "worker_lapsed",
+        &[("rack", &rack.name), ("worker", &worker.name), ("attempts", &attempts.len())],
+    );
+    out.count("rack.lapses", attempts.len() as u64);
+    for attempt in attempts {
+        lapse_attempt(rack, attempt);
+    }
+}
+
+/// Ends an attempt whose worker is lost; one that was never sent was truly not run.
+pub(crate) fn lapse_attempt(rack: &mut RackTable, key: super::AttemptKey) {
+    match rack.attempts.get(key).map(|attempt| &attempt.phase) {
+        Some(LocalPhase::Starting(_) | LocalPhase::Running { .. }) => {
+            rack.end(key, TaskResult::Lapsed, String::new());
+        }
+        Some(LocalPhase::Held { .. } | LocalPhase::Pending { .. } | LocalPhase::Ready) => {
+            rack.refuse(key, RefusalReason::WorkerRefused);
+        }
+        Some(LocalPhase::Ended(_)) | None => {}
+    }
+}
--- /dev/null
+++ b/crates/node/src/rack/tests/failures.rs
@@ -0,0 +1,166 @@
+//! Lost answers, silent workers and isolation.
+
+use {super::*, damaskrack_model::TaskResult};
+
+#[test]
+fn a_start_whose_answer_is_lost_is_found_in_the_report() {
+    let mut cell = RackHarness::rebuilt(1);
+    let id = attempt("harbour", 1);
+    cell.worker(1).link = LinkState::LosingAnswers;
+    cell.place("harbour", vec![order("harbour", 1, QUARTER)]);
+    assert!(cell.verdicts(&id).is_empty());
+    cell.worker(1).link = LinkState::Up;
+    cell.run_until(2_500, |cell| cell.is_started(&id));
+    assert_eq!(cell.starts(&id), 1);
+}
+
+#[test]
+fn a_start_that_never_arrived_is_refused_once_it_cannot_take_effect() {
+    let mut cell = RackHarness::rebuilt(1);
+    let id = attempt("harbour", 1);
+    cell.worker(1).link = LinkState::Silent;
+    cell.place("harbour", vec![order("harbour", 1, QUARTER)]);
+    cell.run(1_100);
+    cell.worker(1).link = LinkState::Up;
+    cell.run(1_000);
+    assert!(cell.verdicts(&id).is_empty(), "the start could still arrive");
+    cell.run(4_000);
+    assert_eq!(cell.refusal(&id), Some(RefusalReason::WorkerRefused));
+    assert_eq!(cell.starts(&id), 0);
+}
+
+#[test]
+fn an_unreachable_worker_means_not_run() {
+    let mut cell = RackHarness::rebuilt(1);
+    cell.worker(1).link = LinkState::Refusing;
+    cell.place("harbour", vec![order("harbour", 1, QUARTER)]);
+    cell.run(STEP_MS);
+    assert_eq!(cell.refusal(&attempt("harbour", 1)), Some(RefusalReason::WorkerRefused));
+}
+
+#[test]
+fn a_silent_worker_lapses_only_after_its_leases_have() {
+    let mut cell = RackHarness::rebuilt(1);
+    let id = attempt("harbour", 1);
+    cell.place("harbour", vec![order("harbour", 1, QUARTER)]);
+    cell.run(2_000);
+    cell.worker(1).link = LinkState::Silent;
+    cell.run_until(8_000, |cell| !cell.notices().is_empty());
+    assert!(cell.worker(1).ids().is_empty(), "the task must have stopped by then");
+    assert_eq!(cell.notices()[0].result, TaskResult::Lapsed);
+    assert_eq!(cell.notices()[0].attempt, id);
+}
+
+#[test]
+fn what_was_declared_lapsed_is_stopped_when_its_worker_returns() {
+    let mut cell = RackHarness::rebuilt(1);
+    let id = attempt("harbour", 1);
+    cell.place("harbour", vec![order("harbour", 1, QUARTER)]);
+    cell.run(100);
+    cell.worker(1).link = LinkState::Silent;
+    cell.run_until(8_000, |cell| !cell.notices().is_empty());
+    cell.send("q1", PeerMessage::EndedAck { rack: name("r1"), attempts: vec![id.clone()] });
+    cell.worker(1).ended.clear();
+    cell.worker(1).adopt(id, QUARTER, 60_000);
+    cell.worker(1).link = LinkState::Up;
+    cell.run(3_000);
+    assert!(cell.worker(1).ids().is_empty());
+    assert!(cell.worker(1).ended.is_empty(), "its end is acknowledged silently");
+    let told = cell.notices().len();
+    cell.run(2_000);
+    assert_eq!(cell.notices().len(), told);
+}
+
+#[test]
+fn a_restarted_worker_has_lost_what_it_ran() {
+    let mut cell = RackHarness::rebuilt(1);
+    cell.place("harbour", vec![order("harbour", 1, QUARTER)]);
+    cell.run(100);
+    *cell.worker(1) = FakeWorker::new(12);
+    cell.run_until(2_000, |cell| !cell.notices().is_empty());
+    assert_eq!(cell.notices()[0].result, TaskResult::Lapsed);
+    cell.place("harbour", vec![order("harbour", 2, WORKER)]);
+    cell.run(50);
+    assert!(cell.is_started(&attempt("harbour", 2)));
+}
+
+#[test]
+fn a_claim_moves_on_when_its_worker_dies() {
+    let mut cell = RackHarness::rebuilt(2);
+    cell.place("bulk", (0..2).map(|nonce| order("bulk", nonce, WORKER)).collect());
+    cell.run(50);
+    cell.set_borrower("bulk", WORKER.checked_mul(2).expect("a small cell"));
+    cell.worker(1).ignores_stops = true;
+    cell.worker(2).ignores_stops = true;
+    cell.place("harbour", vec![urgent("harbour", 1, WORKER)]);
+    let pending = cell.role.dump().to_string();
+    assert!(pending.contains("Pending"), "{pending}");
+    // Whichever worker was chosen dies; the other one obeys.
+    cell.worker(1).link = LinkState::Silent;
+    cell.worker(2).ignores_stops = false;
+    let took_ms = cell.run_until(4_000, |cell| cell.is_started(&attempt("harbour", 1)));
+    assert!(took_ms < 3_500, "{took_ms} ms");
+}
+
+#[test]
+fn an_isolated_owner_starts_and_renews_nothing() {
+    let mut cell = RackHarness::rebuilt(1);
+    cell.place("harbour", vec![order("harbour", 1, QUARTER)]);
+    cell.run(100);
+    cell.view.standing = MemberStanding::Isolated;
+    cell.place("harbour", vec![order("harbour", 2, QUARTER)]);
+    assert_eq!(cell.refusal(&attempt("harbour", 2)), Some(RefusalReason::Isolated));
+    cell.run(6_000);
+    assert!(cell.worker(1).ids().is_empty(), "the lease was not renewed");
+}
+
+#[test]
+fn an_isolated_owner_declares_no_lapse() {
+    let mut cell = RackHarness::rebuilt(1);
+    cell.place("harbour", vec![order("harbour", 1, QUARTER)]);
+    cell.run(100);
+    cell.view.standing = MemberStanding::Isolated;
+    cell.worker(1).link = LinkState::Silent;
+    cell.run(20_000);
+    assert!(cell.notices().is_empty());
+    cell.view.standing = MemberStanding::Connected;
+    cell.run(4_000);
+    assert!(cell.notices().is_empty(), "silence counts anew after isolation");
+    cell.run(1_000);
+    assert_eq!(cell.notices()[0].result, TaskResult::Lapsed);
+}
+
+#[test]
+fn an_end_is_told_until_it_is_acknowledged() {
+    let mut cell = RackHarness::rebuilt(1);
+    let id = attempt("harbour", 1);
+    cell.place("harbour", vec![order("harbour", 1, QUARTER)]);
+    cell.run(50);
+    cell.worker(1).finish(&id, TaskResult::Succeeded);
+    cell.run(50);
+    assert_eq!(cell.notices().len(), 1);
+    assert_eq!(cell.notices()[0].output, "output");
+    cell.run(1_200);
+    assert_eq!(cell.notices().len(), 3);
+    cell.send("q1", PeerMessage::EndedAck { rack: name("r1"), attempts: vec![id] });
+    cell.run(2_500);
+    assert_eq!(cell.notices().len(), 3);
+    assert!(cell.worker(1).ended.is_empty());
+}
+
+#[test]
+fn a_worker_that_fails_everything_gets_no_more_work() {
+    let mut cell = RackHarness::rebuilt(2);
+    for nonce in 0..12 {
+        let id = attempt("bulk", nonce);
+        cell.place("bulk", vec![order("bulk", nonce, WORKER)]);
+        cell.run(50);
+        cell.worker(1).finish(&id, TaskResult::Failed);
+        cell.worker(2).finish(&id, TaskResult::Succeeded);
+        cell.run(50);
+        cell.send("q1", PeerMessage::EndedAck { rack: name("r1"), attempts: vec![id] });
+    }
+    let on_first = cell.worker(1).started.len();
+    assert!((4..12).contains(&on_first), "{on_first} of 12 went to the failing worker");
+    assert_eq!(cell.worker(2).started.len(), 12 - on_first);
+}
--- /dev/null
+++ b/crates/node/src/rack/worker.rs
@@ -0,0 +1,143 @@
+//! A worker as its rack owner keeps it.
+
+use {
+    super::AttemptKey,
+    damaskrack_model::{AttemptId, ClockTime, Resources, WorkerName},
+    damaskrack_ownership::WriteBudget,
+    damaskrack_platform::HostState,
+    serde::Serialize,
+    std::{collections::BTreeSet, net::SocketAddr},
+};
+
+/// Former boot numbers that are remembered, so that their late answers are known as such.
+const MAX_FORMER_BOOTS: usize = 4;
+
+/// Most syncs a second.
+const SYNCS_PER_S: u32 = 50;
+
+/// Most syncs at once after a quiet time.
+const SYNC_BURST: u32 = 10;
+
+/// Whose answer a reply is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum BootStep {
+    /// Of the process that is known.
+    Same,
+    /// Of a process that has replaced the known one.
+    Restarted,
+    /// Of a process that has been replaced.
+    Former,
+}
+
+/// One worker.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct WorkerRow {
+    /// Its name.
+    pub(crate) name: WorkerName,
+    /// Where it listens.
+    pub(crate) address: SocketAddr,
+    /// When it was first listed under this epoch.
+    pub(crate) added_at: ClockTime,
+    /// State in the host list; `None` once it has vanished from the list.
+    pub(crate) listed: Option<HostState>,
+    /// What it has, by its own report.
+    pub(crate) capacity: Resources,
+    /// Most tasks that it runs at once.
+    pub(crate) slots: u32,
+    /// Boot number of its process; `None` until it answered under this epoch.
+    pub(crate) boot: Option<u64>,
+    /// Boot numbers of processes that were replaced.
+    pub(crate) former_boots: Vec<u64>,
+    /// Its last clock reading, in milliseconds.
+    pub(crate) clock_ms: u64,
+    /// When that reading arrived.
+    pub(crate) heard_at: Option<ClockTime>,
+    /// Whether it has reported under this epoch since it was last given up.
+    pub(crate) has_reported: bool,
+    /// Whether its leases are known to have lapsed.
+    pub(crate) is_lapsed: bool,
+    /// Whether the last call to it failed.
+    pub(crate) is_suspect: bool,
+    /// Number of its last report.
+    pub(crate) seen: u64,
+    /// The outstanding sync, and when it was sent.
+    pub(crate) sync: Option<(u64, ClockTime)>,
+    /// Earliest time of the next sync.
+    pub(crate) sync_at: ClockTime,
+    /// Limits the syncs of a worker whose tasks start and end all the time.
+    #[serde(skip)]
+    pub(crate) sync_budget: WriteBudget,
+    /// Attempts whose end is recorded and that the worker may forget.
+    pub(crate) acks: BTreeSet<AttemptId>,
+    /// Attempts that take room on it.
+    #[serde(skip)]
+    pub(crate) attempts: Vec<AttemptKey>,
+}
+
+impl WorkerRow {
+    /// Makes a row for a worker that has not been heard yet.
+    pub(crate) fn new(name: WorkerName, address: SocketAddr, now: ClockTime) -> Self {
+        Self {
+            name,
+            address,
+            added_at: now,
+            listed: None,
+            capacity: Resources::ZERO,
+            slots: 0,
+            boot: None,
+            former_boots: Vec::new(),
+            clock_ms: 0,
+            heard_at: None,
+            has_reported: false,
+            is_lapsed: false,
+            is_suspect: false,
+            seen: 0,
+            sync: None,
+            sync_at: now,
+            sync_budget: WriteBudget::new(SYNCS_PER_S, SYNC_BURST),
+            acks: BTreeSet::new(),
+            attempts: Vec::new(),
+        }
+    }
+
+    /// Notes the header of a reply.
+    pub(crate) fn note_reply(&mut self, boot: u64, clock_ms: u64, now: ClockTime) -> BootStep {
+        if self.former_boots.contains(&boot) {
+            return BootStep::Former;
+        }
+        let step = match self.boot {
+            Some(known) if known != boot => {
+                self.retire_boot(known);
+                BootStep::Restarted
+            }
+            _ => BootStep::Same,
+        };
+        self.boot = Some(boot);
+        self.is_suspect = false;
+        if clock_ms >= self.clock_ms {
+            self.clock_ms = clock_ms;
+            self.heard_at = Some(now);
+        }
+        step
+    }
+
+    fn retire_boot(&mut self, boot: u64) {
+        if self.former_boots.len() == MAX_FORMER_BOOTS {
+            self.former_boots.remove(0);
+        }
+        self.former_boots.push(boot);
+        self.clock_ms = 0;
+        self.seen = 0;
+        self.acks.clear();
+    }
+
+    /// Tells whether the worker was heard within `millis` milliseconds.
+    pub(crate) fn is_heard_within(&self, millis: u64, now: ClockTime) -> bool {
+        self.heard_at.is_some_and(|then| now.since(then) <= millis)
+    }
+
+    /// Tells whether what it runs is known, or known to have lapsed.
+    pub(crate) fn is_accounted_for(&self) -> bool {
+        self.has_reported || self.is_lapsed
+    }
+}
