--- a/crates/node/src/rack/tests.rs
+++ b/crates/node/src/rack/tests.rs
@@ -3,6 +3,7 @@
 mod failures;
 mod fake;
 mod placing;
+mod random;
 mod takeover;
 
 use {
@@ -26,6 +27,9 @@
 /// Step of the harness, in milliseconds.
 const STEP_MS: u64 = 10;
 
+/// Time after which a late call arrives, in milliseconds.
+const LATE_MS: u64 = 3_000;
+
 /// What every worker has.
 const WORKER: Resources = Resources { millicores: 16_000, memory_bytes: 32_000, accelerators: 0 };
 
@@ -80,6 +84,7 @@
     out: ActionBuffer,
     workers: BTreeMap<SocketAddr, FakeWorker>,
     calls: Vec<OpenCall>,
+    late_calls: Vec<OpenCall>,
     messages: Vec<(MemberName, PeerMessage)>,
 }
 
@@ -98,8 +103,16 @@
         let workers = hosts.iter().map(|row| (row.address, FakeWorker::new(11))).collect();
         view.hosts = hosts;
         let out = ActionBuffer::new(name("d1"), 7);
-        let (calls, messages) = (Vec::new(), Vec::new());
-        Self { role: RackRole::default(), config, view, out, workers, calls, messages }
+        Self {
+            role: RackRole::default(),
+            config,
+            view,
+            out,
+            workers,
+            calls: Vec::new(),
+            late_calls: Vec::new(),
+            messages: Vec::new(),
+        }
     }
 
     /// Makes a cell whose rack this daemon has taken under epoch 5 and rebuilt.
@@ -125,9 +138,7 @@
     /// Lets time pass.
     fn run(&mut self, millis: u64) {
         for _ in 0..millis.div_ceil(STEP_MS) {
-            self.view.now = self.view.now.plus(STEP_MS);
-            let elapsed = self.workers.values_mut();
-            elapsed.for_each(|worker| worker.advance(STEP_MS));
+            self.pause(STEP_MS);
             self.end_calls();
             self.role.tick(&self.config, &self.view, &mut self.out);
             self.collect();
@@ -135,6 +146,19 @@
         }
     }
 
+    /// Lets time pass at the workers while the daemon does nothing.
+    fn pause(&mut self, millis: u64) {
+        self.view.now = self.view.now.plus(millis);
+        self.workers.values_mut().for_each(|worker| worker.advance(millis));
+        for call in std::mem::take(&mut self.late_calls) {
+            if self.view.now.since(call.sent_at) < LATE_MS {
+                self.late_calls.push(call);
+            } else if let Some(worker) = self.workers.get_mut(&call.address) {
+                worker.answer(&call.request, u64::MAX);
+            }
+        }
+    }
+
     /// Lets time pass until a message of interest has arrived; returns how long it took.
     fn run_until(&mut self, limit_ms: u64, mut is_done: impl FnMut(&Self) -> bool) -> u64 {
         let start = self.view.now;
@@ -184,7 +208,11 @@
         for call in std::mem::take(&mut self.calls) {
             match self.end_of(&call) {
                 Some(result) => {
-                    self.role.on_worker(call.number, result, &self.view, &mut self.out);
+                    let number = call.number;
+                    if self.workers[&call.address].link == LinkState::Late {
+                        self.late_calls.push(call);
+                    }
+                    self.role.on_worker(number, result, &self.view, &mut self.out);
                     self.collect();
                 }
                 None => self.calls.push(call),
@@ -198,7 +226,9 @@
         match worker.link {
             LinkState::Up => worker.answer(&call.request, waited_ms).map(Ok),
             LinkState::Refusing => Some(Err(WorkerFailure::Unreachable)),
-            LinkState::Silent => (waited_ms >= call.timeout_ms).then_some(Err(WorkerFailure::Lost)),
+            LinkState::Silent | LinkState::Late => {
+                (waited_ms >= call.timeout_ms).then_some(Err(WorkerFailure::Lost))
+            }
             LinkState::LosingAnswers => {
                 worker.answer(&call.request, waited_ms).map(|_| Err(WorkerFailure::Lost))
             }
--- a/crates/node/src/rack/tests/fake.rs
+++ b/crates/node/src/rack/tests/fake.rs
@@ -20,6 +20,8 @@
     Silent,
     /// They arrive and their answers are lost.
     LosingAnswers,
+    /// They time out and arrive long after that.
+    Late,
 }
 
 /// One worker.
@@ -64,6 +66,15 @@
         self.end_where(TaskResult::Lapsed, |_, lease_until_ms| lease_until_ms < clock_ms);
     }
 
+    /// Replaces the process: what ran is gone and nothing is remembered.
+    pub(super) fn restart(&mut self) {
+        self.boot += 1;
+        self.epoch = Epoch(0);
+        self.running.clear();
+        self.ended.clear();
+        self.number = 1;
+    }
+
     /// Ends an attempt.
     pub(super) fn finish(&mut self, attempt: &AttemptId, result: TaskResult) {
         self.end_where(result, |row, _| row.attempt == *attempt);
