--- a/crates/node/src/rack/notify.rs
+++ b/crates/node/src/rack/notify.rs
@@ -24,7 +24,7 @@
         out.send(&member, PeerMessage::Placed { rack: rack.name.clone(), verdicts });
     }
     for (member, rows) in std::mem::take(&mut rack.phases) {
-        out.send(&member, PeerMessage::Phases { rack: rack.name.clone(), rows });
+        out.send(&member, PeerMessage::Phases { rack: rack.name.clone(), epoch: rack.epoch, rows });
     }
 }
 
