Keep a worker's client while its connections close; tidy the stand-ins

A client that was forgotten while given-up connections were still closing would have counted its connections from 0. It now stays until every place is free. Ruled out: never forgetting clients, since the table would keep every worker that ever was.

--- a/crates/platform/src/http_client.rs
+++ b/crates/platform/src/http_client.rs
@@ -86,6 +86,11 @@
         }
     }
 
+    /// Tells whether no call is on the way and every given-up connection is closed.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.calls.available_permits() == MAX_CALLS
+    }
+
     /// Reads a path.
     pub(crate) async fn get(&self, path: &str, deadline_ms: u64) -> CallEnd {
         self.call(Method::GET, path, Bytes::new(), deadline_ms).await
--- a/crates/platform/src/http_worker.rs
+++ b/crates/platform/src/http_worker.rs
@@ -56,12 +56,13 @@
         self.lock_clients().entry(address).or_insert_with(new_client).clone()
     }
 
-    /// Forgets the client of a worker that cannot be reached, unless another call still uses it;
-    /// otherwise the table would keep every worker that ever was.
+    /// Forgets the client of a worker that cannot be reached; otherwise the table would keep every
+    /// worker that ever was. A client in use stays, because a new one would count its connections
+    /// from 0.
     fn forget(&self, address: SocketAddr, client: Arc<AddressClient>) {
         let mut clients = self.lock_clients();
         drop(client);
-        if clients.get(&address).is_some_and(|client| Arc::strong_count(client) == 1) {
+        if clients.get(&address).is_some_and(is_unused) {
             clients.remove(&address);
         }
     }
@@ -97,6 +98,10 @@
     }
 }
 
+fn is_unused(client: &Arc<AddressClient>) -> bool {
+    Arc::strong_count(client) == 1 && client.is_idle()
+}
+
 fn wait_of(call: &WorkerCall) -> u64 {
     match call {
         WorkerCall::Sync { wait_ms, .. } => *wait_ms,
--- a/crates/platform/tests/truthful_failures.rs
+++ b/crates/platform/tests/truthful_failures.rs
@@ -4,7 +4,7 @@
     damaskrack_model::Epoch,
     damaskrack_platform::{
         HostList, HttpHosts, HttpStore, HttpWorker, PlatformStore, StoreCall, StoreFailure,
-        StoreReply, WorkerBody, WorkerCall, WorkerFailure, WorkerLink,
+        StoreReply, WorkerBody, WorkerCall, WorkerFailure, WorkerLink, WorkerReply,
     },
     std::{
         net::SocketAddr,
@@ -17,6 +17,7 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
+        task::JoinHandle,
         time::sleep,
     },
 };
@@ -249,7 +250,7 @@
     assert!(unsent > 0, "calls beyond the bound were never sent");
 }
 
-type StopHandle = tokio::task::JoinHandle<Result<damaskrack_platform::WorkerReply, WorkerFailure>>;
+type StopHandle = JoinHandle<Result<WorkerReply, WorkerFailure>>;
 
 fn spawn_stop(link: &Arc<HttpWorker>, address: SocketAddr, timeout_ms: u64) -> StopHandle {
     let link = Arc::clone(link);
--- a/crates/standin/src/gated_stream.rs
+++ b/crates/standin/src/gated_stream.rs
@@ -8,7 +8,10 @@
     std::{
         io,
         pin::Pin,
-        sync::atomic::{AtomicU8, Ordering},
+        sync::{
+            Arc,
+            atomic::{AtomicU8, Ordering},
+        },
         task::{Context, Poll, ready},
     },
     tokio::{
@@ -58,16 +61,12 @@
 #[derive(Debug)]
 pub(crate) struct GatedStream<G> {
     stream: TcpStream,
-    switch: std::sync::Arc<ConnectionSwitch>,
+    switch: Arc<ConnectionSwitch>,
     _guard: G,
 }
 
 impl<G> GatedStream<G> {
-    pub(crate) fn new(
-        stream: TcpStream,
-        switch: std::sync::Arc<ConnectionSwitch>,
-        guard: G,
-    ) -> Self {
+    pub(crate) fn new(stream: TcpStream, switch: Arc<ConnectionSwitch>, guard: G) -> Self {
         Self { stream, switch, _guard: guard }
     }
 
--- a/crates/standin/src/http_server.rs
+++ b/crates/standin/src/http_server.rs
@@ -11,16 +11,13 @@
     http::StatusCode,
     http_body_util::{BodyExt, Limited},
     serde::{Serialize, de::DeserializeOwned},
-    std::{future, io, net::SocketAddr, ops::Deref, sync::Arc, time::Duration},
-    tokio::{net::TcpListener, task::JoinHandle, time::sleep},
+    std::{future, io, net::SocketAddr, ops::Deref, sync::Arc},
+    tokio::{net::TcpListener, task::JoinHandle},
 };
 
 /// Longest accepted body, in bytes: a value of a megabyte in which every byte is escaped.
 const MAX_BODY_BYTES: usize = 7 << 20;
 
-/// Longest time that a call may wait for news, in milliseconds.
-pub(crate) const MAX_WAIT_MS: u64 = 60_000;
-
 /// Something that all requests of a server share.
 #[derive(Debug)]
 pub(crate) struct Shared<T>(Arc<T>);
@@ -151,10 +148,3 @@
     let response = create_response(&state, status, kind, body);
     Ok((state, response))
 }
-
-/// Sleeps unless the time is 0.
-pub(crate) async fn pause(millis: u64) {
-    if millis > 0 {
-        sleep(Duration::from_millis(millis)).await;
-    }
-}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -27,6 +27,7 @@
 mod store_stats;
 mod store_table;
 mod task_script;
+mod waiting;
 mod worker_server;
 mod worker_service;
 mod worker_table;
--- a/crates/standin/src/store_service.rs
+++ b/crates/standin/src/store_service.rs
@@ -6,7 +6,8 @@
         answer_policy::{AnswerFaults, AnswerPolicy},
         common_clock::common_now_ms,
         connection_gate::ConnectionGate,
-        http_server::{MAX_WAIT_MS, ServedCall, pause},
+        http_server::ServedCall,
+        waiting::{MAX_WAIT_MS, pause, wait_until},
     },
     damaskrack_platform::{StoreCall, StoreFailure, StoreReply},
     serde::{Deserialize, Serialize},
@@ -16,7 +17,7 @@
     },
     tokio::{
         sync::Notify,
-        time::{Instant, sleep, timeout_at},
+        time::{Instant, timeout_at},
     },
 };
 
@@ -183,16 +184,3 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// Waits for a change, at most `millis` milliseconds if given.
-pub(crate) async fn wait_until(millis: Option<u64>, changed: impl Future<Output = ()>) {
-    match millis {
-        Some(millis) => {
-            tokio::select! {
-                () = sleep(Duration::from_millis(millis)) => {}
-                () = changed => {}
-            }
-        }
-        None => changed.await,
-    }
-}
--- a/crates/standin/tests/servers.rs
+++ b/crates/standin/tests/servers.rs
@@ -3,7 +3,7 @@
 use {
     damaskrack_model::{AttemptId, Epoch, RackName, Resources, TaskResult, WorkerName},
     damaskrack_platform::{
-        HostList, HostState, HttpHosts, HttpStore, HttpWorker, PlatformStore, StartOrder,
+        HostList, HostRow, HostState, HttpHosts, HttpStore, HttpWorker, PlatformStore, StartOrder,
         StartVerdict, StoreCall, StoreFailure, StoreReply, WorkerBody, WorkerCall, WorkerFailure,
         WorkerLink, WorkerReport,
     },
@@ -144,7 +144,7 @@
     let worker: WorkerName = "a1-1".parse().unwrap();
     let mark = [(worker.clone(), HostState::Leaving)].into();
     platform.change_hosts(&HostFaults { mark, ..HostFaults::default() });
-    let state = |rows: Option<Vec<damaskrack_platform::HostRow>>| {
+    let state = |rows: Option<Vec<HostRow>>| {
         rows.and_then(|rows| rows.into_iter().find(|row| row.worker == worker)).map(|r| r.state)
     };
     assert_eq!(state(hosts.read(TIMEOUT_MS).await), Some(HostState::Live));
