--- a/crates/scenario/src/expect.rs
+++ b/crates/scenario/src/expect.rs
@@ -97,6 +97,10 @@
             && is_acknowledged(work)
             && work.ended.is_none_or(|(at_ms, _)| at_ms > by_ms)
     };
+    let mut works = history.works.iter();
+    if !works.any(|work| is_tagged(work, tag) && is_acknowledged(work)) {
+        return Some("no job was acknowledged".to_owned());
+    }
     let open = history.works.iter().filter(is_open).count();
     (open > 0).then(|| format!("{open} acknowledged jobs have not ended"))
 }
--- a/crates/scenario/src/world/sim.rs
+++ b/crates/scenario/src/world/sim.rs
@@ -124,12 +124,12 @@
             WorldEvent::SyncExpire { origin, worker } => self.on_sync_expire(origin, worker),
             WorldEvent::CallTimeout { origin } => self.on_call_timeout(origin),
             WorldEvent::HostsRead { node, life } => self.on_hosts_read(node, life),
-            other => self.handle_script(other),
+            other => self.handle_script(&other),
         }
     }
 
-    fn handle_script(&mut self, event: WorldEvent) {
-        match event {
+    fn handle_script(&mut self, event: &WorldEvent) {
+        match *event {
             WorldEvent::Step { index } => self.on_step(index),
             WorldEvent::Heal { fault } => self.heal(fault),
             WorldEvent::SubmitTry { work } => self.on_submit_try(work),
