--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -4,4 +4,8 @@
 mod monitor;
 mod registration;
 
-pub(crate) use {follower::StoreFollower, monitor::PeerMonitor, registration::MemberRegistration};
+pub(crate) use {
+    follower::{FollowedChange, StoreFollower},
+    monitor::{HeartbeatView, PeerMonitor},
+    registration::MemberRegistration,
+};
--- a/crates/node/src/membership/follower.rs
+++ b/crates/node/src/membership/follower.rs
@@ -162,9 +162,8 @@
         let gone = self.revisions.keys().filter(|key| {
             key.starts_with(prefix) && !entries.iter().any(|entry| entry.key == **key)
         });
-        let gone: Vec<_> = gone
-            .map(|key| FollowedChange { key: key.clone(), value: None, revision })
-            .collect();
+        let gone: Vec<_> =
+            gone.map(|key| FollowedChange { key: key.clone(), value: None, revision }).collect();
         gone.into_iter().chain(entries).filter(|change| self.admit(change)).collect()
     }
 
--- a/crates/node/src/membership/monitor.rs
+++ b/crates/node/src/membership/monitor.rs
@@ -15,6 +15,8 @@
 /// What the last heartbeat of a peer said.
 #[derive(Debug, Clone, Copy, Default)]
 struct PeerNews {
+    /// Boot number of the peer's process.
+    boot: u64,
     /// Its clock, to be echoed.
     clock_ms: u64,
     /// When its news of the store was current, in this daemon's clock, if it saw this daemon.
@@ -44,23 +46,23 @@
 
 impl PeerMonitor {
     pub(crate) fn new() -> Self {
-        Self {
-            news: BTreeMap::new(),
-            links: BTreeMap::new(),
-            next_beat_at: ClockTime::default(),
-        }
+        Self { news: BTreeMap::new(), links: BTreeMap::new(), next_beat_at: ClockTime::default() }
     }
 
     /// Takes a heartbeat. It is dated by the echo of this daemon's own clock.
     pub(crate) fn on_heartbeat(
         &mut self,
         member: &MemberName,
+        boot: u64,
         beat: HeartbeatView,
         view: &mut ClusterView,
     ) {
         let news = self.news.entry(member.clone()).or_default();
+        if news.boot != boot {
+            *news = PeerNews { boot, ..PeerNews::default() };
+        }
         news.clock_ms = beat.clock_ms;
-        if let Some(row) = view.members.get_mut(member) {
+        if let Some(row) = view.members.get_mut(member).filter(|row| row.record.boot == boot) {
             row.version = row.version.max(beat.version);
             row.is_leaving = beat.is_leaving;
             if beat.echo_ms > 0 {
@@ -78,11 +80,6 @@
         }
     }
 
-    /// Forgets what a former process of the peer said.
-    pub(crate) fn on_peer_up(&mut self, member: &MemberName) {
-        self.news.remove(member);
-    }
-
     /// Judges this daemon's standing at the time of the view.
     pub(crate) fn judge(
         &self,
@@ -94,8 +91,7 @@
         let delisted_at = self.news.values().filter_map(|news| news.delisted_at).max();
         let age = |at: Option<ClockTime>| at.map_or(u64::MAX, |at| view.now.since(at));
         let others = view.known_members();
-        let heard =
-            others.iter().filter(|row| age(row.heard_at) <= config.isolation_ms).count();
+        let heard = others.iter().filter(|row| age(row.heard_at) <= config.isolation_ms).count();
         judge_standing(StandingInput {
             store_age_ms: age(own_news_at.max(relayed_at)),
             is_delisted: age(delisted_at) <= config.isolation_ms,
@@ -121,12 +117,13 @@
         self.next_beat_at = view.now.plus(config.heartbeat_ms);
         let store_age_ms = own_news_at.map_or(u64::MAX, |at| view.now.since(at));
         for (member, row) in view.members.iter().filter(|(member, _)| **member != view.me) {
+            let news = self.news.get(member).copied().unwrap_or_default();
             let message = PeerMessage::Heartbeat {
                 version: view.manifest.version,
                 store_age_ms,
-                sees_receiver: row.is_listed,
+                sees_receiver: row.is_listed && row.record.boot == news.boot,
                 clock_ms: view.now.0,
-                echo_ms: self.news.get(member).map_or(0, |news| news.clock_ms),
+                echo_ms: news.clock_ms,
                 is_leaving: view.is_leaving,
             };
             out.send(member, message);
