--- a/crates/scenario/src/world/build.rs
+++ b/crates/scenario/src/world/build.rs
@@ -187,10 +187,11 @@
     }
 }
 
+/// A section's key may carry a prefix before the hash of its content.
 fn is_of_head(document: &ManifestDocument, head: &ManifestHead) -> bool {
     ManifestSection::ALL.into_iter().all(|section| {
         let hash = section_hash(&section_json(document, section));
-        head.sections.get(section.name()) == Some(&hash)
+        head.sections.get(section.name()).is_some_and(|found| found.ends_with(&hash))
     })
 }
 
