Queue only waiting tasks after a team takeover

Ruled out: the roll call (its rows were right). Change: the queue is rebuilt from the stages; dispatch asserts the stage.

--- a/crates/node/src/queue/dispatch.rs
+++ b/crates/node/src/queue/dispatch.rs
@@ -10,6 +10,7 @@
         attempt::{AttemptRow, AttemptStage},
         board::RackChoice,
         gang,
+        job::TaskStage,
         record::JournalRecord,
         settle::ASK_MS,
         team::TeamQueue,
@@ -106,6 +107,7 @@
 
 fn next_step(queue: &mut TeamQueue, key: JobKey, context: &mut QueueContext<'_>) -> DispatchStep {
     let Some(&task) = queue.jobs[key].queued.front() else { return DispatchStep::Skip };
+    debug_assert_eq!(queue.jobs[key].stage(task), Some(TaskStage::Waiting));
     if await_intent(queue, key, task, context) {
         return DispatchStep::AwaitIntent;
     }
--- a/crates/node/src/queue/job.rs
+++ b/crates/node/src/queue/job.rs
@@ -195,6 +195,14 @@
         }
     }
 
+    /// Queues exactly the tasks that wait, after stages were set from the journal.
+    pub(super) fn requeue_waiting(&mut self) {
+        self.backoff.clear();
+        self.queued = (0..self.spec.tasks)
+            .filter(|&task| self.stage(task) == Some(TaskStage::Waiting))
+            .collect();
+    }
+
     /// Makes every task wait again, also those that ended well: a gang runs as a whole.
     pub(super) fn restart_all(&mut self) {
         for stage in &mut self.tasks {
--- a/crates/node/src/queue/takeover.rs
+++ b/crates/node/src/queue/takeover.rs
@@ -259,7 +259,11 @@
 /// Decides about the tasks of a job that a former owner may have started and no rack knows.
 fn resolve_inherited(queue: &mut TeamQueue, key: JobKey, context: &mut QueueContext<'_>) {
     let job = &mut queue.jobs[key];
-    if !job.is_inherited || job.is_ended() {
+    if !job.is_inherited {
+        return;
+    }
+    job.requeue_waiting();
+    if job.is_ended() {
         return;
     }
     if job.is_cancelled {
@@ -277,13 +281,11 @@
             |task: &u32| job.stage(*task) == Some(TaskStage::Waiting) && !job.lacks_intent(*task);
         (0..job.spec.tasks).filter(is_lost).collect()
     };
-    job.queued = (0..job.spec.tasks)
-        .filter(|&task| job.stage(task) == Some(TaskStage::Waiting) && !lost.contains(&task))
-        .collect();
     let output = "a former owner may have started it and its result is lost";
     for task in lost {
         settle::end_task(queue, key, task, OutcomeKind::Unknown, output);
     }
+    queue.jobs[key].requeue_waiting();
 }
 
 /// A gang that is not whole any more is stopped and runs again, if it may.
