Drop refusals of members that a call was taken away from

Cause: an owner that woke from a pause refused a submission that had waited in its socket, while the next owner had already started the same work; the caller was told not_run. Ruled out: the roll call and the resubmission, which were right.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -197,6 +197,10 @@
             return;
         }
         out.send(from, PeerMessage::AnswerAck { calls: vec![call] });
+        if self.calls.get(&call.serial).is_some_and(|waiting| waiting.is_outdated(from, &answer)) {
+            out.count("entry.outdated_refusals", 1);
+            return;
+        }
         let Some(ended) = self.calls.remove(&call.serial) else {
             out.count("entry.late_answers", 1);
             return;
@@ -281,6 +285,13 @@
 }
 
 impl EntryCall {
+    /// Tells whether an answer is a refusal by a member that the call has since been taken away
+    /// from. It is true for that member alone: the next owner may have started the work.
+    fn is_outdated(&self, from: &MemberName, answer: &WorkAnswer) -> bool {
+        let is_current = self.sent_to.as_ref().is_some_and(|(member, ..)| member == from);
+        answer.outcome == OutcomeKind::NotRun && !is_current
+    }
+
     /// Sends the call to the team's owner, if there is one.
     fn send(&mut self, id: CallId, view: &ClusterView, out: &mut ActionBuffer) {
         let piece = PieceName::Team(self.team.clone());
