Close five gaps that the specification found by reading

Cause, each with the fault that opens it: - A replaced owner that wakes during a store outage believed that nobody can have replaced it. Heartbeats now pass on second-hand news of the store; later news do not age; a taker counts only members that know that it reaches the store. - Relayed news vouched for a record under an earlier lease. They count only once the follower has seen the present registration. - A NotOwner answer to the second copy of a call made the entry forget that the first may have been taken. It counts copies now, and an owner joins any attempt that its roll call found. - An owner forgot a request after 30 s while its entry could still ask. It keeps it until the answer is confirmed, and says lost for anything older. - Trimming freed the segment number that a former owner would write next. The first segment of each epoch stays. Ruled out for the first: a settling time after a pause, which any load exceeds.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -57,6 +57,9 @@
     /// Whether the waiting time has passed once already without a reachable owner.
     is_overdue: bool,
     sent_to: Option<(MemberName, u64, Epoch)>,
+    /// Copies that were sent since the work had certainly reached nobody.
+    copies: u32,
+    first_sent_at: ClockTime,
     resend_at: ClockTime,
     resend_ms: u64,
 }
@@ -105,6 +108,8 @@
                     gives_up_at: Some(gives_up_at),
                     is_overdue: false,
                     sent_to: None,
+                    copies: 0,
+                    first_sent_at: view.now,
                     resend_at: view.now,
                     resend_ms: RESEND_MIN_MS,
                 };
@@ -145,6 +150,7 @@
                     queue,
                     nonce: out.draw(),
                     first_epoch: None,
+                    age_ms: 0,
                     key,
                     idempotency_key,
                     is_waiting,
@@ -217,11 +223,12 @@
         if !is_current {
             return;
         }
-        if let (EntryQuestion::Submit(order), Some((_, _, epoch))) =
-            (&mut ended.question, &ended.sent_to)
-            && order.first_epoch == Some(*epoch)
+        if let EntryQuestion::Submit(order) = &mut ended.question
+            && ended.copies == 1
         {
+            // The only copy had no effect. With more than one, an earlier copy may have had.
             order.first_epoch = None;
+            ended.copies = 0;
         }
         ended.sent_to = None;
         ended.resend_at = view.now.plus(RESEND_MIN_MS / 10);
@@ -310,6 +317,11 @@
         self.sent_to = Some((owner.clone(), record.boot, record.epoch));
         let message = match &mut self.question {
             EntryQuestion::Submit(order) => {
+                if self.copies == 0 {
+                    self.first_sent_at = view.now;
+                }
+                self.copies += 1;
+                order.age_ms = view.now.since(self.first_sent_at);
                 let copy = order.as_ref().clone();
                 order.first_epoch = order.first_epoch.or(Some(record.epoch));
                 PeerMessage::Submit { call: id, team: self.team.clone(), order: copy }
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -6,6 +6,6 @@
 
 pub(crate) use {
     follower::{FollowedChange, StoreFollower},
-    monitor::{HeartbeatView, PeerMonitor},
+    monitor::{HeartbeatView, OwnNews, PeerMonitor},
     registration::MemberRegistration,
 };
--- a/crates/node/src/membership/monitor.rs
+++ b/crates/node/src/membership/monitor.rs
@@ -1,7 +1,11 @@
 //! Heartbeats between daemons and what they prove.
 
 use {
-    crate::{NodeAction, NodeConfig, buffer::ActionBuffer, view::ClusterView},
+    crate::{
+        NodeAction, NodeConfig,
+        buffer::ActionBuffer,
+        view::{ClusterView, MemberRow},
+    },
     damaskrack_model::{ClockTime, MemberName},
     damaskrack_ownership::{MemberStanding, StandingInput, judge_standing},
     damaskrack_wire::PeerMessage,
@@ -19,10 +23,10 @@
     boot: u64,
     /// Its clock, to be echoed.
     clock_ms: u64,
-    /// When its news of the store was current, in this daemon's clock, if it saw this daemon.
-    store_at: Option<ClockTime>,
-    /// When its news of the store was current, if it did not see this daemon.
-    delisted_at: Option<ClockTime>,
+    /// Latest reading of this daemon's clock that it has echoed.
+    echo: Option<ClockTime>,
+    /// When its news of the store, which list this daemon, were current at the latest proof.
+    listed_at: Option<ClockTime>,
 }
 
 /// Sends and judges heartbeats.
@@ -31,6 +35,22 @@
     news: BTreeMap<MemberName, PeerNews>,
     links: BTreeMap<MemberName, SocketAddr>,
     next_beat_at: ClockTime,
+    /// Freshest news of the store that anybody was ever heard to know of. It is dated by the
+    /// arrival of the heartbeat, so it is rather too late than too early.
+    heard_news_at: Option<ClockTime>,
+    /// Clock reading of the first heartbeat of the present unbroken run of heartbeats that told
+    /// of current news of the store.
+    informing_since: Option<ClockTime>,
+}
+
+/// What this daemon itself knows of the store.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct OwnNews {
+    /// When its freshest own news were asked for.
+    pub(crate) at: Option<ClockTime>,
+    /// Whether its records show its present registration, so that a peer's statement that it is
+    /// listed speaks of that one.
+    pub(crate) shows_registration: bool,
 }
 
 /// A heartbeat as it arrived.
@@ -38,6 +58,7 @@
 pub(crate) struct HeartbeatView {
     pub(crate) version: u64,
     pub(crate) store_age_ms: u64,
+    pub(crate) heard_store_age_ms: u64,
     pub(crate) sees_receiver: bool,
     pub(crate) clock_ms: u64,
     pub(crate) echo_ms: u64,
@@ -46,7 +67,13 @@
 
 impl PeerMonitor {
     pub(crate) fn new() -> Self {
-        Self { news: BTreeMap::new(), links: BTreeMap::new(), next_beat_at: ClockTime::default() }
+        Self {
+            news: BTreeMap::new(),
+            links: BTreeMap::new(),
+            next_beat_at: ClockTime::default(),
+            heard_news_at: None,
+            informing_since: None,
+        }
     }
 
     /// Takes a heartbeat. It is dated by the echo of this daemon's own clock.
@@ -69,14 +96,17 @@
                 row.heard_at = row.heard_at.max(Some(ClockTime(beat.echo_ms)));
             }
         }
-        if beat.echo_ms == 0 || beat.store_age_ms == u64::MAX {
+        if beat.heard_store_age_ms != u64::MAX {
+            let at = ClockTime(view.now.0.saturating_sub(beat.heard_store_age_ms));
+            self.heard_news_at = self.heard_news_at.max(Some(at));
+        }
+        if beat.echo_ms == 0 {
             return;
         }
-        let store_at = Some(ClockTime(beat.echo_ms.saturating_sub(beat.store_age_ms)));
-        if beat.sees_receiver {
-            news.store_at = news.store_at.max(store_at);
-        } else {
-            news.delisted_at = news.delisted_at.max(store_at);
+        news.echo = news.echo.max(Some(ClockTime(beat.echo_ms)));
+        if beat.sees_receiver && beat.store_age_ms != u64::MAX {
+            let at = ClockTime(beat.echo_ms.saturating_sub(beat.store_age_ms));
+            news.listed_at = news.listed_at.max(Some(at));
         }
     }
 
@@ -85,28 +115,39 @@
         &self,
         view: &ClusterView,
         config: &NodeConfig,
-        own_news_at: Option<ClockTime>,
+        own: OwnNews,
     ) -> MemberStanding {
-        let relayed_at = self.news.values().filter_map(|news| news.store_at).max();
-        let delisted_at = self.news.values().filter_map(|news| news.delisted_at).max();
         let age = |at: Option<ClockTime>| at.map_or(u64::MAX, |at| view.now.since(at));
+        let listed_at = self.news.values().filter_map(|news| news.listed_at).max();
+        let relayed_at = if own.shows_registration { listed_at } else { None };
+        let proof_at = own.at.max(relayed_at);
+        let horizon = proof_at.map(|at| at.plus(config.isolation_ms));
         let others = view.known_members();
-        let heard = others.iter().filter(|row| age(row.heard_at) <= config.isolation_ms).count();
+        let is_heard = |row: &&&MemberRow| age(row.heard_at) <= config.isolation_ms;
+        let heard = others.iter().filter(is_heard).count();
+        let informed = others.iter().filter(is_heard).filter(|row| self.is_informed(row)).count();
         judge_standing(StandingInput {
-            store_age_ms: age(own_news_at.max(relayed_at)),
-            is_delisted: age(delisted_at) <= config.isolation_ms,
+            store_age_ms: age(proof_at),
+            has_later_news: self.heard_news_at > horizon,
             heard: heard + 1,
+            informed: informed + 1,
             known: others.len() + 1,
             isolation_ms: config.isolation_ms,
         })
     }
 
+    /// Tells whether a member has echoed a heartbeat that told it of current news of the store.
+    fn is_informed(&self, row: &MemberRow) -> bool {
+        let echo = self.news.get(&row.record.member).and_then(|news| news.echo);
+        self.informing_since.is_some_and(|since| echo >= Some(since))
+    }
+
     /// Keeps links to the members and sends heartbeats when they are due.
     pub(crate) fn tick(
         &mut self,
         view: &mut ClusterView,
         config: &NodeConfig,
-        own_news_at: Option<ClockTime>,
+        own: OwnNews,
         out: &mut ActionBuffer,
     ) {
         self.drop_forgotten(view, out);
@@ -115,12 +156,20 @@
             return;
         }
         self.next_beat_at = view.now.plus(config.heartbeat_ms);
-        let store_age_ms = own_news_at.map_or(u64::MAX, |at| view.now.since(at));
+        let age = |at: Option<ClockTime>| at.map_or(u64::MAX, |at| view.now.since(at));
+        let store_age_ms = age(own.at);
+        if store_age_ms > config.isolation_ms {
+            self.informing_since = None;
+        } else if self.informing_since.is_none() {
+            self.informing_since = Some(view.now);
+        }
+        let heard_store_age_ms = age(own.at.max(self.heard_news_at));
         for (member, row) in view.members.iter().filter(|(member, _)| **member != view.me) {
             let news = self.news.get(member).copied().unwrap_or_default();
             let message = PeerMessage::Heartbeat {
                 version: view.manifest.version,
                 store_age_ms,
+                heard_store_age_ms,
                 sees_receiver: row.is_listed && row.record.boot == news.boot,
                 clock_ms: view.now.0,
                 echo_ms: news.clock_ms,
--- a/crates/node/src/membership/registration.rs
+++ b/crates/node/src/membership/registration.rs
@@ -50,6 +50,13 @@
         }
     }
 
+    /// Returns the store revision of the present record; `None` while there is none.
+    pub(crate) fn listed_revision(&self) -> Option<u64> {
+        let is_listed =
+            matches!(self.phase, RegistrationPhase::Listed | RegistrationPhase::Keeping);
+        is_listed.then_some(self.revision)
+    }
+
     /// Tells whether the lease is given up for good.
     pub(crate) fn is_revoked(&self) -> bool {
         self.phase == RegistrationPhase::Revoked
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -8,7 +8,7 @@
         exchange::DigestExchange,
         manifest::{ManifestReader, ManifestWriter},
         membership::{
-            FollowedChange, HeartbeatView, MemberRegistration, PeerMonitor, StoreFollower,
+            FollowedChange, HeartbeatView, MemberRegistration, OwnNews, PeerMonitor, StoreFollower,
         },
         pieces::{PieceChange, PieceRole},
         queue::QueueRole,
@@ -146,9 +146,17 @@
         })
     }
 
+    fn own_news(&self) -> OwnNews {
+        let seen = self.follower.seen_revision();
+        OwnNews {
+            at: self.follower.news_at(),
+            shows_registration: self.registration.listed_revision().is_some_and(|at| at <= seen),
+        }
+    }
+
     fn judge_standing(&mut self) {
-        let news_at = self.follower.news_at();
-        let standing = self.monitor.judge(&self.view, &self.config, news_at);
+        let news = self.own_news();
+        let standing = self.monitor.judge(&self.view, &self.config, news);
         if standing != self.view.standing {
             let (old, new) = (format!("{:?}", self.view.standing), format!("{standing:?}"));
             let level = if standing == MemberStanding::Connected {
@@ -200,6 +208,7 @@
             PeerMessage::Heartbeat {
                 version,
                 store_age_ms,
+                heard_store_age_ms,
                 sees_receiver,
                 clock_ms,
                 echo_ms,
@@ -208,6 +217,7 @@
                 let beat = HeartbeatView {
                     version,
                     store_age_ms,
+                    heard_store_age_ms,
                     sees_receiver,
                     clock_ms,
                     echo_ms,
@@ -223,7 +233,7 @@
                 self.entry.on_answer(from, call, answer, view, config, out);
             }
             PeerMessage::NotOwner { call, .. } => self.entry.on_not_owner(from, call, view),
-            PeerMessage::AnswerAck { .. } => {}
+            PeerMessage::AnswerAck { calls } => self.queues.on_answer_acks(&calls),
             PeerMessage::RackDigests { summaries } => {
                 self.exchange.on_racks(from, summaries, view);
             }
@@ -297,10 +307,11 @@
     }
 
     fn run_systems(&mut self) {
+        let news = self.own_news();
         let (view, config, out) = (&mut self.view, &self.config, &mut self.out);
         self.follower.tick(view.now, config.store_timeout_ms, out);
         self.registration.tick(view.now, config, view.is_leaving, out);
-        self.monitor.tick(view, config, self.follower.news_at(), out);
+        self.monitor.tick(view, config, news, out);
         self.reader.tick(view, config, out);
         let (head, revision) = (self.reader.head_version(), self.reader.head_revision());
         self.writer.tick(head, revision, view, config, out);
--- a/crates/node/src/queue.rs
+++ b/crates/node/src/queue.rs
@@ -16,7 +16,7 @@
 use {
     crate::{NodeConfig, buffer::ActionBuffer, view::ClusterView},
     board::RackBoard,
-    damaskrack_model::{Epoch, MemberName, RackName, Resources, TeamName},
+    damaskrack_model::{CallId, ClockTime, Epoch, MemberName, RackName, Resources, TeamName},
     damaskrack_ownership::{PieceName, WriteBudget},
     damaskrack_platform::{StoreFailure, StoreReply},
     damaskrack_wire::{PeerMessage, TeamDigest},
@@ -50,7 +50,7 @@
     teams: BTreeMap<TeamName, TeamQueue>,
     board: RackBoard,
     budget: WriteBudget,
-    review_at: damaskrack_model::ClockTime,
+    review_at: ClockTime,
 }
 
 impl QueueRole {
@@ -60,7 +60,7 @@
             teams: BTreeMap::new(),
             board: RackBoard::default(),
             budget: WriteBudget::new(writes, writes),
-            review_at: damaskrack_model::ClockTime::default(),
+            review_at: ClockTime::default(),
         }
     }
 
@@ -123,6 +123,15 @@
         }
     }
 
+    /// Takes the confirmation that an entry has answers.
+    pub(crate) fn on_answer_acks(&mut self, calls: &[CallId]) {
+        for queue in self.teams.values_mut() {
+            for &call in calls {
+                settle::on_answer_ack(queue, call);
+            }
+        }
+    }
+
     /// Tells whether a store call belongs to a team's journal.
     pub(crate) fn owns_call(&self, call: u64) -> bool {
         self.teams
@@ -219,12 +228,7 @@
     commit::run(queue, context);
 }
 
-fn refuse_call(
-    from: &MemberName,
-    call: damaskrack_model::CallId,
-    team: &TeamName,
-    context: &mut QueueContext<'_>,
-) {
+fn refuse_call(from: &MemberName, call: CallId, team: &TeamName, context: &mut QueueContext<'_>) {
     let owner = context.view.owner(&PieceName::Team(team.clone())).cloned();
     context.out.send(from, PeerMessage::NotOwner { call, owner });
 }
--- a/crates/node/src/queue/accept.rs
+++ b/crates/node/src/queue/accept.rs
@@ -87,12 +87,14 @@
     if let Some(step) = judge_idempotency_key(queue, order) {
         return step;
     }
-    let may_have_run = order.first_epoch.is_some_and(|epoch| epoch < queue.epoch);
-    if may_have_run {
-        let is_found = queue.orphan_ends.contains_key(&order.nonce)
-            || queue.attempts.values().any(|attempt| attempt.id.job.nonce == order.nonce);
+    let is_found = queue.orphan_ends.contains_key(&order.nonce)
+        || queue.orphan_attempts.contains_key(&order.nonce);
+    if is_found {
+        return SubmitStep::Accept;
+    }
+    if may_have_run(queue, order) {
         let is_active = matches!(queue.phase, TeamPhase::Active);
-        return if order.spec.idempotent || is_found || !is_active {
+        return if order.spec.idempotent || !is_active {
             SubmitStep::Accept
         } else {
             SubmitStep::Lost
@@ -104,6 +106,13 @@
     }
 }
 
+/// Tells whether work that is not known here may have run: a former owner may have got it, or this
+/// one may have forgotten it.
+fn may_have_run(queue: &TeamQueue, order: &SubmitOrder) -> bool {
+    let is_former = order.first_epoch.is_some_and(|epoch| epoch < queue.epoch);
+    is_former || order.age_ms > settle::MAX_RESUBMIT_AGE_MS
+}
+
 fn judge_idempotency_key(queue: &TeamQueue, order: &SubmitOrder) -> Option<SubmitStep> {
     let name = order.idempotency_key.clone()?;
     let &key = queue.by_key.get(&(order.queue.clone(), name))?;
@@ -217,7 +226,7 @@
     job.idempotency_key.clone_from(&order.idempotency_key);
     job.is_waiting = order.is_waiting;
     job.callers.push((from, call));
-    job.is_inherited = order.first_epoch.is_some_and(|epoch| epoch < queue.epoch);
+    job.is_inherited = may_have_run(queue, order);
     job.is_journalled = is_journalled(order);
     if order.spec.kind == WorkKind::Request {
         // A request is one task: its acceptance, where it is journalled, is its intent.
--- a/crates/node/src/queue/commit.rs
+++ b/crates/node/src/queue/commit.rs
@@ -3,6 +3,10 @@
 //! One write at a time a team, and a write budget for the whole daemon. Records that arrive
 //! meanwhile go together into the next write, so under pressure the commits get larger and not
 //! more frequent.
+//!
+//! A snapshot makes earlier segments superfluous, but the first segment of each epoch stays: it
+//! takes the number that the former owner would write next, and a former owner that wakes after
+//! any length of time must find that number taken.
 
 use {
     super::{
@@ -11,7 +15,7 @@
         team::{TeamPhase, TeamQueue},
     },
     crate::LogLevel,
-    damaskrack_ownership::{FoundSegment, JournalStep},
+    damaskrack_ownership::{FoundSegment, JournalStep, MemberStanding},
     damaskrack_platform::{StoreCall, StoreFailure, StoreReply},
 };
 
@@ -38,7 +42,9 @@
         queue.phase = TeamPhase::Fenced;
         return;
     }
-    if !queue.journal.wants_write() || !context.budget.try_take(context.view.now) {
+    let is_replaceable = context.view.standing == MemberStanding::Isolated;
+    if is_replaceable || !queue.journal.wants_write() || !context.budget.try_take(context.view.now)
+    {
         return;
     }
     if queue.journal.segments_since_snapshot() >= SNAPSHOT_SEGMENTS {
@@ -110,9 +116,21 @@
 fn on_written(queue: &mut TeamQueue, context: &mut QueueContext<'_>) {
     let number = queue.journal.next_number();
     if queue.journal.on_written() {
-        let from = segment_key(queue, 0);
-        let to = segment_key(queue, number);
-        let request = StoreCall::DeleteRange { from, to };
-        context.out.store(request, context.config.store_timeout_ms);
+        trim(queue, number, context);
+    }
+}
+
+/// Deletes what a snapshot restates, between the segments that close former epochs.
+fn trim(queue: &mut TeamQueue, snapshot: u64, context: &mut QueueContext<'_>) {
+    let former = queue.epoch_segments.iter().copied().filter(|&first| first < snapshot);
+    let mut from = queue.trimmed_below;
+    for kept in former.chain([snapshot]) {
+        if from < kept {
+            let (from, to) = (segment_key(queue, from), segment_key(queue, kept));
+            let request = StoreCall::DeleteRange { from, to };
+            context.out.store(request, context.config.store_timeout_ms);
+        }
+        from = from.max(kept + 1);
     }
+    queue.trimmed_below = snapshot;
 }
--- a/crates/node/src/queue/job.rs
+++ b/crates/node/src/queue/job.rs
@@ -77,6 +77,8 @@
     pub(super) pending_intent: Option<(u64, u32)>,
     /// Calls that wait for acceptance or the end.
     pub(super) callers: Vec<(MemberName, CallId)>,
+    /// Answered calls whose entries have not confirmed the answer.
+    pub(super) unconfirmed: Vec<CallId>,
     /// Whether the callers wait for the end.
     pub(super) is_waiting: bool,
     pub(super) is_cancelled: bool,
@@ -116,6 +118,7 @@
             intent_below,
             pending_intent: None,
             callers: Vec::new(),
+            unconfirmed: Vec::new(),
             is_cancelled: false,
             gang: GangStage::Idle,
             next_number: 0,
--- a/crates/node/src/queue/settle.rs
+++ b/crates/node/src/queue/settle.rs
@@ -13,8 +13,8 @@
         team::{OrphanEnd, PendingAck, TeamQueue},
     },
     damaskrack_model::{
-        AnswerReason, AttemptId, Epoch, MemberName, OutcomeKind, RackName, TaskResult, WorkAnswer,
-        WorkKind,
+        AnswerReason, AttemptId, CallId, Epoch, MemberName, OutcomeKind, RackName, TaskResult,
+        WorkAnswer, WorkKind,
     },
     damaskrack_ownership::PieceName,
     damaskrack_policy::backoff_ms,
@@ -31,7 +31,13 @@
 const RETAIN_MS: u64 = 3_600_000;
 /// Time for which an answered request without an idempotency key is remembered, in milliseconds.
 const RETAIN_REQUEST_MS: u64 = 30_000;
-/// Most ended jobs that are remembered.
+/// Time for which an answered request is remembered whose entry has not confirmed the answer, in
+/// milliseconds.
+const RETAIN_UNCONFIRMED_MS: u64 = 600_000;
+/// Age from which a repeated submission may speak of work that has been forgotten, in
+/// milliseconds.
+pub(super) const MAX_RESUBMIT_AGE_MS: u64 = RETAIN_UNCONFIRMED_MS / 2;
+/// Most ended jobs that are remembered beyond the confirmation of their answers.
 const MAX_RETAINED: usize = 5_000;
 /// Longest output that is kept, in bytes.
 const MAX_OUTPUT_BYTES: usize = 64 << 10;
@@ -400,6 +406,8 @@
     };
     let answer = answer.with_job(job.id.clone());
     for (member, call) in std::mem::take(&mut job.callers) {
+        job.unconfirmed.push(call);
+        queue.answered.insert(call, key);
         let message = PeerMessage::Answer { call, answer: answer.clone() };
         context.out.send(&member, message);
     }
@@ -425,6 +433,14 @@
         }
         queue.retained.pop_front();
         let Some(job) = queue.jobs.get(key) else { continue };
+        let last = job.ended_at.unwrap_or(until).plus(RETAIN_UNCONFIRMED_MS);
+        if !job.unconfirmed.is_empty() && context.view.now < last {
+            queue.retained.push_back((context.view.now.plus(RETAIN_REQUEST_MS), key));
+            if is_crowded {
+                break;
+            }
+            continue;
+        }
         if job.is_journalled {
             let nonce = job.id.nonce;
             queue.journal.append(JournalRecord::Forget { job: nonce });
@@ -447,21 +463,21 @@
         let notice = EndedNotice { attempt, result, output, is_displaced: false };
         return on_ended(queue, &rack, notice, context);
     }
-    if !queue.jobs[key].is_inherited {
-        return;
-    }
-    let found: Vec<AttemptKey> = queue
-        .attempts
-        .iter()
-        .filter(|(_, attempt)| attempt.job.is_none() && attempt.id.job.nonce == nonce)
-        .map(|(attempt, _)| attempt)
-        .collect();
-    for attempt in found {
-        attach_attempt(queue, key, attempt);
+    for attempt in queue.orphan_attempts.remove(&nonce).unwrap_or_default() {
+        if queue.attempts.contains_key(attempt) {
+            attach_attempt(queue, key, attempt);
+        }
     }
     queue.refresh_job(key);
 }
 
+/// Takes the confirmation that an entry has an answer.
+pub(super) fn on_answer_ack(queue: &mut TeamQueue, call: CallId) {
+    if let Some(job) = queue.answered.remove(&call).and_then(|key| queue.jobs.get_mut(key)) {
+        job.unconfirmed.retain(|known| *known != call);
+    }
+}
+
 /// Makes an attempt the current one of its task.
 pub(super) fn attach_attempt(queue: &mut TeamQueue, job: JobKey, attempt: AttemptKey) {
     let task = queue.attempts[attempt].id.task;
--- a/crates/node/src/queue/takeover.rs
+++ b/crates/node/src/queue/takeover.rs
@@ -69,7 +69,7 @@
         queue.phase = TeamPhase::Loading { call: 0, retry_at };
         return;
     };
-    let mut last = 0;
+    let (mut last, mut epoch) = (0, Epoch::default());
     let mut records = Vec::new();
     for entry in entries {
         let number = entry.key.rsplit('/').next().and_then(|hex| u64::from_str_radix(hex, 16).ok());
@@ -79,6 +79,10 @@
             continue;
         };
         last = last.max(number);
+        if segment.epoch > epoch {
+            epoch = segment.epoch;
+            queue.epoch_segments.push(number);
+        }
         if segment.is_snapshot {
             records.clear();
         }
@@ -87,6 +91,7 @@
     for record in records {
         replay(queue, record, context);
     }
+    queue.epoch_segments.push(last + 1);
     queue.journal = JournalWriter::new(queue.epoch, last + 1);
     queue.journal.append(JournalRecord::Takeover);
     queue.phase = TeamPhase::Fencing;
@@ -229,9 +234,11 @@
         stopping_at: None,
         sequence,
     };
+    let nonce = attempt.id.job.nonce;
     let key = queue.insert_attempt(attempt);
-    if let Some(job) = job {
-        settle::attach_attempt(queue, job, key);
+    match job {
+        Some(job) => settle::attach_attempt(queue, job, key),
+        None => queue.orphan_attempts.entry(nonce).or_default().push(key),
     }
     if is_unstarted {
         settle::stop_attempts(queue, &[key], context);
--- a/crates/node/src/queue/team.rs
+++ b/crates/node/src/queue/team.rs
@@ -100,6 +100,14 @@
     /// When attempts are asked about.
     pub(super) questions: BTreeSet<(ClockTime, AttemptKey)>,
     pub(super) orphan_ends: FxHashMap<u64, OrphanEnd>,
+    /// Attempts of a former owner whose jobs are not known here yet, by the job's number.
+    pub(super) orphan_attempts: FxHashMap<u64, Vec<AttemptKey>>,
+    /// Jobs of answered calls that are not confirmed.
+    pub(super) answered: FxHashMap<CallId, JobKey>,
+    /// First segment of each epoch, which trimming keeps.
+    pub(super) epoch_segments: Vec<u64>,
+    /// Number below which segments have been trimmed.
+    pub(super) trimmed_below: u64,
     pub(super) early: Vec<EarlySubmit>,
     pub(super) acks: VecDeque<PendingAck>,
     /// What all attempts take.
@@ -147,6 +155,10 @@
             by_attempt: FxHashMap::default(),
             questions: BTreeSet::new(),
             orphan_ends: FxHashMap::default(),
+            orphan_attempts: FxHashMap::default(),
+            answered: FxHashMap::default(),
+            epoch_segments: Vec::new(),
+            trimmed_below: 0,
             early: Vec::new(),
             acks: VecDeque::new(),
             running: Resources::ZERO,
@@ -236,6 +248,9 @@
         if let Some(at) = deadline {
             self.deadlines.remove(&(at, key));
         }
+        for call in &job.unconfirmed {
+            self.answered.remove(call);
+        }
         self.backing_off.remove(&key);
         self.parked.remove(&key);
         self.unaccepted.retain(|(_, job)| *job != key);
--- a/crates/ownership/src/isolation.rs
+++ b/crates/ownership/src/isolation.rs
@@ -2,10 +2,14 @@
 //!
 //! Fences stop a former owner at every receiver that its successor has reached. A receiver that
 //! only the former owner reaches is not covered, so a daemon that may have been replaced must
-//! stop by itself within a stated time. It may have been replaced only by members that reach the
-//! store and hear at least half of the members. A daemon rules that out while it has current news
-//! of the store that show its own record, or while it hears more than half of the members and
-//! none of them has news of the store.
+//! stop by itself within a stated time. It may have been replaced only by a member that reaches
+//! the store and is heard by at least half of the members, all of which know that it does. A
+//! daemon rules that out while it has current news of the store that show its own record, or
+//! while it hears more than half of the members and none of them has heard of later news of the
+//! store than its own: two such groups have a member in common.
+//!
+//! Later news do not age. A daemon that was isolated because others have them stays so until it
+//! gets current news itself.
 //!
 //! All ages are measured in the daemon's own clock from the moment it *asked*: the start of the
 //! store call, or the heartbeat that a peer's heartbeat echoes. News that waited in a socket while
@@ -17,10 +21,13 @@
     /// Age of the freshest news of the store, in milliseconds: its own answer, or one that a peer
     /// relayed together with the statement that this daemon's record is listed.
     pub store_age_ms: u64,
-    /// Whether a peer with current news of the store states that this daemon's record is gone.
-    pub is_delisted: bool,
+    /// Whether any member was ever heard to know of news of the store that are later than this
+    /// daemon's own by more than the stated time.
+    pub has_later_news: bool,
     /// Members that were heard within the stated time, this daemon included.
     pub heard: usize,
+    /// Those of them that know that this daemon has current news of the store.
+    pub informed: usize,
     /// Members that are known, this daemon included.
     pub known: usize,
     /// The stated time, in milliseconds.
@@ -30,9 +37,9 @@
 /// How much a daemon may do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum MemberStanding {
-    /// It hears the store and at least half of the members: it may do everything.
+    /// It hears the store, and at least half of the members know it: it may do everything.
     Connected,
-    /// It hears the store but fewer than half of the members: it keeps what it owns, takes
+    /// It hears the store but fewer than half of the members know it: it keeps what it owns, takes
     /// nothing over and changes no configuration.
     Minority,
     /// It hears more than half of the members and none has news of the store: nobody can have
@@ -44,8 +51,9 @@
 
 /// Judges what a daemon may do.
 ///
-/// Of two sides of a partition only one reaches the store. If that side hears at least half of
-/// the members, the other hears at most half and is isolated.
+/// A member that may take pieces over is known to reach the store by at least half of the
+/// members. A member that goes on without news hears more than half. So one is in both groups, and
+/// through it the second learns of the first.
 ///
 /// # Examples
 ///
@@ -54,8 +62,9 @@
 ///
 /// let cut_off = StandingInput {
 ///     store_age_ms: 9_000,
-///     is_delisted: false,
+///     has_later_news: false,
 ///     heard: 4,
+///     informed: 4,
 ///     known: 8,
 ///     isolation_ms: 2_000,
 /// };
@@ -68,12 +77,12 @@
 #[must_use]
 pub fn judge_standing(input: StandingInput) -> MemberStanding {
     let hears_store = input.store_age_ms <= input.isolation_ms;
-    let hears_half = input.heard * 2 >= input.known;
+    let hears_half = input.informed * 2 >= input.known;
     let hears_majority = input.heard * 2 > input.known;
     if hears_store {
         return if hears_half { MemberStanding::Connected } else { MemberStanding::Minority };
     }
-    if hears_majority && !input.is_delisted {
+    if hears_majority && !input.has_later_news {
         MemberStanding::StoreSilent
     } else {
         MemberStanding::Isolated
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -20,6 +20,8 @@
     /// Epoch of the team's owner that the work may have reached first; `None` if it has certainly
     /// reached nobody. Another owner may start work that may have run only if it is idempotent.
     pub first_epoch: Option<Epoch>,
+    /// Time since it was first sent to an owner, in milliseconds.
+    pub age_ms: u64,
     /// Key that the caller showed; `None` on an open queue. The owner checks it again.
     pub key: Option<KeyName>,
     /// The caller's own name for the work, so that a repeat gets the first answer.
@@ -193,6 +195,9 @@
         /// Age of the freshest answer that the sender itself has of the store, in milliseconds;
         /// `u64::MAX` if none.
         store_age_ms: u64,
+        /// Age of the freshest answer of the store that the sender has heard of from anybody,
+        /// itself included, in milliseconds; `u64::MAX` if none.
+        heard_store_age_ms: u64,
         /// Whether the store's member list, as the sender knows it, holds the receiver under its
         /// present boot number.
         sees_receiver: bool,
