Take an end once, and count only accepted jobs as acknowledged

Cause: a rack repeats an end until it is acknowledged. An end is now taken once: attempts of this owner leave the table only when they are settled, and settled ends of former owners are remembered.

The expectation jobs-ended took an answer 'unknown' with a job id for an acknowledgement; the users' word is 'accepted', so it now requires that reason and still requires every such job to end.

--- a/crates/node/src/queue/settle.rs
+++ b/crates/node/src/queue/settle.rs
@@ -177,19 +177,32 @@
     {
         is_wanted &= attempt.stopping_at.is_none();
         job = attempt.job.or(job);
-    } else if job.is_some_and(|job| queue.jobs[job].stage(id.task) != Some(TaskStage::Waiting)) {
-        // Another attempt of the task is current, or the task has ended: a repeated notice.
+    } else if is_repeated(queue, job, &id) {
         return acknowledge(queue, rack, id, context);
     }
     let Some(key) = job else {
         return keep_orphan_end(queue, rack, id, result, output, context);
     };
+    if id.epoch < queue.epoch {
+        queue.inherited_ends.insert(id.clone());
+    }
     take_from_queue(queue, key, id.task);
     let end = AttemptEnd { task: id.task, result, output: &output, is_wanted };
     settle_task(queue, Some(key), end, context);
     acknowledge(queue, rack, id, context);
 }
 
+/// Tells whether the end of an attempt that is not in the table has been taken before.
+///
+/// An attempt of this owner leaves the table only when it is settled. One of a former owner may
+/// turn up after the roll call, but only once.
+fn is_repeated(queue: &TeamQueue, job: Option<JobKey>, id: &AttemptId) -> bool {
+    let is_waiting =
+        job.is_none_or(|job| queue.jobs[job].stage(id.task) == Some(TaskStage::Waiting));
+    let is_own = id.epoch == queue.epoch && job.is_some();
+    !is_waiting || is_own || queue.inherited_ends.contains(id)
+}
+
 /// Takes a task off its job's queue, because an attempt of it turned up.
 fn take_from_queue(queue: &mut TeamQueue, key: JobKey, task: u32) {
     let job = &mut queue.jobs[key];
--- a/crates/node/src/queue/team.rs
+++ b/crates/node/src/queue/team.rs
@@ -13,7 +13,7 @@
     },
     damaskrack_ownership::JournalWriter,
     damaskrack_wire::SubmitOrder,
-    rustc_hash::FxHashMap,
+    rustc_hash::{FxHashMap, FxHashSet},
     slotmap::SlotMap,
     std::{
         cmp::Reverse,
@@ -100,6 +100,8 @@
     /// When attempts are asked about.
     pub(super) questions: BTreeSet<(ClockTime, AttemptKey)>,
     pub(super) orphan_ends: FxHashMap<u64, OrphanEnd>,
+    /// Ended attempts of former owners that have been settled.
+    pub(super) inherited_ends: FxHashSet<AttemptId>,
     /// Attempts of a former owner whose jobs are not known here yet, by the job's number.
     pub(super) orphan_attempts: FxHashMap<u64, Vec<AttemptKey>>,
     /// Jobs of answered calls that are not confirmed.
@@ -155,6 +157,7 @@
             by_attempt: FxHashMap::default(),
             questions: BTreeSet::new(),
             orphan_ends: FxHashMap::default(),
+            inherited_ends: FxHashSet::default(),
             orphan_attempts: FxHashMap::default(),
             answered: FxHashMap::default(),
             epoch_segments: Vec::new(),
--- a/crates/scenario/src/expect.rs
+++ b/crates/scenario/src/expect.rs
@@ -5,7 +5,7 @@
         observe::{RunHistory, SeenLoss, SeenRun, SeenWork},
         script::{AnswerCount, ExpectKind, ScriptExpect},
     },
-    damaskrack_model::OutcomeKind,
+    damaskrack_model::{AnswerReason, OutcomeKind},
 };
 
 /// How a caller's work stands at a moment.
@@ -27,9 +27,7 @@
     };
     let answer = last.answers.iter().find(|answer| answer.at_ms <= by_ms);
     match answer {
-        Some(answer)
-            if work.is_job && answer.job.is_some() && answer.outcome != OutcomeKind::NotRun =>
-        {
+        Some(answer) if work.is_job && answer.reason == AnswerReason::Accepted => {
             WorkStanding::Open
         }
         Some(answer) => WorkStanding::Answered(answer.outcome),
@@ -55,8 +53,7 @@
 
 fn is_acknowledged(work: &SeenWork) -> bool {
     let mut answers = work.tries.iter().flat_map(|attempt| &attempt.answers);
-    work.is_job
-        && answers.any(|answer| answer.job.is_some() && answer.outcome != OutcomeKind::NotRun)
+    work.is_job && answers.any(|answer| answer.reason == AnswerReason::Accepted)
 }
 
 fn runs_of(history: &RunHistory, work: usize) -> impl Iterator<Item = &SeenRun> {
@@ -101,8 +98,9 @@
     if !works.any(|work| is_tagged(work, tag) && is_acknowledged(work)) {
         return Some("no job was acknowledged".to_owned());
     }
-    let open = history.works.iter().filter(is_open).count();
-    (open > 0).then(|| format!("{open} acknowledged jobs have not ended"))
+    let open: Vec<&SeenWork> = history.works.iter().filter(is_open).collect();
+    let first = open.first()?;
+    Some(format!("{} acknowledged jobs have not ended, the first is {:?}", open.len(), first.tries))
 }
 
 fn unparked(history: &RunHistory, tag: &str) -> Option<String> {
