--- a/crates/scenario/src/observe/history.rs
+++ b/crates/scenario/src/observe/history.rs
@@ -47,6 +47,14 @@
     pub job: Option<JobId>,
 }
 
+impl SeenAnswer {
+    /// Tells whether it says that a job was accepted.
+    #[must_use]
+    pub fn is_acknowledgement(&self) -> bool {
+        self.job.is_some() && matches!(self.reason, AnswerReason::Accepted | AnswerReason::Ok)
+    }
+}
+
 /// One handing in of work.
 #[derive(Debug, Clone)]
 pub struct SeenTry {
--- a/crates/scenario/src/world/act.rs
+++ b/crates/scenario/src/world/act.rs
@@ -145,7 +145,7 @@
             Some(CallWaiter::Work { work, attempt }) => self.on_work_answer(work, attempt, answer),
             Some(CallWaiter::Query { work }) => self.on_query_answer(work, answer),
             Some(CallWaiter::Cancel { work }) => self.on_cancel_answer(work, answer),
-            Some(CallWaiter::Change { .. }) | None => self.record.stray_answers.push(call),
+            Some(CallWaiter::Change { .. }) | None => self.record.note_stray(call),
         }
     }
 
--- a/crates/scenario/src/world/build.rs
+++ b/crates/scenario/src/world/build.rs
@@ -118,7 +118,8 @@
             row.table.set_frozen(false, now_ms);
             row.table.advance(now_ms);
         }
-        let record = std::mem::take(&mut self.record);
+        let mut record = std::mem::take(&mut self.record);
+        record.disturbances.append(&mut record.downs);
         let mut history = RunHistory {
             runs: self.fleet.iter().flat_map(seen_runs).collect(),
             workers: self.fleet.iter().map(seen_worker).collect(),
--- a/crates/scenario/src/world/faults.rs
+++ b/crates/scenario/src/world/faults.rs
@@ -18,6 +18,9 @@
 /// Largest difference between two nodes' clocks, in milliseconds.
 const CLOCK_SKEW_MS: u64 = 2_000;
 
+/// Time after which a restart that has to wait for a shutdown is tried again, in milliseconds.
+const RESTART_MS: u64 = 200;
+
 /// Interval at which a node reads the host list for the first time, in milliseconds.
 const FIRST_HOSTS_READ_MS: u64 = 20;
 
@@ -204,6 +207,14 @@
 
     pub(crate) fn heal(&mut self, fault: u64) {
         let Some(active) = self.active.remove(&fault) else { return };
+        if let ActiveFault::NodeDown(node) = active
+            && self.nodes[node].shutdown_ms.is_some()
+        {
+            // It has not finished its shutdown; its successor starts when it has.
+            self.active.insert(fault, active);
+            self.queue.push(self.now_ms + RESTART_MS, WorldEvent::Heal { fault });
+            return;
+        }
         self.trace.line(self.now_ms, || format!("HEAL {active:?}"));
         match active {
             ActiveFault::NodeDown(node) => self.start_node(node),
@@ -262,6 +273,7 @@
     }
 
     fn end_process(&mut self, node: usize) {
+        self.record.note_down(node, self.now_ms);
         let waiters = self.nodes[node].stop();
         self.store.drop_watches(Some(node));
         for row in &mut self.fleet {
@@ -282,6 +294,7 @@
         self.nodes[node].start(boot, clock_base_ms);
         let life = self.nodes[node].life;
         self.record.lives.push((node, life, self.now_ms));
+        self.record.note_up(node, self.now_ms);
         self.trace.line(self.now_ms, || format!("START node-{} boot {boot}", node + 1));
         let first_ms = self.draw(TICK_MS);
         self.queue.push(self.now_ms + first_ms, WorldEvent::Tick { node, life });
--- a/crates/scenario/src/world/operators.rs
+++ b/crates/scenario/src/world/operators.rs
@@ -140,6 +140,7 @@
         }
         for process in &mut self.nodes {
             if process.waiters.remove(&call).is_some() {
+                self.record.abandoned.insert(call);
                 self.queue.push(self.now_ms, WorldEvent::ChangeTry { change });
             }
         }
@@ -162,7 +163,7 @@
             )
         });
         let Some(CallWaiter::Change { change }) = self.nodes[node].waiters.remove(&call) else {
-            self.record.stray_answers.push(call);
+            self.record.note_stray(call);
             return;
         };
         match self.changes[change].stage {
--- a/crates/scenario/src/world/process.rs
+++ b/crates/scenario/src/world/process.rs
@@ -85,7 +85,6 @@
         self.boot = boot;
         self.clock_base_ms = clock_base_ms;
         self.is_paused = false;
-        self.shutdown_ms = None;
         self.clear();
     }
 
@@ -105,6 +104,7 @@
         self.late.clear();
         self.waiters.clear();
         self.is_waking = false;
+        self.shutdown_ms = None;
     }
 
     pub(crate) fn is_alive(&self) -> bool {
--- a/crates/scenario/src/world/record.rs
+++ b/crates/scenario/src/world/record.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::observe::{SeenDisturbance, SeenLeaving, SeenLoss, SeenShutdown, SeenVersion},
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// Everything noted outside the stand-ins' own tables.
@@ -14,6 +14,10 @@
     pub(crate) shutdowns: Vec<SeenShutdown>,
     pub(crate) losses: Vec<SeenLoss>,
     pub(crate) stray_answers: Vec<u64>,
+    /// Calls that their caller gave up; an answer that crosses the news of it is no fault.
+    pub(crate) abandoned: BTreeSet<u64>,
+    /// Nodes without a process, from the end of one until the start of the next.
+    pub(crate) downs: Vec<SeenDisturbance>,
     pub(crate) lives: Vec<(usize, u64, u64)>,
     /// Version and time of acceptance.
     pub(crate) accepted: BTreeMap<u64, u64>,
@@ -22,3 +26,24 @@
     pub(crate) refused_stale: u64,
     pub(crate) refused_expired: u64,
 }
+
+impl WorldRecord {
+    /// Notes an answer to a call that nobody waits for.
+    pub(crate) fn note_stray(&mut self, call: u64) {
+        if !self.abandoned.remove(&call) {
+            self.stray_answers.push(call);
+        }
+    }
+
+    /// Notes the end of a node's process.
+    pub(crate) fn note_down(&mut self, node: usize, from_ms: u64) {
+        self.downs.push(SeenDisturbance { node: Some(node), from_ms, until_ms: u64::MAX });
+    }
+
+    /// Notes the start of a node's process.
+    pub(crate) fn note_up(&mut self, node: usize, at_ms: u64) {
+        for down in self.downs.iter_mut().filter(|down| down.node == Some(node)) {
+            down.until_ms = down.until_ms.min(at_ms);
+        }
+    }
+}
