--- a/crates/scenario/src/world/trace.rs
+++ b/crates/scenario/src/world/trace.rs
@@ -1,5 +1,7 @@
 //! A line for each event, for finding out why a run went wrong.
 
+use std::io::{Write, stdout};
+
 /// What a trace shows.
 #[derive(Debug, Clone, Default)]
 pub struct TraceFilter {
@@ -38,7 +40,8 @@
         }
         let text = text();
         if filter.words.is_empty() || filter.words.iter().any(|word| text.contains(word.as_str())) {
-            println!("{:>4}.{:03} {text}", now_ms / 1_000, now_ms % 1_000);
+            // A reader that closed the pipe has seen enough; the run itself goes on.
+            let _ = writeln!(stdout(), "{:>4}.{:03} {text}", now_ms / 1_000, now_ms % 1_000);
         }
     }
 }
