--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -57,6 +57,9 @@
     /// Whether the waiting time has passed once already without a reachable owner.
     is_overdue: bool,
     sent_to: Option<(MemberName, u64, Epoch)>,
+    /// Copies that were sent since the work had certainly reached nobody.
+    copies: u32,
+    first_sent_at: ClockTime,
     resend_at: ClockTime,
     resend_ms: u64,
 }
@@ -105,6 +108,8 @@
                     gives_up_at: Some(gives_up_at),
                     is_overdue: false,
                     sent_to: None,
+                    copies: 0,
+                    first_sent_at: view.now,
                     resend_at: view.now,
                     resend_ms: RESEND_MIN_MS,
                 };
@@ -145,6 +150,7 @@
                     queue,
                     nonce: out.draw(),
                     first_epoch: None,
+                    age_ms: 0,
                     key,
                     idempotency_key,
                     is_waiting,
@@ -197,6 +203,10 @@
             return;
         }
         out.send(from, PeerMessage::AnswerAck { calls: vec![call] });
+        if self.calls.get(&call.serial).is_some_and(|waiting| waiting.is_outdated(from, &answer)) {
+            out.count("entry.outdated_refusals", 1);
+            return;
+        }
         let Some(ended) = self.calls.remove(&call.serial) else {
             out.count("entry.late_answers", 1);
             return;
@@ -213,11 +223,12 @@
         if !is_current {
             return;
         }
-        if let (EntryQuestion::Submit(order), Some((_, _, epoch))) =
-            (&mut ended.question, &ended.sent_to)
-            && order.first_epoch == Some(*epoch)
+        if let EntryQuestion::Submit(order) = &mut ended.question
+            && ended.copies == 1
         {
+            // The only copy had no effect. With more than one, an earlier copy may have had.
             order.first_epoch = None;
+            ended.copies = 0;
         }
         ended.sent_to = None;
         ended.resend_at = view.now.plus(RESEND_MIN_MS / 10);
@@ -281,6 +292,13 @@
 }
 
 impl EntryCall {
+    /// Tells whether an answer is a refusal by a member that the call has since been taken away
+    /// from. It is true for that member alone: the next owner may have started the work.
+    fn is_outdated(&self, from: &MemberName, answer: &WorkAnswer) -> bool {
+        let is_current = self.sent_to.as_ref().is_some_and(|(member, ..)| member == from);
+        answer.outcome == OutcomeKind::NotRun && !is_current
+    }
+
     /// Sends the call to the team's owner, if there is one.
     fn send(&mut self, id: CallId, view: &ClusterView, out: &mut ActionBuffer) {
         let piece = PieceName::Team(self.team.clone());
@@ -299,6 +317,11 @@
         self.sent_to = Some((owner.clone(), record.boot, record.epoch));
         let message = match &mut self.question {
             EntryQuestion::Submit(order) => {
+                if self.copies == 0 {
+                    self.first_sent_at = view.now;
+                }
+                self.copies += 1;
+                order.age_ms = view.now.since(self.first_sent_at);
                 let copy = order.as_ref().clone();
                 order.first_epoch = order.first_epoch.or(Some(record.epoch));
                 PeerMessage::Submit { call: id, team: self.team.clone(), order: copy }
--- a/crates/node/src/queue/job.rs
+++ b/crates/node/src/queue/job.rs
@@ -77,6 +77,8 @@
     pub(super) pending_intent: Option<(u64, u32)>,
     /// Calls that wait for acceptance or the end.
     pub(super) callers: Vec<(MemberName, CallId)>,
+    /// Answered calls whose entries have not confirmed the answer.
+    pub(super) unconfirmed: Vec<CallId>,
     /// Whether the callers wait for the end.
     pub(super) is_waiting: bool,
     pub(super) is_cancelled: bool,
@@ -116,6 +118,7 @@
             intent_below,
             pending_intent: None,
             callers: Vec::new(),
+            unconfirmed: Vec::new(),
             is_cancelled: false,
             gang: GangStage::Idle,
             next_number: 0,
@@ -195,6 +198,14 @@
         }
     }
 
+    /// Queues exactly the tasks that wait, after stages were set from the journal.
+    pub(super) fn requeue_waiting(&mut self) {
+        self.backoff.clear();
+        self.queued = (0..self.spec.tasks)
+            .filter(|&task| self.stage(task) == Some(TaskStage::Waiting))
+            .collect();
+    }
+
     /// Makes every task wait again, also those that ended well: a gang runs as a whole.
     pub(super) fn restart_all(&mut self) {
         for stage in &mut self.tasks {
