Count members that died lately against going on without the store

Cause: the last daemon left alone saw itself as the whole cell; cut off from the store, it went on while the others came back and withdrew a key. Ruled out: making newcomers wait for an old member's word, which leaves the cell stuck when that member is dead. Change: members that died count for an hour when a daemon judges whether it may go on without the store; taking over still needs half of those that are listed or own something.

--- a/crates/node/src/membership/monitor.rs
+++ b/crates/node/src/membership/monitor.rs
@@ -12,9 +12,12 @@
     std::{collections::BTreeMap, net::SocketAddr},
 };
 
+/// Time after which the link to a member that is neither listed nor heard is given up, in
+/// milliseconds.
+const UNLINK_MS: u64 = 30_000;
 /// Time after which a member that is neither listed nor heard nor an owner is forgotten, in
 /// milliseconds.
-const FORGET_MS: u64 = 30_000;
+const FORGET_MS: u64 = 3_600_000;
 
 /// What the last heartbeat of a peer said.
 #[derive(Debug, Clone, Copy, Default)]
@@ -122,16 +125,15 @@
         let relayed_at = if own.shows_registration { listed_at } else { None };
         let proof_at = own.at.max(relayed_at);
         let horizon = proof_at.map(|at| at.plus(config.isolation_ms));
-        let others = view.known_members();
-        let is_heard = |row: &&&MemberRow| age(row.heard_at) <= config.isolation_ms;
-        let heard = others.iter().filter(is_heard).count();
-        let informed = others.iter().filter(is_heard).filter(|row| self.is_informed(row)).count();
+        let is_heard = |row: &&MemberRow| age(row.heard_at) <= config.isolation_ms;
+        let is_informed = |row: &&MemberRow| self.is_informed(row);
         judge_standing(StandingInput {
             store_age_ms: age(proof_at),
             has_later_news: self.heard_news_at > horizon,
-            heard: heard + 1,
-            informed: informed + 1,
-            known: others.len() + 1,
+            heard: view.known_members().filter(is_heard).count() + 1,
+            informed: view.current_members().filter(is_heard).filter(is_informed).count() + 1,
+            known: view.known_members().count() + 1,
+            current: view.current_members().count() + 1,
             isolation_ms: config.isolation_ms,
         })
     }
@@ -193,21 +195,24 @@
 
     fn drop_forgotten(&mut self, view: &mut ClusterView, out: &mut ActionBuffer) {
         let now = view.now;
+        let silent_ms = |row: &MemberRow| {
+            let since = row.unlisted_at.filter(|_| !row.is_listed);
+            since.map_or(0, |at| now.since(row.heard_at.map_or(at, |heard| heard.max(at))))
+        };
+        for (member, row) in &view.members {
+            if silent_ms(row) > UNLINK_MS && self.links.remove(member).is_some() {
+                out.push(NodeAction::Disconnect { member: member.clone() });
+            }
+        }
         let gone: Vec<MemberName> = view
             .members
             .iter()
-            .filter(|(member, row)| {
-                let is_silent = row.heard_at.is_none_or(|at| now.since(at) > FORGET_MS);
-                let is_old = row.unlisted_at.is_some_and(|at| now.since(at) > FORGET_MS);
-                !row.is_listed && is_silent && is_old && !view.owns_anything(member)
-            })
+            .filter(|(member, row)| silent_ms(row) > FORGET_MS && !view.owns_anything(member))
             .map(|(member, _)| member.clone())
             .collect();
         for member in gone {
             view.members.remove(&member);
             self.news.remove(&member);
-            self.links.remove(&member);
-            out.push(NodeAction::Disconnect { member });
         }
     }
 }
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -123,17 +123,21 @@
         }
     }
 
-    /// Returns the other members that count for a majority: those that are listed, and those
-    /// that still own something under the boot number they were last listed with.
-    pub(crate) fn known_members(&self) -> Vec<&MemberRow> {
-        self.members
-            .iter()
-            .filter(|(member, row)| **member != self.me && self.is_known(member, row))
+    /// Returns the other members that were known lately and did not say that they leave.
+    pub(crate) fn known_members(&self) -> impl Iterator<Item = &MemberRow> {
+        let others = self.members.iter().filter(|(member, _)| **member != self.me);
+        others
+            .filter(|(member, row)| !row.is_leaving || self.is_current(member, row))
             .map(|(_, row)| row)
-            .collect()
     }
 
-    fn is_known(&self, member: &MemberName, row: &MemberRow) -> bool {
+    /// Returns the other members that the store lists or that still own something.
+    pub(crate) fn current_members(&self) -> impl Iterator<Item = &MemberRow> {
+        let others = self.members.iter().filter(|(member, _)| **member != self.me);
+        others.filter(|(member, row)| self.is_current(member, row)).map(|(_, row)| row)
+    }
+
+    fn is_current(&self, member: &MemberName, row: &MemberRow) -> bool {
         row.is_listed || self.owns_anything(member)
     }
 
--- a/crates/ownership/src/isolation.rs
+++ b/crates/ownership/src/isolation.rs
@@ -28,8 +28,11 @@
     pub heard: usize,
     /// Those of them that know that this daemon has current news of the store.
     pub informed: usize,
-    /// Members that are known, this daemon included.
+    /// Members that were known lately and did not say that they leave, this daemon included. Those
+    /// that died count for a while, since one that is cut off would not see them come back.
     pub known: usize,
+    /// Members that the store lists or that still own something, this daemon included.
+    pub current: usize,
     /// The stated time, in milliseconds.
     pub isolation_ms: u64,
 }
@@ -66,6 +69,7 @@
 ///     heard: 4,
 ///     informed: 4,
 ///     known: 8,
+///     current: 8,
 ///     isolation_ms: 2_000,
 /// };
 /// assert_eq!(judge_standing(cut_off), MemberStanding::Isolated);
@@ -77,7 +81,7 @@
 #[must_use]
 pub fn judge_standing(input: StandingInput) -> MemberStanding {
     let hears_store = input.store_age_ms <= input.isolation_ms;
-    let hears_half = input.informed * 2 >= input.known;
+    let hears_half = input.informed * 2 >= input.current;
     let hears_majority = input.heard * 2 > input.known;
     if hears_store {
         return if hears_half { MemberStanding::Connected } else { MemberStanding::Minority };
