Cover crossed and late answers of workers

Removing one guard of the rack role at a time showed guards that no test missed: the clock check that keeps a report older than a start from ending it, the memory of replaced processes, the wait for a late start after a restart, the room kept while only part of the victims have ended, and acknowledged ends that a worker lists once more. Each has a test now that fails without it. Three guards have a second line behind them (the epoch check on admission, the standing check of lapses, the health check of open workers), so no test can tell them apart.

--- a/crates/node/src/rack/tests.rs
+++ b/crates/node/src/rack/tests.rs
@@ -8,13 +8,17 @@
 
 use {
     super::RackRole,
-    crate::{NodeAction, NodeConfig, buffer::ActionBuffer, view::ClusterView},
+    crate::{
+        NodeAction, NodeConfig,
+        buffer::ActionBuffer,
+        view::{ClusterView, OwnerRow},
+    },
     damaskrack_manifest::{ZoneEntry, ZoneState},
     damaskrack_model::{
         AttemptId, ClockTime, Epoch, JobId, MemberName, PriorityClass, RackName, Resources,
         TeamName, WorkKind,
     },
-    damaskrack_ownership::MemberStanding,
+    damaskrack_ownership::{MemberStanding, OwnerRecord, PieceName},
     damaskrack_platform::{HostRow, HostState, WorkerCall, WorkerFailure, WorkerReply},
     damaskrack_wire::{
         AttemptPhase, AttemptRow, EndedNotice, PeerMessage, PlaceMode, PlaceOrder, PlaceVerdict,
@@ -99,6 +103,9 @@
         view.manifest.version = 1;
         view.manifest.document.zones = vec![ZoneEntry { name: name("z1"), state: ZoneState::In }];
         view.cell_capacity = WORKER.checked_mul(workers.into()).expect("a small cell");
+        for team in ["harbour", "bulk", "gang"] {
+            view.owners.insert(PieceName::Team(name(team)), owner("q1"));
+        }
         let hosts = (1..=workers).map(host).collect::<Vec<_>>();
         let workers = hosts.iter().map(|row| (row.address, FakeWorker::new(11))).collect();
         view.hosts = hosts;
@@ -299,6 +306,11 @@
     }
 }
 
+fn owner(member: &str) -> OwnerRow {
+    let record = OwnerRecord { owner: Some(name(member)), boot: 1, epoch: Epoch(1), write: 1 };
+    OwnerRow { record, revision: 1 }
+}
+
 fn host(number: u16) -> HostRow {
     HostRow {
         worker: name(&format!("w{number}")),
--- a/crates/node/src/rack/tests/failures.rs
+++ b/crates/node/src/rack/tests/failures.rs
@@ -71,12 +71,74 @@
     assert_eq!(cell.notices().len(), told);
 }
 
+#[test]
+fn what_was_declared_lapsed_is_stopped_before_its_end_is_acknowledged() {
+    let mut cell = RackHarness::rebuilt(1);
+    let id = attempt("harbour", 1);
+    cell.place("harbour", vec![order("harbour", 1, QUARTER)]);
+    cell.run(100);
+    cell.worker(1).link = LinkState::Silent;
+    cell.run_until(8_000, |cell| !cell.notices().is_empty());
+    cell.worker(1).ended.clear();
+    cell.worker(1).adopt(id, QUARTER, 60_000);
+    cell.worker(1).link = LinkState::Up;
+    cell.run(3_000);
+    assert!(cell.worker(1).ids().is_empty());
+    assert!(cell.notices().iter().all(|notice| notice.result == TaskResult::Lapsed));
+}
+
+#[test]
+fn a_report_that_is_older_than_a_start_ends_nothing() {
+    let mut cell = RackHarness::rebuilt(1);
+    let sync = cell.calls.pop().expect("an outstanding sync");
+    let report = cell.worker(1).answer(&sync.request, u64::MAX).expect("a report");
+    cell.run(10);
+    cell.place("harbour", vec![order("harbour", 1, QUARTER)]);
+    cell.role.on_worker(sync.number, Ok(report), &cell.view, &mut cell.out);
+    cell.run(500);
+    assert!(cell.is_started(&attempt("harbour", 1)));
+    assert!(cell.notices().is_empty());
+}
+
+#[test]
+fn a_late_start_may_reach_the_process_that_replaced_its_worker() {
+    let mut cell = RackHarness::rebuilt(1);
+    let id = attempt("harbour", 1);
+    cell.worker(1).link = LinkState::Late;
+    cell.place("harbour", vec![order("harbour", 1, QUARTER)]);
+    cell.run(1_100);
+    cell.worker(1).restart();
+    cell.worker(1).link = LinkState::Up;
+    cell.run(1_000);
+    assert!(cell.notices().is_empty(), "the start may still arrive");
+    cell.run(2_000);
+    assert_eq!(cell.worker(1).ids(), std::slice::from_ref(&id));
+    assert!(cell.is_started(&id));
+}
+
+#[test]
+fn a_late_answer_of_a_replaced_process_changes_nothing() {
+    let mut cell = RackHarness::rebuilt(1);
+    let sync = cell.calls.pop().expect("an outstanding sync");
+    let report = cell.worker(1).answer(&sync.request, u64::MAX).expect("a report");
+    cell.worker(1).restart();
+    cell.place("harbour", vec![order("harbour", 1, QUARTER)]);
+    cell.run(3_500);
+    assert!(cell.is_started(&attempt("harbour", 1)));
+    cell.role.on_worker(sync.number, Ok(report), &cell.view, &mut cell.out);
+    cell.run(100);
+    assert!(cell.notices().is_empty());
+    assert_eq!(cell.worker(1).ids(), [attempt("harbour", 1)]);
+}
+
 #[test]
 fn a_restarted_worker_has_lost_what_it_ran() {
     let mut cell = RackHarness::rebuilt(1);
     cell.place("harbour", vec![order("harbour", 1, QUARTER)]);
     cell.run(100);
-    *cell.worker(1) = FakeWorker::new(12);
+    // The clock of the new process starts anew.
+    cell.worker(1).restart();
+    cell.worker(1).clock_ms = 1;
     cell.run_until(2_000, |cell| !cell.notices().is_empty());
     assert_eq!(cell.notices()[0].result, TaskResult::Lapsed);
     cell.place("harbour", vec![order("harbour", 2, WORKER)]);
@@ -148,6 +210,20 @@
     assert!(cell.worker(1).ended.is_empty());
 }
 
+#[test]
+fn an_end_is_told_at_once_to_a_new_owner() {
+    let mut cell = RackHarness::rebuilt(1);
+    let id = attempt("harbour", 1);
+    cell.place("harbour", vec![order("harbour", 1, QUARTER)]);
+    cell.run(50);
+    cell.worker(1).finish(&id, TaskResult::Succeeded);
+    cell.run(50);
+    cell.view.owners.insert(PieceName::Team(name("harbour")), owner("q2"));
+    cell.run(200);
+    let told: Vec<&str> = cell.messages.iter().map(|(member, _)| member.as_str()).collect();
+    assert_eq!(told, ["q1", "q1", "q2"]);
+}
+
 #[test]
 fn a_worker_that_fails_everything_gets_no_more_work() {
     let mut cell = RackHarness::rebuilt(2);
--- a/crates/node/src/rack/tests/placing.rs
+++ b/crates/node/src/rack/tests/placing.rs
@@ -6,8 +6,8 @@
 fn a_repeated_place_starts_once() {
     let mut cell = RackHarness::rebuilt(2);
     let id = attempt("harbour", 1);
-    cell.place("harbour", vec![order("harbour", 1, QUARTER)]);
-    cell.place("harbour", vec![order("harbour", 1, QUARTER)]);
+    cell.place("harbour", vec![order("harbour", 1, WORKER)]);
+    cell.place("harbour", vec![order("harbour", 1, WORKER)]);
     cell.run(50);
     assert_eq!(cell.starts(&id), 1);
     assert_eq!(cell.verdicts(&id).len(), 2);
@@ -105,16 +105,19 @@
 #[test]
 fn a_kept_room_is_not_given_to_others() {
     let mut cell = RackHarness::rebuilt(1);
-    cell.place("bulk", vec![order("bulk", 1, WORKER)]);
+    let half = QUARTER.checked_mul(2).expect("half a worker");
+    cell.place("bulk", vec![order("bulk", 1, half), order("bulk", 2, half)]);
     cell.run(50);
     cell.set_borrower("bulk", WORKER);
     cell.worker(1).ignores_stops = true;
     cell.place("harbour", vec![urgent("harbour", 1, WORKER)]);
     cell.run(100);
     cell.worker(1).finish(&attempt("bulk", 1), TaskResult::Stopped);
-    cell.place("bulk", vec![order("bulk", 2, QUARTER)]);
     cell.run(50);
-    assert_eq!(cell.refusal(&attempt("bulk", 2)), Some(RefusalReason::Full));
+    cell.place("bulk", vec![order("bulk", 3, QUARTER)]);
+    assert_eq!(cell.refusal(&attempt("bulk", 3)), Some(RefusalReason::Full));
+    cell.worker(1).finish(&attempt("bulk", 2), TaskResult::Stopped);
+    cell.run(50);
     assert!(cell.is_started(&attempt("harbour", 1)));
 }
 
