Judge workers by their latest outcomes, at once after a failure

A worker with a long good record that begins to fail everything kept its good name until its failures outnumbered the record, and was judged twice a second only while it can fail dozens of tasks in that time. Now the last ten outcomes count, six failures among them are needed, and the judgement follows each failure. Shorter windows were ruled out: their size in tasks depends on the load. New tests show the quarantine after 50 good rounds and none for scattered failures.

--- a/crates/node/src/rack.rs
+++ b/crates/node/src/rack.rs
@@ -210,7 +210,11 @@
         self.note_pause(view);
         if view.now >= self.upkeep_at {
             self.upkeep_at = view.now.plus(UPKEEP_MS);
-            self.run_upkeep(view, out);
+            self.run_upkeep(view);
+            self.shared.has_new_failure = true;
+        }
+        if std::mem::take(&mut self.shared.has_new_failure) {
+            self.judge_workers(view, out);
         }
         for table in self.racks.values_mut() {
             if table.is_dirty || view.now >= table.due_at {
@@ -231,12 +235,17 @@
         self.ticked_at = Some(view.now);
     }
 
-    fn run_upkeep(&mut self, view: &ClusterView, out: &mut ActionBuffer) {
+    fn run_upkeep(&mut self, view: &ClusterView) {
         hosts::follow_hosts(&mut self.racks, &mut self.shared, view);
         self.shared.expire_displacements(view.now);
         for table in self.racks.values_mut() {
             table.voids.retain(|_, until| view.now < *until);
         }
+    }
+
+    /// Judges workers at once after a failure: one that fails everything frees its room fast and
+    /// would go through many tasks until the next upkeep.
+    fn judge_workers(&mut self, view: &ClusterView, out: &mut ActionBuffer) {
         let workers = self.racks.values().map(|table| table.workers.len()).sum();
         for change in self.shared.health.review(workers, view.now) {
             log_health(&change, out);
--- a/crates/node/src/rack/report.rs
+++ b/crates/node/src/rack/report.rs
@@ -235,6 +235,7 @@
         if let (Some(is_failed), Some(worker)) =
             (is_failure(row.result), self.rack.workers.get(self.worker))
         {
+            self.shared.has_new_failure |= is_failed;
             self.shared.health.record(worker.name.clone(), job, is_failed, self.now);
         }
         self.rack.end(key, row.result, row.output);
--- a/crates/node/src/rack/shared.rs
+++ b/crates/node/src/rack/shared.rs
@@ -103,6 +103,8 @@
     pub(crate) calls: BTreeMap<u64, CallRow>,
     /// Judgement of workers.
     pub(crate) health: WorkerHealth<WorkerName, JobId>,
+    /// Whether a task has failed since workers were judged.
+    pub(crate) has_new_failure: bool,
     /// When this daemon was last isolated or paused. Silence before it proves nothing, because
     /// somebody else may have renewed leases meanwhile.
     pub(crate) resumed_at: ClockTime,
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -12,14 +12,18 @@
     std::collections::{BTreeMap, VecDeque},
 };
 
-/// Length of one counting window, in milliseconds; the last two are judged.
-const WINDOW_MS: u64 = 30_000;
+/// Outcomes of a worker that are judged. Only the latest count, so that a long good record does
+/// not protect a worker that has begun to fail.
+const MAX_OUTCOMES: usize = 10;
 
-/// Failures in the windows before a worker is judged.
-const MIN_FAILURES: u32 = 4;
+/// Time for which an outcome counts, in milliseconds.
+const MEMORY_MS: u64 = 60_000;
+
+/// Failures among them before a worker is judged.
+const MIN_FAILURES: u32 = 6;
 
 /// Failure rate from which a worker is quarantined, in percent.
-const MIN_RATE_PERCENT: u32 = 50;
+const MIN_RATE_PERCENT: u32 = 60;
 
 /// How many times the failure rate of the other workers it must reach.
 const RATE_RATIO: u32 = 3;
@@ -71,16 +75,12 @@
     Returned(W),
 }
 
+/// How a task ended.
 #[derive(Debug, Clone)]
-struct OutcomeWindow<J> {
-    succeeded: u32,
-    failed: BTreeMap<J, u32>,
-}
-
-impl<J> Default for OutcomeWindow<J> {
-    fn default() -> Self {
-        Self { succeeded: 0, failed: BTreeMap::new() }
-    }
+struct TaskOutcome<J> {
+    job: J,
+    is_failed: bool,
+    at: ClockTime,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -94,18 +94,12 @@
 struct HealthRow<J> {
     state: HealthState,
     strikes: u32,
-    current: OutcomeWindow<J>,
-    previous: OutcomeWindow<J>,
+    outcomes: VecDeque<TaskOutcome<J>>,
 }
 
 impl<J> Default for HealthRow<J> {
     fn default() -> Self {
-        Self {
-            state: HealthState::Trusted,
-            strikes: 0,
-            current: OutcomeWindow::default(),
-            previous: OutcomeWindow::default(),
-        }
+        Self { state: HealthState::Trusted, strikes: 0, outcomes: VecDeque::new() }
     }
 }
 
@@ -156,7 +150,7 @@
 /// use {damaskrack_model::ClockTime, damaskrack_policy::{HealthGate, WorkerHealth}};
 ///
 /// let mut health: WorkerHealth<u32, u32> = WorkerHealth::default();
-/// for job in 0..4 {
+/// for job in 0..6 {
 ///     health.record(1, job, true, ClockTime(0));
 ///     health.record(2, job, false, ClockTime(0));
 /// }
@@ -169,17 +163,11 @@
     rows: BTreeMap<W, HealthRow<J>>,
     jobs: BTreeMap<J, BlameRow<W>>,
     recent: VecDeque<ClockTime>,
-    rotated_at: ClockTime,
 }
 
 impl<W, J> Default for WorkerHealth<W, J> {
     fn default() -> Self {
-        Self {
-            rows: BTreeMap::new(),
-            jobs: BTreeMap::new(),
-            recent: VecDeque::new(),
-            rotated_at: ClockTime::default(),
-        }
+        Self { rows: BTreeMap::new(), jobs: BTreeMap::new(), recent: VecDeque::new() }
     }
 }
 
@@ -188,11 +176,10 @@
     pub fn record(&mut self, worker: W, job: J, is_failed: bool, now: ClockTime) {
         self.note_witness(&worker, &job, is_failed, now);
         let row = self.rows.entry(worker).or_default();
-        if is_failed {
-            *row.current.failed.entry(job).or_insert(0) += 1;
-        } else {
-            row.current.succeeded = row.current.succeeded.saturating_add(1);
+        if row.outcomes.len() == MAX_OUTCOMES {
+            row.outcomes.pop_front();
         }
+        row.outcomes.push_back(TaskOutcome { job, is_failed, at: now });
         if let HealthState::Probing { succeeded } = &mut row.state {
             *succeeded = if is_failed { 0 } else { *succeeded + 1 };
         }
@@ -200,6 +187,7 @@
 
     /// Judges every worker and returns what changed. `workers` is how many there are.
     pub fn review(&mut self, workers: usize, now: ClockTime) -> Vec<HealthChange<W>> {
+        self.expire(now);
         let tallies: BTreeMap<W, OutcomeTally> =
             self.rows.iter().map(|(worker, row)| (worker.clone(), self.tally(row))).collect();
         let mut all = OutcomeTally::default();
@@ -215,7 +203,6 @@
             };
             changes.extend(self.review_worker(worker, tally, others, workers, now));
         }
-        self.rotate(now);
         changes
     }
 
@@ -242,7 +229,7 @@
 
     fn note_witness(&mut self, worker: &W, job: &J, is_failed: bool, now: ClockTime) {
         if !self.jobs.contains_key(job) && self.jobs.len() >= MAX_BLAMED_JOBS {
-            self.jobs.retain(|_, row| now.since(row.seen_at) < WINDOW_MS);
+            self.jobs.retain(|_, row| now.since(row.seen_at) < MEMORY_MS);
             if self.jobs.len() >= MAX_BLAMED_JOBS {
                 return;
             }
@@ -261,12 +248,11 @@
 
     fn tally(&self, row: &HealthRow<J>) -> OutcomeTally {
         let mut tally = OutcomeTally::default();
-        for window in [&row.current, &row.previous] {
-            tally.succeeded = tally.succeeded.saturating_add(window.succeeded);
-            for (job, count) in &window.failed {
-                if !self.is_job_at_fault(job) {
-                    tally.failed = tally.failed.saturating_add(*count);
-                }
+        for outcome in &row.outcomes {
+            match outcome.is_failed {
+                true if self.is_job_at_fault(&outcome.job) => {}
+                true => tally.failed += 1,
+                false => tally.succeeded += 1,
             }
         }
         tally
@@ -291,7 +277,7 @@
             }
             HealthState::Trusted => None,
             HealthState::Quarantined { until } if now >= until => {
-                self.set_state(&worker, HealthState::Probing { succeeded: 0 });
+                self.probe(&worker);
                 Some(HealthChange::Probing(worker))
             }
             HealthState::Quarantined { .. } => None,
@@ -312,16 +298,14 @@
             let until = now.plus(QUARANTINE_MS << row.strikes.min(MAX_DOUBLINGS));
             row.strikes = row.strikes.saturating_add(1);
             row.state = HealthState::Quarantined { until };
-            row.current = OutcomeWindow::default();
-            row.previous = OutcomeWindow::default();
+            row.outcomes.clear();
         }
     }
 
-    fn set_state(&mut self, worker: &W, state: HealthState) {
+    fn probe(&mut self, worker: &W) {
         if let Some(row) = self.rows.get_mut(worker) {
-            row.state = state;
-            row.current = OutcomeWindow::default();
-            row.previous = OutcomeWindow::default();
+            row.state = HealthState::Probing { succeeded: 0 };
+            row.outcomes.clear();
         }
     }
 
@@ -336,18 +320,10 @@
             && self.recent.len() < percent_of(MAX_PER_MINUTE_PERCENT)
     }
 
-    fn rotate(&mut self, now: ClockTime) {
-        if now.since(self.rotated_at) < WINDOW_MS {
-            return;
-        }
-        self.rotated_at = now;
+    fn expire(&mut self, now: ClockTime) {
         for row in self.rows.values_mut() {
-            row.previous = std::mem::take(&mut row.current);
+            row.outcomes.retain(|outcome| now.since(outcome.at) < MEMORY_MS);
         }
-        self.rows.retain(|_, row| {
-            row.state != HealthState::Trusted
-                || row.previous.succeeded > 0
-                || !row.previous.failed.is_empty()
-        });
+        self.rows.retain(|_, row| row.state != HealthState::Trusted || !row.outcomes.is_empty());
     }
 }
--- a/crates/policy/tests/health.rs
+++ b/crates/policy/tests/health.rs
@@ -28,6 +28,25 @@
     assert_eq!(closed(&health), [3]);
 }
 
+#[test]
+fn a_long_good_record_does_not_protect_a_failing_worker() {
+    let mut health = WorkerHealth::default();
+    for _ in 0..50 {
+        run_jobs(&mut health, |_, _| false, ClockTime(0));
+    }
+    run_jobs(&mut health, |worker, _| worker == 3, ClockTime(0));
+    assert_eq!(health.review(8, ClockTime(0)), [HealthChange::Quarantined(3)]);
+}
+
+#[test]
+fn a_few_failures_in_good_work_quarantine_nobody() {
+    let mut health = WorkerHealth::default();
+    for round in 0..20 {
+        run_jobs(&mut health, |worker, job| job == worker % 6 && round % 2 == 0, ClockTime(0));
+        assert!(health.review(8, ClockTime(0)).is_empty());
+    }
+}
+
 #[test]
 fn a_job_that_fails_everywhere_blames_no_worker() {
     let mut health = WorkerHealth::default();
