Keep a rack while a worker that left the host list still runs something

A next owner looks for workers in the host list only. After a graceful hand-over it would take work on a vanished worker for lost although its lease still ran, and start it elsewhere. A rack is now released only once nothing runs on such a worker; the former owner goes on renewing until then. Waiting in the next owner was ruled out, because it would close every rack for a lease after every move.

--- a/crates/node/src/rack.rs
+++ b/crates/node/src/rack.rs
@@ -90,13 +90,19 @@
         }
     }
 
-    /// Tells whether a frozen rack has no start on the way, so that it can be released.
+    /// Tells whether a frozen rack can be released.
+    ///
+    /// No start is on the way, and nothing runs on a worker that has vanished from the host list:
+    /// the next owner would not look for it there.
     pub(crate) fn is_settled(&self, rack: &RackName) -> bool {
         self.racks.get(rack).is_none_or(|table| {
-            !table.attempts.values().any(|attempt| match &attempt.phase {
+            let is_moving = |attempt: &TrackedAttempt| match &attempt.phase {
                 LocalPhase::Starting(mark) => mark.call.is_some(),
                 _ => attempt.is_unsent(),
-            })
+            };
+            let is_left_behind =
+                |worker: &WorkerRow| worker.listed.is_none() && !worker.attempts.is_empty();
+            !table.attempts.values().any(is_moving) && !table.workers.values().any(is_left_behind)
         })
     }
 
--- a/crates/node/src/rack/tests/takeover.rs
+++ b/crates/node/src/rack/tests/takeover.rs
@@ -129,6 +129,22 @@
     assert!(cell.is_started(&attempt("harbour", 4)));
 }
 
+#[test]
+fn a_rack_is_kept_while_a_vanished_worker_runs_something() {
+    let mut cell = RackHarness::rebuilt(2);
+    let id = attempt("harbour", 1);
+    cell.place("harbour", vec![order("harbour", 1, WORKER)]);
+    cell.run(50);
+    cell.view.hosts.retain(|row| row.worker != host(1).worker);
+    cell.run(5_000);
+    cell.role.freeze(&name("r1"));
+    assert_eq!(cell.worker(1).ids(), std::slice::from_ref(&id), "its lease is renewed");
+    assert!(!cell.role.is_settled(&name("r1")));
+    cell.worker(1).finish(&id, damaskrack_model::TaskResult::Succeeded);
+    cell.run(1_500);
+    assert!(cell.role.is_settled(&name("r1")));
+}
+
 #[test]
 fn a_rack_that_is_not_owned_refuses() {
     let mut cell = RackHarness::new(1);
