Mirror the messages between daemons as protocol buffers and frame them

Cause: the core's messages had no encoding, so daemons could not talk. Change: hand-written prost structs, one conversion each way with a check of every field and a typed error; a length-delimited codec with a frame limit in both directions; a hello frame that names member, boot, protocol version and connection generation.

--- /dev/null
+++ b/crates/wire/src/codec.rs
@@ -0,0 +1,87 @@
+//! Framing of a link: a 4-byte length, then one protocol-buffer frame.
+//!
+//! The limit holds in both directions, so a corrupt length cannot make a daemon reserve memory,
+//! and a message that the peer would refuse is refused where it can still be counted.
+
+use {
+    crate::{HelloFrame, PeerMessage, WireError, proto::FrameProto},
+    bytes::{Bytes, BytesMut},
+    prost::Message,
+    tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec},
+};
+
+/// Longest frame, in bytes.
+pub const MAX_FRAME_BYTES: usize = 4 << 20;
+
+/// What a link carries.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PeerFrame {
+    /// The first frame of each direction.
+    Hello(HelloFrame),
+    /// Any later frame.
+    Message(PeerMessage),
+}
+
+/// Encodes and decodes the frames of a link.
+///
+/// # Examples
+///
+/// ```
+/// use {
+///     bytes::BytesMut,
+///     damaskrack_wire::{HelloFrame, PeerCodec, PeerFrame},
+///     tokio_util::codec::{Decoder, Encoder},
+/// };
+///
+/// let hello = PeerFrame::Hello(HelloFrame::dialler("entry-1".parse()?, 7));
+/// let mut buffer = BytesMut::new();
+/// let mut codec = PeerCodec::new();
+/// codec.encode(hello.clone(), &mut buffer)?;
+/// assert_eq!(codec.decode(&mut buffer)?, Some(hello));
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+#[derive(Debug)]
+pub struct PeerCodec {
+    framing: LengthDelimitedCodec,
+}
+
+impl PeerCodec {
+    /// Makes a codec with the default limit.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::with_limit(MAX_FRAME_BYTES)
+    }
+
+    /// Makes a codec that refuses frames longer than `max_bytes`.
+    #[must_use]
+    pub fn with_limit(max_bytes: usize) -> Self {
+        Self { framing: LengthDelimitedCodec::builder().max_frame_length(max_bytes).new_codec() }
+    }
+}
+
+impl Default for PeerCodec {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Encoder<PeerFrame> for PeerCodec {
+    type Error = WireError;
+
+    fn encode(&mut self, frame: PeerFrame, buffer: &mut BytesMut) -> Result<(), WireError> {
+        let bytes = FrameProto::from(frame).encode_to_vec();
+        Ok(self.framing.encode(Bytes::from(bytes), buffer)?)
+    }
+}
+
+impl Decoder for PeerCodec {
+    type Item = PeerFrame;
+    type Error = WireError;
+
+    fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<PeerFrame>, WireError> {
+        match self.framing.decode(buffer)? {
+            Some(bytes) => FrameProto::decode(bytes)?.try_into().map(Some),
+            None => Ok(None),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/error.rs
@@ -0,0 +1,49 @@
+//! Why bytes from a peer are not a frame.
+
+use std::fmt;
+
+/// A frame that cannot be encoded or decoded.
+#[derive(Debug)]
+pub enum WireError {
+    /// The connection failed, ended inside a frame, or a frame is longer than the limit.
+    Io(std::io::Error),
+    /// The bytes are not valid protocol buffers.
+    Malformed(prost::DecodeError),
+    /// A field that every frame of this kind carries is missing.
+    Missing(&'static str),
+    /// A field holds a value outside its range.
+    Invalid(&'static str),
+}
+
+impl fmt::Display for WireError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Io(error) => write!(f, "link failed: {error}"),
+            Self::Malformed(error) => write!(f, "malformed frame: {error}"),
+            Self::Missing(field) => write!(f, "frame without `{field}`"),
+            Self::Invalid(field) => write!(f, "frame with an invalid `{field}`"),
+        }
+    }
+}
+
+impl std::error::Error for WireError {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            Self::Io(error) => Some(error),
+            Self::Malformed(error) => Some(error),
+            Self::Missing(_) | Self::Invalid(_) => None,
+        }
+    }
+}
+
+impl From<std::io::Error> for WireError {
+    fn from(error: std::io::Error) -> Self {
+        Self::Io(error)
+    }
+}
+
+impl From<prost::DecodeError> for WireError {
+    fn from(error: prost::DecodeError) -> Self {
+        Self::Malformed(error)
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,9 +3,18 @@
 //! [`PeerMessage`] is what the scheduler core sends and receives. `proto` mirrors it as protocol
 //! buffers and `codec` frames them, so the core's types stay free of wire concerns.
 
+mod codec;
+mod error;
+mod hello;
 mod message;
+mod proto;
 
-pub use message::{
-    AttemptPhase, AttemptRow, EndedNotice, PeerMessage, PlaceMode, PlaceOrder, PlaceVerdict,
-    RackSummary, RefusalReason, SubmitOrder, TeamDigest,
+pub use {
+    codec::{MAX_FRAME_BYTES, PeerCodec, PeerFrame},
+    error::WireError,
+    hello::{HelloFrame, PROTOCOL_VERSION},
+    message::{
+        AttemptPhase, AttemptRow, EndedNotice, PeerMessage, PlaceMode, PlaceOrder, PlaceVerdict,
+        RackSummary, RefusalReason, SubmitOrder, TeamDigest,
+    },
 };
--- /dev/null
+++ b/crates/wire/src/proto/frame.rs
@@ -0,0 +1,340 @@
+//! The frame: one of all messages, told apart by its tag.
+
+use {
+    super::{
+        bodies::{
+            AnswerBody, AttemptsBody, CallInquireBody, CallsBody, EndedAckBody, EndedBody,
+            HeartbeatBody, HelloBody, JobBody, NotOwnerBody, PhasesBody, PlaceBody, PlacedBody,
+            PullBody, PushBody, RackDigestsBody, RollAnswerBody, RollCallBody, SubmitBody,
+            TeamDigestsBody,
+        },
+        mirror::{ProtoMirror, from_field, from_list, from_option, into_list},
+    },
+    crate::{HelloFrame, PeerFrame, PeerMessage, WireError},
+    damaskrack_model::{Epoch, MemberName, RackName, TeamName},
+};
+
+/// Mirror of [`PeerFrame`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct FrameProto {
+    #[prost(
+        oneof = "FrameKind",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25"
+    )]
+    kind: Option<FrameKind>,
+}
+
+/// The kinds of frames.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub(crate) enum FrameKind {
+    #[prost(message, tag = "1")]
+    Hello(HelloBody),
+    #[prost(message, tag = "2")]
+    Heartbeat(HeartbeatBody),
+    #[prost(message, tag = "3")]
+    ManifestPull(PullBody),
+    #[prost(message, tag = "4")]
+    ManifestPush(PushBody),
+    #[prost(message, tag = "5")]
+    Submit(SubmitBody),
+    #[prost(message, tag = "6")]
+    JobQuery(JobBody),
+    #[prost(message, tag = "7")]
+    JobCancel(JobBody),
+    #[prost(message, tag = "8")]
+    CallInquire(CallInquireBody),
+    #[prost(message, tag = "9")]
+    CallsVoid(CallsBody),
+    #[prost(message, tag = "10")]
+    NotOwner(NotOwnerBody),
+    #[prost(message, tag = "11")]
+    Answer(AnswerBody),
+    #[prost(message, tag = "12")]
+    AnswerAck(CallsBody),
+    #[prost(message, tag = "13")]
+    Place(PlaceBody),
+    #[prost(message, tag = "14")]
+    Placed(PlacedBody),
+    #[prost(message, tag = "15")]
+    Commit(AttemptsBody),
+    #[prost(message, tag = "16")]
+    Release(AttemptsBody),
+    #[prost(message, tag = "17")]
+    StopAttempts(AttemptsBody),
+    #[prost(message, tag = "18")]
+    Inquire(AttemptsBody),
+    #[prost(message, tag = "19")]
+    Phases(PhasesBody),
+    #[prost(message, tag = "20")]
+    Ended(EndedBody),
+    #[prost(message, tag = "21")]
+    EndedAck(EndedAckBody),
+    #[prost(message, tag = "22")]
+    RollCall(RollCallBody),
+    #[prost(message, tag = "23")]
+    RollAnswer(RollAnswerBody),
+    #[prost(message, tag = "24")]
+    RackDigests(RackDigestsBody),
+    #[prost(message, tag = "25")]
+    TeamDigests(TeamDigestsBody),
+}
+
+impl From<PeerFrame> for FrameProto {
+    fn from(frame: PeerFrame) -> Self {
+        let kind = match frame {
+            PeerFrame::Hello(hello) => FrameKind::Hello(hello.into_proto()),
+            PeerFrame::Message(message) => message.into_proto(),
+        };
+        Self { kind: Some(kind) }
+    }
+}
+
+impl TryFrom<FrameProto> for PeerFrame {
+    type Error = WireError;
+
+    fn try_from(frame: FrameProto) -> Result<Self, WireError> {
+        match frame.kind.ok_or(WireError::Missing("kind"))? {
+            FrameKind::Hello(body) => HelloFrame::from_proto(body).map(Self::Hello),
+            kind => PeerMessage::from_proto(kind).map(Self::Message),
+        }
+    }
+}
+
+impl ProtoMirror for HelloFrame {
+    type Proto = HelloBody;
+
+    fn into_proto(self) -> HelloBody {
+        HelloBody {
+            member: self.member.into(),
+            boot: self.boot,
+            version: self.version,
+            is_dialler: self.is_dialler,
+            generation: self.generation,
+        }
+    }
+
+    fn from_proto(body: HelloBody) -> Result<Self, WireError> {
+        Ok(Self {
+            member: MemberName::from_proto(body.member)?,
+            boot: body.boot,
+            version: body.version,
+            is_dialler: body.is_dialler,
+            generation: body.generation,
+        })
+    }
+}
+
+impl ProtoMirror for PeerMessage {
+    type Proto = FrameKind;
+
+    // One arm a message: a table rather than logic.
+    #[allow(clippy::too_many_lines)]
+    fn into_proto(self) -> FrameKind {
+        match self {
+            Self::Heartbeat { version, store_age_ms, is_leaving } => {
+                FrameKind::Heartbeat(HeartbeatBody { version, store_age_ms, is_leaving })
+            }
+            Self::ManifestPull { have } => FrameKind::ManifestPull(PullBody { have }),
+            Self::ManifestPush { version, json } => {
+                FrameKind::ManifestPush(PushBody { version, json })
+            }
+            Self::Submit { call, team, order } => FrameKind::Submit(SubmitBody {
+                call: Some(call.into_proto()),
+                team: team.into(),
+                order: Some(order.into_proto()),
+            }),
+            Self::JobQuery { call, job } => FrameKind::JobQuery(JobBody {
+                call: Some(call.into_proto()),
+                job: Some(job.into_proto()),
+            }),
+            Self::JobCancel { call, job } => FrameKind::JobCancel(JobBody {
+                call: Some(call.into_proto()),
+                job: Some(job.into_proto()),
+            }),
+            Self::CallInquire { team, calls } => FrameKind::CallInquire(CallInquireBody {
+                team: team.into(),
+                calls: into_list(calls),
+            }),
+            Self::CallsVoid { calls } => {
+                FrameKind::CallsVoid(CallsBody { calls: into_list(calls) })
+            }
+            Self::NotOwner { call, owner } => FrameKind::NotOwner(NotOwnerBody {
+                call: Some(call.into_proto()),
+                owner: owner.map(ProtoMirror::into_proto),
+            }),
+            Self::Answer { call, answer } => FrameKind::Answer(AnswerBody {
+                call: Some(call.into_proto()),
+                answer: Some(answer.into_proto()),
+            }),
+            Self::AnswerAck { calls } => {
+                FrameKind::AnswerAck(CallsBody { calls: into_list(calls) })
+            }
+            Self::Place { team, epoch, rack, orders } => FrameKind::Place(PlaceBody {
+                team: team.into(),
+                epoch: epoch.0,
+                rack: rack.into(),
+                orders: into_list(orders),
+            }),
+            Self::Placed { rack, verdicts } => {
+                FrameKind::Placed(PlacedBody { rack: rack.into(), verdicts: into_list(verdicts) })
+            }
+            Self::Commit { team, epoch, rack, attempts } => FrameKind::Commit(AttemptsBody {
+                team: team.into(),
+                epoch: epoch.0,
+                rack: rack.into(),
+                attempts: into_list(attempts),
+            }),
+            Self::Release { team, epoch, rack, attempts } => FrameKind::Release(AttemptsBody {
+                team: team.into(),
+                epoch: epoch.0,
+                rack: rack.into(),
+                attempts: into_list(attempts),
+            }),
+            Self::StopAttempts { team, epoch, rack, attempts } => {
+                FrameKind::StopAttempts(AttemptsBody {
+                    team: team.into(),
+                    epoch: epoch.0,
+                    rack: rack.into(),
+                    attempts: into_list(attempts),
+                })
+            }
+            Self::Inquire { team, epoch, rack, attempts } => FrameKind::Inquire(AttemptsBody {
+                team: team.into(),
+                epoch: epoch.0,
+                rack: rack.into(),
+                attempts: into_list(attempts),
+            }),
+            Self::Phases { rack, rows } => {
+                FrameKind::Phases(PhasesBody { rack: rack.into(), rows: into_list(rows) })
+            }
+            Self::Ended { rack, notices } => {
+                FrameKind::Ended(EndedBody { rack: rack.into(), notices: into_list(notices) })
+            }
+            Self::EndedAck { rack, attempts } => FrameKind::EndedAck(EndedAckBody {
+                rack: rack.into(),
+                attempts: into_list(attempts),
+            }),
+            Self::RollCall { team, epoch, racks } => FrameKind::RollCall(RollCallBody {
+                team: team.into(),
+                epoch: epoch.0,
+                racks: into_list(racks),
+            }),
+            Self::RollAnswer { team, epoch, rack, rows } => FrameKind::RollAnswer(RollAnswerBody {
+                team: team.into(),
+                epoch: epoch.0,
+                rack: rack.into(),
+                rows: into_list(rows),
+            }),
+            Self::RackDigests { summaries } => {
+                FrameKind::RackDigests(RackDigestsBody { summaries: into_list(summaries) })
+            }
+            Self::TeamDigests { teams } => {
+                FrameKind::TeamDigests(TeamDigestsBody { teams: into_list(teams) })
+            }
+        }
+    }
+
+    // One arm a message: a table rather than logic.
+    #[allow(clippy::too_many_lines)]
+    fn from_proto(kind: FrameKind) -> Result<Self, WireError> {
+        Ok(match kind {
+            FrameKind::Hello(_) => return Err(WireError::Invalid("kind")),
+            FrameKind::Heartbeat(body) => Self::Heartbeat {
+                version: body.version,
+                store_age_ms: body.store_age_ms,
+                is_leaving: body.is_leaving,
+            },
+            FrameKind::ManifestPull(body) => Self::ManifestPull { have: body.have },
+            FrameKind::ManifestPush(body) => {
+                Self::ManifestPush { version: body.version, json: body.json }
+            }
+            FrameKind::Submit(body) => Self::Submit {
+                call: from_field(body.call, "call")?,
+                team: TeamName::from_proto(body.team)?,
+                order: from_field(body.order, "order")?,
+            },
+            FrameKind::JobQuery(body) => Self::JobQuery {
+                call: from_field(body.call, "call")?,
+                job: from_field(body.job, "job")?,
+            },
+            FrameKind::JobCancel(body) => Self::JobCancel {
+                call: from_field(body.call, "call")?,
+                job: from_field(body.job, "job")?,
+            },
+            FrameKind::CallInquire(body) => Self::CallInquire {
+                team: TeamName::from_proto(body.team)?,
+                calls: from_list(body.calls)?,
+            },
+            FrameKind::CallsVoid(body) => Self::CallsVoid { calls: from_list(body.calls)? },
+            FrameKind::NotOwner(body) => Self::NotOwner {
+                call: from_field(body.call, "call")?,
+                owner: from_option(body.owner)?,
+            },
+            FrameKind::Answer(body) => Self::Answer {
+                call: from_field(body.call, "call")?,
+                answer: from_field(body.answer, "answer")?,
+            },
+            FrameKind::AnswerAck(body) => Self::AnswerAck { calls: from_list(body.calls)? },
+            FrameKind::Place(body) => Self::Place {
+                team: TeamName::from_proto(body.team)?,
+                epoch: Epoch(body.epoch),
+                rack: RackName::from_proto(body.rack)?,
+                orders: from_list(body.orders)?,
+            },
+            FrameKind::Placed(body) => Self::Placed {
+                rack: RackName::from_proto(body.rack)?,
+                verdicts: from_list(body.verdicts)?,
+            },
+            FrameKind::Commit(body) => Self::Commit {
+                team: TeamName::from_proto(body.team)?,
+                epoch: Epoch(body.epoch),
+                rack: RackName::from_proto(body.rack)?,
+                attempts: from_list(body.attempts)?,
+            },
+            FrameKind::Release(body) => Self::Release {
+                team: TeamName::from_proto(body.team)?,
+                epoch: Epoch(body.epoch),
+                rack: RackName::from_proto(body.rack)?,
+                attempts: from_list(body.attempts)?,
+            },
+            FrameKind::StopAttempts(body) => Self::StopAttempts {
+                team: TeamName::from_proto(body.team)?,
+                epoch: Epoch(body.epoch),
+                rack: RackName::from_proto(body.rack)?,
+                attempts: from_list(body.attempts)?,
+            },
+            FrameKind::Inquire(body) => Self::Inquire {
+                team: TeamName::from_proto(body.team)?,
+                epoch: Epoch(body.epoch),
+                rack: RackName::from_proto(body.rack)?,
+                attempts: from_list(body.attempts)?,
+            },
+            FrameKind::Phases(body) => {
+                Self::Phases { rack: RackName::from_proto(body.rack)?, rows: from_list(body.rows)? }
+            }
+            FrameKind::Ended(body) => Self::Ended {
+                rack: RackName::from_proto(body.rack)?,
+                notices: from_list(body.notices)?,
+            },
+            FrameKind::EndedAck(body) => Self::EndedAck {
+                rack: RackName::from_proto(body.rack)?,
+                attempts: from_list(body.attempts)?,
+            },
+            FrameKind::RollCall(body) => Self::RollCall {
+                team: TeamName::from_proto(body.team)?,
+                epoch: Epoch(body.epoch),
+                racks: from_list(body.racks)?,
+            },
+            FrameKind::RollAnswer(body) => Self::RollAnswer {
+                team: TeamName::from_proto(body.team)?,
+                epoch: Epoch(body.epoch),
+                rack: RackName::from_proto(body.rack)?,
+                rows: from_list(body.rows)?,
+            },
+            FrameKind::RackDigests(body) => {
+                Self::RackDigests { summaries: from_list(body.summaries)? }
+            }
+            FrameKind::TeamDigests(body) => Self::TeamDigests { teams: from_list(body.teams)? },
+        })
+    }
+}
--- /dev/null
+++ b/crates/wire/src/proto/rack.rs
@@ -0,0 +1,324 @@
+//! Mirrors of what queue owners and rack owners tell each other.
+
+use {
+    super::{
+        ids::{AttemptProto, ResourcesProto},
+        mirror::{ProtoMirror, from_field, from_list, into_list},
+    },
+    crate::{
+        AttemptPhase, AttemptRow, EndedNotice, PlaceMode, PlaceOrder, PlaceVerdict, RackSummary,
+        RefusalReason, TeamDigest, WireError,
+    },
+    damaskrack_model::{
+        AttemptId, Epoch, PriorityClass, RackName, Resources, TaskResult, TeamName, WorkKind,
+        WorkerName, ZoneName,
+    },
+};
+
+/// Mirror of [`PlaceOrder`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct OrderProto {
+    #[prost(message, optional, tag = "1")]
+    attempt: Option<AttemptProto>,
+    #[prost(message, optional, tag = "2")]
+    resources: Option<ResourcesProto>,
+    #[prost(uint32, tag = "3")]
+    kind: u32,
+    #[prost(uint32, tag = "4")]
+    priority: u32,
+    #[prost(bool, tag = "5")]
+    is_entitled: bool,
+    #[prost(bool, tag = "6")]
+    idempotent: bool,
+    #[prost(uint64, tag = "7")]
+    expected_ms: u64,
+    #[prost(string, tag = "8")]
+    payload: String,
+    #[prost(uint32, tag = "9")]
+    mode: u32,
+}
+
+impl ProtoMirror for PlaceOrder {
+    type Proto = OrderProto;
+
+    fn into_proto(self) -> OrderProto {
+        OrderProto {
+            attempt: Some(self.attempt.into_proto()),
+            resources: Some(self.resources.into_proto()),
+            kind: self.kind.into_proto(),
+            priority: self.priority.into_proto(),
+            is_entitled: self.is_entitled,
+            idempotent: self.idempotent,
+            expected_ms: self.expected_ms,
+            payload: self.payload,
+            mode: self.mode.into_proto(),
+        }
+    }
+
+    fn from_proto(proto: OrderProto) -> Result<Self, WireError> {
+        Ok(Self {
+            attempt: from_field(proto.attempt, "attempt")?,
+            resources: from_field(proto.resources, "resources")?,
+            kind: WorkKind::from_proto(proto.kind)?,
+            priority: PriorityClass::from_proto(proto.priority)?,
+            is_entitled: proto.is_entitled,
+            idempotent: proto.idempotent,
+            expected_ms: proto.expected_ms,
+            payload: proto.payload,
+            mode: PlaceMode::from_proto(proto.mode)?,
+        })
+    }
+}
+
+/// Mirror of an attempt with its [`PlaceVerdict`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct VerdictProto {
+    #[prost(message, optional, tag = "1")]
+    attempt: Option<AttemptProto>,
+    #[prost(oneof = "VerdictKind", tags = "2, 3, 4")]
+    verdict: Option<VerdictKind>,
+}
+
+/// Mirror of [`PlaceVerdict`].
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub(crate) enum VerdictKind {
+    #[prost(string, tag = "2")]
+    Started(String),
+    #[prost(string, tag = "3")]
+    Held(String),
+    #[prost(uint32, tag = "4")]
+    Refused(u32),
+}
+
+impl ProtoMirror for (AttemptId, PlaceVerdict) {
+    type Proto = VerdictProto;
+
+    fn into_proto(self) -> VerdictProto {
+        let verdict = match self.1 {
+            PlaceVerdict::Started(worker) => VerdictKind::Started(worker.into()),
+            PlaceVerdict::Held(worker) => VerdictKind::Held(worker.into()),
+            PlaceVerdict::Refused(reason) => VerdictKind::Refused(reason.into_proto()),
+        };
+        VerdictProto { attempt: Some(self.0.into_proto()), verdict: Some(verdict) }
+    }
+
+    fn from_proto(proto: VerdictProto) -> Result<Self, WireError> {
+        let verdict = match proto.verdict.ok_or(WireError::Missing("verdict"))? {
+            VerdictKind::Started(worker) => PlaceVerdict::Started(WorkerName::from_proto(worker)?),
+            VerdictKind::Held(worker) => PlaceVerdict::Held(WorkerName::from_proto(worker)?),
+            VerdictKind::Refused(code) => PlaceVerdict::Refused(RefusalReason::from_proto(code)?),
+        };
+        Ok((from_field(proto.attempt, "attempt")?, verdict))
+    }
+}
+
+/// Mirror of [`AttemptRow`]. A result is there for ended attempts only.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct RowProto {
+    #[prost(message, optional, tag = "1")]
+    attempt: Option<AttemptProto>,
+    #[prost(message, optional, tag = "2")]
+    resources: Option<ResourcesProto>,
+    #[prost(uint32, tag = "3")]
+    phase: u32,
+    #[prost(uint32, tag = "4")]
+    result: u32,
+    #[prost(string, tag = "5")]
+    output: String,
+}
+
+fn phase_code(phase: &AttemptPhase) -> u32 {
+    match phase {
+        AttemptPhase::Held => 1,
+        AttemptPhase::Pending => 2,
+        AttemptPhase::Starting => 3,
+        AttemptPhase::Running => 4,
+        AttemptPhase::Ended { .. } => 5,
+        AttemptPhase::Void => 6,
+    }
+}
+
+fn phase_of(code: u32, result: u32, output: String) -> Result<AttemptPhase, WireError> {
+    Ok(match code {
+        1 => AttemptPhase::Held,
+        2 => AttemptPhase::Pending,
+        3 => AttemptPhase::Starting,
+        4 => AttemptPhase::Running,
+        5 => AttemptPhase::Ended { result: TaskResult::from_proto(result)?, output },
+        6 => AttemptPhase::Void,
+        _ => return Err(WireError::Invalid("phase")),
+    })
+}
+
+impl ProtoMirror for AttemptRow {
+    type Proto = RowProto;
+
+    fn into_proto(self) -> RowProto {
+        let phase = phase_code(&self.phase);
+        let (result, output) = match self.phase {
+            AttemptPhase::Ended { result, output } => (result.into_proto(), output),
+            _ => (0, String::new()),
+        };
+        RowProto {
+            attempt: Some(self.attempt.into_proto()),
+            resources: Some(self.resources.into_proto()),
+            phase,
+            result,
+            output,
+        }
+    }
+
+    fn from_proto(proto: RowProto) -> Result<Self, WireError> {
+        Ok(Self {
+            attempt: from_field(proto.attempt, "attempt")?,
+            resources: from_field(proto.resources, "resources")?,
+            phase: phase_of(proto.phase, proto.result, proto.output)?,
+        })
+    }
+}
+
+/// Mirror of [`EndedNotice`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct NoticeProto {
+    #[prost(message, optional, tag = "1")]
+    attempt: Option<AttemptProto>,
+    #[prost(uint32, tag = "2")]
+    result: u32,
+    #[prost(string, tag = "3")]
+    output: String,
+    #[prost(bool, tag = "4")]
+    is_displaced: bool,
+}
+
+impl ProtoMirror for EndedNotice {
+    type Proto = NoticeProto;
+
+    fn into_proto(self) -> NoticeProto {
+        NoticeProto {
+            attempt: Some(self.attempt.into_proto()),
+            result: self.result.into_proto(),
+            output: self.output,
+            is_displaced: self.is_displaced,
+        }
+    }
+
+    fn from_proto(proto: NoticeProto) -> Result<Self, WireError> {
+        Ok(Self {
+            attempt: from_field(proto.attempt, "attempt")?,
+            result: TaskResult::from_proto(proto.result)?,
+            output: proto.output,
+            is_displaced: proto.is_displaced,
+        })
+    }
+}
+
+/// Mirror of what a team uses.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct UsedProto {
+    #[prost(string, tag = "1")]
+    team: String,
+    #[prost(message, optional, tag = "2")]
+    resources: Option<ResourcesProto>,
+}
+
+impl ProtoMirror for (TeamName, Resources) {
+    type Proto = UsedProto;
+
+    fn into_proto(self) -> UsedProto {
+        UsedProto { team: self.0.into(), resources: Some(self.1.into_proto()) }
+    }
+
+    fn from_proto(proto: UsedProto) -> Result<Self, WireError> {
+        Ok((TeamName::from_proto(proto.team)?, from_field(proto.resources, "resources")?))
+    }
+}
+
+/// Mirror of [`RackSummary`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct SummaryProto {
+    #[prost(string, tag = "1")]
+    rack: String,
+    #[prost(string, tag = "2")]
+    zone: String,
+    #[prost(uint64, tag = "3")]
+    epoch: u64,
+    #[prost(bool, tag = "4")]
+    is_open: bool,
+    #[prost(message, optional, tag = "5")]
+    capacity: Option<ResourcesProto>,
+    #[prost(message, optional, tag = "6")]
+    free: Option<ResourcesProto>,
+    #[prost(uint32, tag = "7")]
+    free_slots: u32,
+    #[prost(message, optional, tag = "8")]
+    largest_free: Option<ResourcesProto>,
+    #[prost(message, optional, tag = "9")]
+    largest_worker: Option<ResourcesProto>,
+    #[prost(message, repeated, tag = "10")]
+    used: Vec<UsedProto>,
+}
+
+impl ProtoMirror for RackSummary {
+    type Proto = SummaryProto;
+
+    fn into_proto(self) -> SummaryProto {
+        SummaryProto {
+            rack: self.rack.into(),
+            zone: self.zone.into(),
+            epoch: self.epoch.0,
+            is_open: self.is_open,
+            capacity: Some(self.capacity.into_proto()),
+            free: Some(self.free.into_proto()),
+            free_slots: self.free_slots,
+            largest_free: Some(self.largest_free.into_proto()),
+            largest_worker: Some(self.largest_worker.into_proto()),
+            used: into_list(self.used),
+        }
+    }
+
+    fn from_proto(proto: SummaryProto) -> Result<Self, WireError> {
+        Ok(Self {
+            rack: RackName::from_proto(proto.rack)?,
+            zone: ZoneName::from_proto(proto.zone)?,
+            epoch: Epoch(proto.epoch),
+            is_open: proto.is_open,
+            capacity: from_field(proto.capacity, "capacity")?,
+            free: from_field(proto.free, "free")?,
+            free_slots: proto.free_slots,
+            largest_free: from_field(proto.largest_free, "largest_free")?,
+            largest_worker: from_field(proto.largest_worker, "largest_worker")?,
+            used: from_list(proto.used)?,
+        })
+    }
+}
+
+/// Mirror of [`TeamDigest`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct DigestProto {
+    #[prost(string, tag = "1")]
+    team: String,
+    #[prost(message, optional, tag = "2")]
+    running: Option<ResourcesProto>,
+    #[prost(message, optional, tag = "3")]
+    waiting: Option<ResourcesProto>,
+}
+
+impl ProtoMirror for TeamDigest {
+    type Proto = DigestProto;
+
+    fn into_proto(self) -> DigestProto {
+        DigestProto {
+            team: self.team.into(),
+            running: Some(self.running.into_proto()),
+            waiting: Some(self.waiting.into_proto()),
+        }
+    }
+
+    fn from_proto(proto: DigestProto) -> Result<Self, WireError> {
+        Ok(Self {
+            team: TeamName::from_proto(proto.team)?,
+            running: from_field(proto.running, "running")?,
+            waiting: from_field(proto.waiting, "waiting")?,
+        })
+    }
+}
