Follow the heartbeat and submit fields, and add a pulse to each link

Cause: heartbeats gained clock readings and submissions a nonce; a dialler could not see that its frames no longer arrive, because small writes succeed into the socket's buffer for a long time. Change: mirror the new fields; a pulse frame with the number of frames received, which the listener sends back on the same connection. Shown by: the round trips over every variant.

--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -16,10 +16,17 @@
 /// What a link carries.
 #[derive(Debug, Clone, PartialEq)]
 pub enum PeerFrame {
-    /// The first frame of each direction.
+    /// Who is at the other end; the first frame of each direction.
     Hello(HelloFrame),
-    /// Any later frame.
+    /// A message of the scheduler core.
     Message(PeerMessage),
+    /// Proof of life of the connection itself, sent when there is nothing else to send. The
+    /// listener sends nothing but these, so that the dialler notices a connection on which its
+    /// messages no longer arrive.
+    Pulse {
+        /// Frames that the sender has received on this connection.
+        received: u64,
+    },
 }
 
 /// Encodes and decodes the frames of a link.
--- a/crates/wire/src/proto/bodies.rs
+++ b/crates/wire/src/proto/bodies.rs
@@ -32,6 +32,18 @@
     pub(crate) store_age_ms: u64,
     #[prost(bool, tag = "3")]
     pub(crate) is_leaving: bool,
+    #[prost(bool, tag = "4")]
+    pub(crate) sees_receiver: bool,
+    #[prost(uint64, tag = "5")]
+    pub(crate) clock_ms: u64,
+    #[prost(uint64, tag = "6")]
+    pub(crate) echo_ms: u64,
+}
+
+#[derive(Clone, Copy, PartialEq, Message)]
+pub(crate) struct PulseBody {
+    #[prost(uint64, tag = "1")]
+    pub(crate) received: u64,
 }
 
 #[derive(Clone, Copy, PartialEq, Message)]
@@ -66,14 +78,6 @@
     pub(crate) job: Option<JobProto>,
 }
 
-#[derive(Clone, PartialEq, Message)]
-pub(crate) struct CallInquireBody {
-    #[prost(string, tag = "1")]
-    pub(crate) team: String,
-    #[prost(message, repeated, tag = "2")]
-    pub(crate) calls: Vec<CallProto>,
-}
-
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct CallsBody {
     #[prost(message, repeated, tag = "1")]
--- a/crates/wire/src/proto/frame.rs
+++ b/crates/wire/src/proto/frame.rs
@@ -3,10 +3,9 @@
 use {
     super::{
         bodies::{
-            AnswerBody, AttemptsBody, CallInquireBody, CallsBody, EndedAckBody, EndedBody,
-            HeartbeatBody, HelloBody, JobBody, NotOwnerBody, PhasesBody, PlaceBody, PlacedBody,
-            PullBody, PushBody, RackDigestsBody, RollAnswerBody, RollCallBody, SubmitBody,
-            TeamDigestsBody,
+            AnswerBody, AttemptsBody, CallsBody, EndedAckBody, EndedBody, HeartbeatBody, HelloBody,
+            JobBody, NotOwnerBody, PhasesBody, PlaceBody, PlacedBody, PullBody, PulseBody,
+            PushBody, RackDigestsBody, RollAnswerBody, RollCallBody, SubmitBody, TeamDigestsBody,
         },
         mirror::{ProtoMirror, from_field, from_list, from_option, into_list},
     },
@@ -19,7 +18,7 @@
 pub(crate) struct FrameProto {
     #[prost(
         oneof = "FrameKind",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24"
     )]
     kind: Option<FrameKind>,
 }
@@ -42,9 +41,9 @@
     #[prost(message, tag = "7")]
     JobCancel(JobBody),
     #[prost(message, tag = "8")]
-    CallInquire(CallInquireBody),
+    Pulse(PulseBody),
     #[prost(message, tag = "9")]
-    CallsVoid(CallsBody),
+    TeamDigests(TeamDigestsBody),
     #[prost(message, tag = "10")]
     NotOwner(NotOwnerBody),
     #[prost(message, tag = "11")]
@@ -75,8 +74,6 @@
     RollAnswer(RollAnswerBody),
     #[prost(message, tag = "24")]
     RackDigests(RackDigestsBody),
-    #[prost(message, tag = "25")]
-    TeamDigests(TeamDigestsBody),
 }
 
 impl From<PeerFrame> for FrameProto {
@@ -84,6 +81,7 @@
         let kind = match frame {
             PeerFrame::Hello(hello) => FrameKind::Hello(hello.into_proto()),
             PeerFrame::Message(message) => message.into_proto(),
+            PeerFrame::Pulse { received } => FrameKind::Pulse(PulseBody { received }),
         };
         Self { kind: Some(kind) }
     }
@@ -95,6 +93,7 @@
     fn try_from(frame: FrameProto) -> Result<Self, WireError> {
         match frame.kind.ok_or(WireError::Missing("kind"))? {
             FrameKind::Hello(body) => HelloFrame::from_proto(body).map(Self::Hello),
+            FrameKind::Pulse(body) => Ok(Self::Pulse { received: body.received }),
             kind => PeerMessage::from_proto(kind).map(Self::Message),
         }
     }
@@ -131,9 +130,21 @@
     #[allow(clippy::too_many_lines)]
     fn into_proto(self) -> FrameKind {
         match self {
-            Self::Heartbeat { version, store_age_ms, is_leaving } => {
-                FrameKind::Heartbeat(HeartbeatBody { version, store_age_ms, is_leaving })
-            }
+            Self::Heartbeat {
+                version,
+                store_age_ms,
+                sees_receiver,
+                clock_ms,
+                echo_ms,
+                is_leaving,
+            } => FrameKind::Heartbeat(HeartbeatBody {
+                version,
+                store_age_ms,
+                sees_receiver,
+                clock_ms,
+                echo_ms,
+                is_leaving,
+            }),
             Self::ManifestPull { have } => FrameKind::ManifestPull(PullBody { have }),
             Self::ManifestPush { version, json } => {
                 FrameKind::ManifestPush(PushBody { version, json })
@@ -151,13 +162,6 @@
                 call: Some(call.into_proto()),
                 job: Some(job.into_proto()),
             }),
-            Self::CallInquire { team, calls } => FrameKind::CallInquire(CallInquireBody {
-                team: team.into(),
-                calls: into_list(calls),
-            }),
-            Self::CallsVoid { calls } => {
-                FrameKind::CallsVoid(CallsBody { calls: into_list(calls) })
-            }
             Self::NotOwner { call, owner } => FrameKind::NotOwner(NotOwnerBody {
                 call: Some(call.into_proto()),
                 owner: owner.map(ProtoMirror::into_proto),
@@ -238,10 +242,13 @@
     #[allow(clippy::too_many_lines)]
     fn from_proto(kind: FrameKind) -> Result<Self, WireError> {
         Ok(match kind {
-            FrameKind::Hello(_) => return Err(WireError::Invalid("kind")),
+            FrameKind::Hello(_) | FrameKind::Pulse(_) => return Err(WireError::Invalid("kind")),
             FrameKind::Heartbeat(body) => Self::Heartbeat {
                 version: body.version,
                 store_age_ms: body.store_age_ms,
+                sees_receiver: body.sees_receiver,
+                clock_ms: body.clock_ms,
+                echo_ms: body.echo_ms,
                 is_leaving: body.is_leaving,
             },
             FrameKind::ManifestPull(body) => Self::ManifestPull { have: body.have },
@@ -261,11 +268,6 @@
                 call: from_field(body.call, "call")?,
                 job: from_field(body.job, "job")?,
             },
-            FrameKind::CallInquire(body) => Self::CallInquire {
-                team: TeamName::from_proto(body.team)?,
-                calls: from_list(body.calls)?,
-            },
-            FrameKind::CallsVoid(body) => Self::CallsVoid { calls: from_list(body.calls)? },
             FrameKind::NotOwner(body) => Self::NotOwner {
                 call: from_field(body.call, "call")?,
                 owner: from_option(body.owner)?,
--- a/crates/wire/src/proto/work.rs
+++ b/crates/wire/src/proto/work.rs
@@ -7,7 +7,7 @@
     },
     crate::{SubmitOrder, WireError},
     damaskrack_model::{
-        AnswerReason, JobState, JobStatus, KeyName, OutcomeKind, PriorityClass, QueueName,
+        AnswerReason, Epoch, JobState, JobStatus, KeyName, OutcomeKind, PriorityClass, QueueName,
         WorkAnswer, WorkKind, WorkSpec,
     },
 };
@@ -78,6 +78,10 @@
     version: u64,
     #[prost(message, optional, tag = "6")]
     spec: Option<SpecProto>,
+    #[prost(fixed64, tag = "7")]
+    nonce: u64,
+    #[prost(uint64, optional, tag = "8")]
+    first_epoch: Option<u64>,
 }
 
 impl ProtoMirror for SubmitOrder {
@@ -86,6 +90,8 @@
     fn into_proto(self) -> SubmitProto {
         SubmitProto {
             queue: self.queue.into(),
+            nonce: self.nonce,
+            first_epoch: self.first_epoch.map(|epoch| epoch.0),
             key: self.key.map(KeyName::into_proto),
             idempotency_key: self.idempotency_key,
             is_waiting: self.is_waiting,
@@ -97,6 +103,8 @@
     fn from_proto(proto: SubmitProto) -> Result<Self, WireError> {
         Ok(Self {
             queue: QueueName::from_proto(proto.queue)?,
+            nonce: proto.nonce,
+            first_epoch: proto.first_epoch.map(Epoch),
             key: from_option(proto.key)?,
             idempotency_key: proto.idempotency_key,
             is_waiting: proto.is_waiting,
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -1,5 +1,7 @@
 //! Every frame survives the wire, and no bytes make the decoder panic.
 
+#![allow(clippy::unwrap_used, clippy::needless_pass_by_value)]
+
 mod samples;
 
 use {
