Refuse a frame that is too long before it is written

Cause: one message over the limit ended the whole connection, although nothing of it was written. Change: the codec checks the length first and says so in an error of its own, so the sender can count the message and go on. Shown by: the codec's test of the limit.

--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -77,6 +77,9 @@
 
     fn encode(&mut self, frame: PeerFrame, buffer: &mut BytesMut) -> Result<(), WireError> {
         let bytes = FrameProto::from(frame).encode_to_vec();
+        if bytes.len() > self.framing.max_frame_length() {
+            return Err(WireError::TooLong { bytes: bytes.len() });
+        }
         Ok(self.framing.encode(Bytes::from(bytes), buffer)?)
     }
 }
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -5,8 +5,13 @@
 /// A frame that cannot be encoded or decoded.
 #[derive(Debug)]
 pub enum WireError {
-    /// The connection failed, ended inside a frame, or a frame is longer than the limit.
+    /// The connection failed, ended inside a frame, or announced a frame longer than the limit.
     Io(std::io::Error),
+    /// The frame to send is longer than the limit; nothing was written.
+    TooLong {
+        /// Its length, in bytes.
+        bytes: usize,
+    },
     /// The bytes are not valid protocol buffers.
     Malformed(prost::DecodeError),
     /// A field that every frame of this kind carries is missing.
@@ -19,6 +24,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Io(error) => write!(f, "link failed: {error}"),
+            Self::TooLong { bytes } => write!(f, "frame of {bytes} bytes is too long"),
             Self::Malformed(error) => write!(f, "malformed frame: {error}"),
             Self::Missing(field) => write!(f, "frame without `{field}`"),
             Self::Invalid(field) => write!(f, "frame with an invalid `{field}`"),
@@ -31,7 +37,7 @@
         match self {
             Self::Io(error) => Some(error),
             Self::Malformed(error) => Some(error),
-            Self::Missing(_) | Self::Invalid(_) => None,
+            Self::TooLong { .. } | Self::Missing(_) | Self::Invalid(_) => None,
         }
     }
 }
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -83,7 +83,9 @@
 fn a_frame_over_the_limit_is_refused_both_ways() {
     let hello = PeerFrame::Hello(HelloFrame::dialler("entry-1".parse().unwrap(), 7));
     let mut small = PeerCodec::with_limit(4);
-    assert!(matches!(small.encode(hello.clone(), &mut BytesMut::new()), Err(WireError::Io(_))));
+    let mut buffer = BytesMut::new();
+    assert!(matches!(small.encode(hello.clone(), &mut buffer), Err(WireError::TooLong { .. })));
+    assert!(buffer.is_empty());
     assert!(matches!(small.decode(&mut encode(hello)), Err(WireError::Io(_))));
 }
 
