--- /dev/null
+++ b/crates/daemon/src/driver.rs
@@ -0,0 +1,184 @@
+//! The one task that owns the core.
+//!
+//! The core is single-threaded by design, so its tables need no locks. The driver takes what has
+//! arrived, ticks, and starts a task for whatever takes time; it never waits for anything but
+//! its inbox.
+
+use {
+    crate::{
+        NodeCore,
+        calls::CallReply,
+        clock::DaemonClock,
+        control::ControlCall,
+        gate::CallGate,
+        inbox::{DriverInbox, InboxWake},
+        links::{LinkTable, SendEnd},
+        logs::write_line,
+        metrics::MetricTable,
+        platform::PlatformCaller,
+    },
+    damaskrack_model::ClockTime,
+    damaskrack_node::{NodeAction, NodeInput},
+    slog::Logger,
+    std::sync::Arc,
+};
+
+/// Interval of sending metrics, in milliseconds.
+const METRICS_INTERVAL_MS: u64 = 1_000;
+/// Time beyond the core's own bound after which a shutdown is cut short, in milliseconds.
+const SHUTDOWN_GRACE_MS: u64 = 2_000;
+
+/// Whether the driver goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DriverStep {
+    Continue,
+    Exit,
+}
+
+/// Owns the core and carries out what it wants done.
+pub(crate) struct NodeDriver {
+    pub(crate) core: Box<dyn NodeCore>,
+    pub(crate) clock: DaemonClock,
+    pub(crate) inbox: DriverInbox,
+    pub(crate) gate: Arc<CallGate>,
+    pub(crate) links: LinkTable,
+    pub(crate) platform: PlatformCaller,
+    pub(crate) metrics: Arc<MetricTable>,
+    pub(crate) logger: Logger,
+    /// Longest graceful shutdown, in milliseconds.
+    pub(crate) shutdown_ms: u64,
+    /// Inputs that arose while actions were carried out.
+    pub(crate) pending: Vec<NodeInput>,
+    /// When the shutdown is cut short.
+    pub(crate) exit_by: Option<ClockTime>,
+    /// When metrics are sent next.
+    pub(crate) metrics_due: ClockTime,
+}
+
+impl NodeDriver {
+    /// Runs until the core has handed everything over.
+    pub(crate) async fn run(mut self) {
+        loop {
+            let step = match self.inbox.next_wake().await {
+                InboxWake::Tick(inputs) => self.tick(inputs),
+                InboxWake::Control(call) => self.control(call),
+            };
+            if step == DriverStep::Exit {
+                break;
+            }
+        }
+        self.gate.close();
+        self.links.close().await;
+        self.metrics.send();
+        slog::info!(self.logger, "driver_stopped");
+    }
+
+    fn tick(&mut self, inputs: Vec<NodeInput>) -> DriverStep {
+        let mut batch = std::mem::take(&mut self.pending);
+        batch.extend(inputs);
+        let now = self.clock.now();
+        let actions = self.core.tick(now, batch);
+        let mut step = DriverStep::Continue;
+        for action in actions {
+            if self.carry_out(action) == DriverStep::Exit {
+                step = DriverStep::Exit;
+            }
+        }
+        self.gate.record_tick(now, self.core.is_ready() && self.exit_by.is_none());
+        self.send_metrics(now);
+        if self.exit_by.is_some_and(|due| now >= due) {
+            slog::error!(self.logger, "shutdown_cut_short");
+            step = DriverStep::Exit;
+        }
+        step
+    }
+
+    fn control(&mut self, call: ControlCall) -> DriverStep {
+        match call {
+            ControlCall::Dump(reply) => {
+                let _ = reply.send(self.dump());
+            }
+            ControlCall::LogDump => {
+                slog::info!(self.logger, "state_dump"; "state" => self.dump().to_string());
+            }
+            ControlCall::Shutdown => self.begin_shutdown(),
+        }
+        DriverStep::Continue
+    }
+
+    fn begin_shutdown(&mut self) {
+        if self.exit_by.is_none() {
+            slog::info!(self.logger, "shutdown_asked");
+            let bound_ms = self.shutdown_ms.saturating_add(SHUTDOWN_GRACE_MS);
+            self.exit_by = Some(self.clock.now().plus(bound_ms));
+            self.pending.push(NodeInput::Shutdown);
+        }
+    }
+
+    fn carry_out(&mut self, action: NodeAction) -> DriverStep {
+        match action {
+            NodeAction::CallerAnswer { call, answer } => {
+                self.answer(call, CallReply { version: 0, answer });
+            }
+            NodeAction::OperatorAnswer { call, version, answer } => {
+                self.answer(call, CallReply { version, answer });
+            }
+            NodeAction::Peer { member, message } => match self.links.send(&member, message) {
+                SendEnd::Queued => {}
+                SendEnd::Down => self.metrics.count("link.dropped_down", 1),
+                SendEnd::Full => self.metrics.count("link.dropped_full", 1),
+            },
+            NodeAction::Connect { member, address } => self.links.connect(member, address),
+            NodeAction::Disconnect { member } => self.links.disconnect(&member),
+            NodeAction::Store { call, request, timeout_ms } => {
+                self.pending.extend(self.platform.call_store(call, request, timeout_ms));
+            }
+            NodeAction::Worker { call, address, request, timeout_ms } => {
+                let end = self.platform.call_worker(call, address, request, timeout_ms);
+                self.pending.extend(end);
+            }
+            NodeAction::Log(line) => write_line(&self.logger, &line),
+            NodeAction::Count { metric, amount } => self.metrics.count(metric, amount),
+            NodeAction::Timing { metric, millis } => self.metrics.timing(metric, millis),
+            NodeAction::Gauge { metric, value } => self.metrics.gauge(metric, value),
+            NodeAction::Exit => return DriverStep::Exit,
+        }
+        DriverStep::Continue
+    }
+
+    fn answer(&self, call: u64, reply: CallReply) {
+        if !self.gate.answer(call, reply) {
+            self.metrics.count("caller.answer_dropped", 1);
+        }
+    }
+
+    fn send_metrics(&mut self, now: ClockTime) {
+        if now < self.metrics_due {
+            return;
+        }
+        self.metrics_due = now.plus(METRICS_INTERVAL_MS);
+        let (store_calls, worker_calls) = self.platform.in_flight();
+        self.metrics.gauge("caller.in_flight", self.gate.calls_in_flight() as u64);
+        self.metrics.gauge("store.in_flight", store_calls as u64);
+        self.metrics.gauge("worker.in_flight", worker_calls as u64);
+        self.metrics.gauge("link.up", self.links.count_up() as u64);
+        self.metrics.send();
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        let (store_calls, worker_calls) = self.platform.in_flight();
+        serde_json::json!({
+            "node": self.core.dump(),
+            "daemon": {
+                "clock_ms": self.clock.now().0,
+                "is_ready": self.gate.is_ready(),
+                "is_leaving": self.exit_by.is_some(),
+                "calls_in_flight": self.gate.calls_in_flight(),
+                "store_calls_in_flight": store_calls,
+                "worker_calls_in_flight": worker_calls,
+                "links": self.links.dump(),
+                "metrics": self.metrics.dump(),
+            },
+        })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gate.rs
@@ -0,0 +1,185 @@
+//! What the HTTP handlers and the driver share.
+
+use {
+    crate::{
+        calls::{CallReply, CallTable},
+        control::ControlCall,
+        inbox::InboxSender,
+        metrics::MetricTable,
+    },
+    damaskrack_model::{AnswerReason, ClockTime, OutcomeKind, WorkAnswer},
+    damaskrack_node::{CallerRequest, NodeInput, OperatorRequest},
+    std::{
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        sync::{mpsc::error::TrySendError, oneshot},
+        time::timeout,
+    },
+};
+
+/// Time without a tick after which the daemon is not alive, in milliseconds.
+const LIVENESS_MS: u64 = 5_000;
+/// Longest wait for a dump, in milliseconds.
+const DUMP_TIMEOUT_MS: u64 = 2_000;
+/// Longest wait of an operator's request for a place in the queue, in milliseconds.
+const OPERATOR_QUEUE_MS: u64 = 1_000;
+
+/// Hands requests to the driver and their answers back.
+#[derive(Debug)]
+pub(crate) struct CallGate {
+    inbox: InboxSender,
+    calls: Mutex<CallTable>,
+    metrics: Arc<MetricTable>,
+    is_ready: AtomicBool,
+    is_closed: AtomicBool,
+    ticked_ms: AtomicU64,
+}
+
+impl CallGate {
+    /// Makes a gate with room for `capacity` waiting requests.
+    pub(crate) fn new(inbox: InboxSender, metrics: Arc<MetricTable>, capacity: usize) -> Self {
+        Self {
+            inbox,
+            calls: Mutex::new(CallTable::new(capacity)),
+            metrics,
+            is_ready: AtomicBool::new(false),
+            is_closed: AtomicBool::new(false),
+            ticked_ms: AtomicU64::new(0),
+        }
+    }
+
+    /// Hands in a caller's request and waits for its answer.
+    pub(crate) async fn ask_caller(&self, request: CallerRequest) -> WorkAnswer {
+        if self.is_closed.load(Ordering::Acquire) {
+            return leaving();
+        }
+        let Some((number, reply)) = self.lock_calls().open() else {
+            self.metrics.count("caller.shed", 1);
+            return overloaded("too many requests wait for an answer");
+        };
+        let guard = CallGuard { gate: self, number };
+        let input = NodeInput::Caller { call: number, request };
+        if let Err(error) = self.inbox.callers.try_send(input) {
+            guard.forget();
+            self.metrics.count("caller.shed", 1);
+            return match error {
+                TrySendError::Full(_) => overloaded("too many requests wait to be looked at"),
+                TrySendError::Closed(_) => leaving(),
+            };
+        }
+        match reply.await {
+            Ok(reply) => reply.answer,
+            Err(_) => stopped(),
+        }
+    }
+
+    /// Hands in an operator's request and waits for its answer.
+    pub(crate) async fn ask_operator(&self, request: OperatorRequest) -> CallReply {
+        let Some((number, reply)) = self.lock_calls().open() else {
+            let answer = overloaded("too many requests wait for an answer");
+            return CallReply { version: 0, answer };
+        };
+        let guard = CallGuard { gate: self, number };
+        let input = NodeInput::Operator { call: number, request };
+        let send = self.inbox.system.send(input);
+        match timeout(Duration::from_millis(OPERATOR_QUEUE_MS), send).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => {
+                guard.forget();
+                return CallReply { version: 0, answer: leaving() };
+            }
+            Err(_) => {
+                guard.forget();
+                return CallReply { version: 0, answer: overloaded("the daemon is busy") };
+            }
+        }
+        reply.await.unwrap_or_else(|_| CallReply { version: 0, answer: stopped() })
+    }
+
+    /// Asks for every table, as JSON.
+    pub(crate) async fn dump(&self) -> Option<serde_json::Value> {
+        let (reply, receiver) = oneshot::channel();
+        self.inbox.control.try_send(ControlCall::Dump(reply)).ok()?;
+        timeout(Duration::from_millis(DUMP_TIMEOUT_MS), receiver).await.ok()?.ok()
+    }
+
+    /// Hands an answer to whom it belongs. Returns whether somebody still waited for it.
+    pub(crate) fn answer(&self, number: u64, reply: CallReply) -> bool {
+        let sender = self.lock_calls().close(number);
+        sender.is_some_and(|sender| sender.send(reply).is_ok())
+    }
+
+    /// Records a tick.
+    pub(crate) fn record_tick(&self, now: ClockTime, is_ready: bool) {
+        self.ticked_ms.store(now.0, Ordering::Release);
+        self.is_ready.store(is_ready, Ordering::Release);
+    }
+
+    /// Refuses every further request.
+    pub(crate) fn close(&self) {
+        self.is_closed.store(true, Ordering::Release);
+        self.is_ready.store(false, Ordering::Release);
+    }
+
+    /// Tells whether the daemon should get callers' requests.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.is_ready.load(Ordering::Acquire) && !self.is_closed.load(Ordering::Acquire)
+    }
+
+    /// Tells whether the driver has ticked lately.
+    pub(crate) fn is_alive(&self, now: ClockTime) -> bool {
+        now.since(ClockTime(self.ticked_ms.load(Ordering::Acquire))) < LIVENESS_MS
+    }
+
+    /// Returns the number of requests that wait for an answer.
+    pub(crate) fn calls_in_flight(&self) -> usize {
+        self.lock_calls().len()
+    }
+
+    fn lock_calls(&self) -> MutexGuard<'_, CallTable> {
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Reports a caller that goes before its answer comes.
+struct CallGuard<'a> {
+    gate: &'a CallGate,
+    number: u64,
+}
+
+impl CallGuard<'_> {
+    /// Removes the call without telling the core, which has not seen it.
+    fn forget(self) {
+        self.gate.lock_calls().close(self.number);
+    }
+}
+
+impl Drop for CallGuard<'_> {
+    fn drop(&mut self) {
+        let was_waiting = self.gate.lock_calls().close(self.number).is_some();
+        if was_waiting {
+            self.gate.metrics.count("caller.gone", 1);
+            // If the queue is full the core finds out when it answers.
+            let gone = NodeInput::CallerGone { call: self.number };
+            let _ = self.gate.inbox.callers.try_send(gone);
+        }
+    }
+}
+
+fn overloaded(detail: &str) -> WorkAnswer {
+    WorkAnswer::refused(AnswerReason::Overloaded, detail)
+}
+
+fn leaving() -> WorkAnswer {
+    WorkAnswer::refused(AnswerReason::Leaving, "the daemon is shutting down")
+}
+
+fn stopped() -> WorkAnswer {
+    let detail = "the daemon stopped before it had the answer";
+    WorkAnswer::new(OutcomeKind::Unknown, AnswerReason::Lost, detail)
+}
--- /dev/null
+++ b/crates/daemon/src/http/caller.rs
@@ -0,0 +1,125 @@
+//! The port for callers.
+
+use {
+    super::{
+        HttpShared,
+        body::read_text,
+        header::{idempotency_key, shown_key},
+        refusal::HttpRefusal,
+        reply::{ROUTER_REFUSALS, answer_response, extend_refusal},
+        stream::WaitFlag,
+        work::WorkBody,
+    },
+    damaskrack_model::{AnswerReason, JobId, OutcomeKind, WorkAnswer},
+    damaskrack_node::CallerRequest,
+    gotham::{
+        handler::HandlerError,
+        helpers::http::Body,
+        prelude::{DefineSingleRoute, DrawRoutes},
+        router::{Router, builder::build_simple_router, response::StaticResponseExtender},
+        state::{FromState, State, StateData},
+    },
+    http::{HeaderMap, Response, StatusCode, Version},
+    serde::Deserialize,
+};
+
+/// The job in a request's path.
+#[derive(Debug, Deserialize)]
+struct JobPath {
+    job: String,
+}
+
+impl StateData for JobPath {}
+
+impl StaticResponseExtender for JobPath {
+    type ResBody = Body;
+
+    fn extend(_: &mut State, response: &mut Response<Body>) {
+        *response.status_mut() = StatusCode::BAD_REQUEST;
+    }
+}
+
+/// What a job's path asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum JobVerb {
+    Query,
+    Cancel,
+}
+
+/// Makes the router of the callers' port.
+pub(crate) fn caller_router() -> Router {
+    build_simple_router(|route| {
+        for status in ROUTER_REFUSALS {
+            route.add_response_extender(status, extend_refusal);
+        }
+        route.post("/v1/requests").to_async_borrowing(post_request);
+        route.post("/v1/jobs").to_async_borrowing(post_job);
+        route.get("/v1/jobs/:job").with_path_extractor::<JobPath>().to_async_borrowing(get_job);
+        route
+            .delete("/v1/jobs/:job")
+            .with_path_extractor::<JobPath>()
+            .to_async_borrowing(delete_job);
+    })
+}
+
+async fn post_request(state: &mut State) -> Result<Response<Body>, HandlerError> {
+    Ok(submit(state, true).await.unwrap_or_else(HttpRefusal::into_response))
+}
+
+async fn post_job(state: &mut State) -> Result<Response<Body>, HandlerError> {
+    Ok(submit(state, false).await.unwrap_or_else(HttpRefusal::into_response))
+}
+
+async fn get_job(state: &mut State) -> Result<Response<Body>, HandlerError> {
+    Ok(ask_job(state, JobVerb::Query).await.unwrap_or_else(HttpRefusal::into_response))
+}
+
+async fn delete_job(state: &mut State) -> Result<Response<Body>, HandlerError> {
+    Ok(ask_job(state, JobVerb::Cancel).await.unwrap_or_else(HttpRefusal::into_response))
+}
+
+async fn submit(state: &mut State, is_waiting: bool) -> Result<Response<Body>, HttpRefusal> {
+    let headers = HeaderMap::borrow_from(state);
+    let (key, idempotency_key) = (shown_key(headers)?, idempotency_key(headers)?);
+    let text = read_text(state).await?;
+    let body: WorkBody = serde_json::from_str(&text)?;
+    let most_tasks = HttpShared::borrow_from(state).tasks_per_job;
+    let (queue, spec) = if is_waiting { body.into_request()? } else { body.into_job(most_tasks)? };
+    let request = CallerRequest::Submit { key, queue, idempotency_key, is_waiting, spec };
+    Ok(answer_response(&ask(state, request).await))
+}
+
+async fn ask_job(state: &mut State, verb: JobVerb) -> Result<Response<Body>, HttpRefusal> {
+    let key = shown_key(HeaderMap::borrow_from(state))?;
+    let path = JobPath::borrow_from(state);
+    let job: JobId = path.job.parse().map_err(|_| {
+        let detail = "not a job id; expected TEAM~QUEUE~16 hexadecimal digits";
+        HttpRefusal::new(StatusCode::NOT_FOUND, AnswerReason::UnknownJob, detail)
+    })?;
+    let request = match verb {
+        JobVerb::Query => CallerRequest::Query { key, job },
+        JobVerb::Cancel => CallerRequest::Cancel { key, job },
+    };
+    Ok(answer_response(&ask(state, request).await))
+}
+
+/// Waits for the core's answer. A caller that closes its connection meanwhile is reported to it.
+async fn ask(state: &mut State, request: CallerRequest) -> WorkAnswer {
+    let shared = HttpShared::borrow_from(state).clone();
+    let flag = WaitFlag::borrow_from(state).clone();
+    let _waiting = flag.begin_wait(*Version::borrow_from(state));
+    let started = shared.clock.now();
+    let answer = shared.gate.ask_caller(request).await;
+    shared.metrics.count(outcome_metric(answer.outcome), 1);
+    shared.metrics.timing("caller.answer_ms", shared.clock.now().since(started));
+    answer
+}
+
+fn outcome_metric(outcome: OutcomeKind) -> &'static str {
+    match outcome {
+        OutcomeKind::Done => "caller.done",
+        OutcomeKind::Failed => "caller.failed",
+        OutcomeKind::NotRun => "caller.not_run",
+        OutcomeKind::Unknown => "caller.unknown",
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/http/operator.rs
@@ -0,0 +1,163 @@
+//! The port for operators.
+
+use {
+    super::{
+        HttpShared,
+        body::read_text,
+        header::{HeaderFault, shown_key, single_header},
+        refusal::HttpRefusal,
+        reply::{ROUTER_REFUSALS, answer_status, extend_refusal, json_response},
+    },
+    crate::calls::CallReply,
+    damaskrack_manifest::{KeyVerdict, check_key},
+    damaskrack_model::{AnswerReason, OutcomeKind},
+    damaskrack_node::OperatorRequest,
+    gotham::{
+        handler::HandlerError,
+        helpers::http::Body,
+        prelude::{DefineSingleRoute, DrawRoutes},
+        router::{Router, builder::build_simple_router},
+        state::{FromState, State},
+    },
+    http::{
+        HeaderMap, HeaderValue, Response, StatusCode,
+        header::{ETAG, IF_MATCH},
+    },
+    serde::Deserialize,
+    serde_json::{Value, json},
+};
+
+/// A manifest with the version that it starts from.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PutBody {
+    base: u64,
+    manifest: Value,
+}
+
+/// Makes the router of the operators' port.
+pub(crate) fn operator_router() -> Router {
+    build_simple_router(|route| {
+        for status in ROUTER_REFUSALS {
+            route.add_response_extender(status, extend_refusal);
+        }
+        route.get("/healthz").to_async_borrowing(get_health);
+        route.get("/readyz").to_async_borrowing(get_ready);
+        route.put("/v1/manifest").to_async_borrowing(put_manifest);
+        route.get("/v1/manifest").to_async_borrowing(get_manifest);
+        route.get("/v1/state").to_async_borrowing(get_state);
+    })
+}
+
+async fn get_health(state: &mut State) -> Result<Response<Body>, HandlerError> {
+    let shared = HttpShared::borrow_from(state);
+    Ok(probe_response(shared.gate.is_alive(shared.clock.now())))
+}
+
+async fn get_ready(state: &mut State) -> Result<Response<Body>, HandlerError> {
+    Ok(probe_response(HttpShared::borrow_from(state).gate.is_ready()))
+}
+
+fn probe_response(is_well: bool) -> Response<Body> {
+    let status = if is_well { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    json_response(status, &json!({ "ok": is_well }))
+}
+
+async fn put_manifest(state: &mut State) -> Result<Response<Body>, HandlerError> {
+    Ok(put_checked(state).await.unwrap_or_else(HttpRefusal::into_response))
+}
+
+async fn get_manifest(state: &mut State) -> Result<Response<Body>, HandlerError> {
+    Ok(get_checked(state).await.unwrap_or_else(HttpRefusal::into_response))
+}
+
+async fn get_state(state: &mut State) -> Result<Response<Body>, HandlerError> {
+    Ok(dump_checked(state).await.unwrap_or_else(HttpRefusal::into_response))
+}
+
+async fn put_checked(state: &mut State) -> Result<Response<Body>, HttpRefusal> {
+    check_operator(state)?;
+    let base = match_version(HeaderMap::borrow_from(state))?;
+    let text = read_text(state).await?;
+    let request = put_request(base, text)?;
+    let shared = HttpShared::borrow_from(state).clone();
+    Ok(change_response(&shared.gate.ask_operator(request).await))
+}
+
+/// The base version stands in `If-Match`, and the body is the manifest, or both are in the body.
+fn put_request(base: Option<u64>, text: String) -> serde_json::Result<OperatorRequest> {
+    match base {
+        Some(base) => {
+            serde_json::from_str::<serde::de::IgnoredAny>(&text)?;
+            Ok(OperatorRequest::ManifestPut { base, json: text })
+        }
+        None => {
+            let body: PutBody = serde_json::from_str(&text)?;
+            let json = body.manifest.to_string();
+            Ok(OperatorRequest::ManifestPut { base: body.base, json })
+        }
+    }
+}
+
+fn match_version(headers: &HeaderMap) -> Result<Option<u64>, HeaderFault> {
+    let Some(text) = single_header(headers, &IF_MATCH)? else { return Ok(None) };
+    let malformed = |_| HeaderFault("expected a manifest version in `If-Match`".to_owned());
+    text.trim_matches('"').parse().map(Some).map_err(malformed)
+}
+
+async fn get_checked(state: &mut State) -> Result<Response<Body>, HttpRefusal> {
+    check_operator(state)?;
+    let shared = HttpShared::borrow_from(state).clone();
+    let reply = shared.gate.ask_operator(OperatorRequest::ManifestGet).await;
+    if reply.answer.outcome != OutcomeKind::Done {
+        return Ok(change_response(&reply));
+    }
+    let manifest: Value = serde_json::from_str(&reply.answer.detail).unwrap_or(Value::Null);
+    let body = json!({ "version": reply.version, "manifest": manifest });
+    Ok(with_version(json_response(StatusCode::OK, &body), reply.version))
+}
+
+async fn dump_checked(state: &mut State) -> Result<Response<Body>, HttpRefusal> {
+    check_operator(state)?;
+    let shared = HttpShared::borrow_from(state).clone();
+    match shared.gate.dump().await {
+        Some(tables) => Ok(json_response(StatusCode::OK, &tables)),
+        None => Err(HttpRefusal::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            AnswerReason::Overloaded,
+            "the daemon is too busy for a dump or is shutting down",
+        )),
+    }
+}
+
+fn change_response(reply: &CallReply) -> Response<Body> {
+    let body = json!({
+        "version": reply.version,
+        "outcome": reply.answer.outcome,
+        "reason": reply.answer.reason,
+        "detail": reply.answer.detail,
+    });
+    with_version(json_response(answer_status(&reply.answer), &body), reply.version)
+}
+
+fn with_version(mut response: Response<Body>, version: u64) -> Response<Body> {
+    if let Ok(tag) = HeaderValue::from_str(&format!("\"{version}\"")) {
+        response.headers_mut().insert(ETAG, tag);
+    }
+    response
+}
+
+/// Refuses everybody who shows no operator's key. The key is compared in constant time.
+fn check_operator(state: &State) -> Result<(), HttpRefusal> {
+    let shared = HttpShared::borrow_from(state);
+    let key = shown_key(HeaderMap::borrow_from(state))?;
+    let shown = key.as_ref().map_or("", |key| &key.text);
+    match check_key(&shared.operator_keys, shown, shared.clock.now().0) {
+        KeyVerdict::Valid { .. } => Ok(()),
+        KeyVerdict::Refused => {
+            shared.metrics.count("operator.key_refused", 1);
+            let detail = "no operator's key was shown";
+            Err(HttpRefusal::new(StatusCode::UNAUTHORIZED, AnswerReason::KeyRefused, detail))
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/http/refusal.rs
@@ -0,0 +1,78 @@
+//! Refusals of requests that never reached the core.
+
+use {
+    super::{body::BodyFault, header::HeaderFault, reply::json_response, work::WorkFault},
+    damaskrack_model::{AnswerReason, WorkAnswer},
+    gotham::helpers::http::Body,
+    http::{HeaderValue, Response, StatusCode, header::CONNECTION},
+};
+
+/// Why a request is refused. It had no effect.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct HttpRefusal {
+    status: StatusCode,
+    reason: AnswerReason,
+    detail: String,
+    is_closing: bool,
+}
+
+impl HttpRefusal {
+    /// Makes a refusal.
+    pub(crate) fn new(status: StatusCode, reason: AnswerReason, detail: impl Into<String>) -> Self {
+        Self { status, reason, detail: detail.into(), is_closing: false }
+    }
+
+    /// Makes the refusal of a malformed request.
+    pub(crate) fn malformed(detail: impl Into<String>) -> Self {
+        Self::new(StatusCode::BAD_REQUEST, AnswerReason::Invalid, detail)
+    }
+
+    /// Makes the response.
+    pub(crate) fn into_response(self) -> Response<Body> {
+        let answer = WorkAnswer::refused(self.reason, &self.detail);
+        let mut response = json_response(self.status, &answer);
+        if self.is_closing {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
+
+impl From<serde_json::Error> for HttpRefusal {
+    fn from(error: serde_json::Error) -> Self {
+        Self::malformed(error.to_string())
+    }
+}
+
+impl From<HeaderFault> for HttpRefusal {
+    fn from(fault: HeaderFault) -> Self {
+        Self::malformed(fault.0)
+    }
+}
+
+impl From<WorkFault> for HttpRefusal {
+    fn from(fault: WorkFault) -> Self {
+        Self::new(StatusCode::UNPROCESSABLE_ENTITY, AnswerReason::Invalid, fault.0)
+    }
+}
+
+impl From<BodyFault> for HttpRefusal {
+    fn from(fault: BodyFault) -> Self {
+        let (status, detail) = match fault {
+            BodyFault::TooLong(bound) => {
+                (StatusCode::PAYLOAD_TOO_LARGE, format!("the body has more than {bound} bytes"))
+            }
+            BodyFault::TooSlow => {
+                (StatusCode::REQUEST_TIMEOUT, "the body did not arrive in time".to_owned())
+            }
+            BodyFault::Cut => {
+                (StatusCode::BAD_REQUEST, "the connection ended inside the body".to_owned())
+            }
+            BodyFault::NotText(place) => {
+                (StatusCode::BAD_REQUEST, format!("the body is not UTF-8 at byte {place}"))
+            }
+        };
+        // What is left of the body would be taken for the next request.
+        Self { is_closing: true, ..Self::new(status, AnswerReason::Invalid, detail) }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/http/server.rs
@@ -0,0 +1,148 @@
+//! Accepts connections, within bounds, and lets them end gracefully.
+
+use {
+    super::{
+        HttpShared,
+        path::check_path,
+        stream::{CallerStream, WaitFlag},
+    },
+    bytes::Bytes,
+    damaskrack_model::{AnswerReason, WorkAnswer},
+    gotham::{helpers::http::Body, router::Router, service::call_handler, state::State},
+    http::{Request, Response},
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::{TokioIo, TokioTimer},
+    std::{net::SocketAddr, panic::AssertUnwindSafe, sync::Arc, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        task::JoinSet,
+        time::{sleep, timeout},
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+/// Wait after a failure to accept, such as a lack of file descriptors, in milliseconds.
+const ACCEPT_RETRY_MS: u64 = 50;
+/// Connections beyond the bound that are refused with an answer at a time; more are just closed.
+const REFUSALS_AT_ONCE: usize = 64;
+/// Longest time to refuse a connection, in milliseconds.
+const REFUSAL_MS: u64 = 500;
+/// Longest time for answers to be written once the daemon has stopped, in milliseconds.
+const DRAIN_MS: u64 = 3_000;
+
+/// Bounds of a port.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ServerBounds {
+    /// Most open connections.
+    pub(crate) connections: usize,
+    /// Longest time until a request's headers are complete.
+    pub(crate) header_timeout: Duration,
+}
+
+/// One port.
+#[derive(Debug, Clone)]
+pub(crate) struct HttpServer {
+    pub(crate) router: Arc<RouterCell>,
+    pub(crate) shared: HttpShared,
+    pub(crate) bounds: ServerBounds,
+    /// Cancelled when connections are to end as soon as their requests are answered.
+    pub(crate) stop: CancellationToken,
+}
+
+/// A router, which cannot be shown.
+pub(crate) struct RouterCell(pub(crate) Router);
+
+impl std::fmt::Debug for RouterCell {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("RouterCell")
+    }
+}
+
+impl HttpServer {
+    /// Serves until it is stopped and its connections have ended.
+    pub(crate) async fn run(self, listener: TcpListener) {
+        let mut tasks = JoinSet::new();
+        let mut refusals = JoinSet::new();
+        loop {
+            tokio::select! {
+                () = self.stop.cancelled() => break,
+                Some(_) = tasks.join_next() => {}
+                Some(_) = refusals.join_next() => {}
+                accepted = listener.accept() => match accepted {
+                    Ok((socket, peer)) if tasks.len() < self.bounds.connections => {
+                        tasks.spawn(self.clone().serve(socket, peer));
+                    }
+                    Ok((socket, _)) => {
+                        self.shared.metrics.count("http.connections_refused", 1);
+                        if refusals.len() < REFUSALS_AT_ONCE {
+                            refusals.spawn(refuse(socket));
+                        }
+                    }
+                    Err(_) => sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await,
+                }
+            }
+        }
+        drop(listener);
+        let all = async { while tasks.join_next().await.is_some() {} };
+        let _ = timeout(Duration::from_millis(DRAIN_MS), all).await;
+    }
+
+    async fn serve(self, socket: TcpStream, peer: SocketAddr) {
+        let _ = socket.set_nodelay(true);
+        let flag = WaitFlag::default();
+        let stream = TokioIo::new(CallerStream::new(socket, flag.clone()));
+        let service = service_fn(|request| self.handle(request, peer, &flag));
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.bounds.header_timeout)
+            .serve_connection(stream, service);
+        let mut connection = std::pin::pin!(connection);
+        // A connection that fails concerns its caller only.
+        tokio::select! {
+            _ = connection.as_mut() => {}
+            () = self.stop.cancelled() => {
+                connection.as_mut().graceful_shutdown();
+                let _ = connection.await;
+            }
+        }
+    }
+
+    async fn handle(
+        &self,
+        request: Request<Incoming>,
+        peer: SocketAddr,
+        flag: &WaitFlag,
+    ) -> anyhow::Result<Response<Body>> {
+        if let Err(refusal) = check_path(request.uri()) {
+            return Ok(refusal.into_response());
+        }
+        let mut state = State::from_request(request, peer);
+        state.put(self.shared.clone());
+        state.put(flag.clone());
+        call_handler(self.router.0.clone(), AssertUnwindSafe(state)).await
+    }
+}
+
+/// Answers a connection beyond the bound without reading its request.
+async fn refuse(socket: TcpStream) {
+    let _ = timeout(Duration::from_millis(REFUSAL_MS), write_refusal(socket)).await;
+}
+
+async fn write_refusal(mut socket: TcpStream) -> std::io::Result<()> {
+    let detail = "too many connections are open";
+    let answer = WorkAnswer::refused(AnswerReason::Overloaded, detail);
+    let body = Bytes::from(serde_json::to_vec(&answer).unwrap_or_default());
+    let head = format!(
+        "HTTP/1.1 503 Service Unavailable\r\ncontent-type: application/json\r\n\
+         retry-after: 1\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    socket.write_all(head.as_bytes()).await?;
+    socket.write_all(&body).await?;
+    socket.shutdown().await?;
+    // Unread input would reset the connection before the answer is read.
+    let mut rest = [0; 1_024];
+    while socket.read(&mut rest).await? > 0 {}
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/http/work.rs
@@ -0,0 +1,78 @@
+//! The JSON body by which work is handed in.
+
+use {
+    damaskrack_model::{PriorityClass, QueueName, Resources, WorkKind, WorkSpec},
+    serde::Deserialize,
+};
+
+/// A body as a caller writes it.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct WorkBody {
+    queue: QueueName,
+    #[serde(default)]
+    kind: Option<WorkKind>,
+    #[serde(default)]
+    tasks: Option<u32>,
+    #[serde(default)]
+    resources: Resources,
+    #[serde(default)]
+    idempotent: bool,
+    #[serde(default)]
+    priority: PriorityClass,
+    #[serde(default)]
+    expected_ms: u64,
+    #[serde(default)]
+    deadline_ms: u64,
+    #[serde(default)]
+    payload: String,
+}
+
+/// Why a well-formed body is not work that could be taken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct WorkFault(pub(crate) String);
+
+impl WorkBody {
+    /// Makes the single task of a request whose caller waits.
+    pub(crate) fn into_request(self) -> Result<(QueueName, WorkSpec), WorkFault> {
+        if !matches!(self.kind, None | Some(WorkKind::Request)) {
+            return Err(WorkFault("`kind` must be \"request\" here, or absent".to_owned()));
+        }
+        if !matches!(self.tasks, None | Some(1)) {
+            return Err(WorkFault("`tasks` must be 1 here, or absent".to_owned()));
+        }
+        Ok(self.into_spec(WorkKind::Request, 1))
+    }
+
+    /// Makes a job.
+    pub(crate) fn into_job(self, most_tasks: u32) -> Result<(QueueName, WorkSpec), WorkFault> {
+        let kind = self.kind.unwrap_or_default();
+        if kind == WorkKind::Request {
+            let detail = "`kind` must be \"service\", \"batch\" or \"gang\" here";
+            return Err(WorkFault(detail.to_owned()));
+        }
+        let tasks = self.tasks.unwrap_or(1);
+        if !(1..=most_tasks).contains(&tasks) {
+            return Err(WorkFault(format!("`tasks` must be 1 to {most_tasks}, not {tasks}")));
+        }
+        if self.resources.checked_mul(u64::from(tasks)).is_none() {
+            let detail = "`resources` times `tasks` is more than can be counted";
+            return Err(WorkFault(detail.to_owned()));
+        }
+        Ok(self.into_spec(kind, tasks))
+    }
+
+    fn into_spec(self, kind: WorkKind, tasks: u32) -> (QueueName, WorkSpec) {
+        let spec = WorkSpec {
+            kind,
+            tasks,
+            resources: self.resources,
+            idempotent: self.idempotent,
+            priority: self.priority,
+            expected_ms: self.expected_ms,
+            deadline_ms: self.deadline_ms,
+            payload: self.payload,
+        };
+        (self.queue, spec)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/links/listener.rs
@@ -0,0 +1,174 @@
+//! Takes connections of other daemons and delivers what they send.
+
+use {
+    super::{
+        LinkIdentity, PULSES_PER_SILENCE, PeerStream,
+        incoming::{IncomingClaim, IncomingTable},
+    },
+    crate::metrics::MetricTable,
+    damaskrack_node::NodeInput,
+    damaskrack_wire::{HelloFrame, PROTOCOL_VERSION, PeerCodec, PeerFrame, PeerMessage, WireError},
+    futures_util::{SinkExt, StreamExt},
+    slog::Logger,
+    std::{sync::Arc, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::mpsc::Sender,
+        task::JoinSet,
+        time::{MissedTickBehavior, interval, sleep, timeout},
+    },
+    tokio_util::codec::Framed,
+};
+
+/// Most connections of other daemons at a time.
+const MAX_CONNECTIONS: usize = 2_048;
+/// Wait after a failure to accept, such as a lack of file descriptors, in milliseconds.
+const ACCEPT_RETRY_MS: u64 = 50;
+
+/// Why an incoming connection ended.
+#[derive(Debug)]
+enum IncomingEnd {
+    /// The hello did not come, or it named an unfit peer or version.
+    Refused,
+    /// A newer connection of the peer took over.
+    Superseded,
+    /// The peer closed the connection, or it failed.
+    Broken,
+    /// Nothing came for too long.
+    Silent,
+    /// The peer sent what a dialler does not send.
+    Protocol,
+    /// The daemon is shutting down.
+    Closed,
+}
+
+impl IncomingEnd {
+    fn metric(&self) -> &'static str {
+        match self {
+            Self::Refused => "link.in_refused",
+            Self::Superseded => "link.in_superseded",
+            Self::Broken | Self::Closed => "link.in_closed",
+            Self::Silent => "link.in_silent",
+            Self::Protocol => "link.in_protocol",
+        }
+    }
+}
+
+/// Takes connections of other daemons.
+#[derive(Debug, Clone)]
+pub(crate) struct PeerListener {
+    pub(crate) identity: LinkIdentity,
+    pub(crate) table: Arc<IncomingTable>,
+    pub(crate) inbox: Sender<NodeInput>,
+    pub(crate) metrics: Arc<MetricTable>,
+    pub(crate) logger: Logger,
+}
+
+impl PeerListener {
+    /// Accepts until the task is dropped, and with it every connection.
+    pub(crate) async fn run(self, listener: TcpListener) {
+        let mut tasks = JoinSet::new();
+        loop {
+            tokio::select! {
+                Some(_) = tasks.join_next() => {}
+                accepted = listener.accept() => match accepted {
+                    Ok((socket, _)) if tasks.len() < MAX_CONNECTIONS => {
+                        tasks.spawn(self.clone().serve(socket));
+                    }
+                    Ok(_) => self.metrics.count("link.in_refused", 1),
+                    Err(_) => sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await,
+                }
+            }
+        }
+    }
+
+    async fn serve(self, socket: TcpStream) {
+        let _ = socket.set_nodelay(true);
+        let end = self.receive(Framed::new(socket, PeerCodec::new())).await;
+        self.metrics.count(end.metric(), 1);
+        slog::debug!(self.logger, "incoming_link_ended"; "cause" => format!("{end:?}"));
+    }
+
+    async fn receive(&self, mut stream: PeerStream) -> IncomingEnd {
+        let hello = match timeout(self.identity.connect_timeout(), self.greet(&mut stream)).await {
+            Ok(Some(hello)) => hello,
+            Ok(None) | Err(_) => return IncomingEnd::Refused,
+        };
+        let claim = self.table.claim(&hello.member, hello.boot, hello.generation);
+        let Some(claim) = claim else { return IncomingEnd::Refused };
+        let end = self.deliver_all(&mut stream, &claim, hello.boot).await;
+        self.table.release(&claim);
+        end
+    }
+
+    async fn greet(&self, stream: &mut PeerStream) -> Option<HelloFrame> {
+        let Some(Ok(PeerFrame::Hello(hello))) = stream.next().await else { return None };
+        let is_fit = hello.version == PROTOCOL_VERSION
+            && hello.is_dialler
+            && hello.member != self.identity.member;
+        let own = HelloFrame::listener(self.identity.member.clone(), self.identity.boot);
+        stream.send(PeerFrame::Hello(own)).await.ok()?;
+        is_fit.then_some(hello)
+    }
+
+    async fn deliver_all(
+        &self,
+        stream: &mut PeerStream,
+        claim: &IncomingClaim,
+        boot: u64,
+    ) -> IncomingEnd {
+        let mut quiet_ticks = 0;
+        let mut received = 0;
+        let mut waiting: Option<PeerMessage> = None;
+        let mut ticks = interval(self.identity.pulse_interval());
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            // While a message waits for room no more are read, but signs of life still go out:
+            // a busy daemon is not a silent one.
+            tokio::select! {
+                biased;
+                () = claim.superseded.cancelled() => return IncomingEnd::Superseded,
+                _ = ticks.tick() => {
+                    if waiting.is_none() && quiet_ticks > PULSES_PER_SILENCE {
+                        return IncomingEnd::Silent;
+                    }
+                    quiet_ticks += 1;
+                    let pulse = stream.send(PeerFrame::Pulse { received });
+                    if !matches!(timeout(self.identity.silence(), pulse).await, Ok(Ok(()))) {
+                        return IncomingEnd::Broken;
+                    }
+                }
+                permit = self.inbox.reserve(), if waiting.is_some() => {
+                    let Ok(permit) = permit else { return IncomingEnd::Closed };
+                    let member = claim.member.clone();
+                    if let Some(message) = waiting.take() {
+                        let input = NodeInput::Peer { member, boot, message };
+                        if !self.table.deliver(claim, permit, input) {
+                            return IncomingEnd::Superseded;
+                        }
+                    }
+                }
+                frame = stream.next(), if waiting.is_none() => match accept_frame(frame) {
+                    Ok(message) => {
+                        received += 1;
+                        waiting = message;
+                        quiet_ticks = 0;
+                    }
+                    Err(end) => return end,
+                },
+            }
+        }
+    }
+}
+
+fn accept_frame(
+    frame: Option<Result<PeerFrame, WireError>>,
+) -> Result<Option<PeerMessage>, IncomingEnd> {
+    match frame {
+        Some(Ok(PeerFrame::Message(message))) => Ok(Some(message)),
+        Some(Ok(PeerFrame::Pulse { .. })) => Ok(None),
+        Some(Ok(PeerFrame::Hello(_))) => Err(IncomingEnd::Protocol),
+        Some(Err(WireError::Io(_))) | None => Err(IncomingEnd::Broken),
+        Some(Err(_)) => Err(IncomingEnd::Protocol),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/links/mod.rs
@@ -0,0 +1,59 @@
+//! Connections to other daemons.
+//!
+//! Each daemon keeps one connection of its own to every peer and sends only on that one; what
+//! the peer sends comes in on the peer's connection. Neither side has to agree on which of two
+//! crossed connections survives. A connection can go silent for good while new ones work, so
+//! both ends send signs of life and replace a connection without any.
+
+mod backoff;
+mod incoming;
+mod listener;
+mod outgoing;
+mod pump;
+mod table;
+
+pub(crate) use {
+    incoming::IncomingTable,
+    listener::PeerListener,
+    table::{LinkTable, SendEnd},
+};
+
+use {
+    damaskrack_model::MemberName, damaskrack_wire::PeerCodec, std::time::Duration,
+    tokio::net::TcpStream, tokio_util::codec::Framed,
+};
+
+/// A connection that carries frames.
+pub(crate) type PeerStream = Framed<TcpStream, PeerCodec>;
+
+/// Signs of life sent in the time after which a silent connection is replaced.
+const PULSES_PER_SILENCE: u64 = 4;
+
+/// Who this daemon is, and the times of its links.
+#[derive(Debug, Clone)]
+pub(crate) struct LinkIdentity {
+    /// This daemon.
+    pub(crate) member: MemberName,
+    /// Random number that it drew when it started.
+    pub(crate) boot: u64,
+    /// Time without a sign of life after which a connection is replaced, in milliseconds.
+    pub(crate) silence_ms: u64,
+    /// Longest time to establish a connection, in milliseconds.
+    pub(crate) connect_ms: u64,
+    /// Most messages that wait to be written to one peer.
+    pub(crate) queue: usize,
+}
+
+impl LinkIdentity {
+    fn silence(&self) -> Duration {
+        Duration::from_millis(self.silence_ms)
+    }
+
+    fn pulse_interval(&self) -> Duration {
+        Duration::from_millis((self.silence_ms / PULSES_PER_SILENCE).max(1))
+    }
+
+    fn connect_timeout(&self) -> Duration {
+        Duration::from_millis(self.connect_ms)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/links/pump.rs
@@ -0,0 +1,151 @@
+//! Writes messages to a connection and watches that they arrive.
+
+use {
+    super::{LinkIdentity, PULSES_PER_SILENCE, PeerStream, table::LinkStats},
+    crate::metrics::MetricTable,
+    damaskrack_wire::{PeerFrame, PeerMessage, WireError},
+    futures_util::{
+        SinkExt, StreamExt,
+        stream::{SplitSink, SplitStream},
+    },
+    std::sync::atomic::Ordering,
+    tokio::{
+        sync::mpsc::Receiver,
+        time::{MissedTickBehavior, interval, timeout},
+    },
+};
+
+/// Most messages that are written before the connection is flushed.
+const MESSAGES_PER_FLUSH: usize = 256;
+
+/// Why a connection ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PumpEnd {
+    /// The link is no longer wanted.
+    Closed,
+    /// The peer closed the connection, or it failed.
+    Broken,
+    /// Nothing came back, or nothing could be written, for too long.
+    Silent,
+    /// The peer sent what a listener does not send.
+    Protocol,
+}
+
+impl PumpEnd {
+    /// Returns the counter of such ends.
+    pub(crate) fn metric(self) -> &'static str {
+        match self {
+            Self::Closed => "link.closed",
+            Self::Broken => "link.broken",
+            Self::Silent => "link.silent",
+            Self::Protocol => "link.protocol",
+        }
+    }
+}
+
+/// Writes the messages of one queue to one connection.
+pub(crate) struct FramePump<'a> {
+    pub(crate) identity: &'a LinkIdentity,
+    pub(crate) messages: &'a mut Receiver<PeerMessage>,
+    pub(crate) stats: &'a LinkStats,
+    pub(crate) metrics: &'a MetricTable,
+}
+
+type FrameSink = SplitSink<PeerStream, PeerFrame>;
+type FrameSource = SplitStream<PeerStream>;
+
+impl FramePump<'_> {
+    /// Runs until the connection ends.
+    pub(crate) async fn run(&mut self, stream: PeerStream) -> PumpEnd {
+        let (mut sink, mut source) = stream.split();
+        match self.pump(&mut sink, &mut source).await {
+            Ok(never) => match never {},
+            Err(end) => end,
+        }
+    }
+
+    async fn pump(
+        &mut self,
+        sink: &mut FrameSink,
+        source: &mut FrameSource,
+    ) -> Result<std::convert::Infallible, PumpEnd> {
+        // Counted in ticks, not in time: after a pause of the whole process frames that have
+        // already arrived are read before the peer is called silent.
+        let mut quiet_ticks = 0;
+        let mut ticks = interval(self.identity.pulse_interval());
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                biased;
+                frame = source.next() => {
+                    self.accept_frame(frame.as_ref())?;
+                    quiet_ticks = 0;
+                }
+                _ = ticks.tick() => {
+                    if quiet_ticks > PULSES_PER_SILENCE {
+                        return Err(PumpEnd::Silent);
+                    }
+                    quiet_ticks += 1;
+                    self.write(sink, PeerFrame::Pulse { received: 0 }).await?;
+                    self.flush(sink).await?;
+                }
+                message = self.messages.recv() => match message {
+                    Some(message) => self.write_batch(sink, message).await?,
+                    None => return Err(PumpEnd::Closed),
+                },
+            }
+        }
+    }
+
+    fn accept_frame(&self, frame: Option<&Result<PeerFrame, WireError>>) -> Result<(), PumpEnd> {
+        match frame {
+            Some(Ok(PeerFrame::Pulse { received })) => {
+                self.stats.acknowledged.store(*received, Ordering::Release);
+                Ok(())
+            }
+            Some(Ok(_)) | Some(Err(WireError::Missing(_) | WireError::Invalid(_))) => {
+                Err(PumpEnd::Protocol)
+            }
+            Some(Err(_)) | None => Err(PumpEnd::Broken),
+        }
+    }
+
+    async fn write_batch(
+        &mut self,
+        sink: &mut FrameSink,
+        first: PeerMessage,
+    ) -> Result<(), PumpEnd> {
+        self.write(sink, PeerFrame::Message(first)).await?;
+        for _ in 1..MESSAGES_PER_FLUSH {
+            match self.messages.try_recv() {
+                Ok(message) => self.write(sink, PeerFrame::Message(message)).await?,
+                Err(_) => break,
+            }
+        }
+        self.flush(sink).await
+    }
+
+    async fn write(&self, sink: &mut FrameSink, frame: PeerFrame) -> Result<(), PumpEnd> {
+        match timeout(self.identity.silence(), sink.feed(frame)).await {
+            Ok(Ok(())) => {
+                self.stats.sent.fetch_add(1, Ordering::AcqRel);
+                Ok(())
+            }
+            // Nothing was written, so the connection stays usable; the core asks again.
+            Ok(Err(WireError::TooLong { .. })) => {
+                self.metrics.count("link.dropped_too_long", 1);
+                Ok(())
+            }
+            Ok(Err(_)) => Err(PumpEnd::Broken),
+            Err(_) => Err(PumpEnd::Silent),
+        }
+    }
+
+    async fn flush(&self, sink: &mut FrameSink) -> Result<(), PumpEnd> {
+        match timeout(self.identity.silence(), sink.flush()).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(PumpEnd::Broken),
+            Err(_) => Err(PumpEnd::Silent),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,114 @@
+//! Metrics over UDP in the statsd protocol.
+//!
+//! Counters are summed and gauges keep their last value until they are sent once a second, so
+//! the traffic does not grow with the load. Of timings a bounded number of samples is sent.
+
+use {
+    crate::MetricsSettings,
+    cadence::{
+        BufferedUdpMetricSink, Counted, Gauged, MetricSink, NopMetricSink, QueuingMetricSink,
+        StatsdClient, Timed,
+    },
+    std::{
+        collections::BTreeMap,
+        net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, UdpSocket},
+        sync::{Mutex, MutexGuard, PoisonError},
+    },
+};
+
+/// Most datagrams' worth of lines that wait to be sent.
+const METRIC_QUEUE: usize = 4_096;
+/// Most samples of one timing that are sent at a time.
+const TIMING_SAMPLES: usize = 50;
+
+#[derive(Debug, Default)]
+struct MetricRows {
+    counts: BTreeMap<&'static str, u64>,
+    totals: BTreeMap<&'static str, u64>,
+    gauges: BTreeMap<&'static str, u64>,
+    timings: BTreeMap<&'static str, Vec<u64>>,
+}
+
+/// Collects metrics and sends them.
+#[derive(Debug)]
+pub(crate) struct MetricTable {
+    client: StatsdClient,
+    rows: Mutex<MetricRows>,
+}
+
+impl MetricTable {
+    /// Makes a table; without settings nothing is sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no UDP socket could be opened.
+    pub(crate) fn new(settings: Option<&MetricsSettings>) -> anyhow::Result<Self> {
+        let client = match settings {
+            None => StatsdClient::from_sink("damaskrack", NopMetricSink),
+            Some(settings) => StatsdClient::from_sink(&settings.prefix, open_sink(settings)?),
+        };
+        Ok(Self { client, rows: Mutex::default() })
+    }
+
+    /// Adds to a counter.
+    pub(crate) fn count(&self, metric: &'static str, amount: u64) {
+        let mut rows = self.lock_rows();
+        *rows.counts.entry(metric).or_default() += amount;
+        *rows.totals.entry(metric).or_default() += amount;
+    }
+
+    /// Sets a gauge.
+    pub(crate) fn gauge(&self, metric: &'static str, value: u64) {
+        self.lock_rows().gauges.insert(metric, value);
+    }
+
+    /// Records a duration.
+    pub(crate) fn timing(&self, metric: &'static str, millis: u64) {
+        let mut rows = self.lock_rows();
+        let samples = rows.timings.entry(metric).or_default();
+        if samples.len() < TIMING_SAMPLES {
+            samples.push(millis);
+        }
+    }
+
+    /// Sends what has been collected. A metric that cannot be sent is dropped: metrics never
+    /// hold up the daemon.
+    pub(crate) fn send(&self) {
+        let mut rows = self.lock_rows();
+        for (metric, amount) in std::mem::take(&mut rows.counts) {
+            let _ = self.client.count(metric, i64::try_from(amount).unwrap_or(i64::MAX));
+        }
+        for (metric, &value) in &rows.gauges {
+            let _ = self.client.gauge(metric, value);
+        }
+        for (metric, samples) in std::mem::take(&mut rows.timings) {
+            for millis in samples {
+                let _ = self.client.time(metric, millis);
+            }
+        }
+        let _ = self.client.flush();
+    }
+
+    /// Returns the totals of all counters and the gauges, as JSON for a person.
+    pub(crate) fn dump(&self) -> serde_json::Value {
+        let rows = self.lock_rows();
+        serde_json::json!({ "counters": rows.totals, "gauges": rows.gauges })
+    }
+
+    fn lock_rows(&self) -> MutexGuard<'_, MetricRows> {
+        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn open_sink(
+    settings: &MetricsSettings,
+) -> anyhow::Result<impl MetricSink + Sync + Send + std::panic::RefUnwindSafe + 'static> {
+    let any: IpAddr = match settings.statsd_address {
+        SocketAddr::V4(_) => Ipv4Addr::UNSPECIFIED.into(),
+        SocketAddr::V6(_) => Ipv6Addr::UNSPECIFIED.into(),
+    };
+    let socket = UdpSocket::bind((any, 0))?;
+    socket.set_nonblocking(true)?;
+    let sink = BufferedUdpMetricSink::from(settings.statsd_address, socket)?;
+    Ok(QueuingMetricSink::with_capacity(sink, METRIC_QUEUE))
+}
--- /dev/null
+++ b/crates/daemon/src/platform.rs
@@ -0,0 +1,146 @@
+//! Carries out the core's calls to the platform.
+//!
+//! Every call ends in an input for the core, also when an adapter hangs or too many calls are on
+//! the way: the core waits for each number that it gave out.
+
+use {
+    damaskrack_node::NodeInput,
+    damaskrack_platform::{
+        HostList, PlatformStore, StoreCall, StoreFailure, WorkerCall, WorkerFailure, WorkerLink,
+    },
+    std::{future::Future, net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{
+        sync::{Semaphore, mpsc::Sender},
+        time::{MissedTickBehavior, interval, timeout},
+    },
+};
+
+/// Most calls of one kind that are on the way.
+const CALLS_IN_FLIGHT: usize = 4_096;
+/// Time that an adapter may take beyond its own deadline before it is given up, in milliseconds.
+const ADAPTER_GRACE_MS: u64 = 500;
+
+/// The platform's services as the daemon reaches them.
+#[derive(Clone)]
+pub struct PlatformLinks {
+    /// The key-value service.
+    pub store: Arc<dyn PlatformStore>,
+    /// The host list.
+    pub hosts: Arc<dyn HostList>,
+    /// The workers.
+    pub workers: Arc<dyn WorkerLink>,
+}
+
+impl std::fmt::Debug for PlatformLinks {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("PlatformLinks")
+    }
+}
+
+/// Starts a task for each call.
+#[derive(Debug)]
+pub(crate) struct PlatformCaller {
+    links: PlatformLinks,
+    inbox: Sender<NodeInput>,
+    store_permits: Arc<Semaphore>,
+    worker_permits: Arc<Semaphore>,
+}
+
+impl PlatformCaller {
+    /// Makes a caller whose results go to `inbox`.
+    pub(crate) fn new(links: PlatformLinks, inbox: Sender<NodeInput>) -> Self {
+        Self {
+            links,
+            inbox,
+            store_permits: Arc::new(Semaphore::new(CALLS_IN_FLIGHT)),
+            worker_permits: Arc::new(Semaphore::new(CALLS_IN_FLIGHT)),
+        }
+    }
+
+    /// Carries out a store call. Returns its end at once if it was not sent.
+    pub(crate) fn call_store(
+        &self,
+        call: u64,
+        request: StoreCall,
+        timeout_ms: u64,
+    ) -> Option<NodeInput> {
+        let Ok(permit) = self.store_permits.clone().try_acquire_owned() else {
+            return Some(NodeInput::Store { call, result: Err(StoreFailure::Unavailable) });
+        };
+        let (store, inbox) = (self.links.store.clone(), self.inbox.clone());
+        let wait_ms = store_wait_ms(&request);
+        tokio::spawn(async move {
+            let _permit = permit;
+            let end = within(timeout_ms + wait_ms, store.call(&request, timeout_ms)).await;
+            let result = end.unwrap_or(Err(StoreFailure::Lost));
+            let _ = inbox.send(NodeInput::Store { call, result }).await;
+        });
+        None
+    }
+
+    /// Carries out a worker call. Returns its end at once if it was not sent.
+    pub(crate) fn call_worker(
+        &self,
+        call: u64,
+        address: SocketAddr,
+        request: WorkerCall,
+        timeout_ms: u64,
+    ) -> Option<NodeInput> {
+        let Ok(permit) = self.worker_permits.clone().try_acquire_owned() else {
+            return Some(NodeInput::Worker { call, result: Err(WorkerFailure::Unreachable) });
+        };
+        let (workers, inbox) = (self.links.workers.clone(), self.inbox.clone());
+        let wait_ms = worker_wait_ms(&request);
+        tokio::spawn(async move {
+            let _permit = permit;
+            let work = workers.call(address, &request, timeout_ms);
+            let end = within(timeout_ms + wait_ms, work).await;
+            let result = end.unwrap_or(Err(WorkerFailure::Lost));
+            let _ = inbox.send(NodeInput::Worker { call, result }).await;
+        });
+        None
+    }
+
+    /// Returns the number of store calls and of worker calls on the way.
+    pub(crate) fn in_flight(&self) -> (usize, usize) {
+        let count = |permits: &Semaphore| CALLS_IN_FLIGHT - permits.available_permits();
+        (count(&self.store_permits), count(&self.worker_permits))
+    }
+}
+
+/// Reads the host list at a fixed interval.
+pub(crate) async fn poll_hosts(
+    hosts: Arc<dyn HostList>,
+    inbox: Sender<NodeInput>,
+    interval_ms: u64,
+) {
+    let mut ticks = interval(Duration::from_millis(interval_ms));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let rows = within(interval_ms, hosts.read(interval_ms)).await.flatten();
+        if let Some(rows) = rows
+            && inbox.send(NodeInput::Hosts { rows }).await.is_err()
+        {
+            return;
+        }
+    }
+}
+
+async fn within<T>(millis: u64, work: impl Future<Output = T>) -> Option<T> {
+    timeout(Duration::from_millis(millis.saturating_add(ADAPTER_GRACE_MS)), work).await.ok()
+}
+
+fn store_wait_ms(call: &StoreCall) -> u64 {
+    match call {
+        StoreCall::Watch { wait_ms, .. } => *wait_ms,
+        _ => 0,
+    }
+}
+
+fn worker_wait_ms(call: &WorkerCall) -> u64 {
+    match call {
+        WorkerCall::Sync { wait_ms, .. } => *wait_ms,
+        _ => 0,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/server.rs
@@ -0,0 +1,305 @@
+//! One daemon: starts its tasks and stops them.
+
+use {
+    crate::{
+        DaemonConfig, NodeCore, PlatformLinks,
+        clock::DaemonClock,
+        control::ControlCall,
+        driver::NodeDriver,
+        gate::CallGate,
+        http::{HttpServer, HttpShared, RouterCell, ServerBounds, caller_router, operator_router},
+        inbox::{DriverInbox, InboxSender},
+        links::{IncomingTable, LinkIdentity, LinkTable, PeerListener},
+        metrics::MetricTable,
+        platform::{PlatformCaller, poll_hosts},
+    },
+    anyhow::Context,
+    damaskrack_model::ClockTime,
+    damaskrack_node::{NodeConfig, SchedulerNode},
+    damaskrack_platform::{HostList, PlatformStore, WorkerLink},
+    gotham::router::Router,
+    slog::{Logger, o},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{net::TcpListener, sync::mpsc::Sender, task::JoinHandle},
+    tokio_util::sync::CancellationToken,
+};
+
+/// Addresses that a daemon really listens on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DaemonAddresses {
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For operators.
+    pub operator: SocketAddr,
+    /// For other daemons.
+    pub peer: SocketAddr,
+}
+
+/// Asks a running daemon for something; can be cloned.
+#[derive(Debug, Clone)]
+pub struct DaemonControl {
+    control: Sender<ControlCall>,
+}
+
+impl DaemonControl {
+    /// Asks for a graceful shutdown and returns at once.
+    pub async fn shutdown(&self) {
+        // A driver that has stopped needs no asking.
+        let _ = self.control.send(ControlCall::Shutdown).await;
+    }
+
+    /// Writes every table to the log.
+    pub async fn log_state(&self) {
+        let _ = self.control.send(ControlCall::LogDump).await;
+    }
+}
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct DaemonServer {
+    addresses: DaemonAddresses,
+    control: DaemonControl,
+    stopped: JoinHandle<()>,
+}
+
+impl DaemonServer {
+    /// Starts a daemon with the scheduler core.
+    ///
+    /// # Errors
+    ///
+    /// Returns which address cannot be listened on.
+    pub async fn start(
+        config: DaemonConfig,
+        logger: Logger,
+        store: Arc<dyn PlatformStore>,
+        hosts: Arc<dyn HostList>,
+        workers: Arc<dyn WorkerLink>,
+    ) -> anyhow::Result<Self> {
+        let platform = PlatformLinks { store, hosts, workers };
+        Self::start_with_core(config, logger, platform, |config| {
+            Box::new(SchedulerNode::new(config))
+        })
+        .await
+    }
+
+    /// Starts a daemon with a core of the caller's choice.
+    ///
+    /// # Errors
+    ///
+    /// Returns which address cannot be listened on.
+    pub async fn start_with_core(
+        config: DaemonConfig,
+        logger: Logger,
+        platform: PlatformLinks,
+        make_core: impl FnOnce(NodeConfig) -> Box<dyn NodeCore>,
+    ) -> anyhow::Result<Self> {
+        let listeners = DaemonListeners::bind(&config).await?;
+        let addresses = listeners.addresses()?;
+        let boot = rand::random_range(1..=u64::MAX);
+        let logger = logger.new(o!("member" => config.member.to_string()));
+        let metrics = Arc::new(MetricTable::new(config.metrics.as_ref())?);
+        let core = make_core(config.node_config(addresses.peer, boot));
+        let (inbox, driver_inbox) = DriverInbox::new(config.limits.caller_queue as usize);
+        let parts = DaemonParts { config, boot, logger, metrics, inbox, platform };
+        let control = DaemonControl { control: parts.inbox.control.clone() };
+        slog::info!(parts.logger, "daemon_started";
+            "boot" => boot,
+            "caller_address" => %addresses.caller,
+            "operator_address" => %addresses.operator,
+            "peer_address" => %addresses.peer);
+        let stopped = tokio::spawn(parts.run(core, driver_inbox, listeners));
+        Ok(Self { addresses, control, stopped })
+    }
+
+    /// Returns the addresses that the daemon listens on.
+    #[must_use]
+    pub fn addresses(&self) -> DaemonAddresses {
+        self.addresses
+    }
+
+    /// Returns a handle that asks the daemon for something.
+    #[must_use]
+    pub fn control(&self) -> DaemonControl {
+        self.control.clone()
+    }
+
+    /// Shuts the daemon down gracefully and waits until it has stopped.
+    pub async fn shutdown(self) {
+        self.control.shutdown().await;
+        self.wait().await;
+    }
+
+    /// Waits until the daemon has stopped.
+    pub async fn wait(self) {
+        // A panic in the task has been reported by the runtime already.
+        let _ = self.stopped.await;
+    }
+}
+
+/// The sockets that a daemon listens on.
+struct DaemonListeners {
+    caller: TcpListener,
+    operator: TcpListener,
+    peer: TcpListener,
+}
+
+impl DaemonListeners {
+    async fn bind(config: &DaemonConfig) -> anyhow::Result<Self> {
+        Ok(Self {
+            caller: bind_port("callers", config.caller_address).await?,
+            operator: bind_port("operators", config.operator_address).await?,
+            peer: bind_port("peers", config.peer_address).await?,
+        })
+    }
+
+    fn addresses(&self) -> anyhow::Result<DaemonAddresses> {
+        Ok(DaemonAddresses {
+            caller: self.caller.local_addr()?,
+            operator: self.operator.local_addr()?,
+            peer: self.peer.local_addr()?,
+        })
+    }
+}
+
+async fn bind_port(users: &str, address: SocketAddr) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .with_context(|| format!("cannot listen for {users} on {address}"))
+}
+
+/// What the daemon's tasks are made of.
+struct DaemonParts {
+    config: DaemonConfig,
+    boot: u64,
+    logger: Logger,
+    metrics: Arc<MetricTable>,
+    inbox: InboxSender,
+    platform: PlatformLinks,
+}
+
+impl DaemonParts {
+    /// Runs every task until the driver has ended, then lets the HTTP connections end.
+    async fn run(
+        self,
+        core: Box<dyn NodeCore>,
+        driver_inbox: DriverInbox,
+        listeners: DaemonListeners,
+    ) {
+        let clock = DaemonClock::start();
+        let calls = self.config.limits.calls_in_flight as usize;
+        let gate = Arc::new(CallGate::new(self.inbox.clone(), self.metrics.clone(), calls));
+        let stop = CancellationToken::new();
+        let callers = self.caller_server(&gate, clock, &stop);
+        let operators = self.operator_server(&gate, clock, &stop);
+        let callers = tokio::spawn(callers.run(listeners.caller));
+        let operators = tokio::spawn(operators.run(listeners.operator));
+        let incoming = Arc::new(IncomingTable::default());
+        let peers = tokio::spawn(self.peer_listener(&incoming).run(listeners.peer));
+        let hosts = tokio::spawn(poll_hosts(
+            self.platform.hosts.clone(),
+            self.inbox.system.clone(),
+            self.config.intervals.hosts_interval_ms,
+        ));
+        let driver = self.driver(core, driver_inbox, gate, incoming, clock);
+        driver.run().await;
+        hosts.abort();
+        stop.cancel();
+        let _ = futures_util::future::join(callers, operators).await;
+        peers.abort();
+        slog::info!(self.logger, "daemon_stopped");
+    }
+
+    fn driver(
+        &self,
+        core: Box<dyn NodeCore>,
+        inbox: DriverInbox,
+        gate: Arc<CallGate>,
+        incoming: Arc<IncomingTable>,
+        clock: DaemonClock,
+    ) -> NodeDriver {
+        let system = self.inbox.system.clone();
+        let (metrics, logger) = (self.metrics.clone(), self.logger.clone());
+        let links =
+            LinkTable::new(self.identity(), system.clone(), incoming, metrics, logger.clone());
+        NodeDriver {
+            core,
+            clock,
+            inbox,
+            gate,
+            links,
+            platform: PlatformCaller::new(self.platform.clone(), system),
+            metrics: self.metrics.clone(),
+            logger,
+            shutdown_ms: self.config.intervals.shutdown_ms,
+            pending: Vec::new(),
+            exit_by: None,
+            metrics_due: ClockTime(0),
+        }
+    }
+
+    fn identity(&self) -> LinkIdentity {
+        LinkIdentity {
+            member: self.config.member.clone(),
+            boot: self.boot,
+            silence_ms: self.config.intervals.link_silence_ms,
+            connect_ms: self.config.intervals.link_connect_ms,
+            queue: self.config.limits.link_queue as usize,
+        }
+    }
+
+    fn peer_listener(&self, table: &Arc<IncomingTable>) -> PeerListener {
+        PeerListener {
+            identity: self.identity(),
+            table: table.clone(),
+            inbox: self.inbox.system.clone(),
+            metrics: self.metrics.clone(),
+            logger: self.logger.clone(),
+        }
+    }
+
+    fn caller_server(
+        &self,
+        gate: &Arc<CallGate>,
+        clock: DaemonClock,
+        stop: &CancellationToken,
+    ) -> HttpServer {
+        let limits = &self.config.limits;
+        let shared = self.http_shared(gate, clock, limits.body_bytes);
+        self.http_server(caller_router(), shared, limits.caller_connections, stop)
+    }
+
+    fn operator_server(
+        &self,
+        gate: &Arc<CallGate>,
+        clock: DaemonClock,
+        stop: &CancellationToken,
+    ) -> HttpServer {
+        let limits = &self.config.limits;
+        let shared = self.http_shared(gate, clock, limits.manifest_bytes);
+        self.http_server(operator_router(), shared, limits.operator_connections, stop)
+    }
+
+    fn http_shared(&self, gate: &Arc<CallGate>, clock: DaemonClock, body_bytes: u64) -> HttpShared {
+        HttpShared {
+            gate: gate.clone(),
+            metrics: self.metrics.clone(),
+            clock,
+            operator_keys: self.config.operator_entries().into(),
+            body_bytes: usize::try_from(body_bytes).unwrap_or(usize::MAX),
+            body_timeout: Duration::from_millis(self.config.intervals.body_timeout_ms),
+            tasks_per_job: self.config.limits.tasks_per_job,
+        }
+    }
+
+    fn http_server(
+        &self,
+        router: Router,
+        shared: HttpShared,
+        connections: u32,
+        stop: &CancellationToken,
+    ) -> HttpServer {
+        let header_timeout = Duration::from_millis(self.config.intervals.header_timeout_ms);
+        let bounds = ServerBounds { connections: connections as usize, header_timeout };
+        HttpServer { router: Arc::new(RouterCell(router)), shared, bounds, stop: stop.clone() }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings/walk.rs
@@ -0,0 +1,169 @@
+//! Checks JSON against the schema of the settings.
+//!
+//! The derived deserializer stops at the first error and names no path. Walking the JSON along
+//! the schema, which is printed for operators anyway, finds every fault of form in one pass, and
+//! each bound stands in one place only.
+
+use {crate::settings::SettingsFault, damaskrack_model::MemberName, serde_json::Value};
+
+/// Fewest and most bytes of a salt.
+const SALT_BYTES: std::ops::RangeInclusive<usize> = 16..=64;
+/// Bytes of a SHA-256 hash.
+const HASH_BYTES: usize = 32;
+
+/// Collects the faults of a JSON value.
+#[derive(Debug, Default)]
+pub(crate) struct SchemaWalk {
+    faults: Vec<SettingsFault>,
+}
+
+impl SchemaWalk {
+    /// Returns every fault of `value` against a schema without references.
+    pub(crate) fn find_faults(schema: &Value, value: &Value) -> Vec<SettingsFault> {
+        let mut walk = Self::default();
+        walk.visit("$", schema, value);
+        walk.faults
+    }
+
+    fn report(&mut self, path: &str, problem: impl Into<String>) {
+        self.faults.push(SettingsFault::new(path, problem));
+    }
+
+    fn visit(&mut self, path: &str, schema: &Value, value: &Value) {
+        if let Some(choices) = schema["anyOf"].as_array() {
+            return self.visit_choices(path, choices, value);
+        }
+        if let Some(allowed) = allowed_values(schema) {
+            return self.visit_enum(path, &allowed, value);
+        }
+        if !has_type(schema, value) {
+            return self.report(path, format!("expected {}", describe_type(schema)));
+        }
+        match value {
+            Value::Object(_) => self.visit_object(path, schema, value),
+            Value::Array(items) => {
+                for (index, item) in items.iter().enumerate() {
+                    self.visit(&format!("{path}[{index}]"), &schema["items"], item);
+                }
+            }
+            Value::Number(_) => self.visit_number(path, schema, value),
+            Value::String(text) => self.visit_string(path, schema, text),
+            Value::Null | Value::Bool(_) => {}
+        }
+    }
+
+    /// An optional value is a choice between its schema and null.
+    fn visit_choices(&mut self, path: &str, choices: &[Value], value: &Value) {
+        if value.is_null() && choices.iter().any(|choice| has_type(choice, value)) {
+            return;
+        }
+        if let Some(choice) = choices.iter().find(|choice| choice["type"] != "null") {
+            self.visit(path, choice, value);
+        }
+    }
+
+    fn visit_enum(&mut self, path: &str, allowed: &[&Value], value: &Value) {
+        if !allowed.contains(&value) {
+            let names: Vec<_> = allowed.iter().map(ToString::to_string).collect();
+            self.report(path, format!("expected one of {}", names.join(", ")));
+        }
+    }
+
+    fn visit_object(&mut self, path: &str, schema: &Value, value: &Value) {
+        let (Some(rules), Some(fields)) = (schema["properties"].as_object(), value.as_object())
+        else {
+            return;
+        };
+        for name in schema["required"].as_array().into_iter().flatten() {
+            if name.as_str().is_some_and(|name| !fields.contains_key(name)) {
+                self.report(&format!("{path}.{}", name.as_str().unwrap_or_default()), "missing");
+            }
+        }
+        for (name, field) in fields {
+            let path = format!("{path}.{name}");
+            match rules.get(name) {
+                Some(rule) => self.visit(&path, rule, field),
+                None => self.report(&path, "unknown field"),
+            }
+        }
+    }
+
+    fn visit_number(&mut self, path: &str, schema: &Value, value: &Value) {
+        let Some(number) = value.as_u64() else {
+            return self.report(path, "expected a whole number that is not negative");
+        };
+        if let Some(least) = schema["minimum"].as_u64().filter(|&least| number < least) {
+            self.report(path, format!("{number} is below the least value {least}"));
+        }
+        if let Some(most) = schema["maximum"].as_u64().filter(|&most| number > most) {
+            self.report(path, format!("{number} is above the greatest value {most}"));
+        }
+    }
+
+    fn visit_string(&mut self, path: &str, schema: &Value, text: &str) {
+        let problem = match schema["format"].as_str() {
+            Some("name") => MemberName::new(text).err().map(|error| error.to_string()),
+            Some("ip-port") => address_problem(text),
+            Some("salt") => hex_problem(text, SALT_BYTES),
+            Some("sha256") => hex_problem(text, HASH_BYTES..=HASH_BYTES),
+            _ => None,
+        };
+        if let Some(problem) = problem {
+            self.report(path, problem);
+        }
+    }
+}
+
+/// Values of an enumeration, written as a list or as a choice of constants.
+fn allowed_values(schema: &Value) -> Option<Vec<&Value>> {
+    if let Some(values) = schema["enum"].as_array() {
+        return Some(values.iter().collect());
+    }
+    schema["oneOf"]
+        .as_array()
+        .map(|choices| choices.iter().map(|choice| &choice["const"]).collect())
+}
+
+fn has_type(schema: &Value, value: &Value) -> bool {
+    let name = match value {
+        Value::Null => "null",
+        Value::Bool(_) => "boolean",
+        Value::Number(_) => "integer",
+        Value::String(_) => "string",
+        Value::Array(_) => "array",
+        Value::Object(_) => "object",
+    };
+    match &schema["type"] {
+        Value::String(expected) => expected == name,
+        Value::Array(expected) => expected.iter().any(|expected| expected == name),
+        _ => true,
+    }
+}
+
+fn describe_type(schema: &Value) -> String {
+    match &schema["type"] {
+        Value::String(name) if name == "integer" => "a whole number".to_owned(),
+        Value::String(name) if matches!(name.as_str(), "array" | "object") => format!("an {name}"),
+        Value::String(name) => format!("a {name}"),
+        other => other.to_string(),
+    }
+}
+
+fn address_problem(text: &str) -> Option<String> {
+    let is_valid = text.parse::<std::net::SocketAddr>().is_ok();
+    (!is_valid).then(|| "expected IP:PORT, such as 127.0.0.1:7101".to_owned())
+}
+
+fn hex_problem(text: &str, bytes: std::ops::RangeInclusive<usize>) -> Option<String> {
+    match hex::decode(text) {
+        Ok(decoded) if bytes.contains(&decoded.len()) => None,
+        Ok(decoded) if bytes.start() == bytes.end() => {
+            Some(format!("expected {} bytes, not {}", bytes.start(), decoded.len()))
+        }
+        Ok(decoded) => {
+            let (least, most) = bytes.into_inner();
+            Some(format!("expected {least} to {most} bytes, not {}", decoded.len()))
+        }
+        Err(_) => Some("expected hexadecimal digits".to_owned()),
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/support/mod.rs
@@ -0,0 +1,302 @@
+//! A scripted core, an absent platform and a raw HTTP client.
+
+#![allow(dead_code, unreachable_pub)]
+
+use {
+    damaskrack_daemon::{
+        DaemonConfig, DaemonLog, DaemonServer, IntervalSettings, LimitSettings, NodeCore,
+        OperatorKey, PlatformLinks,
+    },
+    damaskrack_manifest::make_key,
+    damaskrack_model::{AnswerReason, ClockTime, OutcomeKind, WorkAnswer},
+    damaskrack_node::{CallerRequest, NodeAction, NodeInput, OperatorRequest},
+    damaskrack_platform::{
+        HostList, HostRow, PlatformStore, StoreCall, StoreFailure, StoreReply, WorkerCall,
+        WorkerFailure, WorkerLink, WorkerReply,
+    },
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        time::{Instant, sleep, timeout},
+    },
+};
+
+/// Key that the tests' operators show.
+pub const OPERATOR_KEY: &str = "ops.0123456789abcdef";
+/// Longest wait for anything.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+
+/// What a test sees of a scripted core and tells it.
+#[derive(Debug, Clone, Default)]
+pub struct CoreProbe {
+    inputs: Arc<Mutex<Vec<NodeInput>>>,
+    actions: Arc<Mutex<Vec<NodeAction>>>,
+    is_unready: Arc<AtomicBool>,
+}
+
+impl CoreProbe {
+    /// Makes the core want something done.
+    pub fn act(&self, action: NodeAction) {
+        self.actions.lock().unwrap().push(action);
+    }
+
+    pub fn set_ready(&self, is_ready: bool) {
+        self.is_unready.store(!is_ready, Ordering::Release);
+    }
+
+    pub fn inputs(&self) -> Vec<NodeInput> {
+        self.inputs.lock().unwrap().clone()
+    }
+
+    pub fn count(&self, is_wanted: impl Fn(&NodeInput) -> bool) -> usize {
+        self.inputs.lock().unwrap().iter().filter(|input| is_wanted(input)).count()
+    }
+
+    /// Waits until `count` inputs of a kind have arrived.
+    pub async fn wait_for(&self, count: usize, is_wanted: impl Fn(&NodeInput) -> bool) {
+        let due = Instant::now() + PATIENCE;
+        while self.count(&is_wanted) < count {
+            assert!(Instant::now() < due, "only {:?}", self.inputs());
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// Numbers of the callers' requests that have arrived.
+    pub fn caller_calls(&self) -> Vec<u64> {
+        let number = |input: &NodeInput| match input {
+            NodeInput::Caller { call, .. } => Some(*call),
+            _ => None,
+        };
+        self.inputs().iter().filter_map(number).collect()
+    }
+
+    /// Submissions that have arrived.
+    pub fn submits(&self) -> usize {
+        self.count(is_submit)
+    }
+}
+
+pub fn is_submit(input: &NodeInput) -> bool {
+    matches!(input, NodeInput::Caller { request: CallerRequest::Submit { .. }, .. })
+}
+
+type CoreScript = Box<dyn FnMut(&NodeInput) -> Vec<NodeAction> + Send>;
+
+/// A core that answers by a script.
+pub struct ScriptedCore {
+    probe: CoreProbe,
+    script: CoreScript,
+}
+
+impl NodeCore for ScriptedCore {
+    fn tick(&mut self, _: ClockTime, inputs: Vec<NodeInput>) -> Vec<NodeAction> {
+        let mut actions = std::mem::take(&mut *self.probe.actions.lock().unwrap());
+        for input in inputs {
+            actions.extend((self.script)(&input));
+            self.probe.inputs.lock().unwrap().push(input);
+        }
+        actions
+    }
+
+    fn is_ready(&self) -> bool {
+        !self.probe.is_unready.load(Ordering::Acquire)
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        serde_json::json!({ "scripted": true })
+    }
+}
+
+/// Answers each submission with its payload and exits when asked to.
+pub fn echo_script(input: &NodeInput) -> Vec<NodeAction> {
+    match input {
+        NodeInput::Caller { call, request } => vec![echo_answer(*call, request)],
+        NodeInput::Operator { call, request } => vec![operator_answer(*call, request)],
+        NodeInput::Shutdown => vec![NodeAction::Exit],
+        _ => Vec::new(),
+    }
+}
+
+pub fn echo_answer(call: u64, request: &CallerRequest) -> NodeAction {
+    let detail = match request {
+        CallerRequest::Submit { spec, .. } => spec.payload.clone(),
+        CallerRequest::Query { job, .. } | CallerRequest::Cancel { job, .. } => job.to_string(),
+    };
+    let answer = WorkAnswer::new(OutcomeKind::Done, AnswerReason::Ok, &detail);
+    NodeAction::CallerAnswer { call, answer }
+}
+
+fn operator_answer(call: u64, request: &OperatorRequest) -> NodeAction {
+    let (version, answer) = match request {
+        OperatorRequest::ManifestPut { base: 1, .. } => {
+            (2, WorkAnswer::new(OutcomeKind::Done, AnswerReason::Ok, "accepted"))
+        }
+        OperatorRequest::ManifestPut { .. } => {
+            (1, WorkAnswer::refused(AnswerReason::Conflict, "the manifest has version 1"))
+        }
+        OperatorRequest::ManifestGet => {
+            (1, WorkAnswer::new(OutcomeKind::Done, AnswerReason::Ok, r#"{"teams":[]}"#))
+        }
+    };
+    NodeAction::OperatorAnswer { call, version, answer }
+}
+
+/// A platform that is not there.
+#[derive(Debug)]
+pub struct AbsentPlatform;
+
+#[async_trait::async_trait]
+impl PlatformStore for AbsentPlatform {
+    async fn call(&self, _: &StoreCall, _: u64) -> Result<StoreReply, StoreFailure> {
+        Err(StoreFailure::Unavailable)
+    }
+}
+
+#[async_trait::async_trait]
+impl HostList for AbsentPlatform {
+    async fn read(&self, _: u64) -> Option<Vec<HostRow>> {
+        None
+    }
+}
+
+#[async_trait::async_trait]
+impl WorkerLink for AbsentPlatform {
+    async fn call(
+        &self,
+        _: SocketAddr,
+        _: &WorkerCall,
+        _: u64,
+    ) -> Result<WorkerReply, WorkerFailure> {
+        Err(WorkerFailure::Unreachable)
+    }
+}
+
+pub fn absent_platform() -> PlatformLinks {
+    let platform = Arc::new(AbsentPlatform);
+    PlatformLinks { store: platform.clone(), hosts: platform.clone(), workers: platform }
+}
+
+/// A configuration with short times and small bounds.
+pub fn test_config(member: &str) -> DaemonConfig {
+    let key = make_key(
+        &"ops".parse().unwrap(),
+        &"operators".parse().unwrap(),
+        "0123456789abcdef",
+        &[7; 16],
+    );
+    DaemonConfig::new(member.parse().unwrap(), "zone-a".parse().unwrap())
+        .with_operator_key(OperatorKey { name: key.name, salt: key.salt, hash: key.hash })
+        .with_intervals(IntervalSettings {
+            link_silence_ms: 400,
+            header_timeout_ms: 400,
+            body_timeout_ms: 400,
+            shutdown_ms: 5_000,
+            ..IntervalSettings::default()
+        })
+        .with_limits(LimitSettings { body_bytes: 2_048, ..LimitSettings::default() })
+}
+
+/// Starts a daemon with a scripted core.
+pub async fn start_with(
+    config: DaemonConfig,
+    script: impl FnMut(&NodeInput) -> Vec<NodeAction> + Send + 'static,
+) -> (DaemonServer, CoreProbe) {
+    let probe = CoreProbe::default();
+    let core = ScriptedCore { probe: probe.clone(), script: Box::new(script) };
+    let logger = DaemonLog::discard().logger;
+    let server =
+        DaemonServer::start_with_core(config, logger, absent_platform(), |_| Box::new(core))
+            .await
+            .unwrap();
+    (server, probe)
+}
+
+/// Starts a daemon that answers each submission with its payload.
+pub async fn start_echo() -> (DaemonServer, CoreProbe) {
+    start_with(test_config("entry-1"), echo_script).await
+}
+
+/// A response as a raw client reads it.
+#[derive(Debug, Clone)]
+pub struct RawResponse {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+impl RawResponse {
+    /// Skips interim responses and splits the final one.
+    fn parse(text: &str) -> Option<Self> {
+        let (head, rest) = text.split_once("\r\n\r\n")?;
+        let status: u16 = head.split(' ').nth(1)?.parse().ok()?;
+        if status < 200 {
+            return Self::parse(rest);
+        }
+        Some(Self { status, head: head.to_lowercase(), body: rest.to_owned() })
+    }
+
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_str(&self.body).unwrap_or_else(|_| panic!("not JSON: {self:?}"))
+    }
+
+    /// Checks that it refuses the request in the form that every refusal has.
+    pub fn assert_refusal(&self, status: u16, part: &str) {
+        assert_eq!(self.status, status, "{self:?}");
+        assert_eq!(self.json()["outcome"], "not_run", "{self:?}");
+        assert!(self.json()["detail"].as_str().unwrap().contains(part), "{self:?}");
+    }
+}
+
+/// Reads until the other end closes.
+pub async fn read_response(socket: &mut TcpStream) -> Option<RawResponse> {
+    let mut bytes = Vec::new();
+    let _ = timeout(PATIENCE, socket.read_to_end(&mut bytes)).await.expect("no end in time");
+    RawResponse::parse(&String::from_utf8(bytes).unwrap())
+}
+
+/// Sends bytes and reads the response.
+pub async fn send_raw(address: SocketAddr, bytes: &[u8]) -> Option<RawResponse> {
+    let mut socket = TcpStream::connect(address).await.unwrap();
+    let _ = socket.write_all(bytes).await;
+    read_response(&mut socket).await
+}
+
+/// Makes a request that closes its connection after the response.
+pub fn request_bytes(verb: &str, path: &str, headers: &str, body: &[u8]) -> Vec<u8> {
+    let length = body.len();
+    let head = format!(
+        "{verb} {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\
+         content-length: {length}\r\n{headers}\r\n"
+    );
+    [head.as_bytes(), body].concat()
+}
+
+/// Carries out a request.
+pub async fn send(
+    address: SocketAddr,
+    verb: &str,
+    path: &str,
+    headers: &str,
+    body: &str,
+) -> RawResponse {
+    let bytes = request_bytes(verb, path, headers, body.as_bytes());
+    send_raw(address, &bytes).await.expect("no response")
+}
+
+/// Hands in a request that waits.
+pub async fn post(address: SocketAddr, body: &str) -> RawResponse {
+    send(address, "POST", "/v1/requests", "", body).await
+}
+
+/// A body whose payload is `payload`.
+pub fn work_body(payload: &str) -> String {
+    serde_json::json!({ "queue": "checks", "payload": payload }).to_string()
+}
