--- a/crates/wire/src/proto/bodies.rs
+++ b/crates/wire/src/proto/bodies.rs
@@ -138,6 +138,8 @@
     pub(crate) rack: String,
     #[prost(message, repeated, tag = "2")]
     pub(crate) rows: Vec<RowProto>,
+    #[prost(uint64, tag = "3")]
+    pub(crate) epoch: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/wire/src/proto/frame.rs
+++ b/crates/wire/src/proto/frame.rs
@@ -208,9 +208,11 @@
                 rack: rack.into(),
                 attempts: into_list(attempts),
             }),
-            Self::Phases { rack, rows } => {
-                FrameKind::Phases(PhasesBody { rack: rack.into(), rows: into_list(rows) })
-            }
+            Self::Phases { rack, epoch, rows } => FrameKind::Phases(PhasesBody {
+                rack: rack.into(),
+                epoch: epoch.0,
+                rows: into_list(rows),
+            }),
             Self::Ended { rack, notices } => {
                 FrameKind::Ended(EndedBody { rack: rack.into(), notices: into_list(notices) })
             }
@@ -311,9 +313,11 @@
                 rack: RackName::from_proto(body.rack)?,
                 attempts: from_list(body.attempts)?,
             },
-            FrameKind::Phases(body) => {
-                Self::Phases { rack: RackName::from_proto(body.rack)?, rows: from_list(body.rows)? }
-            }
+            FrameKind::Phases(body) => Self::Phases {
+                rack: RackName::from_proto(body.rack)?,
+                epoch: Epoch(body.epoch),
+                rows: from_list(body.rows)?,
+            },
             FrameKind::Ended(body) => Self::Ended {
                 rack: RackName::from_proto(body.rack)?,
                 notices: from_list(body.notices)?,
--- a/crates/wire/tests/samples/mod.rs
+++ b/crates/wire/tests/samples/mod.rs
@@ -291,7 +291,7 @@
         13 => PeerMessage::Release { team, epoch, rack, attempts: list(g, attempt) },
         14 => PeerMessage::StopAttempts { team, epoch, rack, attempts: list(g, attempt) },
         15 => PeerMessage::Inquire { team, epoch, rack, attempts: list(g, attempt) },
-        16 => PeerMessage::Phases { rack, rows: list(g, row) },
+        16 => PeerMessage::Phases { rack, epoch, rows: list(g, row) },
         17 => PeerMessage::Ended { rack, notices: list(g, notice) },
         18 => PeerMessage::EndedAck { rack, attempts: list(g, attempt) },
         19 => PeerMessage::RollCall { team, epoch, racks: list(g, name) },
