Answer what is on the way while the daemon leaves

Cause: kept connections were closed at exit, perhaps with a request on its way, and closing the listener reset connections in its backlog; /healthz failed before the first tick, which could make a supervisor end a process that had just started. Change: answers say 'connection: close' once a shutdown is asked for; for 200 ms after the core has ended requests are refused with an answer; the backlog is served; the start counts as a tick.

--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -84,7 +84,7 @@
                 step = DriverStep::Exit;
             }
         }
-        self.gate.record_tick(now, self.core.is_ready() && self.exit_by.is_none());
+        self.gate.record_tick(now, self.core.is_ready());
         self.send_metrics(now);
         if self.exit_by.is_some_and(|due| now >= due) {
             slog::error!(self.logger, "shutdown_cut_short");
@@ -111,6 +111,7 @@
             slog::info!(self.logger, "shutdown_asked");
             let bound_ms = self.shutdown_ms.saturating_add(SHUTDOWN_GRACE_MS);
             self.exit_by = Some(self.clock.now().plus(bound_ms));
+            self.gate.begin_leaving();
             self.pending.push(NodeInput::Shutdown);
         }
     }
@@ -172,7 +173,7 @@
             "daemon": {
                 "clock_ms": self.clock.now().0,
                 "is_ready": self.gate.is_ready(),
-                "is_leaving": self.exit_by.is_some(),
+                "is_leaving": self.gate.is_leaving(),
                 "calls_in_flight": self.gate.calls_in_flight(),
                 "store_calls_in_flight": store_calls,
                 "worker_calls_in_flight": worker_calls,
--- a/crates/daemon/src/gate.rs
+++ b/crates/daemon/src/gate.rs
@@ -36,20 +36,28 @@
     calls: Mutex<CallTable>,
     metrics: Arc<MetricTable>,
     is_ready: AtomicBool,
+    is_leaving: AtomicBool,
     is_closed: AtomicBool,
     ticked_ms: AtomicU64,
 }
 
 impl CallGate {
-    /// Makes a gate with room for `capacity` waiting requests.
-    pub(crate) fn new(inbox: InboxSender, metrics: Arc<MetricTable>, capacity: usize) -> Self {
+    /// Makes a gate with room for `capacity` waiting requests. The start counts as a tick, as a
+    /// process that has just started is not a stuck one.
+    pub(crate) fn new(
+        inbox: InboxSender,
+        metrics: Arc<MetricTable>,
+        capacity: usize,
+        started: ClockTime,
+    ) -> Self {
         Self {
             inbox,
             calls: Mutex::new(CallTable::new(capacity)),
             metrics,
             is_ready: AtomicBool::new(false),
+            is_leaving: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
-            ticked_ms: AtomicU64::new(0),
+            ticked_ms: AtomicU64::new(started.0),
         }
     }
 
@@ -120,15 +128,26 @@
         self.is_ready.store(is_ready, Ordering::Release);
     }
 
+    /// Records that the daemon is shutting down.
+    pub(crate) fn begin_leaving(&self) {
+        self.is_leaving.store(true, Ordering::Release);
+        self.is_ready.store(false, Ordering::Release);
+    }
+
+    /// Tells whether the daemon is shutting down, so that callers should find another one.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Acquire)
+    }
+
     /// Refuses every further request.
     pub(crate) fn close(&self) {
+        self.begin_leaving();
         self.is_closed.store(true, Ordering::Release);
-        self.is_ready.store(false, Ordering::Release);
     }
 
     /// Tells whether the daemon should get callers' requests.
     pub(crate) fn is_ready(&self) -> bool {
-        self.is_ready.load(Ordering::Acquire) && !self.is_closed.load(Ordering::Acquire)
+        self.is_ready.load(Ordering::Acquire) && !self.is_leaving()
     }
 
     /// Tells whether the driver has ticked lately.
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -8,8 +8,9 @@
     },
     bytes::Bytes,
     damaskrack_model::{AnswerReason, WorkAnswer},
+    futures_util::FutureExt,
     gotham::{helpers::http::Body, router::Router, service::call_handler, state::State},
-    http::{Request, Response},
+    http::{HeaderValue, Request, Response, header::CONNECTION},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     std::{net::SocketAddr, panic::AssertUnwindSafe, sync::Arc, time::Duration},
@@ -83,11 +84,22 @@
                 }
             }
         }
+        self.take_backlog(&listener, &mut tasks);
         drop(listener);
         let all = async { while tasks.join_next().await.is_some() {} };
         let _ = timeout(Duration::from_millis(DRAIN_MS), all).await;
     }
 
+    /// Serves connections that were made before the end but not accepted yet; closing the
+    /// listener would reset them.
+    fn take_backlog(&self, listener: &TcpListener, tasks: &mut JoinSet<()>) {
+        while tasks.len() < self.bounds.connections
+            && let Some(Ok((socket, peer))) = listener.accept().now_or_never()
+        {
+            tasks.spawn(self.clone().serve(socket, peer));
+        }
+    }
+
     async fn serve(self, socket: TcpStream, peer: SocketAddr) {
         let _ = socket.set_nodelay(true);
         let flag = WaitFlag::default();
@@ -114,13 +126,20 @@
         peer: SocketAddr,
         flag: &WaitFlag,
     ) -> anyhow::Result<Response<Body>> {
-        if let Err(refusal) = check_path(request.uri()) {
-            return Ok(refusal.into_response());
+        let mut response = match check_path(request.uri()) {
+            Ok(()) => {
+                let mut state = State::from_request(request, peer);
+                state.put(self.shared.clone());
+                state.put(flag.clone());
+                call_handler(self.router.0.clone(), AssertUnwindSafe(state)).await?
+            }
+            Err(refusal) => refusal.into_response(),
+        };
+        // A kept connection would be closed at exit, perhaps with the next request on its way.
+        if self.shared.gate.is_leaving() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        let mut state = State::from_request(request, peer);
-        state.put(self.shared.clone());
-        state.put(flag.clone());
-        call_handler(self.router.0.clone(), AssertUnwindSafe(state)).await
+        Ok(response)
     }
 }
 
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -20,10 +20,14 @@
     gotham::router::Router,
     slog::{Logger, o},
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{net::TcpListener, sync::mpsc::Sender, task::JoinHandle},
+    tokio::{net::TcpListener, sync::mpsc::Sender, task::JoinHandle, time::sleep},
     tokio_util::sync::CancellationToken,
 };
 
+/// Time for which requests are still refused with an answer once the core has ended, in
+/// milliseconds.
+const LINGER_MS: u64 = 200;
+
 /// Addresses that a daemon really listens on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DaemonAddresses {
@@ -187,7 +191,8 @@
     ) {
         let clock = DaemonClock::start();
         let calls = self.config.limits.calls_in_flight as usize;
-        let gate = Arc::new(CallGate::new(self.inbox.clone(), self.metrics.clone(), calls));
+        let (inbox, metrics) = (self.inbox.clone(), self.metrics.clone());
+        let gate = Arc::new(CallGate::new(inbox, metrics, calls, clock.now()));
         let stop = CancellationToken::new();
         let callers = self.caller_server(&gate, clock, &stop);
         let operators = self.operator_server(&gate, clock, &stop);
@@ -203,6 +208,8 @@
         let driver = self.driver(core, driver_inbox, gate, incoming, clock);
         driver.run().await;
         hosts.abort();
+        // Requests that are on the way are still answered, though only with a refusal.
+        sleep(Duration::from_millis(LINGER_MS)).await;
         stop.cancel();
         let _ = futures_util::future::join(callers, operators).await;
         peers.abort();
--- a/crates/daemon/tests/calls.rs
+++ b/crates/daemon/tests/calls.rs
@@ -194,6 +194,31 @@
     assert!(TcpStream::connect(address).await.is_err());
 }
 
+#[tokio::test]
+async fn a_leaving_daemon_says_so_and_closes() {
+    let (server, probe) = start_with(test_config("entry-1"), |input| match input {
+        NodeInput::Shutdown => Vec::new(),
+        other => echo_script(other),
+    })
+    .await;
+    let addresses = server.addresses();
+    let mut kept = TcpStream::connect(addresses.caller).await.unwrap();
+    server.control().shutdown().await;
+    probe.wait_for(1, |input| matches!(input, NodeInput::Shutdown)).await;
+    assert_eq!(send(addresses.operator, "GET", "/readyz", "", "").await.status, 503);
+    // The core still answers; the connection is closed although the caller would keep it.
+    let body = work_body("x");
+    let head = format!("POST /v1/requests HTTP/1.1\r\nhost: t\r\ncontent-length: {}", body.len());
+    kept.write_all(format!("{head}\r\n\r\n{body}").as_bytes()).await.unwrap();
+    let answer = read_response(&mut kept).await.unwrap();
+    assert_eq!((answer.status, answer.head.contains("connection: close")), (200, true));
+    probe.act(NodeAction::Exit);
+    // Between the end of the core and the end of the process requests are refused in full.
+    sleep(Duration::from_millis(100)).await;
+    post(addresses.caller, &body).await.assert_refusal(503, "shutting down");
+    timeout(PATIENCE, server.wait()).await.unwrap();
+}
+
 #[tokio::test]
 async fn idle_connections_do_not_hold_up_a_shutdown() {
     let (server, _) = start_echo().await;
