Let no peer take a daemon without a core for one that is up

Cause: while an ending daemon still refused callers, its peer port still greeted others; a peer saw it come up again and took back a piece that it was handing over. Change: the peer port closes with the core; the mirror follows the heartbeat and submit fields; the process's own name in a log line no longer repeats a line's own 'member'.

--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -100,7 +100,7 @@
         let listeners = DaemonListeners::bind(&config).await?;
         let addresses = listeners.addresses()?;
         let boot = rand::random_range(1..=u64::MAX);
-        let logger = logger.new(o!("member" => config.member.to_string()));
+        let logger = logger.new(o!("daemon" => config.member.to_string()));
         let metrics = Arc::new(MetricTable::new(config.metrics.as_ref())?);
         let core = make_core(config.node_config(addresses.peer, boot));
         let (inbox, driver_inbox) = DriverInbox::new(config.limits.caller_queue as usize);
@@ -207,12 +207,13 @@
         ));
         let driver = self.driver(core, driver_inbox, gate, incoming, clock);
         driver.run().await;
+        // No peer may take a daemon without a core for one that is up.
+        peers.abort();
         hosts.abort();
         // Requests that are on the way are still answered, though only with a refusal.
         sleep(Duration::from_millis(LINGER_MS)).await;
         stop.cancel();
         let _ = futures_util::future::join(callers, operators).await;
-        peers.abort();
         slog::info!(self.logger, "daemon_stopped");
     }
 
--- a/crates/daemon/tests/links.rs
+++ b/crates/daemon/tests/links.rs
@@ -270,6 +270,21 @@
     server.shutdown().await;
 }
 
+#[tokio::test]
+async fn a_daemon_whose_core_has_ended_is_not_up() {
+    let (one, probe) = start("entry-1").await;
+    let (two, two_probe) = start_with(test_config("entry-2"), echo_script).await;
+    connect(&probe, "entry-2", two.addresses().peer);
+    probe.wait_for(1, is_up).await;
+    two_probe.act(NodeAction::Exit);
+    probe.wait_for(1, is_down).await;
+    // Its HTTP ports still refuse late requests for a moment.
+    timeout(PATIENCE, two.wait()).await.unwrap();
+    sleep(Duration::from_millis(300)).await;
+    assert_eq!((probe.count(is_up), probe.count(is_down)), (1, 1));
+    one.shutdown().await;
+}
+
 #[tokio::test]
 async fn last_messages_are_written_before_exit() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/crates/wire/src/proto/bodies.rs
+++ b/crates/wire/src/proto/bodies.rs
@@ -38,6 +38,8 @@
     pub(crate) clock_ms: u64,
     #[prost(uint64, tag = "6")]
     pub(crate) echo_ms: u64,
+    #[prost(uint64, tag = "7")]
+    pub(crate) heard_store_age_ms: u64,
 }
 
 #[derive(Clone, Copy, PartialEq, Message)]
--- a/crates/wire/src/proto/frame.rs
+++ b/crates/wire/src/proto/frame.rs
@@ -133,6 +133,7 @@
             Self::Heartbeat {
                 version,
                 store_age_ms,
+                heard_store_age_ms,
                 sees_receiver,
                 clock_ms,
                 echo_ms,
@@ -140,6 +141,7 @@
             } => FrameKind::Heartbeat(HeartbeatBody {
                 version,
                 store_age_ms,
+                heard_store_age_ms,
                 sees_receiver,
                 clock_ms,
                 echo_ms,
@@ -248,6 +250,7 @@
             FrameKind::Heartbeat(body) => Self::Heartbeat {
                 version: body.version,
                 store_age_ms: body.store_age_ms,
+                heard_store_age_ms: body.heard_store_age_ms,
                 sees_receiver: body.sees_receiver,
                 clock_ms: body.clock_ms,
                 echo_ms: body.echo_ms,
--- a/crates/wire/src/proto/work.rs
+++ b/crates/wire/src/proto/work.rs
@@ -82,6 +82,8 @@
     nonce: u64,
     #[prost(uint64, optional, tag = "8")]
     first_epoch: Option<u64>,
+    #[prost(uint64, tag = "9")]
+    age_ms: u64,
 }
 
 impl ProtoMirror for SubmitOrder {
@@ -91,6 +93,7 @@
         SubmitProto {
             queue: self.queue.into(),
             nonce: self.nonce,
+            age_ms: self.age_ms,
             first_epoch: self.first_epoch.map(|epoch| epoch.0),
             key: self.key.map(KeyName::into_proto),
             idempotency_key: self.idempotency_key,
@@ -104,6 +107,7 @@
         Ok(Self {
             queue: QueueName::from_proto(proto.queue)?,
             nonce: proto.nonce,
+            age_ms: proto.age_ms,
             first_epoch: proto.first_epoch.map(Epoch),
             key: from_option(proto.key)?,
             idempotency_key: proto.idempotency_key,
--- a/crates/wire/tests/samples/mod.rs
+++ b/crates/wire/tests/samples/mod.rs
@@ -167,6 +167,7 @@
     SubmitOrder {
         queue: name(g),
         nonce: u64::arbitrary(g),
+        age_ms: u64::arbitrary(g),
         first_epoch: option(g, epoch),
         key: option(g, name),
         idempotency_key: option(g, String::arbitrary),
@@ -265,6 +266,7 @@
         0 => PeerMessage::Heartbeat {
             version: u64::arbitrary(g),
             store_age_ms: u64::arbitrary(g),
+            heard_store_age_ms: u64::arbitrary(g),
             sees_receiver: bool::arbitrary(g),
             clock_ms: u64::arbitrary(g),
             echo_ms: u64::arbitrary(g),
