--- a/crates/manifest/src/document.rs
+++ b/crates/manifest/src/document.rs
@@ -31,6 +31,7 @@
     /// The team.
     pub name: TeamName,
     /// Weight of its share of the cell when the cell is full, at least 1.
+    #[schemars(range(min = 1))]
     pub share: u32,
     /// What it may have running across the fleet.
     pub limit: TeamLimit,
@@ -41,6 +42,7 @@
 #[serde(deny_unknown_fields)]
 pub struct TeamLimit {
     /// Most tasks that may run at once.
+    #[schemars(range(min = 1))]
     pub tasks: u32,
     /// Most resources that running tasks may take.
     pub resources: Resources,
@@ -54,9 +56,11 @@
     pub name: KeyName,
     /// Team that the key stands for.
     pub team: TeamName,
-    /// Salt of the hash, in hexadecimal, at least 16 bytes.
+    /// Salt of the hash, in hexadecimal, 16 to 64 bytes.
+    #[schemars(regex(pattern = "^([0-9a-fA-F]{2}){16,64}$"))]
     pub salt: String,
     /// SHA-256 of the salt's bytes followed by the secret, in hexadecimal.
+    #[schemars(regex(pattern = "^([0-9a-fA-F]{2}){32}$"))]
     pub hash: String,
     /// First moment of validity, in Unix milliseconds; absent if it has no start.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/crates/manifest/src/section.rs
+++ b/crates/manifest/src/section.rs
@@ -16,7 +16,8 @@
 const SECTION_HASH_BYTES: usize = 16;
 
 /// One kind of entry in a manifest.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum ManifestSection {
     /// The teams.
     Teams,
--- /dev/null
+++ b/crates/manifest/tests/keys.rs
@@ -0,0 +1,97 @@
+//! Judging keys: secrets, validity, withdrawal and names with dots.
+
+use {
+    damaskrack_manifest::{KeyEntry, KeyIndex, KeyVerdict, check_key, is_key_valid, make_key},
+    damaskrack_model::{KeyName, TeamName},
+};
+
+const SALT: [u8; 16] = [9; 16];
+
+fn entry(name: &str, secret: &str) -> KeyEntry {
+    make_key(
+        &KeyName::new(name).expect("a valid name"),
+        &TeamName::new("harbour").expect("a valid name"),
+        secret,
+        &SALT,
+    )
+}
+
+/// Judges by list and by index and demands one verdict.
+fn judge(entries: &[KeyEntry], shown: &str, now_unix_ms: u64) -> KeyVerdict {
+    let verdict = check_key(entries, shown, now_unix_ms);
+    assert_eq!(verdict, KeyIndex::new(entries).check_key(shown, now_unix_ms));
+    verdict
+}
+
+fn is_valid(entries: &[KeyEntry], name: &str, team: &str, now_unix_ms: u64) -> bool {
+    let (key, team) =
+        (KeyName::new(name).expect("a valid name"), TeamName::new(team).expect("a valid name"));
+    let valid = is_key_valid(entries, &key, &team, now_unix_ms);
+    assert_eq!(valid, KeyIndex::new(entries).is_key_valid(&key, &team, now_unix_ms));
+    valid
+}
+
+#[test]
+fn only_the_right_secret_of_a_known_name_is_valid() {
+    let entries = [entry("office", "s3cret"), entry("quay", "other")];
+    let valid =
+        KeyVerdict::Valid { key: "office".parse().unwrap(), team: "harbour".parse().unwrap() };
+    assert_eq!(judge(&entries, "office.s3cret", 0), valid);
+    for shown in [
+        "office.other",
+        "office.",
+        "office",
+        ".s3cret",
+        "",
+        ".",
+        "nobody.s3cret",
+        "a b.s3cret",
+        "office.s3cret ",
+    ] {
+        assert_eq!(judge(&entries, shown, 0), KeyVerdict::Refused, "{shown:?}");
+    }
+}
+
+#[test]
+fn a_name_may_contain_dots() {
+    let entries = [entry("office.zadar", "s3cret")];
+    assert!(matches!(judge(&entries, "office.zadar.s3cret", 0), KeyVerdict::Valid { .. }));
+}
+
+#[test]
+fn validity_includes_its_start_and_excludes_its_end() {
+    let mut entry = entry("office", "s3cret");
+    (entry.not_before_unix_ms, entry.not_after_unix_ms) = (Some(10), Some(20));
+    let entries = [entry];
+    for (now_unix_ms, expected) in [(9, false), (10, true), (19, true), (20, false)] {
+        let verdict = judge(&entries, "office.s3cret", now_unix_ms);
+        assert_eq!(matches!(verdict, KeyVerdict::Valid { .. }), expected);
+        assert_eq!(is_valid(&entries, "office", "harbour", now_unix_ms), expected);
+    }
+}
+
+#[test]
+fn a_key_is_good_for_its_own_team_and_until_it_is_withdrawn() {
+    let entries = [entry("office", "s3cret")];
+    assert!(is_valid(&entries, "office", "harbour", 0));
+    assert!(!is_valid(&entries, "office", "estate", 0));
+    assert!(!is_valid(&[], "office", "harbour", 0));
+}
+
+#[test]
+fn a_malformed_entry_fits_no_secret() {
+    let mut entry = entry("office", "s3cret");
+    entry.hash = String::new();
+    assert_eq!(judge(&[entry], "office.s3cret", 0), KeyVerdict::Refused);
+}
+
+#[test]
+fn an_unknown_name_with_an_all_zero_hash_is_refused() {
+    assert_eq!(judge(&[], "nobody.", 0), KeyVerdict::Refused);
+}
+
+#[test]
+fn debug_shows_no_hash() {
+    let entries = [entry("office", "s3cret")];
+    assert_eq!(format!("{:?}", KeyIndex::new(&entries)), "KeyIndex { keys: 1 }");
+}
--- /dev/null
+++ b/crates/manifest/tests/sections.rs
@@ -0,0 +1,63 @@
+//! Sections, heads and size limits.
+
+use damaskrack_manifest::{
+    MAX_KEYS, MAX_SECTION_BYTES, MAX_TEAMS, ManifestDocument, ManifestSection, ZoneEntry,
+    ZoneState, check_manifest, make_key, parse_manifest, section_hash, section_json, store_section,
+};
+
+fn zone(name: &str) -> ZoneEntry {
+    ZoneEntry { name: name.parse().expect("a valid name"), state: ZoneState::In }
+}
+
+#[test]
+fn a_document_is_rebuilt_from_its_sections() {
+    let json = include_str!("../../../examples/manifest.json");
+    let document = parse_manifest(json).unwrap();
+    let mut rebuilt = ManifestDocument::default();
+    for section in ManifestSection::ALL {
+        store_section(&mut rebuilt, section, &section_json(&document, section)).unwrap();
+    }
+    assert_eq!(rebuilt, document);
+    assert_eq!(check_manifest(&document), []);
+}
+
+#[test]
+fn a_hash_follows_the_content() {
+    assert_eq!(section_hash("[]"), section_hash("[]"));
+    assert_ne!(section_hash("[]"), section_hash("[ ]"));
+    assert_eq!(section_hash("").len(), 32);
+}
+
+#[test]
+fn a_bad_section_changes_nothing() {
+    let mut document = ManifestDocument { zones: vec![zone("a")], ..Default::default() };
+    for json in ["", "{}", "[1]", r#"[{"name":"b","state":"in","name":"c"}]"#] {
+        let faults = store_section(&mut document, ManifestSection::Zones, json).unwrap_err();
+        assert!(faults[0].path.starts_with("$.zones"), "{faults:?}");
+    }
+    assert_eq!(document.zones, [zone("a")]);
+}
+
+#[test]
+fn too_many_entries_are_refused() {
+    let json = include_str!("../../../examples/manifest.json");
+    let mut document = parse_manifest(json).unwrap();
+    document.teams = vec![document.teams[0].clone(); MAX_TEAMS + 1];
+    document.zones = (0..201).map(|index| zone(&format!("z{index}"))).collect();
+    let faults: Vec<_> = check_manifest(&document).iter().map(ToString::to_string).collect();
+    assert_eq!(
+        faults,
+        ["$.teams: 1001 entries; at most 1000", "$.zones: 201 entries; at most 200"]
+    );
+}
+
+#[test]
+fn a_section_too_large_for_the_store_is_refused() {
+    let (name, team) = ("k".parse().unwrap(), "t".parse().unwrap());
+    let key = make_key(&name, &team, "secret", &[7; 64]);
+    let document = ManifestDocument { keys: vec![key; MAX_KEYS], ..Default::default() };
+    let faults = check_manifest(&document);
+    assert_eq!(faults.len(), 1);
+    assert_eq!(faults[0].path, "$.keys");
+    assert!(faults[0].problem.ends_with(&format!("must be below {MAX_SECTION_BYTES}")));
+}
