Add the command-line tool, without the local cell

Cause: callers and operators need a tool whose exit code tells how the work ended.

Ruled out: sending anything again after a lost answer; only a call that could not connect goes to the next address, all else is reported as unknown with the idempotency key to ask by.

Tests run the program against a daemon that answers from a script.

--- /dev/null
+++ b/crates/cli/src/client.rs
@@ -0,0 +1,251 @@
+//! HTTP calls to daemons.
+//!
+//! A call that could not connect was certainly not sent, so it goes to the next address. Any later
+//! loss leaves open whether the daemon acted on the call, and then nothing is sent again.
+
+use {
+    crate::{ExitStatus, failure::CliFailure},
+    anyhow::Context,
+    damaskrack_model::WorkAnswer,
+    http::{
+        Method, Request, StatusCode,
+        header::{AUTHORIZATION, CONTENT_TYPE},
+    },
+    http_body_util::{BodyExt, Full, Limited},
+    hyper::body::Bytes,
+    hyper_util::{
+        client::legacy::{Client, connect::HttpConnector},
+        rt::TokioExecutor,
+    },
+    serde::de::DeserializeOwned,
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::timeout,
+};
+
+/// Longest time to connect to one address.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Largest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// Length of the excerpt of an answer that is shown in an error, in characters.
+const EXCERPT_CHARS: usize = 200;
+
+/// One call.
+#[derive(Debug)]
+pub(crate) struct ApiCall<'a> {
+    pub(crate) method: Method,
+    pub(crate) path: &'a str,
+    pub(crate) body: Option<String>,
+    pub(crate) idempotency_key: Option<&'a str>,
+}
+
+impl<'a> ApiCall<'a> {
+    pub(crate) fn new(method: Method, path: &'a str) -> Self {
+        Self { method, path, body: None, idempotency_key: None }
+    }
+
+    pub(crate) fn with_body(mut self, body: String) -> Self {
+        self.body = Some(body);
+        self
+    }
+
+    pub(crate) fn with_idempotency_key(mut self, key: &'a str) -> Self {
+        self.idempotency_key = Some(key);
+        self
+    }
+}
+
+/// What a daemon answered.
+#[derive(Debug)]
+pub(crate) struct ApiAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) text: String,
+}
+
+impl ApiAnswer {
+    /// Reads the body as a value of the expected type.
+    pub(crate) fn parse<T: DeserializeOwned>(&self) -> Result<T, CliFailure> {
+        serde_json::from_str(&self.text).map_err(|error| {
+            let excerpt: String = self.text.chars().take(EXCERPT_CHARS).collect();
+            CliFailure::new(
+                ExitStatus::Unknown,
+                format!("cannot read the answer (HTTP {}): {error}: {excerpt}", self.status),
+                "check that the address is the right port of a daemon of this version",
+            )
+        })
+    }
+
+    /// Reads the body as a value, or as the refusal that came in its place.
+    pub(crate) fn parse_or_refusal<T: DeserializeOwned>(&self) -> Result<T, CliFailure> {
+        if self.status.is_success() {
+            return self.parse();
+        }
+        let answer: WorkAnswer = self.parse()?;
+        Err(CliFailure::new(
+            ExitStatus::from(answer.outcome),
+            format!("{}: {}", answer.reason, answer.detail),
+            crate::answer::advice(answer.reason),
+        ))
+    }
+}
+
+/// Why there is no answer.
+enum CallLoss {
+    /// Nothing was sent.
+    Unreachable(String),
+    /// The call was or may have been sent.
+    Lost(String),
+}
+
+/// A client of one port of the daemons.
+#[derive(Debug)]
+pub(crate) struct ApiClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    addresses: Vec<SocketAddr>,
+    key: Option<String>,
+    timeout: Duration,
+    /// Which option and variable name the addresses, for advice.
+    source: &'static str,
+}
+
+impl ApiClient {
+    pub(crate) fn new(
+        addresses: &[SocketAddr],
+        key: Option<&str>,
+        timeout_ms: u64,
+        source: &'static str,
+    ) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        Self {
+            client: Client::builder(TokioExecutor::new()).build(connector),
+            addresses: addresses.to_vec(),
+            key: key.map(str::to_owned),
+            timeout: Duration::from_millis(timeout_ms),
+            source,
+        }
+    }
+
+    /// Returns the addresses in the order in which they are tried.
+    pub(crate) fn addresses(&self) -> &[SocketAddr] {
+        &self.addresses
+    }
+
+    /// Makes a call at the first address that can be reached.
+    pub(crate) async fn call(&self, call: &ApiCall<'_>) -> anyhow::Result<ApiAnswer> {
+        let mut problems = Vec::new();
+        for &address in &self.addresses {
+            let request = self.request(address, call)?;
+            match self.send(request).await {
+                Ok(answer) => return Ok(answer),
+                Err(CallLoss::Unreachable(problem)) => {
+                    problems.push(format!("{address}: {problem}"));
+                }
+                Err(CallLoss::Lost(problem)) => {
+                    return Err(self.lost_failure(address, call, &problem).into());
+                }
+            }
+        }
+        Err(self.unreachable_failure(&problems.join("; ")).into())
+    }
+
+    /// Makes a call at one address.
+    pub(crate) async fn call_at(
+        &self,
+        address: SocketAddr,
+        call: &ApiCall<'_>,
+    ) -> anyhow::Result<ApiAnswer> {
+        match self.send(self.request(address, call)?).await {
+            Ok(answer) => Ok(answer),
+            Err(CallLoss::Unreachable(problem)) => {
+                Err(self.unreachable_failure(&format!("{address}: {problem}")).into())
+            }
+            Err(CallLoss::Lost(problem)) => Err(self.lost_failure(address, call, &problem).into()),
+        }
+    }
+
+    fn request(
+        &self,
+        address: SocketAddr,
+        call: &ApiCall<'_>,
+    ) -> anyhow::Result<Request<Full<Bytes>>> {
+        let mut builder = Request::builder()
+            .method(&call.method)
+            .uri(format!("http://{address}{}", call.path))
+            .header(CONTENT_TYPE, "application/json");
+        if let Some(key) = &self.key {
+            builder = builder.header(AUTHORIZATION, format!("Bearer {key}"));
+        }
+        if let Some(name) = call.idempotency_key {
+            builder = builder.header("idempotency-key", name);
+        }
+        let body = call.body.clone().unwrap_or_default();
+        builder.body(Full::from(body)).map_err(|_| {
+            let problem = "the key or the idempotency key has characters that HTTP cannot carry";
+            CliFailure::new(ExitStatus::Usage, problem, "use printable ASCII only").into()
+        })
+    }
+
+    async fn send(&self, request: Request<Full<Bytes>>) -> Result<ApiAnswer, CallLoss> {
+        match timeout(self.timeout, self.exchange(request)).await {
+            Ok(result) => result,
+            Err(_) => {
+                let millis = self.timeout.as_millis();
+                Err(CallLoss::Lost(format!("no answer within {millis} ms")))
+            }
+        }
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<ApiAnswer, CallLoss> {
+        let response = self.client.request(request).await.map_err(|error| {
+            let problem = innermost_message(&error);
+            if error.is_connect() {
+                CallLoss::Unreachable(problem)
+            } else {
+                CallLoss::Lost(problem)
+            }
+        })?;
+        let (parts, body) = response.into_parts();
+        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+        let bytes = body.map_err(|error| CallLoss::Lost(error.to_string()))?.to_bytes();
+        let text = String::from_utf8(bytes.to_vec())
+            .context("the answer is not UTF-8")
+            .map_err(|error| CallLoss::Lost(error.to_string()))?;
+        Ok(ApiAnswer { status: parts.status, text })
+    }
+
+    fn unreachable_failure(&self, problem: &str) -> CliFailure {
+        let advice = format!("name the address of a running daemon by {}", self.source);
+        CliFailure::new(ExitStatus::Unreachable, format!("no daemon reached: {problem}"), advice)
+    }
+
+    fn lost_failure(&self, address: SocketAddr, call: &ApiCall<'_>, problem: &str) -> CliFailure {
+        let problem = format!("{address}: {problem}");
+        if call.method.is_safe() {
+            return self.unreachable_failure(&problem);
+        }
+        let advice = match call.idempotency_key {
+            Some(key) => format!(
+                "hand the same work in again with --idempotency-key {key}; if it was accepted, \
+                 you get the first answer"
+            ),
+            None => "look at what is in force before you repeat it".to_owned(),
+        };
+        CliFailure::new(
+            ExitStatus::Unknown,
+            format!("the answer was lost, so it may have taken effect: {problem}"),
+            advice,
+        )
+    }
+}
+
+/// Returns the message of the error at the root; the outer ones only say that a call failed.
+fn innermost_message(error: &dyn std::error::Error) -> String {
+    let mut innermost = error;
+    while let Some(source) = innermost.source() {
+        innermost = source;
+    }
+    innermost.to_string()
+}
--- /dev/null
+++ b/crates/cli/src/commands/manifest_check.rs
@@ -0,0 +1,82 @@
+//! `damaskrack manifest check`: checks a file without a daemon.
+
+use {
+    crate::{
+        ExitStatus,
+        context::{CommandContext, read_file},
+        failure::CliFailure,
+        table::TextTable,
+    },
+    damaskrack_manifest::{ManifestDocument, ManifestFault, check_manifest, parse_manifest},
+    serde::Serialize,
+    std::{fmt::Write, path::Path},
+};
+
+/// Result of a check as JSON.
+#[derive(Debug, Serialize)]
+struct CheckReport {
+    valid: bool,
+    faults: Vec<FaultRow>,
+}
+
+/// A fault as JSON.
+#[derive(Debug, Serialize)]
+struct FaultRow {
+    path: String,
+    problem: String,
+}
+
+pub(crate) fn run(context: &mut CommandContext<'_>, file: &Path) -> anyhow::Result<ExitStatus> {
+    let faults = match checked_manifest(&read_file(file)?) {
+        Ok(document) => return print_valid(context, &document),
+        Err(faults) => faults,
+    };
+    let rows = faults
+        .iter()
+        .map(|fault| FaultRow { path: fault.path.clone(), problem: fault.problem.clone() });
+    let report = CheckReport { valid: false, faults: rows.collect() };
+    context.print(&report, || fault_lines(&faults))?;
+    Ok(ExitStatus::Refused)
+}
+
+fn print_valid(
+    context: &mut CommandContext<'_>,
+    document: &ManifestDocument,
+) -> anyhow::Result<ExitStatus> {
+    let report = CheckReport { valid: true, faults: Vec::new() };
+    context.print(&report, || format!("valid\n{}", count_table(document)))?;
+    Ok(ExitStatus::Ok)
+}
+
+/// Counts the entries of a manifest.
+pub(crate) fn count_table(document: &ManifestDocument) -> TextTable {
+    TextTable::of_pairs(&[
+        ("teams", document.teams.len().to_string()),
+        ("keys", document.keys.len().to_string()),
+        ("zones", document.zones.len().to_string()),
+        ("queues", document.queues.len().to_string()),
+    ])
+}
+
+fn checked_manifest(json: &str) -> Result<ManifestDocument, Vec<ManifestFault>> {
+    let document = parse_manifest(json)?;
+    let faults = check_manifest(&document);
+    if faults.is_empty() { Ok(document) } else { Err(faults) }
+}
+
+/// Reads and checks a manifest that a command needs to be valid.
+pub(crate) fn read_manifest(file: &Path) -> anyhow::Result<ManifestDocument> {
+    checked_manifest(&read_file(file)?).map_err(|faults| {
+        let problem = format!("{} is not valid:\n{}", file.display(), fault_lines(&faults));
+        let advice = "correct these faults; `damaskrack manifest check` lists them too";
+        CliFailure::new(ExitStatus::Refused, problem, advice).into()
+    })
+}
+
+fn fault_lines(faults: &[ManifestFault]) -> String {
+    faults.iter().fold(String::new(), |mut lines, fault| {
+        // Writing to a string cannot fail.
+        let _ = writeln!(lines, "{fault}");
+        lines
+    })
+}
--- /dev/null
+++ b/crates/cli/src/context.rs
@@ -0,0 +1,94 @@
+//! What every command works with.
+
+use {
+    crate::{
+        ExitStatus,
+        args::{GlobalOptions, OutputFormat},
+        client::ApiClient,
+        failure::CliFailure,
+    },
+    serde::Serialize,
+    std::{
+        fmt::{self, Display},
+        io::{self, Read, Write},
+        path::Path,
+    },
+};
+
+/// Options of the command line and the place for output.
+pub(crate) struct CommandContext<'a> {
+    options: GlobalOptions,
+    out: &'a mut dyn Write,
+}
+
+impl fmt::Debug for CommandContext<'_> {
+    /// Leaves the options out, which hold keys.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("CommandContext").finish_non_exhaustive()
+    }
+}
+
+impl<'a> CommandContext<'a> {
+    pub(crate) fn new(options: GlobalOptions, out: &'a mut dyn Write) -> Self {
+        Self { options, out }
+    }
+
+    /// Returns the place for output, for commands whose output has one form only.
+    pub(crate) fn out(&mut self) -> &mut dyn Write {
+        self.out
+    }
+
+    pub(crate) fn caller_client(&self) -> ApiClient {
+        ApiClient::new(
+            &self.options.address,
+            self.options.key.as_deref(),
+            self.options.timeout_ms,
+            "--address or DAMASKRACK_ADDRESS",
+        )
+    }
+
+    pub(crate) fn operator_client(&self) -> ApiClient {
+        ApiClient::new(
+            &self.options.operator_address,
+            self.options.operator_key.as_deref().or(self.options.key.as_deref()),
+            self.options.timeout_ms,
+            "--operator-address or DAMASKRACK_OPERATOR_ADDRESS",
+        )
+    }
+
+    /// Prints a value in the chosen format.
+    pub(crate) fn print(
+        &mut self,
+        value: &impl Serialize,
+        text: impl FnOnce() -> String,
+    ) -> anyhow::Result<()> {
+        match self.options.output {
+            OutputFormat::Json => self.print_text(serde_json::to_string_pretty(value)? + "\n"),
+            OutputFormat::Table => self.print_text(text()),
+        }
+    }
+
+    pub(crate) fn print_text(&mut self, text: impl Display) -> anyhow::Result<()> {
+        write!(self.out, "{text}")?;
+        self.out.flush()?;
+        Ok(())
+    }
+}
+
+/// Reads a file named on the command line; `-` reads standard input.
+pub(crate) fn read_file(path: &Path) -> anyhow::Result<String> {
+    let result = if path == Path::new("-") {
+        let mut text = String::new();
+        io::stdin().read_to_string(&mut text).map(|_| text)
+    } else {
+        std::fs::read_to_string(path)
+    };
+    result.map_err(|error| {
+        CliFailure::new(
+            ExitStatus::Usage,
+            format!("cannot read {}: {error}", path.display()),
+            "check the path, and that the file is UTF-8 text",
+        )
+        .into()
+    })
+}
--- /dev/null
+++ b/crates/cli/src/failure.rs
@@ -0,0 +1,50 @@
+//! Errors that say what to do.
+
+use {
+    crate::ExitStatus,
+    std::{
+        fmt,
+        io::{self, Write},
+    },
+};
+
+/// A problem that ends the command, with the exit code and a next step for the user.
+#[derive(Debug)]
+pub(crate) struct CliFailure {
+    pub(crate) status: ExitStatus,
+    pub(crate) problem: String,
+    pub(crate) advice: String,
+}
+
+impl CliFailure {
+    pub(crate) fn new(
+        status: ExitStatus,
+        problem: impl Into<String>,
+        advice: impl Into<String>,
+    ) -> Self {
+        Self { status, problem: problem.into(), advice: advice.into() }
+    }
+}
+
+impl fmt::Display for CliFailure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}\n  try: {}", self.problem, self.advice)
+    }
+}
+
+impl std::error::Error for CliFailure {}
+
+/// Prints an error and returns the exit code for it.
+///
+/// A reader that closes the pipe early has seen what it wanted, so that is no error.
+pub(crate) fn report_error(error: &anyhow::Error) -> ExitStatus {
+    let is_broken_pipe = error
+        .downcast_ref::<io::Error>()
+        .is_some_and(|error| error.kind() == io::ErrorKind::BrokenPipe);
+    if is_broken_pipe {
+        return ExitStatus::Ok;
+    }
+    // Nothing is left to report to when the terminal is gone.
+    let _ = writeln!(io::stderr(), "error: {error:#}");
+    error.downcast_ref::<CliFailure>().map_or(ExitStatus::Failed, |failure| failure.status)
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,55 @@
-//! Placeholder.
+//! The command-line tool `damaskrack`, as a library that its tests and the thin program share.
+//!
+//! Answers go to standard output, in one of two formats; progress and errors go to standard
+//! error, so that a pipeline can read the output whatever happens. The exit code tells a script
+//! how the work ended without parsing anything.
+
+mod amount;
+mod answer;
+mod args;
+mod client;
+mod commands;
+mod context;
+mod exit;
+mod failure;
+mod progress;
+mod table;
+
+use {
+    crate::{args::CliArgs, context::CommandContext, failure::report_error},
+    clap::Parser,
+    std::{ffi::OsString, io, process::ExitCode},
+    tokio::runtime::Runtime,
+};
+
+pub use crate::exit::ExitStatus;
+
+/// Runs the tool with the arguments of a command line, the program's name first.
+///
+/// # Examples
+///
+/// ```
+/// use std::process::ExitCode;
+///
+/// assert_eq!(damaskrack_cli::run_cli(["damaskrack", "no-such-command"]), ExitCode::from(2));
+/// ```
+pub fn run_cli(args: impl IntoIterator<Item = impl Into<OsString> + Clone>) -> ExitCode {
+    match CliArgs::try_parse_from(args) {
+        Ok(args) => run_command(args).code(),
+        Err(error) => {
+            let is_usage_error = error.use_stderr();
+            // Nothing is left to report to when the terminal is gone.
+            let _ = error.print();
+            if is_usage_error { ExitStatus::Usage.code() } else { ExitStatus::Ok.code() }
+        }
+    }
+}
+
+fn run_command(args: CliArgs) -> ExitStatus {
+    let mut stdout = io::stdout().lock();
+    let mut context = CommandContext::new(args.options, &mut stdout);
+    let result = Runtime::new()
+        .map_err(Into::into)
+        .and_then(|runtime| runtime.block_on(commands::run(&mut context, args.command)));
+    result.unwrap_or_else(|error| report_error(&error))
+}
--- /dev/null
+++ b/crates/cli/tests/cli/main.rs
@@ -0,0 +1,6 @@
+//! Runs the tool as a process against a daemon that answers from a script.
+
+mod operators;
+mod support;
+mod usage;
+mod work;
--- /dev/null
+++ b/crates/cli/tests/cli/support.rs
@@ -0,0 +1,159 @@
+//! A daemon that answers from a script, and a way to run the tool against it.
+
+use {
+    http::{Request, Response},
+    http_body_util::{BodyExt, Full},
+    hyper::{
+        body::{Bytes, Incoming},
+        server::conn::http1,
+        service::service_fn,
+    },
+    hyper_util::rt::TokioIo,
+    std::{
+        net::SocketAddr,
+        process::{Command, Stdio},
+        sync::{Arc, Mutex},
+        thread,
+    },
+    tokio::{net::TcpListener, runtime::Builder},
+};
+
+/// A request as the daemon received it.
+#[derive(Debug, Clone)]
+pub(crate) struct SeenRequest {
+    /// Method and path, such as `GET /v1/state`.
+    pub(crate) line: String,
+    pub(crate) authorization: Option<String>,
+    pub(crate) idempotency_key: Option<String>,
+    pub(crate) body: String,
+}
+
+/// HTTP status and body of an answer; `None` closes the connection without one.
+pub(crate) type FakeAnswer = Option<(u16, String)>;
+
+/// A daemon on a loopback port of its own.
+#[derive(Debug)]
+pub(crate) struct FakeDaemon {
+    pub(crate) address: SocketAddr,
+    seen: Arc<Mutex<Vec<SeenRequest>>>,
+}
+
+impl FakeDaemon {
+    /// Starts a daemon; `answer` gets each request and the number of requests before it.
+    pub(crate) fn start(
+        answer: impl Fn(&SeenRequest, usize) -> FakeAnswer + Send + Sync + 'static,
+    ) -> Self {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        listener.set_nonblocking(true).expect("a socket option");
+        let address = listener.local_addr().expect("an address");
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let script = Arc::new(FakeScript { answer: Box::new(answer), seen: seen.clone() });
+        thread::spawn(move || {
+            let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime");
+            runtime.block_on(serve(listener, script));
+        });
+        Self { address, seen }
+    }
+
+    /// Starts a daemon that gives the same answer to everything.
+    pub(crate) fn answering(status: u16, body: &str) -> Self {
+        let body = body.to_owned();
+        Self::start(move |_, _| Some((status, body.clone())))
+    }
+
+    /// Returns the requests so far.
+    pub(crate) fn seen(&self) -> Vec<SeenRequest> {
+        self.seen.lock().expect("no panic in the daemon").clone()
+    }
+
+    /// Returns the lines of the requests so far.
+    pub(crate) fn seen_lines(&self) -> Vec<String> {
+        self.seen().into_iter().map(|request| request.line).collect()
+    }
+}
+
+type AnswerScript = dyn Fn(&SeenRequest, usize) -> FakeAnswer + Send + Sync;
+
+struct FakeScript {
+    answer: Box<AnswerScript>,
+    seen: Arc<Mutex<Vec<SeenRequest>>>,
+}
+
+async fn serve(listener: std::net::TcpListener, script: Arc<FakeScript>) {
+    let listener = TcpListener::from_std(listener).expect("a listener");
+    loop {
+        let (stream, _) = listener.accept().await.expect("a connection");
+        let script = script.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request| answer_request(request, script.clone()));
+            // A connection that the script closes ends with an error here.
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+async fn answer_request(
+    request: Request<Incoming>,
+    script: Arc<FakeScript>,
+) -> Result<Response<Full<Bytes>>, std::io::Error> {
+    let (parts, body) = request.into_parts();
+    let body = body.collect().await.expect("a body").to_bytes();
+    let header = |name: &str| {
+        parts.headers.get(name).map(|value| value.to_str().expect("a text").to_owned())
+    };
+    let request = SeenRequest {
+        line: format!("{} {}", parts.method, parts.uri.path()),
+        authorization: header("authorization"),
+        idempotency_key: header("idempotency-key"),
+        body: String::from_utf8(body.to_vec()).expect("a text"),
+    };
+    let count = {
+        let mut seen = script.seen.lock().expect("no panic in the daemon");
+        seen.push(request.clone());
+        seen.len() - 1
+    };
+    match (script.answer)(&request, count) {
+        Some((status, body)) => {
+            let response = Response::builder().status(status).body(Full::from(body));
+            Ok(response.expect("a response"))
+        }
+        None => Err(std::io::Error::other("closed by the script")),
+    }
+}
+
+/// What a run of the tool left.
+#[derive(Debug)]
+pub(crate) struct ToolRun {
+    pub(crate) code: Option<i32>,
+    pub(crate) stdout: String,
+    pub(crate) stderr: String,
+}
+
+/// Runs the tool with no variables of the caller's environment.
+pub(crate) fn run_tool(args: &[&str], variables: &[(&str, &str)]) -> ToolRun {
+    let output = Command::new(env!("CARGO_BIN_EXE_damaskrack"))
+        .args(args)
+        .env_clear()
+        .envs(variables.iter().copied())
+        .stdin(Stdio::null())
+        .output()
+        .expect("the tool runs");
+    ToolRun {
+        code: output.status.code(),
+        stdout: String::from_utf8(output.stdout).expect("a text"),
+        stderr: String::from_utf8(output.stderr).expect("a text"),
+    }
+}
+
+/// Runs the tool against one daemon, on both ports, with a key.
+pub(crate) fn run_at(daemon: &FakeDaemon, args: &[&str]) -> ToolRun {
+    let address = daemon.address.to_string();
+    run_tool(
+        args,
+        &[
+            ("DAMASKRACK_ADDRESS", &address),
+            ("DAMASKRACK_OPERATOR_ADDRESS", &address),
+            ("DAMASKRACK_KEY", "office.s3cret"),
+        ],
+    )
+}
