--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -129,20 +129,27 @@
 /// What to do with a key.
 #[derive(Debug, Subcommand)]
 pub(crate) enum KeyCommand {
-    /// Makes a key: prints it and its entry for the manifest. The secret is shown only here.
-    New {
-        /// Public part of the key.
-        name: KeyName,
-        /// Team that the key stands for.
-        #[arg(long)]
-        team: TeamName,
-        /// First moment of validity, in Unix milliseconds.
-        #[arg(long)]
-        not_before_unix_ms: Option<u64>,
-        /// First moment after validity, in Unix milliseconds.
-        #[arg(long)]
-        not_after_unix_ms: Option<u64>,
-    },
+    /// Makes a key: prints it and its entry. The secret is shown only here.
+    New(KeyNewArgs),
+}
+
+/// A key to make.
+#[derive(Debug, Args)]
+pub(crate) struct KeyNewArgs {
+    /// Public part of the key.
+    pub(crate) name: KeyName,
+    /// Team that the key stands for; its entry goes into the manifest.
+    #[arg(long, required_unless_present = "operator", conflicts_with = "operator")]
+    pub(crate) team: Option<TeamName>,
+    /// Makes a key for operators; its entry goes into the daemons' settings.
+    #[arg(long, conflicts_with_all = ["not_before_unix_ms", "not_after_unix_ms"])]
+    pub(crate) operator: bool,
+    /// First moment of validity, in Unix milliseconds.
+    #[arg(long)]
+    pub(crate) not_before_unix_ms: Option<u64>,
+    /// First moment after validity, in Unix milliseconds.
+    #[arg(long)]
+    pub(crate) not_after_unix_ms: Option<u64>,
 }
 
 /// Work to hand in.
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -27,9 +27,7 @@
     match command {
         CliCommand::Local(args) => local::run(context, &args).await,
         CliCommand::Manifest(command) => run_manifest(context, command).await,
-        CliCommand::Key(KeyCommand::New { name, team, not_before_unix_ms, not_after_unix_ms }) => {
-            key_new::run(context, &name, &team, (not_before_unix_ms, not_after_unix_ms))
-        }
+        CliCommand::Key(KeyCommand::New(args)) => key_new::run(context, &args),
         CliCommand::Submit(args) => submit::run(context, &args).await,
         CliCommand::Job(args) => job::run(context, &args).await,
         CliCommand::Cancel(args) => cancel::run(context, &args).await,
--- a/crates/cli/tests/cli/operators.rs
+++ b/crates/cli/tests/cli/operators.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::support::{FakeDaemon, run_at, run_tool},
-    damaskrack_manifest::{KeyEntry, KeyVerdict, check_key},
+    damaskrack_manifest::{KeyEntry, KeyVerdict, check_key, parse_manifest},
     serde_json::{Value, json},
     std::io::Write,
     tempfile::NamedTempFile,
@@ -178,3 +178,26 @@
     assert_eq!(other, KeyVerdict::Refused);
     assert_ne!(keys[0]["entry"]["salt"], keys[1]["entry"]["salt"]);
 }
+
+#[test]
+fn an_operator_key_has_an_entry_for_settings() {
+    let args = ["key", "new", "oncall", "--operator", "--output", "json"];
+    let key: Value = serde_json::from_str(&run_tool(&args, &[]).stdout).unwrap();
+    let fields: Vec<_> = key["entry"].as_object().unwrap().keys().collect();
+    assert_eq!(fields, ["hash", "name", "salt"]);
+}
+
+#[test]
+fn the_documented_demo_keys_are_those_of_the_example() {
+    let readme = include_str!("../../../../examples/README.md");
+    let manifest = parse_manifest(include_str!("../../../../examples/manifest.json")).unwrap();
+    for entry in &manifest.keys {
+        let start = format!("| `{}.", entry.name);
+        let line = readme.lines().find(|line| line.starts_with(&start)).expect("a documented key");
+        let shown = line.split('`').nth(1).unwrap();
+        let now_unix_ms = entry.not_before_unix_ms.unwrap_or(0);
+        let verdict = check_key(&manifest.keys, shown, now_unix_ms);
+        assert!(matches!(verdict, KeyVerdict::Valid { .. }), "{shown}");
+        assert!(line.contains(&format!("`{}`", entry.team)), "{line}");
+    }
+}
--- a/crates/cli/tests/cli/usage.rs
+++ b/crates/cli/tests/cli/usage.rs
@@ -21,7 +21,7 @@
 
 #[test]
 fn wrong_arguments_are_usage_errors() {
-    let cases: [&[&str]; 9] = [
+    let cases: [&[&str]; 11] = [
         &[],
         &["no-such-command"],
         &["submit"],
@@ -30,6 +30,8 @@
         &["submit", "checks", "--memory", "5parsecs"],
         &["submit", "checks", "--memory", "99999999999GiB"],
         &["job", "no-job-id"],
+        &["key", "new", "office"],
+        &["key", "new", "office", "--team", "harbour", "--operator"],
         &["state", "--operator-address", "entry-1:7201"],
     ];
     for args in cases {
