Check manifest fields without copying them

Cause: every field was copied before it was checked. Change: the fields are deserialized from the borrowed value.

--- a/crates/manifest/src/shape.rs
+++ b/crates/manifest/src/shape.rs
@@ -81,7 +81,7 @@
 }
 
 fn explain<T: DeserializeOwned>(value: &Value) -> Option<String> {
-    serde_json::from_value::<T>(value.clone()).err().map(|error| error.to_string())
+    T::deserialize(value).err().map(|error| error.to_string())
 }
 
 /// Collects every fault of form in a whole manifest.
