Run a whole cell in one process

Cause: a newcomer should see a request and a gang job run with one command.

Ruled out: fixed ports, which a second cell on the same machine could not take.

--- /dev/null
+++ b/crates/cli/src/commands/local/demo.rs
@@ -0,0 +1,163 @@
+//! What is done with a local cell.
+
+use {
+    super::cell::LocalCell,
+    crate::{
+        ExitStatus,
+        client::ApiClient,
+        commands::{
+            manifest_apply::put_manifest,
+            manifest_show::read_in_force,
+            wait::{WaitGoal, wait_for_job},
+        },
+        work::{WorkBody, draw_idempotency_key},
+    },
+    anyhow::Context,
+    damaskrack_manifest::{ManifestDocument, parse_manifest},
+    damaskrack_model::{OutcomeKind, PriorityClass, QueueName, Resources, WorkAnswer, WorkKind},
+    serde::Serialize,
+    std::time::{Duration, Instant},
+    tokio::time::sleep,
+};
+
+/// The manifest that a local cell runs under.
+const EXAMPLE_MANIFEST: &str = include_str!("../../../../../examples/manifest.json");
+
+/// A demo key of the example manifest.
+const CALLER_KEY: &str = "harbour-office.demo-harbour";
+
+/// Longest time until a cell that has just started takes a call.
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Time between two tries at a cell that is still starting.
+const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Tasks of the gang job.
+const GANG_TASKS: u32 = 4;
+
+/// Answers of `local --once`.
+#[derive(Debug, Serialize)]
+pub(crate) struct OnceReport {
+    manifest_version: u64,
+    request: WorkAnswer,
+    gang: WorkAnswer,
+}
+
+impl OnceReport {
+    /// Returns the exit code: that of the request, or of the gang if the request was done.
+    pub(crate) fn status(&self) -> ExitStatus {
+        let job_outcome = self.gang.status.as_ref().and_then(|status| status.outcome);
+        let gang_outcome = job_outcome.unwrap_or(self.gang.outcome);
+        match self.request.outcome {
+            OutcomeKind::Done => gang_outcome.into(),
+            outcome => outcome.into(),
+        }
+    }
+}
+
+/// Runs one request and one gang job under the example manifest.
+pub(crate) async fn run_once(cell: &LocalCell) -> anyhow::Result<OnceReport> {
+    let manifest_version = apply_example(cell).await?;
+    let client = cell.caller_client(CALLER_KEY);
+    let request = work("clearance", WorkKind::Request, 1, "vessel Galeb")?;
+    let request = hand_in(&client, &request).await?;
+    let gang = work("reconciliation", WorkKind::Gang, GANG_TASKS, r#"{"run_ms":200}"#)?;
+    let accepted = hand_in(&client, &gang).await?;
+    let gang = match &accepted.job {
+        Some(job) if accepted.outcome == OutcomeKind::Done => {
+            wait_for_job(&client, job, WaitGoal::Ended).await?
+        }
+        _ => accepted,
+    };
+    Ok(OnceReport { manifest_version, request, gang })
+}
+
+/// Hands the example manifest in as soon as the cell takes it, and returns its version.
+pub(crate) async fn apply_example(cell: &LocalCell) -> anyhow::Result<u64> {
+    let manifest = parse_manifest(EXAMPLE_MANIFEST)
+        .map_err(|faults| anyhow::anyhow!("the example manifest has faults: {faults:?}"))?;
+    let client = cell.operator_client();
+    let started = Instant::now();
+    loop {
+        match apply_step(&client, &manifest).await {
+            Ok(Some(version)) => return Ok(version),
+            Ok(None) if started.elapsed() < START_TIMEOUT => {}
+            Ok(None) => anyhow::bail!("the cell takes no manifest"),
+            Err(error) if started.elapsed() >= START_TIMEOUT => {
+                return Err(error).context("the cell takes no manifest");
+            }
+            Err(_) => {}
+        }
+        sleep(RETRY_INTERVAL).await;
+    }
+}
+
+/// Tries once. Reading first makes a repeat after a lost answer harmless.
+async fn apply_step(
+    client: &ApiClient,
+    manifest: &ManifestDocument,
+) -> anyhow::Result<Option<u64>> {
+    let in_force = read_in_force(client).await?;
+    if in_force.version > 0 {
+        return Ok(Some(in_force.version));
+    }
+    let reply = put_manifest(client, 0, manifest).await?;
+    Ok((reply.answer.outcome == OutcomeKind::Done).then_some(reply.version))
+}
+
+fn work(queue: &str, kind: WorkKind, tasks: u32, payload: &str) -> anyhow::Result<WorkBody> {
+    Ok(WorkBody {
+        queue: QueueName::new(queue)?,
+        kind,
+        tasks,
+        resources: Resources { millicores: 500, memory_bytes: 64 << 20, accelerators: 0 },
+        idempotent: false,
+        priority: PriorityClass::Normal,
+        expected_ms: 0,
+        deadline_ms: 0,
+        payload: payload.to_owned(),
+    })
+}
+
+/// Hands work in, again and again while the cell is starting: an answer `not_run` says that it was
+/// never handed to a worker.
+async fn hand_in(client: &ApiClient, work: &WorkBody) -> anyhow::Result<WorkAnswer> {
+    let key = draw_idempotency_key();
+    let started = Instant::now();
+    loop {
+        let answer = work.hand_in(client, Some(&key)).await?;
+        if answer.outcome != OutcomeKind::NotRun || started.elapsed() >= START_TIMEOUT {
+            return Ok(answer);
+        }
+        sleep(RETRY_INTERVAL).await;
+    }
+}
+
+/// Returns what a newcomer needs to know about a running cell.
+pub(crate) fn welcome(cell: &LocalCell) -> String {
+    let daemons = cell.daemon_addresses();
+    let join = |addresses: Vec<String>| addresses.join(",");
+    let callers = join(daemons.iter().map(|daemon| daemon.caller.to_string()).collect());
+    let operators = join(daemons.iter().map(|daemon| daemon.operator.to_string()).collect());
+    let platform = cell.platform_addresses();
+    let first = daemons.first().map(|daemon| daemon.caller.to_string()).unwrap_or_default();
+    format!(
+        "A cell of {} daemons and {} stand-in workers is running.\n\
+         Switches for faults: http://{}\n\n\
+         In another terminal:\n\n\
+         export DAMASKRACK_ADDRESS={callers}\n\
+         export DAMASKRACK_OPERATOR_ADDRESS={operators}\n\
+         export DAMASKRACK_KEY={CALLER_KEY}\n\
+         export DAMASKRACK_OPERATOR_KEY={}\n\
+         damaskrack submit clearance --payload 'vessel Galeb'\n\
+         damaskrack submit reconciliation --kind gang --tasks 4 --wait\n\
+         damaskrack manifest status\n\
+         curl -sS http://{first}/v1/requests -H 'Authorization: Bearer {CALLER_KEY}' \
+         -d '{{\"queue\":\"clearance\",\"payload\":\"vessel Galeb\"}}'\n\n\
+         Interrupt with Ctrl-C to stop.\n",
+        daemons.len(),
+        platform.workers.len(),
+        platform.control,
+        LocalCell::operator_key(),
+    )
+}
--- a/crates/cli/src/commands/submit.rs
+++ b/crates/cli/src/commands/submit.rs
@@ -4,77 +4,51 @@
     crate::{
         ExitStatus,
         answer::print_answer,
-        args::{KindArg, SubmitArgs},
-        client::{ApiCall, ApiClient},
+        args::SubmitArgs,
         commands::wait::{WaitGoal, wait_for_job},
         context::{CommandContext, read_file},
         progress::WaitProgress,
+        work::{WorkBody, draw_idempotency_key},
     },
-    damaskrack_model::{OutcomeKind, PriorityClass, QueueName, Resources, WorkAnswer, WorkKind},
-    http::Method,
-    rand::random,
-    serde::Serialize,
+    damaskrack_model::{OutcomeKind, Resources, WorkKind},
 };
 
-/// Body of a submission.
-#[derive(Debug, Serialize)]
-struct WorkBody<'a> {
-    queue: &'a QueueName,
-    kind: WorkKind,
-    tasks: u32,
-    resources: Resources,
-    idempotent: bool,
-    priority: PriorityClass,
-    expected_ms: u64,
-    deadline_ms: u64,
-    payload: String,
-}
-
 pub(crate) async fn run(
     context: &mut CommandContext<'_>,
     args: &SubmitArgs,
 ) -> anyhow::Result<ExitStatus> {
     let client = context.caller_client();
-    let accepted = hand_in(&client, args).await?;
-    let is_accepted_job = args.kind != KindArg::Request && accepted.outcome == OutcomeKind::Done;
+    let work = work_body(args)?;
+    let key = idempotency_key(args, &work);
+    let progress = WaitProgress::spinner("waiting for the answer");
+    let accepted = work.hand_in(&client, key.as_deref()).await?;
+    drop(progress);
+    let is_accepted_job = !work.is_request() && accepted.outcome == OutcomeKind::Done;
     let answer = match &accepted.job {
         Some(job) if args.wait && is_accepted_job => {
-            wait_for_job(&client, job, wait_goal(args.kind)).await?
+            wait_for_job(&client, job, wait_goal(work.kind)).await?
         }
         _ => accepted,
     };
     print_answer(context, &answer)
 }
 
-async fn hand_in(client: &ApiClient, args: &SubmitArgs) -> anyhow::Result<WorkAnswer> {
-    let body = serde_json::to_string(&work_body(args)?)?;
-    let path = if args.kind == KindArg::Request { "/v1/requests" } else { "/v1/jobs" };
-    let key = idempotency_key(args);
-    let mut call = ApiCall::new(Method::POST, path).with_body(body);
-    if let Some(key) = &key {
-        call = call.with_idempotency_key(key);
-    }
-    let _progress = WaitProgress::spinner("waiting for the answer");
-    Ok(client.call(&call).await?.parse()?)
-}
-
-/// Returns the name under which work can be handed in again.
+/// Returns the name under which the work can be handed in again.
 ///
 /// A job always has one, so that a lost answer can be asked for. A request has one only if the
 /// user chose it, because it costs the daemon a store write.
-fn idempotency_key(args: &SubmitArgs) -> Option<String> {
-    let drawn =
-        || (args.kind != KindArg::Request).then(|| format!("cli-{:032x}", random::<u128>()));
+fn idempotency_key(args: &SubmitArgs, work: &WorkBody) -> Option<String> {
+    let drawn = || (!work.is_request()).then(draw_idempotency_key);
     args.idempotency_key.clone().or_else(drawn)
 }
 
-fn work_body(args: &SubmitArgs) -> anyhow::Result<WorkBody<'_>> {
+fn work_body(args: &SubmitArgs) -> anyhow::Result<WorkBody> {
     let payload = match &args.payload_file {
         Some(path) => read_file(path)?,
         None => args.payload.clone(),
     };
     Ok(WorkBody {
-        queue: &args.queue,
+        queue: args.queue.clone(),
         kind: args.kind.into(),
         tasks: args.tasks,
         resources: Resources {
@@ -91,9 +65,9 @@
 }
 
 /// A service runs until it is cancelled, so its end is not worth waiting for.
-fn wait_goal(kind: KindArg) -> WaitGoal {
+fn wait_goal(kind: WorkKind) -> WaitGoal {
     match kind {
-        KindArg::Service => WaitGoal::Running,
-        KindArg::Request | KindArg::Batch | KindArg::Gang => WaitGoal::Ended,
+        WorkKind::Service => WaitGoal::Running,
+        WorkKind::Request | WorkKind::Batch | WorkKind::Gang => WaitGoal::Ended,
     }
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -14,6 +14,7 @@
 mod failure;
 mod progress;
 mod table;
+mod work;
 
 use {
     crate::{args::CliArgs, context::CommandContext, failure::report_error},
