--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -59,6 +59,8 @@
     sent_to: Option<(MemberName, u64, Epoch)>,
     /// Copies that were sent since the work had certainly reached nobody.
     copies: u32,
+    /// Copies that were refused as unknown work.
+    refusals: u32,
     first_sent_at: ClockTime,
     resend_at: ClockTime,
     resend_ms: u64,
@@ -109,6 +111,7 @@
                     is_overdue: false,
                     sent_to: None,
                     copies: 0,
+                    refusals: 0,
                     first_sent_at: view.now,
                     resend_at: view.now,
                     resend_ms: RESEND_MIN_MS,
@@ -203,8 +206,9 @@
             return;
         }
         out.send(from, PeerMessage::AnswerAck { calls: vec![call] });
-        if self.calls.get(&call.serial).is_some_and(|waiting| waiting.is_outdated(from, &answer)) {
-            out.count("entry.outdated_refusals", 1);
+        let waiting = self.calls.get_mut(&call.serial);
+        if waiting.is_some_and(|waiting| waiting.is_partial_refusal(from, &answer)) {
+            out.count("entry.partial_refusals", 1);
             return;
         }
         let Some(ended) = self.calls.remove(&call.serial) else {
@@ -229,6 +233,7 @@
             // The only copy had no effect. With more than one, an earlier copy may have had.
             order.first_epoch = None;
             ended.copies = 0;
+            ended.refusals = 0;
         }
         ended.sent_to = None;
         ended.resend_at = view.now.plus(RESEND_MIN_MS / 10);
@@ -292,11 +297,18 @@
 }
 
 impl EntryCall {
-    /// Tells whether an answer is a refusal by a member that the call has since been taken away
-    /// from. It is true for that member alone: the next owner may have started the work.
-    fn is_outdated(&self, from: &MemberName, answer: &WorkAnswer) -> bool {
+    /// Tells whether an answer refuses less than everything that was sent.
+    ///
+    /// A refusal of unknown work speaks of one copy. Another copy may still be taken, by another
+    /// owner or by the same one, so only refusals of all copies make the work not run.
+    fn is_partial_refusal(&mut self, from: &MemberName, answer: &WorkAnswer) -> bool {
         let is_current = self.sent_to.as_ref().is_some_and(|(member, ..)| member == from);
-        answer.outcome == OutcomeKind::NotRun && !is_current
+        if answer.outcome != OutcomeKind::NotRun || (is_current && answer.job.is_some()) {
+            return false;
+        }
+        self.refusals += 1;
+        let is_question = !matches!(self.question, EntryQuestion::Submit(_));
+        !is_current || (self.refusals < self.copies && !is_question)
     }
 
     /// Sends the call to the team's owner, if there is one.
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -41,19 +41,13 @@
 }
 
 impl DigestExchange {
-    /// Sends what is due and works out entitlements.
-    pub(crate) fn tick(
-        &mut self,
-        racks: impl FnOnce() -> Vec<RackSummary>,
-        teams: impl FnOnce() -> Vec<TeamDigest>,
-        view: &mut ClusterView,
-        config: &NodeConfig,
-        out: &mut ActionBuffer,
-    ) {
-        if view.now >= self.next_at {
-            self.next_at = view.now.plus(config.heartbeat_ms);
-            self.send(racks(), teams(), view, out);
-        }
+    /// Tells whether this daemon's digests are due.
+    pub(crate) fn is_due(&self, now: ClockTime) -> bool {
+        now >= self.next_at
+    }
+
+    /// Works out entitlements when that is due.
+    pub(crate) fn tick(&mut self, view: &mut ClusterView) {
         if view.now >= self.entitle_at {
             self.entitle_at = view.now.plus(ENTITLE_MS);
             self.drop_old(view);
@@ -61,13 +55,16 @@
         }
     }
 
-    fn send(
+    /// Sends this daemon's digests as far as they have changed or need a refresh.
+    pub(crate) fn send(
         &mut self,
         racks: Vec<RackSummary>,
         teams: Vec<TeamDigest>,
         view: &mut ClusterView,
+        config: &NodeConfig,
         out: &mut ActionBuffer,
     ) {
+        self.next_at = view.now.plus(config.heartbeat_ms);
         let is_refresh = view.now >= self.refresh_at;
         if is_refresh {
             self.refresh_at = view.now.plus(REFRESH_MS);
--- a/crates/node/src/manifest/fetch.rs
+++ b/crates/node/src/manifest/fetch.rs
@@ -62,6 +62,11 @@
         self.head.as_ref().map_or(0, |(head, _)| head.version)
     }
 
+    /// Tells whether the manifest in force is the latest that is known of.
+    pub(crate) fn is_current(&self, view: &ClusterView) -> bool {
+        view.manifest.version > 0 && view.manifest.version >= self.head_version()
+    }
+
     /// Takes a changed head.
     pub(crate) fn on_head(&mut self, value: Option<&str>, revision: u64) {
         if let Some(head) = value.and_then(|text| ManifestHead::from_json(text).ok()) {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -166,7 +166,14 @@
             };
             self.out.log(level, "standing_changed", &[("from", &old), ("to", &new)]);
         }
+        if standing != self.view.standing {
+            self.view.standing_since = self.view.now;
+        }
         self.view.standing = standing;
+        self.view.store_news_at = news.at;
+        if standing == MemberStanding::Isolated {
+            self.view.is_caught_up = false;
+        }
     }
 
     fn take_input(&mut self, input: NodeInput) {
@@ -313,6 +320,9 @@
         self.registration.tick(view.now, config, view.is_leaving, out);
         self.monitor.tick(view, config, news, out);
         self.reader.tick(view, config, out);
+        if view.standing != MemberStanding::Isolated && self.reader.is_current(view) {
+            view.is_caught_up = true;
+        }
         let (head, revision) = (self.reader.head_version(), self.reader.head_revision());
         self.writer.tick(head, revision, view, config, out);
         if self.follower.is_listed() {
@@ -320,9 +330,11 @@
         }
         let (view, config, out) = (&mut self.view, &self.config, &mut self.out);
         let (racks, queues) = (&self.racks, &self.queues);
-        let summaries = racks.summaries(view);
-        let digests = queues.digests(view);
-        self.exchange.tick(|| summaries, || digests, view, config, out);
+        if self.exchange.is_due(view.now) {
+            let (summaries, digests) = (racks.summaries(view), queues.digests(view));
+            self.exchange.send(summaries, digests, view, config, out);
+        }
+        self.exchange.tick(view);
         self.entry.tick(view, config, out);
         self.queues.tick(view, config, out);
         self.racks.tick(config, view, out);
--- a/crates/node/src/queue.rs
+++ b/crates/node/src/queue.rs
@@ -262,14 +262,14 @@
             }
         }
         PeerMessage::RollAnswer { team, epoch, rack, rows } => {
-            if let Some(queue) = teams.get_mut(&team) {
+            let owner = context.view.owner(&PieceName::Rack(rack.clone()));
+            if owner == Some(from)
+                && let Some(queue) = teams.get_mut(&team)
+            {
                 takeover::on_roll_answer(queue, epoch, &rack, rows, context);
             }
         }
-        _ => {
-            context.out.count("queue.unexpected_messages", 1);
-            let _ = from;
-        }
+        _ => context.out.count("queue.unexpected_messages", 1),
     }
 }
 
--- a/crates/node/src/queue/accept.rs
+++ b/crates/node/src/queue/accept.rs
@@ -48,7 +48,7 @@
         context.out.send(from, PeerMessage::NotOwner { call, owner: None });
         return;
     }
-    if !queue.knows_jobs() {
+    if must_wait(queue, &order) {
         if queue.early.len() < MAX_EARLY {
             queue.early.push(EarlySubmit { from: from.clone(), call, order });
         }
@@ -71,6 +71,14 @@
     }
 }
 
+/// Tells whether a submission cannot be judged yet: the journal must have been read, and work that
+/// a former owner may have started must wait for the roll call.
+fn must_wait(queue: &TeamQueue, order: &SubmitOrder) -> bool {
+    let is_active = matches!(queue.phase, TeamPhase::Active);
+    let is_known = queue.by_nonce.contains_key(&order.nonce);
+    !queue.knows_jobs() || (!is_active && !is_known && may_have_run(queue, order))
+}
+
 fn job_id(queue: &TeamQueue, order: &SubmitOrder) -> JobId {
     JobId { team: queue.team.clone(), queue: order.queue.clone(), nonce: order.nonce }
 }
@@ -92,16 +100,13 @@
     if is_found {
         return SubmitStep::Accept;
     }
-    if may_have_run(queue, order) {
-        let is_active = matches!(queue.phase, TeamPhase::Active);
-        return if order.spec.idempotent || !is_active {
-            SubmitStep::Accept
-        } else {
-            SubmitStep::Lost
-        };
+    let may_have_run = may_have_run(queue, order);
+    if may_have_run && !order.spec.idempotent {
+        return SubmitStep::Lost;
     }
     match check_submit(queue, order, context) {
         Ok(()) => SubmitStep::Accept,
+        Err(_) if may_have_run => SubmitStep::Lost,
         Err(refusal) => SubmitStep::Refuse(refusal),
     }
 }
--- a/crates/node/src/queue/gang.rs
+++ b/crates/node/src/queue/gang.rs
@@ -142,7 +142,7 @@
     context: &mut QueueContext<'_>,
 ) {
     let job = &mut queue.jobs[key];
-    if job.gang != GangStage::Unwinding || job.counts.active > 0 {
+    if job.gang != GangStage::Unwinding || job.counts.active > 0 || job.superfluous > 0 {
         return;
     }
     job.gang = GangStage::Idle;
--- a/crates/node/src/queue/job.rs
+++ b/crates/node/src/queue/job.rs
@@ -83,6 +83,8 @@
     pub(super) is_waiting: bool,
     pub(super) is_cancelled: bool,
     pub(super) gang: GangStage,
+    /// Attempts of a former owner that run although their tasks have ended or run elsewhere.
+    pub(super) superfluous: u32,
     pub(super) next_number: u32,
     /// What it returned or why it ended as it did.
     pub(super) output: String,
@@ -121,6 +123,7 @@
             unconfirmed: Vec::new(),
             is_cancelled: false,
             gang: GangStage::Idle,
+            superfluous: 0,
             next_number: 0,
             output: String::new(),
             ended_at: None,
--- a/crates/node/src/queue/settle.rs
+++ b/crates/node/src/queue/settle.rs
@@ -102,6 +102,9 @@
 
 /// Takes back an attempt that certainly never started.
 pub(super) fn give_back(queue: &mut TeamQueue, key: AttemptKey, context: &mut QueueContext<'_>) {
+    if queue.superfluous.contains_key(&key) {
+        return drop_superfluous(queue, key, context);
+    }
     let Some(attempt) = queue.remove_attempt(key) else { return };
     let result = TaskResult::NeverStarted;
     let end = AttemptEnd { task: attempt.id.task, result, output: "", is_wanted: false };
@@ -148,7 +151,7 @@
 ) {
     let attempt = &queue.attempts[key];
     let is_proof = attempt.rack_epoch == epoch && attempt.stage != AttemptStage::Running;
-    if is_proof {
+    if is_proof || queue.superfluous.contains_key(&key) {
         return give_back(queue, key, context);
     }
     if let Some(attempt) = queue.remove_attempt(key) {
@@ -173,6 +176,11 @@
     let mut job = queue.find_job(&id.job);
     let mut is_wanted = !is_displaced;
     if let Some(&key) = queue.by_attempt.get(&id)
+        && queue.superfluous.contains_key(&key)
+    {
+        drop_superfluous(queue, key, context);
+        return acknowledge(queue, rack, id, context);
+    } else if let Some(&key) = queue.by_attempt.get(&id)
         && let Some(attempt) = queue.remove_attempt(key)
     {
         is_wanted &= attempt.stopping_at.is_none();
@@ -192,6 +200,17 @@
     acknowledge(queue, rack, id, context);
 }
 
+/// Drops an attempt that no task needs; a gang may have waited for it.
+fn drop_superfluous(queue: &mut TeamQueue, key: AttemptKey, context: &mut QueueContext<'_>) {
+    let job = queue.superfluous.get(&key).copied();
+    queue.remove_attempt(key);
+    if let Some(job) = job.filter(|&job| queue.jobs.contains_key(job)) {
+        gang::restart_if_unwound(queue, job, context);
+        queue.refresh_job(job);
+        finish_if_ended(queue, job, context);
+    }
+}
+
 /// Tells whether the end of an attempt that is not in the table has been taken before.
 ///
 /// An attempt of this owner leaves the table only when it is settled. One of a former owner may
--- a/crates/node/src/queue/takeover.rs
+++ b/crates/node/src/queue/takeover.rs
@@ -164,6 +164,11 @@
     let since = context.view.now;
     queue.phase = TeamPhase::RollCall { missing, ask_at: since, since };
     ask_racks(queue, context);
+    take_early(queue, context);
+}
+
+/// Judges the submissions that had to wait; those that must wait on do so.
+fn take_early(queue: &mut TeamQueue, context: &mut QueueContext<'_>) {
     for early in std::mem::take(&mut queue.early) {
         accept::on_submit(queue, &early.from, early.call, early.order, context);
     }
@@ -234,10 +239,16 @@
         stopping_at: None,
         sequence,
     };
-    let nonce = attempt.id.job.nonce;
+    let (nonce, task) = (attempt.id.job.nonce, attempt.id.task);
     let key = queue.insert_attempt(attempt);
     match job {
-        Some(job) => settle::attach_attempt(queue, job, key),
+        Some(job) if queue.jobs[job].stage(task) == Some(TaskStage::Waiting) => {
+            settle::attach_attempt(queue, job, key);
+        }
+        Some(job) => {
+            queue.add_superfluous(job, key);
+            settle::stop_attempts(queue, &[key], context);
+        }
         None => queue.orphan_attempts.entry(nonce).or_default().push(key),
     }
     if is_unstarted {
@@ -261,6 +272,7 @@
         queue.refresh_job(key);
         settle::finish_if_ended(queue, key, context);
     }
+    take_early(queue, context);
 }
 
 /// Decides about the tasks of a job that a former owner may have started and no rack knows.
@@ -298,8 +310,8 @@
 /// A gang that is not whole any more is stopped and runs again, if it may.
 fn resolve_gang(queue: &mut TeamQueue, key: JobKey, context: &mut QueueContext<'_>) {
     let job = &mut queue.jobs[key];
-    let is_whole = job.counts.active == job.spec.tasks;
-    let is_untouched = job.counts.waiting == job.spec.tasks;
+    let is_whole = job.counts.active == job.spec.tasks && job.superfluous == 0;
+    let is_untouched = job.counts.waiting == job.spec.tasks && job.superfluous == 0;
     let output = "a former owner may have started it and its result is lost";
     if is_whole {
         job.gang = GangStage::Started;
--- a/crates/node/src/queue/team.rs
+++ b/crates/node/src/queue/team.rs
@@ -104,6 +104,8 @@
     pub(super) inherited_ends: FxHashSet<AttemptId>,
     /// Attempts of a former owner whose jobs are not known here yet, by the job's number.
     pub(super) orphan_attempts: FxHashMap<u64, Vec<AttemptKey>>,
+    /// Attempts that run although their tasks do not need them, with their jobs.
+    pub(super) superfluous: FxHashMap<AttemptKey, JobKey>,
     /// Jobs of answered calls that are not confirmed.
     pub(super) answered: FxHashMap<CallId, JobKey>,
     /// First segment of each epoch, which trimming keeps.
@@ -160,6 +162,7 @@
             inherited_ends: FxHashSet::default(),
             orphan_attempts: FxHashMap::default(),
             answered: FxHashMap::default(),
+            superfluous: FxHashMap::default(),
             epoch_segments: Vec::new(),
             trimmed_below: 0,
             early: Vec::new(),
@@ -303,6 +306,9 @@
     pub(super) fn remove_attempt(&mut self, key: AttemptKey) -> Option<AttemptRow> {
         let attempt = self.attempts.remove(key)?;
         self.by_attempt.remove(&attempt.id);
+        if let Some(job) = self.superfluous.remove(&key).and_then(|job| self.jobs.get_mut(job)) {
+            job.superfluous -= 1;
+        }
         self.running = self.running.saturating_sub(attempt.resources);
         self.running_tasks -= 1;
         if let Some(at) = attempt.ask_at {
@@ -311,6 +317,12 @@
         Some(attempt)
     }
 
+    /// Counts an attempt to a job whose task does not need it.
+    pub(super) fn add_superfluous(&mut self, job: JobKey, attempt: AttemptKey) {
+        self.superfluous.insert(attempt, job);
+        self.jobs[job].superfluous += 1;
+    }
+
     /// Sets when an attempt is asked about next.
     pub(super) fn set_question(&mut self, key: AttemptKey, at: Option<ClockTime>) {
         let Some(attempt) = self.attempts.get_mut(key) else { return };
--- a/crates/node/src/rack/sync.rs
+++ b/crates/node/src/rack/sync.rs
@@ -86,7 +86,7 @@
     let lapsed: Vec<WorkerKey> = rack
         .workers
         .iter()
-        .filter(|(_, worker)| !worker.is_lapsed && is_silent(worker, shared, view.now))
+        .filter(|(_, worker)| !worker.is_lapsed && is_silent(worker, shared, view))
         .map(|(key, _)| key)
         .collect();
     for key in lapsed {
@@ -110,12 +110,15 @@
 /// A worker that answered under this epoch refuses former owners, so its leases end a lease after
 /// that answer. One that has not may have been renewed by a former owner until that had to stop
 /// by the isolation rule.
-fn is_silent(worker: &WorkerRow, shared: &RackShared, now: ClockTime) -> bool {
+///
+/// Both hold only if no successor can have renewed a lease before it ended.
+fn is_silent(worker: &WorkerRow, shared: &RackShared, view: &ClusterView) -> bool {
     let (since, limit_ms) = match worker.heard_at {
         Some(heard_at) => (heard_at, shared.intervals.lapse_ms()),
         None => (worker.added_at, shared.intervals.isolation_ms + shared.intervals.lapse_ms()),
     };
-    now.since(since.max(shared.resumed_at)) > limit_ms
+    let end = since.max(shared.resumed_at).plus(limit_ms);
+    view.now > end && view.was_owner_at(end, shared.intervals.isolation_ms)
 }
 
 fn declare_lapsed(rack: &mut RackTable, key: WorkerKey, out: &mut ActionBuffer) {
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -75,6 +75,12 @@
     pub(crate) standing: MemberStanding,
     /// Whether this daemon is shutting down.
     pub(crate) is_leaving: bool,
+    /// Whether the manifest has caught up with the store since this daemon was last isolated.
+    pub(crate) is_caught_up: bool,
+    /// When this daemon's freshest own news of the store were asked for.
+    pub(crate) store_news_at: Option<ClockTime>,
+    /// Since when the standing has been what it is.
+    pub(crate) standing_since: ClockTime,
     /// Members by name, this daemon included once it is registered.
     pub(crate) members: BTreeMap<MemberName, MemberRow>,
     /// Ownership records.
@@ -108,6 +114,9 @@
             me,
             standing: MemberStanding::Isolated,
             is_leaving: false,
+            is_caught_up: false,
+            store_news_at: None,
+            standing_since: ClockTime::default(),
             members: BTreeMap::new(),
             owners: BTreeMap::new(),
             owned_counts: FxHashMap::default(),
@@ -286,8 +295,19 @@
         self.starved.iter().any(|starved| starved != team)
     }
 
+    /// Tells whether nobody else can have owned this daemon's pieces at `moment`, so that leases
+    /// which ended by then cannot have been renewed by a successor.
+    ///
+    /// News of the store asked for later would show a successor. Without news, nobody who has
+    /// any was heard of for so long that a taker would have been.
+    pub(crate) fn was_owner_at(&self, moment: ClockTime, isolation_ms: u64) -> bool {
+        let is_silent = self.standing == MemberStanding::StoreSilent;
+        let silent_ms = self.now.since(self.standing_since.max(moment));
+        self.store_news_at >= Some(moment) || (is_silent && silent_ms > 2 * isolation_ms)
+    }
+
     /// Tells whether this daemon may start work: its configuration is provably current.
     pub(crate) fn may_start(&self) -> bool {
-        self.standing != MemberStanding::Isolated && self.manifest.version > 0
+        self.standing != MemberStanding::Isolated && self.is_caught_up
     }
 }
