Pass over daemons that are leaving, and say more about jobs that end badly

Cause: a tour with separate processes showed that a refusal by a leaving daemon ended the command although the next address would have taken it, that an empty variable was sent as a key, that a job that ended badly came with the advice to do nothing, and that the local cell took 20 s to end.

Ruled out: trying the next address after any refusal; only leaving and isolated daemons say nothing about the work itself.

Change: such refusals go to the next address; an empty key is none; the exit advice follows the job's outcome; the dump's table form counts the rows of every table; the local cell bounds its shutdown to 1 s, because there is nobody to hand pieces over to.

--- a/crates/cli/src/answer.rs
+++ b/crates/cli/src/answer.rs
@@ -15,12 +15,20 @@
     let status = answer_status(answer);
     if status != ExitStatus::Ok {
         // The answer itself is out; without a terminal the advice has no reader.
-        let advice = advice(answer.reason);
-        let _ = writeln!(io::stderr(), "{}\n  try: {advice}", answer.reason);
+        let _ = writeln!(io::stderr(), "{}", next_step(answer));
     }
     Ok(status)
 }
 
+/// Says what to do about an answer that is not good.
+fn next_step(answer: &WorkAnswer) -> String {
+    if answer.outcome == OutcomeKind::Done {
+        "the job did not end well\n  try: look at the numbers of its tasks by outcome".to_owned()
+    } else {
+        format!("{}\n  try: {}", answer.reason, advice(answer.reason))
+    }
+}
+
 /// Returns the exit code for an answer: that of the job, once it has ended.
 fn answer_status(answer: &WorkAnswer) -> ExitStatus {
     let job_outcome = answer.status.as_ref().and_then(|status| status.outcome);
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -1,12 +1,13 @@
 //! HTTP calls to daemons.
 //!
-//! A call that could not connect was certainly not sent, so it goes to the next address. Any later
-//! loss leaves open whether the daemon acted on the call, and then nothing is sent again.
+//! A call that could not connect was certainly not sent, and a daemon that is leaving or isolated
+//! says that it did nothing, so both go to the next address. Any other loss leaves open whether the
+//! daemon acted on the call, and then nothing is sent again.
 
 use {
     crate::{ExitStatus, failure::CliFailure},
     anyhow::Context,
-    damaskrack_model::WorkAnswer,
+    damaskrack_model::{AnswerReason, OutcomeKind, WorkAnswer},
     http::{
         Method, Request, StatusCode,
         header::{AUTHORIZATION, CONTENT_TYPE},
@@ -76,6 +77,15 @@
         })
     }
 
+    /// Tells whether the daemon did nothing because of its own state, so that another may do it.
+    fn is_for_another_daemon(&self) -> bool {
+        self.status == StatusCode::SERVICE_UNAVAILABLE
+            && serde_json::from_str::<WorkAnswer>(&self.text).is_ok_and(|answer| {
+                answer.outcome == OutcomeKind::NotRun
+                    && matches!(answer.reason, AnswerReason::Leaving | AnswerReason::Isolated)
+            })
+    }
+
     /// Reads the body as a value, or as the refusal that came in its place.
     pub(crate) fn parse_or_refusal<T: DeserializeOwned>(&self) -> Result<T, CliFailure> {
         if self.status.is_success() {
@@ -133,12 +143,14 @@
         &self.addresses
     }
 
-    /// Makes a call at the first address that can be reached.
+    /// Makes a call at the first address whose daemon can be reached and takes calls.
     pub(crate) async fn call(&self, call: &ApiCall<'_>) -> anyhow::Result<ApiAnswer> {
         let mut problems = Vec::new();
+        let mut refusal = None;
         for &address in &self.addresses {
             let request = self.request(address, call)?;
             match self.send(request).await {
+                Ok(answer) if answer.is_for_another_daemon() => refusal = Some(answer),
                 Ok(answer) => return Ok(answer),
                 Err(CallLoss::Unreachable(problem)) => {
                     problems.push(format!("{address}: {problem}"));
@@ -148,7 +160,7 @@
                 }
             }
         }
-        Err(self.unreachable_failure(&problems.join("; ")).into())
+        refusal.ok_or_else(|| self.unreachable_failure(&problems.join("; ")).into())
     }
 
     /// Makes a call at one address.
--- a/crates/cli/src/commands/local/cell.rs
+++ b/crates/cli/src/commands/local/cell.rs
@@ -4,7 +4,8 @@
     crate::client::ApiClient,
     anyhow::Context,
     damaskrack_daemon::{
-        DaemonAddresses, DaemonConfig, DaemonLog, DaemonServer, LogSettings, OperatorKey,
+        DaemonAddresses, DaemonConfig, DaemonLog, DaemonServer, IntervalSettings, LogSettings,
+        OperatorKey,
     },
     damaskrack_manifest::make_key,
     damaskrack_model::{KeyName, MemberName, TeamName, ZoneName},
@@ -32,6 +33,9 @@
 /// Longest wait for one answer, in milliseconds.
 const CALL_TIMEOUT_MS: u64 = 10_000;
 
+/// Longest graceful shutdown, in milliseconds.
+const SHUTDOWN_MS: u64 = 1_000;
+
 /// A running cell.
 #[derive(Debug)]
 pub(crate) struct LocalCell {
@@ -52,7 +56,8 @@
         for (index, zone) in ZONE_NAMES.iter().enumerate() {
             let member = MemberName::new(&format!("entry-{}", index + 1))?;
             let config = DaemonConfig::new(member, ZoneName::new(zone)?)
-                .with_operator_key(operator_entry()?);
+                .with_operator_key(operator_entry()?)
+                .with_intervals(local_intervals());
             daemons.push(start_daemon(config, &log, &platform).await?);
         }
         Ok(Self { daemons, platform, _log: log })
@@ -98,6 +103,11 @@
     }
 }
 
+/// The whole cell stops at once, so there is nobody to hand anything over to for long.
+fn local_intervals() -> IntervalSettings {
+    IntervalSettings { shutdown_ms: SHUTDOWN_MS, ..IntervalSettings::default() }
+}
+
 async fn start_daemon(
     config: DaemonConfig,
     log: &DaemonLog,
--- a/crates/cli/src/commands/local/demo.rs
+++ b/crates/cli/src/commands/local/demo.rs
@@ -122,9 +122,9 @@
 /// Hands work in, again and again while the cell is starting: an answer `not_run` says that it was
 /// never handed to a worker.
 async fn hand_in(client: &ApiClient, work: &WorkBody) -> anyhow::Result<WorkAnswer> {
-    let key = draw_idempotency_key();
     let started = Instant::now();
     loop {
+        let key = draw_idempotency_key();
         let answer = work.hand_in(client, Some(&key)).await?;
         if answer.outcome != OutcomeKind::NotRun || started.elapsed() >= START_TIMEOUT {
             return Ok(answer);
--- a/crates/cli/src/commands/state.rs
+++ b/crates/cli/src/commands/state.rs
@@ -16,14 +16,24 @@
 /// Sums a dump up, one row a table; the rows themselves need `--output json`.
 fn state_table(state: &Value) -> TextTable {
     let mut table = TextTable::new(&["TABLE", "ROWS OR VALUE"]);
-    for (name, value) in state.as_object().into_iter().flatten() {
-        let summary = match value {
-            Value::Array(rows) => format!("{} rows", rows.len()),
-            Value::Object(rows) => format!("{} rows", rows.len()),
-            Value::String(text) => text.clone(),
-            other => other.to_string(),
-        };
-        table.push_row(vec![name.clone(), summary]);
+    for (part, value) in state.as_object().into_iter().flatten() {
+        match value {
+            Value::Object(tables) => {
+                for (name, value) in tables {
+                    table.push_row(vec![format!("{part}.{name}"), summary(value)]);
+                }
+            }
+            other => table.push_row(vec![part.clone(), summary(other)]),
+        }
     }
     table
 }
+
+fn summary(value: &Value) -> String {
+    match value {
+        Value::Array(rows) => format!("{} rows", rows.len()),
+        Value::Object(rows) => format!("{} rows", rows.len()),
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
--- a/crates/cli/src/context.rs
+++ b/crates/cli/src/context.rs
@@ -41,7 +41,7 @@
     pub(crate) fn caller_client(&self) -> ApiClient {
         ApiClient::new(
             &self.options.address,
-            self.options.key.as_deref(),
+            shown_key(self.options.key.as_ref()),
             self.options.timeout_ms,
             "--address or DAMASKRACK_ADDRESS",
         )
@@ -50,7 +50,7 @@
     pub(crate) fn operator_client(&self) -> ApiClient {
         ApiClient::new(
             &self.options.operator_address,
-            self.options.operator_key.as_deref().or(self.options.key.as_deref()),
+            shown_key(self.options.operator_key.as_ref()).or(shown_key(self.options.key.as_ref())),
             self.options.timeout_ms,
             "--operator-address or DAMASKRACK_OPERATOR_ADDRESS",
         )
@@ -75,6 +75,11 @@
     }
 }
 
+/// Takes an empty key, such as that of an empty variable, for none.
+fn shown_key(key: Option<&String>) -> Option<&str> {
+    key.map(String::as_str).filter(|key| !key.is_empty())
+}
+
 /// Reads a file named on the command line; `-` reads standard input.
 pub(crate) fn read_file(path: &Path) -> anyhow::Result<String> {
     let result = if path == Path::new("-") {
--- a/crates/cli/tests/cli/operators.rs
+++ b/crates/cli/tests/cli/operators.rs
@@ -159,11 +159,11 @@
 
 #[test]
 fn a_dump_is_printed_whole_or_summed_up() {
-    let daemon = FakeDaemon::answering(200, r#"{"member": "entry-1", "jobs": [1, 2]}"#);
+    let daemon = FakeDaemon::answering(200, r#"{"member": "entry-1", "node": {"jobs": [1, 2]}}"#);
     let run = run_at(&daemon, &["state", "--output", "json"]);
-    assert_eq!(serde_json::from_str::<Value>(&run.stdout).unwrap()["jobs"], json!([1, 2]));
+    assert_eq!(serde_json::from_str::<Value>(&run.stdout).unwrap()["node"]["jobs"], json!([1, 2]));
     let run = run_at(&daemon, &["state"]);
-    assert!(run.stdout.contains("jobs    2 rows\n"), "{run:?}");
+    assert!(run.stdout.contains("node.jobs  2 rows\n"), "{run:?}");
 }
 
 #[test]
--- a/crates/cli/tests/cli/work.rs
+++ b/crates/cli/tests/cli/work.rs
@@ -101,7 +101,9 @@
 fn the_outcome_of_an_ended_job_is_the_exit_code() {
     for (outcome, code) in [("done", 0), ("not_run", 1), ("failed", 3), ("unknown", 4)] {
         let daemon = FakeDaemon::answering(200, &status("ended", 0, 2, Some(outcome)));
-        assert_eq!(run_at(&daemon, &["job", JOB]).code, Some(code));
+        let run = run_at(&daemon, &["job", JOB]);
+        assert_eq!(run.code, Some(code), "{run:?}");
+        assert_eq!(run.stderr.contains("did not end well"), code != 0, "{run:?}");
     }
 }
 
@@ -156,9 +158,24 @@
 fn the_next_address_is_used_when_one_is_unreachable() {
     let daemon = FakeDaemon::answering(200, &answer("done", "ok").to_string());
     let addresses = format!("{},{}", closed_address(), daemon.address);
+    let args = ["submit", "checks", "--address", &addresses];
+    let run = run_tool(&args, &[("DAMASKRACK_KEY", "")]);
+    assert_eq!(run.code, Some(0), "{run:?}");
+    assert_eq!(daemon.seen()[0].authorization, None, "an empty key is none");
+}
+
+#[test]
+fn the_next_address_is_used_when_a_daemon_is_leaving() {
+    let leaving = FakeDaemon::answering(503, &answer("not_run", "leaving").to_string());
+    let daemon = FakeDaemon::answering(200, &answer("done", "ok").to_string());
+    let addresses = format!("{},{}", leaving.address, daemon.address);
     let run = run_tool(&["submit", "checks", "--address", &addresses], &[]);
     assert_eq!(run.code, Some(0), "{run:?}");
-    assert_eq!(daemon.seen()[0].authorization, None);
+
+    let addresses = format!("{},{}", leaving.address, closed_address());
+    let run = run_tool(&["submit", "checks", "--address", &addresses], &[]);
+    assert_eq!(run.code, Some(1), "{run:?}");
+    assert!(run.stdout.contains("leaving"), "{run:?}");
 }
 
 #[test]
