Name the path of a repeated field in a manifest

Cause: a repeated field was reported with line and column but without its JSON path, unlike every other fault.

Change: when the checked text still does not parse, a walk over the text lists the repeated fields.

--- a/crates/manifest/src/lib.rs
+++ b/crates/manifest/src/lib.rs
@@ -10,6 +10,7 @@
 mod head;
 mod keys;
 mod parse;
+mod repeats;
 mod schema;
 mod secret;
 mod section;
--- a/crates/manifest/src/parse.rs
+++ b/crates/manifest/src/parse.rs
@@ -1,7 +1,11 @@
 //! From text to a manifest.
 
 use {
-    crate::{ManifestDocument, ManifestFault, section::parse_json, shape},
+    crate::{
+        ManifestDocument, ManifestFault,
+        section::{parse_entries, parse_json},
+        shape,
+    },
     serde_json::Value,
 };
 
@@ -30,6 +34,5 @@
     if !faults.is_empty() {
         return Err(faults);
     }
-    // Parsing the text again finds repeated fields, of which `Value` keeps only the last.
-    parse_json("$", json)
+    parse_entries("$", json)
 }
--- a/crates/manifest/src/section.rs
+++ b/crates/manifest/src/section.rs
@@ -5,7 +5,7 @@
 //! once written and the head alone decides which values are in force.
 
 use {
-    crate::{ManifestDocument, ManifestFault, shape},
+    crate::{ManifestDocument, ManifestFault, repeats::repeated_fields, shape},
     serde::{Serialize, de::DeserializeOwned},
     serde_json::Value,
     sha2::{Digest, Sha256},
@@ -143,10 +143,10 @@
         return Err(faults);
     }
     match section {
-        ManifestSection::Teams => document.teams = parse_json(&path, json)?,
-        ManifestSection::Keys => document.keys = parse_json(&path, json)?,
-        ManifestSection::Zones => document.zones = parse_json(&path, json)?,
-        ManifestSection::Queues => document.queues = parse_json(&path, json)?,
+        ManifestSection::Teams => document.teams = parse_entries(&path, json)?,
+        ManifestSection::Keys => document.keys = parse_entries(&path, json)?,
+        ManifestSection::Zones => document.zones = parse_entries(&path, json)?,
+        ManifestSection::Queues => document.queues = parse_entries(&path, json)?,
     }
     Ok(())
 }
@@ -158,3 +158,15 @@
 ) -> Result<T, Vec<ManifestFault>> {
     serde_json::from_str(json).map_err(|error| vec![ManifestFault::new(path, error.to_string())])
 }
+
+/// Parses JSON text whose form has been checked; only a repeated field is still an error, because
+/// the check saw the last of its values only.
+pub(crate) fn parse_entries<T: DeserializeOwned>(
+    path: &str,
+    json: &str,
+) -> Result<T, Vec<ManifestFault>> {
+    parse_json(path, json).map_err(|faults| {
+        let repeats = repeated_fields(path, json);
+        if repeats.is_empty() { faults } else { repeats }
+    })
+}
--- a/crates/manifest/src/shape.rs
+++ b/crates/manifest/src/shape.rs
@@ -156,7 +156,7 @@
 }
 
 /// Appends a field name to a path; a name that is not a plain word is quoted.
-fn child_path(path: &str, name: &str) -> String {
+pub(crate) fn child_path(path: &str, name: &str) -> String {
     let is_plain = !name.is_empty() && name.chars().all(|c| c.is_ascii_alphanumeric() || c == '_');
     if is_plain { format!("{path}.{name}") } else { format!("{path}[{name:?}]") }
 }
--- a/crates/manifest/tests/sections.rs
+++ b/crates/manifest/tests/sections.rs
@@ -36,6 +36,10 @@
         assert!(faults[0].path.starts_with("$.zones"), "{faults:?}");
     }
     assert_eq!(document.zones, [zone("a")]);
+
+    let json = r#"[{"name":"b","state":"in","state":"out"}]"#;
+    let faults = store_section(&mut document, ManifestSection::Zones, json).unwrap_err();
+    assert_eq!(faults[0].path, "$.zones[0].state");
 }
 
 #[test]
