Count one agreed roster, and settle registrations before relying on them

The members that count are now one value in the store, changed by compare-and-swap; a newcomer adds itself only when a majority of the present list knows that it reaches the store. - After a new registration a relayed 'you are listed' could speak of the former one. Ruled out: a longer isolation time, which only makes the windows rarer. Cost: of n members more than n/2 must be there for takeovers and changes, and a host that is replaced under another name needs a graceful leave, an hour, or an operator's word before it no longer counts.

--- a/crates/node/src/membership/follower.rs
+++ b/crates/node/src/membership/follower.rs
@@ -9,7 +9,7 @@
     crate::buffer::ActionBuffer,
     damaskrack_manifest::HEAD_KEY,
     damaskrack_model::ClockTime,
-    damaskrack_ownership::{MemberRecord, PieceName},
+    damaskrack_ownership::{MemberRecord, MemberRoster, PieceName},
     damaskrack_platform::{StoreCall, StoreEvent, StoreFailure, StoreReply},
     std::collections::BTreeMap,
 };
@@ -47,8 +47,8 @@
     news_at: Option<ClockTime>,
 }
 
-fn prefixes() -> [&'static str; 3] {
-    [MemberRecord::KEY_PREFIX, PieceName::KEY_PREFIX, HEAD_KEY]
+fn prefixes() -> [&'static str; 4] {
+    [MemberRecord::KEY_PREFIX, PieceName::KEY_PREFIX, HEAD_KEY, MemberRoster::STORE_KEY]
 }
 
 impl StoreFollower {
--- a/crates/node/src/membership/monitor.rs
+++ b/crates/node/src/membership/monitor.rs
@@ -51,9 +51,8 @@
 pub(crate) struct OwnNews {
     /// When its freshest own news were asked for.
     pub(crate) at: Option<ClockTime>,
-    /// Whether its records show its present registration, so that a peer's statement that it is
-    /// listed speaks of that one.
-    pub(crate) shows_registration: bool,
+    /// When its present registration was written; `None` while there is none.
+    pub(crate) registered_at: Option<ClockTime>,
 }
 
 /// A heartbeat as it arrived.
@@ -121,23 +120,42 @@
         own: OwnNews,
     ) -> MemberStanding {
         let age = |at: Option<ClockTime>| at.map_or(u64::MAX, |at| view.now.since(at));
+        let is_enlisted = view.roster.members.contains(&view.me);
+        let settled_at = own.registered_at.map(|at| at.plus(config.isolation_ms));
+        let is_settled = is_enlisted && settled_at.is_some_and(|at| own.at >= Some(at));
         let listed_at = self.news.values().filter_map(|news| news.listed_at).max();
-        let relayed_at = if own.shows_registration { listed_at } else { None };
-        let proof_at = own.at.max(relayed_at);
-        let horizon = proof_at.map(|at| at.plus(config.isolation_ms));
+        let relayed_at = if is_settled { listed_at } else { None };
+        let margin_ms = config.member_lease_ms.saturating_sub(config.isolation_ms);
+        let horizon = own.at.map(|at| at.plus(margin_ms));
         let is_heard = |row: &&MemberRow| age(row.heard_at) <= config.isolation_ms;
-        let is_informed = |row: &&MemberRow| self.is_informed(row);
+        let others = Self::roster_rows(view);
+        let heard = others.iter().copied().filter(is_heard).count();
         judge_standing(StandingInput {
-            store_age_ms: age(proof_at),
+            store_age_ms: age(own.at.max(relayed_at)),
             has_later_news: self.heard_news_at > horizon,
-            heard: view.known_members().filter(is_heard).count() + 1,
-            informed: view.current_members().filter(is_heard).filter(is_informed).count() + 1,
-            known: view.known_members().count() + 1,
-            current: view.current_members().count() + 1,
+            is_settled,
+            heard: heard + 1,
+            informed: self.informed_count(view, config) + 1,
+            known: view.roster.members.len() + usize::from(!is_enlisted),
             isolation_ms: config.isolation_ms,
         })
     }
 
+    /// Returns how many other members of the roster are heard and have echoed a heartbeat that
+    /// told them of current news of the store.
+    pub(crate) fn informed_count(&self, view: &ClusterView, config: &NodeConfig) -> usize {
+        let is_heard = |row: &&MemberRow| {
+            row.heard_at.is_some_and(|at| view.now.since(at) <= config.isolation_ms)
+        };
+        let rows = Self::roster_rows(view);
+        rows.into_iter().filter(is_heard).filter(|row| self.is_informed(row)).count()
+    }
+
+    fn roster_rows(view: &ClusterView) -> Vec<&MemberRow> {
+        let others = view.roster.members.iter().filter(|member| **member != view.me);
+        others.filter_map(|member| view.members.get(member)).collect()
+    }
+
     /// Tells whether a member has echoed a heartbeat that told it of current news of the store.
     fn is_informed(&self, row: &MemberRow) -> bool {
         let echo = self.news.get(&row.record.member).and_then(|news| news.echo);
@@ -207,7 +225,10 @@
         let gone: Vec<MemberName> = view
             .members
             .iter()
-            .filter(|(member, row)| silent_ms(row) > FORGET_MS && !view.owns_anything(member))
+            .filter(|(member, row)| {
+                let is_counted = view.roster.members.contains(*member);
+                silent_ms(row) > FORGET_MS && !is_counted && !view.owns_anything(member)
+            })
             .map(|(member, _)| member.clone())
             .collect();
         for member in gone {
--- a/crates/node/src/membership/registration.rs
+++ b/crates/node/src/membership/registration.rs
@@ -36,6 +36,8 @@
     revision: u64,
     is_leaving_written: bool,
     next_at: ClockTime,
+    /// When the record was first written under the present lease.
+    registered_at: Option<ClockTime>,
 }
 
 impl MemberRegistration {
@@ -47,14 +49,15 @@
             revision: 0,
             is_leaving_written: false,
             next_at: ClockTime::default(),
+            registered_at: None,
         }
     }
 
-    /// Returns the store revision of the present record; `None` while there is none.
-    pub(crate) fn listed_revision(&self) -> Option<u64> {
+    /// Returns when the present record was written; `None` while there is none.
+    pub(crate) fn registered_at(&self) -> Option<ClockTime> {
         let is_listed =
             matches!(self.phase, RegistrationPhase::Listed | RegistrationPhase::Keeping);
-        is_listed.then_some(self.revision)
+        self.registered_at.filter(|_| is_listed)
     }
 
     /// Tells whether the lease is given up for good.
@@ -143,6 +146,7 @@
             }
             (RegistrationPhase::Writing, Ok(StoreReply::Written { revision })) => {
                 self.revision = revision;
+                self.registered_at = self.registered_at.or(Some(now));
                 (RegistrationPhase::Listed, keep_ms)
             }
             (RegistrationPhase::Writing, Ok(StoreReply::Conflict { current })) => {
@@ -155,6 +159,7 @@
             (RegistrationPhase::Revoking, _) => (RegistrationPhase::Revoked, 0),
             (_, Ok(StoreReply::LeaseGone)) => {
                 self.lease = 0;
+                self.registered_at = None;
                 self.is_leaving_written = false;
                 (RegistrationPhase::Unleased, 0)
             }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -8,7 +8,8 @@
         exchange::DigestExchange,
         manifest::{ManifestReader, ManifestWriter},
         membership::{
-            FollowedChange, HeartbeatView, MemberRegistration, OwnNews, PeerMonitor, StoreFollower,
+            FollowedChange, HeartbeatView, MemberRegistration, OwnNews, PeerMonitor, RosterKeeper,
+            StoreFollower,
         },
         pieces::{PieceChange, PieceRole},
         queue::QueueRole,
@@ -17,7 +18,7 @@
     },
     damaskrack_manifest::HEAD_KEY,
     damaskrack_model::{AnswerReason, ClockTime, MemberName, OutcomeKind, WorkAnswer},
-    damaskrack_ownership::{MemberRecord, MemberStanding, PieceName},
+    damaskrack_ownership::{MemberRecord, MemberRoster, MemberStanding, PieceName},
     damaskrack_platform::{StoreFailure, StoreReply},
     damaskrack_wire::PeerMessage,
     serde_json::json,
@@ -49,6 +50,7 @@
     follower: StoreFollower,
     registration: MemberRegistration,
     monitor: PeerMonitor,
+    keeper: RosterKeeper,
     reader: ManifestReader,
     writer: ManifestWriter,
     pieces: PieceRole,
@@ -70,6 +72,7 @@
             follower: StoreFollower::new(),
             registration: MemberRegistration::new(),
             monitor: PeerMonitor::new(),
+            keeper: RosterKeeper::default(),
             reader: ManifestReader::new(),
             writer: ManifestWriter::default(),
             pieces: PieceRole::new(&config),
@@ -127,6 +130,7 @@
             "store_news_at_ms": self.follower.news_at(),
             "manifest_version": self.view.manifest.version,
             "members": self.view.members,
+            "roster": self.view.roster.members,
             "owners": self.view.owners.iter().map(|(piece, row)| json!({
                 "piece": piece,
                 "owner": row.record.owner,
@@ -147,11 +151,7 @@
     }
 
     fn own_news(&self) -> OwnNews {
-        let seen = self.follower.seen_revision();
-        OwnNews {
-            at: self.follower.news_at(),
-            shows_registration: self.registration.listed_revision().is_some_and(|at| at <= seen),
-        }
+        OwnNews { at: self.follower.news_at(), registered_at: self.registration.registered_at() }
     }
 
     fn judge_standing(&mut self) {
@@ -263,6 +263,8 @@
             }
         } else if self.registration.owns_call(call) {
             self.registration.on_store(view.now, config, result);
+        } else if self.keeper.owns_call(call) || self.pieces.on_store(call) {
+            // Only the records themselves count.
         } else if self.reader.owns_call(call) {
             self.reader.on_store(call, result, view, out);
         } else if self.writer.owns_call(call) {
@@ -275,6 +277,9 @@
     fn apply_change(&mut self, change: &FollowedChange) {
         if change.key.starts_with(MemberRecord::KEY_PREFIX) {
             self.view.apply_member(change);
+        } else if change.key == MemberRoster::STORE_KEY {
+            let value = change.value.as_deref();
+            self.keeper.on_record(value, change.revision, &mut self.view);
         } else if change.key == HEAD_KEY {
             self.reader.on_head(change.value.as_deref(), change.revision);
         } else if let Some(piece) = self.view.apply_owner(change) {
@@ -326,7 +331,12 @@
         let (head, revision) = (self.reader.head_version(), self.reader.head_revision());
         self.writer.tick(head, revision, view, config, out);
         if self.follower.is_listed() {
-            self.review_pieces();
+            let informed = self.monitor.informed_count(&self.view, &self.config);
+            let is_done = self.is_drained();
+            self.keeper.tick(informed, is_done, &self.view, &self.config, &mut self.out);
+            if self.view.roster.members.contains(&self.view.me) {
+                self.review_pieces();
+            }
         }
         let (view, config, out) = (&mut self.view, &self.config, &mut self.out);
         let (racks, queues) = (&self.racks, &self.queues);
@@ -341,13 +351,14 @@
     }
 
     fn review_pieces(&mut self) {
+        let is_idle = self.entry.is_idle();
         let (queues, racks) = (&self.queues, &self.racks);
         let is_settled = |piece: &PieceName| match piece {
             PieceName::Team(team) => queues.is_settled(team),
             PieceName::Rack(rack) => racks.is_settled(rack),
         };
         let (view, config, out) = (&self.view, &self.config, &mut self.out);
-        for change in self.pieces.review(view, config, is_settled, out) {
+        for change in self.pieces.review(view, config, is_idle, is_settled, out) {
             self.apply_piece(&change);
         }
     }
@@ -380,6 +391,14 @@
         self.out.log(crate::LogLevel::Info, "shutdown_begun", &[("member", &me)]);
     }
 
+    /// Tells whether a daemon that is shutting down has nothing left to do.
+    fn is_drained(&self) -> bool {
+        self.shutdown_at.is_some()
+            && self.entry.is_idle()
+            && self.pieces.owned().is_empty()
+            && self.writer.is_idle()
+    }
+
     /// Ends the process once nothing depends on it: no caller waits, nothing is owned, and the
     /// member lease is given up. The deadline bounds the wait.
     fn exit_if_done(&mut self) {
@@ -388,9 +407,9 @@
             return;
         }
         let is_overdue = self.view.now.since(since) > self.config.shutdown_ms;
-        let is_idle =
-            self.entry.is_idle() && self.pieces.owned().is_empty() && self.writer.is_idle();
-        if !is_idle && !is_overdue {
+        let is_off = !self.view.roster.members.contains(&self.view.me);
+        let is_done = self.is_drained() && is_off;
+        if !is_done && !is_overdue {
             return;
         }
         self.registration.revoke(self.config.store_timeout_ms, &mut self.out);
--- a/crates/node/src/pieces.rs
+++ b/crates/node/src/pieces.rs
@@ -96,11 +96,12 @@
         self.writes.values().any(|write| write.call == call)
     }
 
-    /// Considers all pieces when that is due.
+    /// Considers all pieces when that is due. `is_idle` tells that no caller waits here.
     pub(crate) fn review(
         &mut self,
         view: &ClusterView,
         config: &NodeConfig,
+        is_idle: bool,
         is_settled: impl Fn(&PieceName) -> bool,
         out: &mut ActionBuffer,
     ) -> Vec<PieceChange> {
@@ -115,6 +116,10 @@
         let now = view.now;
         self.writes.retain(|_, write| now.since(write.sent_at) < WRITE_RETRY_MS);
         let takers: Vec<&MemberName> = view.takers().collect();
+        if takers.is_empty() && !is_idle {
+            // Nobody can go on with the work, so what is under way here is finished first.
+            return Vec::new();
+        }
         let mut changes = Vec::new();
         for piece in view.pieces() {
             let suggested = suggest_owner(&piece, takers.iter().copied());
--- a/crates/node/src/queue/job.rs
+++ b/crates/node/src/queue/job.rs
@@ -286,7 +286,10 @@
         if self.is_cancelled {
             records.push(JournalRecord::Cancel { job });
         }
-        records.extend(self.ended_runs());
+        let runs_as_whole = self.spec.kind == WorkKind::Gang && self.spec.idempotent;
+        if !runs_as_whole || self.is_ended() {
+            records.extend(self.ended_runs());
+        }
         if self.is_ended() && !self.output.is_empty() {
             records.push(JournalRecord::Output { job, text: self.output.clone() });
         }
--- a/crates/node/src/queue/settle.rs
+++ b/crates/node/src/queue/settle.rs
@@ -10,7 +10,7 @@
         gang,
         job::TaskStage,
         record::JournalRecord,
-        team::{OrphanEnd, PendingAck, TeamQueue},
+        team::{OrphanEnd, PendingAck, TeamPhase, TeamQueue},
     },
     damaskrack_model::{
         AnswerReason, AttemptId, CallId, Epoch, MemberName, OutcomeKind, RackName, TaskResult,
@@ -214,12 +214,14 @@
 /// Tells whether the end of an attempt that is not in the table has been taken before.
 ///
 /// An attempt of this owner leaves the table only when it is settled. One of a former owner may
-/// turn up after the roll call, but only once.
+/// turn up after the roll call, but only once, and not for a gang: that is whole or runs again.
 fn is_repeated(queue: &TeamQueue, job: Option<JobKey>, id: &AttemptId) -> bool {
     let is_waiting =
         job.is_none_or(|job| queue.jobs[job].stage(id.task) == Some(TaskStage::Waiting));
     let is_own = id.epoch == queue.epoch && job.is_some();
-    !is_waiting || is_own || queue.inherited_ends.contains(id)
+    let is_gang = job.is_some_and(|job| queue.jobs[job].spec.kind == WorkKind::Gang);
+    let is_former_run = is_gang && matches!(queue.phase, TeamPhase::Active);
+    !is_waiting || is_own || is_former_run || queue.inherited_ends.contains(id)
 }
 
 /// Takes a task off its job's queue, because an attempt of it turned up.
@@ -241,6 +243,13 @@
     context: &mut QueueContext<'_>,
 ) {
     let nonce = id.job.nonce;
+    let is_outdated = queue
+        .orphan_ends
+        .get(&nonce)
+        .is_some_and(|known| (known.attempt.epoch, known.attempt.number) > (id.epoch, id.number));
+    if is_outdated {
+        return send_ack(rack, id, context);
+    }
     let since = context.view.now;
     let end = OrphanEnd { attempt: id, rack: rack.clone(), result, output, since };
     queue.orphan_ends.insert(nonce, end);
@@ -490,17 +499,18 @@
 /// Gives a new job the attempts and ends that a former owner left behind.
 pub(super) fn adopt_orphans(queue: &mut TeamQueue, key: JobKey, context: &mut QueueContext<'_>) {
     let nonce = queue.jobs[key].id.nonce;
-    if let Some(end) = queue.orphan_ends.remove(&nonce) {
-        let OrphanEnd { attempt, rack, result, output, .. } = end;
-        let notice = EndedNotice { attempt, result, output, is_displaced: false };
-        return on_ended(queue, &rack, notice, context);
-    }
+    // What runs comes first: an end beside it is that of an earlier attempt.
     for attempt in queue.orphan_attempts.remove(&nonce).unwrap_or_default() {
         if queue.attempts.contains_key(attempt) {
             attach_attempt(queue, key, attempt);
         }
     }
     queue.refresh_job(key);
+    if let Some(end) = queue.orphan_ends.remove(&nonce) {
+        let OrphanEnd { attempt, rack, result, output, .. } = end;
+        let notice = EndedNotice { attempt, result, output, is_displaced: false };
+        on_ended(queue, &rack, notice, context);
+    }
 }
 
 /// Takes the confirmation that an entry has an answer.
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -8,7 +8,7 @@
     damaskrack_model::{
         ClockTime, Epoch, MemberName, QueueName, RackName, Resources, TeamName, ZoneName,
     },
-    damaskrack_ownership::{MemberRecord, MemberStanding, OwnerRecord, PieceName},
+    damaskrack_ownership::{MemberRecord, MemberRoster, MemberStanding, OwnerRecord, PieceName},
     damaskrack_platform::HostRow,
     damaskrack_wire::{RackSummary, TeamDigest},
     rustc_hash::FxHashMap,
@@ -83,6 +83,8 @@
     pub(crate) standing_since: ClockTime,
     /// Members by name, this daemon included once it is registered.
     pub(crate) members: BTreeMap<MemberName, MemberRow>,
+    /// Members that count for a majority.
+    pub(crate) roster: MemberRoster,
     /// Ownership records.
     pub(crate) owners: BTreeMap<PieceName, OwnerRow>,
     /// Number of pieces that each member is recorded as the owner of.
@@ -118,6 +120,7 @@
             store_news_at: None,
             standing_since: ClockTime::default(),
             members: BTreeMap::new(),
+            roster: MemberRoster::default(),
             owners: BTreeMap::new(),
             owned_counts: FxHashMap::default(),
             manifest: ManifestRow::default(),
@@ -132,24 +135,6 @@
         }
     }
 
-    /// Returns the other members that were known lately and did not say that they leave.
-    pub(crate) fn known_members(&self) -> impl Iterator<Item = &MemberRow> {
-        let others = self.members.iter().filter(|(member, _)| **member != self.me);
-        others
-            .filter(|(member, row)| !row.is_leaving || self.is_current(member, row))
-            .map(|(_, row)| row)
-    }
-
-    /// Returns the other members that the store lists or that still own something.
-    pub(crate) fn current_members(&self) -> impl Iterator<Item = &MemberRow> {
-        let others = self.members.iter().filter(|(member, _)| **member != self.me);
-        others.filter(|(member, row)| self.is_current(member, row)).map(|(_, row)| row)
-    }
-
-    fn is_current(&self, member: &MemberName, row: &MemberRow) -> bool {
-        row.is_listed || self.owns_anything(member)
-    }
-
     /// Tells whether a member is recorded as the owner of any piece.
     pub(crate) fn owns_anything(&self, member: &MemberName) -> bool {
         self.owned_counts.get(member).is_some_and(|&count| count > 0)
--- a/crates/ownership/src/isolation.rs
+++ b/crates/ownership/src/isolation.rs
@@ -21,18 +21,19 @@
     /// Age of the freshest news of the store, in milliseconds: its own answer, or one that a peer
     /// relayed together with the statement that this daemon's record is listed.
     pub store_age_ms: u64,
-    /// Whether any member was ever heard to know of news of the store that are later than this
-    /// daemon's own by more than the stated time.
+    /// Whether any member was ever heard to know of news of the store that are so much later than
+    /// this daemon's own that its record may have lapsed in between.
     pub has_later_news: bool,
+    /// Whether this daemon is on the roster, and its own news are later than its present
+    /// registration by the stated time. Until then another member's word for it may speak of an
+    /// earlier registration.
+    pub is_settled: bool,
     /// Members that were heard within the stated time, this daemon included.
     pub heard: usize,
     /// Those of them that know that this daemon has current news of the store.
     pub informed: usize,
-    /// Members that were known lately and did not say that they leave, this daemon included. Those
-    /// that died count for a while, since one that is cut off would not see them come back.
+    /// Members on the roster, this daemon included.
     pub known: usize,
-    /// Members that the store lists or that still own something, this daemon included.
-    pub current: usize,
     /// The stated time, in milliseconds.
     pub isolation_ms: u64,
 }
@@ -66,10 +67,10 @@
 /// let cut_off = StandingInput {
 ///     store_age_ms: 9_000,
 ///     has_later_news: false,
+///     is_settled: true,
 ///     heard: 4,
 ///     informed: 4,
 ///     known: 8,
-///     current: 8,
 ///     isolation_ms: 2_000,
 /// };
 /// assert_eq!(judge_standing(cut_off), MemberStanding::Isolated);
@@ -81,12 +82,12 @@
 #[must_use]
 pub fn judge_standing(input: StandingInput) -> MemberStanding {
     let hears_store = input.store_age_ms <= input.isolation_ms;
-    let hears_half = input.informed * 2 >= input.current;
+    let hears_half = input.informed * 2 >= input.known;
     let hears_majority = input.heard * 2 > input.known;
     if hears_store {
         return if hears_half { MemberStanding::Connected } else { MemberStanding::Minority };
     }
-    if hears_majority && !input.has_later_news {
+    if hears_majority && input.is_settled && !input.has_later_news {
         MemberStanding::StoreSilent
     } else {
         MemberStanding::Isolated
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -12,6 +12,7 @@
 mod piece;
 mod record;
 mod rendezvous;
+mod roster;
 mod takeover;
 
 pub use {
@@ -22,5 +23,6 @@
     piece::{ParsePieceError, PieceName},
     record::{MemberRecord, OwnerRecord, RecordError},
     rendezvous::suggest_owner,
+    roster::MemberRoster,
     takeover::{PieceStep, PieceView, next_piece_step},
 };
--- a/crates/ownership/src/takeover.rs
+++ b/crates/ownership/src/takeover.rs
@@ -83,7 +83,8 @@
 fn next_step_of_owner(view: PieceView<'_>) -> PieceStep {
     let has_successor =
         view.suggested.is_some_and(|suggested| suggested != view.me) && view.is_suggested_heard;
-    if has_successor && view.standing == MemberStanding::Connected {
+    let is_last = view.is_leaving && view.suggested.is_none();
+    if (has_successor || is_last) && view.standing == MemberStanding::Connected {
         PieceStep::Release
     } else {
         PieceStep::Keep
