--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -160,3 +160,23 @@
     let line: Value = serde_json::from_str(text.trim()).unwrap();
     assert_eq!((&line["msg"], &line["team"]), (&json!("loud"), &json!("harbour")));
 }
+
+fn repository_file(path: &str) -> String {
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    std::fs::read_to_string(root.join(path)).unwrap()
+}
+
+#[test]
+fn the_schema_in_the_docs_is_the_schema_that_is_checked() {
+    let kept: Value =
+        serde_json::from_str(&repository_file("docs/schema/settings.schema.json")).unwrap();
+    assert_eq!(kept, settings_schema(), "write it again with damaskrackd --print-schema");
+}
+
+#[test]
+fn the_examples_are_good() {
+    for number in 1..=3 {
+        let text = repository_file(&format!("examples/daemon-{number}.json"));
+        parse_settings(&text).unwrap();
+    }
+}
