--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -28,10 +28,18 @@
 /// Time beyond the core's own bound after which a shutdown is cut short, in milliseconds.
 const SHUTDOWN_GRACE_MS: u64 = 2_000;
 
+/// Time for which the core is still ticked once it has nothing left, in milliseconds. What other
+/// daemons sent before they knew is answered, and they need not take it for lost.
+const LINGER_MS: u64 = 200;
+
 /// Whether the driver goes on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum DriverStep {
+    /// As before.
     Continue,
+    /// For a moment, to answer what is on the way.
+    Linger,
+    /// Not at all.
     Exit,
 }
 
@@ -63,8 +71,10 @@
                 InboxWake::Tick(inputs) => self.tick(inputs),
                 InboxWake::Control(call) => self.control(call),
             };
-            if step == DriverStep::Exit {
-                break;
+            match step {
+                DriverStep::Continue => {}
+                DriverStep::Linger => self.begin_linger(),
+                DriverStep::Exit => break,
             }
         }
         self.gate.close();
@@ -80,14 +90,13 @@
         let actions = self.core.tick(now, batch);
         let mut step = DriverStep::Continue;
         for action in actions {
-            if self.carry_out(action) == DriverStep::Exit {
-                step = DriverStep::Exit;
+            if self.carry_out(action) == DriverStep::Linger {
+                step = DriverStep::Linger;
             }
         }
         self.gate.record_tick(now, self.core.is_ready());
         self.send_metrics(now);
         if self.exit_by.is_some_and(|due| now >= due) {
-            slog::error!(self.logger, "shutdown_cut_short");
             step = DriverStep::Exit;
         }
         step
@@ -107,7 +116,7 @@
     }
 
     fn begin_shutdown(&mut self) {
-        if self.exit_by.is_none() {
+        if !self.gate.is_leaving() {
             slog::info!(self.logger, "shutdown_asked");
             let bound_ms = self.shutdown_ms.saturating_add(SHUTDOWN_GRACE_MS);
             self.exit_by = Some(self.clock.now().plus(bound_ms));
@@ -116,6 +125,12 @@
         }
     }
 
+    /// The core has nothing left: callers are refused, peers are answered a little longer.
+    fn begin_linger(&mut self) {
+        self.gate.close();
+        self.exit_by = Some(self.clock.now().plus(LINGER_MS));
+    }
+
     fn carry_out(&mut self, action: NodeAction) -> DriverStep {
         match action {
             NodeAction::CallerAnswer { call, answer } => {
@@ -142,7 +157,7 @@
             NodeAction::Count { metric, amount } => self.metrics.count(metric, amount),
             NodeAction::Timing { metric, millis } => self.metrics.timing(metric, millis),
             NodeAction::Gauge { metric, value } => self.metrics.gauge(metric, value),
-            NodeAction::Exit => return DriverStep::Exit,
+            NodeAction::Exit => return DriverStep::Linger,
         }
         DriverStep::Continue
     }
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -29,6 +29,8 @@
 const REFUSALS_AT_ONCE: usize = 64;
 /// Longest time to refuse a connection, in milliseconds.
 const REFUSAL_MS: u64 = 500;
+/// Time for which an idle connection is kept once the daemon has stopped, in milliseconds.
+const CLOSE_GRACE_MS: u64 = 150;
 /// Longest time for answers to be written once the daemon has stopped, in milliseconds.
 const DRAIN_MS: u64 = 3_000;
 
@@ -112,12 +114,16 @@
         let mut connection = std::pin::pin!(connection);
         // A connection that fails concerns its caller only.
         tokio::select! {
-            _ = connection.as_mut() => {}
-            () = self.stop.cancelled() => {
-                connection.as_mut().graceful_shutdown();
-                let _ = connection.await;
-            }
+            _ = connection.as_mut() => return,
+            () = self.stop.cancelled() => {}
+        }
+        // A request may be on its way on a connection that looks idle; its answer ends it.
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            () = sleep(Duration::from_millis(CLOSE_GRACE_MS)) => {}
         }
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
     }
 
     async fn handle(
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -20,14 +20,10 @@
     gotham::router::Router,
     slog::{Logger, o},
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{net::TcpListener, sync::mpsc::Sender, task::JoinHandle, time::sleep},
+    tokio::{net::TcpListener, sync::mpsc::Sender, task::JoinHandle},
     tokio_util::sync::CancellationToken,
 };
 
-/// Time for which requests are still refused with an answer once the core has ended, in
-/// milliseconds.
-const LINGER_MS: u64 = 200;
-
 /// Addresses that a daemon really listens on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DaemonAddresses {
@@ -210,8 +206,6 @@
         // No peer may take a daemon without a core for one that is up.
         peers.abort();
         hosts.abort();
-        // Requests that are on the way are still answered, though only with a refusal.
-        sleep(Duration::from_millis(LINGER_MS)).await;
         stop.cancel();
         let _ = futures_util::future::join(callers, operators).await;
         slog::info!(self.logger, "daemon_stopped");
--- a/crates/daemon/tests/links.rs
+++ b/crates/daemon/tests/links.rs
@@ -285,6 +285,25 @@
     one.shutdown().await;
 }
 
+#[tokio::test]
+async fn a_core_that_has_ended_still_answers_its_peers() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (server, probe) = start_with(test_config("entry-1"), |input| match pulled(input) {
+        Some(have) => vec![NodeAction::Peer { member: name("entry-2"), message: message(have) }],
+        None => echo_script(input),
+    })
+    .await;
+    connect(&probe, "entry-2", listener.local_addr().unwrap());
+    let (mut answers, _) = accept(&listener, "entry-2", 7).await;
+    let mut questions = dial(server.addresses().peer, "entry-2", 7, 1).await;
+    probe.wait_for(1, is_up).await;
+    probe.act(NodeAction::Exit);
+    sleep(Duration::from_millis(80)).await;
+    questions.send(PeerFrame::Message(message(9))).await.unwrap();
+    assert_eq!(next_message(&mut answers).await, Some(message(9)));
+    timeout(PATIENCE, server.wait()).await.unwrap();
+}
+
 #[tokio::test]
 async fn last_messages_are_written_before_exit() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -2,20 +2,20 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod support;
+
 use {
-    nix::{
-        sys::signal::{Signal, kill},
-        unistd::Pid,
-    },
+    nix::sys::signal::Signal,
     serde_json::{Value, json},
     std::{
         fs,
-        io::{BufRead, BufReader, Read, Write},
+        io::{Read, Write},
         net::{TcpStream, UdpSocket},
         path::Path,
-        process::{Child, Command, Output, Stdio},
+        process::{Command, Output},
         time::Duration,
     },
+    support::program::DaemonProgram,
     tempfile::TempDir,
 };
 
@@ -71,59 +71,13 @@
     assert_eq!(schema["additionalProperties"], false);
 }
 
-struct Daemon {
-    child: Child,
-    lines: std::sync::mpsc::Receiver<Value>,
-}
-
-impl Daemon {
-    fn start(path: &Path) -> Self {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_damaskrackd"))
-            .arg("--settings")
-            .arg(path)
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let (sender, lines) = std::sync::mpsc::channel();
-        let stderr = BufReader::new(child.stderr.take().unwrap());
-        std::thread::spawn(move || {
-            for line in stderr.lines().map_while(Result::ok) {
-                let _ = sender.send(serde_json::from_str(&line).unwrap_or(Value::Null));
-            }
-        });
-        Self { child, lines }
-    }
-
-    /// Waits for a log line.
-    fn wait_for(&self, event: &str) -> Value {
-        loop {
-            let line = self.lines.recv_timeout(Duration::from_secs(10)).expect(event);
-            if line["msg"] == event {
-                return line;
-            }
-        }
-    }
-
-    fn signal(&self, signal: Signal) {
-        let id = i32::try_from(self.child.id()).unwrap();
-        kill(Pid::from_raw(id), signal).unwrap();
-    }
-}
-
-impl Drop for Daemon {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 #[test]
 fn signals_dump_and_shut_down() {
     let directory = TempDir::new().unwrap();
     let metrics = UdpSocket::bind("127.0.0.1:0").unwrap();
     metrics.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
     let statsd = metrics.local_addr().unwrap().to_string();
-    let mut daemon = Daemon::start(&write_settings(&directory, &settings(&statsd)));
+    let daemon = DaemonProgram::start(&write_settings(&directory, &settings(&statsd)));
     let started = daemon.wait_for("daemon_started");
     let operator = started["operator_address"].as_str().unwrap();
     let mut socket = TcpStream::connect(operator).unwrap();
@@ -141,7 +95,7 @@
     assert!(text.contains("cell.caller.in_flight:0|g"), "{text}");
     daemon.signal(Signal::SIGTERM);
     daemon.wait_for("daemon_stopped");
-    assert_eq!(daemon.child.wait().unwrap().code(), Some(0));
+    assert_eq!(daemon.wait(), Some(0));
 }
 
 #[test]
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A scripted core, an absent platform and a raw HTTP client.
 
-#![allow(dead_code, unreachable_pub)]
+#![allow(dead_code, unreachable_pub, clippy::unwrap_used)]
+
+pub mod program;
 
 use {
     damaskrack_daemon::{
@@ -291,6 +293,23 @@
     send_raw(address, &bytes).await.expect("no response")
 }
 
+/// Carries out a request that may find nobody; `None` if the connection ended without a whole
+/// response.
+pub async fn try_send(
+    address: SocketAddr,
+    verb: &str,
+    path: &str,
+    headers: &str,
+    body: &str,
+) -> std::io::Result<Option<RawResponse>> {
+    let mut socket = TcpStream::connect(address).await?;
+    let bytes = request_bytes(verb, path, headers, body.as_bytes());
+    if socket.write_all(&bytes).await.is_err() {
+        return Ok(None);
+    }
+    Ok(read_response(&mut socket).await)
+}
+
 /// Hands in a request that waits.
 pub async fn post(address: SocketAddr, body: &str) -> RawResponse {
     send(address, "POST", "/v1/requests", "", body).await
