Linger while links are up, and end links in order

Cause: a leaving daemon that stops answering its peers at once leaves them unsure of what they sent; a link that is closed with unread input is reset. Change: the core is ticked for 1 s after its end while links are up, 200 ms without any; a link is shut down for writing and read to its end.

--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -30,7 +30,9 @@
 
 /// Time for which the core is still ticked once it has nothing left, in milliseconds. What other
 /// daemons sent before they knew is answered, and they need not take it for lost.
-const LINGER_MS: u64 = 200;
+const LINGER_MS: u64 = 1_000;
+/// The same for a daemon without links, whose callers alone may have something on the way.
+const LINGER_ALONE_MS: u64 = 200;
 
 /// Whether the driver goes on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -128,7 +130,8 @@
     /// The core has nothing left: callers are refused, peers are answered a little longer.
     fn begin_linger(&mut self) {
         self.gate.close();
-        self.exit_by = Some(self.clock.now().plus(LINGER_MS));
+        let linger_ms = if self.links.count_up() > 0 { LINGER_MS } else { LINGER_ALONE_MS };
+        self.exit_by = Some(self.clock.now().plus(linger_ms));
     }
 
     fn carry_out(&mut self, action: NodeAction) -> DriverStep {
--- a/crates/daemon/src/links/pump.rs
+++ b/crates/daemon/src/links/pump.rs
@@ -58,10 +58,24 @@
     /// Runs until the connection ends.
     pub(crate) async fn run(&mut self, stream: PeerStream) -> PumpEnd {
         let (mut sink, mut source) = stream.split();
-        match self.pump(&mut sink, &mut source).await {
+        let end = match self.pump(&mut sink, &mut source).await {
             Ok(never) => match never {},
             Err(end) => end,
+        };
+        if end == PumpEnd::Closed {
+            self.finish(&mut sink, &mut source).await;
         }
+        end
+    }
+
+    /// Ends the connection in order: one that is closed with unread input is reset, and what the
+    /// peer has not read yet may be lost with it.
+    async fn finish(&self, sink: &mut FrameSink, source: &mut FrameSource) {
+        let close = async {
+            let _ = sink.close().await;
+            while let Some(Ok(_)) = source.next().await {}
+        };
+        let _ = timeout(self.identity.pulse_interval(), close).await;
     }
 
     async fn pump(
