Collect signals before the daemon starts

Cause: a signal in the moment between the start and the first wait for signals ended the process at once; the program's test failed by it once in some twenty runs. Change: signals are collected from before the start.

--- a/crates/daemon/src/bin/damaskrackd.rs
+++ b/crates/daemon/src/bin/damaskrackd.rs
@@ -4,7 +4,7 @@
     anyhow::Context,
     clap::Parser,
     damaskrack_daemon::{
-        DaemonConfig, DaemonLog, DaemonServer, SettingsDocument, follow_signals, parse_settings,
+        DaemonConfig, DaemonLog, DaemonServer, SettingsDocument, SignalWatch, parse_settings,
         settings_schema,
     },
     damaskrack_platform::{HttpHosts, HttpStore, HttpWorker},
@@ -70,6 +70,7 @@
         .context("cannot start the runtime")?;
     let log = DaemonLog::to_stderr(settings.log);
     runtime.block_on(async {
+        let signals = SignalWatch::new().context("cannot listen for signals")?;
         let server = DaemonServer::start(
             DaemonConfig::from_settings(settings),
             log.logger.clone(),
@@ -78,7 +79,7 @@
             Arc::new(HttpWorker::new()),
         )
         .await?;
-        let signals = tokio::spawn(follow_signals(server.control()));
+        let signals = tokio::spawn(signals.follow(server.control()));
         server.wait().await;
         signals.abort();
         Ok(())
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -32,5 +32,5 @@
         OperatorKey, SettingsDocument, SettingsError, SettingsFault, parse_settings,
         settings_schema,
     },
-    signals::follow_signals,
+    signals::SignalWatch,
 };
