--- a/crates/node/src/rack.rs
+++ b/crates/node/src/rack.rs
@@ -90,13 +90,19 @@
         }
     }
 
-    /// Tells whether a frozen rack has no start on the way, so that it can be released.
+    /// Tells whether a frozen rack can be released.
+    ///
+    /// No start is on the way, and nothing runs on a worker that has vanished from the host list:
+    /// the next owner would not look for it there.
     pub(crate) fn is_settled(&self, rack: &RackName) -> bool {
         self.racks.get(rack).is_none_or(|table| {
-            !table.attempts.values().any(|attempt| match &attempt.phase {
+            let is_moving = |attempt: &TrackedAttempt| match &attempt.phase {
                 LocalPhase::Starting(mark) => mark.call.is_some(),
                 _ => attempt.is_unsent(),
-            })
+            };
+            let is_left_behind =
+                |worker: &WorkerRow| worker.listed.is_none() && !worker.attempts.is_empty();
+            !table.attempts.values().any(is_moving) && !table.workers.values().any(is_left_behind)
         })
     }
 
@@ -210,7 +216,11 @@
         self.note_pause(view);
         if view.now >= self.upkeep_at {
             self.upkeep_at = view.now.plus(UPKEEP_MS);
-            self.run_upkeep(view, out);
+            self.run_upkeep(view);
+            self.shared.has_new_failure = true;
+        }
+        if std::mem::take(&mut self.shared.has_new_failure) {
+            self.judge_workers(view, out);
         }
         for table in self.racks.values_mut() {
             if table.is_dirty || view.now >= table.due_at {
@@ -231,12 +241,17 @@
         self.ticked_at = Some(view.now);
     }
 
-    fn run_upkeep(&mut self, view: &ClusterView, out: &mut ActionBuffer) {
+    fn run_upkeep(&mut self, view: &ClusterView) {
         hosts::follow_hosts(&mut self.racks, &mut self.shared, view);
         self.shared.expire_displacements(view.now);
         for table in self.racks.values_mut() {
             table.voids.retain(|_, until| view.now < *until);
         }
+    }
+
+    /// Judges workers at once after a failure: one that fails everything frees its room fast and
+    /// would go through many tasks until the next upkeep.
+    fn judge_workers(&mut self, view: &ClusterView, out: &mut ActionBuffer) {
         let workers = self.racks.values().map(|table| table.workers.len()).sum();
         for change in self.shared.health.review(workers, view.now) {
             log_health(&change, out);
