--- a/crates/scenario/src/runner.rs
+++ b/crates/scenario/src/runner.rs
@@ -3,10 +3,11 @@
 use {
     crate::{
         expect::judge_expect,
-        observe::{Violation, every_observer},
+        observe::{RunHistory, Violation, every_observer},
         script::ScenarioScript,
         world::{SimWorld, TraceFilter},
     },
+    damaskrack_model::OutcomeKind,
     serde::Serialize,
     std::panic::{AssertUnwindSafe, catch_unwind},
 };
@@ -20,6 +21,16 @@
     pub starts: u64,
     /// Answers that callers got, each checked by the observers.
     pub answers: u64,
+    /// Answers that say the work is done.
+    pub done: u64,
+    /// Answers that say the work failed.
+    pub failed: u64,
+    /// Answers that say the work was not run.
+    pub not_run: u64,
+    /// Answers that leave open whether the work ran.
+    pub unknown: u64,
+    /// Connections that broke before an answer.
+    pub broken: u64,
     /// Pieces of work that callers handed in.
     pub works: u64,
     /// Starts that a worker refused for want of room.
@@ -33,11 +44,33 @@
 }
 
 impl RunFigures {
+    /// Counts what callers were told.
+    fn count_answers(&mut self, history: &RunHistory) {
+        for attempt in history.works.iter().flat_map(|work| &work.tries) {
+            self.broken += u64::from(attempt.is_broken);
+            for answer in &attempt.answers {
+                self.answers += 1;
+                let counter = match answer.outcome {
+                    OutcomeKind::Done => &mut self.done,
+                    OutcomeKind::Failed => &mut self.failed,
+                    OutcomeKind::NotRun => &mut self.not_run,
+                    OutcomeKind::Unknown => &mut self.unknown,
+                };
+                *counter += 1;
+            }
+        }
+    }
+
     /// Adds the figures of another run.
     pub fn add(&mut self, other: &Self) {
         self.faults += other.faults;
         self.starts += other.starts;
         self.answers += other.answers;
+        self.done += other.done;
+        self.failed += other.failed;
+        self.not_run += other.not_run;
+        self.unknown += other.unknown;
+        self.broken += other.broken;
         self.works += other.works;
         self.refused_full += other.refused_full;
         self.refused_stale += other.refused_stale;
@@ -130,8 +163,7 @@
     let history = world.take_history();
     figures.starts = history.runs.len() as u64;
     figures.works = history.works.len() as u64;
-    let tries = history.works.iter().flat_map(|work| &work.tries);
-    figures.answers = tries.map(|attempt| attempt.answers.len() as u64).sum();
+    figures.count_answers(&history);
     let observers = every_observer();
     let found = observers.iter().flat_map(|observer| observer.check(&history, &script.bounds));
     let mut violations: Vec<Violation> = found.collect();
