--- a/crates/scenario/src/chaos.rs
+++ b/crates/scenario/src/chaos.rs
@@ -8,6 +8,10 @@
     rand::{Rng, rngs::SmallRng},
 };
 
+/// Time after the last random fault has healed at which the first manifest is put back, in
+/// milliseconds.
+const RESTORE_MS: u64 = 10_000;
+
 /// Draws the steps of every random schedule of a script.
 pub(crate) fn plan_chaos(script: &ScenarioScript, dice: &mut SmallRng) -> Vec<ScriptStep> {
     let mut steps = Vec::new();
@@ -18,6 +22,11 @@
             steps.extend(draw_fault(script, plan, at_ms + shift_ms, dice));
             at_ms += plan.every_ms;
         }
+        if plan.faults.iter().any(|fault| matches!(fault, ChaosFault::Zone | ChaosFault::Limit)) {
+            // A change that had to be repeated may come after the one that takes it back.
+            let restored_ms = plan.until_ms + plan.longest_ms + RESTORE_MS;
+            steps.push(operator(restored_ms, ManifestEdit::Whole));
+        }
     }
     steps
 }
