--- a/crates/scenario/src/observe/history.rs
+++ b/crates/scenario/src/observe/history.rs
@@ -58,7 +58,8 @@
 /// One handing in of work.
 #[derive(Debug, Clone)]
 pub struct SeenTry {
-    /// Its token, which its payload makes the task return.
+    /// Its token, which its payload makes the task return. Tries under one idempotency key share
+    /// the first one's.
     pub token: String,
     /// When it was handed in, in milliseconds.
     pub at_ms: u64,
@@ -211,7 +212,7 @@
 }
 
 impl RunHistory {
-    /// Returns the work and the try that a token names.
+    /// Returns the work and the first try that a token names.
     #[must_use]
     pub fn find_token(&self, token: &str) -> Option<(&SeenWork, &SeenTry)> {
         let (work, attempt) = parse_token(token)?;
--- a/crates/scenario/src/world/callers.rs
+++ b/crates/scenario/src/world/callers.rs
@@ -167,7 +167,9 @@
             return;
         };
         let attempt = self.book.works[work].seen.tries.len();
-        let token = make_token(work, attempt);
+        // A repeat under one idempotency key is the same work to the letter.
+        let has_key = self.book.works[work].plan.has_idempotency_key;
+        let token = make_token(work, if has_key { 0 } else { attempt });
         let shown = self.shown_key(work);
         let row = &mut self.book.works[work];
         let request = row.request(work, shown, &token);
--- a/crates/scenario/tests/observers.rs
+++ b/crates/scenario/tests/observers.rs
@@ -259,6 +259,23 @@
     });
 }
 
+#[test]
+fn not_run_lets_a_later_try_under_the_same_key_run() {
+    let refuse_first = |history: &mut RunHistory, retry_ms| {
+        history.works[0].has_idempotency_key = true;
+        let mut retry = history.works[0].tries[0].clone();
+        retry.at_ms = retry_ms;
+        history.works[0].tries.push(retry);
+        history.works[0].tries[0].answers = vec![answer(1_020, OutcomeKind::NotRun, "")];
+    };
+    assert_quiet(|history| refuse_first(history, 1_040));
+    assert_fires("not-run", |history| refuse_first(history, 1_080));
+    assert_fires("not-run", |history| {
+        history.works[0].has_idempotency_key = true;
+        history.works[0].tries[0].answers = vec![answer(1_020, OutcomeKind::NotRun, "")];
+    });
+}
+
 #[test]
 fn at_most_once_fires_over_tries_and_jobs() {
     assert_fires("at-most-once", |history| {
