--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -1,7 +1,9 @@
 //! The scenario language: from text to plans.
 
 mod cursor;
+mod edit;
 mod error;
+mod expectation;
 mod fault;
 mod parse;
 mod plan;
--- a/crates/scenario/src/script/parse.rs
+++ b/crates/scenario/src/script/parse.rs
@@ -2,12 +2,14 @@
 
 use {
     super::{
-        AnswerCount, BoundPlan, CellPlan, ChaosPlan, Comparison, ExpectKind, LineCursor,
-        ManifestEdit, ScenarioScript, ScriptAction, ScriptError, ScriptExpect, ScriptStep,
-        ScriptWord, StepTiming,
+        BoundPlan, CellPlan, ChaosPlan, LineCursor, ScenarioScript, ScriptAction, ScriptError,
+        ScriptExpect, ScriptStep, ScriptWord, StepTiming,
+        edit::take_edit,
+        expectation::take_expect_kind,
         fault::{parse_chaos_fault, parse_setting_target, parse_team, take_fault},
         split_line,
         submit::{parse_priority, take_submit},
+        word::small_number,
     },
     damaskrack_manifest::{
         ManifestDocument, QueueEntry, TeamEntry, TeamLimit, ZoneEntry, ZoneState, make_key,
@@ -236,10 +238,6 @@
     }
 }
 
-fn small_number(word: &ScriptWord) -> Result<u32, ScriptError> {
-    u32::try_from(word.number()?).map_err(|_| word.error("the number is too large"))
-}
-
 fn host_count(word: &ScriptWord) -> Result<usize, ScriptError> {
     let count = word.number()?;
     if count == 0 || count > MAX_HOSTS {
@@ -289,117 +287,3 @@
     let until_ms = cursor.take("a duration")?.duration_ms()?;
     Ok(StepTiming::Every { every_ms: every_ms.max(1), from_ms, until_ms })
 }
-
-fn take_edit(verb: &ScriptWord, cursor: &mut LineCursor) -> Result<ManifestEdit, ScriptError> {
-    match verb.text.as_str() {
-        "zone" => {
-            let zone = cursor.take("a zone's name")?.name()?;
-            let word = cursor.take("in or out")?;
-            match word.text.as_str() {
-                "in" => Ok(ManifestEdit::Zone { zone, is_in: true }),
-                "out" => Ok(ManifestEdit::Zone { zone, is_in: false }),
-                _ => Err(word.error("expected in or out")),
-            }
-        }
-        "withdraw" => Ok(ManifestEdit::Withdraw { key: cursor.take("a key's name")?.name()? }),
-        "grant" => {
-            let key = cursor.take("a key's name")?.name()?;
-            let team = parse_team(&cursor.take("a team's name")?)?;
-            Ok(ManifestEdit::Grant { key, team })
-        }
-        "share" => {
-            let team = parse_team(&cursor.take("a team's name")?)?;
-            let share = small_number(&cursor.take("a share")?)?;
-            Ok(ManifestEdit::Share { team, share })
-        }
-        _ => take_limit_edit(cursor),
-    }
-}
-
-fn take_limit_edit(cursor: &mut LineCursor) -> Result<ManifestEdit, ScriptError> {
-    let team = parse_team(&cursor.take("a team's name")?)?;
-    let word = cursor.take("tasks=N or millicores=N")?;
-    match word.setting() {
-        Some(("tasks", value)) => {
-            let tasks = Some(small_number(&value)?);
-            Ok(ManifestEdit::Limit { team, tasks, millicores: None })
-        }
-        Some(("millicores", value)) => {
-            let millicores = Some(value.number()?);
-            Ok(ManifestEdit::Limit { team, tasks: None, millicores })
-        }
-        _ => Err(word.error("expected tasks=N or millicores=N")),
-    }
-}
-
-fn take_comparison(cursor: &mut LineCursor) -> Result<(Comparison, u64), ScriptError> {
-    let word = cursor.take("a comparison")?;
-    let compare = match word.text.as_str() {
-        ">=" => Comparison::AtLeast,
-        "<=" => Comparison::AtMost,
-        "<" => Comparison::Below,
-        "=" => Comparison::Equal,
-        _ => return Err(word.error("expected >=, <=, < or =")),
-    };
-    Ok((compare, cursor.take("a number")?.number()?))
-}
-
-fn take_below(cursor: &mut LineCursor) -> Result<u64, ScriptError> {
-    cursor.expect("<")?;
-    cursor.take("a duration")?.duration_ms()
-}
-
-fn take_tag(cursor: &mut LineCursor) -> Result<Option<String>, ScriptError> {
-    if !cursor.take_if("of") {
-        return Ok(None);
-    }
-    cursor.take("a tag").map(|word| Some(word.text))
-}
-
-fn parse_answer_count(word: &ScriptWord) -> Result<AnswerCount, ScriptError> {
-    match word.text.as_str() {
-        "done" => Ok(AnswerCount::Done),
-        "failed" => Ok(AnswerCount::Failed),
-        "not_run" => Ok(AnswerCount::NotRun),
-        "unknown" => Ok(AnswerCount::Unknown),
-        "broken" => Ok(AnswerCount::Broken),
-        "all" => Ok(AnswerCount::All),
-        _ => Err(word.error("expected done, failed, not_run, unknown, broken or all")),
-    }
-}
-
-fn take_expect_kind(cursor: &mut LineCursor) -> Result<ExpectKind, ScriptError> {
-    let word = cursor.take("what to expect")?;
-    match word.text.as_str() {
-        "answers" => {
-            let count = parse_answer_count(&cursor.take("an outcome")?)?;
-            let tag = take_tag(cursor)?;
-            let (compare, bound) = take_comparison(cursor)?;
-            Ok(ExpectKind::Answers { count, tag, compare, bound })
-        }
-        "jobs-ended" => Ok(ExpectKind::JobsEnded { tag: take_tag(cursor)? }),
-        "jobs-parked" => {
-            cursor.expect("of")?;
-            Ok(ExpectKind::JobsParked { tag: cursor.take("a tag")?.text })
-        }
-        "starts" => {
-            cursor.expect("of")?;
-            let tag = cursor.take("a tag")?.text;
-            let (compare, bound) = take_comparison(cursor)?;
-            Ok(ExpectKind::Starts { tag, compare, bound })
-        }
-        "takeover" => Ok(ExpectKind::Takeover { bound_ms: take_below(cursor)? }),
-        "start-delay" => {
-            cursor.expect("of")?;
-            let tag = cursor.take("a tag")?.text;
-            Ok(ExpectKind::StartDelay { tag, bound_ms: take_below(cursor)? })
-        }
-        "changes-accepted" => {
-            cursor.expect(">=")?;
-            let at_least = cursor.take("a number")?.number()?;
-            Ok(ExpectKind::ChangesAccepted { at_least })
-        }
-        "exit" => Ok(ExpectKind::Exit { bound_ms: take_below(cursor)? }),
-        other => Err(word.error(format!("unknown expectation {other}"))),
-    }
-}
--- a/crates/scenario/src/script/submit.rs
+++ b/crates/scenario/src/script/submit.rs
@@ -1,7 +1,10 @@
 //! `request` and `job` lines.
 
 use {
-    super::{LineCursor, ScriptError, ScriptWord, SubmitPlan, fault::parse_setting_target},
+    super::{
+        LineCursor, ScriptError, ScriptWord, SubmitPlan, fault::parse_setting_target,
+        word::small_number,
+    },
     damaskrack_manifest::ManifestDocument,
     damaskrack_model::{PriorityClass, QueueName, Resources, WorkKind},
 };
@@ -46,10 +49,6 @@
     }
 }
 
-fn parse_count(word: &ScriptWord) -> Result<u32, ScriptError> {
-    u32::try_from(word.number()?).map_err(|_| word.error("the number is too large"))
-}
-
 fn apply_setting(
     plan: &mut SubmitPlan,
     key: &ScriptWord,
@@ -60,15 +59,15 @@
         "key" if value.text == "none" => plan.key = None,
         "key" => plan.key = Some(value.name()?),
         "kind" if plan.is_job => plan.kind = parse_kind(value)?,
-        "count" => plan.count = parse_count(value)?,
-        "tasks" if plan.is_job => plan.tasks = parse_count(value)?,
+        "count" => plan.count = small_number(value)?,
+        "tasks" if plan.is_job => plan.tasks = small_number(value)?,
         "run" => plan.run_ms = value.duration_ms()?,
         "millicores" => plan.resources.millicores = value.number()?,
         "memory" => plan.resources.memory_bytes = value.bytes()?,
         "accelerators" => plan.resources.accelerators = value.number()?,
         "idempotent" => plan.idempotent = value.flag()?,
         "idempotency-key" => plan.has_idempotency_key = value.flag()?,
-        "retries" => plan.retries = parse_count(value)?,
+        "retries" => plan.retries = small_number(value)?,
         "priority" => plan.priority = parse_priority(value)?,
         "deadline" => plan.deadline_ms = value.duration_ms()?,
         "fails" => plan.is_failing = value.flag()?,
--- a/crates/scenario/src/script/word.rs
+++ b/crates/scenario/src/script/word.rs
@@ -141,3 +141,8 @@
         parts
     }
 }
+
+/// Reads a word as a number that fits into 32 bits.
+pub(crate) fn small_number(word: &ScriptWord) -> Result<u32, ScriptError> {
+    u32::try_from(word.number()?).map_err(|_| word.error("the number is too large"))
+}
--- /dev/null
+++ b/crates/scenario/src/world/misbehaviour.rs
@@ -0,0 +1,55 @@
+//! Lets workers and the store misbehave.
+
+use {
+    super::{CallOrigin, SimWorld, WorldEvent},
+    crate::observe::SeenLeaving,
+    damaskrack_platform::{HostState, WorkerFailure},
+    rand::Rng,
+};
+
+impl SimWorld {
+    pub(crate) fn crash_worker(&mut self, worker: usize) {
+        let boot = self.dice.random_range(1..u64::MAX);
+        let row = &mut self.fleet[worker];
+        row.table.restart(boot, self.now_ms);
+        row.is_down = true;
+        for origin in row.drop_calls(None) {
+            self.lose_worker_call(origin);
+        }
+    }
+
+    pub(crate) fn lose_worker_call(&mut self, origin: CallOrigin) {
+        let at_ms = self.now_ms + self.draw_latency_ms();
+        let result = Err(WorkerFailure::Lost);
+        self.queue.push(at_ms, WorldEvent::WorkerReturn { origin, result });
+    }
+
+    pub(crate) fn wake_worker(&mut self, worker: usize) {
+        self.fleet[worker].table.set_frozen(false, self.now_ms);
+        for (origin, call) in self.fleet[worker].take_queued() {
+            self.take_worker_call(origin, worker, call);
+        }
+        self.sweep_worker(worker);
+    }
+
+    pub(crate) fn leave_worker(&mut self, worker: usize) {
+        let name = self.fleet[worker].worker.clone();
+        self.hosts.mark(&name, HostState::Leaving, self.now_ms);
+        let shown_ms = self.now_ms + self.script.cell.host_lag_ms;
+        self.record.leavings.push(SeenLeaving { worker: name, shown_ms, until_ms: u64::MAX });
+    }
+
+    pub(crate) fn return_worker_to_service(&mut self, worker: usize) {
+        let name = self.fleet[worker].worker.clone();
+        self.hosts.mark(&name, HostState::Live, self.now_ms);
+        let mut leavings = self.record.leavings.iter_mut().rev();
+        if let Some(leaving) = leavings.find(|leaving| leaving.worker == name) {
+            leaving.until_ms = self.now_ms;
+        }
+    }
+
+    pub(crate) fn set_store_out(&mut self) {
+        self.store.table.set_outage(true, self.now_ms);
+        self.store.drop_watches(None);
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/world/targets.rs
@@ -0,0 +1,63 @@
+//! What a script's targets mean at the moment.
+
+use {
+    super::{NetPlace, SimWorld},
+    crate::script::FaultTarget,
+    damaskrack_ownership::{OwnerRecord, PieceName},
+};
+
+impl SimWorld {
+    pub(crate) fn resolve_nodes(&mut self, target: &FaultTarget) -> Vec<usize> {
+        let places = self.resolve(target);
+        let node = |place: NetPlace| match place {
+            NetPlace::Node(node) => Some(node),
+            NetPlace::Worker(_) | NetPlace::Store => None,
+        };
+        places.into_iter().filter_map(node).collect()
+    }
+
+    pub(crate) fn resolve_workers(&mut self, target: &FaultTarget) -> Vec<usize> {
+        let places = self.resolve(target);
+        let worker = |place: NetPlace| match place {
+            NetPlace::Worker(worker) => Some(worker),
+            NetPlace::Node(_) | NetPlace::Store => None,
+        };
+        places.into_iter().filter_map(worker).collect()
+    }
+
+    pub(crate) fn resolve_all(&mut self, targets: &[FaultTarget]) -> Vec<NetPlace> {
+        targets.iter().flat_map(|target| self.resolve(target)).collect()
+    }
+
+    pub(crate) fn resolve(&mut self, target: &FaultTarget) -> Vec<NetPlace> {
+        let (nodes, workers) = (self.nodes.len(), self.fleet.len());
+        match target {
+            FaultTarget::Node(node) if *node < nodes => vec![NetPlace::Node(*node)],
+            FaultTarget::Worker(worker) if *worker < workers => vec![NetPlace::Worker(*worker)],
+            FaultTarget::Node(_) | FaultTarget::Worker(_) => Vec::new(),
+            FaultTarget::Store => vec![NetPlace::Store],
+            FaultTarget::OwnerOf(piece) => {
+                self.owner_of(piece).map(|(node, _)| NetPlace::Node(node)).into_iter().collect()
+            }
+            FaultTarget::AnyNode => {
+                let running: Vec<_> = (0..nodes).filter(|&i| self.nodes[i].is_running()).collect();
+                let index = usize::try_from(self.draw(running.len() as u64)).unwrap_or(0);
+                running.get(index).map(|&node| NetPlace::Node(node)).into_iter().collect()
+            }
+            FaultTarget::AnyWorker => {
+                let index = usize::try_from(self.draw(workers as u64)).unwrap_or(0);
+                vec![NetPlace::Worker(index)]
+            }
+            FaultTarget::AllNodes => (0..nodes).map(NetPlace::Node).collect(),
+            FaultTarget::AllWorkers => (0..workers).map(NetPlace::Worker).collect(),
+        }
+    }
+
+    /// Returns the node that the store names as a piece's owner, and the record.
+    pub(crate) fn owner_of(&self, piece: &PieceName) -> Option<(usize, OwnerRecord)> {
+        let entry = self.store.table.entry(&piece.store_key())?;
+        let record = OwnerRecord::from_json(&entry.value).ok()?;
+        let node = self.node_index(record.owner.as_ref()?)?;
+        Some((node, record))
+    }
+}
