Judge later news by the last renewal, and informed members by what they were told

Cause (state exploration): later news were compared with relayed proof, and a run of heartbeats could count a member as informed of news it never heard of. Both let a replaced owner go on. Now the last successful renewal bounds when a record can lapse, and a member is informed while the news told in the heartbeat that it echoed are current. An entry does not send over a link that is down: it is then certain that nothing was sent, so fewer calls end as unknown.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -63,7 +63,7 @@
             zone,
             peer_address,
             boot,
-            member_lease_ms: 3_500,
+            member_lease_ms: 4_000,
             worker_lease_ms: 4_000,
             isolation_ms: 2_000,
             heartbeat_ms: 500,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -321,6 +321,11 @@
             self.resend_at = view.now.plus(RESEND_MIN_MS / 10);
             return;
         };
+        if *owner != view.me && !view.links.contains(owner) {
+            // Without a link the message would be dropped; so it is certain that it was not sent.
+            self.resend_at = view.now.plus(RESEND_MIN_MS / 10);
+            return;
+        }
         if self.sent_to.is_some() {
             self.resend_ms = (self.resend_ms * 2).min(RESEND_MAX_MS);
             out.count("entry.resends", 1);
--- a/crates/node/src/membership/monitor.rs
+++ b/crates/node/src/membership/monitor.rs
@@ -7,11 +7,13 @@
         view::{ClusterView, MemberRow},
     },
     damaskrack_model::{ClockTime, MemberName},
-    damaskrack_ownership::{MemberStanding, StandingInput, judge_standing},
+    damaskrack_ownership::{MemberStanding, StandingInput, has_later_news, judge_standing},
     damaskrack_wire::PeerMessage,
     std::{collections::BTreeMap, net::SocketAddr},
 };
 
+/// Time for which this daemon remembers what its heartbeats told, in milliseconds.
+const TOLD_MS: u64 = 10_000;
 /// Time after which the link to a member that is neither listed nor heard is given up, in
 /// milliseconds.
 const UNLINK_MS: u64 = 30_000;
@@ -41,9 +43,9 @@
     /// Freshest news of the store that anybody was ever heard to know of. It is dated by the
     /// arrival of the heartbeat, so it is rather too late than too early.
     heard_news_at: Option<ClockTime>,
-    /// Clock reading of the first heartbeat of the present unbroken run of heartbeats that told
-    /// of current news of the store.
-    informing_since: Option<ClockTime>,
+    /// This daemon's last heartbeats, by their clock reading, with the date of the news of the
+    /// store that they told of.
+    told: BTreeMap<ClockTime, ClockTime>,
 }
 
 /// What this daemon itself knows of the store.
@@ -53,6 +55,8 @@
     pub(crate) at: Option<ClockTime>,
     /// When its present registration was written; `None` while there is none.
     pub(crate) registered_at: Option<ClockTime>,
+    /// When the last renewal of its lease that succeeded was sent.
+    pub(crate) renewed_at: Option<ClockTime>,
 }
 
 /// A heartbeat as it arrived.
@@ -74,7 +78,7 @@
             links: BTreeMap::new(),
             next_beat_at: ClockTime::default(),
             heard_news_at: None,
-            informing_since: None,
+            told: BTreeMap::new(),
         }
     }
 
@@ -125,14 +129,17 @@
         let is_settled = is_enlisted && settled_at.is_some_and(|at| own.at >= Some(at));
         let listed_at = self.news.values().filter_map(|news| news.listed_at).max();
         let relayed_at = if is_settled { listed_at } else { None };
-        let margin_ms = config.member_lease_ms.saturating_sub(config.isolation_ms);
-        let horizon = own.at.map(|at| at.plus(margin_ms));
         let is_heard = |row: &&MemberRow| age(row.heard_at) <= config.isolation_ms;
         let others = Self::roster_rows(view);
         let heard = others.iter().copied().filter(is_heard).count();
         judge_standing(StandingInput {
             store_age_ms: age(own.at.max(relayed_at)),
-            has_later_news: self.heard_news_at > horizon,
+            has_later_news: has_later_news(
+                age(own.renewed_at),
+                age(self.heard_news_at),
+                config.member_lease_ms,
+                config.isolation_ms,
+            ),
             is_settled,
             heard: heard + 1,
             informed: self.informed_count(view, config) + 1,
@@ -148,7 +155,7 @@
             row.heard_at.is_some_and(|at| view.now.since(at) <= config.isolation_ms)
         };
         let rows = Self::roster_rows(view);
-        rows.into_iter().filter(is_heard).filter(|row| self.is_informed(row)).count()
+        rows.into_iter().filter(is_heard).filter(|row| self.is_informed(row, view, config)).count()
     }
 
     fn roster_rows(view: &ClusterView) -> Vec<&MemberRow> {
@@ -156,10 +163,12 @@
         others.filter_map(|member| view.members.get(member)).collect()
     }
 
-    /// Tells whether a member has echoed a heartbeat that told it of current news of the store.
-    fn is_informed(&self, row: &MemberRow) -> bool {
+    /// Tells whether the last heartbeat that a member has echoed told it of news of the store that
+    /// are still current.
+    fn is_informed(&self, row: &MemberRow, view: &ClusterView, config: &NodeConfig) -> bool {
         let echo = self.news.get(&row.record.member).and_then(|news| news.echo);
-        self.informing_since.is_some_and(|since| echo >= Some(since))
+        let told_at = echo.and_then(|echo| self.told.get(&echo));
+        told_at.is_some_and(|&at| view.now.since(at) <= config.isolation_ms)
     }
 
     /// Keeps links to the members and sends heartbeats when they are due.
@@ -178,10 +187,9 @@
         self.next_beat_at = view.now.plus(config.heartbeat_ms);
         let age = |at: Option<ClockTime>| at.map_or(u64::MAX, |at| view.now.since(at));
         let store_age_ms = age(own.at);
-        if store_age_ms > config.isolation_ms {
-            self.informing_since = None;
-        } else if self.informing_since.is_none() {
-            self.informing_since = Some(view.now);
+        self.told.retain(|sent_at, _| view.now.since(*sent_at) <= TOLD_MS);
+        if let Some(at) = own.at {
+            self.told.insert(view.now, at);
         }
         let heard_store_age_ms = age(own.at.max(self.heard_news_at));
         for (member, row) in view.members.iter().filter(|(member, _)| **member != view.me) {
--- a/crates/node/src/membership/registration.rs
+++ b/crates/node/src/membership/registration.rs
@@ -13,7 +13,7 @@
 /// Pause after a failed call, in milliseconds.
 const RETRY_MS: u64 = 300;
 /// Parts of the lease time between two renewals.
-const KEEPS_PER_LEASE: u64 = 3;
+const KEEPS_PER_LEASE: u64 = 4;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum RegistrationPhase {
@@ -38,6 +38,8 @@
     next_at: ClockTime,
     /// When the record was first written under the present lease.
     registered_at: Option<ClockTime>,
+    sent_at: ClockTime,
+    renewed_at: Option<ClockTime>,
 }
 
 impl MemberRegistration {
@@ -50,6 +52,8 @@
             is_leaving_written: false,
             next_at: ClockTime::default(),
             registered_at: None,
+            sent_at: ClockTime::default(),
+            renewed_at: None,
         }
     }
 
@@ -60,6 +64,11 @@
         self.registered_at.filter(|_| is_listed)
     }
 
+    /// Returns when the last renewal of the lease that succeeded was sent.
+    pub(crate) fn renewed_at(&self) -> Option<ClockTime> {
+        self.renewed_at
+    }
+
     /// Tells whether the lease is given up for good.
     pub(crate) fn is_revoked(&self) -> bool {
         self.phase == RegistrationPhase::Revoked
@@ -107,6 +116,7 @@
             _ => return,
         };
         self.call = out.store(request, config.store_timeout_ms);
+        self.sent_at = now;
         self.phase = phase;
     }
 
@@ -142,6 +152,7 @@
         let (phase, delay_ms) = match (self.phase, result) {
             (RegistrationPhase::Granting, Ok(StoreReply::Lease { lease })) => {
                 self.lease = lease;
+                self.renewed_at = Some(self.sent_at);
                 (RegistrationPhase::Leased, 0)
             }
             (RegistrationPhase::Writing, Ok(StoreReply::Written { revision })) => {
@@ -154,6 +165,7 @@
                 (RegistrationPhase::Leased, 0)
             }
             (RegistrationPhase::Keeping, Ok(StoreReply::Lease { .. })) => {
+                self.renewed_at = Some(self.sent_at);
                 (RegistrationPhase::Listed, keep_ms)
             }
             (RegistrationPhase::Revoking, _) => (RegistrationPhase::Revoked, 0),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -151,7 +151,11 @@
     }
 
     fn own_news(&self) -> OwnNews {
-        OwnNews { at: self.follower.news_at(), registered_at: self.registration.registered_at() }
+        OwnNews {
+            at: self.follower.news_at(),
+            registered_at: self.registration.registered_at(),
+            renewed_at: self.registration.renewed_at(),
+        }
     }
 
     fn judge_standing(&mut self) {
@@ -184,8 +188,13 @@
             }
             NodeInput::CallerGone { call } => self.entry.on_caller_gone(call),
             NodeInput::Operator { call, request } => self.take_operator(call, request),
-            NodeInput::PeerUp { .. } => {}
-            NodeInput::PeerDown { member } => self.entry.on_link_lost(&member, view.now),
+            NodeInput::PeerUp { member, .. } => {
+                view.links.insert(member);
+            }
+            NodeInput::PeerDown { member } => {
+                view.links.remove(&member);
+                self.entry.on_link_lost(&member, view.now);
+            }
             NodeInput::Peer { member, boot, message } => self.take_message(&member, boot, message),
             NodeInput::Store { call, result } => self.take_store(call, result),
             NodeInput::Worker { call, result } => self.racks.on_worker(call, result, view, out),
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -83,6 +83,8 @@
     pub(crate) standing_since: ClockTime,
     /// Members by name, this daemon included once it is registered.
     pub(crate) members: BTreeMap<MemberName, MemberRow>,
+    /// Members to which there is a link.
+    pub(crate) links: BTreeSet<MemberName>,
     /// Members that count for a majority.
     pub(crate) roster: MemberRoster,
     /// Ownership records.
@@ -120,6 +122,7 @@
             store_news_at: None,
             standing_since: ClockTime::default(),
             members: BTreeMap::new(),
+            links: BTreeSet::new(),
             roster: MemberRoster::default(),
             owners: BTreeMap::new(),
             owned_counts: FxHashMap::default(),
--- a/crates/ownership/src/isolation.rs
+++ b/crates/ownership/src/isolation.rs
@@ -93,3 +93,28 @@
         MemberStanding::Isolated
     }
 }
+
+/// Tells whether news of the store that others had rule out that this daemon goes on without any.
+///
+/// A daemon's record lapses at the earliest a member lease after its last renewal was sent.
+/// Whoever then takes its pieces has told half of the members of news that are at most the
+/// isolation time old. So a member that both hear knows of news that are later than the renewal by
+/// more than the difference. All times are in milliseconds.
+///
+/// # Examples
+///
+/// ```
+/// use damaskrack_ownership::has_later_news;
+///
+/// assert!(!has_later_news(9_000, 8_500, 3_000, 2_000));
+/// assert!(has_later_news(9_000, 7_500, 3_000, 2_000));
+/// ```
+#[must_use]
+pub fn has_later_news(
+    renewed_age_ms: u64,
+    heard_age_ms: u64,
+    member_lease_ms: u64,
+    isolation_ms: u64,
+) -> bool {
+    renewed_age_ms.saturating_sub(heard_age_ms) > member_lease_ms.saturating_sub(isolation_ms)
+}
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -18,7 +18,7 @@
 pub use {
     budget::WriteBudget,
     fence::{EpochFence, FenceVerdict},
-    isolation::{MemberStanding, StandingInput, judge_standing},
+    isolation::{MemberStanding, StandingInput, has_later_news, judge_standing},
     journal::{FoundSegment, JournalSegment, JournalStep, JournalWriter, SegmentError},
     piece::{ParsePieceError, PieceName},
     record::{MemberRecord, OwnerRecord, RecordError},
