--- a/crates/scenario/src/chaos.rs
+++ b/crates/scenario/src/chaos.rs
@@ -78,6 +78,10 @@
         ChaosFault::StoreLoses => FaultKind::StoreLoses(dice.random_range(10..60)),
         ChaosFault::Freeze => FaultKind::Freeze(worker),
         ChaosFault::Crash => FaultKind::Crash(worker),
+        ChaosFault::SlowWorker => {
+            FaultKind::SlowWorker { target: worker, millis: dice.random_range(50..900) }
+        }
+        ChaosFault::HostsDown => FaultKind::HostsDown,
         ChaosFault::Spoil | ChaosFault::Zone | ChaosFault::Limit => FaultKind::Spoil(worker),
     }
 }
--- a/crates/scenario/src/script/fault.rs
+++ b/crates/scenario/src/script/fault.rs
@@ -94,6 +94,12 @@
     }
 }
 
+fn take_slow_worker(cursor: &mut LineCursor) -> Result<FaultKind, ScriptError> {
+    let target = take_target(cursor)?;
+    cursor.expect("by")?;
+    Ok(FaultKind::SlowWorker { target, millis: cursor.take("a duration")?.duration_ms()? })
+}
+
 /// Reads a fault whose verb has been taken; `None` if the verb names no fault.
 pub(crate) fn take_fault(
     verb: &ScriptWord,
@@ -108,6 +114,11 @@
         "crash" => FaultKind::Crash(take_target(cursor)?),
         "spoil" => FaultKind::Spoil(take_target(cursor)?),
         "leave" => FaultKind::Leave(take_target(cursor)?),
+        "slow" => take_slow_worker(cursor)?,
+        "hosts" => {
+            cursor.expect("down")?;
+            FaultKind::HostsDown
+        }
         "cut" => take_cut(cursor)?,
         "silence" => match take_cut(cursor)? {
             FaultKind::Cut { from, to, .. } => FaultKind::Silence { from, to },
@@ -135,6 +146,8 @@
         "freeze" => ChaosFault::Freeze,
         "crash" => ChaosFault::Crash,
         "spoil" => ChaosFault::Spoil,
+        "slow" => ChaosFault::SlowWorker,
+        "hosts-down" => ChaosFault::HostsDown,
         "zone" => ChaosFault::Zone,
         "limit" => ChaosFault::Limit,
         _ => return Err(word.error(format!("unknown random fault {}", word.text))),
--- a/crates/scenario/src/script/plan.rs
+++ b/crates/scenario/src/script/plan.rs
@@ -79,6 +79,10 @@
     StoreSlow(u64),
     /// This many percent of the store's answers are lost after they took effect.
     StoreLoses(u32),
+    /// Calls to a worker take this much longer, in milliseconds.
+    SlowWorker { target: FaultTarget, millis: u64 },
+    /// The host list cannot be read.
+    HostsDown,
     /// A host is marked as leaving in the platform's list.
     Leave(FaultTarget),
 }
@@ -165,6 +169,8 @@
     Freeze,
     Crash,
     Spoil,
+    SlowWorker,
+    HostsDown,
     Zone,
     Limit,
 }
--- a/crates/scenario/src/world.rs
+++ b/crates/scenario/src/world.rs
@@ -32,6 +32,7 @@
     links::{LinkTable, SILENCE_LIMIT_MS},
     operators::ChangeRow,
     place::{CutTable, NetPlace},
+    platform::HOSTS_READ_MS,
     process::{CallKind, CallOrigin, CallWaiter, NodeProcess},
     queue::EventQueue,
     record::WorldRecord,
--- a/crates/scenario/src/world/act.rs
+++ b/crates/scenario/src/world/act.rs
@@ -126,7 +126,7 @@
         if self.cuts.is_cut(NetPlace::Node(node), NetPlace::Worker(worker)) {
             return;
         }
-        let at_ms = self.now_ms + self.draw_latency_ms();
+        let at_ms = self.now_ms + self.draw_latency_ms() + self.fleet[worker].slow_ms;
         self.queue.push(at_ms, WorldEvent::WorkerArrive { origin, worker, request });
     }
 
--- a/crates/scenario/src/world/faults.rs
+++ b/crates/scenario/src/world/faults.rs
@@ -82,6 +82,14 @@
                 world.leave_worker(worker);
                 ActiveFault::WorkerLeaving(worker)
             }),
+            FaultKind::SlowWorker { target, millis } => self.on_workers(target, |world, worker| {
+                world.fleet[worker].slow_ms = *millis;
+                ActiveFault::WorkerSlow(worker)
+            }),
+            FaultKind::HostsDown => {
+                self.set_hosts_out(until_ms);
+                vec![self.activate(ActiveFault::HostsDown)]
+            }
             FaultKind::StoreDown => {
                 self.disturb(None, until_ms);
                 self.set_store_out();
@@ -155,6 +163,12 @@
             ActiveFault::WorkerFrozen(worker) => self.wake_worker(worker),
             ActiveFault::WorkerDown(worker) => self.fleet[worker].is_down = false,
             ActiveFault::WorkerSpoiled(worker) => self.fleet[worker].table.set_failing(false),
+            ActiveFault::WorkerSlow(worker) => self.fleet[worker].slow_ms = 0,
+            ActiveFault::HostsDown => {
+                let is_still_out =
+                    self.active.values().any(|other| matches!(other, ActiveFault::HostsDown));
+                self.hosts.set_outage(is_still_out);
+            }
             ActiveFault::WorkerLeaving(worker) => self.return_worker_to_service(worker),
             ActiveFault::PathCut => self.cuts.heal(fault),
             ActiveFault::StoreDown => {
--- a/crates/scenario/src/world/fleet.rs
+++ b/crates/scenario/src/world/fleet.rs
@@ -23,6 +23,8 @@
     pub(crate) address: SocketAddr,
     pub(crate) table: WorkerTable,
     pub(crate) is_down: bool,
+    /// How much longer its calls take, in milliseconds.
+    pub(crate) slow_ms: u64,
     /// Payload of every attempt that was ever handed over.
     pub(crate) payloads: BTreeMap<AttemptId, String>,
     queued: Vec<(CallOrigin, WorkerCall)>,
@@ -42,6 +44,7 @@
             address,
             table,
             is_down: false,
+            slow_ms: 0,
             payloads: BTreeMap::new(),
             queued: Vec::new(),
             syncs: Vec::new(),
--- a/crates/scenario/src/world/misbehaviour.rs
+++ b/crates/scenario/src/world/misbehaviour.rs
@@ -1,7 +1,7 @@
 //! Lets workers and the store misbehave.
 
 use {
-    super::{CallOrigin, SimWorld, WorldEvent},
+    super::{CallOrigin, HOSTS_READ_MS, SimWorld, WorldEvent},
     crate::observe::SeenLeaving,
     damaskrack_platform::{HostState, WorkerFailure},
     rand::Rng,
@@ -35,7 +35,8 @@
     pub(crate) fn leave_worker(&mut self, worker: usize) {
         let name = self.fleet[worker].worker.clone();
         self.hosts.mark(&name, HostState::Leaving, self.now_ms);
-        let shown_ms = self.now_ms + self.script.cell.host_lag_ms;
+        let lagged_ms = self.now_ms + self.script.cell.host_lag_ms;
+        let shown_ms = lagged_ms.max(self.record.hosts_out_until_ms);
         self.record.leavings.push(SeenLeaving { worker: name, shown_ms, until_ms: u64::MAX });
     }
 
@@ -48,6 +49,17 @@
         }
     }
 
+    /// Starts an outage of the host list. What it was about to show is shown after the outage.
+    pub(crate) fn set_hosts_out(&mut self, until_ms: u64) {
+        self.hosts.set_outage(true);
+        self.record.hosts_out_until_ms = self.record.hosts_out_until_ms.max(until_ms);
+        for leaving in &mut self.record.leavings {
+            if leaving.shown_ms + HOSTS_READ_MS >= self.now_ms {
+                leaving.shown_ms = leaving.shown_ms.max(until_ms);
+            }
+        }
+    }
+
     pub(crate) fn set_store_out(&mut self) {
         self.store.table.set_outage(true, self.now_ms);
         self.store.drop_watches(None);
--- a/crates/scenario/src/world/platform.rs
+++ b/crates/scenario/src/world/platform.rs
@@ -10,7 +10,7 @@
 };
 
 /// Interval at which a node reads the host list, in milliseconds.
-const HOSTS_READ_MS: u64 = 500;
+pub(crate) const HOSTS_READ_MS: u64 = 500;
 
 impl SimWorld {
     pub(crate) fn on_store_arrive(&mut self, origin: CallOrigin, request: StoreCall) {
--- a/crates/scenario/src/world/record.rs
+++ b/crates/scenario/src/world/record.rs
@@ -11,6 +11,8 @@
     pub(crate) versions: Vec<SeenVersion>,
     pub(crate) disturbances: Vec<SeenDisturbance>,
     pub(crate) leavings: Vec<SeenLeaving>,
+    /// Until when the host list cannot be read, in milliseconds.
+    pub(crate) hosts_out_until_ms: u64,
     pub(crate) shutdowns: Vec<SeenShutdown>,
     pub(crate) losses: Vec<SeenLoss>,
     pub(crate) stray_answers: Vec<u64>,
--- a/crates/scenario/src/world/sim.rs
+++ b/crates/scenario/src/world/sim.rs
@@ -55,6 +55,8 @@
     WorkerFrozen(usize),
     WorkerDown(usize),
     WorkerSpoiled(usize),
+    WorkerSlow(usize),
+    HostsDown,
     WorkerLeaving(usize),
     PathCut,
     StoreDown,
--- a/crates/scenario/tests/language.rs
+++ b/crates/scenario/tests/language.rs
@@ -68,6 +68,8 @@
 at 1s silence node-1 -> node-2
 at 1s store slow by 300ms for 2s
 at 1s leave worker-1 for 4s
+at 1s slow any-worker by 300ms for 4s
+at 1s hosts down for 4s
 random-faults from 1s to 9s every 2s longest 2s of kill,pause,cut,zone,limit
 expect answers all of x <= 3 by 9s
 expect jobs-ended of x by 9s
