--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -14,7 +14,7 @@
         AnswerReason, CallId, ClockTime, Epoch, JobId, KeyName, MemberName, OutcomeKind, QueueName,
         TeamName, WorkAnswer, WorkKind, WorkSpec,
     },
-    damaskrack_ownership::PieceName,
+    damaskrack_ownership::{OwnerRecord, PieceName},
     damaskrack_wire::{PeerMessage, SubmitOrder},
     std::collections::BTreeMap,
 };
@@ -56,16 +56,48 @@
     gives_up_at: Option<ClockTime>,
     /// Whether the waiting time has passed once already without a reachable owner.
     is_overdue: bool,
-    sent_to: Option<(MemberName, u64, Epoch)>,
-    /// Copies that were sent since the work had certainly reached nobody.
-    copies: u32,
-    /// Copies that were refused as unknown work.
-    refusals: u32,
+    /// Owners that copies were sent to and that have not said that they had no effect, in the
+    /// order of sending.
+    sent: Vec<SentCopies>,
+    next_copy: u32,
     first_sent_at: ClockTime,
     resend_at: ClockTime,
     resend_ms: u64,
 }
 
+/// Copies of a call that one owner may have taken.
+#[derive(Debug)]
+struct SentCopies {
+    member: MemberName,
+    boot: u64,
+    epoch: Epoch,
+    /// Number of the earliest copy that may have had an effect.
+    first_copy: u32,
+    /// Number of the latest copy.
+    last_copy: u32,
+}
+
+/// Copies that a member says had no effect.
+#[derive(Debug, Clone, Copy)]
+enum CopyRange {
+    /// One copy.
+    One(u32),
+    /// This copy and all before it.
+    UpTo(u32),
+}
+
+impl SentCopies {
+    /// Takes copies out; a copy in the middle stays, which errs on the safe side.
+    fn remove(&mut self, void: CopyRange) {
+        match void {
+            CopyRange::UpTo(copy) => self.first_copy = self.first_copy.max(copy + 1),
+            CopyRange::One(copy) if copy == self.first_copy => self.first_copy += 1,
+            CopyRange::One(copy) if copy == self.last_copy => self.last_copy -= 1,
+            CopyRange::One(_) => {}
+        }
+    }
+}
+
 /// A request that passed the entry's checks.
 struct AdmittedCall {
     team: TeamName,
@@ -109,9 +141,8 @@
                     started_at: view.now,
                     gives_up_at: Some(gives_up_at),
                     is_overdue: false,
-                    sent_to: None,
-                    copies: 0,
-                    refusals: 0,
+                    sent: Vec::new(),
+                    next_copy: 1,
                     first_sent_at: view.now,
                     resend_at: view.now,
                     resend_ms: RESEND_MIN_MS,
@@ -154,6 +185,7 @@
                     nonce: out.draw(),
                     first_epoch: None,
                     age_ms: 0,
+                    copy: 0,
                     key,
                     idempotency_key,
                     is_waiting,
@@ -195,8 +227,8 @@
     /// Takes an answer. An answer for a call that has ended is dropped.
     pub(crate) fn on_answer(
         &mut self,
-        from: &MemberName,
-        call: CallId,
+        (from, boot): (&MemberName, u64),
+        (call, copy): (CallId, u32),
         answer: WorkAnswer,
         view: &ClusterView,
         config: &NodeConfig,
@@ -207,7 +239,7 @@
         }
         out.send(from, PeerMessage::AnswerAck { calls: vec![call] });
         let waiting = self.calls.get_mut(&call.serial);
-        if waiting.is_some_and(|waiting| waiting.is_partial_refusal(from, &answer)) {
+        if waiting.is_some_and(|waiting| waiting.is_partial_refusal((from, boot), copy, &answer)) {
             out.count("entry.partial_refusals", 1);
             return;
         }
@@ -220,29 +252,25 @@
         out.push(NodeAction::CallerAnswer { call: ended.driver_call, answer });
     }
 
-    /// Takes the statement that a call reached a member that does not own the team.
-    pub(crate) fn on_not_owner(&mut self, from: &MemberName, call: CallId, view: &ClusterView) {
-        let Some(ended) = self.calls.get_mut(&call.serial) else { return };
-        let is_current = ended.sent_to.as_ref().is_some_and(|(member, ..)| member == from);
-        if !is_current {
-            return;
-        }
-        if let EntryQuestion::Submit(order) = &mut ended.question
-            && ended.copies == 1
-        {
-            // The only copy had no effect. With more than one, an earlier copy may have had.
-            order.first_epoch = None;
-            ended.copies = 0;
-            ended.refusals = 0;
+    /// Takes the statement that copies of a call had no effect at a member.
+    pub(crate) fn on_not_owner(
+        &mut self,
+        (from, boot): (&MemberName, u64),
+        (call, copy): (CallId, u32),
+        is_given_back: bool,
+        view: &ClusterView,
+    ) {
+        if let Some(returned) = self.calls.get_mut(&call.serial) {
+            let void = if is_given_back { CopyRange::UpTo(copy) } else { CopyRange::One(copy) };
+            returned.void_copies(from, boot, void);
+            returned.resend_at = view.now.plus(RESEND_MIN_MS / 10);
         }
-        ended.sent_to = None;
-        ended.resend_at = view.now.plus(RESEND_MIN_MS / 10);
     }
 
     /// Sends calls on the way to a lost peer again as soon as possible.
     pub(crate) fn on_link_lost(&mut self, member: &MemberName, now: ClockTime) {
         for call in self.calls.values_mut() {
-            if call.sent_to.as_ref().is_some_and(|(to, ..)| to == member) {
+            if call.sent.last().is_some_and(|sent| sent.member == *member) {
                 call.resend_at = now;
             }
         }
@@ -290,25 +318,45 @@
 
 fn is_owner_changed(call: &EntryCall, view: &ClusterView) -> bool {
     let piece = PieceName::Team(call.team.clone());
-    let Some((_, boot, epoch)) = &call.sent_to else { return false };
+    let Some(sent) = call.sent.last() else { return false };
     view.owners.get(&piece).is_some_and(|row| {
-        row.record.owner.is_some() && (row.record.epoch != *epoch || row.record.boot != *boot)
+        row.record.owner.is_some()
+            && (row.record.epoch != sent.epoch || row.record.boot != sent.boot)
     })
 }
 
 impl EntryCall {
     /// Tells whether an answer refuses less than everything that was sent.
     ///
-    /// A refusal of unknown work speaks of one copy. Another copy may still be taken, by another
-    /// owner or by the same one, so only refusals of all copies make the work not run.
-    fn is_partial_refusal(&mut self, from: &MemberName, answer: &WorkAnswer) -> bool {
-        let is_current = self.sent_to.as_ref().is_some_and(|(member, ..)| member == from);
-        if answer.outcome != OutcomeKind::NotRun || (is_current && answer.job.is_some()) {
+    /// A refusal of unknown work speaks of the copies that have arrived. Another copy may still be
+    /// taken, by another owner or by the same one, so only refusals of all copies make the work
+    /// not run.
+    fn is_partial_refusal(
+        &mut self,
+        (from, boot): (&MemberName, u64),
+        copy: u32,
+        answer: &WorkAnswer,
+    ) -> bool {
+        let is_question = !matches!(self.question, EntryQuestion::Submit(_));
+        let is_known = answer.job.is_some() && self.sent.last().is_some_and(|s| s.member == *from);
+        if is_question || is_known || answer.outcome != OutcomeKind::NotRun {
             return false;
         }
-        self.refusals += 1;
-        let is_question = !matches!(self.question, EntryQuestion::Submit(_));
-        !is_current || (self.refusals < self.copies && !is_question)
+        self.void_copies(from, boot, CopyRange::One(copy));
+        !self.sent.is_empty()
+    }
+
+    /// Notes that copies had no effect at a process of a member.
+    fn void_copies(&mut self, member: &MemberName, boot: u64, void: CopyRange) {
+        for sent in &mut self.sent {
+            if sent.member == *member && sent.boot == boot {
+                sent.remove(void);
+            }
+        }
+        self.sent.retain(|sent| sent.first_copy <= sent.last_copy);
+        if let EntryQuestion::Submit(order) = &mut self.question {
+            order.first_epoch = self.sent.first().map(|sent| sent.epoch);
+        }
     }
 
     /// Sends the call to the team's owner, if there is one.
@@ -326,29 +374,46 @@
             self.resend_at = view.now.plus(RESEND_MIN_MS / 10);
             return;
         }
-        if self.sent_to.is_some() {
+        if !self.sent.is_empty() {
             self.resend_ms = (self.resend_ms * 2).min(RESEND_MAX_MS);
             out.count("entry.resends", 1);
         }
         self.resend_at = view.now.plus(self.resend_ms);
-        self.sent_to = Some((owner.clone(), record.boot, record.epoch));
+        if self.next_copy == 1 {
+            self.first_sent_at = view.now;
+        }
+        let copy = self.next_copy;
         let message = match &mut self.question {
             EntryQuestion::Submit(order) => {
-                if self.copies == 0 {
-                    self.first_sent_at = view.now;
-                }
-                self.copies += 1;
                 order.age_ms = view.now.since(self.first_sent_at);
-                let copy = order.as_ref().clone();
+                order.copy = copy;
+                let copied = order.as_ref().clone();
                 order.first_epoch = order.first_epoch.or(Some(record.epoch));
-                PeerMessage::Submit { call: id, team: self.team.clone(), order: copy }
+                PeerMessage::Submit { call: id, team: self.team.clone(), order: copied }
             }
             EntryQuestion::Query(job) => PeerMessage::JobQuery { call: id, job: job.clone() },
             EntryQuestion::Cancel(job) => PeerMessage::JobCancel { call: id, job: job.clone() },
         };
+        self.note_sent(owner, record, copy);
         out.send(owner, message);
     }
 
+    fn note_sent(&mut self, owner: &MemberName, record: &OwnerRecord, copy: u32) {
+        self.next_copy = copy + 1;
+        match self.sent.last_mut() {
+            Some(last) if last.member == *owner && last.epoch == record.epoch => {
+                last.last_copy = copy;
+            }
+            _ => self.sent.push(SentCopies {
+                member: owner.clone(),
+                boot: record.boot,
+                epoch: record.epoch,
+                first_copy: copy,
+                last_copy: copy,
+            }),
+        }
+    }
+
     /// Returns the entry's own answer at the end of the waiting time, or `None` to wait on.
     ///
     /// Work that certainly reached nobody is refused. For work that may have reached an owner the
@@ -364,9 +429,9 @@
             let detail = "no owner of the team could be reached before the deadline";
             return Some(WorkAnswer::refused(AnswerReason::DeadlinePassed, detail));
         }
-        let has_owner = self.sent_to.as_ref().is_some_and(|(owner, ..)| {
-            let row = view.members.get(owner);
-            *owner == view.me || row.is_some_and(|row| row.is_listed)
+        let has_owner = self.sent.last().is_some_and(|sent| {
+            let row = view.members.get(&sent.member);
+            sent.member == view.me || row.is_some_and(|row| row.is_listed)
         });
         if self.is_overdue && !has_owner {
             return unknown("the team's owner is lost and nobody has taken over");
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -245,10 +245,12 @@
             PeerMessage::ManifestPush { version, json } => {
                 self.reader.on_push(version, &json, view, out);
             }
-            PeerMessage::Answer { call, answer } => {
-                self.entry.on_answer(from, call, answer, view, config, out);
+            PeerMessage::Answer { call, copy, answer } => {
+                self.entry.on_answer((from, boot), (call, copy), answer, view, config, out);
+            }
+            PeerMessage::NotOwner { call, copy, is_given_back, .. } => {
+                self.entry.on_not_owner((from, boot), (call, copy), is_given_back, view);
             }
-            PeerMessage::NotOwner { call, .. } => self.entry.on_not_owner(from, call, view),
             PeerMessage::AnswerAck { calls } => self.queues.on_answer_acks(&calls),
             PeerMessage::RackDigests { summaries } => {
                 self.exchange.on_racks(from, summaries, view);
--- a/crates/node/src/queue.rs
+++ b/crates/node/src/queue.rs
@@ -9,6 +9,7 @@
 mod gang;
 mod job;
 mod record;
+mod release;
 mod settle;
 mod takeover;
 mod team;
@@ -83,10 +84,12 @@
         }
     }
 
-    /// Tells whether everything that must last of a frozen team is in the store.
+    /// Tells whether everything that must last of a frozen team is in the store, and everything
+    /// else has been given back or is certainly running.
     pub(crate) fn is_settled(&self, team: &TeamName) -> bool {
         self.teams.get(team).is_none_or(|queue| {
-            queue.journal.is_clean() && !matches!(queue.phase, TeamPhase::Loading { .. })
+            let is_loading = matches!(queue.phase, TeamPhase::Loading { .. });
+            queue.journal.is_clean() && !is_loading && !release::has_unsettled(queue)
         })
     }
 
@@ -109,15 +112,15 @@
         match message {
             PeerMessage::Submit { call, team, order } => match teams.get_mut(&team) {
                 Some(queue) => accept::on_submit(queue, from, call, order, context),
-                None => refuse_call(from, call, &team, context),
+                None => refuse_call(from, call, order.copy, &team, context),
             },
             PeerMessage::JobQuery { call, job } => match teams.get_mut(&job.team) {
                 Some(queue) => accept::on_query(queue, from, call, &job, context),
-                None => refuse_call(from, call, &job.team, context),
+                None => refuse_call(from, call, 0, &job.team, context),
             },
             PeerMessage::JobCancel { call, job } => match teams.get_mut(&job.team) {
                 Some(queue) => accept::on_cancel(queue, from, call, &job, context),
-                None => refuse_call(from, call, &job.team, context),
+                None => refuse_call(from, call, 0, &job.team, context),
             },
             message => on_rack_message(teams, from, message, context),
         }
@@ -224,13 +227,22 @@
         dispatch::review_parked(queue, context);
         settle::forget_old(queue, context);
     }
+    if queue.is_frozen {
+        release::hand_back(queue, context);
+    }
     dispatch::run(queue, context);
     commit::run(queue, context);
 }
 
-fn refuse_call(from: &MemberName, call: CallId, team: &TeamName, context: &mut QueueContext<'_>) {
+fn refuse_call(
+    from: &MemberName,
+    call: CallId,
+    copy: u32,
+    team: &TeamName,
+    context: &mut QueueContext<'_>,
+) {
     let owner = context.view.owner(&PieceName::Team(team.clone())).cloned();
-    context.out.send(from, PeerMessage::NotOwner { call, owner });
+    context.out.send(from, PeerMessage::NotOwner { call, copy, is_given_back: false, owner });
 }
 
 fn on_rack_message(
--- a/crates/node/src/queue/accept.rs
+++ b/crates/node/src/queue/accept.rs
@@ -45,7 +45,10 @@
     let is_stale = order.first_epoch.is_some_and(|epoch| epoch > queue.epoch);
     let is_released = queue.is_frozen || is_stale || matches!(queue.phase, TeamPhase::Fenced);
     if is_released && !queue.by_nonce.contains_key(&order.nonce) {
-        context.out.send(from, PeerMessage::NotOwner { call, owner: None });
+        context.out.send(
+            from,
+            PeerMessage::NotOwner { call, copy: order.copy, is_given_back: false, owner: None },
+        );
         return;
     }
     if must_wait(queue, &order) {
@@ -56,17 +59,20 @@
     }
     let reply_to = from.clone();
     match judge_submit(queue, &order, context) {
-        SubmitStep::Join(key) => join_job(queue, key, reply_to, call, context),
+        SubmitStep::Join(key) => {
+            queue.jobs[key].copy = queue.jobs[key].copy.max(order.copy);
+            join_job(queue, key, reply_to, call, context);
+        }
         SubmitStep::Accept => accept_job(queue, reply_to, call, &order, context),
         SubmitStep::Refuse(refusal) => {
             context.out.count("queue.refused", 1);
             let answer = refusal.into_answer();
-            context.out.send(from, PeerMessage::Answer { call, answer });
+            context.out.send(from, PeerMessage::Answer { call, copy: order.copy, answer });
         }
         SubmitStep::Lost => {
             let id = job_id(queue, &order);
             let answer = lost_answer().with_job(id);
-            context.out.send(from, PeerMessage::Answer { call, answer });
+            context.out.send(from, PeerMessage::Answer { call, copy: order.copy, answer });
         }
     }
 }
@@ -113,9 +119,11 @@
 
 /// Tells whether work that is not known here may have run: a former owner may have got it, or this
 /// one may have forgotten it.
+///
+/// Work that is journalled before it starts and is not in the journal never started.
 fn may_have_run(queue: &TeamQueue, order: &SubmitOrder) -> bool {
     let is_former = order.first_epoch.is_some_and(|epoch| epoch < queue.epoch);
-    is_former || order.age_ms > settle::MAX_RESUBMIT_AGE_MS
+    (is_former && !is_journalled(order)) || order.age_ms > settle::MAX_RESUBMIT_AGE_MS
 }
 
 fn judge_idempotency_key(queue: &TeamQueue, order: &SubmitOrder) -> Option<SubmitStep> {
@@ -230,6 +238,7 @@
     let mut job = JobRow::new(job_id(queue, order), order.spec.clone(), sequence, context.view.now);
     job.idempotency_key.clone_from(&order.idempotency_key);
     job.is_waiting = order.is_waiting;
+    job.copy = order.copy;
     job.callers.push((from, call));
     job.is_inherited = may_have_run(queue, order);
     job.is_journalled = is_journalled(order);
@@ -346,12 +355,12 @@
     let answer = WorkAnswer::new(OutcomeKind::Done, reason, "")
         .with_job(job.id.clone())
         .with_status(job.status());
-    context.out.send(to, PeerMessage::Answer { call, answer });
+    context.out.send(to, PeerMessage::Answer { call, copy: 0, answer });
 }
 
 fn answer_unknown_job(to: &MemberName, call: CallId, context: &mut QueueContext<'_>) {
     let answer = WorkAnswer::refused(AnswerReason::UnknownJob, "there is no such job");
-    context.out.send(to, PeerMessage::Answer { call, answer });
+    context.out.send(to, PeerMessage::Answer { call, copy: 0, answer });
 }
 
 /// Ends work whose deadline has passed.
--- a/crates/node/src/queue/board.rs
+++ b/crates/node/src/queue/board.rs
@@ -6,6 +6,7 @@
 use {
     crate::view::ClusterView,
     damaskrack_model::{ClockTime, RackName, Resources},
+    damaskrack_ownership::PieceName,
     damaskrack_policy::{RackRoom, rank_full_racks, rank_racks},
     rustc_hash::FxHashMap,
 };
@@ -56,7 +57,10 @@
         self.deductions.clear();
         for (name, row) in &view.summaries {
             let summary = &row.summary;
-            let is_open = summary.is_open && view.is_zone_in(&summary.zone);
+            let owner = view.owner(&PieceName::Rack(name.clone()));
+            let is_reachable =
+                owner.is_some_and(|owner| *owner == view.me || view.links.contains(owner));
+            let is_open = summary.is_open && is_reachable && view.is_zone_in(&summary.zone);
             self.index.insert(name.clone(), self.names.len());
             self.names.push(name.clone());
             self.rooms.push(RackRoom {
--- a/crates/node/src/queue/job.rs
+++ b/crates/node/src/queue/job.rs
@@ -77,6 +77,8 @@
     pub(super) pending_intent: Option<(u64, u32)>,
     /// Calls that wait for acceptance or the end.
     pub(super) callers: Vec<(MemberName, CallId)>,
+    /// Latest copy of the submission that arrived.
+    pub(super) copy: u32,
     /// Answered calls whose entries have not confirmed the answer.
     pub(super) unconfirmed: Vec<CallId>,
     /// Whether the callers wait for the end.
@@ -120,6 +122,7 @@
             intent_below,
             pending_intent: None,
             callers: Vec::new(),
+            copy: 0,
             unconfirmed: Vec::new(),
             is_cancelled: false,
             gang: GangStage::Idle,
--- a/crates/node/src/queue/settle.rs
+++ b/crates/node/src/queue/settle.rs
@@ -446,10 +446,11 @@
         }
     };
     let answer = answer.with_job(job.id.clone());
+    let copy = job.copy;
     for (member, call) in std::mem::take(&mut job.callers) {
         job.unconfirmed.push(call);
         queue.answered.insert(call, key);
-        let message = PeerMessage::Answer { call, answer: answer.clone() };
+        let message = PeerMessage::Answer { call, copy, answer: answer.clone() };
         context.out.send(&member, message);
     }
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -22,6 +22,8 @@
     pub first_epoch: Option<Epoch>,
     /// Time since it was first sent to an owner, in milliseconds.
     pub age_ms: u64,
+    /// Counts the times that it was sent, from 1.
+    pub copy: u32,
     /// Key that the caller showed; `None` on an open queue. The owner checks it again.
     pub key: Option<KeyName>,
     /// The caller's own name for the work, so that a repeat gets the first answer.
@@ -248,6 +250,10 @@
     NotOwner {
         /// The call.
         call: CallId,
+        /// Copy of the submission that this is about; 0 if the call is a question.
+        copy: u32,
+        /// Whether earlier copies had no effect either: the work was known and is given back.
+        is_given_back: bool,
         /// Owner that the receiver knows of, if any.
         owner: Option<MemberName>,
     },
@@ -255,6 +261,8 @@
     Answer {
         /// The call.
         call: CallId,
+        /// Latest copy of the submission that this is about; 0 if the call is a question.
+        copy: u32,
         /// The whole answer.
         answer: WorkAnswer,
     },
--- a/crates/wire/src/proto/bodies.rs
+++ b/crates/wire/src/proto/bodies.rs
@@ -92,6 +92,10 @@
     pub(crate) call: Option<CallProto>,
     #[prost(string, optional, tag = "2")]
     pub(crate) owner: Option<String>,
+    #[prost(uint32, tag = "3")]
+    pub(crate) copy: u32,
+    #[prost(bool, tag = "4")]
+    pub(crate) is_given_back: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -100,6 +104,8 @@
     pub(crate) call: Option<CallProto>,
     #[prost(message, optional, tag = "2")]
     pub(crate) answer: Option<AnswerProto>,
+    #[prost(uint32, tag = "3")]
+    pub(crate) copy: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/wire/src/proto/frame.rs
+++ b/crates/wire/src/proto/frame.rs
@@ -164,11 +164,16 @@
                 call: Some(call.into_proto()),
                 job: Some(job.into_proto()),
             }),
-            Self::NotOwner { call, owner } => FrameKind::NotOwner(NotOwnerBody {
-                call: Some(call.into_proto()),
-                owner: owner.map(ProtoMirror::into_proto),
-            }),
-            Self::Answer { call, answer } => FrameKind::Answer(AnswerBody {
+            Self::NotOwner { call, copy, is_given_back, owner } => {
+                FrameKind::NotOwner(NotOwnerBody {
+                    copy,
+                    is_given_back,
+                    call: Some(call.into_proto()),
+                    owner: owner.map(ProtoMirror::into_proto),
+                })
+            }
+            Self::Answer { call, copy, answer } => FrameKind::Answer(AnswerBody {
+                copy,
                 call: Some(call.into_proto()),
                 answer: Some(answer.into_proto()),
             }),
@@ -274,10 +279,13 @@
                 job: from_field(body.job, "job")?,
             },
             FrameKind::NotOwner(body) => Self::NotOwner {
+                copy: body.copy,
+                is_given_back: body.is_given_back,
                 call: from_field(body.call, "call")?,
                 owner: from_option(body.owner)?,
             },
             FrameKind::Answer(body) => Self::Answer {
+                copy: body.copy,
                 call: from_field(body.call, "call")?,
                 answer: from_field(body.answer, "answer")?,
             },
--- a/crates/wire/src/proto/work.rs
+++ b/crates/wire/src/proto/work.rs
@@ -84,6 +84,8 @@
     first_epoch: Option<u64>,
     #[prost(uint64, tag = "9")]
     age_ms: u64,
+    #[prost(uint32, tag = "10")]
+    copy: u32,
 }
 
 impl ProtoMirror for SubmitOrder {
@@ -94,6 +96,7 @@
             queue: self.queue.into(),
             nonce: self.nonce,
             age_ms: self.age_ms,
+            copy: self.copy,
             first_epoch: self.first_epoch.map(|epoch| epoch.0),
             key: self.key.map(KeyName::into_proto),
             idempotency_key: self.idempotency_key,
@@ -108,6 +111,7 @@
             queue: QueueName::from_proto(proto.queue)?,
             nonce: proto.nonce,
             age_ms: proto.age_ms,
+            copy: proto.copy,
             first_epoch: proto.first_epoch.map(Epoch),
             key: from_option(proto.key)?,
             idempotency_key: proto.idempotency_key,
--- a/crates/wire/tests/samples/mod.rs
+++ b/crates/wire/tests/samples/mod.rs
@@ -168,6 +168,7 @@
         queue: name(g),
         nonce: u64::arbitrary(g),
         age_ms: u64::arbitrary(g),
+        copy: u32::arbitrary(g),
         first_epoch: option(g, epoch),
         key: option(g, name),
         idempotency_key: option(g, String::arbitrary),
@@ -277,8 +278,13 @@
         3 => PeerMessage::Submit { call: call(g), team: name(g), order: submit(g) },
         4 => PeerMessage::JobQuery { call: call(g), job: job(g) },
         5 => PeerMessage::JobCancel { call: call(g), job: job(g) },
-        6 => PeerMessage::NotOwner { call: call(g), owner: option(g, name) },
-        7 => PeerMessage::Answer { call: call(g), answer: answer(g) },
+        6 => PeerMessage::NotOwner {
+            call: call(g),
+            copy: u32::arbitrary(g),
+            is_given_back: bool::arbitrary(g),
+            owner: option(g, name),
+        },
+        7 => PeerMessage::Answer { call: call(g), copy: u32::arbitrary(g), answer: answer(g) },
         8 => PeerMessage::AnswerAck { calls: list(g, call) },
         _ => PeerMessage::TeamDigests { teams: list(g, digest) },
     }
