--- a/crates/scenario/src/world.rs
+++ b/crates/scenario/src/world.rs
@@ -8,9 +8,12 @@
 mod callers;
 mod faults;
 mod fleet;
+mod lifecycle;
 mod links;
+mod misbehaviour;
 mod network;
 mod operators;
+mod paths;
 mod place;
 mod platform;
 mod process;
@@ -19,6 +22,7 @@
 mod sim;
 mod store_front;
 mod sweeps;
+mod targets;
 mod trace;
 
 pub use trace::TraceFilter;
@@ -28,6 +32,7 @@
     links::{LinkTable, SILENCE_LIMIT_MS},
     operators::ChangeRow,
     place::{CutTable, NetPlace},
+    platform::HOSTS_READ_MS,
     process::{CallKind, CallOrigin, CallWaiter, NodeProcess},
     queue::EventQueue,
     record::WorldRecord,
