--- a/crates/ownership/src/isolation.rs
+++ b/crates/ownership/src/isolation.rs
@@ -79,3 +79,42 @@
         MemberStanding::Isolated
     }
 }
+
+/// Judges what a daemon may do from what it could do before.
+///
+/// Silence of the store rules a replacement out only for a daemon that has been heard all the
+/// time since its last news. One that was isolated may have been replaced meanwhile, by members
+/// that have lost the store since; so it stays isolated until it has current news. `is_outrun`
+/// tells that a member which is heard passes on news of the store, its own or second-hand, from a
+/// time at which this daemon had none any more.
+///
+/// # Examples
+///
+/// ```
+/// use damaskrack_ownership::{MemberStanding, StandingInput, next_standing};
+///
+/// let outage = StandingInput {
+///     store_age_ms: 9_000,
+///     is_delisted: false,
+///     heard: 5,
+///     known: 8,
+///     isolation_ms: 2_000,
+/// };
+/// let woken = next_standing(MemberStanding::Isolated, false, outage);
+/// assert_eq!(woken, MemberStanding::Isolated);
+/// let steady = next_standing(MemberStanding::Connected, false, outage);
+/// assert_eq!(steady, MemberStanding::StoreSilent);
+/// ```
+#[must_use]
+pub fn next_standing(
+    former: MemberStanding,
+    is_outrun: bool,
+    input: StandingInput,
+) -> MemberStanding {
+    match judge_standing(input) {
+        MemberStanding::StoreSilent if is_outrun || former == MemberStanding::Isolated => {
+            MemberStanding::Isolated
+        }
+        standing => standing,
+    }
+}
--- a/crates/ownership/src/journal.rs
+++ b/crates/ownership/src/journal.rs
@@ -75,7 +75,7 @@
     Fenced,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum WriterPhase {
     Idle,
     Writing,
@@ -102,7 +102,7 @@
 /// writer.on_written();
 /// assert!(writer.durable_position() >= position);
 /// ```
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct JournalWriter<R> {
     epoch: Epoch,
     next_number: u64,
--- /dev/null
+++ b/crates/ownership/src/lapse.rs
@@ -0,0 +1,51 @@
+//! When a silent worker's leases have certainly ended.
+
+use damaskrack_model::ClockTime;
+
+/// What a rack owner knows of a worker that does not answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SilenceInput {
+    /// Present reading of the owner's clock.
+    pub now: ClockTime,
+    /// When the worker last answered under this epoch.
+    pub heard_at: Option<ClockTime>,
+    /// When the worker was first listed under this epoch.
+    pub added_at: ClockTime,
+    /// When the owner was last isolated or paused; silence before it proves nothing.
+    pub resumed_at: ClockTime,
+    /// Lease of tasks with the allowance for clocks that run at different rates, in milliseconds.
+    pub lapse_ms: u64,
+    /// Time within which a former owner has stopped by itself, in milliseconds.
+    pub isolation_ms: u64,
+}
+
+/// Tells whether every lease on a worker has ended.
+///
+/// A worker that answered under this epoch refuses former owners, so its leases end a lease after
+/// that answer. One that has not may have been renewed by a former owner until that had to stop
+/// by the isolation rule.
+///
+/// # Examples
+///
+/// ```
+/// use {damaskrack_model::ClockTime, damaskrack_ownership::{SilenceInput, has_lapsed}};
+///
+/// let silence = SilenceInput {
+///     now: ClockTime(5_000),
+///     heard_at: None,
+///     added_at: ClockTime(0),
+///     resumed_at: ClockTime(0),
+///     lapse_ms: 4_000,
+///     isolation_ms: 2_000,
+/// };
+/// assert!(!has_lapsed(silence));
+/// assert!(has_lapsed(SilenceInput { heard_at: Some(ClockTime(0)), ..silence }));
+/// ```
+#[must_use]
+pub fn has_lapsed(input: SilenceInput) -> bool {
+    let (since, limit_ms) = match input.heard_at {
+        Some(heard_at) => (heard_at, input.lapse_ms),
+        None => (input.added_at, input.isolation_ms + input.lapse_ms),
+    };
+    input.now.since(since.max(input.resumed_at)) > limit_ms
+}
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -9,18 +9,26 @@
 mod fence;
 mod isolation;
 mod journal;
+mod lapse;
 mod piece;
+mod proof;
 mod record;
 mod rendezvous;
+mod resubmission;
+mod swap;
 mod takeover;
 
 pub use {
     budget::WriteBudget,
     fence::{EpochFence, FenceVerdict},
-    isolation::{MemberStanding, StandingInput, judge_standing},
+    isolation::{MemberStanding, StandingInput, judge_standing, next_standing},
     journal::{FoundSegment, JournalSegment, JournalStep, JournalWriter, SegmentError},
+    lapse::{SilenceInput, has_lapsed},
     piece::{ParsePieceError, PieceName},
+    proof::{UnfoundStep, VoidVerdict, is_provably_unstarted, judge_unfound, judge_void},
     record::{MemberRecord, OwnerRecord, RecordError},
     rendezvous::suggest_owner,
+    resubmission::{SubmissionInput, SubmissionStep, judge_submission},
+    swap::{SwapMark, SwapVerdict, judge_swap},
     takeover::{PieceStep, PieceView, next_piece_step},
 };
--- /dev/null
+++ b/crates/ownership/src/proof.rs
@@ -0,0 +1,82 @@
+//! What an owner may conclude about work that others started.
+//!
+//! Work that was sent away counts as possibly running until there is proof of the opposite. These
+//! functions say what is a proof.
+
+use damaskrack_model::Epoch;
+
+/// What a rack's statement that it does not know an attempt means.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum VoidVerdict {
+    /// The attempt never ran and never will.
+    NeverRan,
+    /// It does not run now, but may have run on a worker that was lost since.
+    MayHaveRun,
+}
+
+/// Judges a rack's statement, under the rack epoch `answered`, that it does not know an attempt
+/// which was sent under the rack epoch `sent`.
+///
+/// The owner that an attempt was sent to knows whether it passed it on. A later owner knows only
+/// what the workers still tell.
+///
+/// # Examples
+///
+/// ```
+/// use {damaskrack_model::Epoch, damaskrack_ownership::{VoidVerdict, judge_void}};
+///
+/// assert_eq!(judge_void(Epoch(3), Epoch(3), false), VoidVerdict::NeverRan);
+/// assert_eq!(judge_void(Epoch(3), Epoch(4), false), VoidVerdict::MayHaveRun);
+/// ```
+#[must_use]
+pub fn judge_void(sent: Epoch, answered: Epoch, was_running: bool) -> VoidVerdict {
+    if sent == answered && !was_running {
+        VoidVerdict::NeverRan
+    } else {
+        VoidVerdict::MayHaveRun
+    }
+}
+
+/// What becomes of a task that a former owner may have started and that no rack knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UnfoundStep {
+    /// It may start.
+    Start,
+    /// It may have run: it ends as unknown.
+    EndUnknown,
+}
+
+/// Decides about a task that nobody knows after the roll call.
+///
+/// # Examples
+///
+/// ```
+/// use damaskrack_ownership::{UnfoundStep, judge_unfound};
+///
+/// assert_eq!(judge_unfound(true, true), UnfoundStep::Start);
+/// assert_eq!(judge_unfound(false, true), UnfoundStep::EndUnknown);
+/// ```
+#[must_use]
+pub fn judge_unfound(is_idempotent: bool, has_intent: bool) -> UnfoundStep {
+    if is_idempotent || !has_intent { UnfoundStep::Start } else { UnfoundStep::EndUnknown }
+}
+
+/// Tells whether a task that waits may be called not run.
+///
+/// # Examples
+///
+/// ```
+/// use damaskrack_ownership::is_provably_unstarted;
+///
+/// assert!(is_provably_unstarted(false, true, false, false));
+/// assert!(!is_provably_unstarted(false, true, true, false));
+/// ```
+#[must_use]
+pub fn is_provably_unstarted(
+    was_tried: bool,
+    is_inherited: bool,
+    is_idempotent: bool,
+    has_intent: bool,
+) -> bool {
+    !was_tried && !(is_inherited && (is_idempotent || has_intent))
+}
--- /dev/null
+++ b/crates/ownership/src/swap.rs
@@ -0,0 +1,45 @@
+//! How a compare-and-swap ended whose answer was lost.
+
+/// A value that only compare-and-swap changes, as far as it matters here.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub struct SwapMark {
+    /// Number of changes so far; it only grows.
+    pub version: u64,
+    /// Random number of the last change.
+    pub change: u64,
+}
+
+/// What the value in the store says about a swap.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SwapVerdict {
+    /// It took effect.
+    Taken,
+    /// It has not taken effect and still may.
+    Open,
+    /// Another change stands there. Whether this one was in force before cannot be told if its
+    /// answer was lost.
+    Overtaken,
+}
+
+/// Judges by what stands in the store whether a swap took effect.
+///
+/// # Examples
+///
+/// ```
+/// use damaskrack_ownership::{SwapMark, SwapVerdict, judge_swap};
+///
+/// let mine = SwapMark { version: 4, change: 77 };
+/// assert_eq!(judge_swap(mine, mine), SwapVerdict::Taken);
+/// assert_eq!(judge_swap(mine, SwapMark { version: 3, change: 5 }), SwapVerdict::Open);
+/// assert_eq!(judge_swap(mine, SwapMark { version: 4, change: 5 }), SwapVerdict::Overtaken);
+/// ```
+#[must_use]
+pub fn judge_swap(mine: SwapMark, found: SwapMark) -> SwapVerdict {
+    if found.change == mine.change {
+        SwapVerdict::Taken
+    } else if found.version < mine.version {
+        SwapVerdict::Open
+    } else {
+        SwapVerdict::Overtaken
+    }
+}
--- /dev/null
+++ b/crates/spec/src/machines/isolation.rs
@@ -0,0 +1,447 @@
+//! When a daemon that may have been replaced stops.
+//!
+//! Daemon 0 owns a piece that the others take over as soon as they may. Time is discrete and
+//! unbounded: ages are capped where they make no difference any more. Between two units of time
+//! connections to the store and between daemons break and come back, the store is out, the owner
+//! is paused, and its watch stalls while its other store calls go through.
+
+use {
+    crate::{Mutation, SpecMachine},
+    damaskrack_model::{Epoch, MemberName},
+    damaskrack_ownership::{
+        MemberStanding, OwnerRecord, PieceStep, PieceView, StandingInput, judge_standing,
+        next_piece_step, next_standing,
+    },
+};
+
+/// Most daemons.
+const DAEMONS: usize = 3;
+/// Time without news of the store after which a daemon that misses half of the members stops.
+const ISOLATION: u8 = 2;
+/// Time after which a member record that is not renewed is gone.
+const MEMBER_LEASE: u8 = 3;
+/// How much later than a daemon's own news those of others may be before it counts as outrun. Its
+/// record lapses a member lease after its own news, and a taker has told half of the members of
+/// news that are at most the isolation time old.
+const OUTRUN: u8 = MEMBER_LEASE - ISOLATION;
+/// Age of news that never came.
+const NEVER: u8 = u8::MAX;
+/// Largest age that decides anything by itself; beyond it only differences matter.
+const DECISIVE: u8 = MEMBER_LEASE + 1;
+/// Most connections that break or come back, pauses, resumptions, outages and stalls.
+const FAULTS: u8 = 4;
+/// The owner that is replaced.
+const OWNER: usize = 0;
+/// Links between daemons.
+const LINKS: [(usize, usize); 3] = [(0, 1), (1, 2), (0, 2)];
+
+/// What a daemon knows; ages are in units of time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct DaemonState {
+    /// Age of its own news of the store.
+    own: u8,
+    /// Age of the freshest news that a peer relayed as showing this daemon.
+    relayed: u8,
+    /// Age of the freshest news that a peer relayed as not showing this daemon.
+    delisted: u8,
+    /// Whether the latest news do not show this daemon.
+    is_delisted: bool,
+    /// Age of the freshest news that anybody passed on.
+    passed_on: u8,
+    /// Whether somebody had news when this daemon had none any more.
+    is_outrun: bool,
+    /// Whether its record was written anew since its own last news.
+    is_unseen: bool,
+    /// Members in its own last news.
+    listed: [bool; DAEMONS],
+    /// Owner in its own last news.
+    owner: usize,
+    /// Age of the last exchange with each peer.
+    heard: [u8; DAEMONS],
+    /// Age of the last exchange with each peer in which this daemon told of fresh news.
+    told: [u8; DAEMONS],
+    standing: MemberStanding,
+}
+
+/// The store, the connections and the daemons.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct CellState {
+    members: usize,
+    faults: u8,
+    is_store_up: bool,
+    reaches_store: [bool; DAEMONS],
+    links: [bool; LINKS.len()],
+    is_paused: bool,
+    is_stalled: bool,
+    /// Age of each member's last renewal.
+    renewed: [u8; DAEMONS],
+    owner: usize,
+    taken: u8,
+    daemons: [DaemonState; DAEMONS],
+}
+
+/// What happens.
+#[derive(Debug, Clone, Copy)]
+pub enum CellStep {
+    /// The cell has this many members.
+    Begin(usize),
+    /// The cell has three members, of which only the last reaches the store, the first and the
+    /// last do not reach each other, and all have current news.
+    BeginSplit,
+    /// A unit of time passes; whoever is connected exchanges news.
+    Tick,
+    /// A daemon's connection to the store breaks or comes back.
+    ToggleStore(usize),
+    /// The store goes out or comes back.
+    ToggleOutage,
+    /// A link between two daemons breaks or comes back.
+    ToggleLink(usize, usize),
+    /// The owner is paused or resumes.
+    TogglePause,
+    /// The owner's watch stalls or goes on.
+    ToggleStall,
+    /// A daemon takes the piece.
+    Take(usize),
+}
+
+/// Explores the isolation rule.
+#[derive(Debug)]
+pub struct IsolationMachine {
+    removed: Vec<Mutation>,
+    names: [MemberName; DAEMONS],
+}
+
+impl IsolationMachine {
+    fn lacks(&self, mutation: Mutation) -> bool {
+        self.removed.contains(&mutation)
+    }
+
+    fn is_awake(state: &CellState, daemon: usize) -> bool {
+        daemon != OWNER || !state.is_paused
+    }
+
+    fn tick(&self, state: &mut CellState) {
+        grow_older(state);
+        for daemon in 0..state.members {
+            if Self::is_awake(state, daemon) && reaches_store(state, daemon) {
+                state.daemons[daemon].is_unseen |= state.renewed[daemon] > MEMBER_LEASE;
+                state.renewed[daemon] = 0;
+            }
+        }
+        for daemon in 0..state.members {
+            let is_following = daemon != OWNER || !state.is_stalled;
+            if Self::is_awake(state, daemon) && reaches_store(state, daemon) && is_following {
+                follow(state, daemon);
+            }
+        }
+        let before = state.daemons;
+        for (index, (one, other)) in LINKS.into_iter().enumerate() {
+            let is_exchanging = state.links[index]
+                && other < state.members
+                && Self::is_awake(state, one)
+                && Self::is_awake(state, other);
+            if is_exchanging {
+                self.hear(&mut state.daemons[one], (one, other), &before[other]);
+                self.hear(&mut state.daemons[other], (other, one), &before[one]);
+            }
+        }
+        for daemon in 0..state.members {
+            if Self::is_awake(state, daemon) {
+                self.judge(state, daemon);
+            }
+        }
+    }
+
+    /// Takes a peer's heartbeat.
+    fn hear(&self, daemon: &mut DaemonState, (me, peer): (usize, usize), news: &DaemonState) {
+        daemon.heard[peer] = 0;
+        if daemon.own == 0 {
+            daemon.told[peer] = 0;
+        }
+        if !self.lacks(Mutation::PassedOnNews) {
+            daemon.passed_on = daemon.passed_on.min(news.passed_on);
+        }
+        if news.listed[me] {
+            daemon.relayed = daemon.relayed.min(news.own);
+            daemon.is_delisted &= daemon.delisted <= daemon.relayed;
+        } else {
+            daemon.delisted = daemon.delisted.min(news.own);
+            daemon.is_delisted |= daemon.delisted < daemon.own.min(daemon.relayed);
+        }
+    }
+
+    fn news_age(&self, daemon: &DaemonState) -> u8 {
+        if daemon.is_unseen && !self.lacks(Mutation::RegistrationSeen) {
+            daemon.own
+        } else {
+            daemon.own.min(daemon.relayed)
+        }
+    }
+
+    fn knows(&self, state: &CellState, me: usize, member: usize) -> bool {
+        let view = &state.daemons[me];
+        !self.lacks(Mutation::IdleMembers) || view.listed[member] || view.owner == member
+    }
+
+    fn input(&self, state: &CellState, me: usize, ages: &[u8; DAEMONS]) -> StandingInput {
+        let daemon = &state.daemons[me];
+        let others = (0..state.members).filter(|&member| member != me);
+        let known: Vec<usize> = others.filter(|&member| self.knows(state, me, member)).collect();
+        let heard = known.iter().filter(|&&member| ages[member] <= ISOLATION).count();
+        let is_delisted = if self.lacks(Mutation::Delisting) {
+            false
+        } else if self.lacks(Mutation::LastingDelisting) {
+            daemon.delisted <= ISOLATION
+        } else {
+            daemon.is_delisted
+        };
+        StandingInput {
+            store_age_ms: self.news_age(daemon).into(),
+            is_delisted,
+            heard: heard + 1,
+            known: known.len() + 1,
+            isolation_ms: ISOLATION.into(),
+        }
+    }
+
+    fn judge(&self, state: &mut CellState, me: usize) {
+        let input = self.input(state, me, &state.daemons[me].heard);
+        let daemon = &mut state.daemons[me];
+        // A record lapses by its owner's own silence, whatever others relay about it.
+        let is_later = daemon.passed_on.saturating_add(OUTRUN) < daemon.own;
+        daemon.is_outrun = daemon.own > ISOLATION && (daemon.is_outrun || is_later);
+        let former = if self.lacks(Mutation::IsolationMemory) {
+            MemberStanding::Connected
+        } else {
+            daemon.standing
+        };
+        let is_outrun = daemon.is_outrun && !self.lacks(Mutation::PassedOnNews);
+        let is_half = input.heard * 2 == input.known;
+        let counted = if is_half && self.lacks(Mutation::ExactHalf) {
+            StandingInput { heard: input.heard + 1, ..input }
+        } else {
+            input
+        };
+        daemon.standing = match next_standing(former, is_outrun, counted) {
+            MemberStanding::Isolated if self.lacks(Mutation::IsolationRule) => {
+                MemberStanding::StoreSilent
+            }
+            standing => standing,
+        };
+    }
+
+    fn may_take(&self, state: &CellState, me: usize) -> bool {
+        let daemon = &state.daemons[me];
+        let is_current = state.owner == OWNER && daemon.owner == OWNER;
+        if !is_current || !reaches_store(state, me) {
+            return false;
+        }
+        let told = judge_standing(self.input(state, me, &daemon.told));
+        let standing = match daemon.standing {
+            MemberStanding::Minority if self.lacks(Mutation::TakerHalf) => {
+                MemberStanding::Connected
+            }
+            MemberStanding::Connected if !self.lacks(Mutation::ToldHalf) => told,
+            standing => standing,
+        };
+        let record = OwnerRecord {
+            owner: Some(self.names[OWNER].clone()),
+            boot: 1,
+            epoch: Epoch(1),
+            write: 0,
+        };
+        let is_owner_gone = !daemon.listed[OWNER] && daemon.heard[OWNER] > MEMBER_LEASE;
+        let view = PieceView {
+            me: &self.names[me],
+            boot: 1,
+            record: Some(&record),
+            suggested: Some(&self.names[me]),
+            is_owner_gone,
+            is_suggested_heard: true,
+            standing,
+            is_leaving: false,
+        };
+        next_piece_step(view) == PieceStep::Take
+    }
+
+    fn fault_steps(state: &CellState) -> Vec<CellStep> {
+        if state.faults == 0 {
+            return Vec::new();
+        }
+        let mut steps = vec![CellStep::ToggleOutage, CellStep::TogglePause, CellStep::ToggleStall];
+        steps.extend((0..state.members).map(CellStep::ToggleStore));
+        let links = LINKS.into_iter().filter(|(_, other)| *other < state.members);
+        steps.extend(links.map(|(one, other)| CellStep::ToggleLink(one, other)));
+        steps
+    }
+
+    fn apply(&self, state: &mut CellState, step: CellStep) {
+        match step {
+            CellStep::Begin(members) => state.members = members,
+            CellStep::BeginSplit => {
+                state.members = DAEMONS;
+                state.reaches_store = [false, false, true];
+                state.links = LINKS.map(|link| link != (0, DAEMONS - 1));
+            }
+            CellStep::Tick => {
+                self.tick(state);
+                forget_differences(state);
+            }
+            CellStep::Take(daemon) => {
+                state.owner = daemon;
+                state.taken = 0;
+            }
+            fault => {
+                state.faults -= 1;
+                self.apply_fault(state, fault);
+            }
+        }
+    }
+
+    fn apply_fault(&self, state: &mut CellState, fault: CellStep) {
+        match fault {
+            CellStep::ToggleStore(daemon) => {
+                state.reaches_store[daemon] = !state.reaches_store[daemon];
+            }
+            CellStep::ToggleOutage => state.is_store_up = !state.is_store_up,
+            CellStep::ToggleLink(one, other) => {
+                if let Some(index) = LINKS.iter().position(|link| *link == (one, other)) {
+                    state.links[index] = !state.links[index];
+                }
+            }
+            CellStep::TogglePause => {
+                state.is_paused = !state.is_paused;
+                if !state.is_paused {
+                    // A woken daemon judges itself before it looks at what has waited for it.
+                    self.judge(state, OWNER);
+                }
+            }
+            CellStep::ToggleStall => state.is_stalled = !state.is_stalled,
+            _ => {}
+        }
+    }
+}
+
+fn reaches_store(state: &CellState, daemon: usize) -> bool {
+    state.is_store_up && state.reaches_store[daemon]
+}
+
+fn older(age: &mut u8) {
+    *age = age.saturating_add(1);
+}
+
+fn grow_older(state: &mut CellState) {
+    older(&mut state.taken);
+    state.renewed.iter_mut().for_each(older);
+    for daemon in &mut state.daemons {
+        news_ages(daemon).into_iter().filter(|age| **age != NEVER).for_each(older);
+        daemon.heard.iter_mut().chain(&mut daemon.told).for_each(older);
+    }
+}
+
+fn news_ages(daemon: &mut DaemonState) -> [&mut u8; 4] {
+    [&mut daemon.own, &mut daemon.relayed, &mut daemon.delisted, &mut daemon.passed_on]
+}
+
+/// Takes back what makes no difference any more, so that unbounded time has few states.
+fn forget_differences(state: &mut CellState) {
+    let cap = |age: &mut u8| *age = DECISIVE.min(*age);
+    cap(&mut state.taken);
+    state.renewed.iter_mut().for_each(cap);
+    for daemon in &mut state.daemons {
+        daemon.heard.iter_mut().chain(&mut daemon.told).for_each(cap);
+    }
+    let daemons = state.daemons.iter_mut();
+    let mut ages: Vec<&mut u8> = daemons.flat_map(news_ages).collect();
+    ages.retain(|age| (DECISIVE + 1..NEVER).contains(*age));
+    ages.sort_unstable();
+    let (mut former, mut shortened) = (DECISIVE, DECISIVE);
+    for age in ages {
+        shortened += (*age - former).min(OUTRUN + 1);
+        former = std::mem::replace(age, shortened);
+    }
+}
+
+/// Reads the store's records.
+fn follow(state: &mut CellState, daemon: usize) {
+    let listed = state.renewed.map(|age| age <= MEMBER_LEASE);
+    let owner = state.owner;
+    let view = &mut state.daemons[daemon];
+    view.own = 0;
+    view.passed_on = 0;
+    view.is_unseen = false;
+    view.is_delisted = false;
+    view.listed = listed;
+    view.owner = owner;
+}
+
+impl SpecMachine for IsolationMachine {
+    type State = CellState;
+    type Step = CellStep;
+
+    fn new(removed: &[Mutation]) -> Self {
+        let name = |text: &str| MemberName::new(text).expect("a constant name is well formed");
+        Self { removed: removed.to_vec(), names: [name("entry-0"), name("entry-1"), name("entry-2")] }
+    }
+
+    fn bounds(&self) -> &'static str {
+        "2 or 3 daemons, 1 piece, 4 faults, also after 3 that come at once, isolation 2, member \
+         lease 3, unbounded time"
+    }
+
+    fn initial(&self) -> CellState {
+        let daemon = DaemonState {
+            own: 0,
+            relayed: NEVER,
+            delisted: NEVER,
+            is_delisted: false,
+            passed_on: 0,
+            is_outrun: false,
+            is_unseen: false,
+            listed: [true; DAEMONS],
+            owner: OWNER,
+            heard: [0; DAEMONS],
+            told: [0; DAEMONS],
+            standing: MemberStanding::Connected,
+        };
+        CellState {
+            members: 0,
+            faults: FAULTS,
+            is_store_up: true,
+            reaches_store: [true; DAEMONS],
+            links: [true; LINKS.len()],
+            is_paused: false,
+            is_stalled: false,
+            renewed: [0; DAEMONS],
+            owner: OWNER,
+            taken: DECISIVE,
+            daemons: [daemon; DAEMONS],
+        }
+    }
+
+    fn successors(&self, state: &CellState) -> Vec<(CellStep, CellState)> {
+        let steps = if state.members == 0 {
+            vec![CellStep::Begin(2), CellStep::Begin(3), CellStep::BeginSplit]
+        } else {
+            let takes = (1..state.members).filter(|&daemon| self.may_take(state, daemon));
+            let takes = takes.map(CellStep::Take);
+            Self::fault_steps(state).into_iter().chain([CellStep::Tick]).chain(takes).collect()
+        };
+        let successor = |step| {
+            let mut next = state.clone();
+            self.apply(&mut next, step);
+            (step, next)
+        };
+        steps.into_iter().map(successor).collect()
+    }
+
+    fn violation(&self, state: &CellState) -> Option<&'static str> {
+        let former = &state.daemons[OWNER];
+        let is_replaced = state.owner != OWNER && state.taken > ISOLATION;
+        let is_working = !state.is_paused
+            && former.owner == OWNER
+            && former.standing != MemberStanding::Isolated;
+        (is_replaced && is_working)
+            .then_some("a replaced owner goes on past the isolation time, so there are two")
+    }
+}
--- /dev/null
+++ b/crates/spec/src/machines/journal.rs
@@ -0,0 +1,355 @@
+//! A former and a new writer of one journal.
+//!
+//! Both run the daemons' own [`JournalWriter`]. The former one does not know that it has been
+//! replaced: it may be paused at any point and go on much later, also after the new one has
+//! trimmed the journal.
+
+use {
+    crate::{Mutation, SpecMachine},
+    damaskrack_model::Epoch,
+    damaskrack_ownership::{FoundSegment, JournalSegment, JournalStep, JournalWriter},
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// Records of each writer.
+const RECORDS: [u8; 2] = [2, 1];
+/// Answers that are lost and writes that are late.
+const FAULTS: u8 = 3;
+/// The record that a new owner writes first.
+const TAKEOVER: u8 = 0;
+/// Index of the new owner.
+const TAKER: usize = 1;
+
+/// A store call whose answer is awaited.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum JournalCall {
+    /// Creates a segment.
+    Create(u64, String),
+    /// Reads a segment.
+    ReadBack(u64),
+}
+
+/// How far the new owner has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum TakerPhase {
+    /// It has not read the journal.
+    Loading,
+    /// It writes its first segment.
+    Fencing,
+    /// It works.
+    Active,
+}
+
+/// One writer.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct WriterState {
+    writer: JournalWriter<u8>,
+    /// Records that it appended, with their positions.
+    appended: Vec<(u64, u8)>,
+    call: Option<JournalCall>,
+    late: Option<(u64, String)>,
+}
+
+/// The store and both writers.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct JournalState {
+    segments: BTreeMap<u64, String>,
+    writers: [WriterState; 2],
+    phase: TakerPhase,
+    loaded: BTreeSet<u8>,
+    has_snapshot: bool,
+    trim_below: Option<u64>,
+    faults: u8,
+    draws: u64,
+}
+
+/// What happens.
+#[derive(Debug, Clone, Copy)]
+pub enum WriterStep {
+    /// The new owner reads the journal.
+    Load,
+    /// A record is appended.
+    Append(usize),
+    /// The new owner restates everything in its next segment.
+    Snapshot,
+    /// The writer starts its next store call.
+    Call(usize),
+    /// The call is carried out and its answer arrives.
+    Answered(usize),
+    /// The call is carried out and its answer is lost.
+    AnswerLost(usize),
+    /// The writer gives up on the call, which is carried out later.
+    Late(usize),
+    /// A late call is carried out.
+    LateArrives(usize),
+    /// Segments before the snapshot are deleted.
+    Trim,
+}
+
+/// Explores the journal.
+#[derive(Debug)]
+pub struct JournalMachine {
+    removed: Vec<Mutation>,
+}
+
+impl JournalMachine {
+    fn lacks(&self, mutation: Mutation) -> bool {
+        self.removed.contains(&mutation)
+    }
+
+    fn load(state: &mut JournalState) {
+        state.loaded = replay(&state.segments);
+        let last = state.segments.keys().next_back().copied().unwrap_or(0);
+        let mut writer = JournalWriter::new(Epoch(2), last + 1);
+        let position = writer.append(TAKEOVER);
+        let appended = vec![(position, TAKEOVER)];
+        state.writers[TAKER] = WriterState { writer, appended, call: None, late: None };
+        state.phase = TakerPhase::Fencing;
+    }
+
+    /// Carries out a create; returns what stands there if it does not take effect.
+    fn create(&self, state: &mut JournalState, number: u64, value: &str) -> Option<String> {
+        let existing = state.segments.get(&number).cloned();
+        if existing.is_some() && !self.lacks(Mutation::CreateOnly) {
+            return existing;
+        }
+        state.segments.insert(number, value.to_owned());
+        None
+    }
+
+    fn begin_call(state: &mut JournalState, index: usize) {
+        state.draws += 1;
+        let draws = state.draws;
+        let side = &mut state.writers[index];
+        side.call = match side.writer.next_step(|| draws) {
+            JournalStep::Create { number, value } => Some(JournalCall::Create(number, value)),
+            JournalStep::ReadBack { number } => Some(JournalCall::ReadBack(number)),
+            JournalStep::Idle | JournalStep::Fenced => None,
+        };
+    }
+
+    fn answer(&self, state: &mut JournalState, index: usize) {
+        match state.writers[index].call.take() {
+            Some(JournalCall::Create(number, value)) => {
+                match self.create(state, number, &value) {
+                    None => self.note_written(state, index),
+                    Some(existing) => self.note_found(state, index, Some(&existing)),
+                }
+            }
+            Some(JournalCall::ReadBack(number)) => {
+                let value = state.segments.get(&number).cloned();
+                self.note_found(state, index, value.as_deref());
+            }
+            None => {}
+        }
+    }
+
+    fn note_found(&self, state: &mut JournalState, index: usize, value: Option<&str>) {
+        let writer = &mut state.writers[index].writer;
+        match writer.on_found(value) {
+            FoundSegment::Mine => self.note_written(state, index),
+            FoundSegment::Absent => {
+                let JournalStep::Create { number, value } = writer.on_not_written() else { return };
+                state.writers[index].call = Some(JournalCall::Create(number, value));
+            }
+            FoundSegment::Foreign => self.note_fenced(state, index),
+        }
+    }
+
+    fn note_fenced(&self, state: &mut JournalState, index: usize) {
+        if index != TAKER || state.phase != TakerPhase::Fencing {
+            return;
+        }
+        if self.lacks(Mutation::ReloadAfterConflict) {
+            let loaded = state.loaded.clone();
+            Self::load(state);
+            state.loaded = loaded;
+        } else {
+            state.phase = TakerPhase::Loading;
+        }
+    }
+
+    fn note_written(&self, state: &mut JournalState, index: usize) {
+        let number = state.writers[index].writer.next_number();
+        if state.writers[index].writer.on_written() {
+            state.trim_below = Some(number);
+        }
+        if index == TAKER && state.phase == TakerPhase::Fencing {
+            state.phase = TakerPhase::Active;
+        }
+    }
+
+    fn lose(&self, state: &mut JournalState, index: usize) {
+        state.faults -= 1;
+        state.writers[index].call = None;
+        if self.lacks(Mutation::JournalReadBack) {
+            self.note_written(state, index);
+        } else {
+            state.writers[index].writer.on_lost();
+        }
+    }
+
+    fn trim(&self, state: &mut JournalState) {
+        let Some(below) = state.trim_below.take() else { return };
+        let mut epochs = BTreeSet::new();
+        let keeps_fences = !self.lacks(Mutation::FenceSurvivesTrim);
+        state.segments.retain(|&number, value| {
+            let epoch = JournalSegment::<u8>::from_json(value).map(|segment| segment.epoch);
+            let is_first = epoch.is_ok_and(|epoch| epochs.insert(epoch));
+            number >= below || (keeps_fences && is_first)
+        });
+    }
+
+    fn writer_steps(&self, state: &JournalState, index: usize) -> Vec<WriterStep> {
+        let side = &state.writers[index];
+        let is_working = index != TAKER || state.phase == TakerPhase::Active;
+        let mut steps = Vec::new();
+        let own = side.appended.iter().filter(|(_, record)| *record != TAKEOVER).count();
+        if is_working && own < usize::from(RECORDS[index]) {
+            steps.push(WriterStep::Append(index));
+        }
+        let may_call = index != TAKER || state.phase != TakerPhase::Loading;
+        if may_call && side.call.is_none() && side.writer.wants_write() {
+            steps.push(WriterStep::Call(index));
+        }
+        if let Some(call) = &side.call {
+            steps.push(WriterStep::Answered(index));
+            if state.faults > 0 {
+                steps.push(WriterStep::AnswerLost(index));
+            }
+            if state.faults > 0 && side.late.is_none() && matches!(call, JournalCall::Create(..)) {
+                steps.push(WriterStep::Late(index));
+            }
+        }
+        steps.extend(side.late.as_ref().map(|_| WriterStep::LateArrives(index)));
+        steps
+    }
+
+    fn apply(&self, state: &mut JournalState, step: WriterStep) {
+        match step {
+            WriterStep::Load => Self::load(state),
+            WriterStep::Append(index) => {
+                let side = &mut state.writers[index];
+                let record = 10 * (index as u8 + 1) + side.appended.len() as u8;
+                let position = side.writer.append(record);
+                side.appended.push((position, record));
+            }
+            WriterStep::Snapshot => {
+                state.has_snapshot = true;
+                let own = state.writers[TAKER].appended.iter().map(|(_, record)| *record);
+                let records: BTreeSet<u8> = state.loaded.iter().copied().chain(own).collect();
+                state.writers[TAKER].writer.snapshot(records.into_iter().collect());
+            }
+            WriterStep::Call(index) => Self::begin_call(state, index),
+            WriterStep::Answered(index) => self.answer(state, index),
+            WriterStep::AnswerLost(index) => {
+                if let Some(JournalCall::Create(number, value)) = state.writers[index].call.clone()
+                {
+                    self.create(state, number, &value);
+                }
+                self.lose(state, index);
+            }
+            WriterStep::Late(index) => {
+                if let Some(JournalCall::Create(number, value)) = state.writers[index].call.clone()
+                {
+                    state.writers[index].late = Some((number, value));
+                }
+                self.lose(state, index);
+            }
+            WriterStep::LateArrives(index) => {
+                if let Some((number, value)) = state.writers[index].late.take() {
+                    self.create(state, number, &value);
+                }
+            }
+            WriterStep::Trim => self.trim(state),
+        }
+    }
+}
+
+fn replay(segments: &BTreeMap<u64, String>) -> BTreeSet<u8> {
+    let mut records = BTreeSet::new();
+    for segment in segments.values().filter_map(|text| JournalSegment::<u8>::from_json(text).ok()) {
+        if segment.is_snapshot {
+            records.clear();
+        }
+        records.extend(segment.records);
+    }
+    records
+}
+
+/// Returns the records that a writer calls durable.
+fn durable_records(side: &WriterState) -> impl Iterator<Item = u8> + '_ {
+    let durable = side.writer.durable_position();
+    side.appended.iter().filter(move |(at, _)| *at <= durable).map(|(_, record)| *record)
+}
+
+impl SpecMachine for JournalMachine {
+    type State = JournalState;
+    type Step = WriterStep;
+
+    fn new(removed: &[Mutation]) -> Self {
+        Self { removed: removed.to_vec() }
+    }
+
+    fn bounds(&self) -> &'static str {
+        "2 writers, 2 and 1 records, a snapshot and its trim, 3 lost answers or late writes"
+    }
+
+    fn initial(&self) -> JournalState {
+        let first = JournalSegment {
+            epoch: Epoch(1),
+            write: 0,
+            is_snapshot: false,
+            records: vec![TAKEOVER],
+        };
+        let side = |epoch, next| WriterState {
+            writer: JournalWriter::new(Epoch(epoch), next),
+            appended: Vec::new(),
+            call: None,
+            late: None,
+        };
+        JournalState {
+            segments: BTreeMap::from([(1, first.to_json())]),
+            writers: [side(1, 2), side(2, 2)],
+            phase: TakerPhase::Loading,
+            loaded: BTreeSet::new(),
+            has_snapshot: false,
+            trim_below: None,
+            faults: FAULTS,
+            draws: 0,
+        }
+    }
+
+    fn successors(&self, state: &JournalState) -> Vec<(WriterStep, JournalState)> {
+        let mut steps: Vec<_> = (0..2).flat_map(|index| self.writer_steps(state, index)).collect();
+        match state.phase {
+            TakerPhase::Loading => steps.push(WriterStep::Load),
+            TakerPhase::Active if !state.has_snapshot => steps.push(WriterStep::Snapshot),
+            _ => {}
+        }
+        steps.extend(state.trim_below.map(|_| WriterStep::Trim));
+        let successor = |step| {
+            let mut next = state.clone();
+            self.apply(&mut next, step);
+            (step, next)
+        };
+        steps.into_iter().map(successor).collect()
+    }
+
+    fn violation(&self, state: &JournalState) -> Option<&'static str> {
+        let stored = replay(&state.segments);
+        if state.phase == TakerPhase::Active {
+            let is_lost = |record: u8| !state.loaded.contains(&record);
+            if durable_records(&state.writers[0]).any(is_lost) {
+                return Some("a record that the former owner calls durable is unknown to the new");
+            }
+            let kept = state.loaded.iter().copied().chain(durable_records(&state.writers[TAKER]));
+            if kept.into_iter().any(|record| !stored.contains(&record)) {
+                return Some("a durable record is not in the journal any more");
+            }
+        } else if durable_records(&state.writers[0]).any(|record| !stored.contains(&record)) {
+            return Some("a durable record is not in the journal any more");
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/spec/src/machines/resubmission.rs
@@ -0,0 +1,408 @@
+//! A request that is not journalled and whose entry sends it again.
+//!
+//! The first owner of the team is replaced at any point, by a release or a takeover, and learns
+//! of it later or never. Messages are lost and arrive in any order, as they do when links are
+//! replaced.
+
+use {
+    crate::{Mutation, SpecMachine},
+    damaskrack_model::Epoch,
+    damaskrack_ownership::{SubmissionInput, SubmissionStep, judge_submission},
+};
+
+/// Most times that the entry sends the request.
+const SENDS: u8 = 3;
+/// Most messages on the way.
+const MESSAGES: usize = 3;
+/// Index of the new owner; the epoch of an owner is its index and one.
+const TAKER: usize = 1;
+
+/// What the caller is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum CallerAnswer {
+    /// It ran.
+    Done,
+    /// It never started.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// A message between the entry and an owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum CallMessage {
+    /// The request, with the owner that it may have reached first.
+    Submit(usize, Option<usize>),
+    /// The sender does not own the team.
+    NotOwner(usize),
+    /// The answer of an owner.
+    Answer(usize, CallerAnswer),
+}
+
+/// An attempt of the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum AttemptState {
+    /// It was never started.
+    None,
+    /// It runs.
+    Running,
+    /// It ended and its rack still knows it.
+    Ended,
+    /// It ended and is forgotten.
+    Gone,
+}
+
+/// An owner of the team.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct OwnerState {
+    /// Whether it takes itself for the owner and is ready.
+    is_owner: bool,
+    knows: bool,
+    has_ended: bool,
+    /// Whether the roll call found the first owner's attempt.
+    has_found: bool,
+}
+
+/// The entry, both owners and the racks.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct CallState {
+    /// Whether the request may run twice; `None` at the start.
+    is_idempotent: Option<bool>,
+    sends: u8,
+    sent_to: Option<usize>,
+    sent: [u8; 2],
+    first: Option<usize>,
+    seen: usize,
+    answer: Option<CallerAnswer>,
+    recorded: usize,
+    owners: [OwnerState; 2],
+    attempts: [AttemptState; 2],
+    starts: u8,
+    messages: Vec<CallMessage>,
+    is_wrongly_lost: bool,
+    /// Whether it was started while it ran.
+    is_doubled: bool,
+}
+
+/// What happens.
+#[derive(Debug, Clone, Copy)]
+pub enum CallStep {
+    /// The request may run twice, or not.
+    Begin(bool),
+    /// The entry sends the request to the owner that it knows of.
+    Send,
+    /// A message arrives.
+    Deliver(CallMessage),
+    /// The owner refuses a request because it is isolated.
+    Refuse(CallMessage),
+    /// A message is lost.
+    Drop(CallMessage),
+    /// An attempt ends.
+    End(usize),
+    /// An owner learns of the end and answers.
+    Learn(usize),
+    /// An owner forgets the answered request.
+    Forget(usize),
+    /// A rack forgets an end that nobody asked about.
+    ForgetEnd,
+    /// The ownership record names the new owner.
+    Take,
+    /// The former owner sees that.
+    Lose,
+    /// The entry sees that.
+    See,
+    /// The roll call of the new owner is complete.
+    Roll,
+    /// The entry gives up.
+    GiveUp,
+}
+
+/// Explores repeated submissions.
+#[derive(Debug)]
+pub struct ResubmissionMachine {
+    removed: Vec<Mutation>,
+}
+
+impl ResubmissionMachine {
+    fn lacks(&self, mutation: Mutation) -> bool {
+        self.removed.contains(&mutation)
+    }
+
+    fn submit(&self, state: &mut CallState, to: usize, first: Option<usize>) {
+        let owner = state.owners[to];
+        if !owner.is_owner {
+            return push(state, CallMessage::NotOwner(to));
+        }
+        let first = first.filter(|_| !self.lacks(Mutation::FirstEpoch));
+        let input = SubmissionInput {
+            first_epoch: first.map(epoch_of),
+            epoch: epoch_of(to),
+            is_known: owner.knows,
+            is_found: owner.has_found && !self.lacks(Mutation::AdoptFound),
+            is_rolled: true,
+            is_idempotent: state.is_idempotent == Some(true),
+        };
+        match judge_submission(input) {
+            SubmissionStep::Join if owner.has_ended => {
+                push(state, CallMessage::Answer(to, CallerAnswer::Done));
+            }
+            SubmissionStep::Join => {}
+            SubmissionStep::Adopt => state.owners[to].knows = true,
+            SubmissionStep::Start => {
+                state.owners[to].knows = true;
+                // Racks refuse the former owner once the roll call has reached them.
+                let is_fenced = to != TAKER && state.owners[TAKER].is_owner;
+                if !is_fenced {
+                    state.start(to);
+                }
+            }
+            SubmissionStep::Lost => {
+                let attempt = state.attempts[0];
+                state.is_wrongly_lost |=
+                    owner.has_found && matches!(attempt, AttemptState::Running);
+                push(state, CallMessage::Answer(to, CallerAnswer::Unknown));
+            }
+        }
+    }
+
+    fn receive(&self, state: &mut CallState, message: CallMessage) {
+        match message {
+            CallMessage::Submit(to, first) => self.submit(state, to, first),
+            CallMessage::NotOwner(from) => {
+                let is_single = state.sent[from] == 1 || self.lacks(Mutation::OnceSent);
+                if state.sent_to != Some(from) {
+                    return;
+                }
+                if state.first == Some(from) && is_single {
+                    state.first = None;
+                }
+                state.sent_to = None;
+            }
+            CallMessage::Answer(_, CallerAnswer::Done) => {
+                state.answer = Some(CallerAnswer::Done);
+            }
+            CallMessage::Answer(from, answer) => {
+                let is_current = state.sent_to == Some(from) || self.lacks(Mutation::CurrentAnswer);
+                let is_single = state.sent[from] == 1 || self.lacks(Mutation::OnceSent);
+                if is_current && (is_single || answer == CallerAnswer::Unknown) {
+                    state.answer = Some(answer);
+                }
+            }
+        }
+    }
+
+    fn owner_steps(&self, state: &CallState, index: usize) -> Vec<CallStep> {
+        let owner = state.owners[index];
+        let mut steps = Vec::new();
+        if state.attempts[index] == AttemptState::Running {
+            steps.push(CallStep::End(index));
+        }
+        if owner.is_owner && owner.knows && ended_attempt(state, index).is_some() {
+            steps.push(CallStep::Learn(index));
+        }
+        // An answer is remembered for longer than a message can be on its way.
+        let is_submit = |message: &CallMessage| matches!(message, CallMessage::Submit(..));
+        let is_asked = state.messages.iter().any(is_submit);
+        let is_needed = state.answer.is_none() && !self.lacks(Mutation::RememberAnswer);
+        if owner.has_ended && !is_asked && !is_needed {
+            steps.push(CallStep::Forget(index));
+        }
+        steps
+    }
+
+    fn message_steps(&self, state: &CallState) -> Vec<CallStep> {
+        let mut steps = Vec::new();
+        for &message in &state.messages {
+            steps.extend([CallStep::Deliver(message), CallStep::Drop(message)]);
+            // Work that may have reached a former owner is never refused.
+            if let CallMessage::Submit(to, first) = message
+                && state.owners[to].is_owner
+                && !state.owners[to].knows
+                && first.is_none_or(|first| first == to)
+            {
+                steps.push(CallStep::Refuse(message));
+            }
+        }
+        steps
+    }
+
+    fn entry_steps(&self, state: &CallState) -> Vec<CallStep> {
+        let mut steps = Vec::new();
+        if state.answer.is_none() {
+            if state.sends < SENDS && state.messages.len() < MESSAGES {
+                steps.push(CallStep::Send);
+            }
+            steps.push(CallStep::GiveUp);
+        }
+        if state.seen < state.recorded {
+            steps.push(CallStep::See);
+        }
+        if state.recorded == 0 {
+            steps.push(CallStep::Take);
+        } else {
+            steps.extend(state.owners[0].is_owner.then_some(CallStep::Lose));
+            steps.extend((!state.owners[TAKER].is_owner).then_some(CallStep::Roll));
+        }
+        let is_orphan = state.owners[TAKER].is_owner && !state.owners[TAKER].knows;
+        if is_orphan && state.attempts[0] == AttemptState::Ended {
+            steps.push(CallStep::ForgetEnd);
+        }
+        steps
+    }
+
+    fn apply(&self, state: &mut CallState, step: CallStep) {
+        match step {
+            CallStep::Begin(is_idempotent) => state.is_idempotent = Some(is_idempotent),
+            CallStep::Send => send(state),
+            CallStep::Deliver(message) => {
+                take(state, message);
+                self.receive(state, message);
+            }
+            CallStep::Refuse(message) => {
+                take(state, message);
+                if let CallMessage::Submit(to, _) = message {
+                    push(state, CallMessage::Answer(to, CallerAnswer::NotRun));
+                }
+            }
+            CallStep::Drop(message) => take(state, message),
+            CallStep::End(index) => state.attempts[index] = AttemptState::Ended,
+            CallStep::Learn(index) => {
+                if let Some(attempt) = ended_attempt(state, index) {
+                    state.attempts[attempt] = AttemptState::Gone;
+                }
+                state.owners[index].has_ended = true;
+                push(state, CallMessage::Answer(index, CallerAnswer::Done));
+            }
+            CallStep::Forget(index) => {
+                let owner = &mut state.owners[index];
+                *owner = OwnerState { is_owner: owner.is_owner, ..OwnerState::new(false) };
+            }
+            CallStep::ForgetEnd => {
+                state.attempts[0] = AttemptState::Gone;
+                state.owners[TAKER].has_found = false;
+            }
+            CallStep::Take => state.recorded = TAKER,
+            CallStep::Lose => state.owners[0] = OwnerState::new(false),
+            CallStep::See => state.seen = state.recorded,
+            CallStep::Roll => {
+                let attempt = state.attempts[0];
+                let has_found = matches!(attempt, AttemptState::Running | AttemptState::Ended);
+                state.owners[TAKER] = OwnerState { has_found, ..OwnerState::new(true) };
+            }
+            CallStep::GiveUp => {
+                let is_unsent = state.first.is_none();
+                state.answer =
+                    Some(if is_unsent { CallerAnswer::NotRun } else { CallerAnswer::Unknown });
+            }
+        }
+    }
+}
+
+impl OwnerState {
+    fn new(is_owner: bool) -> Self {
+        Self { is_owner, knows: false, has_ended: false, has_found: false }
+    }
+}
+
+impl CallState {
+    fn start(&mut self, owner: usize) {
+        self.is_doubled |= self.attempts.contains(&AttemptState::Running);
+        self.attempts[owner] = AttemptState::Running;
+        self.starts = (self.starts + 1).min(2);
+    }
+}
+
+fn epoch_of(owner: usize) -> Epoch {
+    Epoch(owner as u64 + 1)
+}
+
+/// Returns the attempt whose end an owner can learn of.
+fn ended_attempt(state: &CallState, index: usize) -> Option<usize> {
+    let is_ended = |attempt: usize| state.attempts[attempt] == AttemptState::Ended;
+    if is_ended(index) {
+        return Some(index);
+    }
+    (state.owners[index].has_found && is_ended(0)).then_some(0)
+}
+
+fn send(state: &mut CallState) {
+    let to = state.seen;
+    push(state, CallMessage::Submit(to, state.first));
+    state.first = state.first.or(Some(to));
+    state.sent_to = Some(to);
+    state.sent[to] += 1;
+    state.sends += 1;
+}
+
+fn push(state: &mut CallState, message: CallMessage) {
+    state.messages.push(message);
+    state.messages.sort_unstable();
+}
+
+fn take(state: &mut CallState, message: CallMessage) {
+    if let Some(index) = state.messages.iter().position(|other| *other == message) {
+        state.messages.remove(index);
+    }
+}
+
+impl SpecMachine for ResubmissionMachine {
+    type State = CallState;
+    type Step = CallStep;
+
+    fn new(removed: &[Mutation]) -> Self {
+        Self { removed: removed.to_vec() }
+    }
+
+    fn bounds(&self) -> &'static str {
+        "1 request, idempotent or not, sent up to 3 times, 2 owners, 3 messages on the way, lost and in any order"
+    }
+
+    fn initial(&self) -> CallState {
+        CallState {
+            is_idempotent: None,
+            sends: 0,
+            sent_to: None,
+            sent: [0; 2],
+            first: None,
+            seen: 0,
+            answer: None,
+            recorded: 0,
+            owners: [OwnerState::new(true), OwnerState::new(false)],
+            attempts: [AttemptState::None; 2],
+            starts: 0,
+            messages: Vec::new(),
+            is_wrongly_lost: false,
+            is_doubled: false,
+        }
+    }
+
+    fn successors(&self, state: &CallState) -> Vec<(CallStep, CallState)> {
+        let mut steps = Vec::new();
+        if state.is_idempotent.is_none() {
+            steps.extend([true, false].map(CallStep::Begin));
+        } else {
+            steps.extend(self.entry_steps(state));
+            steps.extend(self.message_steps(state));
+            steps.extend((0..2).flat_map(|index| self.owner_steps(state, index)));
+        }
+        let successor = |step| {
+            let mut next = state.clone();
+            self.apply(&mut next, step);
+            (step, next)
+        };
+        steps.into_iter().map(successor).collect()
+    }
+
+    fn violation(&self, state: &CallState) -> Option<&'static str> {
+        if state.is_doubled {
+            return Some("a request was started while it ran");
+        }
+        if state.is_idempotent == Some(false) && state.starts > 1 {
+            return Some("a non-idempotent request started twice");
+        }
+        if state.answer == Some(CallerAnswer::NotRun) && state.starts > 0 {
+            return Some("a request that was answered not run has started");
+        }
+        state.is_wrongly_lost.then_some("a request whose attempt was found is called unknown")
+    }
+}
--- /dev/null
+++ b/crates/spec/src/machines/team.rs
@@ -0,0 +1,456 @@
+//! A former and a new owner of one team with one rack.
+//!
+//! The team has an idempotent and a non-idempotent task. The former owner does not know that it
+//! has been replaced and goes on for ever. Its commands arrive in any order and arbitrarily
+//! late. The rack's owner may be replaced too, workers are lost without a trace, operators lower
+//! the upper limit, and callers cancel.
+
+use {
+    crate::{Mutation, SpecMachine},
+    damaskrack_model::Epoch,
+    damaskrack_ownership::{
+        EpochFence, FenceVerdict, UnfoundStep, is_provably_unstarted, judge_unfound,
+    },
+};
+
+/// Tasks; the first one is idempotent.
+const TASKS: usize = 2;
+/// Most messages on the way.
+const MESSAGES: usize = 3;
+/// Upper limit at the start and once it is lowered.
+const LIMITS: [u8; 2] = [2, 1];
+
+/// A message between an owner of the team and the rack's owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum TeamMessage {
+    /// Start this task; by the owner with this index, under this upper limit.
+    Place(usize, usize, u8),
+    /// The new owner's roll call.
+    RollCall,
+    /// What the rack runs, and what ended there.
+    RollAnswer([bool; TASKS], [bool; TASKS]),
+    /// The new owner's attempt has started.
+    Started(usize),
+    /// The new owner's attempt was refused and never starts.
+    Refused(usize),
+}
+
+/// What the new owner knows about a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum TaskPhase {
+    /// It waits.
+    Waiting,
+    /// It was sent and there is no verdict.
+    Sent,
+    /// It was sent and runs.
+    Running,
+    /// The roll call found it.
+    Found,
+    /// It ended.
+    Ended,
+    /// Its caller was told that it may have run.
+    Unknown,
+    /// Its caller was told that it never started.
+    NotRun,
+}
+
+/// How far the new owner has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum TakeoverPhase {
+    /// It does not own the team.
+    Absent,
+    /// The ownership record names it.
+    Taken,
+    /// It has read the journal.
+    Loaded,
+    /// It has written to the journal.
+    Fenced,
+    /// It starts work.
+    Active,
+}
+
+/// What the journal holds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub struct JournalRows {
+    has_intent: bool,
+    ended: [bool; TASKS],
+}
+
+/// Both owners, the journal, the rack and the messages.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct TeamState {
+    journal: JournalRows,
+    is_lowered: bool,
+    /// Tasks that the former owner has sent.
+    sent: [bool; TASKS],
+    /// Whether the former owner takes its intent for durable.
+    has_intent: bool,
+    phase: TakeoverPhase,
+    loaded: JournalRows,
+    tasks: [TaskPhase; TASKS],
+    fence: EpochFence,
+    is_rack_replaced: bool,
+    /// Attempts that run, by owner and task.
+    running: [[bool; TASKS]; 2],
+    /// Attempts that ended and are not acknowledged, by owner and task.
+    ended: [[bool; TASKS]; 2],
+    starts: [u8; TASKS],
+    is_over_limit: bool,
+    messages: Vec<TeamMessage>,
+}
+
+/// What happens.
+#[derive(Debug, Clone, Copy)]
+pub enum TeamStep {
+    /// The former owner's intent becomes durable.
+    Intend,
+    /// The former owner sends a task.
+    FormerPlace(usize),
+    /// The former owner records the end of a task and acknowledges it.
+    FormerEnd(usize),
+    /// Operators lower the upper limit.
+    Lower,
+    /// The new owner takes the team.
+    Take,
+    /// The new owner reads the journal.
+    Load,
+    /// The new owner's first segment becomes durable.
+    Fence,
+    /// The new owner asks the rack.
+    AskRoll,
+    /// The new owner starts work without a roll call.
+    SkipRoll,
+    /// The new owner sends a task.
+    Place(usize),
+    /// The new owner learns of the end of a task.
+    LearnEnd(usize),
+    /// A caller cancels a task that waits.
+    Cancel(usize),
+    /// A message arrives.
+    Deliver(TeamMessage),
+    /// The rack has no room for an attempt that arrives.
+    Full(TeamMessage),
+    /// A message is lost.
+    Drop(TeamMessage),
+    /// An attempt of an owner ends.
+    End(usize, usize),
+    /// The worker of an attempt is lost together with all that is known of it.
+    Vanish(usize, usize),
+    /// The rack gets another owner.
+    ReplaceRack,
+}
+
+/// Explores the takeover of a team.
+#[derive(Debug)]
+pub struct TeamMachine {
+    removed: Vec<Mutation>,
+}
+
+impl TeamMachine {
+    fn lacks(&self, mutation: Mutation) -> bool {
+        self.removed.contains(&mutation)
+    }
+
+    fn may_former_write(&self, state: &TeamState) -> bool {
+        state.phase < TakeoverPhase::Fenced || self.lacks(Mutation::JournalFence)
+    }
+
+    fn former_steps(&self, state: &TeamState) -> Vec<TeamStep> {
+        let mut steps = Vec::new();
+        if !state.has_intent && self.may_former_write(state) {
+            steps.push(TeamStep::Intend);
+        }
+        let counted = state.sent.iter().filter(|sent| **sent).count();
+        for task in 0..TASKS {
+            let has_intent = is_idempotent(task) || state.has_intent || self.lacks(Mutation::Intent);
+            let has_room = counted < usize::from(limit(state)) && state.messages.len() < MESSAGES;
+            if !state.sent[task] && has_intent && has_room {
+                steps.push(TeamStep::FormerPlace(task));
+            }
+            if state.ended[0][task] && self.may_former_write(state) {
+                steps.push(TeamStep::FormerEnd(task));
+            }
+        }
+        steps
+    }
+
+    fn taker_steps(&self, state: &TeamState) -> Vec<TeamStep> {
+        let has_room = state.messages.len() < MESSAGES;
+        match state.phase {
+            TakeoverPhase::Absent => vec![TeamStep::Take],
+            TakeoverPhase::Taken => vec![TeamStep::Load],
+            // The first write meets a segment if the former owner has written since the read.
+            TakeoverPhase::Loaded if state.loaded == state.journal => vec![TeamStep::Fence],
+            TakeoverPhase::Loaded => vec![TeamStep::Load],
+            TakeoverPhase::Fenced if self.lacks(Mutation::RollCall) => vec![TeamStep::SkipRoll],
+            TakeoverPhase::Fenced if has_room => vec![TeamStep::AskRoll],
+            TakeoverPhase::Fenced => Vec::new(),
+            TakeoverPhase::Active => self.work_steps(state),
+        }
+    }
+
+    fn work_steps(&self, state: &TeamState) -> Vec<TeamStep> {
+        let mut steps = Vec::new();
+        let counted = state.tasks.iter().filter(|task| self.is_counted(**task)).count();
+        let has_room = counted < usize::from(limit(state)) && state.messages.len() < MESSAGES;
+        for task in 0..TASKS {
+            if state.tasks[task] == TaskPhase::Waiting {
+                steps.push(TeamStep::Cancel(task));
+                steps.extend(has_room.then_some(TeamStep::Place(task)));
+            }
+            if state.ended[0][task] || state.ended[1][task] {
+                steps.push(TeamStep::LearnEnd(task));
+            }
+        }
+        steps
+    }
+
+    fn is_counted(&self, task: TaskPhase) -> bool {
+        match task {
+            TaskPhase::Sent => !self.lacks(Mutation::UncertainCount),
+            TaskPhase::Found => !self.lacks(Mutation::FoundCount),
+            TaskPhase::Running => true,
+            _ => false,
+        }
+    }
+
+    fn rack_steps(&self, state: &TeamState) -> Vec<TeamStep> {
+        let mut steps = Vec::new();
+        for owner in 0..2 {
+            for task in 0..TASKS {
+                if state.running[owner][task] {
+                    steps.extend([TeamStep::End(owner, task), TeamStep::Vanish(owner, task)]);
+                }
+            }
+        }
+        if !state.is_rack_replaced {
+            steps.push(TeamStep::ReplaceRack);
+        }
+        let mut messages = state.messages.clone();
+        messages.dedup();
+        for message in messages {
+            steps.extend([TeamStep::Deliver(message), TeamStep::Drop(message)]);
+            if matches!(message, TeamMessage::Place(1, ..)) {
+                steps.push(TeamStep::Full(message));
+            }
+        }
+        steps
+    }
+
+    fn receive(&self, state: &mut TeamState, message: TeamMessage) {
+        match message {
+            TeamMessage::Place(owner, task, limit) => self.place(state, owner, task, limit),
+            TeamMessage::RollCall => {
+                state.fence.admit(epoch_of(1));
+                push(state, TeamMessage::RollAnswer(state.running[0], state.ended[0]));
+            }
+            TeamMessage::RollAnswer(running, ended) => {
+                if state.phase == TakeoverPhase::Fenced {
+                    activate(state, running, ended);
+                }
+            }
+            TeamMessage::Started(task) => {
+                if state.tasks[task] == TaskPhase::Sent {
+                    state.tasks[task] = TaskPhase::Running;
+                }
+            }
+            TeamMessage::Refused(task) => {
+                if state.tasks[task] == TaskPhase::Sent {
+                    state.tasks[task] = TaskPhase::Waiting;
+                }
+            }
+        }
+    }
+
+    fn place(&self, state: &mut TeamState, owner: usize, task: usize, limit: u8) {
+        let is_stale = state.fence.admit(epoch_of(owner)) == FenceVerdict::Stale;
+        if is_stale && !self.lacks(Mutation::TeamFence) {
+            return;
+        }
+        state.running[owner][task] = true;
+        state.starts[task] += 1;
+        if owner == 1 {
+            let running = state.running.iter().flatten().filter(|running| **running).count();
+            state.is_over_limit |= running > usize::from(limit);
+            push(state, TeamMessage::Started(task));
+        }
+    }
+
+    fn cancel(&self, state: &mut TeamState, task: usize) {
+        let has_intent = state.loaded.has_intent;
+        let is_unstarted = is_provably_unstarted(false, true, is_idempotent(task), has_intent)
+            || self.lacks(Mutation::InheritedDoubt);
+        state.tasks[task] = if is_unstarted { TaskPhase::NotRun } else { TaskPhase::Unknown };
+    }
+
+    fn replace_rack(&self, state: &mut TeamState) {
+        state.is_rack_replaced = true;
+        state.fence = EpochFence::default();
+        if !self.lacks(Mutation::RecordFloor) {
+            let owner = usize::from(state.phase >= TakeoverPhase::Taken);
+            state.fence.raise(epoch_of(owner));
+        }
+    }
+
+    fn apply(&self, state: &mut TeamState, step: TeamStep) {
+        match step {
+            TeamStep::Intend => {
+                state.has_intent = true;
+                state.journal.has_intent = true;
+            }
+            TeamStep::FormerPlace(task) => {
+                state.sent[task] = true;
+                push(state, TeamMessage::Place(0, task, limit(state)));
+            }
+            TeamStep::FormerEnd(task) => {
+                state.journal.ended[task] = true;
+                state.ended[0][task] = false;
+            }
+            TeamStep::Lower => state.is_lowered = true,
+            TeamStep::Take => state.phase = TakeoverPhase::Taken,
+            TeamStep::Load => {
+                state.phase = TakeoverPhase::Loaded;
+                state.loaded = state.journal;
+            }
+            TeamStep::Fence => state.phase = TakeoverPhase::Fenced,
+            TeamStep::AskRoll => push(state, TeamMessage::RollCall),
+            TeamStep::SkipRoll => activate(state, [false; TASKS], [false; TASKS]),
+            TeamStep::Place(task) => {
+                state.tasks[task] = TaskPhase::Sent;
+                push(state, TeamMessage::Place(1, task, limit(state)));
+            }
+            TeamStep::LearnEnd(task) => {
+                state.ended.iter_mut().for_each(|tasks| tasks[task] = false);
+                if !is_answered(state.tasks[task]) {
+                    state.tasks[task] = TaskPhase::Ended;
+                }
+            }
+            TeamStep::Cancel(task) => self.cancel(state, task),
+            TeamStep::Deliver(message) => {
+                take(state, message);
+                self.receive(state, message);
+            }
+            TeamStep::Full(message) => {
+                take(state, message);
+                if let TeamMessage::Place(_, task, _) = message {
+                    push(state, TeamMessage::Refused(task));
+                }
+            }
+            TeamStep::Drop(message) => take(state, message),
+            TeamStep::End(owner, task) => {
+                state.running[owner][task] = false;
+                state.ended[owner][task] = true;
+            }
+            TeamStep::Vanish(owner, task) => state.running[owner][task] = false,
+            TeamStep::ReplaceRack => self.replace_rack(state),
+        }
+    }
+}
+
+fn is_answered(task: TaskPhase) -> bool {
+    matches!(task, TaskPhase::Unknown | TaskPhase::NotRun)
+}
+
+/// Starts work with what the roll call found.
+fn activate(state: &mut TeamState, running: [bool; TASKS], ended: [bool; TASKS]) {
+    state.phase = TakeoverPhase::Active;
+    for task in 0..TASKS {
+        let step = judge_unfound(is_idempotent(task), state.loaded.has_intent);
+        state.tasks[task] = if state.loaded.ended[task] || ended[task] {
+            TaskPhase::Ended
+        } else if running[task] {
+            TaskPhase::Found
+        } else if step == UnfoundStep::EndUnknown {
+            TaskPhase::Unknown
+        } else {
+            TaskPhase::Waiting
+        };
+    }
+}
+
+fn is_idempotent(task: usize) -> bool {
+    task == 0
+}
+
+fn limit(state: &TeamState) -> u8 {
+    LIMITS[usize::from(state.is_lowered)]
+}
+
+fn epoch_of(owner: usize) -> Epoch {
+    Epoch(owner as u64 + 1)
+}
+
+fn push(state: &mut TeamState, message: TeamMessage) {
+    state.messages.push(message);
+    state.messages.sort_unstable();
+}
+
+fn take(state: &mut TeamState, message: TeamMessage) {
+    if let Some(index) = state.messages.iter().position(|other| *other == message) {
+        state.messages.remove(index);
+    }
+}
+
+impl SpecMachine for TeamMachine {
+    type State = TeamState;
+    type Step = TeamStep;
+
+    fn new(removed: &[Mutation]) -> Self {
+        Self { removed: removed.to_vec() }
+    }
+
+    fn bounds(&self) -> &'static str {
+        "2 owners of a team, 2 owners of its rack, 1 idempotent and 1 non-idempotent task, 3 \
+         messages on the way, upper limit lowered once"
+    }
+
+    fn initial(&self) -> TeamState {
+        TeamState {
+            journal: JournalRows::default(),
+            is_lowered: false,
+            sent: [false; TASKS],
+            has_intent: false,
+            phase: TakeoverPhase::Absent,
+            loaded: JournalRows::default(),
+            tasks: [TaskPhase::Waiting; TASKS],
+            fence: EpochFence::default(),
+            is_rack_replaced: false,
+            running: [[false; TASKS]; 2],
+            ended: [[false; TASKS]; 2],
+            starts: [0; TASKS],
+            is_over_limit: false,
+            messages: Vec::new(),
+        }
+    }
+
+    fn successors(&self, state: &TeamState) -> Vec<(TeamStep, TeamState)> {
+        let mut steps = self.former_steps(state);
+        steps.extend(self.taker_steps(state));
+        steps.extend(self.rack_steps(state));
+        steps.extend((!state.is_lowered).then_some(TeamStep::Lower));
+        let successor = |step| {
+            let mut next = state.clone();
+            self.apply(&mut next, step);
+            (step, next)
+        };
+        steps.into_iter().map(successor).collect()
+    }
+
+    fn violation(&self, state: &TeamState) -> Option<&'static str> {
+        if state.is_over_limit {
+            return Some("a start passes the upper limit that its owner enforces");
+        }
+        for task in 0..TASKS {
+            if state.running[0][task] && state.running[1][task] {
+                return Some("a task runs in two places");
+            }
+            if !is_idempotent(task) && state.starts[task] > 1 {
+                return Some("a non-idempotent task started twice");
+            }
+            if state.tasks[task] == TaskPhase::NotRun && state.starts[task] > 0 {
+                return Some("a task that was answered not run has started");
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/spec/src/mutation.rs
@@ -0,0 +1,220 @@
+//! Mechanisms that can be removed one at a time.
+
+use {
+    crate::MachineName,
+    std::{fmt, str::FromStr},
+};
+
+/// A mechanism that an exploration goes without.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mutation {
+    /// An isolated daemon stops.
+    IsolationRule,
+    /// Only a daemon that hears half of the members takes pieces over.
+    TakerHalf,
+    /// Without the store, hearing exactly half of the members is not enough to go on.
+    ExactHalf,
+    /// A daemon whose record is gone from the store is isolated.
+    Delisting,
+    /// A delisting holds until later news undo it.
+    LastingDelisting,
+    /// Isolation ends only with current news of the store.
+    IsolationMemory,
+    /// News of the store are passed on second-hand.
+    PassedOnNews,
+    /// A taker counts only members that know that it has news of the store.
+    ToldHalf,
+    /// Members that own nothing count for the majority.
+    IdleMembers,
+    /// After a new registration, relayed news count only once the ownership records are as new.
+    RegistrationSeen,
+    /// Workers refuse commands under a lower epoch of the rack.
+    WorkerFence,
+    /// Leases are readings of the worker's clock and not durations from the arrival.
+    AbsoluteLease,
+    /// A new rack owner waits until leases that a former one renewed have ended.
+    LapseWait,
+    /// A former rack owner stops within the isolation time.
+    FormerOwnerStops,
+    /// A rack's void row is a proof only under the epoch that the attempt was sent under.
+    VoidEpoch,
+    /// A new rack owner says nothing of an attempt before it has heard from its worker.
+    RebuildFirst,
+    /// No worker restarts, and so loses its fence, while a former rack owner may still act.
+    QuietRestart,
+    /// Rack owners refuse commands under a lower epoch of the team.
+    TeamFence,
+    /// A new rack owner takes the teams' epochs from the ownership records.
+    RecordFloor,
+    /// A new team owner asks every rack before it starts work.
+    RollCall,
+    /// A non-idempotent task starts only after its intent is durable.
+    Intent,
+    /// A former team owner cannot write to the journal any more.
+    JournalFence,
+    /// Attempts without a verdict count against the upper limit.
+    UncertainCount,
+    /// Attempts that a roll call found count against the upper limit.
+    FoundCount,
+    /// A task that a former owner may have started is not called not run.
+    InheritedDoubt,
+    /// An existing journal segment is not overwritten.
+    CreateOnly,
+    /// A journal write whose answer was lost is read back.
+    JournalReadBack,
+    /// A new owner reads the journal again if its first write meets a segment.
+    ReloadAfterConflict,
+    /// Trimming leaves the first segment of each epoch.
+    FenceSurvivesTrim,
+    /// A change of the manifest whose answer was lost is read back by its change number.
+    ReadBack,
+    /// The head of the manifest is exchanged only against the revision that was read.
+    HeadSwap,
+    /// A refusal of a change whose answer was lost is called unknown.
+    UncertainChange,
+    /// A process takes only later versions of the manifest.
+    VersionGrows,
+    /// An entry withdraws its doubt only if the refusing owner got the request once.
+    OnceSent,
+    /// An owner joins a request to attempts that the roll call found.
+    AdoptFound,
+    /// Non-idempotent work that may have reached a former owner is not started again.
+    FirstEpoch,
+    /// An owner remembers an answered request until the answer has arrived.
+    RememberAnswer,
+    /// An entry believes a refusal only from the owner that it asked last.
+    CurrentAnswer,
+}
+
+/// A text is not the name of a mutation.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ParseMutationError;
+
+impl fmt::Display for ParseMutationError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("no such mutation; expected one of")?;
+        Mutation::all().try_for_each(|mutation| write!(f, " {mutation}"))
+    }
+}
+
+impl std::error::Error for ParseMutationError {}
+
+impl Mutation {
+    fn all() -> impl Iterator<Item = Self> {
+        let machines = MachineName::ALL.into_iter();
+        machines.flat_map(|machine| Self::of(machine).iter().chain(Self::redundant(machine))).copied()
+    }
+
+    /// Returns the machine that the mechanism belongs to.
+    #[must_use]
+    pub fn machine(self) -> MachineName {
+        let mut machines = MachineName::ALL.into_iter();
+        machines
+            .find(|machine| Self::of(*machine).contains(&self) || self.is_redundant_in(*machine))
+            .expect("each mechanism belongs to a machine")
+    }
+
+    fn is_redundant_in(self, machine: MachineName) -> bool {
+        Self::redundant(machine).contains(&self)
+    }
+
+    /// Returns the mechanisms of a machine whose absence shows nothing as long as the others are
+    /// there.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use damaskrack_spec::{MachineName, Mutation};
+    ///
+    /// assert!(Mutation::redundant(MachineName::Isolation).contains(&Mutation::Delisting));
+    /// ```
+    #[must_use]
+    pub fn redundant(machine: MachineName) -> &'static [Self] {
+        match machine {
+            MachineName::Isolation => {
+                &[Self::Delisting, Self::LastingDelisting, Self::IsolationMemory]
+            }
+            _ => &[],
+        }
+    }
+
+    /// Returns the mechanisms without which a machine violates a property.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use damaskrack_spec::{MachineName, Mutation};
+    ///
+    /// assert!(Mutation::of(MachineName::Journal).contains(&Mutation::CreateOnly));
+    /// ```
+    #[must_use]
+    #[must_use]
+    pub fn of(machine: MachineName) -> &'static [Self] {
+        match machine {
+            MachineName::Isolation => &[
+                Self::IsolationRule,
+                Self::TakerHalf,
+                Self::ExactHalf,
+                Self::PassedOnNews,
+                Self::ToldHalf,
+                Self::IdleMembers,
+                Self::RegistrationSeen,
+            ],
+            MachineName::RackTakeover => &[
+                Self::WorkerFence,
+                Self::AbsoluteLease,
+                Self::LapseWait,
+                Self::FormerOwnerStops,
+                Self::VoidEpoch,
+                Self::RebuildFirst,
+                Self::QuietRestart,
+            ],
+            MachineName::TeamTakeover => &[
+                Self::TeamFence,
+                Self::RecordFloor,
+                Self::RollCall,
+                Self::Intent,
+                Self::JournalFence,
+                Self::UncertainCount,
+                Self::FoundCount,
+                Self::InheritedDoubt,
+            ],
+            MachineName::Journal => &[
+                Self::CreateOnly,
+                Self::JournalReadBack,
+                Self::ReloadAfterConflict,
+                Self::FenceSurvivesTrim,
+            ],
+            MachineName::ManifestChange => {
+                &[Self::ReadBack, Self::HeadSwap, Self::UncertainChange, Self::VersionGrows]
+            }
+            MachineName::Resubmission => &[
+                Self::OnceSent,
+                Self::AdoptFound,
+                Self::FirstEpoch,
+                Self::RememberAnswer,
+                Self::CurrentAnswer,
+            ],
+        }
+    }
+}
+
+impl fmt::Display for Mutation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, letter) in format!("{self:?}").chars().enumerate() {
+            if index > 0 && letter.is_uppercase() {
+                f.write_str("_")?;
+            }
+            write!(f, "{}", letter.to_lowercase())?;
+        }
+        Ok(())
+    }
+}
+
+impl FromStr for Mutation {
+    type Err = ParseMutationError;
+
+    fn from_str(text: &str) -> Result<Self, ParseMutationError> {
+        Self::all().find(|mutation| mutation.to_string() == text).ok_or(ParseMutationError)
+    }
+}
--- /dev/null
+++ b/crates/spec/src/name.rs
@@ -0,0 +1,100 @@
+//! Names of the machines.
+
+use {
+    crate::{
+        IsolationMachine, JournalMachine, ManifestMachine, Mutation, RackMachine,
+        ResubmissionMachine, SpecMachine, TeamMachine, Verdict, explore,
+    },
+    std::{fmt, str::FromStr},
+};
+
+/// A part of the protocol that is explored by itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MachineName {
+    /// When a daemon that may have been replaced stops.
+    Isolation,
+    /// A new owner of a rack, the workers' leases and fences.
+    RackTakeover,
+    /// A new owner of a team, the roll call, intents and the upper limit.
+    TeamTakeover,
+    /// Two writers of a journal.
+    Journal,
+    /// Two operators who change the manifest.
+    ManifestChange,
+    /// A request that its entry sends again.
+    Resubmission,
+}
+
+/// A text is not the name of a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ParseMachineError;
+
+impl fmt::Display for ParseMachineError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("no such machine; expected one of")?;
+        MachineName::ALL.iter().try_for_each(|name| write!(f, " {name}"))
+    }
+}
+
+impl std::error::Error for ParseMachineError {}
+
+impl MachineName {
+    /// Every machine.
+    pub const ALL: [Self; 6] = [
+        Self::Isolation,
+        Self::RackTakeover,
+        Self::TeamTakeover,
+        Self::Journal,
+        Self::ManifestChange,
+        Self::Resubmission,
+    ];
+
+    /// Returns the name by which the machine is chosen.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Isolation => "isolation",
+            Self::RackTakeover => "rack_takeover",
+            Self::TeamTakeover => "team_takeover",
+            Self::Journal => "journal",
+            Self::ManifestChange => "manifest_change",
+            Self::Resubmission => "resubmission",
+        }
+    }
+
+    /// Explores the machine without the mechanisms in `removed`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use damaskrack_spec::{MachineName, Mutation};
+    ///
+    /// let verdict = MachineName::ManifestChange.explore(&[Mutation::ReadBack]);
+    /// assert!(verdict.counterexample.is_some());
+    /// ```
+    #[must_use]
+    pub fn explore(self, removed: &[Mutation]) -> Verdict {
+        match self {
+            Self::Isolation => explore(&IsolationMachine::new(removed)),
+            Self::RackTakeover => explore(&RackMachine::new(removed)),
+            Self::TeamTakeover => explore(&TeamMachine::new(removed)),
+            Self::Journal => explore(&JournalMachine::new(removed)),
+            Self::ManifestChange => explore(&ManifestMachine::new(removed)),
+            Self::Resubmission => explore(&ResubmissionMachine::new(removed)),
+        }
+    }
+}
+
+impl fmt::Display for MachineName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl FromStr for MachineName {
+    type Err = ParseMachineError;
+
+    fn from_str(text: &str) -> Result<Self, ParseMachineError> {
+        Self::ALL.into_iter().find(|name| name.as_str() == text).ok_or(ParseMachineError)
+    }
+}
