--- a/crates/spec/src/machines/isolation.rs
+++ b/crates/spec/src/machines/isolation.rs
@@ -50,8 +50,10 @@
     passed_on: u8,
     /// Whether somebody had news when this daemon had none any more.
     is_outrun: bool,
-    /// Whether its record was written anew since its own last news.
-    is_unseen: bool,
+    /// Time since it registered under a new lease.
+    registered: u8,
+    /// Whether somebody may have replaced it who did not know of that registration yet.
+    is_unsettled: bool,
     /// Members in its own last news.
     listed: [bool; DAEMONS],
     /// Owner in its own last news.
@@ -124,7 +126,10 @@
         grow_older(state);
         for daemon in 0..state.members {
             if Self::is_awake(state, daemon) && reaches_store(state, daemon) {
-                state.daemons[daemon].is_unseen |= state.renewed[daemon] > MEMBER_LEASE;
+                if state.renewed[daemon] > MEMBER_LEASE {
+                    state.daemons[daemon].registered = 0;
+                    state.daemons[daemon].is_unsettled = true;
+                }
                 state.renewed[daemon] = 0;
             }
         }
@@ -171,7 +176,7 @@
     }
 
     fn news_age(&self, daemon: &DaemonState) -> u8 {
-        if daemon.is_unseen && !self.lacks(Mutation::RegistrationSeen) {
+        if daemon.is_unsettled && !self.lacks(Mutation::SettledRegistration) {
             daemon.own
         } else {
             daemon.own.min(daemon.relayed)
@@ -215,7 +220,9 @@
         } else {
             daemon.standing
         };
-        let is_outrun = daemon.is_outrun && !self.lacks(Mutation::PassedOnNews);
+        let is_unsettled = daemon.is_unsettled && !self.lacks(Mutation::SettledRegistration);
+        let is_outrun =
+            is_unsettled || (daemon.is_outrun && !self.lacks(Mutation::PassedOnNews));
         let is_half = input.heard * 2 == input.known;
         let counted = if is_half && self.lacks(Mutation::ExactHalf) {
             StandingInput { heard: input.heard + 1, ..input }
@@ -335,6 +342,7 @@
     state.renewed.iter_mut().for_each(older);
     for daemon in &mut state.daemons {
         news_ages(daemon).into_iter().filter(|age| **age != NEVER).for_each(older);
+        older(&mut daemon.registered);
         daemon.heard.iter_mut().chain(&mut daemon.told).for_each(older);
     }
 }
@@ -349,6 +357,7 @@
     cap(&mut state.taken);
     state.renewed.iter_mut().for_each(cap);
     for daemon in &mut state.daemons {
+        cap(&mut daemon.registered);
         daemon.heard.iter_mut().chain(&mut daemon.told).for_each(cap);
     }
     let daemons = state.daemons.iter_mut();
@@ -369,7 +378,8 @@
     let view = &mut state.daemons[daemon];
     view.own = 0;
     view.passed_on = 0;
-    view.is_unseen = false;
+    // A taker acts on news that are at most the isolation time old.
+    view.is_unsettled &= view.registered < ISOLATION;
     view.is_delisted = false;
     view.listed = listed;
     view.owner = owner;
@@ -397,7 +407,8 @@
             is_delisted: false,
             passed_on: 0,
             is_outrun: false,
-            is_unseen: false,
+            registered: DECISIVE,
+            is_unsettled: false,
             listed: [true; DAEMONS],
             owner: OWNER,
             heard: [0; DAEMONS],
--- a/crates/spec/src/mutation.rs
+++ b/crates/spec/src/mutation.rs
@@ -26,8 +26,9 @@
     ToldHalf,
     /// Members that own nothing count for the majority.
     IdleMembers,
-    /// After a new registration, relayed news count only once the ownership records are as new.
-    RegistrationSeen,
+    /// After a new registration only own news count, until they are later than any takeover by
+    /// somebody who did not know of it.
+    SettledRegistration,
     /// Workers refuse commands under a lower epoch of the rack.
     WorkerFence,
     /// Leases are readings of the worker's clock and not durations from the arrival.
@@ -158,7 +159,7 @@
                 Self::PassedOnNews,
                 Self::ToldHalf,
                 Self::IdleMembers,
-                Self::RegistrationSeen,
+                Self::SettledRegistration,
             ],
             MachineName::RackTakeover => &[
                 Self::WorkerFence,
