--- a/crates/ownership/src/proof.rs
+++ b/crates/ownership/src/proof.rs
@@ -30,11 +30,7 @@
 /// ```
 #[must_use]
 pub fn judge_void(sent: Epoch, answered: Epoch, was_running: bool) -> VoidVerdict {
-    if sent == answered && !was_running {
-        VoidVerdict::NeverRan
-    } else {
-        VoidVerdict::MayHaveRun
-    }
+    if sent == answered && !was_running { VoidVerdict::NeverRan } else { VoidVerdict::MayHaveRun }
 }
 
 /// What becomes of a task that a former owner may have started and that no rack knows.
--- a/crates/spec/src/machines/isolation.rs
+++ b/crates/spec/src/machines/isolation.rs
@@ -28,8 +28,11 @@
 const NEVER: u8 = u8::MAX;
 /// Largest age that decides anything by itself; beyond it only differences matter.
 const DECISIVE: u8 = MEMBER_LEASE + 1;
-/// Most connections that break or come back, pauses, resumptions, outages and stalls.
+/// Most connections that break or come back, pauses, resumptions, outages and stalls, when the
+/// owner changes.
 const FAULTS: u8 = 4;
+/// The same when the manifest changes.
+const MANIFEST_FAULTS: u8 = 3;
 /// The owner that is replaced.
 const OWNER: usize = 0;
 /// Links between daemons.
@@ -37,7 +40,7 @@
 
 /// What a daemon knows; ages are in units of time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct DaemonState {
+pub(super) struct DaemonState {
     /// Age of its own news of the store.
     own: u8,
     /// Age of the freshest news that a peer relayed as showing this daemon.
@@ -65,9 +68,20 @@
     standing: MemberStanding,
 }
 
+/// What the others change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum ChangeKind {
+    /// The owner of daemon 0's piece, once daemon 0 seems to be gone.
+    Owner,
+    /// The manifest. A change is accepted without daemon 0, which owns nothing, once that is not
+    /// listed. Daemons get the manifest from the store and from each other.
+    Manifest,
+}
+
 /// The store, the connections and the daemons.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct CellState {
+    change: ChangeKind,
     members: usize,
     faults: u8,
     is_store_up: bool,
@@ -86,10 +100,10 @@
 #[derive(Debug, Clone, Copy)]
 pub enum CellStep {
     /// The cell has this many members.
-    Begin(usize),
+    Begin(ChangeKind, usize),
     /// The cell has three members, of which only the last reaches the store, the first and the
     /// last do not reach each other, and all have current news.
-    BeginSplit,
+    BeginSplit(ChangeKind),
     /// A unit of time passes; whoever is connected exchanges news.
     Tick,
     /// A daemon's connection to the store breaks or comes back.
@@ -102,7 +116,7 @@
     TogglePause,
     /// The owner's watch stalls or goes on.
     ToggleStall,
-    /// A daemon takes the piece.
+    /// A daemon takes the piece, or a change of the manifest that it wrote is accepted.
     Take(usize),
 }
 
@@ -111,6 +125,7 @@
 pub struct IsolationMachine {
     removed: Vec<Mutation>,
     names: [MemberName; DAEMONS],
+    changes: Vec<ChangeKind>,
 }
 
 impl IsolationMachine {
@@ -146,6 +161,10 @@
                 && Self::is_awake(state, one)
                 && Self::is_awake(state, other);
             if is_exchanging {
+                if state.change == ChangeKind::Manifest {
+                    pull(&mut state.daemons[one], &before[other]);
+                    pull(&mut state.daemons[other], &before[one]);
+                }
                 self.hear(&mut state.daemons[one], (one, other), &before[other]);
                 self.hear(&mut state.daemons[other], (other, one), &before[one]);
             }
@@ -221,8 +240,7 @@
             daemon.standing
         };
         let is_unsettled = daemon.is_unsettled && !self.lacks(Mutation::SettledRegistration);
-        let is_outrun =
-            is_unsettled || (daemon.is_outrun && !self.lacks(Mutation::PassedOnNews));
+        let is_outrun = is_unsettled || (daemon.is_outrun && !self.lacks(Mutation::PassedOnNews));
         let is_half = input.heard * 2 == input.known;
         let counted = if is_half && self.lacks(Mutation::ExactHalf) {
             StandingInput { heard: input.heard + 1, ..input }
@@ -257,7 +275,9 @@
             epoch: Epoch(1),
             write: 0,
         };
-        let is_owner_gone = !daemon.listed[OWNER] && daemon.heard[OWNER] > MEMBER_LEASE;
+        let is_silent = daemon.heard[OWNER] > MEMBER_LEASE;
+        let is_unlisted = !daemon.listed[OWNER];
+        let is_owner_gone = is_unlisted && (is_silent || state.change == ChangeKind::Manifest);
         let view = PieceView {
             me: &self.names[me],
             boot: 1,
@@ -284,8 +304,12 @@
 
     fn apply(&self, state: &mut CellState, step: CellStep) {
         match step {
-            CellStep::Begin(members) => state.members = members,
-            CellStep::BeginSplit => {
+            CellStep::Begin(change, members) => {
+                begin(state, change);
+                state.members = members;
+            }
+            CellStep::BeginSplit(change) => {
+                begin(state, change);
                 state.members = DAEMONS;
                 state.reaches_store = [false, false, true];
                 state.links = LINKS.map(|link| link != (0, DAEMONS - 1));
@@ -329,6 +353,21 @@
     }
 }
 
+fn begin(state: &mut CellState, change: ChangeKind) {
+    state.change = change;
+    state.faults = match change {
+        ChangeKind::Owner => FAULTS,
+        ChangeKind::Manifest => MANIFEST_FAULTS,
+    };
+}
+
+/// Takes a later manifest from a peer.
+fn pull(daemon: &mut DaemonState, peer: &DaemonState) {
+    if daemon.owner == OWNER {
+        daemon.owner = peer.owner;
+    }
+}
+
 fn reaches_store(state: &CellState, daemon: usize) -> bool {
     state.is_store_up && state.reaches_store[daemon]
 }
@@ -391,12 +430,16 @@
 
     fn new(removed: &[Mutation]) -> Self {
         let name = |text: &str| MemberName::new(text).expect("a constant name is well formed");
-        Self { removed: removed.to_vec(), names: [name("entry-0"), name("entry-1"), name("entry-2")] }
+        Self {
+            removed: removed.to_vec(),
+            names: [name("entry-0"), name("entry-1"), name("entry-2")],
+            changes: vec![ChangeKind::Owner, ChangeKind::Manifest],
+        }
     }
 
     fn bounds(&self) -> &'static str {
-        "2 or 3 daemons, 1 piece, 4 faults, also after 3 that come at once, isolation 2, member \
-         lease 3, unbounded time"
+        "2 or 3 daemons, 1 piece with 4 faults or a change of the manifest with 3, also after 3 \
+         faults at once, isolation 2, member lease 3, unbounded time"
     }
 
     fn initial(&self) -> CellState {
@@ -416,6 +459,7 @@
             standing: MemberStanding::Connected,
         };
         CellState {
+            change: ChangeKind::Owner,
             members: 0,
             faults: FAULTS,
             is_store_up: true,
@@ -431,8 +475,14 @@
     }
 
     fn successors(&self, state: &CellState) -> Vec<(CellStep, CellState)> {
-        let steps = if state.members == 0 {
-            vec![CellStep::Begin(2), CellStep::Begin(3), CellStep::BeginSplit]
+        let steps: Vec<CellStep> = if state.members == 0 {
+            self.changes
+                .iter()
+                .flat_map(|&change| {
+                    let whole = [2, DAEMONS].map(|members| CellStep::Begin(change, members));
+                    whole.into_iter().chain([CellStep::BeginSplit(change)])
+                })
+                .collect()
         } else {
             let takes = (1..state.members).filter(|&daemon| self.may_take(state, daemon));
             let takes = takes.map(CellStep::Take);
@@ -452,7 +502,10 @@
         let is_working = !state.is_paused
             && former.owner == OWNER
             && former.standing != MemberStanding::Isolated;
-        (is_replaced && is_working)
-            .then_some("a replaced owner goes on past the isolation time, so there are two")
+        let property = match state.change {
+            ChangeKind::Owner => "a replaced owner goes on past the isolation time: there are two",
+            ChangeKind::Manifest => "a daemon acts on a former manifest past the isolation time",
+        };
+        (is_replaced && is_working).then_some(property)
     }
 }
--- a/crates/spec/src/machines/journal.rs
+++ b/crates/spec/src/machines/journal.rs
@@ -22,7 +22,7 @@
 
 /// A store call whose answer is awaited.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub enum JournalCall {
+pub(super) enum JournalCall {
     /// Creates a segment.
     Create(u64, String),
     /// Reads a segment.
@@ -31,7 +31,7 @@
 
 /// How far the new owner has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum TakerPhase {
+pub(super) enum TakerPhase {
     /// It has not read the journal.
     Loading,
     /// It writes its first segment.
@@ -42,7 +42,7 @@
 
 /// One writer.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct WriterState {
+pub(super) struct WriterState {
     writer: JournalWriter<u8>,
     /// Records that it appended, with their positions.
     appended: Vec<(u64, u8)>,
@@ -130,12 +130,10 @@
 
     fn answer(&self, state: &mut JournalState, index: usize) {
         match state.writers[index].call.take() {
-            Some(JournalCall::Create(number, value)) => {
-                match self.create(state, number, &value) {
-                    None => self.note_written(state, index),
-                    Some(existing) => self.note_found(state, index, Some(&existing)),
-                }
-            }
+            Some(JournalCall::Create(number, value)) => match self.create(state, number, &value) {
+                None => self.note_written(state, index),
+                Some(existing) => self.note_found(state, index, Some(&existing)),
+            },
             Some(JournalCall::ReadBack(number)) => {
                 let value = state.segments.get(&number).cloned();
                 self.note_found(state, index, value.as_deref());
--- a/crates/spec/src/machines/manifest.rs
+++ b/crates/spec/src/machines/manifest.rs
@@ -18,7 +18,7 @@
 
 /// How far a change has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum ChangePhase {
+pub(super) enum ChangePhase {
     /// The operator has not handed it in.
     New,
     /// The head is to be exchanged.
@@ -37,7 +37,7 @@
 
 /// A change in the hands of a daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct ChangeState {
+pub(super) struct ChangeState {
     phase: ChangePhase,
     mark: SwapMark,
     base: u64,
@@ -250,8 +250,7 @@
         if state.history.windows(2).any(|pair| pair[1].version != pair[0].version + 1) {
             return Some("versions do not grow by one");
         }
-        let count =
-            |change: u64| state.history.iter().filter(|mark| mark.change == change).count();
+        let count = |change: u64| state.history.iter().filter(|mark| mark.change == change).count();
         for (index, change) in state.changes.iter().enumerate() {
             match (change.phase, count(index as u64 + 1)) {
                 (ChangePhase::NotRun, 1..) => return Some("a refused change took effect"),
--- a/crates/spec/src/machines/rack.rs
+++ b/crates/spec/src/machines/rack.rs
@@ -38,7 +38,7 @@
 
 /// What an owner knows of the attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum KnownPhase {
+pub(super) enum KnownPhase {
     /// Nothing is known.
     Unheard,
     /// The worker does not list it.
@@ -51,7 +51,7 @@
 
 /// What the queue owner concludes about the attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum TaskVerdict {
+pub(super) enum TaskVerdict {
     /// It counts as running.
     Open,
     /// It does not run any more, but may have: an idempotent task starts again.
--- a/crates/spec/src/machines/resubmission.rs
+++ b/crates/spec/src/machines/resubmission.rs
@@ -41,7 +41,7 @@
 
 /// An attempt of the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum AttemptState {
+pub(super) enum AttemptState {
     /// It was never started.
     None,
     /// It runs.
@@ -54,7 +54,7 @@
 
 /// An owner of the team.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct OwnerState {
+pub(super) struct OwnerState {
     /// Whether it takes itself for the owner and is ready.
     is_owner: bool,
     knows: bool,
--- a/crates/spec/src/machines/team.rs
+++ b/crates/spec/src/machines/team.rs
@@ -37,7 +37,7 @@
 
 /// What the new owner knows about a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum TaskPhase {
+pub(super) enum TaskPhase {
     /// It waits.
     Waiting,
     /// It was sent and there is no verdict.
@@ -56,7 +56,7 @@
 
 /// How far the new owner has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum TakeoverPhase {
+pub(super) enum TakeoverPhase {
     /// It does not own the team.
     Absent,
     /// The ownership record names it.
@@ -71,7 +71,7 @@
 
 /// What the journal holds.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
-pub struct JournalRows {
+pub(super) struct JournalRows {
     has_intent: bool,
     ended: [bool; TASKS],
 }
@@ -162,7 +162,8 @@
         }
         let counted = state.sent.iter().filter(|sent| **sent).count();
         for task in 0..TASKS {
-            let has_intent = is_idempotent(task) || state.has_intent || self.lacks(Mutation::Intent);
+            let has_intent =
+                is_idempotent(task) || state.has_intent || self.lacks(Mutation::Intent);
             let has_room = counted < usize::from(limit(state)) && state.messages.len() < MESSAGES;
             if !state.sent[task] && has_intent && has_room {
                 steps.push(TeamStep::FormerPlace(task));
--- a/crates/spec/src/main.rs
+++ b/crates/spec/src/main.rs
@@ -48,12 +48,7 @@
     Ok(is_of_machine.then_some(wanted).into_iter().collect())
 }
 
-fn print_verdict(
-    machine: MachineName,
-    removed: &[Mutation],
-    verdict: &Verdict,
-    with_trace: bool,
-) {
+fn print_verdict(machine: MachineName, removed: &[Mutation], verdict: &Verdict, with_trace: bool) {
     let without: String = removed.iter().map(|name| format!(" without {name}")).collect();
     if removed.is_empty() {
         println!("{machine}: {}", verdict.bounds);
--- a/crates/spec/src/mutation.rs
+++ b/crates/spec/src/mutation.rs
@@ -103,7 +103,9 @@
 impl Mutation {
     fn all() -> impl Iterator<Item = Self> {
         let machines = MachineName::ALL.into_iter();
-        machines.flat_map(|machine| Self::of(machine).iter().chain(Self::redundant(machine))).copied()
+        machines
+            .flat_map(|machine| Self::of(machine).iter().chain(Self::redundant(machine)))
+            .copied()
     }
 
     /// Returns the machine that the mechanism belongs to.
@@ -149,7 +151,6 @@
     /// assert!(Mutation::of(MachineName::Journal).contains(&Mutation::CreateOnly));
     /// ```
     #[must_use]
-    #[must_use]
     pub fn of(machine: MachineName) -> &'static [Self] {
         match machine {
             MachineName::Isolation => &[
