--- a/crates/manifest/src/shape.rs
+++ b/crates/manifest/src/shape.rs
@@ -81,7 +81,7 @@
 }
 
 fn explain<T: DeserializeOwned>(value: &Value) -> Option<String> {
-    serde_json::from_value::<T>(value.clone()).err().map(|error| error.to_string())
+    T::deserialize(value).err().map(|error| error.to_string())
 }
 
 /// Collects every fault of form in a whole manifest.
@@ -156,7 +156,7 @@
 }
 
 /// Appends a field name to a path; a name that is not a plain word is quoted.
-fn child_path(path: &str, name: &str) -> String {
+pub(crate) fn child_path(path: &str, name: &str) -> String {
     let is_plain = !name.is_empty() && name.chars().all(|c| c.is_ascii_alphanumeric() || c == '_');
     if is_plain { format!("{path}.{name}") } else { format!("{path}[{name:?}]") }
 }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -57,6 +57,11 @@
     /// Whether the waiting time has passed once already without a reachable owner.
     is_overdue: bool,
     sent_to: Option<(MemberName, u64, Epoch)>,
+    /// Copies that were sent since the work had certainly reached nobody.
+    copies: u32,
+    /// Copies that were refused as unknown work.
+    refusals: u32,
+    first_sent_at: ClockTime,
     resend_at: ClockTime,
     resend_ms: u64,
 }
@@ -105,6 +110,9 @@
                     gives_up_at: Some(gives_up_at),
                     is_overdue: false,
                     sent_to: None,
+                    copies: 0,
+                    refusals: 0,
+                    first_sent_at: view.now,
                     resend_at: view.now,
                     resend_ms: RESEND_MIN_MS,
                 };
@@ -145,6 +153,7 @@
                     queue,
                     nonce: out.draw(),
                     first_epoch: None,
+                    age_ms: 0,
                     key,
                     idempotency_key,
                     is_waiting,
@@ -197,6 +206,11 @@
             return;
         }
         out.send(from, PeerMessage::AnswerAck { calls: vec![call] });
+        let waiting = self.calls.get_mut(&call.serial);
+        if waiting.is_some_and(|waiting| waiting.is_partial_refusal(from, &answer)) {
+            out.count("entry.partial_refusals", 1);
+            return;
+        }
         let Some(ended) = self.calls.remove(&call.serial) else {
             out.count("entry.late_answers", 1);
             return;
@@ -213,11 +227,13 @@
         if !is_current {
             return;
         }
-        if let (EntryQuestion::Submit(order), Some((_, _, epoch))) =
-            (&mut ended.question, &ended.sent_to)
-            && order.first_epoch == Some(*epoch)
+        if let EntryQuestion::Submit(order) = &mut ended.question
+            && ended.copies == 1
         {
+            // The only copy had no effect. With more than one, an earlier copy may have had.
             order.first_epoch = None;
+            ended.copies = 0;
+            ended.refusals = 0;
         }
         ended.sent_to = None;
         ended.resend_at = view.now.plus(RESEND_MIN_MS / 10);
@@ -281,6 +297,20 @@
 }
 
 impl EntryCall {
+    /// Tells whether an answer refuses less than everything that was sent.
+    ///
+    /// A refusal of unknown work speaks of one copy. Another copy may still be taken, by another
+    /// owner or by the same one, so only refusals of all copies make the work not run.
+    fn is_partial_refusal(&mut self, from: &MemberName, answer: &WorkAnswer) -> bool {
+        let is_current = self.sent_to.as_ref().is_some_and(|(member, ..)| member == from);
+        if answer.outcome != OutcomeKind::NotRun || (is_current && answer.job.is_some()) {
+            return false;
+        }
+        self.refusals += 1;
+        let is_question = !matches!(self.question, EntryQuestion::Submit(_));
+        !is_current || (self.refusals < self.copies && !is_question)
+    }
+
     /// Sends the call to the team's owner, if there is one.
     fn send(&mut self, id: CallId, view: &ClusterView, out: &mut ActionBuffer) {
         let piece = PieceName::Team(self.team.clone());
@@ -299,6 +329,11 @@
         self.sent_to = Some((owner.clone(), record.boot, record.epoch));
         let message = match &mut self.question {
             EntryQuestion::Submit(order) => {
+                if self.copies == 0 {
+                    self.first_sent_at = view.now;
+                }
+                self.copies += 1;
+                order.age_ms = view.now.since(self.first_sent_at);
                 let copy = order.as_ref().clone();
                 order.first_epoch = order.first_epoch.or(Some(record.epoch));
                 PeerMessage::Submit { call: id, team: self.team.clone(), order: copy }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -8,7 +8,7 @@
         exchange::DigestExchange,
         manifest::{ManifestReader, ManifestWriter},
         membership::{
-            FollowedChange, HeartbeatView, MemberRegistration, PeerMonitor, StoreFollower,
+            FollowedChange, HeartbeatView, MemberRegistration, OwnNews, PeerMonitor, StoreFollower,
         },
         pieces::{PieceChange, PieceRole},
         queue::QueueRole,
@@ -146,9 +146,17 @@
         })
     }
 
+    fn own_news(&self) -> OwnNews {
+        let seen = self.follower.seen_revision();
+        OwnNews {
+            at: self.follower.news_at(),
+            shows_registration: self.registration.listed_revision().is_some_and(|at| at <= seen),
+        }
+    }
+
     fn judge_standing(&mut self) {
-        let news_at = self.follower.news_at();
-        let standing = self.monitor.judge(&self.view, &self.config, news_at);
+        let news = self.own_news();
+        let standing = self.monitor.judge(&self.view, &self.config, news);
         if standing != self.view.standing {
             let (old, new) = (format!("{:?}", self.view.standing), format!("{standing:?}"));
             let level = if standing == MemberStanding::Connected {
@@ -158,7 +166,14 @@
             };
             self.out.log(level, "standing_changed", &[("from", &old), ("to", &new)]);
         }
+        if standing != self.view.standing {
+            self.view.standing_since = self.view.now;
+        }
         self.view.standing = standing;
+        self.view.store_news_at = news.at;
+        if standing == MemberStanding::Isolated {
+            self.view.is_caught_up = false;
+        }
     }
 
     fn take_input(&mut self, input: NodeInput) {
@@ -200,6 +215,7 @@
             PeerMessage::Heartbeat {
                 version,
                 store_age_ms,
+                heard_store_age_ms,
                 sees_receiver,
                 clock_ms,
                 echo_ms,
@@ -208,6 +224,7 @@
                 let beat = HeartbeatView {
                     version,
                     store_age_ms,
+                    heard_store_age_ms,
                     sees_receiver,
                     clock_ms,
                     echo_ms,
@@ -223,7 +240,7 @@
                 self.entry.on_answer(from, call, answer, view, config, out);
             }
             PeerMessage::NotOwner { call, .. } => self.entry.on_not_owner(from, call, view),
-            PeerMessage::AnswerAck { .. } => {}
+            PeerMessage::AnswerAck { calls } => self.queues.on_answer_acks(&calls),
             PeerMessage::RackDigests { summaries } => {
                 self.exchange.on_racks(from, summaries, view);
             }
@@ -297,11 +314,15 @@
     }
 
     fn run_systems(&mut self) {
+        let news = self.own_news();
         let (view, config, out) = (&mut self.view, &self.config, &mut self.out);
         self.follower.tick(view.now, config.store_timeout_ms, out);
         self.registration.tick(view.now, config, view.is_leaving, out);
-        self.monitor.tick(view, config, self.follower.news_at(), out);
+        self.monitor.tick(view, config, news, out);
         self.reader.tick(view, config, out);
+        if view.standing != MemberStanding::Isolated && self.reader.is_current(view) {
+            view.is_caught_up = true;
+        }
         let (head, revision) = (self.reader.head_version(), self.reader.head_revision());
         self.writer.tick(head, revision, view, config, out);
         if self.follower.is_listed() {
@@ -309,9 +330,11 @@
         }
         let (view, config, out) = (&mut self.view, &self.config, &mut self.out);
         let (racks, queues) = (&self.racks, &self.queues);
-        let summaries = racks.summaries(view);
-        let digests = queues.digests(view);
-        self.exchange.tick(|| summaries, || digests, view, config, out);
+        if self.exchange.is_due(view.now) {
+            let (summaries, digests) = (racks.summaries(view), queues.digests(view));
+            self.exchange.send(summaries, digests, view, config, out);
+        }
+        self.exchange.tick(view);
         self.entry.tick(view, config, out);
         self.queues.tick(view, config, out);
         self.racks.tick(config, view, out);
--- a/crates/node/src/queue/takeover.rs
+++ b/crates/node/src/queue/takeover.rs
@@ -69,7 +69,7 @@
         queue.phase = TeamPhase::Loading { call: 0, retry_at };
         return;
     };
-    let mut last = 0;
+    let (mut last, mut epoch) = (0, Epoch::default());
     let mut records = Vec::new();
     for entry in entries {
         let number = entry.key.rsplit('/').next().and_then(|hex| u64::from_str_radix(hex, 16).ok());
@@ -79,6 +79,10 @@
             continue;
         };
         last = last.max(number);
+        if segment.epoch > epoch {
+            epoch = segment.epoch;
+            queue.epoch_segments.push(number);
+        }
         if segment.is_snapshot {
             records.clear();
         }
@@ -87,6 +91,7 @@
     for record in records {
         replay(queue, record, context);
     }
+    queue.epoch_segments.push(last + 1);
     queue.journal = JournalWriter::new(queue.epoch, last + 1);
     queue.journal.append(JournalRecord::Takeover);
     queue.phase = TeamPhase::Fencing;
@@ -159,6 +164,11 @@
     let since = context.view.now;
     queue.phase = TeamPhase::RollCall { missing, ask_at: since, since };
     ask_racks(queue, context);
+    take_early(queue, context);
+}
+
+/// Judges the submissions that had to wait; those that must wait on do so.
+fn take_early(queue: &mut TeamQueue, context: &mut QueueContext<'_>) {
     for early in std::mem::take(&mut queue.early) {
         accept::on_submit(queue, &early.from, early.call, early.order, context);
     }
@@ -229,9 +239,17 @@
         stopping_at: None,
         sequence,
     };
+    let (nonce, task) = (attempt.id.job.nonce, attempt.id.task);
     let key = queue.insert_attempt(attempt);
-    if let Some(job) = job {
-        settle::attach_attempt(queue, job, key);
+    match job {
+        Some(job) if queue.jobs[job].stage(task) == Some(TaskStage::Waiting) => {
+            settle::attach_attempt(queue, job, key);
+        }
+        Some(job) => {
+            queue.add_superfluous(job, key);
+            settle::stop_attempts(queue, &[key], context);
+        }
+        None => queue.orphan_attempts.entry(nonce).or_default().push(key),
     }
     if is_unstarted {
         settle::stop_attempts(queue, &[key], context);
@@ -254,12 +272,17 @@
         queue.refresh_job(key);
         settle::finish_if_ended(queue, key, context);
     }
+    take_early(queue, context);
 }
 
 /// Decides about the tasks of a job that a former owner may have started and no rack knows.
 fn resolve_inherited(queue: &mut TeamQueue, key: JobKey, context: &mut QueueContext<'_>) {
     let job = &mut queue.jobs[key];
-    if !job.is_inherited || job.is_ended() {
+    if !job.is_inherited {
+        return;
+    }
+    job.requeue_waiting();
+    if job.is_ended() {
         return;
     }
     if job.is_cancelled {
@@ -277,20 +300,18 @@
             |task: &u32| job.stage(*task) == Some(TaskStage::Waiting) && !job.lacks_intent(*task);
         (0..job.spec.tasks).filter(is_lost).collect()
     };
-    job.queued = (0..job.spec.tasks)
-        .filter(|&task| job.stage(task) == Some(TaskStage::Waiting) && !lost.contains(&task))
-        .collect();
     let output = "a former owner may have started it and its result is lost";
     for task in lost {
         settle::end_task(queue, key, task, OutcomeKind::Unknown, output);
     }
+    queue.jobs[key].requeue_waiting();
 }
 
 /// A gang that is not whole any more is stopped and runs again, if it may.
 fn resolve_gang(queue: &mut TeamQueue, key: JobKey, context: &mut QueueContext<'_>) {
     let job = &mut queue.jobs[key];
-    let is_whole = job.counts.active == job.spec.tasks;
-    let is_untouched = job.counts.waiting == job.spec.tasks;
+    let is_whole = job.counts.active == job.spec.tasks && job.superfluous == 0;
+    let is_untouched = job.counts.waiting == job.spec.tasks && job.superfluous == 0;
     let output = "a former owner may have started it and its result is lost";
     if is_whole {
         job.gang = GangStage::Started;
--- a/crates/node/src/rack/tests.rs
+++ b/crates/node/src/rack/tests.rs
@@ -8,13 +8,17 @@
 
 use {
     super::RackRole,
-    crate::{NodeAction, NodeConfig, buffer::ActionBuffer, view::ClusterView},
+    crate::{
+        NodeAction, NodeConfig,
+        buffer::ActionBuffer,
+        view::{ClusterView, OwnerRow},
+    },
     damaskrack_manifest::{ZoneEntry, ZoneState},
     damaskrack_model::{
         AttemptId, ClockTime, Epoch, JobId, MemberName, PriorityClass, RackName, Resources,
         TeamName, WorkKind,
     },
-    damaskrack_ownership::MemberStanding,
+    damaskrack_ownership::{MemberStanding, OwnerRecord, PieceName},
     damaskrack_platform::{HostRow, HostState, WorkerCall, WorkerFailure, WorkerReply},
     damaskrack_wire::{
         AttemptPhase, AttemptRow, EndedNotice, PeerMessage, PlaceMode, PlaceOrder, PlaceVerdict,
@@ -96,9 +100,14 @@
         let mut view = ClusterView::new(me);
         view.now = ClockTime(1_000_000);
         view.standing = MemberStanding::Connected;
+        view.is_caught_up = true;
+        view.store_news_at = Some(view.now);
         view.manifest.version = 1;
         view.manifest.document.zones = vec![ZoneEntry { name: name("z1"), state: ZoneState::In }];
         view.cell_capacity = WORKER.checked_mul(workers.into()).expect("a small cell");
+        for team in ["harbour", "bulk", "gang"] {
+            view.owners.insert(PieceName::Team(name(team)), owner("q1"));
+        }
         let hosts = (1..=workers).map(host).collect::<Vec<_>>();
         let workers = hosts.iter().map(|row| (row.address, FakeWorker::new(11))).collect();
         view.hosts = hosts;
@@ -149,6 +158,9 @@
     /// Lets time pass at the workers while the daemon does nothing.
     fn pause(&mut self, millis: u64) {
         self.view.now = self.view.now.plus(millis);
+        if self.view.standing == MemberStanding::Connected {
+            self.view.store_news_at = Some(self.view.now);
+        }
         self.workers.values_mut().for_each(|worker| worker.advance(millis));
         for call in std::mem::take(&mut self.late_calls) {
             if self.view.now.since(call.sent_at) < LATE_MS {
@@ -299,6 +311,11 @@
     }
 }
 
+fn owner(member: &str) -> OwnerRow {
+    let record = OwnerRecord { owner: Some(name(member)), boot: 1, epoch: Epoch(1), write: 1 };
+    OwnerRow { record, revision: 1 }
+}
+
 fn host(number: u16) -> HostRow {
     HostRow {
         worker: name(&format!("w{number}")),
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -75,6 +75,12 @@
     pub(crate) standing: MemberStanding,
     /// Whether this daemon is shutting down.
     pub(crate) is_leaving: bool,
+    /// Whether the manifest has caught up with the store since this daemon was last isolated.
+    pub(crate) is_caught_up: bool,
+    /// When this daemon's freshest own news of the store were asked for.
+    pub(crate) store_news_at: Option<ClockTime>,
+    /// Since when the standing has been what it is.
+    pub(crate) standing_since: ClockTime,
     /// Members by name, this daemon included once it is registered.
     pub(crate) members: BTreeMap<MemberName, MemberRow>,
     /// Ownership records.
@@ -108,6 +114,9 @@
             me,
             standing: MemberStanding::Isolated,
             is_leaving: false,
+            is_caught_up: false,
+            store_news_at: None,
+            standing_since: ClockTime::default(),
             members: BTreeMap::new(),
             owners: BTreeMap::new(),
             owned_counts: FxHashMap::default(),
@@ -123,17 +132,21 @@
         }
     }
 
-    /// Returns the other members that count for a majority: those that are listed, and those
-    /// that still own something under the boot number they were last listed with.
-    pub(crate) fn known_members(&self) -> Vec<&MemberRow> {
-        self.members
-            .iter()
-            .filter(|(member, row)| **member != self.me && self.is_known(member, row))
+    /// Returns the other members that were known lately and did not say that they leave.
+    pub(crate) fn known_members(&self) -> impl Iterator<Item = &MemberRow> {
+        let others = self.members.iter().filter(|(member, _)| **member != self.me);
+        others
+            .filter(|(member, row)| !row.is_leaving || self.is_current(member, row))
             .map(|(_, row)| row)
-            .collect()
     }
 
-    fn is_known(&self, member: &MemberName, row: &MemberRow) -> bool {
+    /// Returns the other members that the store lists or that still own something.
+    pub(crate) fn current_members(&self) -> impl Iterator<Item = &MemberRow> {
+        let others = self.members.iter().filter(|(member, _)| **member != self.me);
+        others.filter(|(member, row)| self.is_current(member, row)).map(|(_, row)| row)
+    }
+
+    fn is_current(&self, member: &MemberName, row: &MemberRow) -> bool {
         row.is_listed || self.owns_anything(member)
     }
 
@@ -282,8 +295,19 @@
         self.starved.iter().any(|starved| starved != team)
     }
 
+    /// Tells whether nobody else can have owned this daemon's pieces at `moment`, so that leases
+    /// which ended by then cannot have been renewed by a successor.
+    ///
+    /// News of the store asked for later would show a successor. Without news, nobody who has
+    /// any was heard of for so long that a taker would have been.
+    pub(crate) fn was_owner_at(&self, moment: ClockTime, isolation_ms: u64) -> bool {
+        let is_silent = self.standing == MemberStanding::StoreSilent;
+        let silent_ms = self.now.since(self.standing_since.max(moment));
+        self.store_news_at >= Some(moment) || (is_silent && silent_ms > 2 * isolation_ms)
+    }
+
     /// Tells whether this daemon may start work: its configuration is provably current.
     pub(crate) fn may_start(&self) -> bool {
-        self.standing != MemberStanding::Isolated && self.manifest.version > 0
+        self.standing != MemberStanding::Isolated && self.is_caught_up
     }
 }
--- a/crates/scenario/src/expect.rs
+++ b/crates/scenario/src/expect.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        observe::{RunHistory, SeenLoss, SeenRun, SeenWork},
+        observe::{RunHistory, SeenAnswer, SeenLoss, SeenRun, SeenWork},
         script::{AnswerCount, ExpectKind, ScriptExpect},
     },
     damaskrack_model::OutcomeKind,
@@ -27,11 +27,7 @@
     };
     let answer = last.answers.iter().find(|answer| answer.at_ms <= by_ms);
     match answer {
-        Some(answer)
-            if work.is_job && answer.job.is_some() && answer.outcome != OutcomeKind::NotRun =>
-        {
-            WorkStanding::Open
-        }
+        Some(answer) if work.is_job && answer.is_acknowledgement() => WorkStanding::Open,
         Some(answer) => WorkStanding::Answered(answer.outcome),
         None if last.is_broken => WorkStanding::Broken,
         None => WorkStanding::Open,
@@ -55,8 +51,7 @@
 
 fn is_acknowledged(work: &SeenWork) -> bool {
     let mut answers = work.tries.iter().flat_map(|attempt| &attempt.answers);
-    work.is_job
-        && answers.any(|answer| answer.job.is_some() && answer.outcome != OutcomeKind::NotRun)
+    work.is_job && answers.any(SeenAnswer::is_acknowledgement)
 }
 
 fn runs_of(history: &RunHistory, work: usize) -> impl Iterator<Item = &SeenRun> {
@@ -97,6 +92,10 @@
             && is_acknowledged(work)
             && work.ended.is_none_or(|(at_ms, _)| at_ms > by_ms)
     };
+    let mut works = history.works.iter();
+    if !works.any(|work| is_tagged(work, tag) && is_acknowledged(work)) {
+        return Some("no job was acknowledged".to_owned());
+    }
     let open = history.works.iter().filter(is_open).count();
     (open > 0).then(|| format!("{open} acknowledged jobs have not ended"))
 }
--- a/crates/scenario/src/world/build.rs
+++ b/crates/scenario/src/world/build.rs
@@ -118,7 +118,8 @@
             row.table.set_frozen(false, now_ms);
             row.table.advance(now_ms);
         }
-        let record = std::mem::take(&mut self.record);
+        let mut record = std::mem::take(&mut self.record);
+        record.disturbances.append(&mut record.downs);
         let mut history = RunHistory {
             runs: self.fleet.iter().flat_map(seen_runs).collect(),
             workers: self.fleet.iter().map(seen_worker).collect(),
@@ -187,10 +188,11 @@
     }
 }
 
+/// A section's key may carry a prefix before the hash of its content.
 fn is_of_head(document: &ManifestDocument, head: &ManifestHead) -> bool {
     ManifestSection::ALL.into_iter().all(|section| {
         let hash = section_hash(&section_json(document, section));
-        head.sections.get(section.name()) == Some(&hash)
+        head.sections.get(section.name()).is_some_and(|found| found.ends_with(&hash))
     })
 }
 
