Let the daemon and the specification call the same decisions

Cause: the exploration judged lapses, void rows, tasks that nobody knows, repeated submissions and exchanges of the manifest head by functions that only resembled the daemon's.

Change: the node calls lapse_time, judge_void, judge_unfound, is_provably_unstarted, judge_submission, may_have_run and judge_swap. Its behaviour is the same. The isolation machine follows the present inputs of judge_standing; has_later_news states when news of others isolate.

Conclusion: no change of behaviour.

--- a/crates/node/src/manifest/change.rs
+++ b/crates/node/src/manifest/change.rs
@@ -13,7 +13,7 @@
     },
     damaskrack_manifest::{HEAD_KEY, ManifestHead, parse_manifest, section_key},
     damaskrack_model::{AnswerReason, ClockTime, MemberName, OutcomeKind, WorkAnswer},
-    damaskrack_ownership::MemberStanding,
+    damaskrack_ownership::{MemberStanding, SwapMark, SwapVerdict, judge_swap},
     damaskrack_platform::{StoreCall, StoreFailure, StoreReply},
     std::collections::VecDeque,
 };
@@ -308,11 +308,10 @@
     /// Judges by the head in the store whether the exchange took effect.
     fn judge_head(&self, value: Option<&str>) -> ChangeStep {
         let found = value.and_then(|text| ManifestHead::from_json(text).ok()).unwrap_or_default();
-        if found.change == self.head.change {
-            return ChangeStep::Spread;
-        }
-        if found.version < self.head.version {
-            return ChangeStep::Continue;
+        match judge_swap(mark_of(&self.head), mark_of(&found)) {
+            SwapVerdict::Taken => return ChangeStep::Spread,
+            SwapVerdict::Open => return ChangeStep::Continue,
+            SwapVerdict::Overtaken => {}
         }
         // A later change replaced this one or won the race against it. Whether this one was in
         // force in between cannot be told if its answer was lost.
@@ -330,6 +329,10 @@
     }
 }
 
+fn mark_of(head: &ManifestHead) -> SwapMark {
+    SwapMark { version: head.version, change: head.change }
+}
+
 fn answer_operator(call: u64, answer: WorkAnswer, view: &ClusterView, out: &mut ActionBuffer) {
     out.push(NodeAction::OperatorAnswer { call, version: view.manifest.version, answer });
 }
--- a/crates/node/src/queue/accept.rs
+++ b/crates/node/src/queue/accept.rs
@@ -12,6 +12,7 @@
     damaskrack_model::{
         AnswerReason, CallId, JobId, MemberName, OutcomeKind, WorkAnswer, WorkKind, WorkSpec,
     },
+    damaskrack_ownership::{SubmissionInput, SubmissionStep, judge_submission, may_have_run},
     damaskrack_wire::{PeerMessage, SubmitOrder},
 };
 
@@ -76,7 +77,7 @@
 fn must_wait(queue: &TeamQueue, order: &SubmitOrder) -> bool {
     let is_active = matches!(queue.phase, TeamPhase::Active);
     let is_known = queue.by_nonce.contains_key(&order.nonce);
-    !queue.knows_jobs() || (!is_active && !is_known && may_have_run(queue, order))
+    !queue.knows_jobs() || (!is_active && !is_known && may_have_run(submission_input(queue, order)))
 }
 
 fn job_id(queue: &TeamQueue, order: &SubmitOrder) -> JobId {
@@ -95,27 +96,29 @@
     if let Some(step) = judge_idempotency_key(queue, order) {
         return step;
     }
-    let is_found = queue.orphan_ends.contains_key(&order.nonce)
-        || queue.orphan_attempts.contains_key(&order.nonce);
-    if is_found {
-        return SubmitStep::Accept;
-    }
-    let may_have_run = may_have_run(queue, order);
-    if may_have_run && !order.spec.idempotent {
-        return SubmitStep::Lost;
+    let input = submission_input(queue, order);
+    match judge_submission(input) {
+        SubmissionStep::Adopt => return SubmitStep::Accept,
+        SubmissionStep::Lost => return SubmitStep::Lost,
+        SubmissionStep::Start => {}
     }
     match check_submit(queue, order, context) {
         Ok(()) => SubmitStep::Accept,
-        Err(_) if may_have_run => SubmitStep::Lost,
+        Err(_) if may_have_run(input) => SubmitStep::Lost,
         Err(refusal) => SubmitStep::Refuse(refusal),
     }
 }
 
-/// Tells whether work that is not known here may have run: a former owner may have got it, or this
-/// one may have forgotten it.
-fn may_have_run(queue: &TeamQueue, order: &SubmitOrder) -> bool {
-    let is_former = order.first_epoch.is_some_and(|epoch| epoch < queue.epoch);
-    is_former || order.age_ms > settle::MAX_RESUBMIT_AGE_MS
+fn submission_input(queue: &TeamQueue, order: &SubmitOrder) -> SubmissionInput {
+    SubmissionInput {
+        first_epoch: order.first_epoch,
+        epoch: queue.epoch,
+        age_ms: order.age_ms,
+        remembered_ms: settle::MAX_RESUBMIT_AGE_MS,
+        is_found: queue.orphan_ends.contains_key(&order.nonce)
+            || queue.orphan_attempts.contains_key(&order.nonce),
+        is_idempotent: order.spec.idempotent,
+    }
 }
 
 fn judge_idempotency_key(queue: &TeamQueue, order: &SubmitOrder) -> Option<SubmitStep> {
@@ -231,7 +234,7 @@
     job.idempotency_key.clone_from(&order.idempotency_key);
     job.is_waiting = order.is_waiting;
     job.callers.push((from, call));
-    job.is_inherited = may_have_run(queue, order);
+    job.is_inherited = may_have_run(submission_input(queue, order));
     job.is_journalled = is_journalled(order);
     if order.spec.kind == WorkKind::Request {
         // A request is one task: its acceptance, where it is journalled, is its intent.
--- a/crates/node/src/queue/job.rs
+++ b/crates/node/src/queue/job.rs
@@ -5,6 +5,7 @@
     damaskrack_model::{
         CallId, ClockTime, JobId, JobState, JobStatus, MemberName, OutcomeKind, WorkKind, WorkSpec,
     },
+    damaskrack_ownership::is_provably_unstarted,
     rustc_hash::{FxHashMap, FxHashSet},
     serde::Serialize,
     std::collections::VecDeque,
@@ -192,12 +193,15 @@
     /// `NotRun` is a promise that no worker ever got the task. A task that was tried, or that a
     /// former owner may have tried, does not get it.
     pub(super) fn unstarted_outcome(&self, task: u32) -> OutcomeKind {
-        let may_be_inherited =
-            self.is_inherited && (self.spec.idempotent || !self.lacks_intent(task));
-        match (self.tried.contains(&task), may_be_inherited) {
-            (true, _) => OutcomeKind::Failed,
-            (false, true) => OutcomeKind::Unknown,
-            (false, false) => OutcomeKind::NotRun,
+        let was_tried = self.tried.contains(&task);
+        let has_intent = !self.lacks_intent(task);
+        let (is_inherited, is_idempotent) = (self.is_inherited, self.spec.idempotent);
+        if is_provably_unstarted(was_tried, is_inherited, is_idempotent, has_intent) {
+            OutcomeKind::NotRun
+        } else if was_tried {
+            OutcomeKind::Failed
+        } else {
+            OutcomeKind::Unknown
         }
     }
 
--- a/crates/node/src/queue/settle.rs
+++ b/crates/node/src/queue/settle.rs
@@ -16,7 +16,7 @@
         AnswerReason, AttemptId, CallId, Epoch, MemberName, OutcomeKind, RackName, TaskResult,
         WorkAnswer, WorkKind,
     },
-    damaskrack_ownership::PieceName,
+    damaskrack_ownership::{PieceName, VoidVerdict, judge_void},
     damaskrack_policy::backoff_ms,
     damaskrack_wire::{
         AttemptPhase, AttemptRow as PhaseRow, EndedNotice, PeerMessage, PlaceVerdict,
@@ -150,8 +150,9 @@
     context: &mut QueueContext<'_>,
 ) {
     let attempt = &queue.attempts[key];
-    let is_proof = attempt.rack_epoch == epoch && attempt.stage != AttemptStage::Running;
-    if is_proof || queue.superfluous.contains_key(&key) {
+    let was_running = attempt.stage == AttemptStage::Running;
+    let verdict = judge_void(attempt.rack_epoch, epoch, was_running);
+    if verdict == VoidVerdict::NeverRan || queue.superfluous.contains_key(&key) {
         return give_back(queue, key, context);
     }
     if let Some(attempt) = queue.remove_attempt(key) {
--- a/crates/node/src/queue/takeover.rs
+++ b/crates/node/src/queue/takeover.rs
@@ -15,7 +15,7 @@
     },
     crate::LogLevel,
     damaskrack_model::{Epoch, JobId, MemberName, OutcomeKind, RackName, WorkKind},
-    damaskrack_ownership::{JournalSegment, JournalWriter, PieceName},
+    damaskrack_ownership::{JournalSegment, JournalWriter, PieceName, UnfoundStep, judge_unfound},
     damaskrack_platform::{StoreCall, StoreFailure, StoreReply},
     damaskrack_wire::{AttemptPhase, AttemptRow as PhaseRow, EndedNotice, PeerMessage},
     std::collections::{BTreeMap, BTreeSet},
@@ -293,13 +293,11 @@
     if job.spec.kind == WorkKind::Gang {
         return resolve_gang(queue, key, context);
     }
-    let lost: Vec<u32> = if job.spec.idempotent {
-        Vec::new()
-    } else {
-        let is_lost =
-            |task: &u32| job.stage(*task) == Some(TaskStage::Waiting) && !job.lacks_intent(*task);
-        (0..job.spec.tasks).filter(is_lost).collect()
+    let is_lost = |task: &u32| {
+        let step = judge_unfound(job.spec.idempotent, !job.lacks_intent(*task));
+        job.stage(*task) == Some(TaskStage::Waiting) && step == UnfoundStep::EndUnknown
     };
+    let lost: Vec<u32> = (0..job.spec.tasks).filter(is_lost).collect();
     let output = "a former owner may have started it and its result is lost";
     for task in lost {
         settle::end_task(queue, key, task, OutcomeKind::Unknown, output);
--- a/crates/node/src/rack/sync.rs
+++ b/crates/node/src/rack/sync.rs
@@ -8,7 +8,7 @@
     super::{CallKind, CallRow, LocalPhase, RackShared, RackTable, WorkerKey, WorkerRow},
     crate::{LogLevel, buffer::ActionBuffer, view::ClusterView},
     damaskrack_model::{ClockTime, TaskResult},
-    damaskrack_ownership::MemberStanding,
+    damaskrack_ownership::{MemberStanding, SilenceInput, lapse_time},
     damaskrack_platform::WorkerCall,
     damaskrack_wire::RefusalReason,
 };
@@ -107,17 +107,15 @@
 
 /// Tells whether every lease on a worker has ended.
 ///
-/// A worker that answered under this epoch refuses former owners, so its leases end a lease after
-/// that answer. One that has not may have been renewed by a former owner until that had to stop
-/// by the isolation rule.
-///
-/// Both hold only if no successor can have renewed a lease before it ended.
+/// That holds only if no successor can have renewed a lease before it ended.
 fn is_silent(worker: &WorkerRow, shared: &RackShared, view: &ClusterView) -> bool {
-    let (since, limit_ms) = match worker.heard_at {
-        Some(heard_at) => (heard_at, shared.intervals.lapse_ms()),
-        None => (worker.added_at, shared.intervals.isolation_ms + shared.intervals.lapse_ms()),
-    };
-    let end = since.max(shared.resumed_at).plus(limit_ms);
+    let end = lapse_time(SilenceInput {
+        heard_at: worker.heard_at,
+        added_at: worker.added_at,
+        resumed_at: shared.resumed_at,
+        lapse_ms: shared.intervals.lapse_ms(),
+        isolation_ms: shared.intervals.isolation_ms,
+    });
     view.now > end && view.was_owner_at(end, shared.intervals.isolation_ms)
 }
 
--- a/crates/ownership/src/isolation.rs
+++ b/crates/ownership/src/isolation.rs
@@ -93,41 +93,27 @@
     }
 }
 
-/// Judges what a daemon may do from what it could do before.
+/// Tells whether news of the store that others had rule out that this daemon goes on without any.
 ///
-/// Silence of the store rules a replacement out only for a daemon that has been heard all the
-/// time since its last news. One that was isolated may have been replaced meanwhile, by members
-/// that have lost the store since; so it stays isolated until it has current news. `is_outrun`
-/// tells that a member which is heard passes on news of the store, its own or second-hand, from a
-/// time at which this daemon had none any more.
+/// A daemon's record lapses at the earliest a member lease after its last renewal was sent.
+/// Whoever then takes its pieces has told half of the members of news that are at most the
+/// isolation time old. So a member that both hear knows of news that are later than the renewal by
+/// more than the difference. All times are in milliseconds.
 ///
 /// # Examples
 ///
 /// ```
-/// use damaskrack_ownership::{MemberStanding, StandingInput, next_standing};
+/// use damaskrack_ownership::has_later_news;
 ///
-/// let outage = StandingInput {
-///     store_age_ms: 9_000,
-///     is_delisted: false,
-///     heard: 5,
-///     known: 8,
-///     isolation_ms: 2_000,
-/// };
-/// let woken = next_standing(MemberStanding::Isolated, false, outage);
-/// assert_eq!(woken, MemberStanding::Isolated);
-/// let steady = next_standing(MemberStanding::Connected, false, outage);
-/// assert_eq!(steady, MemberStanding::StoreSilent);
+/// assert!(!has_later_news(9_000, 8_500, 3_000, 2_000));
+/// assert!(has_later_news(9_000, 7_500, 3_000, 2_000));
 /// ```
 #[must_use]
-pub fn next_standing(
-    former: MemberStanding,
-    is_outrun: bool,
-    input: StandingInput,
-) -> MemberStanding {
-    match judge_standing(input) {
-        MemberStanding::StoreSilent if is_outrun || former == MemberStanding::Isolated => {
-            MemberStanding::Isolated
-        }
-        standing => standing,
-    }
+pub fn has_later_news(
+    renewed_age_ms: u64,
+    heard_age_ms: u64,
+    member_lease_ms: u64,
+    isolation_ms: u64,
+) -> bool {
+    renewed_age_ms.saturating_sub(heard_age_ms) > member_lease_ms.saturating_sub(isolation_ms)
 }
--- a/crates/ownership/src/lapse.rs
+++ b/crates/ownership/src/lapse.rs
@@ -5,8 +5,6 @@
 /// What a rack owner knows of a worker that does not answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SilenceInput {
-    /// Present reading of the owner's clock.
-    pub now: ClockTime,
     /// When the worker last answered under this epoch.
     pub heard_at: Option<ClockTime>,
     /// When the worker was first listed under this epoch.
@@ -19,7 +17,7 @@
     pub isolation_ms: u64,
 }
 
-/// Tells whether every lease on a worker has ended.
+/// Returns when the last lease on a silent worker ends, in the owner's clock.
 ///
 /// A worker that answered under this epoch refuses former owners, so its leases end a lease after
 /// that answer. One that has not may have been renewed by a former owner until that had to stop
@@ -28,24 +26,24 @@
 /// # Examples
 ///
 /// ```
-/// use {damaskrack_model::ClockTime, damaskrack_ownership::{SilenceInput, has_lapsed}};
+/// use {damaskrack_model::ClockTime, damaskrack_ownership::{SilenceInput, lapse_time}};
 ///
 /// let silence = SilenceInput {
-///     now: ClockTime(5_000),
 ///     heard_at: None,
-///     added_at: ClockTime(0),
+///     added_at: ClockTime(1_000),
 ///     resumed_at: ClockTime(0),
 ///     lapse_ms: 4_000,
 ///     isolation_ms: 2_000,
 /// };
-/// assert!(!has_lapsed(silence));
-/// assert!(has_lapsed(SilenceInput { heard_at: Some(ClockTime(0)), ..silence }));
+/// assert_eq!(lapse_time(silence), ClockTime(7_000));
+/// let heard = SilenceInput { heard_at: Some(ClockTime(1_000)), ..silence };
+/// assert_eq!(lapse_time(heard), ClockTime(5_000));
 /// ```
 #[must_use]
-pub fn has_lapsed(input: SilenceInput) -> bool {
-    let (since, limit_ms) = match input.heard_at {
+pub fn lapse_time(input: SilenceInput) -> ClockTime {
+    let (since, wait_ms) = match input.heard_at {
         Some(heard_at) => (heard_at, input.lapse_ms),
         None => (input.added_at, input.isolation_ms + input.lapse_ms),
     };
-    input.now.since(since.max(input.resumed_at)) > limit_ms
+    since.max(input.resumed_at).plus(wait_ms)
 }
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -21,14 +21,14 @@
 pub use {
     budget::WriteBudget,
     fence::{EpochFence, FenceVerdict},
-    isolation::{MemberStanding, StandingInput, judge_standing, next_standing},
+    isolation::{MemberStanding, StandingInput, has_later_news, judge_standing},
     journal::{FoundSegment, JournalSegment, JournalStep, JournalWriter, SegmentError},
-    lapse::{SilenceInput, has_lapsed},
+    lapse::{SilenceInput, lapse_time},
     piece::{ParsePieceError, PieceName},
     proof::{UnfoundStep, VoidVerdict, is_provably_unstarted, judge_unfound, judge_void},
     record::{MemberRecord, OwnerRecord, RecordError},
     rendezvous::suggest_owner,
-    resubmission::{SubmissionInput, SubmissionStep, judge_submission},
+    resubmission::{SubmissionInput, SubmissionStep, judge_submission, may_have_run},
     swap::{SwapMark, SwapVerdict, judge_swap},
     takeover::{PieceStep, PieceView, next_piece_step},
 };
--- a/crates/ownership/src/resubmission.rs
+++ b/crates/ownership/src/resubmission.rs
@@ -12,21 +12,19 @@
     pub first_epoch: Option<Epoch>,
     /// Epoch of the judging owner.
     pub epoch: Epoch,
-    /// Whether the owner knows the job.
-    pub is_known: bool,
+    /// Time since the work was first sent, in milliseconds.
+    pub age_ms: u64,
+    /// Time for which this owner certainly remembers work that it got, in milliseconds.
+    pub remembered_ms: u64,
     /// Whether an attempt of the job was found running or ended in a rack.
     pub is_found: bool,
-    /// Whether the roll call is complete.
-    pub is_rolled: bool,
     /// Whether the work may run twice.
     pub is_idempotent: bool,
 }
 
-/// What to do with a submission.
+/// What to do with a submission of work that the owner does not know.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SubmissionStep {
-    /// The job is known: the caller joins it.
-    Join,
     /// Take the job together with the attempts that were found.
     Adopt,
     /// Take it as new work.
@@ -35,7 +33,36 @@
     Lost,
 }
 
-/// Decides about a submission.
+/// Tells whether work that is not known here may have run: a former owner may have got it, or this
+/// one may have forgotten it.
+///
+/// # Examples
+///
+/// ```
+/// use {
+///     damaskrack_model::Epoch,
+///     damaskrack_ownership::{SubmissionInput, may_have_run},
+/// };
+///
+/// let input = SubmissionInput {
+///     first_epoch: Some(Epoch(2)),
+///     epoch: Epoch(2),
+///     age_ms: 1_000,
+///     remembered_ms: 300_000,
+///     is_found: false,
+///     is_idempotent: false,
+/// };
+/// assert!(!may_have_run(input));
+/// assert!(may_have_run(SubmissionInput { epoch: Epoch(3), ..input }));
+/// ```
+#[must_use]
+pub fn may_have_run(input: SubmissionInput) -> bool {
+    let reached_former = input.first_epoch.is_some_and(|epoch| epoch < input.epoch);
+    reached_former || input.age_ms > input.remembered_ms
+}
+
+/// Decides about a submission of work that the owner does not know, once the roll call is
+/// complete.
 ///
 /// # Examples
 ///
@@ -48,9 +75,9 @@
 /// let input = SubmissionInput {
 ///     first_epoch: Some(Epoch(1)),
 ///     epoch: Epoch(2),
-///     is_known: false,
+///     age_ms: 1_000,
+///     remembered_ms: 300_000,
 ///     is_found: false,
-///     is_rolled: true,
 ///     is_idempotent: false,
 /// };
 /// assert_eq!(judge_submission(input), SubmissionStep::Lost);
@@ -59,13 +86,9 @@
 /// ```
 #[must_use]
 pub fn judge_submission(input: SubmissionInput) -> SubmissionStep {
-    if input.is_known {
-        return SubmissionStep::Join;
-    }
-    let reached_former = input.first_epoch.is_some_and(|epoch| epoch < input.epoch);
-    if input.is_found || (reached_former && !input.is_rolled) {
+    if input.is_found {
         SubmissionStep::Adopt
-    } else if reached_former && !input.is_idempotent {
+    } else if may_have_run(input) && !input.is_idempotent {
         SubmissionStep::Lost
     } else {
         SubmissionStep::Start
--- a/crates/spec/src/machines/isolation.rs
+++ b/crates/spec/src/machines/isolation.rs
@@ -9,8 +9,8 @@
     crate::{Mutation, SpecMachine},
     damaskrack_model::{Epoch, MemberName},
     damaskrack_ownership::{
-        MemberStanding, OwnerRecord, PieceStep, PieceView, StandingInput, judge_standing,
-        next_piece_step, next_standing,
+        MemberStanding, OwnerRecord, PieceStep, PieceView, StandingInput, has_later_news,
+        judge_standing, next_piece_step,
     },
 };
 
@@ -20,10 +20,8 @@
 const ISOLATION: u8 = 2;
 /// Time after which a member record that is not renewed is gone.
 const MEMBER_LEASE: u8 = 3;
-/// How much later than a daemon's own news those of others may be before it counts as outrun. Its
-/// record lapses a member lease after its own news, and a taker has told half of the members of
-/// news that are at most the isolation time old.
-const OUTRUN: u8 = MEMBER_LEASE - ISOLATION;
+/// Largest difference of two ages that decides anything.
+const DECISIVE_GAP: u8 = ISOLATION + 1;
 /// Age of news that never came.
 const NEVER: u8 = u8::MAX;
 /// Largest age that decides anything by itself; beyond it only differences matter.
@@ -45,14 +43,8 @@
     own: u8,
     /// Age of the freshest news that a peer relayed as showing this daemon.
     relayed: u8,
-    /// Age of the freshest news that a peer relayed as not showing this daemon.
-    delisted: u8,
-    /// Whether the latest news do not show this daemon.
-    is_delisted: bool,
     /// Age of the freshest news that anybody passed on.
     passed_on: u8,
-    /// Whether somebody had news when this daemon had none any more.
-    is_outrun: bool,
     /// Time since it registered under a new lease.
     registered: u8,
     /// Whether somebody may have replaced it who did not know of that registration yet.
@@ -63,7 +55,7 @@
     owner: usize,
     /// Age of the last exchange with each peer.
     heard: [u8; DAEMONS],
-    /// Age of the last exchange with each peer in which this daemon told of fresh news.
+    /// Age of the freshest news that this daemon has told each peer.
     told: [u8; DAEMONS],
     standing: MemberStanding,
 }
@@ -179,18 +171,12 @@
     /// Takes a peer's heartbeat.
     fn hear(&self, daemon: &mut DaemonState, (me, peer): (usize, usize), news: &DaemonState) {
         daemon.heard[peer] = 0;
-        if daemon.own == 0 {
-            daemon.told[peer] = 0;
-        }
+        daemon.told[peer] = daemon.told[peer].min(daemon.own);
         if !self.lacks(Mutation::PassedOnNews) {
             daemon.passed_on = daemon.passed_on.min(news.passed_on);
         }
         if news.listed[me] {
             daemon.relayed = daemon.relayed.min(news.own);
-            daemon.is_delisted &= daemon.delisted <= daemon.relayed;
-        } else {
-            daemon.delisted = daemon.delisted.min(news.own);
-            daemon.is_delisted |= daemon.delisted < daemon.own.min(daemon.relayed);
         }
     }
 
@@ -202,52 +188,51 @@
         }
     }
 
-    fn knows(&self, state: &CellState, me: usize, member: usize) -> bool {
+    /// Tells whether a daemon's own news list a member or show it as an owner.
+    fn is_current(&self, state: &CellState, me: usize, member: usize) -> bool {
         let view = &state.daemons[me];
         !self.lacks(Mutation::IdleMembers) || view.listed[member] || view.owner == member
     }
 
-    fn input(&self, state: &CellState, me: usize, ages: &[u8; DAEMONS]) -> StandingInput {
+    fn has_later_news(&self, state: &CellState, me: usize) -> bool {
+        let daemon = &state.daemons[me];
+        let [renewed, heard] = [state.renewed[me], daemon.passed_on].map(u64::from);
+        let is_unsettled = daemon.is_unsettled && !self.lacks(Mutation::SettledRegistration);
+        if self.lacks(Mutation::LeaseMargin) {
+            let proof = u64::from(self.news_age(daemon));
+            return is_unsettled || proof.saturating_sub(heard) > ISOLATION.into();
+        }
+        is_unsettled || has_later_news(renewed, heard, MEMBER_LEASE.into(), ISOLATION.into())
+    }
+
+    fn input(&self, state: &CellState, me: usize) -> StandingInput {
         let daemon = &state.daemons[me];
         let others = (0..state.members).filter(|&member| member != me);
-        let known: Vec<usize> = others.filter(|&member| self.knows(state, me, member)).collect();
-        let heard = known.iter().filter(|&&member| ages[member] <= ISOLATION).count();
-        let is_delisted = if self.lacks(Mutation::Delisting) {
-            false
-        } else if self.lacks(Mutation::LastingDelisting) {
-            daemon.delisted <= ISOLATION
-        } else {
-            daemon.is_delisted
+        let is_heard = |member: &usize| daemon.heard[*member] <= ISOLATION;
+        let is_informed = |member: &usize| {
+            let ages = if self.lacks(Mutation::ToldHalf) { &daemon.heard } else { &daemon.told };
+            ages[*member] <= ISOLATION
         };
+        let current: Vec<usize> =
+            others.clone().filter(|&member| self.is_current(state, me, member)).collect();
         StandingInput {
             store_age_ms: self.news_age(daemon).into(),
-            is_delisted,
-            heard: heard + 1,
-            known: known.len() + 1,
+            has_later_news: self.has_later_news(state, me),
+            heard: others.clone().filter(is_heard).count() + 1,
+            informed: current.iter().filter(|member| is_informed(member)).count() + 1,
+            known: others.count() + 1,
+            current: current.len() + 1,
             isolation_ms: ISOLATION.into(),
         }
     }
 
     fn judge(&self, state: &mut CellState, me: usize) {
-        let input = self.input(state, me, &state.daemons[me].heard);
+        let mut input = self.input(state, me);
         let daemon = &mut state.daemons[me];
-        // A record lapses by its owner's own silence, whatever others relay about it.
-        let is_later = daemon.passed_on.saturating_add(OUTRUN) < daemon.own;
-        daemon.is_outrun = daemon.own > ISOLATION && (daemon.is_outrun || is_later);
-        let former = if self.lacks(Mutation::IsolationMemory) {
-            MemberStanding::Connected
-        } else {
-            daemon.standing
-        };
-        let is_unsettled = daemon.is_unsettled && !self.lacks(Mutation::SettledRegistration);
-        let is_outrun = is_unsettled || (daemon.is_outrun && !self.lacks(Mutation::PassedOnNews));
-        let is_half = input.heard * 2 == input.known;
-        let counted = if is_half && self.lacks(Mutation::ExactHalf) {
-            StandingInput { heard: input.heard + 1, ..input }
-        } else {
-            input
-        };
-        daemon.standing = match next_standing(former, is_outrun, counted) {
+        if input.heard * 2 == input.known && self.lacks(Mutation::ExactHalf) {
+            input.heard += 1;
+        }
+        daemon.standing = match judge_standing(input) {
             MemberStanding::Isolated if self.lacks(Mutation::IsolationRule) => {
                 MemberStanding::StoreSilent
             }
@@ -261,12 +246,10 @@
         if !is_current || !reaches_store(state, me) {
             return false;
         }
-        let told = judge_standing(self.input(state, me, &daemon.told));
         let standing = match daemon.standing {
             MemberStanding::Minority if self.lacks(Mutation::TakerHalf) => {
                 MemberStanding::Connected
             }
-            MemberStanding::Connected if !self.lacks(Mutation::ToldHalf) => told,
             standing => standing,
         };
         let record = OwnerRecord {
@@ -386,26 +369,26 @@
     }
 }
 
-fn news_ages(daemon: &mut DaemonState) -> [&mut u8; 4] {
-    [&mut daemon.own, &mut daemon.relayed, &mut daemon.delisted, &mut daemon.passed_on]
+fn news_ages(daemon: &mut DaemonState) -> [&mut u8; 3] {
+    [&mut daemon.own, &mut daemon.relayed, &mut daemon.passed_on]
 }
 
 /// Takes back what makes no difference any more, so that unbounded time has few states.
 fn forget_differences(state: &mut CellState) {
     let cap = |age: &mut u8| *age = DECISIVE.min(*age);
     cap(&mut state.taken);
-    state.renewed.iter_mut().for_each(cap);
     for daemon in &mut state.daemons {
         cap(&mut daemon.registered);
         daemon.heard.iter_mut().chain(&mut daemon.told).for_each(cap);
     }
     let daemons = state.daemons.iter_mut();
-    let mut ages: Vec<&mut u8> = daemons.flat_map(news_ages).collect();
+    let ages = daemons.flat_map(news_ages).chain(&mut state.renewed);
+    let mut ages: Vec<&mut u8> = ages.collect();
     ages.retain(|age| (DECISIVE + 1..NEVER).contains(*age));
     ages.sort_unstable();
     let (mut former, mut shortened) = (DECISIVE, DECISIVE);
     for age in ages {
-        shortened += (*age - former).min(OUTRUN + 1);
+        shortened += (*age - former).min(DECISIVE_GAP);
         former = std::mem::replace(age, shortened);
     }
 }
@@ -419,7 +402,6 @@
     view.passed_on = 0;
     // A taker acts on news that are at most the isolation time old.
     view.is_unsettled &= view.registered < ISOLATION;
-    view.is_delisted = false;
     view.listed = listed;
     view.owner = owner;
 }
@@ -446,10 +428,7 @@
         let daemon = DaemonState {
             own: 0,
             relayed: NEVER,
-            delisted: NEVER,
-            is_delisted: false,
             passed_on: 0,
-            is_outrun: false,
             registered: DECISIVE,
             is_unsettled: false,
             listed: [true; DAEMONS],
--- a/crates/spec/src/machines/rack.rs
+++ b/crates/spec/src/machines/rack.rs
@@ -8,7 +8,7 @@
     crate::{Mutation, SpecMachine},
     damaskrack_model::{ClockTime, Epoch},
     damaskrack_ownership::{
-        EpochFence, FenceVerdict, SilenceInput, VoidVerdict, has_lapsed, judge_void,
+        EpochFence, FenceVerdict, SilenceInput, VoidVerdict, judge_void, lapse_time,
     },
 };
 
@@ -167,14 +167,14 @@
 
     fn may_lapse(&self, state: &RackState, taken_at: u64) -> bool {
         let isolation_ms = if self.lacks(Mutation::LapseWait) { 0 } else { ISOLATION };
-        has_lapsed(SilenceInput {
-            now: ClockTime(state.now),
+        let end = lapse_time(SilenceInput {
             heard_at: state.taker_heard.map(ClockTime),
             added_at: ClockTime(taken_at),
             resumed_at: ClockTime::default(),
             lapse_ms: LEASE,
             isolation_ms,
-        })
+        });
+        ClockTime(state.now) > end
     }
 
     /// Answers the queue owner's question.
--- a/crates/spec/src/machines/resubmission.rs
+++ b/crates/spec/src/machines/resubmission.rs
@@ -133,20 +133,22 @@
         if !owner.is_owner {
             return push(state, CallMessage::NotOwner(to));
         }
+        if owner.knows {
+            if owner.has_ended {
+                push(state, CallMessage::Answer(to, CallerAnswer::Done));
+            }
+            return;
+        }
         let first = first.filter(|_| !self.lacks(Mutation::FirstEpoch));
         let input = SubmissionInput {
             first_epoch: first.map(epoch_of),
             epoch: epoch_of(to),
-            is_known: owner.knows,
+            age_ms: 0,
+            remembered_ms: 0,
             is_found: owner.has_found && !self.lacks(Mutation::AdoptFound),
-            is_rolled: true,
             is_idempotent: state.is_idempotent == Some(true),
         };
         match judge_submission(input) {
-            SubmissionStep::Join if owner.has_ended => {
-                push(state, CallMessage::Answer(to, CallerAnswer::Done));
-            }
-            SubmissionStep::Join => {}
             SubmissionStep::Adopt => state.owners[to].knows = true,
             SubmissionStep::Start => {
                 state.owners[to].knows = true;
--- a/crates/spec/src/mutation.rs
+++ b/crates/spec/src/mutation.rs
@@ -14,12 +14,9 @@
     TakerHalf,
     /// Without the store, hearing exactly half of the members is not enough to go on.
     ExactHalf,
-    /// A daemon whose record is gone from the store is isolated.
-    Delisting,
-    /// A delisting holds until later news undo it.
-    LastingDelisting,
-    /// Isolation ends only with current news of the store.
-    IsolationMemory,
+    /// Later news of others are judged by the daemon's last renewal and the member lease, and not
+    /// by the daemon's news and the isolation time.
+    LeaseMargin,
     /// News of the store are passed on second-hand.
     PassedOnNews,
     /// A taker counts only members that know that it has news of the store.
@@ -102,10 +99,7 @@
 
 impl Mutation {
     fn all() -> impl Iterator<Item = Self> {
-        let machines = MachineName::ALL.into_iter();
-        machines
-            .flat_map(|machine| Self::of(machine).iter().chain(Self::redundant(machine)))
-            .copied()
+        MachineName::ALL.into_iter().flat_map(Self::of).copied()
     }
 
     /// Returns the machine that the mechanism belongs to.
@@ -113,34 +107,10 @@
     pub fn machine(self) -> MachineName {
         let mut machines = MachineName::ALL.into_iter();
         machines
-            .find(|machine| Self::of(*machine).contains(&self) || self.is_redundant_in(*machine))
+            .find(|machine| Self::of(*machine).contains(&self))
             .expect("each mechanism belongs to a machine")
     }
 
-    fn is_redundant_in(self, machine: MachineName) -> bool {
-        Self::redundant(machine).contains(&self)
-    }
-
-    /// Returns the mechanisms of a machine whose absence shows nothing as long as the others are
-    /// there.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use damaskrack_spec::{MachineName, Mutation};
-    ///
-    /// assert!(Mutation::redundant(MachineName::Isolation).contains(&Mutation::Delisting));
-    /// ```
-    #[must_use]
-    pub fn redundant(machine: MachineName) -> &'static [Self] {
-        match machine {
-            MachineName::Isolation => {
-                &[Self::Delisting, Self::LastingDelisting, Self::IsolationMemory]
-            }
-            _ => &[],
-        }
-    }
-
     /// Returns the mechanisms without which a machine violates a property.
     ///
     /// # Examples
@@ -158,6 +128,7 @@
                 Self::TakerHalf,
                 Self::ExactHalf,
                 Self::PassedOnNews,
+                Self::LeaseMargin,
                 Self::ToldHalf,
                 Self::IdleMembers,
                 Self::SettledRegistration,
--- a/crates/spec/tests/exploration.rs
+++ b/crates/spec/tests/exploration.rs
@@ -64,14 +64,13 @@
 #[test]
 fn isolation_needs_each_mechanism() {
     check(MachineName::Isolation);
-    assert_clean(MachineName::Isolation, Mutation::redundant(MachineName::Isolation));
 }
 
 #[test]
 fn names_are_read_back() {
     for machine in MachineName::ALL {
         assert_eq!(machine.as_str().parse(), Ok(machine));
-        for &mutation in Mutation::of(machine).iter().chain(Mutation::redundant(machine)) {
+        for &mutation in Mutation::of(machine) {
             assert_eq!(mutation.to_string().parse(), Ok(mutation));
             assert_eq!(mutation.machine(), machine);
         }
