--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -15,6 +15,7 @@
 mod record;
 mod rendezvous;
 mod resubmission;
+mod roster;
 mod swap;
 mod takeover;
 
@@ -29,6 +30,7 @@
     record::{MemberRecord, OwnerRecord, RecordError},
     rendezvous::suggest_owner,
     resubmission::{SubmissionInput, SubmissionStep, judge_submission, may_have_run},
+    roster::MemberRoster,
     swap::{SwapMark, SwapVerdict, judge_swap},
     takeover::{PieceStep, PieceView, next_piece_step},
 };
