--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -14,8 +14,8 @@
 pub use {
     explore::{Counterexample, SpecMachine, Verdict, explore},
     machines::{
-        IsolationMachine, JournalMachine, ManifestMachine, RackMachine, ResubmissionMachine,
-        TeamMachine,
+        IsolationMachine, JournalMachine, ManifestMachine, OwnershipMachine, RackMachine,
+        ResubmissionMachine, TeamMachine,
     },
     mutation::{Mutation, ParseMutationError},
     name::{MachineName, ParseMachineError},
--- a/crates/spec/src/machines.rs
+++ b/crates/spec/src/machines.rs
@@ -3,11 +3,13 @@
 mod isolation;
 mod journal;
 mod manifest;
+mod ownership;
 mod rack;
 mod resubmission;
 mod team;
 
 pub use {
     isolation::IsolationMachine, journal::JournalMachine, manifest::ManifestMachine,
-    rack::RackMachine, resubmission::ResubmissionMachine, team::TeamMachine,
+    ownership::OwnershipMachine, rack::RackMachine, resubmission::ResubmissionMachine,
+    team::TeamMachine,
 };
--- /dev/null
+++ b/crates/spec/src/machines/ownership.rs
@@ -0,0 +1,228 @@
+//! Two daemons that take and release one piece by compare-and-swap on its record.
+//!
+//! A daemon never looks at the answer to a write: it owns the piece when the record that it
+//! follows says so. Writes take effect at any later time, also after the process that sent them
+//! was replaced by one with a new boot number.
+
+use {
+    crate::{Mutation, SpecMachine},
+    damaskrack_model::{Epoch, MemberName},
+    damaskrack_ownership::{MemberStanding, OwnerRecord, PieceStep, PieceView, next_piece_step},
+};
+
+/// Daemons.
+const DAEMONS: usize = 2;
+/// Highest epoch.
+const EPOCHS: u64 = 3;
+/// Processes of a daemon.
+const BOOTS: u64 = 2;
+/// Writes on the way.
+const WRITES: usize = 2;
+
+/// An owner of the piece: the daemon, and the boot number of its process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(super) struct OwnerMark {
+    daemon: usize,
+    boot: u64,
+}
+
+/// The ownership record with its revision.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RecordState {
+    owner: Option<OwnerMark>,
+    epoch: u64,
+    revision: u64,
+}
+
+/// The record, what the daemons have seen of it, and their writes.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct PieceState {
+    record: RecordState,
+    boots: [u64; DAEMONS],
+    seen: [RecordState; DAEMONS],
+    /// Records on the way to the store; `revision` is the one that each expects to find.
+    writes: Vec<RecordState>,
+    /// Processes that ever took themselves for the owner, with the epoch.
+    claims: Vec<(u64, OwnerMark)>,
+}
+
+/// What happens.
+#[derive(Debug, Clone, Copy)]
+pub enum OwnershipStep {
+    /// A daemon sends a record that names it.
+    Take(usize),
+    /// A daemon sends a record that names nobody.
+    Release(usize),
+    /// The store carries out a write.
+    Land(RecordState),
+    /// A write is lost.
+    Lose(RecordState),
+    /// A daemon sees the present record.
+    See(usize),
+    /// A daemon's process is replaced.
+    Restart(usize),
+}
+
+/// Explores the ownership of a piece.
+#[derive(Debug)]
+pub struct OwnershipMachine {
+    removed: Vec<Mutation>,
+    names: [MemberName; DAEMONS],
+}
+
+impl OwnershipMachine {
+    fn lacks(&self, mutation: Mutation) -> bool {
+        self.removed.contains(&mutation)
+    }
+
+    fn mark(state: &PieceState, daemon: usize) -> OwnerMark {
+        OwnerMark { daemon, boot: state.boots[daemon] }
+    }
+
+    /// Decides what a daemon does if another one, or it itself, is suggested as the owner.
+    fn step(&self, state: &PieceState, daemon: usize, suggested: usize) -> PieceStep {
+        let seen = state.seen[daemon];
+        let record = OwnerRecord {
+            owner: seen.owner.map(|owner| self.names[owner.daemon].clone()),
+            boot: seen.owner.map_or(0, |owner| self.boot_of(state, owner)),
+            epoch: Epoch(seen.epoch),
+            write: 0,
+        };
+        next_piece_step(PieceView {
+            me: &self.names[daemon],
+            boot: state.boots[daemon],
+            record: (seen.revision > 0).then_some(&record),
+            suggested: Some(&self.names[suggested]),
+            is_owner_gone: true,
+            is_suggested_heard: true,
+            standing: MemberStanding::Connected,
+            is_leaving: false,
+        })
+    }
+
+    /// Returns the boot number of a recorded owner as its own daemon judges it.
+    fn boot_of(&self, state: &PieceState, owner: OwnerMark) -> u64 {
+        if self.lacks(Mutation::BootNumber) { state.boots[owner.daemon] } else { owner.boot }
+    }
+
+    fn daemon_steps(&self, state: &PieceState, daemon: usize) -> Vec<OwnershipStep> {
+        let mut steps = Vec::new();
+        let has_room = state.writes.len() < WRITES;
+        let seen = state.seen[daemon];
+        if has_room && seen.epoch < EPOCHS && self.step(state, daemon, daemon) == PieceStep::Take {
+            steps.push(OwnershipStep::Take(daemon));
+        }
+        if has_room && self.step(state, daemon, 1 - daemon) == PieceStep::Release {
+            steps.push(OwnershipStep::Release(daemon));
+        }
+        if seen != state.record {
+            steps.push(OwnershipStep::See(daemon));
+        }
+        if state.boots[daemon] < BOOTS {
+            steps.push(OwnershipStep::Restart(daemon));
+        }
+        steps
+    }
+
+    fn note_claim(&self, state: &mut PieceState, daemon: usize) {
+        let seen = state.seen[daemon];
+        let me = Self::mark(state, daemon);
+        let is_mine = seen
+            .owner
+            .is_some_and(|owner| owner.daemon == daemon && self.boot_of(state, owner) == me.boot);
+        if is_mine && !state.claims.contains(&(seen.epoch, me)) {
+            state.claims.push((seen.epoch, me));
+            state.claims.sort_unstable();
+        }
+    }
+
+    fn land(&self, state: &mut PieceState, write: RecordState) {
+        if write.revision == state.record.revision || self.lacks(Mutation::RecordSwap) {
+            let revision = state.record.revision + 1;
+            state.record = RecordState { revision, ..write };
+        }
+    }
+
+    fn apply(&self, state: &mut PieceState, step: OwnershipStep) {
+        match step {
+            OwnershipStep::Take(daemon) => {
+                let seen = state.seen[daemon];
+                let growth = u64::from(!self.lacks(Mutation::EpochGrows) || seen.epoch == 0);
+                let owner = Some(Self::mark(state, daemon));
+                push(state, RecordState { owner, epoch: seen.epoch + growth, ..seen });
+            }
+            OwnershipStep::Release(daemon) => {
+                let seen = state.seen[daemon];
+                push(state, RecordState { owner: None, ..seen });
+            }
+            OwnershipStep::Land(write) => {
+                take(state, write);
+                self.land(state, write);
+            }
+            OwnershipStep::Lose(write) => take(state, write),
+            OwnershipStep::See(daemon) => {
+                state.seen[daemon] = state.record;
+                self.note_claim(state, daemon);
+            }
+            OwnershipStep::Restart(daemon) => {
+                state.boots[daemon] += 1;
+                state.seen[daemon] = RecordState::default();
+            }
+        }
+    }
+}
+
+fn push(state: &mut PieceState, write: RecordState) {
+    state.writes.push(write);
+    state.writes.sort_unstable();
+}
+
+fn take(state: &mut PieceState, write: RecordState) {
+    if let Some(index) = state.writes.iter().position(|other| *other == write) {
+        state.writes.remove(index);
+    }
+}
+
+impl SpecMachine for OwnershipMachine {
+    type State = PieceState;
+    type Step = OwnershipStep;
+
+    fn new(removed: &[Mutation]) -> Self {
+        let name = |text: &str| MemberName::new(text).expect("a constant name is well formed");
+        Self { removed: removed.to_vec(), names: [name("entry-0"), name("entry-1")] }
+    }
+
+    fn bounds(&self) -> &'static str {
+        "2 daemons with 2 processes each, 1 piece, epochs up to 3, 2 writes on the way, late or lost"
+    }
+
+    fn initial(&self) -> PieceState {
+        PieceState {
+            record: RecordState::default(),
+            boots: [1; DAEMONS],
+            seen: [RecordState::default(); DAEMONS],
+            writes: Vec::new(),
+            claims: Vec::new(),
+        }
+    }
+
+    fn successors(&self, state: &PieceState) -> Vec<(OwnershipStep, PieceState)> {
+        let daemons = (0..DAEMONS).flat_map(|daemon| self.daemon_steps(state, daemon));
+        let mut writes = state.writes.clone();
+        writes.dedup();
+        let writes = writes
+            .into_iter()
+            .flat_map(|write| [OwnershipStep::Land(write), OwnershipStep::Lose(write)]);
+        let successor = |step| {
+            let mut next = state.clone();
+            self.apply(&mut next, step);
+            (step, next)
+        };
+        daemons.chain(writes).map(successor).collect()
+    }
+
+    fn violation(&self, state: &PieceState) -> Option<&'static str> {
+        let is_shared = state.claims.windows(2).any(|pair| pair[0].0 == pair[1].0);
+        is_shared.then_some("two processes took themselves for the owner in one epoch")
+    }
+}
--- a/crates/spec/src/machines/resubmission.rs
+++ b/crates/spec/src/machines/resubmission.rs
@@ -70,7 +70,10 @@
     is_idempotent: Option<bool>,
     sends: u8,
     sent_to: Option<usize>,
-    sent: [u8; 2],
+    /// Copies that were sent since the work had certainly reached nobody.
+    copies: u8,
+    /// Copies that were refused.
+    refusals: u8,
     first: Option<usize>,
     seen: usize,
     answer: Option<CallerAnswer>,
@@ -170,26 +173,22 @@
     fn receive(&self, state: &mut CallState, message: CallMessage) {
         match message {
             CallMessage::Submit(to, first) => self.submit(state, to, first),
-            CallMessage::NotOwner(from) => {
-                let is_single = state.sent[from] == 1 || self.lacks(Mutation::OnceSent);
-                if state.sent_to != Some(from) {
-                    return;
-                }
-                if state.first == Some(from) && is_single {
+            CallMessage::NotOwner(from) if state.sent_to == Some(from) => {
+                if state.copies == 1 || self.lacks(Mutation::EveryCopy) {
                     state.first = None;
+                    state.copies = 0;
+                    state.refusals = 0;
                 }
                 state.sent_to = None;
             }
-            CallMessage::Answer(_, CallerAnswer::Done) => {
-                state.answer = Some(CallerAnswer::Done);
-            }
-            CallMessage::Answer(from, answer) => {
-                let is_current = state.sent_to == Some(from) || self.lacks(Mutation::CurrentAnswer);
-                let is_single = state.sent[from] == 1 || self.lacks(Mutation::OnceSent);
-                if is_current && (is_single || answer == CallerAnswer::Unknown) {
-                    state.answer = Some(answer);
+            CallMessage::NotOwner(_) => {}
+            CallMessage::Answer(_, CallerAnswer::NotRun) => {
+                state.refusals += 1;
+                if state.refusals >= state.copies || self.lacks(Mutation::EveryCopy) {
+                    state.answer = Some(CallerAnswer::NotRun);
                 }
             }
+            CallMessage::Answer(_, answer) => state.answer = Some(answer),
         }
     }
 
@@ -332,7 +331,7 @@
     push(state, CallMessage::Submit(to, state.first));
     state.first = state.first.or(Some(to));
     state.sent_to = Some(to);
-    state.sent[to] += 1;
+    state.copies += 1;
     state.sends += 1;
 }
 
@@ -364,7 +363,8 @@
             is_idempotent: None,
             sends: 0,
             sent_to: None,
-            sent: [0; 2],
+            copies: 0,
+            refusals: 0,
             first: None,
             seen: 0,
             answer: None,
--- a/crates/spec/src/mutation.rs
+++ b/crates/spec/src/mutation.rs
@@ -8,6 +8,12 @@
 /// A mechanism that an exploration goes without.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Mutation {
+    /// An ownership record is replaced only at the revision that the writer has seen.
+    RecordSwap,
+    /// Each take writes the next epoch.
+    EpochGrows,
+    /// A process owns only what the record gives to its own boot number.
+    BootNumber,
     /// An isolated daemon stops.
     IsolationRule,
     /// Only a daemon that hears half of the members takes pieces over.
@@ -75,16 +81,14 @@
     UncertainChange,
     /// A process takes only later versions of the manifest.
     VersionGrows,
-    /// An entry withdraws its doubt only if the refusing owner got the request once.
-    OnceSent,
+    /// An entry believes that work reached nobody only once every copy was refused.
+    EveryCopy,
     /// An owner joins a request to attempts that the roll call found.
     AdoptFound,
     /// Non-idempotent work that may have reached a former owner is not started again.
     FirstEpoch,
     /// An owner remembers an answered request until the answer has arrived.
     RememberAnswer,
-    /// An entry believes a refusal only from the owner that it asked last.
-    CurrentAnswer,
 }
 
 /// A text is not the name of a mutation.
@@ -126,6 +130,7 @@
     #[must_use]
     pub fn of(machine: MachineName) -> &'static [Self] {
         match machine {
+            MachineName::Ownership => &[Self::RecordSwap, Self::EpochGrows, Self::BootNumber],
             MachineName::Isolation => &[
                 Self::IsolationRule,
                 Self::TakerHalf,
@@ -165,13 +170,9 @@
             MachineName::ManifestChange => {
                 &[Self::ReadBack, Self::HeadSwap, Self::UncertainChange, Self::VersionGrows]
             }
-            MachineName::Resubmission => &[
-                Self::OnceSent,
-                Self::AdoptFound,
-                Self::FirstEpoch,
-                Self::RememberAnswer,
-                Self::CurrentAnswer,
-            ],
+            MachineName::Resubmission => {
+                &[Self::EveryCopy, Self::AdoptFound, Self::FirstEpoch, Self::RememberAnswer]
+            }
         }
     }
 }
--- a/crates/spec/src/name.rs
+++ b/crates/spec/src/name.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        IsolationMachine, JournalMachine, ManifestMachine, Mutation, RackMachine,
+        IsolationMachine, JournalMachine, ManifestMachine, Mutation, OwnershipMachine, RackMachine,
         ResubmissionMachine, SpecMachine, TeamMachine, Verdict, explore,
     },
     std::{fmt, str::FromStr},
@@ -11,6 +11,8 @@
 /// A part of the protocol that is explored by itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MachineName {
+    /// The ownership record of a piece.
+    Ownership,
     /// When a daemon that may have been replaced stops.
     Isolation,
     /// A new owner of a rack, the workers' leases and fences.
@@ -40,7 +42,8 @@
 
 impl MachineName {
     /// Every machine.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
+        Self::Ownership,
         Self::Isolation,
         Self::RackTakeover,
         Self::TeamTakeover,
@@ -53,6 +56,7 @@
     #[must_use]
     pub fn as_str(self) -> &'static str {
         match self {
+            Self::Ownership => "ownership",
             Self::Isolation => "isolation",
             Self::RackTakeover => "rack_takeover",
             Self::TeamTakeover => "team_takeover",
@@ -75,6 +79,7 @@
     #[must_use]
     pub fn explore(self, removed: &[Mutation]) -> Verdict {
         match self {
+            Self::Ownership => explore(&OwnershipMachine::new(removed)),
             Self::Isolation => explore(&IsolationMachine::new(removed)),
             Self::RackTakeover => explore(&RackMachine::new(removed)),
             Self::TeamTakeover => explore(&TeamMachine::new(removed)),
--- a/crates/spec/tests/exploration.rs
+++ b/crates/spec/tests/exploration.rs
@@ -36,6 +36,11 @@
     assert_clean(machine, &[]);
 }
 
+#[test]
+fn ownership_needs_each_mechanism() {
+    check(MachineName::Ownership);
+}
+
 #[test]
 fn rack_takeover_needs_each_mechanism() {
     check(MachineName::RackTakeover);
