Wait for the former rack owner's verdict on attempts that were on their way

Cause: when a rack changes hands the new owner was asked at once about attempts that the former owner was just refusing; 'unknown here' under the new epoch is no proof, so non-idempotent work ended as unknown. It gets 1.5 s first.

--- a/crates/node/src/queue/enforce.rs
+++ b/crates/node/src/queue/enforce.rs
@@ -14,6 +14,8 @@
     std::{cmp::Reverse, collections::BTreeMap},
 };
 
+/// Time that the verdict of a rack's former owner is waited for, in milliseconds.
+const FORMER_VERDICT_MS: u64 = 1_500;
 /// Most attempts that are asked about in one tick.
 const MAX_QUESTIONS: usize = 512;
 
@@ -90,15 +92,19 @@
 
 /// Asks about every attempt in a rack whose owner has changed: the new owner knows what it found
 /// there, and an attempt whose worker was lost with the former owner is found nowhere.
+///
+/// The former owner's verdict on an attempt that was on its way may still come. Only that can
+/// prove that the attempt never started, so it gets some time.
 pub(super) fn on_rack_moved(queue: &mut TeamQueue, rack: &RackName, context: &QueueContext<'_>) {
     let now = context.view.now;
-    let moved: Vec<AttemptKey> = queue
+    let moved: Vec<(AttemptKey, AttemptStage)> = queue
         .attempts
         .iter()
         .filter(|(_, row)| row.rack == *rack && row.stage != AttemptStage::Held)
-        .map(|(key, _)| key)
+        .map(|(key, row)| (key, row.stage))
         .collect();
-    for key in moved {
-        queue.set_question(key, Some(now));
+    for (key, stage) in moved {
+        let delay_ms = if stage == AttemptStage::Placing { FORMER_VERDICT_MS } else { 0 };
+        queue.set_question(key, Some(now.plus(delay_ms)));
     }
 }
