--- a/crates/spec/src/machines/isolation.rs
+++ b/crates/spec/src/machines/isolation.rs
@@ -33,6 +33,8 @@
 const FAULTS: u8 = 3;
 /// The same when the manifest changes.
 const MANIFEST_FAULTS: u8 = 2;
+/// Daemons that join the roster later. They reach the store and the last daemon only.
+const NEWCOMERS: usize = 2;
 /// The owner that is replaced.
 const OWNER: usize = 0;
 /// Links between daemons.
@@ -55,6 +57,8 @@
     listed: [bool; DAEMONS],
     /// Owner in its own last news.
     owner: usize,
+    /// Whether its own last news show the grown roster.
+    sees_growth: bool,
     /// Age of the last exchange with each peer.
     heard: [u8; DAEMONS],
     /// Age of the freshest news that this daemon has told each peer.
@@ -87,6 +91,8 @@
     renewed: [u8; DAEMONS],
     owner: usize,
     taken: u8,
+    /// Whether the newcomers are on the roster.
+    is_grown: bool,
     daemons: [DaemonState; DAEMONS],
 }
 
@@ -110,6 +116,8 @@
     TogglePause,
     /// The owner's watch stalls or goes on.
     ToggleStall,
+    /// The newcomers join the roster by the word of the last daemon.
+    Grow,
     /// A daemon takes the piece, or a change of the manifest that it wrote is accepted.
     Take(usize),
 }
@@ -211,6 +219,26 @@
     }
 
     fn input(&self, state: &CellState, me: usize) -> StandingInput {
+        let daemon = &state.daemons[me];
+        let is_joint = me + 1 == DAEMONS && !self.lacks(Mutation::JointRoster);
+        let former = self.former_input(state, me);
+        if !daemon.sees_growth {
+            return former;
+        }
+        let reached = if me + 1 == DAEMONS { NEWCOMERS } else { 0 };
+        let grown = StandingInput {
+            heard: former.heard + reached,
+            informed: former.informed + reached,
+            known: former.known + NEWCOMERS,
+            ..former
+        };
+        let is_half_of_former = former.informed * 2 >= former.known;
+        let informed = if is_joint && !is_half_of_former { 0 } else { grown.informed };
+        StandingInput { informed, ..grown }
+    }
+
+    /// Counts the roster without the newcomers.
+    fn former_input(&self, state: &CellState, me: usize) -> StandingInput {
         let daemon = &state.daemons[me];
         let others = (0..state.members).filter(|&member| member != me);
         let counted: Vec<usize> =
@@ -281,6 +309,13 @@
         next_piece_step(view) == PieceStep::Take
     }
 
+    fn may_grow(&self, state: &CellState) -> bool {
+        let last = DAEMONS - 1;
+        let is_connected = state.daemons[last].standing == MemberStanding::Connected;
+        let is_possible = state.members == DAEMONS && state.change == ChangeKind::Owner;
+        is_possible && !state.is_grown && is_connected && reaches_store(state, last)
+    }
+
     fn fault_steps(state: &CellState) -> Vec<CellStep> {
         if state.faults == 0 {
             return Vec::new();
@@ -304,6 +339,7 @@
                 state.reaches_store = [false, false, true];
                 state.links = LINKS.map(|link| link != (0, DAEMONS - 1));
             }
+            CellStep::Grow => state.is_grown = true,
             CellStep::Tick => {
                 self.tick(state);
                 forget_differences(state);
@@ -403,7 +439,7 @@
 /// Reads the store's records.
 fn follow(state: &mut CellState, daemon: usize) {
     let listed = state.renewed.map(|age| age <= MEMBER_LEASE);
-    let owner = state.owner;
+    let (owner, is_grown) = (state.owner, state.is_grown);
     let view = &mut state.daemons[daemon];
     view.own = 0;
     view.passed_on = 0;
@@ -411,6 +447,7 @@
     view.is_unsettled &= view.registered < ISOLATION;
     view.listed = listed;
     view.owner = owner;
+    view.sees_growth = is_grown;
 }
 
 impl SpecMachine for IsolationMachine {
@@ -440,6 +477,7 @@
             is_unsettled: false,
             listed: [true; DAEMONS],
             owner: OWNER,
+            sees_growth: false,
             heard: [0; DAEMONS],
             told: [0; DAEMONS],
             standing: MemberStanding::Connected,
@@ -456,6 +494,7 @@
             renewed: [0; DAEMONS],
             owner: OWNER,
             taken: DECISIVE,
+            is_grown: false,
             daemons: [daemon; DAEMONS],
         }
     }
@@ -472,7 +511,9 @@
         } else {
             let takes = (1..state.members).filter(|&daemon| self.may_take(state, daemon));
             let takes = takes.map(CellStep::Take);
-            Self::fault_steps(state).into_iter().chain([CellStep::Tick]).chain(takes).collect()
+            let grow = self.may_grow(state).then_some(CellStep::Grow);
+            let steps = Self::fault_steps(state).into_iter().chain([CellStep::Tick]);
+            steps.chain(takes).chain(grow).collect()
         };
         let successor = |step| {
             let mut next = state.clone();
--- a/crates/spec/src/mutation.rs
+++ b/crates/spec/src/mutation.rs
@@ -32,6 +32,8 @@
     ToldHalf,
     /// All daemons count the members of one roster, also those that own nothing.
     AgreedRoster,
+    /// A grown roster counts together with the former one.
+    JointRoster,
     /// After a new registration only own news count, until they are later than any takeover by
     /// somebody who did not know of it.
     SettledRegistration,
@@ -140,6 +142,7 @@
                 Self::ToldNews,
                 Self::ToldHalf,
                 Self::AgreedRoster,
+                Self::JointRoster,
                 Self::SettledRegistration,
             ],
             MachineName::RackTakeover => &[
