--- a/crates/node/src/queue/accept.rs
+++ b/crates/node/src/queue/accept.rs
@@ -46,7 +46,10 @@
     let is_stale = order.first_epoch.is_some_and(|epoch| epoch > queue.epoch);
     let is_released = queue.is_frozen || is_stale || matches!(queue.phase, TeamPhase::Fenced);
     if is_released && !queue.by_nonce.contains_key(&order.nonce) {
-        context.out.send(from, PeerMessage::NotOwner { call, owner: None });
+        context.out.send(
+            from,
+            PeerMessage::NotOwner { call, copy: order.copy, is_given_back: false, owner: None },
+        );
         return;
     }
     if must_wait(queue, &order) {
@@ -57,17 +60,20 @@
     }
     let reply_to = from.clone();
     match judge_submit(queue, &order, context) {
-        SubmitStep::Join(key) => join_job(queue, key, reply_to, call, context),
+        SubmitStep::Join(key) => {
+            queue.jobs[key].copy = queue.jobs[key].copy.max(order.copy);
+            join_job(queue, key, reply_to, call, context);
+        }
         SubmitStep::Accept => accept_job(queue, reply_to, call, &order, context),
         SubmitStep::Refuse(refusal) => {
             context.out.count("queue.refused", 1);
             let answer = refusal.into_answer();
-            context.out.send(from, PeerMessage::Answer { call, answer });
+            context.out.send(from, PeerMessage::Answer { call, copy: order.copy, answer });
         }
         SubmitStep::Lost => {
             let id = job_id(queue, &order);
             let answer = lost_answer().with_job(id);
-            context.out.send(from, PeerMessage::Answer { call, answer });
+            context.out.send(from, PeerMessage::Answer { call, copy: order.copy, answer });
         }
     }
 }
@@ -118,6 +124,7 @@
         is_found: queue.orphan_ends.contains_key(&order.nonce)
             || queue.orphan_attempts.contains_key(&order.nonce),
         is_idempotent: order.spec.idempotent,
+        is_journalled: is_journalled(order),
     }
 }
 
@@ -233,6 +240,7 @@
     let mut job = JobRow::new(job_id(queue, order), order.spec.clone(), sequence, context.view.now);
     job.idempotency_key.clone_from(&order.idempotency_key);
     job.is_waiting = order.is_waiting;
+    job.copy = order.copy;
     job.callers.push((from, call));
     job.is_inherited = may_have_run(submission_input(queue, order));
     job.is_journalled = is_journalled(order);
@@ -349,12 +357,12 @@
     let answer = WorkAnswer::new(OutcomeKind::Done, reason, "")
         .with_job(job.id.clone())
         .with_status(job.status());
-    context.out.send(to, PeerMessage::Answer { call, answer });
+    context.out.send(to, PeerMessage::Answer { call, copy: 0, answer });
 }
 
 fn answer_unknown_job(to: &MemberName, call: CallId, context: &mut QueueContext<'_>) {
     let answer = WorkAnswer::refused(AnswerReason::UnknownJob, "there is no such job");
-    context.out.send(to, PeerMessage::Answer { call, answer });
+    context.out.send(to, PeerMessage::Answer { call, copy: 0, answer });
 }
 
 /// Ends work whose deadline has passed.
--- a/crates/ownership/src/resubmission.rs
+++ b/crates/ownership/src/resubmission.rs
@@ -20,6 +20,9 @@
     pub is_found: bool,
     /// Whether the work may run twice.
     pub is_idempotent: bool,
+    /// Whether the work is journalled before it starts. If it is, and is not known, no former owner
+    /// has started it.
+    pub is_journalled: bool,
 }
 
 /// What to do with a submission of work that the owner does not know.
@@ -51,6 +54,7 @@
 ///     remembered_ms: 300_000,
 ///     is_found: false,
 ///     is_idempotent: false,
+///     is_journalled: false,
 /// };
 /// assert!(!may_have_run(input));
 /// assert!(may_have_run(SubmissionInput { epoch: Epoch(3), ..input }));
@@ -58,7 +62,7 @@
 #[must_use]
 pub fn may_have_run(input: SubmissionInput) -> bool {
     let reached_former = input.first_epoch.is_some_and(|epoch| epoch < input.epoch);
-    reached_former || input.age_ms > input.remembered_ms
+    (reached_former && !input.is_journalled) || input.age_ms > input.remembered_ms
 }
 
 /// Decides about a submission of work that the owner does not know, once the roll call is
@@ -79,6 +83,7 @@
 ///     remembered_ms: 300_000,
 ///     is_found: false,
 ///     is_idempotent: false,
+///     is_journalled: false,
 /// };
 /// assert_eq!(judge_submission(input), SubmissionStep::Lost);
 /// let found = SubmissionInput { is_found: true, ..input };
--- a/crates/spec/src/machines/resubmission.rs
+++ b/crates/spec/src/machines/resubmission.rs
@@ -150,6 +150,7 @@
             remembered_ms: 0,
             is_found: owner.has_found && !self.lacks(Mutation::AdoptFound),
             is_idempotent: state.is_idempotent == Some(true),
+            is_journalled: false,
         };
         match judge_submission(input) {
             SubmissionStep::Adopt => state.owners[to].knows = true,
