Explore copies of a request one by one, and work that is given back

Cause: the entry now keeps account of each copy, and an owner that prepares a release gives back what it has not started; the machine counted refusals only and started work when it arrived.

Change: the resubmission machine numbers copies, has frozen owners that give back, and releases that are called off.

--- a/crates/ownership/src/resubmission.rs
+++ b/crates/ownership/src/resubmission.rs
@@ -20,8 +20,8 @@
     pub is_found: bool,
     /// Whether the work may run twice.
     pub is_idempotent: bool,
-    /// Whether the work is journalled before it starts. If it is, and is not known, no former owner
-    /// has started it.
+    /// Whether the work is journalled before it starts, so that what is not in the journal never
+    /// started.
     pub is_journalled: bool,
 }
 
--- a/crates/spec/src/machines/resubmission.rs
+++ b/crates/spec/src/machines/resubmission.rs
@@ -31,12 +31,14 @@
 /// A message between the entry and an owner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum CallMessage {
-    /// The request, with the owner that it may have reached first.
-    Submit(usize, Option<usize>),
-    /// The sender does not own the team.
-    NotOwner(usize),
-    /// The answer of an owner.
-    Answer(usize, CallerAnswer),
+    /// A copy of the request, with the owner that it may have reached first, and its number.
+    Submit(usize, Option<usize>, u8),
+    /// The sender does not own the team, so that this copy had no effect there.
+    NotOwner(usize, u8),
+    /// The sender gives the request back: this copy and all before it had no effect there.
+    GivenBack(usize, u8),
+    /// The answer of an owner, to this copy.
+    Answer(usize, CallerAnswer, u8),
 }
 
 /// An attempt of the request.
@@ -57,7 +59,14 @@
 pub(super) struct OwnerState {
     /// Whether it takes itself for the owner and is ready.
     is_owner: bool,
+    /// Whether it is about to release the team and takes nothing new.
+    is_frozen: bool,
     knows: bool,
+    /// Latest copy of the request that it got while it knew it.
+    copy: u8,
+    has_started: bool,
+    /// Latest copy that it gave back; it takes neither that nor an earlier one any more.
+    returned: u8,
     has_ended: bool,
     /// Whether the roll call found the first owner's attempt.
     has_found: bool,
@@ -69,12 +78,8 @@
     /// Whether the request may run twice; `None` at the start.
     is_idempotent: Option<bool>,
     sends: u8,
-    sent_to: Option<usize>,
-    /// Copies that were sent since the work had certainly reached nobody.
-    copies: u8,
-    /// Copies that were refused.
-    refusals: u8,
-    first: Option<usize>,
+    /// First and last copy that each owner may have taken.
+    sent: [Option<(u8, u8)>; 2],
     seen: usize,
     answer: Option<CallerAnswer>,
     recorded: usize,
@@ -100,6 +105,14 @@
     Refuse(CallMessage),
     /// A message is lost.
     Drop(CallMessage),
+    /// The first owner prepares the release of the team.
+    Freeze,
+    /// The release is off.
+    Thaw,
+    /// The first owner gives back what it has not started.
+    GiveBack,
+    /// An owner starts the request that it took.
+    Start(usize),
     /// An attempt ends.
     End(usize),
     /// An owner learns of the end and answers.
@@ -131,14 +144,16 @@
         self.removed.contains(&mutation)
     }
 
-    fn submit(&self, state: &mut CallState, to: usize, first: Option<usize>) {
+    fn submit(&self, state: &mut CallState, to: usize, first: Option<usize>, copy: u8) {
         let owner = state.owners[to];
-        if !owner.is_owner {
-            return push(state, CallMessage::NotOwner(to));
+        let is_returned = copy <= owner.returned && !self.lacks(Mutation::ReturnStays);
+        if !owner.is_owner || ((owner.is_frozen || is_returned) && !owner.knows) {
+            return push(state, CallMessage::NotOwner(to, copy));
         }
         if owner.knows {
+            state.owners[to].copy = owner.copy.max(copy);
             if owner.has_ended {
-                push(state, CallMessage::Answer(to, CallerAnswer::Done));
+                push(state, CallMessage::Answer(to, CallerAnswer::Done, copy));
             }
             return;
         }
@@ -153,52 +168,62 @@
             is_journalled: false,
         };
         match judge_submission(input) {
-            SubmissionStep::Adopt => state.owners[to].knows = true,
+            SubmissionStep::Adopt => {
+                state.owners[to] = OwnerState { knows: true, has_started: true, copy, ..owner };
+            }
             SubmissionStep::Start => {
-                state.owners[to].knows = true;
-                // Racks refuse the former owner once the roll call has reached them.
-                let is_fenced = to != TAKER && state.owners[TAKER].is_owner;
-                if !is_fenced {
-                    state.start(to);
-                }
+                state.owners[to] = OwnerState { knows: true, copy, ..owner };
             }
             SubmissionStep::Lost => {
                 let attempt = state.attempts[0];
                 state.is_wrongly_lost |=
                     owner.has_found && matches!(attempt, AttemptState::Running);
-                push(state, CallMessage::Answer(to, CallerAnswer::Unknown));
+                push(state, CallMessage::Answer(to, CallerAnswer::Unknown, copy));
             }
         }
     }
 
     fn receive(&self, state: &mut CallState, message: CallMessage) {
         match message {
-            CallMessage::Submit(to, first) => self.submit(state, to, first),
-            CallMessage::NotOwner(from) if state.sent_to == Some(from) => {
-                if state.copies == 1 || self.lacks(Mutation::EveryCopy) {
-                    state.first = None;
-                    state.copies = 0;
-                    state.refusals = 0;
-                }
-                state.sent_to = None;
-            }
-            CallMessage::NotOwner(_) => {}
-            CallMessage::Answer(_, CallerAnswer::NotRun) => {
-                state.refusals += 1;
-                if state.refusals >= state.copies || self.lacks(Mutation::EveryCopy) {
+            CallMessage::Submit(to, first, copy) => self.submit(state, to, first, copy),
+            CallMessage::NotOwner(from, copy) => self.void_copy(state, from, copy),
+            CallMessage::GivenBack(from, copy) => void_up_to(state, from, copy),
+            CallMessage::Answer(from, CallerAnswer::NotRun, copy) => {
+                self.void_copy(state, from, copy);
+                if state.sent == [None; 2] {
                     state.answer = Some(CallerAnswer::NotRun);
                 }
             }
-            CallMessage::Answer(_, answer) => state.answer = Some(answer),
+            CallMessage::Answer(_, answer, _) => state.answer = Some(answer),
         }
     }
 
+    /// Notes that a copy had no effect. One in the middle stays, which errs on the safe side.
+    fn void_copy(&self, state: &mut CallState, from: usize, copy: u8) {
+        let Some((first, last)) = state.sent[from] else { return };
+        let left = if self.lacks(Mutation::EveryCopy) {
+            None
+        } else if copy == first {
+            Some((first + 1, last))
+        } else if copy == last {
+            Some((first, last - 1))
+        } else {
+            Some((first, last))
+        };
+        state.sent[from] = left.filter(|(first, last)| first <= last);
+    }
+
     fn owner_steps(&self, state: &CallState, index: usize) -> Vec<CallStep> {
         let owner = state.owners[index];
         let mut steps = Vec::new();
         if state.attempts[index] == AttemptState::Running {
             steps.push(CallStep::End(index));
         }
+        // Racks refuse the former owner once the roll call has reached them.
+        let is_fenced = index != TAKER && state.owners[TAKER].is_owner;
+        if owner.is_owner && owner.knows && !owner.has_started && !owner.is_frozen && !is_fenced {
+            steps.push(CallStep::Start(index));
+        }
         if owner.is_owner && owner.knows && ended_attempt(state, index).is_some() {
             steps.push(CallStep::Learn(index));
         }
@@ -217,7 +242,7 @@
         for &message in &state.messages {
             steps.extend([CallStep::Deliver(message), CallStep::Drop(message)]);
             // Work that may have reached a former owner is never refused.
-            if let CallMessage::Submit(to, first) = message
+            if let CallMessage::Submit(to, first, _) = message
                 && state.owners[to].is_owner
                 && !state.owners[to].knows
                 && first.is_none_or(|first| first == to)
@@ -239,6 +264,13 @@
         if state.seen < state.recorded {
             steps.push(CallStep::See);
         }
+        let former = state.owners[0];
+        if former.is_owner {
+            steps.push(if former.is_frozen { CallStep::Thaw } else { CallStep::Freeze });
+            if former.is_frozen && former.knows && !former.has_started {
+                steps.push(CallStep::GiveBack);
+            }
+        }
         if state.recorded == 0 {
             steps.push(CallStep::Take);
         } else {
@@ -262,18 +294,31 @@
             }
             CallStep::Refuse(message) => {
                 take(state, message);
-                if let CallMessage::Submit(to, _) = message {
-                    push(state, CallMessage::Answer(to, CallerAnswer::NotRun));
+                if let CallMessage::Submit(to, _, copy) = message {
+                    push(state, CallMessage::Answer(to, CallerAnswer::NotRun, copy));
                 }
             }
             CallStep::Drop(message) => take(state, message),
+            CallStep::Freeze => state.owners[0].is_frozen = true,
+            CallStep::Thaw => state.owners[0].is_frozen = false,
+            CallStep::GiveBack => {
+                let copy = state.owners[0].copy;
+                state.owners[0].knows = false;
+                state.owners[0].returned = copy;
+                push(state, CallMessage::GivenBack(0, copy));
+            }
+            CallStep::Start(index) => {
+                state.owners[index].has_started = true;
+                state.start(index);
+            }
             CallStep::End(index) => state.attempts[index] = AttemptState::Ended,
             CallStep::Learn(index) => {
                 if let Some(attempt) = ended_attempt(state, index) {
                     state.attempts[attempt] = AttemptState::Gone;
                 }
                 state.owners[index].has_ended = true;
-                push(state, CallMessage::Answer(index, CallerAnswer::Done));
+                let copy = state.owners[index].copy;
+                push(state, CallMessage::Answer(index, CallerAnswer::Done, copy));
             }
             CallStep::Forget(index) => {
                 let owner = &mut state.owners[index];
@@ -292,7 +337,7 @@
                 state.owners[TAKER] = OwnerState { has_found, ..OwnerState::new(true) };
             }
             CallStep::GiveUp => {
-                let is_unsent = state.first.is_none();
+                let is_unsent = state.sent == [None; 2];
                 state.answer =
                     Some(if is_unsent { CallerAnswer::NotRun } else { CallerAnswer::Unknown });
             }
@@ -302,7 +347,16 @@
 
 impl OwnerState {
     fn new(is_owner: bool) -> Self {
-        Self { is_owner, knows: false, has_ended: false, has_found: false }
+        Self {
+            is_owner,
+            is_frozen: false,
+            knows: false,
+            copy: 0,
+            has_started: false,
+            returned: 0,
+            has_ended: false,
+            has_found: false,
+        }
     }
 }
 
@@ -329,11 +383,17 @@
 
 fn send(state: &mut CallState) {
     let to = state.seen;
-    push(state, CallMessage::Submit(to, state.first));
-    state.first = state.first.or(Some(to));
-    state.sent_to = Some(to);
-    state.copies += 1;
     state.sends += 1;
+    let copy = state.sends;
+    let first = state.sent.iter().position(Option::is_some);
+    push(state, CallMessage::Submit(to, first, copy));
+    let (earliest, _) = state.sent[to].unwrap_or((copy, copy));
+    state.sent[to] = Some((earliest, copy));
+}
+
+fn void_up_to(state: &mut CallState, from: usize, copy: u8) {
+    let left = state.sent[from].map(|(first, last)| (first.max(copy + 1), last));
+    state.sent[from] = left.filter(|(first, last)| first <= last);
 }
 
 fn push(state: &mut CallState, message: CallMessage) {
@@ -363,10 +423,7 @@
         CallState {
             is_idempotent: None,
             sends: 0,
-            sent_to: None,
-            copies: 0,
-            refusals: 0,
-            first: None,
+            sent: [None; 2],
             seen: 0,
             answer: None,
             recorded: 0,
--- a/crates/spec/src/mutation.rs
+++ b/crates/spec/src/mutation.rs
@@ -85,6 +85,8 @@
     VersionGrows,
     /// An entry believes that work reached nobody only once every copy was refused.
     EveryCopy,
+    /// An owner that gave a request back takes no earlier copy of it any more.
+    ReturnStays,
     /// An owner joins a request to attempts that the roll call found.
     AdoptFound,
     /// Non-idempotent work that may have reached a former owner is not started again.
@@ -173,9 +175,13 @@
             MachineName::ManifestChange => {
                 &[Self::ReadBack, Self::HeadSwap, Self::UncertainChange, Self::VersionGrows]
             }
-            MachineName::Resubmission => {
-                &[Self::EveryCopy, Self::AdoptFound, Self::FirstEpoch, Self::RememberAnswer]
-            }
+            MachineName::Resubmission => &[
+                Self::EveryCopy,
+                Self::ReturnStays,
+                Self::AdoptFound,
+                Self::FirstEpoch,
+                Self::RememberAnswer,
+            ],
         }
     }
 }
