--- a/crates/node/src/membership/keeper.rs
+++ b/crates/node/src/membership/keeper.rs
@@ -1,10 +1,16 @@
 //! Keeps this daemon on the roster while it runs, and takes off it who has gone for good.
 
 use {
-    crate::{LogLevel, NodeConfig, buffer::ActionBuffer, view::ClusterView},
+    super::PeerMonitor,
+    crate::{
+        LogLevel, NodeConfig,
+        buffer::ActionBuffer,
+        view::{ClusterView, MemberRow},
+    },
     damaskrack_model::{ClockTime, MemberName},
     damaskrack_ownership::{MemberRoster, MemberStanding},
     damaskrack_platform::StoreCall,
+    std::collections::BTreeSet,
 };
 
 /// Time after which a member that is neither listed nor heard is taken off, in milliseconds.
@@ -18,6 +24,8 @@
     revision: u64,
     call: u64,
     retry_at: ClockTime,
+    /// When the present roster was first seen.
+    changed_at: ClockTime,
     /// Member that an operator has declared gone.
     forgotten: Option<MemberName>,
 }
@@ -28,6 +36,7 @@
         view.roster = value.and_then(MemberRoster::from_json).unwrap_or_default();
         self.revision = if value.is_some() { revision } else { 0 };
         self.retry_at = ClockTime::default();
+        self.changed_at = view.now;
         self.forgotten.take_if(|member| !view.roster.members.contains(member));
     }
 
@@ -41,11 +50,10 @@
         self.call == call
     }
 
-    /// Starts the change that is due. `informed` counts the members on the roster that know that
-    /// this daemon reaches the store; `is_done` tells that this daemon is about to exit.
+    /// Starts the change that is due. `is_done` tells that this daemon is about to exit.
     pub(crate) fn tick(
         &mut self,
-        informed: usize,
+        monitor: &PeerMonitor,
         is_done: bool,
         view: &ClusterView,
         config: &NodeConfig,
@@ -54,7 +62,7 @@
         if view.now < self.retry_at {
             return;
         }
-        let Some(roster) = self.next_roster(informed, is_done, view) else { return };
+        let Some(roster) = self.next_roster(monitor, is_done, view, config) else { return };
         self.retry_at = view.now.plus(RETRY_MS);
         out.log(LogLevel::Info, "roster_changing", &[("members", &roster.members.len())]);
         let request = StoreCall::Put {
@@ -68,30 +76,63 @@
 
     fn next_roster(
         &self,
-        informed: usize,
+        monitor: &PeerMonitor,
         is_done: bool,
         view: &ClusterView,
+        config: &NodeConfig,
     ) -> Option<MemberRoster> {
-        let mut roster = view.roster.clone();
-        let is_enlisted = roster.members.contains(&view.me);
+        if let Some(former) = &view.roster.former {
+            return self.settle(former, monitor, view, config);
+        }
+        let is_enlisted = view.roster.members.contains(&view.me);
+        let mut members = view.roster.members.clone();
         if is_done {
-            return is_enlisted.then(|| {
-                roster.members.remove(&view.me);
-                roster
-            });
+            return members.remove(&view.me).then(|| view.roster.changed(members));
         }
-        if !is_enlisted {
-            let may_join = !view.is_leaving && view.members.contains_key(&view.me);
-            return (may_join && roster.may_add(informed)).then(|| {
-                roster.members.insert(view.me.clone());
-                roster
-            });
+        let informed = monitor.informed_count(&members, view, config);
+        let is_connected = is_enlisted && view.standing == MemberStanding::Connected;
+        let may_join = !is_enlisted && !view.is_leaving && view.roster.may_add(informed);
+        if is_connected || may_join {
+            members.extend(newcomers(view, config));
+            if members != view.roster.members {
+                return Some(view.roster.changed(members));
+            }
         }
-        let gone = self.forgotten.clone().or_else(|| find_gone(view))?;
-        roster.members.remove(&gone).then_some(roster)
+        let gone = self.forgotten.clone().or_else(|| find_gone(view)).filter(|_| is_enlisted)?;
+        members.remove(&gone).then(|| view.roster.changed(members))
+    }
+
+    /// Drops the former list once half of it have been told of news that are so much later than
+    /// the change that nobody who missed it goes on without news.
+    fn settle(
+        &self,
+        former: &BTreeSet<MemberName>,
+        monitor: &PeerMonitor,
+        view: &ClusterView,
+        config: &NodeConfig,
+    ) -> Option<MemberRoster> {
+        let is_late = view.now.since(self.changed_at) > config.member_lease_ms;
+        let myself = usize::from(former.contains(&view.me));
+        let informed = monitor.informed_count(former, view, config) + myself;
+        let is_settled = is_late && informed * 2 >= former.len();
+        is_settled.then(|| MemberRoster { members: view.roster.members.clone(), former: None })
     }
 }
 
+/// Returns the members that are to be added: listed, heard and not about to leave.
+fn newcomers<'a>(
+    view: &'a ClusterView,
+    config: &'a NodeConfig,
+) -> impl Iterator<Item = MemberName> + 'a {
+    let is_heard =
+        |row: &MemberRow| row.heard_at.is_some_and(|at| view.now.since(at) <= config.isolation_ms);
+    view.members
+        .iter()
+        .filter(move |(member, row)| **member == view.me || is_heard(row))
+        .filter(|(_, row)| row.is_listed && !row.is_leaving)
+        .map(|(member, _)| member.clone())
+}
+
 /// Finds a member that has been gone for so long that it no longer counts.
 fn find_gone(view: &ClusterView) -> Option<MemberName> {
     if view.standing != MemberStanding::Connected {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -27,6 +27,9 @@
 /// Most rounds of messages to this daemon itself in one tick.
 const MAX_LOOPBACK_ROUNDS: usize = 8;
 
+/// Longest time that a drained daemon waits to be taken off the roster, in milliseconds.
+const ROSTER_LEAVE_MS: u64 = 2_000;
+
 /// One daemon's tables.
 ///
 /// # Examples
@@ -59,6 +62,7 @@
     racks: RackRole,
     exchange: DigestExchange,
     shutdown_at: Option<ClockTime>,
+    drained_at: Option<ClockTime>,
     has_exited: bool,
 }
 
@@ -81,6 +85,7 @@
             racks: RackRole::default(),
             exchange: DigestExchange::default(),
             shutdown_at: None,
+            drained_at: None,
             has_exited: false,
             config,
         }
@@ -245,10 +250,12 @@
             PeerMessage::ManifestPush { version, json } => {
                 self.reader.on_push(version, &json, view, out);
             }
-            PeerMessage::Answer { call, answer } => {
-                self.entry.on_answer(from, call, answer, view, config, out);
+            PeerMessage::Answer { call, copy, answer } => {
+                self.entry.on_answer((from, boot), (call, copy), answer, view, config, out);
+            }
+            PeerMessage::NotOwner { call, copy, is_given_back, .. } => {
+                self.entry.on_not_owner((from, boot), (call, copy), is_given_back, view);
             }
-            PeerMessage::NotOwner { call, .. } => self.entry.on_not_owner(from, call, view),
             PeerMessage::AnswerAck { calls } => self.queues.on_answer_acks(&calls),
             PeerMessage::RackDigests { summaries } => {
                 self.exchange.on_racks(from, summaries, view);
@@ -340,9 +347,9 @@
         let (head, revision) = (self.reader.head_version(), self.reader.head_revision());
         self.writer.tick(head, revision, view, config, out);
         if self.follower.is_listed() {
-            let informed = self.monitor.informed_count(&self.view, &self.config);
             let is_done = self.is_drained();
-            self.keeper.tick(informed, is_done, &self.view, &self.config, &mut self.out);
+            let (view, config, out) = (&self.view, &self.config, &mut self.out);
+            self.keeper.tick(&self.monitor, is_done, view, config, out);
             if self.view.roster.members.contains(&self.view.me) {
                 self.review_pieces();
             }
@@ -400,6 +407,14 @@
         self.out.log(crate::LogLevel::Info, "shutdown_begun", &[("member", &me)]);
     }
 
+    /// Tells whether this daemon counts no longer. A change of the roster that is not settled may
+    /// keep it from leaving; a daemon that comes back under its name can as well stay on it.
+    fn is_off_roster(&mut self) -> bool {
+        let since = *self.drained_at.get_or_insert(self.view.now);
+        let is_late = self.view.now.since(since) > ROSTER_LEAVE_MS;
+        is_late || !self.view.roster.members.contains(&self.view.me)
+    }
+
     /// Tells whether a daemon that is shutting down has nothing left to do.
     fn is_drained(&self) -> bool {
         self.shutdown_at.is_some()
@@ -416,8 +431,7 @@
             return;
         }
         let is_overdue = self.view.now.since(since) > self.config.shutdown_ms;
-        let is_off = !self.view.roster.members.contains(&self.view.me);
-        let is_done = self.is_drained() && is_off;
+        let is_done = self.is_drained() && self.is_off_roster();
         if !is_done && !is_overdue {
             return;
         }
--- a/crates/node/src/queue/accept.rs
+++ b/crates/node/src/queue/accept.rs
@@ -12,6 +12,7 @@
     damaskrack_model::{
         AnswerReason, CallId, JobId, MemberName, OutcomeKind, WorkAnswer, WorkKind, WorkSpec,
     },
+    damaskrack_ownership::{SubmissionInput, SubmissionStep, judge_submission, may_have_run},
     damaskrack_wire::{PeerMessage, SubmitOrder},
 };
 
@@ -45,7 +46,10 @@
     let is_stale = order.first_epoch.is_some_and(|epoch| epoch > queue.epoch);
     let is_released = queue.is_frozen || is_stale || matches!(queue.phase, TeamPhase::Fenced);
     if is_released && !queue.by_nonce.contains_key(&order.nonce) {
-        context.out.send(from, PeerMessage::NotOwner { call, owner: None });
+        context.out.send(
+            from,
+            PeerMessage::NotOwner { call, copy: order.copy, is_given_back: false, owner: None },
+        );
         return;
     }
     if must_wait(queue, &order) {
@@ -56,17 +60,20 @@
     }
     let reply_to = from.clone();
     match judge_submit(queue, &order, context) {
-        SubmitStep::Join(key) => join_job(queue, key, reply_to, call, context),
+        SubmitStep::Join(key) => {
+            queue.jobs[key].copy = queue.jobs[key].copy.max(order.copy);
+            join_job(queue, key, reply_to, call, context);
+        }
         SubmitStep::Accept => accept_job(queue, reply_to, call, &order, context),
         SubmitStep::Refuse(refusal) => {
             context.out.count("queue.refused", 1);
             let answer = refusal.into_answer();
-            context.out.send(from, PeerMessage::Answer { call, answer });
+            context.out.send(from, PeerMessage::Answer { call, copy: order.copy, answer });
         }
         SubmitStep::Lost => {
             let id = job_id(queue, &order);
             let answer = lost_answer().with_job(id);
-            context.out.send(from, PeerMessage::Answer { call, answer });
+            context.out.send(from, PeerMessage::Answer { call, copy: order.copy, answer });
         }
     }
 }
@@ -76,7 +83,7 @@
 fn must_wait(queue: &TeamQueue, order: &SubmitOrder) -> bool {
     let is_active = matches!(queue.phase, TeamPhase::Active);
     let is_known = queue.by_nonce.contains_key(&order.nonce);
-    !queue.knows_jobs() || (!is_active && !is_known && may_have_run(queue, order))
+    !queue.knows_jobs() || (!is_active && !is_known && may_have_run(submission_input(queue, order)))
 }
 
 fn job_id(queue: &TeamQueue, order: &SubmitOrder) -> JobId {
@@ -95,27 +102,30 @@
     if let Some(step) = judge_idempotency_key(queue, order) {
         return step;
     }
-    let is_found = queue.orphan_ends.contains_key(&order.nonce)
-        || queue.orphan_attempts.contains_key(&order.nonce);
-    if is_found {
-        return SubmitStep::Accept;
-    }
-    let may_have_run = may_have_run(queue, order);
-    if may_have_run && !order.spec.idempotent {
-        return SubmitStep::Lost;
+    let input = submission_input(queue, order);
+    match judge_submission(input) {
+        SubmissionStep::Adopt => return SubmitStep::Accept,
+        SubmissionStep::Lost => return SubmitStep::Lost,
+        SubmissionStep::Start => {}
     }
     match check_submit(queue, order, context) {
         Ok(()) => SubmitStep::Accept,
-        Err(_) if may_have_run => SubmitStep::Lost,
+        Err(_) if may_have_run(input) => SubmitStep::Lost,
         Err(refusal) => SubmitStep::Refuse(refusal),
     }
 }
 
-/// Tells whether work that is not known here may have run: a former owner may have got it, or this
-/// one may have forgotten it.
-fn may_have_run(queue: &TeamQueue, order: &SubmitOrder) -> bool {
-    let is_former = order.first_epoch.is_some_and(|epoch| epoch < queue.epoch);
-    is_former || order.age_ms > settle::MAX_RESUBMIT_AGE_MS
+fn submission_input(queue: &TeamQueue, order: &SubmitOrder) -> SubmissionInput {
+    SubmissionInput {
+        first_epoch: order.first_epoch,
+        epoch: queue.epoch,
+        age_ms: order.age_ms,
+        remembered_ms: settle::MAX_RESUBMIT_AGE_MS,
+        is_found: queue.orphan_ends.contains_key(&order.nonce)
+            || queue.orphan_attempts.contains_key(&order.nonce),
+        is_idempotent: order.spec.idempotent,
+        is_journalled: is_journalled(order),
+    }
 }
 
 fn judge_idempotency_key(queue: &TeamQueue, order: &SubmitOrder) -> Option<SubmitStep> {
@@ -230,8 +240,9 @@
     let mut job = JobRow::new(job_id(queue, order), order.spec.clone(), sequence, context.view.now);
     job.idempotency_key.clone_from(&order.idempotency_key);
     job.is_waiting = order.is_waiting;
+    job.copy = order.copy;
     job.callers.push((from, call));
-    job.is_inherited = may_have_run(queue, order);
+    job.is_inherited = may_have_run(submission_input(queue, order));
     job.is_journalled = is_journalled(order);
     if order.spec.kind == WorkKind::Request {
         // A request is one task: its acceptance, where it is journalled, is its intent.
@@ -346,12 +357,12 @@
     let answer = WorkAnswer::new(OutcomeKind::Done, reason, "")
         .with_job(job.id.clone())
         .with_status(job.status());
-    context.out.send(to, PeerMessage::Answer { call, answer });
+    context.out.send(to, PeerMessage::Answer { call, copy: 0, answer });
 }
 
 fn answer_unknown_job(to: &MemberName, call: CallId, context: &mut QueueContext<'_>) {
     let answer = WorkAnswer::refused(AnswerReason::UnknownJob, "there is no such job");
-    context.out.send(to, PeerMessage::Answer { call, answer });
+    context.out.send(to, PeerMessage::Answer { call, copy: 0, answer });
 }
 
 /// Ends work whose deadline has passed.
