--- a/crates/daemon/src/settings/document.rs
+++ b/crates/daemon/src/settings/document.rs
@@ -177,7 +177,7 @@
             heartbeat_ms: 500,
             store_timeout_ms: 1_000,
             worker_timeout_ms: 1_000,
-            hosts_interval_ms: 1_000,
+            hosts_interval_ms: 2_000,
             link_silence_ms: 2_000,
             link_connect_ms: 1_000,
             header_timeout_ms: 10_000,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -32,6 +32,9 @@
 const RESEND_MAX_MS: u64 = 8_000;
 /// Most calls under way at once.
 const MAX_CALLS: usize = 10_000;
+/// Time that a former owner's answer is waited for when the present one lost the work, in
+/// milliseconds.
+const FORMER_ANSWER_MS: u64 = 2_000;
 /// Largest payload, in bytes.
 const MAX_PAYLOAD_BYTES: usize = 64 << 10;
 /// Longest idempotency key, in bytes.
@@ -61,6 +64,8 @@
     sent: Vec<SentCopies>,
     next_copy: u32,
     first_sent_at: ClockTime,
+    /// Answer of an owner that lost the work, kept while another may still know its end.
+    fallback: Option<(ClockTime, WorkAnswer)>,
     resend_at: ClockTime,
     resend_ms: u64,
 }
@@ -144,6 +149,7 @@
                     sent: Vec::new(),
                     next_copy: 1,
                     first_sent_at: view.now,
+                    fallback: None,
                     resend_at: view.now,
                     resend_ms: RESEND_MIN_MS,
                 };
@@ -243,6 +249,12 @@
             out.count("entry.partial_refusals", 1);
             return;
         }
+        if let Some(waiting) = self.calls.get_mut(&call.serial)
+            && waiting.may_be_known_elsewhere((from, boot), &answer, view)
+        {
+            waiting.fallback.get_or_insert((view.now.plus(FORMER_ANSWER_MS), answer));
+            return;
+        }
         let Some(ended) = self.calls.remove(&call.serial) else {
             out.count("entry.late_answers", 1);
             return;
@@ -283,6 +295,7 @@
             .iter()
             .filter(|(_, call)| {
                 view.now >= call.resend_at
+                    || call.fallback.as_ref().is_some_and(|(at, _)| view.now >= *at)
                     || call.gives_up_at.is_some_and(|at| view.now >= at)
                     || is_owner_changed(call, view)
             })
@@ -301,6 +314,12 @@
         out: &mut ActionBuffer,
     ) {
         let Some(call) = self.calls.get_mut(&serial) else { return };
+        if let Some((_, answer)) = call.fallback.take_if(|(at, _)| view.now >= *at) {
+            let driver_call = call.driver_call;
+            self.calls.remove(&serial);
+            out.push(NodeAction::CallerAnswer { call: driver_call, answer });
+            return;
+        }
         if call.gives_up_at.is_some_and(|at| view.now >= at)
             && let Some(answer) = call.give_up(view)
         {
@@ -346,6 +365,23 @@
         !self.sent.is_empty()
     }
 
+    /// Tells whether the work is lost for one owner while another, which can still be heard, may
+    /// have its answer on the way.
+    fn may_be_known_elsewhere(
+        &self,
+        (from, boot): (&MemberName, u64),
+        answer: &WorkAnswer,
+        view: &ClusterView,
+    ) -> bool {
+        let is_lost = answer.outcome == OutcomeKind::Unknown && answer.reason == AnswerReason::Lost;
+        is_lost
+            && self.fallback.is_none()
+            && self.sent.iter().any(|sent| {
+                let is_other = sent.member != *from || sent.boot != boot;
+                is_other && (sent.member == view.me || view.links.contains(&sent.member))
+            })
+    }
+
     /// Notes that copies had no effect at a process of a member.
     fn void_copies(&mut self, member: &MemberName, boot: u64, void: CopyRange) {
         for sent in &mut self.sent {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -195,9 +195,11 @@
             NodeInput::Operator { call, request } => self.take_operator(call, request),
             NodeInput::PeerUp { member, .. } => {
                 view.links.insert(member);
+                view.summaries_generation += 1;
             }
             NodeInput::PeerDown { member } => {
                 view.links.remove(&member);
+                view.summaries_generation += 1;
                 self.entry.on_link_lost(&member, view.now);
             }
             NodeInput::Peer { member, boot, message } => self.take_message(&member, boot, message),
--- a/crates/node/src/queue.rs
+++ b/crates/node/src/queue.rs
@@ -6,6 +6,7 @@
 mod commit;
 mod dispatch;
 mod enforce;
+mod flow;
 mod gang;
 mod job;
 mod record;
@@ -217,6 +218,7 @@
     if !queue.knows_jobs() {
         return;
     }
+    queue.flow.tick(context.view.now);
     accept::settle_accepted(queue, context);
     settle::settle_acks(queue, context);
     gang::expire_holds(queue, context);
--- a/crates/node/src/queue/accept.rs
+++ b/crates/node/src/queue/accept.rs
@@ -44,7 +44,10 @@
     context: &mut QueueContext<'_>,
 ) {
     let is_stale = order.first_epoch.is_some_and(|epoch| epoch > queue.epoch);
-    let is_released = queue.is_frozen || is_stale || matches!(queue.phase, TeamPhase::Fenced);
+    // A copy that was on its way while a later one was given back was given back with it.
+    let is_returned = queue.returned.get(&order.nonce).is_some_and(|&copy| order.copy <= copy);
+    let is_released =
+        queue.is_frozen || is_stale || is_returned || matches!(queue.phase, TeamPhase::Fenced);
     if is_released && !queue.by_nonce.contains_key(&order.nonce) {
         context.out.send(
             from,
@@ -197,6 +200,11 @@
         let detail = "the team has too many jobs waiting; try again later";
         return Err(WorkRefusal::new(AnswerReason::Overloaded, detail));
     }
+    let is_request = order.spec.kind == WorkKind::Request;
+    if is_request && queue.flow.is_overloaded(order.spec.priority, order.spec.deadline_ms) {
+        let detail = "the team's requests would wait too long; try again later";
+        return Err(WorkRefusal::new(AnswerReason::Overloaded, detail));
+    }
     let is_durable = is_journalled(order);
     if is_durable && queue.journal.pending_len() >= MAX_PENDING_RECORDS {
         let detail = "too many writes wait for the store";
--- a/crates/node/src/queue/board.rs
+++ b/crates/node/src/queue/board.rs
@@ -6,7 +6,6 @@
 use {
     crate::view::ClusterView,
     damaskrack_model::{ClockTime, RackName, Resources},
-    damaskrack_ownership::PieceName,
     damaskrack_policy::{RackRoom, rank_full_racks, rank_racks},
     rustc_hash::FxHashMap,
 };
@@ -14,6 +13,12 @@
 /// Time for which a rack that refused is not asked again, in milliseconds.
 const REFUSED_MS: u64 = 150;
 
+/// Time without a verdict after which a rack gets nothing more until it gives one, in
+/// milliseconds.
+const UNANSWERED_MS: u64 = 300;
+/// Time after which such a rack is tried again, in milliseconds.
+const RETRY_UNANSWERED_MS: u64 = 3_000;
+
 /// Room in every rack.
 #[derive(Debug, Default)]
 pub(super) struct RackBoard {
@@ -21,6 +26,8 @@
     rooms: Vec<RackRoom>,
     index: FxHashMap<RackName, usize>,
     refused_until: FxHashMap<RackName, ClockTime>,
+    /// Placements without a verdict, and when the rack last gave one while there were any.
+    unanswered: FxHashMap<RackName, (u32, ClockTime)>,
     generation: u64,
     largest_worker: Vec<Resources>,
     /// Rooms before each deduction since the last summaries.
@@ -57,9 +64,7 @@
         self.deductions.clear();
         for (name, row) in &view.summaries {
             let summary = &row.summary;
-            let owner = view.owner(&PieceName::Rack(name.clone()));
-            let is_reachable =
-                owner.is_some_and(|owner| *owner == view.me || view.links.contains(owner));
+            let is_reachable = view.reachable_owner(name).is_some();
             let is_open = summary.is_open && is_reachable && view.is_zone_in(&summary.zone);
             self.index.insert(name.clone(), self.names.len());
             self.names.push(name.clone());
@@ -85,8 +90,17 @@
     }
 
     /// Chooses a rack for a task.
-    pub(super) fn choose(&self, need: Resources, is_entitled: bool, draw: u64) -> RackChoice {
-        let is_usable = |index: usize| !self.refused_until.contains_key(&self.names[index]);
+    pub(super) fn choose(
+        &self,
+        need: Resources,
+        is_entitled: bool,
+        draw: u64,
+        now: ClockTime,
+    ) -> RackChoice {
+        let is_usable = |index: usize| {
+            let name = &self.names[index];
+            !self.refused_until.contains_key(name) && !self.is_unresponsive(name, now)
+        };
         let free = rank_racks(&self.rooms, need, draw).into_iter().find(|&index| is_usable(index));
         if let Some(index) = free {
             return RackChoice::Free(self.names[index].clone());
@@ -125,6 +139,28 @@
         }
     }
 
+    fn is_unresponsive(&self, rack: &RackName, now: ClockTime) -> bool {
+        self.unanswered.get(rack).is_some_and(|(_, since)| {
+            (UNANSWERED_MS..RETRY_UNANSWERED_MS).contains(&now.since(*since))
+        })
+    }
+
+    /// Notes that a task was sent to a rack that has room for it.
+    pub(super) fn note_sent(&mut self, rack: &RackName, now: ClockTime) {
+        self.unanswered.entry(rack.clone()).or_insert((0, now)).0 += 1;
+    }
+
+    /// Notes that a rack has given a verdict.
+    pub(super) fn note_answered(&mut self, rack: &RackName, now: ClockTime) {
+        if let Some((count, since)) = self.unanswered.get_mut(rack) {
+            *count = count.saturating_sub(1);
+            *since = now;
+            if *count == 0 {
+                self.unanswered.remove(rack);
+            }
+        }
+    }
+
     /// Notes that a rack refused.
     pub(super) fn mark_refused(&mut self, rack: &RackName, now: ClockTime) {
         self.refused_until.insert(rack.clone(), now.plus(REFUSED_MS));
--- a/crates/node/src/queue/dispatch.rs
+++ b/crates/node/src/queue/dispatch.rs
@@ -12,7 +12,7 @@
         gang,
         job::TaskStage,
         record::JournalRecord,
-        settle::ASK_MS,
+        settle::{self, ASK_MS},
         team::TeamQueue,
     },
     damaskrack_model::{AttemptId, Epoch, RackName, Resources, WorkKind},
@@ -41,6 +41,8 @@
     task: u32,
     rack: RackName,
     is_entitled: bool,
+    /// Whether there should be room without anybody yielding, so that a verdict comes at once.
+    is_room: bool,
 }
 
 /// What to do with the next task of a job.
@@ -183,10 +185,9 @@
     }
     let spec = &queue.jobs[key].spec;
     let draw = context.out.draw();
-    match context.board.choose(spec.resources, is_entitled, draw) {
-        RackChoice::Free(rack) | RackChoice::Yielding(rack) => {
-            Some(TaskChoice { task, rack, is_entitled })
-        }
+    match context.board.choose(spec.resources, is_entitled, draw, view.now) {
+        RackChoice::Free(rack) => Some(TaskChoice { task, rack, is_entitled, is_room: true }),
+        RackChoice::Yielding(rack) => Some(TaskChoice { task, rack, is_entitled, is_room: false }),
         RackChoice::Nowhere => None,
     }
 }
@@ -241,6 +242,9 @@
         sequence,
     };
     queue.insert_attempt(attempt);
+    if choice.is_room {
+        context.board.note_sent(&choice.rack, context.view.now);
+    }
     batch.orders.entry(choice.rack.clone()).or_default().push(order);
     batch.count += 1;
 }
@@ -250,18 +254,28 @@
 }
 
 impl PlaceBatch {
-    /// Sends one message a rack.
-    fn send(self, queue: &TeamQueue, context: &mut QueueContext<'_>) {
+    /// Sends one message a rack. What cannot be sent has certainly not started.
+    fn send(self, queue: &mut TeamQueue, context: &mut QueueContext<'_>) {
         for (rack, orders) in self.orders {
             context.out.count("queue.placed", orders.len() as u64);
-            let piece = PieceName::Rack(rack.clone());
-            let Some(owner) = context.view.owner(&piece) else { continue };
+            let Some(owner) = context.view.reachable_owner(&rack) else {
+                give_back_unsent(queue, &orders, context);
+                continue;
+            };
             let (team, epoch) = (queue.team.clone(), queue.epoch);
             context.out.send(owner, PeerMessage::Place { team, epoch, rack, orders });
         }
     }
 }
 
+fn give_back_unsent(queue: &mut TeamQueue, orders: &[PlaceOrder], context: &mut QueueContext<'_>) {
+    for order in orders {
+        if let Some(&key) = queue.by_attempt.get(&order.attempt) {
+            settle::give_back(queue, key, context);
+        }
+    }
+}
+
 /// Parks a job that can never run as things stand; returns whether it did.
 fn park_if_impossible(queue: &mut TeamQueue, key: JobKey, context: &QueueContext<'_>) -> bool {
     let reason = impossible_reason(queue, key, context);
--- /dev/null
+++ b/crates/node/src/queue/flow.rs
@@ -0,0 +1,70 @@
+//! How long a new request would wait.
+//!
+//! Past saturation a queue that takes everything serves callers that have given up, and goodput
+//! falls. Refusing what would wait too long keeps the work that is done useful. The estimate is
+//! the number of waiting requests over the rate at which requests end.
+
+use damaskrack_model::{ClockTime, PriorityClass};
+
+/// Interval over which ends are counted, in milliseconds.
+const WINDOW_MS: u64 = 500;
+/// Part of the former rate that is kept with every interval, in percent.
+const KEPT_PERCENT: u64 = 50;
+/// Requests that may always wait, whatever the rate.
+const MIN_WAITING: usize = 64;
+
+/// Intervals of backlog after which the rate is believed.
+const MIN_BUSY_WINDOWS: u32 = 4;
+
+/// Longest expected wait of a request without a deadline, in milliseconds; the lowest class is
+/// shed first.
+fn longest_wait_ms(class: PriorityClass) -> u64 {
+    match class {
+        PriorityClass::Low => 5_000,
+        PriorityClass::Normal => 10_000,
+        PriorityClass::Urgent => 20_000,
+    }
+}
+
+/// Flow of a team's requests.
+#[derive(Debug, Default)]
+pub(super) struct RequestFlow {
+    /// Requests that wait for a worker.
+    pub(super) waiting: usize,
+    ended: u64,
+    since: ClockTime,
+    /// Ends in an interval, averaged.
+    rate: u64,
+    /// Intervals in a row at whose end requests waited. The rate of an idle queue says nothing
+    /// about how fast it could serve.
+    busy_windows: u32,
+}
+
+impl RequestFlow {
+    /// Counts a request that has ended.
+    pub(super) fn count_end(&mut self) {
+        self.ended += 1;
+    }
+
+    /// Closes an interval when it is over.
+    pub(super) fn tick(&mut self, now: ClockTime) {
+        if now.since(self.since) < WINDOW_MS {
+            return;
+        }
+        self.since = now;
+        let ended = std::mem::take(&mut self.ended);
+        self.busy_windows =
+            if self.waiting < MIN_WAITING { 0 } else { self.busy_windows.saturating_add(1) };
+        self.rate = (self.rate * KEPT_PERCENT + ended * (100 - KEPT_PERCENT)) / 100;
+    }
+
+    /// Tells whether a new request would wait too long: beyond its deadline, if it has one.
+    pub(super) fn is_overloaded(&self, class: PriorityClass, deadline_ms: u64) -> bool {
+        if self.waiting < MIN_WAITING || self.busy_windows < MIN_BUSY_WINDOWS {
+            return false;
+        }
+        let wait_ms = if deadline_ms > 0 { deadline_ms } else { longest_wait_ms(class) };
+        let allowed = self.rate.saturating_mul(wait_ms) / WINDOW_MS;
+        self.waiting as u64 > allowed.max(MIN_WAITING as u64)
+    }
+}
--- a/crates/node/src/queue/release.rs
+++ b/crates/node/src/queue/release.rs
@@ -30,11 +30,13 @@
     for key in returnable {
         let job = &mut queue.jobs[key];
         let copy = job.copy;
+        let nonce = job.id.nonce;
         for (member, call) in std::mem::take(&mut job.callers) {
             let message = PeerMessage::NotOwner { call, copy, is_given_back: true, owner: None };
             context.out.send(&member, message);
         }
         context.out.count("queue.handed_back", 1);
+        queue.returned.insert(nonce, copy);
         queue.remove_job(key);
     }
 }
--- a/crates/node/src/queue/settle.rs
+++ b/crates/node/src/queue/settle.rs
@@ -61,6 +61,8 @@
 ) {
     for (id, verdict) in verdicts {
         let Some(&key) = queue.by_attempt.get(&id) else { continue };
+        let rack = queue.attempts[key].rack.clone();
+        context.board.note_answered(&rack, context.view.now);
         match verdict {
             PlaceVerdict::Started(_) => note_started(queue, key, context),
             PlaceVerdict::Held(_) => {
@@ -71,7 +73,6 @@
                 gang::on_progress(queue, key, context);
             }
             PlaceVerdict::Refused(_) => {
-                let rack = queue.attempts[key].rack.clone();
                 context.board.mark_refused(&rack, context.view.now);
                 context.out.count("queue.place_refused", 1);
                 give_back(queue, key, context);
@@ -416,6 +417,9 @@
         return;
     }
     job.ended_at = Some(context.view.now);
+    if job.spec.kind == WorkKind::Request {
+        queue.flow.count_end();
+    }
     if job.is_journalled {
         // Ends of single tasks are recorded as they happen; this adds those that never started.
         for record in job.ended_runs() {
--- a/crates/node/src/queue/team.rs
+++ b/crates/node/src/queue/team.rs
@@ -4,6 +4,7 @@
     super::{
         AttemptKey, JobKey,
         attempt::{AttemptRow, AttemptStage},
+        flow::RequestFlow,
         job::{JobRow, TaskStage},
         record::JournalRecord,
     },
@@ -108,6 +109,8 @@
     pub(super) superfluous: FxHashMap<AttemptKey, JobKey>,
     /// Jobs of answered calls that are not confirmed.
     pub(super) answered: FxHashMap<CallId, JobKey>,
+    /// Jobs that were given back, with the latest copy that was.
+    pub(super) returned: FxHashMap<u64, u32>,
     /// First segment of each epoch, which trimming keeps.
     pub(super) epoch_segments: Vec<u64>,
     /// Number below which segments have been trimmed.
@@ -122,6 +125,8 @@
     pub(super) next_sequence: u64,
     /// Payload bytes of the jobs that the journal holds.
     journalled_bytes: usize,
+    /// How fast requests end and how many wait.
+    pub(super) flow: RequestFlow,
 }
 
 /// Rank of a kind within a class: callers that wait come first.
@@ -163,6 +168,7 @@
             orphan_attempts: FxHashMap::default(),
             answered: FxHashMap::default(),
             superfluous: FxHashMap::default(),
+            returned: FxHashMap::default(),
             epoch_segments: Vec::new(),
             trimmed_below: 0,
             early: Vec::new(),
@@ -172,6 +178,7 @@
             waiting: Resources::ZERO,
             next_sequence: 0,
             journalled_bytes: 0,
+            flow: RequestFlow::default(),
         }
     }
 
@@ -243,10 +250,10 @@
             self.journalled_bytes = self.journalled_bytes.saturating_sub(job.spec.payload.len());
         }
         let order = ready_order(job);
+        let is_request = job.spec.kind == WorkKind::Request;
         let nonce = job.id.nonce;
         let index = job.idempotency_key.clone().map(|name| (job.id.queue.clone(), name));
         let deadline = job.deadline_at;
-        self.ready.remove(&order);
         self.by_nonce.remove(&nonce);
         if let Some(index) = index {
             self.by_key.remove(&index);
@@ -257,6 +264,7 @@
         for call in &job.unconfirmed {
             self.answered.remove(call);
         }
+        self.remove_ready(order, is_request);
         self.backing_off.remove(&key);
         self.parked.remove(&key);
         self.unaccepted.retain(|(_, job)| *job != key);
@@ -273,10 +281,12 @@
         let is_ready =
             !job.queued.is_empty() && job.parked.is_none() && is_accepted && is_gang_idle;
         let is_backing_off = !job.backoff.is_empty();
+        let is_request = job.spec.kind == WorkKind::Request;
         if is_ready {
-            self.ready.insert(order, key);
+            let is_new = self.ready.insert(order, key).is_none();
+            self.flow.waiting += usize::from(is_new && is_request);
         } else {
-            self.ready.remove(&order);
+            self.remove_ready(order, is_request);
         }
         if is_backing_off {
             self.backing_off.insert(key);
@@ -285,6 +295,11 @@
         }
     }
 
+    fn remove_ready(&mut self, order: ReadyOrder, is_request: bool) {
+        let was_ready = self.ready.remove(&order).is_some();
+        self.flow.waiting -= usize::from(was_ready && is_request);
+    }
+
     /// Adds an attempt and counts it.
     pub(super) fn insert_attempt(&mut self, attempt: AttemptRow) -> AttemptKey {
         self.running = self.running.saturating_add(attempt.resources);
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -16,6 +16,9 @@
     std::collections::{BTreeMap, BTreeSet},
 };
 
+/// Age of the last proof of life after which an owner gets no new work, in milliseconds.
+const SILENT_OWNER_MS: u64 = 1_600;
+
 /// A member as this daemon knows it.
 #[derive(Debug, Clone, Serialize)]
 pub(crate) struct MemberRow {
@@ -175,6 +178,8 @@
     /// Applies a change of an ownership record; returns its piece.
     pub(crate) fn apply_owner(&mut self, change: &FollowedChange) -> Option<PieceName> {
         let piece = PieceName::from_store_key(&change.key)?;
+        // What is known of room in racks depends on who can be asked for it.
+        self.summaries_generation += 1;
         let record = change.value.as_deref().and_then(|text| OwnerRecord::from_json(text).ok());
         if let Some(owner) = self.owner(&piece).cloned()
             && let Some(count) = self.owned_counts.get_mut(&owner)
@@ -233,6 +238,17 @@
         self.owners.get(piece).and_then(|row| row.record.owner.as_ref())
     }
 
+    /// Returns the recorded owner of a rack if a message to it can be sent now.
+    pub(crate) fn reachable_owner(&self, rack: &RackName) -> Option<&MemberName> {
+        let owner = self.owner(&PieceName::Rack(rack.clone()))?;
+        let is_heard = self
+            .members
+            .get(owner)
+            .and_then(|row| row.heard_at)
+            .is_some_and(|at| self.now.since(at) <= SILENT_OWNER_MS);
+        (*owner == self.me || (is_heard && self.links.contains(owner))).then_some(owner)
+    }
+
     /// Returns the recorded epoch of a piece; 0 if it never had an owner.
     pub(crate) fn epoch(&self, piece: &PieceName) -> Epoch {
         self.owners.get(piece).map(|row| row.record.epoch).unwrap_or_default()
