Measure decisions and two mixes of work

The docs name bounds that no run had shown. decide drives one real node with a fake store, peers and workers and times its ticks; policy runs the same drawn arrivals on real nodes in the simulated cell and in a small model of simpler rules.

The scenario crate gives out a run's history unjudged (record_run) and counts messages between nodes, for this alone; nothing it did before changes.

--- /dev/null
+++ b/crates/bench/src/decide/cell.rs
@@ -0,0 +1,220 @@
+//! A cell that exists only as rows.
+
+use {
+    damaskrack_manifest::{
+        HEAD_KEY, ManifestDocument, ManifestHead, ManifestSection, QueueEntry, TeamEntry,
+        TeamLimit, ZoneEntry, ZoneState, section_hash, section_json, section_key,
+    },
+    damaskrack_model::{
+        Epoch, MemberName, NameError, PriorityClass, QueueName, RackName, Resources, TeamName,
+    },
+    damaskrack_ownership::{MemberRecord, OwnerRecord, PieceName, suggest_owner},
+    damaskrack_platform::{HostRow, HostState, StoreCall},
+    std::net::{Ipv4Addr, SocketAddr},
+};
+
+/// Workers of a rack.
+const WORKERS_PER_RACK: usize = 8;
+
+/// Workers for each daemon beyond the smallest number of daemons.
+const WORKERS_PER_DAEMON: usize = 58;
+
+/// Smallest number of daemons.
+const MIN_DAEMONS: usize = 8;
+
+/// Availability zones.
+const ZONES: usize = 3;
+
+/// Boot number of every fake peer.
+pub(super) const PEER_BOOT: u64 = 99;
+
+/// Name of the node that is measured.
+pub(super) const NODE: &str = "node-0";
+
+/// Capacity of each worker.
+pub(super) const WORKER: Resources =
+    Resources { millicores: 16_000, memory_bytes: 32 << 30, accelerators: 0 };
+
+/// What the measured node owns besides being a member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum OwnedPart {
+    Teams,
+    Racks,
+}
+
+/// Size of a cell.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct CellSize {
+    pub(super) workers: usize,
+    pub(super) teams: usize,
+}
+
+impl CellSize {
+    pub(super) fn new(workers: usize, teams: usize) -> Self {
+        Self { workers, teams }
+    }
+
+    pub(super) fn racks(self) -> usize {
+        self.workers.div_ceil(WORKERS_PER_RACK)
+    }
+
+    pub(super) fn daemons(self) -> usize {
+        self.workers.div_ceil(WORKERS_PER_DAEMON).max(MIN_DAEMONS)
+    }
+
+    /// Returns the name of every daemon, the measured node first.
+    pub(super) fn members(self) -> Vec<MemberName> {
+        (0..self.daemons()).filter_map(|index| format!("node-{index}").parse().ok()).collect()
+    }
+
+    /// Teams of the measured node.
+    pub(super) fn owned_teams(self) -> usize {
+        self.teams.div_ceil(self.daemons())
+    }
+
+    /// Racks of the measured node.
+    pub(super) fn owned_racks(self) -> usize {
+        self.racks().div_ceil(self.daemons())
+    }
+}
+
+/// A piece with the number of the daemon that owns it; 0 is the measured node.
+#[derive(Debug, Clone)]
+pub(super) struct PieceRow<N> {
+    pub(super) name: N,
+    pub(super) owner: usize,
+}
+
+/// Names of everything in a cell. Every piece stands where rendezvous hashing puts it, so that no
+/// daemon wants to move any.
+#[derive(Debug, Clone)]
+pub(super) struct CellPlan {
+    pub(super) size: CellSize,
+    pub(super) teams: Vec<PieceRow<TeamName>>,
+    pub(super) racks: Vec<PieceRow<RackName>>,
+}
+
+impl CellPlan {
+    /// Names a cell in which the measured node owns its part of the teams, or of the racks.
+    pub(super) fn new(size: CellSize, part: OwnedPart) -> Result<Self, NameError> {
+        let (own_teams, own_racks) = match part {
+            OwnedPart::Teams => (size.owned_teams(), 0),
+            OwnedPart::Racks => (0, size.owned_racks()),
+        };
+        let members = size.members();
+        Ok(Self {
+            size,
+            teams: place_pieces(&members, (size.teams, own_teams), "team", PieceName::Team)?,
+            racks: place_pieces(&members, (size.racks(), own_racks), "rack", PieceName::Rack)?,
+        })
+    }
+
+    /// Returns the queue of a team.
+    pub(super) fn queue(team: &TeamName) -> Result<QueueName, NameError> {
+        format!("{team}-queue").parse()
+    }
+
+    pub(super) fn hosts(&self) -> Result<Vec<HostRow>, NameError> {
+        (0..self.size.workers)
+            .map(|index| {
+                let rack = index / WORKERS_PER_RACK;
+                let port = 10_000 + u16::try_from(index % 50_000).unwrap_or(0);
+                Ok(HostRow {
+                    worker: format!("worker-{index}").parse()?,
+                    rack: self.racks[rack].name.clone(),
+                    zone: format!("zone-{}", rack % ZONES).parse()?,
+                    address: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
+                    capacity: WORKER,
+                    state: HostState::Live,
+                })
+            })
+            .collect()
+    }
+
+    fn document(&self) -> Result<ManifestDocument, NameError> {
+        let limit = TeamLimit {
+            tasks: 1_000_000,
+            resources: Resources {
+                millicores: u64::MAX >> 16,
+                memory_bytes: u64::MAX >> 16,
+                accelerators: 1_000_000,
+            },
+        };
+        let mut document = ManifestDocument::default();
+        for row in &self.teams {
+            document.queues.push(QueueEntry {
+                name: Self::queue(&row.name)?,
+                team: row.name.clone(),
+                open: true,
+                highest_priority: PriorityClass::Urgent,
+            });
+            document.teams.push(TeamEntry { name: row.name.clone(), share: 1, limit });
+        }
+        for index in 0..ZONES {
+            let name = format!("zone-{index}").parse()?;
+            document.zones.push(ZoneEntry { name, state: ZoneState::In });
+        }
+        Ok(document)
+    }
+
+    /// Returns the writes that put the cell's records into an empty store. What the measured node
+    /// is to own has no record yet.
+    pub(super) fn records(&self) -> Result<Vec<StoreCall>, NameError> {
+        let mut rows = manifest_rows(&self.document()?);
+        for peer in 1..self.size.daemons() {
+            let member: MemberName = format!("node-{peer}").parse()?;
+            let record = MemberRecord {
+                member: member.clone(),
+                boot: PEER_BOOT,
+                address: SocketAddr::from((Ipv4Addr::LOCALHOST, 7_000)),
+                zone: format!("zone-{}", peer % ZONES).parse()?,
+                is_leaving: false,
+            };
+            rows.push((MemberRecord::store_key(&member), record.to_json()));
+        }
+        let racks = self.racks.iter().map(|row| (PieceName::Rack(row.name.clone()), row.owner));
+        let teams = self.teams.iter().map(|row| (PieceName::Team(row.name.clone()), row.owner));
+        for (piece, owner) in racks.chain(teams).filter(|(_, owner)| *owner > 0) {
+            let owner = Some(format!("node-{owner}").parse()?);
+            let record = OwnerRecord { owner, boot: PEER_BOOT, epoch: Epoch(1), write: 1 };
+            rows.push((piece.store_key(), record.to_json()));
+        }
+        let put = |(key, value)| StoreCall::Put { key, expected: 0, value, lease: 0 };
+        Ok(rows.into_iter().map(put).collect())
+    }
+}
+
+/// Finds names for `count` pieces of which the measured node is to own the first `own`.
+fn place_pieces<N: Clone + std::str::FromStr<Err = NameError>>(
+    members: &[MemberName],
+    (count, own): (usize, usize),
+    prefix: &str,
+    piece: impl Fn(N) -> PieceName,
+) -> Result<Vec<PieceRow<N>>, NameError> {
+    let mut rows = Vec::with_capacity(count);
+    let mut serial = 0;
+    while rows.len() < count {
+        let name: N = format!("{prefix}-{serial}").parse()?;
+        serial += 1;
+        let owner = suggest_owner(&piece(name.clone()), members)
+            .and_then(|owner| members.iter().position(|member| member == owner))
+            .unwrap_or(0);
+        if (owner == 0) == (rows.len() < own) {
+            rows.push(PieceRow { name, owner });
+        }
+    }
+    Ok(rows)
+}
+
+fn manifest_rows(document: &ManifestDocument) -> Vec<(String, String)> {
+    let mut head = ManifestHead { version: 1, change: 1, ..ManifestHead::default() };
+    let mut rows = Vec::new();
+    for section in ManifestSection::ALL {
+        let json = section_json(document, section);
+        let hash = section_hash(&json);
+        rows.push((section_key(section, &hash), json));
+        head.sections.insert(section.name().to_owned(), hash);
+    }
+    rows.push((HEAD_KEY.to_owned(), head.to_json()));
+    rows
+}
--- /dev/null
+++ b/crates/bench/src/policy/rule.rs
@@ -0,0 +1,161 @@
+//! Simpler policies, and this one decided in one place, as rules of the model.
+
+use {
+    super::model::{ModelCell, ModelJob},
+    damaskrack_model::{PriorityClass, Resources},
+    damaskrack_policy::{TeamDemand, WorkerRoom, choose_worker, entitlements},
+    std::cmp::Reverse,
+};
+
+/// What a policy decides in the model.
+pub(super) trait PlacementRule {
+    /// Name in the report.
+    fn name(&self) -> &'static str;
+
+    /// Sorts waiting jobs, the first to be tried first.
+    fn sort(&self, jobs: &mut Vec<usize>, cell: &ModelCell<'_>);
+
+    /// Tells whether a team may start one more task of this size now.
+    fn may_start(&self, job: &ModelJob, need: Resources, cell: &ModelCell<'_>) -> bool;
+
+    /// Chooses a worker with room.
+    fn choose(&self, rooms: &[WorkerRoom], need: Resources, draw: u64) -> Option<usize> {
+        let _ = draw;
+        rooms.iter().position(|room| room.fits(need))
+    }
+
+    /// Tells whether a job may displace others' work when there is no room.
+    fn may_displace(&self, job: &ModelJob, need: Resources, cell: &ModelCell<'_>) -> bool {
+        let _ = (job, need, cell);
+        false
+    }
+}
+
+/// First in, first out, first fit; what does not fit is passed over.
+#[derive(Debug)]
+pub(super) struct FirstComeRule;
+
+impl PlacementRule for FirstComeRule {
+    fn name(&self) -> &'static str {
+        "first in, first out"
+    }
+
+    fn sort(&self, jobs: &mut Vec<usize>, cell: &ModelCell<'_>) {
+        jobs.sort_by_key(|&job| cell.jobs[job].arrival);
+    }
+
+    fn may_start(&self, _: &ModelJob, _: Resources, _: &ModelCell<'_>) -> bool {
+        true
+    }
+}
+
+/// Classes, then teams by their share, then arrival; nothing that runs ever yields.
+#[derive(Debug)]
+pub(super) struct StrictPriorityRule;
+
+impl PlacementRule for StrictPriorityRule {
+    fn name(&self) -> &'static str {
+        "strict priority"
+    }
+
+    fn sort(&self, jobs: &mut Vec<usize>, cell: &ModelCell<'_>) {
+        jobs.sort_by_key(|&job| {
+            let job = &cell.jobs[job];
+            (Reverse(job.priority), Reverse(cell.mix.teams[job.team].share), job.arrival)
+        });
+    }
+
+    fn may_start(&self, _: &ModelJob, _: Resources, _: &ModelCell<'_>) -> bool {
+        true
+    }
+}
+
+/// Each team has its share of the cell and never more.
+#[derive(Debug)]
+pub(super) struct StaticPartRule;
+
+impl PlacementRule for StaticPartRule {
+    fn name(&self) -> &'static str {
+        "static partitions"
+    }
+
+    fn sort(&self, jobs: &mut Vec<usize>, cell: &ModelCell<'_>) {
+        jobs.sort_by_key(|&job| (Reverse(cell.jobs[job].priority), cell.jobs[job].arrival));
+    }
+
+    fn may_start(&self, job: &ModelJob, need: Resources, cell: &ModelCell<'_>) -> bool {
+        let used = cell.used[job.team].saturating_add(need);
+        used.dominant_share(cell.mix.capacity()) <= cell.guaranteed(job.team) + 1e-9
+    }
+}
+
+/// This policy's functions with everything known at once and no delay; parts can be left out.
+#[derive(Debug)]
+pub(super) struct FairShareRule {
+    pub(super) name: &'static str,
+    pub(super) displaces: bool,
+    pub(super) packs: bool,
+}
+
+impl FairShareRule {
+    fn share_of(team: usize, extra: Resources, cell: &ModelCell<'_>) -> f64 {
+        cell.used[team].saturating_add(extra).dominant_share(cell.open_capacity())
+    }
+
+    fn entitlements(cell: &ModelCell<'_>) -> Vec<f64> {
+        let limit = cell.mix.capacity();
+        let demands: Vec<TeamDemand> = (0..cell.mix.teams.len())
+            .map(|team| TeamDemand {
+                weight: cell.mix.teams[team].share,
+                wanted: cell.used[team].saturating_add(cell.waiting[team]),
+                limit,
+            })
+            .collect();
+        entitlements(cell.open_capacity(), &demands)
+    }
+
+    fn is_entitled(job: &ModelJob, need: Resources, cell: &ModelCell<'_>) -> bool {
+        let entitlement = Self::entitlements(cell)[job.team].max(cell.guaranteed(job.team));
+        Self::share_of(job.team, need, cell) <= entitlement + 1e-9
+    }
+}
+
+impl PlacementRule for FairShareRule {
+    fn name(&self) -> &'static str {
+        self.name
+    }
+
+    fn sort(&self, jobs: &mut Vec<usize>, cell: &ModelCell<'_>) {
+        let entitled = Self::entitlements(cell);
+        let need = |team: usize| {
+            let share = Self::share_of(team, Resources::ZERO, cell);
+            if entitled[team] > 0.0 { share / entitled[team] } else { 1.0 }
+        };
+        let needs: Vec<f64> = (0..cell.mix.teams.len()).map(need).collect();
+        jobs.sort_by(|&left, &right| {
+            let (left, right) = (&cell.jobs[left], &cell.jobs[right]);
+            let is_urgent = |job: &ModelJob| job.priority == PriorityClass::Urgent;
+            is_urgent(right)
+                .cmp(&is_urgent(left))
+                .then(needs[left.team].total_cmp(&needs[right.team]))
+                .then(left.arrival.cmp(&right.arrival))
+        });
+    }
+
+    fn may_start(&self, _: &ModelJob, _: Resources, _: &ModelCell<'_>) -> bool {
+        true
+    }
+
+    fn choose(&self, rooms: &[WorkerRoom], need: Resources, draw: u64) -> Option<usize> {
+        if self.packs {
+            return choose_worker(rooms, need);
+        }
+        let start = usize::try_from(draw % rooms.len().max(1) as u64).unwrap_or(0);
+        let mut order = (start..rooms.len()).chain(0..start);
+        order.find(|&index| rooms[index].fits(need))
+    }
+
+    fn may_displace(&self, job: &ModelJob, need: Resources, cell: &ModelCell<'_>) -> bool {
+        self.displaces && Self::is_entitled(job, need, cell)
+    }
+}
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -18,7 +18,7 @@
         SingleRun, TeamLimits, Violation, WholeAnswer, WithdrawnKey, WorkerCapacity, ZoneOut,
         every_observer,
     },
-    runner::{RunFigures, RunOptions, RunVerdict, run_script},
+    runner::{RecordedRun, RunFigures, RunOptions, RunVerdict, record_run, run_script},
     script::{ScenarioScript, ScriptError},
     world::TraceFilter,
 };
--- a/crates/scenario/src/runner.rs
+++ b/crates/scenario/src/runner.rs
@@ -3,10 +3,11 @@
 use {
     crate::{
         expect::judge_expect,
-        observe::{Violation, every_observer},
+        observe::{RunHistory, Violation, every_observer},
         script::ScenarioScript,
         world::{SimWorld, TraceFilter},
     },
+    damaskrack_model::NameError,
     serde::Serialize,
     std::panic::{AssertUnwindSafe, catch_unwind},
 };
@@ -30,6 +31,10 @@
     pub refused_expired: u64,
     /// Calls to the store.
     pub store_calls: u64,
+    /// Messages between nodes about placing, ending and following work, heartbeats included.
+    pub messages: u64,
+    /// Messages between nodes that carry callers' requests, questions and answers.
+    pub caller_messages: u64,
 }
 
 impl RunFigures {
@@ -43,6 +48,8 @@
         self.refused_stale += other.refused_stale;
         self.refused_expired += other.refused_expired;
         self.store_calls += other.store_calls;
+        self.messages += other.messages;
+        self.caller_messages += other.caller_messages;
     }
 }
 
@@ -119,19 +126,54 @@
     }
 }
 
-fn run_world(script: &ScenarioScript, seed: u64, options: &RunOptions) -> RunVerdict {
-    let mut world = match SimWorld::new(script, seed, options.trace.clone()) {
-        Ok(world) => world,
-        Err(error) => return failed_run(seed, error.to_string()),
-    };
+/// What was seen in a run, for programs that judge it by their own measures.
+#[derive(Debug, Clone)]
+pub struct RecordedRun {
+    /// Everything that the stand-ins and the callers saw.
+    pub history: RunHistory,
+    /// What it amounted to.
+    pub figures: RunFigures,
+}
+
+/// Runs a script with a seed and returns what was seen, unjudged.
+///
+/// # Errors
+///
+/// Returns the rule that a generated name breaks, which would be a fault of this crate.
+///
+/// # Examples
+///
+/// ```
+/// use damaskrack_scenario::{ScenarioScript, record_run};
+///
+/// let script = ScenarioScript::parse("cell nodes=1 racks=1\nrun 100ms\n")?;
+/// assert!(record_run(&script, 7)?.history.runs.is_empty());
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+pub fn record_run(script: &ScenarioScript, seed: u64) -> Result<RecordedRun, NameError> {
+    let mut world = SimWorld::new(script, seed, None)?;
     world.run_until(script.run_ms);
-    let dumps = if options.keeps_dumps { world.dumps() } else { Vec::new() };
+    Ok(take_record(&mut world))
+}
+
+fn take_record(world: &mut SimWorld) -> RecordedRun {
     let mut figures = world.figures();
     let history = world.take_history();
     figures.starts = history.runs.len() as u64;
     figures.works = history.works.len() as u64;
     let tries = history.works.iter().flat_map(|work| &work.tries);
     figures.answers = tries.map(|attempt| attempt.answers.len() as u64).sum();
+    RecordedRun { history, figures }
+}
+
+fn run_world(script: &ScenarioScript, seed: u64, options: &RunOptions) -> RunVerdict {
+    let mut world = match SimWorld::new(script, seed, options.trace.clone()) {
+        Ok(world) => world,
+        Err(error) => return failed_run(seed, error.to_string()),
+    };
+    world.run_until(script.run_ms);
+    let dumps = if options.keeps_dumps { world.dumps() } else { Vec::new() };
+    let RecordedRun { history, figures } = take_record(&mut world);
     let observers = every_observer();
     let found = observers.iter().flat_map(|observer| observer.check(&history, &script.bounds));
     let mut violations: Vec<Violation> = found.collect();
--- a/crates/scenario/src/world/act.rs
+++ b/crates/scenario/src/world/act.rs
@@ -56,6 +56,7 @@
     fn send_frame(&mut self, node: usize, member: &MemberName, message: PeerMessage) {
         let Some(to) = self.node_index(member) else { return };
         self.note_version(node, &message);
+        self.record.count_message(&message);
         let at_ms = self.now_ms + self.draw_latency_ms();
         let Some(at_ms) = self.links.reserve_arrival((node, to), at_ms) else {
             self.trace_frame("no link", node, to, &message);
--- a/crates/scenario/src/world/build.rs
+++ b/crates/scenario/src/world/build.rs
@@ -150,6 +150,8 @@
             refused_stale: self.record.refused_stale,
             refused_expired: self.record.refused_expired,
             store_calls: stats.writes() + stats.reads(),
+            messages: self.record.messages,
+            caller_messages: self.record.caller_messages,
             ..RunFigures::default()
         }
     }
--- a/crates/scenario/src/world/record.rs
+++ b/crates/scenario/src/world/record.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::observe::{SeenDisturbance, SeenLeaving, SeenLoss, SeenShutdown, SeenVersion},
+    damaskrack_wire::PeerMessage,
     std::collections::{BTreeMap, BTreeSet},
 };
 
@@ -25,9 +26,29 @@
     pub(crate) refused_full: u64,
     pub(crate) refused_stale: u64,
     pub(crate) refused_expired: u64,
+    pub(crate) messages: u64,
+    pub(crate) caller_messages: u64,
 }
 
 impl WorldRecord {
+    /// Counts a message between nodes.
+    pub(crate) fn count_message(&mut self, message: &PeerMessage) {
+        let is_for_caller = matches!(
+            message,
+            PeerMessage::Submit { .. }
+                | PeerMessage::JobQuery { .. }
+                | PeerMessage::JobCancel { .. }
+                | PeerMessage::NotOwner { .. }
+                | PeerMessage::Answer { .. }
+                | PeerMessage::AnswerAck { .. }
+        );
+        if is_for_caller {
+            self.caller_messages += 1;
+        } else {
+            self.messages += 1;
+        }
+    }
+
     /// Notes an answer to a call that nobody waits for.
     pub(crate) fn note_stray(&mut self, call: u64) {
         if !self.abandoned.remove(&call) {
