--- a/crates/bench/src/bin/damaskrack-bench.rs
+++ b/crates/bench/src/bin/damaskrack-bench.rs
@@ -3,7 +3,7 @@
 use {
     anyhow::Result,
     clap::{Parser, Subcommand},
-    damaskrack_bench::{DecideOptions, PolicyOptions},
+    damaskrack_bench::{DaemonsOptions, DecideOptions, PolicyOptions},
 };
 
 /// Measures damaskrack.
@@ -20,11 +20,14 @@
     Decide(DecideOptions),
     /// Waiting time, packing and shares of this policy and of simpler ones under the same work.
     Policy(PolicyOptions),
+    /// Real daemons on loopback under load and faults.
+    Daemons(DaemonsOptions),
 }
 
 fn main() -> Result<()> {
     match BenchArgs::parse().command {
         BenchCommand::Decide(options) => options.run(),
         BenchCommand::Policy(options) => options.run(),
+        BenchCommand::Daemons(options) => options.run(),
     }
 }
--- /dev/null
+++ b/crates/bench/src/daemons/cell.rs
@@ -0,0 +1,284 @@
+//! The daemons' processes and the stand-in platform.
+
+use {
+    super::client::{CallEnd, CellClient},
+    anyhow::{Context, Result, bail},
+    damaskrack_manifest::{
+        ManifestDocument, QueueEntry, TeamEntry, TeamLimit, ZoneEntry, ZoneState, make_key,
+    },
+    damaskrack_model::{KeyName, PriorityClass, Resources, TeamName},
+    damaskrack_standin::{PlatformPlan, StandinPlatform},
+    nix::{
+        sys::signal::{Signal, kill},
+        unistd::Pid,
+    },
+    serde_json::{Value, json},
+    std::{
+        fs,
+        net::{SocketAddr, TcpListener},
+        path::{Path, PathBuf},
+        process::{Child, Command, Stdio},
+        time::{Duration, Instant},
+    },
+    tokio::time::sleep,
+};
+
+/// Availability zones; each has two racks of eight workers.
+const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+
+/// Racks of a zone.
+const RACKS_PER_ZONE: u32 = 2;
+
+/// Workers of a rack.
+const WORKERS_PER_RACK: u32 = 8;
+
+/// Weights of the teams.
+const SHARES: [u32; 6] = [4, 3, 2, 1, 1, 1];
+
+/// Salt of the keys, which protect nothing here.
+const SALT: [u8; 16] = *b"bench-salt-16byt";
+
+/// Secret of every key.
+const SECRET: &str = "bench";
+
+/// Longest time until the cell serves every team.
+const READY_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Where a daemon listens.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct DaemonPorts {
+    pub(super) caller: SocketAddr,
+    pub(super) operator: SocketAddr,
+    pub(super) peer: SocketAddr,
+}
+
+#[derive(Debug)]
+struct DaemonProcess {
+    settings: PathBuf,
+    child: Option<Child>,
+}
+
+/// A running cell; dropping it ends its processes.
+#[derive(Debug)]
+pub(super) struct DaemonCell {
+    program: PathBuf,
+    directory: PathBuf,
+    pub(super) platform: StandinPlatform,
+    processes: Vec<DaemonProcess>,
+    pub(super) ports: Vec<DaemonPorts>,
+    pub(super) client: CellClient,
+}
+
+impl DaemonCell {
+    /// Starts the platform and the daemons.
+    pub(super) async fn start(program: &Path, daemons: usize, seed: u64) -> Result<Self> {
+        let plan = PlatformPlan::new(3, RACKS_PER_ZONE, WORKERS_PER_RACK).with_seed(seed);
+        let platform = StandinPlatform::start(plan).await?;
+        let directory = std::env::temp_dir().join(format!("damaskrack-bench-{}", std::process::id()));
+        fs::create_dir_all(&directory).context("cannot make a directory for the settings")?;
+        let ports = (0..daemons).map(|_| free_ports()).collect::<Result<Vec<_>>>()?;
+        let mut cell = Self {
+            program: program.to_owned(),
+            directory,
+            platform,
+            processes: Vec::new(),
+            client: CellClient::new(ports.iter().map(|ports| ports.caller).collect()),
+            ports,
+        };
+        for index in 0..daemons {
+            let settings = cell.write_settings(index)?;
+            cell.processes.push(DaemonProcess { settings, child: None });
+            cell.launch(index)?;
+        }
+        Ok(cell)
+    }
+
+    fn write_settings(&self, index: usize) -> Result<PathBuf> {
+        let ports = self.ports[index];
+        let operator = operator_entry()?;
+        let settings = json!({
+            "member": member_name(index),
+            "availability_zone": ZONES[index % ZONES.len()],
+            "caller_address": ports.caller,
+            "operator_address": ports.operator,
+            "peer_address": ports.peer,
+            "store_address": self.platform.store_address(),
+            "hosts_address": self.platform.hosts_address(),
+            "operator_keys": [operator],
+            "log": { "level": "info" },
+        });
+        let path = self.directory.join(format!("daemon-{index}.json"));
+        fs::write(&path, settings.to_string()).context("cannot write settings")?;
+        Ok(path)
+    }
+
+    /// Starts a daemon's process, which writes its log beside its settings.
+    pub(super) fn launch(&mut self, index: usize) -> Result<()> {
+        let process = &mut self.processes[index];
+        let log = process.settings.with_extension("log");
+        let log = fs::OpenOptions::new().create(true).append(true).open(log)?;
+        let child = Command::new(&self.program)
+            .arg("--settings")
+            .arg(&process.settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .with_context(|| format!("cannot start {}", self.program.display()))?;
+        process.child = Some(child);
+        self.client.set_live(index, true);
+        Ok(())
+    }
+
+    /// Returns the process id of a daemon that runs.
+    pub(super) fn process_id(&self, index: usize) -> Option<u32> {
+        self.processes[index].child.as_ref().map(Child::id)
+    }
+
+    /// Sends a signal to a daemon.
+    pub(super) fn signal(&mut self, index: usize, signal: Signal) -> Result<()> {
+        let Some(id) = self.process_id(index) else { bail!("daemon {index} does not run") };
+        kill(Pid::from_raw(i32::try_from(id)?), signal)?;
+        if signal == Signal::SIGKILL
+            && let Some(mut child) = self.processes[index].child.take()
+        {
+            child.wait()?;
+        }
+        Ok(())
+    }
+
+    pub(super) fn workers(&self) -> usize {
+        self.platform.rows().len()
+    }
+
+    pub(super) fn daemons(&self) -> usize {
+        self.processes.len()
+    }
+
+    /// Returns the daemon that the store names as the owner of a piece.
+    pub(super) fn owner_of(&self, piece: &str) -> Option<usize> {
+        let key = format!("owner/{piece}");
+        let write = self.platform.store_history().into_iter().rfind(|write| write.key == key)?;
+        let record: Value = serde_json::from_str(&write.value?).ok()?;
+        let owner = record.get("owner")?.as_str()?;
+        (0..self.daemons()).find(|&index| member_name(index) == owner)
+    }
+
+    /// Hands the manifest in and waits until every team is served.
+    pub(super) async fn wait_until_ready(&self) -> Result<u128> {
+        let started = Instant::now();
+        while started.elapsed() < READY_TIMEOUT {
+            if self.put_manifest(0, &document(None)?).await.is_ok() {
+                break;
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+        for team in 0..SHARES.len() {
+            loop {
+                if self.client.request(team, Duration::from_secs(2)).await == CallEnd::Done {
+                    break;
+                }
+                if started.elapsed() > READY_TIMEOUT {
+                    bail!("team {team} is not served");
+                }
+                sleep(Duration::from_millis(50)).await;
+            }
+        }
+        Ok(started.elapsed().as_millis())
+    }
+
+    /// Takes a zone out of service or puts all back, and returns once it is accepted.
+    pub(super) async fn set_zone_out(&self, zone: Option<&str>) -> Result<()> {
+        let operator = self.live_operator().context("no daemon runs")?;
+        let in_force = self.client.get_json(operator, "/v1/manifest", &operator_key()).await?;
+        let base = in_force.get("version").and_then(Value::as_u64).unwrap_or(0);
+        self.put_manifest(base, &document(zone)?).await
+    }
+
+    async fn put_manifest(&self, base: u64, manifest: &ManifestDocument) -> Result<()> {
+        let operator = self.live_operator().context("no daemon runs")?;
+        let body = json!({ "base": base, "manifest": manifest }).to_string();
+        self.client.put(operator, "/v1/manifest", &operator_key(), body).await
+    }
+
+    fn live_operator(&self) -> Option<SocketAddr> {
+        let index = (0..self.daemons()).find(|&index| self.client.is_live(index))?;
+        Some(self.ports[index].operator)
+    }
+
+    /// Ends the daemons and removes their settings.
+    pub(super) fn stop(&mut self) {
+        for process in &mut self.processes {
+            if let Some(mut child) = process.child.take() {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+        let _ = fs::remove_dir_all(&self.directory);
+    }
+}
+
+impl Drop for DaemonCell {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+fn member_name(index: usize) -> String {
+    format!("entry-{}", index + 1)
+}
+
+fn free_ports() -> Result<DaemonPorts> {
+    let listeners =
+        (0..3).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<Vec<_>, _>>()?;
+    let address = |index: usize| listeners[index].local_addr();
+    Ok(DaemonPorts { caller: address(0)?, operator: address(1)?, peer: address(2)? })
+}
+
+fn operator_key() -> String {
+    format!("operator.{SECRET}")
+}
+
+fn operator_entry() -> Result<Value> {
+    let team: TeamName = "operators".parse()?;
+    let name: KeyName = "operator".parse()?;
+    let entry = make_key(&name, &team, SECRET, &SALT);
+    Ok(json!({ "name": entry.name, "salt": entry.salt, "hash": entry.hash }))
+}
+
+/// Returns the key that a team's callers show.
+pub(super) fn caller_key(team: usize) -> String {
+    format!("key-{team}.{SECRET}")
+}
+
+/// Number of teams.
+pub(super) const TEAMS: usize = SHARES.len();
+
+fn document(zone_out: Option<&str>) -> Result<ManifestDocument> {
+    let limit = TeamLimit {
+        tasks: 100_000,
+        resources: Resources {
+            millicores: 10_000_000,
+            memory_bytes: 1 << 50,
+            accelerators: 0,
+        },
+    };
+    let mut document = ManifestDocument::default();
+    for (index, share) in SHARES.into_iter().enumerate() {
+        let team: TeamName = format!("team-{index}").parse()?;
+        let key: KeyName = format!("key-{index}").parse()?;
+        document.keys.push(make_key(&key, &team, SECRET, &SALT));
+        document.queues.push(QueueEntry {
+            name: format!("queue-{index}").parse()?,
+            team: team.clone(),
+            open: false,
+            highest_priority: PriorityClass::Urgent,
+        });
+        document.teams.push(TeamEntry { name: team, share, limit });
+    }
+    for name in ZONES {
+        let state = if zone_out == Some(name) { ZoneState::Out } else { ZoneState::In };
+        document.zones.push(ZoneEntry { name: name.parse()?, state });
+    }
+    Ok(document)
+}
--- a/crates/bench/src/decide.rs
+++ b/crates/bench/src/decide.rs
@@ -34,6 +34,9 @@
     /// Teams of the cells; the last is used where only the number of workers varies.
     #[arg(long, value_delimiter = ',', default_value = "6,60,330")]
     teams: Vec<usize>,
+    /// Daemons of every cell, in place of one for every 58 workers and at least 8.
+    #[arg(long)]
+    daemons: Option<usize>,
     /// Starts a second that are offered to the one node.
     #[arg(long, value_delimiter = ',', default_value = "2000,7200")]
     rates: Vec<u64>,
@@ -65,7 +68,7 @@
         report.functions = functions::measure(&self.workers, &self.teams, self.seed);
         for &workers in &self.workers {
             for &teams in &self.teams {
-                let size = CellSize::new(workers, teams);
+                let size = CellSize::new(workers, teams, self.daemons);
                 self.measure_cell(size, &mut report.ticks)?;
             }
         }
--- a/crates/bench/src/decide/cell.rs
+++ b/crates/bench/src/decide/cell.rs
@@ -47,11 +47,13 @@
 pub(super) struct CellSize {
     pub(super) workers: usize,
     pub(super) teams: usize,
+    daemons: Option<usize>,
 }
 
 impl CellSize {
-    pub(super) fn new(workers: usize, teams: usize) -> Self {
-        Self { workers, teams }
+    /// Makes a size; without a number of daemons there is one for every 58 workers.
+    pub(super) fn new(workers: usize, teams: usize, daemons: Option<usize>) -> Self {
+        Self { workers, teams, daemons }
     }
 
     pub(super) fn racks(self) -> usize {
@@ -59,7 +61,8 @@
     }
 
     pub(super) fn daemons(self) -> usize {
-        self.workers.div_ceil(WORKERS_PER_DAEMON).max(MIN_DAEMONS)
+        let usual = self.workers.div_ceil(WORKERS_PER_DAEMON).max(MIN_DAEMONS);
+        self.daemons.unwrap_or(usual).max(2)
     }
 
     /// Returns the name of every daemon, the measured node first.
--- a/crates/bench/src/decide/functions.rs
+++ b/crates/bench/src/decide/functions.rs
@@ -59,7 +59,7 @@
         black_box(choose_victims(&victims, draw_need(dice), 1));
     }));
     for &workers in workers {
-        let members = CellSize::new(workers, 1).members();
+        let members = CellSize::new(workers, 1, None).members();
         let piece = PieceName::Rack("rack-1".parse().expect("a valid name"));
         rows.push(time("suggest_owner", members.len(), &mut dice, |_| {
             black_box(suggest_owner(black_box(&piece), black_box(&members)));
--- a/crates/bench/src/decide/meter.rs
+++ b/crates/bench/src/decide/meter.rs
@@ -16,8 +16,11 @@
     busy: Histogram<u64>,
     total: Duration,
     decisions: u64,
-    actions: u64,
     messages: u64,
+    bytes: u64,
+    encoding: Duration,
+    /// When the node is done with everything so far, were it to run in real time.
+    free_at: Duration,
 }
 
 /// What one run of ticks cost.
@@ -37,6 +40,10 @@
     pub(super) us_per_decision: f64,
     pub(super) core_part: f64,
     pub(super) messages_per_s: f64,
+    /// Kilobytes a second sent to peers, encoded and framed.
+    pub(super) sent_kb_s: f64,
+    /// Part of a core that encoding them takes.
+    pub(super) encoding_part: f64,
     pub(super) resident_mb: f64,
 }
 
@@ -58,22 +65,29 @@
             busy: histogram(),
             total: Duration::ZERO,
             decisions: 0,
-            actions: 0,
             messages: 0,
+            bytes: 0,
+            encoding: Duration::ZERO,
+            free_at: Duration::ZERO,
         }
     }
 
-    /// Adds a tick that made so many decisions.
-    pub(super) fn add(&mut self, spent: Duration, decisions: u64, messages: u64) {
-        let nanos = u64::try_from(spent.as_nanos()).unwrap_or(MAX_NS).clamp(1, MAX_NS);
-        self.all.saturating_record(nanos);
-        if decisions > 0 {
-            self.busy.saturating_record(nanos);
-        }
+    /// Adds a tick for what arrived at a moment of simulated time, with so many decisions.
+    ///
+    /// A decision's time counts from its arrival: what arrives while the node is busy waits.
+    pub(super) fn add(&mut self, at: Duration, spent: Duration, decisions: u64) {
+        self.all.saturating_record(to_nanos(spent));
+        self.free_at = self.free_at.max(at) + spent;
+        self.busy.saturating_record_n(to_nanos(self.free_at - at), decisions);
         self.total += spent;
         self.decisions += decisions;
-        self.messages += messages;
-        self.actions += 1;
+    }
+
+    /// Adds a message to a peer with its encoded length and the time of encoding it.
+    pub(super) fn add_message(&mut self, bytes: u64, spent: Duration) {
+        self.messages += 1;
+        self.bytes += bytes;
+        self.encoding += spent;
     }
 
     #[allow(clippy::cast_precision_loss)]
@@ -100,20 +114,26 @@
             us_per_decision: per_decision,
             core_part: self.total.as_secs_f64() / seconds,
             messages_per_s: self.messages as f64 / seconds,
+            sent_kb_s: self.bytes as f64 / 1_000.0 / seconds,
+            encoding_part: self.encoding.as_secs_f64() / seconds,
             resident_mb: label.resident_mb,
         }
     }
 }
 
+fn to_nanos(time: Duration) -> u64 {
+    u64::try_from(time.as_nanos()).unwrap_or(MAX_NS).clamp(1, MAX_NS)
+}
+
 impl TickCost {
-    pub(super) const HEADING: &'static str = "side   workers teams daemons offered/s decisions tick-p50 tick-p99 tick-max dec-p50 dec-p99 us/dec   core msgs/s     MB\n";
+    pub(super) const HEADING: &'static str = "side   workers teams daemons offered/s decisions tick-p50 tick-p99 tick-max dec-p50 dec-p99 us/dec   core msgs/s    KB/s  enc.     MB\n";
 }
 
 impl fmt::Display for TickCost {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{:<6} {:>7} {:>5} {:>7} {:>9} {:>9} {:>8.0} {:>8.0} {:>8.0} {:>7.0} {:>7.0} {:>6.1} {:>6.3} {:>6.0} {:>6.1}",
+            "{:<6} {:>7} {:>5} {:>7} {:>9} {:>9} {:>8.0} {:>8.0} {:>8.0} {:>7.0} {:>7.0} {:>6.1} {:>6.3} {:>6.0} {:>7.1} {:>5.3} {:>6.1}",
             self.side,
             self.workers,
             self.teams,
@@ -128,6 +148,8 @@
             self.us_per_decision,
             self.core_part,
             self.messages_per_s,
+            self.sent_kb_s,
+            self.encoding_part,
             self.resident_mb
         )
     }
--- a/crates/bench/src/decide/rig.rs
+++ b/crates/bench/src/decide/rig.rs
@@ -6,12 +6,14 @@
         meter::{MeterLabel, TickCost, TickMeter, resident_mb},
     },
     anyhow::{Context, Result},
+    bytes::BytesMut,
     damaskrack_model::{ClockTime, Epoch, MemberName, NameError, Resources},
     damaskrack_node::{NodeAction, NodeConfig, NodeInput, SchedulerNode},
     damaskrack_platform::{HostRow, StoreCall, StoreReply},
     damaskrack_standin::{StorePlan, StoreTable},
-    damaskrack_wire::{PeerMessage, RackSummary, TeamDigest},
-    std::time::Instant,
+    damaskrack_wire::{PeerCodec, PeerFrame, PeerMessage, RackSummary, TeamDigest},
+    std::time::{Duration, Instant},
+    tokio_util::codec::Encoder,
 };
 
 /// Interval of heartbeats, and of digests while they change, in milliseconds.
@@ -52,6 +54,8 @@
     summaries: Vec<Vec<RackSummary>>,
     digests: Vec<Vec<TeamDigest>>,
     meter: TickMeter,
+    codec: PeerCodec,
+    buffer: BytesMut,
     resident_mb: f64,
 }
 
@@ -81,6 +85,8 @@
             summaries,
             digests,
             meter: TickMeter::new(),
+            codec: PeerCodec::new(),
+            buffer: BytesMut::new(),
             resident_mb: 0.0,
         };
         rig.inputs.push(NodeInput::Hosts { rows: rig.hosts.clone() });
@@ -118,11 +124,25 @@
         let started = Instant::now();
         let actions = self.node.tick(ClockTime(self.now_ms), inputs);
         let spent = started.elapsed();
-        let is_peer = |action: &&NodeAction| matches!(action, NodeAction::Peer { .. });
-        self.meter.add(spent, decisions, actions.iter().filter(is_peer).count() as u64);
+        self.meter.add(Duration::from_millis(self.now_ms), spent, decisions);
+        for action in &actions {
+            if let NodeAction::Peer { message, .. } = action {
+                self.encode(message.clone());
+            }
+        }
         actions.into_iter().filter_map(|action| self.take_store(action)).collect()
     }
 
+    /// Encodes a message as a link would and counts its bytes and the time.
+    fn encode(&mut self, message: PeerMessage) {
+        let started = Instant::now();
+        self.buffer.clear();
+        let frame = PeerFrame::Message(message);
+        let is_encoded = self.codec.encode(frame, &mut self.buffer).is_ok();
+        let bytes = if is_encoded { self.buffer.len() as u64 } else { 0 };
+        self.meter.add_message(bytes, started.elapsed());
+    }
+
     fn take_store(&mut self, action: NodeAction) -> Option<NodeAction> {
         let NodeAction::Store { call, request, .. } = action else { return Some(action) };
         let reply = self.store.handle(&request, self.now_ms);
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,11 +5,13 @@
 //! it helps, a plot. A report names its command, seed and commit, so that a figure in the docs can
 //! be traced to the run that gave it.
 
+mod daemons;
 mod decide;
 mod policy;
 mod report;
 
 pub use {
+    daemons::DaemonsOptions,
     decide::DecideOptions,
     policy::PolicyOptions,
     report::{ReportHead, ReportPlace},
--- a/crates/bench/src/policy/measure.rs
+++ b/crates/bench/src/policy/measure.rs
@@ -18,6 +18,9 @@
 /// Time over which a share is averaged, in milliseconds.
 const WINDOW_MS: u64 = 60_000;
 
+/// Time that a zone's workers take to fill again, in milliseconds.
+const SETTLE_MS: u64 = 30_000;
+
 /// Part of the cell that must be waiting for it to count as full.
 const FULL_MARGIN: f64 = 0.02;
 
@@ -50,6 +53,10 @@
     pub(super) worst_error: f64,
     /// Largest amount by which it stayed below.
     pub(super) worst_below: f64,
+    /// Start of the minute in which it was furthest below, in seconds.
+    pub(super) worst_below_at_s: u64,
+    /// Largest amount by which it stayed below in a minute that no change of the zone touches.
+    pub(super) steady_below: f64,
 }
 
 /// A sample of the cell.
@@ -253,14 +260,26 @@
         }
         let share = average(window.iter().map(|sample| sample.shares[team]));
         let entitled = average(window.iter().map(|sample| sample.entitled[team]));
-        errors.push(share - entitled);
+        errors.push((window[0].at_ms / 1_000, share - entitled));
     }
+    let (out_ms, in_ms) = mix.zone_out_ms;
+    let is_steady = |at_s: u64| {
+        let from_ms = at_s * 1_000;
+        let touches = |change_ms| from_ms <= change_ms && change_ms < from_ms + WINDOW_MS;
+        !touches(out_ms) && !touches(in_ms) && !touches(in_ms + SETTLE_MS)
+    };
+    let steady = errors.iter().filter(|(at_s, _)| is_steady(*at_s));
+    let steady_below = steady.map(|(_, error)| -error).fold(0.0, f64::max);
+    let lowest = errors.iter().copied().min_by(|left, right| left.1.total_cmp(&right.1));
+    let (worst_below_at_s, lowest) = lowest.unwrap_or_default();
     ShareFigures {
         team: mix.teams[team].name,
         minutes: errors.len(),
-        mean_error: average(errors.iter().map(|error| error.abs())),
-        worst_error: errors.iter().map(|error| error.abs()).fold(0.0, f64::max),
-        worst_below: errors.iter().map(|error| -error).fold(0.0, f64::max),
+        mean_error: average(errors.iter().map(|(_, error)| error.abs())),
+        worst_error: errors.iter().map(|(_, error)| error.abs()).fold(0.0, f64::max),
+        worst_below: (-lowest).max(0.0),
+        worst_below_at_s,
+        steady_below,
     }
 }
 
--- a/crates/bench/src/policy/table.rs
+++ b/crates/bench/src/policy/table.rs
@@ -81,18 +81,20 @@
 
 fn write_shares(text: &mut String, policies: &[PolicyFigures]) {
     text.push_str(
-        "\nDistance from the entitlement over full minutes, percent of the cell: mean / worst / worst below\n",
+        "\nDistance from the entitlement over full minutes, percent of the cell: mean / worst / worst below @ start of that minute / worst below in minutes without a change of the zone\n",
     );
     for row in policies {
         let _ = write!(text, "{:<26}", row.policy);
         for share in &row.shares {
             let _ = write!(
                 text,
-                " {} {:.1}/{:.1}/{:.1}",
+                " {} {:.1}/{:.1}/{:.1}@{}s/{:.1}",
                 share.team,
                 share.mean_error * 100.0,
                 share.worst_error * 100.0,
-                share.worst_below * 100.0
+                share.worst_below * 100.0,
+                share.worst_below_at_s,
+                share.steady_below * 100.0
             );
         }
         text.push('\n');
