--- a/crates/bench/benches/decisions.rs
+++ b/crates/bench/benches/decisions.rs
@@ -1,7 +1,7 @@
 //! Inner loops of the policy.
 
 use {
-    criterion::{Criterion, criterion_group, criterion_main},
+    criterion::Criterion,
     damaskrack_model::Resources,
     damaskrack_policy::{RackRoom, TeamDemand, entitlements, rank_racks},
     std::hint::black_box,
@@ -49,5 +49,9 @@
     }
 }
 
-criterion_group!(benches, bench_ranking, bench_entitlements);
-criterion_main!(benches);
+fn main() {
+    let mut criterion = Criterion::default().configure_from_args();
+    bench_ranking(&mut criterion);
+    bench_entitlements(&mut criterion);
+    criterion.final_summary();
+}
--- a/crates/bench/src/daemons/cell.rs
+++ b/crates/bench/src/daemons/cell.rs
@@ -74,7 +74,8 @@
     pub(super) async fn start(program: &Path, daemons: usize, seed: u64) -> Result<Self> {
         let plan = PlatformPlan::new(3, RACKS_PER_ZONE, WORKERS_PER_RACK).with_seed(seed);
         let platform = StandinPlatform::start(plan).await?;
-        let directory = std::env::temp_dir().join(format!("damaskrack-bench-{}", std::process::id()));
+        let directory =
+            std::env::temp_dir().join(format!("damaskrack-bench-{}", std::process::id()));
         fs::create_dir_all(&directory).context("cannot make a directory for the settings")?;
         let ports = (0..daemons).map(|_| free_ports()).collect::<Result<Vec<_>>>()?;
         let mut cell = Self {
@@ -257,11 +258,7 @@
 fn document(zone_out: Option<&str>) -> Result<ManifestDocument> {
     let limit = TeamLimit {
         tasks: 100_000,
-        resources: Resources {
-            millicores: 10_000_000,
-            memory_bytes: 1 << 50,
-            accelerators: 0,
-        },
+        resources: Resources { millicores: 10_000_000, memory_bytes: 1 << 50, accelerators: 0 },
     };
     let mut document = ManifestDocument::default();
     for (index, share) in SHARES.into_iter().enumerate() {
--- a/crates/bench/src/daemons/faults.rs
+++ b/crates/bench/src/daemons/faults.rs
@@ -95,19 +95,17 @@
     let accepted_ms = asked.elapsed().as_millis();
     let seen = cell.platform.observed_runs().iter().map(|run| run.start_ms).max().unwrap_or(0);
     sleep(LENGTH).await;
-    let late = cell.platform.observed_runs().into_iter().filter(|run| {
-        run.zone.as_str() == "zone-b" && run.start_ms > seen + 5_000
-    });
+    let late = cell
+        .platform
+        .observed_runs()
+        .into_iter()
+        .filter(|run| run.zone.as_str() == "zone-b" && run.start_ms > seen + 5_000);
     let late = late.count();
     let change = change.and(cell.set_zone_out(None).await);
     let calls = load.await?;
     change?;
     let figures = judge("zone out 7 s", &calls);
-    Ok(FaultFigures {
-        late_zone_starts: Some(late),
-        accepted_ms: Some(accepted_ms),
-        ..figures
-    })
+    Ok(FaultFigures { late_zone_starts: Some(late), accepted_ms: Some(accepted_ms), ..figures })
 }
 
 async fn store_outage(cell: &DaemonCell, rate: u64) -> FaultFigures {
--- a/crates/bench/src/daemons/table.rs
+++ b/crates/bench/src/daemons/table.rs
@@ -62,7 +62,9 @@
         view.daemons, view.workers, view.ready_after_ms
     );
     text.push_str("Usage: part of a core (mean of a daemon, largest daemon, callers and platform), MB, KB/s of a daemon, store calls/s of all\n");
-    text.push_str("   mean    max  bench     MB     sent     recv   writes    reads  watches  refused\n");
+    text.push_str(
+        "   mean    max  bench     MB     sent     recv   writes    reads  watches  refused\n",
+    );
     let _ = writeln!(text, "{}   idle\n", usage_cells(view.idle));
     text.push_str(" offered   goodput     done  not_run  other   late  broken      p50      p99      max     mean    max  bench     MB     sent     recv   writes    reads  watches refused\n");
     for row in view.loads {
--- a/crates/bench/src/daemons/usage.rs
+++ b/crates/bench/src/daemons/usage.rs
@@ -112,9 +112,9 @@
         let (Some(before), Some(after)) = (&self.bytes, &now.bytes) else { return (None, None) };
         let count = cell.daemons().max(1) as f64;
         let sum = |part: fn(&(u64, u64)) -> u64| {
-            let grown = after.iter().map(|(id, row)| {
-                part(row).saturating_sub(before.get(id).map_or(0, part))
-            });
+            let grown = after
+                .iter()
+                .map(|(id, row)| part(row).saturating_sub(before.get(id).map_or(0, part)));
             grown.sum::<u64>() as f64 / 1_000.0 / seconds / count
         };
         (Some(sum(|row| row.0)), Some(sum(|row| row.1)))
--- a/crates/bench/src/decide/functions.rs
+++ b/crates/bench/src/decide/functions.rs
@@ -82,7 +82,8 @@
     dice: &mut SmallRng,
     mut call: impl FnMut(&mut SmallRng),
 ) -> FunctionCost {
-    let mut histogram = Histogram::<u64>::new_with_bounds(1, MAX_VALUE, 3).expect("the bounds are valid");
+    let mut histogram =
+        Histogram::<u64>::new_with_bounds(1, MAX_VALUE, 3).expect("the bounds are valid");
     for _ in 0..CALLS {
         let started = Instant::now();
         call(dice);
--- a/crates/bench/src/decide/meter.rs
+++ b/crates/bench/src/decide/meter.rs
@@ -97,8 +97,7 @@
         };
         let seconds = label.run_ms as f64 / 1_000.0;
         let total_us = self.total.as_secs_f64() * 1e6;
-        let per_decision =
-            if self.decisions == 0 { 0.0 } else { total_us / self.decisions as f64 };
+        let per_decision = if self.decisions == 0 { 0.0 } else { total_us / self.decisions as f64 };
         TickCost {
             side: label.side,
             workers: label.size.workers,
--- a/crates/bench/src/decide/queue_side.rs
+++ b/crates/bench/src/decide/queue_side.rs
@@ -122,11 +122,7 @@
             spec: WorkSpec {
                 kind: WorkKind::Request,
                 tasks: 1,
-                resources: Resources {
-                    millicores: 100,
-                    memory_bytes: 64 << 20,
-                    accelerators: 0,
-                },
+                resources: Resources { millicores: 100, memory_bytes: 64 << 20, accelerators: 0 },
                 idempotent: true,
                 priority: PriorityClass::Normal,
                 expected_ms: RUN_MS,
@@ -197,4 +193,3 @@
         self.rig.push_peer(peer, message);
     }
 }
-
--- a/crates/bench/src/decide/rack_side.rs
+++ b/crates/bench/src/decide/rack_side.rs
@@ -60,8 +60,7 @@
         }
         let teams = plan.teams.iter().map(|row| (row.name.clone(), row.owner)).collect();
         let dice = SmallRng::seed_from_u64(seed);
-        let mut side =
-            Self { rig, dice, workers, places, racks, teams, serial: 0, started: 0 };
+        let mut side = Self { rig, dice, workers, places, racks, teams, serial: 0, started: 0 };
         side.warm_up()?;
         Ok(side)
     }
@@ -173,9 +172,10 @@
                 worker.table.advance(now_ms);
             }
             let Some((call, request, until_ms)) = &worker.sync else { continue };
-            let reply = worker.table.poll(request, now_ms).or_else(|| {
-                (now_ms >= *until_ms).then(|| worker.table.answer(request, now_ms))
-            });
+            let reply = worker
+                .table
+                .poll(request, now_ms)
+                .or_else(|| (now_ms >= *until_ms).then(|| worker.table.answer(request, now_ms)));
             if let Some(reply) = reply {
                 self.rig.inputs.push(NodeInput::Worker { call: *call, result: Ok(reply) });
                 worker.sync = None;
--- a/crates/bench/src/policy/measure.rs
+++ b/crates/bench/src/policy/measure.rs
@@ -165,8 +165,7 @@
     counts: impl Fn(u64) -> bool + 'a,
 ) -> impl Iterator<Item = Option<u64>> + 'a {
     let arrivals = mix.arrivals.iter().enumerate();
-    let chosen =
-        arrivals.filter(move |(_, arrival)| arrival.sort == sort && counts(arrival.at_ms));
+    let chosen = arrivals.filter(move |(_, arrival)| arrival.sort == sort && counts(arrival.at_ms));
     chosen.flat_map(move |(index, arrival)| {
         let start = move |task: u32| {
             let rows = tasks.get(&(index, task))?;
@@ -188,7 +187,8 @@
     sort: WorkSort,
     counts: impl Fn(u64) -> bool,
 ) -> WaitFigures {
-    let mut histogram = Histogram::<u64>::new_with_bounds(1, MAX_VALUE, 3).expect("the bounds are valid");
+    let mut histogram =
+        Histogram::<u64>::new_with_bounds(1, MAX_VALUE, 3).expect("the bounds are valid");
     let mut never_started = 0;
     for wait in waits_of(mix, tasks, sort, counts) {
         match wait {
@@ -290,11 +290,7 @@
     Running { team: usize, worker: usize, need: Resources, is_more: bool },
 }
 
-fn list_changes(
-    mix: &WorkMix,
-    runs: &[TaskRun],
-    tasks: &TaskTable<'_>,
-) -> Vec<(u64, CellChange)> {
+fn list_changes(mix: &WorkMix, runs: &[TaskRun], tasks: &TaskTable<'_>) -> Vec<(u64, CellChange)> {
     let mut changes = Vec::new();
     for (index, arrival) in mix.arrivals.iter().enumerate() {
         let (team, need) = (arrival.team, arrival.need);
@@ -378,9 +374,8 @@
         limit: mix.capacity(),
     };
     let demands: Vec<TeamDemand> = (0..mix.teams.len()).map(demand).collect();
-    let sum = |rows: &[Resources]| {
-        rows.iter().fold(Resources::ZERO, |sum, row| sum.saturating_add(*row))
-    };
+    let sum =
+        |rows: &[Resources]| rows.iter().fold(Resources::ZERO, |sum, row| sum.saturating_add(*row));
     let used = sum(&sums.used);
     let mut stranded = Resources::ZERO;
     for worker in (0..mix.workers()).filter(|&worker| is_open(worker)) {
--- a/crates/bench/src/policy/mix.rs
+++ b/crates/bench/src/policy/mix.rs
@@ -125,7 +125,8 @@
     }
 
     fn fill_brodica(&mut self, dice: &mut SmallRng) {
-        let rows = [("captaincy", 4), ("registry", 3), ("charter", 2), ("notary", 1), ("marina", 1)];
+        let rows =
+            [("captaincy", 4), ("registry", 3), ("charter", 2), ("notary", 1), ("marina", 1)];
         self.teams = rows.map(|(name, share)| MixTeam { name, share }).to_vec();
         self.add_service(0, 24, size(1_000, 2));
         self.add_service(2, 12, size(1_000, 2));
--- a/crates/bench/src/policy/plot.rs
+++ b/crates/bench/src/policy/plot.rs
@@ -4,8 +4,8 @@
     super::{measure::PolicyFigures, mix::WorkMix},
     anyhow::{Result, anyhow},
     plotters::prelude::{
-        ChartBuilder, IntoDrawingArea, IntoFont, LineSeries, PathElement, RGBColor, SVGBackend,
-        SeriesLabelPosition, WHITE, BLACK,
+        BLACK, ChartBuilder, IntoDrawingArea, IntoFont, LineSeries, PathElement, RGBColor,
+        SVGBackend, SeriesLabelPosition, WHITE,
     },
     std::path::Path,
 };
--- a/crates/bench/src/policy/real.rs
+++ b/crates/bench/src/policy/real.rs
@@ -126,11 +126,7 @@
         PriorityClass::Normal => "normal",
         PriorityClass::Urgent => "urgent",
     };
-    let safety = if arrival.idempotent {
-        ""
-    } else {
-        " idempotent=no idempotency-key=yes"
-    };
+    let safety = if arrival.idempotent { "" } else { " idempotent=no idempotency-key=yes" };
     let _ = writeln!(
         text,
         "at {}ms {verb} queue={}{kind}{tasks}{run} millicores={} memory={}m priority={priority} retries={RETRIES}{safety} tag=a{index}",
--- a/crates/bench/src/policy/table.rs
+++ b/crates/bench/src/policy/table.rs
@@ -37,7 +37,12 @@
             let _ = writeln!(
                 text,
                 "{:<26}{:<15}{:>7}{:>7}{:>9}{:>9}{:>9}",
-                figures.policy, name, row.tasks, row.never_started, row.p50_ms, row.p99_ms,
+                figures.policy,
+                name,
+                row.tasks,
+                row.never_started,
+                row.p50_ms,
+                row.p99_ms,
                 row.max_ms
             );
         }
