--- a/crates/bench/src/policy/measure.rs
+++ b/crates/bench/src/policy/measure.rs
@@ -9,7 +9,7 @@
     damaskrack_policy::{TeamDemand, entitlements},
     hdrhistogram::Histogram,
     serde::Serialize,
-    std::collections::HashMap,
+    std::collections::BTreeMap,
 };
 
 /// Interval of samples, in milliseconds.
@@ -103,11 +103,11 @@
 }
 
 /// Runs of each task, in order of time.
-type TaskTable<'a> = HashMap<(usize, u32), Vec<&'a TaskRun>>;
+type TaskTable<'a> = BTreeMap<(usize, u32), Vec<&'a TaskRun>>;
 
 /// Measures a run.
 pub(super) fn measure(mix: &WorkMix, run: &PolicyRun) -> PolicyFigures {
-    let mut tasks: TaskTable<'_> = HashMap::new();
+    let mut tasks: TaskTable<'_> = BTreeMap::new();
     for row in &run.runs {
         tasks.entry((row.arrival, row.task)).or_default().push(row);
     }
