Compare three racks instead of eight

With eight compared, a cell of six racks has every queue owner send to the one rack with the least room. It becomes a hot spot, and if its owner dies it looks like the best fit until its record lapses, so that every team stalls.

--- a/crates/policy/src/ranking.rs
+++ b/crates/policy/src/ranking.rs
@@ -10,7 +10,7 @@
 pub const MAX_CANDIDATES: usize = 4;
 
 /// Racks that are compared, in the sense of "power of d choices".
-const SAMPLE_SIZE: usize = 8;
+const SAMPLE_SIZE: usize = 3;
 
 /// Most racks that are looked at to find that many with room.
 const MAX_LOOKS: usize = 64;
