--- a/crates/node/src/queue/dispatch.rs
+++ b/crates/node/src/queue/dispatch.rs
@@ -10,7 +10,7 @@
         attempt::{AttemptRow, AttemptStage},
         board::RackChoice,
         gang,
-        job::TaskStage,
+        job::{GangStage, TaskStage},
         record::JournalRecord,
         settle::{self, ASK_MS},
         team::TeamQueue,
@@ -25,6 +25,12 @@
 const MAX_JOBS_PER_TICK: usize = 32;
 /// Most tasks that are sent in one tick.
 const MAX_TASKS_PER_TICK: usize = 256;
+/// Time that a gang waits before nothing behind it may start, in milliseconds.
+const GANG_PATIENCE_MS: u64 = 5_000;
+/// Time for which a gang's reservation holds at a stretch, in milliseconds.
+const GANG_RESERVED_MS: u64 = 60_000;
+/// Time from the start of one reservation to the next, in milliseconds.
+const GANG_CYCLE_MS: u64 = 75_000;
 /// Rounding error of shares that is not worth a refusal.
 const SHARE_EPSILON: f64 = 1e-9;
 
@@ -68,10 +74,28 @@
         }
         dispatch_job(queue, key, &mut batch, context);
         queue.refresh_job(key);
+        if holds_line(queue, key, context) {
+            break;
+        }
     }
     batch.send(queue, context);
 }
 
+/// Tells whether a gang has waited so long that nothing behind it in its team may start.
+///
+/// Single tasks take every slot that frees, so without this a gang starts in a full cell only by
+/// chance. The reservation pauses now and then, since a gang may be waiting for a host to return.
+fn holds_line(queue: &TeamQueue, key: JobKey, context: &QueueContext<'_>) -> bool {
+    let job = &queue.jobs[key];
+    let is_waiting = job.spec.kind == WorkKind::Gang && job.gang == GangStage::Idle;
+    let waited_ms = context.view.now.since(job.accepted_at);
+    let reserved_ms = waited_ms.saturating_sub(GANG_PATIENCE_MS) % GANG_CYCLE_MS;
+    is_waiting
+        && job.parked.is_none()
+        && waited_ms > GANG_PATIENCE_MS
+        && reserved_ms < GANG_RESERVED_MS
+}
+
 fn wake_backoff(queue: &mut TeamQueue, context: &QueueContext<'_>) {
     let due: Vec<JobKey> = queue.backing_off.iter().copied().collect();
     for key in due {
