Drive real daemons from scenario scripts

The simulated world cannot show what sockets, signals and the daemon's driver do. Scripts marked `processes` now start built daemons over the stand-ins' servers; the same observers judge them by the workers' tables, the store's history and the callers' books. Relays in front of each daemon's peer port and of the store can cut a path or make open connections silent for good; a daemon's own address is replaced by its relay's on the way to the store, so the daemon needs no setting for it.

--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -6,6 +6,7 @@
 mod chaos;
 mod expect;
 mod observe;
+mod processes;
 mod runner;
 mod script;
 mod world;
@@ -18,6 +19,7 @@
         SingleRun, TeamLimits, Violation, WholeAnswer, WithdrawnKey, WorkerCapacity, ZoneOut,
         every_observer,
     },
+    processes::{ProcessOptions, run_processes},
     runner::{RunFigures, RunOptions, RunVerdict, run_script},
     script::{ScenarioScript, ScriptError},
     world::TraceFilter,
--- /dev/null
+++ b/crates/scenario/src/processes/client.rs
@@ -0,0 +1,124 @@
+//! HTTP calls of callers and operators, each on a connection of its own.
+
+use {
+    damaskrack_manifest::ManifestDocument,
+    damaskrack_model::{AnswerReason, OutcomeKind},
+    http::{
+        Method, Request,
+        header::{AUTHORIZATION, CONNECTION, CONTENT_TYPE},
+    },
+    http_body_util::{BodyExt, Full},
+    hyper::body::Bytes,
+    hyper_util::{
+        client::legacy::{Client, connect::HttpConnector},
+        rt::TokioExecutor,
+    },
+    serde::{Deserialize, de::DeserializeOwned},
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::timeout,
+};
+
+/// Longest wait for an answer, in milliseconds.
+const ANSWER_MS: u64 = 30_000;
+
+/// How a call ended for the one who made it.
+#[derive(Debug)]
+pub(crate) enum CallEnd<T> {
+    /// No connection could be made; nothing was sent.
+    Unreachable,
+    /// The connection ended, or the time was over, without a whole answer.
+    Broken,
+    /// A whole answer.
+    Answered(T),
+}
+
+/// One call.
+#[derive(Debug)]
+pub(crate) struct ApiCall<'a> {
+    pub(crate) method: Method,
+    pub(crate) path: &'a str,
+    pub(crate) key: Option<&'a str>,
+    pub(crate) idempotency_key: Option<&'a str>,
+    pub(crate) body: String,
+}
+
+/// A manifest as an operator reads it.
+#[derive(Debug, Deserialize)]
+pub(crate) struct ManifestAnswer {
+    pub(crate) version: u64,
+    pub(crate) manifest: Option<ManifestDocument>,
+}
+
+/// The answer to a change of the manifest.
+#[derive(Debug, Deserialize)]
+pub(crate) struct ChangeAnswer {
+    pub(crate) version: u64,
+    pub(crate) outcome: OutcomeKind,
+    pub(crate) reason: AnswerReason,
+}
+
+/// A client that keeps no connection.
+#[derive(Debug, Clone)]
+pub(crate) struct ApiClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl ApiClient {
+    pub(crate) fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let client =
+            Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build(connector);
+        Self { client }
+    }
+
+    /// Makes a call and reads its answer whole, whatever its status.
+    pub(crate) async fn call<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        call: &ApiCall<'_>,
+    ) -> CallEnd<T> {
+        let Some(request) = build_request(address, call) else { return CallEnd::Unreachable };
+        let exchange = self.exchange(request);
+        match timeout(Duration::from_millis(ANSWER_MS), exchange).await {
+            Ok(end) => end,
+            Err(_) => CallEnd::Broken,
+        }
+    }
+
+    async fn exchange<T: DeserializeOwned>(&self, request: Request<Full<Bytes>>) -> CallEnd<T> {
+        let response = match self.client.request(request).await {
+            Ok(response) => response,
+            Err(error) if error.is_connect() => return CallEnd::Unreachable,
+            Err(_) => return CallEnd::Broken,
+        };
+        let Ok(body) = response.into_body().collect().await else { return CallEnd::Broken };
+        match serde_json::from_slice(&body.to_bytes()) {
+            Ok(answer) => CallEnd::Answered(answer),
+            Err(_) => CallEnd::Broken,
+        }
+    }
+
+    /// Tells whether the balancer would send callers to a daemon.
+    pub(crate) async fn is_ready(&self, operator: SocketAddr) -> bool {
+        let uri = format!("http://{operator}/readyz");
+        let Ok(request) = Request::get(uri).body(Full::default()) else { return false };
+        let asked = timeout(Duration::from_millis(500), self.client.request(request)).await;
+        matches!(asked, Ok(Ok(response)) if response.status().is_success())
+    }
+}
+
+fn build_request(address: SocketAddr, call: &ApiCall<'_>) -> Option<Request<Full<Bytes>>> {
+    let mut builder = Request::builder()
+        .method(call.method.clone())
+        .uri(format!("http://{address}{}", call.path))
+        .header(CONNECTION, "close")
+        .header(CONTENT_TYPE, "application/json");
+    if let Some(key) = call.key {
+        builder = builder.header(AUTHORIZATION, format!("Bearer {key}"));
+    }
+    if let Some(key) = call.idempotency_key {
+        builder = builder.header("idempotency-key", key);
+    }
+    builder.body(Full::new(call.body.clone().into())).ok()
+}
--- /dev/null
+++ b/crates/scenario/src/processes/daemon.rs
@@ -0,0 +1,172 @@
+//! One daemon's place in the cell and the program that runs there.
+
+use {
+    super::{
+        ProcessOptions,
+        ports::{bind_free, free_address},
+        relay::{RewritePlan, SocketRelay},
+        site::PlatformSite,
+    },
+    crate::script::CellPlan,
+    anyhow::Context,
+    damaskrack_manifest::make_key,
+    nix::{
+        sys::signal::{Signal, kill},
+        unistd::Pid,
+    },
+    rand::rngs::SmallRng,
+    serde_json::{Value, json},
+    std::{
+        fs::OpenOptions,
+        io::{BufRead, BufReader, Read, Write},
+        net::SocketAddr,
+        path::{Path, PathBuf},
+        process::{Child, Command, Stdio},
+        time::Duration,
+    },
+    tokio::{sync::oneshot, time::timeout},
+};
+
+/// Key that operators show.
+pub(crate) const OPERATOR_KEY: &str = "ops.scenario-operator";
+
+/// Longest time until a daemon listens.
+const START_PATIENCE: Duration = Duration::from_secs(10);
+
+/// A running program; killed when it is dropped.
+#[derive(Debug)]
+pub(crate) struct DaemonProcess {
+    child: Child,
+    pub(crate) caller: SocketAddr,
+    pub(crate) operator: SocketAddr,
+}
+
+impl DaemonProcess {
+    pub(crate) fn signal(&self, signal: Signal) {
+        if let Ok(id) = i32::try_from(self.child.id()) {
+            // A process that has ended is not reaped yet, so its number is still its own.
+            let _ = kill(Pid::from_raw(id), signal);
+        }
+    }
+
+    /// Returns its exit code once it has ended; -1 for the end by a signal.
+    pub(crate) fn exit_code(&mut self) -> Option<i32> {
+        self.child.try_wait().ok().flatten().map(|status| status.code().unwrap_or(-1))
+    }
+}
+
+impl Drop for DaemonProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// What a daemon is started with and the relays around it.
+#[derive(Debug, Clone)]
+pub(crate) struct DaemonSite {
+    settings: PathBuf,
+    log: Option<PathBuf>,
+    program: PathBuf,
+    /// Relay that its peers reach it by.
+    pub(crate) peers: SocketRelay,
+    /// Relay that it reaches the store by.
+    pub(crate) store: SocketRelay,
+}
+
+impl DaemonSite {
+    /// Prepares a daemon whose peers see the address of a relay in place of its own.
+    pub(crate) fn new(
+        index: usize,
+        cell: &CellPlan,
+        site: &PlatformSite,
+        directory: &Path,
+        options: &ProcessOptions,
+        dice: &mut SmallRng,
+    ) -> anyhow::Result<Self> {
+        let peer = free_address(dice)?;
+        let name = node_name(index);
+        let others = (0..cell.nodes).filter(|&other| other != index).map(node_name).collect();
+        let peers = SocketRelay::start(bind_free(dice)?, peer, others, None)?;
+        let rewrite = RewritePlan { from: peer.to_string(), to: peers.address().to_string() };
+        let own_name = vec![name.clone()];
+        let store_address = site.store.address();
+        let store = SocketRelay::start(bind_free(dice)?, store_address, own_name, Some(rewrite))?;
+        let zone = format!("zone-{}", index % cell.zones + 1);
+        let document = settings_of(&name, &zone, peer, store.address(), site.hosts.address())?;
+        let settings = directory.join(format!("{name}.json"));
+        std::fs::write(&settings, document.to_string())?;
+        let log = options.log_directory.as_ref().map(|place| place.join(format!("{name}.log")));
+        Ok(Self { settings, log, program: options.program.clone(), peers, store })
+    }
+
+    /// Starts the program and waits until it listens.
+    pub(crate) async fn start(&self) -> anyhow::Result<DaemonProcess> {
+        let mut child = Command::new(&self.program)
+            .arg("--settings")
+            .arg(&self.settings)
+            .stderr(Stdio::piped())
+            .spawn()
+            .with_context(|| format!("cannot start {}", self.program.display()))?;
+        let stderr = child.stderr.take().context("a daemon without a log")?;
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut process = DaemonProcess { child, caller: any_port, operator: any_port };
+        let (sender, started) = oneshot::channel();
+        let log = self.log.clone();
+        std::thread::spawn(move || follow_log(stderr, log, sender));
+        let started = timeout(START_PATIENCE, started).await;
+        let started = started.context("a daemon does not start")?.context("a daemon ended")?;
+        process.caller = address_of(&started, "caller_address")?;
+        process.operator = address_of(&started, "operator_address")?;
+        Ok(process)
+    }
+}
+
+/// Returns the name of a daemon.
+pub(crate) fn node_name(index: usize) -> String {
+    format!("node-{}", index + 1)
+}
+
+fn address_of(line: &Value, name: &str) -> anyhow::Result<SocketAddr> {
+    line[name].as_str().and_then(|text| text.parse().ok()).with_context(|| format!("no {name}"))
+}
+
+fn settings_of(
+    name: &str,
+    zone: &str,
+    peer: SocketAddr,
+    store: SocketAddr,
+    hosts: SocketAddr,
+) -> anyhow::Result<Value> {
+    let (key, secret) = OPERATOR_KEY.split_once('.').context("an operator's key has a dot")?;
+    let key = make_key(&key.parse()?, &"operators".parse()?, secret, &[7; 16]);
+    Ok(json!({
+        "member": name,
+        "availability_zone": zone,
+        "caller_address": "127.0.0.1:0",
+        "operator_address": "127.0.0.1:0",
+        "peer_address": peer,
+        "store_address": store,
+        "hosts_address": hosts,
+        "operator_keys": [{ "name": key.name, "salt": key.salt, "hash": key.hash }],
+    }))
+}
+
+/// Reads the log to its end, so that the daemon never waits for its reader.
+fn follow_log(stderr: impl Read, log: Option<PathBuf>, sender: oneshot::Sender<Value>) {
+    let mut sender = Some(sender);
+    let open = |path: PathBuf| OpenOptions::new().create(true).append(true).open(path).ok();
+    let mut file = log.and_then(open);
+    for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+        if let Some(file) = &mut file {
+            let _ = writeln!(file, "{line}");
+        }
+        if sender.is_some()
+            && let Ok(value) = serde_json::from_str::<Value>(&line)
+            && value["msg"] == "daemon_started"
+            && let Some(sender) = sender.take()
+        {
+            let _ = sender.send(value);
+        }
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/processes/operator.rs
@@ -0,0 +1,89 @@
+//! Operators: they read the manifest, change it and hand it in with the version they read.
+
+use {
+    super::{
+        client::{ApiCall, CallEnd, ChangeAnswer, ManifestAnswer},
+        daemon::OPERATOR_KEY,
+        world::LiveWorld,
+    },
+    crate::{script::ManifestEdit, world::apply_edit},
+    damaskrack_manifest::ManifestDocument,
+    damaskrack_model::{AnswerReason, OutcomeKind},
+    http::Method,
+    rand::Rng,
+    serde_json::json,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::time::sleep,
+};
+
+/// Time between tries.
+const RETRY: Duration = Duration::from_millis(400);
+
+impl LiveWorld {
+    /// Repeats an operator's change until it is accepted.
+    pub(crate) async fn run_change(self: Arc<Self>, edit: ManifestEdit, via: Option<usize>) {
+        loop {
+            if let Some(version) = self.try_change(&edit, via).await {
+                let now_ms = self.now_ms();
+                let mut state = self.lock();
+                state.record.accepted.entry(version).or_insert(now_ms);
+                state.accepted_changes += 1;
+                return;
+            }
+            sleep(RETRY).await;
+        }
+    }
+
+    /// Returns the version with the change once it is accepted.
+    async fn try_change(&self, edit: &ManifestEdit, via: Option<usize>) -> Option<u64> {
+        let address = self.choose_operator_address(via)?;
+        let (base, present) = self.read_manifest(address).await?;
+        let mut edited = present.clone().unwrap_or_default();
+        if present.is_none() && !matches!(edit, ManifestEdit::Whole) {
+            return None;
+        }
+        apply_edit(edit, &mut edited, &self.script.document);
+        if present.as_ref() == Some(&edited) {
+            return Some(base);
+        }
+        self.lock().documents.push(edited.clone());
+        let body = json!({ "base": base, "manifest": edited }).to_string();
+        let call = operator_call(Method::PUT, body);
+        match self.client.call::<ChangeAnswer>(address, &call).await {
+            CallEnd::Answered(answer) if is_accepted(&answer) => Some(answer.version),
+            _ => None,
+        }
+    }
+
+    async fn read_manifest(&self, address: SocketAddr) -> Option<(u64, Option<ManifestDocument>)> {
+        let call = operator_call(Method::GET, String::new());
+        match self.client.call::<ManifestAnswer>(address, &call).await {
+            CallEnd::Answered(answer) => Some((answer.version, answer.manifest)),
+            _ => None,
+        }
+    }
+
+    fn choose_operator_address(&self, via: Option<usize>) -> Option<SocketAddr> {
+        let mut state = self.lock();
+        let node = match via {
+            Some(node) => node,
+            None => {
+                let count = state.nodes.len();
+                state.dice.random_range(0..count)
+            }
+        };
+        state.nodes[node].process.as_ref().map(|process| process.operator)
+    }
+}
+
+fn operator_call(method: Method, body: String) -> ApiCall<'static> {
+    ApiCall { method, path: "/v1/manifest", key: Some(OPERATOR_KEY), idempotency_key: None, body }
+}
+
+fn is_accepted(answer: &ChangeAnswer) -> bool {
+    let is_good = matches!(
+        answer.reason,
+        AnswerReason::Ok | AnswerReason::Accepted | AnswerReason::Spreading
+    );
+    is_good && answer.outcome != OutcomeKind::NotRun
+}
--- /dev/null
+++ b/crates/scenario/src/processes/relay.rs
@@ -0,0 +1,179 @@
+//! A TCP relay that can lose what passes through it while its sockets stay open.
+//!
+//! A connection that has lost a byte stays silent for good: what would follow makes no sense to
+//! the other end.
+
+use {
+    std::{
+        net::{SocketAddr, TcpListener},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+    },
+    tokio::{
+        io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
+        net::TcpStream,
+    },
+};
+
+/// Bytes that are passed on at a time.
+const CHUNK_BYTES: usize = 64 << 10;
+
+/// Text of equal length that stands in for another on its way to the target.
+#[derive(Debug, Clone)]
+pub(crate) struct RewritePlan {
+    pub(crate) from: String,
+    pub(crate) to: String,
+}
+
+impl RewritePlan {
+    fn apply(&self, bytes: &mut [u8]) {
+        let (from, to) = (self.from.as_bytes(), self.to.as_bytes());
+        let mut at = 0;
+        while at + from.len() <= bytes.len() {
+            if bytes[at..].starts_with(from) {
+                bytes[at..at + from.len()].copy_from_slice(to);
+                at += from.len();
+            } else {
+                at += 1;
+            }
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct RelayRow {
+    source: Option<String>,
+    is_silent: bool,
+}
+
+#[derive(Debug, Default)]
+struct RelayState {
+    rows: Vec<RelayRow>,
+    /// Sources whose traffic is lost at present, open connections and new ones.
+    cut: Vec<String>,
+}
+
+/// A relay to one target.
+#[derive(Debug, Clone)]
+pub(crate) struct SocketRelay {
+    address: SocketAddr,
+    state: Arc<Mutex<RelayState>>,
+}
+
+impl SocketRelay {
+    /// Serves on a bound port. `sources` are names by one of which a connection's first bytes tell
+    /// who opened it.
+    pub(crate) fn start(
+        listener: TcpListener,
+        target: SocketAddr,
+        sources: Vec<String>,
+        rewrite: Option<RewritePlan>,
+    ) -> std::io::Result<Self> {
+        let address = listener.local_addr()?;
+        listener.set_nonblocking(true)?;
+        let listener = tokio::net::TcpListener::from_std(listener)?;
+        let state = Arc::new(Mutex::new(RelayState::default()));
+        let relay = Self { address, state };
+        let served = relay.clone();
+        tokio::spawn(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                let pipe = served.clone().carry(near, target, sources.clone(), rewrite.clone());
+                tokio::spawn(pipe);
+            }
+        });
+        Ok(relay)
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Makes the open connections of a source silent for good.
+    pub(crate) fn silence(&self, source: &str) {
+        for row in &mut self.lock().rows {
+            row.is_silent |= row.source.as_deref() == Some(source);
+        }
+    }
+
+    /// Begins or ends the loss of all that a source sends.
+    pub(crate) fn set_cut(&self, source: &str, is_cut: bool) {
+        let mut state = self.lock();
+        if is_cut {
+            state.cut.push(source.to_owned());
+        } else if let Some(index) = state.cut.iter().position(|cut| cut == source) {
+            state.cut.remove(index);
+        }
+    }
+
+    async fn carry(
+        self,
+        near: TcpStream,
+        target: SocketAddr,
+        sources: Vec<String>,
+        rewrite: Option<RewritePlan>,
+    ) {
+        let Ok(far) = TcpStream::connect(target).await else { return };
+        let _ = (near.set_nodelay(true), far.set_nodelay(true));
+        let index = self.open_row(&sources);
+        let (near_read, near_write) = near.into_split();
+        let (far_read, far_write) = far.into_split();
+        let up = self.pump(index, near_read, far_write, &sources, rewrite);
+        let down = self.pump(index, far_read, near_write, &[], None);
+        tokio::join!(up, down);
+    }
+
+    /// A connection has its only possible source from the start.
+    fn open_row(&self, sources: &[String]) -> usize {
+        let source = (sources.len() == 1).then(|| sources[0].clone());
+        let mut state = self.lock();
+        state.rows.push(RelayRow { source, is_silent: false });
+        state.rows.len() - 1
+    }
+
+    async fn pump(
+        &self,
+        index: usize,
+        mut from: impl AsyncRead + Unpin,
+        mut to: impl AsyncWrite + Unpin,
+        sources: &[String],
+        rewrite: Option<RewritePlan>,
+    ) {
+        let mut buffer = vec![0; CHUNK_BYTES];
+        while let Ok(length @ 1..) = from.read(&mut buffer).await {
+            let chunk = &mut buffer[..length];
+            if self.swallows(index, chunk, sources) {
+                continue;
+            }
+            if let Some(rewrite) = &rewrite {
+                rewrite.apply(chunk);
+            }
+            if to.write_all(chunk).await.is_err() {
+                break;
+            }
+        }
+        let is_silent = self.lock().rows[index].is_silent;
+        if is_silent {
+            // The other end never learns that this one has gone.
+            std::future::pending::<()>().await;
+        }
+        let _ = to.shutdown().await;
+    }
+
+    fn swallows(&self, index: usize, chunk: &[u8], sources: &[String]) -> bool {
+        let mut state = self.lock();
+        if state.rows[index].source.is_none() {
+            let is_named = |source: &&String| {
+                chunk.windows(source.len()).any(|window| window == source.as_bytes())
+            };
+            state.rows[index].source = sources.iter().find(is_named).cloned();
+        }
+        let RelayState { rows, cut } = &mut *state;
+        let row = &mut rows[index];
+        let is_cut = row.source.as_ref().is_some_and(|source| cut.contains(source));
+        row.is_silent |= is_cut;
+        row.is_silent
+    }
+
+    fn lock(&self) -> MutexGuard<'_, RelayState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/scenario/src/runner.rs
+++ b/crates/scenario/src/runner.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         expect::judge_expect,
-        observe::{Violation, every_observer},
+        observe::{RunHistory, Violation, every_observer},
         script::ScenarioScript,
         world::{SimWorld, TraceFilter},
     },
@@ -109,7 +109,7 @@
     })
 }
 
-fn failed_run(seed: u64, reason: String) -> RunVerdict {
+pub(crate) fn failed_run(seed: u64, reason: String) -> RunVerdict {
     RunVerdict {
         seed,
         violations: Vec::new(),
@@ -126,17 +126,27 @@
     };
     world.run_until(script.run_ms);
     let dumps = if options.keeps_dumps { world.dumps() } else { Vec::new() };
-    let mut figures = world.figures();
+    let figures = world.figures();
     let history = world.take_history();
+    RunVerdict { dumps, ..judge_run(script, seed, &history, figures) }
+}
+
+/// Judges what was seen in a run; `figures` holds what only the world counts.
+pub(crate) fn judge_run(
+    script: &ScenarioScript,
+    seed: u64,
+    history: &RunHistory,
+    mut figures: RunFigures,
+) -> RunVerdict {
     figures.starts = history.runs.len() as u64;
     figures.works = history.works.len() as u64;
     let tries = history.works.iter().flat_map(|work| &work.tries);
     figures.answers = tries.map(|attempt| attempt.answers.len() as u64).sum();
     let observers = every_observer();
-    let found = observers.iter().flat_map(|observer| observer.check(&history, &script.bounds));
+    let found = observers.iter().flat_map(|observer| observer.check(history, &script.bounds));
     let mut violations: Vec<Violation> = found.collect();
     violations.sort_by_key(|violation| violation.at_ms);
     let failures =
-        script.expects.iter().filter_map(|expect| judge_expect(expect, &history)).collect();
-    RunVerdict { seed, violations, failures, figures, dumps }
+        script.expects.iter().filter_map(|expect| judge_expect(expect, history)).collect();
+    RunVerdict { seed, violations, failures, figures, dumps: Vec::new() }
 }
--- a/crates/scenario/src/world.rs
+++ b/crates/scenario/src/world.rs
@@ -23,10 +23,11 @@
 
 pub use trace::TraceFilter;
 pub(crate) use {
-    callers::CallerBook,
+    build::{resolve_losses, seen_configs},
+    callers::{CallerBook, is_passing},
     fleet::{FleetRow, WorkerStep},
     links::{LinkTable, SILENCE_LIMIT_MS},
-    operators::ChangeRow,
+    operators::{ChangeRow, apply_edit},
     place::{CutTable, NetPlace},
     process::{CallKind, CallOrigin, CallWaiter, NodeProcess},
     queue::EventQueue,
--- a/crates/scenario/src/world/build.rs
+++ b/crates/scenario/src/world/build.rs
@@ -7,7 +7,7 @@
     },
     crate::{
         chaos::plan_chaos,
-        observe::{RunHistory, SeenConfig, SeenRun, SeenWorker, token_of},
+        observe::{RunHistory, SeenConfig, SeenLoss, SeenRun, SeenWorker, token_of},
         runner::RunFigures,
         script::{ManifestEdit, ScenarioScript, StepTiming},
     },
@@ -17,9 +17,12 @@
     damaskrack_model::{MemberName, NameError, RackName, WorkerName, ZoneName},
     damaskrack_ownership::OwnerRecord,
     damaskrack_platform::{HostRow, HostState},
-    damaskrack_standin::{CheckpointPlace, HostTable, WorkerPlan, WorkerTable},
+    damaskrack_standin::{CheckpointPlace, HostTable, WorkerPlan, WorkerTable, WriteRecord},
     rand::{Rng, SeedableRng, rngs::SmallRng},
-    std::net::{Ipv4Addr, SocketAddr},
+    std::{
+        collections::BTreeMap,
+        net::{Ipv4Addr, SocketAddr},
+    },
 };
 
 /// Port of every node's peer address; nothing listens there.
@@ -124,7 +127,7 @@
             runs: self.fleet.iter().flat_map(seen_runs).collect(),
             workers: self.fleet.iter().map(seen_worker).collect(),
             works: self.book.works.iter().map(|row| row.seen.clone()).collect(),
-            configs: self.seen_configs(&record),
+            configs: seen_configs(self.store.table.history(), &self.documents, &record.accepted),
             versions: record.versions,
             disturbances: record.disturbances,
             leavings: record.leavings,
@@ -137,7 +140,8 @@
             end_ms: now_ms,
         };
         history.runs.sort_by_key(|seen| seen.run.start_ms);
-        self.resolve_losses(&mut history);
+        let writes: Vec<_> = self.store.table.history().collect();
+        resolve_losses(&writes, &mut history.losses);
         history
     }
 
@@ -159,32 +163,36 @@
         let cores = self.nodes.iter().filter_map(|process| process.core.as_ref());
         cores.map(|core| format!("{:#}", core.dump())).collect()
     }
+}
 
-    fn seen_configs(&self, record: &WorldRecord) -> Vec<SeenConfig> {
-        let heads = self.store.table.history().filter(|write| write.key == HEAD_KEY);
-        let config = |write: &damaskrack_standin::WriteRecord| {
-            let head = ManifestHead::from_json(write.value.as_deref()?).ok()?;
-            let document = self.documents.iter().find(|document| is_of_head(document, &head))?;
-            Some(SeenConfig {
-                version: head.version,
-                document: document.clone(),
-                written_ms: write.at_ms,
-                accepted_ms: record.accepted.get(&head.version).copied(),
-            })
-        };
-        heads.filter_map(config).collect()
-    }
+/// Returns the manifest versions that stand in the store's history.
+pub(crate) fn seen_configs<'a>(
+    writes: impl Iterator<Item = &'a WriteRecord>,
+    documents: &[ManifestDocument],
+    accepted: &BTreeMap<u64, u64>,
+) -> Vec<SeenConfig> {
+    let config = |write: &WriteRecord| {
+        let head = ManifestHead::from_json(write.value.as_deref()?).ok()?;
+        let document = documents.iter().find(|document| is_of_head(document, &head))?;
+        Some(SeenConfig {
+            version: head.version,
+            document: document.clone(),
+            written_ms: write.at_ms,
+            accepted_ms: accepted.get(&head.version).copied(),
+        })
+    };
+    writes.filter(|write| write.key == HEAD_KEY).filter_map(config).collect()
+}
 
-    fn resolve_losses(&self, history: &mut RunHistory) {
-        for loss in &mut history.losses {
-            let key = loss.piece.store_key();
-            let writes = self.store.table.history().filter(|write| write.key == key);
-            let is_later = |write: &&damaskrack_standin::WriteRecord| {
-                let record = write.value.as_deref().map(OwnerRecord::from_json);
-                matches!(record, Some(Ok(record)) if record.epoch > loss.epoch)
-            };
-            loss.replaced_ms = writes.filter(is_later).map(|write| write.at_ms).next();
-        }
+/// Notes when each lost owner was replaced.
+pub(crate) fn resolve_losses(writes: &[&WriteRecord], losses: &mut [SeenLoss]) {
+    for loss in losses {
+        let key = loss.piece.store_key();
+        let is_later = |write: &&&WriteRecord| {
+            let record = write.value.as_deref().map(OwnerRecord::from_json);
+            write.key == key && matches!(record, Some(Ok(record)) if record.epoch > loss.epoch)
+        };
+        loss.replaced_ms = writes.iter().find(is_later).map(|write| write.at_ms);
     }
 }
 
--- a/crates/scenario/src/world/callers.rs
+++ b/crates/scenario/src/world/callers.rs
@@ -67,7 +67,12 @@
 }
 
 impl WorkRow {
-    fn request(&self, work: usize, shown: Option<ShownKey>, token: &str) -> CallerRequest {
+    pub(crate) fn request(
+        &self,
+        work: usize,
+        shown: Option<ShownKey>,
+        token: &str,
+    ) -> CallerRequest {
         let plan = &self.plan;
         let payload = serde_json::json!({
             "run_ms": if plan.kind == WorkKind::Service { None } else { Some(plan.run_ms) },
@@ -92,7 +97,7 @@
         }
     }
 
-    fn may_repeat(&self, answer: Option<&WorkAnswer>) -> bool {
+    pub(crate) fn may_repeat(&self, answer: Option<&WorkAnswer>) -> bool {
         let is_safe = self.plan.idempotent || self.plan.has_idempotency_key;
         match answer {
             None => is_safe,
@@ -106,7 +111,7 @@
 }
 
 /// Tells whether a refusal may be gone a moment later.
-fn is_passing(reason: AnswerReason) -> bool {
+pub(crate) fn is_passing(reason: AnswerReason) -> bool {
     matches!(
         reason,
         AnswerReason::Isolated
--- a/crates/scenario/src/world/operators.rs
+++ b/crates/scenario/src/world/operators.rs
@@ -56,7 +56,12 @@
     }
 }
 
-fn apply_edit(edit: &ManifestEdit, document: &mut ManifestDocument, whole: &ManifestDocument) {
+/// Makes a change to a manifest; `whole` is the script's own.
+pub(crate) fn apply_edit(
+    edit: &ManifestEdit,
+    document: &mut ManifestDocument,
+    whole: &ManifestDocument,
+) {
     match edit {
         ManifestEdit::Whole => document.clone_from(whole),
         ManifestEdit::Zone { zone, is_in } => {
--- a/crates/standin/src/common_clock.rs
+++ b/crates/standin/src/common_clock.rs
@@ -14,7 +14,16 @@
 ///
 /// It is read from the wall clock once and advanced by the monotonic clock, so it never goes back
 /// in one process and is comparable between the stand-ins of one machine.
-pub(crate) fn common_now_ms() -> u64 {
+///
+/// # Examples
+///
+/// ```
+/// use damaskrack_standin::common_now_ms;
+///
+/// assert!(common_now_ms() <= common_now_ms());
+/// ```
+#[must_use]
+pub fn common_now_ms() -> u64 {
     static ANCHOR: OnceLock<ClockAnchor> = OnceLock::new();
     let anchor = ANCHOR.get_or_init(|| {
         let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -34,6 +34,7 @@
 
 pub use {
     checkpoint::CheckpointPlace,
+    common_clock::common_now_ms,
     host_server::{HostFaults, HostServer},
     host_table::HostTable,
     observed_run::{ObservedRun, find_double_runs, find_overcommits},
--- a/crates/standin/src/worker_server.rs
+++ b/crates/standin/src/worker_server.rs
@@ -89,6 +89,12 @@
     pub fn observations(&self) -> Vec<ObservedRun> {
         self.service.observations()
     }
+
+    /// Returns what the script of each observed run returns at its end, in the same order.
+    #[must_use]
+    pub fn outputs(&self) -> Vec<String> {
+        self.service.outputs()
+    }
 }
 
 impl Drop for WorkerServer {
--- a/crates/standin/src/worker_service.rs
+++ b/crates/standin/src/worker_service.rs
@@ -186,6 +186,10 @@
         self.lock().table.observations().to_vec()
     }
 
+    pub(crate) fn outputs(&self) -> Vec<String> {
+        self.lock().table.outputs().to_vec()
+    }
+
     fn lock(&self) -> MutexGuard<'_, WorkerState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/standin/src/worker_table.rs
+++ b/crates/standin/src/worker_table.rs
@@ -128,6 +128,7 @@
     ended: BTreeMap<AttemptId, EndedRow>,
     remembered: BTreeMap<AttemptId, u64>,
     observations: Vec<ObservedRun>,
+    outputs: Vec<String>,
     frozen_ms: Option<u64>,
     is_failing: bool,
 }
@@ -145,6 +146,7 @@
             ended: BTreeMap::new(),
             remembered: BTreeMap::new(),
             observations: Vec::new(),
+            outputs: Vec::new(),
             frozen_ms: None,
             is_failing: false,
         }
@@ -294,6 +296,12 @@
         &self.observations
     }
 
+    /// Returns what the script of each observed run returns at its end, in the same order.
+    #[must_use]
+    pub fn outputs(&self) -> &[String] {
+        &self.outputs
+    }
+
     /// Returns the worker's own clock.
     #[must_use]
     pub fn clock_ms(&self, now_ms: u64) -> u64 {
@@ -345,6 +353,7 @@
             is_throttled: false,
             observation: self.observations.len(),
         };
+        self.outputs.push(row.script.output.clone());
         self.observations.push(ObservedRun {
             worker: self.plan.worker.clone(),
             zone: self.plan.zone.clone(),
