--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -19,8 +19,10 @@
         SingleRun, TeamLimits, Violation, WholeAnswer, WithdrawnKey, WorkerCapacity, ZoneOut,
         every_observer,
     },
-    processes::{ProcessOptions, run_processes},
-    runner::{RunFigures, RunOptions, RunVerdict, run_script},
+    processes::{
+        ProcessFigures, ProcessOptions, UsageFigures, WaitFigures, measure_processes, run_processes,
+    },
+    runner::{RecordedRun, RunFigures, RunOptions, RunVerdict, record_run, run_script},
     script::{ScenarioScript, ScriptError},
     world::TraceFilter,
 };
--- a/crates/scenario/src/processes.rs
+++ b/crates/scenario/src/processes.rs
@@ -8,12 +8,15 @@
 mod client;
 mod daemon;
 mod fault;
+mod measure;
 mod operator;
 mod ports;
 mod relay;
 mod site;
 mod world;
 
+pub use measure::{ProcessFigures, UsageFigures, WaitFigures, measure_processes};
+
 use {
     crate::{
         runner::{RunVerdict, failed_run, judge_run},
--- a/crates/scenario/src/processes/caller.rs
+++ b/crates/scenario/src/processes/caller.rs
@@ -193,6 +193,13 @@
     }
 }
 
+/// Returns the body of a small request whose task returns `token`.
+pub(crate) fn body_of(queue: &str, token: &str, run_ms: u64) -> String {
+    let payload = serde_json::json!({ "run_ms": run_ms, "output": token }).to_string();
+    let resources = serde_json::json!({ "millicores": 100, "memory_bytes": 1 << 20 });
+    serde_json::json!({ "queue": queue, "resources": resources, "payload": payload }).to_string()
+}
+
 fn seen_answer(at_ms: u64, answer: &WorkAnswer) -> SeenAnswer {
     SeenAnswer {
         at_ms,
--- a/crates/scenario/src/processes/client.rs
+++ b/crates/scenario/src/processes/client.rs
@@ -1,11 +1,11 @@
-//! HTTP calls of callers and operators, each on a connection of its own.
+//! HTTP calls of callers and operators.
 
 use {
     damaskrack_manifest::ManifestDocument,
     damaskrack_model::{AnswerReason, OutcomeKind},
     http::{
         Method, Request,
-        header::{AUTHORIZATION, CONNECTION, CONTENT_TYPE},
+        header::{AUTHORIZATION, CONTENT_TYPE},
     },
     http_body_util::{BodyExt, Full},
     hyper::body::Bytes,
@@ -57,7 +57,7 @@
     pub(crate) reason: AnswerReason,
 }
 
-/// A client that keeps no connection.
+/// A client of daemons.
 #[derive(Debug, Clone)]
 pub(crate) struct ApiClient {
     client: Client<HttpConnector, Full<Bytes>>,
@@ -65,10 +65,15 @@
 
 impl ApiClient {
     pub(crate) fn new() -> Self {
+        Self::with_idle(0)
+    }
+
+    /// Makes a client that keeps up to this many connections to an address for later calls.
+    pub(crate) fn with_idle(idle: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         let client =
-            Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build(connector);
+            Client::builder(TokioExecutor::new()).pool_max_idle_per_host(idle).build(connector);
         Self { client }
     }
 
@@ -112,7 +117,6 @@
     let mut builder = Request::builder()
         .method(call.method.clone())
         .uri(format!("http://{address}{}", call.path))
-        .header(CONNECTION, "close")
         .header(CONTENT_TYPE, "application/json");
     if let Some(key) = call.key {
         builder = builder.header(AUTHORIZATION, format!("Bearer {key}"));
--- a/crates/scenario/src/processes/daemon.rs
+++ b/crates/scenario/src/processes/daemon.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// Returns the number by which the system knows the process.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns its exit code once it has ended; -1 for the end by a signal.
     pub(crate) fn exit_code(&mut self) -> Option<i32> {
         self.child.try_wait().ok().flatten().map(|status| status.code().unwrap_or(-1))
--- /dev/null
+++ b/crates/scenario/src/processes/measure.rs
@@ -0,0 +1,267 @@
+//! What a cell of real daemons costs and how fast it answers.
+//!
+//! Callers, stand-ins and daemons share the machine, so the figures are a lower bound of what a
+//! daemon can do on a host of its own.
+
+use {
+    super::{
+        ProcessOptions,
+        caller::body_of,
+        client::{ApiCall, ApiClient, CallEnd},
+        world::LiveWorld,
+    },
+    crate::script::{FaultTarget, ManifestEdit, ScenarioScript},
+    anyhow::Context,
+    damaskrack_model::{OutcomeKind, WorkAnswer},
+    http::Method,
+    serde::Serialize,
+    std::{
+        fs,
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::{task::JoinSet, time::sleep},
+};
+
+/// Cell of the size that one of the users has: about 50 workers of 8 slots, 8 to a rack.
+const CELL: &str = "cell nodes=3 zones=3 racks=6 workers-per-rack=8
+team harbour share=1 tasks=10000
+key harbour-key team=harbour
+queue checks team=harbour
+run 1m
+processes
+";
+
+/// Team whose owner is asked directly and through another daemon.
+const PIECE: &str = "team/harbour";
+
+/// Ticks of `/proc` in a second.
+const TICKS_PER_S: f64 = 100.0;
+
+/// Bytes of a page in `/proc`.
+const PAGE_BYTES: u64 = 4_096;
+
+/// Time for the cell to come up, and for load to settle.
+const SETTLING: Duration = Duration::from_secs(4);
+
+/// Length of the idle and of each loaded stretch.
+const STRETCH: Duration = Duration::from_secs(8);
+
+/// Requests one after the other to each entry.
+const HOP_REQUESTS: usize = 300;
+
+/// Run time of the tasks, in milliseconds.
+const RUN_MS: u64 = 1;
+
+/// What the daemons used over a stretch.
+#[derive(Debug, Clone, Serialize)]
+pub struct UsageFigures {
+    /// Processor time of each daemon, in hundredths of a processor.
+    pub cpu_percent: Vec<f64>,
+    /// Resident memory of each daemon at the end, in megabytes.
+    pub memory_mb: Vec<u64>,
+    /// Calls to the store that read, watches included, each second.
+    pub store_reads_per_s: f64,
+    /// Calls to the store that write, each second.
+    pub store_writes_per_s: f64,
+}
+
+/// Times that callers waited, in microseconds.
+#[derive(Debug, Clone, Serialize)]
+pub struct WaitFigures {
+    /// Callers that each waited for one answer at a time.
+    pub callers: usize,
+    /// Answers.
+    pub answers: usize,
+    /// Answers other than `done`, and broken connections.
+    pub bad: usize,
+    /// Answers each second.
+    pub per_s: f64,
+    /// Median.
+    pub p50_us: u64,
+    /// 99th percentile.
+    pub p99_us: u64,
+}
+
+/// Everything that was measured.
+#[derive(Debug, Clone, Serialize)]
+pub struct ProcessFigures {
+    /// Without work.
+    pub idle: UsageFigures,
+    /// Requests one after the other to the daemon that owns the team.
+    pub at_owner: WaitFigures,
+    /// Requests one after the other to another daemon.
+    pub at_other: WaitFigures,
+    /// Many callers at once, with what the daemons used.
+    pub loaded: Vec<(WaitFigures, UsageFigures)>,
+}
+
+/// Measures a cell of three daemons and 48 workers.
+///
+/// # Errors
+///
+/// Returns why the cell did not start.
+pub fn measure_processes(
+    options: &ProcessOptions,
+    callers: &[usize],
+) -> anyhow::Result<ProcessFigures> {
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    let runtime = builder.worker_threads(super::WORKER_THREADS).enable_all().build()?;
+    let figures = runtime.block_on(measure_cell(options, callers));
+    runtime.shutdown_background();
+    figures
+}
+
+async fn measure_cell(
+    options: &ProcessOptions,
+    callers: &[usize],
+) -> anyhow::Result<ProcessFigures> {
+    let script = ScenarioScript::parse(CELL)?;
+    let world = Arc::new(LiveWorld::new(&script, 1, options).await?);
+    for node in 0..script.cell.nodes {
+        Arc::clone(&world).start_node(node).await;
+    }
+    tokio::spawn(Arc::clone(&world).run_change(ManifestEdit::Whole, None));
+    sleep(SETTLING).await;
+    let mark = UsageMark::take(&world)?;
+    sleep(STRETCH).await;
+    let idle = mark.finish(&world)?;
+    let owners = world.resolve_nodes(&FaultTarget::OwnerOf(PIECE.parse()?));
+    let owner = *owners.first().context("nobody owns the team")?;
+    let entries = entries_of(&world);
+    let at_owner = run_callers(&[entries[owner]], 1, Until::Count(HOP_REQUESTS)).await;
+    let other = entries[(owner + 1) % entries.len()];
+    let at_other = run_callers(&[other], 1, Until::Count(HOP_REQUESTS)).await;
+    let mut loaded = Vec::new();
+    for &count in callers {
+        let mark = UsageMark::take(&world)?;
+        let waits = run_callers(&entries, count, Until::Passed(STRETCH)).await;
+        loaded.push((waits, mark.finish(&world)?));
+    }
+    Ok(ProcessFigures { idle, at_owner, at_other, loaded })
+}
+
+fn entries_of(world: &LiveWorld) -> Vec<SocketAddr> {
+    let state = world.lock();
+    state.nodes.iter().filter_map(|slot| Some(slot.process.as_ref()?.caller)).collect()
+}
+
+#[derive(Debug)]
+struct UsageMark {
+    at: Instant,
+    ticks: Vec<u64>,
+    reads: u64,
+    writes: u64,
+}
+
+impl UsageMark {
+    fn take(world: &LiveWorld) -> anyhow::Result<Self> {
+        let stats = world.site.store.stats();
+        let (reads, writes) = (stats.reads(), stats.writes());
+        Ok(Self { at: Instant::now(), ticks: ticks_of(world)?, reads, writes })
+    }
+
+    #[allow(clippy::cast_precision_loss)] // The counts are far below 2^52.
+    fn finish(&self, world: &LiveWorld) -> anyhow::Result<UsageFigures> {
+        let seconds = self.at.elapsed().as_secs_f64();
+        let ticks = ticks_of(world)?;
+        let used = ticks.iter().zip(&self.ticks).map(|(now, before)| now.saturating_sub(*before));
+        let stats = world.site.store.stats();
+        Ok(UsageFigures {
+            cpu_percent: used.map(|used| used as f64 / TICKS_PER_S / seconds * 100.0).collect(),
+            memory_mb: memory_of(world)?,
+            store_reads_per_s: (stats.reads() - self.reads) as f64 / seconds,
+            store_writes_per_s: (stats.writes() - self.writes) as f64 / seconds,
+        })
+    }
+}
+
+fn process_ids(world: &LiveWorld) -> Vec<u32> {
+    let state = world.lock();
+    state.nodes.iter().filter_map(|slot| Some(slot.process.as_ref()?.id())).collect()
+}
+
+/// User and system time stand in the 14th and 15th field; the second may hold spaces.
+fn ticks_of(world: &LiveWorld) -> anyhow::Result<Vec<u64>> {
+    let ticks = |id: u32| {
+        let text = fs::read_to_string(format!("/proc/{id}/stat"))?;
+        let (_, rest) = text.rsplit_once(')').context("no name")?;
+        let fields: Vec<u64> =
+            rest.split_whitespace().skip(12).take(2).filter_map(|it| it.parse().ok()).collect();
+        Ok(fields.iter().sum())
+    };
+    process_ids(world).into_iter().map(ticks).collect()
+}
+
+fn memory_of(world: &LiveWorld) -> anyhow::Result<Vec<u64>> {
+    let memory = |id: u32| {
+        let text = fs::read_to_string(format!("/proc/{id}/statm"))?;
+        let pages: u64 = text.split_whitespace().nth(1).context("no resident size")?.parse()?;
+        Ok(pages * PAGE_BYTES >> 20)
+    };
+    process_ids(world).into_iter().map(memory).collect()
+}
+
+/// When a caller stops.
+#[derive(Debug, Clone, Copy)]
+enum Until {
+    Count(usize),
+    Passed(Duration),
+}
+
+#[allow(clippy::cast_precision_loss)] // The counts are far below 2^52.
+async fn run_callers(entries: &[SocketAddr], callers: usize, until: Until) -> WaitFigures {
+    let client = ApiClient::with_idle(callers);
+    let begun = Instant::now();
+    let mut tasks = JoinSet::new();
+    for caller in 0..callers {
+        let entry = entries[caller % entries.len()];
+        tasks.spawn(run_caller(client.clone(), entry, caller, until));
+    }
+    let (mut waits, mut bad) = (Vec::new(), 0);
+    while let Some(done) = tasks.join_next().await {
+        let (more, more_bad) = done.unwrap_or_default();
+        waits.extend(more);
+        bad += more_bad;
+    }
+    let seconds = begun.elapsed().as_secs_f64();
+    waits.sort_unstable();
+    let at = |part: usize| waits.get(waits.len() * part / 100).copied().unwrap_or(0);
+    let answers = waits.len();
+    let per_s = answers as f64 / seconds;
+    WaitFigures { callers, answers, bad, per_s, p50_us: at(50), p99_us: at(99) }
+}
+
+async fn run_caller(
+    client: ApiClient,
+    entry: SocketAddr,
+    caller: usize,
+    until: Until,
+) -> (Vec<u64>, usize) {
+    let begun = Instant::now();
+    let (mut waits, mut bad) = (Vec::new(), 0);
+    loop {
+        let is_over = match until {
+            Until::Count(count) => waits.len() >= count,
+            Until::Passed(time) => begun.elapsed() >= time,
+        };
+        if is_over {
+            return (waits, bad);
+        }
+        let token = format!("c{caller}r{}", waits.len());
+        let call = ApiCall {
+            method: Method::POST,
+            path: "/v1/requests",
+            key: Some("harbour-key.secret-of-harbour-key"),
+            idempotency_key: None,
+            body: body_of("checks", &token, RUN_MS),
+        };
+        let asked = Instant::now();
+        let end = client.call::<WorkAnswer>(entry, &call).await;
+        waits.push(u64::try_from(asked.elapsed().as_micros()).unwrap_or(u64::MAX));
+        let is_own = matches!(end, CallEnd::Answered(answer)
+            if answer.outcome == OutcomeKind::Done && answer.detail == token);
+        bad += usize::from(!is_own);
+    }
+}
--- a/crates/scenario/src/processes/world.rs
+++ b/crates/scenario/src/processes/world.rs
@@ -105,7 +105,8 @@
         Ok(world.finish())
     }
 
-    async fn new(
+    /// Starts the platform and prepares the daemons.
+    pub(crate) async fn new(
         script: &ScenarioScript,
         seed: u64,
         options: &ProcessOptions,
@@ -283,7 +284,7 @@
         writes.iter_mut().for_each(|write| write.at_ms = self.since_origin(write.at_ms));
         resolve_losses(&writes.iter().collect::<Vec<_>>(), &mut record.losses);
         let stats = self.site.store.stats();
-        let figures = RunFigures {
+        let mut figures = RunFigures {
             faults: record.faults,
             store_calls: stats.reads() + stats.writes(),
             ..RunFigures::default()
@@ -310,6 +311,7 @@
             lives: record.lives,
             end_ms,
         };
+        figures.count_seen(&history);
         LiveRun { history, figures, faults: std::mem::take(&mut state.faults) }
     }
 
