--- a/crates/node/src/membership/registration.rs
+++ b/crates/node/src/membership/registration.rs
@@ -13,7 +13,7 @@
 /// Pause after a failed call, in milliseconds.
 const RETRY_MS: u64 = 300;
 /// Parts of the lease time between two renewals.
-const KEEPS_PER_LEASE: u64 = 3;
+const KEEPS_PER_LEASE: u64 = 4;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum RegistrationPhase {
@@ -36,6 +36,10 @@
     revision: u64,
     is_leaving_written: bool,
     next_at: ClockTime,
+    /// When the record was first written under the present lease.
+    registered_at: Option<ClockTime>,
+    sent_at: ClockTime,
+    renewed_at: Option<ClockTime>,
 }
 
 impl MemberRegistration {
@@ -47,14 +51,22 @@
             revision: 0,
             is_leaving_written: false,
             next_at: ClockTime::default(),
+            registered_at: None,
+            sent_at: ClockTime::default(),
+            renewed_at: None,
         }
     }
 
-    /// Returns the store revision of the present record; `None` while there is none.
-    pub(crate) fn listed_revision(&self) -> Option<u64> {
+    /// Returns when the present record was written; `None` while there is none.
+    pub(crate) fn registered_at(&self) -> Option<ClockTime> {
         let is_listed =
             matches!(self.phase, RegistrationPhase::Listed | RegistrationPhase::Keeping);
-        is_listed.then_some(self.revision)
+        self.registered_at.filter(|_| is_listed)
+    }
+
+    /// Returns when the last renewal of the lease that succeeded was sent.
+    pub(crate) fn renewed_at(&self) -> Option<ClockTime> {
+        self.renewed_at
     }
 
     /// Tells whether the lease is given up for good.
@@ -104,6 +116,7 @@
             _ => return,
         };
         self.call = out.store(request, config.store_timeout_ms);
+        self.sent_at = now;
         self.phase = phase;
     }
 
@@ -139,10 +152,12 @@
         let (phase, delay_ms) = match (self.phase, result) {
             (RegistrationPhase::Granting, Ok(StoreReply::Lease { lease })) => {
                 self.lease = lease;
+                self.renewed_at = Some(self.sent_at);
                 (RegistrationPhase::Leased, 0)
             }
             (RegistrationPhase::Writing, Ok(StoreReply::Written { revision })) => {
                 self.revision = revision;
+                self.registered_at = self.registered_at.or(Some(now));
                 (RegistrationPhase::Listed, keep_ms)
             }
             (RegistrationPhase::Writing, Ok(StoreReply::Conflict { current })) => {
@@ -150,11 +165,13 @@
                 (RegistrationPhase::Leased, 0)
             }
             (RegistrationPhase::Keeping, Ok(StoreReply::Lease { .. })) => {
+                self.renewed_at = Some(self.sent_at);
                 (RegistrationPhase::Listed, keep_ms)
             }
             (RegistrationPhase::Revoking, _) => (RegistrationPhase::Revoked, 0),
             (_, Ok(StoreReply::LeaseGone)) => {
                 self.lease = 0;
+                self.registered_at = None;
                 self.is_leaving_written = false;
                 (RegistrationPhase::Unleased, 0)
             }
--- a/crates/node/src/queue/job.rs
+++ b/crates/node/src/queue/job.rs
@@ -77,6 +77,8 @@
     pub(super) pending_intent: Option<(u64, u32)>,
     /// Calls that wait for acceptance or the end.
     pub(super) callers: Vec<(MemberName, CallId)>,
+    /// Latest copy of the submission that arrived.
+    pub(super) copy: u32,
     /// Answered calls whose entries have not confirmed the answer.
     pub(super) unconfirmed: Vec<CallId>,
     /// Whether the callers wait for the end.
@@ -120,6 +122,7 @@
             intent_below,
             pending_intent: None,
             callers: Vec::new(),
+            copy: 0,
             unconfirmed: Vec::new(),
             is_cancelled: false,
             gang: GangStage::Idle,
@@ -286,7 +289,10 @@
         if self.is_cancelled {
             records.push(JournalRecord::Cancel { job });
         }
-        records.extend(self.ended_runs());
+        let runs_as_whole = self.spec.kind == WorkKind::Gang && self.spec.idempotent;
+        if !runs_as_whole || self.is_ended() {
+            records.extend(self.ended_runs());
+        }
         if self.is_ended() && !self.output.is_empty() {
             records.push(JournalRecord::Output { job, text: self.output.clone() });
         }
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -12,15 +12,17 @@
 mod piece;
 mod record;
 mod rendezvous;
+mod roster;
 mod takeover;
 
 pub use {
     budget::WriteBudget,
     fence::{EpochFence, FenceVerdict},
-    isolation::{MemberStanding, StandingInput, judge_standing},
+    isolation::{MemberStanding, StandingInput, has_later_news, judge_standing},
     journal::{FoundSegment, JournalSegment, JournalStep, JournalWriter, SegmentError},
     piece::{ParsePieceError, PieceName},
     record::{MemberRecord, OwnerRecord, RecordError},
     rendezvous::suggest_owner,
+    roster::MemberRoster,
     takeover::{PieceStep, PieceView, next_piece_step},
 };
--- a/crates/scenario/src/processes/measure.rs
+++ b/crates/scenario/src/processes/measure.rs
@@ -198,7 +198,7 @@
     let memory = |id: u32| {
         let text = fs::read_to_string(format!("/proc/{id}/statm"))?;
         let pages: u64 = text.split_whitespace().nth(1).context("no resident size")?.parse()?;
-        Ok(pages * PAGE_BYTES >> 20)
+        Ok((pages * PAGE_BYTES) >> 20)
     };
     process_ids(world).into_iter().map(memory).collect()
 }
