--- a/crates/node/src/membership/monitor.rs
+++ b/crates/node/src/membership/monitor.rs
@@ -9,7 +9,10 @@
     damaskrack_model::{ClockTime, MemberName},
     damaskrack_ownership::{MemberStanding, StandingInput, has_later_news, judge_standing},
     damaskrack_wire::PeerMessage,
-    std::{collections::BTreeMap, net::SocketAddr},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+    },
 };
 
 /// Time for which this daemon remembers what its heartbeats told, in milliseconds.
@@ -40,8 +43,11 @@
     news: BTreeMap<MemberName, PeerNews>,
     links: BTreeMap<MemberName, SocketAddr>,
     next_beat_at: ClockTime,
-    /// Freshest news of the store that anybody was ever heard to know of. It is dated by the
-    /// arrival of the heartbeat, so it is rather too late than too early.
+    /// Freshest news of the store that any peer was heard to have itself. Dated by the arrival of
+    /// the heartbeat, so rather too late than too early.
+    peers_news_at: Option<ClockTime>,
+    /// Freshest news of the store that anybody was ever heard to know of. Not passed on: news that
+    /// circulate would get later by the delay of each hop.
     heard_news_at: Option<ClockTime>,
     /// This daemon's last heartbeats, by their clock reading, with the date of the news of the
     /// store that they told of.
@@ -77,6 +83,7 @@
             news: BTreeMap::new(),
             links: BTreeMap::new(),
             next_beat_at: ClockTime::default(),
+            peers_news_at: None,
             heard_news_at: None,
             told: BTreeMap::new(),
         }
@@ -102,10 +109,11 @@
                 row.heard_at = row.heard_at.max(Some(ClockTime(beat.echo_ms)));
             }
         }
-        if beat.heard_store_age_ms != u64::MAX {
-            let at = ClockTime(view.now.0.saturating_sub(beat.heard_store_age_ms));
-            self.heard_news_at = self.heard_news_at.max(Some(at));
-        }
+        let arrival = |age_ms: u64| {
+            (age_ms != u64::MAX).then(|| ClockTime(view.now.0.saturating_sub(age_ms)))
+        };
+        self.peers_news_at = self.peers_news_at.max(arrival(beat.store_age_ms));
+        self.heard_news_at = self.heard_news_at.max(arrival(beat.heard_store_age_ms));
         if beat.echo_ms == 0 {
             return;
         }
@@ -116,12 +124,27 @@
         }
     }
 
-    /// Judges this daemon's standing at the time of the view.
+    /// Judges this daemon's standing at the time of the view: the worse of what the roster and,
+    /// while a change of it is not settled, the former roster allow.
     pub(crate) fn judge(
         &self,
         view: &ClusterView,
         config: &NodeConfig,
         own: OwnNews,
+    ) -> MemberStanding {
+        let present = self.judge_list(&view.roster.members, view, config, own);
+        match &view.roster.former {
+            Some(former) => present.max(self.judge_list(former, view, config, own)),
+            None => present,
+        }
+    }
+
+    fn judge_list(
+        &self,
+        list: &BTreeSet<MemberName>,
+        view: &ClusterView,
+        config: &NodeConfig,
+        own: OwnNews,
     ) -> MemberStanding {
         let age = |at: Option<ClockTime>| at.map_or(u64::MAX, |at| view.now.since(at));
         let is_enlisted = view.roster.members.contains(&view.me);
@@ -129,9 +152,7 @@
         let is_settled = is_enlisted && settled_at.is_some_and(|at| own.at >= Some(at));
         let listed_at = self.news.values().filter_map(|news| news.listed_at).max();
         let relayed_at = if is_settled { listed_at } else { None };
-        let is_heard = |row: &&MemberRow| age(row.heard_at) <= config.isolation_ms;
-        let others = Self::roster_rows(view);
-        let heard = others.iter().copied().filter(is_heard).count();
+        let myself = usize::from(list.contains(&view.me) || !is_enlisted);
         judge_standing(StandingInput {
             store_age_ms: age(own.at.max(relayed_at)),
             has_later_news: has_later_news(
@@ -141,26 +162,22 @@
                 config.isolation_ms,
             ),
             is_settled,
-            heard: heard + 1,
-            informed: self.informed_count(view, config) + 1,
-            known: view.roster.members.len() + usize::from(!is_enlisted),
+            heard: heard_rows(list, view, config).count() + myself,
+            informed: self.informed_count(list, view, config) + myself,
+            known: list.len() + usize::from(!is_enlisted),
             isolation_ms: config.isolation_ms,
         })
     }
 
-    /// Returns how many other members of the roster are heard and have echoed a heartbeat that
-    /// told them of current news of the store.
-    pub(crate) fn informed_count(&self, view: &ClusterView, config: &NodeConfig) -> usize {
-        let is_heard = |row: &&MemberRow| {
-            row.heard_at.is_some_and(|at| view.now.since(at) <= config.isolation_ms)
-        };
-        let rows = Self::roster_rows(view);
-        rows.into_iter().filter(is_heard).filter(|row| self.is_informed(row, view, config)).count()
-    }
-
-    fn roster_rows(view: &ClusterView) -> Vec<&MemberRow> {
-        let others = view.roster.members.iter().filter(|member| **member != view.me);
-        others.filter_map(|member| view.members.get(member)).collect()
+    /// Returns how many other members of a list are heard and have echoed a heartbeat that told
+    /// them of current news of the store.
+    pub(crate) fn informed_count(
+        &self,
+        list: &BTreeSet<MemberName>,
+        view: &ClusterView,
+        config: &NodeConfig,
+    ) -> usize {
+        heard_rows(list, view, config).filter(|row| self.is_informed(row, view, config)).count()
     }
 
     /// Tells whether the last heartbeat that a member has echoed told it of news of the store that
@@ -191,7 +208,7 @@
         if let Some(at) = own.at {
             self.told.insert(view.now, at);
         }
-        let heard_store_age_ms = age(own.at.max(self.heard_news_at));
+        let heard_store_age_ms = age(own.at.max(self.peers_news_at));
         for (member, row) in view.members.iter().filter(|(member, _)| **member != view.me) {
             let news = self.news.get(member).copied().unwrap_or_default();
             let message = PeerMessage::Heartbeat {
@@ -245,3 +262,14 @@
         }
     }
 }
+
+/// Returns the other members of a list that were heard within the isolation time.
+fn heard_rows<'a>(
+    list: &'a BTreeSet<MemberName>,
+    view: &'a ClusterView,
+    config: &'a NodeConfig,
+) -> impl Iterator<Item = &'a MemberRow> {
+    let others = list.iter().filter(|member| **member != view.me);
+    let rows = others.filter_map(|member| view.members.get(member));
+    rows.filter(|row| row.heard_at.is_some_and(|at| view.now.since(at) <= config.isolation_ms))
+}
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -196,6 +196,7 @@
     pub(crate) fn takers(&self) -> impl Iterator<Item = &MemberName> {
         self.members
             .iter()
+            .filter(|(member, _)| self.roster.members.contains(*member))
             .filter(|(_, row)| row.is_listed && !row.is_leaving && !row.record.is_leaving)
             .map(|(member, _)| member)
     }
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -9,10 +9,14 @@
 mod fence;
 mod isolation;
 mod journal;
+mod lapse;
 mod piece;
+mod proof;
 mod record;
 mod rendezvous;
+mod resubmission;
 mod roster;
+mod swap;
 mod takeover;
 
 pub use {
@@ -20,9 +24,13 @@
     fence::{EpochFence, FenceVerdict},
     isolation::{MemberStanding, StandingInput, has_later_news, judge_standing},
     journal::{FoundSegment, JournalSegment, JournalStep, JournalWriter, SegmentError},
+    lapse::{SilenceInput, lapse_time},
     piece::{ParsePieceError, PieceName},
+    proof::{UnfoundStep, VoidVerdict, is_provably_unstarted, judge_unfound, judge_void},
     record::{MemberRecord, OwnerRecord, RecordError},
     rendezvous::suggest_owner,
+    resubmission::{SubmissionInput, SubmissionStep, judge_submission, may_have_run},
     roster::MemberRoster,
+    swap::{SwapMark, SwapVerdict, judge_swap},
     takeover::{PieceStep, PieceView, next_piece_step},
 };
--- a/crates/ownership/src/roster.rs
+++ b/crates/ownership/src/roster.rs
@@ -1,10 +1,10 @@
 //! The agreed list of members that count when a daemon judges whether it hears enough of them.
 //!
 //! Two sides of a partition must count the same members, or each may take itself for the larger
-//! one. So the list is one value in the store, changed by compare-and-swap. A member adds itself
-//! only when more than half of the present list know that it reaches the store; a side that is
-//! going on without the store hears one of those and learns of it. Removal makes the list
-//! shorter for the side that sees it, which is the side with the store.
+//! one. So the list is one value in the store, changed by compare-and-swap. A change needs more
+//! than half of the present list to know that the changing member reaches the store; a side that
+//! is going on without the store hears one of those and learns of it. Until half of the former
+//! list have been told of later news, both lists must agree to whatever one list agrees to.
 
 use {
     damaskrack_model::MemberName,
@@ -30,6 +30,9 @@
 pub struct MemberRoster {
     /// The members.
     pub members: BTreeSet<MemberName>,
+    /// The members before the last change, until it is settled.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub former: Option<BTreeSet<MemberName>>,
 }
 
 impl MemberRoster {
@@ -43,6 +46,25 @@
         self.members.is_empty() || informed * 2 > self.members.len()
     }
 
+    /// Returns the roster after a change; the former list counts as well until it is settled.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use damaskrack_ownership::MemberRoster;
+    ///
+    /// let roster = MemberRoster::default().changed(["entry-1".parse()?].into());
+    /// assert_eq!(roster.former, None, "an empty list settles at once");
+    /// let roster = roster.changed(["entry-1".parse()?, "entry-2".parse()?].into());
+    /// assert_eq!(roster.former.map(|former| former.len()), Some(1));
+    /// # Ok::<(), damaskrack_model::NameError>(())
+    /// ```
+    #[must_use]
+    pub fn changed(&self, members: BTreeSet<MemberName>) -> Self {
+        let former = (!self.members.is_empty()).then(|| self.members.clone());
+        Self { members, former }
+    }
+
     /// Encodes the roster for the store.
     #[must_use]
     pub fn to_json(&self) -> String {
--- /dev/null
+++ b/crates/spec/src/machines.rs
@@ -0,0 +1,15 @@
+//! The machines.
+
+mod isolation;
+mod journal;
+mod manifest;
+mod ownership;
+mod rack;
+mod resubmission;
+mod team;
+
+pub use {
+    isolation::IsolationMachine, journal::JournalMachine, manifest::ManifestMachine,
+    ownership::OwnershipMachine, rack::RackMachine, resubmission::ResubmissionMachine,
+    team::TeamMachine,
+};
