--- a/crates/scenario/src/processes/fault.rs
+++ b/crates/scenario/src/processes/fault.rs
@@ -364,6 +364,9 @@
     /// Returns the paths from daemons to daemons and to the store; what comes from elsewhere, or
     /// goes to a worker, passes no relay.
     fn paths(&self, from: &[FaultTarget], to: &[FaultTarget]) -> Vec<(usize, FaultTarget)> {
+        if from.iter().chain(to).any(is_worker) {
+            self.lock().faults.push("there is no relay between daemons and workers".to_owned());
+        }
         let sources: Vec<usize> =
             from.iter().flat_map(|target| self.resolve_nodes(target)).collect();
         let mut paths = Vec::new();
@@ -397,3 +400,7 @@
         ),
     }
 }
+
+fn is_worker(target: &FaultTarget) -> bool {
+    matches!(target, FaultTarget::Worker(_) | FaultTarget::AnyWorker | FaultTarget::AllWorkers)
+}
