--- a/crates/bench/src/decide/queue_side.rs
+++ b/crates/bench/src/decide/queue_side.rs
@@ -115,6 +115,7 @@
             nonce: self.dice.random(),
             first_epoch: None,
             age_ms: 0,
+            copy: 1,
             key: None,
             idempotency_key: None,
             is_waiting: true,
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -6,6 +6,7 @@
 mod chaos;
 mod expect;
 mod observe;
+mod processes;
 mod runner;
 mod script;
 mod world;
@@ -18,6 +19,9 @@
         SingleRun, TeamLimits, Violation, WholeAnswer, WithdrawnKey, WorkerCapacity, ZoneOut,
         every_observer,
     },
+    processes::{
+        ProcessFigures, ProcessOptions, UsageFigures, WaitFigures, measure_processes, run_processes,
+    },
     runner::{RecordedRun, RunFigures, RunOptions, RunVerdict, record_run, run_script},
     script::{ScenarioScript, ScriptError},
     world::TraceFilter,
--- a/crates/scenario/src/runner.rs
+++ b/crates/scenario/src/runner.rs
@@ -48,6 +48,13 @@
 }
 
 impl RunFigures {
+    /// Counts what a history holds.
+    pub(crate) fn count_seen(&mut self, history: &RunHistory) {
+        self.starts = history.runs.len() as u64;
+        self.works = history.works.len() as u64;
+        self.count_answers(history);
+    }
+
     /// Counts what callers were told.
     fn count_answers(&mut self, history: &RunHistory) {
         for attempt in history.works.iter().flat_map(|work| &work.tries) {
@@ -148,7 +155,7 @@
     })
 }
 
-fn failed_run(seed: u64, reason: String) -> RunVerdict {
+pub(crate) fn failed_run(seed: u64, reason: String) -> RunVerdict {
     RunVerdict {
         seed,
         violations: Vec::new(),
@@ -191,9 +198,7 @@
 fn take_record(world: &mut SimWorld) -> RecordedRun {
     let mut figures = world.figures();
     let history = world.take_history();
-    figures.starts = history.runs.len() as u64;
-    figures.works = history.works.len() as u64;
-    figures.count_answers(&history);
+    figures.count_seen(&history);
     RecordedRun { history, figures }
 }
 
@@ -205,11 +210,21 @@
     world.run_until(script.run_ms);
     let dumps = if options.keeps_dumps { world.dumps() } else { Vec::new() };
     let RecordedRun { history, figures } = take_record(&mut world);
+    RunVerdict { dumps, ..judge_run(script, seed, &history, figures) }
+}
+
+/// Judges what was seen in a run.
+pub(crate) fn judge_run(
+    script: &ScenarioScript,
+    seed: u64,
+    history: &RunHistory,
+    figures: RunFigures,
+) -> RunVerdict {
     let observers = every_observer();
-    let found = observers.iter().flat_map(|observer| observer.check(&history, &script.bounds));
+    let found = observers.iter().flat_map(|observer| observer.check(history, &script.bounds));
     let mut violations: Vec<Violation> = found.collect();
     violations.sort_by_key(|violation| violation.at_ms);
     let failures =
-        script.expects.iter().filter_map(|expect| judge_expect(expect, &history)).collect();
-    RunVerdict { seed, violations, failures, figures, dumps }
+        script.expects.iter().filter_map(|expect| judge_expect(expect, history)).collect();
+    RunVerdict { seed, violations, failures, figures, dumps: Vec::new() }
 }
