--- a/crates/bench/src/decide/functions.rs
+++ b/crates/bench/src/decide/functions.rs
@@ -59,7 +59,7 @@
         black_box(choose_victims(&victims, draw_need(dice), 1));
     }));
     for &workers in workers {
-        let members = CellSize::new(workers, 1).members();
+        let members = CellSize::new(workers, 1, None).members();
         let piece = PieceName::Rack("rack-1".parse().expect("a valid name"));
         rows.push(time("suggest_owner", members.len(), &mut dice, |_| {
             black_box(suggest_owner(black_box(&piece), black_box(&members)));
@@ -82,7 +82,8 @@
     dice: &mut SmallRng,
     mut call: impl FnMut(&mut SmallRng),
 ) -> FunctionCost {
-    let mut histogram = Histogram::<u64>::new_with_bounds(1, MAX_VALUE, 3).expect("the bounds are valid");
+    let mut histogram =
+        Histogram::<u64>::new_with_bounds(1, MAX_VALUE, 3).expect("the bounds are valid");
     for _ in 0..CALLS {
         let started = Instant::now();
         call(dice);
--- a/crates/bench/src/policy/measure.rs
+++ b/crates/bench/src/policy/measure.rs
@@ -9,7 +9,7 @@
     damaskrack_policy::{TeamDemand, entitlements},
     hdrhistogram::Histogram,
     serde::Serialize,
-    std::collections::HashMap,
+    std::collections::BTreeMap,
 };
 
 /// Interval of samples, in milliseconds.
@@ -18,6 +18,9 @@
 /// Time over which a share is averaged, in milliseconds.
 const WINDOW_MS: u64 = 60_000;
 
+/// Time that a zone's workers take to fill again, in milliseconds.
+const SETTLE_MS: u64 = 30_000;
+
 /// Part of the cell that must be waiting for it to count as full.
 const FULL_MARGIN: f64 = 0.02;
 
@@ -50,6 +53,10 @@
     pub(super) worst_error: f64,
     /// Largest amount by which it stayed below.
     pub(super) worst_below: f64,
+    /// Start of the minute in which it was furthest below, in seconds.
+    pub(super) worst_below_at_s: u64,
+    /// Largest amount by which it stayed below in a minute that no change of the zone touches.
+    pub(super) steady_below: f64,
 }
 
 /// A sample of the cell.
@@ -96,11 +103,11 @@
 }
 
 /// Runs of each task, in order of time.
-type TaskTable<'a> = HashMap<(usize, u32), Vec<&'a TaskRun>>;
+type TaskTable<'a> = BTreeMap<(usize, u32), Vec<&'a TaskRun>>;
 
 /// Measures a run.
 pub(super) fn measure(mix: &WorkMix, run: &PolicyRun) -> PolicyFigures {
-    let mut tasks: TaskTable<'_> = HashMap::new();
+    let mut tasks: TaskTable<'_> = BTreeMap::new();
     for row in &run.runs {
         tasks.entry((row.arrival, row.task)).or_default().push(row);
     }
@@ -158,8 +165,7 @@
     counts: impl Fn(u64) -> bool + 'a,
 ) -> impl Iterator<Item = Option<u64>> + 'a {
     let arrivals = mix.arrivals.iter().enumerate();
-    let chosen =
-        arrivals.filter(move |(_, arrival)| arrival.sort == sort && counts(arrival.at_ms));
+    let chosen = arrivals.filter(move |(_, arrival)| arrival.sort == sort && counts(arrival.at_ms));
     chosen.flat_map(move |(index, arrival)| {
         let start = move |task: u32| {
             let rows = tasks.get(&(index, task))?;
@@ -181,7 +187,8 @@
     sort: WorkSort,
     counts: impl Fn(u64) -> bool,
 ) -> WaitFigures {
-    let mut histogram = Histogram::<u64>::new_with_bounds(1, MAX_VALUE, 3).expect("the bounds are valid");
+    let mut histogram =
+        Histogram::<u64>::new_with_bounds(1, MAX_VALUE, 3).expect("the bounds are valid");
     let mut never_started = 0;
     for wait in waits_of(mix, tasks, sort, counts) {
         match wait {
@@ -253,14 +260,26 @@
         }
         let share = average(window.iter().map(|sample| sample.shares[team]));
         let entitled = average(window.iter().map(|sample| sample.entitled[team]));
-        errors.push(share - entitled);
+        errors.push((window[0].at_ms / 1_000, share - entitled));
     }
+    let (out_ms, in_ms) = mix.zone_out_ms;
+    let is_steady = |at_s: u64| {
+        let from_ms = at_s * 1_000;
+        let touches = |change_ms| from_ms <= change_ms && change_ms < from_ms + WINDOW_MS;
+        !touches(out_ms) && !touches(in_ms) && !touches(in_ms + SETTLE_MS)
+    };
+    let steady = errors.iter().filter(|(at_s, _)| is_steady(*at_s));
+    let steady_below = steady.map(|(_, error)| -error).fold(0.0, f64::max);
+    let lowest = errors.iter().copied().min_by(|left, right| left.1.total_cmp(&right.1));
+    let (worst_below_at_s, lowest) = lowest.unwrap_or_default();
     ShareFigures {
         team: mix.teams[team].name,
         minutes: errors.len(),
-        mean_error: average(errors.iter().map(|error| error.abs())),
-        worst_error: errors.iter().map(|error| error.abs()).fold(0.0, f64::max),
-        worst_below: errors.iter().map(|error| -error).fold(0.0, f64::max),
+        mean_error: average(errors.iter().map(|(_, error)| error.abs())),
+        worst_error: errors.iter().map(|(_, error)| error.abs()).fold(0.0, f64::max),
+        worst_below: (-lowest).max(0.0),
+        worst_below_at_s,
+        steady_below,
     }
 }
 
@@ -271,11 +290,7 @@
     Running { team: usize, worker: usize, need: Resources, is_more: bool },
 }
 
-fn list_changes(
-    mix: &WorkMix,
-    runs: &[TaskRun],
-    tasks: &TaskTable<'_>,
-) -> Vec<(u64, CellChange)> {
+fn list_changes(mix: &WorkMix, runs: &[TaskRun], tasks: &TaskTable<'_>) -> Vec<(u64, CellChange)> {
     let mut changes = Vec::new();
     for (index, arrival) in mix.arrivals.iter().enumerate() {
         let (team, need) = (arrival.team, arrival.need);
@@ -359,9 +374,8 @@
         limit: mix.capacity(),
     };
     let demands: Vec<TeamDemand> = (0..mix.teams.len()).map(demand).collect();
-    let sum = |rows: &[Resources]| {
-        rows.iter().fold(Resources::ZERO, |sum, row| sum.saturating_add(*row))
-    };
+    let sum =
+        |rows: &[Resources]| rows.iter().fold(Resources::ZERO, |sum, row| sum.saturating_add(*row));
     let used = sum(&sums.used);
     let mut stranded = Resources::ZERO;
     for worker in (0..mix.workers()).filter(|&worker| is_open(worker)) {
--- a/crates/bench/src/policy/table.rs
+++ b/crates/bench/src/policy/table.rs
@@ -37,7 +37,12 @@
             let _ = writeln!(
                 text,
                 "{:<26}{:<15}{:>7}{:>7}{:>9}{:>9}{:>9}",
-                figures.policy, name, row.tasks, row.never_started, row.p50_ms, row.p99_ms,
+                figures.policy,
+                name,
+                row.tasks,
+                row.never_started,
+                row.p50_ms,
+                row.p99_ms,
                 row.max_ms
             );
         }
@@ -81,18 +86,20 @@
 
 fn write_shares(text: &mut String, policies: &[PolicyFigures]) {
     text.push_str(
-        "\nDistance from the entitlement over full minutes, percent of the cell: mean / worst / worst below\n",
+        "\nDistance from the entitlement over full minutes, percent of the cell: mean / worst / worst below @ start of that minute / worst below in minutes without a change of the zone\n",
     );
     for row in policies {
         let _ = write!(text, "{:<26}", row.policy);
         for share in &row.shares {
             let _ = write!(
                 text,
-                " {} {:.1}/{:.1}/{:.1}",
+                " {} {:.1}/{:.1}/{:.1}@{}s/{:.1}",
                 share.team,
                 share.mean_error * 100.0,
                 share.worst_error * 100.0,
-                share.worst_below * 100.0
+                share.worst_below * 100.0,
+                share.worst_below_at_s,
+                share.steady_below * 100.0
             );
         }
         text.push('\n');
--- a/crates/node/src/queue/dispatch.rs
+++ b/crates/node/src/queue/dispatch.rs
@@ -10,9 +10,9 @@
         attempt::{AttemptRow, AttemptStage},
         board::RackChoice,
         gang,
-        job::TaskStage,
+        job::{GangStage, TaskStage},
         record::JournalRecord,
-        settle::ASK_MS,
+        settle::{self, ASK_MS},
         team::TeamQueue,
     },
     damaskrack_model::{AttemptId, Epoch, RackName, Resources, WorkKind},
@@ -25,6 +25,12 @@
 const MAX_JOBS_PER_TICK: usize = 32;
 /// Most tasks that are sent in one tick.
 const MAX_TASKS_PER_TICK: usize = 256;
+/// Time that a gang waits before nothing behind it may start, in milliseconds.
+const GANG_PATIENCE_MS: u64 = 5_000;
+/// Time for which a gang's reservation holds at a stretch, in milliseconds.
+const GANG_RESERVED_MS: u64 = 60_000;
+/// Time from the start of one reservation to the next, in milliseconds.
+const GANG_CYCLE_MS: u64 = 75_000;
 /// Rounding error of shares that is not worth a refusal.
 const SHARE_EPSILON: f64 = 1e-9;
 
@@ -41,6 +47,8 @@
     task: u32,
     rack: RackName,
     is_entitled: bool,
+    /// Whether there should be room without anybody yielding, so that a verdict comes at once.
+    is_room: bool,
 }
 
 /// What to do with the next task of a job.
@@ -66,10 +74,28 @@
         }
         dispatch_job(queue, key, &mut batch, context);
         queue.refresh_job(key);
+        if holds_line(queue, key, context) {
+            break;
+        }
     }
     batch.send(queue, context);
 }
 
+/// Tells whether a gang has waited so long that nothing behind it in its team may start.
+///
+/// Single tasks take every slot that frees, so without this a gang starts in a full cell only by
+/// chance. The reservation pauses now and then, since a gang may be waiting for a host to return.
+fn holds_line(queue: &TeamQueue, key: JobKey, context: &QueueContext<'_>) -> bool {
+    let job = &queue.jobs[key];
+    let is_waiting = job.spec.kind == WorkKind::Gang && job.gang == GangStage::Idle;
+    let waited_ms = context.view.now.since(job.accepted_at);
+    let reserved_ms = waited_ms.saturating_sub(GANG_PATIENCE_MS) % GANG_CYCLE_MS;
+    is_waiting
+        && job.parked.is_none()
+        && waited_ms > GANG_PATIENCE_MS
+        && reserved_ms < GANG_RESERVED_MS
+}
+
 fn wake_backoff(queue: &mut TeamQueue, context: &QueueContext<'_>) {
     let due: Vec<JobKey> = queue.backing_off.iter().copied().collect();
     for key in due {
@@ -183,10 +209,9 @@
     }
     let spec = &queue.jobs[key].spec;
     let draw = context.out.draw();
-    match context.board.choose(spec.resources, is_entitled, draw) {
-        RackChoice::Free(rack) | RackChoice::Yielding(rack) => {
-            Some(TaskChoice { task, rack, is_entitled })
-        }
+    match context.board.choose(spec.resources, is_entitled, draw, view.now) {
+        RackChoice::Free(rack) => Some(TaskChoice { task, rack, is_entitled, is_room: true }),
+        RackChoice::Yielding(rack) => Some(TaskChoice { task, rack, is_entitled, is_room: false }),
         RackChoice::Nowhere => None,
     }
 }
@@ -241,6 +266,9 @@
         sequence,
     };
     queue.insert_attempt(attempt);
+    if choice.is_room {
+        context.board.note_sent(&choice.rack, context.view.now);
+    }
     batch.orders.entry(choice.rack.clone()).or_default().push(order);
     batch.count += 1;
 }
@@ -250,18 +278,28 @@
 }
 
 impl PlaceBatch {
-    /// Sends one message a rack.
-    fn send(self, queue: &TeamQueue, context: &mut QueueContext<'_>) {
+    /// Sends one message a rack. What cannot be sent has certainly not started.
+    fn send(self, queue: &mut TeamQueue, context: &mut QueueContext<'_>) {
         for (rack, orders) in self.orders {
             context.out.count("queue.placed", orders.len() as u64);
-            let piece = PieceName::Rack(rack.clone());
-            let Some(owner) = context.view.owner(&piece) else { continue };
+            let Some(owner) = context.view.reachable_owner(&rack) else {
+                give_back_unsent(queue, &orders, context);
+                continue;
+            };
             let (team, epoch) = (queue.team.clone(), queue.epoch);
             context.out.send(owner, PeerMessage::Place { team, epoch, rack, orders });
         }
     }
 }
 
+fn give_back_unsent(queue: &mut TeamQueue, orders: &[PlaceOrder], context: &mut QueueContext<'_>) {
+    for order in orders {
+        if let Some(&key) = queue.by_attempt.get(&order.attempt) {
+            settle::give_back(queue, key, context);
+        }
+    }
+}
+
 /// Parks a job that can never run as things stand; returns whether it did.
 fn park_if_impossible(queue: &mut TeamQueue, key: JobKey, context: &QueueContext<'_>) -> bool {
     let reason = impossible_reason(queue, key, context);
--- a/crates/spec/src/mutation.rs
+++ b/crates/spec/src/mutation.rs
@@ -32,6 +32,8 @@
     ToldHalf,
     /// All daemons count the members of one roster, also those that own nothing.
     AgreedRoster,
+    /// A grown roster counts together with the former one.
+    JointRoster,
     /// After a new registration only own news count, until they are later than any takeover by
     /// somebody who did not know of it.
     SettledRegistration,
@@ -83,6 +85,8 @@
     VersionGrows,
     /// An entry believes that work reached nobody only once every copy was refused.
     EveryCopy,
+    /// An owner that gave a request back takes no earlier copy of it any more.
+    ReturnStays,
     /// An owner joins a request to attempts that the roll call found.
     AdoptFound,
     /// Non-idempotent work that may have reached a former owner is not started again.
@@ -140,6 +144,7 @@
                 Self::ToldNews,
                 Self::ToldHalf,
                 Self::AgreedRoster,
+                Self::JointRoster,
                 Self::SettledRegistration,
             ],
             MachineName::RackTakeover => &[
@@ -170,9 +175,13 @@
             MachineName::ManifestChange => {
                 &[Self::ReadBack, Self::HeadSwap, Self::UncertainChange, Self::VersionGrows]
             }
-            MachineName::Resubmission => {
-                &[Self::EveryCopy, Self::AdoptFound, Self::FirstEpoch, Self::RememberAnswer]
-            }
+            MachineName::Resubmission => &[
+                Self::EveryCopy,
+                Self::ReturnStays,
+                Self::AdoptFound,
+                Self::FirstEpoch,
+                Self::RememberAnswer,
+            ],
         }
     }
 }
