--- a/crates/bench/src/decide/cell.rs
+++ b/crates/bench/src/decide/cell.rs
@@ -8,7 +8,7 @@
     damaskrack_model::{
         Epoch, MemberName, NameError, PriorityClass, QueueName, RackName, Resources, TeamName,
     },
-    damaskrack_ownership::{MemberRecord, OwnerRecord, PieceName, suggest_owner},
+    damaskrack_ownership::{MemberRecord, MemberRoster, OwnerRecord, PieceName, suggest_owner},
     damaskrack_platform::{HostRow, HostState, StoreCall},
     std::net::{Ipv4Addr, SocketAddr},
 };
@@ -164,6 +164,8 @@
     /// is to own has no record yet.
     pub(super) fn records(&self) -> Result<Vec<StoreCall>, NameError> {
         let mut rows = manifest_rows(&self.document()?);
+        let mut roster = MemberRoster::default();
+        roster.members.insert(NODE.parse()?);
         for peer in 1..self.size.daemons() {
             let member: MemberName = format!("node-{peer}").parse()?;
             let record = MemberRecord {
@@ -174,7 +176,9 @@
                 is_leaving: false,
             };
             rows.push((MemberRecord::store_key(&member), record.to_json()));
+            roster.members.insert(member);
         }
+        rows.push((MemberRoster::STORE_KEY.to_owned(), roster.to_json()));
         let racks = self.racks.iter().map(|row| (PieceName::Rack(row.name.clone()), row.owner));
         let teams = self.teams.iter().map(|row| (PieceName::Team(row.name.clone()), row.owner));
         for (piece, owner) in racks.chain(teams).filter(|(_, owner)| *owner > 0) {
--- a/crates/bench/src/decide/rig.rs
+++ b/crates/bench/src/decide/rig.rs
@@ -51,6 +51,8 @@
     watch: Option<(u64, StoreCall, u64)>,
     pub(super) inputs: Vec<NodeInput>,
     hosts: Vec<HostRow>,
+    /// Clock reading of the node's last heartbeat, which the peers echo.
+    beat_ms: u64,
     summaries: Vec<Vec<RackSummary>>,
     digests: Vec<Vec<TeamDigest>>,
     meter: TickMeter,
@@ -82,6 +84,7 @@
             watch: None,
             inputs: Vec::new(),
             hosts: plan.hosts()?,
+            beat_ms: 0,
             summaries,
             digests,
             meter: TickMeter::new(),
@@ -90,6 +93,10 @@
             resident_mb: 0.0,
         };
         rig.inputs.push(NodeInput::Hosts { rows: rig.hosts.clone() });
+        for peer in 1..size.daemons() {
+            let member = format!("node-{peer}").parse()?;
+            rig.inputs.push(NodeInput::PeerUp { member, boot: PEER_BOOT });
+        }
         rig.resident_mb = -before_mb;
         Ok(rig)
     }
@@ -127,6 +134,9 @@
         self.meter.add(Duration::from_millis(self.now_ms), spent, decisions);
         for action in &actions {
             if let NodeAction::Peer { message, .. } = action {
+                if let PeerMessage::Heartbeat { clock_ms, .. } = message {
+                    self.beat_ms = *clock_ms;
+                }
                 self.encode(message.clone());
             }
         }
@@ -181,7 +191,7 @@
         for peer in 1..self.size.daemons() {
             let phase = peer as u64 * HEARTBEAT_MS / self.size.daemons() as u64;
             if self.now_ms % HEARTBEAT_MS == phase {
-                self.push_peer(peer, heartbeat(self.now_ms));
+                self.push_peer(peer, heartbeat(self.now_ms, self.beat_ms));
             }
             if self.now_ms % digest_ms == phase {
                 let summaries = self.summaries[peer].clone();
@@ -200,14 +210,14 @@
     }
 }
 
-fn heartbeat(now_ms: u64) -> PeerMessage {
+fn heartbeat(now_ms: u64, echo_ms: u64) -> PeerMessage {
     PeerMessage::Heartbeat {
         version: 1,
         store_age_ms: 100,
         heard_store_age_ms: 100,
         sees_receiver: true,
         clock_ms: now_ms,
-        echo_ms: now_ms - 1,
+        echo_ms,
         is_leaving: false,
     }
 }
