--- a/crates/daemon/src/settings/document.rs
+++ b/crates/daemon/src/settings/document.rs
@@ -171,7 +171,7 @@
 impl Default for IntervalSettings {
     fn default() -> Self {
         Self {
-            member_lease_ms: 3_000,
+            member_lease_ms: 4_000,
             worker_lease_ms: 4_000,
             isolation_ms: 2_000,
             heartbeat_ms: 500,
@@ -182,7 +182,7 @@
             link_connect_ms: 1_000,
             header_timeout_ms: 10_000,
             body_timeout_ms: 10_000,
-            shutdown_ms: 20_000,
+            shutdown_ms: 600_000,
         }
     }
 }
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -55,7 +55,7 @@
 fn good_settings_are_taken() {
     let settings = parse_settings(&good().to_string()).unwrap();
     assert_eq!(settings.intervals.heartbeat_ms, 250);
-    assert_eq!(settings.intervals.member_lease_ms, 3_000);
+    assert_eq!(settings.intervals.member_lease_ms, 4_000);
     assert_eq!(settings.log.format, LogFormat::Terminal);
     assert_eq!(settings.metrics.unwrap().prefix, "damaskrack");
     let mut few = good();
