Let a new cell gather before it writes its first roster

Cause: the first roster held one member; when that one died while the next change was not settled, half of the former list was gone for good (cell test a_killed_daemon_loses_no_accepted_job: no answer within 10 s, once). Now the members of a new cell have 1.5 s to find each other and are enlisted together.

--- a/crates/node/src/membership/keeper.rs
+++ b/crates/node/src/membership/keeper.rs
@@ -15,6 +15,8 @@
 
 /// Time after which a member that is neither listed nor heard is taken off, in milliseconds.
 const GONE_MS: u64 = 3_600_000;
+/// Time that the members of a new cell have to find each other, in milliseconds.
+const GATHER_MS: u64 = 1_500;
 /// Time after which a change that has not shown up is tried again, in milliseconds.
 const RETRY_MS: u64 = 1_500;
 
@@ -26,6 +28,8 @@
     retry_at: ClockTime,
     /// When the present roster was first seen.
     changed_at: ClockTime,
+    /// Since when this daemon has been listed while there is no roster.
+    gathering_since: Option<ClockTime>,
     /// Member that an operator has declared gone.
     forgotten: Option<MemberName>,
 }
@@ -62,6 +66,11 @@
         if view.now < self.retry_at {
             return;
         }
+        let is_empty = view.roster.members.is_empty();
+        let is_listed = view.members.contains_key(&view.me);
+        if is_empty && (!is_listed || !self.has_gathered(view.now)) {
+            return;
+        }
         let Some(roster) = self.next_roster(monitor, is_done, view, config) else { return };
         self.retry_at = view.now.plus(RETRY_MS);
         out.log(LogLevel::Info, "roster_changing", &[("members", &roster.members.len())]);
@@ -74,6 +83,13 @@
         self.call = out.store(request, config.store_timeout_ms);
     }
 
+    /// Tells whether the members of a new cell have had time to find each other. The first roster
+    /// holds them all then, and the loss of the one that wrote it is no loss of a majority.
+    fn has_gathered(&mut self, now: ClockTime) -> bool {
+        let since = *self.gathering_since.get_or_insert(now);
+        now.since(since) >= GATHER_MS
+    }
+
     fn next_roster(
         &self,
         monitor: &PeerMonitor,
