--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,8 +4,6 @@
 //! holds no clock, socket, random source or log, so the same logic serves the daemon, the seeded
 //! scenarios and programs that embed it.
 
-#![allow(dead_code)]
-
 mod action;
 mod buffer;
 mod config;
--- a/crates/node/src/membership/keeper.rs
+++ b/crates/node/src/membership/keeper.rs
@@ -30,8 +30,6 @@
     changed_at: ClockTime,
     /// Since when this daemon has been listed while there is no roster.
     gathering_since: Option<ClockTime>,
-    /// Member that an operator has declared gone.
-    forgotten: Option<MemberName>,
 }
 
 impl RosterKeeper {
@@ -41,12 +39,6 @@
         self.revision = if value.is_some() { revision } else { 0 };
         self.retry_at = ClockTime::default();
         self.changed_at = view.now;
-        self.forgotten.take_if(|member| !view.roster.members.contains(member));
-    }
-
-    /// Takes an operator's word that a member is gone and will not come back.
-    pub(crate) fn forget(&mut self, member: MemberName) {
-        self.forgotten = Some(member);
     }
 
     /// Tells whether a store call belongs to the keeper. Only the record itself counts.
@@ -114,7 +106,7 @@
                 return Some(view.roster.changed(members));
             }
         }
-        let gone = self.forgotten.clone().or_else(|| find_gone(view)).filter(|_| is_enlisted)?;
+        let gone = find_gone(view).filter(|_| is_enlisted)?;
         members.remove(&gone).then(|| view.roster.changed(members))
     }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -359,6 +359,10 @@
         let (view, config, out) = (&mut self.view, &self.config, &mut self.out);
         let (racks, queues) = (&self.racks, &self.queues);
         if self.exchange.is_due(view.now) {
+            out.gauge("node.owned_pieces", self.pieces.owned().len() as u64);
+            out.gauge("node.manifest_version", view.manifest.version);
+            out.gauge("node.standing", view.standing as u64);
+            out.gauge("entry.calls", self.entry.len() as u64);
             let (summaries, digests) = (racks.summaries(view), queues.digests(view));
             self.exchange.send(summaries, digests, view, config, out);
         }
--- a/crates/node/src/queue/settle.rs
+++ b/crates/node/src/queue/settle.rs
@@ -6,15 +6,15 @@
 use {
     super::{
         AttemptKey, JobKey, QueueContext,
-        attempt::{AttemptRow, AttemptStage},
+        attempt::AttemptStage,
         gang,
         job::TaskStage,
         record::JournalRecord,
         team::{OrphanEnd, PendingAck, TeamPhase, TeamQueue},
     },
     damaskrack_model::{
-        AnswerReason, AttemptId, CallId, Epoch, MemberName, OutcomeKind, RackName, TaskResult,
-        WorkAnswer, WorkKind,
+        AnswerReason, AttemptId, CallId, Epoch, OutcomeKind, RackName, TaskResult, WorkAnswer,
+        WorkKind,
     },
     damaskrack_ownership::{PieceName, VoidVerdict, judge_void},
     damaskrack_policy::backoff_ms,
@@ -562,11 +562,3 @@
         context.out.send(owner, message);
     }
 }
-
-/// Returns the owner of the rack that an attempt was sent to.
-pub(super) fn rack_owner<'a>(
-    attempt: &AttemptRow,
-    context: &'a QueueContext<'_>,
-) -> Option<&'a MemberName> {
-    context.view.owner(&PieceName::Rack(attempt.rack.clone()))
-}
--- a/crates/node/src/queue/team.rs
+++ b/crates/node/src/queue/team.rs
@@ -120,8 +120,6 @@
     /// What all attempts take.
     pub(super) running: Resources,
     pub(super) running_tasks: u32,
-    /// What all waiting tasks would take.
-    pub(super) waiting: Resources,
     pub(super) next_sequence: u64,
     /// Payload bytes of the jobs that the journal holds.
     journalled_bytes: usize,
@@ -175,7 +173,6 @@
             acks: VecDeque::new(),
             running: Resources::ZERO,
             running_tasks: 0,
-            waiting: Resources::ZERO,
             next_sequence: 0,
             journalled_bytes: 0,
             flow: RequestFlow::default(),
