--- a/crates/node/src/queue/dispatch.rs
+++ b/crates/node/src/queue/dispatch.rs
@@ -28,9 +28,9 @@
 /// Time that a gang waits before nothing behind it may start, in milliseconds.
 const GANG_PATIENCE_MS: u64 = 5_000;
 /// Time for which a gang's reservation holds at a stretch, in milliseconds.
-const GANG_RESERVED_MS: u64 = 60_000;
+const GANG_RESERVED_MS: u64 = 10_000;
 /// Time from the start of one reservation to the next, in milliseconds.
-const GANG_CYCLE_MS: u64 = 75_000;
+const GANG_CYCLE_MS: u64 = 25_000;
 /// Rounding error of shares that is not worth a refusal.
 const SHARE_EPSILON: f64 = 1e-9;
 
