Ask a member's row how long it has been silent

The row now answers. A role's question about a store call is named owns_call like its twins. Ruled out for now: the twins in the stand-ins' services and the wire's mirrored bodies, which differ in type only.

--- a/crates/node/src/membership/keeper.rs
+++ b/crates/node/src/membership/keeper.rs
@@ -2,11 +2,7 @@
 
 use {
     super::PeerMonitor,
-    crate::{
-        LogLevel, NodeConfig,
-        buffer::ActionBuffer,
-        view::{ClusterView, MemberRow},
-    },
+    crate::{LogLevel, NodeConfig, buffer::ActionBuffer, view::ClusterView},
     damaskrack_model::{ClockTime, MemberName},
     damaskrack_ownership::{MemberRoster, MemberStanding},
     damaskrack_platform::StoreCall,
@@ -132,11 +128,11 @@
     view: &'a ClusterView,
     config: &'a NodeConfig,
 ) -> impl Iterator<Item = MemberName> + 'a {
-    let is_heard =
-        |row: &MemberRow| row.heard_at.is_some_and(|at| view.now.since(at) <= config.isolation_ms);
     view.members
         .iter()
-        .filter(move |(member, row)| **member == view.me || is_heard(row))
+        .filter(move |(member, row)| {
+            **member == view.me || row.is_heard(view.now, config.isolation_ms)
+        })
         .filter(|(_, row)| row.is_listed && !row.is_leaving)
         .map(|(member, _)| member.clone())
 }
@@ -147,9 +143,7 @@
         return None;
     }
     let gone = view.members.iter().find(|(member, row)| {
-        let since = row.unlisted_at.filter(|_| !row.is_listed);
-        let last = since.map(|at| row.heard_at.map_or(at, |heard| heard.max(at)));
-        let is_gone = last.is_some_and(|at| view.now.since(at) > GONE_MS);
+        let is_gone = row.silent_ms(view.now) > GONE_MS;
         is_gone && view.roster.members.contains(*member) && !view.owns_anything(member)
     });
     gone.map(|(member, _)| member.clone())
--- a/crates/node/src/membership/monitor.rs
+++ b/crates/node/src/membership/monitor.rs
@@ -238,12 +238,8 @@
 
     fn drop_forgotten(&mut self, view: &mut ClusterView, out: &mut ActionBuffer) {
         let now = view.now;
-        let silent_ms = |row: &MemberRow| {
-            let since = row.unlisted_at.filter(|_| !row.is_listed);
-            since.map_or(0, |at| now.since(row.heard_at.map_or(at, |heard| heard.max(at))))
-        };
         for (member, row) in &view.members {
-            if silent_ms(row) > UNLINK_MS && self.links.remove(member).is_some() {
+            if row.silent_ms(now) > UNLINK_MS && self.links.remove(member).is_some() {
                 out.push(NodeAction::Disconnect { member: member.clone() });
             }
         }
@@ -252,7 +248,7 @@
             .iter()
             .filter(|(member, row)| {
                 let is_counted = view.roster.members.contains(*member);
-                silent_ms(row) > FORGET_MS && !is_counted && !view.owns_anything(member)
+                row.silent_ms(now) > FORGET_MS && !is_counted && !view.owns_anything(member)
             })
             .map(|(member, _)| member.clone())
             .collect();
@@ -271,5 +267,5 @@
 ) -> impl Iterator<Item = &'a MemberRow> {
     let others = list.iter().filter(|member| **member != view.me);
     let rows = others.filter_map(|member| view.members.get(member));
-    rows.filter(|row| row.heard_at.is_some_and(|at| view.now.since(at) <= config.isolation_ms))
+    rows.filter(|row| row.is_heard(view.now, config.isolation_ms))
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -281,7 +281,7 @@
             }
         } else if self.registration.owns_call(call) {
             self.registration.on_store(view.now, config, result);
-        } else if self.keeper.owns_call(call) || self.pieces.on_store(call) {
+        } else if self.keeper.owns_call(call) || self.pieces.owns_call(call) {
             // Only the records themselves count.
         } else if self.reader.owns_call(call) {
             self.reader.on_store(call, result, view, out);
--- a/crates/node/src/pieces.rs
+++ b/crates/node/src/pieces.rs
@@ -91,8 +91,8 @@
         None
     }
 
-    /// Takes the end of a store call of this role. Only the record itself counts.
-    pub(crate) fn on_store(&mut self, call: u64) -> bool {
+    /// Tells whether a store call belongs to this role. Only the record itself counts.
+    pub(crate) fn owns_call(&self, call: u64) -> bool {
         self.writes.values().any(|write| write.call == call)
     }
 
@@ -222,12 +222,8 @@
 ) -> PieceView<'a> {
     let record = view.owners.get(piece).map(|row| &row.record);
     let is_fresh = |member: &MemberName| {
-        *member == view.me
-            || view
-                .members
-                .get(member)
-                .and_then(|row| row.heard_at)
-                .is_some_and(|at| view.now.since(at) <= config.isolation_ms)
+        let row = view.members.get(member);
+        *member == view.me || row.is_some_and(|row| row.is_heard(view.now, config.isolation_ms))
     };
     PieceView {
         me: &view.me,
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -36,6 +36,20 @@
     pub(crate) is_leaving: bool,
 }
 
+impl MemberRow {
+    /// Tells whether a proof of life is at most `within_ms` milliseconds old.
+    pub(crate) fn is_heard(&self, now: ClockTime, within_ms: u64) -> bool {
+        self.heard_at.is_some_and(|at| now.since(at) <= within_ms)
+    }
+
+    /// Returns for how long the member has been neither listed nor heard, in milliseconds; 0 while
+    /// it is listed.
+    pub(crate) fn silent_ms(&self, now: ClockTime) -> u64 {
+        let since = self.unlisted_at.filter(|_| !self.is_listed);
+        since.map_or(0, |at| now.since(self.heard_at.map_or(at, |heard| heard.max(at))))
+    }
+}
+
 /// An ownership record as this daemon knows it.
 #[derive(Debug, Clone, Serialize)]
 pub(crate) struct OwnerRow {
@@ -241,11 +255,8 @@
     /// Returns the recorded owner of a rack if a message to it can be sent now.
     pub(crate) fn reachable_owner(&self, rack: &RackName) -> Option<&MemberName> {
         let owner = self.owner(&PieceName::Rack(rack.clone()))?;
-        let is_heard = self
-            .members
-            .get(owner)
-            .and_then(|row| row.heard_at)
-            .is_some_and(|at| self.now.since(at) <= SILENT_OWNER_MS);
+        let row = self.members.get(owner);
+        let is_heard = row.is_some_and(|row| row.is_heard(self.now, SILENT_OWNER_MS));
         (*owner == self.me || (is_heard && self.links.contains(owner))).then_some(owner)
     }
 
