--- /dev/null
+++ b/crates/cell/src/core/advice.rs
@@ -0,0 +1,197 @@
+//! Questions to the adviser: which workers may run a step, and with which tickets.
+//!
+//! The adviser serves one call of a daemon at a time, and a call takes longer the more workers it
+//! names. So the leader spreads the calls over all daemons, names no more workers than are likely
+//! to be needed, and keeps some daemons free of long calls so that urgent steps need not wait
+//! behind one. Whether a worker may run a step never changes, so it is asked about once; later
+//! calls only renew tickets of workers that may.
+
+use {
+    super::{CellCore, place::PlaceResult},
+    crate::{
+        AdviceTiming, AskKey, AskOrder, CellAction, WorkerKey, WorkerTicket,
+        message::PhaseRef,
+        table::{AskEntry, AskerEntry, TicketEntry},
+    },
+};
+
+/// Calls above this length are long, in milliseconds.
+const LONG_CALL_MS: u64 = 60;
+/// One in so many daemons makes no long calls.
+const SHORT_CALL_SHARE: usize = 3;
+/// Longest time for which a short call may wait for its turn, in milliseconds.
+const SHORT_WAIT_MS: u64 = 60;
+/// Longest time for which a long call may wait for its turn, in milliseconds.
+const LONG_WAIT_MS: u64 = 250;
+/// Steps in line for which long calls are made although the cell has no room for them yet.
+const AHEAD_STEPS: usize = 4;
+/// Time to reach the adviser and back, in milliseconds.
+const CALL_OVERHEAD_MS: u64 = 4;
+/// Most workers in a call.
+const MAX_WORKERS: usize = 100;
+/// Workers asked about, as a multiple of what would be needed on average.
+const SPARE_FACTOR: f64 = 1.6;
+/// Workers asked about besides.
+const SPARE_WORKERS: usize = 3;
+/// Share of the workers that is taken to be allowed before a queue has shown its own.
+const FIRST_SHARE: f64 = 0.4;
+/// Weight of a new answer in a queue's share of allowed workers.
+const SHARE_WEIGHT: f64 = 0.1;
+
+impl CellCore {
+    pub(super) fn update_askers(&mut self, ids: &[u64]) {
+        self.askers.retain(|asker| ids.contains(&asker.id));
+        for id in ids {
+            if !self.askers.iter().any(|asker| asker.id == *id) {
+                self.askers.push(AskerEntry { id: *id, busy_until_ms: 0, calls: 0 });
+            }
+        }
+        self.askers.sort_by_key(|asker| asker.id);
+    }
+
+    /// Returns the timing of the adviser of a step's queue, if it has one.
+    pub(super) fn advice_of(&self, phase: PhaseRef) -> Option<AdviceTiming> {
+        let queue = &self.jobs[phase.job].record.queue;
+        self.config.queues.get(queue)?.advice
+    }
+
+    /// Places the steps in line, and asks for tickets where that could help.
+    pub(super) fn place_and_ask(&mut self) {
+        self.avoid_failing();
+        let mut ahead = AHEAD_STEPS;
+        for phase in self.line() {
+            if self.place_phase(phase) == PlaceResult::Short {
+                self.ask_for(phase, &mut ahead);
+            }
+        }
+    }
+
+    fn ask_for(&mut self, phase: PhaseRef, ahead: &mut usize) {
+        let Some(timing) = self.advice_of(phase) else { return };
+        if self.jobs[phase.job].phases[phase.phase].ask.is_some() {
+            *ahead = ahead.saturating_sub(1);
+            return;
+        }
+        let is_long = timing.call_us / 1_000 >= LONG_CALL_MS;
+        let may_go_ahead = is_long && *ahead > 0;
+        let workers = self.workers_to_ask(phase, may_go_ahead);
+        if workers.is_empty() {
+            return;
+        }
+        let expected_ms = timing.duration_us(workers.len()) / 1_000 + CALL_OVERHEAD_MS;
+        let Some(asker) = self.pick_asker(is_long) else { return };
+        *ahead = ahead.saturating_sub(1);
+        self.send_ask(phase, asker, workers, expected_ms);
+    }
+
+    /// Chooses the workers to name: those with room first, no more than are likely to be needed.
+    fn workers_to_ask(&self, phase: PhaseRef, may_go_ahead: bool) -> Vec<WorkerKey> {
+        let job = &self.jobs[phase.job];
+        let entry = &job.phases[phase.phase];
+        let need = job.record.steps[entry.step].resources();
+        let mut workers: Vec<WorkerKey> = self
+            .candidates(phase)
+            .into_iter()
+            .filter(|key| !entry.denied.contains(key) && !self.has_ticket(entry, *key))
+            .filter(|key| may_go_ahead || need.fits(&self.workers[*key].room()))
+            .collect();
+        workers.sort_by_key(|key| {
+            let is_known = entry.allowed.contains_key(key);
+            let has_room = need.fits(&self.workers[*key].room());
+            let free = self.workers[*key].room().cpu_millis;
+            (!has_room, !is_known, std::cmp::Reverse(free))
+        });
+        let share = self.allowed_share.get(&job.record.queue).copied().unwrap_or(FIRST_SHARE);
+        let mut expected_tasks = 0.0;
+        let wanted = entry.idle as f64 * SPARE_FACTOR;
+        let mut count = 0;
+        for key in &workers {
+            if expected_tasks >= wanted {
+                break;
+            }
+            let worker = &self.workers[*key];
+            let room = worker.room();
+            let fitting = room.cpu_millis.checked_div(need.cpu_millis).unwrap_or(1).max(1);
+            let chance = if entry.allowed.contains_key(key) { 1.0 } else { share };
+            expected_tasks += fitting.min(entry.idle as u64) as f64 * chance;
+            count += 1;
+        }
+        workers.truncate((count + SPARE_WORKERS).min(MAX_WORKERS));
+        workers
+    }
+
+    /// Chooses the daemon whose turn comes first.
+    fn pick_asker(&self, is_long: bool) -> Option<usize> {
+        let now_ms = self.time.now_ms;
+        let reserved = self.askers.len().div_ceil(SHORT_CALL_SHARE).min(self.askers.len() - 1);
+        let first = if is_long { reserved } else { 0 };
+        let limit_ms = if is_long { LONG_WAIT_MS } else { SHORT_WAIT_MS };
+        (first..self.askers.len())
+            .min_by_key(|index| self.askers[*index].busy_until_ms)
+            .filter(|index| self.askers[*index].busy_until_ms <= now_ms + limit_ms)
+    }
+
+    fn send_ask(&mut self, phase: PhaseRef, asker: usize, workers: Vec<WorkerKey>, expected_ms: u64) {
+        let now_ms = self.time.now_ms;
+        let asker = &mut self.askers[asker];
+        asker.busy_until_ms = asker.busy_until_ms.max(now_ms) + expected_ms;
+        asker.calls += 1;
+        let asker = asker.id;
+        let ids = workers.iter().map(|key| self.workers[*key].report.id.clone()).collect();
+        let ask = self.asks.insert(AskEntry { phase, asker, workers, expected_ms, sent_ms: now_ms });
+        let job = &mut self.jobs[phase.job];
+        job.phases[phase.phase].ask = Some(ask);
+        let phase = job.phase_name(phase.phase);
+        let order = AskOrder { ask, asker, phase, workers: ids, expected_ms };
+        self.actions.push(CellAction::Ask(order));
+        self.totals.asked += 1;
+    }
+
+    pub(super) fn finish_ask(&mut self, key: AskKey, allowed: Option<Vec<WorkerTicket>>) {
+        let Some(ask) = self.asks.remove(key) else { return };
+        self.release_asker(&ask);
+        let Some(timing) = self.advice_of(ask.phase) else { return };
+        let Some(job) = self.jobs.get_mut(ask.phase.job) else { return };
+        let Some(entry) = job.phases.get_mut(ask.phase.phase) else { return };
+        entry.ask = None;
+        let Some(allowed) = allowed else { return };
+        let valid_until_ms = self.time.now_ms + timing.valid_ms;
+        let mut granted = 0;
+        for worker in &ask.workers {
+            let Some(known) = self.workers.get(*worker) else { continue };
+            let ticket = allowed.iter().find(|held| held.worker == known.report.id);
+            match ticket {
+                Some(held) => {
+                    let ticket = held.ticket.clone();
+                    entry.allowed.insert(*worker, TicketEntry { ticket, valid_until_ms });
+                    granted += 1;
+                }
+                None => {
+                    entry.denied.insert(*worker);
+                }
+            }
+        }
+        let share = f64::from(granted) / ask.workers.len().max(1) as f64;
+        let queue = job.record.queue.clone();
+        let known = self.allowed_share.entry(queue).or_insert(FIRST_SHARE);
+        *known += (share - *known) * SHARE_WEIGHT;
+        let detail = format!(
+            "asked={} allowed={granted} took_ms={} expected_ms={}",
+            ask.workers.len(),
+            self.time.now_ms - ask.sent_ms,
+            ask.expected_ms
+        );
+        let name = self.jobs[ask.phase.job].phase_name(ask.phase.phase);
+        self.note("advice", name, detail);
+    }
+
+    fn release_asker(&mut self, ask: &AskEntry) {
+        let now_ms = self.time.now_ms;
+        if let Some(asker) = self.askers.iter_mut().find(|asker| asker.id == ask.asker) {
+            asker.calls = asker.calls.saturating_sub(1);
+            if asker.calls == 0 {
+                asker.busy_until_ms = now_ms;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/core/ends.rs
@@ -0,0 +1,148 @@
+//! Attempts that end, and what follows for their tasks and jobs.
+
+use {
+    super::CellCore,
+    crate::{
+        AttemptKey, EndKind, JobState,
+        message::PhaseRef,
+        table::{AttemptEntry, AttemptState},
+    },
+};
+
+impl CellCore {
+    /// Removes an attempt from all tables.
+    fn remove_attempt(&mut self, key: AttemptKey) -> Option<AttemptEntry> {
+        let attempt = self.attempts.remove(key)?;
+        let job = &mut self.jobs[attempt.phase.job];
+        let name = job.task_name(attempt.phase.phase, attempt.index);
+        let phase = &mut job.phases[attempt.phase.phase];
+        let task = &mut phase.tasks[attempt.index];
+        if task.attempt == Some(key) {
+            task.attempt = None;
+            phase.idle += usize::from(!task.is_done);
+        }
+        let worker = &mut self.workers[attempt.worker];
+        worker.used = worker.used.minus(&attempt.resources);
+        worker.attempts.remove(&(name, attempt.number));
+        if let Some(used) = self.team_used.get_mut(&attempt.team) {
+            *used = used.minus(&attempt.resources);
+        }
+        self.is_placing_due = true;
+        Some(attempt)
+    }
+
+    /// Takes back an attempt that has not run and never will.
+    pub(super) fn withdraw_attempt(&mut self, key: AttemptKey) {
+        self.lose_attempt(key);
+    }
+
+    /// Takes in that an attempt is over without an end that counts.
+    pub(super) fn lose_attempt(&mut self, key: AttemptKey) {
+        let Some(attempt) = self.remove_attempt(key) else { return };
+        self.touch(attempt.phase.job, None);
+        self.break_gang(attempt.phase, attempt.number);
+    }
+
+    /// Takes in an end that the worker listed.
+    pub(super) fn end_attempt(&mut self, key: AttemptKey, kind: EndKind, checkpoint: &str) {
+        let Some(attempt) = self.remove_attempt(key) else { return };
+        let phase = attempt.phase;
+        if !checkpoint.is_empty() {
+            self.keep_checkpoint(phase, attempt.index, checkpoint);
+        }
+        if self.jobs[phase.job].state.is_final() {
+            return;
+        }
+        match kind {
+            EndKind::Done => self.finish_task(phase, attempt.index),
+            EndKind::Failed => self.fail_task(&attempt),
+            EndKind::Interrupted => self.break_gang(phase, attempt.number),
+        }
+    }
+
+    fn is_gang(&self, phase: PhaseRef) -> bool {
+        let job = &self.jobs[phase.job];
+        job.record.steps[job.phases[phase.phase].step].is_gang
+    }
+
+    fn keep_checkpoint(&mut self, phase: PhaseRef, index: usize, checkpoint: &str) {
+        let is_gang = self.is_gang(phase);
+        let tasks = &mut self.jobs[phase.job].phases[phase.phase].tasks;
+        match is_gang {
+            true => tasks.iter_mut().for_each(|task| checkpoint.clone_into(&mut task.checkpoint)),
+            false => checkpoint.clone_into(&mut tasks[index].checkpoint),
+        }
+    }
+
+    fn finish_task(&mut self, phase: PhaseRef, index: usize) {
+        let is_gang = self.is_gang(phase);
+        let job = &mut self.jobs[phase.job];
+        let entry = &mut job.phases[phase.phase];
+        if job.record.steps[entry.step].is_service {
+            return;
+        }
+        // The members of a gang end together; one end tells that all are done.
+        let range = if is_gang { 0..entry.tasks.len() } else { index..index + 1 };
+        for task in &mut entry.tasks[range] {
+            if !task.is_done {
+                task.is_done = true;
+                entry.open -= 1;
+                entry.idle -= usize::from(task.attempt.is_none());
+            }
+        }
+        if job.is_complete() {
+            self.end_job(phase.job, JobState::Completed, "every task is done");
+        }
+    }
+
+    fn fail_task(&mut self, attempt: &AttemptEntry) {
+        let phase = attempt.phase;
+        let is_gang = self.is_gang(phase);
+        let limit = self.max_attempts(phase);
+        let job = &mut self.jobs[phase.job];
+        let entry = &mut job.phases[phase.phase];
+        if entry.tasks[attempt.index].is_done {
+            return;
+        }
+        let is_service = job.record.steps[entry.step].is_service;
+        if is_gang {
+            entry.count_gang_failure(attempt.number);
+        } else {
+            entry.tasks[attempt.index].failures += 1;
+        }
+        let failures = entry.tasks[attempt.index].failures;
+        if !is_service && failures >= limit {
+            self.end_job(phase.job, JobState::Failed, "a task failed too often");
+        } else {
+            self.break_gang(phase, attempt.number);
+        }
+    }
+
+    fn max_attempts(&self, phase: PhaseRef) -> u32 {
+        let record = &self.jobs[phase.job].record;
+        let current = self.config.queues.get(&record.queue).map(|queue| queue.max_attempts);
+        current.unwrap_or(record.max_attempts).max(1)
+    }
+
+    /// Stops the other members of a gang whose run can no longer be whole.
+    fn break_gang(&mut self, phase: PhaseRef, number: u32) {
+        if !self.is_gang(phase) || self.jobs[phase.job].state.is_final() {
+            return;
+        }
+        let tasks = &self.jobs[phase.job].phases[phase.phase].tasks;
+        let members: Vec<AttemptKey> =
+            tasks.iter().filter(|task| !task.is_done).filter_map(|task| task.attempt).collect();
+        for key in members {
+            let member = &mut self.attempts[key];
+            if member.number != number || member.is_gang_broken {
+                continue;
+            }
+            member.is_gang_broken = true;
+            match member.state {
+                AttemptState::Intended | AttemptState::Sent => {}
+                AttemptState::Stopping | AttemptState::Fenced { .. } => {}
+                _ => self.stop_attempt(key),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/core/holds.rs
@@ -0,0 +1,194 @@
+//! Renewal of leases, which also tells what runs and what has ended.
+
+use {
+    super::CellCore,
+    crate::{
+        AttemptKey, CellAction, EndKind, EndedAttempt, HoldOrder, HoldOutcome, HoldReport,
+        RunningAttempt, WorkerKey,
+        table::{AfterCommit, AttemptState, WorkerEntry},
+    },
+};
+
+/// Longest time that an answer waits for an end, in milliseconds.
+const HOLD_WAIT_MS: u64 = 2_000;
+/// Time between an answer and the next renewal, in milliseconds; ends gather meanwhile.
+const HOLD_PAUSE_MS: u64 = 30;
+/// Time after which leases are renewed although ends are not durable yet, in milliseconds.
+const UNNOTED_LIMIT_MS: u64 = 1_000;
+/// Time between a failed renewal and the next, in milliseconds.
+const HOLD_RETRY_MS: u64 = 250;
+/// Time for which a worker that did not answer gets no new work, in milliseconds.
+const SILENCE_PENALTY_MS: u64 = 1_000;
+
+impl WorkerEntry {
+    fn wants_hold(&self) -> bool {
+        let has_work = !self.attempts.is_empty() || self.unnoted > 0 || self.owes_note();
+        self.hold_sent_ms.is_none() && (has_work || (self.is_listed && !self.is_fenced_in))
+    }
+
+    /// There are durable ends that the worker was not told of.
+    fn owes_note(&self) -> bool {
+        self.last_noted > self.last_told
+    }
+
+    fn hold_due_ms(&self) -> u64 {
+        match (self.wants_hold(), self.unnoted) {
+            (false, _) => u64::MAX,
+            (true, 0) => self.next_hold_ms,
+            (true, _) => self.next_hold_ms + UNNOTED_LIMIT_MS,
+        }
+    }
+}
+
+impl CellCore {
+    pub(super) fn next_hold_ms(&self) -> u64 {
+        self.workers.values().map(WorkerEntry::hold_due_ms).min().unwrap_or(u64::MAX)
+    }
+
+    pub(super) fn renew_holds(&mut self) {
+        let CellCore { time, settings, workers, actions, .. } = self;
+        for (key, worker) in workers.iter_mut() {
+            if worker.hold_due_ms() > time.now_ms || worker.report.address.is_empty() {
+                continue;
+            }
+            worker.hold_sent_ms = Some(time.now_ms);
+            let can_wait = worker.is_fenced_in && worker.unnoted == 0 && !worker.attempts.is_empty();
+            worker.last_told = worker.last_noted;
+            actions.push(CellAction::Hold(HoldOrder {
+                worker: key,
+                address: worker.report.address.clone(),
+                incarnation: worker.report.incarnation,
+                deadline_ms: worker.deadline_for(time.now_ms, settings.lease_ms),
+                last_noted: worker.last_noted,
+                wait_ms: if can_wait { HOLD_WAIT_MS } else { 0 },
+            }));
+        }
+    }
+
+    pub(super) fn finish_hold(&mut self, key: WorkerKey, outcome: HoldOutcome) {
+        let now_ms = self.time.now_ms;
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        let sent_ms = worker.hold_sent_ms.take().unwrap_or(now_ms);
+        match outcome {
+            HoldOutcome::Answered(report) if report.incarnation == worker.report.incarnation => {
+                worker.next_hold_ms = now_ms + HOLD_PAUSE_MS;
+                self.take_report(key, &report, sent_ms);
+            }
+            HoldOutcome::Answered(_) | HoldOutcome::Incarnation => {
+                worker.next_hold_ms = now_ms + HOLD_RETRY_MS;
+                let id = worker.report.id.clone();
+                worker.is_fenced_in = false;
+                worker.clock = None;
+                self.note("worker_restarted", id, "another incarnation answered");
+                self.clear_restarted(key);
+            }
+            HoldOutcome::Fenced => {
+                worker.next_hold_ms = now_ms + HOLD_RETRY_MS;
+                let id = worker.report.id.clone();
+                self.note("worker_fenced", id, "it has seen a higher fencing token");
+            }
+            HoldOutcome::Unknown => {
+                worker.next_hold_ms = now_ms + HOLD_RETRY_MS;
+                worker.avoid_until_ms = now_ms + SILENCE_PENALTY_MS;
+            }
+        }
+    }
+
+    fn take_report(&mut self, key: WorkerKey, report: &HoldReport, sent_ms: u64) {
+        let now_ms = self.time.now_ms;
+        let worker = &mut self.workers[key];
+        worker.read_clock(report.clock_ms, now_ms);
+        worker.is_fenced_in = true;
+        for ended in &report.ended {
+            self.take_end(key, ended);
+        }
+        let mut listed = Vec::with_capacity(report.running.len());
+        for running in &report.running {
+            listed.extend(self.take_running(key, running));
+        }
+        self.drop_unlisted(key, &listed, sent_ms);
+    }
+
+    fn take_end(&mut self, key: WorkerKey, ended: &EndedAttempt) {
+        let worker = &mut self.workers[key];
+        if ended.number <= worker.last_seen {
+            return;
+        }
+        worker.last_seen = ended.number;
+        let name = (ended.task.clone(), ended.attempt);
+        let Some(&attempt) = worker.attempts.get(&name) else {
+            self.note("end_of_unknown", &ended.task, format!("attempt={}", ended.attempt));
+            self.settle_noted(key);
+            return;
+        };
+        match ended.kind {
+            EndKind::Done => worker.strikes = 0,
+            EndKind::Failed => worker.strikes += 1,
+            EndKind::Interrupted => {}
+        }
+        worker.unnoted += 1;
+        let job = self.attempts[attempt].phase.job;
+        self.end_attempt(attempt, ended.kind, &ended.checkpoint);
+        self.touch(job, Some(AfterCommit::Note(key)));
+    }
+
+    /// Takes in that an end is durable.
+    pub(super) fn note_end(&mut self, key: WorkerKey) {
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.unnoted = worker.unnoted.saturating_sub(1);
+        }
+        self.settle_noted(key);
+    }
+
+    fn settle_noted(&mut self, key: WorkerKey) {
+        if let Some(worker) = self.workers.get_mut(key)
+            && worker.unnoted == 0
+        {
+            worker.last_noted = worker.last_seen;
+        }
+    }
+
+    fn take_running(&mut self, key: WorkerKey, running: &RunningAttempt) -> Option<AttemptKey> {
+        let now_ms = self.time.now_ms;
+        let name = (running.task.clone(), running.attempt);
+        let Some(&attempt) = self.workers[key].attempts.get(&name) else {
+            self.stop_stray(key, running);
+            return None;
+        };
+        let entry = &mut self.attempts[attempt];
+        entry.is_listed = true;
+        if running.percent > entry.percent {
+            entry.percent = running.percent;
+            entry.moved_ms = now_ms;
+        }
+        let is_news = matches!(
+            entry.state,
+            AttemptState::Sent | AttemptState::Uncertain | AttemptState::Inherited { .. }
+        );
+        if is_news {
+            entry.state = AttemptState::Running { since_ms: now_ms };
+            self.stop_if_unwanted(attempt);
+        }
+        Some(attempt)
+    }
+
+    /// Drops attempts that the worker would have listed if they were, or could come to be, there.
+    fn drop_unlisted(&mut self, key: WorkerKey, listed: &[AttemptKey], sent_ms: u64) {
+        let absent: Vec<AttemptKey> = self.workers[key]
+            .attempts
+            .values()
+            .copied()
+            .filter(|attempt| !listed.contains(attempt))
+            .filter(|attempt| match self.attempts[*attempt].state {
+                AttemptState::Running { since_ms }
+                | AttemptState::Fenced { since_ms }
+                => since_ms < sent_ms,
+                AttemptState::Inherited { since_ms } => since_ms <= sent_ms,
+                _ => false,
+            })
+            .collect();
+        for attempt in absent {
+            self.lose_attempt(attempt);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/core/intake.rs
@@ -0,0 +1,135 @@
+//! Jobs that arrive, are restored from the store, or are cancelled.
+
+use {
+    super::CellCore,
+    crate::{
+        CellAction, JobKey, JobRecord, JobState, PhaseProgress, ProgressRecord, TaskProgress,
+        message::PhaseRef,
+        table::{AfterCommit, AttemptState, JobEntry},
+    },
+};
+
+impl CellCore {
+    pub(super) fn accept(&mut self, record: JobRecord) {
+        if self.job_ids.contains_key(&record.id) {
+            return;
+        }
+        let detail = format!("queue={} team={} steps={}", record.queue, record.team, record.steps.len());
+        self.note("job_taken", &record.id, detail);
+        let key = self.insert(record);
+        self.live.push(key);
+    }
+
+    fn insert(&mut self, record: JobRecord) -> JobKey {
+        let id = record.id.clone();
+        let key = self.jobs.insert(JobEntry::new(record));
+        self.job_ids.insert(id, key);
+        if self.jobs[key].record.occurrences == 0 {
+            self.jobs[key].begin(1);
+        }
+        key
+    }
+
+    /// Takes in a job from the store with what the former leader wrote of it. The workers must be
+    /// known by then.
+    ///
+    /// ```
+    /// use damaskrack_cell::{CellCore, JobRecord, JobState, ProgressRecord};
+    ///
+    /// let mut core = CellCore::new(Default::default());
+    /// let job = JobRecord { id: "1".into(), ..Default::default() };
+    /// let state = JobState::Cancelled as i32;
+    /// core.restore(job, Some(&ProgressRecord { state, ..Default::default() }));
+    /// assert_eq!(core.state_of("1"), Some(JobState::Cancelled));
+    /// ```
+    pub fn restore(&mut self, record: JobRecord, progress: Option<&ProgressRecord>) {
+        if self.job_ids.contains_key(&record.id) {
+            return;
+        }
+        let key = self.insert(record);
+        let Some(progress) = progress else {
+            self.live.push(key);
+            return;
+        };
+        let job = &mut self.jobs[key];
+        job.state = progress.state();
+        job.ended_ms = progress.ended_ms;
+        if job.state.is_final() {
+            job.phases.clear();
+            self.ended.push_back(key);
+            return;
+        }
+        self.live.push(key);
+        for stored in &progress.phases {
+            self.restore_phase(key, stored);
+        }
+    }
+
+    fn restore_phase(&mut self, key: JobKey, stored: &PhaseProgress) {
+        let job = &mut self.jobs[key];
+        job.begin((stored.occurrence + 1).min(job.occurrences()));
+        let steps = job.record.steps.len();
+        let phase = stored.occurrence as usize * steps + stored.step as usize;
+        if phase >= job.phases.len() {
+            return;
+        }
+        job.phases[phase].restore(stored);
+        for task in stored.tasks.iter().filter(|task| !task.worker.is_empty()) {
+            self.restore_attempt(PhaseRef { job: key, phase }, task);
+        }
+    }
+
+    fn restore_attempt(&mut self, phase: PhaseRef, stored: &TaskProgress) {
+        let index = stored.index as usize;
+        if index >= self.jobs[phase.job].phases[phase.phase].tasks.len() {
+            return;
+        }
+        let Some(worker) = self.find_incarnation(&stored.worker, stored.incarnation) else {
+            return;
+        };
+        let since_ms = self.time.now_ms;
+        let state = AttemptState::Inherited { since_ms };
+        self.insert_attempt(phase, index, stored.attempt, worker, state);
+    }
+
+    /// Makes the phases of occurrences that are due.
+    pub(super) fn begin_occurrences(&mut self) {
+        for key in &self.live {
+            let job = &mut self.jobs[*key];
+            while job.begun < job.occurrences() && job.due_ms(job.begun) <= self.time.wall_ms {
+                job.begin(job.begun + 1);
+            }
+        }
+    }
+
+    pub(super) fn cancel(&mut self, id: &str, reply: u64) {
+        let Some(&key) = self.job_ids.get(id) else {
+            self.actions.push(CellAction::Reply { reply, state: None });
+            return;
+        };
+        if !self.jobs[key].state.is_final() {
+            self.end_job(key, JobState::Cancelled, "asked by its caller");
+        }
+        self.touch(key, Some(AfterCommit::Reply(reply)));
+    }
+
+    pub(super) fn reply_cancelled(&mut self, reply: u64) {
+        self.actions.push(CellAction::Reply { reply, state: Some(JobState::Cancelled) });
+    }
+
+    /// Ends a job and stops what runs of it.
+    pub(super) fn end_job(&mut self, key: JobKey, state: JobState, why: &str) {
+        let job = &mut self.jobs[key];
+        job.state = state;
+        job.ended_ms = self.time.wall_ms;
+        let id = job.record.id.clone();
+        self.live.retain(|live| *live != key);
+        self.ended.push_back(key);
+        self.touch(key, None);
+        self.totals.count_end(state);
+        self.note("job_ended", id, format!("state={state:?} reason={why}"));
+        if state != JobState::Completed {
+            self.stop_job(key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/core/mod.rs
@@ -0,0 +1,211 @@
+//! The scheduler's tables and the systems that run over them each tick.
+//!
+//! Order within a tick: leases first, so that lapsed attempts free their room; then placement,
+//! which is the only system that takes room; then questions to the adviser for what could not be
+//! placed for want of tickets; last the commit that makes all of it durable. An attempt is sent
+//! only after its row is in the store, so a successor always knows where a task may be running.
+
+mod advice;
+mod commit;
+mod ends;
+mod holds;
+mod intake;
+mod line;
+mod orders;
+mod place;
+mod pressure;
+mod workers;
+
+pub use pressure::{CellPressure, CellTotals};
+
+use {
+    crate::{
+        AskKey, AttemptKey, CellAction, CellConfig, CellInput, CellNote, CellSettings, JobKey,
+        JobState, ResourceSet, WorkerKey,
+        table::{AskEntry, AskerEntry, AttemptEntry, JobEntry, WorkerEntry},
+    },
+    commit::CommitLine,
+    rustc_hash::FxHashMap,
+    slotmap::SlotMap,
+    std::{collections::VecDeque, sync::Arc},
+};
+
+/// A moment on both clocks.
+#[derive(Debug, Clone, Copy, Default)]
+struct CellTime {
+    /// Time since the host's boot, in milliseconds.
+    now_ms: u64,
+    /// Unix time, in milliseconds.
+    wall_ms: u64,
+}
+
+/// The scheduler of a cell.
+///
+/// ```
+/// use damaskrack_cell::{CellCore, CellSettings};
+///
+/// let mut core = CellCore::new(CellSettings::default());
+/// assert!(core.tick(1_000, 1_700_000_000_000).is_empty());
+/// ```
+#[derive(Debug)]
+pub struct CellCore {
+    settings: CellSettings,
+    time: CellTime,
+    config: Arc<CellConfig>,
+    jobs: SlotMap<JobKey, JobEntry>,
+    job_ids: FxHashMap<String, JobKey>,
+    /// Jobs that have not ended.
+    live: Vec<JobKey>,
+    /// Jobs that have ended, oldest first.
+    ended: VecDeque<JobKey>,
+    workers: SlotMap<WorkerKey, WorkerEntry>,
+    worker_ids: FxHashMap<String, WorkerKey>,
+    attempts: SlotMap<AttemptKey, AttemptEntry>,
+    asks: SlotMap<AskKey, AskEntry>,
+    askers: Vec<AskerEntry>,
+    /// Share of the workers asked about that were allowed, by queue.
+    allowed_share: FxHashMap<String, f64>,
+    team_used: FxHashMap<String, ResourceSet>,
+    commits: CommitLine,
+    actions: Vec<CellAction>,
+    /// Something changed that may let work be placed.
+    is_placing_due: bool,
+    next_place_ms: u64,
+    started_ms: u64,
+    totals: CellTotals,
+}
+
+impl CellCore {
+    /// Makes a scheduler without jobs and workers.
+    ///
+    /// ```
+    /// let core = damaskrack_cell::CellCore::new(Default::default());
+    /// assert_eq!(core.state_of("1"), None);
+    /// ```
+    #[must_use]
+    pub fn new(settings: CellSettings) -> Self {
+        Self {
+            settings,
+            time: CellTime::default(),
+            config: Arc::default(),
+            jobs: SlotMap::with_key(),
+            job_ids: FxHashMap::default(),
+            live: Vec::new(),
+            ended: VecDeque::new(),
+            workers: SlotMap::with_key(),
+            worker_ids: FxHashMap::default(),
+            attempts: SlotMap::with_key(),
+            asks: SlotMap::with_key(),
+            askers: Vec::new(),
+            allowed_share: FxHashMap::default(),
+            team_used: FxHashMap::default(),
+            commits: CommitLine::default(),
+            actions: Vec::new(),
+            is_placing_due: false,
+            next_place_ms: 0,
+            started_ms: 0,
+            totals: CellTotals::default(),
+        }
+    }
+
+    /// Sets the clocks that following inputs are judged by; `now_ms` is the time since the host's
+    /// boot and `wall_ms` Unix time, in milliseconds.
+    ///
+    /// ```
+    /// let mut core = damaskrack_cell::CellCore::new(Default::default());
+    /// core.set_time(1_000, 1_700_000_000_000);
+    /// ```
+    pub fn set_time(&mut self, now_ms: u64, wall_ms: u64) {
+        if self.started_ms == 0 {
+            self.started_ms = now_ms;
+        }
+        self.time = CellTime { now_ms: now_ms.max(self.time.now_ms), wall_ms };
+    }
+
+    /// Takes in something that has happened.
+    ///
+    /// ```
+    /// use damaskrack_cell::{CellCore, CellInput, JobRecord, JobState};
+    ///
+    /// let mut core = CellCore::new(Default::default());
+    /// let job = JobRecord { id: "1".into(), ..Default::default() };
+    /// core.apply(CellInput::Accepted(job));
+    /// assert_eq!(core.state_of("1"), Some(JobState::Queued));
+    /// ```
+    pub fn apply(&mut self, input: CellInput) {
+        self.is_placing_due = true;
+        match input {
+            CellInput::Config(config) => self.config = config,
+            CellInput::Workers(reports) => self.update_workers(reports),
+            CellInput::Askers(ids) => self.update_askers(&ids),
+            CellInput::Accepted(record) => self.accept(record),
+            CellInput::Cancel { id, reply } => self.cancel(&id, reply),
+            CellInput::Start { attempt, outcome, clock_ms } => {
+                self.finish_start(attempt, outcome, clock_ms);
+            }
+            CellInput::Stop { attempt, is_acknowledged } => {
+                self.finish_stop(attempt, is_acknowledged);
+            }
+            CellInput::Hold { worker, outcome } => self.finish_hold(worker, outcome),
+            CellInput::Advice { ask, allowed } => self.finish_ask(ask, allowed),
+            CellInput::Committed => self.finish_commit(),
+        }
+    }
+
+    /// Runs the systems and returns what is to be done.
+    ///
+    /// ```
+    /// let mut core = damaskrack_cell::CellCore::new(Default::default());
+    /// assert!(core.tick(5, 1_700_000_000_000).is_empty());
+    /// ```
+    pub fn tick(&mut self, now_ms: u64, wall_ms: u64) -> Vec<CellAction> {
+        self.set_time(now_ms, wall_ms);
+        self.lapse_workers();
+        self.renew_stops();
+        if self.is_placing_due || self.time.now_ms >= self.next_place_ms {
+            self.is_placing_due = false;
+            self.next_place_ms = self.time.now_ms + line::REVIEW_INTERVAL_MS;
+            self.begin_occurrences();
+            self.place_and_ask();
+        }
+        self.renew_holds();
+        self.start_commit();
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns when the next tick is due if nothing happens before, in milliseconds of the clock
+    /// that ticks are given.
+    ///
+    /// ```
+    /// let core = damaskrack_cell::CellCore::new(Default::default());
+    /// assert!(core.next_tick_ms() <= 1_000);
+    /// ```
+    #[must_use]
+    pub fn next_tick_ms(&self) -> u64 {
+        let holds = self.next_hold_ms();
+        let commit = self.next_commit_ms();
+        self.next_place_ms.min(holds).min(commit)
+    }
+
+    /// Returns the state of a job as it may be told to callers, which is durable, or `None` if
+    /// there is no such job.
+    ///
+    /// ```
+    /// let core = damaskrack_cell::CellCore::new(Default::default());
+    /// assert_eq!(core.state_of("1"), None);
+    /// ```
+    #[must_use]
+    pub fn state_of(&self, id: &str) -> Option<JobState> {
+        let job = &self.jobs[*self.job_ids.get(id)?];
+        match job.state {
+            state if !state.is_final() => Some(state),
+            state if !job.is_dirty && !self.commits.carries_state(id) => Some(state),
+            _ => Some(JobState::Running),
+        }
+    }
+
+    fn note(&mut self, event: &'static str, subject: impl Into<String>, detail: impl Into<String>) {
+        let note = CellNote { event, subject: subject.into(), detail: detail.into() };
+        self.actions.push(CellAction::Note(note));
+    }
+}
--- /dev/null
+++ b/crates/cell/src/core/orders.rs
@@ -0,0 +1,258 @@
+//! Orders to start and to stop attempts, and their answers.
+
+use {
+    super::CellCore,
+    crate::{
+        AttemptKey, CellAction, JobKey, JobState, RunningAttempt, StartOrder, StartOutcome,
+        StartRefusal, StopOrder, WorkerKey,
+        message::PhaseRef,
+        table::{AttemptEntry, AttemptState},
+    },
+};
+
+/// Time between two orders to stop the same attempt, in milliseconds.
+const STOP_RETRY_MS: u64 = 600;
+/// Time for which a worker gets no new work after it left an order unanswered, in milliseconds.
+const DOUBT_PENALTY_MS: u64 = 2_000;
+/// Time for which an unhealthy worker gets no new work, in milliseconds.
+const UNHEALTHY_PENALTY_MS: u64 = 1_500;
+
+impl CellCore {
+    /// Makes an attempt and counts it everywhere.
+    pub(super) fn insert_attempt(
+        &mut self,
+        phase: PhaseRef,
+        index: usize,
+        number: u32,
+        worker: WorkerKey,
+        state: AttemptState,
+    ) -> AttemptKey {
+        let job = &mut self.jobs[phase.job];
+        let entry = &job.phases[phase.phase];
+        let resources = job.record.steps[entry.step].resources();
+        let team = job.record.team.clone();
+        let name = job.task_name(phase.phase, index);
+        let entry = &mut job.phases[phase.phase];
+        let ticket = entry.allowed.get(&worker).map(|held| held.ticket.clone()).unwrap_or_default();
+        let used = self.team_used.entry(team.clone()).or_default();
+        *used = used.plus(&resources);
+        let key = self.attempts.insert(AttemptEntry {
+            phase,
+            index,
+            number,
+            worker,
+            resources,
+            team,
+            state,
+            ticket,
+            percent: 0,
+            moved_ms: self.time.now_ms,
+            is_listed: false,
+            is_gang_broken: false,
+            stop_due_ms: 0,
+        });
+        let task = &mut entry.tasks[index];
+        task.last_number = number;
+        task.attempt = Some(key);
+        entry.idle -= usize::from(!task.is_done);
+        let worker = &mut self.workers[worker];
+        worker.used = worker.used.plus(&resources);
+        worker.attempts.insert((name, number), key);
+        key
+    }
+
+    /// Sends an attempt whose row is durable, unless it is no longer wanted.
+    pub(super) fn send_attempt(&mut self, key: AttemptKey) {
+        let Some(attempt) = self.attempts.get(key) else { return };
+        let (phase, worker) = (attempt.phase, attempt.worker);
+        let is_wanted = !self.jobs[phase.job].state.is_final() && !attempt.is_gang_broken;
+        let is_open = self.is_open(&self.workers[worker]);
+        let now_ms = self.time.now_ms;
+        let deadline = self.workers[worker].deadline_for(now_ms, self.settings.lease_ms);
+        let (true, true, Some(deadline_ms)) = (is_wanted, is_open, deadline) else {
+            self.withdraw_attempt(key);
+            return;
+        };
+        let job = &self.jobs[phase.job];
+        let worker = &self.workers[worker];
+        let attempt = &mut self.attempts[key];
+        attempt.state = AttemptState::Sent;
+        attempt.moved_ms = now_ms;
+        self.actions.push(CellAction::Start(StartOrder {
+            attempt: key,
+            address: worker.report.address.clone(),
+            incarnation: worker.report.incarnation,
+            task: job.task_name(phase.phase, attempt.index),
+            number: attempt.number,
+            payload: job.payload.clone(),
+            deadline_ms,
+            checkpoint: job.phases[phase.phase].tasks[attempt.index].checkpoint.clone(),
+            ticket: attempt.ticket.clone(),
+        }));
+    }
+
+    pub(super) fn finish_start(
+        &mut self,
+        key: AttemptKey,
+        outcome: StartOutcome,
+        clock_ms: Option<u64>,
+    ) {
+        let now_ms = self.time.now_ms;
+        let Some(attempt) = self.attempts.get_mut(key) else { return };
+        let worker = &mut self.workers[attempt.worker];
+        if let Some(clock_ms) = clock_ms {
+            worker.read_clock(clock_ms, now_ms);
+        }
+        match outcome {
+            StartOutcome::Started => {
+                if attempt.state == AttemptState::Sent {
+                    attempt.state = AttemptState::Running { since_ms: now_ms };
+                    self.totals.started += 1;
+                    self.stop_if_unwanted(key);
+                }
+            }
+            StartOutcome::Unknown => {
+                worker.avoid_until_ms = now_ms + DOUBT_PENALTY_MS;
+                if attempt.state == AttemptState::Sent {
+                    attempt.state = AttemptState::Uncertain;
+                    self.note_attempt("start_unanswered", key, "");
+                    self.stop_attempt(key);
+                }
+            }
+            StartOutcome::Refused(refusal) => self.refuse_start(key, refusal),
+        }
+    }
+
+    fn refuse_start(&mut self, key: AttemptKey, refusal: StartRefusal) {
+        let now_ms = self.time.now_ms;
+        self.note_attempt("start_refused", key, &format!("reason={refusal:?}"));
+        let attempt = &self.attempts[key];
+        let (phase, worker) = (attempt.phase, attempt.worker);
+        match refusal {
+            StartRefusal::Ticket => {
+                self.jobs[phase.job].phases[phase.phase].allowed.remove(&worker);
+            }
+            StartRefusal::Unavailable => {
+                self.workers[worker].avoid_until_ms = now_ms + UNHEALTHY_PENALTY_MS;
+                self.workers[worker].strikes += 1;
+            }
+            StartRefusal::Incarnation => {
+                self.clear_restarted(worker);
+                return;
+            }
+            StartRefusal::Full | StartRefusal::Late | StartRefusal::Fenced => {
+                self.workers[worker].avoid_until_ms = now_ms + UNHEALTHY_PENALTY_MS;
+            }
+            StartRefusal::Stale | StartRefusal::Invalid => {}
+        }
+        self.withdraw_attempt(key);
+    }
+
+    /// Takes in that another incarnation answers for a worker: all that it ran is gone, and it
+    /// gets no work until the list of workers shows the new incarnation.
+    pub(super) fn clear_restarted(&mut self, key: WorkerKey) {
+        let worker = &mut self.workers[key];
+        worker.is_fenced_in = false;
+        worker.clock = None;
+        let attempts: Vec<AttemptKey> = worker.attempts.values().copied().collect();
+        for attempt in attempts {
+            self.lose_attempt(attempt);
+        }
+    }
+
+    /// Stops an attempt that was confirmed after it was no longer wanted.
+    pub(super) fn stop_if_unwanted(&mut self, key: AttemptKey) {
+        let Some(attempt) = self.attempts.get(key) else { return };
+        let job = &self.jobs[attempt.phase.job];
+        let is_done = job
+            .phases
+            .get(attempt.phase.phase)
+            .is_none_or(|phase| phase.tasks[attempt.index].is_done);
+        let is_unwanted = job.state.is_final() && job.state != JobState::Completed;
+        let is_broken = attempt.is_gang_broken;
+        if is_unwanted || is_broken || (is_done && !job.state.is_final()) {
+            self.stop_attempt(key);
+        }
+    }
+
+    /// Stops everything that may be running of a job.
+    pub(super) fn stop_job(&mut self, key: JobKey) {
+        let tasks = self.jobs[key].phases.iter().flat_map(|phase| &phase.tasks);
+        let attempts: Vec<AttemptKey> = tasks.filter_map(|task| task.attempt).collect();
+        for attempt in attempts {
+            self.stop_attempt(attempt);
+        }
+    }
+
+    /// Orders a stop, whatever is known of the attempt. One that was not sent ends with its commit.
+    pub(super) fn stop_attempt(&mut self, key: AttemptKey) {
+        let now_ms = self.time.now_ms;
+        let Some(attempt) = self.attempts.get_mut(key) else { return };
+        if attempt.state == AttemptState::Intended {
+            return;
+        }
+        attempt.state = AttemptState::Stopping;
+        attempt.stop_due_ms = now_ms + STOP_RETRY_MS;
+        let order = self.stop_order(key);
+        self.actions.push(CellAction::Stop(order));
+    }
+
+    fn stop_order(&self, key: AttemptKey) -> StopOrder {
+        let attempt = &self.attempts[key];
+        let worker = &self.workers[attempt.worker];
+        let job = &self.jobs[attempt.phase.job];
+        StopOrder {
+            attempt: key,
+            address: worker.report.address.clone(),
+            incarnation: worker.report.incarnation,
+            task: job.task_name(attempt.phase.phase, attempt.index),
+            number: attempt.number,
+        }
+    }
+
+    /// Stops something that no job asks for.
+    pub(super) fn stop_stray(&mut self, worker: WorkerKey, running: &RunningAttempt) {
+        let worker = &self.workers[worker];
+        self.actions.push(CellAction::Stop(StopOrder {
+            attempt: AttemptKey::default(),
+            address: worker.report.address.clone(),
+            incarnation: worker.report.incarnation,
+            task: running.task.clone(),
+            number: running.attempt,
+        }));
+        self.note("stray_stopped", &running.task, format!("attempt={}", running.attempt));
+    }
+
+    pub(super) fn finish_stop(&mut self, key: AttemptKey, is_acknowledged: bool) {
+        let now_ms = self.time.now_ms;
+        let Some(attempt) = self.attempts.get_mut(key) else { return };
+        if is_acknowledged && attempt.state == AttemptState::Stopping {
+            attempt.state = AttemptState::Fenced { since_ms: now_ms };
+            let worker = &mut self.workers[attempt.worker];
+            worker.next_hold_ms = worker.next_hold_ms.min(now_ms);
+        }
+    }
+
+    /// Repeats stops that were not acknowledged.
+    pub(super) fn renew_stops(&mut self) {
+        let now_ms = self.time.now_ms;
+        let due: Vec<AttemptKey> = self
+            .attempts
+            .iter()
+            .filter(|(_, a)| a.state == AttemptState::Stopping && a.stop_due_ms <= now_ms)
+            .map(|(key, _)| key)
+            .collect();
+        for key in due {
+            self.stop_attempt(key);
+        }
+    }
+
+    pub(super) fn note_attempt(&mut self, event: &'static str, key: AttemptKey, detail: &str) {
+        let attempt = &self.attempts[key];
+        let job = &self.jobs[attempt.phase.job];
+        let name = job.task_name(attempt.phase.phase, attempt.index);
+        let worker = &self.workers[attempt.worker].report.id;
+        let detail = format!("attempt={} worker={worker} {detail}", attempt.number);
+        self.note(event, name, detail);
+    }
+}
--- /dev/null
+++ b/crates/cell/src/core/place.rs
@@ -0,0 +1,223 @@
+//! Placement: which worker runs a task.
+//!
+//! A task goes to the worker with the least processor left that fits it, so that large room stays
+//! whole for large tasks; a worker in the rack that holds the task's data goes before. A gang gets
+//! all its places at once or none, in one rack if its tasks are coupled and a rack has room.
+
+use {
+    super::CellCore,
+    crate::{
+        JobState, ResourceSet, StepSpec, WorkerKey,
+        message::PhaseRef,
+        table::{AfterCommit, AttemptState, PhaseEntry, WorkerEntry},
+    },
+    rustc_hash::FxHashMap,
+};
+
+/// Time that a ticket must still be valid when a task is placed, in milliseconds: the commit and
+/// the order take that long.
+const TICKET_MARGIN_MS: u64 = 120;
+/// Failures without a success between them after which a worker is avoided.
+const STRIKE_LIMIT: u32 = 3;
+/// Time for which a worker that fails what it starts is avoided, in milliseconds.
+const STRIKE_PENALTY_MS: u64 = 4_000;
+
+/// What came of the attempt to place a step's tasks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum PlaceResult {
+    /// Every task has a place.
+    Placed,
+    /// Some have none, and a ticket for another worker might help.
+    Short,
+    /// The team has reached its limit.
+    Limited,
+}
+
+/// Room that a plan has given away.
+type TakenRoom = FxHashMap<WorkerKey, (ResourceSet, u32)>;
+
+impl CellCore {
+    /// Tells whether a worker may get new work at all.
+    pub(super) fn is_open(&self, worker: &WorkerEntry) -> bool {
+        worker.is_listed
+            && !worker.report.is_leaving
+            && worker.is_fenced_in
+            && worker.clock.is_some()
+            && !self.config.closed_zones.contains(&worker.report.zone)
+    }
+
+    /// Returns the workers that a step's tasks may go to, tickets aside.
+    pub(super) fn candidates(&self, phase: PhaseRef) -> Vec<WorkerKey> {
+        let job = &self.jobs[phase.job];
+        let step = &job.record.steps[job.phases[phase.phase].step];
+        let queue = self.config.queues.get(&job.record.queue);
+        let service = queue.map_or(&job.record.service, |queue| &queue.service);
+        let need = step.resources();
+        self.workers
+            .iter()
+            .filter(|(_, worker)| worker.report.service == *service && self.is_open(worker))
+            .filter(|(_, worker)| worker.avoid_until_ms <= self.time.now_ms)
+            .filter(|(_, worker)| need.fits(&worker.report.capacity))
+            .filter(|(_, w)| step.required_label.is_empty() || w.is_labelled(&step.required_label))
+            .map(|(key, _)| key)
+            .collect()
+    }
+
+    /// Places what can be placed of a step.
+    pub(super) fn place_phase(&mut self, phase: PhaseRef) -> PlaceResult {
+        let job = &self.jobs[phase.job];
+        let step = &job.record.steps[job.phases[phase.phase].step];
+        let is_gang = step.is_gang;
+        let need = step.resources();
+        let entry = &job.phases[phase.phase];
+        if is_gang && entry.idle < entry.open {
+            return PlaceResult::Limited;
+        }
+        let wanted = entry.idle;
+        let allowed = self.within_limit(&job.record.team, &need, wanted);
+        if allowed == 0 || (is_gang && allowed < wanted) {
+            return PlaceResult::Limited;
+        }
+        let workers = self.ticketed(phase);
+        let plan = match is_gang {
+            true => self.plan_gang(phase, &workers, wanted),
+            false => self.plan_tasks(phase, &workers, allowed),
+        };
+        let placed = plan.len();
+        self.carry_out(phase, &plan);
+        match placed {
+            _ if placed == wanted => PlaceResult::Placed,
+            _ if placed == allowed => PlaceResult::Limited,
+            _ => PlaceResult::Short,
+        }
+    }
+
+    /// Returns how many of `wanted` tasks the team's limit leaves room for.
+    fn within_limit(&self, team: &str, need: &ResourceSet, wanted: usize) -> usize {
+        let Some(limit) = self.config.teams.get(team).map(|team| team.limit) else { return wanted };
+        let mut used = self.team_used.get(team).copied().unwrap_or_default();
+        (0..wanted)
+            .take_while(|_| {
+                used = used.plus(need);
+                used.is_within(&limit)
+            })
+            .count()
+    }
+
+    /// Returns the candidates that a start may be sent to now, the least room first.
+    fn ticketed(&self, phase: PhaseRef) -> Vec<WorkerKey> {
+        let job = &self.jobs[phase.job];
+        let entry = &job.phases[phase.phase];
+        let step = &job.record.steps[entry.step];
+        let needs_ticket = self.advice_of(phase).is_some();
+        let need = step.resources();
+        let mut workers: Vec<WorkerKey> = self
+            .candidates(phase)
+            .into_iter()
+            .filter(|key| need.fits(&self.workers[*key].room()))
+            .filter(|key| !needs_ticket || self.has_ticket(entry, *key))
+            .collect();
+        workers.sort_by_key(|key| {
+            let worker = &self.workers[*key];
+            let is_far = !step.data_rack.is_empty() && worker.rack() != step.data_rack;
+            (is_far, worker.room().cpu_millis)
+        });
+        workers
+    }
+
+    pub(super) fn has_ticket(&self, entry: &PhaseEntry, worker: WorkerKey) -> bool {
+        let least_ms = self.time.now_ms + TICKET_MARGIN_MS;
+        entry.allowed.get(&worker).is_some_and(|held| held.valid_until_ms > least_ms)
+    }
+
+    fn plan_tasks(&self, phase: PhaseRef, workers: &[WorkerKey], count: usize) -> Vec<WorkerKey> {
+        let job = &self.jobs[phase.job];
+        let entry = &job.phases[phase.phase];
+        let step = &job.record.steps[entry.step];
+        let mut taken = TakenRoom::default();
+        let mut plan = Vec::with_capacity(count);
+        for key in workers {
+            while plan.len() < count && self.takes(entry, step, *key, &taken) {
+                let (room, tasks) = taken.entry(*key).or_default();
+                *room = room.plus(&step.resources());
+                *tasks += 1;
+                plan.push(*key);
+            }
+        }
+        plan
+    }
+
+    fn plan_gang(&self, phase: PhaseRef, workers: &[WorkerKey], count: usize) -> Vec<WorkerKey> {
+        let job = &self.jobs[phase.job];
+        let step = &job.record.steps[job.phases[phase.phase].step];
+        let mut plan = Vec::new();
+        if step.is_rack_coupled {
+            plan = self.plan_in_rack(phase, workers, count);
+        }
+        if plan.len() < count {
+            plan = self.plan_tasks(phase, workers, count);
+        }
+        if plan.len() < count { Vec::new() } else { plan }
+    }
+
+    fn plan_in_rack(&self, phase: PhaseRef, workers: &[WorkerKey], count: usize) -> Vec<WorkerKey> {
+        let mut racks: FxHashMap<&str, Vec<WorkerKey>> = FxHashMap::default();
+        for key in workers {
+            racks.entry(self.workers[*key].rack()).or_default().push(*key);
+        }
+        let plans = racks.values().map(|rack| self.plan_tasks(phase, rack, count));
+        plans.max_by_key(Vec::len).unwrap_or_default()
+    }
+
+    fn takes(&self, entry: &PhaseEntry, step: &StepSpec, key: WorkerKey, taken: &TakenRoom) -> bool {
+        let worker = &self.workers[key];
+        let (room, tasks) = taken.get(&key).copied().unwrap_or_default();
+        if step.max_per_worker > 0 {
+            let own = entry.tasks.iter().filter_map(|task| task.attempt);
+            let there = own.filter(|attempt| self.attempts[*attempt].worker == key).count();
+            if there + tasks as usize >= step.max_per_worker as usize {
+                return false;
+            }
+        }
+        worker.used.plus(&room).plus(&step.resources()).fits(&worker.report.capacity)
+    }
+
+    fn carry_out(&mut self, phase: PhaseRef, plan: &[WorkerKey]) {
+        if plan.is_empty() {
+            return;
+        }
+        let entry = &self.jobs[phase.job].phases[phase.phase];
+        let is_idle = |task: &crate::table::TaskEntry| !task.is_done && task.attempt.is_none();
+        let idle: Vec<usize> = (0..entry.tasks.len()).filter(|i| is_idle(&entry.tasks[*i])).collect();
+        let gang_number = entry.tasks.iter().map(|task| task.last_number).max().unwrap_or(0) + 1;
+        let is_gang = self.jobs[phase.job].record.steps[entry.step].is_gang;
+        for (index, worker) in idle.into_iter().zip(plan) {
+            let own = self.jobs[phase.job].phases[phase.phase].tasks[index].last_number + 1;
+            let number = if is_gang { gang_number } else { own };
+            let key = self.insert_attempt(phase, index, number, *worker, AttemptState::Intended);
+            self.touch(phase.job, Some(AfterCommit::Send(key)));
+        }
+        let job = &mut self.jobs[phase.job];
+        if job.state == JobState::Queued {
+            job.state = JobState::Running;
+        }
+        let name = job.phase_name(phase.phase);
+        self.note("phase_placed", name, format!("tasks={}", plan.len()));
+    }
+
+    /// Avoids workers that fail what they start.
+    pub(super) fn avoid_failing(&mut self) {
+        let until_ms = self.time.now_ms + STRIKE_PENALTY_MS;
+        let mut avoided = Vec::new();
+        for worker in self.workers.values_mut() {
+            if worker.strikes >= STRIKE_LIMIT {
+                worker.strikes = 0;
+                worker.avoid_until_ms = until_ms;
+                avoided.push(worker.report.id.clone());
+            }
+        }
+        for id in avoided {
+            self.note("worker_avoided", id, format!("failures={STRIKE_LIMIT}"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/core/workers.rs
@@ -0,0 +1,109 @@
+//! Workers that come, change, leave, and fall silent.
+
+use {
+    super::CellCore,
+    crate::{AttemptKey, WorkerKey, WorkerReport, table::WorkerEntry},
+    rustc_hash::FxHashSet,
+};
+
+impl CellCore {
+    /// Takes in the list of workers.
+    pub(super) fn update_workers(&mut self, reports: Vec<WorkerReport>) {
+        let mut listed = FxHashSet::default();
+        for report in reports {
+            listed.insert(report.id.clone());
+            self.update_worker(report);
+        }
+        let gone: Vec<WorkerKey> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.is_listed && !listed.contains(&worker.report.id))
+            .map(|(key, _)| key)
+            .collect();
+        for key in gone {
+            let worker = &mut self.workers[key];
+            worker.is_listed = false;
+            let id = worker.report.id.clone();
+            self.note("worker_unlisted", id, "");
+        }
+    }
+
+    fn update_worker(&mut self, report: WorkerReport) {
+        let Some(&key) = self.worker_ids.get(&report.id) else {
+            self.insert_worker(report);
+            return;
+        };
+        let known = self.workers[key].report.incarnation;
+        if report.incarnation > known {
+            self.bury_worker(key, "another incarnation");
+            self.insert_worker(report);
+        } else if report.incarnation == known {
+            let worker = &mut self.workers[key];
+            worker.is_listed = true;
+            worker.report = report;
+        }
+    }
+
+    fn insert_worker(&mut self, report: WorkerReport) -> WorkerKey {
+        let lease_ms = self.settings.lease_ms + self.settings.lease_ms / 20;
+        let inherited_ms = self.started_ms + lease_ms + self.settings.isolation_ms;
+        let id = report.id.clone();
+        let key = self.workers.insert(WorkerEntry::new(report, inherited_ms));
+        self.worker_ids.insert(id, key);
+        key
+    }
+
+    /// Finds the entry of an incarnation that a former leader used; `None` if it is over.
+    pub(super) fn find_incarnation(&mut self, id: &str, incarnation: u64) -> Option<WorkerKey> {
+        if let Some(&key) = self.worker_ids.get(id) {
+            let known = self.workers[key].report.incarnation;
+            return (known <= incarnation).then_some(key);
+        }
+        let report = WorkerReport { id: id.to_owned(), incarnation, ..WorkerReport::default() };
+        let key = self.insert_worker(report);
+        self.workers[key].is_listed = false;
+        Some(key)
+    }
+
+    /// Takes in that an incarnation is over and nothing runs on it.
+    pub(super) fn bury_worker(&mut self, key: WorkerKey, why: &str) {
+        self.clear_worker(key, why);
+        if let Some(worker) = self.workers.remove(key)
+            && self.worker_ids.get(&worker.report.id) == Some(&key)
+        {
+            self.worker_ids.remove(&worker.report.id);
+        }
+    }
+
+    fn clear_worker(&mut self, key: WorkerKey, why: &str) {
+        let worker = &self.workers[key];
+        let id = worker.report.id.clone();
+        let attempts: Vec<AttemptKey> = worker.attempts.values().copied().collect();
+        if !attempts.is_empty() {
+            self.note("worker_empty", id, format!("reason={why} attempts={}", attempts.len()));
+        }
+        for attempt in attempts {
+            self.lose_attempt(attempt);
+        }
+    }
+
+    /// Frees what ran on workers whose leases have lapsed, and forgets workers that are gone.
+    pub(super) fn lapse_workers(&mut self) {
+        let now_ms = self.time.now_ms;
+        let lapsed: Vec<(WorkerKey, bool)> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| match worker.attempts.is_empty() {
+                true => !worker.is_listed,
+                false => worker.lapse_ms() <= now_ms,
+            })
+            .map(|(key, worker)| (key, worker.is_listed))
+            .collect();
+        for (key, is_listed) in lapsed {
+            match is_listed {
+                true => self.clear_worker(key, "leases lapsed"),
+                false => self.bury_worker(key, "leases lapsed, not listed"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/resources.rs
@@ -0,0 +1,81 @@
+//! Amounts of what a worker offers and a task takes.
+
+/// Processor, memory and accelerators.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ResourceSet {
+    /// Processor, in thousandths of a core.
+    pub cpu_millis: u64,
+    /// Memory, in mebibytes.
+    pub memory_mb: u64,
+    /// Whole accelerators.
+    pub accelerators: u64,
+}
+
+impl ResourceSet {
+    /// Tells whether this amount fits into `room`.
+    ///
+    /// ```
+    /// use damaskrack_cell::ResourceSet;
+    ///
+    /// let task = ResourceSet { cpu_millis: 500, memory_mb: 64, accelerators: 0 };
+    /// let room = ResourceSet { cpu_millis: 500, memory_mb: 63, accelerators: 1 };
+    /// assert!(!task.fits(&room));
+    /// ```
+    #[must_use]
+    pub fn fits(&self, room: &Self) -> bool {
+        self.cpu_millis <= room.cpu_millis
+            && self.memory_mb <= room.memory_mb
+            && self.accelerators <= room.accelerators
+    }
+
+    /// Returns the sum of both amounts.
+    ///
+    /// ```
+    /// use damaskrack_cell::ResourceSet;
+    ///
+    /// let one = ResourceSet { cpu_millis: 500, memory_mb: 64, accelerators: 0 };
+    /// assert_eq!(one.plus(&one).cpu_millis, 1_000);
+    /// ```
+    #[must_use]
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis + other.cpu_millis,
+            memory_mb: self.memory_mb + other.memory_mb,
+            accelerators: self.accelerators + other.accelerators,
+        }
+    }
+
+    /// Returns what is left without `other`, nothing where `other` is more.
+    ///
+    /// ```
+    /// use damaskrack_cell::ResourceSet;
+    ///
+    /// let one = ResourceSet { cpu_millis: 500, memory_mb: 64, accelerators: 0 };
+    /// assert_eq!(one.minus(&one), ResourceSet::default());
+    /// ```
+    #[must_use]
+    pub fn minus(&self, other: &Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_sub(other.cpu_millis),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+
+    /// Tells whether this amount is within `limit`, whose zeros stand for "no limit".
+    ///
+    /// ```
+    /// use damaskrack_cell::ResourceSet;
+    ///
+    /// let used = ResourceSet { cpu_millis: 500, memory_mb: 64, accelerators: 0 };
+    /// let limit = ResourceSet { cpu_millis: 500, memory_mb: 0, accelerators: 0 };
+    /// assert!(used.is_within(&limit));
+    /// ```
+    #[must_use]
+    pub fn is_within(&self, limit: &Self) -> bool {
+        let holds = |used: u64, limit: u64| limit == 0 || used <= limit;
+        holds(self.cpu_millis, limit.cpu_millis)
+            && holds(self.memory_mb, limit.memory_mb)
+            && holds(self.accelerators, limit.accelerators)
+    }
+}
--- /dev/null
+++ b/crates/cell/src/table/job.rs
@@ -0,0 +1,107 @@
+//! Jobs.
+
+use {
+    super::PhaseEntry,
+    crate::{AttemptKey, JobRecord, JobState, WorkerKey},
+    std::sync::Arc,
+};
+
+/// What waits until a job's row is durable.
+#[derive(Debug)]
+pub(crate) enum AfterCommit {
+    /// An attempt may be sent.
+    Send(AttemptKey),
+    /// An end may be acknowledged to its worker.
+    Note(WorkerKey),
+    /// A caller may be told that its cancellation holds.
+    Reply(u64),
+}
+
+/// A job.
+#[derive(Debug)]
+pub(crate) struct JobEntry {
+    pub(crate) record: JobRecord,
+    pub(crate) payload: Arc<str>,
+    pub(crate) state: JobState,
+    pub(crate) phases: Vec<PhaseEntry>,
+    /// Occurrences whose phases exist.
+    pub(crate) begun: u32,
+    /// When it ended, in Unix milliseconds; 0 while it has not.
+    pub(crate) ended_ms: u64,
+    /// The row in the store is older than this entry.
+    pub(crate) is_dirty: bool,
+    pub(crate) after_commit: Vec<AfterCommit>,
+}
+
+impl JobEntry {
+    pub(crate) fn new(mut record: JobRecord) -> Self {
+        let payload = Arc::from(std::mem::take(&mut record.payload));
+        Self {
+            record,
+            payload,
+            state: JobState::Queued,
+            phases: Vec::new(),
+            begun: 0,
+            ended_ms: 0,
+            is_dirty: false,
+            after_commit: Vec::new(),
+        }
+    }
+
+    /// Number of occurrences, one for a job without times.
+    pub(crate) fn occurrences(&self) -> u32 {
+        self.record.occurrences.max(1)
+    }
+
+    /// When an occurrence is due, in Unix milliseconds.
+    pub(crate) fn due_ms(&self, occurrence: u32) -> u64 {
+        match self.record.occurrences {
+            0 => 0,
+            _ => self.record.first_due_ms + self.record.interval_ms * u64::from(occurrence),
+        }
+    }
+
+    /// Makes the phases of the occurrences up to, not including, `count`.
+    pub(crate) fn begin(&mut self, count: u32) {
+        while self.begun < count {
+            for (step, spec) in self.record.steps.iter().enumerate() {
+                self.phases.push(PhaseEntry::new(self.begun, step, spec.tasks));
+            }
+            self.begun += 1;
+        }
+    }
+
+    /// Tells whether the steps that a phase waits for are done.
+    pub(crate) fn is_ready(&self, phase: usize) -> bool {
+        let entry = &self.phases[phase];
+        let first = phase - entry.step;
+        let after = &self.record.steps[entry.step].after;
+        after.iter().all(|step| self.phases.get(first + *step as usize).is_none_or(|p| p.open == 0))
+    }
+
+    /// Tells whether every task of every occurrence is done.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.begun == self.occurrences() && self.phases.iter().all(|phase| phase.open == 0)
+    }
+
+    pub(crate) fn has_started(&self) -> bool {
+        self.phases.iter().any(PhaseEntry::has_started)
+    }
+
+    /// Name of a phase, as advisers know it.
+    pub(crate) fn phase_name(&self, phase: usize) -> String {
+        let entry = &self.phases[phase];
+        format!("{}.{}.{}", self.record.id, entry.occurrence, entry.step)
+    }
+
+    /// Name of a task, as workers know it.
+    pub(crate) fn task_name(&self, phase: usize, index: usize) -> String {
+        format!("{}.{index}", self.phase_name(phase))
+    }
+
+    /// Number of attempts that may be running.
+    pub(crate) fn attempts_left(&self) -> usize {
+        let tasks = self.phases.iter().flat_map(|phase| &phase.tasks);
+        tasks.filter(|task| task.attempt.is_some()).count()
+    }
+}
--- /dev/null
+++ b/crates/cell/src/table/phase.rs
@@ -0,0 +1,105 @@
+//! Phases: a step of one occurrence of a job.
+
+use {
+    super::TaskEntry,
+    crate::{AskKey, PhaseProgress, TaskProgress, WorkerKey},
+    rustc_hash::{FxHashMap, FxHashSet},
+};
+
+/// A ticket of the adviser.
+#[derive(Debug)]
+pub(crate) struct TicketEntry {
+    pub(crate) ticket: String,
+    pub(crate) valid_until_ms: u64,
+}
+
+/// A step of one occurrence.
+#[derive(Debug, Default)]
+pub(crate) struct PhaseEntry {
+    pub(crate) occurrence: u32,
+    pub(crate) step: usize,
+    pub(crate) tasks: Vec<TaskEntry>,
+    /// Tasks that are not done.
+    pub(crate) open: usize,
+    /// Tasks that are not done and that no attempt may be running.
+    pub(crate) idle: usize,
+    /// Workers that may run it, with their last tickets.
+    pub(crate) allowed: FxHashMap<WorkerKey, TicketEntry>,
+    /// Workers that may not.
+    pub(crate) denied: FxHashSet<WorkerKey>,
+    pub(crate) ask: Option<AskKey>,
+    /// Run of the gang whose failure was counted last.
+    failed_run: u32,
+}
+
+impl PhaseEntry {
+    pub(crate) fn new(occurrence: u32, step: usize, tasks: u32) -> Self {
+        let count = tasks as usize;
+        Self {
+            occurrence,
+            step,
+            tasks: vec![TaskEntry::default(); count],
+            open: count,
+            idle: count,
+            ..Self::default()
+        }
+    }
+
+    /// Counts the failure of a gang's run, once for all members.
+    pub(crate) fn count_gang_failure(&mut self, run: u32) {
+        if run > self.failed_run {
+            self.failed_run = run;
+            self.tasks.iter_mut().for_each(|task| task.failures += 1);
+        }
+    }
+
+    pub(crate) fn has_started(&self) -> bool {
+        self.tasks.iter().any(|task| task.last_number > 0)
+    }
+
+    /// Takes in what a former leader stored, apart from attempts that may be running.
+    pub(crate) fn restore(&mut self, progress: &PhaseProgress) {
+        for (index, task) in self.tasks.iter_mut().enumerate() {
+            let byte = progress.done.get(index / 8).copied().unwrap_or(0);
+            task.is_done = byte & (1 << (index % 8)) != 0;
+            if task.is_done {
+                task.last_number = task.last_number.max(1);
+            }
+        }
+        for stored in &progress.tasks {
+            let Some(task) = self.tasks.get_mut(stored.index as usize) else { continue };
+            task.last_number = stored.attempt;
+            task.failures = stored.failures;
+            task.checkpoint.clone_from(&stored.checkpoint);
+        }
+        self.open = self.tasks.iter().filter(|task| !task.is_done).count();
+        self.idle = self.open;
+    }
+
+    /// Renders what a successor must know; `locate` gives an attempt's worker and incarnation.
+    pub(crate) fn progress(
+        &self,
+        locate: impl Fn(crate::AttemptKey) -> Option<(String, u64)>,
+    ) -> PhaseProgress {
+        let mut done = vec![0; self.tasks.len().div_ceil(8)];
+        let mut tasks = Vec::new();
+        for (index, task) in self.tasks.iter().enumerate() {
+            if task.is_done {
+                done[index / 8] |= 1 << (index % 8);
+            } else if task.last_number > 0 {
+                let (worker, incarnation) =
+                    task.attempt.and_then(&locate).unwrap_or_default();
+                tasks.push(TaskProgress {
+                    index: u32::try_from(index).unwrap_or(u32::MAX),
+                    attempt: task.last_number,
+                    failures: task.failures,
+                    worker,
+                    incarnation,
+                    checkpoint: task.checkpoint.clone(),
+                });
+            }
+        }
+        let step = u32::try_from(self.step).unwrap_or(u32::MAX);
+        PhaseProgress { occurrence: self.occurrence, step, done, tasks }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/table/worker.rs
@@ -0,0 +1,112 @@
+//! Workers.
+
+use {
+    crate::{AttemptKey, ResourceSet, WorkerReport},
+    rustc_hash::FxHashMap,
+};
+
+/// A worker's clock at one moment of ours.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ClockReading {
+    pub(crate) clock_ms: u64,
+    pub(crate) at_ms: u64,
+}
+
+/// Slowest run of a worker's clock against ours, in percent.
+const SLOWEST_CLOCK_PERCENT: u64 = 97;
+/// Margin after the end of a lease before a worker counts as empty, in milliseconds.
+const LAPSE_MARGIN_MS: u64 = 300;
+
+/// One incarnation of a worker.
+#[derive(Debug)]
+pub(crate) struct WorkerEntry {
+    pub(crate) report: WorkerReport,
+    /// It is in the list of workers.
+    pub(crate) is_listed: bool,
+    /// What attempts take of it.
+    pub(crate) used: ResourceSet,
+    /// Attempts that it may be running, by task and number.
+    pub(crate) attempts: FxHashMap<(String, u32), AttemptKey>,
+    /// It answered under this leader's fencing token.
+    pub(crate) is_fenced_in: bool,
+    pub(crate) clock: Option<ClockReading>,
+    /// Latest deadline that any order carried, on its clock.
+    pub(crate) deadline_ms: u64,
+    /// When everything that a former leader started here has lapsed at the latest.
+    pub(crate) inherited_until_ms: u64,
+    /// Last end taken into the tables.
+    pub(crate) last_seen: u64,
+    /// Last end that is durable.
+    pub(crate) last_noted: u64,
+    /// Last end that a renewal acknowledged.
+    pub(crate) last_told: u64,
+    /// Ends taken in that are not durable yet.
+    pub(crate) unnoted: usize,
+    /// A renewal is on the way since then.
+    pub(crate) hold_sent_ms: Option<u64>,
+    pub(crate) next_hold_ms: u64,
+    /// It gets no new work until then.
+    pub(crate) avoid_until_ms: u64,
+    /// Failures since the last success.
+    pub(crate) strikes: u32,
+}
+
+impl WorkerEntry {
+    pub(crate) fn new(report: WorkerReport, inherited_until_ms: u64) -> Self {
+        Self {
+            report,
+            is_listed: true,
+            used: ResourceSet::default(),
+            attempts: FxHashMap::default(),
+            is_fenced_in: false,
+            clock: None,
+            deadline_ms: 0,
+            inherited_until_ms,
+            last_seen: 0,
+            last_noted: 0,
+            last_told: 0,
+            unnoted: 0,
+            hold_sent_ms: None,
+            next_hold_ms: 0,
+            avoid_until_ms: 0,
+            strikes: 0,
+        }
+    }
+
+    /// Takes in what the worker's clock showed.
+    pub(crate) fn read_clock(&mut self, clock_ms: u64, now_ms: u64) {
+        self.clock = Some(ClockReading { clock_ms, at_ms: now_ms });
+    }
+
+    /// What is left of it.
+    pub(crate) fn room(&self) -> ResourceSet {
+        self.report.capacity.minus(&self.used)
+    }
+
+    /// Deadline for an order sent now, on the worker's clock.
+    pub(crate) fn deadline_for(&mut self, now_ms: u64, lease_ms: u64) -> Option<u64> {
+        let reading = self.clock?;
+        let deadline = reading.clock_ms + now_ms.saturating_sub(reading.at_ms) + lease_ms;
+        self.deadline_ms = self.deadline_ms.max(deadline);
+        Some(deadline)
+    }
+
+    /// When everything on it has lapsed, if it is not heard from again.
+    pub(crate) fn lapse_ms(&self) -> u64 {
+        let own = self.clock.map_or(0, |reading| {
+            let left = self.deadline_ms.saturating_sub(reading.clock_ms);
+            reading.at_ms + left * 100 / SLOWEST_CLOCK_PERCENT + LAPSE_MARGIN_MS
+        });
+        if self.is_fenced_in { own } else { own.max(self.inherited_until_ms) }
+    }
+
+    /// Rack that it stands in: the label that no other kind of label looks like.
+    pub(crate) fn is_labelled(&self, label: &str) -> bool {
+        self.report.labels.iter().any(|own| own == label)
+    }
+
+    /// Rack that it stands in; labels are its kind and its rack, in this order.
+    pub(crate) fn rack(&self) -> &str {
+        self.report.labels.last().map_or("", String::as_str)
+    }
+}
