--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -131,14 +131,21 @@
             .filter(|index| self.askers[*index].busy_until_ms <= now_ms + limit_ms)
     }
 
-    fn send_ask(&mut self, phase: PhaseRef, asker: usize, workers: Vec<WorkerKey>, expected_ms: u64) {
+    fn send_ask(
+        &mut self,
+        phase: PhaseRef,
+        asker: usize,
+        workers: Vec<WorkerKey>,
+        expected_ms: u64,
+    ) {
         let now_ms = self.time.now_ms;
         let asker = &mut self.askers[asker];
         asker.busy_until_ms = asker.busy_until_ms.max(now_ms) + expected_ms;
         asker.calls += 1;
         let asker = asker.id;
         let ids = workers.iter().map(|key| self.workers[*key].report.id.clone()).collect();
-        let ask = self.asks.insert(AskEntry { phase, asker, workers, expected_ms, sent_ms: now_ms });
+        let ask =
+            self.asks.insert(AskEntry { phase, asker, workers, expected_ms, sent_ms: now_ms });
         let job = &mut self.jobs[phase.job];
         job.phases[phase.phase].ask = Some(ask);
         let phase = job.phase_name(phase.phase);
--- a/crates/cell/src/core/commit.rs
+++ b/crates/cell/src/core/commit.rs
@@ -112,7 +112,7 @@
         for after in std::mem::take(&mut self.commits.waiting) {
             match after {
                 AfterCommit::Send(attempt) => self.send_attempt(attempt),
-                AfterCommit::Note(worker) => self.note_end(worker),
+                AfterCommit::Note(worker, incarnation) => self.note_end(worker, incarnation),
                 AfterCommit::Reply(reply) => self.reply_cancelled(reply),
             }
         }
--- a/crates/cell/src/core/holds.rs
+++ b/crates/cell/src/core/holds.rs
@@ -52,7 +52,8 @@
                 continue;
             }
             worker.hold_sent_ms = Some(time.now_ms);
-            let can_wait = worker.is_fenced_in && worker.unnoted == 0 && !worker.attempts.is_empty();
+            let can_wait =
+                worker.is_fenced_in && worker.unnoted == 0 && !worker.attempts.is_empty();
             worker.last_told = worker.last_noted;
             actions.push(CellAction::Hold(HoldOrder {
                 worker: key,
@@ -70,17 +71,21 @@
         let Some(worker) = self.workers.get_mut(key) else { return };
         let sent_ms = worker.hold_sent_ms.take().unwrap_or(now_ms);
         match outcome {
-            HoldOutcome::Answered(report) if report.incarnation == worker.report.incarnation => {
+            HoldOutcome::Answered(report) => {
                 worker.next_hold_ms = now_ms + HOLD_PAUSE_MS;
+                if report.incarnation > worker.report.incarnation {
+                    let id = worker.report.id.clone();
+                    worker.restart(report.incarnation);
+                    worker.is_listed = false;
+                    self.note("worker_restarted", id, format!("born={}", report.incarnation));
+                }
                 self.take_report(key, &report, sent_ms);
             }
-            HoldOutcome::Answered(_) | HoldOutcome::Incarnation => {
+            HoldOutcome::Incarnation => {
                 worker.next_hold_ms = now_ms + HOLD_RETRY_MS;
+                worker.avoid_until_ms = now_ms + SILENCE_PENALTY_MS;
                 let id = worker.report.id.clone();
-                worker.is_fenced_in = false;
-                worker.clock = None;
-                self.note("worker_restarted", id, "another incarnation answered");
-                self.clear_restarted(key);
+                self.note("worker_replaced", id, "another worker answered");
             }
             HoldOutcome::Fenced => {
                 worker.next_hold_ms = now_ms + HOLD_RETRY_MS;
@@ -129,15 +134,17 @@
         worker.unnoted += 1;
         let job = self.attempts[attempt].phase.job;
         self.end_attempt(attempt, ended.kind, &ended.checkpoint);
-        self.touch(job, Some(AfterCommit::Note(key)));
+        let incarnation = self.workers[key].report.incarnation;
+        self.touch(job, Some(AfterCommit::Note(key, incarnation)));
     }
 
     /// Takes in that an end is durable.
-    pub(super) fn note_end(&mut self, key: WorkerKey) {
-        if let Some(worker) = self.workers.get_mut(key) {
+    pub(super) fn note_end(&mut self, key: WorkerKey, incarnation: u64) {
+        let Some(worker) = self.workers.get_mut(key) else { return };
+        if worker.report.incarnation == incarnation {
             worker.unnoted = worker.unnoted.saturating_sub(1);
+            self.settle_noted(key);
         }
-        self.settle_noted(key);
     }
 
     fn settle_noted(&mut self, key: WorkerKey) {
@@ -180,9 +187,9 @@
             .copied()
             .filter(|attempt| !listed.contains(attempt))
             .filter(|attempt| match self.attempts[*attempt].state {
-                AttemptState::Running { since_ms }
-                | AttemptState::Fenced { since_ms }
-                => since_ms < sent_ms,
+                AttemptState::Running { since_ms } | AttemptState::Fenced { since_ms } => {
+                    since_ms < sent_ms
+                }
                 AttemptState::Inherited { since_ms } => since_ms <= sent_ms,
                 _ => false,
             })
--- a/crates/cell/src/core/intake.rs
+++ b/crates/cell/src/core/intake.rs
@@ -14,7 +14,8 @@
         if self.job_ids.contains_key(&record.id) {
             return;
         }
-        let detail = format!("queue={} team={} steps={}", record.queue, record.team, record.steps.len());
+        let detail =
+            format!("queue={} team={} steps={}", record.queue, record.team, record.steps.len());
         self.note("job_taken", &record.id, detail);
         let key = self.insert(record);
         self.live.push(key);
@@ -84,9 +85,7 @@
         if index >= self.jobs[phase.job].phases[phase.phase].tasks.len() {
             return;
         }
-        let Some(worker) = self.find_incarnation(&stored.worker, stored.incarnation) else {
-            return;
-        };
+        let worker = self.find_worker(&stored.worker, stored.incarnation);
         let since_ms = self.time.now_ms;
         let state = AttemptState::Inherited { since_ms };
         self.insert_attempt(phase, index, stored.attempt, worker, state);
--- a/crates/cell/src/core/orders.rs
+++ b/crates/cell/src/core/orders.rs
@@ -136,11 +136,10 @@
                 self.workers[worker].avoid_until_ms = now_ms + UNHEALTHY_PENALTY_MS;
                 self.workers[worker].strikes += 1;
             }
-            StartRefusal::Incarnation => {
-                self.clear_restarted(worker);
-                return;
-            }
-            StartRefusal::Full | StartRefusal::Late | StartRefusal::Fenced => {
+            StartRefusal::Incarnation
+            | StartRefusal::Full
+            | StartRefusal::Late
+            | StartRefusal::Fenced => {
                 self.workers[worker].avoid_until_ms = now_ms + UNHEALTHY_PENALTY_MS;
             }
             StartRefusal::Stale | StartRefusal::Invalid => {}
@@ -148,18 +147,6 @@
         self.withdraw_attempt(key);
     }
 
-    /// Takes in that another incarnation answers for a worker: all that it ran is gone, and it
-    /// gets no work until the list of workers shows the new incarnation.
-    pub(super) fn clear_restarted(&mut self, key: WorkerKey) {
-        let worker = &mut self.workers[key];
-        worker.is_fenced_in = false;
-        worker.clock = None;
-        let attempts: Vec<AttemptKey> = worker.attempts.values().copied().collect();
-        for attempt in attempts {
-            self.lose_attempt(attempt);
-        }
-    }
-
     /// Stops an attempt that was confirmed after it was no longer wanted.
     pub(super) fn stop_if_unwanted(&mut self, key: AttemptKey) {
         let Some(attempt) = self.attempts.get(key) else { return };
--- a/crates/cell/src/core/place.rs
+++ b/crates/cell/src/core/place.rs
@@ -169,7 +169,13 @@
         plans.max_by_key(Vec::len).unwrap_or_default()
     }
 
-    fn takes(&self, entry: &PhaseEntry, step: &StepSpec, key: WorkerKey, taken: &TakenRoom) -> bool {
+    fn takes(
+        &self,
+        entry: &PhaseEntry,
+        step: &StepSpec,
+        key: WorkerKey,
+        taken: &TakenRoom,
+    ) -> bool {
         let worker = &self.workers[key];
         let (room, tasks) = taken.get(&key).copied().unwrap_or_default();
         if step.max_per_worker > 0 {
@@ -188,7 +194,8 @@
         }
         let entry = &self.jobs[phase.job].phases[phase.phase];
         let is_idle = |task: &crate::table::TaskEntry| !task.is_done && task.attempt.is_none();
-        let idle: Vec<usize> = (0..entry.tasks.len()).filter(|i| is_idle(&entry.tasks[*i])).collect();
+        let idle: Vec<usize> =
+            (0..entry.tasks.len()).filter(|i| is_idle(&entry.tasks[*i])).collect();
         let gang_number = entry.tasks.iter().map(|task| task.last_number).max().unwrap_or(0) + 1;
         let is_gang = self.jobs[phase.job].record.steps[entry.step].is_gang;
         for (index, worker) in idle.into_iter().zip(plan) {
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -33,15 +33,16 @@
             self.insert_worker(report);
             return;
         };
-        let known = self.workers[key].report.incarnation;
-        if report.incarnation > known {
-            self.bury_worker(key, "another incarnation");
-            self.insert_worker(report);
-        } else if report.incarnation == known {
-            let worker = &mut self.workers[key];
-            worker.is_listed = true;
-            worker.report = report;
+        let worker = &mut self.workers[key];
+        if report.incarnation < worker.report.incarnation {
+            return;
         }
+        if report.incarnation > worker.report.incarnation {
+            worker.restart(report.incarnation);
+            worker.next_hold_ms = 0;
+        }
+        worker.is_listed = true;
+        worker.report = report;
     }
 
     fn insert_worker(&mut self, report: WorkerReport) -> WorkerKey {
@@ -53,20 +54,19 @@
         key
     }
 
-    /// Finds the entry of an incarnation that a former leader used; `None` if it is over.
-    pub(super) fn find_incarnation(&mut self, id: &str, incarnation: u64) -> Option<WorkerKey> {
+    /// Finds the entry of a worker that a former leader used.
+    pub(super) fn find_worker(&mut self, id: &str, incarnation: u64) -> WorkerKey {
         if let Some(&key) = self.worker_ids.get(id) {
-            let known = self.workers[key].report.incarnation;
-            return (known <= incarnation).then_some(key);
+            return key;
         }
         let report = WorkerReport { id: id.to_owned(), incarnation, ..WorkerReport::default() };
         let key = self.insert_worker(report);
         self.workers[key].is_listed = false;
-        Some(key)
+        key
     }
 
     /// Takes in that an incarnation is over and nothing runs on it.
-    pub(super) fn bury_worker(&mut self, key: WorkerKey, why: &str) {
+    fn bury_worker(&mut self, key: WorkerKey, why: &str) {
         self.clear_worker(key, why);
         if let Some(worker) = self.workers.remove(key)
             && self.worker_ids.get(&worker.report.id) == Some(&key)
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -1,8 +1,10 @@
 //! What goes into the scheduler and what comes out of it.
 
 use {
-    crate::{AskKey, AttemptKey, CellConfig, JobKey, JobRecord, JobState, ProgressRecord, ResourceSet,
-        WorkerKey},
+    crate::{
+        AskKey, AttemptKey, CellConfig, JobKey, JobRecord, JobState, ProgressRecord, ResourceSet,
+        WorkerKey,
+    },
     std::sync::Arc,
 };
 
--- a/crates/cell/src/table/job.rs
+++ b/crates/cell/src/table/job.rs
@@ -11,8 +11,8 @@
 pub(crate) enum AfterCommit {
     /// An attempt may be sent.
     Send(AttemptKey),
-    /// An end may be acknowledged to its worker.
-    Note(WorkerKey),
+    /// An end may be acknowledged to this incarnation of its worker.
+    Note(WorkerKey, u64),
     /// A caller may be told that its cancellation holds.
     Reply(u64),
 }
--- a/crates/cell/src/table/phase.rs
+++ b/crates/cell/src/table/phase.rs
@@ -87,8 +87,7 @@
             if task.is_done {
                 done[index / 8] |= 1 << (index % 8);
             } else if task.last_number > 0 {
-                let (worker, incarnation) =
-                    task.attempt.and_then(&locate).unwrap_or_default();
+                let (worker, incarnation) = task.attempt.and_then(&locate).unwrap_or_default();
                 tasks.push(TaskProgress {
                     index: u32::try_from(index).unwrap_or(u32::MAX),
                     attempt: task.last_number,
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -73,6 +73,22 @@
         }
     }
 
+    /// Takes in that another incarnation answers under the same id. What may run there is kept
+    /// until that incarnation has listed what it runs: an order meant for the former one may have
+    /// reached this one.
+    pub(crate) fn restart(&mut self, incarnation: u64) {
+        self.inherited_until_ms = self.lapse_ms();
+        self.report.incarnation = incarnation;
+        self.is_fenced_in = false;
+        self.clock = None;
+        self.deadline_ms = 0;
+        self.last_seen = 0;
+        self.last_noted = 0;
+        self.last_told = 0;
+        self.unnoted = 0;
+        self.strikes = 0;
+    }
+
     /// Takes in what the worker's clock showed.
     pub(crate) fn read_clock(&mut self, clock_ms: u64, now_ms: u64) {
         self.clock = Some(ClockReading { clock_ms, at_ms: now_ms });
--- /dev/null
+++ b/crates/cellnode/src/entry.rs
@@ -0,0 +1,205 @@
+//! What a daemon does for callers: accept, tell the state, cancel, count.
+
+use {
+    crate::{
+        CellStore, ChangeAnswer, StoreChange, StoreFault, StorePut, boot_ms,
+        frame::{EntryBody, LeaderBody},
+        link::LeaderLink,
+        rows::{job_key, progress_key},
+    },
+    damaskrack_cell::{CellConfig, JobRecord, JobState, ProgressRecord, QueueConfig},
+    prost::Message,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{sync::watch, time::sleep},
+};
+
+/// Longest wait for the leader, in milliseconds.
+const LEADER_LIMIT_MS: u64 = 700;
+/// Longest wait until a cancellation is durable, in milliseconds.
+const CANCEL_LIMIT_MS: u64 = 1_800;
+/// Wait before a write without an answer is sent again, in milliseconds.
+const WRITE_RETRY_MS: u64 = 40;
+
+/// Why a call is not served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EntryRefusal {
+    /// No configuration has been read yet, or it may be outdated. Nothing was done.
+    Unready,
+    /// No queue has this host name and path.
+    NoQueue,
+    /// The key stands for no team.
+    BadKey,
+    /// It could not be served within its time. Nothing was done.
+    Unavailable,
+    /// There is no answer from the store; the call may have taken effect.
+    Unknown,
+    /// The cell could not do the job in time; come back after so many seconds. Nothing was done.
+    Overloaded {
+        /// Seconds to wait.
+        retry_after_s: u64,
+    },
+}
+
+/// A caller's right to use a queue.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EntryAccess {
+    /// The queue.
+    pub queue: QueueConfig,
+    /// The team; empty for a caller without a key at an open queue.
+    pub team: String,
+}
+
+/// The caller-facing part of a daemon.
+pub struct EntryService {
+    pub(crate) store: Arc<dyn CellStore>,
+    pub(crate) link: Arc<LeaderLink>,
+    pub(crate) config: watch::Receiver<Arc<CellConfig>>,
+    /// When the configuration was known to be the newest, in milliseconds since the host's boot.
+    pub(crate) fresh_ms: Arc<AtomicU64>,
+    /// Age from which the configuration counts as outdated, in milliseconds.
+    pub(crate) max_age_ms: u64,
+    pub(crate) is_leaving: Arc<AtomicBool>,
+}
+
+impl std::fmt::Debug for EntryService {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("EntryService")
+    }
+}
+
+impl EntryService {
+    /// Tells whether new callers should come here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.is_fresh() && !self.is_leaving() && self.link.is_connected()
+    }
+
+    /// Tells whether the daemon is shutting down.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Relaxed)
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn config(&self) -> Arc<CellConfig> {
+        self.config.borrow().clone()
+    }
+
+    fn is_fresh(&self) -> bool {
+        let age_ms = boot_ms().saturating_sub(self.fresh_ms.load(Ordering::Relaxed));
+        age_ms <= self.max_age_ms && self.config.borrow().version > 0
+    }
+
+    /// Finds the queue of a call and the team of its key.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the call is not allowed.
+    pub fn admit(&self, host: &str, path: &str, key: &str) -> Result<EntryAccess, EntryRefusal> {
+        if !self.is_fresh() {
+            return Err(EntryRefusal::Unready);
+        }
+        let config = self.config.borrow();
+        let queue = config.find_queue(host, path).ok_or(EntryRefusal::NoQueue)?;
+        let team = match config.key_teams.get(key) {
+            Some(team) => team.clone(),
+            None if queue.is_open => String::new(),
+            None => return Err(EntryRefusal::BadKey),
+        };
+        Ok(EntryAccess { queue: queue.clone(), team })
+    }
+
+    /// Accepts a job: it is durable when this returns.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it is not, or not known to be, accepted.
+    pub async fn submit(&self, job: JobRecord, limit_ms: u64) -> Result<(), EntryRefusal> {
+        let change = StoreChange {
+            expected: vec![(job_key(&job.id), 0), (progress_key(&job.id), 0)],
+            puts: vec![StorePut { key: job_key(&job.id), value: job.encode_to_vec(), lease: 0 }],
+            removals: Vec::new(),
+        };
+        let until_ms = boot_ms() + limit_ms;
+        let mut may_be_written = false;
+        loop {
+            match self.store.change(&change).await {
+                // A conflict shows that the same job is accepted already.
+                Ok(ChangeAnswer::Done(_) | ChangeAnswer::Conflict(_)) => break,
+                Ok(ChangeAnswer::NoLease) => return Err(EntryRefusal::Unavailable),
+                Err(StoreFault::Refused | StoreFault::Compacted) => {}
+                Err(StoreFault::Unknown) => may_be_written = true,
+            }
+            if boot_ms() + WRITE_RETRY_MS >= until_ms {
+                return Err(match may_be_written {
+                    true => EntryRefusal::Unknown,
+                    false => EntryRefusal::Unavailable,
+                });
+            }
+            sleep(Duration::from_millis(WRITE_RETRY_MS)).await;
+        }
+        self.link.tell(EntryBody::Accepted(job));
+        Ok(())
+    }
+
+    /// Returns the state of a job, or `None` if there is no such job.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it cannot be told.
+    pub async fn state(&self, id: &str) -> Result<Option<JobState>, EntryRefusal> {
+        let answer = self.link.ask(EntryBody::State(id.to_owned()), LEADER_LIMIT_MS).await;
+        match answer {
+            Some(LeaderBody::State(state)) if state >= 0 => Ok(JobState::try_from(state).ok()),
+            _ => self.stored_state(id).await,
+        }
+    }
+
+    async fn stored_state(&self, id: &str) -> Result<Option<JobState>, EntryRefusal> {
+        let read = |key: String| async move {
+            self.store.get(&key).await.map_err(|_| EntryRefusal::Unavailable)
+        };
+        if let Some(item) = read(progress_key(id)).await? {
+            let row = ProgressRecord::decode(item.value.as_slice());
+            return Ok(row.ok().map(|row| row.state()));
+        }
+        Ok(read(job_key(id)).await?.map(|_| JobState::Queued))
+    }
+
+    /// Cancels a job; it is durable when this returns. `None` if there is no such job.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it is not known to be cancelled.
+    pub async fn cancel(&self, id: &str) -> Result<Option<JobState>, EntryRefusal> {
+        let answer = self.link.ask(EntryBody::Cancel(id.to_owned()), CANCEL_LIMIT_MS).await;
+        match answer {
+            Some(LeaderBody::State(state)) if state >= 0 => Ok(JobState::try_from(state).ok()),
+            Some(LeaderBody::State(_)) => match self.stored_state(id).await? {
+                // Accepted a moment ago: the leader is about to hear of it.
+                Some(_) => Err(EntryRefusal::Unavailable),
+                None => Ok(None),
+            },
+            _ => Err(EntryRefusal::Unknown),
+        }
+    }
+
+    /// Returns the number of jobs of a queue of which nothing has started.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it cannot be told.
+    pub async fn pending(&self, queue: &str) -> Result<u64, EntryRefusal> {
+        match self.link.ask(EntryBody::Pending(queue.to_owned()), LEADER_LIMIT_MS).await {
+            Some(LeaderBody::Pending(count)) => Ok(count),
+            _ => Err(EntryRefusal::Unavailable),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cellnode/src/frame.rs
@@ -0,0 +1,129 @@
+//! What daemons and the leader send one another: length-delimited `prost` messages.
+
+use {
+    bytes::{Bytes, BytesMut},
+    damaskrack_cell::JobRecord,
+    prost::Message,
+    tokio_util::codec::LengthDelimitedCodec,
+};
+
+/// Longest frame, in bytes.
+const MAX_FRAME_BYTES: usize = 2 << 20;
+
+/// A question of a daemon to the leader, or its answer to one.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct EntryFrame {
+    /// Number of the call that the answer names.
+    #[prost(uint64, tag = "1")]
+    pub(crate) call: u64,
+    #[prost(oneof = "EntryBody", tags = "2, 3, 4, 5, 6, 7")]
+    pub(crate) body: Option<EntryBody>,
+}
+
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub(crate) enum EntryBody {
+    /// First frame of a connection: the daemon's id. Also sent as a heartbeat.
+    #[prost(uint64, tag = "2")]
+    Hello(u64),
+    /// A job was accepted and is durable.
+    #[prost(message, tag = "3")]
+    Accepted(JobRecord),
+    /// Asks for the state of a job.
+    #[prost(string, tag = "4")]
+    State(String),
+    /// Asks to cancel a job.
+    #[prost(string, tag = "5")]
+    Cancel(String),
+    /// Asks for the number of jobs of a queue of which nothing has started.
+    #[prost(string, tag = "6")]
+    Pending(String),
+    /// What the adviser answered.
+    #[prost(message, tag = "7")]
+    Advice(AdviceFrame),
+}
+
+/// The adviser's answer.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct AdviceFrame {
+    /// The leader's key of the call.
+    #[prost(uint64, tag = "1")]
+    pub(crate) ask: u64,
+    /// The adviser answered at all.
+    #[prost(bool, tag = "2")]
+    pub(crate) is_answered: bool,
+    /// Ids of the workers that may run the step.
+    #[prost(string, repeated, tag = "3")]
+    pub(crate) workers: Vec<String>,
+    /// Their tickets.
+    #[prost(string, repeated, tag = "4")]
+    pub(crate) tickets: Vec<String>,
+}
+
+/// An answer of the leader, or its question.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct LeaderFrame {
+    /// Number of the call that is answered; 0 for none.
+    #[prost(uint64, tag = "1")]
+    pub(crate) call: u64,
+    #[prost(oneof = "LeaderBody", tags = "2, 3, 4, 5")]
+    pub(crate) body: Option<LeaderBody>,
+}
+
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub(crate) enum LeaderBody {
+    /// State of a job; -1 if there is no such job.
+    #[prost(int32, tag = "2")]
+    State(i32),
+    /// A number of jobs.
+    #[prost(uint64, tag = "3")]
+    Pending(u64),
+    /// Asks the daemon to ask the adviser.
+    #[prost(message, tag = "4")]
+    Ask(AskFrame),
+    /// How much work waits; also a heartbeat.
+    #[prost(message, tag = "5")]
+    Pressure(PressureFrame),
+}
+
+/// A question for the adviser.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct AskFrame {
+    /// The leader's key of the call.
+    #[prost(uint64, tag = "1")]
+    pub(crate) ask: u64,
+    /// Name of the step.
+    #[prost(string, tag = "2")]
+    pub(crate) phase: String,
+    /// Ids of the workers.
+    #[prost(string, repeated, tag = "3")]
+    pub(crate) workers: Vec<String>,
+    /// How long the adviser works on it, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub(crate) expected_ms: u64,
+}
+
+/// How much work waits.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct PressureFrame {
+    /// Work that waits by priority class, in milliseconds of a core.
+    #[prost(uint64, repeated, tag = "1")]
+    pub(crate) waiting_core_ms: Vec<u64>,
+    /// Processor of all workers, in thousandths of a core.
+    #[prost(uint64, tag = "2")]
+    pub(crate) capacity_millis: u64,
+}
+
+/// Makes the codec of a connection.
+pub(crate) fn frame_codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
+}
+
+/// Encodes a frame.
+pub(crate) fn encode(frame: &impl Message) -> Bytes {
+    frame.encode_to_vec().into()
+}
+
+/// Decodes a frame; `None` if it cannot be read.
+pub(crate) fn decode<M: Message + Default>(bytes: BytesMut) -> Option<M> {
+    M::decode(bytes.freeze()).ok()
+}
--- /dev/null
+++ b/crates/cellnode/src/leader.rs
@@ -0,0 +1,509 @@
+//! The leader: runs the scheduler core and carries out what it decides.
+//!
+//! A leader is deposed by the guard of its writes, never by its own clock alone. Two bounds are
+//! the clock's: it sends nothing to workers once it could not show for [`ISOLATION_MS`] after its
+//! lease that it still leads, and a successor takes the attempts on a worker that it cannot reach
+//! for running until the leases that such a leader may have renewed are over.
+
+use {
+    crate::{
+        CellStore, PlatformCodec, StoreChange, StoreFault, StoreItem, StorePut, WorkerGateway,
+        boot_ms,
+        follow::{ItemSink, follow_prefix, read_all},
+        frame::{AskFrame, EntryBody, LeaderBody, PressureFrame},
+        guard::{GuardWriter, WriteResult},
+        hub::{SessionFrame, SessionHub},
+        rows::{JOB_PREFIX, PROGRESS_PREFIX, job_key, progress_key},
+        unix_ms,
+    },
+    damaskrack_cell::{
+        AskKey, CellAction, CellConfig, CellCore, CellInput, CellSettings, CommitOrder, JobRecord,
+        ProgressRecord, StopOrder, WorkerReport, WorkerTicket,
+    },
+    prost::Message,
+    rustc_hash::FxHashMap,
+    slog::{Logger, info, warn},
+    slotmap::{Key, KeyData},
+    std::{
+        collections::BTreeMap,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+    tokio::{
+        sync::{mpsc, watch},
+        task::JoinSet,
+        time::{Instant, sleep, sleep_until},
+    },
+};
+
+/// Time to live of the leader's lease, in milliseconds.
+pub(crate) const LEASE_TTL_MS: u64 = 2_000;
+/// Time after the end of its lease for which a leader goes on without the store, in milliseconds.
+pub(crate) const ISOLATION_MS: u64 = 4_000;
+/// Time between two renewals of the lease, in milliseconds.
+const KEEP_INTERVAL_MS: u64 = 600;
+/// Longest wait of a watch on workers or jobs, in milliseconds.
+const WATCH_WAIT_MS: u64 = 10_000;
+/// Time between two calls that watch the workers, in milliseconds.
+const WORKER_PAUSE_MS: u64 = 150;
+/// Time between two calls that watch the accepted jobs, in milliseconds. Daemons tell the leader
+/// of each job at once; the watch finds those whose message was lost.
+const JOB_PAUSE_MS: u64 = 700;
+/// Time between two reports to all daemons, in milliseconds.
+const REPORT_INTERVAL_MS: u64 = 400;
+/// Time beyond the adviser's own after which an answer no longer comes, in milliseconds.
+const ASK_MARGIN_MS: u64 = 1_200;
+/// Inputs that wait for the core.
+const INPUT_QUEUE: usize = 16_384;
+
+/// What a leader needs.
+#[derive(Clone)]
+pub(crate) struct LeaderParts {
+    pub(crate) store: Arc<dyn CellStore>,
+    pub(crate) workers: Arc<dyn WorkerGateway>,
+    pub(crate) codec: Arc<dyn PlatformCodec>,
+    pub(crate) hub: Arc<SessionHub>,
+    pub(crate) config: watch::Receiver<Arc<CellConfig>>,
+    pub(crate) settings: CellSettings,
+    pub(crate) logger: Logger,
+}
+
+/// When it was last shown that this daemon leads, in milliseconds since the host's boot.
+type ProofTime = Arc<Mutex<u64>>;
+
+/// Inputs of the core, and the end of its time.
+enum LeaderEvent {
+    Input(CellInput),
+    Deposed,
+}
+
+struct LeaderRun {
+    parts: LeaderParts,
+    core: CellCore,
+    token: u64,
+    events: mpsc::Sender<LeaderEvent>,
+    commits: mpsc::Sender<CommitOrder>,
+    proof: ProofTime,
+    /// Sessions and calls that wait for a cancellation, by the core's handle.
+    replies: FxHashMap<u64, (u64, u64)>,
+    last_reply: u64,
+    tasks: JoinSet<()>,
+}
+
+/// Leads until another daemon does, or until `stop` is set.
+pub(crate) async fn lead(
+    parts: LeaderParts,
+    guard: GuardWriter,
+    lease: u64,
+    mut stop: watch::Receiver<bool>,
+) {
+    let (events, mut inbox) = mpsc::channel(INPUT_QUEUE);
+    let (commits, commit_inbox) = mpsc::channel(4);
+    let (renewals, renewal_inbox) = mpsc::channel(4);
+    let proof: ProofTime = Arc::new(Mutex::new(boot_ms()));
+    let mut run = LeaderRun {
+        core: CellCore::new(parts.settings.clone()),
+        token: guard.leader.term,
+        events: events.clone(),
+        commits,
+        proof: proof.clone(),
+        replies: FxHashMap::default(),
+        last_reply: 0,
+        tasks: JoinSet::new(),
+        parts,
+    };
+    let parts = run.parts.clone();
+    let mut sessions = parts.hub.open();
+    let writer = write_commits(guard, commit_inbox, renewal_inbox, events.clone(), proof.clone());
+    run.tasks.spawn(writer);
+    run.tasks.spawn(keep_lease(parts.clone(), lease, renewals, proof));
+    let loaded = tokio::select! {
+        loaded = run.load() => loaded,
+        _ = stop.changed() => false,
+    };
+    if loaded {
+        info!(parts.logger, "leading"; "term" => run.token);
+        run.follow();
+        tokio::select! {
+            () = run.work(&mut inbox, &mut sessions) => {}
+            _ = stop.changed() => {}
+        }
+    }
+    info!(parts.logger, "leading_ended"; "term" => run.token);
+    parts.hub.close();
+    run.tasks.shutdown().await;
+}
+
+impl LeaderRun {
+    /// Reads what former leaders left in the store; `false` if this daemon no longer leads.
+    async fn load(&mut self) -> bool {
+        let began_ms = boot_ms();
+        let workers = self.read_rows(self.parts.codec.worker_prefix().to_owned()).await;
+        let jobs = self.read_rows(JOB_PREFIX.to_owned()).await;
+        let progress = self.read_rows(PROGRESS_PREFIX.to_owned()).await;
+        self.core.set_time(boot_ms(), unix_ms());
+        let config = self.parts.config.borrow_and_update().clone();
+        self.core.apply(CellInput::Config(config));
+        let codec = &self.parts.codec;
+        let reports = workers.iter().filter_map(|item| codec.read_worker(&item.key, &item.value));
+        self.core.apply(CellInput::Workers(reports.collect()));
+        let rows: FxHashMap<&str, ProgressRecord> = progress
+            .iter()
+            .filter_map(|item| {
+                let id = item.key.strip_prefix(PROGRESS_PREFIX)?;
+                Some((id, ProgressRecord::decode(item.value.as_slice()).ok()?))
+            })
+            .collect();
+        for item in &jobs {
+            match JobRecord::decode(item.value.as_slice()) {
+                Ok(record) => {
+                    let row = rows.get(record.id.as_str());
+                    self.core.restore(record, row);
+                }
+                Err(error) => {
+                    warn!(self.parts.logger, "row_unreadable"; "key" => &item.key, "error" => %error);
+                }
+            }
+        }
+        info!(self.parts.logger, "state_read"; "jobs" => jobs.len(), "progress" => progress.len(),
+            "workers" => workers.len(), "took_ms" => boot_ms() - began_ms);
+        self.is_proven()
+    }
+
+    async fn read_rows(&self, prefix: String) -> Vec<StoreItem> {
+        loop {
+            match read_all(self.parts.store.as_ref(), &prefix).await {
+                Ok((items, _)) => return items,
+                Err(fault) => {
+                    warn!(self.parts.logger, "read_failed"; "prefix" => &prefix, "fault" => ?fault);
+                    sleep(Duration::from_millis(100)).await;
+                }
+            }
+        }
+    }
+
+    /// Starts to follow workers and jobs.
+    fn follow(&mut self) {
+        let (parts, events) = (self.parts.clone(), self.events.clone());
+        self.tasks.spawn(async move {
+            let mut sink = WorkerSink::new(parts.codec.clone(), events);
+            let prefix = parts.codec.worker_prefix();
+            let pace = (WATCH_WAIT_MS, WORKER_PAUSE_MS);
+            follow_prefix(parts.store.as_ref(), prefix, pace, &mut sink, &parts.logger).await;
+        });
+        let (parts, events) = (self.parts.clone(), self.events.clone());
+        self.tasks.spawn(async move {
+            let mut sink = JobSink { events };
+            let pace = (WATCH_WAIT_MS, JOB_PAUSE_MS);
+            follow_prefix(parts.store.as_ref(), JOB_PREFIX, pace, &mut sink, &parts.logger).await;
+        });
+    }
+
+    /// Runs the core until this daemon no longer leads.
+    async fn work(
+        &mut self,
+        inbox: &mut mpsc::Receiver<LeaderEvent>,
+        sessions: &mut mpsc::Receiver<SessionFrame>,
+    ) {
+        let mut config = self.parts.config.clone();
+        let mut next_report_ms = 0;
+        loop {
+            let now_ms = boot_ms();
+            if !self.is_proven() {
+                warn!(self.parts.logger, "leading_unproven"; "term" => self.token);
+                return;
+            }
+            for action in self.core.tick(now_ms, unix_ms()) {
+                self.carry_out(action).await;
+            }
+            if now_ms >= next_report_ms {
+                next_report_ms = now_ms + REPORT_INTERVAL_MS;
+                self.report();
+            }
+            let next_ms = self.core.next_tick_ms().min(next_report_ms).max(now_ms + 1);
+            let wake = Instant::now() + Duration::from_millis(next_ms - now_ms);
+            self.core.set_time(boot_ms(), unix_ms());
+            tokio::select! {
+                event = inbox.recv() => match event {
+                    Some(LeaderEvent::Input(input)) => self.core.apply(input),
+                    Some(LeaderEvent::Deposed) | None => return,
+                },
+                frame = sessions.recv() => {
+                    if let Some(frame) = frame { self.take_frame(frame) }
+                }
+                Ok(()) = config.changed() => {
+                    let config = config.borrow_and_update().clone();
+                    self.core.apply(CellInput::Config(config));
+                }
+                () = sleep_until(wake) => continue,
+            }
+            self.core.set_time(boot_ms(), unix_ms());
+            while let Ok(event) = inbox.try_recv() {
+                match event {
+                    LeaderEvent::Input(input) => self.core.apply(input),
+                    LeaderEvent::Deposed => return,
+                }
+            }
+            while let Ok(frame) = sessions.try_recv() {
+                self.take_frame(frame);
+            }
+        }
+    }
+
+    /// Tells whether a successor cannot yet have taken this daemon's attempts for lapsed.
+    fn is_proven(&self) -> bool {
+        let proven_ms = *self.proof.lock().unwrap_or_else(PoisonError::into_inner);
+        boot_ms().saturating_sub(proven_ms) < LEASE_TTL_MS + ISOLATION_MS
+    }
+
+    fn report(&mut self) {
+        self.core.apply(CellInput::Askers(self.parts.hub.daemons()));
+        let pressure = self.core.pressure();
+        let frame = PressureFrame {
+            waiting_core_ms: pressure.waiting_core_ms,
+            capacity_millis: pressure.capacity_millis,
+        };
+        self.parts.hub.broadcast(&LeaderBody::Pressure(frame));
+    }
+
+    fn take_frame(&mut self, SessionFrame { session, frame }: SessionFrame) {
+        let hub = &self.parts.hub;
+        match frame.body {
+            Some(EntryBody::Hello(_)) => {
+                let ids = hub.daemons();
+                self.core.apply(CellInput::Askers(ids));
+            }
+            Some(EntryBody::Accepted(record)) => self.core.apply(CellInput::Accepted(record)),
+            Some(EntryBody::State(id)) => {
+                let state = self.core.state_of(&id).map_or(-1, |state| state as i32);
+                hub.send(session, frame.call, LeaderBody::State(state));
+            }
+            Some(EntryBody::Pending(queue)) => {
+                let count = self.core.pressure().pending.get(&queue).copied().unwrap_or(0);
+                hub.send(session, frame.call, LeaderBody::Pending(count));
+            }
+            Some(EntryBody::Cancel(id)) => {
+                self.last_reply += 1;
+                self.replies.insert(self.last_reply, (session, frame.call));
+                self.core.apply(CellInput::Cancel { id, reply: self.last_reply });
+            }
+            Some(EntryBody::Advice(answer)) => {
+                let tickets = answer.workers.into_iter().zip(answer.tickets);
+                let allowed = tickets.map(|(worker, ticket)| WorkerTicket { worker, ticket });
+                let allowed = answer.is_answered.then(|| allowed.collect());
+                let ask = AskKey::from(KeyData::from_ffi(answer.ask));
+                self.core.apply(CellInput::Advice { ask, allowed });
+            }
+            None => {}
+        }
+    }
+
+    async fn carry_out(&mut self, action: CellAction) {
+        match action {
+            CellAction::Start(order) => {
+                let (workers, events, token) = self.gateway();
+                tokio::spawn(async move {
+                    let (outcome, clock_ms) = workers.start(&order, token).await;
+                    let attempt = order.attempt;
+                    send(&events, CellInput::Start { attempt, outcome, clock_ms }).await;
+                });
+            }
+            CellAction::Stop(order) => self.stop(order),
+            CellAction::Hold(order) => {
+                let (workers, events, token) = self.gateway();
+                tokio::spawn(async move {
+                    let outcome = workers.hold(&order, token).await;
+                    send(&events, CellInput::Hold { worker: order.worker, outcome }).await;
+                });
+            }
+            CellAction::Ask(order) => {
+                let (hub, events) = (self.parts.hub.clone(), self.events.clone());
+                let limit = Duration::from_millis(order.expected_ms + ASK_MARGIN_MS);
+                let frame = AskFrame {
+                    ask: order.ask.data().as_ffi(),
+                    phase: order.phase,
+                    workers: order.workers,
+                    expected_ms: order.expected_ms,
+                };
+                hub.send_to_daemon(order.asker, LeaderBody::Ask(frame));
+                tokio::spawn(async move {
+                    sleep(limit).await;
+                    send(&events, CellInput::Advice { ask: order.ask, allowed: None }).await;
+                });
+            }
+            CellAction::Commit(order) => {
+                // The writer takes one commit at a time and the core sends one at a time.
+                let _ = self.commits.send(order).await;
+            }
+            CellAction::Reply { reply, state } => {
+                if let Some((session, call)) = self.replies.remove(&reply) {
+                    let state = state.map_or(-1, |state| state as i32);
+                    self.parts.hub.send(session, call, LeaderBody::State(state));
+                }
+            }
+            CellAction::Note(note) => {
+                info!(self.parts.logger, "{}", note.event; "subject" => note.subject,
+                    "detail" => note.detail);
+            }
+        }
+    }
+
+    fn stop(&self, order: StopOrder) {
+        let (workers, events, token) = self.gateway();
+        tokio::spawn(async move {
+            let is_acknowledged = workers.stop(&order, token).await;
+            send(&events, CellInput::Stop { attempt: order.attempt, is_acknowledged }).await;
+        });
+    }
+
+    fn gateway(&self) -> (Arc<dyn WorkerGateway>, mpsc::Sender<LeaderEvent>, u64) {
+        (self.parts.workers.clone(), self.events.clone(), self.token)
+    }
+}
+
+/// Sends an input to a core that may be gone by now.
+async fn send(events: &mpsc::Sender<LeaderEvent>, input: CellInput) {
+    let _ = events.send(LeaderEvent::Input(input)).await;
+}
+
+/// Writes commits, and the leader's row when its lease has ended.
+async fn write_commits(
+    mut guard: GuardWriter,
+    mut commits: mpsc::Receiver<CommitOrder>,
+    mut renewals: mpsc::Receiver<u64>,
+    events: mpsc::Sender<LeaderEvent>,
+    proof: ProofTime,
+) {
+    loop {
+        let (result, is_commit) = tokio::select! {
+            order = commits.recv() => {
+                let Some(order) = order else { return };
+                (guard.write(commit_change(&order)).await, true)
+            }
+            lease = renewals.recv() => {
+                let Some(lease) = lease else { return };
+                (guard.renew_leader(lease).await, false)
+            }
+        };
+        match result {
+            WriteResult::Done { asked_ms } => {
+                *proof.lock().unwrap_or_else(PoisonError::into_inner) = asked_ms;
+                if is_commit {
+                    send(&events, CellInput::Committed).await;
+                }
+            }
+            WriteResult::NoLease => {}
+            WriteResult::Deposed => {
+                let _ = events.send(LeaderEvent::Deposed).await;
+                return;
+            }
+        }
+    }
+}
+
+fn commit_change(order: &CommitOrder) -> StoreChange {
+    let put = |(id, row): &(String, ProgressRecord)| StorePut {
+        key: progress_key(id),
+        value: row.encode_to_vec(),
+        lease: 0,
+    };
+    let removals = order.removals.iter().flat_map(|id| [job_key(id), progress_key(id)]);
+    StoreChange {
+        expected: Vec::new(),
+        puts: order.rows.iter().map(put).collect(),
+        removals: removals.collect(),
+    }
+}
+
+/// Keeps the lease, and asks for the leader's row to be written anew once it has ended.
+async fn keep_lease(
+    parts: LeaderParts,
+    mut lease: u64,
+    renewals: mpsc::Sender<u64>,
+    proof: ProofTime,
+) {
+    loop {
+        sleep(Duration::from_millis(KEEP_INTERVAL_MS)).await;
+        let asked_ms = boot_ms();
+        match parts.store.keep(lease).await {
+            Ok(true) => *proof.lock().unwrap_or_else(PoisonError::into_inner) = asked_ms,
+            Ok(false) => {
+                info!(parts.logger, "lease_ended"; "lease" => lease);
+                if let Ok(granted) = parts.store.grant(LEASE_TTL_MS).await {
+                    lease = granted;
+                    let _ = renewals.send(lease).await;
+                }
+            }
+            Err(fault) => warn!(parts.logger, "lease_not_kept"; "fault" => ?fault),
+        }
+    }
+}
+
+/// Follows the workers.
+struct WorkerSink {
+    codec: Arc<dyn PlatformCodec>,
+    events: mpsc::Sender<LeaderEvent>,
+    reports: BTreeMap<String, WorkerReport>,
+    is_changed: bool,
+}
+
+impl WorkerSink {
+    fn new(codec: Arc<dyn PlatformCodec>, events: mpsc::Sender<LeaderEvent>) -> Self {
+        Self { codec, events, reports: BTreeMap::new(), is_changed: false }
+    }
+}
+
+impl ItemSink for WorkerSink {
+    fn replace(&mut self, items: Vec<StoreItem>) {
+        self.reports.clear();
+        items.into_iter().for_each(|item| self.update(item));
+        self.is_changed = true;
+    }
+
+    fn update(&mut self, item: StoreItem) {
+        let report = match item.is_deleted {
+            true => None,
+            false => self.codec.read_worker(&item.key, &item.value),
+        };
+        let is_same = self.reports.get(&item.key) == report.as_ref();
+        self.is_changed |= !is_same;
+        match report {
+            Some(report) => self.reports.insert(item.key, report),
+            None => self.reports.remove(&item.key),
+        };
+    }
+
+    fn settle(&mut self, _asked_ms: u64) {
+        if std::mem::take(&mut self.is_changed) {
+            let input = CellInput::Workers(self.reports.values().cloned().collect());
+            // A full queue drains soon; the next change carries the whole list again.
+            self.is_changed = self.events.try_send(LeaderEvent::Input(input)).is_err();
+        }
+    }
+}
+
+/// Follows accepted jobs.
+struct JobSink {
+    events: mpsc::Sender<LeaderEvent>,
+}
+
+impl ItemSink for JobSink {
+    fn replace(&mut self, items: Vec<StoreItem>) {
+        items.into_iter().for_each(|item| self.update(item));
+    }
+
+    fn update(&mut self, item: StoreItem) {
+        if !item.is_deleted
+            && let Ok(record) = JobRecord::decode(item.value.as_slice())
+        {
+            let _ = self.events.try_send(LeaderEvent::Input(CellInput::Accepted(record)));
+        }
+    }
+
+    fn settle(&mut self, _asked_ms: u64) {}
+}
+
+/// Why a lease could not be had.
+pub(crate) async fn grant_lease(store: &dyn CellStore) -> Result<u64, StoreFault> {
+    store.grant(LEASE_TTL_MS).await
+}
--- /dev/null
+++ b/crates/cellnode/src/lib.rs
@@ -0,0 +1,24 @@
+//! A daemon of a cell around the scheduler core: election, durable rows, connections between
+//! daemons, and what callers ask for. The outside systems are traits; an adapter implements them.
+
+mod clock;
+mod entry;
+mod follow;
+mod frame;
+mod guard;
+mod hub;
+mod leader;
+mod link;
+mod node;
+mod outside;
+mod rows;
+
+pub use {
+    clock::{boot_ms, unix_ms},
+    entry::{EntryAccess, EntryRefusal, EntryService},
+    node::{CellNode, CellNodeConfig, OutsideLinks},
+    outside::{
+        AdviserGateway, CellStore, ChangeAnswer, PlatformCodec, StoreChange, StoreFault, StoreItem,
+        StorePage, StorePut, WorkerGateway,
+    },
+};
--- /dev/null
+++ b/crates/cellnode/src/node.rs
@@ -0,0 +1,285 @@
+//! One daemon of a cell: follows the configuration, stands for election, serves callers.
+
+use {
+    crate::{
+        AdviserGateway, CellStore, EntryService, PlatformCodec, StoreItem, WorkerGateway,
+        follow::{ItemSink, follow_prefix},
+        guard::GuardWriter,
+        hub::{SessionHub, serve_hub},
+        leader::{ISOLATION_MS, LEASE_TTL_MS, LeaderParts, grant_lease, lead},
+        link::LeaderLink,
+        rows::{LEADER_KEY, LeaderRow},
+    },
+    damaskrack_cell::{CellConfig, CellSettings},
+    prost::Message,
+    slog::{Logger, info, warn},
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{net::TcpListener, sync::watch, task::JoinHandle, time::sleep},
+};
+
+/// Longest wait of a watch on the configuration, in milliseconds. Each answer shows that the
+/// configuration is fresh, so it must be well below the age at which one is outdated.
+const CONFIG_WAIT_MS: u64 = 1_200;
+/// Longest wait of a watch on the leader's row, in milliseconds.
+const LEADER_WAIT_MS: u64 = 8_000;
+/// Longest random wait before a campaign, in milliseconds.
+const CAMPAIGN_JITTER_MS: u64 = 60;
+/// Wait after a campaign that did not succeed, in milliseconds.
+const CAMPAIGN_RETRY_MS: u64 = 250;
+
+/// Settings of a daemon.
+#[derive(Debug, Clone)]
+pub struct CellNodeConfig {
+    /// Address that other daemons connect to.
+    pub peer_address: SocketAddr,
+    /// Age from which the configuration counts as outdated, in milliseconds.
+    pub max_config_age_ms: u64,
+    /// Bounds of the scheduler.
+    pub cell: CellSettings,
+}
+
+/// The outside systems.
+#[derive(Clone)]
+pub struct OutsideLinks {
+    /// The store.
+    pub store: Arc<dyn CellStore>,
+    /// The workers.
+    pub workers: Arc<dyn WorkerGateway>,
+    /// The adviser.
+    pub adviser: Arc<dyn AdviserGateway>,
+    /// Reads what others write into the store.
+    pub codec: Arc<dyn PlatformCodec>,
+}
+
+impl std::fmt::Debug for OutsideLinks {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("OutsideLinks")
+    }
+}
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct CellNode {
+    entry: Arc<EntryService>,
+    is_leaving: Arc<AtomicBool>,
+    stop: watch::Sender<bool>,
+    election: JoinHandle<()>,
+}
+
+impl CellNode {
+    /// Starts a daemon.
+    ///
+    /// # Errors
+    ///
+    /// Returns why its address for other daemons cannot be listened on.
+    pub async fn start(
+        config: CellNodeConfig,
+        outside: OutsideLinks,
+        logger: Logger,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(config.peer_address).await?;
+        let id = rand::random_range(1..=u64::MAX);
+        let hub = Arc::new(SessionHub::default());
+        let link = LeaderLink::new(id, outside.adviser.clone(), hub.clone(), logger.clone());
+        let (config_sender, config_receiver) = watch::channel(Arc::new(CellConfig::default()));
+        let (leader_sender, leader_receiver) = watch::channel(None);
+        let (stop, stopped) = watch::channel(false);
+        let fresh_ms = Arc::new(AtomicU64::new(0));
+        let is_leaving = Arc::new(AtomicBool::new(false));
+        let entry = Arc::new(EntryService {
+            store: outside.store.clone(),
+            link: link.clone(),
+            config: config_receiver.clone(),
+            fresh_ms: fresh_ms.clone(),
+            max_age_ms: config.max_config_age_ms,
+            is_leaving: is_leaving.clone(),
+        });
+        tokio::spawn(follow_config(outside.clone(), config_sender, fresh_ms, logger.clone()));
+        tokio::spawn(follow_leader(outside.store.clone(), leader_sender, logger.clone()));
+        tokio::spawn(link.run(leader_receiver.clone()));
+        let (served, accept_logger) = (hub.clone(), logger.clone());
+        tokio::spawn(async move { serve_hub(&served, listener, &accept_logger).await });
+        let mut settings = config.cell;
+        settings.isolation_ms = ISOLATION_MS + LEASE_TTL_MS;
+        let parts = LeaderParts {
+            store: outside.store,
+            workers: outside.workers,
+            codec: outside.codec,
+            hub,
+            config: config_receiver,
+            settings,
+            logger,
+        };
+        let address = config.peer_address.to_string();
+        let election = tokio::spawn(stand(parts, id, address, leader_receiver, stopped));
+        Ok(Self { entry, is_leaving, stop, election })
+    }
+
+    /// Returns the caller-facing part.
+    #[must_use]
+    pub fn entry(&self) -> Arc<EntryService> {
+        self.entry.clone()
+    }
+
+    /// Hands leadership over and takes no new callers; those connected are served on.
+    pub async fn leave(&mut self) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+        // The election may have ended with its task.
+        let _ = self.stop.send(true);
+        let _ = (&mut self.election).await;
+    }
+}
+
+/// Stands for election whenever nobody leads.
+async fn stand(
+    parts: LeaderParts,
+    id: u64,
+    address: String,
+    mut leader: watch::Receiver<Option<LeaderRow>>,
+    stop: watch::Receiver<bool>,
+) {
+    while !*stop.borrow() {
+        let is_vacant = leader.borrow_and_update().as_ref().is_none_or(|row| row.id == id);
+        let has_config = parts.config.borrow().version > 0;
+        if !is_vacant || !has_config {
+            let mut stopping = stop.clone();
+            tokio::select! {
+                _ = leader.changed() => {}
+                _ = stopping.changed() => {}
+                () = sleep(Duration::from_millis(CAMPAIGN_RETRY_MS)), if !has_config => {}
+            }
+            continue;
+        }
+        sleep(Duration::from_millis(rand::random_range(0..=CAMPAIGN_JITTER_MS))).await;
+        if !leader.borrow().as_ref().is_none_or(|row| row.id == id) {
+            continue;
+        }
+        campaign(&parts, id, &address, &stop).await;
+        sleep(Duration::from_millis(CAMPAIGN_RETRY_MS)).await;
+    }
+}
+
+async fn campaign(parts: &LeaderParts, id: u64, address: &str, stop: &watch::Receiver<bool>) {
+    let Ok(lease) = grant_lease(parts.store.as_ref()).await else { return };
+    let address = address.to_owned();
+    let (store, logger) = (parts.store.clone(), parts.logger.clone());
+    let won = GuardWriter::campaign(store, id, address, lease, logger).await;
+    if let Some(guard) = won {
+        lead(parts.clone(), guard, lease, stop.clone()).await;
+    }
+    if let Err(fault) = parts.store.revoke(lease).await {
+        info!(parts.logger, "lease_not_revoked"; "fault" => ?fault);
+    }
+}
+
+async fn follow_config(
+    outside: OutsideLinks,
+    sender: watch::Sender<Arc<CellConfig>>,
+    fresh_ms: Arc<AtomicU64>,
+    logger: Logger,
+) {
+    let codec = outside.codec.clone();
+    let mut sink = ConfigSink {
+        codec: codec.clone(),
+        sender,
+        fresh_ms,
+        items: BTreeMap::new(),
+        is_changed: false,
+        logger: logger.clone(),
+    };
+    let pace = (CONFIG_WAIT_MS, 0);
+    follow_prefix(outside.store.as_ref(), codec.config_prefix(), pace, &mut sink, &logger).await;
+}
+
+struct ConfigSink {
+    codec: Arc<dyn PlatformCodec>,
+    sender: watch::Sender<Arc<CellConfig>>,
+    fresh_ms: Arc<AtomicU64>,
+    items: BTreeMap<String, Vec<u8>>,
+    is_changed: bool,
+    logger: Logger,
+}
+
+impl ItemSink for ConfigSink {
+    fn replace(&mut self, items: Vec<StoreItem>) {
+        self.items = items.into_iter().map(|item| (item.key, item.value)).collect();
+        self.is_changed = true;
+    }
+
+    fn update(&mut self, item: StoreItem) {
+        match item.is_deleted {
+            true => self.items.remove(&item.key),
+            false => self.items.insert(item.key, item.value),
+        };
+        self.is_changed = true;
+    }
+
+    fn settle(&mut self, asked_ms: u64) {
+        if std::mem::take(&mut self.is_changed) {
+            match self.codec.read_config(&self.items) {
+                Some(config) => self.adopt(config),
+                None => warn!(self.logger, "config_unreadable"; "items" => self.items.len()),
+            }
+        }
+        self.fresh_ms.fetch_max(asked_ms, Ordering::Relaxed);
+    }
+}
+
+impl ConfigSink {
+    fn adopt(&self, config: CellConfig) {
+        let known = self.sender.borrow().version;
+        if config.version < known {
+            warn!(self.logger, "config_older"; "version" => config.version, "known" => known);
+            return;
+        }
+        info!(self.logger, "config_adopted"; "version" => config.version,
+            "queues" => config.queues.len(), "teams" => config.teams.len(),
+            "closed_zones" => config.closed_zones.len());
+        self.sender.send_replace(Arc::new(config));
+    }
+}
+
+async fn follow_leader(
+    store: Arc<dyn CellStore>,
+    sender: watch::Sender<Option<LeaderRow>>,
+    logger: Logger,
+) {
+    let mut sink = LeaderSink { sender };
+    let pace = (LEADER_WAIT_MS, 0);
+    follow_prefix(store.as_ref(), LEADER_KEY, pace, &mut sink, &logger).await;
+}
+
+struct LeaderSink {
+    sender: watch::Sender<Option<LeaderRow>>,
+}
+
+impl ItemSink for LeaderSink {
+    fn replace(&mut self, items: Vec<StoreItem>) {
+        match items.into_iter().next() {
+            Some(item) => self.update(item),
+            None => {
+                self.sender.send_replace(None);
+            }
+        }
+    }
+
+    fn update(&mut self, item: StoreItem) {
+        let row = LeaderRow::decode(item.value.as_slice()).ok();
+        let row = row.filter(|_| !item.is_deleted);
+        self.sender.send_if_modified(|known| {
+            let is_news = *known != row;
+            *known = row;
+            is_news
+        });
+    }
+
+    fn settle(&mut self, _asked_ms: u64) {}
+}
--- /dev/null
+++ b/crates/cellnode/src/rows.rs
@@ -0,0 +1,56 @@
+//! Keys and rows of the cell in the store.
+//!
+//! | key | holds | written by |
+//! | --- | --- | --- |
+//! | `cell/leader` | [`LeaderRow`], on a lease | the leader |
+//! | `cell/guard` | [`GuardRow`] | the leader, with every commit |
+//! | `cell/job/ID` | the job as accepted | the daemon that accepts it, once |
+//! | `cell/progress/ID` | how far it has come | the leader |
+
+/// Key of the leader's row.
+pub(crate) const LEADER_KEY: &str = "cell/leader";
+/// Key of the guard.
+pub(crate) const GUARD_KEY: &str = "cell/guard";
+/// Prefix of the rows of accepted jobs.
+pub(crate) const JOB_PREFIX: &str = "cell/job/";
+/// Prefix of the rows of progress.
+pub(crate) const PROGRESS_PREFIX: &str = "cell/progress/";
+
+/// Who leads.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct LeaderRow {
+    /// Random id of the daemon's process.
+    #[prost(uint64, tag = "1")]
+    pub(crate) id: u64,
+    /// Address for other daemons.
+    #[prost(string, tag = "2")]
+    pub(crate) address: String,
+    /// Its term, which is its fencing token too.
+    #[prost(uint64, tag = "3")]
+    pub(crate) term: u64,
+}
+
+/// The last write of any leader. Every commit expects this row's revision and replaces it, so a
+/// commit that the store carries out late, or one of a former leader, changes nothing.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct GuardRow {
+    /// Term of the leader that wrote last.
+    #[prost(uint64, tag = "1")]
+    pub(crate) term: u64,
+    /// Random id of its process.
+    #[prost(uint64, tag = "2")]
+    pub(crate) id: u64,
+    /// Number of its write.
+    #[prost(uint64, tag = "3")]
+    pub(crate) write: u64,
+}
+
+/// Key of an accepted job.
+pub(crate) fn job_key(id: &str) -> String {
+    format!("{JOB_PREFIX}{id}")
+}
+
+/// Key of a job's progress.
+pub(crate) fn progress_key(id: &str) -> String {
+    format!("{PROGRESS_PREFIX}{id}")
+}
