--- a/crates/cell/src/core/holds.rs
+++ b/crates/cell/src/core/holds.rs
@@ -103,7 +103,7 @@
         let now_ms = self.time.now_ms;
         let worker = &mut self.workers[key];
         worker.read_clock(report.clock_ms, now_ms);
-        worker.is_fenced_in = true;
+        worker.fence_in(now_ms, self.settings.lease_ms);
         for ended in &report.ended {
             self.take_end(key, ended);
         }
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -89,6 +89,16 @@
         self.strikes = 0;
     }
 
+    /// Takes in that the worker answered under this leader's fencing token: no other leader can
+    /// renew its leases any more, so what it runs lapses within the time of one lease.
+    pub(crate) fn fence_in(&mut self, now_ms: u64, lease_ms: u64) {
+        if !self.is_fenced_in {
+            self.is_fenced_in = true;
+            let lapse_ms = now_ms + lease_ms * 100 / SLOWEST_CLOCK_PERCENT + LAPSE_MARGIN_MS;
+            self.inherited_until_ms = self.inherited_until_ms.min(lapse_ms);
+        }
+    }
+
     /// Takes in what the worker's clock showed.
     pub(crate) fn read_clock(&mut self, clock_ms: u64, now_ms: u64) {
         self.clock = Some(ClockReading { clock_ms, at_ms: now_ms });
@@ -113,7 +123,7 @@
             let left = self.deadline_ms.saturating_sub(reading.clock_ms);
             reading.at_ms + left * 100 / SLOWEST_CLOCK_PERCENT + LAPSE_MARGIN_MS
         });
-        if self.is_fenced_in { own } else { own.max(self.inherited_until_ms) }
+        own.max(self.inherited_until_ms)
     }
 
     /// Rack that it stands in: the label that no other kind of label looks like.
