Let the leases of silent workers run out, and step down at a higher token

Cause: each unanswered renewal still extended the deadline that a silent worker was waited for, so tasks of a worker that was gone never started again (LOST). A fenced leader went on asking.

--- a/crates/cell/src/core/holds.rs
+++ b/crates/cell/src/core/holds.rs
@@ -59,7 +59,10 @@
                 worker: key,
                 address: worker.report.address.clone(),
                 incarnation: worker.report.incarnation,
-                deadline_ms: worker.deadline_for(time.now_ms, settings.lease_ms),
+                deadline_ms: match worker.is_silent {
+                    true => None,
+                    false => worker.deadline_for(time.now_ms, settings.lease_ms),
+                },
                 last_noted: worker.last_noted,
                 wait_ms: if can_wait { HOLD_WAIT_MS } else { 0 },
             }));
@@ -70,6 +73,7 @@
         let now_ms = self.time.now_ms;
         let Some(worker) = self.workers.get_mut(key) else { return };
         let sent_ms = worker.hold_sent_ms.take().unwrap_or(now_ms);
+        worker.is_silent = !matches!(outcome, HoldOutcome::Answered(_));
         match outcome {
             HoldOutcome::Answered(report) => {
                 worker.next_hold_ms = now_ms + HOLD_PAUSE_MS;
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -45,6 +45,9 @@
     /// A renewal is on the way since then.
     pub(crate) hold_sent_ms: Option<u64>,
     pub(crate) next_hold_ms: u64,
+    /// The last renewal had no answer. Until one has, renewals only ask and extend no lease, so
+    /// that the leases of a worker that is gone run out.
+    pub(crate) is_silent: bool,
     /// It gets no new work until then.
     pub(crate) avoid_until_ms: u64,
     /// Failures since the last success.
@@ -68,6 +71,7 @@
             unnoted: 0,
             hold_sent_ms: None,
             next_hold_ms: 0,
+            is_silent: false,
             avoid_until_ms: 0,
             strikes: 0,
         }
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -17,8 +17,8 @@
         unix_ms,
     },
     damaskrack_cell::{
-        AskKey, CellAction, CellConfig, CellCore, CellInput, CellSettings, CommitOrder, JobRecord,
-        ProgressRecord, StopOrder, WorkerReport, WorkerTicket,
+        AskKey, CellAction, CellConfig, CellCore, CellInput, CellSettings, CommitOrder, HoldOutcome,
+        JobRecord, ProgressRecord, StopOrder, WorkerReport, WorkerTicket,
     },
     prost::Message,
     rustc_hash::FxHashMap,
@@ -313,6 +313,10 @@
                 let (workers, events, token) = self.gateway();
                 tokio::spawn(async move {
                     let outcome = workers.hold(&order, token).await;
+                    if outcome == HoldOutcome::Fenced {
+                        // Only a later leader has a higher token. A core that is gone needs no word.
+                        let _ = events.send(LeaderEvent::Deposed).await;
+                    }
                     send(&events, CellInput::Hold { worker: order.worker, outcome }).await;
                 });
             }
