--- a/crates/cell/src/core/holds.rs
+++ b/crates/cell/src/core/holds.rs
@@ -22,7 +22,7 @@
 
 impl WorkerEntry {
     fn wants_hold(&self) -> bool {
-        let has_work = !self.attempts.is_empty() || self.unnoted > 0 || self.owes_note();
+        let has_work = self.is_busy() || self.unnoted > 0 || self.owes_note();
         self.hold_sent_ms.is_none() && (has_work || (self.is_listed && !self.is_fenced_in))
     }
 
@@ -75,6 +75,11 @@
         let sent_ms = worker.hold_sent_ms.take().unwrap_or(now_ms);
         worker.is_silent = !matches!(outcome, HoldOutcome::Answered(_));
         match outcome {
+            HoldOutcome::Answered(report) if report.incarnation < worker.report.incarnation => {
+                worker.next_hold_ms = now_ms;
+                let id = worker.report.id.clone();
+                self.note("hold_outdated", id, "a former incarnation answered");
+            }
             HoldOutcome::Answered(report) => {
                 worker.next_hold_ms = now_ms + HOLD_PAUSE_MS;
                 if report.incarnation > worker.report.incarnation {
@@ -111,6 +116,7 @@
         for ended in &report.ended {
             self.take_end(key, ended);
         }
+        self.clear_strays(key);
         let mut listed = Vec::with_capacity(report.running.len());
         for running in &report.running {
             listed.extend(self.take_running(key, running));
@@ -163,6 +169,7 @@
         let now_ms = self.time.now_ms;
         let name = (running.task.clone(), running.attempt);
         let Some(&attempt) = self.workers[key].attempts.get(&name) else {
+            self.count_stray(key, running);
             self.stop_stray(key, running);
             return None;
         };
@@ -183,6 +190,35 @@
         Some(attempt)
     }
 
+    pub(super) fn clear_strays(&mut self, key: WorkerKey) {
+        for (team, resources) in std::mem::take(&mut self.workers[key].strays) {
+            let worker = &mut self.workers[key];
+            worker.used = worker.used.minus(&resources);
+            if let Some(used) = self.team_used.get_mut(&team) {
+                *used = used.minus(&resources);
+            }
+        }
+    }
+
+    /// Counts what runs without an attempt in the tables: it belongs to a job that had ended when
+    /// this leader took over. Where even the job is unknown, the worker counts as full.
+    fn count_stray(&mut self, key: WorkerKey, running: &RunningAttempt) {
+        let mut parts = running.task.split('.');
+        let job = parts.next().and_then(|id| self.job_ids.get(id));
+        let record = job.map(|job| &self.jobs[*job].record);
+        let step = parts.nth(1).and_then(|step| step.parse::<usize>().ok());
+        let found = record.and_then(|record| Some((record, record.steps.get(step?)?)));
+        let worker = &mut self.workers[key];
+        let (team, resources) = match found {
+            Some((record, step)) => (record.team.clone(), step.resources()),
+            None => (String::new(), worker.report.capacity),
+        };
+        worker.used = worker.used.plus(&resources);
+        let used = self.team_used.entry(team.clone()).or_default();
+        *used = used.plus(&resources);
+        worker.strays.push((team, resources));
+    }
+
     /// Drops attempts that the worker would have listed if they were, or could come to be, there.
     fn drop_unlisted(&mut self, key: WorkerKey, listed: &[AttemptKey], sent_ms: u64) {
         let absent: Vec<AttemptKey> = self.workers[key]
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -76,6 +76,7 @@
     }
 
     fn clear_worker(&mut self, key: WorkerKey, why: &str) {
+        self.clear_strays(key);
         let worker = &self.workers[key];
         let id = worker.report.id.clone();
         let attempts: Vec<AttemptKey> = worker.attempts.values().copied().collect();
@@ -93,9 +94,9 @@
         let lapsed: Vec<(WorkerKey, bool)> = self
             .workers
             .iter()
-            .filter(|(_, worker)| match worker.attempts.is_empty() {
-                true => !worker.is_listed,
-                false => worker.lapse_ms() <= now_ms,
+            .filter(|(_, worker)| match worker.is_busy() {
+                true => worker.lapse_ms() <= now_ms,
+                false => !worker.is_listed,
             })
             .map(|(key, worker)| (key, worker.is_listed))
             .collect();
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -25,6 +25,9 @@
     pub(crate) is_listed: bool,
     /// What attempts take of it.
     pub(crate) used: ResourceSet,
+    /// What it lists as running although no attempt of these tables is there: teams and amounts.
+    /// It is being stopped, and counts until it is no longer listed.
+    pub(crate) strays: Vec<(String, ResourceSet)>,
     /// Attempts that it may be running, by task and number.
     pub(crate) attempts: FxHashMap<(String, u32), AttemptKey>,
     /// It answered under this leader's fencing token.
@@ -60,6 +63,7 @@
             report,
             is_listed: true,
             used: ResourceSet::default(),
+            strays: Vec::new(),
             attempts: FxHashMap::default(),
             is_fenced_in: false,
             clock: None,
@@ -108,6 +112,11 @@
         self.clock = Some(ClockReading { clock_ms, at_ms: now_ms });
     }
 
+    /// Tells whether something may be running on it.
+    pub(crate) fn is_busy(&self) -> bool {
+        !self.attempts.is_empty() || !self.strays.is_empty()
+    }
+
     /// What is left of it.
     pub(crate) fn room(&self) -> ResourceSet {
         self.report.capacity.minus(&self.used)
