--- /dev/null
+++ b/crates/cell/tests/cell.rs
@@ -0,0 +1,270 @@
+//! The scheduler core against fake workers: a calm job, and each failure that was met.
+
+mod support;
+
+use {
+    damaskrack_cell::{
+        AdviceTiming, CellInput, JobState, ResourceSet, StartOutcome, StartRefusal, StepSpec,
+        TeamConfig,
+    },
+    quickcheck::quickcheck,
+    support::{FakeCell, job, step},
+};
+
+#[test]
+fn a_job_runs_its_steps_in_order_and_completes() {
+    let mut cell = FakeCell::new(2);
+    let second = StepSpec { after: vec![0], ..step(1) };
+    cell.submit(job("1", vec![step(3), second]));
+    cell.run(300);
+    assert_eq!(cell.state("1"), Some(JobState::Running));
+    assert!(cell.starts.iter().all(|(task, ..)| task.starts_with("1.0.0.")));
+    cell.run(2_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+    assert_eq!(cell.done.len(), 4);
+}
+
+#[test]
+fn a_task_that_fails_too_often_fails_its_job() {
+    let mut cell = FakeCell::new(1);
+    cell.workers.get_mut("w0").unwrap().fails = true;
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(8_000);
+    assert_eq!(cell.state("1"), Some(JobState::Failed));
+    assert_eq!(cell.starts.len(), 2);
+}
+
+#[test]
+fn a_gang_starts_whole_or_not_at_all() {
+    let mut cell = FakeCell::new(2);
+    cell.submit(job("1", vec![step(5)]));
+    cell.run(200);
+    cell.submit(job("2", vec![StepSpec { is_gang: true, ..step(4) }]));
+    cell.run(200);
+    assert!(cell.starts.iter().all(|(task, ..)| !task.starts_with("2.")));
+    cell.run(2_000);
+    assert_eq!(cell.state("2"), Some(JobState::Completed));
+}
+
+#[test]
+fn a_team_stays_within_its_limit() {
+    let mut cell = FakeCell::new(2);
+    let limit = ResourceSet { cpu_millis: 3_000, ..ResourceSet::default() };
+    cell.config.teams.insert("team".to_owned(), TeamConfig { limit, ..TeamConfig::default() });
+    cell.lead();
+    cell.submit(job("1", vec![step(6)]));
+    cell.run(300);
+    assert_eq!(cell.starts.len(), 3);
+    cell.run(2_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+}
+
+#[test]
+fn a_timed_job_starts_each_occurrence_when_it_is_due() {
+    let mut cell = FakeCell::new(1);
+    let mut timed = job("1", vec![step(1)]);
+    timed.occurrences = 2;
+    timed.first_due_ms = cell.wall_ms() + 1_000;
+    timed.interval_ms = 1_000;
+    cell.submit(timed);
+    cell.run(950);
+    assert!(cell.starts.is_empty());
+    cell.run(600);
+    assert_eq!(cell.starts.len(), 1);
+    cell.run(2_500);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+}
+
+#[test]
+fn a_cancelled_job_stops_and_starts_nothing_more() {
+    let mut cell = FakeCell::new(1);
+    cell.submit(job("1", vec![step(6)]));
+    cell.run(200);
+    cell.apply(CellInput::Cancel { id: "1".to_owned(), reply: 1 });
+    cell.run(300);
+    assert_eq!(cell.state("1"), Some(JobState::Cancelled));
+    let started = cell.starts.len();
+    cell.run(2_000);
+    assert_eq!(cell.starts.len(), started);
+    assert!(cell.workers["w0"].runs.is_empty());
+}
+
+#[test]
+fn an_end_is_acknowledged_only_once_it_is_durable() {
+    let mut cell = FakeCell::new(1);
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(300);
+    cell.is_store_down = true;
+    cell.run(3_000);
+    assert_eq!(cell.workers["w0"].ended.len(), 1);
+    assert_ne!(cell.state("1"), Some(JobState::Completed));
+    cell.restore_store();
+    cell.run(500);
+    assert!(cell.workers["w0"].ended.is_empty());
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+}
+
+#[test]
+fn a_start_carried_out_late_is_fenced_by_its_stop() {
+    let mut cell = FakeCell::new(2);
+    cell.workers.get_mut("w0").unwrap().defers_starts = true;
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(300);
+    let outcomes = cell.start_late("w0");
+    for outcome in outcomes {
+        assert_eq!(outcome, StartOutcome::Refused(StartRefusal::Stale));
+    }
+    cell.run(4_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+}
+
+#[test]
+fn a_new_leader_keeps_what_runs() {
+    let mut cell = FakeCell::new(2);
+    cell.run_ms = 3_000;
+    cell.submit(job("1", vec![step(6)]));
+    cell.run(300);
+    cell.lead();
+    cell.run(8_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+    assert_eq!(cell.starts.len(), 6);
+}
+
+/// A worker whose first answer came without a deadline of the new leader counted as lapsed.
+#[test]
+fn a_new_leader_does_not_take_a_worker_for_lapsed_while_the_store_is_down() {
+    let mut cell = FakeCell::new(1);
+    cell.run_ms = 700;
+    cell.submit(job("1", vec![step(2)]));
+    cell.run(300);
+    cell.lead();
+    cell.run(20);
+    cell.is_store_down = true;
+    cell.run(900);
+    cell.restore_store();
+    cell.run(3_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+    assert_eq!(cell.starts.len(), 2);
+}
+
+/// Each unanswered renewal extended the lease that a lost worker was waited for.
+#[test]
+fn tasks_of_a_worker_that_is_gone_start_elsewhere_once_its_leases_are_over() {
+    let mut cell = FakeCell::new(2);
+    cell.run_ms = 20_000;
+    cell.submit(job("1", vec![step(5)]));
+    cell.run(300);
+    let lost = cell.starts[0].2.clone();
+    cell.workers.get_mut(&lost).unwrap().is_silent = true;
+    cell.run_ms = 500;
+    cell.run(5_000);
+    assert_eq!(cell.starts.len(), 5, "the leases are not over yet");
+    cell.run(4_000);
+    assert!(cell.starts.len() > 5);
+}
+
+/// Tasks of a job that had ended at the takeover were in no table while they were being stopped.
+#[test]
+fn what_is_being_stopped_counts_after_a_takeover() {
+    let mut cell = FakeCell::new(1);
+    cell.run_ms = 2_000;
+    cell.submit(job("1", vec![step(4)]));
+    cell.run(300);
+    cell.workers.get_mut("w0").unwrap().is_silent = true;
+    cell.apply(CellInput::Cancel { id: "1".to_owned(), reply: 1 });
+    cell.run(100);
+    cell.workers.get_mut("w0").unwrap().is_silent = false;
+    cell.lead();
+    cell.submit(job("2", vec![step(4)]));
+    cell.run(4_000);
+    assert_eq!(cell.state("2"), Some(JobState::Completed));
+}
+
+/// End numbers of a former incarnation were taken for the new one's.
+#[test]
+fn an_answer_of_a_former_incarnation_changes_nothing() {
+    let mut cell = FakeCell::new(1);
+    cell.run_ms = 50;
+    for id in ["1", "2", "3"] {
+        cell.submit(job(id, vec![step(4)]));
+        cell.run(500);
+    }
+    cell.run_ms = 2_000;
+    cell.submit(job("4", vec![step(1)]));
+    cell.holds_answers_of = Some("w0".to_owned());
+    cell.run(200);
+    cell.add_worker("w0", 2, "r0");
+    cell.list_workers();
+    cell.holds_answers_of = None;
+    for held in std::mem::take(&mut cell.held_holds) {
+        cell.apply(held);
+    }
+    cell.run_ms = 300;
+    cell.run(12_000);
+    assert_eq!(cell.state("4"), Some(JobState::Completed));
+}
+
+#[test]
+fn a_start_carries_a_ticket_where_the_queue_has_an_adviser() {
+    let mut cell = FakeCell::new(4);
+    let timing = AdviceTiming { call_us: 9_000, worker_us: 100, valid_ms: 1_500 };
+    cell.config.queues.get_mut("queue").unwrap().advice = Some(timing);
+    cell.allowed.insert("w3".to_owned());
+    cell.lead();
+    cell.submit(job("1", vec![step(2)]));
+    cell.run(2_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+    assert!(cell.starts.iter().all(|(_, _, worker)| worker == "w3"));
+    assert!(!cell.asks.is_empty());
+}
+
+#[test]
+fn rows_of_an_ended_job_go_after_their_time() {
+    let mut cell = FakeCell::new(1);
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(2_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+    cell.run(140_000);
+    assert_eq!(cell.state("1"), None);
+    assert!(cell.jobs.is_empty() && cell.progress.is_empty());
+}
+
+quickcheck! {
+    /// Whatever fails, in whatever order: nothing runs twice or over capacity (the fakes check),
+    /// and all is done once the trouble is over.
+    fn every_job_ends_once(troubles: Vec<(u8, u8, u16)>) -> bool {
+        let mut cell = FakeCell::new(3);
+        for (number, (kind, worker, pause_ms)) in troubles.into_iter().take(12).enumerate() {
+            let is_gang = kind % 5 == 0;
+            cell.submit(job(&number.to_string(), vec![StepSpec { is_gang, ..step(3) }]));
+            let id = format!("w{}", worker % 3);
+            let now_ms = cell.now_ms;
+            match kind % 7 {
+                0 => cell.lead(),
+                1 => cell.workers.get_mut(&id).unwrap().is_silent = true,
+                2 => cell.workers.get_mut(&id).unwrap().defers_starts = true,
+                3 => {
+                    cell.add_worker(&id, now_ms, "r0");
+                    cell.list_workers();
+                }
+                4 => cell.is_store_down = true,
+                5 => {
+                    cell.start_late(&id);
+                }
+                _ => cell.restore_store(),
+            }
+            cell.run(u64::from(pause_ms % 900));
+        }
+        cell.restore_store();
+        let ids: Vec<String> = cell.workers.keys().cloned().collect();
+        for id in ids {
+            let worker = cell.workers.get_mut(&id).unwrap();
+            worker.is_silent = false;
+            worker.defers_starts = false;
+            cell.start_late(&id);
+        }
+        cell.run(40_000);
+        let ended = |id: &String| cell.state(id).is_none_or(JobState::is_final);
+        cell.jobs.keys().all(ended)
+    }
+}
--- /dev/null
+++ b/crates/cell/tests/support/mod.rs
@@ -0,0 +1,424 @@
+//! A cell with fake workers, store and adviser around the scheduler core.
+//!
+//! The fakes answer at once unless a test holds their answers back, and they check what must hold:
+//! no worker runs more than it has, no task runs twice, and no end is acknowledged that the store
+//! does not have.
+
+use {
+    damaskrack_cell::{
+        AskOrder, AttemptKey, CellAction, CellConfig, CellCore, CellInput, CellSettings,
+        CommitOrder, EndKind, EndedAttempt, HoldOrder, HoldOutcome, HoldReport, JobRecord,
+        JobState, ProgressRecord, QueueConfig, ResourceSet, RunningAttempt, StartOrder,
+        StartOutcome, StartRefusal, StepSpec, StopOrder, TeamConfig, WorkerReport, WorkerTicket,
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
+};
+
+/// Unix time at the start of each test, in milliseconds.
+pub const WALL_MS: u64 = 1_700_000_000_000;
+/// Capacity of a fake worker.
+pub const CAPACITY: ResourceSet =
+    ResourceSet { cpu_millis: 4_000, memory_mb: 4_096, accelerators: 0 };
+
+/// A task that runs on a fake worker.
+#[derive(Debug, Clone)]
+pub struct FakeRun {
+    pub task: String,
+    pub attempt: u32,
+    pub ends_ms: u64,
+    pub resources: ResourceSet,
+}
+
+/// A fake worker: one incarnation at a time.
+#[derive(Debug, Default)]
+pub struct FakeWorker {
+    pub report: WorkerReport,
+    pub started_ms: u64,
+    pub token: u64,
+    pub runs: Vec<FakeRun>,
+    pub ended: Vec<EndedAttempt>,
+    pub last_end: u64,
+    pub lapse_ms: u64,
+    /// Attempts that were stopped or ended here, which never start again.
+    pub barred: BTreeSet<(String, u32)>,
+    /// It does not answer at all.
+    pub is_silent: bool,
+    /// Starts are left unanswered; they wait in `late`.
+    pub defers_starts: bool,
+    pub late: Vec<StartOrder>,
+    /// Tasks end with this.
+    pub fails: bool,
+}
+
+impl FakeWorker {
+    fn clock_ms(&self, now_ms: u64) -> u64 {
+        now_ms - self.started_ms
+    }
+
+    fn extend(&mut self, deadline_ms: Option<u64>, now_ms: u64) {
+        let deadline_ms = deadline_ms.unwrap_or(0).min(self.clock_ms(now_ms) + 6_000);
+        self.lapse_ms = self.lapse_ms.max(deadline_ms);
+    }
+
+    fn end(&mut self, index: usize, kind: EndKind) {
+        let run = self.runs.remove(index);
+        self.last_end += 1;
+        self.barred.insert((run.task.clone(), run.attempt));
+        self.ended.push(EndedAttempt {
+            number: self.last_end,
+            task: run.task,
+            attempt: run.attempt,
+            kind,
+            checkpoint: String::new(),
+        });
+    }
+}
+
+/// The cell under test.
+pub struct FakeCell {
+    pub core: CellCore,
+    pub now_ms: u64,
+    pub token: u64,
+    pub config: CellConfig,
+    pub workers: BTreeMap<String, FakeWorker>,
+    /// The store: accepted jobs and their progress.
+    pub jobs: BTreeMap<String, JobRecord>,
+    pub progress: BTreeMap<String, ProgressRecord>,
+    /// Commits that the store has not carried out because it is down.
+    pub held_commits: Vec<CommitOrder>,
+    pub is_store_down: bool,
+    /// Renewals whose answer is held back, with the answer.
+    pub held_holds: Vec<CellInput>,
+    pub holds_answers_of: Option<String>,
+    pub run_ms: u64,
+    /// Ends `done` that were acknowledged, by task. An end that was lost with its worker before
+    /// allows another run.
+    pub done: BTreeMap<String, u32>,
+    pub starts: Vec<(String, u32, String)>,
+    pub asks: Vec<AskOrder>,
+    /// Workers that the adviser allows; all if empty.
+    pub allowed: BTreeSet<String>,
+}
+
+/// A step of tasks that take a core each.
+pub fn step(tasks: u32) -> StepSpec {
+    StepSpec { tasks, cpu_millis: 1_000, memory_mb: 64, estimate_ms: 500, ..StepSpec::default() }
+}
+
+/// A job of the team `team` at the queue `queue`.
+pub fn job(id: &str, steps: Vec<StepSpec>) -> JobRecord {
+    JobRecord {
+        id: id.to_owned(),
+        queue: "queue".to_owned(),
+        team: "team".to_owned(),
+        payload: "payload".to_owned(),
+        steps,
+        accepted_ms: WALL_MS,
+        service: "service".to_owned(),
+        max_attempts: 2,
+        ..JobRecord::default()
+    }
+}
+
+impl FakeCell {
+    /// Makes a cell with so many workers in two racks.
+    pub fn new(workers: usize) -> Self {
+        let mut config = CellConfig { version: 1, ..CellConfig::default() };
+        let queue = QueueConfig {
+            name: "queue".to_owned(),
+            service: "service".to_owned(),
+            max_attempts: 2,
+            slack_factor: 2.0,
+            latency_objective_ms: 500,
+            ..QueueConfig::default()
+        };
+        config.queues.insert("queue".to_owned(), queue);
+        config.teams.insert("team".to_owned(), TeamConfig::default());
+        let mut cell = Self {
+            core: CellCore::new(CellSettings::default()),
+            now_ms: 10_000,
+            token: 1,
+            config,
+            workers: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            progress: BTreeMap::new(),
+            held_commits: Vec::new(),
+            is_store_down: false,
+            held_holds: Vec::new(),
+            holds_answers_of: None,
+            run_ms: 500,
+            done: BTreeMap::new(),
+            starts: Vec::new(),
+            asks: Vec::new(),
+            allowed: BTreeSet::new(),
+        };
+        for index in 0..workers {
+            cell.add_worker(&format!("w{index}"), 1, &format!("r{}", index % 2));
+        }
+        cell.lead();
+        cell
+    }
+
+    /// Starts an incarnation of a worker; a former one is over.
+    pub fn add_worker(&mut self, id: &str, incarnation: u64, rack: &str) {
+        let report = WorkerReport {
+            id: id.to_owned(),
+            incarnation,
+            service: "service".to_owned(),
+            address: id.to_owned(),
+            zone: "zone".to_owned(),
+            labels: vec!["kind".to_owned(), rack.to_owned()],
+            capacity: CAPACITY,
+            is_leaving: false,
+        };
+        let worker = FakeWorker { report, started_ms: self.now_ms, ..FakeWorker::default() };
+        self.workers.insert(id.to_owned(), worker);
+    }
+
+    /// Tells the core which workers there are.
+    pub fn list_workers(&mut self) {
+        let reports = self.workers.values().map(|worker| worker.report.clone()).collect();
+        self.apply(CellInput::Workers(reports));
+    }
+
+    /// A new leader reads the store; the former one is gone.
+    pub fn lead(&mut self) {
+        self.core = CellCore::new(CellSettings::default());
+        self.token += 1;
+        self.held_commits.clear();
+        self.held_holds.clear();
+        self.core.set_time(self.now_ms, self.wall_ms());
+        self.core.apply(CellInput::Config(Arc::new(self.config.clone())));
+        self.list_workers();
+        self.core.apply(CellInput::Askers(vec![1, 2, 3]));
+        for (id, record) in &self.jobs {
+            self.core.restore(record.clone(), self.progress.get(id));
+        }
+    }
+
+    pub fn wall_ms(&self) -> u64 {
+        WALL_MS + self.now_ms
+    }
+
+    pub fn apply(&mut self, input: CellInput) {
+        self.core.set_time(self.now_ms, self.wall_ms());
+        self.core.apply(input);
+    }
+
+    /// Accepts a job: its row is in the store first.
+    pub fn submit(&mut self, record: JobRecord) {
+        self.jobs.insert(record.id.clone(), record.clone());
+        self.apply(CellInput::Accepted(record));
+    }
+
+    /// Lets time pass, in steps of 10 ms.
+    pub fn run(&mut self, for_ms: u64) {
+        let until_ms = self.now_ms + for_ms;
+        while self.now_ms < until_ms {
+            self.now_ms += 10;
+            self.end_runs();
+            for _ in 0..4 {
+                let actions = self.core.tick(self.now_ms, self.wall_ms());
+                actions.into_iter().for_each(|action| self.carry_out(action));
+            }
+        }
+    }
+
+    pub fn state(&self, id: &str) -> Option<JobState> {
+        self.core.state_of(id)
+    }
+
+    fn end_runs(&mut self) {
+        let now_ms = self.now_ms;
+        for worker in self.workers.values_mut() {
+            if worker.clock_ms(now_ms) >= worker.lapse_ms {
+                while !worker.runs.is_empty() {
+                    worker.end(0, EndKind::Interrupted);
+                }
+            }
+            while let Some(index) = worker.runs.iter().position(|run| run.ends_ms <= now_ms) {
+                let kind = if worker.fails { EndKind::Failed } else { EndKind::Done };
+                worker.end(index, kind);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: CellAction) {
+        match action {
+            CellAction::Start(order) => self.start(order),
+            CellAction::Stop(order) => self.stop(&order),
+            CellAction::Hold(order) => self.hold(&order),
+            CellAction::Ask(order) => self.ask(order),
+            CellAction::Commit(order) => self.commit(order),
+            CellAction::Reply { .. } | CellAction::Note(_) => {}
+        }
+    }
+
+    fn commit(&mut self, order: CommitOrder) {
+        if self.is_store_down {
+            self.held_commits.push(order);
+            return;
+        }
+        self.progress.extend(order.rows);
+        for id in order.removals {
+            self.jobs.remove(&id);
+            self.progress.remove(&id);
+        }
+        self.apply(CellInput::Committed);
+    }
+
+    /// The store is back and carries out what it was asked for.
+    pub fn restore_store(&mut self) {
+        self.is_store_down = false;
+        for order in std::mem::take(&mut self.held_commits) {
+            self.commit(order);
+        }
+    }
+
+    fn ask(&mut self, order: AskOrder) {
+        let allowed =
+            order.workers.iter().filter(|id| self.allowed.is_empty() || self.allowed.contains(*id));
+        let ticket = |id: &String| WorkerTicket { worker: id.clone(), ticket: "t".to_owned() };
+        let input =
+            CellInput::Advice { ask: order.ask, allowed: Some(allowed.map(ticket).collect()) };
+        self.asks.push(order);
+        self.apply(input);
+    }
+
+    fn start(&mut self, order: StartOrder) {
+        let attempt = order.attempt;
+        self.check_intent(&order);
+        let worker = self.workers.get_mut(&order.address).unwrap();
+        if worker.is_silent {
+            self.apply(CellInput::Start {
+                attempt,
+                outcome: StartOutcome::Unknown,
+                clock_ms: None,
+            });
+            return;
+        }
+        if worker.defers_starts {
+            worker.late.push(order);
+            self.apply(CellInput::Start {
+                attempt,
+                outcome: StartOutcome::Unknown,
+                clock_ms: None,
+            });
+            return;
+        }
+        let outcome = self.start_now(&order);
+        let clock_ms = Some(self.workers[&order.address].clock_ms(self.now_ms));
+        self.apply(CellInput::Start { attempt, outcome, clock_ms });
+    }
+
+    /// Carries out a start, now or late.
+    pub fn start_now(&mut self, order: &StartOrder) -> StartOutcome {
+        let (now_ms, token) = (self.now_ms, self.token);
+        let resources = self.resources(&order.task);
+        let ends_ms = now_ms + self.run_ms;
+        let worker = self.workers.get_mut(&order.address).unwrap();
+        if token < worker.token {
+            return StartOutcome::Refused(StartRefusal::Fenced);
+        }
+        worker.token = token;
+        worker.extend(Some(order.deadline_ms), now_ms);
+        if worker.barred.contains(&(order.task.clone(), order.number)) {
+            return StartOutcome::Refused(StartRefusal::Stale);
+        }
+        if order.deadline_ms < worker.clock_ms(now_ms) {
+            return StartOutcome::Refused(StartRefusal::Late);
+        }
+        let (task, attempt) = (order.task.clone(), order.number);
+        worker.runs.push(FakeRun { task: task.clone(), attempt, ends_ms, resources });
+        self.starts.push((task.clone(), attempt, order.address.clone()));
+        self.check_start(&task, &order.address);
+        StartOutcome::Started
+    }
+
+    /// Carries out the starts that a worker left unanswered.
+    pub fn start_late(&mut self, id: &str) -> Vec<StartOutcome> {
+        let late = std::mem::take(&mut self.workers.get_mut(id).unwrap().late);
+        late.iter().map(|order| self.start_now(order)).collect()
+    }
+
+    fn resources(&self, task: &str) -> ResourceSet {
+        let mut parts = task.split('.');
+        let record = &self.jobs[parts.next().unwrap()];
+        record.steps[parts.nth(1).unwrap().parse::<usize>().unwrap()].resources()
+    }
+
+    /// An attempt that is sent must be in the store.
+    fn check_intent(&self, order: &StartOrder) {
+        let id = order.task.split('.').next().unwrap();
+        let row = self.progress.get(id).unwrap_or_else(|| panic!("no row of {}", order.task));
+        let mut tasks = row.phases.iter().flat_map(|phase| &phase.tasks);
+        let index: u32 = order.task.rsplit('.').next().unwrap().parse().unwrap();
+        let is_stored = tasks.any(|task| task.index == index && task.attempt >= order.number);
+        assert!(is_stored, "{} attempt {} was sent before its row", order.task, order.number);
+    }
+
+    fn check_start(&self, task: &str, at: &str) {
+        let runs = self.workers.values().flat_map(|worker| &worker.runs);
+        let same = runs.filter(|run| run.task == task).count();
+        assert_eq!(same, 1, "{task} runs {same} times");
+        assert!(!self.done.contains_key(task), "{task} starts again after it was done");
+        let runs = self.workers[at].runs.iter();
+        let used = runs.fold(ResourceSet::default(), |sum, run| sum.plus(&run.resources));
+        assert!(used.fits(&CAPACITY), "{at} runs more than it has");
+    }
+
+    fn stop(&mut self, order: &StopOrder) {
+        let attempt: AttemptKey = order.attempt;
+        let token = self.token;
+        let worker = self.workers.get_mut(&order.address).unwrap();
+        let is_acknowledged = !worker.is_silent && token >= worker.token;
+        if is_acknowledged {
+            worker.token = token;
+            worker.barred.insert((order.task.clone(), order.number));
+            let same = |run: &FakeRun| run.task == order.task && run.attempt == order.number;
+            if let Some(index) = worker.runs.iter().position(same) {
+                worker.end(index, EndKind::Interrupted);
+            }
+        }
+        self.apply(CellInput::Stop { attempt, is_acknowledged });
+    }
+
+    fn hold(&mut self, order: &HoldOrder) {
+        let (now_ms, token) = (self.now_ms, self.token);
+        let worker = self.workers.get_mut(&order.address).unwrap();
+        let outcome = if worker.is_silent {
+            HoldOutcome::Unknown
+        } else if token < worker.token {
+            HoldOutcome::Fenced
+        } else {
+            worker.token = token;
+            worker.extend(order.deadline_ms, now_ms);
+            let (noted, left): (Vec<_>, Vec<_>) =
+                worker.ended.drain(..).partition(|ended| ended.number <= order.last_noted);
+            worker.ended = left;
+            for ended in noted.into_iter().filter(|ended| ended.kind == EndKind::Done) {
+                *self.done.entry(ended.task).or_default() += 1;
+            }
+            let running = worker.runs.iter().map(|run| RunningAttempt {
+                task: run.task.clone(),
+                attempt: run.attempt,
+                checkpoint: String::new(),
+                percent: 50,
+            });
+            HoldOutcome::Answered(HoldReport {
+                incarnation: worker.report.incarnation,
+                clock_ms: worker.clock_ms(now_ms),
+                running: running.collect(),
+                ended: worker.ended.clone(),
+            })
+        };
+        let input = CellInput::Hold { worker: order.worker, outcome };
+        match self.holds_answers_of.as_deref() == Some(order.address.as_str()) {
+            true => self.held_holds.push(input),
+            false => self.apply(input),
+        }
+    }
+}
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -17,8 +17,8 @@
         unix_ms,
     },
     damaskrack_cell::{
-        AskKey, CellAction, CellConfig, CellCore, CellInput, CellSettings, CommitOrder, HoldOutcome,
-        JobRecord, ProgressRecord, StopOrder, WorkerReport, WorkerTicket,
+        AskKey, CellAction, CellConfig, CellCore, CellInput, CellSettings, CommitOrder,
+        HoldOutcome, JobRecord, ProgressRecord, StopOrder, WorkerReport, WorkerTicket,
     },
     prost::Message,
     rustc_hash::FxHashMap,
