--- a/crates/cell/tests/cell.rs
+++ b/crates/cell/tests/cell.rs
@@ -4,8 +4,8 @@
 
 use {
     damaskrack_cell::{
-        AdviceTiming, CellInput, JobState, ResourceSet, StartOutcome, StartRefusal, StepSpec,
-        TeamConfig,
+        AdviceTiming, CellInput, EndKind, EndedAttempt, HoldOutcome, HoldReport, JobState,
+        ResourceSet, StartOutcome, StartRefusal, StepSpec, TeamConfig,
     },
     quickcheck::quickcheck,
     support::{FakeCell, job, step},
@@ -132,19 +132,21 @@
 
 /// A worker whose first answer came without a deadline of the new leader counted as lapsed.
 #[test]
-fn a_new_leader_does_not_take_a_worker_for_lapsed_while_the_store_is_down() {
+fn a_new_leader_does_not_take_a_worker_for_lapsed_while_an_end_is_not_durable() {
     let mut cell = FakeCell::new(1);
-    cell.run_ms = 700;
-    cell.submit(job("1", vec![step(2)]));
-    cell.run(300);
-    cell.lead();
-    cell.run(20);
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(100);
+    cell.run_ms = 3_000;
+    cell.submit(job("2", vec![step(2)]));
+    cell.run(100);
     cell.is_store_down = true;
-    cell.run(900);
+    cell.run(500);
+    cell.lead();
+    cell.run(800);
     cell.restore_store();
-    cell.run(3_000);
-    assert_eq!(cell.state("1"), Some(JobState::Completed));
-    assert_eq!(cell.starts.len(), 2);
+    cell.run(4_000);
+    assert_eq!(cell.state("2"), Some(JobState::Completed));
+    assert_eq!(cell.starts.len(), 3);
 }
 
 /// Each unanswered renewal extended the lease that a lost worker was waited for.
@@ -170,10 +172,9 @@
     cell.run_ms = 2_000;
     cell.submit(job("1", vec![step(4)]));
     cell.run(300);
-    cell.workers.get_mut("w0").unwrap().is_silent = true;
+    cell.workers.get_mut("w0").unwrap().stop_ms = 900;
     cell.apply(CellInput::Cancel { id: "1".to_owned(), reply: 1 });
     cell.run(100);
-    cell.workers.get_mut("w0").unwrap().is_silent = false;
     cell.lead();
     cell.submit(job("2", vec![step(4)]));
     cell.run(4_000);
@@ -184,24 +185,26 @@
 #[test]
 fn an_answer_of_a_former_incarnation_changes_nothing() {
     let mut cell = FakeCell::new(1);
-    cell.run_ms = 50;
-    for id in ["1", "2", "3"] {
-        cell.submit(job(id, vec![step(4)]));
-        cell.run(500);
-    }
-    cell.run_ms = 2_000;
-    cell.submit(job("4", vec![step(1)]));
     cell.holds_answers_of = Some("w0".to_owned());
-    cell.run(200);
+    cell.run(100);
+    let Some(CellInput::Hold { worker, .. }) = cell.held_holds.pop() else { panic!("no hold") };
+    cell.holds_answers_of = None;
     cell.add_worker("w0", 2, "r0");
     cell.list_workers();
-    cell.holds_answers_of = None;
-    for held in std::mem::take(&mut cell.held_holds) {
-        cell.apply(held);
-    }
-    cell.run_ms = 300;
-    cell.run(12_000);
-    assert_eq!(cell.state("4"), Some(JobState::Completed));
+    let ended = |number| EndedAttempt {
+        number,
+        task: "9.0.0.0".to_owned(),
+        attempt: 1,
+        kind: EndKind::Done,
+        checkpoint: String::new(),
+    };
+    let report =
+        HoldReport { incarnation: 1, ended: (1..=9).map(ended).collect(), ..HoldReport::default() };
+    cell.apply(CellInput::Hold { worker, outcome: HoldOutcome::Answered(report) });
+    cell.submit(job("1", vec![step(4)]));
+    cell.run(2_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+    assert_eq!(cell.starts.len(), 4);
 }
 
 #[test]
--- a/crates/cell/tests/support/mod.rs
+++ b/crates/cell/tests/support/mod.rs
@@ -29,6 +29,7 @@
     pub task: String,
     pub attempt: u32,
     pub ends_ms: u64,
+    pub is_stopped: bool,
     pub resources: ResourceSet,
 }
 
@@ -49,8 +50,10 @@
     /// Starts are left unanswered; they wait in `late`.
     pub defers_starts: bool,
     pub late: Vec<StartOrder>,
-    /// Tasks end with this.
+    /// Tasks fail.
     pub fails: bool,
+    /// Time that a stop takes, in milliseconds.
+    pub stop_ms: u64,
 }
 
 impl FakeWorker {
@@ -240,7 +243,11 @@
                 }
             }
             while let Some(index) = worker.runs.iter().position(|run| run.ends_ms <= now_ms) {
-                let kind = if worker.fails { EndKind::Failed } else { EndKind::Done };
+                let kind = match (worker.runs[index].is_stopped, worker.fails) {
+                    (true, _) => EndKind::Interrupted,
+                    (false, true) => EndKind::Failed,
+                    (false, false) => EndKind::Done,
+                };
                 worker.end(index, kind);
             }
         }
@@ -332,7 +339,8 @@
             return StartOutcome::Refused(StartRefusal::Late);
         }
         let (task, attempt) = (order.task.clone(), order.number);
-        worker.runs.push(FakeRun { task: task.clone(), attempt, ends_ms, resources });
+        let is_stopped = false;
+        worker.runs.push(FakeRun { task: task.clone(), attempt, ends_ms, is_stopped, resources });
         self.starts.push((task.clone(), attempt, order.address.clone()));
         self.check_start(&task, &order.address);
         StartOutcome::Started
@@ -379,8 +387,9 @@
             worker.token = token;
             worker.barred.insert((order.task.clone(), order.number));
             let same = |run: &FakeRun| run.task == order.task && run.attempt == order.number;
-            if let Some(index) = worker.runs.iter().position(same) {
-                worker.end(index, EndKind::Interrupted);
+            if let Some(run) = worker.runs.iter_mut().find(|run| same(run)) {
+                run.is_stopped = true;
+                run.ends_ms = run.ends_ms.min(self.now_ms + worker.stop_ms);
             }
         }
         self.apply(CellInput::Stop { attempt, is_acknowledged });
