--- a/crates/cell/tests/support/mod.rs
+++ b/crates/cell/tests/support/mod.rs
@@ -4,6 +4,8 @@
 //! no worker runs more than it has, no task runs twice, and no end is acknowledged that the store
 //! does not have.
 
+#![expect(clippy::unwrap_used, reason = "a test that cannot go on should panic")]
+
 use {
     damaskrack_cell::{
         AskOrder, AttemptKey, CellAction, CellConfig, CellCore, CellInput, CellSettings,
@@ -18,42 +20,42 @@
 };
 
 /// Unix time at the start of each test, in milliseconds.
-pub const WALL_MS: u64 = 1_700_000_000_000;
+pub(crate) const WALL_MS: u64 = 1_700_000_000_000;
 /// Capacity of a fake worker.
-pub const CAPACITY: ResourceSet =
+pub(crate) const CAPACITY: ResourceSet =
     ResourceSet { cpu_millis: 4_000, memory_mb: 4_096, accelerators: 0 };
 
 /// A task that runs on a fake worker.
 #[derive(Debug, Clone)]
-pub struct FakeRun {
-    pub task: String,
-    pub attempt: u32,
-    pub ends_ms: u64,
-    pub is_stopped: bool,
-    pub resources: ResourceSet,
+pub(crate) struct FakeRun {
+    pub(crate) task: String,
+    pub(crate) attempt: u32,
+    pub(crate) ends_ms: u64,
+    pub(crate) is_stopped: bool,
+    pub(crate) resources: ResourceSet,
 }
 
 /// A fake worker: one incarnation at a time.
 #[derive(Debug, Default)]
-pub struct FakeWorker {
-    pub report: WorkerReport,
-    pub started_ms: u64,
-    pub token: u64,
-    pub runs: Vec<FakeRun>,
-    pub ended: Vec<EndedAttempt>,
-    pub last_end: u64,
-    pub lapse_ms: u64,
+pub(crate) struct FakeWorker {
+    pub(crate) report: WorkerReport,
+    pub(crate) started_ms: u64,
+    pub(crate) token: u64,
+    pub(crate) runs: Vec<FakeRun>,
+    pub(crate) ended: Vec<EndedAttempt>,
+    pub(crate) last_end: u64,
+    pub(crate) lapse_ms: u64,
     /// Attempts that were stopped or ended here, which never start again.
-    pub barred: BTreeSet<(String, u32)>,
+    pub(crate) barred: BTreeSet<(String, u32)>,
     /// It does not answer at all.
-    pub is_silent: bool,
+    pub(crate) is_silent: bool,
     /// Starts are left unanswered; they wait in `late`.
-    pub defers_starts: bool,
-    pub late: Vec<StartOrder>,
+    pub(crate) defers_starts: bool,
+    pub(crate) late: Vec<StartOrder>,
     /// Tasks fail.
-    pub fails: bool,
+    pub(crate) fails: bool,
     /// Time that a stop takes, in milliseconds.
-    pub stop_ms: u64,
+    pub(crate) stop_ms: u64,
 }
 
 impl FakeWorker {
@@ -81,38 +83,38 @@
 }
 
 /// The cell under test.
-pub struct FakeCell {
-    pub core: CellCore,
-    pub now_ms: u64,
-    pub token: u64,
-    pub config: CellConfig,
-    pub workers: BTreeMap<String, FakeWorker>,
+pub(crate) struct FakeCell {
+    pub(crate) core: CellCore,
+    pub(crate) now_ms: u64,
+    pub(crate) token: u64,
+    pub(crate) config: CellConfig,
+    pub(crate) workers: BTreeMap<String, FakeWorker>,
     /// The store: accepted jobs and their progress.
-    pub jobs: BTreeMap<String, JobRecord>,
-    pub progress: BTreeMap<String, ProgressRecord>,
+    pub(crate) jobs: BTreeMap<String, JobRecord>,
+    pub(crate) progress: BTreeMap<String, ProgressRecord>,
     /// Commits that the store has not carried out because it is down.
-    pub held_commits: Vec<CommitOrder>,
-    pub is_store_down: bool,
+    pub(crate) held_commits: Vec<CommitOrder>,
+    pub(crate) is_store_down: bool,
     /// Renewals whose answer is held back, with the answer.
-    pub held_holds: Vec<CellInput>,
-    pub holds_answers_of: Option<String>,
-    pub run_ms: u64,
+    pub(crate) held_holds: Vec<CellInput>,
+    pub(crate) holds_answers_of: Option<String>,
+    pub(crate) run_ms: u64,
     /// Ends `done` that were acknowledged, by task. An end that was lost with its worker before
     /// allows another run.
-    pub done: BTreeMap<String, u32>,
-    pub starts: Vec<(String, u32, String)>,
-    pub asks: Vec<AskOrder>,
+    pub(crate) done: BTreeMap<String, u32>,
+    pub(crate) starts: Vec<(String, u32, String)>,
+    pub(crate) asks: Vec<AskOrder>,
     /// Workers that the adviser allows; all if empty.
-    pub allowed: BTreeSet<String>,
+    pub(crate) allowed: BTreeSet<String>,
 }
 
 /// A step of tasks that take a core each.
-pub fn step(tasks: u32) -> StepSpec {
+pub(crate) fn step(tasks: u32) -> StepSpec {
     StepSpec { tasks, cpu_millis: 1_000, memory_mb: 64, estimate_ms: 500, ..StepSpec::default() }
 }
 
 /// A job of the team `team` at the queue `queue`.
-pub fn job(id: &str, steps: Vec<StepSpec>) -> JobRecord {
+pub(crate) fn job(id: &str, steps: Vec<StepSpec>) -> JobRecord {
     JobRecord {
         id: id.to_owned(),
         queue: "queue".to_owned(),
@@ -128,7 +130,7 @@
 
 impl FakeCell {
     /// Makes a cell with so many workers in two racks.
-    pub fn new(workers: usize) -> Self {
+    pub(crate) fn new(workers: usize) -> Self {
         let mut config = CellConfig { version: 1, ..CellConfig::default() };
         let queue = QueueConfig {
             name: "queue".to_owned(),
@@ -166,7 +168,7 @@
     }
 
     /// Starts an incarnation of a worker; a former one is over.
-    pub fn add_worker(&mut self, id: &str, incarnation: u64, rack: &str) {
+    pub(crate) fn add_worker(&mut self, id: &str, incarnation: u64, rack: &str) {
         let report = WorkerReport {
             id: id.to_owned(),
             incarnation,
@@ -182,13 +184,13 @@
     }
 
     /// Tells the core which workers there are.
-    pub fn list_workers(&mut self) {
+    pub(crate) fn list_workers(&mut self) {
         let reports = self.workers.values().map(|worker| worker.report.clone()).collect();
         self.apply(CellInput::Workers(reports));
     }
 
     /// A new leader reads the store; the former one is gone.
-    pub fn lead(&mut self) {
+    pub(crate) fn lead(&mut self) {
         self.core = CellCore::new(CellSettings::default());
         self.token += 1;
         self.held_commits.clear();
@@ -202,23 +204,23 @@
         }
     }
 
-    pub fn wall_ms(&self) -> u64 {
+    pub(crate) fn wall_ms(&self) -> u64 {
         WALL_MS + self.now_ms
     }
 
-    pub fn apply(&mut self, input: CellInput) {
+    pub(crate) fn apply(&mut self, input: CellInput) {
         self.core.set_time(self.now_ms, self.wall_ms());
         self.core.apply(input);
     }
 
     /// Accepts a job: its row is in the store first.
-    pub fn submit(&mut self, record: JobRecord) {
+    pub(crate) fn submit(&mut self, record: JobRecord) {
         self.jobs.insert(record.id.clone(), record.clone());
         self.apply(CellInput::Accepted(record));
     }
 
     /// Lets time pass, in steps of 10 ms.
-    pub fn run(&mut self, for_ms: u64) {
+    pub(crate) fn run(&mut self, for_ms: u64) {
         let until_ms = self.now_ms + for_ms;
         while self.now_ms < until_ms {
             self.now_ms += 10;
@@ -230,7 +232,7 @@
         }
     }
 
-    pub fn state(&self, id: &str) -> Option<JobState> {
+    pub(crate) fn state(&self, id: &str) -> Option<JobState> {
         self.core.state_of(id)
     }
 
@@ -278,7 +280,7 @@
     }
 
     /// The store is back and carries out what it was asked for.
-    pub fn restore_store(&mut self) {
+    pub(crate) fn restore_store(&mut self) {
         self.is_store_down = false;
         for order in std::mem::take(&mut self.held_commits) {
             self.commit(order);
@@ -322,7 +324,7 @@
     }
 
     /// Carries out a start, now or late.
-    pub fn start_now(&mut self, order: &StartOrder) -> StartOutcome {
+    pub(crate) fn start_now(&mut self, order: &StartOrder) -> StartOutcome {
         let (now_ms, token) = (self.now_ms, self.token);
         let resources = self.resources(&order.task);
         let ends_ms = now_ms + self.run_ms;
@@ -347,7 +349,7 @@
     }
 
     /// Carries out the starts that a worker left unanswered.
-    pub fn start_late(&mut self, id: &str) -> Vec<StartOutcome> {
+    pub(crate) fn start_late(&mut self, id: &str) -> Vec<StartOutcome> {
         let late = std::mem::take(&mut self.workers.get_mut(id).unwrap().late);
         late.iter().map(|order| self.start_now(order)).collect()
     }
--- a/crates/cellnode/src/frame.rs
+++ b/crates/cellnode/src/frame.rs
@@ -65,7 +65,7 @@
     /// Number of the call that is answered; 0 for none.
     #[prost(uint64, tag = "1")]
     pub(crate) call: u64,
-    #[prost(oneof = "LeaderBody", tags = "2, 3, 4, 5")]
+    #[prost(oneof = "LeaderBody", tags = "2, 3, 4, 5, 6")]
     pub(crate) body: Option<LeaderBody>,
 }
 
@@ -83,6 +83,9 @@
     /// How much work waits; also a heartbeat.
     #[prost(message, tag = "5")]
     Pressure(PressureFrame),
+    /// The leader of this term cannot reach the store and asks the daemon to take over.
+    #[prost(uint64, tag = "6")]
+    Resign(u64),
 }
 
 /// A question for the adviser.
--- a/crates/cellnode/src/guard.rs
+++ b/crates/cellnode/src/guard.rs
@@ -37,11 +37,12 @@
 
 impl GuardWriter {
     /// Tries to become the leader; `None` if another daemon was faster or the store is silent.
+    /// `leader_revision` is that of the row of a leader that has resigned, or 0 if there is none.
     pub(crate) async fn campaign(
         store: Arc<dyn CellStore>,
-        id: u64,
-        address: String,
+        (id, address): (u64, String),
         lease: u64,
+        leader_revision: u64,
         logger: Logger,
     ) -> Option<Self> {
         let guard = store.get(GUARD_KEY).await.ok()?;
@@ -51,7 +52,7 @@
         let leader = LeaderRow { id, address, term };
         let mut writer = Self { store, leader, revision, write: 0, logger };
         let mut change = writer.leader_change(lease);
-        change.expected.push((LEADER_KEY.into(), 0));
+        change.expected.push((LEADER_KEY.into(), leader_revision));
         match writer.write(change).await {
             WriteResult::Done { .. } => Some(writer),
             WriteResult::Deposed | WriteResult::NoLease => None,
--- a/crates/cellnode/src/hub.rs
+++ b/crates/cellnode/src/hub.rs
@@ -103,13 +103,13 @@
     }
 
     /// Sends a frame on a session, if it still exists.
-    pub(crate) fn send(&self, session: u64, call: u64, body: LeaderBody) {
-        self.send_where(|entry| entry.session == session, call, &body);
+    pub(crate) fn send(&self, session: u64, call: u64, body: &LeaderBody) {
+        self.send_where(|entry| entry.session == session, call, body);
     }
 
     /// Sends a frame to a daemon, if it is connected.
-    pub(crate) fn send_to_daemon(&self, daemon: u64, body: LeaderBody) {
-        self.send_where(|entry| entry.daemon == daemon, 0, &body);
+    pub(crate) fn send_to_daemon(&self, daemon: u64, body: &LeaderBody) {
+        self.send_where(|entry| entry.daemon == daemon, 0, body);
     }
 
     /// Sends a frame to every daemon.
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -32,16 +32,21 @@
     tokio::{
         sync::{mpsc, watch},
         task::JoinSet,
-        time::{Instant, sleep, sleep_until},
+        time::{Instant, sleep, sleep_until, timeout},
     },
 };
 
 /// Time to live of the leader's lease, in milliseconds.
-pub(crate) const LEASE_TTL_MS: u64 = 2_000;
+pub(crate) const LEASE_TTL_MS: u64 = 1_200;
 /// Time after the end of its lease for which a leader goes on without the store, in milliseconds.
 pub(crate) const ISOLATION_MS: u64 = 4_000;
 /// Time between two renewals of the lease, in milliseconds.
-const KEEP_INTERVAL_MS: u64 = 600;
+const KEEP_INTERVAL_MS: u64 = 350;
+/// Longest time for a renewal of the lease, in milliseconds.
+const KEEP_LIMIT_MS: u64 = 600;
+/// Time without a sign of the store after which a leader asks another daemon to take over, in
+/// milliseconds.
+const RESIGN_AFTER_MS: u64 = 700;
 /// Longest wait of a watch on workers or jobs, in milliseconds.
 const WATCH_WAIT_MS: u64 = 10_000;
 /// Time between two calls that watch the workers, in milliseconds.
@@ -81,6 +86,7 @@
     parts: LeaderParts,
     core: CellCore,
     token: u64,
+    id: u64,
     events: mpsc::Sender<LeaderEvent>,
     commits: mpsc::Sender<CommitOrder>,
     proof: ProofTime,
@@ -104,6 +110,7 @@
     let mut run = LeaderRun {
         core: CellCore::new(parts.settings.clone()),
         token: guard.leader.term,
+        id: guard.leader.id,
         events: events.clone(),
         commits,
         proof: proof.clone(),
@@ -219,6 +226,7 @@
             if now_ms >= next_report_ms {
                 next_report_ms = now_ms + REPORT_INTERVAL_MS;
                 self.report();
+                self.resign_if_cut();
             }
             let next_ms = self.core.next_tick_ms().min(next_report_ms).max(now_ms + 1);
             let wake = Instant::now() + Duration::from_millis(next_ms - now_ms);
@@ -250,6 +258,23 @@
         }
     }
 
+    /// Asks another daemon to take over if the store is out of reach. If it is so for all, nobody
+    /// can, and this daemon goes on.
+    fn resign_if_cut(&self) {
+        let proven_ms = *self.proof.lock().unwrap_or_else(PoisonError::into_inner);
+        if boot_ms().saturating_sub(proven_ms) < RESIGN_AFTER_MS {
+            return;
+        }
+        let daemons = self.parts.hub.daemons();
+        let others: Vec<u64> = daemons.into_iter().filter(|id| *id != self.id).collect();
+        if others.is_empty() {
+            return;
+        }
+        let chosen = others[rand::random_range(0..others.len())];
+        warn!(self.parts.logger, "resigning"; "term" => self.token, "to" => chosen);
+        self.parts.hub.send_to_daemon(chosen, &LeaderBody::Resign(self.token));
+    }
+
     /// Tells whether a successor cannot yet have taken this daemon's attempts for lapsed.
     fn is_proven(&self) -> bool {
         let proven_ms = *self.proof.lock().unwrap_or_else(PoisonError::into_inner);
@@ -276,11 +301,11 @@
             Some(EntryBody::Accepted(record)) => self.core.apply(CellInput::Accepted(record)),
             Some(EntryBody::State(id)) => {
                 let state = self.core.state_of(&id).map_or(-1, |state| state as i32);
-                hub.send(session, frame.call, LeaderBody::State(state));
+                hub.send(session, frame.call, &LeaderBody::State(state));
             }
             Some(EntryBody::Pending(queue)) => {
                 let count = self.core.pressure().pending.get(&queue).copied().unwrap_or(0);
-                hub.send(session, frame.call, LeaderBody::Pending(count));
+                hub.send(session, frame.call, &LeaderBody::Pending(count));
             }
             Some(EntryBody::Cancel(id)) => {
                 self.last_reply += 1;
@@ -329,7 +354,7 @@
                     workers: order.workers,
                     expected_ms: order.expected_ms,
                 };
-                hub.send_to_daemon(order.asker, LeaderBody::Ask(frame));
+                hub.send_to_daemon(order.asker, &LeaderBody::Ask(frame));
                 tokio::spawn(async move {
                     sleep(limit).await;
                     send(&events, CellInput::Advice { ask: order.ask, allowed: None }).await;
@@ -342,7 +367,7 @@
             CellAction::Reply { reply, state } => {
                 if let Some((session, call)) = self.replies.remove(&reply) {
                     let state = state.map_or(-1, |state| state as i32);
-                    self.parts.hub.send(session, call, LeaderBody::State(state));
+                    self.parts.hub.send(session, call, &LeaderBody::State(state));
                 }
             }
             CellAction::Note(note) => {
@@ -429,7 +454,9 @@
     loop {
         sleep(Duration::from_millis(KEEP_INTERVAL_MS)).await;
         let asked_ms = boot_ms();
-        match parts.store.keep(lease).await {
+        let limit = Duration::from_millis(KEEP_LIMIT_MS);
+        let kept = timeout(limit, parts.store.keep(lease)).await;
+        match kept.unwrap_or(Err(StoreFault::Unknown)) {
             Ok(true) => *proof.lock().unwrap_or_else(PoisonError::into_inner) = asked_ms,
             Ok(false) => {
                 info!(parts.logger, "lease_ended"; "lease" => lease);
@@ -506,8 +533,3 @@
 
     fn settle(&mut self, _asked_ms: u64) {}
 }
-
-/// Why a lease could not be had.
-pub(crate) async fn grant_lease(store: &dyn CellStore) -> Result<u64, StoreFault> {
-    store.grant(LEASE_TTL_MS).await
-}
--- a/crates/cellnode/src/link.rs
+++ b/crates/cellnode/src/link.rs
@@ -8,7 +8,7 @@
             decode, encode, frame_codec,
         },
         hub::{SessionFrame, SessionHub},
-        rows::LeaderRow,
+        rows::{KnownLeader, LeaderRow},
     },
     damaskrack_cell::{AskKey, AskOrder},
     futures_util::{SinkExt, StreamExt},
@@ -46,6 +46,8 @@
     outgoing: Option<mpsc::Sender<EntryFrame>>,
     calls: FxHashMap<u64, oneshot::Sender<LeaderBody>>,
     pressure: PressureFrame,
+    /// Where to tell that the leader of a term has resigned.
+    resigned: Option<mpsc::Sender<u64>>,
 }
 
 /// The connection to the leader, whoever it is.
@@ -83,6 +85,13 @@
         self.lock().pressure.clone()
     }
 
+    /// Returns where terms come out whose leaders have asked this daemon to take over.
+    pub(crate) fn resignations(&self) -> mpsc::Receiver<u64> {
+        let (sender, receiver) = mpsc::channel(1);
+        self.lock().resigned = Some(sender);
+        receiver
+    }
+
     /// Tells the leader something; it may be lost.
     pub(crate) fn tell(&self, body: EntryBody) {
         self.send(0, body);
@@ -108,9 +117,9 @@
     }
 
     /// Keeps the connection to whoever leads, until the task is dropped.
-    pub(crate) async fn run(self: Arc<Self>, mut leader: watch::Receiver<Option<LeaderRow>>) {
+    pub(crate) async fn run(self: Arc<Self>, mut leader: watch::Receiver<Option<KnownLeader>>) {
         loop {
-            let row = leader.borrow_and_update().clone();
+            let row = leader.borrow_and_update().clone().map(|known| known.row);
             let session = async {
                 match &row {
                     Some(row) if row.id == self.daemon => self.run_local().await,
@@ -199,6 +208,11 @@
     fn take(self: &Arc<Self>, frame: LeaderFrame) {
         match frame.body {
             Some(LeaderBody::Pressure(pressure)) => self.lock().pressure = pressure,
+            Some(LeaderBody::Resign(term)) => {
+                let state = self.lock();
+                // One that is not taken yet stands for all.
+                let _ = state.resigned.as_ref().map(|resigned| resigned.try_send(term));
+            }
             Some(LeaderBody::Ask(ask)) => {
                 let link = self.clone();
                 tokio::spawn(async move { link.ask_adviser(ask).await });
--- a/crates/cellnode/src/node.rs
+++ b/crates/cellnode/src/node.rs
@@ -6,9 +6,9 @@
         follow::{ItemSink, follow_prefix},
         guard::GuardWriter,
         hub::{SessionHub, serve_hub},
-        leader::{ISOLATION_MS, LEASE_TTL_MS, LeaderParts, grant_lease, lead},
+        leader::{ISOLATION_MS, LEASE_TTL_MS, LeaderParts, lead},
         link::LeaderLink,
-        rows::{LEADER_KEY, LeaderRow},
+        rows::{KnownLeader, LEADER_KEY, LeaderRow},
     },
     damaskrack_cell::{CellConfig, CellSettings},
     prost::Message,
@@ -22,7 +22,12 @@
         },
         time::Duration,
     },
-    tokio::{net::TcpListener, sync::watch, task::JoinHandle, time::sleep},
+    tokio::{
+        net::TcpListener,
+        sync::{mpsc, watch},
+        task::JoinHandle,
+        time::sleep,
+    },
 };
 
 /// Longest wait of a watch on the configuration, in milliseconds. Each answer shows that the
@@ -104,6 +109,7 @@
         });
         tokio::spawn(follow_config(outside.clone(), config_sender, fresh_ms, logger.clone()));
         tokio::spawn(follow_leader(outside.store.clone(), leader_sender, logger.clone()));
+        let resigned = link.resignations();
         tokio::spawn(link.run(leader_receiver.clone()));
         let (served, accept_logger) = (hub.clone(), logger.clone());
         tokio::spawn(async move { serve_hub(&served, listener, &accept_logger).await });
@@ -119,7 +125,9 @@
             logger,
         };
         let address = config.peer_address.to_string();
-        let election = tokio::spawn(stand(parts, id, address, leader_receiver, stopped));
+        let candidate =
+            Candidate { parts, id, address, leader: leader_receiver, resigned, stop: stopped };
+        let election = tokio::spawn(candidate.stand());
         Ok(Self { entry, is_leaving, stop, election })
     }
 
@@ -138,45 +146,74 @@
     }
 }
 
-/// Stands for election whenever nobody leads.
-async fn stand(
+/// A candidate's view of who leads.
+struct Candidate {
     parts: LeaderParts,
     id: u64,
     address: String,
-    mut leader: watch::Receiver<Option<LeaderRow>>,
+    leader: watch::Receiver<Option<KnownLeader>>,
+    /// Terms whose leaders have asked this daemon to take over.
+    resigned: mpsc::Receiver<u64>,
     stop: watch::Receiver<bool>,
-) {
-    while !*stop.borrow() {
-        let is_vacant = leader.borrow_and_update().as_ref().is_none_or(|row| row.id == id);
-        let has_config = parts.config.borrow().version > 0;
-        if !is_vacant || !has_config {
-            let mut stopping = stop.clone();
-            tokio::select! {
-                _ = leader.changed() => {}
-                _ = stopping.changed() => {}
-                () = sleep(Duration::from_millis(CAMPAIGN_RETRY_MS)), if !has_config => {}
+}
+
+impl Candidate {
+    /// Stands for election whenever nobody leads, or the leader asks for it.
+    async fn stand(mut self) {
+        while !*self.stop.borrow() {
+            match self.vacancy().await {
+                Some(revision) => {
+                    self.campaign(revision).await;
+                    sleep(Duration::from_millis(CAMPAIGN_RETRY_MS)).await;
+                }
+                None => self.wait().await,
             }
-            continue;
         }
-        sleep(Duration::from_millis(rand::random_range(0..=CAMPAIGN_JITTER_MS))).await;
-        if !leader.borrow().as_ref().is_none_or(|row| row.id == id) {
-            continue;
+    }
+
+    /// Returns the revision of the leader's row to replace: 0 if nobody leads, `None` if this
+    /// daemon is not to stand.
+    async fn vacancy(&mut self) -> Option<u64> {
+        if self.parts.config.borrow_and_update().version == 0 {
+            return None;
+        }
+        let is_vacant = |known: &Option<KnownLeader>| {
+            known.as_ref().is_none_or(|known| known.row.id == self.id)
+        };
+        if !is_vacant(&self.leader.borrow_and_update()) {
+            return None;
         }
-        campaign(&parts, id, &address, &stop).await;
-        sleep(Duration::from_millis(CAMPAIGN_RETRY_MS)).await;
+        // Daemons that learn of the vacancy together should not all write at once.
+        sleep(Duration::from_millis(rand::random_range(0..=CAMPAIGN_JITTER_MS))).await;
+        is_vacant(&self.leader.borrow()).then_some(0)
     }
-}
 
-async fn campaign(parts: &LeaderParts, id: u64, address: &str, stop: &watch::Receiver<bool>) {
-    let Ok(lease) = grant_lease(parts.store.as_ref()).await else { return };
-    let address = address.to_owned();
-    let (store, logger) = (parts.store.clone(), parts.logger.clone());
-    let won = GuardWriter::campaign(store, id, address, lease, logger).await;
-    if let Some(guard) = won {
-        lead(parts.clone(), guard, lease, stop.clone()).await;
+    async fn wait(&mut self) {
+        tokio::select! {
+            _ = self.leader.changed() => {}
+            _ = self.parts.config.changed() => {}
+            _ = self.stop.changed() => {}
+            term = self.resigned.recv() => if let Some(term) = term {
+                let known = self.leader.borrow().clone();
+                if let Some(known) = known.filter(|known| known.row.term == term) {
+                    self.campaign(known.revision).await;
+                }
+            }
+        }
     }
-    if let Err(fault) = parts.store.revoke(lease).await {
-        info!(parts.logger, "lease_not_revoked"; "fault" => ?fault);
+
+    async fn campaign(&self, leader_revision: u64) {
+        let parts = &self.parts;
+        let Ok(lease) = parts.store.grant(LEASE_TTL_MS).await else { return };
+        let (store, logger) = (parts.store.clone(), parts.logger.clone());
+        let identity = (self.id, self.address.clone());
+        let won = GuardWriter::campaign(store, identity, lease, leader_revision, logger).await;
+        if let Some(guard) = won {
+            lead(parts.clone(), guard, lease, self.stop.clone()).await;
+        }
+        if let Err(fault) = parts.store.revoke(lease).await {
+            info!(parts.logger, "lease_not_revoked"; "fault" => ?fault);
+        }
     }
 }
 
@@ -249,7 +286,7 @@
 
 async fn follow_leader(
     store: Arc<dyn CellStore>,
-    sender: watch::Sender<Option<LeaderRow>>,
+    sender: watch::Sender<Option<KnownLeader>>,
     logger: Logger,
 ) {
     let mut sink = LeaderSink { sender };
@@ -258,7 +295,7 @@
 }
 
 struct LeaderSink {
-    sender: watch::Sender<Option<LeaderRow>>,
+    sender: watch::Sender<Option<KnownLeader>>,
 }
 
 impl ItemSink for LeaderSink {
@@ -274,9 +311,10 @@
     fn update(&mut self, item: StoreItem) {
         let row = LeaderRow::decode(item.value.as_slice()).ok();
         let row = row.filter(|_| !item.is_deleted);
+        let leader = row.map(|row| KnownLeader { row, revision: item.revision });
         self.sender.send_if_modified(|known| {
-            let is_news = *known != row;
-            *known = row;
+            let is_news = *known != leader;
+            *known = leader;
             is_news
         });
     }
--- a/crates/cellnode/src/rows.rs
+++ b/crates/cellnode/src/rows.rs
@@ -30,6 +30,13 @@
     pub(crate) term: u64,
 }
 
+/// Who leads, and the revision of the row that says so.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct KnownLeader {
+    pub(crate) row: LeaderRow,
+    pub(crate) revision: u64,
+}
+
 /// The last write of any leader. Every commit expects this row's revision and replaces it, so a
 /// commit that the store carries out late, or one of a former leader, changes nothing.
 #[derive(Clone, PartialEq, prost::Message)]
