Accept jobs through the leader's commits

One transaction carries up to 30 accepted jobs and first attempts; daemons write by themselves only while the leader does not answer.

--- a/crates/cell/src/core/commit.rs
+++ b/crates/cell/src/core/commit.rs
@@ -3,7 +3,7 @@
 use {
     super::CellCore,
     crate::{
-        CellAction, CommitOrder, JobKey, ProgressRecord,
+        CellAction, CommitOrder, JobKey, JobState, ProgressRecord,
         table::{AfterCommit, JobEntry},
     },
     rustc_hash::FxHashSet,
@@ -12,8 +12,8 @@
 
 /// Most rows in a transaction; the store takes 32 entries, of which the leader's guard takes two.
 const MAX_ROWS: usize = 30;
-/// Rows of an ended job: what was accepted and how it went.
-const ROWS_PER_REMOVAL: usize = 2;
+/// Rows of a job: what was accepted and how it went.
+const ROWS_PER_JOB: usize = 2;
 
 /// Jobs that wait for a commit, and the commit on the way.
 #[derive(Debug, Default)]
@@ -23,7 +23,7 @@
     /// Ids of the jobs that the commit on the way carries.
     carried: FxHashSet<String>,
     /// What waits for the commit on the way.
-    waiting: Vec<AfterCommit>,
+    waiting: Vec<(AfterCommit, JobState)>,
     is_on_way: bool,
     next_ms: u64,
 }
@@ -58,12 +58,13 @@
             return;
         }
         let mut order = CommitOrder::default();
-        while order.rows.len() < MAX_ROWS
+        while order.rows.len() + order.accepted.len() + ROWS_PER_JOB <= MAX_ROWS
             && let Some(key) = self.commits.dirty.pop_front()
         {
             self.carry_row(key, &mut order);
         }
-        while order.rows.len() + (order.removals.len() + 1) * ROWS_PER_REMOVAL <= MAX_ROWS
+        while order.rows.len() + order.accepted.len() + (order.removals.len() + 1) * ROWS_PER_JOB
+            <= MAX_ROWS
             && let Some(key) = self.commits.expired.pop_front()
         {
             self.carry_removal(key, &mut order);
@@ -76,11 +77,17 @@
     fn carry_row(&mut self, key: JobKey, order: &mut CommitOrder) {
         let Some(job) = self.jobs.get_mut(key) else { return };
         job.is_dirty = false;
-        self.commits.waiting.append(&mut job.after_commit);
+        let state = job.state;
+        let waiting = job.after_commit.drain(..).map(|after| (after, state));
+        self.commits.waiting.extend(waiting);
         self.commits.carried.insert(job.record.id.clone());
-        let id = job.record.id.clone();
+        if !std::mem::replace(&mut job.is_stored, true) {
+            order.accepted.push(job.accepted());
+        }
         let job = &self.jobs[key];
-        order.rows.push((id, self.render(job)));
+        if job.state.is_final() || job.has_started() {
+            order.rows.push((job.record.id.clone(), self.render(job)));
+        }
     }
 
     fn carry_removal(&mut self, key: JobKey, order: &mut CommitOrder) {
@@ -109,11 +116,11 @@
     pub(super) fn finish_commit(&mut self) {
         self.commits.is_on_way = false;
         self.commits.carried.clear();
-        for after in std::mem::take(&mut self.commits.waiting) {
+        for (after, state) in std::mem::take(&mut self.commits.waiting) {
             match after {
                 AfterCommit::Send(attempt) => self.send_attempt(attempt),
                 AfterCommit::Note(worker, incarnation) => self.note_end(worker, incarnation),
-                AfterCommit::Reply(reply) => self.reply_cancelled(reply),
+                AfterCommit::Reply(reply) => self.reply_durable(reply, state),
             }
         }
     }
--- a/crates/cell/src/core/intake.rs
+++ b/crates/cell/src/core/intake.rs
@@ -10,15 +10,33 @@
 };
 
 impl CellCore {
+    /// Takes in a job that is to be made durable. It may be placed at once: the commit that
+    /// carries its first attempts carries the job too, or comes after it.
+    pub(super) fn submit(&mut self, record: JobRecord, reply: u64) {
+        let key = match self.job_ids.get(&record.id) {
+            Some(&key) => key,
+            None => {
+                let key = self.take_in(record);
+                self.jobs[key].is_stored = false;
+                key
+            }
+        };
+        self.touch(key, Some(AfterCommit::Reply(reply)));
+    }
+
     pub(super) fn accept(&mut self, record: JobRecord) {
-        if self.job_ids.contains_key(&record.id) {
-            return;
+        if !self.job_ids.contains_key(&record.id) {
+            self.take_in(record);
         }
+    }
+
+    fn take_in(&mut self, record: JobRecord) -> JobKey {
         let detail =
             format!("queue={} team={} steps={}", record.queue, record.team, record.steps.len());
         self.note("job_taken", &record.id, detail);
         let key = self.insert(record);
         self.live.push(key);
+        key
     }
 
     fn insert(&mut self, record: JobRecord) -> JobKey {
@@ -112,8 +130,8 @@
         self.touch(key, Some(AfterCommit::Reply(reply)));
     }
 
-    pub(super) fn reply_cancelled(&mut self, reply: u64) {
-        self.actions.push(CellAction::Reply { reply, state: Some(JobState::Cancelled) });
+    pub(super) fn reply_durable(&mut self, reply: u64, state: JobState) {
+        self.actions.push(CellAction::Reply { reply, state: Some(state) });
     }
 
     /// Ends a job and stops what runs of it.
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -139,6 +139,7 @@
             CellInput::Workers(reports) => self.update_workers(reports),
             CellInput::Askers(ids) => self.update_askers(&ids),
             CellInput::Accepted(record) => self.accept(record),
+            CellInput::Submitted { record, reply } => self.submit(record, reply),
             CellInput::Cancel { id, reply } => self.cancel(&id, reply),
             CellInput::Start { attempt, outcome, clock_ms } => {
                 self.finish_start(attempt, outcome, clock_ms);
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -146,6 +146,13 @@
     Askers(Vec<u64>),
     /// A job was accepted and its row is in the store.
     Accepted(JobRecord),
+    /// A caller hands a job in that is not in the store yet; `reply` comes back once it is durable.
+    Submitted {
+        /// The job.
+        record: JobRecord,
+        /// Handle of the answer.
+        reply: u64,
+    },
     /// A caller cancels a job; `reply` comes back once that is durable.
     Cancel {
         /// Id of the job.
@@ -260,6 +267,8 @@
 /// Rows to write in one transaction.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct CommitOrder {
+    /// Jobs that were accepted.
+    pub accepted: Vec<JobRecord>,
     /// Progress rows by the job's id.
     pub rows: Vec<(String, ProgressRecord)>,
     /// Ids of jobs whose rows go.
@@ -279,7 +288,7 @@
     Ask(AskOrder),
     /// Write rows; answered by [`CellInput::Committed`], however long it takes.
     Commit(CommitOrder),
-    /// A cancellation is durable.
+    /// What a caller asked for is durable.
     Reply {
         /// Handle of the answer.
         reply: u64,
--- a/crates/cell/src/table/job.rs
+++ b/crates/cell/src/table/job.rs
@@ -13,7 +13,7 @@
     Send(AttemptKey),
     /// An end may be acknowledged to this incarnation of its worker.
     Note(WorkerKey, u64),
-    /// A caller may be told that its cancellation holds.
+    /// A caller may be told that its job is accepted, or cancelled.
     Reply(u64),
 }
 
@@ -28,6 +28,8 @@
     pub(crate) begun: u32,
     /// When it ended, in Unix milliseconds; 0 while it has not.
     pub(crate) ended_ms: u64,
+    /// What was accepted is in the store, or on the way there.
+    pub(crate) is_stored: bool,
     /// The row in the store is older than this entry.
     pub(crate) is_dirty: bool,
     pub(crate) after_commit: Vec<AfterCommit>,
@@ -43,11 +45,17 @@
             phases: Vec::new(),
             begun: 0,
             ended_ms: 0,
+            is_stored: true,
             is_dirty: false,
             after_commit: Vec::new(),
         }
     }
 
+    /// What was accepted, whole.
+    pub(crate) fn accepted(&self) -> JobRecord {
+        JobRecord { payload: self.payload.to_string(), ..self.record.clone() }
+    }
+
     /// Number of occurrences, one for a job without times.
     pub(crate) fn occurrences(&self) -> u32 {
         self.record.occurrences.max(1)
--- a/crates/cell/tests/cell.rs
+++ b/crates/cell/tests/cell.rs
@@ -24,6 +24,25 @@
     assert_eq!(cell.done.len(), 4);
 }
 
+/// The check is the fake's: no attempt is sent before the job and its row are in the store.
+#[test]
+fn a_job_is_accepted_once_it_is_durable() {
+    let mut cell = FakeCell::new(1);
+    cell.is_store_down = true;
+    cell.apply(CellInput::Submitted { record: job("1", vec![step(1)]), reply: 7 });
+    cell.run(200);
+    assert!(cell.replies.is_empty() && cell.starts.is_empty());
+    cell.restore_store();
+    cell.run(100);
+    assert_eq!(cell.replies.first().map(|(reply, _)| *reply), Some(7));
+    assert!(cell.jobs.contains_key("1"));
+    cell.apply(CellInput::Submitted { record: job("1", vec![step(1)]), reply: 8 });
+    cell.run(2_000);
+    assert_eq!(cell.replies.len(), 2);
+    assert_eq!(cell.starts.len(), 1);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+}
+
 #[test]
 fn a_task_that_fails_too_often_fails_its_job() {
     let mut cell = FakeCell::new(1);
--- a/crates/cell/tests/support/mod.rs
+++ b/crates/cell/tests/support/mod.rs
@@ -102,6 +102,7 @@
     /// Ends `done` that were acknowledged, by task. An end that was lost with its worker before
     /// allows another run.
     pub(crate) done: BTreeMap<String, u32>,
+    pub(crate) replies: Vec<(u64, Option<JobState>)>,
     pub(crate) starts: Vec<(String, u32, String)>,
     pub(crate) asks: Vec<AskOrder>,
     /// Workers that the adviser allows; all if empty.
@@ -156,6 +157,7 @@
             holds_answers_of: None,
             run_ms: 500,
             done: BTreeMap::new(),
+            replies: Vec::new(),
             starts: Vec::new(),
             asks: Vec::new(),
             allowed: BTreeSet::new(),
@@ -262,7 +264,8 @@
             CellAction::Hold(order) => self.hold(&order),
             CellAction::Ask(order) => self.ask(order),
             CellAction::Commit(order) => self.commit(order),
-            CellAction::Reply { .. } | CellAction::Note(_) => {}
+            CellAction::Reply { reply, state } => self.replies.push((reply, state)),
+            CellAction::Note(_) => {}
         }
     }
 
@@ -271,6 +274,9 @@
             self.held_commits.push(order);
             return;
         }
+        for record in order.accepted {
+            self.jobs.insert(record.id.clone(), record);
+        }
         self.progress.extend(order.rows);
         for id in order.removals {
             self.jobs.remove(&id);
--- a/crates/cellnode/src/entry.rs
+++ b/crates/cellnode/src/entry.rs
@@ -21,6 +21,9 @@
 
 /// Longest wait for the leader, in milliseconds.
 const LEADER_LIMIT_MS: u64 = 700;
+/// Longest wait until the leader has accepted a job, in milliseconds. After it the daemon writes
+/// the job itself, so that jobs are accepted while the leader is being replaced.
+const SUBMIT_LIMIT_MS: u64 = 450;
 /// Longest wait until a cancellation is durable, in milliseconds.
 const CANCEL_LIMIT_MS: u64 = 1_800;
 /// Wait before a write without an answer is sent again, in milliseconds.
@@ -128,7 +131,12 @@
             removals: Vec::new(),
         };
         let until_ms = boot_ms() + limit_ms;
-        let mut may_be_written = false;
+        let mut may_be_written = self.link.is_connected();
+        let limit_ms = SUBMIT_LIMIT_MS.min(limit_ms);
+        let answer = self.link.ask(EntryBody::Submit(job.clone()), limit_ms).await;
+        if matches!(answer, Some(LeaderBody::State(state)) if state >= 0) {
+            return Ok(());
+        }
         loop {
             match self.store.change(&change).await {
                 // A conflict shows that the same job is accepted already.
--- a/crates/cellnode/src/frame.rs
+++ b/crates/cellnode/src/frame.rs
@@ -16,7 +16,7 @@
     /// Number of the call that the answer names.
     #[prost(uint64, tag = "1")]
     pub(crate) call: u64,
-    #[prost(oneof = "EntryBody", tags = "2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "EntryBody", tags = "2, 3, 4, 5, 6, 7, 8")]
     pub(crate) body: Option<EntryBody>,
 }
 
@@ -40,6 +40,9 @@
     /// What the adviser answered.
     #[prost(message, tag = "7")]
     Advice(AdviceFrame),
+    /// Hands in a job that is not in the store yet.
+    #[prost(message, tag = "8")]
+    Submit(JobRecord),
 }
 
 /// The adviser's answer.
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -90,7 +90,7 @@
     events: mpsc::Sender<LeaderEvent>,
     commits: mpsc::Sender<CommitOrder>,
     proof: ProofTime,
-    /// Sessions and calls that wait for a cancellation, by the core's handle.
+    /// Sessions and calls that wait until something is durable, by the core's handle.
     replies: FxHashMap<u64, (u64, u64)>,
     last_reply: u64,
     tasks: JoinSet<()>,
@@ -299,6 +299,10 @@
                 self.core.apply(CellInput::Askers(ids));
             }
             Some(EntryBody::Accepted(record)) => self.core.apply(CellInput::Accepted(record)),
+            Some(EntryBody::Submit(record)) => {
+                let reply = self.reply_to(session, frame.call);
+                self.core.apply(CellInput::Submitted { record, reply });
+            }
             Some(EntryBody::State(id)) => {
                 let state = self.core.state_of(&id).map_or(-1, |state| state as i32);
                 hub.send(session, frame.call, &LeaderBody::State(state));
@@ -308,9 +312,8 @@
                 hub.send(session, frame.call, &LeaderBody::Pending(count));
             }
             Some(EntryBody::Cancel(id)) => {
-                self.last_reply += 1;
-                self.replies.insert(self.last_reply, (session, frame.call));
-                self.core.apply(CellInput::Cancel { id, reply: self.last_reply });
+                let reply = self.reply_to(session, frame.call);
+                self.core.apply(CellInput::Cancel { id, reply });
             }
             Some(EntryBody::Advice(answer)) => {
                 let tickets = answer.workers.into_iter().zip(answer.tickets);
@@ -323,6 +326,13 @@
         }
     }
 
+    /// Notes who waits for an answer, and returns the core's handle for it.
+    fn reply_to(&mut self, session: u64, call: u64) -> u64 {
+        self.last_reply += 1;
+        self.replies.insert(self.last_reply, (session, call));
+        self.last_reply
+    }
+
     async fn carry_out(&mut self, action: CellAction) {
         match action {
             CellAction::Start(order) => {
@@ -436,10 +446,15 @@
         value: row.encode_to_vec(),
         lease: 0,
     };
+    let accept = |record: &JobRecord| StorePut {
+        key: job_key(&record.id),
+        value: record.encode_to_vec(),
+        lease: 0,
+    };
     let removals = order.removals.iter().flat_map(|id| [job_key(id), progress_key(id)]);
     StoreChange {
         expected: Vec::new(),
-        puts: order.rows.iter().map(put).collect(),
+        puts: order.accepted.iter().map(accept).chain(order.rows.iter().map(put)).collect(),
         removals: removals.collect(),
     }
 }
