--- a/crates/cellnode/src/entry.rs
+++ b/crates/cellnode/src/entry.rs
@@ -26,8 +26,13 @@
 const SUBMIT_LIMIT_MS: u64 = 450;
 /// Longest wait until a cancellation is durable, in milliseconds.
 const CANCEL_LIMIT_MS: u64 = 1_800;
-/// Wait before a write without an answer is sent again, in milliseconds.
+/// Wait before a write that the store refused is sent again, in milliseconds.
 const WRITE_RETRY_MS: u64 = 40;
+/// Longest time that a caller is kept waiting for the store, in milliseconds.
+const WRITE_LIMIT_MS: u64 = 1_300;
+/// Time for which callers are refused at once after a write had no answer, in milliseconds. Then
+/// one write tries the store again.
+const BREAKER_MS: u64 = 600;
 
 /// Why a call is not served.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -68,6 +73,8 @@
     /// Age from which the configuration counts as outdated, in milliseconds.
     pub(crate) max_age_ms: u64,
     pub(crate) is_leaving: Arc<AtomicBool>,
+    /// Until when the store counts as out of reach, in milliseconds since the host's boot.
+    pub(crate) breaker_ms: AtomicU64,
 }
 
 impl std::fmt::Debug for EntryService {
@@ -125,36 +132,69 @@
     ///
     /// Returns why it is not, or not known to be, accepted.
     pub async fn submit(&self, job: JobRecord, limit_ms: u64) -> Result<(), EntryRefusal> {
+        let until_ms = boot_ms() + limit_ms.min(WRITE_LIMIT_MS);
+        let mut may_be_written = false;
+        if self.link.is_connected() && !self.link.pressure().is_store_silent {
+            may_be_written = true;
+            let limit_ms = SUBMIT_LIMIT_MS.min(limit_ms);
+            let answer = self.link.ask(EntryBody::Submit(job.clone()), limit_ms).await;
+            if matches!(answer, Some(LeaderBody::State(state)) if state >= 0) {
+                return Ok(());
+            }
+        }
+        let is_written = match self.is_store_out_of_reach() {
+            true => Err(EntryRefusal::Unavailable),
+            false => self.write_job(&job, until_ms).await,
+        };
+        match is_written {
+            Ok(()) => {
+                self.link.tell(EntryBody::Accepted(job));
+                Ok(())
+            }
+            Err(_) if may_be_written => Err(EntryRefusal::Unknown),
+            Err(refusal) => Err(refusal),
+        }
+    }
+
+    /// Writes a job without the leader.
+    async fn write_job(&self, job: &JobRecord, until_ms: u64) -> Result<(), EntryRefusal> {
         let change = StoreChange {
             expected: vec![(job_key(&job.id), 0), (progress_key(&job.id), 0)],
             puts: vec![StorePut { key: job_key(&job.id), value: job.encode_to_vec(), lease: 0 }],
             removals: Vec::new(),
         };
-        let until_ms = boot_ms() + limit_ms;
-        let mut may_be_written = self.link.is_connected();
-        let limit_ms = SUBMIT_LIMIT_MS.min(limit_ms);
-        let answer = self.link.ask(EntryBody::Submit(job.clone()), limit_ms).await;
-        if matches!(answer, Some(LeaderBody::State(state)) if state >= 0) {
-            return Ok(());
-        }
         loop {
             match self.store.change(&change).await {
                 // A conflict shows that the same job is accepted already.
-                Ok(ChangeAnswer::Done(_) | ChangeAnswer::Conflict(_)) => break,
+                Ok(ChangeAnswer::Done(_) | ChangeAnswer::Conflict(_)) => {
+                    self.breaker_ms.store(0, Ordering::Relaxed);
+                    return Ok(());
+                }
                 Ok(ChangeAnswer::NoLease) => return Err(EntryRefusal::Unavailable),
                 Err(StoreFault::Refused | StoreFault::Compacted) => {}
-                Err(StoreFault::Unknown) => may_be_written = true,
+                Err(StoreFault::Unknown) => {
+                    self.breaker_ms.store(boot_ms() + BREAKER_MS, Ordering::Relaxed);
+                    return Err(EntryRefusal::Unknown);
+                }
             }
             if boot_ms() + WRITE_RETRY_MS >= until_ms {
-                return Err(match may_be_written {
-                    true => EntryRefusal::Unknown,
-                    false => EntryRefusal::Unavailable,
-                });
+                return Err(EntryRefusal::Unavailable);
             }
             sleep(Duration::from_millis(WRITE_RETRY_MS)).await;
         }
-        self.link.tell(EntryBody::Accepted(job));
-        Ok(())
+    }
+
+    /// Tells whether a write had no answer a moment ago; lets one caller a while find out anew.
+    fn is_store_out_of_reach(&self) -> bool {
+        let now_ms = boot_ms();
+        let until_ms = self.breaker_ms.load(Ordering::Relaxed);
+        if now_ms < until_ms {
+            return true;
+        }
+        if until_ms > 0 {
+            self.breaker_ms.store(now_ms + BREAKER_MS, Ordering::Relaxed);
+        }
+        false
     }
 
     /// Returns the state of a job, or `None` if there is no such job.
--- a/crates/cellnode/src/frame.rs
+++ b/crates/cellnode/src/frame.rs
@@ -117,6 +117,9 @@
     /// Processor of all workers, in thousandths of a core.
     #[prost(uint64, tag = "2")]
     pub(crate) capacity_millis: u64,
+    /// The leader has not heard from the store for a while.
+    #[prost(bool, tag = "3")]
+    pub(crate) is_store_silent: bool,
 }
 
 /// Makes the codec of a connection.
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -44,6 +44,9 @@
 const KEEP_INTERVAL_MS: u64 = 350;
 /// Longest time for a renewal of the lease, in milliseconds.
 const KEEP_LIMIT_MS: u64 = 600;
+/// Time without a sign of the store after which daemons no longer leave writes to the leader, in
+/// milliseconds.
+const STORE_SILENT_MS: u64 = 600;
 /// Time without a sign of the store after which a leader asks another daemon to take over, in
 /// milliseconds.
 const RESIGN_AFTER_MS: u64 = 700;
@@ -261,8 +264,7 @@
     /// Asks another daemon to take over if the store is out of reach. If it is so for all, nobody
     /// can, and this daemon goes on.
     fn resign_if_cut(&self) {
-        let proven_ms = *self.proof.lock().unwrap_or_else(PoisonError::into_inner);
-        if boot_ms().saturating_sub(proven_ms) < RESIGN_AFTER_MS {
+        if self.proof_age_ms() < RESIGN_AFTER_MS {
             return;
         }
         let daemons = self.parts.hub.daemons();
@@ -277,8 +279,13 @@
 
     /// Tells whether a successor cannot yet have taken this daemon's attempts for lapsed.
     fn is_proven(&self) -> bool {
+        self.proof_age_ms() < LEASE_TTL_MS + ISOLATION_MS
+    }
+
+    /// Time since the store last showed that this daemon leads.
+    fn proof_age_ms(&self) -> u64 {
         let proven_ms = *self.proof.lock().unwrap_or_else(PoisonError::into_inner);
-        boot_ms().saturating_sub(proven_ms) < LEASE_TTL_MS + ISOLATION_MS
+        boot_ms().saturating_sub(proven_ms)
     }
 
     fn report(&mut self) {
@@ -287,6 +294,7 @@
         let frame = PressureFrame {
             waiting_core_ms: pressure.waiting_core_ms,
             capacity_millis: pressure.capacity_millis,
+            is_store_silent: self.proof_age_ms() > STORE_SILENT_MS,
         };
         self.parts.hub.broadcast(&LeaderBody::Pressure(frame));
     }
--- a/crates/cellnode/src/node.rs
+++ b/crates/cellnode/src/node.rs
@@ -106,6 +106,7 @@
             fresh_ms: fresh_ms.clone(),
             max_age_ms: config.max_config_age_ms,
             is_leaving: is_leaving.clone(),
+            breaker_ms: AtomicU64::new(0),
         });
         tokio::spawn(follow_config(outside.clone(), config_sender, fresh_ms, logger.clone()));
         tokio::spawn(follow_leader(outside.store.clone(), leader_sender, logger.clone()));
