--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -123,7 +123,8 @@
     /// Chooses the daemon whose turn comes first.
     fn pick_asker(&self, is_long: bool) -> Option<usize> {
         let now_ms = self.time.now_ms;
-        let reserved = self.askers.len().div_ceil(SHORT_CALL_SHARE).min(self.askers.len() - 1);
+        let reserved =
+            self.askers.len().div_ceil(SHORT_CALL_SHARE).min(self.askers.len().saturating_sub(1));
         let first = if is_long { reserved } else { 0 };
         let limit_ms = if is_long { LONG_WAIT_MS } else { SHORT_WAIT_MS };
         (first..self.askers.len())
--- a/crates/cell/tests/cell.rs
+++ b/crates/cell/tests/cell.rs
@@ -240,6 +240,22 @@
     assert!(!cell.asks.is_empty());
 }
 
+/// With no daemon connected there is nobody to ask.
+#[test]
+fn a_step_waits_while_no_daemon_can_ask_for_tickets() {
+    let mut cell = FakeCell::new(2);
+    let timing = AdviceTiming { call_us: 9_000, worker_us: 100, valid_ms: 1_500 };
+    cell.config.queues.get_mut("queue").unwrap().advice = Some(timing);
+    cell.lead();
+    cell.apply(CellInput::Askers(Vec::new()));
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(500);
+    assert!(cell.starts.is_empty());
+    cell.apply(CellInput::Askers(vec![1]));
+    cell.run(2_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+}
+
 #[test]
 fn rows_of_an_ended_job_go_after_their_time() {
     let mut cell = FakeCell::new(1);
--- a/crates/cellnode/src/entry.rs
+++ b/crates/cellnode/src/entry.rs
@@ -7,6 +7,7 @@
         link::LeaderLink,
         rows::{job_key, progress_key},
     },
+    cadence::{CountedExt, StatsdClient, Timed},
     damaskrack_cell::{CellConfig, JobRecord, JobState, ProgressRecord, QueueConfig},
     prost::Message,
     std::{
@@ -75,6 +76,7 @@
     pub(crate) is_leaving: Arc<AtomicBool>,
     /// Until when the store counts as out of reach, in milliseconds since the host's boot.
     pub(crate) breaker_ms: AtomicU64,
+    pub(crate) metrics: Arc<StatsdClient>,
 }
 
 impl std::fmt::Debug for EntryService {
@@ -132,6 +134,16 @@
     ///
     /// Returns why it is not, or not known to be, accepted.
     pub async fn submit(&self, job: JobRecord, limit_ms: u64) -> Result<(), EntryRefusal> {
+        let began_ms = boot_ms();
+        let result = self.hand_in(job, limit_ms).await;
+        let name = if result.is_ok() { "submit.accepted" } else { "submit.refused" };
+        // The client's own handler reports what it cannot emit.
+        let _ = self.metrics.incr(name);
+        let _ = self.metrics.time("submit.latency", boot_ms() - began_ms);
+        result
+    }
+
+    async fn hand_in(&self, job: JobRecord, limit_ms: u64) -> Result<(), EntryRefusal> {
         let until_ms = boot_ms() + limit_ms.min(WRITE_LIMIT_MS);
         let mut may_be_written = false;
         if self.link.is_connected() && !self.link.pressure().is_store_silent {
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -16,6 +16,7 @@
         rows::{JOB_PREFIX, PROGRESS_PREFIX, job_key, progress_key},
         unix_ms,
     },
+    cadence::{CountedExt, StatsdClient},
     damaskrack_cell::{
         AskKey, CellAction, CellConfig, CellCore, CellInput, CellSettings, CommitOrder,
         HoldOutcome, JobRecord, ProgressRecord, StopOrder, WorkerReport, WorkerTicket,
@@ -72,6 +73,7 @@
     pub(crate) codec: Arc<dyn PlatformCodec>,
     pub(crate) hub: Arc<SessionHub>,
     pub(crate) config: watch::Receiver<Arc<CellConfig>>,
+    pub(crate) metrics: Arc<StatsdClient>,
     pub(crate) settings: CellSettings,
     pub(crate) logger: Logger,
 }
@@ -389,6 +391,8 @@
                 }
             }
             CellAction::Note(note) => {
+                // The client's own handler reports what it cannot emit.
+                let _ = self.parts.metrics.incr(note.event);
                 info!(self.parts.logger, "{}", note.event; "subject" => note.subject,
                     "detail" => note.detail);
             }
--- a/crates/cellnode/src/node.rs
+++ b/crates/cellnode/src/node.rs
@@ -10,6 +10,7 @@
         link::LeaderLink,
         rows::{KnownLeader, LEADER_KEY, LeaderRow},
     },
+    cadence::StatsdClient,
     damaskrack_cell::{CellConfig, CellSettings},
     prost::Message,
     slog::{Logger, info, warn},
@@ -62,6 +63,8 @@
     pub adviser: Arc<dyn AdviserGateway>,
     /// Reads what others write into the store.
     pub codec: Arc<dyn PlatformCodec>,
+    /// Takes in counters and latencies.
+    pub metrics: Arc<StatsdClient>,
 }
 
 impl std::fmt::Debug for OutsideLinks {
@@ -107,6 +110,7 @@
             max_age_ms: config.max_config_age_ms,
             is_leaving: is_leaving.clone(),
             breaker_ms: AtomicU64::new(0),
+            metrics: outside.metrics.clone(),
         });
         tokio::spawn(follow_config(outside.clone(), config_sender, fresh_ms, logger.clone()));
         tokio::spawn(follow_leader(outside.store.clone(), leader_sender, logger.clone()));
@@ -122,6 +126,7 @@
             codec: outside.codec,
             hub,
             config: config_receiver,
+            metrics: outside.metrics,
             settings,
             logger,
         };
