--- a/crates/bench/src/decide/cell.rs
+++ b/crates/bench/src/decide/cell.rs
@@ -8,8 +8,8 @@
     damaskrack_model::{
         Epoch, MemberName, NameError, PriorityClass, QueueName, RackName, Resources, TeamName,
     },
+    damaskrack_outside::{HostRow, HostState, StoreCall},
     damaskrack_ownership::{MemberRecord, MemberRoster, OwnerRecord, PieceName, suggest_owner},
-    damaskrack_platform::{HostRow, HostState, StoreCall},
     std::net::{Ipv4Addr, SocketAddr},
 };
 
--- a/crates/bench/src/decide/rack_side.rs
+++ b/crates/bench/src/decide/rack_side.rs
@@ -11,7 +11,7 @@
         AttemptId, Epoch, JobId, PriorityClass, RackName, Resources, TeamName, WorkKind,
     },
     damaskrack_node::{NodeAction, NodeInput},
-    damaskrack_platform::WorkerCall,
+    damaskrack_outside::WorkerCall,
     damaskrack_standin::{CheckpointPlace, WorkerPlan, WorkerTable},
     damaskrack_wire::{PeerMessage, PlaceMode, PlaceOrder},
     rand::{Rng, SeedableRng, rngs::SmallRng},
--- a/crates/bench/src/decide/rig.rs
+++ b/crates/bench/src/decide/rig.rs
@@ -9,7 +9,7 @@
     bytes::BytesMut,
     damaskrack_model::{ClockTime, Epoch, MemberName, NameError, Resources},
     damaskrack_node::{NodeAction, NodeConfig, NodeInput, SchedulerNode},
-    damaskrack_platform::{HostRow, StoreCall, StoreReply},
+    damaskrack_outside::{HostRow, StoreCall, StoreReply},
     damaskrack_standin::{StorePlan, StoreTable},
     damaskrack_wire::{PeerCodec, PeerFrame, PeerMessage, RackSummary, TeamDigest},
     std::time::{Duration, Instant},
--- a/crates/cli/src/commands/local/cell.rs
+++ b/crates/cli/src/commands/local/cell.rs
@@ -9,7 +9,7 @@
     },
     damaskrack_manifest::make_key,
     damaskrack_model::{KeyName, MemberName, TeamName, ZoneName},
-    damaskrack_platform::{HttpHosts, HttpStore, HttpWorker},
+    damaskrack_outside::{HttpHosts, HttpStore, HttpWorker},
     damaskrack_standin::{PlatformAddresses, PlatformPlan, StandinPlatform},
     rand::random,
     std::{net::SocketAddr, sync::Arc},
--- a/crates/daemon/src/bin/damaskrackd.rs
+++ b/crates/daemon/src/bin/damaskrackd.rs
@@ -7,7 +7,7 @@
         DaemonConfig, DaemonLog, DaemonServer, SettingsDocument, SignalWatch, parse_settings,
         settings_schema,
     },
-    damaskrack_platform::{HttpHosts, HttpStore, HttpWorker},
+    damaskrack_outside::{HttpHosts, HttpStore, HttpWorker},
     std::{fs, path::PathBuf, process::ExitCode, sync::Arc},
 };
 
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -5,7 +5,7 @@
 
 use {
     damaskrack_node::NodeInput,
-    damaskrack_platform::{
+    damaskrack_outside::{
         HostList, PlatformStore, StoreCall, StoreFailure, WorkerCall, WorkerFailure, WorkerLink,
     },
     std::{future::Future, net::SocketAddr, sync::Arc, time::Duration},
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -16,7 +16,7 @@
     anyhow::Context,
     damaskrack_model::ClockTime,
     damaskrack_node::{NodeConfig, SchedulerNode},
-    damaskrack_platform::{HostList, PlatformStore, WorkerLink},
+    damaskrack_outside::{HostList, PlatformStore, WorkerLink},
     gotham::router::Router,
     slog::{Logger, o},
     std::{net::SocketAddr, sync::Arc, time::Duration},
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -12,7 +12,7 @@
     damaskrack_manifest::make_key,
     damaskrack_model::{AnswerReason, ClockTime, OutcomeKind, WorkAnswer},
     damaskrack_node::{CallerRequest, NodeAction, NodeInput, OperatorRequest},
-    damaskrack_platform::{
+    damaskrack_outside::{
         HostList, HostRow, PlatformStore, StoreCall, StoreFailure, StoreReply, WorkerCall,
         WorkerFailure, WorkerLink, WorkerReply,
     },
--- a/crates/node/src/action.rs
+++ b/crates/node/src/action.rs
@@ -2,7 +2,7 @@
 
 use {
     damaskrack_model::{MemberName, WorkAnswer},
-    damaskrack_platform::{StoreCall, WorkerCall},
+    damaskrack_outside::{StoreCall, WorkerCall},
     damaskrack_wire::PeerMessage,
     std::net::SocketAddr,
 };
--- a/crates/node/src/buffer.rs
+++ b/crates/node/src/buffer.rs
@@ -3,7 +3,7 @@
 use {
     crate::{LogField, LogLevel, LogLine, NodeAction},
     damaskrack_model::MemberName,
-    damaskrack_platform::{StoreCall, WorkerCall},
+    damaskrack_outside::{StoreCall, WorkerCall},
     damaskrack_wire::PeerMessage,
     rand::{RngCore, SeedableRng, rngs::SmallRng},
     std::{collections::VecDeque, net::SocketAddr},
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -2,7 +2,7 @@
 
 use {
     damaskrack_model::{JobId, MemberName, QueueName, WorkSpec},
-    damaskrack_platform::{HostRow, StoreFailure, StoreReply, WorkerFailure, WorkerReply},
+    damaskrack_outside::{HostRow, StoreFailure, StoreReply, WorkerFailure, WorkerReply},
     damaskrack_wire::PeerMessage,
 };
 
--- a/crates/node/src/manifest/change.rs
+++ b/crates/node/src/manifest/change.rs
@@ -13,8 +13,8 @@
     },
     damaskrack_manifest::{HEAD_KEY, ManifestHead, parse_manifest, section_key},
     damaskrack_model::{AnswerReason, ClockTime, MemberName, OutcomeKind, WorkAnswer},
+    damaskrack_outside::{StoreCall, StoreFailure, StoreReply},
     damaskrack_ownership::{MemberStanding, SwapMark, SwapVerdict, judge_swap},
-    damaskrack_platform::{StoreCall, StoreFailure, StoreReply},
     std::collections::VecDeque,
 };
 
--- a/crates/node/src/manifest/fetch.rs
+++ b/crates/node/src/manifest/fetch.rs
@@ -15,7 +15,7 @@
         section_json, section_key, store_section,
     },
     damaskrack_model::{ClockTime, MemberName},
-    damaskrack_platform::{StoreCall, StoreFailure, StoreReply},
+    damaskrack_outside::{StoreCall, StoreFailure, StoreReply},
     damaskrack_wire::PeerMessage,
     rustc_hash::FxHashMap,
 };
--- a/crates/node/src/membership/follower.rs
+++ b/crates/node/src/membership/follower.rs
@@ -9,8 +9,8 @@
     crate::buffer::ActionBuffer,
     damaskrack_manifest::HEAD_KEY,
     damaskrack_model::ClockTime,
+    damaskrack_outside::{StoreCall, StoreEvent, StoreFailure, StoreReply},
     damaskrack_ownership::{MemberRecord, MemberRoster, PieceName},
-    damaskrack_platform::{StoreCall, StoreEvent, StoreFailure, StoreReply},
     std::collections::BTreeMap,
 };
 
--- a/crates/node/src/membership/keeper.rs
+++ b/crates/node/src/membership/keeper.rs
@@ -4,8 +4,8 @@
     super::PeerMonitor,
     crate::{LogLevel, NodeConfig, buffer::ActionBuffer, view::ClusterView},
     damaskrack_model::{ClockTime, MemberName},
+    damaskrack_outside::StoreCall,
     damaskrack_ownership::{MemberRoster, MemberStanding},
-    damaskrack_platform::StoreCall,
     std::collections::BTreeSet,
 };
 
--- a/crates/node/src/membership/registration.rs
+++ b/crates/node/src/membership/registration.rs
@@ -6,8 +6,8 @@
 use {
     crate::{NodeConfig, buffer::ActionBuffer},
     damaskrack_model::ClockTime,
+    damaskrack_outside::{StoreCall, StoreFailure, StoreReply},
     damaskrack_ownership::MemberRecord,
-    damaskrack_platform::{StoreCall, StoreFailure, StoreReply},
 };
 
 /// Pause after a failed call, in milliseconds.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -18,8 +18,8 @@
     },
     damaskrack_manifest::HEAD_KEY,
     damaskrack_model::{AnswerReason, ClockTime, MemberName, OutcomeKind, WorkAnswer},
+    damaskrack_outside::{StoreFailure, StoreReply},
     damaskrack_ownership::{MemberRecord, MemberRoster, MemberStanding, PieceName},
-    damaskrack_platform::{StoreFailure, StoreReply},
     damaskrack_wire::PeerMessage,
     serde_json::json,
 };
--- a/crates/node/src/pieces.rs
+++ b/crates/node/src/pieces.rs
@@ -6,10 +6,10 @@
 use {
     crate::{LogLevel, NodeConfig, buffer::ActionBuffer, view::ClusterView},
     damaskrack_model::{ClockTime, MemberName},
+    damaskrack_outside::StoreCall,
     damaskrack_ownership::{
         OwnerRecord, PieceName, PieceStep, PieceView, WriteBudget, next_piece_step, suggest_owner,
     },
-    damaskrack_platform::StoreCall,
     std::collections::{BTreeMap, BTreeSet},
 };
 
--- a/crates/node/src/queue/commit.rs
+++ b/crates/node/src/queue/commit.rs
@@ -15,8 +15,8 @@
         team::{TeamPhase, TeamQueue},
     },
     crate::LogLevel,
+    damaskrack_outside::{StoreCall, StoreFailure, StoreReply},
     damaskrack_ownership::{FoundSegment, JournalStep, MemberStanding},
-    damaskrack_platform::{StoreCall, StoreFailure, StoreReply},
 };
 
 /// Segments after which everything is restated in one.
--- a/crates/node/src/queue/takeover.rs
+++ b/crates/node/src/queue/takeover.rs
@@ -15,8 +15,8 @@
     },
     crate::LogLevel,
     damaskrack_model::{Epoch, JobId, MemberName, OutcomeKind, RackName, WorkKind},
+    damaskrack_outside::{StoreCall, StoreFailure, StoreReply},
     damaskrack_ownership::{JournalSegment, JournalWriter, PieceName, UnfoundStep, judge_unfound},
-    damaskrack_platform::{StoreCall, StoreFailure, StoreReply},
     damaskrack_wire::{AttemptPhase, AttemptRow as PhaseRow, EndedNotice, PeerMessage},
     std::collections::{BTreeMap, BTreeSet},
 };
--- a/crates/node/src/rack.rs
+++ b/crates/node/src/rack.rs
@@ -26,8 +26,8 @@
 use {
     crate::{LogLevel, NodeConfig, buffer::ActionBuffer, view::ClusterView},
     damaskrack_model::{AttemptId, ClockTime, Epoch, MemberName, RackName, TeamName},
+    damaskrack_outside::{WorkerFailure, WorkerReply},
     damaskrack_ownership::MemberStanding,
-    damaskrack_platform::{WorkerFailure, WorkerReply},
     damaskrack_policy::HealthChange,
     damaskrack_wire::{PeerMessage, PlaceOrder, PlaceVerdict, RackSummary, RefusalReason},
     place::OwnerClaim,
--- a/crates/node/src/rack/hosts.rs
+++ b/crates/node/src/rack/hosts.rs
@@ -7,7 +7,7 @@
     super::{RackShared, RackTable, WorkerRow},
     crate::view::ClusterView,
     damaskrack_model::{ClockTime, RackName, WorkerName},
-    damaskrack_platform::HostRow,
+    damaskrack_outside::HostRow,
     std::collections::BTreeMap,
 };
 
--- a/crates/node/src/rack/report.rs
+++ b/crates/node/src/rack/report.rs
@@ -14,7 +14,7 @@
     },
     crate::{LogLevel, buffer::ActionBuffer, view::ClusterView},
     damaskrack_model::{AttemptId, ClockTime, Epoch, PriorityClass, Resources, TaskResult},
-    damaskrack_platform::{
+    damaskrack_outside::{
         EndedRow, RunningRow, WorkerBody, WorkerFailure, WorkerReply, WorkerReport,
     },
     damaskrack_wire::RefusalReason,
--- a/crates/node/src/rack/room.rs
+++ b/crates/node/src/rack/room.rs
@@ -3,7 +3,7 @@
 use {
     super::{RackShared, RackTable, WorkerKey, WorkerRow},
     damaskrack_model::{ClockTime, Resources},
-    damaskrack_platform::HostState,
+    damaskrack_outside::HostState,
     damaskrack_policy::{HealthGate, WorkerRoom, choose_worker},
 };
 
--- a/crates/node/src/rack/start.rs
+++ b/crates/node/src/rack/start.rs
@@ -11,8 +11,8 @@
     },
     crate::{buffer::ActionBuffer, view::ClusterView},
     damaskrack_model::{ClockTime, Epoch, TeamName},
+    damaskrack_outside::{StartOrder, StartVerdict, WorkerCall},
     damaskrack_ownership::FenceVerdict,
-    damaskrack_platform::{StartOrder, StartVerdict, WorkerCall},
     damaskrack_wire::{PlaceVerdict, RefusalReason},
     std::collections::BTreeMap,
 };
--- a/crates/node/src/rack/stop.rs
+++ b/crates/node/src/rack/stop.rs
@@ -7,7 +7,7 @@
     super::{AttemptKey, CallKind, CallRow, RackShared, RackTable, WorkerKey},
     crate::buffer::ActionBuffer,
     damaskrack_model::{AttemptId, ClockTime},
-    damaskrack_platform::WorkerCall,
+    damaskrack_outside::WorkerCall,
     std::collections::BTreeMap,
 };
 
--- a/crates/node/src/rack/sync.rs
+++ b/crates/node/src/rack/sync.rs
@@ -8,8 +8,8 @@
     super::{CallKind, CallRow, LocalPhase, RackShared, RackTable, WorkerKey, WorkerRow},
     crate::{LogLevel, buffer::ActionBuffer, view::ClusterView},
     damaskrack_model::{ClockTime, TaskResult},
+    damaskrack_outside::WorkerCall,
     damaskrack_ownership::{MemberStanding, SilenceInput, lapse_time},
-    damaskrack_platform::WorkerCall,
     damaskrack_wire::RefusalReason,
 };
 
--- a/crates/node/src/rack/tests.rs
+++ b/crates/node/src/rack/tests.rs
@@ -18,8 +18,8 @@
         AttemptId, ClockTime, Epoch, JobId, MemberName, PriorityClass, RackName, Resources,
         TeamName, WorkKind,
     },
+    damaskrack_outside::{HostRow, HostState, WorkerCall, WorkerFailure, WorkerReply},
     damaskrack_ownership::{MemberStanding, OwnerRecord, PieceName},
-    damaskrack_platform::{HostRow, HostState, WorkerCall, WorkerFailure, WorkerReply},
     damaskrack_wire::{
         AttemptPhase, AttemptRow, EndedNotice, PeerMessage, PlaceMode, PlaceOrder, PlaceVerdict,
         RefusalReason,
--- a/crates/node/src/rack/tests/fake.rs
+++ b/crates/node/src/rack/tests/fake.rs
@@ -3,7 +3,7 @@
 use {
     super::WORKER,
     damaskrack_model::{AttemptId, Epoch, Resources, TaskResult},
-    damaskrack_platform::{
+    damaskrack_outside::{
         EndedRow, RunningRow, StartOrder, StartVerdict, WorkerBody, WorkerCall, WorkerReply,
         WorkerReport,
     },
--- a/crates/node/src/rack/worker.rs
+++ b/crates/node/src/rack/worker.rs
@@ -3,8 +3,8 @@
 use {
     super::AttemptKey,
     damaskrack_model::{AttemptId, ClockTime, Resources, WorkerName},
+    damaskrack_outside::HostState,
     damaskrack_ownership::WriteBudget,
-    damaskrack_platform::HostState,
     serde::Serialize,
     std::{collections::BTreeSet, net::SocketAddr},
 };
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -8,8 +8,8 @@
     damaskrack_model::{
         ClockTime, Epoch, MemberName, QueueName, RackName, Resources, TeamName, ZoneName,
     },
+    damaskrack_outside::HostRow,
     damaskrack_ownership::{MemberRecord, MemberRoster, MemberStanding, OwnerRecord, PieceName},
-    damaskrack_platform::HostRow,
     damaskrack_wire::{RackSummary, TeamDigest},
     rustc_hash::FxHashMap,
     serde::Serialize,
--- a/crates/platform/src/http_hosts.rs
+++ b/crates/outside/src/http_hosts.rs
@@ -13,7 +13,7 @@
 /// # Examples
 ///
 /// ```
-/// use damaskrack_platform::{HostList, HttpHosts};
+/// use damaskrack_outside::{HostList, HttpHosts};
 ///
 /// # #[tokio::main(flavor = "current_thread")]
 /// # async fn main() -> Result<(), std::net::AddrParseError> {
--- a/crates/platform/src/http_store.rs
+++ b/crates/outside/src/http_store.rs
@@ -13,7 +13,7 @@
 /// # Examples
 ///
 /// ```
-/// use damaskrack_platform::{HttpStore, PlatformStore, StoreCall, StoreFailure};
+/// use damaskrack_outside::{HttpStore, PlatformStore, StoreCall, StoreFailure};
 ///
 /// # #[tokio::main(flavor = "current_thread")]
 /// # async fn main() -> Result<(), std::net::AddrParseError> {
--- a/crates/platform/src/http_worker.rs
+++ b/crates/outside/src/http_worker.rs
@@ -21,7 +21,7 @@
 /// # Examples
 ///
 /// ```
-/// use damaskrack_platform::{HttpWorker, WorkerCall, WorkerFailure, WorkerLink};
+/// use damaskrack_outside::{HttpWorker, WorkerCall, WorkerFailure, WorkerLink};
 ///
 /// # #[tokio::main(flavor = "current_thread")]
 /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
--- a/crates/platform/tests/truthful_failures.rs
+++ b/crates/outside/tests/truthful_failures.rs
@@ -2,7 +2,7 @@
 
 use {
     damaskrack_model::Epoch,
-    damaskrack_platform::{
+    damaskrack_outside::{
         HostList, HttpHosts, HttpStore, HttpWorker, PlatformStore, StoreCall, StoreFailure,
         StoreReply, WorkerBody, WorkerCall, WorkerFailure, WorkerLink, WorkerReply,
     },
--- a/crates/scenario/src/processes/fault.rs
+++ b/crates/scenario/src/processes/fault.rs
@@ -6,7 +6,7 @@
         observe::{SeenDisturbance, SeenLeaving, SeenLoss, SeenShutdown},
         script::{FaultKind, FaultTarget},
     },
-    damaskrack_platform::HostState,
+    damaskrack_outside::HostState,
     damaskrack_standin::{HostFaults, StoreFaults, WorkerFaults},
     nix::sys::signal::Signal,
     rand::Rng,
--- a/crates/scenario/src/processes/site.rs
+++ b/crates/scenario/src/processes/site.rs
@@ -3,8 +3,8 @@
 use {
     crate::script::CellPlan,
     damaskrack_model::WorkerName,
+    damaskrack_outside::{HostRow, HostState},
     damaskrack_ownership::{OwnerRecord, PieceName},
-    damaskrack_platform::{HostRow, HostState},
     damaskrack_standin::{
         CheckpointPlace, HostServer, HostTable, StorePlan, StoreServer, WorkerPlan, WorkerServer,
     },
--- a/crates/scenario/src/world/act.rs
+++ b/crates/scenario/src/world/act.rs
@@ -5,7 +5,7 @@
     crate::observe::SeenVersion,
     damaskrack_model::{MemberName, WorkAnswer},
     damaskrack_node::{NodeAction, NodeInput},
-    damaskrack_platform::{StoreCall, WorkerCall},
+    damaskrack_outside::{StoreCall, WorkerCall},
     damaskrack_wire::PeerMessage,
     std::net::SocketAddr,
 };
@@ -155,7 +155,7 @@
             let is_dull = match input {
                 NodeInput::Hosts { .. } | NodeInput::Peer { .. } => true,
                 NodeInput::Worker { result: Ok(reply), .. } => {
-                    matches!(reply.body, damaskrack_platform::WorkerBody::Report(_))
+                    matches!(reply.body, damaskrack_outside::WorkerBody::Report(_))
                 }
                 _ => false,
             };
--- a/crates/scenario/src/world/build.rs
+++ b/crates/scenario/src/world/build.rs
@@ -15,8 +15,8 @@
         HEAD_KEY, ManifestDocument, ManifestHead, ManifestSection, section_hash, section_json,
     },
     damaskrack_model::{MemberName, NameError, RackName, WorkerName, ZoneName},
+    damaskrack_outside::{HostRow, HostState},
     damaskrack_ownership::OwnerRecord,
-    damaskrack_platform::{HostRow, HostState},
     damaskrack_standin::{CheckpointPlace, HostTable, WorkerPlan, WorkerTable, WriteRecord},
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{
--- a/crates/scenario/src/world/fleet.rs
+++ b/crates/scenario/src/world/fleet.rs
@@ -3,7 +3,7 @@
 use {
     super::CallOrigin,
     damaskrack_model::{AttemptId, RackName, WorkerName},
-    damaskrack_platform::{WorkerCall, WorkerReply},
+    damaskrack_outside::{WorkerCall, WorkerReply},
     damaskrack_standin::WorkerTable,
     std::{collections::BTreeMap, net::SocketAddr},
 };
--- a/crates/scenario/src/world/misbehaviour.rs
+++ b/crates/scenario/src/world/misbehaviour.rs
@@ -3,7 +3,7 @@
 use {
     super::{CallOrigin, HOSTS_READ_MS, SimWorld, WorldEvent},
     crate::observe::SeenLeaving,
-    damaskrack_platform::{HostState, WorkerFailure},
+    damaskrack_outside::{HostState, WorkerFailure},
     rand::Rng,
 };
 
--- a/crates/scenario/src/world/network.rs
+++ b/crates/scenario/src/world/network.rs
@@ -3,7 +3,7 @@
 use {
     super::{CallKind, CallOrigin, NetPlace, SILENCE_LIMIT_MS, SimWorld, WorldEvent},
     damaskrack_node::NodeInput,
-    damaskrack_platform::{StoreFailure, WorkerFailure},
+    damaskrack_outside::{StoreFailure, WorkerFailure},
     damaskrack_wire::PeerMessage,
 };
 
--- a/crates/scenario/src/world/platform.rs
+++ b/crates/scenario/src/world/platform.rs
@@ -3,7 +3,7 @@
 use {
     super::{CallOrigin, NetPlace, SimWorld, StoreStep, WorkerStep, WorldEvent},
     damaskrack_node::NodeInput,
-    damaskrack_platform::{
+    damaskrack_outside::{
         StartVerdict, StoreCall, StoreFailure, StoreReply, WorkerBody, WorkerCall, WorkerFailure,
         WorkerReply,
     },
--- a/crates/scenario/src/world/sim.rs
+++ b/crates/scenario/src/world/sim.rs
@@ -8,7 +8,7 @@
     crate::script::{FaultKind, ManifestEdit, ScenarioScript, ScriptStep},
     damaskrack_manifest::ManifestDocument,
     damaskrack_node::NodeInput,
-    damaskrack_platform::{
+    damaskrack_outside::{
         StoreCall, StoreFailure, StoreReply, WorkerCall, WorkerFailure, WorkerReply,
     },
     damaskrack_standin::HostTable,
--- a/crates/scenario/src/world/store_front.rs
+++ b/crates/scenario/src/world/store_front.rs
@@ -2,7 +2,7 @@
 
 use {
     super::CallOrigin,
-    damaskrack_platform::{StoreCall, StoreFailure, StoreReply},
+    damaskrack_outside::{StoreCall, StoreFailure, StoreReply},
     damaskrack_standin::{StorePlan, StoreTable},
 };
 
--- a/crates/standin/src/host_server.rs
+++ b/crates/standin/src/host_server.rs
@@ -8,7 +8,7 @@
         http_server::{ServedCall, Shared, StandinServer, answer_served},
     },
     damaskrack_model::WorkerName,
-    damaskrack_platform::{HostRow, HostState},
+    damaskrack_outside::{HostRow, HostState},
     gotham::{
         handler::HandlerResult,
         middleware::state::StateMiddleware,
@@ -82,7 +82,7 @@
     ///
     /// ```
     /// use {
-    ///     damaskrack_platform::{HostList, HttpHosts},
+    ///     damaskrack_outside::{HostList, HttpHosts},
     ///     damaskrack_standin::{HostServer, HostTable},
     /// };
     ///
--- a/crates/standin/src/host_table.rs
+++ b/crates/standin/src/host_table.rs
@@ -2,7 +2,7 @@
 
 use {
     damaskrack_model::WorkerName,
-    damaskrack_platform::{HostRow, HostState},
+    damaskrack_outside::{HostRow, HostState},
     std::collections::{BTreeMap, VecDeque},
 };
 
@@ -18,7 +18,7 @@
 /// # Examples
 ///
 /// ```
-/// use {damaskrack_platform::{HostRow, HostState}, damaskrack_standin::HostTable};
+/// use {damaskrack_outside::{HostRow, HostState}, damaskrack_standin::HostTable};
 ///
 /// let row = HostRow {
 ///     worker: "w1".parse()?,
--- a/crates/standin/src/http_server.rs
+++ b/crates/standin/src/http_server.rs
@@ -140,7 +140,7 @@
 }
 
 fn answer_not_served(state: State) -> HandlerResult {
-    let body = damaskrack_platform::NOT_SERVED.as_bytes().to_vec();
+    let body = damaskrack_outside::NOT_SERVED.as_bytes().to_vec();
     answer(state, StatusCode::SERVICE_UNAVAILABLE, mime::TEXT_PLAIN, body)
 }
 
--- a/crates/standin/src/platform_addresses.rs
+++ b/crates/standin/src/platform_addresses.rs
@@ -1,7 +1,7 @@
 //! Where the stand-ins of a process listen.
 
 use {
-    damaskrack_platform::HostRow,
+    damaskrack_outside::HostRow,
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
--- a/crates/standin/src/standin_command.rs
+++ b/crates/standin/src/standin_command.rs
@@ -7,7 +7,7 @@
     },
     clap::{Args, Subcommand},
     damaskrack_model::{RackName, Resources, WorkerName, ZoneName},
-    damaskrack_platform::{HostRow, HostState},
+    damaskrack_outside::{HostRow, HostState},
     std::{
         net::{IpAddr, Ipv4Addr, SocketAddr},
         path::PathBuf,
--- a/crates/standin/src/standin_platform.rs
+++ b/crates/standin/src/standin_platform.rs
@@ -8,7 +8,7 @@
         http_server::StandinServer, standin_parts::StandinParts,
     },
     damaskrack_model::{NameError, WorkerName, ZoneName},
-    damaskrack_platform::{HostRow, HostState},
+    damaskrack_outside::{HostRow, HostState},
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{net::SocketAddr, sync::Arc},
 };
@@ -35,7 +35,7 @@
     ///
     /// ```
     /// use {
-    ///     damaskrack_platform::{HostList, HttpHosts},
+    ///     damaskrack_outside::{HostList, HttpHosts},
     ///     damaskrack_standin::{PlatformPlan, StandinPlatform},
     /// };
     ///
--- a/crates/standin/src/store_server.rs
+++ b/crates/standin/src/store_server.rs
@@ -8,7 +8,7 @@
         },
         store_service::StoreService,
     },
-    damaskrack_platform::StoreCall,
+    damaskrack_outside::StoreCall,
     gotham::{
         handler::HandlerResult,
         middleware::state::StateMiddleware,
@@ -40,7 +40,7 @@
     ///
     /// ```
     /// use {
-    ///     damaskrack_platform::{HttpStore, PlatformStore, StoreCall, StoreReply},
+    ///     damaskrack_outside::{HttpStore, PlatformStore, StoreCall, StoreReply},
     ///     damaskrack_standin::{StorePlan, StoreServer},
     /// };
     ///
--- a/crates/standin/src/store_service.rs
+++ b/crates/standin/src/store_service.rs
@@ -9,7 +9,7 @@
         http_server::ServedCall,
         waiting::{MAX_WAIT_MS, pause, wait_until},
     },
-    damaskrack_platform::{StoreCall, StoreFailure, StoreReply},
+    damaskrack_outside::{StoreCall, StoreFailure, StoreReply},
     serde::{Deserialize, Serialize},
     std::{
         sync::{Mutex, MutexGuard, PoisonError},
--- a/crates/standin/src/store_stats.rs
+++ b/crates/standin/src/store_stats.rs
@@ -1,7 +1,7 @@
 //! Call counters of the store.
 
 use {
-    damaskrack_platform::StoreCall,
+    damaskrack_outside::StoreCall,
     serde::{Deserialize, Serialize},
 };
 
--- a/crates/standin/src/store_table.rs
+++ b/crates/standin/src/store_table.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{RateLimit, StoreStats},
-    damaskrack_platform::{StoreCall, StoreEntry, StoreEvent, StoreFailure, StoreReply},
+    damaskrack_outside::{StoreCall, StoreEntry, StoreEvent, StoreFailure, StoreReply},
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, VecDeque},
@@ -79,7 +79,7 @@
 ///
 /// ```
 /// use {
-///     damaskrack_platform::{StoreCall, StoreReply},
+///     damaskrack_outside::{StoreCall, StoreReply},
 ///     damaskrack_standin::{StorePlan, StoreTable},
 /// };
 ///
--- a/crates/standin/src/worker_server.rs
+++ b/crates/standin/src/worker_server.rs
@@ -9,7 +9,7 @@
         },
         worker_service::WorkerService,
     },
-    damaskrack_platform::WorkerCall,
+    damaskrack_outside::WorkerCall,
     gotham::{
         handler::HandlerResult,
         middleware::state::StateMiddleware,
--- a/crates/standin/src/worker_service.rs
+++ b/crates/standin/src/worker_service.rs
@@ -9,7 +9,7 @@
         http_server::ServedCall,
         waiting::{MAX_WAIT_MS, pause, wait_until},
     },
-    damaskrack_platform::{WorkerCall, WorkerReply},
+    damaskrack_outside::{WorkerCall, WorkerReply},
     serde::{Deserialize, Serialize},
     std::{
         sync::{Mutex, MutexGuard, PoisonError},
--- a/crates/standin/src/worker_table.rs
+++ b/crates/standin/src/worker_table.rs
@@ -8,7 +8,7 @@
 use {
     crate::{CheckpointPlace, ObservedRun, TaskScript},
     damaskrack_model::{AttemptId, Epoch, Resources, TaskResult, WorkerName, ZoneName},
-    damaskrack_platform::{
+    damaskrack_outside::{
         EndedRow, RunningRow, StartOrder, StartVerdict, WorkerBody, WorkerCall, WorkerReply,
         WorkerReport,
     },
@@ -100,7 +100,7 @@
 /// ```
 /// use {
 ///     damaskrack_model::{Epoch, Resources},
-///     damaskrack_platform::{WorkerBody, WorkerCall},
+///     damaskrack_outside::{WorkerBody, WorkerCall},
 ///     damaskrack_standin::{CheckpointPlace, WorkerPlan, WorkerTable},
 /// };
 ///
--- a/crates/standin/tests/program.rs
+++ b/crates/standin/tests/program.rs
@@ -3,7 +3,7 @@
 use {
     bytes::Bytes,
     damaskrack_model::Epoch,
-    damaskrack_platform::{
+    damaskrack_outside::{
         HostList, HttpHosts, HttpStore, HttpWorker, PlatformStore, StoreCall, StoreFailure,
         StoreReply, WorkerCall, WorkerLink,
     },
--- a/crates/standin/tests/servers.rs
+++ b/crates/standin/tests/servers.rs
@@ -2,7 +2,7 @@
 
 use {
     damaskrack_model::{AttemptId, Epoch, RackName, Resources, TaskResult, WorkerName},
-    damaskrack_platform::{
+    damaskrack_outside::{
         HostList, HostRow, HostState, HttpHosts, HttpStore, HttpWorker, PlatformStore, StartOrder,
         StartVerdict, StoreCall, StoreFailure, StoreReply, WorkerBody, WorkerCall, WorkerFailure,
         WorkerLink, WorkerReport,
--- a/crates/standin/tests/store_table.rs
+++ b/crates/standin/tests/store_table.rs
@@ -1,7 +1,7 @@
 //! The store's logic under a clock that the test moves.
 
 use {
-    damaskrack_platform::{StoreCall, StoreEvent, StoreFailure, StoreReply},
+    damaskrack_outside::{StoreCall, StoreEvent, StoreFailure, StoreReply},
     damaskrack_standin::{StorePlan, StoreTable},
     quickcheck::{Gen, QuickCheck},
     std::collections::BTreeMap,
--- a/crates/standin/tests/worker_table.rs
+++ b/crates/standin/tests/worker_table.rs
@@ -2,7 +2,7 @@
 
 use {
     damaskrack_model::{AttemptId, Epoch, RackName, Resources, TaskResult},
-    damaskrack_platform::{
+    damaskrack_outside::{
         StartOrder, StartVerdict, WorkerBody, WorkerCall, WorkerReply, WorkerReport,
     },
     damaskrack_standin::{
