--- a/crates/cell/src/core/holds.rs
+++ b/crates/cell/src/core/holds.rs
@@ -143,6 +143,10 @@
         }
         worker.unnoted += 1;
         let job = self.attempts[attempt].phase.job;
+        if ended.kind == EndKind::Done {
+            let run_ms = self.attempts[attempt].run_ms(self.time.now_ms);
+            self.sample_pace(attempt, run_ms, 100);
+        }
         self.end_attempt(attempt, ended.kind, &ended.checkpoint);
         let incarnation = self.workers[key].report.incarnation;
         self.touch(job, Some(AfterCommit::Note(key, incarnation)));
@@ -174,6 +178,7 @@
             return None;
         };
         let entry = &mut self.attempts[attempt];
+        let run_ms = entry.run_ms(now_ms);
         entry.is_listed = true;
         if running.percent > entry.percent {
             entry.percent = running.percent;
@@ -187,6 +192,7 @@
             entry.state = AttemptState::Running { since_ms: now_ms };
             self.stop_if_unwanted(attempt);
         }
+        self.sample_pace(attempt, run_ms, running.percent);
         Some(attempt)
     }
 
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -12,6 +12,7 @@
 mod intake;
 mod line;
 mod orders;
+mod pace;
 mod place;
 mod pressure;
 mod workers;
@@ -65,6 +66,8 @@
     askers: Vec<AskerEntry>,
     /// Share of the workers asked about that were allowed, by queue.
     allowed_share: FxHashMap<String, f64>,
+    /// Run time of tasks as a multiple of their estimates, by queue.
+    usual_ratio: FxHashMap<String, f64>,
     team_used: FxHashMap<String, ResourceSet>,
     commits: CommitLine,
     actions: Vec<CellAction>,
@@ -98,6 +101,7 @@
             asks: SlotMap::with_key(),
             askers: Vec::new(),
             allowed_share: FxHashMap::default(),
+            usual_ratio: FxHashMap::default(),
             team_used: FxHashMap::default(),
             commits: CommitLine::default(),
             actions: Vec::new(),
--- a/crates/cell/src/core/orders.rs
+++ b/crates/cell/src/core/orders.rs
@@ -12,8 +12,11 @@
 
 /// Time between two orders to stop the same attempt, in milliseconds.
 const STOP_RETRY_MS: u64 = 600;
-/// Time for which a worker gets no new work after it left an order unanswered, in milliseconds.
-const DOUBT_PENALTY_MS: u64 = 2_000;
+/// Time for which a worker gets no new work after it left an order unanswered, in milliseconds; it
+/// doubles with each further one.
+const DOUBT_PENALTY_MS: u64 = 150;
+/// Most doublings of it.
+const MAX_DOUBLINGS: u32 = 5;
 /// Time for which an unhealthy worker gets no new work, in milliseconds.
 const UNHEALTHY_PENALTY_MS: u64 = 1_500;
 
@@ -45,6 +48,8 @@
             team,
             state,
             ticket,
+            is_resumed: !entry.tasks[index].checkpoint.is_empty()
+                || state != AttemptState::Intended,
             percent: 0,
             moved_ms: self.time.now_ms,
             is_listed: false,
@@ -105,6 +110,7 @@
         }
         match outcome {
             StartOutcome::Started => {
+                worker.doubts = 0;
                 if attempt.state == AttemptState::Sent {
                     attempt.state = AttemptState::Running { since_ms: now_ms };
                     self.totals.started += 1;
@@ -112,7 +118,9 @@
                 }
             }
             StartOutcome::Unknown => {
-                worker.avoid_until_ms = now_ms + DOUBT_PENALTY_MS;
+                let doublings = worker.doubts.min(MAX_DOUBLINGS);
+                worker.doubts += 1;
+                worker.avoid_until_ms = now_ms + (DOUBT_PENALTY_MS << doublings);
                 if attempt.state == AttemptState::Sent {
                     attempt.state = AttemptState::Uncertain;
                     self.note_attempt("start_unanswered", key, "");
--- a/crates/cell/src/core/place.rs
+++ b/crates/cell/src/core/place.rs
@@ -1,11 +1,12 @@
 //! Placement: which worker runs a task.
 //!
 //! A task goes to the worker with the least processor left that fits it, so that large room stays
-//! whole for large tasks; a worker in the rack that holds the task's data goes before. A gang gets
+//! whole for large tasks; a worker in the rack that holds the task's data goes before, and a slow
+//! one comes last. A gang gets
 //! all its places at once or none, in one rack if its tasks are coupled and a rack has room.
 
 use {
-    super::CellCore,
+    super::{CellCore, pace::is_slow},
     crate::{
         JobState, ResourceSet, StepSpec, WorkerKey,
         message::PhaseRef,
@@ -120,7 +121,7 @@
         workers.sort_by_key(|key| {
             let worker = &self.workers[*key];
             let is_far = !step.data_rack.is_empty() && worker.rack() != step.data_rack;
-            (is_far, worker.room().cpu_millis)
+            (is_far, is_slow(worker.slowness), worker.room().cpu_millis)
         });
         workers
     }
--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -43,6 +43,8 @@
     pub(crate) team: String,
     pub(crate) state: AttemptState,
     pub(crate) ticket: String,
+    /// It began from a checkpoint.
+    pub(crate) is_resumed: bool,
     /// Last report of progress, in percent.
     pub(crate) percent: u32,
     /// When the percentage last grew.
@@ -54,3 +56,13 @@
     /// When a stop may be sent again.
     pub(crate) stop_due_ms: u64,
 }
+
+impl AttemptEntry {
+    /// How long it is known to have run; 0 if its start was not seen or it resumed earlier work.
+    pub(crate) fn run_ms(&self, now_ms: u64) -> u64 {
+        match self.state {
+            AttemptState::Running { since_ms } if !self.is_resumed => now_ms - since_ms,
+            _ => 0,
+        }
+    }
+}
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -55,6 +55,10 @@
     pub(crate) avoid_until_ms: u64,
     /// Failures since the last success.
     pub(crate) strikes: u32,
+    /// Orders without an answer since the last one that had one.
+    pub(crate) doubts: u32,
+    /// Run time of its tasks, as a multiple of what is usual for their queue.
+    pub(crate) slowness: f64,
 }
 
 impl WorkerEntry {
@@ -78,6 +82,8 @@
             is_silent: false,
             avoid_until_ms: 0,
             strikes: 0,
+            doubts: 0,
+            slowness: 1.0,
         }
     }
 
@@ -95,6 +101,8 @@
         self.last_told = 0;
         self.unnoted = 0;
         self.strikes = 0;
+        self.doubts = 0;
+        self.slowness = 1.0;
     }
 
     /// Takes in that the worker answered under this leader's fencing token: no other leader can
