--- a/crates/cell/src/core/holds.rs
+++ b/crates/cell/src/core/holds.rs
@@ -15,6 +15,9 @@
 const HOLD_PAUSE_MS: u64 = 30;
 /// Time after which leases are renewed although ends are not durable yet, in milliseconds.
 const UNNOTED_LIMIT_MS: u64 = 1_000;
+/// Most workers that are met for the first time at once. Each takes a connection of its own, and a
+/// new leader meets them all.
+const MAX_FIRST_HOLDS: usize = 128;
 /// Time between a failed renewal and the next, in milliseconds.
 const HOLD_RETRY_MS: u64 = 250;
 /// Time for which a worker that did not answer gets no new work, in milliseconds.
@@ -47,10 +50,18 @@
 
     pub(super) fn renew_holds(&mut self) {
         let CellCore { time, settings, workers, actions, .. } = self;
+        let is_first = |w: &WorkerEntry| !w.is_fenced_in && w.hold_sent_ms.is_some();
+        let mut first_holds = workers.values().filter(|worker| is_first(worker)).count();
         for (key, worker) in workers.iter_mut() {
             if worker.hold_due_ms() > time.now_ms || worker.report.address.is_empty() {
                 continue;
             }
+            if !worker.is_fenced_in && !worker.is_busy() {
+                if first_holds >= MAX_FIRST_HOLDS {
+                    continue;
+                }
+                first_holds += 1;
+            }
             worker.hold_sent_ms = Some(time.now_ms);
             let can_wait =
                 worker.is_fenced_in && worker.unnoted == 0 && !worker.attempts.is_empty();
--- a/crates/cell/src/core/line.rs
+++ b/crates/cell/src/core/line.rs
@@ -6,6 +6,8 @@
 
 use {super::CellCore, crate::message::PhaseRef};
 
+/// Least time between two looks at the line, in milliseconds.
+pub(super) const PLACE_PAUSE_MS: u64 = 4;
 /// Time between reviews of the line when nothing happens, in milliseconds.
 pub(super) const REVIEW_INTERVAL_MS: u64 = 250;
 /// Up to this multiple of its objective, a late job is still worth something.
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -73,7 +73,7 @@
     actions: Vec<CellAction>,
     /// Something changed that may let work be placed.
     is_placing_due: bool,
-    next_place_ms: u64,
+    last_place_ms: u64,
     started_ms: u64,
     totals: CellTotals,
 }
@@ -106,7 +106,7 @@
             commits: CommitLine::default(),
             actions: Vec::new(),
             is_placing_due: false,
-            next_place_ms: 0,
+            last_place_ms: 0,
             started_ms: 0,
             totals: CellTotals::default(),
         }
@@ -167,9 +167,9 @@
         self.set_time(now_ms, wall_ms);
         self.lapse_workers();
         self.renew_stops();
-        if self.is_placing_due || self.time.now_ms >= self.next_place_ms {
+        if self.time.now_ms >= self.place_due_ms() {
             self.is_placing_due = false;
-            self.next_place_ms = self.time.now_ms + line::REVIEW_INTERVAL_MS;
+            self.last_place_ms = self.time.now_ms;
             self.begin_occurrences();
             self.place_and_ask();
         }
@@ -189,7 +189,16 @@
     pub fn next_tick_ms(&self) -> u64 {
         let holds = self.next_hold_ms();
         let commit = self.next_commit_ms();
-        self.next_place_ms.min(holds).min(commit)
+        self.place_due_ms().min(holds).min(commit)
+    }
+
+    /// When steps in line are looked at next: soon after something changed, so that changes that
+    /// come together are looked at once, or at leisure.
+    fn place_due_ms(&self) -> u64 {
+        match self.is_placing_due {
+            true => self.last_place_ms + line::PLACE_PAUSE_MS,
+            false => self.last_place_ms + line::REVIEW_INTERVAL_MS,
+        }
     }
 
     /// Returns the state of a job as it may be told to callers, which is durable, or `None` if
