--- a/crates/cell/src/core/ends.rs
+++ b/crates/cell/src/core/ends.rs
@@ -111,6 +111,11 @@
             entry.tasks[attempt.index].failures += 1;
         }
         let failures = entry.tasks[attempt.index].failures;
+        let name = job.task_name(phase.phase, attempt.index);
+        let worker = &self.workers[attempt.worker].report.id;
+        let number = attempt.number;
+        let detail = format!("attempt={number} worker={worker} failures={failures} limit={limit}");
+        self.note("attempt_failed", name, detail);
         if !is_service && failures >= limit {
             self.end_job(phase.job, JobState::Failed, "a task failed too often");
         } else {
--- a/crates/cellnode/src/entry.rs
+++ b/crates/cellnode/src/entry.rs
@@ -104,9 +104,15 @@
         self.config.borrow().clone()
     }
 
+    /// Returns for how long the configuration has not been known to be the newest, in
+    /// milliseconds, counted from the asking.
+    #[must_use]
+    pub fn config_age_ms(&self) -> u64 {
+        boot_ms().saturating_sub(self.fresh_ms.load(Ordering::Relaxed))
+    }
+
     fn is_fresh(&self) -> bool {
-        let age_ms = boot_ms().saturating_sub(self.fresh_ms.load(Ordering::Relaxed));
-        age_ms <= self.max_age_ms && self.config.borrow().version > 0
+        self.config_age_ms() <= self.max_age_ms && self.config.borrow().version > 0
     }
 
     /// Finds the queue of a call and the team of its key.
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -14,8 +14,8 @@
 pub use {
     explore::{Counterexample, SpecMachine, Verdict, explore},
     machines::{
-        IsolationMachine, JournalMachine, ManifestMachine, OwnershipMachine, RackMachine,
-        ResubmissionMachine, TeamMachine,
+        IsolationMachine, JournalMachine, LeadershipMachine, ManifestMachine, OwnershipMachine,
+        RackMachine, ResubmissionMachine, TeamMachine,
     },
     mutation::{Mutation, ParseMutationError},
     name::{MachineName, ParseMachineError},
--- a/crates/spec/src/machines.rs
+++ b/crates/spec/src/machines.rs
@@ -2,6 +2,7 @@
 
 mod isolation;
 mod journal;
+mod leadership;
 mod manifest;
 mod ownership;
 mod rack;
@@ -9,7 +10,7 @@
 mod team;
 
 pub use {
-    isolation::IsolationMachine, journal::JournalMachine, manifest::ManifestMachine,
-    ownership::OwnershipMachine, rack::RackMachine, resubmission::ResubmissionMachine,
-    team::TeamMachine,
+    isolation::IsolationMachine, journal::JournalMachine, leadership::LeadershipMachine,
+    manifest::ManifestMachine, ownership::OwnershipMachine, rack::RackMachine,
+    resubmission::ResubmissionMachine, team::TeamMachine,
 };
--- /dev/null
+++ b/crates/spec/src/machines/leadership.rs
@@ -0,0 +1,324 @@
+//! Two leaders of a cell, one after the other, and one task.
+//!
+//! The former leader does not know that it has been replaced: its writes and orders arrive at any
+//! later time. What a leader does about lapsed leases is explored by the machine of the racks.
+
+use crate::{Mutation, SpecMachine};
+
+/// Leaders, one a term.
+const LEADERS: usize = 2;
+/// Workers.
+const WORKERS: usize = 2;
+/// Highest attempt.
+const ATTEMPTS: u8 = 3;
+/// Orders and writes on the way, each.
+const ON_WAY: usize = 2;
+
+/// The task's row in the store.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskRow {
+    attempt: u8,
+    worker: Option<usize>,
+    is_done: bool,
+}
+
+/// A write on the way to the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RowWrite {
+    leader: usize,
+    /// Revision of the guard that it expects.
+    guard: u8,
+    row: TaskRow,
+}
+
+/// An order to start on the way to a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StartMessage {
+    term: usize,
+    worker: usize,
+    attempt: u8,
+}
+
+/// A leader's tables.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub(super) struct LeaderTable {
+    is_leading: bool,
+    guard: u8,
+    row: TaskRow,
+    /// The row that it writes at the moment.
+    pending: Option<TaskRow>,
+    /// Where the task may be running, and its attempt.
+    running: Option<(usize, u8)>,
+    /// If the worker does not list the attempt, it never will.
+    is_settled: bool,
+}
+
+/// A worker's tables.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub(super) struct WorkerTable {
+    term: usize,
+    running: Option<u8>,
+    ended: Option<u8>,
+    /// Attempts up to this one do not start any more.
+    barred: u8,
+}
+
+/// The store, the leaders, the workers, and what is on the way.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct LeadershipState {
+    guard: u8,
+    row: TaskRow,
+    leaders: [LeaderTable; LEADERS],
+    workers: [WorkerTable; WORKERS],
+    writes: Vec<RowWrite>,
+    orders: Vec<StartMessage>,
+    /// A done end was acknowledged to its worker.
+    is_noted: bool,
+    violation: Option<&'static str>,
+}
+
+/// What happens.
+#[derive(Debug, Clone, Copy)]
+pub enum LeadershipStep {
+    /// A daemon becomes the leader of its term and reads the row.
+    Lead(usize),
+    /// A leader decides where the task is to run.
+    Place(usize, usize),
+    /// The store carries out a write.
+    Land(RowWrite),
+    /// A worker gets an order.
+    Deliver(StartMessage),
+    /// An order is lost.
+    Lose(StartMessage),
+    /// A worker finishes the task.
+    Finish(usize),
+    /// A leader renews a worker's leases and learns what runs and what has ended.
+    Hold(usize, usize),
+    /// A leader stops an attempt that it is not sure of.
+    Stop(usize),
+}
+
+/// Explores a change of leaders.
+#[derive(Debug)]
+pub struct LeadershipMachine {
+    removed: Vec<Mutation>,
+}
+
+impl LeadershipMachine {
+    fn lacks(&self, mutation: Mutation) -> bool {
+        self.removed.contains(&mutation)
+    }
+
+    fn leader_steps(state: &LeadershipState, leader: usize) -> Vec<LeadershipStep> {
+        let table = &state.leaders[leader];
+        if !table.is_leading {
+            let is_next = state.leaders[..leader].iter().all(|former| former.guard > 0);
+            return match table.guard == 0 && is_next {
+                true => vec![LeadershipStep::Lead(leader)],
+                false => Vec::new(),
+            };
+        }
+        let mut steps = Vec::new();
+        let is_free = table.pending.is_none() && table.running.is_none() && !table.row.is_done;
+        for worker in 0..WORKERS {
+            steps.push(LeadershipStep::Hold(leader, worker));
+            if is_free && table.row.attempt < ATTEMPTS && state.writes.len() < ON_WAY {
+                steps.push(LeadershipStep::Place(leader, worker));
+            }
+        }
+        if table.running.is_some() && !table.is_settled && table.pending.is_none() {
+            steps.push(LeadershipStep::Stop(leader));
+        }
+        steps
+    }
+
+    fn lead(&self, state: &mut LeadershipState, leader: usize) {
+        state.guard += 1;
+        let row = state.row;
+        let inherited = row.worker.map(|worker| (worker, row.attempt));
+        let table = &mut state.leaders[leader];
+        table.is_leading = true;
+        table.guard = state.guard;
+        table.row = row;
+        table.running = inherited.filter(|_| !self.lacks(Mutation::InheritedAttempt));
+        table.is_settled = true;
+    }
+
+    fn write(state: &mut LeadershipState, leader: usize, row: TaskRow) {
+        let table = &mut state.leaders[leader];
+        table.pending = Some(row);
+        state.writes.push(RowWrite { leader, guard: table.guard, row });
+        state.writes.sort_unstable();
+    }
+
+    fn send(state: &mut LeadershipState, leader: usize, row: TaskRow) {
+        let Some(worker) = row.worker else { return };
+        let table = &mut state.leaders[leader];
+        table.running = Some((worker, row.attempt));
+        table.is_settled = false;
+        let order = StartMessage { term: leader + 1, worker, attempt: row.attempt };
+        if state.orders.len() < ON_WAY {
+            state.orders.push(order);
+            state.orders.sort_unstable();
+        }
+    }
+
+    fn land(&self, state: &mut LeadershipState, write: RowWrite) {
+        state.writes.retain(|other| *other != write);
+        let is_awaited = state.leaders[write.leader].pending == Some(write.row);
+        if write.guard != state.guard && !self.lacks(Mutation::CommitGuard) {
+            let table = &mut state.leaders[write.leader];
+            table.is_leading &= !is_awaited;
+            return;
+        }
+        state.guard += 1;
+        state.row = write.row;
+        let table = &mut state.leaders[write.leader];
+        if !is_awaited || !table.is_leading {
+            return;
+        }
+        table.guard = state.guard;
+        table.row = write.row;
+        table.pending = None;
+        if write.row.is_done {
+            table.running = None;
+            state.is_noted = true;
+        } else if !self.lacks(Mutation::DurableIntent) {
+            Self::send(state, write.leader, write.row);
+        }
+    }
+
+    fn deliver(&self, state: &mut LeadershipState, order: StartMessage) {
+        take(&mut state.orders, order);
+        let worker = &mut state.workers[order.worker];
+        if order.term < worker.term && !self.lacks(Mutation::TermFence) {
+            return;
+        }
+        worker.term = worker.term.max(order.term);
+        if order.attempt <= worker.barred {
+            return;
+        }
+        worker.running = Some(order.attempt);
+        if state.workers.iter().filter(|worker| worker.running.is_some()).count() > 1 {
+            state.violation = Some("the task runs in two places");
+        }
+        if state.is_noted {
+            state.violation = Some("the task starts after its end was acknowledged");
+        }
+    }
+
+    fn hold(&self, state: &mut LeadershipState, leader: usize, at: usize) {
+        let worker = &mut state.workers[at];
+        let table = &mut state.leaders[leader];
+        if leader + 1 < worker.term {
+            table.is_leading = false;
+            return;
+        }
+        worker.term = leader + 1;
+        if worker.ended.is_some() && table.pending.is_none() && !table.row.is_done {
+            let row = TaskRow { is_done: true, worker: None, ..table.row };
+            if self.lacks(Mutation::DurableEnd) {
+                worker.ended = None;
+                state.is_noted = true;
+            } else if state.writes.len() < ON_WAY {
+                Self::write(state, leader, row);
+            }
+            return;
+        }
+        let Some((place, attempt)) = table.running else { return };
+        let is_listed = worker.running == Some(attempt) || worker.ended.is_some();
+        let is_settled = table.is_settled || self.lacks(Mutation::StopBeforeRetry);
+        if place == at && !is_listed && is_settled && table.pending.is_none() {
+            table.running = None;
+        }
+    }
+
+    fn apply(&self, state: &mut LeadershipState, step: LeadershipStep) {
+        match step {
+            LeadershipStep::Lead(leader) => self.lead(state, leader),
+            LeadershipStep::Place(leader, worker) => {
+                let attempt = state.leaders[leader].row.attempt + 1;
+                let row = TaskRow { attempt, worker: Some(worker), is_done: false };
+                Self::write(state, leader, row);
+                if self.lacks(Mutation::DurableIntent) {
+                    Self::send(state, leader, row);
+                }
+            }
+            LeadershipStep::Land(write) => self.land(state, write),
+            LeadershipStep::Deliver(order) => self.deliver(state, order),
+            LeadershipStep::Lose(order) => take(&mut state.orders, order),
+            LeadershipStep::Finish(worker) => {
+                let worker = &mut state.workers[worker];
+                worker.ended = worker.running.take();
+                worker.barred = worker.barred.max(worker.ended.unwrap_or(0));
+            }
+            LeadershipStep::Hold(leader, worker) => self.hold(state, leader, worker),
+            LeadershipStep::Stop(leader) => {
+                let table = &mut state.leaders[leader];
+                let Some((place, attempt)) = table.running else { return };
+                let worker = &mut state.workers[place];
+                if leader + 1 < worker.term {
+                    table.is_leading = false;
+                    return;
+                }
+                worker.term = leader + 1;
+                worker.barred = worker.barred.max(attempt);
+                worker.running = worker.running.filter(|running| *running != attempt);
+                table.is_settled = true;
+            }
+        }
+    }
+}
+
+fn take(orders: &mut Vec<StartMessage>, order: StartMessage) {
+    if let Some(index) = orders.iter().position(|other| *other == order) {
+        orders.remove(index);
+    }
+}
+
+impl SpecMachine for LeadershipMachine {
+    type State = LeadershipState;
+    type Step = LeadershipStep;
+
+    fn new(removed: &[Mutation]) -> Self {
+        Self { removed: removed.to_vec() }
+    }
+
+    fn bounds(&self) -> &'static str {
+        "2 leaders, 2 workers, 1 task with 3 attempts, 2 writes and 2 orders on the way, late or lost"
+    }
+
+    fn initial(&self) -> LeadershipState {
+        LeadershipState {
+            guard: 0,
+            row: TaskRow::default(),
+            leaders: Default::default(),
+            workers: Default::default(),
+            writes: Vec::new(),
+            orders: Vec::new(),
+            is_noted: false,
+            violation: None,
+        }
+    }
+
+    fn successors(&self, state: &LeadershipState) -> Vec<(LeadershipStep, LeadershipState)> {
+        let leaders = (0..LEADERS).flat_map(|leader| Self::leader_steps(state, leader));
+        let writes = state.writes.iter().map(|write| LeadershipStep::Land(*write));
+        let orders = state
+            .orders
+            .iter()
+            .flat_map(|order| [LeadershipStep::Deliver(*order), LeadershipStep::Lose(*order)]);
+        let is_running = |worker: &usize| state.workers[*worker].running.is_some();
+        let ends = (0..WORKERS).filter(is_running).map(LeadershipStep::Finish);
+        let successor = |step| {
+            let mut next = state.clone();
+            self.apply(&mut next, step);
+            (step, next)
+        };
+        leaders.chain(writes).chain(orders).chain(ends).map(successor).collect()
+    }
+
+    fn violation(&self, state: &LeadershipState) -> Option<&'static str> {
+        state.violation
+    }
+}
--- a/crates/spec/src/mutation.rs
+++ b/crates/spec/src/mutation.rs
@@ -93,6 +93,18 @@
     FirstEpoch,
     /// An owner remembers an answered request until the answer has arrived.
     RememberAnswer,
+    /// A leader's write takes effect only if no other leader, and no other write, came between.
+    CommitGuard,
+    /// Workers refuse orders of an earlier term.
+    TermFence,
+    /// An attempt is sent only after its row is durable.
+    DurableIntent,
+    /// An end is acknowledged only after it is durable.
+    DurableEnd,
+    /// A new leader takes attempts in the rows for running until their workers have answered it.
+    InheritedAttempt,
+    /// An attempt without an answer is stopped before the task is tried elsewhere.
+    StopBeforeRetry,
 }
 
 /// A text is not the name of a mutation.
@@ -182,6 +194,14 @@
                 Self::FirstEpoch,
                 Self::RememberAnswer,
             ],
+            MachineName::Leadership => &[
+                Self::CommitGuard,
+                Self::TermFence,
+                Self::DurableIntent,
+                Self::DurableEnd,
+                Self::InheritedAttempt,
+                Self::StopBeforeRetry,
+            ],
         }
     }
 }
--- a/crates/spec/src/name.rs
+++ b/crates/spec/src/name.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::{
-        IsolationMachine, JournalMachine, ManifestMachine, Mutation, OwnershipMachine, RackMachine,
-        ResubmissionMachine, SpecMachine, TeamMachine, Verdict, explore,
+        IsolationMachine, JournalMachine, LeadershipMachine, ManifestMachine, Mutation,
+        OwnershipMachine, RackMachine, ResubmissionMachine, SpecMachine, TeamMachine, Verdict,
+        explore,
     },
     std::{fmt, str::FromStr},
 };
@@ -25,6 +26,8 @@
     ManifestChange,
     /// A request that its entry sends again.
     Resubmission,
+    /// A new leader of a cell, its term, guard and rows.
+    Leadership,
 }
 
 /// A text is not the name of a machine.
@@ -42,7 +45,7 @@
 
 impl MachineName {
     /// Every machine.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Ownership,
         Self::Isolation,
         Self::RackTakeover,
@@ -50,6 +53,7 @@
         Self::Journal,
         Self::ManifestChange,
         Self::Resubmission,
+        Self::Leadership,
     ];
 
     /// Returns the name by which the machine is chosen.
@@ -63,6 +67,7 @@
             Self::Journal => "journal",
             Self::ManifestChange => "manifest_change",
             Self::Resubmission => "resubmission",
+            Self::Leadership => "leadership",
         }
     }
 
@@ -86,6 +91,7 @@
             Self::Journal => explore(&JournalMachine::new(removed)),
             Self::ManifestChange => explore(&ManifestMachine::new(removed)),
             Self::Resubmission => explore(&ResubmissionMachine::new(removed)),
+            Self::Leadership => explore(&LeadershipMachine::new(removed)),
         }
     }
 }
--- a/crates/spec/tests/exploration.rs
+++ b/crates/spec/tests/exploration.rs
@@ -41,6 +41,11 @@
     check(MachineName::Ownership);
 }
 
+#[test]
+fn leadership_needs_each_mechanism() {
+    check(MachineName::Leadership);
+}
+
 #[test]
 fn rack_takeover_needs_each_mechanism() {
     check(MachineName::RackTakeover);
