--- a/crates/cell/src/core/holds.rs
+++ b/crates/cell/src/core/holds.rs
@@ -10,7 +10,7 @@
 };
 
 /// Longest time that an answer waits for an end, in milliseconds.
-const HOLD_WAIT_MS: u64 = 2_000;
+const HOLD_WAIT_MS: u64 = 1_200;
 /// Time between an answer and the next renewal, in milliseconds; ends gather meanwhile.
 const HOLD_PAUSE_MS: u64 = 30;
 /// Time after which leases are renewed although ends are not durable yet, in milliseconds.
--- a/crates/cell/src/core/orders.rs
+++ b/crates/cell/src/core/orders.rs
@@ -10,6 +10,9 @@
     },
 };
 
+/// Lease that an order to start asks for, in milliseconds. The renewal that follows a confirmed start
+/// extends it; if the worker turns out to be gone, the task can be tried elsewhere that much sooner.
+const START_LEASE_MS: u64 = 2_000;
 /// Time between two orders to stop the same attempt, in milliseconds.
 const STOP_RETRY_MS: u64 = 600;
 /// Time for which a worker gets no new work after it left an order unanswered, in milliseconds; it
@@ -73,7 +76,8 @@
         let is_wanted = !self.jobs[phase.job].state.is_final() && !attempt.is_gang_broken;
         let is_open = self.is_open(&self.workers[worker]);
         let now_ms = self.time.now_ms;
-        let deadline = self.workers[worker].deadline_for(now_ms, self.settings.lease_ms);
+        let lease_ms = START_LEASE_MS.min(self.settings.lease_ms);
+        let deadline = self.workers[worker].deadline_for(now_ms, lease_ms);
         let (true, true, Some(deadline_ms)) = (is_wanted, is_open, deadline) else {
             self.withdraw_attempt(key);
             return;
--- a/crates/spec/src/machines/leadership.rs
+++ b/crates/spec/src/machines/leadership.rs
@@ -16,7 +16,7 @@
 
 /// The task's row in the store.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct TaskRow {
+pub(super) struct TaskRow {
     attempt: u8,
     worker: Option<usize>,
     is_done: bool,
