Let several commits be on the way while the store is slow

Now up to six lanes with a guard each, all replaced by the write that elects a leader; a quick store sees one lane only. Ruled out: askers (advice took as long as expected), placing (0 to 3 ms after advice).

--- a/crates/cell/src/core/commit.rs
+++ b/crates/cell/src/core/commit.rs
@@ -1,9 +1,9 @@
-//! Durable rows: one transaction at a time, each with as many changed jobs as it may hold.
+//! Durable rows: transactions with as many changed jobs as each may hold.
 
 use {
     super::CellCore,
     crate::{
-        CellAction, CommitOrder, JobKey, JobState, ProgressRecord,
+        COMMIT_LANES, CellAction, CommitOrder, JobKey, JobState, ProgressRecord,
         table::{AfterCommit, JobEntry},
     },
     rustc_hash::FxHashSet,
@@ -15,23 +15,50 @@
 /// Rows of a job: what was accepted and how it went.
 const ROWS_PER_JOB: usize = 2;
 
-/// Jobs that wait for a commit, and the commit on the way.
+/// Time after which a commit on the way counts as slow and the next one need not wait for it, in
+/// milliseconds.
+const SLOW_COMMIT_MS: u64 = 40;
+
+/// Commits that follow one another. A job is in one commit at a time, whichever lane it is on.
 #[derive(Debug, Default)]
-pub(super) struct CommitLine {
-    dirty: VecDeque<JobKey>,
-    expired: VecDeque<JobKey>,
+struct CommitLane {
     /// Ids of the jobs that the commit on the way carries.
     carried: FxHashSet<String>,
-    /// What waits for the commit on the way.
+    /// What waits for it.
     waiting: Vec<(AfterCommit, JobState)>,
-    is_on_way: bool,
+    /// When it was sent; `None` if none is on the way.
+    sent_ms: Option<u64>,
+}
+
+/// Jobs that wait for a commit, and the commits on the way. While the store answers quickly, one lane
+/// carries everything in few large commits; further ones are for a store that is slow.
+#[derive(Debug)]
+pub(super) struct CommitLine {
+    dirty: VecDeque<JobKey>,
+    expired: VecDeque<JobKey>,
+    lanes: [CommitLane; COMMIT_LANES],
     next_ms: u64,
 }
 
+impl Default for CommitLine {
+    fn default() -> Self {
+        let lanes = std::array::from_fn(|_| CommitLane::default());
+        Self { dirty: VecDeque::new(), expired: VecDeque::new(), lanes, next_ms: 0 }
+    }
+}
+
 impl CommitLine {
-    /// Tells whether the commit on the way carries a job.
+    /// Tells whether a commit on the way carries a job.
     pub(super) fn carries_state(&self, id: &str) -> bool {
-        self.carried.contains(id)
+        self.lanes.iter().any(|lane| lane.carried.contains(id))
+    }
+
+    /// Returns the lane for the next commit and when it may be sent.
+    fn next_lane(&self) -> Option<(usize, u64)> {
+        let free = self.lanes.iter().position(|lane| lane.sent_ms.is_none())?;
+        let latest_ms = self.lanes.iter().filter_map(|lane| lane.sent_ms).max();
+        let slow_ms = latest_ms.map_or(0, |sent_ms| sent_ms + SLOW_COMMIT_MS);
+        Some((free, self.next_ms.max(slow_ms)))
     }
 }
 
@@ -48,20 +75,23 @@
 
     pub(super) fn next_commit_ms(&self) -> u64 {
         let line = &self.commits;
-        let is_idle = line.dirty.is_empty() && line.expired.is_empty();
-        if line.is_on_way || is_idle { u64::MAX } else { line.next_ms }
+        match line.next_lane() {
+            Some((_, due_ms)) if !(line.dirty.is_empty() && line.expired.is_empty()) => due_ms,
+            _ => u64::MAX,
+        }
     }
 
     pub(super) fn start_commit(&mut self) {
         self.expire_jobs();
+        let Some((lane, _)) = self.commits.next_lane() else { return };
         if self.next_commit_ms() > self.time.now_ms {
             return;
         }
-        let mut order = CommitOrder::default();
-        while order.rows.len() + order.accepted.len() + ROWS_PER_JOB <= MAX_ROWS
-            && let Some(key) = self.commits.dirty.pop_front()
-        {
-            self.carry_row(key, &mut order);
+        let mut order = CommitOrder { lane, ..CommitOrder::default() };
+        let mut left = self.commits.dirty.len();
+        while left > 0 && order.rows.len() + order.accepted.len() + ROWS_PER_JOB <= MAX_ROWS {
+            left -= 1;
+            self.carry_next(&mut order);
         }
         while order.rows.len() + order.accepted.len() + (order.removals.len() + 1) * ROWS_PER_JOB
             <= MAX_ROWS
@@ -69,18 +99,35 @@
         {
             self.carry_removal(key, &mut order);
         }
-        self.commits.is_on_way = true;
         self.commits.next_ms = self.time.now_ms + self.settings.commit_interval_ms;
+        let is_empty = order.rows.is_empty() && order.accepted.is_empty();
+        if is_empty && order.removals.is_empty() && self.commits.lanes[lane].waiting.is_empty() {
+            return;
+        }
+        self.commits.lanes[lane].sent_ms = Some(self.time.now_ms);
         self.actions.push(CellAction::Commit(order));
     }
 
+    /// Carries the job that has waited longest, unless a commit on the way carries it.
+    fn carry_next(&mut self, order: &mut CommitOrder) {
+        let Some(key) = self.commits.dirty.pop_front() else { return };
+        let is_carried =
+            self.jobs.get(key).is_some_and(|job| self.commits.carries_state(&job.record.id));
+        if is_carried {
+            self.commits.dirty.push_back(key);
+        } else {
+            self.carry_row(key, order);
+        }
+    }
+
     fn carry_row(&mut self, key: JobKey, order: &mut CommitOrder) {
         let Some(job) = self.jobs.get_mut(key) else { return };
         job.is_dirty = false;
         let state = job.state;
         let waiting = job.after_commit.drain(..).map(|after| (after, state));
-        self.commits.waiting.extend(waiting);
-        self.commits.carried.insert(job.record.id.clone());
+        let lane = &mut self.commits.lanes[order.lane];
+        lane.waiting.extend(waiting);
+        lane.carried.insert(job.record.id.clone());
         if !std::mem::replace(&mut job.is_stored, true) {
             order.accepted.push(job.accepted());
         }
@@ -113,10 +160,9 @@
     }
 
     /// Takes in that the rows on the way are durable.
-    pub(super) fn finish_commit(&mut self) {
-        self.commits.is_on_way = false;
-        self.commits.carried.clear();
-        for (after, state) in std::mem::take(&mut self.commits.waiting) {
+    pub(super) fn finish_commit(&mut self, lane: usize) {
+        let lane = std::mem::take(&mut self.commits.lanes[lane]);
+        for (after, state) in lane.waiting {
             match after {
                 AfterCommit::Send(attempt) => self.send_attempt(attempt),
                 AfterCommit::Note(worker, incarnation) => self.note_end(worker, incarnation),
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -153,7 +153,7 @@
             }
             CellInput::Hold { worker, outcome } => self.finish_hold(worker, outcome),
             CellInput::Advice { ask, allowed } => self.finish_ask(ask, allowed),
-            CellInput::Committed => self.finish_commit(),
+            CellInput::Committed { lane } => self.finish_commit(lane),
         }
     }
 
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -19,9 +19,9 @@
     core::{CellCore, CellPressure, CellTotals},
     keys::{AskKey, AttemptKey, JobKey, WorkerKey},
     message::{
-        AskOrder, CellAction, CellInput, CellNote, CommitOrder, EndKind, EndedAttempt, HoldOrder,
-        HoldOutcome, HoldReport, RunningAttempt, StartOrder, StartOutcome, StartRefusal, StopOrder,
-        WorkerReport, WorkerTicket,
+        AskOrder, COMMIT_LANES, CellAction, CellInput, CellNote, CommitOrder, EndKind,
+        EndedAttempt, HoldOrder, HoldOutcome, HoldReport, RunningAttempt, StartOrder, StartOutcome,
+        StartRefusal, StopOrder, WorkerReport, WorkerTicket,
     },
     record::{
         AdviceTiming, JobRecord, JobState, PhaseProgress, ProgressRecord, StepSpec, TaskProgress,
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -190,8 +190,11 @@
         /// Workers that may run the step.
         allowed: Option<Vec<WorkerTicket>>,
     },
-    /// The rows of the last commit are durable.
-    Committed,
+    /// The rows of the commit on this lane are durable.
+    Committed {
+        /// The lane.
+        lane: usize,
+    },
 }
 
 /// An order to start an attempt.
@@ -264,9 +267,14 @@
     pub expected_ms: u64,
 }
 
+/// Most commits that are on the way at a time.
+pub const COMMIT_LANES: usize = 6;
+
 /// Rows to write in one transaction.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct CommitOrder {
+    /// Lane that it is on; commits of a lane follow one another.
+    pub lane: usize,
     /// Jobs that were accepted.
     pub accepted: Vec<JobRecord>,
     /// Progress rows by the job's id.
--- a/crates/cell/tests/support/mod.rs
+++ b/crates/cell/tests/support/mod.rs
@@ -282,7 +282,7 @@
             self.jobs.remove(&id);
             self.progress.remove(&id);
         }
-        self.apply(CellInput::Committed);
+        self.apply(CellInput::Committed { lane: order.lane });
     }
 
     /// The store is back and carries out what it was asked for.
--- a/crates/cellnode/src/guard.rs
+++ b/crates/cellnode/src/guard.rs
@@ -1,10 +1,12 @@
-//! Writes of the leader: one at a time, each guarded by the one before.
+//! Writes of the leader: one at a time on each lane, each guarded by the one before.
 
 use {
     crate::{
         CellStore, ChangeAnswer, StoreChange, StoreItem, StorePut, boot_ms,
-        rows::{GUARD_KEY, GuardRow, LEADER_KEY, LeaderRow},
+        follow::read_all,
+        rows::{GUARD_PREFIX, GuardRow, LEADER_KEY, LeaderRow, guard_key},
     },
+    damaskrack_cell::COMMIT_LANES,
     prost::Message,
     slog::{Logger, warn},
     std::{sync::Arc, time::Duration},
@@ -25,11 +27,22 @@
     NoLease,
 }
 
-/// The leader's hold on the guard.
-#[derive(Clone)]
+/// What a write left of the guards that it replaced.
+enum WriteAnswer {
+    /// It took effect at this revision.
+    Done {
+        revision: u64,
+        asked_ms: u64,
+    },
+    Conflict(Vec<StoreItem>),
+    NoLease,
+}
+
+/// The leader's hold on the guard of one lane.
 pub(crate) struct GuardWriter {
-    pub(crate) store: Arc<dyn CellStore>,
+    store: Arc<dyn CellStore>,
     pub(crate) leader: LeaderRow,
+    lane: usize,
     revision: u64,
     write: u64,
     logger: Logger,
@@ -38,80 +51,105 @@
 impl GuardWriter {
     /// Tries to become the leader; `None` if another daemon was faster or the store is silent.
     /// `leader_revision` is that of the row of a leader that has resigned, or 0 if there is none.
+    /// Returns a writer for each lane.
     pub(crate) async fn campaign(
         store: Arc<dyn CellStore>,
         (id, address): (u64, String),
         lease: u64,
         leader_revision: u64,
         logger: Logger,
-    ) -> Option<Self> {
-        let guard = store.get(GUARD_KEY).await.ok()?;
-        let revision = guard.as_ref().map_or(0, |item| item.revision);
-        let last = guard.and_then(|item| GuardRow::decode(item.value.as_slice()).ok());
-        let term = last.unwrap_or_default().term + 1;
+    ) -> Option<Vec<Self>> {
+        let (guards, _) = read_all(store.as_ref(), GUARD_PREFIX).await.ok()?;
+        let rows = guards.iter().filter_map(|item| GuardRow::decode(item.value.as_slice()).ok());
+        let term = rows.map(|row| row.term).max().unwrap_or(0) + 1;
         let leader = LeaderRow { id, address, term };
-        let mut writer = Self { store, leader, revision, write: 0, logger };
-        let mut change = writer.leader_change(lease);
+        let mut change = leader_change(&leader, lease);
         change.expected.push((LEADER_KEY.into(), leader_revision));
-        match writer.write(change).await {
-            WriteResult::Done { .. } => Some(writer),
-            WriteResult::Deposed | WriteResult::NoLease => None,
+        let guard = GuardRow { term, id, write: 0 };
+        for lane in 0..COMMIT_LANES {
+            let key = guard_key(lane);
+            let known = guards.iter().find(|item| item.key == key);
+            change.expected.push((key.clone(), known.map_or(0, |item| item.revision)));
+            change.puts.push(StorePut { key, value: guard.encode_to_vec(), lease: 0 });
         }
+        let revision = match write_until_answered(store.as_ref(), &change, &logger).await {
+            WriteAnswer::Done { revision, .. } => revision,
+            WriteAnswer::Conflict(items) => find_guard(&items, &guard_key(0), &guard)?,
+            WriteAnswer::NoLease => return None,
+        };
+        let writer = |lane| Self {
+            store: store.clone(),
+            leader: leader.clone(),
+            lane,
+            revision,
+            write: 0,
+            logger: logger.clone(),
+        };
+        Some((0..COMMIT_LANES).map(writer).collect())
     }
 
     /// Puts the leader's row on a new lease, unless another daemon leads by now.
     pub(crate) async fn renew_leader(&mut self, lease: u64) -> WriteResult {
-        let change = self.leader_change(lease);
+        let change = leader_change(&self.leader, lease);
         self.write(change).await
     }
 
-    fn leader_change(&self, lease: u64) -> StoreChange {
-        let row = StorePut { key: LEADER_KEY.into(), value: self.leader.encode_to_vec(), lease };
-        StoreChange { puts: vec![row], ..StoreChange::default() }
-    }
-
     /// Writes until the store has answered, however long that takes.
     pub(crate) async fn write(&mut self, mut change: StoreChange) -> WriteResult {
         self.write += 1;
+        let key = guard_key(self.lane);
         let guard = GuardRow { term: self.leader.term, id: self.leader.id, write: self.write };
-        change.expected.push((GUARD_KEY.into(), self.revision));
-        change.puts.push(StorePut {
-            key: GUARD_KEY.into(),
-            value: guard.encode_to_vec(),
-            lease: 0,
-        });
-        let mut is_late = false;
-        loop {
-            let asked_ms = boot_ms();
-            match self.store.change(&change).await {
-                Ok(ChangeAnswer::Done(revision)) => {
+        change.expected.push((key.clone(), self.revision));
+        change.puts.push(StorePut { key: key.clone(), value: guard.encode_to_vec(), lease: 0 });
+        match write_until_answered(self.store.as_ref(), &change, &self.logger).await {
+            WriteAnswer::Done { revision, asked_ms } => {
+                self.revision = revision;
+                WriteResult::Done { asked_ms }
+            }
+            // Either this very write took effect and its answer was lost, or another daemon wrote.
+            WriteAnswer::Conflict(items) => match find_guard(&items, &key, &guard) {
+                Some(revision) => {
                     self.revision = revision;
-                    return WriteResult::Done { asked_ms };
-                }
-                Ok(ChangeAnswer::NoLease) => return WriteResult::NoLease,
-                Ok(ChangeAnswer::Conflict(items)) => return self.judge_conflict(&items, &guard),
-                Err(fault) => {
-                    if !is_late {
-                        warn!(self.logger, "write_unanswered"; "fault" => ?fault);
-                    }
-                    is_late = true;
-                    sleep(Duration::from_millis(RETRY_MS)).await;
+                    WriteResult::Done { asked_ms: boot_ms() }
                 }
-            }
+                None => WriteResult::Deposed,
+            },
+            WriteAnswer::NoLease => WriteResult::NoLease,
         }
     }
+}
+
+fn leader_change(leader: &LeaderRow, lease: u64) -> StoreChange {
+    let row = StorePut { key: LEADER_KEY.into(), value: leader.encode_to_vec(), lease };
+    StoreChange { puts: vec![row], ..StoreChange::default() }
+}
 
-    /// The guard is not as expected: either this very write took effect and its answer was lost,
-    /// or another daemon has written.
-    fn judge_conflict(&mut self, items: &[StoreItem], guard: &GuardRow) -> WriteResult {
-        let current = items.iter().find(|item| item.key == GUARD_KEY);
-        let row = current.and_then(|item| GuardRow::decode(item.value.as_slice()).ok());
-        match (current, row) {
-            (Some(item), Some(row)) if row == *guard => {
-                self.revision = item.revision;
-                WriteResult::Done { asked_ms: boot_ms() }
+/// Returns the revision at which a guard holds exactly this row, if it does.
+fn find_guard(items: &[StoreItem], key: &str, guard: &GuardRow) -> Option<u64> {
+    let item = items.iter().find(|item| item.key == key)?;
+    let row = GuardRow::decode(item.value.as_slice()).ok()?;
+    (row == *guard).then_some(item.revision)
+}
+
+async fn write_until_answered(
+    store: &dyn CellStore,
+    change: &StoreChange,
+    logger: &Logger,
+) -> WriteAnswer {
+    let mut is_late = false;
+    loop {
+        let asked_ms = boot_ms();
+        match store.change(change).await {
+            Ok(ChangeAnswer::Done(revision)) => return WriteAnswer::Done { revision, asked_ms },
+            Ok(ChangeAnswer::NoLease) => return WriteAnswer::NoLease,
+            Ok(ChangeAnswer::Conflict(items)) => return WriteAnswer::Conflict(items),
+            Err(fault) => {
+                if !is_late {
+                    warn!(logger, "write_unanswered"; "fault" => ?fault);
+                }
+                is_late = true;
+                sleep(Duration::from_millis(RETRY_MS)).await;
             }
-            _ => WriteResult::Deposed,
         }
     }
 }
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -62,6 +62,8 @@
 const REPORT_INTERVAL_MS: u64 = 400;
 /// Time beyond the adviser's own after which an answer no longer comes, in milliseconds.
 const ASK_MARGIN_MS: u64 = 1_200;
+/// Orders that wait for a writer.
+const WRITER_QUEUE: usize = 4;
 /// Inputs that wait for the core.
 const INPUT_QUEUE: usize = 16_384;
 
@@ -81,6 +83,12 @@
 /// When it was last shown that this daemon leads, in milliseconds since the host's boot.
 type ProofTime = Arc<Mutex<u64>>;
 
+/// Takes in that a call sent at `asked_ms` showed that this daemon leads.
+fn note_proof(proof: &ProofTime, asked_ms: u64) {
+    let mut proof = proof.lock().unwrap_or_else(PoisonError::into_inner);
+    *proof = asked_ms.max(*proof);
+}
+
 /// Inputs of the core, and the end of its time.
 enum LeaderEvent {
     Input(CellInput),
@@ -93,7 +101,8 @@
     token: u64,
     id: u64,
     events: mpsc::Sender<LeaderEvent>,
-    commits: mpsc::Sender<CommitOrder>,
+    /// Writers of the lanes.
+    commits: Vec<mpsc::Sender<CommitOrder>>,
     proof: ProofTime,
     /// Sessions and calls that wait until something is durable, by the core's handle.
     replies: FxHashMap<u64, (u64, u64)>,
@@ -104,20 +113,18 @@
 /// Leads until another daemon does, or until `stop` is set.
 pub(crate) async fn lead(
     parts: LeaderParts,
-    guard: GuardWriter,
+    guards: Vec<GuardWriter>,
     lease: u64,
     mut stop: watch::Receiver<bool>,
 ) {
     let (events, mut inbox) = mpsc::channel(INPUT_QUEUE);
-    let (commits, commit_inbox) = mpsc::channel(4);
-    let (renewals, renewal_inbox) = mpsc::channel(4);
     let proof: ProofTime = Arc::new(Mutex::new(boot_ms()));
     let mut run = LeaderRun {
         core: CellCore::new(parts.settings.clone()),
-        token: guard.leader.term,
-        id: guard.leader.id,
+        token: guards[0].leader.term,
+        id: guards[0].leader.id,
         events: events.clone(),
-        commits,
+        commits: Vec::new(),
         proof: proof.clone(),
         replies: FxHashMap::default(),
         last_reply: 0,
@@ -126,8 +133,8 @@
     };
     let parts = run.parts.clone();
     let mut sessions = parts.hub.open();
-    let writer = write_commits(guard, commit_inbox, renewal_inbox, events.clone(), proof.clone());
-    run.tasks.spawn(writer);
+    let (renewals, renewal_inbox) = mpsc::channel(WRITER_QUEUE);
+    run.start_writers(guards, renewal_inbox);
     run.tasks.spawn(keep_lease(parts.clone(), lease, renewals, proof));
     let loaded = tokio::select! {
         loaded = run.load() => loaded,
@@ -194,6 +201,19 @@
         }
     }
 
+    /// Starts a writer for each lane; the first one also renews the leader's row.
+    fn start_writers(&mut self, guards: Vec<GuardWriter>, renewals: mpsc::Receiver<u64>) {
+        let mut renewals = Some(renewals);
+        for (lane, guard) in guards.into_iter().enumerate() {
+            let (commits, inbox) = mpsc::channel(WRITER_QUEUE);
+            self.commits.push(commits);
+            let renewals = renewals.take().unwrap_or_else(|| mpsc::channel(WRITER_QUEUE).1);
+            let writer =
+                LaneWriter { lane, guard, events: self.events.clone(), proof: self.proof.clone() };
+            self.tasks.spawn(writer.run(inbox, renewals));
+        }
+    }
+
     /// Starts to follow workers and jobs.
     fn follow(&mut self) {
         let (parts, events) = (self.parts.clone(), self.events.clone());
@@ -381,8 +401,9 @@
                 });
             }
             CellAction::Commit(order) => {
-                // The writer takes one commit at a time and the core sends one at a time.
-                let _ = self.commits.send(order).await;
+                // The core sends one commit at a time on each lane; a writer that has ended has
+                // told that another daemon leads.
+                let _ = self.commits[order.lane].send(order).await;
             }
             CellAction::Reply { reply, state } => {
                 if let Some((session, call)) = self.replies.remove(&reply) {
@@ -417,36 +438,41 @@
     let _ = events.send(LeaderEvent::Input(input)).await;
 }
 
-/// Writes commits, and the leader's row when its lease has ended.
-async fn write_commits(
-    mut guard: GuardWriter,
-    mut commits: mpsc::Receiver<CommitOrder>,
-    mut renewals: mpsc::Receiver<u64>,
+/// Writes the commits of one lane, and the leader's row when its lease has ended.
+struct LaneWriter {
+    lane: usize,
+    guard: GuardWriter,
     events: mpsc::Sender<LeaderEvent>,
     proof: ProofTime,
-) {
-    loop {
-        let (result, is_commit) = tokio::select! {
-            order = commits.recv() => {
-                let Some(order) = order else { return };
-                (guard.write(commit_change(&order)).await, true)
-            }
-            lease = renewals.recv() => {
-                let Some(lease) = lease else { return };
-                (guard.renew_leader(lease).await, false)
-            }
-        };
-        match result {
-            WriteResult::Done { asked_ms } => {
-                *proof.lock().unwrap_or_else(PoisonError::into_inner) = asked_ms;
-                if is_commit {
-                    send(&events, CellInput::Committed).await;
+}
+
+impl LaneWriter {
+    async fn run(
+        mut self,
+        mut commits: mpsc::Receiver<CommitOrder>,
+        mut renewals: mpsc::Receiver<u64>,
+    ) {
+        loop {
+            let (result, is_commit) = tokio::select! {
+                Some(order) = commits.recv() => {
+                    (self.guard.write(commit_change(&order)).await, true)
+                }
+                Some(lease) = renewals.recv() => (self.guard.renew_leader(lease).await, false),
+                else => return,
+            };
+            match result {
+                WriteResult::Done { asked_ms } => {
+                    note_proof(&self.proof, asked_ms);
+                    if is_commit {
+                        send(&self.events, CellInput::Committed { lane: self.lane }).await;
+                    }
+                }
+                WriteResult::NoLease => {}
+                WriteResult::Deposed => {
+                    // A core that is gone needs no word.
+                    let _ = self.events.send(LeaderEvent::Deposed).await;
+                    return;
                 }
-            }
-            WriteResult::NoLease => {}
-            WriteResult::Deposed => {
-                let _ = events.send(LeaderEvent::Deposed).await;
-                return;
             }
         }
     }
@@ -484,7 +510,7 @@
         let limit = Duration::from_millis(KEEP_LIMIT_MS);
         let kept = timeout(limit, parts.store.keep(lease)).await;
         match kept.unwrap_or(Err(StoreFault::Unknown)) {
-            Ok(true) => *proof.lock().unwrap_or_else(PoisonError::into_inner) = asked_ms,
+            Ok(true) => note_proof(&proof, asked_ms),
             Ok(false) => {
                 info!(parts.logger, "lease_ended"; "lease" => lease);
                 if let Ok(granted) = parts.store.grant(LEASE_TTL_MS).await {
--- a/crates/cellnode/src/node.rs
+++ b/crates/cellnode/src/node.rs
@@ -214,8 +214,8 @@
         let (store, logger) = (parts.store.clone(), parts.logger.clone());
         let identity = (self.id, self.address.clone());
         let won = GuardWriter::campaign(store, identity, lease, leader_revision, logger).await;
-        if let Some(guard) = won {
-            lead(parts.clone(), guard, lease, self.stop.clone()).await;
+        if let Some(guards) = won {
+            lead(parts.clone(), guards, lease, self.stop.clone()).await;
         }
         if let Err(fault) = parts.store.revoke(lease).await {
             info!(parts.logger, "lease_not_revoked"; "fault" => ?fault);
--- a/crates/cellnode/src/rows.rs
+++ b/crates/cellnode/src/rows.rs
@@ -3,14 +3,14 @@
 //! | key | holds | written by |
 //! | --- | --- | --- |
 //! | `cell/leader` | [`LeaderRow`], on a lease | the leader |
-//! | `cell/guard` | [`GuardRow`] | the leader, with every commit |
+//! | `cell/guard/LANE` | [`GuardRow`] | the leader, with every commit on the lane |
 //! | `cell/job/ID` | the job as accepted | the daemon that accepts it, once |
 //! | `cell/progress/ID` | how far it has come | the leader |
 
 /// Key of the leader's row.
 pub(crate) const LEADER_KEY: &str = "cell/leader";
-/// Key of the guard.
-pub(crate) const GUARD_KEY: &str = "cell/guard";
+/// Prefix of the guards.
+pub(crate) const GUARD_PREFIX: &str = "cell/guard/";
 /// Prefix of the rows of accepted jobs.
 pub(crate) const JOB_PREFIX: &str = "cell/job/";
 /// Prefix of the rows of progress.
@@ -37,8 +37,9 @@
     pub(crate) revision: u64,
 }
 
-/// The last write of any leader. Every commit expects this row's revision and replaces it, so a
-/// commit that the store carries out late, or one of a former leader, changes nothing.
+/// The last write of any leader on a lane. Every commit expects its lane's row at a revision and
+/// replaces it, so a commit that the store carries out late, or one of a former leader, changes
+/// nothing. A new leader replaces the rows of all lanes at once.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct GuardRow {
     /// Term of the leader that wrote last.
@@ -52,6 +53,11 @@
     pub(crate) write: u64,
 }
 
+/// Key of a lane's guard.
+pub(crate) fn guard_key(lane: usize) -> String {
+    format!("{GUARD_PREFIX}{lane}")
+}
+
 /// Key of an accepted job.
 pub(crate) fn job_key(id: &str) -> String {
     format!("{JOB_PREFIX}{id}")
