Resign after 120 ms of faults instead of 700 ms without a sign

A store that is slow shows no fault, so it no longer looks cut; one that refuses or resets is known at once.

--- a/crates/cellnode/src/guard.rs
+++ b/crates/cellnode/src/guard.rs
@@ -4,6 +4,7 @@
     crate::{
         CellStore, ChangeAnswer, StoreChange, StoreItem, StorePut, boot_ms,
         follow::read_all,
+        proof::LeadProof,
         rows::{GUARD_PREFIX, GuardRow, LEADER_KEY, LeaderRow, guard_key},
     },
     damaskrack_cell::COMMIT_LANES,
@@ -19,8 +20,8 @@
 /// How a guarded write ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum WriteResult {
-    /// It is durable; it was sent at this time, in milliseconds since the host's boot.
-    Done { asked_ms: u64 },
+    /// It is durable.
+    Done,
     /// Another daemon leads.
     Deposed,
     /// The lease that the write names has ended.
@@ -30,10 +31,7 @@
 /// What a write left of the guards that it replaced.
 enum WriteAnswer {
     /// It took effect at this revision.
-    Done {
-        revision: u64,
-        asked_ms: u64,
-    },
+    Done(u64),
     Conflict(Vec<StoreItem>),
     NoLease,
 }
@@ -42,6 +40,7 @@
 pub(crate) struct GuardWriter {
     store: Arc<dyn CellStore>,
     pub(crate) leader: LeaderRow,
+    pub(crate) proof: Arc<LeadProof>,
     lane: usize,
     revision: u64,
     write: u64,
@@ -72,14 +71,16 @@
             change.expected.push((key.clone(), known.map_or(0, |item| item.revision)));
             change.puts.push(StorePut { key, value: guard.encode_to_vec(), lease: 0 });
         }
-        let revision = match write_until_answered(store.as_ref(), &change, &logger).await {
-            WriteAnswer::Done { revision, .. } => revision,
+        let proof = Arc::new(LeadProof::new(boot_ms()));
+        let revision = match write_until_answered(store.as_ref(), &change, &proof, &logger).await {
+            WriteAnswer::Done(revision) => revision,
             WriteAnswer::Conflict(items) => find_guard(&items, &guard_key(0), &guard)?,
             WriteAnswer::NoLease => return None,
         };
         let writer = |lane| Self {
             store: store.clone(),
             leader: leader.clone(),
+            proof: proof.clone(),
             lane,
             revision,
             write: 0,
@@ -101,16 +102,18 @@
         let guard = GuardRow { term: self.leader.term, id: self.leader.id, write: self.write };
         change.expected.push((key.clone(), self.revision));
         change.puts.push(StorePut { key: key.clone(), value: guard.encode_to_vec(), lease: 0 });
-        match write_until_answered(self.store.as_ref(), &change, &self.logger).await {
-            WriteAnswer::Done { revision, asked_ms } => {
+        let answer =
+            write_until_answered(self.store.as_ref(), &change, &self.proof, &self.logger).await;
+        match answer {
+            WriteAnswer::Done(revision) => {
                 self.revision = revision;
-                WriteResult::Done { asked_ms }
+                WriteResult::Done
             }
             // Either this very write took effect and its answer was lost, or another daemon wrote.
             WriteAnswer::Conflict(items) => match find_guard(&items, &key, &guard) {
                 Some(revision) => {
                     self.revision = revision;
-                    WriteResult::Done { asked_ms: boot_ms() }
+                    WriteResult::Done
                 }
                 None => WriteResult::Deposed,
             },
@@ -134,16 +137,21 @@
 async fn write_until_answered(
     store: &dyn CellStore,
     change: &StoreChange,
+    proof: &LeadProof,
     logger: &Logger,
 ) -> WriteAnswer {
     let mut is_late = false;
     loop {
         let asked_ms = boot_ms();
         match store.change(change).await {
-            Ok(ChangeAnswer::Done(revision)) => return WriteAnswer::Done { revision, asked_ms },
+            Ok(ChangeAnswer::Done(revision)) => {
+                proof.note_proof(asked_ms);
+                return WriteAnswer::Done(revision);
+            }
             Ok(ChangeAnswer::NoLease) => return WriteAnswer::NoLease,
             Ok(ChangeAnswer::Conflict(items)) => return WriteAnswer::Conflict(items),
             Err(fault) => {
+                proof.note_fault();
                 if !is_late {
                     warn!(logger, "write_unanswered"; "fault" => ?fault);
                 }
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -13,6 +13,7 @@
         frame::{AskFrame, EntryBody, LeaderBody, PressureFrame},
         guard::{GuardWriter, WriteResult},
         hub::{SessionFrame, SessionHub},
+        proof::LeadProof,
         rows::{JOB_PREFIX, PROGRESS_PREFIX, job_key, progress_key},
         unix_ms,
     },
@@ -25,11 +26,7 @@
     rustc_hash::FxHashMap,
     slog::{Logger, info, warn},
     slotmap::{Key, KeyData},
-    std::{
-        collections::BTreeMap,
-        sync::{Arc, Mutex, PoisonError},
-        time::Duration,
-    },
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
     tokio::{
         sync::{mpsc, watch},
         task::JoinSet,
@@ -47,10 +44,14 @@
 const KEEP_LIMIT_MS: u64 = 600;
 /// Time without a sign of the store after which daemons no longer leave writes to the leader, in
 /// milliseconds.
-const STORE_SILENT_MS: u64 = 600;
-/// Time without a sign of the store after which a leader asks another daemon to take over, in
-/// milliseconds.
-const RESIGN_AFTER_MS: u64 = 700;
+const STORE_SILENT_MS: u64 = 1_200;
+/// Time for which a leader has no usable answer of the store before it asks another daemon to take
+/// over, in milliseconds.
+const RESIGN_AFTER_MS: u64 = 120;
+/// Time between two such requests, in milliseconds.
+const RESIGN_RETRY_MS: u64 = 400;
+/// Time between two looks at a store that gives no usable answers, in milliseconds.
+const FAULT_CHECK_MS: u64 = 60;
 /// Longest wait of a watch on workers or jobs, in milliseconds.
 const WATCH_WAIT_MS: u64 = 10_000;
 /// Time between two calls that watch the workers, in milliseconds.
@@ -80,15 +81,6 @@
     pub(crate) logger: Logger,
 }
 
-/// When it was last shown that this daemon leads, in milliseconds since the host's boot.
-type ProofTime = Arc<Mutex<u64>>;
-
-/// Takes in that a call sent at `asked_ms` showed that this daemon leads.
-fn note_proof(proof: &ProofTime, asked_ms: u64) {
-    let mut proof = proof.lock().unwrap_or_else(PoisonError::into_inner);
-    *proof = asked_ms.max(*proof);
-}
-
 /// Inputs of the core, and the end of its time.
 enum LeaderEvent {
     Input(CellInput),
@@ -103,10 +95,11 @@
     events: mpsc::Sender<LeaderEvent>,
     /// Writers of the lanes.
     commits: Vec<mpsc::Sender<CommitOrder>>,
-    proof: ProofTime,
+    proof: Arc<LeadProof>,
     /// Sessions and calls that wait until something is durable, by the core's handle.
     replies: FxHashMap<u64, (u64, u64)>,
     last_reply: u64,
+    next_resign_ms: u64,
     tasks: JoinSet<()>,
 }
 
@@ -118,7 +111,7 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let (events, mut inbox) = mpsc::channel(INPUT_QUEUE);
-    let proof: ProofTime = Arc::new(Mutex::new(boot_ms()));
+    let proof = guards[0].proof.clone();
     let mut run = LeaderRun {
         core: CellCore::new(parts.settings.clone()),
         token: guards[0].leader.term,
@@ -128,6 +121,7 @@
         proof: proof.clone(),
         replies: FxHashMap::default(),
         last_reply: 0,
+        next_resign_ms: 0,
         tasks: JoinSet::new(),
         parts,
     };
@@ -208,8 +202,7 @@
             let (commits, inbox) = mpsc::channel(WRITER_QUEUE);
             self.commits.push(commits);
             let renewals = renewals.take().unwrap_or_else(|| mpsc::channel(WRITER_QUEUE).1);
-            let writer =
-                LaneWriter { lane, guard, events: self.events.clone(), proof: self.proof.clone() };
+            let writer = LaneWriter { lane, guard, events: self.events.clone() };
             self.tasks.spawn(writer.run(inbox, renewals));
         }
     }
@@ -251,9 +244,14 @@
             if now_ms >= next_report_ms {
                 next_report_ms = now_ms + REPORT_INTERVAL_MS;
                 self.report();
-                self.resign_if_cut();
             }
-            let next_ms = self.core.next_tick_ms().min(next_report_ms).max(now_ms + 1);
+            self.resign_if_cut(now_ms);
+            let check_ms = match self.proof.fault_age_ms() {
+                Some(_) => now_ms + FAULT_CHECK_MS,
+                None => u64::MAX,
+            };
+            let next_ms = self.core.next_tick_ms().min(next_report_ms).min(check_ms);
+            let next_ms = next_ms.max(now_ms + 1);
             let wake = Instant::now() + Duration::from_millis(next_ms - now_ms);
             self.core.set_time(boot_ms(), unix_ms());
             tokio::select! {
@@ -285,10 +283,12 @@
 
     /// Asks another daemon to take over if the store is out of reach. If it is so for all, nobody
     /// can, and this daemon goes on.
-    fn resign_if_cut(&self) {
-        if self.proof_age_ms() < RESIGN_AFTER_MS {
+    fn resign_if_cut(&mut self, now_ms: u64) {
+        let is_cut = self.proof.fault_age_ms().is_some_and(|age_ms| age_ms >= RESIGN_AFTER_MS);
+        if !is_cut || now_ms < self.next_resign_ms {
             return;
         }
+        self.next_resign_ms = now_ms + RESIGN_RETRY_MS;
         let daemons = self.parts.hub.daemons();
         let others: Vec<u64> = daemons.into_iter().filter(|id| *id != self.id).collect();
         if others.is_empty() {
@@ -301,13 +301,13 @@
 
     /// Tells whether a successor cannot yet have taken this daemon's attempts for lapsed.
     fn is_proven(&self) -> bool {
-        self.proof_age_ms() < LEASE_TTL_MS + ISOLATION_MS
+        self.proof.age_ms() < LEASE_TTL_MS + ISOLATION_MS
     }
 
-    /// Time since the store last showed that this daemon leads.
-    fn proof_age_ms(&self) -> u64 {
-        let proven_ms = *self.proof.lock().unwrap_or_else(PoisonError::into_inner);
-        boot_ms().saturating_sub(proven_ms)
+    /// Tells whether daemons should not leave writes to this leader.
+    fn is_store_silent(&self) -> bool {
+        let is_failing = self.proof.fault_age_ms().is_some_and(|age_ms| age_ms >= RESIGN_AFTER_MS);
+        is_failing || self.proof.age_ms() > STORE_SILENT_MS
     }
 
     fn report(&mut self) {
@@ -316,7 +316,7 @@
         let frame = PressureFrame {
             waiting_core_ms: pressure.waiting_core_ms,
             capacity_millis: pressure.capacity_millis,
-            is_store_silent: self.proof_age_ms() > STORE_SILENT_MS,
+            is_store_silent: self.is_store_silent(),
         };
         self.parts.hub.broadcast(&LeaderBody::Pressure(frame));
     }
@@ -443,7 +443,6 @@
     lane: usize,
     guard: GuardWriter,
     events: mpsc::Sender<LeaderEvent>,
-    proof: ProofTime,
 }
 
 impl LaneWriter {
@@ -461,13 +460,10 @@
                 else => return,
             };
             match result {
-                WriteResult::Done { asked_ms } => {
-                    note_proof(&self.proof, asked_ms);
-                    if is_commit {
-                        send(&self.events, CellInput::Committed { lane: self.lane }).await;
-                    }
+                WriteResult::Done if is_commit => {
+                    send(&self.events, CellInput::Committed { lane: self.lane }).await;
                 }
-                WriteResult::NoLease => {}
+                WriteResult::Done | WriteResult::NoLease => {}
                 WriteResult::Deposed => {
                     // A core that is gone needs no word.
                     let _ = self.events.send(LeaderEvent::Deposed).await;
@@ -502,7 +498,7 @@
     parts: LeaderParts,
     mut lease: u64,
     renewals: mpsc::Sender<u64>,
-    proof: ProofTime,
+    proof: Arc<LeadProof>,
 ) {
     loop {
         sleep(Duration::from_millis(KEEP_INTERVAL_MS)).await;
@@ -510,7 +506,7 @@
         let limit = Duration::from_millis(KEEP_LIMIT_MS);
         let kept = timeout(limit, parts.store.keep(lease)).await;
         match kept.unwrap_or(Err(StoreFault::Unknown)) {
-            Ok(true) => note_proof(&proof, asked_ms),
+            Ok(true) => proof.note_proof(asked_ms),
             Ok(false) => {
                 info!(parts.logger, "lease_ended"; "lease" => lease);
                 if let Ok(granted) = parts.store.grant(LEASE_TTL_MS).await {
@@ -518,7 +514,10 @@
                     let _ = renewals.send(lease).await;
                 }
             }
-            Err(fault) => warn!(parts.logger, "lease_not_kept"; "fault" => ?fault),
+            Err(fault) => {
+                proof.note_fault();
+                warn!(parts.logger, "lease_not_kept"; "fault" => ?fault);
+            }
         }
     }
 }
--- a/crates/cellnode/src/lib.rs
+++ b/crates/cellnode/src/lib.rs
@@ -11,6 +11,7 @@
 mod link;
 mod node;
 mod outside;
+mod proof;
 mod rows;
 
 pub use {
--- /dev/null
+++ b/crates/cellnode/src/proof.rs
@@ -0,0 +1,52 @@
+//! What the store has lately shown a leader.
+
+use {
+    crate::boot_ms,
+    std::sync::{Mutex, MutexGuard, PoisonError},
+};
+
+#[derive(Debug)]
+struct ProofState {
+    proven_ms: u64,
+    fault_ms: Option<u64>,
+}
+
+/// When the store last showed that this daemon leads, and since when it gives no usable answers.
+#[derive(Debug)]
+pub(crate) struct LeadProof {
+    state: Mutex<ProofState>,
+}
+
+impl LeadProof {
+    /// A daemon that was elected by a call sent at this time, in milliseconds since the host's boot.
+    pub(crate) fn new(asked_ms: u64) -> Self {
+        Self { state: Mutex::new(ProofState { proven_ms: asked_ms, fault_ms: None }) }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ProofState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in that a call sent at `asked_ms` showed that this daemon leads.
+    pub(crate) fn note_proof(&self, asked_ms: u64) {
+        let mut state = self.lock();
+        state.proven_ms = state.proven_ms.max(asked_ms);
+        state.fault_ms = None;
+    }
+
+    /// Takes in that a call had no usable answer.
+    pub(crate) fn note_fault(&self) {
+        self.lock().fault_ms.get_or_insert_with(boot_ms);
+    }
+
+    /// Time since the last proof, in milliseconds, counted from the asking.
+    pub(crate) fn age_ms(&self) -> u64 {
+        boot_ms().saturating_sub(self.lock().proven_ms)
+    }
+
+    /// Time since the first fault after the last proof, in milliseconds; `None` if there was none. A
+    /// store that is slow shows no fault.
+    pub(crate) fn fault_age_ms(&self) -> Option<u64> {
+        self.lock().fault_ms.map(|fault_ms| boot_ms().saturating_sub(fault_ms))
+    }
+}
