--- a/crates/cellnode/src/entry.rs
+++ b/crates/cellnode/src/entry.rs
@@ -98,6 +98,14 @@
         self.is_leaving.load(Ordering::Relaxed)
     }
 
+    /// Returns after how many seconds a caller that was refused for want of a store or a leader should
+    /// come back. A daemon that has lost both is most likely cut off by itself, so that any other one
+    /// can serve the caller at once; while the leader is there, the store is down for all.
+    #[must_use]
+    pub fn retry_after_s(&self) -> u64 {
+        u64::from(self.link.is_connected())
+    }
+
     /// Returns the configuration in force.
     #[must_use]
     pub fn config(&self) -> Arc<CellConfig> {
