--- a/crates/cell/src/core/holds.rs
+++ b/crates/cell/src/core/holds.rs
@@ -84,7 +84,15 @@
         let now_ms = self.time.now_ms;
         let Some(worker) = self.workers.get_mut(key) else { return };
         let sent_ms = worker.hold_sent_ms.take().unwrap_or(now_ms);
+        let was_silent = worker.is_silent;
         worker.is_silent = !matches!(outcome, HoldOutcome::Answered(_));
+        if was_silent != worker.is_silent {
+            let id = worker.report.id.clone();
+            let event = if was_silent { "worker_heard" } else { "worker_silent" };
+            let waited_ms = now_ms - sent_ms;
+            self.note(event, id, format!("waited_ms={waited_ms}"));
+        }
+        let Some(worker) = self.workers.get_mut(key) else { return };
         match outcome {
             HoldOutcome::Answered(report) if report.incarnation < worker.report.incarnation => {
                 worker.next_hold_ms = now_ms;
--- a/crates/cellnode/src/entry.rs
+++ b/crates/cellnode/src/entry.rs
@@ -17,14 +17,22 @@
         },
         time::Duration,
     },
-    tokio::{sync::watch, time::sleep},
+    tokio::{
+        sync::watch,
+        time::{sleep, timeout},
+    },
 };
 
 /// Longest wait for the leader, in milliseconds.
 const LEADER_LIMIT_MS: u64 = 700;
-/// Longest wait until the leader has accepted a job, in milliseconds. After it the daemon writes
-/// the job itself, so that jobs are accepted while the leader is being replaced.
-const SUBMIT_LIMIT_MS: u64 = 450;
+/// Longest wait until the leader has accepted a job, in milliseconds, with a store that answers at
+/// once. After it the daemon writes the job itself, so that jobs are accepted while the leader is
+/// being replaced.
+const SUBMIT_LIMIT_MS: u64 = 250;
+/// Longest wait for a write of the daemon's own, in milliseconds, with a store that answers at once.
+const WRITE_CALL_LIMIT_MS: u64 = 200;
+/// How many answers of the store either wait allows for.
+const STORE_ANSWERS: u64 = 3;
 /// Longest wait until a cancellation is durable, in milliseconds.
 const CANCEL_LIMIT_MS: u64 = 1_800;
 /// Wait before a write that the store refused is sent again, in milliseconds.
@@ -160,9 +168,11 @@
     async fn hand_in(&self, job: JobRecord, limit_ms: u64) -> Result<(), EntryRefusal> {
         let until_ms = boot_ms() + limit_ms.min(WRITE_LIMIT_MS);
         let mut may_be_written = false;
-        if self.link.is_connected() && !self.link.pressure().is_store_silent {
+        let pressure = self.link.pressure();
+        let allowance_ms = STORE_ANSWERS * pressure.store_answer_ms;
+        if self.link.is_connected() && !pressure.is_store_silent {
             may_be_written = true;
-            let limit_ms = SUBMIT_LIMIT_MS.min(limit_ms);
+            let limit_ms = (SUBMIT_LIMIT_MS + allowance_ms).min(limit_ms);
             let answer = self.link.ask(EntryBody::Submit(job.clone()), limit_ms).await;
             if matches!(answer, Some(LeaderBody::State(state)) if state >= 0) {
                 return Ok(());
@@ -170,7 +180,7 @@
         }
         let is_written = match self.is_store_out_of_reach() {
             true => Err(EntryRefusal::Unavailable),
-            false => self.write_job(&job, until_ms).await,
+            false => self.write_job(&job, until_ms, WRITE_CALL_LIMIT_MS + allowance_ms).await,
         };
         match is_written {
             Ok(()) => {
@@ -183,14 +193,21 @@
     }
 
     /// Writes a job without the leader.
-    async fn write_job(&self, job: &JobRecord, until_ms: u64) -> Result<(), EntryRefusal> {
+    async fn write_job(
+        &self,
+        job: &JobRecord,
+        until_ms: u64,
+        call_limit_ms: u64,
+    ) -> Result<(), EntryRefusal> {
         let change = StoreChange {
             expected: vec![(job_key(&job.id), 0), (progress_key(&job.id), 0)],
             puts: vec![StorePut { key: job_key(&job.id), value: job.encode_to_vec(), lease: 0 }],
             removals: Vec::new(),
         };
         loop {
-            match self.store.change(&change).await {
+            let limit = Duration::from_millis(call_limit_ms);
+            let answer = timeout(limit, self.store.change(&change)).await;
+            match answer.unwrap_or(Err(StoreFault::Unknown)) {
                 // A conflict shows that the same job is accepted already.
                 Ok(ChangeAnswer::Done(_) | ChangeAnswer::Conflict(_)) => {
                     self.breaker_ms.store(0, Ordering::Relaxed);
--- a/crates/cellnode/src/frame.rs
+++ b/crates/cellnode/src/frame.rs
@@ -120,6 +120,9 @@
     /// The leader has not heard from the store for a while.
     #[prost(bool, tag = "3")]
     pub(crate) is_store_silent: bool,
+    /// How long the store takes to answer the leader, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub(crate) store_answer_ms: u64,
 }
 
 /// Makes the codec of a connection.
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -317,6 +317,7 @@
             waiting_core_ms: pressure.waiting_core_ms,
             capacity_millis: pressure.capacity_millis,
             is_store_silent: self.is_store_silent(),
+            store_answer_ms: self.proof.answer_ms(),
         };
         self.parts.hub.broadcast(&LeaderBody::Pressure(frame));
     }
--- a/crates/cellnode/src/proof.rs
+++ b/crates/cellnode/src/proof.rs
@@ -9,6 +9,8 @@
 struct ProofState {
     proven_ms: u64,
     fault_ms: Option<u64>,
+    /// How long the last call took that showed it.
+    answer_ms: u64,
 }
 
 /// When the store last showed that this daemon leads, and since when it gives no usable answers.
@@ -20,7 +22,7 @@
 impl LeadProof {
     /// A daemon that was elected by a call sent at this time, in milliseconds since the host's boot.
     pub(crate) fn new(asked_ms: u64) -> Self {
-        Self { state: Mutex::new(ProofState { proven_ms: asked_ms, fault_ms: None }) }
+        Self { state: Mutex::new(ProofState { proven_ms: asked_ms, fault_ms: None, answer_ms: 0 }) }
     }
 
     fn lock(&self) -> MutexGuard<'_, ProofState> {
@@ -32,6 +34,7 @@
         let mut state = self.lock();
         state.proven_ms = state.proven_ms.max(asked_ms);
         state.fault_ms = None;
+        state.answer_ms = boot_ms().saturating_sub(asked_ms);
     }
 
     /// Takes in that a call had no usable answer.
@@ -44,6 +47,11 @@
         boot_ms().saturating_sub(self.lock().proven_ms)
     }
 
+    /// How long the store took to answer the last proof, in milliseconds.
+    pub(crate) fn answer_ms(&self) -> u64 {
+        self.lock().answer_ms
+    }
+
     /// Time since the first fault after the last proof, in milliseconds; `None` if there was none. A
     /// store that is slow shows no fault.
     pub(crate) fn fault_age_ms(&self) -> Option<u64> {
