--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -7,26 +7,29 @@
 
 use {
     crate::{
-        CellStore, PlatformCodec, StoreChange, StoreFault, StoreItem, StorePut, WorkerGateway,
-        boot_ms,
-        follow::{ItemSink, follow_prefix, read_all},
+        CellStore, PlatformCodec, StoreFault, StoreItem, WorkerGateway, boot_ms,
+        follow::{follow_prefix, read_all},
         frame::{AskFrame, EntryBody, LeaderBody, PressureFrame},
-        guard::{GuardWriter, WriteResult},
+        guard::GuardWriter,
         hub::{SessionFrame, SessionHub},
+        job_sink::JobSink,
+        lane_writer::LaneWriter,
+        leader_event::{LeaderEvent, send_input},
         proof::LeadProof,
-        rows::{JOB_PREFIX, PROGRESS_PREFIX, job_key, progress_key},
+        rows::{JOB_PREFIX, PROGRESS_PREFIX},
         unix_ms,
+        worker_sink::WorkerSink,
     },
     cadence::{CountedExt, StatsdClient},
     damaskrack_cell::{
         AskKey, CellAction, CellConfig, CellCore, CellInput, CellSettings, CommitOrder,
-        HoldOutcome, JobRecord, ProgressRecord, StopOrder, WorkerReport, WorkerTicket,
+        HoldOutcome, JobRecord, ProgressRecord, StopOrder, WorkerTicket,
     },
     prost::Message,
     rustc_hash::FxHashMap,
     slog::{Logger, info, warn},
     slotmap::{Key, KeyData},
-    std::{collections::BTreeMap, sync::Arc, time::Duration},
+    std::{sync::Arc, time::Duration},
     tokio::{
         sync::{mpsc, watch},
         task::JoinSet,
@@ -81,12 +84,6 @@
     pub(crate) logger: Logger,
 }
 
-/// Inputs of the core, and the end of its time.
-enum LeaderEvent {
-    Input(CellInput),
-    Deposed,
-}
-
 struct LeaderRun {
     parts: LeaderParts,
     core: CellCore,
@@ -371,7 +368,7 @@
                 tokio::spawn(async move {
                     let (outcome, clock_ms) = workers.start(&order, token).await;
                     let attempt = order.attempt;
-                    send(&events, CellInput::Start { attempt, outcome, clock_ms }).await;
+                    send_input(&events, CellInput::Start { attempt, outcome, clock_ms }).await;
                 });
             }
             CellAction::Stop(order) => self.stop(order),
@@ -383,7 +380,7 @@
                         // Only a later leader has a higher token. A core that is gone needs no word.
                         let _ = events.send(LeaderEvent::Deposed).await;
                     }
-                    send(&events, CellInput::Hold { worker: order.worker, outcome }).await;
+                    send_input(&events, CellInput::Hold { worker: order.worker, outcome }).await;
                 });
             }
             CellAction::Ask(order) => {
@@ -398,7 +395,7 @@
                 hub.send_to_daemon(order.asker, &LeaderBody::Ask(frame));
                 tokio::spawn(async move {
                     sleep(limit).await;
-                    send(&events, CellInput::Advice { ask: order.ask, allowed: None }).await;
+                    send_input(&events, CellInput::Advice { ask: order.ask, allowed: None }).await;
                 });
             }
             CellAction::Commit(order) => {
@@ -425,7 +422,7 @@
         let (workers, events, token) = self.gateway();
         tokio::spawn(async move {
             let is_acknowledged = workers.stop(&order, token).await;
-            send(&events, CellInput::Stop { attempt: order.attempt, is_acknowledged }).await;
+            send_input(&events, CellInput::Stop { attempt: order.attempt, is_acknowledged }).await;
         });
     }
 
@@ -434,66 +431,6 @@
     }
 }
 
-/// Sends an input to a core that may be gone by now.
-async fn send(events: &mpsc::Sender<LeaderEvent>, input: CellInput) {
-    let _ = events.send(LeaderEvent::Input(input)).await;
-}
-
-/// Writes the commits of one lane, and the leader's row when its lease has ended.
-struct LaneWriter {
-    lane: usize,
-    guard: GuardWriter,
-    events: mpsc::Sender<LeaderEvent>,
-}
-
-impl LaneWriter {
-    async fn run(
-        mut self,
-        mut commits: mpsc::Receiver<CommitOrder>,
-        mut renewals: mpsc::Receiver<u64>,
-    ) {
-        loop {
-            let (result, is_commit) = tokio::select! {
-                Some(order) = commits.recv() => {
-                    (self.guard.write(commit_change(&order)).await, true)
-                }
-                Some(lease) = renewals.recv() => (self.guard.renew_leader(lease).await, false),
-                else => return,
-            };
-            match result {
-                WriteResult::Done if is_commit => {
-                    send(&self.events, CellInput::Committed { lane: self.lane }).await;
-                }
-                WriteResult::Done | WriteResult::NoLease => {}
-                WriteResult::Deposed => {
-                    // A core that is gone needs no word.
-                    let _ = self.events.send(LeaderEvent::Deposed).await;
-                    return;
-                }
-            }
-        }
-    }
-}
-
-fn commit_change(order: &CommitOrder) -> StoreChange {
-    let put = |(id, row): &(String, ProgressRecord)| StorePut {
-        key: progress_key(id),
-        value: row.encode_to_vec(),
-        lease: 0,
-    };
-    let accept = |record: &JobRecord| StorePut {
-        key: job_key(&record.id),
-        value: record.encode_to_vec(),
-        lease: 0,
-    };
-    let removals = order.removals.iter().flat_map(|id| [job_key(id), progress_key(id)]);
-    StoreChange {
-        expected: Vec::new(),
-        puts: order.accepted.iter().map(accept).chain(order.rows.iter().map(put)).collect(),
-        removals: removals.collect(),
-    }
-}
-
 /// Keeps the lease, and asks for the leader's row to be written anew once it has ended.
 async fn keep_lease(
     parts: LeaderParts,
@@ -522,67 +459,3 @@
         }
     }
 }
-
-/// Follows the workers.
-struct WorkerSink {
-    codec: Arc<dyn PlatformCodec>,
-    events: mpsc::Sender<LeaderEvent>,
-    reports: BTreeMap<String, WorkerReport>,
-    is_changed: bool,
-}
-
-impl WorkerSink {
-    fn new(codec: Arc<dyn PlatformCodec>, events: mpsc::Sender<LeaderEvent>) -> Self {
-        Self { codec, events, reports: BTreeMap::new(), is_changed: false }
-    }
-}
-
-impl ItemSink for WorkerSink {
-    fn replace(&mut self, items: Vec<StoreItem>) {
-        self.reports.clear();
-        items.into_iter().for_each(|item| self.update(item));
-        self.is_changed = true;
-    }
-
-    fn update(&mut self, item: StoreItem) {
-        let report = match item.is_deleted {
-            true => None,
-            false => self.codec.read_worker(&item.key, &item.value),
-        };
-        let is_same = self.reports.get(&item.key) == report.as_ref();
-        self.is_changed |= !is_same;
-        match report {
-            Some(report) => self.reports.insert(item.key, report),
-            None => self.reports.remove(&item.key),
-        };
-    }
-
-    fn settle(&mut self, _asked_ms: u64) {
-        if std::mem::take(&mut self.is_changed) {
-            let input = CellInput::Workers(self.reports.values().cloned().collect());
-            // A full queue drains soon; the next change carries the whole list again.
-            self.is_changed = self.events.try_send(LeaderEvent::Input(input)).is_err();
-        }
-    }
-}
-
-/// Follows accepted jobs.
-struct JobSink {
-    events: mpsc::Sender<LeaderEvent>,
-}
-
-impl ItemSink for JobSink {
-    fn replace(&mut self, items: Vec<StoreItem>) {
-        items.into_iter().for_each(|item| self.update(item));
-    }
-
-    fn update(&mut self, item: StoreItem) {
-        if !item.is_deleted
-            && let Ok(record) = JobRecord::decode(item.value.as_slice())
-        {
-            let _ = self.events.try_send(LeaderEvent::Input(CellInput::Accepted(record)));
-        }
-    }
-
-    fn settle(&mut self, _asked_ms: u64) {}
-}
--- a/crates/cellnode/src/lib.rs
+++ b/crates/cellnode/src/lib.rs
@@ -7,12 +7,16 @@
 mod frame;
 mod guard;
 mod hub;
+mod job_sink;
+mod lane_writer;
 mod leader;
+mod leader_event;
 mod link;
 mod node;
 mod outside;
 mod proof;
 mod rows;
+mod worker_sink;
 
 pub use {
     clock::{boot_ms, unix_ms},
--- /dev/null
+++ b/crates/cellnode/src/worker_sink.rs
@@ -0,0 +1,51 @@
+//! Follows the workers' entries for the leader.
+
+use {
+    crate::{PlatformCodec, StoreItem, follow::ItemSink, leader_event::LeaderEvent},
+    damaskrack_cell::{CellInput, WorkerReport},
+    std::{collections::BTreeMap, sync::Arc},
+    tokio::sync::mpsc,
+};
+
+/// Follows the workers.
+pub(crate) struct WorkerSink {
+    codec: Arc<dyn PlatformCodec>,
+    events: mpsc::Sender<LeaderEvent>,
+    reports: BTreeMap<String, WorkerReport>,
+    is_changed: bool,
+}
+
+impl WorkerSink {
+    pub(crate) fn new(codec: Arc<dyn PlatformCodec>, events: mpsc::Sender<LeaderEvent>) -> Self {
+        Self { codec, events, reports: BTreeMap::new(), is_changed: false }
+    }
+}
+
+impl ItemSink for WorkerSink {
+    fn replace(&mut self, items: Vec<StoreItem>) {
+        self.reports.clear();
+        items.into_iter().for_each(|item| self.update(item));
+        self.is_changed = true;
+    }
+
+    fn update(&mut self, item: StoreItem) {
+        let report = match item.is_deleted {
+            true => None,
+            false => self.codec.read_worker(&item.key, &item.value),
+        };
+        let is_same = self.reports.get(&item.key) == report.as_ref();
+        self.is_changed |= !is_same;
+        match report {
+            Some(report) => self.reports.insert(item.key, report),
+            None => self.reports.remove(&item.key),
+        };
+    }
+
+    fn settle(&mut self, _asked_ms: u64) {
+        if std::mem::take(&mut self.is_changed) {
+            let input = CellInput::Workers(self.reports.values().cloned().collect());
+            // A full queue drains soon; the next change carries the whole list again.
+            self.is_changed = self.events.try_send(LeaderEvent::Input(input)).is_err();
+        }
+    }
+}
