--- a/crates/cell/src/core/holds.rs
+++ b/crates/cell/src/core/holds.rs
@@ -20,6 +20,9 @@
 const MAX_FIRST_HOLDS: usize = 128;
 /// Time between a failed renewal and the next, in milliseconds.
 const HOLD_RETRY_MS: u64 = 250;
+/// Time between renewals for a worker whose address another one has, in milliseconds; it stays in the
+/// list of workers for some time.
+const REPLACED_RETRY_MS: u64 = 1_000;
 /// Time for which a worker that did not answer gets no new work, in milliseconds.
 const SILENCE_PENALTY_MS: u64 = 1_000;
 
@@ -69,6 +72,7 @@
             actions.push(CellAction::Hold(HoldOrder {
                 worker: key,
                 address: worker.report.address.clone(),
+                worker_id: worker.report.id.clone(),
                 incarnation: worker.report.incarnation,
                 deadline_ms: match worker.is_silent {
                     true => None,
@@ -110,10 +114,11 @@
                 self.take_report(key, &report, sent_ms);
             }
             HoldOutcome::Incarnation => {
-                worker.next_hold_ms = now_ms + HOLD_RETRY_MS;
-                worker.avoid_until_ms = now_ms + SILENCE_PENALTY_MS;
-                let id = worker.report.id.clone();
-                self.note("worker_replaced", id, "another worker answered");
+                // Its process is gone: another one listens where it did.
+                worker.next_hold_ms = now_ms + REPLACED_RETRY_MS;
+                worker.is_fenced_in = false;
+                worker.clock = None;
+                self.clear_worker(key, "another worker has its address");
             }
             HoldOutcome::Fenced => {
                 worker.next_hold_ms = now_ms + HOLD_RETRY_MS;
--- a/crates/cell/src/core/orders.rs
+++ b/crates/cell/src/core/orders.rs
@@ -90,6 +90,7 @@
         self.actions.push(CellAction::Start(StartOrder {
             attempt: key,
             address: worker.report.address.clone(),
+            worker_id: worker.report.id.clone(),
             incarnation: worker.report.incarnation,
             task: job.task_name(phase.phase, attempt.index),
             number: attempt.number,
@@ -203,6 +204,7 @@
         StopOrder {
             attempt: key,
             address: worker.report.address.clone(),
+            worker_id: worker.report.id.clone(),
             incarnation: worker.report.incarnation,
             task: job.task_name(attempt.phase.phase, attempt.index),
             number: attempt.number,
@@ -215,6 +217,7 @@
         self.actions.push(CellAction::Stop(StopOrder {
             attempt: AttemptKey::default(),
             address: worker.report.address.clone(),
+            worker_id: worker.report.id.clone(),
             incarnation: worker.report.incarnation,
             task: running.task.clone(),
             number: running.attempt,
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -75,7 +75,7 @@
         }
     }
 
-    fn clear_worker(&mut self, key: WorkerKey, why: &str) {
+    pub(super) fn clear_worker(&mut self, key: WorkerKey, why: &str) {
         self.clear_strays(key);
         let worker = &self.workers[key];
         let id = worker.report.id.clone();
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -204,6 +204,8 @@
     pub attempt: AttemptKey,
     /// Address of the worker.
     pub address: String,
+    /// Id of the worker that is meant; another one may have its address by now.
+    pub worker_id: String,
     /// Incarnation that is meant.
     pub incarnation: u64,
     /// Name of the task.
@@ -227,6 +229,8 @@
     pub attempt: AttemptKey,
     /// Address of the worker.
     pub address: String,
+    /// Id of the worker that is meant; another one may have its address by now.
+    pub worker_id: String,
     /// Incarnation that is meant.
     pub incarnation: u64,
     /// Name of the task.
@@ -242,6 +246,8 @@
     pub worker: WorkerKey,
     /// Its address.
     pub address: String,
+    /// Id of the worker that is meant; another one may have its address by now.
+    pub worker_id: String,
     /// Incarnation that is meant.
     pub incarnation: u64,
     /// Deadline of the leases on the worker's clock, in milliseconds; `None` before it is known.
