--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -48,9 +48,11 @@
 /// Time without a sign of the store after which daemons no longer leave writes to the leader, in
 /// milliseconds.
 const STORE_SILENT_MS: u64 = 1_200;
-/// Time for which a leader has no usable answer of the store before it asks another daemon to take
-/// over, in milliseconds.
-const RESIGN_AFTER_MS: u64 = 120;
+/// Time for which calls to the store have failed before a leader asks another daemon to take over, in
+/// milliseconds, with a store that answers at once. Renewals of the lease are closer together.
+const RESIGN_AFTER_MS: u64 = 450;
+/// How many answers of the store this time allows for.
+const STORE_ANSWERS: u64 = 3;
 /// Time between two such requests, in milliseconds.
 const RESIGN_RETRY_MS: u64 = 400;
 /// Time between two looks at a store that gives no usable answers, in milliseconds.
@@ -243,9 +245,9 @@
                 self.report();
             }
             self.resign_if_cut(now_ms);
-            let check_ms = match self.proof.fault_age_ms() {
-                Some(_) => now_ms + FAULT_CHECK_MS,
-                None => u64::MAX,
+            let check_ms = match self.proof.has_fault() {
+                true => now_ms + FAULT_CHECK_MS,
+                false => u64::MAX,
             };
             let next_ms = self.core.next_tick_ms().min(next_report_ms).min(check_ms);
             let next_ms = next_ms.max(now_ms + 1);
@@ -281,8 +283,7 @@
     /// Asks another daemon to take over if the store is out of reach. If it is so for all, nobody
     /// can, and this daemon goes on.
     fn resign_if_cut(&mut self, now_ms: u64) {
-        let is_cut = self.proof.fault_age_ms().is_some_and(|age_ms| age_ms >= RESIGN_AFTER_MS);
-        if !is_cut || now_ms < self.next_resign_ms {
+        if !self.is_store_lost() || now_ms < self.next_resign_ms {
             return;
         }
         self.next_resign_ms = now_ms + RESIGN_RETRY_MS;
@@ -303,8 +304,14 @@
 
     /// Tells whether daemons should not leave writes to this leader.
     fn is_store_silent(&self) -> bool {
-        let is_failing = self.proof.fault_age_ms().is_some_and(|age_ms| age_ms >= RESIGN_AFTER_MS);
-        is_failing || self.proof.age_ms() > STORE_SILENT_MS
+        self.is_store_lost() || self.proof.age_ms() > STORE_SILENT_MS
+    }
+
+    /// Tells whether calls to the store fail and none has succeeded for longer than renewals of the
+    /// lease are apart. A store that is slow, or loses some of its answers, is not lost.
+    fn is_store_lost(&self) -> bool {
+        let limit_ms = RESIGN_AFTER_MS + STORE_ANSWERS * self.proof.answer_ms();
+        self.proof.has_fault() && self.proof.age_ms() >= limit_ms
     }
 
     fn report(&mut self) {
--- a/crates/cellnode/src/proof.rs
+++ b/crates/cellnode/src/proof.rs
@@ -8,12 +8,12 @@
 #[derive(Debug)]
 struct ProofState {
     proven_ms: u64,
-    fault_ms: Option<u64>,
+    has_fault: bool,
     /// How long the last call took that showed it.
     answer_ms: u64,
 }
 
-/// When the store last showed that this daemon leads, and since when it gives no usable answers.
+/// When the store last showed that this daemon leads, and whether calls fail.
 #[derive(Debug)]
 pub(crate) struct LeadProof {
     state: Mutex<ProofState>,
@@ -22,7 +22,9 @@
 impl LeadProof {
     /// A daemon that was elected by a call sent at this time, in milliseconds since the host's boot.
     pub(crate) fn new(asked_ms: u64) -> Self {
-        Self { state: Mutex::new(ProofState { proven_ms: asked_ms, fault_ms: None, answer_ms: 0 }) }
+        Self {
+            state: Mutex::new(ProofState { proven_ms: asked_ms, has_fault: false, answer_ms: 0 }),
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, ProofState> {
@@ -33,13 +35,13 @@
     pub(crate) fn note_proof(&self, asked_ms: u64) {
         let mut state = self.lock();
         state.proven_ms = state.proven_ms.max(asked_ms);
-        state.fault_ms = None;
+        state.has_fault = false;
         state.answer_ms = boot_ms().saturating_sub(asked_ms);
     }
 
     /// Takes in that a call had no usable answer.
     pub(crate) fn note_fault(&self) {
-        self.lock().fault_ms.get_or_insert_with(boot_ms);
+        self.lock().has_fault = true;
     }
 
     /// Time since the last proof, in milliseconds, counted from the asking.
@@ -52,9 +54,8 @@
         self.lock().answer_ms
     }
 
-    /// Time since the first fault after the last proof, in milliseconds; `None` if there was none. A
-    /// store that is slow shows no fault.
-    pub(crate) fn fault_age_ms(&self) -> Option<u64> {
-        self.lock().fault_ms.map(|fault_ms| boot_ms().saturating_sub(fault_ms))
+    /// Tells whether a call has failed since the last proof.
+    pub(crate) fn has_fault(&self) -> bool {
+        self.lock().has_fault
     }
 }
