Do not flood the adviser with calls that it cannot serve in time

Now a daemon that has not answered gets no more calls, answers are waited for 4.5 s, and calls of a daemon that is gone end at once.

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -21,6 +21,10 @@
 const SHORT_CALL_SHARE: usize = 3;
 /// Longest time for which a short call may wait for its turn, in milliseconds.
 const SHORT_WAIT_MS: u64 = 60;
+/// Most calls of a daemon on the way when a long one is added.
+const MAX_LONG_CALLS: usize = 2;
+/// Most calls of a daemon on the way when a short one is added.
+const MAX_SHORT_CALLS: usize = 8;
 /// Longest time for which a long call may wait for its turn, in milliseconds.
 const LONG_WAIT_MS: u64 = 250;
 /// Steps in line for which long calls are made although the cell has no room for them yet.
@@ -47,6 +51,12 @@
             }
         }
         self.askers.sort_by_key(|asker| asker.id);
+        let is_gone = |ask: &AskEntry| !ids.contains(&ask.asker);
+        let gone: Vec<AskKey> =
+            self.asks.iter().filter(|(_, ask)| is_gone(ask)).map(|(key, _)| key).collect();
+        for key in gone {
+            self.finish_ask(key, None);
+        }
     }
 
     /// Returns the timing of the adviser of a step's queue, if it has one.
@@ -120,14 +130,17 @@
         workers
     }
 
-    /// Chooses the daemon whose turn comes first.
+    /// Chooses the daemon whose turn comes first. One whose calls take longer than expected, perhaps
+    /// behind those of a former leader, gets no more until it has answered.
     fn pick_asker(&self, is_long: bool) -> Option<usize> {
         let now_ms = self.time.now_ms;
         let reserved =
             self.askers.len().div_ceil(SHORT_CALL_SHARE).min(self.askers.len().saturating_sub(1));
         let first = if is_long { reserved } else { 0 };
         let limit_ms = if is_long { LONG_WAIT_MS } else { SHORT_WAIT_MS };
+        let max_calls = if is_long { MAX_LONG_CALLS } else { MAX_SHORT_CALLS };
         (first..self.askers.len())
+            .filter(|index| self.askers[*index].calls < max_calls)
             .min_by_key(|index| self.askers[*index].busy_until_ms)
             .filter(|index| self.askers[*index].busy_until_ms <= now_ms + limit_ms)
     }
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -67,7 +67,7 @@
 /// Time between two reports to all daemons, in milliseconds.
 const REPORT_INTERVAL_MS: u64 = 400;
 /// Time beyond the adviser's own after which an answer no longer comes, in milliseconds.
-const ASK_MARGIN_MS: u64 = 1_200;
+const ASK_MARGIN_MS: u64 = 4_500;
 /// Orders that wait for a writer.
 const WRITER_QUEUE: usize = 4;
 /// Inputs that wait for the core.
