--- a/crates/cell/src/core/ends.rs
+++ b/crates/cell/src/core/ends.rs
@@ -60,7 +60,7 @@
         }
     }
 
-    fn is_gang(&self, phase: PhaseRef) -> bool {
+    pub(super) fn is_gang(&self, phase: PhaseRef) -> bool {
         let job = &self.jobs[phase.job];
         job.record.steps[job.phases[phase.phase].step].is_gang
     }
@@ -74,7 +74,7 @@
         }
     }
 
-    fn finish_task(&mut self, phase: PhaseRef, index: usize) {
+    pub(super) fn finish_task(&mut self, phase: PhaseRef, index: usize) {
         let is_gang = self.is_gang(phase);
         let job = &mut self.jobs[phase.job];
         let entry = &mut job.phases[phase.phase];
--- a/crates/cell/src/core/holds.rs
+++ b/crates/cell/src/core/holds.rs
@@ -5,6 +5,7 @@
     crate::{
         AttemptKey, CellAction, EndKind, EndedAttempt, HoldOrder, HoldOutcome, HoldReport,
         RunningAttempt, WorkerKey,
+        message::PhaseRef,
         table::{AfterCommit, AttemptState, WorkerEntry},
     },
 };
@@ -157,7 +158,7 @@
         let name = (ended.task.clone(), ended.attempt);
         let Some(&attempt) = worker.attempts.get(&name) else {
             self.note("end_of_unknown", &ended.task, format!("attempt={}", ended.attempt));
-            self.settle_noted(key);
+            self.take_unknown_end(key, ended);
             return;
         };
         match ended.kind {
@@ -176,6 +177,24 @@
         self.touch(job, Some(AfterCommit::Note(key, incarnation)));
     }
 
+    /// Takes in an end of an attempt that is in no table. A task that is done is done, whichever
+    /// attempt it was; other ends change nothing.
+    fn take_unknown_end(&mut self, key: WorkerKey, ended: &EndedAttempt) {
+        let open = self.find_task(&ended.task).filter(|_| ended.kind == EndKind::Done);
+        let Some((phase, index)) = open else {
+            self.settle_noted(key);
+            return;
+        };
+        self.finish_task(phase, index);
+        if let Some(other) = self.attempt_of(phase, index) {
+            self.stop_attempt(other);
+        }
+        let worker = &mut self.workers[key];
+        worker.unnoted += 1;
+        let incarnation = worker.report.incarnation;
+        self.touch(phase.job, Some(AfterCommit::Note(key, incarnation)));
+    }
+
     /// Takes in that an end is durable.
     pub(super) fn note_end(&mut self, key: WorkerKey, incarnation: u64) {
         let Some(worker) = self.workers.get_mut(key) else { return };
@@ -197,9 +216,7 @@
         let now_ms = self.time.now_ms;
         let name = (running.task.clone(), running.attempt);
         let Some(&attempt) = self.workers[key].attempts.get(&name) else {
-            self.count_stray(key, running);
-            self.stop_stray(key, running);
-            return None;
+            return self.take_unknown_run(key, running);
         };
         let entry = &mut self.attempts[attempt];
         let run_ms = entry.run_ms(now_ms);
@@ -220,6 +237,42 @@
         Some(attempt)
     }
 
+    /// Takes in a run that is in no table: it belongs to an open task that nothing else runs, or it
+    /// is stopped.
+    fn take_unknown_run(&mut self, key: WorkerKey, running: &RunningAttempt) -> Option<AttemptKey> {
+        let open = self.find_task(&running.task).filter(|(phase, index)| {
+            let task = &self.jobs[phase.job].phases[phase.phase].tasks[*index];
+            task.attempt.is_none() && task.last_number <= running.attempt && !self.is_gang(*phase)
+        });
+        let Some((phase, index)) = open else {
+            self.count_stray(key, running);
+            self.stop_stray(key, running);
+            return None;
+        };
+        let state = AttemptState::Running { since_ms: self.time.now_ms };
+        let attempt = self.insert_attempt(phase, index, running.attempt, key, state);
+        self.touch(phase.job, None);
+        self.note_attempt("attempt_adopted", attempt, "");
+        Some(attempt)
+    }
+
+    /// Finds an open task of a live job by its name.
+    fn find_task(&self, name: &str) -> Option<(PhaseRef, usize)> {
+        let mut parts = name.split('.');
+        let key = *self.job_ids.get(parts.next()?)?;
+        let mut number = || parts.next()?.parse::<usize>().ok();
+        let (occurrence, step, index) = (number()?, number()?, number()?);
+        let job = &self.jobs[key];
+        let phase = occurrence * job.record.steps.len() + step;
+        let task = job.phases.get(phase)?.tasks.get(index)?;
+        let is_open = !job.state.is_final() && !task.is_done;
+        is_open.then_some((PhaseRef { job: key, phase }, index))
+    }
+
+    fn attempt_of(&self, phase: PhaseRef, index: usize) -> Option<AttemptKey> {
+        self.jobs[phase.job].phases[phase.phase].tasks[index].attempt
+    }
+
     pub(super) fn clear_strays(&mut self, key: WorkerKey) {
         for (team, resources) in std::mem::take(&mut self.workers[key].strays) {
             let worker = &mut self.workers[key];
--- a/crates/cell/tests/cell.rs
+++ b/crates/cell/tests/cell.rs
@@ -329,6 +329,45 @@
     assert_eq!(cell.state("1"), Some(JobState::Running));
 }
 
+/// An end that belongs to no attempt in the tables was acknowledged and its task run again.
+#[test]
+fn a_done_end_of_an_unknown_attempt_counts() {
+    let mut cell = FakeCell::new(1);
+    cell.workers.get_mut("w0").unwrap().report.is_leaving = true;
+    cell.list_workers();
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(100);
+    let worker = cell.workers.get_mut("w0").unwrap();
+    worker.last_end = 1;
+    worker.ended.push(EndedAttempt {
+        number: 1,
+        task: "1.0.0.0".to_owned(),
+        attempt: 1,
+        kind: EndKind::Done,
+        checkpoint: String::new(),
+    });
+    cell.lead();
+    cell.run(1_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+    assert!(cell.starts.is_empty());
+}
+
+/// Another worker came up where one had crashed, and got the calls that were meant for it.
+#[test]
+fn a_worker_whose_address_another_one_has_is_over() {
+    let mut cell = FakeCell::new(2);
+    cell.run_ms = 3_000;
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(200);
+    let lost = cell.starts[0].2.clone();
+    let worker = cell.workers.get_mut(&lost).unwrap();
+    worker.runs.clear();
+    worker.is_replaced = true;
+    cell.run(1_500);
+    assert_eq!(cell.starts.len(), 2, "its task is tried elsewhere at once");
+    assert_ne!(cell.starts[1].2, lost);
+}
+
 /// With no daemon connected there is nobody to ask.
 #[test]
 fn a_step_waits_while_no_daemon_can_ask_for_tickets() {
--- a/crates/cell/tests/support/mod.rs
+++ b/crates/cell/tests/support/mod.rs
@@ -49,6 +49,8 @@
     pub(crate) barred: BTreeSet<(String, u32)>,
     /// It does not answer at all.
     pub(crate) is_silent: bool,
+    /// Another worker answers at its address.
+    pub(crate) is_replaced: bool,
     /// Starts are left unanswered; they wait in `late`.
     pub(crate) defers_starts: bool,
     pub(crate) late: Vec<StartOrder>,
@@ -315,6 +317,11 @@
             });
             return;
         }
+        if worker.is_replaced {
+            let outcome = StartOutcome::Refused(StartRefusal::Incarnation);
+            self.apply(CellInput::Start { attempt, outcome, clock_ms: None });
+            return;
+        }
         if worker.defers_starts {
             worker.late.push(order);
             self.apply(CellInput::Start {
@@ -410,6 +417,8 @@
         let worker = self.workers.get_mut(&order.address).unwrap();
         let outcome = if worker.is_silent {
             HoldOutcome::Unknown
+        } else if worker.is_replaced {
+            HoldOutcome::Incarnation
         } else if token < worker.token {
             HoldOutcome::Fenced
         } else {
