--- a/crates/cell/src/core/holds.rs
+++ b/crates/cell/src/core/holds.rs
@@ -178,21 +178,25 @@
     }
 
     /// Takes in an end of an attempt that is in no table. A task that is done is done, whichever
-    /// attempt it was; other ends change nothing.
+    /// attempt it was. The end is acknowledged once its job's row is durable, since a job that has
+    /// ended may not be in the store yet.
     fn take_unknown_end(&mut self, key: WorkerKey, ended: &EndedAttempt) {
-        let open = self.find_task(&ended.task).filter(|_| ended.kind == EndKind::Done);
-        let Some((phase, index)) = open else {
+        let id = ended.task.split('.').next().unwrap_or_default();
+        let Some(&job) = self.job_ids.get(id) else {
             self.settle_noted(key);
             return;
         };
-        self.finish_task(phase, index);
-        if let Some(other) = self.attempt_of(phase, index) {
-            self.stop_attempt(other);
+        let open = self.find_task(&ended.task).filter(|_| ended.kind == EndKind::Done);
+        if let Some((phase, index)) = open {
+            self.finish_task(phase, index);
+            if let Some(other) = self.attempt_of(phase, index) {
+                self.stop_attempt(other);
+            }
         }
         let worker = &mut self.workers[key];
         worker.unnoted += 1;
         let incarnation = worker.report.incarnation;
-        self.touch(phase.job, Some(AfterCommit::Note(key, incarnation)));
+        self.touch(job, Some(AfterCommit::Note(key, incarnation)));
     }
 
     /// Takes in that an end is durable.
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -96,7 +96,7 @@
             .iter()
             .filter(|(_, worker)| match worker.is_busy() {
                 true => worker.lapse_ms() <= now_ms,
-                false => !worker.is_listed,
+                false => !worker.is_listed && worker.unnoted == 0,
             })
             .map(|(key, worker)| (key, worker.is_listed))
             .collect();
--- a/crates/cell/tests/cell.rs
+++ b/crates/cell/tests/cell.rs
@@ -352,6 +352,27 @@
     assert!(cell.starts.is_empty());
 }
 
+/// A worker that left the list and came back listed an end again whose job had ended in the tables
+/// only; it was acknowledged, and the next leader ran the task again.
+#[test]
+fn an_end_listed_again_is_acknowledged_only_once_it_is_durable() {
+    let mut cell = FakeCell::new(1);
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(200);
+    cell.is_store_down = true;
+    cell.run(600);
+    cell.apply(CellInput::Workers(Vec::new()));
+    cell.run(100);
+    cell.list_workers();
+    cell.run(2_500);
+    assert_eq!(cell.workers["w0"].ended.len(), 1, "the end is not durable");
+    cell.lead();
+    cell.restore_store();
+    cell.run(1_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+    assert_eq!(cell.starts.len(), 1);
+}
+
 /// Another worker came up where one had crashed, and got the calls that were meant for it.
 #[test]
 fn a_worker_whose_address_another_one_has_is_over() {
