Close listeners without resetting a connection

Change: before the queue is emptied, a socket filter drops requests for new connections, and handshakes that have begun have 300 ms to end.

--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -7,8 +7,8 @@
         stream::{CallerStream, WaitFlag},
     },
     bytes::Bytes,
+    damaskrack_listen::accept_until,
     damaskrack_model::{AnswerReason, WorkAnswer},
-    futures_util::FutureExt,
     gotham::{helpers::http::Body, router::Router, service::call_handler, state::State},
     http::{HeaderValue, Request, Response, header::CONNECTION},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
@@ -23,8 +23,6 @@
     tokio_util::sync::CancellationToken,
 };
 
-/// Wait after a failure to accept, such as a lack of file descriptors, in milliseconds.
-const ACCEPT_RETRY_MS: u64 = 50;
 /// Connections beyond the bound that are refused with an answer at a time; more are just closed.
 const REFUSALS_AT_ONCE: usize = 64;
 /// Longest time to refuse a connection, in milliseconds.
@@ -67,41 +65,23 @@
     pub(crate) async fn run(self, listener: TcpListener) {
         let mut tasks = JoinSet::new();
         let mut refusals = JoinSet::new();
-        loop {
-            tokio::select! {
-                () = self.stop.cancelled() => break,
-                Some(_) = tasks.join_next() => {}
-                Some(_) = refusals.join_next() => {}
-                accepted = listener.accept() => match accepted {
-                    Ok((socket, peer)) if tasks.len() < self.bounds.connections => {
-                        tasks.spawn(self.clone().serve(socket, peer));
-                    }
-                    Ok((socket, _)) => {
-                        self.shared.metrics.count("http.connections_refused", 1);
-                        if refusals.len() < REFUSALS_AT_ONCE {
-                            refusals.spawn(refuse(socket));
-                        }
-                    }
-                    Err(_) => sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await,
+        accept_until(listener, &self.stop, &self.shared.logger, |socket, peer| {
+            while tasks.try_join_next().is_some() {}
+            while refusals.try_join_next().is_some() {}
+            if tasks.len() < self.bounds.connections {
+                tasks.spawn(self.clone().serve(socket, peer));
+            } else {
+                self.shared.metrics.count("http.connections_refused", 1);
+                if refusals.len() < REFUSALS_AT_ONCE {
+                    refusals.spawn(refuse(socket));
                 }
             }
-        }
-        self.take_backlog(&listener, &mut tasks);
-        drop(listener);
+        })
+        .await;
         let all = async { while tasks.join_next().await.is_some() {} };
         let _ = timeout(Duration::from_millis(DRAIN_MS), all).await;
     }
 
-    /// Serves connections that were made before the end but not accepted yet; closing the
-    /// listener would reset them.
-    fn take_backlog(&self, listener: &TcpListener, tasks: &mut JoinSet<()>) {
-        while tasks.len() < self.bounds.connections
-            && let Some(Ok((socket, peer))) = listener.accept().now_or_never()
-        {
-            tasks.spawn(self.clone().serve(socket, peer));
-        }
-    }
-
     async fn serve(self, socket: TcpStream, peer: SocketAddr) {
         let _ = socket.set_nodelay(true);
         let flag = WaitFlag::default();
--- a/crates/daemon/src/http/shared.rs
+++ b/crates/daemon/src/http/shared.rs
@@ -4,6 +4,7 @@
     crate::{clock::DaemonClock, gate::CallGate, metrics::MetricTable},
     damaskrack_manifest::KeyEntry,
     gotham::state::StateData,
+    slog::Logger,
     std::{sync::Arc, time::Duration},
 };
 
@@ -12,6 +13,7 @@
 pub(crate) struct HttpShared {
     pub(crate) gate: Arc<CallGate>,
     pub(crate) metrics: Arc<MetricTable>,
+    pub(crate) logger: Logger,
     pub(crate) clock: DaemonClock,
     /// Keys that operators show.
     pub(crate) operator_keys: Arc<[KeyEntry]>,
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -285,6 +285,7 @@
         HttpShared {
             gate: gate.clone(),
             metrics: self.metrics.clone(),
+            logger: self.logger.clone(),
             clock,
             operator_keys: self.config.operator_entries().into(),
             body_bytes: usize::try_from(body_bytes).unwrap_or(usize::MAX),
