Let a strong host lead, and give pages of state time for a slow link

Cause, from the log: a daemon with a 10 Mbit/s link was elected, its pages of accepted jobs (a megabyte) took longer than the 700 ms of a call, so it read the same page for ever and kept its lease. Ruled out: the store (others read it in 0.26 to 0.43 s). Change: a page of state may take 3 s; daemons tell their strength (processor and link, from the settings), weaker ones leave a vacancy to stronger ones for up to 0.4 s, and a leader asks one at least twice as strong to take over; a leader that sees a later term ends at once; it watches jobs and workers from the revisions at which it read them instead of reading them twice.

--- a/crates/cellnode/src/follow.rs
+++ b/crates/cellnode/src/follow.rs
@@ -7,6 +7,10 @@
     tokio::time::sleep,
 };
 
+/// Longest time for a page of a few items, in milliseconds.
+pub(crate) const SHORT_PAGE_MS: u64 = 700;
+/// Longest time for a page of a megabyte over a slow link, in milliseconds.
+pub(crate) const LONG_PAGE_MS: u64 = 3_000;
 /// Wait after a call that failed, in milliseconds.
 const RETRY_MS: u64 = 300;
 
@@ -23,19 +27,29 @@
     fn settle(&mut self, asked_ms: u64);
 }
 
-/// Follows a prefix until the task is dropped; each call waits `wait_ms` milliseconds for changes,
-/// and calls follow one another no faster than every `pause_ms` milliseconds.
+/// How a prefix is followed.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct FollowPace {
+    /// Longest wait of a call for changes, in milliseconds.
+    pub(crate) wait_ms: u64,
+    /// Least time between two calls, in milliseconds.
+    pub(crate) pause_ms: u64,
+    /// Longest time to read a page of the items, in milliseconds.
+    pub(crate) page_ms: u64,
+}
+
+/// Follows a prefix until the task is dropped.
 pub(crate) async fn follow_prefix(
     store: &dyn CellStore,
     prefix: &str,
-    (wait_ms, pause_ms): (u64, u64),
+    pace: FollowPace,
     sink: &mut dyn ItemSink,
     logger: &Logger,
 ) {
     let mut is_lost = false;
     loop {
         let asked_ms = boot_ms();
-        match read_all(store, prefix).await {
+        match read_all(store, prefix, pace.page_ms).await {
             Ok((items, revision)) => {
                 if is_lost {
                     info!(logger, "store_regained"; "prefix" => prefix);
@@ -43,7 +57,7 @@
                 is_lost = false;
                 sink.replace(items);
                 sink.settle(asked_ms);
-                watch_on(store, prefix, (wait_ms, pause_ms), revision, sink, logger).await;
+                follow_from(store, prefix, pace, revision, sink, logger).await;
             }
             Err(fault) => {
                 if !is_lost {
@@ -60,12 +74,13 @@
 pub(crate) async fn read_all(
     store: &dyn CellStore,
     prefix: &str,
+    page_ms: u64,
 ) -> Result<(Vec<StoreItem>, u64), StoreFault> {
     let mut items: Vec<StoreItem> = Vec::new();
     let mut revision = None;
     loop {
         let after = items.last().map_or(String::new(), |item| item.key.clone());
-        let page = store.range(prefix, &after).await?;
+        let page = store.range(prefix, &after, page_ms).await?;
         // Pages are not a snapshot: changes since the first one must be seen again.
         let first = *revision.get_or_insert(page.revision);
         let is_last = !page.has_more || page.items.is_empty();
@@ -76,11 +91,11 @@
     }
 }
 
-/// Watches until the history is gone or the store does not answer several times in a row.
-async fn watch_on(
+/// Follows what changes after a revision until the history is gone.
+pub(crate) async fn follow_from(
     store: &dyn CellStore,
     prefix: &str,
-    (wait_ms, pause_ms): (u64, u64),
+    pace: FollowPace,
     mut revision: u64,
     sink: &mut dyn ItemSink,
     logger: &Logger,
@@ -88,7 +103,7 @@
     let mut is_lost = false;
     loop {
         let asked_ms = boot_ms();
-        match store.watch(prefix, revision, wait_ms).await {
+        match store.watch(prefix, revision, pace.wait_ms).await {
             Ok(page) => {
                 if is_lost {
                     info!(logger, "store_regained"; "prefix" => prefix);
@@ -97,7 +112,7 @@
                 page.items.into_iter().for_each(|item| sink.update(item));
                 revision = page.revision.max(revision);
                 sink.settle(asked_ms);
-                sleep(Duration::from_millis(pause_ms)).await;
+                sleep(Duration::from_millis(pace.pause_ms)).await;
             }
             Err(StoreFault::Compacted) => {
                 info!(logger, "store_history_gone"; "prefix" => prefix, "revision" => revision);
--- a/crates/cellnode/src/frame.rs
+++ b/crates/cellnode/src/frame.rs
@@ -22,9 +22,9 @@
 
 #[derive(Clone, PartialEq, prost::Oneof)]
 pub(crate) enum EntryBody {
-    /// First frame of a connection: the daemon's id. Also sent as a heartbeat.
-    #[prost(uint64, tag = "2")]
-    Hello(u64),
+    /// First frame of a connection. Also sent as a heartbeat.
+    #[prost(message, tag = "2")]
+    Hello(HelloFrame),
     /// A job was accepted and is durable.
     #[prost(message, tag = "3")]
     Accepted(JobRecord),
@@ -45,6 +45,17 @@
     Submit(JobRecord),
 }
 
+/// Who a daemon is.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub(crate) struct HelloFrame {
+    /// Random id of its process.
+    #[prost(uint64, tag = "1")]
+    pub(crate) daemon: u64,
+    /// How much work its host could do as the leader.
+    #[prost(uint32, tag = "2")]
+    pub(crate) strength: u32,
+}
+
 /// The adviser's answer.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct AdviceFrame {
@@ -86,7 +97,8 @@
     /// How much work waits; also a heartbeat.
     #[prost(message, tag = "5")]
     Pressure(PressureFrame),
-    /// The leader of this term cannot reach the store and asks the daemon to take over.
+    /// The leader of this term asks the daemon to take over: it cannot reach the store, or the
+    /// daemon's host is much stronger.
     #[prost(uint64, tag = "6")]
     Resign(u64),
 }
@@ -123,6 +135,9 @@
     /// How long the store takes to answer the leader, in milliseconds.
     #[prost(uint64, tag = "4")]
     pub(crate) store_answer_ms: u64,
+    /// Strength of the strongest daemon that is connected.
+    #[prost(uint32, tag = "5")]
+    pub(crate) strongest: u32,
 }
 
 /// Makes the codec of a connection.
--- a/crates/cellnode/src/guard.rs
+++ b/crates/cellnode/src/guard.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         CellStore, ChangeAnswer, StoreChange, StoreItem, StorePut, boot_ms,
-        follow::read_all,
+        follow::{SHORT_PAGE_MS, read_all},
         proof::LeadProof,
         rows::{GUARD_PREFIX, GuardRow, LEADER_KEY, LeaderRow, guard_key},
     },
@@ -58,7 +58,7 @@
         leader_revision: u64,
         logger: Logger,
     ) -> Option<Vec<Self>> {
-        let (guards, _) = read_all(store.as_ref(), GUARD_PREFIX).await.ok()?;
+        let (guards, _) = read_all(store.as_ref(), GUARD_PREFIX, SHORT_PAGE_MS).await.ok()?;
         let rows = guards.iter().filter_map(|item| GuardRow::decode(item.value.as_slice()).ok());
         let term = rows.map(|row| row.term).max().unwrap_or(0) + 1;
         let leader = LeaderRow { id, address, term };
--- a/crates/cellnode/src/hub.rs
+++ b/crates/cellnode/src/hub.rs
@@ -1,7 +1,9 @@
 //! The leader's side of the connections to all daemons.
 
 use {
-    crate::frame::{EntryBody, EntryFrame, LeaderBody, LeaderFrame, decode, encode, frame_codec},
+    crate::frame::{
+        EntryBody, EntryFrame, HelloFrame, LeaderBody, LeaderFrame, decode, encode, frame_codec,
+    },
     bytes::{Bytes, BytesMut},
     futures_util::{SinkExt, StreamExt},
     slog::{Logger, info},
@@ -31,7 +33,7 @@
 #[derive(Debug)]
 struct SessionEntry {
     session: u64,
-    daemon: u64,
+    hello: HelloFrame,
     sender: mpsc::Sender<LeaderFrame>,
 }
 
@@ -79,16 +81,17 @@
         state.last_session += 1;
         let session = state.last_session;
         let (sender, receiver) = mpsc::channel(SESSION_QUEUE);
-        state.sessions.push(SessionEntry { session, daemon: 0, sender });
+        state.sessions.push(SessionEntry { session, hello: HelloFrame::default(), sender });
         Some((session, inbox, receiver))
     }
 
     /// Notes which daemon a session belongs to; an older session of it ends.
-    pub(crate) fn name_session(&self, session: u64, daemon: u64) {
+    pub(crate) fn name_session(&self, session: u64, hello: HelloFrame) {
         let mut state = self.lock();
-        state.sessions.retain(|entry| entry.session == session || entry.daemon != daemon);
+        let is_other = |entry: &SessionEntry| entry.hello.daemon != hello.daemon;
+        state.sessions.retain(|entry| entry.session == session || is_other(entry));
         if let Some(entry) = state.sessions.iter_mut().find(|entry| entry.session == session) {
-            entry.daemon = daemon;
+            entry.hello = hello;
         }
     }
 
@@ -96,10 +99,10 @@
         self.lock().sessions.retain(|entry| entry.session != session);
     }
 
-    /// Ids of the daemons that are connected.
-    pub(crate) fn daemons(&self) -> Vec<u64> {
+    /// The daemons that are connected.
+    pub(crate) fn daemons(&self) -> Vec<HelloFrame> {
         let state = self.lock();
-        state.sessions.iter().map(|entry| entry.daemon).filter(|daemon| *daemon != 0).collect()
+        state.sessions.iter().map(|entry| entry.hello).filter(|hello| hello.daemon != 0).collect()
     }
 
     /// Sends a frame on a session, if it still exists.
@@ -109,7 +112,7 @@
 
     /// Sends a frame to a daemon, if it is connected.
     pub(crate) fn send_to_daemon(&self, daemon: u64, body: &LeaderBody) {
-        self.send_where(|entry| entry.daemon == daemon, 0, body);
+        self.send_where(|entry| entry.hello.daemon == daemon, 0, body);
     }
 
     /// Sends a frame to every daemon.
@@ -190,8 +193,8 @@
     bytes: BytesMut,
 ) -> bool {
     let Some(frame) = decode::<EntryFrame>(bytes) else { return false };
-    if let Some(EntryBody::Hello(daemon)) = frame.body {
-        hub.name_session(session, daemon);
+    if let Some(EntryBody::Hello(hello)) = frame.body {
+        hub.name_session(session, hello);
     }
     inbox.send(SessionFrame { session, frame }).await.is_ok()
 }
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -8,15 +8,15 @@
 use {
     crate::{
         CellStore, PlatformCodec, StoreFault, StoreItem, WorkerGateway, boot_ms,
-        follow::{follow_prefix, read_all},
-        frame::{AskFrame, EntryBody, LeaderBody, PressureFrame},
+        follow::{FollowPace, ItemSink, LONG_PAGE_MS, follow_from, follow_prefix, read_all},
+        frame::{AskFrame, EntryBody, HelloFrame, LeaderBody, PressureFrame},
         guard::GuardWriter,
         hub::{SessionFrame, SessionHub},
         job_sink::JobSink,
         lane_writer::LaneWriter,
         leader_event::{LeaderEvent, send_input},
         proof::LeadProof,
-        rows::{JOB_PREFIX, PROGRESS_PREFIX},
+        rows::{JOB_PREFIX, KnownLeader, PROGRESS_PREFIX},
         unix_ms,
         worker_sink::WorkerSink,
     },
@@ -55,6 +55,12 @@
 const STORE_ANSWERS: u64 = 3;
 /// Time between two such requests, in milliseconds.
 const RESIGN_RETRY_MS: u64 = 400;
+/// How many times as strong another daemon's host must be for the leader to ask it to take over.
+const STRONGER_FACTOR: u32 = 2;
+/// Time for daemons to connect before the leader looks for a stronger one, in milliseconds.
+const SETTLE_MS: u64 = 500;
+/// Time between two looks for a stronger one, in milliseconds.
+const STRENGTH_CHECK_MS: u64 = 1_000;
 /// Time between two looks at a store that gives no usable answers, in milliseconds.
 const FAULT_CHECK_MS: u64 = 60;
 /// Longest wait of a watch on workers or jobs, in milliseconds.
@@ -86,6 +92,27 @@
     pub(crate) logger: Logger,
 }
 
+/// What tells a leader that its time is over.
+pub(crate) struct LeadSigns {
+    /// Who leads, as the store says.
+    pub(crate) leader: watch::Receiver<Option<KnownLeader>>,
+    /// The daemon is to leave.
+    pub(crate) stop: watch::Receiver<bool>,
+}
+
+impl LeadSigns {
+    /// Waits until the daemon is to leave or a later term has begun.
+    async fn end(&mut self, term: u64) {
+        let later =
+            |known: &Option<KnownLeader>| known.as_ref().is_some_and(|known| known.row.term > term);
+        // Either channel closes only when the daemon ends.
+        tokio::select! {
+            _ = self.leader.wait_for(later) => {}
+            _ = self.stop.wait_for(|stop| *stop) => {}
+        }
+    }
+}
+
 struct LeaderRun {
     parts: LeaderParts,
     core: CellCore,
@@ -102,12 +129,13 @@
     tasks: JoinSet<()>,
 }
 
-/// Leads until another daemon does, or until `stop` is set.
+/// Leads until another daemon does, or until the daemon is to leave.
 pub(crate) async fn lead(
     parts: LeaderParts,
     guards: Vec<GuardWriter>,
     lease: u64,
-    mut stop: watch::Receiver<bool>,
+    strength: u32,
+    mut signs: LeadSigns,
 ) {
     let (events, mut inbox) = mpsc::channel(INPUT_QUEUE);
     let proof = guards[0].proof.clone();
@@ -129,17 +157,11 @@
     let (renewals, renewal_inbox) = mpsc::channel(WRITER_QUEUE);
     run.start_writers(guards, renewal_inbox);
     run.tasks.spawn(keep_lease(parts.clone(), lease, renewals, proof));
-    let loaded = tokio::select! {
-        loaded = run.load() => loaded,
-        _ = stop.changed() => false,
-    };
-    if loaded {
-        info!(parts.logger, "leading"; "term" => run.token);
-        run.follow();
-        tokio::select! {
-            () = run.work(&mut inbox, &mut sessions) => {}
-            _ = stop.changed() => {}
-        }
+    run.tasks.spawn(prefer_stronger(parts.clone(), run.token, strength));
+    let term = run.token;
+    tokio::select! {
+        () = run.load_and_work(&mut inbox, &mut sessions) => {}
+        () = signs.end(term) => {}
     }
     info!(parts.logger, "leading_ended"; "term" => run.token);
     parts.hub.close();
@@ -147,16 +169,27 @@
 }
 
 impl LeaderRun {
+    async fn load_and_work(
+        &mut self,
+        inbox: &mut mpsc::Receiver<LeaderEvent>,
+        sessions: &mut mpsc::Receiver<SessionFrame>,
+    ) {
+        if self.load().await {
+            info!(self.parts.logger, "leading"; "term" => self.token);
+            self.work(inbox, sessions).await;
+        }
+    }
+
     /// Reads what former leaders left in the store; `false` if this daemon no longer leads.
     async fn load(&mut self) -> bool {
         let began_ms = boot_ms();
-        let workers = self.read_rows(self.parts.codec.worker_prefix().to_owned()).await;
-        let jobs = self.read_rows(JOB_PREFIX.to_owned()).await;
-        let progress = self.read_rows(PROGRESS_PREFIX.to_owned()).await;
+        let codec = self.parts.codec.clone();
+        let (workers, workers_read) = self.read_rows(codec.worker_prefix()).await;
+        let (jobs, jobs_read) = self.read_rows(JOB_PREFIX).await;
+        let (progress, _) = self.read_rows(PROGRESS_PREFIX).await;
         self.core.set_time(boot_ms(), unix_ms());
         let config = self.parts.config.borrow_and_update().clone();
         self.core.apply(CellInput::Config(config));
-        let codec = &self.parts.codec;
         let reports = workers.iter().filter_map(|item| codec.read_worker(&item.key, &item.value));
         self.core.apply(CellInput::Workers(reports.collect()));
         let rows: FxHashMap<&str, ProgressRecord> = progress
@@ -179,15 +212,17 @@
         }
         info!(self.parts.logger, "state_read"; "jobs" => jobs.len(), "progress" => progress.len(),
             "workers" => workers.len(), "took_ms" => boot_ms() - began_ms);
+        self.follow((workers, workers_read), jobs_read);
         self.is_proven()
     }
 
-    async fn read_rows(&self, prefix: String) -> Vec<StoreItem> {
+    /// Reads all rows with a prefix, and the revision after which changes must be watched.
+    async fn read_rows(&self, prefix: &str) -> (Vec<StoreItem>, u64) {
         loop {
-            match read_all(self.parts.store.as_ref(), &prefix).await {
-                Ok((items, _)) => return items,
+            match read_all(self.parts.store.as_ref(), prefix, LONG_PAGE_MS).await {
+                Ok(read) => return read,
                 Err(fault) => {
-                    warn!(self.parts.logger, "read_failed"; "prefix" => &prefix, "fault" => ?fault);
+                    warn!(self.parts.logger, "read_failed"; "prefix" => prefix, "fault" => ?fault);
                     sleep(Duration::from_millis(100)).await;
                 }
             }
@@ -206,20 +241,30 @@
         }
     }
 
-    /// Starts to follow workers and jobs.
-    fn follow(&mut self) {
-        let (parts, events) = (self.parts.clone(), self.events.clone());
-        self.tasks.spawn(async move {
-            let mut sink = WorkerSink::new(parts.codec.clone(), events);
-            let prefix = parts.codec.worker_prefix();
-            let pace = (WATCH_WAIT_MS, WORKER_PAUSE_MS);
-            follow_prefix(parts.store.as_ref(), prefix, pace, &mut sink, &parts.logger).await;
-        });
-        let (parts, events) = (self.parts.clone(), self.events.clone());
+    /// Starts to follow workers and jobs from the revisions at which they were read.
+    fn follow(&mut self, (workers, workers_read): (Vec<StoreItem>, u64), jobs_read: u64) {
+        let codec = self.parts.codec.clone();
+        let prefix = codec.worker_prefix().to_owned();
+        let mut sink = WorkerSink::new(codec, self.events.clone());
+        sink.replace(workers);
+        self.follow_one(prefix, WORKER_PAUSE_MS, workers_read, sink);
+        let sink = JobSink { events: self.events.clone() };
+        self.follow_one(JOB_PREFIX.to_owned(), JOB_PAUSE_MS, jobs_read, sink);
+    }
+
+    fn follow_one(
+        &mut self,
+        prefix: String,
+        pause_ms: u64,
+        revision: u64,
+        mut sink: impl ItemSink + 'static,
+    ) {
+        let parts = self.parts.clone();
+        let pace = FollowPace { wait_ms: WATCH_WAIT_MS, pause_ms, page_ms: LONG_PAGE_MS };
         self.tasks.spawn(async move {
-            let mut sink = JobSink { events };
-            let pace = (WATCH_WAIT_MS, JOB_PAUSE_MS);
-            follow_prefix(parts.store.as_ref(), JOB_PREFIX, pace, &mut sink, &parts.logger).await;
+            let (store, logger) = (parts.store.as_ref(), &parts.logger);
+            follow_from(store, &prefix, pace, revision, &mut sink, logger).await;
+            follow_prefix(store, &prefix, pace, &mut sink, logger).await;
         });
     }
 
@@ -287,12 +332,9 @@
             return;
         }
         self.next_resign_ms = now_ms + RESIGN_RETRY_MS;
-        let daemons = self.parts.hub.daemons();
-        let others: Vec<u64> = daemons.into_iter().filter(|id| *id != self.id).collect();
-        if others.is_empty() {
-            return;
-        }
-        let chosen = others[rand::random_range(0..others.len())];
+        let mut others = self.parts.hub.daemons();
+        others.retain(|hello| hello.daemon != self.id);
+        let Some(chosen) = choose_strong(&others) else { return };
         warn!(self.parts.logger, "resigning"; "term" => self.token, "to" => chosen);
         self.parts.hub.send_to_daemon(chosen, &LeaderBody::Resign(self.token));
     }
@@ -315,23 +357,31 @@
     }
 
     fn report(&mut self) {
-        self.core.apply(CellInput::Askers(self.parts.hub.daemons()));
+        let daemons = self.parts.hub.daemons();
+        let strongest = daemons.iter().map(|hello| hello.strength).max().unwrap_or(0);
+        self.note_askers(&daemons);
         let pressure = self.core.pressure();
         let frame = PressureFrame {
             waiting_core_ms: pressure.waiting_core_ms,
             capacity_millis: pressure.capacity_millis,
             is_store_silent: self.is_store_silent(),
             store_answer_ms: self.proof.answer_ms(),
+            strongest,
         };
         self.parts.hub.broadcast(&LeaderBody::Pressure(frame));
     }
 
+    fn note_askers(&mut self, daemons: &[HelloFrame]) {
+        let ids = daemons.iter().map(|hello| hello.daemon).collect();
+        self.core.apply(CellInput::Askers(ids));
+    }
+
     fn take_frame(&mut self, SessionFrame { session, frame }: SessionFrame) {
         let hub = &self.parts.hub;
         match frame.body {
             Some(EntryBody::Hello(_)) => {
-                let ids = hub.daemons();
-                self.core.apply(CellInput::Askers(ids));
+                let daemons = hub.daemons();
+                self.note_askers(&daemons);
             }
             Some(EntryBody::Accepted(record)) => self.core.apply(CellInput::Accepted(record)),
             Some(EntryBody::Submit(record)) => {
@@ -438,6 +488,28 @@
     }
 }
 
+/// Asks a much stronger daemon to take over, if there is one. A weak host reads the state slowly and
+/// falls behind under load.
+async fn prefer_stronger(parts: LeaderParts, term: u64, strength: u32) {
+    sleep(Duration::from_millis(SETTLE_MS)).await;
+    loop {
+        let mut stronger = parts.hub.daemons();
+        stronger.retain(|hello| hello.strength >= strength.saturating_mul(STRONGER_FACTOR));
+        if let Some(chosen) = choose_strong(&stronger) {
+            info!(parts.logger, "resigning_to_stronger"; "term" => term, "to" => chosen);
+            parts.hub.send_to_daemon(chosen, &LeaderBody::Resign(term));
+        }
+        sleep(Duration::from_millis(STRENGTH_CHECK_MS)).await;
+    }
+}
+
+/// Chooses one of the strongest daemons.
+fn choose_strong(daemons: &[HelloFrame]) -> Option<u64> {
+    let most = daemons.iter().map(|hello| hello.strength).max()?;
+    let strong: Vec<&HelloFrame> = daemons.iter().filter(|hello| hello.strength == most).collect();
+    Some(strong[rand::random_range(0..strong.len())].daemon)
+}
+
 /// Keeps the lease, and asks for the leader's row to be written anew once it has ended.
 async fn keep_lease(
     parts: LeaderParts,
--- a/crates/cellnode/src/link.rs
+++ b/crates/cellnode/src/link.rs
@@ -4,8 +4,8 @@
     crate::{
         AdviserGateway,
         frame::{
-            AdviceFrame, AskFrame, EntryBody, EntryFrame, LeaderBody, LeaderFrame, PressureFrame,
-            decode, encode, frame_codec,
+            AdviceFrame, AskFrame, EntryBody, EntryFrame, HelloFrame, LeaderBody, LeaderFrame,
+            PressureFrame, decode, encode, frame_codec,
         },
         hub::{SessionFrame, SessionHub},
         rows::{KnownLeader, LeaderRow},
@@ -52,7 +52,7 @@
 
 /// The connection to the leader, whoever it is.
 pub(crate) struct LeaderLink {
-    daemon: u64,
+    hello: HelloFrame,
     state: Mutex<LinkState>,
     last_call: AtomicU64,
     adviser: Arc<dyn AdviserGateway>,
@@ -62,13 +62,13 @@
 
 impl LeaderLink {
     pub(crate) fn new(
-        daemon: u64,
+        hello: HelloFrame,
         adviser: Arc<dyn AdviserGateway>,
         hub: Arc<SessionHub>,
         logger: Logger,
     ) -> Arc<Self> {
         let state = Mutex::default();
-        Arc::new(Self { daemon, state, last_call: AtomicU64::new(0), adviser, hub, logger })
+        Arc::new(Self { hello, state, last_call: AtomicU64::new(0), adviser, hub, logger })
     }
 
     fn lock(&self) -> MutexGuard<'_, LinkState> {
@@ -122,7 +122,7 @@
             let row = leader.borrow_and_update().clone().map(|known| known.row);
             let session = async {
                 match &row {
-                    Some(row) if row.id == self.daemon => self.run_local().await,
+                    Some(row) if row.id == self.hello.daemon => self.run_local().await,
                     Some(row) => self.run_remote(row).await,
                     None => std::future::pending().await,
                 }
@@ -138,7 +138,7 @@
 
     fn connect(&self) -> mpsc::Receiver<EntryFrame> {
         let (sender, receiver) = mpsc::channel(OUTGOING_QUEUE);
-        let hello = EntryFrame { call: 0, body: Some(EntryBody::Hello(self.daemon)) };
+        let hello = EntryFrame { call: 0, body: Some(EntryBody::Hello(self.hello)) };
         // The queue is empty, so the first frame finds room.
         let _ = sender.try_send(hello);
         self.lock().outgoing = Some(sender);
@@ -155,7 +155,7 @@
     async fn run_local(self: &Arc<Self>) {
         let Some((session, inbox, mut incoming)) = self.hub.join() else { return };
         let mut outgoing = self.connect();
-        self.hub.name_session(session, self.daemon);
+        self.hub.name_session(session, self.hello);
         loop {
             tokio::select! {
                 frame = outgoing.recv() => {
@@ -196,7 +196,7 @@
                 }
                 _ = heartbeat.tick() => {
                     if heard.elapsed() > silence { break }
-                    let hello = EntryBody::Hello(self.daemon);
+                    let hello = EntryBody::Hello(self.hello);
                     encode(&EntryFrame { call: 0, body: Some(hello) })
                 }
             };
@@ -229,7 +229,7 @@
     async fn ask_adviser(&self, ask: AskFrame) {
         let order = AskOrder {
             ask: AskKey::from(KeyData::from_ffi(ask.ask)),
-            asker: self.daemon,
+            asker: self.hello.daemon,
             phase: ask.phase,
             workers: ask.workers,
             expected_ms: ask.expected_ms,
--- a/crates/cellnode/src/node.rs
+++ b/crates/cellnode/src/node.rs
@@ -3,10 +3,11 @@
 use {
     crate::{
         AdviserGateway, CellStore, EntryService, PlatformCodec, StoreItem, WorkerGateway,
-        follow::{ItemSink, follow_prefix},
+        follow::{FollowPace, ItemSink, SHORT_PAGE_MS, follow_prefix},
+        frame::HelloFrame,
         guard::GuardWriter,
         hub::{SessionHub, serve_hub},
-        leader::{ISOLATION_MS, LEASE_TTL_MS, LeaderParts, lead},
+        leader::{ISOLATION_MS, LEASE_TTL_MS, LeadSigns, LeaderParts, lead},
         link::LeaderLink,
         rows::{KnownLeader, LEADER_KEY, LeaderRow},
     },
@@ -38,6 +39,8 @@
 const LEADER_WAIT_MS: u64 = 8_000;
 /// Longest random wait before a campaign, in milliseconds.
 const CAMPAIGN_JITTER_MS: u64 = 60;
+/// Longest wait of a weak daemon before a campaign, in milliseconds, so that stronger ones come first.
+const CAMPAIGN_DELAY_MS: u64 = 400;
 /// Wait after a campaign that did not succeed, in milliseconds.
 const CAMPAIGN_RETRY_MS: u64 = 250;
 
@@ -46,6 +49,8 @@
 pub struct CellNodeConfig {
     /// Address that other daemons connect to.
     pub peer_address: SocketAddr,
+    /// How much work the host could do as the leader, on any scale that all daemons share.
+    pub strength: u32,
     /// Age from which the configuration counts as outdated, in milliseconds.
     pub max_config_age_ms: u64,
     /// Bounds of the scheduler.
@@ -96,7 +101,8 @@
         let listener = TcpListener::bind(config.peer_address).await?;
         let id = rand::random_range(1..=u64::MAX);
         let hub = Arc::new(SessionHub::default());
-        let link = LeaderLink::new(id, outside.adviser.clone(), hub.clone(), logger.clone());
+        let hello = HelloFrame { daemon: id, strength: config.strength };
+        let link = LeaderLink::new(hello, outside.adviser.clone(), hub.clone(), logger.clone());
         let (config_sender, config_receiver) = watch::channel(Arc::new(CellConfig::default()));
         let (leader_sender, leader_receiver) = watch::channel(None);
         let (stop, stopped) = watch::channel(false);
@@ -115,7 +121,7 @@
         tokio::spawn(follow_config(outside.clone(), config_sender, fresh_ms, logger.clone()));
         tokio::spawn(follow_leader(outside.store.clone(), leader_sender, logger.clone()));
         let resigned = link.resignations();
-        tokio::spawn(link.run(leader_receiver.clone()));
+        tokio::spawn(link.clone().run(leader_receiver.clone()));
         let (served, accept_logger) = (hub.clone(), logger.clone());
         tokio::spawn(async move { serve_hub(&served, listener, &accept_logger).await });
         let mut settings = config.cell;
@@ -131,8 +137,8 @@
             logger,
         };
         let address = config.peer_address.to_string();
-        let candidate =
-            Candidate { parts, id, address, leader: leader_receiver, resigned, stop: stopped };
+        let leader = leader_receiver;
+        let candidate = Candidate { parts, hello, address, link, leader, resigned, stop: stopped };
         let election = tokio::spawn(candidate.stand());
         Ok(Self { entry, is_leaving, stop, election })
     }
@@ -155,8 +161,9 @@
 /// A candidate's view of who leads.
 struct Candidate {
     parts: LeaderParts,
-    id: u64,
+    hello: HelloFrame,
     address: String,
+    link: Arc<LeaderLink>,
     leader: watch::Receiver<Option<KnownLeader>>,
     /// Terms whose leaders have asked this daemon to take over.
     resigned: mpsc::Receiver<u64>,
@@ -184,16 +191,24 @@
             return None;
         }
         let is_vacant = |known: &Option<KnownLeader>| {
-            known.as_ref().is_none_or(|known| known.row.id == self.id)
+            known.as_ref().is_none_or(|known| known.row.id == self.hello.daemon)
         };
         if !is_vacant(&self.leader.borrow_and_update()) {
             return None;
         }
         // Daemons that learn of the vacancy together should not all write at once.
-        sleep(Duration::from_millis(rand::random_range(0..=CAMPAIGN_JITTER_MS))).await;
+        let jitter_ms = rand::random_range(0..=CAMPAIGN_JITTER_MS);
+        sleep(Duration::from_millis(self.handicap_ms() + jitter_ms)).await;
         is_vacant(&self.leader.borrow()).then_some(0)
     }
 
+    /// Returns how long this daemon leaves a vacancy to stronger ones, in milliseconds.
+    fn handicap_ms(&self) -> u64 {
+        let strongest = u64::from(self.link.pressure().strongest);
+        let missing = strongest.saturating_sub(u64::from(self.hello.strength));
+        (CAMPAIGN_DELAY_MS * missing).checked_div(strongest).unwrap_or(0)
+    }
+
     async fn wait(&mut self) {
         tokio::select! {
             _ = self.leader.changed() => {}
@@ -212,10 +227,11 @@
         let parts = &self.parts;
         let Ok(lease) = parts.store.grant(LEASE_TTL_MS).await else { return };
         let (store, logger) = (parts.store.clone(), parts.logger.clone());
-        let identity = (self.id, self.address.clone());
+        let identity = (self.hello.daemon, self.address.clone());
         let won = GuardWriter::campaign(store, identity, lease, leader_revision, logger).await;
         if let Some(guards) = won {
-            lead(parts.clone(), guards, lease, self.stop.clone()).await;
+            let signs = LeadSigns { leader: self.leader.clone(), stop: self.stop.clone() };
+            lead(parts.clone(), guards, lease, self.hello.strength, signs).await;
         }
         if let Err(fault) = parts.store.revoke(lease).await {
             info!(parts.logger, "lease_not_revoked"; "fault" => ?fault);
@@ -238,7 +254,7 @@
         is_changed: false,
         logger: logger.clone(),
     };
-    let pace = (CONFIG_WAIT_MS, 0);
+    let pace = FollowPace { wait_ms: CONFIG_WAIT_MS, pause_ms: 0, page_ms: SHORT_PAGE_MS };
     follow_prefix(outside.store.as_ref(), codec.config_prefix(), pace, &mut sink, &logger).await;
 }
 
@@ -296,7 +312,7 @@
     logger: Logger,
 ) {
     let mut sink = LeaderSink { sender };
-    let pace = (LEADER_WAIT_MS, 0);
+    let pace = FollowPace { wait_ms: LEADER_WAIT_MS, pause_ms: 0, page_ms: SHORT_PAGE_MS };
     follow_prefix(store.as_ref(), LEADER_KEY, pace, &mut sink, &logger).await;
 }
 
--- a/crates/cellnode/src/outside.rs
+++ b/crates/cellnode/src/outside.rs
@@ -80,12 +80,17 @@
 /// The platform's store.
 #[async_trait]
 pub trait CellStore: Send + Sync {
-    /// Reads a page of the items with a prefix, after a key.
+    /// Reads a page of the items with a prefix, after a key, within `limit_ms` milliseconds.
     ///
     /// # Errors
     ///
     /// Returns why there is no page.
-    async fn range(&self, prefix: &str, after: &str) -> Result<StorePage, StoreFault>;
+    async fn range(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit_ms: u64,
+    ) -> Result<StorePage, StoreFault>;
 
     /// Reads one item.
     ///
