Find the open workers once a pass, and let the core rest after each tick

Ruled out: the store (other daemons had quick answers) and the takeover itself (0.6 to 1.3 s). Change: workers that take work are found and sorted once a pass; a step with tickets looks only at the workers that it has tickets for; an asker is chosen before the workers to name; steps that ask together name different workers; after a tick the core rests for as long as it took, 100 ms at most. Test: steps_that_ask_together_name_different_workers fails with the stride at 0. The cost of a pass has no test yet.

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -7,7 +7,7 @@
 //! calls only renew tickets of workers that may.
 
 use {
-    super::{CellCore, place::PlaceResult},
+    super::{CellCore, open::OpenWorkers, place::PlaceResult},
     crate::{
         AdviceTiming, AskKey, AskOrder, CellAction, WorkerKey, WorkerTicket,
         message::PhaseRef,
@@ -37,6 +37,8 @@
 const SPARE_FACTOR: f64 = 1.6;
 /// Workers asked about besides.
 const SPARE_WORKERS: usize = 3;
+/// Workers between the first ones that two questions in a row name.
+const SPREAD_STRIDE: usize = 7;
 /// Share of the workers that is taken to be allowed before a queue has shown its own.
 const FIRST_SHARE: f64 = 0.4;
 /// Weight of a new answer in a queue's share of allowed workers.
@@ -69,14 +71,15 @@
     pub(super) fn place_and_ask(&mut self) {
         self.avoid_failing();
         let mut ahead = AHEAD_STEPS;
+        let open = self.open_workers();
         for phase in self.line() {
-            if self.place_phase(phase) == PlaceResult::Short {
-                self.ask_for(phase, &mut ahead);
+            if self.place_phase(phase, &open) == PlaceResult::Short {
+                self.ask_for(phase, &open, &mut ahead);
             }
         }
     }
 
-    fn ask_for(&mut self, phase: PhaseRef, ahead: &mut usize) {
+    fn ask_for(&mut self, phase: PhaseRef, open: &OpenWorkers, ahead: &mut usize) {
         let Some(timing) = self.advice_of(phase) else { return };
         if self.jobs[phase.job].phases[phase.phase].ask.is_some() {
             *ahead = ahead.saturating_sub(1);
@@ -84,33 +87,62 @@
         }
         let is_long = timing.call_us / 1_000 >= LONG_CALL_MS;
         let may_go_ahead = is_long && *ahead > 0;
-        let workers = self.workers_to_ask(phase, may_go_ahead);
+        let Some(asker) = self.pick_asker(is_long) else { return };
+        let workers = self.workers_to_ask(phase, open, may_go_ahead);
         if workers.is_empty() {
             return;
         }
         let expected_ms = timing.duration_us(workers.len()) / 1_000 + CALL_OVERHEAD_MS;
-        let Some(asker) = self.pick_asker(is_long) else { return };
         *ahead = ahead.saturating_sub(1);
         self.send_ask(phase, asker, workers, expected_ms);
     }
 
-    /// Chooses the workers to name: those with room first, no more than are likely to be needed.
-    fn workers_to_ask(&self, phase: PhaseRef, may_go_ahead: bool) -> Vec<WorkerKey> {
+    /// Chooses the workers to name, no more than are likely to be needed: those with room first, of
+    /// these the ones that are known to be allowed. Steps that ask together name different ones.
+    fn workers_to_ask(
+        &self,
+        phase: PhaseRef,
+        open: &OpenWorkers,
+        may_go_ahead: bool,
+    ) -> Vec<WorkerKey> {
+        let job = &self.jobs[phase.job];
+        let entry = &job.phases[phase.phase];
+        let step = &job.record.steps[entry.step];
+        let need = step.resources();
+        let open = open.of(self.service_of(job));
+        let is_wanted = |key: &&WorkerKey| {
+            !entry.denied.contains(*key)
+                && self.suits(**key, step)
+                && !self.has_ticket(entry, **key)
+        };
+        let has_room = |key: &WorkerKey| need.fits(&self.workers[*key].room());
+        let (roomy, full): (Vec<WorkerKey>, Vec<WorkerKey>) =
+            open.iter().rev().copied().partition(has_room);
+        let turn = usize::try_from(self.totals.asked).unwrap_or(0) * SPREAD_STRIDE;
+        let (last, first) = roomy.split_at(turn.checked_rem(roomy.len()).unwrap_or(0));
+        let mut known = Vec::new();
+        let mut fresh = Vec::new();
+        for key in first.iter().chain(last).filter(is_wanted) {
+            match entry.allowed.contains_key(key) {
+                true => known.push(*key),
+                false => fresh.push(*key),
+            }
+            if fresh.len() >= MAX_WORKERS {
+                break;
+            }
+        }
+        known.append(&mut fresh);
+        if may_go_ahead {
+            known.extend(full.iter().filter(is_wanted).take(MAX_WORKERS));
+        }
+        self.trim_to_need(phase, known)
+    }
+
+    /// Cuts a list of workers to as many as are likely to be needed.
+    fn trim_to_need(&self, phase: PhaseRef, mut workers: Vec<WorkerKey>) -> Vec<WorkerKey> {
         let job = &self.jobs[phase.job];
         let entry = &job.phases[phase.phase];
         let need = job.record.steps[entry.step].resources();
-        let mut workers: Vec<WorkerKey> = self
-            .candidates(phase)
-            .into_iter()
-            .filter(|key| !entry.denied.contains(key) && !self.has_ticket(entry, *key))
-            .filter(|key| may_go_ahead || need.fits(&self.workers[*key].room()))
-            .collect();
-        workers.sort_by_key(|key| {
-            let is_known = entry.allowed.contains_key(key);
-            let has_room = need.fits(&self.workers[*key].room());
-            let free = self.workers[*key].room().cpu_millis;
-            (!has_room, !is_known, std::cmp::Reverse(free))
-        });
         let share = self.allowed_share.get(&job.record.queue).copied().unwrap_or(FIRST_SHARE);
         let mut expected_tasks = 0.0;
         let wanted = entry.idle as f64 * SPARE_FACTOR;
@@ -119,9 +151,7 @@
             if expected_tasks >= wanted {
                 break;
             }
-            let worker = &self.workers[*key];
-            let room = worker.room();
-            let fitting = room.cpu_millis.checked_div(need.cpu_millis).unwrap_or(1).max(1);
+            let fitting = self.workers[*key].room().times(&need).max(1);
             let chance = if entry.allowed.contains_key(key) { 1.0 } else { share };
             expected_tasks += fitting.min(entry.idle as u64) as f64 * chance;
             count += 1;
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -11,6 +11,7 @@
 mod holds;
 mod intake;
 mod line;
+mod open;
 mod orders;
 mod pace;
 mod place;
--- a/crates/cell/src/core/place.rs
+++ b/crates/cell/src/core/place.rs
@@ -6,11 +6,11 @@
 //! all its places at once or none, in one rack if its tasks are coupled and a rack has room.
 
 use {
-    super::{CellCore, pace::is_slow},
+    super::{CellCore, open::OpenWorkers, pace::is_slow},
     crate::{
         JobState, ResourceSet, StepSpec, WorkerKey,
         message::PhaseRef,
-        table::{AfterCommit, AttemptState, PhaseEntry, WorkerEntry},
+        table::{AfterCommit, AttemptState, JobEntry, PhaseEntry, WorkerEntry},
     },
     rustc_hash::FxHashMap,
 };
@@ -47,25 +47,14 @@
             && !self.config.closed_zones.contains(&worker.report.zone)
     }
 
-    /// Returns the workers that a step's tasks may go to, tickets aside.
-    pub(super) fn candidates(&self, phase: PhaseRef) -> Vec<WorkerKey> {
-        let job = &self.jobs[phase.job];
-        let step = &job.record.steps[job.phases[phase.phase].step];
+    /// Returns the service whose workers run a job's tasks.
+    pub(super) fn service_of<'a>(&'a self, job: &'a JobEntry) -> &'a str {
         let queue = self.config.queues.get(&job.record.queue);
-        let service = queue.map_or(&job.record.service, |queue| &queue.service);
-        let need = step.resources();
-        self.workers
-            .iter()
-            .filter(|(_, worker)| worker.report.service == *service && self.is_open(worker))
-            .filter(|(_, worker)| worker.avoid_until_ms <= self.time.now_ms)
-            .filter(|(_, worker)| need.fits(&worker.report.capacity))
-            .filter(|(_, w)| step.required_label.is_empty() || w.is_labelled(&step.required_label))
-            .map(|(key, _)| key)
-            .collect()
+        queue.map_or(&job.record.service, |queue| &queue.service)
     }
 
     /// Places what can be placed of a step.
-    pub(super) fn place_phase(&mut self, phase: PhaseRef) -> PlaceResult {
+    pub(super) fn place_phase(&mut self, phase: PhaseRef, open: &OpenWorkers) -> PlaceResult {
         let job = &self.jobs[phase.job];
         let step = &job.record.steps[job.phases[phase.phase].step];
         let is_gang = step.is_gang;
@@ -79,7 +68,7 @@
         if allowed == 0 || (is_gang && allowed < wanted) {
             return PlaceResult::Limited;
         }
-        let workers = self.ticketed(phase);
+        let workers = self.ticketed(phase, open);
         let plan = match is_gang {
             true => self.plan_gang(phase, &workers, wanted),
             false => self.plan_tasks(phase, &workers, allowed),
@@ -105,19 +94,29 @@
             .count()
     }
 
-    /// Returns the candidates that a start may be sent to now, the least room first.
-    fn ticketed(&self, phase: PhaseRef) -> Vec<WorkerKey> {
+    /// Returns the workers that a start may be sent to now, the least room first.
+    fn ticketed(&self, phase: PhaseRef, open: &OpenWorkers) -> Vec<WorkerKey> {
         let job = &self.jobs[phase.job];
         let entry = &job.phases[phase.phase];
         let step = &job.record.steps[entry.step];
-        let needs_ticket = self.advice_of(phase).is_some();
+        let service = self.service_of(job);
         let need = step.resources();
-        let mut workers: Vec<WorkerKey> = self
-            .candidates(phase)
-            .into_iter()
-            .filter(|key| need.fits(&self.workers[*key].room()))
-            .filter(|key| !needs_ticket || self.has_ticket(entry, *key))
-            .collect();
+        let has_room = |key: &WorkerKey| need.fits(&self.workers[*key].room());
+        let mut workers: Vec<WorkerKey> = match self.advice_of(phase) {
+            // Few workers have tickets, so the others need not be looked at.
+            Some(_) => entry
+                .allowed
+                .keys()
+                .filter(|key| self.has_ticket(entry, **key) && has_room(key))
+                .filter(|key| self.workers[**key].report.service == service)
+                .filter(|key| self.takes_work(**key) && self.suits(**key, step))
+                .copied()
+                .collect(),
+            None => {
+                let open = open.of(service).iter();
+                open.filter(|key| has_room(key) && self.suits(**key, step)).copied().collect()
+            }
+        };
         workers.sort_by_key(|key| {
             let worker = &self.workers[*key];
             let is_far = !step.data_rack.is_empty() && worker.rack() != step.data_rack;
--- a/crates/cell/src/resources.rs
+++ b/crates/cell/src/resources.rs
@@ -28,6 +28,23 @@
             && self.accelerators <= room.accelerators
     }
 
+    /// Returns how many times `other` fits into this amount.
+    ///
+    /// ```
+    /// use damaskrack_cell::ResourceSet;
+    ///
+    /// let room = ResourceSet { cpu_millis: 500, memory_mb: 100, accelerators: 0 };
+    /// let task = ResourceSet { cpu_millis: 100, memory_mb: 50, accelerators: 0 };
+    /// assert_eq!(room.times(&task), 2);
+    /// ```
+    #[must_use]
+    pub fn times(&self, other: &Self) -> u64 {
+        let times = |own: u64, one: u64| own.checked_div(one).unwrap_or(u64::MAX);
+        times(self.cpu_millis, other.cpu_millis)
+            .min(times(self.memory_mb, other.memory_mb))
+            .min(times(self.accelerators, other.accelerators))
+    }
+
     /// Returns the sum of both amounts.
     ///
     /// ```
--- a/crates/cell/tests/cell.rs
+++ b/crates/cell/tests/cell.rs
@@ -8,6 +8,7 @@
         ResourceSet, StartOutcome, StartRefusal, StepSpec, TeamConfig,
     },
     quickcheck::quickcheck,
+    std::collections::BTreeSet,
     support::{FakeCell, job, step},
 };
 
@@ -389,6 +390,22 @@
     assert_ne!(cell.starts[1].2, lost);
 }
 
+/// Tickets for the same few workers would be of no use to the steps that come later.
+#[test]
+fn steps_that_ask_together_name_different_workers() {
+    let mut cell = FakeCell::new(40);
+    let timing = AdviceTiming { call_us: 9_000, worker_us: 100, valid_ms: 1_500 };
+    cell.config.queues.get_mut("queue").unwrap().advice = Some(timing);
+    cell.lead();
+    cell.apply(CellInput::Askers(vec![1, 2, 3, 4]));
+    for id in ["1", "2", "3", "4"] {
+        cell.submit(job(id, vec![step(2)]));
+    }
+    cell.run(40);
+    let first: BTreeSet<&String> = cell.asks.iter().map(|ask| &ask.workers[0]).collect();
+    assert_eq!(first.len(), 4, "{:?}", cell.asks);
+}
+
 /// With no daemon connected there is nobody to ask.
 #[test]
 fn a_step_waits_while_no_daemon_can_ask_for_tickets() {
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -61,6 +61,11 @@
 const SETTLE_MS: u64 = 500;
 /// Time between two looks for a stronger one, in milliseconds.
 const STRENGTH_CHECK_MS: u64 = 1_000;
+/// Rest of the core after a tick, in percent of the time that the tick took, so that a long line
+/// leaves time for answers, for renewals of leases and for the leader's own lease.
+const REST_PERCENT: u64 = 100;
+/// Longest rest, in milliseconds.
+const MAX_REST_MS: u64 = 100;
 /// Time between two looks at a store that gives no usable answers, in milliseconds.
 const FAULT_CHECK_MS: u64 = 60;
 /// Longest wait of a watch on workers or jobs, in milliseconds.
@@ -276,14 +281,19 @@
     ) {
         let mut config = self.parts.config.clone();
         let mut next_report_ms = 0;
+        let mut rest_until_ms = 0;
         loop {
             let now_ms = boot_ms();
             if !self.is_proven() {
                 warn!(self.parts.logger, "leading_unproven"; "term" => self.token);
                 return;
             }
-            for action in self.core.tick(now_ms, unix_ms()) {
-                self.carry_out(action).await;
+            if now_ms >= rest_until_ms {
+                let began = Instant::now();
+                for action in self.core.tick(now_ms, unix_ms()) {
+                    self.carry_out(action).await;
+                }
+                rest_until_ms = boot_ms() + rest_ms(began.elapsed());
             }
             if now_ms >= next_report_ms {
                 next_report_ms = now_ms + REPORT_INTERVAL_MS;
@@ -294,7 +304,8 @@
                 true => now_ms + FAULT_CHECK_MS,
                 false => u64::MAX,
             };
-            let next_ms = self.core.next_tick_ms().min(next_report_ms).min(check_ms);
+            let tick_ms = self.core.next_tick_ms().max(rest_until_ms);
+            let next_ms = tick_ms.min(next_report_ms).min(check_ms);
             let next_ms = next_ms.max(now_ms + 1);
             let wake = Instant::now() + Duration::from_millis(next_ms - now_ms);
             self.core.set_time(boot_ms(), unix_ms());
@@ -488,6 +499,12 @@
     }
 }
 
+/// Returns how long the core rests after a tick that took so long, in milliseconds.
+fn rest_ms(spent: Duration) -> u64 {
+    let rest_ms = u64::try_from(spent.as_millis()).unwrap_or(MAX_REST_MS) * REST_PERCENT / 100;
+    rest_ms.min(MAX_REST_MS)
+}
+
 /// Asks a much stronger daemon to take over, if there is one. A weak host reads the state slowly and
 /// falls behind under load.
 async fn prefer_stronger(parts: LeaderParts, term: u64, strength: u32) {
