--- a/crates/cell/src/core/open.rs
+++ b/crates/cell/src/core/open.rs
@@ -44,10 +44,10 @@
         open
     }
 
-    /// Tells whether a worker may get new work now.
+    /// Tells whether a worker may get new work now; one that is gone may not.
     pub(super) fn takes_work(&self, key: WorkerKey) -> bool {
-        let worker = &self.workers[key];
-        worker.avoid_until_ms <= self.time.now_ms && self.is_open(worker)
+        let worker = self.workers.get(key);
+        worker.is_some_and(|w| w.avoid_until_ms <= self.time.now_ms && self.is_open(w))
     }
 
     /// Tells whether a worker could run a task of a step if it ran nothing else.
--- a/crates/cell/src/core/place.rs
+++ b/crates/cell/src/core/place.rs
@@ -107,9 +107,9 @@
             Some(_) => entry
                 .allowed
                 .keys()
-                .filter(|key| self.has_ticket(entry, **key) && has_room(key))
+                .filter(|key| self.has_ticket(entry, **key) && self.takes_work(**key))
                 .filter(|key| self.workers[**key].report.service == service)
-                .filter(|key| self.takes_work(**key) && self.suits(**key, step))
+                .filter(|key| has_room(key) && self.suits(**key, step))
                 .copied()
                 .collect(),
             None => {
