Remove the row of what was accepted once nothing of a job can run

Change: the commit that makes an end durable removes the row of what was accepted, unless something of the job may still be running, then the commit after that; the row of its progress stays for the retention and tells the end. The leader gives back the memory of the phases too. A job that ends before it was ever written keeps its row until the retention is over, as another daemon may have written it. Test: only_the_end_of_a_job_is_kept_once_nothing_of_it_can_run.

--- a/crates/cell/src/core/commit.rs
+++ b/crates/cell/src/core/commit.rs
@@ -4,7 +4,7 @@
     super::CellCore,
     crate::{
         COMMIT_LANES, CellAction, CommitOrder, JobKey, JobState, ProgressRecord,
-        table::{AfterCommit, JobEntry},
+        table::{AcceptedChange, AcceptedRow, AfterCommit, JobEntry},
     },
     rustc_hash::FxHashSet,
     std::collections::VecDeque,
@@ -62,6 +62,11 @@
     }
 }
 
+/// Number of entries that a commit takes in a transaction.
+fn row_count(order: &CommitOrder) -> usize {
+    order.rows.len() + order.accepted.len() + order.retired.len() + order.removals.len()
+}
+
 impl CellCore {
     /// Notes that a job's row must be written, and what waits for that.
     pub(super) fn touch(&mut self, key: JobKey, after: Option<AfterCommit>) {
@@ -89,19 +94,17 @@
         }
         let mut order = CommitOrder { lane, ..CommitOrder::default() };
         let mut left = self.commits.dirty.len();
-        while left > 0 && order.rows.len() + order.accepted.len() + ROWS_PER_JOB <= MAX_ROWS {
+        while left > 0 && row_count(&order) + ROWS_PER_JOB <= MAX_ROWS {
             left -= 1;
             self.carry_next(&mut order);
         }
-        while order.rows.len() + order.accepted.len() + (order.removals.len() + 1) * ROWS_PER_JOB
-            <= MAX_ROWS
+        while row_count(&order) + ROWS_PER_JOB <= MAX_ROWS
             && let Some(key) = self.commits.expired.pop_front()
         {
             self.carry_removal(key, &mut order);
         }
         self.commits.next_ms = self.time.now_ms + self.settings.commit_interval_ms;
-        let is_empty = order.rows.is_empty() && order.accepted.is_empty();
-        if is_empty && order.removals.is_empty() && self.commits.lanes[lane].waiting.is_empty() {
+        if row_count(&order) == 0 && self.commits.lanes[lane].waiting.is_empty() {
             return;
         }
         self.commits.lanes[lane].sent_ms = Some(self.time.now_ms);
@@ -128,8 +131,10 @@
         let lane = &mut self.commits.lanes[order.lane];
         lane.waiting.extend(waiting);
         lane.carried.insert(job.record.id.clone());
-        if !std::mem::replace(&mut job.is_stored, true) {
-            order.accepted.push(job.accepted());
+        match job.change_accepted() {
+            AcceptedChange::Write => order.accepted.push(job.accepted()),
+            AcceptedChange::Remove => order.retired.push(job.record.id.clone()),
+            AcceptedChange::Keep => {}
         }
         let job = &self.jobs[key];
         if job.state.is_final() || job.has_started() {
@@ -140,6 +145,9 @@
     fn carry_removal(&mut self, key: JobKey, order: &mut CommitOrder) {
         let Some(job) = self.jobs.remove(key) else { return };
         self.job_ids.remove(&job.record.id);
+        if job.accepted_row == AcceptedRow::Stored {
+            order.retired.push(job.record.id.clone());
+        }
         order.removals.push(job.record.id);
     }
 
--- a/crates/cell/src/core/intake.rs
+++ b/crates/cell/src/core/intake.rs
@@ -5,7 +5,7 @@
     crate::{
         CellAction, JobKey, JobRecord, JobState, PhaseProgress, ProgressRecord, TaskProgress,
         message::PhaseRef,
-        table::{AfterCommit, AttemptState, JobEntry},
+        table::{AcceptedRow, AfterCommit, AttemptState, JobEntry},
     },
 };
 
@@ -17,7 +17,7 @@
             Some(&key) => key,
             None => {
                 let key = self.take_in(record);
-                self.jobs[key].is_stored = false;
+                self.jobs[key].accepted_row = AcceptedRow::Missing;
                 key
             }
         };
@@ -84,6 +84,24 @@
         }
     }
 
+    /// Takes in a job that had ended, of which only the row of its progress is left.
+    ///
+    /// ```
+    /// use damaskrack_cell::{CellCore, JobState, ProgressRecord};
+    ///
+    /// let mut core = CellCore::new(Default::default());
+    /// let state = JobState::Completed as i32;
+    /// core.restore_ended("1", &ProgressRecord { state, ..Default::default() });
+    /// assert_eq!(core.state_of("1"), Some(JobState::Completed));
+    /// ```
+    pub fn restore_ended(&mut self, id: &str, progress: &ProgressRecord) {
+        if !progress.state().is_final() || self.job_ids.contains_key(id) {
+            return;
+        }
+        self.restore(JobRecord { id: id.to_owned(), ..JobRecord::default() }, Some(progress));
+        self.jobs[self.job_ids[id]].accepted_row = AcceptedRow::Retired;
+    }
+
     fn restore_phase(&mut self, key: JobKey, stored: &PhaseProgress) {
         let job = &mut self.jobs[key];
         job.begin((stored.occurrence + 1).min(job.occurrences()));
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -285,7 +285,9 @@
     pub accepted: Vec<JobRecord>,
     /// Progress rows by the job's id.
     pub rows: Vec<(String, ProgressRecord)>,
-    /// Ids of jobs whose rows go.
+    /// Ids of jobs whose rows of what was accepted go.
+    pub retired: Vec<String>,
+    /// Ids of jobs whose rows of progress go.
     pub removals: Vec<String>,
 }
 
--- a/crates/cell/src/table/job.rs
+++ b/crates/cell/src/table/job.rs
@@ -17,6 +17,26 @@
     Reply(u64),
 }
 
+/// Where a job's row of what was accepted is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AcceptedRow {
+    /// Not in the store yet.
+    Missing,
+    /// In the store, or on the way there.
+    Stored,
+    /// Removed, or about to be: the job has ended and nothing of it can be running. The row of its
+    /// progress says how it ended.
+    Retired,
+}
+
+/// What a commit does about a job's row of what was accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AcceptedChange {
+    Write,
+    Remove,
+    Keep,
+}
+
 /// A job.
 #[derive(Debug)]
 pub(crate) struct JobEntry {
@@ -28,8 +48,7 @@
     pub(crate) begun: u32,
     /// When it ended, in Unix milliseconds; 0 while it has not.
     pub(crate) ended_ms: u64,
-    /// What was accepted is in the store, or on the way there.
-    pub(crate) is_stored: bool,
+    pub(crate) accepted_row: AcceptedRow,
     /// The row in the store is older than this entry.
     pub(crate) is_dirty: bool,
     pub(crate) after_commit: Vec<AfterCommit>,
@@ -45,12 +64,32 @@
             phases: Vec::new(),
             begun: 0,
             ended_ms: 0,
-            is_stored: true,
+            accepted_row: AcceptedRow::Stored,
             is_dirty: false,
             after_commit: Vec::new(),
         }
     }
 
+    /// Decides what the next commit does about the row of what was accepted, and notes it. A job
+    /// that has ended needs it only while something of it may be running, and then gives its
+    /// memory back.
+    pub(crate) fn change_accepted(&mut self) -> AcceptedChange {
+        let is_over = self.state.is_final() && self.attempts_left() == 0;
+        let (row, change) = match (self.accepted_row, is_over) {
+            // Another daemon may have written it too, so it must be known to be there.
+            (AcceptedRow::Missing, _) => (AcceptedRow::Stored, AcceptedChange::Write),
+            (AcceptedRow::Stored, false) => (AcceptedRow::Stored, AcceptedChange::Keep),
+            (AcceptedRow::Stored, true) => (AcceptedRow::Retired, AcceptedChange::Remove),
+            (AcceptedRow::Retired, _) => (AcceptedRow::Retired, AcceptedChange::Keep),
+        };
+        self.accepted_row = row;
+        if row == AcceptedRow::Retired {
+            self.phases = Vec::new();
+            self.payload = Arc::from("");
+        }
+        change
+    }
+
     /// What was accepted, whole.
     pub(crate) fn accepted(&self) -> JobRecord {
         JobRecord { payload: self.payload.to_string(), ..self.record.clone() }
--- a/crates/cell/src/table/mod.rs
+++ b/crates/cell/src/table/mod.rs
@@ -10,7 +10,7 @@
 pub(crate) use {
     ask::{AskEntry, AskerEntry},
     attempt::{AttemptEntry, AttemptState},
-    job::{AfterCommit, JobEntry},
+    job::{AcceptedChange, AcceptedRow, AfterCommit, JobEntry},
     phase::{PhaseEntry, TicketEntry},
     task::TaskEntry,
     worker::WorkerEntry,
--- a/crates/cell/tests/cell.rs
+++ b/crates/cell/tests/cell.rs
@@ -406,6 +406,37 @@
     assert_eq!(first.len(), 4, "{:?}", cell.asks);
 }
 
+#[test]
+fn no_order_is_sent_with_a_ticket_that_ran_out_while_its_row_was_written() {
+    let mut cell = FakeCell::new(2);
+    let timing = AdviceTiming { call_us: 9_000, worker_us: 100, valid_ms: 1_500 };
+    cell.config.queues.get_mut("queue").unwrap().advice = Some(timing);
+    cell.lead();
+    cell.submit(job("1", vec![step(2)]));
+    cell.is_store_down = true;
+    cell.run(3_000);
+    assert_eq!(cell.held_commits.len(), 1);
+    cell.restore_store();
+    assert!(cell.starts.is_empty());
+    cell.run(1_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+}
+
+#[test]
+fn a_ticket_for_a_worker_that_is_gone_is_of_no_use() {
+    let mut cell = FakeCell::new(2);
+    let timing = AdviceTiming { call_us: 9_000, worker_us: 100, valid_ms: 60_000 };
+    cell.config.queues.get_mut("queue").unwrap().advice = Some(timing);
+    cell.lead();
+    cell.submit(job("1", vec![step(12)]));
+    cell.run(100);
+    cell.workers.get_mut("w0").unwrap().is_silent = true;
+    let left = cell.workers["w1"].report.clone();
+    cell.apply(CellInput::Workers(vec![left]));
+    cell.run(20_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+}
+
 /// With no daemon connected there is nobody to ask.
 #[test]
 fn a_step_waits_while_no_daemon_can_ask_for_tickets() {
@@ -422,6 +453,27 @@
     assert_eq!(cell.state("1"), Some(JobState::Completed));
 }
 
+/// A successor reads what it needs and no more.
+#[test]
+fn only_the_end_of_a_job_is_kept_once_nothing_of_it_can_run() {
+    let mut cell = FakeCell::new(1);
+    cell.workers.get_mut("w0").unwrap().stop_ms = 400;
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(200);
+    cell.apply(CellInput::Cancel { id: "1".to_owned(), reply: 7 });
+    cell.run(100);
+    assert_eq!(cell.state("1"), Some(JobState::Cancelled));
+    assert!(cell.jobs.contains_key("1"), "its task is still being stopped");
+    cell.run(2_000);
+    assert!(cell.jobs.is_empty());
+    assert!(cell.progress["1"].phases.is_empty());
+    cell.lead();
+    assert_eq!(cell.state("1"), Some(JobState::Cancelled));
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(1_000);
+    assert_eq!(cell.starts.len(), 1, "the same job again is the same job");
+}
+
 #[test]
 fn rows_of_an_ended_job_go_after_their_time() {
     let mut cell = FakeCell::new(1);
--- a/crates/cell/tests/support/mod.rs
+++ b/crates/cell/tests/support/mod.rs
@@ -94,6 +94,8 @@
     /// The store: accepted jobs and their progress.
     pub(crate) jobs: BTreeMap<String, JobRecord>,
     pub(crate) progress: BTreeMap<String, ProgressRecord>,
+    /// Every job that was handed in.
+    pub(crate) records: BTreeMap<String, JobRecord>,
     /// Commits that the store has not carried out because it is down.
     pub(crate) held_commits: Vec<CommitOrder>,
     pub(crate) is_store_down: bool,
@@ -153,6 +155,7 @@
             workers: BTreeMap::new(),
             jobs: BTreeMap::new(),
             progress: BTreeMap::new(),
+            records: BTreeMap::new(),
             held_commits: Vec::new(),
             is_store_down: false,
             held_holds: Vec::new(),
@@ -206,6 +209,9 @@
         for (id, record) in &self.jobs {
             self.core.restore(record.clone(), self.progress.get(id));
         }
+        for (id, row) in &self.progress {
+            self.core.restore_ended(id, row);
+        }
     }
 
     pub(crate) fn wall_ms(&self) -> u64 {
@@ -220,6 +226,7 @@
     /// Accepts a job: its row is in the store first.
     pub(crate) fn submit(&mut self, record: JobRecord) {
         self.jobs.insert(record.id.clone(), record.clone());
+        self.records.insert(record.id.clone(), record.clone());
         self.apply(CellInput::Accepted(record));
     }
 
@@ -277,12 +284,15 @@
             return;
         }
         for record in order.accepted {
+            self.records.insert(record.id.clone(), record.clone());
             self.jobs.insert(record.id.clone(), record);
         }
         self.progress.extend(order.rows);
+        for id in order.retired {
+            assert!(self.jobs.remove(&id).is_some(), "{id} has no row to remove");
+        }
         for id in order.removals {
-            self.jobs.remove(&id);
-            self.progress.remove(&id);
+            assert!(self.progress.remove(&id).is_some(), "{id} has no progress to remove");
         }
         self.apply(CellInput::Committed { lane: order.lane });
     }
@@ -369,7 +379,7 @@
 
     fn step_of(&self, task: &str) -> &StepSpec {
         let mut parts = task.split('.');
-        let record = &self.jobs[parts.next().unwrap()];
+        let record = &self.records[parts.next().unwrap()];
         &record.steps[parts.nth(1).unwrap().parse::<usize>().unwrap()]
     }
 
--- a/crates/cellnode/src/lane_writer.rs
+++ b/crates/cellnode/src/lane_writer.rs
@@ -60,7 +60,8 @@
         value: record.encode_to_vec(),
         lease: 0,
     };
-    let removals = order.removals.iter().flat_map(|id| [job_key(id), progress_key(id)]);
+    let retired = order.retired.iter().map(|id| job_key(id));
+    let removals = retired.chain(order.removals.iter().map(|id| progress_key(id)));
     StoreChange {
         expected: Vec::new(),
         puts: order.accepted.iter().map(accept).chain(order.rows.iter().map(put)).collect(),
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -197,7 +197,7 @@
         self.core.apply(CellInput::Config(config));
         let reports = workers.iter().filter_map(|item| codec.read_worker(&item.key, &item.value));
         self.core.apply(CellInput::Workers(reports.collect()));
-        let rows: FxHashMap<&str, ProgressRecord> = progress
+        let mut rows: FxHashMap<&str, ProgressRecord> = progress
             .iter()
             .filter_map(|item| {
                 let id = item.key.strip_prefix(PROGRESS_PREFIX)?;
@@ -207,14 +207,17 @@
         for item in &jobs {
             match JobRecord::decode(item.value.as_slice()) {
                 Ok(record) => {
-                    let row = rows.get(record.id.as_str());
-                    self.core.restore(record, row);
+                    let row = rows.remove(record.id.as_str());
+                    self.core.restore(record, row.as_ref());
                 }
                 Err(error) => {
                     warn!(self.parts.logger, "row_unreadable"; "key" => &item.key, "error" => %error);
                 }
             }
         }
+        for (id, row) in &rows {
+            self.core.restore_ended(id, row);
+        }
         info!(self.parts.logger, "state_read"; "jobs" => jobs.len(), "progress" => progress.len(),
             "workers" => workers.len(), "took_ms" => boot_ms() - began_ms);
         self.follow((workers, workers_read), jobs_read);
