Look at tickets again before an order is sent

Change: an order carries the newest ticket that its step has for the worker; without a valid one the attempt is taken back unsent. Fields of attempts that nothing reads are gone.

--- a/crates/cell/src/core/ends.rs
+++ b/crates/cell/src/core/ends.rs
@@ -31,12 +31,7 @@
         Some(attempt)
     }
 
-    /// Takes back an attempt that has not run and never will.
-    pub(super) fn withdraw_attempt(&mut self, key: AttemptKey) {
-        self.lose_attempt(key);
-    }
-
-    /// Takes in that an attempt is over without an end that counts.
+    /// Takes in that an attempt is over without an end that counts, or never was.
     pub(super) fn lose_attempt(&mut self, key: AttemptKey) {
         let Some(attempt) = self.remove_attempt(key) else { return };
         self.touch(attempt.phase.job, None);
--- a/crates/cell/src/core/holds.rs
+++ b/crates/cell/src/core/holds.rs
@@ -224,10 +224,8 @@
         };
         let entry = &mut self.attempts[attempt];
         let run_ms = entry.run_ms(now_ms);
-        entry.is_listed = true;
         if running.percent > entry.percent {
             entry.percent = running.percent;
-            entry.moved_ms = now_ms;
         }
         let is_news = matches!(
             entry.state,
--- a/crates/cell/src/core/orders.rs
+++ b/crates/cell/src/core/orders.rs
@@ -13,6 +13,8 @@
 /// Lease that an order to start asks for, in milliseconds. The renewal that follows a confirmed start
 /// extends it; if the worker turns out to be gone, the task can be tried elsewhere that much sooner.
 const START_LEASE_MS: u64 = 2_000;
+/// Time that a ticket must still be valid when an order is sent, in milliseconds.
+const SEND_MARGIN_MS: u64 = 20;
 /// Time between two orders to stop the same attempt, in milliseconds.
 const STOP_RETRY_MS: u64 = 600;
 /// Time for which a worker gets no new work after it left an order unanswered, in milliseconds; it
@@ -39,7 +41,6 @@
         let team = job.record.team.clone();
         let name = job.task_name(phase.phase, index);
         let entry = &mut job.phases[phase.phase];
-        let ticket = entry.allowed.get(&worker).map(|held| held.ticket.clone()).unwrap_or_default();
         let used = self.team_used.entry(team.clone()).or_default();
         *used = used.plus(&resources);
         let key = self.attempts.insert(AttemptEntry {
@@ -50,12 +51,9 @@
             resources,
             team,
             state,
-            ticket,
             is_resumed: !entry.tasks[index].checkpoint.is_empty()
                 || state != AttemptState::Intended,
             percent: 0,
-            moved_ms: self.time.now_ms,
-            is_listed: false,
             is_gang_broken: false,
             stop_due_ms: 0,
         });
@@ -69,24 +67,40 @@
         key
     }
 
+    /// Returns the newest ticket for an attempt, empty where none is needed; `None` if it has run out
+    /// while the attempt's row was written.
+    fn ticket_for(&self, attempt: &AttemptEntry) -> Option<String> {
+        if self.advice_of(attempt.phase).is_none() {
+            return Some(String::new());
+        }
+        let entry = &self.jobs[attempt.phase.job].phases[attempt.phase.phase];
+        let held = entry.allowed.get(&attempt.worker)?;
+        let is_valid = held.valid_until_ms > self.time.now_ms + SEND_MARGIN_MS;
+        is_valid.then(|| held.ticket.clone())
+    }
+
     /// Sends an attempt whose row is durable, unless it is no longer wanted.
     pub(super) fn send_attempt(&mut self, key: AttemptKey) {
         let Some(attempt) = self.attempts.get(key) else { return };
         let (phase, worker) = (attempt.phase, attempt.worker);
+        let Some(ticket) = self.ticket_for(attempt) else {
+            self.note_attempt("ticket_outdated", key, "");
+            self.lose_attempt(key);
+            return;
+        };
         let is_wanted = !self.jobs[phase.job].state.is_final() && !attempt.is_gang_broken;
         let is_open = self.is_open(&self.workers[worker]);
         let now_ms = self.time.now_ms;
         let lease_ms = START_LEASE_MS.min(self.settings.lease_ms);
         let deadline = self.workers[worker].deadline_for(now_ms, lease_ms);
         let (true, true, Some(deadline_ms)) = (is_wanted, is_open, deadline) else {
-            self.withdraw_attempt(key);
+            self.lose_attempt(key);
             return;
         };
         let job = &self.jobs[phase.job];
         let worker = &self.workers[worker];
         let attempt = &mut self.attempts[key];
         attempt.state = AttemptState::Sent;
-        attempt.moved_ms = now_ms;
         self.actions.push(CellAction::Start(StartOrder {
             attempt: key,
             address: worker.report.address.clone(),
@@ -97,7 +111,7 @@
             payload: job.payload.clone(),
             deadline_ms,
             checkpoint: job.phases[phase.phase].tasks[attempt.index].checkpoint.clone(),
-            ticket: attempt.ticket.clone(),
+            ticket,
         }));
     }
 
@@ -157,7 +171,7 @@
             }
             StartRefusal::Stale | StartRefusal::Invalid => {}
         }
-        self.withdraw_attempt(key);
+        self.lose_attempt(key);
     }
 
     /// Stops an attempt that was confirmed after it was no longer wanted.
--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -42,15 +42,10 @@
     pub(crate) resources: ResourceSet,
     pub(crate) team: String,
     pub(crate) state: AttemptState,
-    pub(crate) ticket: String,
     /// It began from a checkpoint.
     pub(crate) is_resumed: bool,
     /// Last report of progress, in percent.
     pub(crate) percent: u32,
-    /// When the percentage last grew.
-    pub(crate) moved_ms: u64,
-    /// The worker lists it as running.
-    pub(crate) is_listed: bool,
     /// Another member of its gang ended, so this one is not to run.
     pub(crate) is_gang_broken: bool,
     /// When a stop may be sent again.
