Let gangs ask for the roomiest workers and all others for the fullest that fit

All steps asked for the roomiest workers, so small tasks spread over all of them and left no room whole. Ruled out: the line's order (the gangs stood first) and the adviser's time (0.45 to 0.7 s a call). Change: gangs ask for the workers with the most room, others for those with the least that fit; the turn goes round the first third. Tests: gangs_ask_for_the_roomiest_workers_and_others_for_the_fullest fails without the change; steps_that_ask_together_name_different_workers failed with the old stride.

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -37,8 +37,11 @@
 const SPARE_FACTOR: f64 = 1.6;
 /// Workers asked about besides.
 const SPARE_WORKERS: usize = 3;
-/// Workers between the first ones that two questions in a row name.
-const SPREAD_STRIDE: usize = 7;
+/// Steps begin with one in so many of the workers with room.
+const NEAR_SHARE: usize = 3;
+/// Workers between the first ones that two questions in a row name; a prime, so that it goes round
+/// lists of any length.
+const SPREAD_STRIDE: usize = 7_919;
 /// Share of the workers that is taken to be allowed before a queue has shown its own.
 const FIRST_SHARE: f64 = 0.4;
 /// Weight of a new answer in a queue's share of allowed workers.
@@ -98,7 +101,9 @@
     }
 
     /// Chooses the workers to name, no more than are likely to be needed: those with room first, of
-    /// these the ones that are known to be allowed. Steps that ask together name different ones.
+    /// these the ones that are known to be allowed. Gangs ask for those with the most room, all
+    /// others for those with the least, so that large room stays whole for gangs. Steps that ask
+    /// together name different ones.
     fn workers_to_ask(
         &self,
         phase: PhaseRef,
@@ -116,13 +121,17 @@
                 && !self.has_ticket(entry, **key)
         };
         let has_room = |key: &WorkerKey| need.fits(&self.workers[*key].room());
-        let (roomy, full): (Vec<WorkerKey>, Vec<WorkerKey>) =
-            open.iter().rev().copied().partition(has_room);
+        let (mut roomy, full): (Vec<WorkerKey>, Vec<WorkerKey>) =
+            open.iter().copied().partition(has_room);
+        if step.is_gang {
+            roomy.reverse();
+        }
+        let (near, far) = roomy.split_at(roomy.len().div_ceil(NEAR_SHARE));
         let turn = usize::try_from(self.totals.asked).unwrap_or(0) * SPREAD_STRIDE;
-        let (last, first) = roomy.split_at(turn.checked_rem(roomy.len()).unwrap_or(0));
+        let (last, first) = near.split_at(turn.checked_rem(near.len()).unwrap_or(0));
         let mut known = Vec::new();
         let mut fresh = Vec::new();
-        for key in first.iter().chain(last).filter(is_wanted) {
+        for key in first.iter().chain(last).chain(far).filter(is_wanted) {
             match entry.allowed.contains_key(key) {
                 true => known.push(*key),
                 false => fresh.push(*key),
@@ -133,7 +142,7 @@
         }
         known.append(&mut fresh);
         if may_go_ahead {
-            known.extend(full.iter().filter(is_wanted).take(MAX_WORKERS));
+            known.extend(full.iter().rev().filter(is_wanted).take(MAX_WORKERS));
         }
         self.trim_to_need(phase, known)
     }
--- a/crates/cell/tests/cell.rs
+++ b/crates/cell/tests/cell.rs
@@ -390,6 +390,27 @@
     assert_ne!(cell.starts[1].2, lost);
 }
 
+/// Large room stays whole for those that need it.
+#[test]
+fn gangs_ask_for_the_roomiest_workers_and_others_for_the_fullest() {
+    let mut cell = FakeCell::new(3);
+    cell.run_ms = 60_000;
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(500);
+    let used = cell.starts[0].2.clone();
+    let timing = AdviceTiming { call_us: 9_000, worker_us: 100, valid_ms: 1_500 };
+    cell.config.queues.get_mut("queue").unwrap().advice = Some(timing);
+    cell.lead();
+    cell.run(500);
+    cell.submit(job("2", vec![step(1)]));
+    cell.run(100);
+    assert_eq!(cell.asks[0].workers[0], used);
+    let gang = StepSpec { is_gang: true, ..step(1) };
+    cell.submit(job("3", vec![gang]));
+    cell.run(100);
+    assert_ne!(cell.asks.last().unwrap().workers[0], used);
+}
+
 /// Tickets for the same few workers would be of no use to the steps that come later.
 #[test]
 fn steps_that_ask_together_name_different_workers() {
