Forget what the adviser said of a worker that has restarted

A ticket counts for one life of its worker, and the next one may be of another kind; a step that had noted a worker as not allowed never asked about it again. Found by reading. Test: a_worker_that_restarts_is_asked_about_anew, which fails without the change.

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -245,6 +245,17 @@
         self.note("advice", name, detail);
     }
 
+    /// Forgets what the adviser said of a worker: tickets count for one incarnation only, and the
+    /// next one may be of another kind.
+    pub(super) fn forget_advice(&mut self, key: WorkerKey) {
+        for job in &self.live {
+            for entry in &mut self.jobs[*job].phases {
+                entry.allowed.remove(&key);
+                entry.denied.remove(&key);
+            }
+        }
+    }
+
     fn release_asker(&mut self, ask: &AskEntry) {
         let now_ms = self.time.now_ms;
         if let Some(asker) = self.askers.iter_mut().find(|asker| asker.id == ask.asker) {
--- a/crates/cell/src/core/holds.rs
+++ b/crates/cell/src/core/holds.rs
@@ -110,6 +110,7 @@
                     let id = worker.report.id.clone();
                     worker.restart(report.incarnation);
                     worker.is_listed = false;
+                    self.forget_advice(key);
                     self.note("worker_restarted", id, format!("born={}", report.incarnation));
                 }
                 self.take_report(key, &report, sent_ms);
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -40,7 +40,9 @@
         if report.incarnation > worker.report.incarnation {
             worker.restart(report.incarnation);
             worker.next_hold_ms = 0;
+            self.forget_advice(key);
         }
+        let worker = &mut self.workers[key];
         worker.is_listed = true;
         worker.report = report;
     }
--- a/crates/cell/tests/cell.rs
+++ b/crates/cell/tests/cell.rs
@@ -390,6 +390,24 @@
     assert_ne!(cell.starts[1].2, lost);
 }
 
+/// Another incarnation may be of another kind, and takes no ticket of the former one.
+#[test]
+fn a_worker_that_restarts_is_asked_about_anew() {
+    let mut cell = FakeCell::new(1);
+    let timing = AdviceTiming { call_us: 9_000, worker_us: 100, valid_ms: 60_000 };
+    cell.config.queues.get_mut("queue").unwrap().advice = Some(timing);
+    cell.allowed.insert("none".to_owned());
+    cell.lead();
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(500);
+    assert_eq!(cell.asks.len(), 1, "a worker that may not is not asked about again");
+    cell.allowed.clear();
+    cell.workers.get_mut("w0").unwrap().report.incarnation += 1;
+    cell.list_workers();
+    cell.run(2_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+}
+
 /// Large room stays whole for those that need it.
 #[test]
 fn gangs_ask_for_the_roomiest_workers_and_others_for_the_fullest() {
