--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -7,7 +7,7 @@
 
 use {
     crate::{
-        CellStore, PlatformCodec, StoreFault, StoreItem, WorkerGateway, boot_ms,
+        CellStore, PlatformCodec, StoreItem, WorkerGateway, boot_ms,
         follow::{FollowPace, ItemSink, LONG_PAGE_MS, follow_from, follow_prefix, read_all},
         frame::{AskFrame, EntryBody, HelloFrame, LeaderBody, PressureFrame},
         guard::GuardWriter,
@@ -15,8 +15,10 @@
         job_sink::JobSink,
         lane_writer::LaneWriter,
         leader_event::{LeaderEvent, send_input},
+        lease_keeper::LeaseKeeper,
         proof::LeadProof,
-        rows::{JOB_PREFIX, KnownLeader, PROGRESS_PREFIX},
+        rows::{JOB_PREFIX, PROGRESS_PREFIX},
+        succession::{LeadSigns, choose_strong, prefer_stronger},
         unix_ms,
         worker_sink::WorkerSink,
     },
@@ -33,7 +35,7 @@
     tokio::{
         sync::{mpsc, watch},
         task::JoinSet,
-        time::{Instant, sleep, sleep_until, timeout},
+        time::{Instant, sleep, sleep_until},
     },
 };
 
@@ -41,10 +43,6 @@
 pub(crate) const LEASE_TTL_MS: u64 = 1_200;
 /// Time after the end of its lease for which a leader goes on without the store, in milliseconds.
 pub(crate) const ISOLATION_MS: u64 = 4_000;
-/// Time between two renewals of the lease, in milliseconds.
-const KEEP_INTERVAL_MS: u64 = 350;
-/// Longest time for a renewal of the lease, in milliseconds.
-const KEEP_LIMIT_MS: u64 = 600;
 /// Time without a sign of the store after which daemons no longer leave writes to the leader, in
 /// milliseconds.
 const STORE_SILENT_MS: u64 = 1_200;
@@ -55,12 +53,6 @@
 const STORE_ANSWERS: u64 = 3;
 /// Time between two such requests, in milliseconds.
 const RESIGN_RETRY_MS: u64 = 400;
-/// How many times as strong another daemon's host must be for the leader to ask it to take over.
-const STRONGER_FACTOR: u32 = 2;
-/// Time for daemons to connect before the leader looks for a stronger one, in milliseconds.
-const SETTLE_MS: u64 = 500;
-/// Time between two looks for a stronger one, in milliseconds.
-const STRENGTH_CHECK_MS: u64 = 1_000;
 /// Rest of the core after a tick, in percent of the time that the tick took, so that a long line
 /// leaves time for answers, for renewals of leases and for the leader's own lease.
 const REST_PERCENT: u64 = 100;
@@ -97,27 +89,6 @@
     pub(crate) logger: Logger,
 }
 
-/// What tells a leader that its time is over.
-pub(crate) struct LeadSigns {
-    /// Who leads, as the store says.
-    pub(crate) leader: watch::Receiver<Option<KnownLeader>>,
-    /// The daemon is to leave.
-    pub(crate) stop: watch::Receiver<bool>,
-}
-
-impl LeadSigns {
-    /// Waits until the daemon is to leave or a later term has begun.
-    async fn end(&mut self, term: u64) {
-        let later =
-            |known: &Option<KnownLeader>| known.as_ref().is_some_and(|known| known.row.term > term);
-        // Either channel closes only when the daemon ends.
-        tokio::select! {
-            _ = self.leader.wait_for(later) => {}
-            _ = self.stop.wait_for(|stop| *stop) => {}
-        }
-    }
-}
-
 struct LeaderRun {
     parts: LeaderParts,
     core: CellCore,
@@ -161,8 +132,10 @@
     let mut sessions = parts.hub.open();
     let (renewals, renewal_inbox) = mpsc::channel(WRITER_QUEUE);
     run.start_writers(guards, renewal_inbox);
-    run.tasks.spawn(keep_lease(parts.clone(), lease, renewals, proof));
-    run.tasks.spawn(prefer_stronger(parts.clone(), run.token, strength));
+    let keeper = LeaseKeeper { store: parts.store.clone(), proof, logger: parts.logger.clone() };
+    run.tasks.spawn(keeper.run(lease, renewals));
+    let (hub, logger) = (parts.hub.clone(), parts.logger.clone());
+    run.tasks.spawn(prefer_stronger(hub, run.token, strength, logger));
     let term = run.token;
     tokio::select! {
         () = run.load_and_work(&mut inbox, &mut sessions) => {}
@@ -507,54 +480,3 @@
     let rest_ms = u64::try_from(spent.as_millis()).unwrap_or(MAX_REST_MS) * REST_PERCENT / 100;
     rest_ms.min(MAX_REST_MS)
 }
-
-/// Asks a much stronger daemon to take over, if there is one. A weak host reads the state slowly and
-/// falls behind under load.
-async fn prefer_stronger(parts: LeaderParts, term: u64, strength: u32) {
-    sleep(Duration::from_millis(SETTLE_MS)).await;
-    loop {
-        let mut stronger = parts.hub.daemons();
-        stronger.retain(|hello| hello.strength >= strength.saturating_mul(STRONGER_FACTOR));
-        if let Some(chosen) = choose_strong(&stronger) {
-            info!(parts.logger, "resigning_to_stronger"; "term" => term, "to" => chosen);
-            parts.hub.send_to_daemon(chosen, &LeaderBody::Resign(term));
-        }
-        sleep(Duration::from_millis(STRENGTH_CHECK_MS)).await;
-    }
-}
-
-/// Chooses one of the strongest daemons.
-fn choose_strong(daemons: &[HelloFrame]) -> Option<u64> {
-    let most = daemons.iter().map(|hello| hello.strength).max()?;
-    let strong: Vec<&HelloFrame> = daemons.iter().filter(|hello| hello.strength == most).collect();
-    Some(strong[rand::random_range(0..strong.len())].daemon)
-}
-
-/// Keeps the lease, and asks for the leader's row to be written anew once it has ended.
-async fn keep_lease(
-    parts: LeaderParts,
-    mut lease: u64,
-    renewals: mpsc::Sender<u64>,
-    proof: Arc<LeadProof>,
-) {
-    loop {
-        sleep(Duration::from_millis(KEEP_INTERVAL_MS)).await;
-        let asked_ms = boot_ms();
-        let limit = Duration::from_millis(KEEP_LIMIT_MS);
-        let kept = timeout(limit, parts.store.keep(lease)).await;
-        match kept.unwrap_or(Err(StoreFault::Unknown)) {
-            Ok(true) => proof.note_proof(asked_ms),
-            Ok(false) => {
-                info!(parts.logger, "lease_ended"; "lease" => lease);
-                if let Ok(granted) = parts.store.grant(LEASE_TTL_MS).await {
-                    lease = granted;
-                    let _ = renewals.send(lease).await;
-                }
-            }
-            Err(fault) => {
-                proof.note_fault();
-                warn!(parts.logger, "lease_not_kept"; "fault" => ?fault);
-            }
-        }
-    }
-}
--- a/crates/cellnode/src/lib.rs
+++ b/crates/cellnode/src/lib.rs
@@ -11,11 +11,13 @@
 mod lane_writer;
 mod leader;
 mod leader_event;
+mod lease_keeper;
 mod link;
 mod node;
 mod outside;
 mod proof;
 mod rows;
+mod succession;
 mod worker_sink;
 
 pub use {
