Explain a job from daemons' logs in one command

damaskrack explain ID LOG... puts together the job's lines, those of the workers it was sent to and those about the leader and the store, and names the longest gap with what it was most likely spent on. Tests: crates/cli/tests/cli/explain.rs.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -88,6 +88,8 @@
     Job(JobArgs),
     /// Cancels a job.
     Cancel(CancelArgs),
+    /// Tells from daemons' logs what happened to a job.
+    Explain(ExplainArgs),
     /// Dumps the state of a daemon.
     State,
     /// Prints a completion script for a shell.
@@ -208,6 +210,16 @@
     pub(crate) wait: bool,
 }
 
+/// A job to explain.
+#[derive(Debug, Args)]
+pub(crate) struct ExplainArgs {
+    /// The job, as its caller named it.
+    pub(crate) job: String,
+    /// Logs of daemons in any order, the more the better; `-` reads standard input.
+    #[arg(required = true)]
+    pub(crate) logs: Vec<PathBuf>,
+}
+
 /// A job to cancel.
 #[derive(Debug, Args)]
 pub(crate) struct CancelArgs {
--- /dev/null
+++ b/crates/cli/src/commands/explain.rs
@@ -0,0 +1,76 @@
+//! `damaskrack explain`: what happened to a job, from logs.
+
+use {
+    crate::{
+        ExitStatus,
+        args::ExplainArgs,
+        context::{CommandContext, read_file},
+        failure::CliFailure,
+        job_story::JobStory,
+        log_line::LogLine,
+        table::TextTable,
+    },
+    serde::Serialize,
+    std::fmt::Write,
+};
+
+/// A story as JSON.
+#[derive(Debug, Serialize)]
+struct StoryReport<'a> {
+    job: &'a str,
+    lines: &'a [LogLine],
+    /// Longest time without a line, in milliseconds.
+    longest_gap_ms: i64,
+    /// What it was most likely spent on.
+    likely_cause: &'static str,
+}
+
+pub(crate) fn run(
+    context: &mut CommandContext<'_>,
+    args: &ExplainArgs,
+) -> anyhow::Result<ExitStatus> {
+    let mut lines = Vec::new();
+    for path in &args.logs {
+        lines.extend(read_file(path)?.lines().filter_map(LogLine::parse));
+    }
+    let story = JobStory::of(&args.job, lines);
+    if story.lines.is_empty() {
+        let problem = format!("no line of these logs names job {}", args.job);
+        let advice = "hand in the logs of all daemons, from before the job was handed in";
+        return Err(CliFailure::new(ExitStatus::Refused, problem, advice).into());
+    }
+    let gap = story.longest_gap();
+    let report = StoryReport {
+        job: &args.job,
+        lines: &story.lines,
+        longest_gap_ms: gap.map_or(0, |gap| gap.2),
+        likely_cause: gap.map_or("", |(before, after, _)| JobStory::likely_cause(before, after)),
+    };
+    context.print(&report, || story_text(&story, &report))?;
+    Ok(ExitStatus::Ok)
+}
+
+fn story_text(story: &JobStory, report: &StoryReport<'_>) -> String {
+    let mut table = TextTable::new(&["MS", "HOST", "EVENT", "ABOUT", "REASON"]);
+    let start_us = story.lines[0].time_us();
+    for line in &story.lines {
+        let name = if line.job.is_empty() { &line.subject } else { &line.job };
+        table.push_row(vec![
+            ((line.time_us() - start_us) / 1_000).to_string(),
+            line.host.clone(),
+            line.event.clone(),
+            name.clone(),
+            line.reason(),
+        ]);
+    }
+    let mut text = table.to_string();
+    if let Some((before, after, ms)) = story.longest_gap() {
+        // Writing to a string cannot fail.
+        let _ = writeln!(
+            text,
+            "\nlongest gap: {ms} ms between {} and {}: {}",
+            before.event, after.event, report.likely_cause
+        );
+    }
+    text
+}
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod cancel;
 mod completions;
+mod explain;
 mod job;
 mod key_new;
 mod local;
@@ -31,6 +32,7 @@
         CliCommand::Submit(args) => submit::run(context, &args).await,
         CliCommand::Job(args) => job::run(context, &args).await,
         CliCommand::Cancel(args) => cancel::run(context, &args).await,
+        CliCommand::Explain(args) => explain::run(context, &args),
         CliCommand::State => state::run(context).await,
         CliCommand::Completions { shell } => completions::run(context, shell),
     }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -12,6 +12,8 @@
 mod context;
 mod exit;
 mod failure;
+mod job_story;
+mod log_line;
 mod progress;
 mod table;
 mod work;
--- /dev/null
+++ b/crates/cli/tests/cli/explain.rs
@@ -0,0 +1,58 @@
+//! `damaskrack explain` on logs of several daemons.
+
+use {crate::support::run_tool, std::fs};
+
+const ENTRY_LOG: &str = r#"
+ 12.952 edge-a {"msg":"submit","level":"INFO","ts":"2026-01-31T23:59:59.952Z","host":"edge-a","result":"Ok(())","took_ms":21,"job":"844365503ea47f00"}
+{"msg":"submit","level":"INFO","ts":"2026-01-31T23:59:59.960Z","host":"edge-a","result":"Ok(())","job":"0000000000000000"}
+not a line of a daemon
+"#;
+
+const LEADER_LOG: &str = r#"
+{"msg":"start_unanswered","level":"INFO","ts":"2026-02-01T00:00:00.344Z","host":"edge-b","detail":"attempt=1 worker=i-a7 ","subject":"844365503ea47f00.0.0.1"}
+{"msg":"worker_silent","level":"INFO","ts":"2026-02-01T00:00:00.400Z","host":"edge-b","detail":"waited_ms=300","subject":"i-a7"}
+{"msg":"worker_silent","level":"INFO","ts":"2026-02-01T00:00:00.401Z","host":"edge-b","detail":"waited_ms=300","subject":"i-other"}
+{"msg":"job_taken","level":"INFO","ts":"2026-01-31T23:59:59.940Z","host":"edge-b","detail":"queue=q team=t steps=1","subject":"844365503ea47f00"}
+{"msg":"phase_placed","level":"INFO","ts":"2026-02-01T00:00:04.803Z","host":"edge-b","detail":"tasks=4","subject":"844365503ea47f00.0.0"}
+{"msg":"job_ended","level":"INFO","ts":"2026-02-01T00:00:07.851Z","host":"edge-b","detail":"state=Completed reason=every task is done","subject":"844365503ea47f00"}
+{"msg":"leading_ended","level":"INFO","ts":"2026-02-01T00:00:09.000Z","host":"edge-b","term":1}
+"#;
+
+fn explain(args: &[&str]) -> (Option<i32>, String) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let paths = ["entry.log", "leader.log"].map(|name| folder.path().join(name));
+    fs::write(&paths[0], ENTRY_LOG).expect("a log");
+    fs::write(&paths[1], LEADER_LOG).expect("a log");
+    let paths = paths.each_ref().map(|path| path.to_str().expect("a path"));
+    let run = run_tool(&[&["explain"], args, &paths[..]].concat(), &[]);
+    (run.code, run.stdout)
+}
+
+#[test]
+fn a_jobs_story_has_its_lines_its_workers_and_the_longest_gap() {
+    let (code, text) = explain(&["844365503ea47f00"]);
+    assert_eq!(code, Some(0));
+    let events = ["job_taken", "submit", "start_unanswered", "worker_silent", "phase_placed"];
+    let places: Vec<_> = events.iter().map(|event| text.find(event)).collect();
+    assert!(places.iter().all(Option::is_some) && places.is_sorted(), "{text}");
+    let cause = "4403 ms between worker_silent and phase_placed: a worker was silent";
+    assert!(text.contains(cause), "{text}");
+    for other in ["i-other", "0000000000000000", "leading_ended"] {
+        assert!(!text.contains(other), "{other}: {text}");
+    }
+}
+
+#[test]
+fn a_story_is_machine_readable_on_request() {
+    let (code, text) = explain(&["844365503ea47f00", "--output", "json"]);
+    assert_eq!(code, Some(0));
+    let story: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!(story["lines"].as_array().map(Vec::len), Some(6));
+    assert_eq!(story["longest_gap_ms"], 4_403);
+}
+
+#[test]
+fn a_job_that_no_log_names_is_said_so() {
+    let (code, _) = explain(&["ffffffffffffffff"]);
+    assert_eq!(code, Some(1));
+}
--- a/crates/cli/tests/cli/usage.rs
+++ b/crates/cli/tests/cli/usage.rs
@@ -6,7 +6,9 @@
 fn help_lists_commands_and_exit_codes() {
     let run = run_tool(&["--help"], &[]);
     assert_eq!(run.code, Some(0));
-    for word in ["local", "manifest", "key", "submit", "job", "cancel", "state", "completions"] {
+    for word in
+        ["local", "manifest", "key", "submit", "job", "cancel", "explain", "state", "completions"]
+    {
         assert!(run.stdout.contains(word), "{word}");
     }
     assert!(run.stdout.contains("5  no daemon could be reached"));
