Take out what nothing reads, and work repeated for one figure

A question for a queue's pending jobs walked every step of every live job and all workers; it counts that queue's jobs now. The leader reported waiting work and capacity to every daemon 2.5 times a second and no daemon read them; the totals of starts and ends were counted and never read; the refusal for overload was never given. LeaderParts copied the list of outside systems; it holds it now. explain names what a line is about in one place. No change of behaviour.

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -127,7 +127,7 @@
             roomy.reverse();
         }
         let (near, far) = roomy.split_at(roomy.len().div_ceil(NEAR_SHARE));
-        let turn = usize::try_from(self.totals.asked).unwrap_or(0) * SPREAD_STRIDE;
+        let turn = self.asked * SPREAD_STRIDE;
         let (last, first) = near.split_at(turn.checked_rem(near.len()).unwrap_or(0));
         let mut known = Vec::new();
         let mut fresh = Vec::new();
@@ -204,7 +204,7 @@
         let phase = job.phase_name(phase.phase);
         let order = AskOrder { ask, asker, phase, workers: ids, expected_ms };
         self.actions.push(CellAction::Ask(order));
-        self.totals.asked += 1;
+        self.asked += 1;
     }
 
     pub(super) fn finish_ask(&mut self, key: AskKey, allowed: Option<Vec<WorkerTicket>>) {
--- a/crates/cell/src/core/intake.rs
+++ b/crates/cell/src/core/intake.rs
@@ -161,7 +161,6 @@
         self.live.retain(|live| *live != key);
         self.ended.push_back(key);
         self.touch(key, None);
-        self.totals.count_end(state);
         self.note("job_ended", id, format!("state={state:?} reason={why}"));
         if state != JobState::Completed {
             self.stop_job(key);
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -14,12 +14,10 @@
 mod open;
 mod orders;
 mod pace;
+mod pending;
 mod place;
-mod pressure;
 mod workers;
 
-pub use pressure::{CellPressure, CellTotals};
-
 use {
     crate::{
         AskKey, AttemptKey, CellAction, CellConfig, CellInput, CellNote, CellSettings, JobKey,
@@ -76,7 +74,8 @@
     is_placing_due: bool,
     last_place_ms: u64,
     started_ms: u64,
-    totals: CellTotals,
+    /// Calls to the adviser so far.
+    asked: usize,
 }
 
 impl CellCore {
@@ -109,7 +108,7 @@
             is_placing_due: false,
             last_place_ms: 0,
             started_ms: 0,
-            totals: CellTotals::default(),
+            asked: 0,
         }
     }
 
--- a/crates/cell/src/core/orders.rs
+++ b/crates/cell/src/core/orders.rs
@@ -132,7 +132,6 @@
                 worker.doubts = 0;
                 if attempt.state == AttemptState::Sent {
                     attempt.state = AttemptState::Running { since_ms: now_ms };
-                    self.totals.started += 1;
                     self.stop_if_unwanted(key);
                 }
             }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use {
     config::{CellConfig, QueueConfig, TeamConfig},
-    core::{CellCore, CellPressure, CellTotals},
+    core::CellCore,
     keys::{AskKey, AttemptKey, JobKey, WorkerKey},
     message::{
         AskOrder, COMMIT_LANES, CellAction, CellInput, CellNote, CommitOrder, EndKind,
--- a/crates/cellnode/src/entry.rs
+++ b/crates/cellnode/src/entry.rs
@@ -56,11 +56,6 @@
     Unavailable,
     /// There is no answer from the store; the call may have taken effect.
     Unknown,
-    /// The cell could not do the job in time; come back after so many seconds. Nothing was done.
-    Overloaded {
-        /// Seconds to wait.
-        retry_after_s: u64,
-    },
 }
 
 /// A caller's right to use a queue.
@@ -168,9 +163,9 @@
     async fn hand_in(&self, job: JobRecord, limit_ms: u64) -> Result<(), EntryRefusal> {
         let until_ms = boot_ms() + limit_ms.min(WRITE_LIMIT_MS);
         let mut may_be_written = false;
-        let pressure = self.link.pressure();
-        let allowance_ms = STORE_ANSWERS * pressure.store_answer_ms;
-        if self.link.is_connected() && !pressure.is_store_silent {
+        let report = self.link.report();
+        let allowance_ms = STORE_ANSWERS * report.store_answer_ms;
+        if self.link.is_connected() && !report.is_store_silent {
             may_be_written = true;
             let limit_ms = (SUBMIT_LIMIT_MS + allowance_ms).min(limit_ms);
             let answer = self.link.ask(EntryBody::Submit(job.clone()), limit_ms).await;
--- a/crates/cellnode/src/frame.rs
+++ b/crates/cellnode/src/frame.rs
@@ -94,9 +94,9 @@
     /// Asks the daemon to ask the adviser.
     #[prost(message, tag = "4")]
     Ask(AskFrame),
-    /// How much work waits; also a heartbeat.
+    /// How the leader stands; also a heartbeat.
     #[prost(message, tag = "5")]
-    Pressure(PressureFrame),
+    Report(ReportFrame),
     /// The leader of this term asks the daemon to take over: it cannot reach the store, or the
     /// daemon's host is much stronger.
     #[prost(uint64, tag = "6")]
@@ -120,23 +120,17 @@
     pub(crate) expected_ms: u64,
 }
 
-/// How much work waits.
-#[derive(Clone, PartialEq, prost::Message)]
-pub(crate) struct PressureFrame {
-    /// Work that waits by priority class, in milliseconds of a core.
-    #[prost(uint64, repeated, tag = "1")]
-    pub(crate) waiting_core_ms: Vec<u64>,
-    /// Processor of all workers, in thousandths of a core.
-    #[prost(uint64, tag = "2")]
-    pub(crate) capacity_millis: u64,
+/// How the leader stands with the store, and which strength a leader could have.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub(crate) struct ReportFrame {
     /// The leader has not heard from the store for a while.
-    #[prost(bool, tag = "3")]
+    #[prost(bool, tag = "1")]
     pub(crate) is_store_silent: bool,
     /// How long the store takes to answer the leader, in milliseconds.
-    #[prost(uint64, tag = "4")]
+    #[prost(uint64, tag = "2")]
     pub(crate) store_answer_ms: u64,
     /// Strength of the strongest daemon that is connected.
-    #[prost(uint32, tag = "5")]
+    #[prost(uint32, tag = "3")]
     pub(crate) strongest: u32,
 }
 
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -7,9 +7,9 @@
 
 use {
     crate::{
-        CellStore, PlatformCodec, StoreItem, WorkerGateway, boot_ms,
+        OutsideLinks, StoreItem, WorkerGateway, boot_ms,
         follow::{FollowPace, ItemSink, LONG_PAGE_MS, follow_from, follow_prefix, read_all},
-        frame::{AskFrame, EntryBody, HelloFrame, LeaderBody, PressureFrame},
+        frame::{AskFrame, EntryBody, HelloFrame, LeaderBody, ReportFrame},
         guard::GuardWriter,
         hub::{SessionFrame, SessionHub},
         job_sink::JobSink,
@@ -22,7 +22,7 @@
         unix_ms,
         worker_sink::WorkerSink,
     },
-    cadence::{CountedExt, StatsdClient},
+    cadence::CountedExt,
     damaskrack_cell::{
         AskKey, CellAction, CellConfig, CellCore, CellInput, CellSettings, CommitOrder,
         HoldOutcome, JobRecord, ProgressRecord, StopOrder, WorkerTicket,
@@ -79,12 +79,9 @@
 /// What a leader needs.
 #[derive(Clone)]
 pub(crate) struct LeaderParts {
-    pub(crate) store: Arc<dyn CellStore>,
-    pub(crate) workers: Arc<dyn WorkerGateway>,
-    pub(crate) codec: Arc<dyn PlatformCodec>,
+    pub(crate) outside: OutsideLinks,
     pub(crate) hub: Arc<SessionHub>,
     pub(crate) config: watch::Receiver<Arc<CellConfig>>,
-    pub(crate) metrics: Arc<StatsdClient>,
     pub(crate) settings: CellSettings,
     pub(crate) logger: Logger,
 }
@@ -132,7 +129,8 @@
     let mut sessions = parts.hub.open();
     let (renewals, renewal_inbox) = mpsc::channel(WRITER_QUEUE);
     run.start_writers(guards, renewal_inbox);
-    let keeper = LeaseKeeper { store: parts.store.clone(), proof, logger: parts.logger.clone() };
+    let keeper =
+        LeaseKeeper { store: parts.outside.store.clone(), proof, logger: parts.logger.clone() };
     run.tasks.spawn(keeper.run(lease, renewals));
     let (hub, logger) = (parts.hub.clone(), parts.logger.clone());
     run.tasks.spawn(prefer_stronger(hub, run.token, strength, logger));
@@ -161,7 +159,7 @@
     /// Reads what former leaders left in the store; `false` if this daemon no longer leads.
     async fn load(&mut self) -> bool {
         let began_ms = boot_ms();
-        let codec = self.parts.codec.clone();
+        let codec = self.parts.outside.codec.clone();
         let (workers, workers_read) = self.read_rows(codec.worker_prefix()).await;
         let (jobs, jobs_read) = self.read_rows(JOB_PREFIX).await;
         let (progress, _) = self.read_rows(PROGRESS_PREFIX).await;
@@ -200,7 +198,7 @@
     /// Reads all rows with a prefix, and the revision after which changes must be watched.
     async fn read_rows(&self, prefix: &str) -> (Vec<StoreItem>, u64) {
         loop {
-            match read_all(self.parts.store.as_ref(), prefix, LONG_PAGE_MS).await {
+            match read_all(self.parts.outside.store.as_ref(), prefix, LONG_PAGE_MS).await {
                 Ok(read) => return read,
                 Err(fault) => {
                     warn!(self.parts.logger, "read_failed"; "prefix" => prefix, "fault" => ?fault);
@@ -224,7 +222,7 @@
 
     /// Starts to follow workers and jobs from the revisions at which they were read.
     fn follow(&mut self, (workers, workers_read): (Vec<StoreItem>, u64), jobs_read: u64) {
-        let codec = self.parts.codec.clone();
+        let codec = self.parts.outside.codec.clone();
         let prefix = codec.worker_prefix().to_owned();
         let mut sink = WorkerSink::new(codec, self.events.clone());
         sink.replace(workers);
@@ -243,7 +241,7 @@
         let parts = self.parts.clone();
         let pace = FollowPace { wait_ms: WATCH_WAIT_MS, pause_ms, page_ms: LONG_PAGE_MS };
         self.tasks.spawn(async move {
-            let (store, logger) = (parts.store.as_ref(), &parts.logger);
+            let (store, logger) = (parts.outside.store.as_ref(), &parts.logger);
             follow_from(store, &prefix, pace, revision, &mut sink, logger).await;
             follow_prefix(store, &prefix, pace, &mut sink, logger).await;
         });
@@ -347,15 +345,12 @@
         let daemons = self.parts.hub.daemons();
         let strongest = daemons.iter().map(|hello| hello.strength).max().unwrap_or(0);
         self.note_askers(&daemons);
-        let pressure = self.core.pressure();
-        let frame = PressureFrame {
-            waiting_core_ms: pressure.waiting_core_ms,
-            capacity_millis: pressure.capacity_millis,
+        let report = ReportFrame {
             is_store_silent: self.is_store_silent(),
             store_answer_ms: self.proof.answer_ms(),
             strongest,
         };
-        self.parts.hub.broadcast(&LeaderBody::Pressure(frame));
+        self.parts.hub.broadcast(&LeaderBody::Report(report));
     }
 
     fn note_askers(&mut self, daemons: &[HelloFrame]) {
@@ -380,7 +375,7 @@
                 hub.send(session, frame.call, &LeaderBody::State(state));
             }
             Some(EntryBody::Pending(queue)) => {
-                let count = self.core.pressure().pending.get(&queue).copied().unwrap_or(0);
+                let count = self.core.pending(&queue);
                 hub.send(session, frame.call, &LeaderBody::Pending(count));
             }
             Some(EntryBody::Cancel(id)) => {
@@ -455,7 +450,7 @@
             }
             CellAction::Note(note) => {
                 // The client's own handler reports what it cannot emit.
-                let _ = self.parts.metrics.incr(note.event);
+                let _ = self.parts.outside.metrics.incr(note.event);
                 info!(self.parts.logger, "{}", note.event; "subject" => note.subject,
                     "detail" => note.detail);
             }
@@ -471,7 +466,7 @@
     }
 
     fn gateway(&self) -> (Arc<dyn WorkerGateway>, mpsc::Sender<LeaderEvent>, u64) {
-        (self.parts.workers.clone(), self.events.clone(), self.token)
+        (self.parts.outside.workers.clone(), self.events.clone(), self.token)
     }
 }
 
--- a/crates/cellnode/src/link.rs
+++ b/crates/cellnode/src/link.rs
@@ -5,7 +5,7 @@
         AdviserGateway,
         frame::{
             AdviceFrame, AskFrame, EntryBody, EntryFrame, HelloFrame, LeaderBody, LeaderFrame,
-            PressureFrame, decode, encode, frame_codec,
+            ReportFrame, decode, encode, frame_codec,
         },
         hub::{SessionFrame, SessionHub},
         rows::{KnownLeader, LeaderRow},
@@ -45,7 +45,7 @@
 struct LinkState {
     outgoing: Option<mpsc::Sender<EntryFrame>>,
     calls: FxHashMap<u64, oneshot::Sender<LeaderBody>>,
-    pressure: PressureFrame,
+    report: ReportFrame,
     /// Where to tell that the leader of a term has resigned.
     resigned: Option<mpsc::Sender<u64>>,
 }
@@ -80,9 +80,9 @@
         self.lock().outgoing.is_some()
     }
 
-    /// How much work waits, as the leader said last.
-    pub(crate) fn pressure(&self) -> PressureFrame {
-        self.lock().pressure.clone()
+    /// How the leader stands, as it said last.
+    pub(crate) fn report(&self) -> ReportFrame {
+        self.lock().report
     }
 
     /// Returns where terms come out whose leaders have asked this daemon to take over.
@@ -207,7 +207,7 @@
 
     fn take(self: &Arc<Self>, frame: LeaderFrame) {
         match frame.body {
-            Some(LeaderBody::Pressure(pressure)) => self.lock().pressure = pressure,
+            Some(LeaderBody::Report(report)) => self.lock().report = report,
             Some(LeaderBody::Resign(term)) => {
                 let state = self.lock();
                 // One that is not taken yet stands for all.
--- a/crates/cellnode/src/node.rs
+++ b/crates/cellnode/src/node.rs
@@ -127,16 +127,7 @@
         tokio::spawn(async move { serve_hub(&served, listener, &accept_logger).await });
         let mut settings = config.cell;
         settings.isolation_ms = ISOLATION_MS + LEASE_TTL_MS;
-        let parts = LeaderParts {
-            store: outside.store,
-            workers: outside.workers,
-            codec: outside.codec,
-            hub,
-            config: config_receiver,
-            metrics: outside.metrics,
-            settings,
-            logger,
-        };
+        let parts = LeaderParts { outside, hub, config: config_receiver, settings, logger };
         let address = config.peer_address.to_string();
         let leader = leader_receiver;
         let candidate = Candidate { parts, hello, address, link, leader, resigned, stop: stopped };
@@ -205,7 +196,7 @@
 
     /// Returns how long this daemon leaves a vacancy to stronger ones, in milliseconds.
     fn handicap_ms(&self) -> u64 {
-        let strongest = u64::from(self.link.pressure().strongest);
+        let strongest = u64::from(self.link.report().strongest);
         let missing = strongest.saturating_sub(u64::from(self.hello.strength));
         (CAMPAIGN_DELAY_MS * missing).checked_div(strongest).unwrap_or(0)
     }
@@ -226,15 +217,15 @@
 
     async fn campaign(&self, leader_revision: u64) {
         let parts = &self.parts;
-        let Ok(lease) = parts.store.grant(LEASE_TTL_MS).await else { return };
-        let (store, logger) = (parts.store.clone(), parts.logger.clone());
+        let Ok(lease) = parts.outside.store.grant(LEASE_TTL_MS).await else { return };
+        let (store, logger) = (parts.outside.store.clone(), parts.logger.clone());
         let identity = (self.hello.daemon, self.address.clone());
         let won = GuardWriter::campaign(store, identity, lease, leader_revision, logger).await;
         if let Some(guards) = won {
             let signs = LeadSigns { leader: self.leader.clone(), stop: self.stop.clone() };
             lead(parts.clone(), guards, lease, self.hello.strength, signs).await;
         }
-        if let Err(fault) = parts.store.revoke(lease).await {
+        if let Err(fault) = parts.outside.store.revoke(lease).await {
             info!(parts.logger, "lease_not_revoked"; "fault" => ?fault);
         }
     }
--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -54,12 +54,11 @@
     let mut table = TextTable::new(&["MS", "HOST", "EVENT", "ABOUT", "REASON"]);
     let start_us = story.lines[0].time_us();
     for line in &story.lines {
-        let name = if line.job.is_empty() { &line.subject } else { &line.job };
         table.push_row(vec![
             ((line.time_us() - start_us) / 1_000).to_string(),
             line.host.clone(),
             line.event.clone(),
-            name.clone(),
+            line.about().to_owned(),
             line.reason(),
         ]);
     }
--- a/crates/cli/src/job_story.rs
+++ b/crates/cli/src/job_story.rs
@@ -31,8 +31,7 @@
         let own = |line: &LogLine| line.is_about(job);
         let Some(first) = all.iter().position(own) else { return Self::default() };
         let last = all.iter().rposition(own).unwrap_or(first);
-        let span = all.drain(first..=last);
-        let span: Vec<LogLine> = span.collect();
+        let span = &all[first..=last];
         let workers: BTreeSet<String> = span
             .iter()
             .filter(|line| own(line))
@@ -43,7 +42,7 @@
                 || workers.contains(&line.subject)
                 || CELL_EVENTS.contains(&line.event.as_str())
         };
-        Self { lines: span.into_iter().filter(belongs).collect() }
+        Self { lines: span.iter().filter(|line| belongs(line)).cloned().collect() }
     }
 
     /// Returns the two lines around the longest time in which nothing was logged, and that time in
--- a/crates/cli/src/log_line.rs
+++ b/crates/cli/src/log_line.rs
@@ -38,10 +38,14 @@
         DateTime::parse_from_rfc3339(&self.ts).map_or(0, |time| time.timestamp_micros())
     }
 
+    /// Returns what it is about.
+    pub(crate) fn about(&self) -> &str {
+        if self.job.is_empty() { &self.subject } else { &self.job }
+    }
+
     /// Tells whether it is about a job or a part of it.
     pub(crate) fn is_about(&self, job: &str) -> bool {
-        let name = if self.job.is_empty() { &self.subject } else { &self.job };
-        name.split('.').next() == Some(job)
+        self.about().split('.').next() == Some(job)
     }
 
     /// Why it came to that, as far as the line says.
