--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -7,7 +7,7 @@
         stream::{CallerStream, WaitFlag},
     },
     bytes::Bytes,
-    damaskrack_listen::accept_until,
+    damaskrack_listen::{accept_until, serve_until},
     damaskrack_model::{AnswerReason, WorkAnswer},
     gotham::{helpers::http::Body, router::Router, service::call_handler, state::State},
     http::{HeaderValue, Request, Response, header::CONNECTION},
@@ -18,7 +18,7 @@
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
         task::JoinSet,
-        time::{sleep, timeout},
+        time::timeout,
     },
     tokio_util::sync::CancellationToken,
 };
@@ -91,19 +91,7 @@
             .timer(TokioTimer::new())
             .header_read_timeout(self.bounds.header_timeout)
             .serve_connection(stream, service);
-        let mut connection = std::pin::pin!(connection);
-        // A connection that fails concerns its caller only.
-        tokio::select! {
-            _ = connection.as_mut() => return,
-            () = self.stop.cancelled() => {}
-        }
-        // A request may be on its way on a connection that looks idle; its answer ends it.
-        tokio::select! {
-            _ = connection.as_mut() => return,
-            () = sleep(Duration::from_millis(CLOSE_GRACE_MS)) => {}
-        }
-        connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
+        serve_until(connection, &self.stop, Duration::from_millis(CLOSE_GRACE_MS)).await;
     }
 
     async fn handle(
