Send full commits without waiting for the ones before

One commit of at most 30 rows left every 20 ms, and a further one only 40 ms after the last that had no answer: some 1,400 rows a second, while the burst made about 2,000.

Change: while jobs in line fill a commit it leaves at once on a free lane, at half the store's rate of writes, which is a setting now (store_writes_per_s). Commits that are not full keep their pace.

--- a/crates/cell/src/core/commit.rs
+++ b/crates/cell/src/core/commit.rs
@@ -3,7 +3,7 @@
 use {
     super::CellCore,
     crate::{
-        COMMIT_LANES, CellAction, CommitOrder, JobKey, JobState, ProgressRecord,
+        COMMIT_LANES, CellAction, CellSettings, CommitOrder, JobKey, JobState, ProgressRecord,
         table::{AcceptedChange, AcceptedRow, AfterCommit, JobEntry},
     },
     rustc_hash::FxHashSet,
@@ -15,6 +15,8 @@
 /// Rows of a job: what was accepted and how it went.
 const ROWS_PER_JOB: usize = 2;
 
+/// Jobs in line that fill a commit.
+const FULL_COMMIT_JOBS: usize = MAX_ROWS / ROWS_PER_JOB;
 /// Time after which a commit on the way counts as slow and the next one need not wait for it, in
 /// milliseconds.
 const SLOW_COMMIT_MS: u64 = 40;
@@ -30,20 +32,22 @@
     sent_ms: Option<u64>,
 }
 
-/// Jobs that wait for a commit, and the commits on the way. While the store answers quickly, one lane
-/// carries everything in few large commits; further ones are for a store that is slow.
+/// Jobs that wait for a commit, and the commits on the way. While the store answers quickly and a commit
+/// holds all that waits, one lane carries everything in few calls. Further ones are for a store that is
+/// slow, and for bursts: workers stand idle while what they are to run waits to be durable.
 #[derive(Debug)]
 pub(super) struct CommitLine {
     dirty: VecDeque<JobKey>,
     expired: VecDeque<JobKey>,
     lanes: [CommitLane; COMMIT_LANES],
-    next_ms: u64,
+    /// When the last commit was looked for.
+    last_ms: u64,
 }
 
 impl Default for CommitLine {
     fn default() -> Self {
         let lanes = std::array::from_fn(|_| CommitLane::default());
-        Self { dirty: VecDeque::new(), expired: VecDeque::new(), lanes, next_ms: 0 }
+        Self { dirty: VecDeque::new(), expired: VecDeque::new(), lanes, last_ms: 0 }
     }
 }
 
@@ -54,11 +58,14 @@
     }
 
     /// Returns the lane for the next commit and when it may be sent.
-    fn next_lane(&self) -> Option<(usize, u64)> {
+    fn next_lane(&self, settings: &CellSettings) -> Option<(usize, u64)> {
         let free = self.lanes.iter().position(|lane| lane.sent_ms.is_none())?;
+        if self.dirty.len() >= FULL_COMMIT_JOBS {
+            return Some((free, self.last_ms + settings.full_commit_interval_ms()));
+        }
         let latest_ms = self.lanes.iter().filter_map(|lane| lane.sent_ms).max();
         let slow_ms = latest_ms.map_or(0, |sent_ms| sent_ms + SLOW_COMMIT_MS);
-        Some((free, self.next_ms.max(slow_ms)))
+        Some((free, slow_ms.max(self.last_ms + settings.commit_interval_ms)))
     }
 }
 
@@ -80,7 +87,7 @@
 
     pub(super) fn next_commit_ms(&self) -> u64 {
         let line = &self.commits;
-        match line.next_lane() {
+        match line.next_lane(&self.settings) {
             Some((_, due_ms)) if !(line.dirty.is_empty() && line.expired.is_empty()) => due_ms,
             _ => u64::MAX,
         }
@@ -88,8 +95,8 @@
 
     pub(super) fn start_commit(&mut self) {
         self.expire_jobs();
-        let Some((lane, _)) = self.commits.next_lane() else { return };
-        if self.next_commit_ms() > self.time.now_ms {
+        let Some((lane, due_ms)) = self.commits.next_lane(&self.settings) else { return };
+        if due_ms > self.time.now_ms {
             return;
         }
         let mut order = CommitOrder { lane, ..CommitOrder::default() };
@@ -103,7 +110,7 @@
         {
             self.carry_removal(key, &mut order);
         }
-        self.commits.next_ms = self.time.now_ms + self.settings.commit_interval_ms;
+        self.commits.last_ms = self.time.now_ms;
         if row_count(&order) == 0 && self.commits.lanes[lane].waiting.is_empty() {
             return;
         }
--- a/crates/cell/tests/cell.rs
+++ b/crates/cell/tests/cell/failures.rs
@@ -1,15 +1,13 @@
-//! The scheduler core against fake workers: a calm job, and each failure that was met.
-
-mod support;
+//! A calm job, and each failure that was met.
 
 use {
+    crate::support::{FakeCell, job, step},
     damaskrack_cell::{
         AdviceTiming, CellInput, EndKind, EndedAttempt, HoldOutcome, HoldReport, JobState,
         ResourceSet, StartOutcome, StartRefusal, StepSpec, TeamConfig,
     },
     quickcheck::quickcheck,
     std::collections::BTreeSet,
-    support::{FakeCell, job, step},
 };
 
 #[test]
