--- a/crates/cell/src/core/intake.rs
+++ b/crates/cell/src/core/intake.rs
@@ -1,7 +1,7 @@
 //! Jobs that arrive, are restored from the store, or are cancelled.
 
 use {
-    super::CellCore,
+    super::{CellCore, load::TakeStep},
     crate::{
         CellAction, JobKey, JobRecord, JobState, PhaseProgress, ProgressRecord, TaskProgress,
         message::PhaseRef,
@@ -10,18 +10,26 @@
 };
 
 impl CellCore {
-    /// Takes in a job that is to be made durable. It may be placed at once: the commit that
-    /// carries its first attempts carries the job too, or comes after it.
+    /// Takes in a job that is to be made durable, unless it could not be served in time. It may be
+    /// placed at once: the commit that carries its first attempts carries the job too, or comes after
+    /// it.
     pub(super) fn submit(&mut self, record: JobRecord, reply: u64) {
-        let key = match self.job_ids.get(&record.id) {
-            Some(&key) => key,
-            None => {
+        if let Some(&key) = self.job_ids.get(&record.id) {
+            return self.touch(key, Some(AfterCommit::Reply(reply)));
+        }
+        match self.judge_load(&record) {
+            TakeStep::Take => {
                 let key = self.take_in(record);
                 self.jobs[key].accepted_row = AcceptedRow::Missing;
-                key
+                self.touch(key, Some(AfterCommit::Reply(reply)));
             }
-        };
-        self.touch(key, Some(AfterCommit::Reply(reply)));
+            TakeStep::Refuse { retry_ms } => {
+                let detail =
+                    format!("queue={} team={} retry_ms={retry_ms}", record.queue, record.team);
+                self.note("job_refused", record.id, detail);
+                self.actions.push(CellAction::Refuse { reply, retry_ms });
+            }
+        }
     }
 
     pub(super) fn accept(&mut self, record: JobRecord) {
--- a/crates/cell/src/core/line.rs
+++ b/crates/cell/src/core/line.rs
@@ -4,7 +4,10 @@
 //! its latency objective comes first, so a burst of one kind does not push others behind their
 //! objectives. Jobs that are hopelessly late come after those that can still be in time.
 
-use {super::CellCore, crate::message::PhaseRef};
+use {
+    super::CellCore,
+    crate::{JobRecord, message::PhaseRef, table::JobEntry},
+};
 
 /// Least time between two looks at the line, in milliseconds.
 pub(super) const PLACE_PAUSE_MS: u64 = 4;
@@ -39,38 +42,57 @@
         line.into_iter().map(|(_, phase)| phase).collect()
     }
 
-    fn line_place(&self, job: &crate::table::JobEntry) -> LinePlace {
-        let queue = self.config.queues.get(&job.record.queue);
-        let priority = queue.map_or(0, |queue| queue.priority);
-        let slack = queue.map_or(1.0, |queue| queue.slack_factor.max(1.0));
-        let chain_ms = longest_chain_ms(job);
-        let objective_ms = slack * chain_ms + queue.map_or(0.0, |q| q.latency_objective_ms as f64);
-        let arrived_ms = job.record.accepted_ms.max(job.due_ms(job.begun.saturating_sub(1))) as f64;
-        let now_ms = self.time.wall_ms as f64;
-        let in_time_ms = arrived_ms + objective_ms;
-        let late_ms = arrived_ms + LATE_FACTOR * objective_ms;
+    fn line_place(&self, job: &JobEntry) -> LinePlace {
+        let (in_time_ms, late_ms) = self.due_times(job);
         let left_ms = remaining_chain_ms(job);
-        let (lateness, end_ms) = match now_ms + left_ms {
+        let (lateness, end_ms) = match self.time.wall_ms as f64 + left_ms {
             end if end <= in_time_ms => (0, in_time_ms),
             end if end <= late_ms => (1, late_ms),
             _ => (2, late_ms),
         };
-        LinePlace { priority, lateness, due_ms: end_ms - left_ms }
+        LinePlace { priority: self.priority_of(job), lateness, due_ms: end_ms - left_ms }
+    }
+
+    /// When a job should have ended, and after when nobody needs it, in Unix milliseconds.
+    fn due_times(&self, job: &JobEntry) -> (f64, f64) {
+        let objective_ms = self.objective_ms(&job.record);
+        let due_ms = job.due_ms(job.begun.saturating_sub(1));
+        let arrived_ms = job.record.accepted_ms.max(due_ms) as f64;
+        (arrived_ms + objective_ms, arrived_ms + LATE_FACTOR * objective_ms)
+    }
+
+    pub(super) fn priority_of(&self, job: &JobEntry) -> u32 {
+        self.config.queues.get(&job.record.queue).map_or(0, |queue| queue.priority)
     }
-}
 
-fn longest_chain_ms(job: &crate::table::JobEntry) -> f64 {
-    chain_ms(job, |_| true)
+    /// Tells whether a job would be too late even if all that is left of it started now.
+    pub(super) fn is_hopeless(&self, job: &JobEntry) -> bool {
+        self.time.wall_ms as f64 + remaining_chain_ms(job) > self.due_times(job).1
+    }
+
+    /// Longest time that a job may wait before it starts and still be worth something, in
+    /// milliseconds.
+    pub(super) fn patience_ms(&self, record: &JobRecord) -> f64 {
+        LATE_FACTOR * self.objective_ms(record) - chain_ms(record, |_| true)
+    }
+
+    /// Time within which a job should end, in milliseconds.
+    fn objective_ms(&self, record: &JobRecord) -> f64 {
+        let queue = self.config.queues.get(&record.queue);
+        let slack = queue.map_or(1.0, |queue| queue.slack_factor.max(1.0));
+        slack * chain_ms(record, |_| true)
+            + queue.map_or(0.0, |queue| queue.latency_objective_ms as f64)
+    }
 }
 
-fn remaining_chain_ms(job: &crate::table::JobEntry) -> f64 {
-    chain_ms(job, |step| job.phases.get(step).is_none_or(|phase| phase.open > 0))
+fn remaining_chain_ms(job: &JobEntry) -> f64 {
+    chain_ms(&job.record, |step| job.phases.get(step).is_none_or(|phase| phase.open > 0))
 }
 
 /// Longest chain of the estimates of the steps that count.
-fn chain_ms(job: &crate::table::JobEntry, counts: impl Fn(usize) -> bool) -> f64 {
-    let mut ends: Vec<u64> = Vec::with_capacity(job.record.steps.len());
-    for (index, step) in job.record.steps.iter().enumerate() {
+fn chain_ms(record: &JobRecord, counts: impl Fn(usize) -> bool) -> f64 {
+    let mut ends: Vec<u64> = Vec::with_capacity(record.steps.len());
+    for (index, step) in record.steps.iter().enumerate() {
         let own = if counts(index) { step.estimate_ms } else { 0 };
         let start = step.after.iter().filter_map(|after| ends.get(*after as usize)).max();
         ends.push(start.copied().unwrap_or(0) + own);
--- /dev/null
+++ b/crates/cell/src/core/load.rs
@@ -0,0 +1,169 @@
+//! Refusal of jobs that could not be served in time.
+//!
+//! In an overload the line grows until every job in it is late. A job that would have to wait until
+//! nobody needs its result any more is refused at once, with a time after which there should be room:
+//! its caller learns of it while it can still act, and its tasks take no room from jobs that can be in
+//! time. What a team asks for beyond its limit waits for its own room only, so it counts against others
+//! no further than that limit reaches.
+
+use {
+    super::CellCore,
+    crate::{JobRecord, ResourceSet},
+    rustc_hash::{FxHashMap, FxHasher},
+    std::{
+        collections::BTreeMap,
+        hash::{Hash, Hasher},
+    },
+};
+
+/// Time for which a measurement of the line is used, in milliseconds.
+const MEASURE_INTERVAL_MS: u64 = 50;
+/// Range of the time after which a refused caller is asked to come back, in milliseconds.
+const RETRY_RANGE_MS: (f64, f64) = (1_000.0, 30_000.0);
+/// Callers come back within this part of the time they were told, so that they do not come at once.
+const RETRY_SPREAD: f64 = 0.5;
+
+/// Whether a job is taken.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) enum TakeStep {
+    Take,
+    /// It would wait for too long.
+    Refuse {
+        /// When its caller should come back, in milliseconds.
+        retry_ms: u64,
+    },
+}
+
+/// Work: an amount of processor and memory, each times the time for which it is taken.
+#[derive(Debug, Clone, Copy, Default)]
+struct WorkAmount {
+    /// Thousandths of a core times milliseconds.
+    cpu: f64,
+    /// Mebibytes times milliseconds.
+    memory: f64,
+}
+
+impl WorkAmount {
+    /// What an amount of resources does in some time.
+    fn of(resources: &ResourceSet, ms: f64) -> Self {
+        Self { cpu: resources.cpu_millis as f64 * ms, memory: resources.memory_mb as f64 * ms }
+    }
+
+    /// What a limit, whose zeros stand for "no limit", lets a team do in some time.
+    fn within(limit: &ResourceSet, ms: f64) -> Self {
+        let bound = |amount: u64| if amount == 0 { f64::INFINITY } else { amount as f64 * ms };
+        Self { cpu: bound(limit.cpu_millis), memory: bound(limit.memory_mb) }
+    }
+
+    fn add(&mut self, other: Self) {
+        self.cpu += other.cpu;
+        self.memory += other.memory;
+    }
+
+    fn at_most(self, other: Self) -> Self {
+        Self { cpu: self.cpu.min(other.cpu), memory: self.memory.min(other.memory) }
+    }
+
+    /// This amount as a multiple of another one.
+    fn ratio(self, other: Self) -> f64 {
+        let part = |own: f64, whole: f64| if whole > 0.0 { own / whole } else { 0.0 };
+        part(self.cpu, other.cpu).max(part(self.memory, other.memory))
+    }
+}
+
+/// The work in line that can still be in time, as measured last.
+#[derive(Debug, Default)]
+pub(super) struct LineLoad {
+    measured_ms: u64,
+    /// By service, by team, by priority.
+    work: FxHashMap<String, FxHashMap<String, BTreeMap<u32, WorkAmount>>>,
+    /// What the listed workers of a service have.
+    capacity: FxHashMap<String, ResourceSet>,
+}
+
+impl LineLoad {
+    fn work_of(&self, service: &str, team: &str, priority: u32) -> WorkAmount {
+        let mut sum = WorkAmount::default();
+        let own = self.work.get(service).and_then(|teams| teams.get(team));
+        for (_, work) in own.into_iter().flat_map(|own| own.range(..=priority)) {
+            sum.add(*work);
+        }
+        sum
+    }
+}
+
+impl CellCore {
+    /// Decides whether a job that is handed in is taken.
+    pub(super) fn judge_load(&mut self, record: &JobRecord) -> TakeStep {
+        if record.occurrences > 0 || record.steps.iter().any(|step| step.is_service) {
+            return TakeStep::Take;
+        }
+        if self.load.measured_ms + MEASURE_INTERVAL_MS <= self.time.now_ms {
+            self.measure_load();
+        }
+        let patience_ms = self.patience_ms(record);
+        let fullness = self.fullness(record, patience_ms);
+        if fullness <= 1.0 {
+            return TakeStep::Take;
+        }
+        let surplus_ms = (fullness - 1.0) * patience_ms;
+        let wait_ms = surplus_ms.clamp(RETRY_RANGE_MS.0, RETRY_RANGE_MS.1);
+        let retry_ms = wait_ms * (1.0 + RETRY_SPREAD * spread(&record.id));
+        // Casts of floats saturate.
+        TakeStep::Refuse { retry_ms: retry_ms as u64 }
+    }
+
+    /// The work that comes before a job as a multiple of what can be done in some time, for its team
+    /// or for all, whichever is worse. 0 while no worker is known.
+    fn fullness(&self, record: &JobRecord, within_ms: f64) -> f64 {
+        let queue = self.config.queues.get(&record.queue);
+        let service = queue.map_or(&record.service, |queue| &queue.service);
+        let priority = queue.map_or(0, |queue| queue.priority);
+        let Some(capacity) = self.load.capacity.get(service) else { return 0.0 };
+        let limit_of = |team: &str| {
+            let limit = self.config.teams.get(team).map(|team| team.limit).unwrap_or_default();
+            WorkAmount::within(&limit, within_ms)
+        };
+        let mut work = WorkAmount::default();
+        for team in self.load.work.get(service).into_iter().flatten().map(|(team, _)| team) {
+            work.add(self.load.work_of(service, team, priority).at_most(limit_of(team)));
+        }
+        let own = self.load.work_of(service, &record.team, priority);
+        let by_limit = own.ratio(limit_of(&record.team));
+        by_limit.max(work.ratio(WorkAmount::of(capacity, within_ms)))
+    }
+
+    fn measure_load(&mut self) {
+        let mut load = LineLoad { measured_ms: self.time.now_ms, ..LineLoad::default() };
+        for worker in self.workers.values() {
+            let report = &worker.report;
+            let is_open = worker.is_listed && !report.is_leaving;
+            if is_open && !self.config.closed_zones.contains(&report.zone) {
+                let known = load.capacity.entry(report.service.clone()).or_default();
+                *known = known.plus(&report.capacity);
+            }
+        }
+        for job in self.live.iter().map(|key| &self.jobs[*key]) {
+            if self.is_hopeless(job) {
+                continue;
+            }
+            let mut work = WorkAmount::default();
+            for phase in job.phases.iter().filter(|phase| phase.idle > 0) {
+                let step = &job.record.steps[phase.step];
+                let ms = (step.estimate_ms * phase.idle as u64) as f64;
+                work.add(WorkAmount::of(&step.resources(), ms));
+            }
+            let teams = load.work.entry(self.service_of(job).to_owned()).or_default();
+            let priorities = teams.entry(job.record.team.clone()).or_default();
+            priorities.entry(self.priority_of(job)).or_default().add(work);
+        }
+        self.load = load;
+    }
+}
+
+/// Returns a number from 0 to 1 that differs from job to job.
+fn spread(id: &str) -> f64 {
+    let mut hasher = FxHasher::default();
+    id.hash(&mut hasher);
+    (hasher.finish() >> 32) as f64 / f64::from(u32::MAX)
+}
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -11,6 +11,7 @@
 mod holds;
 mod intake;
 mod line;
+mod load;
 mod open;
 mod orders;
 mod pace;
@@ -25,6 +26,7 @@
         table::{AskEntry, AskerEntry, AttemptEntry, JobEntry, WorkerEntry},
     },
     commit::CommitLine,
+    load::LineLoad,
     rustc_hash::FxHashMap,
     slotmap::SlotMap,
     std::{collections::VecDeque, sync::Arc},
@@ -69,6 +71,7 @@
     usual_ratio: FxHashMap<String, f64>,
     team_used: FxHashMap<String, ResourceSet>,
     commits: CommitLine,
+    load: LineLoad,
     actions: Vec<CellAction>,
     /// Something changed that may let work be placed.
     is_placing_due: bool,
@@ -104,6 +107,7 @@
             usual_ratio: FxHashMap::default(),
             team_used: FxHashMap::default(),
             commits: CommitLine::default(),
+            load: LineLoad::default(),
             actions: Vec::new(),
             is_placing_due: false,
             last_place_ms: 0,
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -146,7 +146,8 @@
     Askers(Vec<u64>),
     /// A job was accepted and its row is in the store.
     Accepted(JobRecord),
-    /// A caller hands a job in that is not in the store yet; `reply` comes back once it is durable.
+    /// A caller hands a job in that is not in the store yet; `reply` comes back once it is durable,
+    /// or in [`CellAction::Refuse`].
     Submitted {
         /// The job.
         record: JobRecord,
@@ -311,6 +312,13 @@
         /// State of the job, or `None` if there is no such job.
         state: Option<JobState>,
     },
+    /// A job that a caller handed in is not taken: it could not be served in time.
+    Refuse {
+        /// Handle of the answer.
+        reply: u64,
+        /// Time after which there should be room, in milliseconds.
+        retry_ms: u64,
+    },
     /// A decision or a changed belief, for the log.
     Note(CellNote),
 }
--- a/crates/cell/tests/cell/load.rs
+++ b/crates/cell/tests/cell/load.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::support::{FakeCell, job, step},
-    damaskrack_cell::CellInput,
+    damaskrack_cell::{CellInput, QueueConfig, ResourceSet, TeamConfig},
 };
 
 /// A burst: more jobs at once than a commit holds.
@@ -33,3 +33,82 @@
     cell.run(60);
     assert!(cell.held_commits.len() >= 5, "{} commits on the way", cell.held_commits.len());
 }
+
+fn hand_in(cell: &mut FakeCell, id: u64, team: &str, queue: &str) {
+    let mut record = job(&id.to_string(), vec![step(4)]);
+    record.accepted_ms = cell.wall_ms();
+    record.team = team.to_owned();
+    record.queue = queue.to_owned();
+    cell.apply(CellInput::Submitted { record, reply: id });
+}
+
+/// Two workers of four cores serve four jobs a second. With an objective of 1.5 s a job is worth
+/// something for 4.5 s, so that some 16 jobs can wait.
+#[test]
+fn a_job_that_could_not_be_served_in_time_is_refused_at_once() {
+    let mut cell = FakeCell::new(2);
+    cell.run(100);
+    for id in 0..60 {
+        hand_in(&mut cell, id, "team", "queue");
+        cell.run(10);
+    }
+    let taken = 60 - cell.refusals.len();
+    assert!((14..=26).contains(&taken), "{taken} jobs were taken");
+    assert!(cell.refusals.iter().all(|(_, retry_ms)| (1_000..=45_000).contains(retry_ms)));
+    let refused: Vec<String> = cell.refusals.iter().map(|(id, _)| id.to_string()).collect();
+    cell.run(8_000);
+    assert!(
+        cell.starts
+            .iter()
+            .all(|(task, ..)| !refused.iter().any(|id| task.starts_with(&format!("{id}."))))
+    );
+    hand_in(&mut cell, 100, "team", "queue");
+    cell.run(100);
+    assert!(cell.refusals.iter().all(|(id, _)| *id != 100), "there is room again");
+}
+
+#[test]
+fn urgent_jobs_do_not_wait_for_others_and_are_taken() {
+    let mut cell = FakeCell::new(2);
+    let normal = QueueConfig { priority: 1, ..cell.config.queues["queue"].clone() };
+    cell.config.queues.insert("later".to_owned(), normal);
+    cell.lead();
+    cell.run(100);
+    for id in 0..60 {
+        hand_in(&mut cell, id, "team", "later");
+        cell.run(10);
+    }
+    assert!(!cell.refusals.is_empty());
+    hand_in(&mut cell, 100, "team", "queue");
+    cell.run(100);
+    assert!(cell.refusals.iter().all(|(id, _)| *id != 100));
+}
+
+#[test]
+fn what_a_team_asks_for_beyond_its_limit_costs_no_other_team() {
+    let mut cell = FakeCell::new(2);
+    let limit = ResourceSet { cpu_millis: 2_000, ..ResourceSet::default() };
+    cell.config.teams.insert("hot".to_owned(), TeamConfig { limit, ..TeamConfig::default() });
+    cell.lead();
+    cell.run(100);
+    for id in 0..60 {
+        hand_in(&mut cell, id, "hot", "queue");
+        cell.run(10);
+    }
+    let taken = 60 - cell.refusals.len();
+    assert!(taken <= 10, "{taken} jobs were taken of a team that is served one a second");
+    hand_in(&mut cell, 100, "team", "queue");
+    cell.run(100);
+    assert!(cell.refusals.iter().all(|(id, _)| *id != 100));
+}
+
+/// A takeover does not know its workers at first.
+#[test]
+fn nothing_is_refused_while_no_worker_is_known() {
+    let mut cell = FakeCell::new(0);
+    for id in 0..60 {
+        hand_in(&mut cell, id, "team", "queue");
+    }
+    cell.run(100);
+    assert!(cell.refusals.is_empty());
+}
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -107,6 +107,8 @@
     /// allows another run.
     pub(crate) done: BTreeMap<String, u32>,
     pub(crate) replies: Vec<(u64, Option<JobState>)>,
+    /// Submissions that were refused, with the time after which their callers should come back.
+    pub(crate) refusals: Vec<(u64, u64)>,
     pub(crate) starts: Vec<(String, u32, String)>,
     pub(crate) asks: Vec<AskOrder>,
     /// Workers that the adviser allows; all if empty.
@@ -163,6 +165,7 @@
             run_ms: 500,
             done: BTreeMap::new(),
             replies: Vec::new(),
+            refusals: Vec::new(),
             starts: Vec::new(),
             asks: Vec::new(),
             allowed: BTreeSet::new(),
@@ -274,6 +277,7 @@
             CellAction::Ask(order) => self.ask(order),
             CellAction::Commit(order) => self.commit(order),
             CellAction::Reply { reply, state } => self.replies.push((reply, state)),
+            CellAction::Refuse { reply, retry_ms } => self.refusals.push((reply, retry_ms)),
             CellAction::Note(_) => {}
         }
     }
--- a/crates/cellnode/src/entry.rs
+++ b/crates/cellnode/src/entry.rs
@@ -52,8 +52,13 @@
     NoQueue,
     /// The key stands for no team.
     BadKey,
-    /// It could not be served within its time. Nothing was done.
+    /// The store or the leader is out of reach. Nothing was done.
     Unavailable,
+    /// The cell is too full to serve it within its time. Nothing was done.
+    Overloaded {
+        /// Time after which there should be room, in milliseconds.
+        retry_ms: u64,
+    },
     /// There is no answer from the store; the call may have taken effect.
     Unknown,
 }
@@ -169,8 +174,12 @@
             may_be_written = true;
             let limit_ms = (SUBMIT_LIMIT_MS + allowance_ms).min(limit_ms);
             let answer = self.link.ask(EntryBody::Submit(job.clone()), limit_ms).await;
-            if matches!(answer, Some(LeaderBody::State(state)) if state >= 0) {
-                return Ok(());
+            match answer {
+                Some(LeaderBody::State(0..)) => return Ok(()),
+                Some(LeaderBody::Refused(retry_ms)) => {
+                    return Err(EntryRefusal::Overloaded { retry_ms });
+                }
+                _ => {}
             }
         }
         let is_written = match self.is_store_out_of_reach() {
--- a/crates/cellnode/src/frame.rs
+++ b/crates/cellnode/src/frame.rs
@@ -79,7 +79,7 @@
     /// Number of the call that is answered; 0 for none.
     #[prost(uint64, tag = "1")]
     pub(crate) call: u64,
-    #[prost(oneof = "LeaderBody", tags = "2, 3, 4, 5, 6")]
+    #[prost(oneof = "LeaderBody", tags = "2, 3, 4, 5, 6, 7")]
     pub(crate) body: Option<LeaderBody>,
 }
 
@@ -101,6 +101,9 @@
     /// daemon's host is much stronger.
     #[prost(uint64, tag = "6")]
     Resign(u64),
+    /// A job that was handed in is not taken; its caller should come back after so many milliseconds.
+    #[prost(uint64, tag = "7")]
+    Refused(u64),
 }
 
 /// A question for the adviser.
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -448,6 +448,11 @@
                     self.parts.hub.send(session, call, &LeaderBody::State(state));
                 }
             }
+            CellAction::Refuse { reply, retry_ms } => {
+                if let Some((session, call)) = self.replies.remove(&reply) {
+                    self.parts.hub.send(session, call, &LeaderBody::Refused(retry_ms));
+                }
+            }
             CellAction::Note(note) => {
                 // The client's own handler reports what it cannot emit.
                 let _ = self.parts.outside.metrics.incr(note.event);
