Ask again when an answer of the adviser is lost

Cause: a question to the adviser is asked by a daemon for the leader. When that daemon's connection to the leader was replaced before it had told the answer, the question stayed open for good, and its step asked no more: the daemon is still there, so its questions were not given up.

Ruled out by reading: daemons that end (their questions are given up), askers that are flooded.

Change: a question without an answer for three times its expected time and a second more is given up and asked again, with a line advice_lost.

Test, seen to fail without it: a_question_whose_answer_is_lost_is_asked_again.

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -31,6 +31,11 @@
 const AHEAD_STEPS: usize = 4;
 /// Time to reach the adviser and back, in milliseconds.
 const CALL_OVERHEAD_MS: u64 = 4;
+/// A call without an answer counts as lost after this multiple of its expected time, and
+/// [`LOST_CALL_MS`] more: the daemon that asked may have lost its connection meanwhile.
+const LOST_CALL_FACTOR: u64 = 3;
+/// See [`LOST_CALL_FACTOR`], in milliseconds.
+const LOST_CALL_MS: u64 = 1_000;
 /// Most workers in a call.
 const MAX_WORKERS: usize = 100;
 /// Workers asked about, as a multiple of what would be needed on average.
@@ -73,6 +78,7 @@
     /// Places the steps in line, and asks for tickets where that could help.
     pub(super) fn place_and_ask(&mut self) {
         self.avoid_failing();
+        self.forget_lost_asks();
         let mut ahead = AHEAD_STEPS;
         let open = self.open_workers();
         for phase in self.line() {
@@ -82,6 +88,23 @@
         }
     }
 
+    fn forget_lost_asks(&mut self) {
+        let now_ms = self.time.now_ms;
+        let is_lost = |ask: &AskEntry| {
+            now_ms > ask.sent_ms + LOST_CALL_FACTOR * ask.expected_ms + LOST_CALL_MS
+        };
+        let lost: Vec<AskKey> =
+            self.asks.iter().filter(|(_, ask)| is_lost(ask)).map(|(key, _)| key).collect();
+        for key in lost {
+            let phase = self.asks[key].phase;
+            if let Some(job) = self.jobs.get(phase.job) {
+                let name = job.phase_name(phase.phase);
+                self.note("advice_lost", name, format!("asker={}", self.asks[key].asker));
+            }
+            self.finish_ask(key, None);
+        }
+    }
+
     fn ask_for(&mut self, phase: PhaseRef, open: &OpenWorkers, ahead: &mut usize) {
         let Some(timing) = self.advice_of(phase) else { return };
         if self.jobs[phase.job].phases[phase.phase].ask.is_some() {
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -111,6 +111,8 @@
     pub(crate) refusals: Vec<(u64, u64)>,
     pub(crate) starts: Vec<(String, u32, String)>,
     pub(crate) asks: Vec<AskOrder>,
+    /// So many of the next answers of the adviser are lost.
+    pub(crate) lost_asks: usize,
     /// Workers that the adviser allows; all if empty.
     pub(crate) allowed: BTreeSet<String>,
 }
@@ -168,6 +170,7 @@
             refusals: Vec::new(),
             starts: Vec::new(),
             asks: Vec::new(),
+            lost_asks: 0,
             allowed: BTreeSet::new(),
         };
         for index in 0..workers {
@@ -316,7 +319,10 @@
         let input =
             CellInput::Advice { ask: order.ask, allowed: Some(allowed.map(ticket).collect()) };
         self.asks.push(order);
-        self.apply(input);
+        match self.lost_asks {
+            0 => self.apply(input),
+            _ => self.lost_asks -= 1,
+        }
     }
 
     fn start(&mut self, order: StartOrder) {
