--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -34,7 +34,7 @@
 /// A call without an answer counts as lost after this multiple of its expected time, and
 /// [`LOST_CALL_MS`] more: the daemon that asked may have lost its connection meanwhile.
 const LOST_CALL_FACTOR: u64 = 3;
-/// See [`LOST_CALL_FACTOR`], in milliseconds.
+/// Time on top of that, in milliseconds.
 const LOST_CALL_MS: u64 = 1_000;
 /// Most workers in a call.
 const MAX_WORKERS: usize = 100;
