Do not look into a job's steps when a lost question is given up

A job that ended while its question was on the way has given its steps back, and the line advice_lost named the step.

Ruled out: the ports (daemons have addresses of their own), the troubles (the panic came with orders carried out late or without any).

Change: the line names the job. Test, seen to panic before: a_question_whose_answer_is_lost_may_outlive_its_job.

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -96,10 +96,11 @@
         let lost: Vec<AskKey> =
             self.asks.iter().filter(|(_, ask)| is_lost(ask)).map(|(key, _)| key).collect();
         for key in lost {
-            let phase = self.asks[key].phase;
+            let AskEntry { phase, asker, .. } = self.asks[key];
+            // A job that has ended meanwhile may be gone, or have given its steps back.
             if let Some(job) = self.jobs.get(phase.job) {
-                let name = job.phase_name(phase.phase);
-                self.note("advice_lost", name, format!("asker={}", self.asks[key].asker));
+                let id = job.record.id.clone();
+                self.note("advice_lost", id, format!("asker={asker}"));
             }
             self.finish_ask(key, None);
         }
--- a/crates/cell/tests/cell/failures.rs
+++ b/crates/cell/tests/cell/failures.rs
@@ -489,6 +489,23 @@
     assert_eq!(cell.state("1"), Some(JobState::Completed));
 }
 
+#[test]
+fn a_question_whose_answer_is_lost_may_outlive_its_job() {
+    let mut cell = FakeCell::new(2);
+    let timing = AdviceTiming { call_us: 10_000, worker_us: 1_000, valid_ms: 1_500 };
+    cell.config.queues.get_mut("queue").unwrap().advice = Some(timing);
+    cell.lead();
+    cell.run(100);
+    cell.lost_asks = 1;
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(100);
+    cell.apply(CellInput::Cancel { id: "1".to_owned(), reply: 1 });
+    cell.run(100);
+    cell.submit(job("2", vec![step(1)]));
+    cell.run(4_000);
+    assert_eq!(cell.state("2"), Some(JobState::Completed));
+}
+
 #[test]
 fn a_step_waits_while_no_daemon_can_ask_for_tickets() {
     let mut cell = FakeCell::new(2);
