Look for a commit only when something waits for one

Cause: since full commits do not wait, an idle leader noted the time of a look that found nothing as that of its last commit, so that a job that came alone waited for up to 20 ms more. Found by reading the change. Test, seen to fail before: a_job_that_comes_alone_is_committed_at_once.

--- a/crates/cell/src/core/commit.rs
+++ b/crates/cell/src/core/commit.rs
@@ -95,10 +95,10 @@
 
     pub(super) fn start_commit(&mut self) {
         self.expire_jobs();
-        let Some((lane, due_ms)) = self.commits.next_lane(&self.settings) else { return };
-        if due_ms > self.time.now_ms {
+        if self.next_commit_ms() > self.time.now_ms {
             return;
         }
+        let Some((lane, _)) = self.commits.next_lane(&self.settings) else { return };
         let mut order = CommitOrder { lane, ..CommitOrder::default() };
         let mut left = self.commits.dirty.len();
         while left > 0 && row_count(&order) + ROWS_PER_JOB <= MAX_ROWS {
--- a/crates/cell/tests/cell/load.rs
+++ b/crates/cell/tests/cell/load.rs
@@ -34,6 +34,17 @@
     assert!(cell.held_commits.len() >= 5, "{} commits on the way", cell.held_commits.len());
 }
 
+#[test]
+fn a_job_that_comes_alone_is_committed_at_once() {
+    for idle_ms in [500, 510] {
+        let mut cell = FakeCell::new(1);
+        cell.run(idle_ms);
+        cell.apply(CellInput::Submitted { record: job("1", vec![step(1)]), reply: 1 });
+        cell.run(10);
+        assert_eq!(cell.starts.len(), 1, "after {idle_ms} ms");
+    }
+}
+
 fn hand_in(cell: &mut FakeCell, id: u64, team: &str, queue: &str) {
     let mut record = job(&id.to_string(), vec![step(4)]);
     record.accepted_ms = cell.wall_ms();
