--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -61,10 +61,7 @@
             }
         }
         self.askers.sort_by_key(|asker| asker.id);
-        let is_gone = |ask: &AskEntry| !ids.contains(&ask.asker);
-        let gone: Vec<AskKey> =
-            self.asks.iter().filter(|(_, ask)| is_gone(ask)).map(|(key, _)| key).collect();
-        for key in gone {
+        for key in self.asks_where(|ask| !ids.contains(&ask.asker)) {
             self.finish_ask(key, None);
         }
     }
@@ -88,13 +85,15 @@
         }
     }
 
+    fn asks_where(&self, is_meant: impl Fn(&AskEntry) -> bool) -> Vec<AskKey> {
+        self.asks.iter().filter(|(_, ask)| is_meant(ask)).map(|(key, _)| key).collect()
+    }
+
     fn forget_lost_asks(&mut self) {
         let now_ms = self.time.now_ms;
-        let is_lost = |ask: &AskEntry| {
+        let lost = self.asks_where(|ask| {
             now_ms > ask.sent_ms + LOST_CALL_FACTOR * ask.expected_ms + LOST_CALL_MS
-        };
-        let lost: Vec<AskKey> =
-            self.asks.iter().filter(|(_, ask)| is_lost(ask)).map(|(key, _)| key).collect();
+        });
         for key in lost {
             let AskEntry { phase, asker, .. } = self.asks[key];
             // A job that has ended meanwhile may be gone, or have given its steps back.
@@ -138,7 +137,7 @@
         let entry = &job.phases[phase.phase];
         let step = &job.record.steps[entry.step];
         let need = step.resources();
-        let open = open.of(self.service_of(job));
+        let open = open.of(self.service_of(&job.record));
         let is_wanted = |key: &&WorkerKey| {
             !entry.denied.contains(*key)
                 && self.suits(**key, step)
--- a/crates/cell/src/core/line.rs
+++ b/crates/cell/src/core/line.rs
@@ -50,7 +50,7 @@
             end if end <= late_ms => (1, late_ms),
             _ => (2, late_ms),
         };
-        LinePlace { priority: self.priority_of(job), lateness, due_ms: end_ms - left_ms }
+        LinePlace { priority: self.priority_of(&job.record), lateness, due_ms: end_ms - left_ms }
     }
 
     /// When a job should have ended, and after when nobody needs it, in Unix milliseconds.
@@ -61,8 +61,8 @@
         (arrived_ms + objective_ms, arrived_ms + LATE_FACTOR * objective_ms)
     }
 
-    pub(super) fn priority_of(&self, job: &JobEntry) -> u32 {
-        self.config.queues.get(&job.record.queue).map_or(0, |queue| queue.priority)
+    pub(super) fn priority_of(&self, job: &JobRecord) -> u32 {
+        self.config.queues.get(&job.queue).map_or(0, |queue| queue.priority)
     }
 
     /// Tells whether a job would be too late even if all that is left of it started now.
--- a/crates/cell/src/core/load.rs
+++ b/crates/cell/src/core/load.rs
@@ -116,16 +116,15 @@
     /// The work that comes before a job as a multiple of what can be done in some time, for its team
     /// or for all, whichever is worse. 0 while no worker is known.
     fn fullness(&self, record: &JobRecord, within_ms: f64) -> f64 {
-        let queue = self.config.queues.get(&record.queue);
-        let service = queue.map_or(&record.service, |queue| &queue.service);
-        let priority = queue.map_or(0, |queue| queue.priority);
+        let service = self.service_of(record);
+        let priority = self.priority_of(record);
         let Some(capacity) = self.load.capacity.get(service) else { return 0.0 };
         let limit_of = |team: &str| {
             let limit = self.config.teams.get(team).map(|team| team.limit).unwrap_or_default();
             WorkAmount::within(&limit, within_ms)
         };
         let mut work = WorkAmount::default();
-        for team in self.load.work.get(service).into_iter().flatten().map(|(team, _)| team) {
+        for team in self.load.work.get(service).into_iter().flat_map(FxHashMap::keys) {
             work.add(self.load.work_of(service, team, priority).at_most(limit_of(team)));
         }
         let own = self.load.work_of(service, &record.team, priority);
@@ -135,13 +134,10 @@
 
     fn measure_load(&mut self) {
         let mut load = LineLoad { measured_ms: self.time.now_ms, ..LineLoad::default() };
-        for worker in self.workers.values() {
+        for worker in self.workers.values().filter(|worker| self.is_in_service(worker)) {
             let report = &worker.report;
-            let is_open = worker.is_listed && !report.is_leaving;
-            if is_open && !self.config.closed_zones.contains(&report.zone) {
-                let known = load.capacity.entry(report.service.clone()).or_default();
-                *known = known.plus(&report.capacity);
-            }
+            let known = load.capacity.entry(report.service.clone()).or_default();
+            *known = known.plus(&report.capacity);
         }
         for job in self.live.iter().map(|key| &self.jobs[*key]) {
             if self.is_hopeless(job) {
@@ -153,9 +149,9 @@
                 let ms = (step.estimate_ms * phase.idle as u64) as f64;
                 work.add(WorkAmount::of(&step.resources(), ms));
             }
-            let teams = load.work.entry(self.service_of(job).to_owned()).or_default();
+            let teams = load.work.entry(self.service_of(&job.record).to_owned()).or_default();
             let priorities = teams.entry(job.record.team.clone()).or_default();
-            priorities.entry(self.priority_of(job)).or_default().add(work);
+            priorities.entry(self.priority_of(&job.record)).or_default().add(work);
         }
         self.load = load;
     }
--- a/crates/cell/src/core/place.rs
+++ b/crates/cell/src/core/place.rs
@@ -8,9 +8,9 @@
 use {
     super::{CellCore, open::OpenWorkers, pace::is_slow},
     crate::{
-        JobState, ResourceSet, StepSpec, WorkerKey,
+        JobRecord, JobState, ResourceSet, StepSpec, WorkerKey,
         message::PhaseRef,
-        table::{AfterCommit, AttemptState, JobEntry, PhaseEntry, WorkerEntry},
+        table::{AfterCommit, AttemptState, PhaseEntry, WorkerEntry},
     },
     rustc_hash::FxHashMap,
 };
@@ -40,17 +40,20 @@
 impl CellCore {
     /// Tells whether a worker may get new work at all.
     pub(super) fn is_open(&self, worker: &WorkerEntry) -> bool {
+        self.is_in_service(worker) && worker.is_fenced_in && worker.clock.is_some()
+    }
+
+    /// Tells whether a worker is there to stay, whether or not it has answered this leader.
+    pub(super) fn is_in_service(&self, worker: &WorkerEntry) -> bool {
         worker.is_listed
             && !worker.report.is_leaving
-            && worker.is_fenced_in
-            && worker.clock.is_some()
             && !self.config.closed_zones.contains(&worker.report.zone)
     }
 
     /// Returns the service whose workers run a job's tasks.
-    pub(super) fn service_of<'a>(&'a self, job: &'a JobEntry) -> &'a str {
-        let queue = self.config.queues.get(&job.record.queue);
-        queue.map_or(&job.record.service, |queue| &queue.service)
+    pub(super) fn service_of<'a>(&'a self, job: &'a JobRecord) -> &'a str {
+        let queue = self.config.queues.get(&job.queue);
+        queue.map_or(&job.service, |queue| &queue.service)
     }
 
     /// Places what can be placed of a step.
@@ -99,7 +102,7 @@
         let job = &self.jobs[phase.job];
         let entry = &job.phases[phase.phase];
         let step = &job.record.steps[entry.step];
-        let service = self.service_of(job);
+        let service = self.service_of(&job.record);
         let need = step.resources();
         let has_room = |key: &WorkerKey| need.fits(&self.workers[*key].room());
         let mut workers: Vec<WorkerKey> = match self.advice_of(phase) {
--- a/crates/cell/tests/cell/failures.rs
+++ b/crates/cell/tests/cell/failures.rs
@@ -228,8 +228,7 @@
 #[test]
 fn a_start_carries_a_ticket_where_the_queue_has_an_adviser() {
     let mut cell = FakeCell::new(4);
-    let timing = AdviceTiming { call_us: 9_000, worker_us: 100, valid_ms: 1_500 };
-    cell.config.queues.get_mut("queue").unwrap().advice = Some(timing);
+    cell.ask_adviser(AdviceTiming { call_us: 9_000, worker_us: 100, valid_ms: 1_500 });
     cell.allowed.insert("w3".to_owned());
     cell.lead();
     cell.submit(job("1", vec![step(2)]));
@@ -392,8 +391,7 @@
 #[test]
 fn a_worker_that_restarts_is_asked_about_anew() {
     let mut cell = FakeCell::new(1);
-    let timing = AdviceTiming { call_us: 9_000, worker_us: 100, valid_ms: 60_000 };
-    cell.config.queues.get_mut("queue").unwrap().advice = Some(timing);
+    cell.ask_adviser(AdviceTiming { call_us: 9_000, worker_us: 100, valid_ms: 60_000 });
     cell.allowed.insert("none".to_owned());
     cell.lead();
     cell.submit(job("1", vec![step(1)]));
@@ -414,8 +412,7 @@
     cell.submit(job("1", vec![step(1)]));
     cell.run(500);
     let used = cell.starts[0].2.clone();
-    let timing = AdviceTiming { call_us: 9_000, worker_us: 100, valid_ms: 1_500 };
-    cell.config.queues.get_mut("queue").unwrap().advice = Some(timing);
+    cell.ask_adviser(AdviceTiming { call_us: 9_000, worker_us: 100, valid_ms: 1_500 });
     cell.lead();
     cell.run(500);
     cell.submit(job("2", vec![step(1)]));
@@ -431,8 +428,7 @@
 #[test]
 fn steps_that_ask_together_name_different_workers() {
     let mut cell = FakeCell::new(40);
-    let timing = AdviceTiming { call_us: 9_000, worker_us: 100, valid_ms: 1_500 };
-    cell.config.queues.get_mut("queue").unwrap().advice = Some(timing);
+    cell.ask_adviser(AdviceTiming { call_us: 9_000, worker_us: 100, valid_ms: 1_500 });
     cell.lead();
     cell.apply(CellInput::Askers(vec![1, 2, 3, 4]));
     for id in ["1", "2", "3", "4"] {
@@ -446,8 +442,7 @@
 #[test]
 fn no_order_is_sent_with_a_ticket_that_ran_out_while_its_row_was_written() {
     let mut cell = FakeCell::new(2);
-    let timing = AdviceTiming { call_us: 9_000, worker_us: 100, valid_ms: 1_500 };
-    cell.config.queues.get_mut("queue").unwrap().advice = Some(timing);
+    cell.ask_adviser(AdviceTiming { call_us: 9_000, worker_us: 100, valid_ms: 1_500 });
     cell.lead();
     cell.submit(job("1", vec![step(2)]));
     cell.is_store_down = true;
@@ -462,8 +457,7 @@
 #[test]
 fn a_ticket_for_a_worker_that_is_gone_is_of_no_use() {
     let mut cell = FakeCell::new(2);
-    let timing = AdviceTiming { call_us: 9_000, worker_us: 100, valid_ms: 60_000 };
-    cell.config.queues.get_mut("queue").unwrap().advice = Some(timing);
+    cell.ask_adviser(AdviceTiming { call_us: 9_000, worker_us: 100, valid_ms: 60_000 });
     cell.lead();
     cell.submit(job("1", vec![step(12)]));
     cell.run(100);
@@ -479,8 +473,7 @@
 #[test]
 fn a_question_whose_answer_is_lost_is_asked_again() {
     let mut cell = FakeCell::new(2);
-    let timing = AdviceTiming { call_us: 10_000, worker_us: 1_000, valid_ms: 1_500 };
-    cell.config.queues.get_mut("queue").unwrap().advice = Some(timing);
+    cell.ask_adviser(AdviceTiming { call_us: 10_000, worker_us: 1_000, valid_ms: 1_500 });
     cell.lead();
     cell.run(100);
     cell.lost_asks = 1;
@@ -492,8 +485,7 @@
 #[test]
 fn a_question_whose_answer_is_lost_may_outlive_its_job() {
     let mut cell = FakeCell::new(2);
-    let timing = AdviceTiming { call_us: 10_000, worker_us: 1_000, valid_ms: 1_500 };
-    cell.config.queues.get_mut("queue").unwrap().advice = Some(timing);
+    cell.ask_adviser(AdviceTiming { call_us: 10_000, worker_us: 1_000, valid_ms: 1_500 });
     cell.lead();
     cell.run(100);
     cell.lost_asks = 1;
@@ -509,8 +501,7 @@
 #[test]
 fn a_step_waits_while_no_daemon_can_ask_for_tickets() {
     let mut cell = FakeCell::new(2);
-    let timing = AdviceTiming { call_us: 9_000, worker_us: 100, valid_ms: 1_500 };
-    cell.config.queues.get_mut("queue").unwrap().advice = Some(timing);
+    cell.ask_adviser(AdviceTiming { call_us: 9_000, worker_us: 100, valid_ms: 1_500 });
     cell.lead();
     cell.apply(CellInput::Askers(Vec::new()));
     cell.submit(job("1", vec![step(1)]));
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -8,9 +8,9 @@
 
 use {
     damaskrack_cell::{
-        AskOrder, AttemptKey, CellAction, CellConfig, CellCore, CellInput, CellSettings,
-        CommitOrder, EndKind, EndedAttempt, HoldOrder, HoldOutcome, HoldReport, JobRecord,
-        JobState, ProgressRecord, QueueConfig, ResourceSet, RunningAttempt, StartOrder,
+        AdviceTiming, AskOrder, AttemptKey, CellAction, CellConfig, CellCore, CellInput,
+        CellSettings, CommitOrder, EndKind, EndedAttempt, HoldOrder, HoldOutcome, HoldReport,
+        JobRecord, JobState, ProgressRecord, QueueConfig, ResourceSet, RunningAttempt, StartOrder,
         StartOutcome, StartRefusal, StepSpec, StopOrder, TeamConfig, WorkerReport, WorkerTicket,
     },
     std::{
@@ -196,6 +196,11 @@
         self.workers.insert(id.to_owned(), worker);
     }
 
+    /// Gives the queue an adviser, from the next leader on.
+    pub(crate) fn ask_adviser(&mut self, timing: AdviceTiming) {
+        self.config.queues.get_mut("queue").unwrap().advice = Some(timing);
+    }
+
     /// Tells the core which workers there are.
     pub(crate) fn list_workers(&mut self) {
         let reports = self.workers.values().map(|worker| worker.report.clone()).collect();
