Count a job as pending until a worker has begun it

Cause: a job left the count of pending jobs when its first task was placed. Ruled out: jobs unknown to the leader; the same rows were read at its start. Change: a job has begun once its worker confirmed, listed or ended a run of it. The progress row keeps that, so that a successor knows it as soon as the row was written for another reason; until a worker has answered a new leader, the job counts as pending.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -130,6 +130,7 @@
         match outcome {
             StartOutcome::Started => {
                 worker.unanswered_starts = 0;
+                self.jobs[attempt.phase.job].has_begun = true;
                 if attempt.state == AttemptState::Sent {
                     attempt.state = AttemptState::Running { since_ms: now_ms };
                     self.stop_if_unwanted(key);
--- a/crates/cell/src/core/commit.rs
+++ b/crates/cell/src/core/commit.rs
@@ -177,7 +177,12 @@
                 started.map(|phase| phase.progress(locate)).collect()
             }
         };
-        ProgressRecord { state: job.state as i32, phases, ended_ms: job.ended_ms }
+        ProgressRecord {
+            state: job.state as i32,
+            phases,
+            ended_ms: job.ended_ms,
+            has_begun: job.has_begun,
+        }
     }
 
     /// Runs the follow-ups of a commit that is durable.
--- a/crates/cell/src/core/jobs.rs
+++ b/crates/cell/src/core/jobs.rs
@@ -79,6 +79,7 @@
         };
         let job = &mut self.jobs[key];
         job.state = progress.state();
+        job.has_begun = progress.shows_begin();
         job.ended_ms = progress.ended_ms;
         if job.state.is_final() {
             job.phases.clear();
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -173,6 +173,7 @@
         }
         worker.pending_ends += 1;
         let job = self.attempts[attempt].phase.job;
+        self.jobs[job].has_begun = true;
         if ended.kind == EndKind::Done {
             let run_ms = self.attempts[attempt].run_ms(self.time.now_ms);
             self.sample_worker_speed(attempt, run_ms, 100);
@@ -191,6 +192,7 @@
             self.advance_durable_end(key);
             return;
         };
+        self.jobs[job].has_begun = true;
         let unfinished = self.find_task(&ended.task).filter(|_| ended.kind == EndKind::Done);
         if let Some((phase, index)) = unfinished {
             self.finish_task(phase, index);
@@ -228,6 +230,7 @@
             return self.adopt_or_stop(key, running);
         };
         let entry = &mut self.attempts[attempt];
+        self.jobs[entry.phase.job].has_begun = true;
         let run_ms = entry.run_ms(now_ms);
         if running.percent > entry.percent {
             entry.percent = running.percent;
@@ -258,6 +261,7 @@
         };
         let state = AttemptState::Running { since_ms: self.time.now_ms };
         let attempt = self.insert_attempt(phase, index, running.attempt, key, state);
+        self.jobs[phase.job].has_begun = true;
         self.mark_dirty(phase.job, None);
         self.log_attempt("attempt_adopted", attempt, "");
         Some(attempt)
@@ -294,8 +298,11 @@
     /// this leader took over. If the job is unknown, the whole worker counts as used.
     fn account_orphan(&mut self, key: WorkerKey, running: &RunningAttempt) {
         let mut parts = running.task.split('.');
-        let job = parts.next().and_then(|id| self.job_ids.get(id));
-        let record = job.map(|job| &self.jobs[*job].record);
+        let job = parts.next().and_then(|id| self.job_ids.get(id).copied());
+        if let Some(job) = job {
+            self.jobs[job].has_begun = true;
+        }
+        let record = job.map(|job| &self.jobs[job].record);
         let step = parts.nth(1).and_then(|step| step.parse::<usize>().ok());
         let found = record.and_then(|record| Some((record, record.steps.get(step?)?)));
         let worker = &mut self.workers[key];
--- a/crates/cell/src/core/pending.rs
+++ b/crates/cell/src/core/pending.rs
@@ -3,8 +3,9 @@
 use super::CellCore;
 
 impl CellCore {
-    /// Returns the number of a queue's jobs that have not started; jobs with scheduled occurrences
-    /// do not count.
+    /// Returns the number of a queue's jobs of which no worker is known to have begun a task; jobs
+    /// with scheduled occurrences do not count. A placed task counts only once its worker has
+    /// confirmed it: its request may get no response, or never be sent.
     ///
     /// ```
     /// let core = damaskrack_cell::CellCore::new(Default::default());
@@ -14,6 +15,6 @@
     pub fn pending(&self, queue: &str) -> u64 {
         let jobs = self.live.iter().map(|key| &self.jobs[*key]);
         let own = jobs.filter(|job| job.record.queue == queue && job.record.occurrences == 0);
-        own.map(|job| u64::from(!job.has_started())).sum()
+        own.map(|job| u64::from(!job.has_begun)).sum()
     }
 }
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -228,4 +228,31 @@
     /// Time at which the job ended, in Unix milliseconds; 0 if it has not.
     #[prost(uint64, tag = "3")]
     pub ended_ms: u64,
+    /// A worker is known to have begun a task of the job. May be `false` for some time after it has.
+    #[prost(bool, tag = "4")]
+    pub has_begun: bool,
+}
+
+impl ProgressRecord {
+    /// Returns whether the row shows that a worker has begun a task of the job.
+    ///
+    /// ```
+    /// use damaskrack_cell::{PhaseProgress, ProgressRecord, TaskProgress};
+    ///
+    /// let placed = TaskProgress { attempt: 1, worker: "w1".into(), ..TaskProgress::default() };
+    /// let failed = TaskProgress { failures: 1, ..placed.clone() };
+    /// let row = |task| ProgressRecord {
+    ///     phases: vec![PhaseProgress { tasks: vec![task], ..PhaseProgress::default() }],
+    ///     ..ProgressRecord::default()
+    /// };
+    /// assert!(!row(placed).shows_begin());
+    /// assert!(row(failed).shows_begin());
+    /// ```
+    #[must_use]
+    pub fn shows_begin(&self) -> bool {
+        let has_done = self.phases.iter().any(|phase| phase.done.iter().any(|byte| *byte != 0));
+        let mut tasks = self.phases.iter().flat_map(|phase| &phase.tasks);
+        let has_ended = tasks.any(|task| task.failures > 0 || !task.checkpoint.is_empty());
+        self.has_begun || has_done || has_ended
+    }
 }
--- a/crates/cell/src/table/job.rs
+++ b/crates/cell/src/table/job.rs
@@ -43,6 +43,8 @@
     pub(crate) record: JobRecord,
     pub(crate) payload: Arc<str>,
     pub(crate) state: JobState,
+    /// A worker has confirmed that it began a task of the job.
+    pub(crate) has_begun: bool,
     pub(crate) phases: Vec<PhaseEntry>,
     /// Number of occurrences whose phases exist.
     pub(crate) occurrences_created: u32,
@@ -61,6 +63,7 @@
             record,
             payload,
             state: JobState::Queued,
+            has_begun: false,
             phases: Vec::new(),
             occurrences_created: 0,
             ended_ms: 0,
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -2,4 +2,5 @@
 
 mod failures;
 mod load;
+mod pending;
 mod support;
