Count pending jobs only while the leadership is confirmed; keep jobs that find the queue full

A leader that was paused may answer before it learns that another one leads. It now refuses to count when the store has not confirmed it for the time of its lease. JobSink dropped the row of an accepted job when the leader's queue of events was full. It keeps the row until the queue has space, and logs rows that it cannot decode.

--- a/crates/cellnode/src/frame.rs
+++ b/crates/cellnode/src/frame.rs
@@ -79,7 +79,7 @@
     /// Number of the request that this responds to; 0 for none.
     #[prost(uint64, tag = "1")]
     pub(crate) call: u64,
-    #[prost(oneof = "LeaderBody", tags = "2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "LeaderBody", tags = "2, 3, 4, 5, 6, 7, 8")]
     pub(crate) body: Option<LeaderBody>,
 }
 
@@ -104,8 +104,15 @@
     /// A submitted job was refused; its caller should retry after this many milliseconds.
     #[prost(uint64, tag = "7")]
     Refused(u64),
+    /// The leader cannot tell: it does not know whether it still leads.
+    #[prost(message, tag = "8")]
+    Unavailable(UnavailableFrame),
 }
 
+/// A response without contents.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub(crate) struct UnavailableFrame {}
+
 /// A request to the adviser.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct AdviceRequestFrame {
--- a/crates/cellnode/src/job_sink.rs
+++ b/crates/cellnode/src/job_sink.rs
@@ -4,26 +4,56 @@
     crate::{StoreItem, follow::ItemSink, leader_event::LeaderEvent},
     damaskrack_cell::{CellInput, JobRecord},
     prost::Message,
+    slog::{Logger, warn},
+    std::collections::VecDeque,
     tokio::sync::mpsc,
 };
 
 /// Passes accepted jobs to the core.
 pub(crate) struct JobSink {
-    pub(crate) events: mpsc::Sender<LeaderEvent>,
+    events: mpsc::Sender<LeaderEvent>,
+    /// Jobs for which the queue of events had no space, oldest first.
+    unsent: VecDeque<JobRecord>,
+    logger: Logger,
+}
+
+impl JobSink {
+    pub(crate) fn new(events: mpsc::Sender<LeaderEvent>, logger: Logger) -> Self {
+        Self { events, unsent: VecDeque::new(), logger }
+    }
+
+    fn send_unsent(&mut self) {
+        while !self.unsent.is_empty()
+            && let Ok(permit) = self.events.try_reserve()
+            && let Some(record) = self.unsent.pop_front()
+        {
+            permit.send(LeaderEvent::Input(CellInput::Accepted(record)));
+        }
+    }
 }
 
 impl ItemSink for JobSink {
     fn replace(&mut self, items: Vec<StoreItem>) {
+        self.unsent.clear();
         items.into_iter().for_each(|item| self.update(item));
     }
 
     fn update(&mut self, item: StoreItem) {
-        if !item.is_deleted
-            && let Ok(record) = JobRecord::decode(item.value.as_slice())
-        {
-            let _ = self.events.try_send(LeaderEvent::Input(CellInput::Accepted(record)));
+        if item.is_deleted {
+            return;
+        }
+        match JobRecord::decode(item.value.as_slice()) {
+            Ok(record) => self.unsent.push_back(record),
+            Err(error) => {
+                warn!(self.logger, "row_unreadable"; "key" => &item.key, "error" => %error);
+            }
         }
     }
 
-    fn caught_up(&mut self, _sent_ms: u64) {}
+    fn caught_up(&mut self, _sent_ms: u64) {
+        self.send_unsent();
+    }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -11,7 +11,10 @@
         follow::{
             FollowTiming, ItemSink, LONG_PAGE_TIMEOUT_MS, follow_from, follow_prefix, read_all,
         },
-        frame::{AdviceRequestFrame, EntryBody, HelloFrame, LeaderBody, LeaderStatusFrame},
+        frame::{
+            AdviceRequestFrame, EntryBody, HelloFrame, LeaderBody, LeaderStatusFrame,
+            UnavailableFrame,
+        },
         guard::GuardWriter,
         job_sink::JobSink,
         lane_writer::LaneWriter,
@@ -73,6 +76,9 @@
 /// Pause between two watches of the accepted jobs, in milliseconds. Daemons notify the leader of
 /// each job at once; the watch finds the jobs whose notification was lost.
 const JOB_WATCH_INTERVAL_MS: u64 = 700;
+/// Time without a confirmation from the store after which the leader does not count jobs any more,
+/// in milliseconds. Another daemon may lead and accept jobs that this one has not read.
+const MAX_COUNT_AGE_MS: u64 = LEASE_TTL_MS;
 /// Interval between two status messages to all daemons, in milliseconds.
 const STATUS_INTERVAL_MS: u64 = 400;
 /// Time beyond the adviser's expected processing time after which a request has failed, in
@@ -243,7 +249,7 @@
         let mut sink = WorkerSink::new(codec, self.events.clone());
         sink.replace(workers);
         self.follow_one(prefix, WORKER_WATCH_INTERVAL_MS, workers_revision, sink);
-        let sink = JobSink { events: self.events.clone() };
+        let sink = JobSink::new(self.events.clone(), self.context.logger.clone());
         self.follow_one(JOB_PREFIX.to_owned(), JOB_WATCH_INTERVAL_MS, jobs_revision, sink);
     }
 
@@ -398,8 +404,11 @@
                 registry.send(session, frame.call, &LeaderBody::State(state));
             }
             Some(EntryBody::Pending(queue)) => {
-                let count = self.core.pending(&queue);
-                registry.send(session, frame.call, &LeaderBody::Pending(count));
+                let response = match self.leadership.confirmation_age_ms() {
+                    0..=MAX_COUNT_AGE_MS => LeaderBody::Pending(self.core.pending(&queue)),
+                    _ => LeaderBody::Unavailable(UnavailableFrame {}),
+                };
+                registry.send(session, frame.call, &response);
             }
             Some(EntryBody::Cancel(id)) => {
                 let reply = self.register_reply(session, frame.call);
