Let requests to workers follow their responses

Cause of the collapse behind a narrow link: a leader sent starts at the rate of its backlog. Past the link's rate all requests, renewals among them, timed out; each was followed by a stop and by another start. Change: a window of start and stop requests grows with fast responses, shrinks with slow ones and halves when most have none; nothing is placed that has no space in it; stops come first and back off; a phase whose attempt was given up waits, longer each time; renewals pause longer while responses are slow; jobs that cannot be started in time at the measured rate are refused at once. Tests: crates/cell/tests/cell/narrow_link.rs; two of three fail without the window.

--- a/crates/cell/src/core/admission.rs
+++ b/crates/cell/src/core/admission.rs
@@ -5,6 +5,9 @@
 //! then still react, and its tasks take no capacity from jobs that can end in time. Work of a team
 //! beyond the team's limit waits for the team's own capacity only, so it counts against other teams
 //! only up to that limit.
+//!
+//! While the window of start requests is full, the rate at which tasks start is the limit instead of
+//! the workers' capacity.
 
 use {
     super::CellCore,
@@ -24,6 +27,9 @@
 /// the same time.
 const RETRY_SPREAD: f64 = 0.5;
 
+/// Milliseconds in a second.
+const MS_PER_SECOND: f64 = 1_000.0;
+
 /// Decision on a submitted job.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) enum Admission {
@@ -78,6 +84,8 @@
     measured_ms: u64,
     /// Work by service, team and priority.
     work: FxHashMap<String, FxHashMap<String, BTreeMap<u32, WorkAmount>>>,
+    /// Number of tasks to start, by priority.
+    tasks: BTreeMap<u32, usize>,
     /// Total capacity of the workers in service, by service.
     capacity: FxHashMap<String, ResourceSet>,
 }
@@ -103,7 +111,8 @@
             self.measure_load();
         }
         let max_wait_ms = self.max_wait_ms(record);
-        let load_factor = self.load_factor(record, max_wait_ms);
+        let load_factor =
+            self.load_factor(record, max_wait_ms).max(self.start_factor(record, max_wait_ms));
         if load_factor <= 1.0 {
             return Admission::Admit;
         }
@@ -133,6 +142,19 @@
         by_limit.max(work.ratio(WorkAmount::of(capacity, within_ms)))
     }
 
+    /// Returns the number of tasks that start before a job's last one, as a multiple of the number
+    /// that can be started in some time; 0 while the starts are not limited.
+    fn start_factor(&self, record: &JobRecord, within_ms: f64) -> f64 {
+        let Some(rate_per_s) = self.request_window.limited_rate(self.time.now_ms) else {
+            return 0.0;
+        };
+        let priority = self.priority_of(record);
+        let before: usize = self.load.tasks.range(..=priority).map(|(_, tasks)| tasks).sum();
+        let own: u32 = record.steps.iter().map(|step| step.tasks).sum();
+        let start_ms = (before as f64 + f64::from(own)) * MS_PER_SECOND / rate_per_s;
+        start_ms / within_ms.max(1.0)
+    }
+
     fn measure_load(&mut self) {
         let mut load = BacklogLoad { measured_ms: self.time.now_ms, ..BacklogLoad::default() };
         for worker in self.workers.values().filter(|worker| self.is_in_service(worker)) {
@@ -144,6 +166,9 @@
             if self.cannot_meet_deadline(job) {
                 continue;
             }
+            let priority = self.priority_of(&job.record);
+            let tasks: usize = job.phases.iter().map(|phase| phase.unassigned).sum();
+            *load.tasks.entry(priority).or_default() += tasks;
             let mut work = WorkAmount::default();
             for phase in job.phases.iter().filter(|phase| phase.unassigned > 0) {
                 let step = &job.record.steps[phase.step];
@@ -152,7 +177,7 @@
             }
             let teams = load.work.entry(self.service_of(&job.record).to_owned()).or_default();
             let priorities = teams.entry(job.record.team.clone()).or_default();
-            priorities.entry(self.priority_of(&job.record)).or_default().add(work);
+            priorities.entry(priority).or_default().add(work);
         }
         self.load = load;
     }
--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -11,7 +11,7 @@
     crate::{
         AdviceCallKey, AdviceRequest, AdviceTiming, CellAction, WorkerKey, WorkerTicket,
         message::PhaseRef,
-        table::{AdviceCallEntry, DaemonEntry, TicketEntry},
+        table::{AdviceCallEntry, AttemptEntry, AttemptState, DaemonEntry, TicketEntry},
     },
 };
 
@@ -78,8 +78,11 @@
         self.forget_lost_calls();
         let mut prefetch_left = PREFETCH_STEPS;
         let available = self.available_workers();
+        let is_planned = |attempt: &&AttemptEntry| attempt.state == AttemptState::Persisting;
+        let planned = self.attempts.values().filter(is_planned).count();
+        let mut budget = self.request_window.planning_budget(planned, self.time.now_ms);
         for phase in self.backlog() {
-            if self.place_phase(phase, &available) == PlacementOutcome::Incomplete {
+            if self.place_phase(phase, &available, &mut budget) == PlacementOutcome::Incomplete {
                 self.request_advice(phase, &available, &mut prefetch_left);
             }
         }
--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -1,7 +1,7 @@
 //! Requests to start and stop attempts, and their outcomes.
 
 use {
-    super::CellCore,
+    super::{CellCore, request_window::RequestEnd},
     crate::{
         AttemptKey, CellAction, JobKey, JobState, RunningAttempt, StartOutcome, StartRefusal,
         StartRequest, StopRequest, WorkerKey,
@@ -15,8 +15,12 @@
 const START_LEASE_MS: u64 = 2_000;
 /// Minimum remaining validity of a ticket when a start request is sent, in milliseconds.
 const SEND_MARGIN_MS: u64 = 20;
-/// Interval between stop requests for the same attempt, in milliseconds.
+/// Time after which a stop request is repeated, in milliseconds. It doubles with each repetition.
 const STOP_RETRY_MS: u64 = 600;
+/// Maximum number of doublings of that time.
+const MAX_STOP_DOUBLINGS: u32 = 2;
+/// Minimum interval between two log entries about a full window of start requests, in milliseconds.
+const WINDOW_LOG_INTERVAL_MS: u64 = 1_000;
 /// Time for which a worker gets no new work after an unanswered start request, in milliseconds. It
 /// doubles with each further one.
 const UNANSWERED_BACKOFF_MS: u64 = 150;
@@ -55,7 +59,9 @@
                 || state != AttemptState::Persisting,
             percent: 0,
             is_gang_aborted: false,
+            sent_ms: 0,
             stop_due_ms: 0,
+            stop_tries: 0,
         });
         let task = &mut entry.tasks[index];
         task.last_number = number;
@@ -79,14 +85,43 @@
         is_valid.then(|| held.ticket.clone())
     }
 
-    /// Sends the start request of an attempt that is durable, unless it is no longer wanted.
-    pub(super) fn send_attempt(&mut self, key: AttemptKey) {
-        let Some(attempt) = self.attempts.get(key) else { return };
+    /// Sends the start requests of durable attempts, oldest first, as far as the window has space.
+    pub(super) fn send_ready(&mut self) {
+        while let Some(key) = self.ready.front().copied() {
+            if !self.request_window.try_send(self.time.now_ms) {
+                self.log_window();
+                return;
+            }
+            self.ready.pop_front();
+            if !self.send_attempt(key) {
+                self.request_window.cancel();
+            }
+        }
+    }
+
+    fn log_window(&mut self) {
+        if self.time.now_ms < self.window_log_due_ms {
+            return;
+        }
+        self.window_log_due_ms = self.time.now_ms + WINDOW_LOG_INTERVAL_MS;
+        let detail = format!(
+            "requests={} delay_ms={:.0} ready={}",
+            self.request_window.size(),
+            self.request_window.delay_ms(),
+            self.ready.len()
+        );
+        self.log("request_window_full", "", detail);
+    }
+
+    /// Sends the start request of an attempt that is durable, unless it is no longer wanted. Returns
+    /// whether it was sent.
+    fn send_attempt(&mut self, key: AttemptKey) -> bool {
+        let Some(attempt) = self.attempts.get(key) else { return false };
         let (phase, worker) = (attempt.phase, attempt.worker);
         let Some(ticket) = self.ticket_for(attempt) else {
             self.log_attempt("ticket_outdated", key, "");
             self.drop_attempt(key);
-            return;
+            return false;
         };
         let is_wanted = !self.jobs[phase.job].state.is_final() && !attempt.is_gang_aborted;
         let is_schedulable = self.is_schedulable(&self.workers[worker]);
@@ -95,12 +130,13 @@
         let deadline = self.workers[worker].deadline_for(now_ms, lease_ms);
         let (true, true, Some(deadline_ms)) = (is_wanted, is_schedulable, deadline) else {
             self.drop_attempt(key);
-            return;
+            return false;
         };
         let job = &self.jobs[phase.job];
         let worker = &self.workers[worker];
         let attempt = &mut self.attempts[key];
         attempt.state = AttemptState::Sent;
+        attempt.sent_ms = now_ms;
         self.actions.push(CellAction::Start(StartRequest {
             attempt: key,
             address: worker.report.address.clone(),
@@ -113,6 +149,7 @@
             checkpoint: job.phases[phase.phase].tasks[attempt.index].checkpoint.clone(),
             ticket,
         }));
+        true
     }
 
     pub(super) fn finish_start(
@@ -122,6 +159,9 @@
         clock_ms: Option<u64>,
     ) {
         let now_ms = self.time.now_ms;
+        let sent_ms = self.attempts.get(key).map(|attempt| attempt.sent_ms);
+        let is_answered = outcome != StartOutcome::Unknown;
+        self.request_window.finish(RequestEnd::of(is_answered, sent_ms), now_ms);
         let Some(attempt) = self.attempts.get_mut(key) else { return };
         let worker = &mut self.workers[attempt.worker];
         if let Some(clock_ms) = clock_ms {
@@ -130,7 +170,9 @@
         match outcome {
             StartOutcome::Started => {
                 worker.unanswered_starts = 0;
-                self.jobs[attempt.phase.job].has_begun = true;
+                let job = &mut self.jobs[attempt.phase.job];
+                job.has_begun = true;
+                job.phases[attempt.phase.phase].retry.reset();
                 if attempt.state == AttemptState::Sent {
                     attempt.state = AttemptState::Running { since_ms: now_ms };
                     self.stop_if_unwanted(key);
@@ -140,6 +182,8 @@
                 let doublings = worker.unanswered_starts.min(MAX_BACKOFF_DOUBLINGS);
                 worker.unanswered_starts += 1;
                 worker.backoff_until_ms = now_ms + (UNANSWERED_BACKOFF_MS << doublings);
+                let job = &mut self.jobs[attempt.phase.job];
+                job.phases[attempt.phase.phase].retry.delay(now_ms);
                 if attempt.state == AttemptState::Sent {
                     attempt.state = AttemptState::Uncertain;
                     self.log_attempt("start_unanswered", key, "");
@@ -198,18 +242,40 @@
         }
     }
 
-    /// Sends a stop request, whatever the state of the attempt. An attempt that has not been sent
-    /// yet is dropped after its commit instead.
+    /// Requests that an attempt be stopped, whatever its state. An attempt that has not been sent yet
+    /// is dropped after its commit instead.
     pub(super) fn stop_attempt(&mut self, key: AttemptKey) {
         let now_ms = self.time.now_ms;
         let Some(attempt) = self.attempts.get_mut(key) else { return };
-        if attempt.state == AttemptState::Persisting {
-            return;
+        if attempt.state != AttemptState::Persisting && attempt.state != AttemptState::Stopping {
+            attempt.state = AttemptState::Stopping;
+            attempt.stop_due_ms = now_ms;
+            self.stopping.push(key);
+        }
+    }
+
+    /// Sends the stop requests that are due, and repeats those that were not acknowledged, as far as
+    /// the window has space.
+    pub(super) fn send_stops(&mut self) {
+        let now_ms = self.time.now_ms;
+        let CellCore { attempts, stopping, .. } = self;
+        stopping.retain(|key| {
+            attempts.get(*key).is_some_and(|attempt| attempt.state == AttemptState::Stopping)
+        });
+        let is_due = |key: &AttemptKey| self.attempts[*key].stop_due_ms <= now_ms;
+        let due: Vec<AttemptKey> = self.stopping.iter().copied().filter(is_due).collect();
+        for key in due {
+            if !self.request_window.try_send(now_ms) {
+                return self.log_window();
+            }
+            let attempt = &mut self.attempts[key];
+            let doublings = attempt.stop_tries.min(MAX_STOP_DOUBLINGS);
+            attempt.stop_tries += 1;
+            attempt.sent_ms = now_ms;
+            attempt.stop_due_ms = now_ms + (STOP_RETRY_MS << doublings);
+            let request = self.stop_request(key);
+            self.actions.push(CellAction::Stop(request));
         }
-        attempt.state = AttemptState::Stopping;
-        attempt.stop_due_ms = now_ms + STOP_RETRY_MS;
-        let request = self.stop_request(key);
-        self.actions.push(CellAction::Stop(request));
     }
 
     fn stop_request(&self, key: AttemptKey) -> StopRequest {
@@ -228,6 +294,7 @@
 
     /// Stops a run that belongs to no attempt in the tables.
     pub(super) fn stop_orphan(&mut self, worker: WorkerKey, running: &RunningAttempt) {
+        self.request_window.send();
         let worker = &self.workers[worker];
         self.actions.push(CellAction::Stop(StopRequest {
             attempt: AttemptKey::default(),
@@ -242,6 +309,8 @@
 
     pub(super) fn finish_stop(&mut self, key: AttemptKey, is_acknowledged: bool) {
         let now_ms = self.time.now_ms;
+        let sent_ms = self.attempts.get(key).map(|attempt| attempt.sent_ms);
+        self.request_window.finish(RequestEnd::of(is_acknowledged, sent_ms), now_ms);
         let Some(attempt) = self.attempts.get_mut(key) else { return };
         if is_acknowledged && attempt.state == AttemptState::Stopping {
             attempt.state = AttemptState::StopAcknowledged { since_ms: now_ms };
@@ -250,20 +319,6 @@
         }
     }
 
-    /// Repeats stop requests that were not acknowledged.
-    pub(super) fn resend_stops(&mut self) {
-        let now_ms = self.time.now_ms;
-        let due: Vec<AttemptKey> = self
-            .attempts
-            .iter()
-            .filter(|(_, a)| a.state == AttemptState::Stopping && a.stop_due_ms <= now_ms)
-            .map(|(key, _)| key)
-            .collect();
-        for key in due {
-            self.stop_attempt(key);
-        }
-    }
-
     pub(super) fn log_attempt(&mut self, event: &'static str, key: AttemptKey, detail: &str) {
         let attempt = &self.attempts[key];
         let job = &self.jobs[attempt.phase.job];
--- a/crates/cell/src/core/commit.rs
+++ b/crates/cell/src/core/commit.rs
@@ -190,7 +190,7 @@
         let lane = std::mem::take(&mut self.commits.lanes[lane]);
         for (after, state) in lane.waiting {
             match after {
-                AfterCommit::Send(attempt) => self.send_attempt(attempt),
+                AfterCommit::Send(attempt) => self.ready.push_back(attempt),
                 AfterCommit::AcknowledgeEnd(worker, incarnation) => {
                     self.confirm_end(worker, incarnation);
                 }
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -15,6 +15,10 @@
 /// Time between a response and the next renewal, in milliseconds, so that one response reports
 /// several ends.
 const RENEW_PAUSE_MS: u64 = 30;
+/// Factor by which this pause grows with the delay of responses on a slow network link.
+const RENEW_PAUSE_DELAYS: f64 = 4.0;
+/// Maximum of this pause, in milliseconds.
+const MAX_RENEW_PAUSE_MS: u64 = 1_000;
 /// Additional time before the next renewal while ends are not durable yet, in milliseconds.
 const PENDING_ENDS_RENEW_MS: u64 = 1_000;
 /// Maximum number of first renewals in flight. Each needs a new connection, and a new leader
@@ -87,8 +91,16 @@
         }
     }
 
+    /// Returns the time between a response and the next renewal, in milliseconds.
+    fn renew_pause_ms(&self) -> u64 {
+        // A float-to-integer cast saturates.
+        let delay_ms = (self.request_window.delay_ms() * RENEW_PAUSE_DELAYS) as u64;
+        (RENEW_PAUSE_MS + delay_ms).min(MAX_RENEW_PAUSE_MS)
+    }
+
     pub(super) fn finish_renewal(&mut self, key: WorkerKey, outcome: RenewOutcome) {
         let now_ms = self.time.now_ms;
+        let pause_ms = self.renew_pause_ms();
         let Some(worker) = self.workers.get_mut(key) else { return };
         let sent_ms = worker.renew_sent_ms.take().unwrap_or(now_ms);
         let was_silent = worker.is_silent;
@@ -109,7 +121,7 @@
                 self.log("hold_outdated", id, "a former incarnation answered");
             }
             RenewOutcome::Answered(response) => {
-                worker.next_renew_ms = now_ms + RENEW_PAUSE_MS;
+                worker.next_renew_ms = now_ms + pause_ms;
                 if response.incarnation > worker.report.incarnation {
                     let id = worker.report.id.clone();
                     worker.restart(response.incarnation);
@@ -132,7 +144,7 @@
                 self.log("worker_fenced", id, "it has seen a higher fencing token");
             }
             RenewOutcome::Unknown => {
-                worker.next_renew_ms = now_ms + RENEW_RETRY_MS;
+                worker.next_renew_ms = now_ms + pause_ms.max(RENEW_RETRY_MS);
                 worker.backoff_until_ms = now_ms + SILENCE_BACKOFF_MS;
             }
         }
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! A tick first expires leases, which frees the capacity of their attempts. Then it places tasks;
 //! no other pass reserves capacity for new attempts. For steps that lack tickets it calls the
-//! adviser. Last it commits all changes. A start request is sent only after the attempt is in the
+//! adviser. Last it sends the start requests for which the window has space and commits all changes.
+//! A start request is sent only after the attempt is in the
 //! store, so that a new leader always knows where a task may be running.
 
 mod admission;
@@ -16,6 +17,7 @@
 mod leases;
 mod pending;
 mod placement;
+mod request_window;
 mod worker_speed;
 mod workers;
 
@@ -27,6 +29,7 @@
     },
     admission::BacklogLoad,
     commit::CommitQueue,
+    request_window::RequestWindow,
     rustc_hash::FxHashMap,
     slotmap::SlotMap,
     std::{collections::VecDeque, sync::Arc},
@@ -72,6 +75,13 @@
     team_used: FxHashMap<String, ResourceSet>,
     commits: CommitQueue,
     load: BacklogLoad,
+    request_window: RequestWindow,
+    /// Attempts whose stop requests have not been acknowledged.
+    stopping: Vec<AttemptKey>,
+    /// Durable attempts whose start requests have not been sent, oldest first.
+    ready: VecDeque<AttemptKey>,
+    /// Time from which the state of the request window may be logged again.
+    window_log_due_ms: u64,
     actions: Vec<CellAction>,
     /// Something changed since the last placement that may allow tasks to be placed.
     is_placement_due: bool,
@@ -109,6 +119,10 @@
             team_used: FxHashMap::default(),
             commits: CommitQueue::default(),
             load: BacklogLoad::default(),
+            request_window: RequestWindow::default(),
+            stopping: Vec::new(),
+            ready: VecDeque::new(),
+            window_log_due_ms: 0,
             actions: Vec::new(),
             is_placement_due: false,
             last_placement_ms: 0,
@@ -171,13 +185,14 @@
     pub fn tick(&mut self, now_ms: u64, wall_ms: u64) -> Vec<CellAction> {
         self.set_time(now_ms, wall_ms);
         self.expire_leases();
-        self.resend_stops();
         if self.time.now_ms >= self.placement_due_ms() {
             self.is_placement_due = false;
             self.last_placement_ms = self.time.now_ms;
             self.start_due_occurrences();
             self.place_backlog();
         }
+        self.send_stops();
+        self.send_ready();
         self.renew_leases();
         self.start_commit();
         std::mem::take(&mut self.actions)
@@ -223,6 +238,17 @@
         }
     }
 
+    /// Returns the largest number of start and stop requests that may be in flight.
+    ///
+    /// ```
+    /// let core = damaskrack_cell::CellCore::new(damaskrack_cell::CellSettings::default());
+    /// assert!(core.request_window_size() > 0);
+    /// ```
+    #[must_use]
+    pub fn request_window_size(&self) -> usize {
+        self.request_window.size()
+    }
+
     fn log(&mut self, event: &'static str, subject: impl Into<String>, detail: impl Into<String>) {
         let entry = LogEntry { event, subject: subject.into(), detail: detail.into() };
         self.actions.push(CellAction::Log(entry));
--- a/crates/cell/src/core/placement.rs
+++ b/crates/cell/src/core/placement.rs
@@ -30,7 +30,8 @@
     Placed,
     /// Some tasks were not placed, and tickets for other workers might help.
     Incomplete,
-    /// Tickets would not help: the team is at its limit, or members of the gang are still running.
+    /// Tickets would not help: the team is at its limit, members of the gang are still running, or
+    /// too many start requests are in flight.
     Blocked,
 }
 
@@ -62,16 +63,21 @@
         &mut self,
         phase: PhaseRef,
         available: &AvailableWorkers,
+        budget: &mut usize,
     ) -> PlacementOutcome {
         let job = &self.jobs[phase.job];
         let step = &job.record.steps[job.phases[phase.phase].step];
         let is_gang = step.is_gang;
         let need = step.resources();
         let entry = &job.phases[phase.phase];
+        if *budget == 0 || !entry.retry.is_due(self.time.now_ms) {
+            return PlacementOutcome::Blocked;
+        }
         if is_gang && entry.unassigned < entry.unfinished {
             return PlacementOutcome::Blocked;
         }
-        let wanted = entry.unassigned;
+        // The members of a gang are sent together, even if the window is smaller.
+        let wanted = if is_gang { entry.unassigned } else { entry.unassigned.min(*budget) };
         let allowed = self.within_limit(&job.record.team, &need, wanted);
         if allowed == 0 || (is_gang && allowed < wanted) {
             return PlacementOutcome::Blocked;
@@ -82,6 +88,7 @@
             false => self.plan_tasks(phase, &workers, allowed),
         };
         let placed = plan.len();
+        *budget = budget.saturating_sub(placed);
         self.create_attempts(phase, &plan);
         match placed {
             _ if placed == wanted => PlacementOutcome::Placed,
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -86,6 +86,10 @@
             self.log("worker_empty", id, format!("reason={reason} attempts={}", attempts.len()));
         }
         for attempt in attempts {
+            let phase = self.attempts[attempt].phase;
+            if let Some(entry) = self.jobs[phase.job].phases.get_mut(phase.phase) {
+                entry.retry.delay(self.time.now_ms);
+            }
             self.drop_attempt(attempt);
         }
     }
--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -49,6 +49,10 @@
     pub(crate) percent: u32,
     /// Another member of the gang ended, so this one must not run.
     pub(crate) is_gang_aborted: bool,
+    /// Time at which the start request was sent; 0 if it was not.
+    pub(crate) sent_ms: u64,
+    /// Number of stop requests so far.
+    pub(crate) stop_tries: u32,
     /// Time at which an unacknowledged stop request is repeated.
     pub(crate) stop_due_ms: u64,
 }
--- a/crates/cell/src/table/mod.rs
+++ b/crates/cell/src/table/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod job;
 mod phase;
+mod phase_retry;
 mod task;
 mod worker;
 
@@ -12,6 +13,7 @@
     attempt::{AttemptEntry, AttemptState},
     job::{AfterCommit, JobEntry, JobRow, JobRowChange},
     phase::{PhaseEntry, TicketEntry},
+    phase_retry::PhaseRetry,
     task::TaskEntry,
     worker::WorkerEntry,
 };
--- a/crates/cell/src/table/phase.rs
+++ b/crates/cell/src/table/phase.rs
@@ -1,7 +1,7 @@
 //! Phases: one step of one occurrence of a job.
 
 use {
-    super::TaskEntry,
+    super::{PhaseRetry, TaskEntry},
     crate::{AdviceCallKey, PhaseProgress, TaskProgress, WorkerKey},
     rustc_hash::{FxHashMap, FxHashSet},
 };
@@ -28,6 +28,7 @@
     /// Workers that the adviser denies.
     pub(crate) denied: FxHashSet<WorkerKey>,
     pub(crate) advice_call: Option<AdviceCallKey>,
+    pub(crate) retry: PhaseRetry,
     /// Attempt number of the last gang run that was counted as failed.
     failed_run: u32,
 }
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -2,5 +2,6 @@
 
 mod failures;
 mod load;
+mod narrow_link;
 mod pending;
 mod support;
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -15,13 +15,15 @@
         WorkerTicket,
     },
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::{BTreeMap, BTreeSet, VecDeque},
         sync::Arc,
     },
 };
 
 /// Unix time at the start of each test, in milliseconds.
 pub(crate) const WALL_MS: u64 = 1_700_000_000_000;
+/// Time after which a request on a [`FakeLink`] has failed, in milliseconds.
+const REQUEST_TIMEOUT_MS: u64 = 350;
 /// Capacity of a fake worker.
 pub(crate) const CAPACITY: ResourceSet =
     ResourceSet { cpu_millis: 4_000, memory_mb: 4_096, accelerators: 0 };
@@ -85,6 +87,66 @@
     }
 }
 
+/// A request on a [`FakeLink`].
+#[derive(Debug)]
+struct QueuedRequest {
+    sent_ms: u64,
+    /// `None` once the request has timed out.
+    action: Option<CellAction>,
+}
+
+/// The leader's network link. It transmits requests one after the other at a limited rate, and
+/// transmits those that have timed out meanwhile all the same.
+#[derive(Debug, Default)]
+pub(crate) struct FakeLink {
+    pub(crate) requests_per_s: u64,
+    queued: VecDeque<QueuedRequest>,
+    /// Transmission capacity left over, in thousandths of a request.
+    credit: u64,
+    /// Number of start requests without a response in time.
+    pub(crate) lost_starts: usize,
+    /// Number of renewals without a response in time.
+    pub(crate) lost_renewals: usize,
+}
+
+impl FakeLink {
+    pub(crate) fn new(requests_per_s: u64) -> Self {
+        Self { requests_per_s, ..Self::default() }
+    }
+
+    fn queue(&mut self, action: CellAction, now_ms: u64) {
+        self.queued.push_back(QueuedRequest { sent_ms: now_ms, action: Some(action) });
+    }
+
+    /// Transmits for 10 ms and returns the requests that arrived.
+    fn transmit(&mut self) -> Vec<CellAction> {
+        self.credit += self.requests_per_s * 10;
+        let mut delivered = Vec::new();
+        while self.credit >= 1_000
+            && let Some(request) = self.queued.pop_front()
+        {
+            self.credit -= 1_000;
+            delivered.extend(request.action);
+        }
+        if self.queued.is_empty() {
+            self.credit = self.credit.min(1_000);
+        }
+        delivered
+    }
+
+    /// Returns the queued requests that time out now.
+    fn time_out(&mut self, now_ms: u64) -> Vec<CellAction> {
+        let late =
+            self.queued.iter_mut().filter(|request| now_ms > request.sent_ms + REQUEST_TIMEOUT_MS);
+        let lost: Vec<CellAction> = late.filter_map(|request| request.action.take()).collect();
+        let is_start = |action: &&CellAction| matches!(action, CellAction::Start(_));
+        let is_renewal = |action: &&CellAction| matches!(action, CellAction::Renew(_));
+        self.lost_starts += lost.iter().filter(is_start).count();
+        self.lost_renewals += lost.iter().filter(is_renewal).count();
+        lost
+    }
+}
+
 /// The core under test with its fake environment.
 pub(crate) struct FakeCell {
     pub(crate) core: CellCore,
@@ -116,6 +178,11 @@
     pub(crate) lost_advice: usize,
     /// Workers that the adviser allows; all workers if empty.
     pub(crate) allowed: BTreeSet<String>,
+    /// The leader's network link; requests take no time without one.
+    pub(crate) link: Option<FakeLink>,
+    /// Renewals that wait at their workers for an end, with the times until which they wait. Without
+    /// a link, workers respond at once.
+    waiting_renewals: Vec<(u64, RenewRequest)>,
 }
 
 /// Creates a step whose tasks use one core each.
@@ -173,6 +240,8 @@
             advice_requests: Vec::new(),
             lost_advice: 0,
             allowed: BTreeSet::new(),
+            link: None,
+            waiting_renewals: Vec::new(),
         };
         for index in 0..workers {
             cell.add_worker(&format!("w{index}"), 1, &format!("r{}", index % 2));
@@ -248,6 +317,7 @@
         while self.now_ms < until_ms {
             self.now_ms += 10;
             self.end_runs();
+            self.run_link();
             for _ in 0..4 {
                 let actions = self.core.tick(self.now_ms, self.wall_ms());
                 actions.into_iter().for_each(|action| self.perform(action));
@@ -279,9 +349,63 @@
     }
 
     fn perform(&mut self, action: CellAction) {
+        if let Some(link) = &mut self.link
+            && let CellAction::Start(_) | CellAction::Stop(_) | CellAction::Renew(_) = &action
+        {
+            return link.queue(action, self.now_ms);
+        }
+        self.deliver(action);
+    }
+
+    fn answer_waiting_renewals(&mut self) {
+        let waiting = std::mem::take(&mut self.waiting_renewals);
+        let (due, later): (Vec<_>, Vec<_>) =
+            waiting.into_iter().partition(|(until_ms, request)| {
+                let mut ended = self.workers[&request.address].ended.iter();
+                *until_ms <= self.now_ms || ended.any(|end| end.number > request.last_durable_end)
+            });
+        self.waiting_renewals = later;
+        due.iter().for_each(|(_, request)| self.renew(request));
+    }
+
+    /// Delivers requests that have passed the link, and reports those that have timed out.
+    fn run_link(&mut self) {
+        self.answer_waiting_renewals();
+        let Some(mut link) = self.link.take() else { return };
+        let lost = link.time_out(self.now_ms);
+        let delivered = link.transmit();
+        self.link = Some(link);
+        lost.into_iter().for_each(|action| self.lose(action));
+        delivered.into_iter().for_each(|action| self.deliver(action));
+    }
+
+    /// Reports that a request had no response in time. A start is carried out late.
+    fn lose(&mut self, action: CellAction) {
+        let input = match action {
+            CellAction::Start(request) => {
+                let attempt = request.attempt;
+                let worker = self.workers.get_mut(&request.address).unwrap();
+                worker.deferred_starts.push(request);
+                CellInput::StartFinished { attempt, outcome: StartOutcome::Unknown, clock_ms: None }
+            }
+            CellAction::Stop(request) => {
+                CellInput::StopFinished { attempt: request.attempt, is_acknowledged: false }
+            }
+            CellAction::Renew(request) => {
+                CellInput::RenewFinished { worker: request.worker, outcome: RenewOutcome::Unknown }
+            }
+            other => panic!("{other:?} does not pass the link"),
+        };
+        self.apply(input);
+    }
+
+    fn deliver(&mut self, action: CellAction) {
         match action {
             CellAction::Start(request) => self.start(request),
             CellAction::Stop(request) => self.stop(&request),
+            CellAction::Renew(request) if self.link.is_some() => {
+                self.waiting_renewals.push((self.now_ms + request.wait_ms, request));
+            }
             CellAction::Renew(request) => self.renew(&request),
             CellAction::RequestAdvice(request) => self.advise(request),
             CellAction::Commit(request) => self.commit(request),
