Count the bytes of a daemon's link by purpose

Counters on the metrics address and a log line each ten seconds for hosts that move more than 10 KB/s.

--- a/crates/cellnode/src/frame.rs
+++ b/crates/cellnode/src/frame.rs
@@ -1,6 +1,7 @@
 //! Messages between daemons and the leader: length-delimited `prost` messages.
 
 use {
+    crate::LinkPurpose,
     bytes::{Bytes, BytesMut},
     damaskrack_cell::JobRecord,
     prost::Message,
@@ -144,6 +145,27 @@
     pub(crate) max_leader_capacity: u32,
 }
 
+impl EntryFrame {
+    /// Returns what the frame is sent for.
+    pub(crate) fn purpose(&self) -> LinkPurpose {
+        match self.body {
+            Some(EntryBody::Submit(_) | EntryBody::Accepted(_)) => LinkPurpose::PeerSubmission,
+            Some(EntryBody::AdviceResponse(_)) => LinkPurpose::PeerAdvice,
+            _ => LinkPurpose::PeerOther,
+        }
+    }
+}
+
+impl LeaderFrame {
+    /// Returns what the frame is sent for.
+    pub(crate) fn purpose(&self) -> LinkPurpose {
+        match self.body {
+            Some(LeaderBody::RequestAdvice(_)) => LinkPurpose::PeerAdvice,
+            _ => LinkPurpose::PeerOther,
+        }
+    }
+}
+
 /// Builds the codec of a connection.
 pub(crate) fn frame_codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
--- a/crates/cellnode/src/lib.rs
+++ b/crates/cellnode/src/lib.rs
@@ -16,6 +16,7 @@
 mod leadership_status;
 mod leadership_transfer;
 mod lease_keeper;
+mod link_meter;
 mod node;
 mod rows;
 mod session_registry;
@@ -28,5 +29,6 @@
         AdviserGateway, CellStore, PlatformCodec, StoreError, StoreItem, StorePage, StorePut,
         StoreTransaction, TransactionOutcome, WorkerGateway,
     },
+    link_meter::{LinkMeter, LinkPurpose},
     node::{CellNode, CellNodeConfig, OutsideLinks},
 };
--- a/crates/cellnode/src/node.rs
+++ b/crates/cellnode/src/node.rs
@@ -3,7 +3,8 @@
 
 use {
     crate::{
-        AdviserGateway, CellStore, EntryService, PlatformCodec, StoreItem, WorkerGateway,
+        AdviserGateway, CellStore, EntryService, LinkMeter, PlatformCodec, StoreItem,
+        WorkerGateway,
         follow::{FollowTiming, ItemSink, SHORT_PAGE_TIMEOUT_MS, follow_prefix},
         frame::HelloFrame,
         guard::GuardWriter,
@@ -77,6 +78,8 @@
     pub codec: Arc<dyn PlatformCodec>,
     /// Client for counters and latencies.
     pub metrics: Arc<StatsdClient>,
+    /// Counters of the bytes that the daemon exchanges.
+    pub meter: Arc<LinkMeter>,
 }
 
 impl std::fmt::Debug for OutsideLinks {
@@ -107,7 +110,7 @@
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(config.peer_address).await?;
         let id = rand::random_range(1..=u64::MAX);
-        let registry = Arc::new(SessionRegistry::default());
+        let registry = Arc::new(SessionRegistry::new(external.meter.clone()));
         let hello = HelloFrame { daemon: id, leader_capacity: config.leader_capacity };
         let connection = LeaderConnection::new(
             hello,
@@ -130,6 +133,8 @@
             breaker_until_ms: AtomicU64::new(0),
             metrics: external.metrics.clone(),
         });
+        let (metrics, meter) = (external.metrics.clone(), external.meter.clone());
+        tokio::spawn(meter.report(metrics, logger.clone()));
         tokio::spawn(follow_config(
             external.clone(),
             config_sender,
--- a/crates/cellnode/src/session_registry.rs
+++ b/crates/cellnode/src/session_registry.rs
@@ -1,13 +1,19 @@
 //! The leader's side of the connections with all daemons.
 
 use {
-    crate::frame::{
-        EntryBody, EntryFrame, HelloFrame, LeaderBody, LeaderFrame, decode, encode, frame_codec,
+    crate::{
+        LinkMeter,
+        frame::{
+            EntryBody, EntryFrame, HelloFrame, LeaderBody, LeaderFrame, decode, encode, frame_codec,
+        },
     },
     bytes::{Bytes, BytesMut},
     futures_util::{SinkExt, StreamExt},
     slog::{Logger, info},
-    std::{sync::Mutex, time::Duration},
+    std::{
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
     tokio::{
         net::{TcpListener, TcpStream},
         sync::mpsc,
@@ -50,9 +56,14 @@
 #[derive(Debug, Default)]
 pub(crate) struct SessionRegistry {
     state: Mutex<RegistryState>,
+    meter: Arc<LinkMeter>,
 }
 
 impl SessionRegistry {
+    pub(crate) fn new(meter: Arc<LinkMeter>) -> Self {
+        Self { state: Mutex::default(), meter }
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, RegistryState> {
         self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
@@ -138,7 +149,7 @@
 
 /// Accepts connections from daemons until the task is dropped.
 pub(crate) async fn serve_sessions(
-    registry: &std::sync::Arc<SessionRegistry>,
+    registry: &Arc<SessionRegistry>,
     listener: TcpListener,
     logger: &Logger,
 ) {
@@ -169,7 +180,7 @@
             }
             frame = outgoing.recv() => {
                 let Some(frame) = frame else { break };
-                if !write_frames(&mut framed, frame, &mut outgoing).await { break }
+                if !write_frames(registry, &mut framed, frame, &mut outgoing).await { break }
             }
         }
     }
@@ -178,13 +189,16 @@
 
 /// Writes a frame and all queued ones, then flushes; `false` if the connection failed.
 async fn write_frames(
+    registry: &SessionRegistry,
     framed: &mut Framed<TcpStream, LengthDelimitedCodec>,
     first: LeaderFrame,
     outgoing: &mut mpsc::Receiver<LeaderFrame>,
 ) -> bool {
     let mut next = Some(first);
     while let Some(frame) = next {
-        if framed.feed(encode(&frame)).await.is_err() {
+        let bytes = encode(&frame);
+        registry.meter.record_sent(frame.purpose(), bytes.len());
+        if framed.feed(bytes).await.is_err() {
             return false;
         }
         next = outgoing.try_recv().ok();
@@ -198,7 +212,9 @@
     session: u64,
     bytes: BytesMut,
 ) -> bool {
+    let length = bytes.len();
     let Some(frame) = decode::<EntryFrame>(bytes) else { return false };
+    registry.meter.record_received(frame.purpose(), length);
     if let Some(EntryBody::Hello(hello)) = frame.body {
         registry.identify_session(session, hello);
     }
