Let daemons call workers for a leader behind a narrow link

Requests to workers were over half of the leader's bytes. Where they would take more than 40 % of its link, a daemon in the worker's zone sends them: one frame instead of an HTTP request, a payload once a daemon instead of once a task, changes of the list of running attempts instead of the list. A daemon checks the age of a start just before it sends it, by the fastest frame of the session; one that does not respond is avoided for 5 s; leaving daemons forward nothing and are not asked to lead.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -213,7 +213,7 @@
             | StartRefusal::Fenced => {
                 self.workers[worker].backoff_until_ms = now_ms + REFUSAL_BACKOFF_MS;
             }
-            StartRefusal::Stale | StartRefusal::Invalid => {}
+            StartRefusal::Stale | StartRefusal::Invalid | StartRefusal::Expired => {}
         }
         self.drop_attempt(key);
     }
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -100,6 +100,8 @@
     Unavailable,
     /// The worker rejected the request as malformed.
     Invalid,
+    /// The daemon that was to send the request received it too late and did not send it.
+    Expired,
 }
 
 /// Outcome of a start request.
--- a/crates/cellnode/src/frame.rs
+++ b/crates/cellnode/src/frame.rs
@@ -1,7 +1,10 @@
 //! Messages between daemons and the leader: length-delimited `prost` messages.
 
 use {
-    crate::LinkPurpose,
+    crate::{
+        LinkPurpose,
+        forward_frame::{ForwardFrame, ForwardedFrame},
+    },
     bytes::{Bytes, BytesMut},
     damaskrack_cell::JobRecord,
     prost::Message,
@@ -17,7 +20,7 @@
     /// Number that the leader's response repeats; 0 if none is expected.
     #[prost(uint64, tag = "1")]
     pub(crate) call: u64,
-    #[prost(oneof = "EntryBody", tags = "2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "EntryBody", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
     pub(crate) body: Option<EntryBody>,
 }
 
@@ -44,10 +47,13 @@
     /// Submits a job that is not in the store yet.
     #[prost(message, tag = "8")]
     Submit(JobRecord),
+    /// What came of a request that the daemon forwarded to a worker.
+    #[prost(message, tag = "9")]
+    Forwarded(ForwardedFrame),
 }
 
 /// Identity and capacity of a daemon.
-#[derive(Clone, Copy, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct HelloFrame {
     /// Random id of the daemon's process.
     #[prost(uint64, tag = "1")]
@@ -55,6 +61,12 @@
     /// How much work the daemon's host could do as the leader.
     #[prost(uint32, tag = "2")]
     pub(crate) leader_capacity: u32,
+    /// Availability zone of the daemon's host.
+    #[prost(string, tag = "3")]
+    pub(crate) zone: String,
+    /// The daemon is shutting down.
+    #[prost(bool, tag = "4")]
+    pub(crate) is_leaving: bool,
 }
 
 /// The adviser's response.
@@ -80,7 +92,7 @@
     /// Number of the request that this responds to; 0 for none.
     #[prost(uint64, tag = "1")]
     pub(crate) call: u64,
-    #[prost(oneof = "LeaderBody", tags = "2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "LeaderBody", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
     pub(crate) body: Option<LeaderBody>,
 }
 
@@ -108,6 +120,9 @@
     /// The leader cannot tell: it does not know whether it still leads.
     #[prost(message, tag = "8")]
     Unavailable(UnavailableFrame),
+    /// Asks the daemon to send a request to a worker.
+    #[prost(message, tag = "9")]
+    Forward(ForwardFrame),
 }
 
 /// A response without contents.
@@ -143,6 +158,9 @@
     /// Highest leader capacity of the connected daemons.
     #[prost(uint32, tag = "3")]
     pub(crate) max_leader_capacity: u32,
+    /// Time at which the leader sent the frame, in milliseconds since its host booted.
+    #[prost(uint64, tag = "4")]
+    pub(crate) sent_ms: u64,
 }
 
 impl EntryFrame {
@@ -151,6 +169,7 @@
         match self.body {
             Some(EntryBody::Submit(_) | EntryBody::Accepted(_)) => LinkPurpose::PeerSubmission,
             Some(EntryBody::AdviceResponse(_)) => LinkPurpose::PeerAdvice,
+            Some(EntryBody::Forwarded(_)) => LinkPurpose::PeerForwarding,
             _ => LinkPurpose::PeerOther,
         }
     }
@@ -161,6 +180,7 @@
     pub(crate) fn purpose(&self) -> LinkPurpose {
         match self.body {
             Some(LeaderBody::RequestAdvice(_)) => LinkPurpose::PeerAdvice,
+            Some(LeaderBody::Forward(_)) => LinkPurpose::PeerForwarding,
             _ => LinkPurpose::PeerOther,
         }
     }
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -11,6 +11,7 @@
         follow::{
             FollowTiming, ItemSink, LONG_PAGE_TIMEOUT_MS, follow_from, follow_prefix, read_all,
         },
+        forward_router::ForwardRouter,
         frame::{
             AdviceRequestFrame, EntryBody, HelloFrame, LeaderBody, LeaderStatusFrame,
             UnavailableFrame,
@@ -96,6 +97,8 @@
     pub(crate) registry: Arc<SessionRegistry>,
     pub(crate) config: watch::Receiver<Arc<CellConfig>>,
     pub(crate) settings: CellSettings,
+    /// Bandwidth of the host's network link, in bytes per second; 0 if it is not known.
+    pub(crate) link_bytes_per_s: u64,
     pub(crate) logger: Logger,
 }
 
@@ -108,6 +111,7 @@
     /// Queues of the lanes' writers.
     commits: Vec<mpsc::Sender<CommitRequest>>,
     leadership: Arc<LeadershipStatus>,
+    router: Arc<ForwardRouter>,
     /// Session and call number of each request that waits for a commit, by the core's handle.
     pending_replies: FxHashMap<u64, (u64, u64)>,
     last_reply_id: u64,
@@ -133,6 +137,13 @@
         events: events.clone(),
         commits: Vec::new(),
         leadership: leadership.clone(),
+        router: ForwardRouter::new(
+            context.external.workers.clone(),
+            context.registry.clone(),
+            leader.id,
+            context.link_bytes_per_s,
+            context.logger.clone(),
+        ),
         pending_replies: FxHashMap::default(),
         last_reply_id: 0,
         next_transfer_ms: 0,
@@ -246,7 +257,7 @@
     fn follow(&mut self, (workers, workers_revision): (Vec<StoreItem>, u64), jobs_revision: u64) {
         let codec = self.context.external.codec.clone();
         let prefix = codec.worker_prefix().to_owned();
-        let mut sink = WorkerSink::new(codec, self.events.clone());
+        let mut sink = WorkerSink::new(codec, self.events.clone(), self.router.clone());
         sink.replace(workers);
         self.follow_one(prefix, WORKER_WATCH_INTERVAL_MS, workers_revision, sink);
         let sink = JobSink::new(self.events.clone(), self.context.logger.clone());
@@ -344,7 +355,7 @@
         }
         self.next_transfer_ms = now_ms + TRANSFER_RETRY_MS;
         let mut others = self.context.registry.daemons();
-        others.retain(|hello| hello.daemon != self.id);
+        others.retain(|hello| hello.daemon != self.id && !hello.is_leaving);
         let Some(chosen) = choose_highest_capacity(&others) else { return };
         warn!(self.context.logger, "resigning"; "term" => self.token, "to" => chosen);
         self.context.registry.send_to_daemon(chosen, &LeaderBody::TransferLeadership(self.token));
@@ -378,11 +389,13 @@
             is_store_unresponsive: self.is_store_unresponsive(),
             store_latency_ms: self.leadership.store_latency_ms(),
             max_leader_capacity,
+            sent_ms: boot_ms(),
         };
         self.context.registry.broadcast(&LeaderBody::Status(status));
     }
 
     fn update_daemons(&mut self, daemons: &[HelloFrame]) {
+        self.router.update_daemons(daemons);
         let ids = daemons.iter().map(|hello| hello.daemon).collect();
         self.core.apply(CellInput::Daemons(ids));
     }
@@ -421,6 +434,7 @@
                 let call = AdviceCallKey::from(KeyData::from_ffi(response.advice_call));
                 self.core.apply(CellInput::Advice { call, allowed });
             }
+            Some(EntryBody::Forwarded(forwarded)) => self.router.receive(session, forwarded),
             None => {}
         }
     }
@@ -515,7 +529,7 @@
     }
 
     fn gateway(&self) -> (Arc<dyn WorkerGateway>, mpsc::Sender<LeaderEvent>, u64) {
-        (self.context.external.workers.clone(), self.events.clone(), self.token)
+        (self.router.clone(), self.events.clone(), self.token)
     }
 }
 
--- a/crates/cellnode/src/leader_connection.rs
+++ b/crates/cellnode/src/leader_connection.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        AdviserGateway,
+        AdviserGateway, OutsideLinks, WorkerGateway,
+        forward_session::ForwardSession,
         frame::{
             AdviceRequestFrame, AdviceResponseFrame, EntryBody, EntryFrame, HelloFrame, LeaderBody,
             LeaderFrame, LeaderStatusFrame, decode, encode, frame_codec,
@@ -18,7 +19,7 @@
     std::{
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -55,20 +56,47 @@
     hello: HelloFrame,
     state: Mutex<ConnectionState>,
     last_call: AtomicU64,
+    is_leaving: AtomicBool,
     adviser: Arc<dyn AdviserGateway>,
+    workers: Arc<dyn WorkerGateway>,
     registry: Arc<SessionRegistry>,
     logger: Logger,
 }
 
+impl std::fmt::Debug for LeaderConnection {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("LeaderConnection")
+    }
+}
+
 impl LeaderConnection {
     pub(crate) fn new(
         hello: HelloFrame,
-        adviser: Arc<dyn AdviserGateway>,
+        external: &OutsideLinks,
         registry: Arc<SessionRegistry>,
         logger: Logger,
     ) -> Arc<Self> {
-        let state = Mutex::default();
-        Arc::new(Self { hello, state, last_call: AtomicU64::new(0), adviser, registry, logger })
+        Arc::new(Self {
+            hello,
+            state: Mutex::default(),
+            last_call: AtomicU64::new(0),
+            is_leaving: AtomicBool::new(false),
+            adviser: external.adviser.clone(),
+            workers: external.workers.clone(),
+            registry,
+            logger,
+        })
+    }
+
+    /// Tells the leader that this daemon is shutting down.
+    pub(crate) fn leave(&self) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+        self.notify(EntryBody::Hello(self.hello()));
+    }
+
+    fn hello(&self) -> HelloFrame {
+        let is_leaving = self.is_leaving.load(Ordering::Relaxed);
+        HelloFrame { is_leaving, ..self.hello.clone() }
     }
 
     fn lock(&self) -> MutexGuard<'_, ConnectionState> {
@@ -139,7 +167,7 @@
 
     fn connect(&self) -> mpsc::Receiver<EntryFrame> {
         let (sender, receiver) = mpsc::channel(OUTGOING_QUEUE);
-        let hello = EntryFrame { call: 0, body: Some(EntryBody::Hello(self.hello)) };
+        let hello = EntryFrame { call: 0, body: Some(EntryBody::Hello(self.hello())) };
         // Cannot fail: the queue is empty.
         let _ = sender.try_send(hello);
         self.lock().outgoing = Some(sender);
@@ -156,7 +184,7 @@
     async fn run_local(self: &Arc<Self>) {
         let Some((session, inbox, mut incoming)) = self.registry.add_session() else { return };
         let mut outgoing = self.connect();
-        self.registry.identify_session(session, self.hello);
+        self.registry.identify_session(session, self.hello());
         loop {
             tokio::select! {
                 frame = outgoing.recv() => {
@@ -165,7 +193,8 @@
                 }
                 frame = incoming.recv() => {
                     let Some(frame) = frame else { break };
-                    self.handle_frame(frame);
+                    // A leader forwards nothing through its own daemon.
+                    self.handle_frame(frame, None);
                 }
             }
         }
@@ -182,6 +211,11 @@
         info!(self.logger, "leader_connected"; "address" => &row.address, "term" => row.term);
         let mut framed = Framed::new(socket, frame_codec());
         let mut outgoing = self.connect();
+        let forwarding = self
+            .lock()
+            .outgoing
+            .clone()
+            .map(|outgoing| ForwardSession::new(self.workers.clone(), outgoing));
         let mut heartbeat = interval(Duration::from_millis(HEARTBEAT_MS));
         let silence_timeout = Duration::from_millis(SILENCE_TIMEOUT_MS);
         let mut last_frame_at = Instant::now();
@@ -191,7 +225,7 @@
                     let Some(Ok(bytes)) = frame else { break };
                     let Some(frame) = decode(bytes) else { break };
                     last_frame_at = Instant::now();
-                    self.handle_frame(frame);
+                    self.handle_frame(frame, forwarding.as_ref());
                     continue;
                 }
                 frame = outgoing.recv() => {
@@ -200,7 +234,7 @@
                 }
                 _ = heartbeat.tick() => {
                     if last_frame_at.elapsed() > silence_timeout { break }
-                    let hello = EntryBody::Hello(self.hello);
+                    let hello = EntryBody::Hello(self.hello());
                     encode(&EntryFrame { call: 0, body: Some(hello) })
                 }
             };
@@ -209,9 +243,23 @@
         info!(self.logger, "leader_disconnected"; "address" => &row.address, "term" => row.term);
     }
 
-    fn handle_frame(self: &Arc<Self>, frame: LeaderFrame) {
+    fn handle_frame(
+        self: &Arc<Self>,
+        frame: LeaderFrame,
+        forwarding: Option<&Arc<ForwardSession>>,
+    ) {
         match frame.body {
-            Some(LeaderBody::Status(status)) => self.lock().status = status,
+            Some(LeaderBody::Status(status)) => {
+                if let Some(forwarding) = forwarding {
+                    forwarding.record_frame(status.sent_ms);
+                }
+                self.lock().status = status;
+            }
+            Some(LeaderBody::Forward(request)) => {
+                if let Some(forwarding) = forwarding {
+                    forwarding.forward(request);
+                }
+            }
             Some(LeaderBody::TransferLeadership(term)) => {
                 let state = self.lock();
                 // If a request is queued already, this one adds nothing.
@@ -226,8 +274,10 @@
             }
             Some(body) => {
                 let waiting = self.lock().calls.remove(&frame.call);
-                // Fails if the request has timed out.
-                let _ = waiting.map(|waiting| waiting.send(body));
+                if let Some(waiting) = waiting {
+                    // Fails if the request has timed out.
+                    let _ = waiting.send(body);
+                }
             }
             None => {}
         }
--- a/crates/cellnode/src/leadership_transfer.rs
+++ b/crates/cellnode/src/leadership_transfer.rs
@@ -59,7 +59,7 @@
         }
         for _ in 0..TRANSFER_ATTEMPTS {
             let mut others = registry.daemons();
-            others.retain(|hello| hello.daemon != leader.id);
+            others.retain(|hello| hello.daemon != leader.id && !hello.is_leaving);
             let Some(chosen) = choose_highest_capacity(&others) else { return };
             info!(logger, "handing_over"; "term" => term, "to" => chosen);
             registry.send_to_daemon(chosen, &LeaderBody::TransferLeadership(term));
@@ -90,7 +90,8 @@
     loop {
         let mut candidates = registry.daemons();
         candidates.retain(|hello| {
-            hello.leader_capacity >= leader_capacity.saturating_mul(MIN_CAPACITY_RATIO)
+            !hello.is_leaving
+                && hello.leader_capacity >= leader_capacity.saturating_mul(MIN_CAPACITY_RATIO)
         });
         if let Some(chosen) = choose_highest_capacity(&candidates) {
             info!(logger, "resigning_to_stronger"; "term" => term, "to" => chosen);
--- a/crates/cellnode/src/node.rs
+++ b/crates/cellnode/src/node.rs
@@ -56,6 +56,10 @@
     pub peer_address: SocketAddr,
     /// How much work the host could do as the leader, in any unit that all daemons share.
     pub leader_capacity: u32,
+    /// Availability zone of the host.
+    pub zone: String,
+    /// Bandwidth of the host's network link, in bytes per second; 0 if it is not known.
+    pub link_bytes_per_s: u64,
     /// Age from which the configuration counts as outdated, in milliseconds.
     pub max_config_age_ms: u64,
     /// Longest time for which a leader that shuts down keeps leading until another daemon takes
@@ -92,6 +96,7 @@
 #[derive(Debug)]
 pub struct CellNode {
     entry: Arc<EntryService>,
+    connection: Arc<LeaderConnection>,
     is_shutting_down: Arc<AtomicBool>,
     stop: watch::Sender<bool>,
     election: JoinHandle<()>,
@@ -111,16 +116,15 @@
         let listener = TcpListener::bind(config.peer_address).await?;
         let id = rand::random_range(1..=u64::MAX);
         let registry = Arc::new(SessionRegistry::new(external.meter.clone()));
-        let hello = HelloFrame { daemon: id, leader_capacity: config.leader_capacity };
-        let connection = LeaderConnection::new(
-            hello,
-            external.adviser.clone(),
-            registry.clone(),
-            logger.clone(),
-        );
+        let hello = HelloFrame {
+            daemon: id,
+            leader_capacity: config.leader_capacity,
+            zone: config.zone,
+            is_leaving: false,
+        };
+        let connection =
+            LeaderConnection::new(hello.clone(), &external, registry.clone(), logger.clone());
         let (config_sender, config_receiver) = watch::channel(Arc::new(CellConfig::default()));
-        let (leader_sender, leader_receiver) = watch::channel(None);
-        let (stop, stopped) = watch::channel(false);
         let config_confirmed_ms = Arc::new(AtomicU64::new(0));
         let is_shutting_down = Arc::new(AtomicBool::new(false));
         let entry = Arc::new(EntryService {
@@ -133,15 +137,9 @@
             breaker_until_ms: AtomicU64::new(0),
             metrics: external.metrics.clone(),
         });
-        let (metrics, meter) = (external.metrics.clone(), external.meter.clone());
-        tokio::spawn(meter.report(metrics, logger.clone()));
-        tokio::spawn(follow_config(
-            external.clone(),
-            config_sender,
-            config_confirmed_ms,
-            logger.clone(),
-        ));
-        tokio::spawn(follow_leader(external.store.clone(), leader_sender, logger.clone()));
+        let (leader_sender, leader_receiver) = watch::channel(None);
+        let (stop, stopped) = watch::channel(false);
+        spawn_followers(&external, config_sender, config_confirmed_ms, leader_sender, &logger);
         let transfer_requests = connection.transfer_requests();
         tokio::spawn(connection.clone().run(leader_receiver.clone()));
         let (accept_registry, accept_logger) = (registry.clone(), logger.clone());
@@ -150,16 +148,28 @@
         );
         let mut settings = config.cell;
         settings.isolation_ms = ISOLATION_MS + LEASE_TTL_MS;
-        let context =
-            LeaderContext { external, registry, config: config_receiver, settings, logger };
+        let context = LeaderContext {
+            external,
+            registry,
+            config: config_receiver,
+            settings,
+            link_bytes_per_s: config.link_bytes_per_s,
+            logger,
+        };
         let address = config.peer_address.to_string();
         let transfer_timeout = Duration::from_millis(config.transfer_timeout_ms);
         let signals =
             LeadershipSignals { leader: leader_receiver, stop: stopped, transfer_timeout };
-        let candidate =
-            Candidate { context, hello, address, connection, transfer_requests, signals };
+        let candidate = Candidate {
+            context,
+            hello,
+            address,
+            connection: connection.clone(),
+            transfer_requests,
+            signals,
+        };
         let election = tokio::spawn(candidate.run());
-        Ok(Self { entry, is_shutting_down, stop, election })
+        Ok(Self { entry, connection, is_shutting_down, stop, election })
     }
 
     /// Returns the service for callers.
@@ -172,6 +182,7 @@
     /// still served.
     pub async fn shut_down(&mut self) {
         self.is_shutting_down.store(true, Ordering::Relaxed);
+        self.connection.leave();
         // The election task may have ended already.
         let _ = self.stop.send(true);
         let _ = (&mut self.election).await;
@@ -259,6 +270,22 @@
     }
 }
 
+/// Starts the tasks that follow the configuration and the leader and report the link's use.
+fn spawn_followers(
+    external: &OutsideLinks,
+    config_sender: watch::Sender<Arc<CellConfig>>,
+    config_confirmed_ms: Arc<AtomicU64>,
+    leader_sender: watch::Sender<Option<KnownLeader>>,
+    logger: &Logger,
+) {
+    let (metrics, meter) = (external.metrics.clone(), external.meter.clone());
+    tokio::spawn(meter.report(metrics, logger.clone()));
+    let store = external.store.clone();
+    tokio::spawn(follow_leader(store, leader_sender, logger.clone()));
+    let external = external.clone();
+    tokio::spawn(follow_config(external, config_sender, config_confirmed_ms, logger.clone()));
+}
+
 async fn follow_config(
     external: OutsideLinks,
     sender: watch::Sender<Arc<CellConfig>>,
--- a/crates/cellnode/src/session_registry.rs
+++ b/crates/cellnode/src/session_registry.rs
@@ -114,7 +114,19 @@
     /// Returns the connected daemons.
     pub(crate) fn daemons(&self) -> Vec<HelloFrame> {
         let state = self.lock();
-        state.sessions.iter().map(|entry| entry.hello).filter(|hello| hello.daemon != 0).collect()
+        state
+            .sessions
+            .iter()
+            .map(|entry| entry.hello.clone())
+            .filter(|hello| hello.daemon != 0)
+            .collect()
+    }
+
+    /// Returns the session of a daemon.
+    pub(crate) fn session_of(&self, daemon: u64) -> Option<u64> {
+        let state = self.lock();
+        let entry = state.sessions.iter().find(|entry| entry.hello.daemon == daemon)?;
+        Some(entry.session)
     }
 
     /// Sends a frame on a session if it still exists.
@@ -215,8 +227,8 @@
     let length = bytes.len();
     let Some(frame) = decode::<EntryFrame>(bytes) else { return false };
     registry.meter.record_received(frame.purpose(), length);
-    if let Some(EntryBody::Hello(hello)) = frame.body {
-        registry.identify_session(session, hello);
+    if let Some(EntryBody::Hello(hello)) = &frame.body {
+        registry.identify_session(session, hello.clone());
     }
     inbox.send(SessionFrame { session, frame }).await.is_ok()
 }
--- a/crates/cellnode/src/worker_sink.rs
+++ b/crates/cellnode/src/worker_sink.rs
@@ -1,7 +1,10 @@
 //! Passes the workers' entries to the leader.
 
 use {
-    crate::{PlatformCodec, StoreItem, follow::ItemSink, leader_event::LeaderEvent},
+    crate::{
+        PlatformCodec, StoreItem, follow::ItemSink, forward_router::ForwardRouter,
+        leader_event::LeaderEvent,
+    },
     damaskrack_cell::{CellInput, WorkerReport},
     std::{collections::BTreeMap, sync::Arc},
     tokio::sync::mpsc,
@@ -11,13 +14,18 @@
 pub(crate) struct WorkerSink {
     codec: Arc<dyn PlatformCodec>,
     events: mpsc::Sender<LeaderEvent>,
+    router: Arc<ForwardRouter>,
     reports: BTreeMap<String, WorkerReport>,
     is_changed: bool,
 }
 
 impl WorkerSink {
-    pub(crate) fn new(codec: Arc<dyn PlatformCodec>, events: mpsc::Sender<LeaderEvent>) -> Self {
-        Self { codec, events, reports: BTreeMap::new(), is_changed: false }
+    pub(crate) fn new(
+        codec: Arc<dyn PlatformCodec>,
+        events: mpsc::Sender<LeaderEvent>,
+        router: Arc<ForwardRouter>,
+    ) -> Self {
+        Self { codec, events, router, reports: BTreeMap::new(), is_changed: false }
     }
 }
 
@@ -43,7 +51,9 @@
 
     fn caught_up(&mut self, _sent_ms: u64) {
         if std::mem::take(&mut self.is_changed) {
-            let input = CellInput::Workers(self.reports.values().cloned().collect());
+            let reports: Vec<WorkerReport> = self.reports.values().cloned().collect();
+            self.router.update_workers(reports.clone());
+            let input = CellInput::Workers(reports);
             // If the queue is full, the list is sent again after the next watch.
             self.is_changed = self.events.try_send(LeaderEvent::Input(input)).is_err();
         }
