Keep payloads off a narrow leader's link

Where the leader's link is narrow, the daemon that takes a job offers it without its payload, and once it is admitted writes the job and a payload row itself; daemons that call workers read the payload from the store, once a job.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -144,7 +144,7 @@
             incarnation: worker.report.incarnation,
             task: job.task_name(phase.phase, attempt.index),
             number: attempt.number,
-            payload: job.payload.clone(),
+            payload: (!job.record.has_stored_payload).then(|| job.payload.clone()),
             deadline_ms,
             checkpoint: job.phases[phase.phase].tasks[attempt.index].checkpoint.clone(),
             ticket,
@@ -213,7 +213,10 @@
             | StartRefusal::Fenced => {
                 self.workers[worker].backoff_until_ms = now_ms + REFUSAL_BACKOFF_MS;
             }
-            StartRefusal::Stale | StartRefusal::Invalid | StartRefusal::Expired => {}
+            StartRefusal::Unsent => {
+                self.jobs[phase.job].phases[phase.phase].retry.delay(now_ms);
+            }
+            StartRefusal::Stale | StartRefusal::Invalid => {}
         }
         self.drop_attempt(key);
     }
--- a/crates/cell/src/core/commit.rs
+++ b/crates/cell/src/core/commit.rs
@@ -13,11 +13,10 @@
 /// Maximum number of rows in a transaction. The store accepts 32 entries, two of which are the
 /// leader's guard.
 const MAX_ROWS: usize = 30;
-/// Number of rows per job: the job and its progress.
-const ROWS_PER_JOB: usize = 2;
-
-/// Number of changed jobs that fill a commit.
-const FULL_COMMIT_JOBS: usize = MAX_ROWS / ROWS_PER_JOB;
+/// Maximum number of rows per job: the job, its payload and its progress.
+const ROWS_PER_JOB: usize = 3;
+/// Number of changed jobs that fill a commit. Most of them take a row or two.
+const FULL_COMMIT_JOBS: usize = MAX_ROWS / 2;
 /// Time after which a commit in flight counts as slow and the next one does not wait for it, in
 /// milliseconds.
 const SLOW_COMMIT_MS: u64 = 40;
@@ -77,6 +76,7 @@
     request.progress.len()
         + request.jobs.len()
         + request.removed_jobs.len()
+        + request.removed_payloads.len()
         + request.removed_progress.len()
 }
 
@@ -146,7 +146,11 @@
         lane.in_flight.insert(job.record.id.clone());
         match job.advance_job_row() {
             JobRowChange::Write => request.jobs.push(job.full_record()),
-            JobRowChange::Remove => request.removed_jobs.push(job.record.id.clone()),
+            JobRowChange::Remove => {
+                let id = &job.record.id;
+                request.removed_jobs.push(id.clone());
+                request.removed_payloads.extend(job.record.has_stored_payload.then(|| id.clone()));
+            }
             JobRowChange::Keep => {}
         }
         let job = &self.jobs[key];
@@ -159,7 +163,9 @@
         let Some(job) = self.jobs.remove(key) else { return };
         self.job_ids.remove(&job.record.id);
         if job.job_row == JobRow::Stored {
-            request.removed_jobs.push(job.record.id.clone());
+            let id = &job.record.id;
+            request.removed_jobs.push(id.clone());
+            request.removed_payloads.extend(job.record.has_stored_payload.then(|| id.clone()));
         }
         request.removed_progress.push(job.record.id);
     }
--- a/crates/cell/src/core/jobs.rs
+++ b/crates/cell/src/core/jobs.rs
@@ -22,15 +22,27 @@
                 self.jobs[key].job_row = JobRow::Missing;
                 self.mark_dirty(key, Some(AfterCommit::Reply(reply)));
             }
-            Admission::Refuse { retry_ms } => {
-                let detail =
-                    format!("queue={} team={} retry_ms={retry_ms}", record.queue, record.team);
-                self.log("job_refused", record.id, detail);
-                self.actions.push(CellAction::Refuse { reply, retry_ms });
-            }
+            Admission::Refuse { retry_ms } => self.refuse(&record, reply, retry_ms),
         }
     }
 
+    /// Decides whether a daemon may write a job.
+    pub(super) fn offer(&mut self, record: &JobRecord, reply: u64) {
+        if let Some(&key) = self.job_ids.get(&record.id) {
+            return self.mark_dirty(key, Some(AfterCommit::Reply(reply)));
+        }
+        match self.admit(record) {
+            Admission::Admit => self.actions.push(CellAction::Admit { reply }),
+            Admission::Refuse { retry_ms } => self.refuse(record, reply, retry_ms),
+        }
+    }
+
+    fn refuse(&mut self, record: &JobRecord, reply: u64, retry_ms: u64) {
+        let detail = format!("queue={} team={} retry_ms={retry_ms}", record.queue, record.team);
+        self.log("job_refused", &record.id, detail);
+        self.actions.push(CellAction::Refuse { reply, retry_ms });
+    }
+
     pub(super) fn accept(&mut self, record: JobRecord) {
         if !self.job_ids.contains_key(&record.id) {
             self.add_job(record);
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -163,6 +163,7 @@
             CellInput::Daemons(ids) => self.update_daemons(&ids),
             CellInput::Accepted(record) => self.accept(record),
             CellInput::Submitted { record, reply } => self.submit(record, reply),
+            CellInput::Offered { record, reply } => self.offer(&record, reply),
             CellInput::Cancel { id, reply } => self.cancel(&id, reply),
             CellInput::StartFinished { attempt, outcome, clock_ms } => {
                 self.finish_start(attempt, outcome, clock_ms);
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -100,8 +100,9 @@
     Unavailable,
     /// The worker rejected the request as malformed.
     Invalid,
-    /// The daemon that was to send the request received it too late and did not send it.
-    Expired,
+    /// The daemon that was to send the request did not: it received it too late, or it could not read
+    /// the payload.
+    Unsent,
 }
 
 /// Outcome of a start request.
@@ -156,6 +157,14 @@
         /// Handle of the reply.
         reply: u64,
     },
+    /// A caller submits a job that a daemon writes if it is admitted. `reply` is returned in
+    /// [`CellAction::Admit`] or [`CellAction::Refuse`], or in [`CellAction::Reply`] if the job is known.
+    Offered {
+        /// The job.
+        record: JobRecord,
+        /// Handle of the reply.
+        reply: u64,
+    },
     /// A caller cancels a job; `reply` is returned once the cancellation is durable.
     Cancel {
         /// Id of the job.
@@ -215,8 +224,8 @@
     pub task: String,
     /// Number of the attempt.
     pub number: u32,
-    /// Payload of the job.
-    pub payload: Arc<str>,
+    /// Payload of the job; `None` if it is in a row of its own.
+    pub payload: Option<Arc<str>>,
     /// Deadline of the worker's leases on its own clock, in milliseconds.
     pub deadline_ms: u64,
     /// Checkpoint to resume from; empty for none.
@@ -291,6 +300,8 @@
     pub progress: Vec<(String, ProgressRecord)>,
     /// Ids of jobs whose job rows to remove.
     pub removed_jobs: Vec<String>,
+    /// Ids of jobs whose payload rows to remove.
+    pub removed_payloads: Vec<String>,
     /// Ids of jobs whose progress rows to remove.
     pub removed_progress: Vec<String>,
 }
@@ -315,6 +326,11 @@
         /// State of the job, or `None` if there is no such job.
         state: Option<JobState>,
     },
+    /// Tell a daemon to write the job that it offered.
+    Admit {
+        /// Handle of the reply.
+        reply: u64,
+    },
     /// Refuse a submitted job because it could not complete in time.
     Refuse {
         /// Handle of the reply.
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -146,6 +146,9 @@
     /// Maximum number of failed attempts per task, if the job's queue is no longer configured.
     #[prost(uint32, tag = "11")]
     pub max_attempts: u32,
+    /// The payload is in a row of its own, and `payload` is empty.
+    #[prost(bool, tag = "12")]
+    pub has_stored_payload: bool,
 }
 
 /// State of a job.
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -170,6 +170,8 @@
     /// that may run again.
     pub(crate) done: BTreeMap<String, u32>,
     pub(crate) replies: Vec<(u64, Option<JobState>)>,
+    /// Replies to offers that were admitted.
+    pub(crate) admitted: Vec<u64>,
     /// Refused submissions with their retry delays in milliseconds.
     pub(crate) refusals: Vec<(u64, u64)>,
     pub(crate) starts: Vec<(String, u32, String)>,
@@ -235,6 +237,7 @@
             run_ms: 500,
             done: BTreeMap::new(),
             replies: Vec::new(),
+            admitted: Vec::new(),
             refusals: Vec::new(),
             starts: Vec::new(),
             advice_requests: Vec::new(),
@@ -410,6 +413,7 @@
             CellAction::RequestAdvice(request) => self.advise(request),
             CellAction::Commit(request) => self.commit(request),
             CellAction::Reply { reply, state } => self.replies.push((reply, state)),
+            CellAction::Admit { reply } => self.admitted.push(reply),
             CellAction::Refuse { reply, retry_ms } => self.refusals.push((reply, retry_ms)),
             CellAction::Log(_) => {}
         }
--- a/crates/cellnode/src/entry.rs
+++ b/crates/cellnode/src/entry.rs
@@ -5,7 +5,7 @@
         CellStore, StoreError, StorePut, StoreTransaction, TransactionOutcome, boot_ms,
         frame::{EntryBody, LeaderBody},
         leader_connection::LeaderConnection,
-        rows::{job_key, progress_key},
+        rows::{job_key, payload_key, progress_key},
     },
     cadence::{CountedExt, StatsdClient, Timed},
     damaskrack_cell::{CellConfig, JobRecord, JobState, ProgressRecord, QueueConfig},
@@ -30,6 +30,8 @@
 const SUBMIT_TIMEOUT_MS: u64 = 250;
 /// Timeout of one write by the daemon itself, in milliseconds, for a store without latency.
 const WRITE_CALL_TIMEOUT_MS: u64 = 200;
+/// Length from which a payload gets a row of its own if the leader's link is narrow, in bytes.
+const MIN_SPLIT_BYTES: usize = 128;
 /// Number of store round trips that are added to either timeout.
 const STORE_ROUND_TRIPS: u64 = 3;
 /// Timeout for a cancellation to become durable, in milliseconds.
@@ -62,6 +64,30 @@
     Unknown,
 }
 
+/// What the leader made of a submitted job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LeaderResponse {
+    /// The job is durable.
+    Accepted,
+    /// The daemon may write the job.
+    Admitted,
+    Refused(EntryError),
+    /// There is no response, and the leader has not written the job.
+    None,
+    /// There is no response; the leader may have written the job.
+    Lost,
+}
+
+/// Takes the payload out of a job, unless it is so short that a row of its own would cost more.
+fn split_payload(mut job: JobRecord) -> (JobRecord, Option<String>) {
+    if job.payload.len() < MIN_SPLIT_BYTES {
+        return (job, None);
+    }
+    let payload = std::mem::take(&mut job.payload);
+    job.has_stored_payload = true;
+    (job, Some(payload))
+}
+
 /// A caller's authorization to use a queue.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EntryAccess {
@@ -168,33 +194,65 @@
 
     async fn submit_job(&self, job: JobRecord, timeout_ms: u64) -> Result<(), EntryError> {
         let deadline_ms = boot_ms() + timeout_ms.min(WRITE_TIMEOUT_MS);
-        let mut may_be_written = false;
         let status = self.connection.leader_status();
         let allowance_ms = STORE_ROUND_TRIPS * status.store_latency_ms;
-        if self.connection.is_connected() && !status.is_store_unresponsive {
-            may_be_written = true;
-            let timeout_ms = (SUBMIT_TIMEOUT_MS + allowance_ms).min(timeout_ms);
-            let response =
-                self.connection.request(EntryBody::Submit(job.clone()), timeout_ms).await;
-            match response {
-                Some(LeaderBody::State(0..)) => return Ok(()),
-                Some(LeaderBody::Refused(retry_ms)) => {
-                    return Err(EntryError::Overloaded { retry_ms });
-                }
-                _ => {}
+        let (job, payload) = match status.is_link_narrow {
+            true => split_payload(job),
+            false => (job, None),
+        };
+        let response = match self.connection.is_connected() && !status.is_store_unresponsive {
+            true => {
+                let leader_timeout_ms = (SUBMIT_TIMEOUT_MS + allowance_ms).min(timeout_ms);
+                self.consult_leader(&job, status.is_link_narrow, leader_timeout_ms).await
             }
+            false => LeaderResponse::None,
+        };
+        match response {
+            LeaderResponse::Accepted => return Ok(()),
+            LeaderResponse::Refused(error) => return Err(error),
+            LeaderResponse::Admitted | LeaderResponse::None | LeaderResponse::Lost => {}
         }
         let result = match self.is_breaker_open() {
             true => Err(EntryError::Unavailable),
-            false => self.write_job(&job, deadline_ms, WRITE_CALL_TIMEOUT_MS + allowance_ms).await,
+            false => {
+                let call_timeout_ms = WRITE_CALL_TIMEOUT_MS + allowance_ms;
+                self.write_job(&job, payload, deadline_ms, call_timeout_ms).await
+            }
         };
-        match result {
-            Ok(()) => {
+        match (result, response) {
+            (Ok(()), LeaderResponse::Admitted) => {
+                self.connection.notify(EntryBody::Stored(job.id));
+                Ok(())
+            }
+            (Ok(()), _) => {
                 self.connection.notify(EntryBody::Accepted(job));
                 Ok(())
             }
-            Err(_) if may_be_written => Err(EntryError::Unknown),
-            Err(error) => Err(error),
+            // The leader may have written the job.
+            (Err(_), LeaderResponse::Lost) => Err(EntryError::Unknown),
+            (Err(error), _) => Err(error),
+        }
+    }
+
+    /// Passes a job to the leader, which writes it together with others. If the leader's link is
+    /// narrow, only asks it whether to accept the job.
+    async fn consult_leader(
+        &self,
+        job: &JobRecord,
+        is_link_narrow: bool,
+        timeout_ms: u64,
+    ) -> LeaderResponse {
+        let (body, unanswered) = match is_link_narrow {
+            true => (EntryBody::Offer(job.clone()), LeaderResponse::None),
+            false => (EntryBody::Submit(job.clone()), LeaderResponse::Lost),
+        };
+        match self.connection.request(body, timeout_ms).await {
+            Some(LeaderBody::State(0..)) => LeaderResponse::Accepted,
+            Some(LeaderBody::Refused(retry_ms)) => {
+                LeaderResponse::Refused(EntryError::Overloaded { retry_ms })
+            }
+            Some(LeaderBody::Admitted(_)) => LeaderResponse::Admitted,
+            _ => unanswered,
         }
     }
 
@@ -202,12 +260,16 @@
     async fn write_job(
         &self,
         job: &JobRecord,
+        payload: Option<String>,
         deadline_ms: u64,
         call_timeout_ms: u64,
     ) -> Result<(), EntryError> {
+        let put = |key, value| StorePut { key, value, lease: 0 };
+        let job_row = put(job_key(&job.id), job.encode_to_vec());
+        let payload_row = payload.map(|payload| put(payload_key(&job.id), payload.into_bytes()));
         let transaction = StoreTransaction {
             expected: vec![(job_key(&job.id), 0), (progress_key(&job.id), 0)],
-            puts: vec![StorePut { key: job_key(&job.id), value: job.encode_to_vec(), lease: 0 }],
+            puts: std::iter::once(job_row).chain(payload_row).collect(),
             removals: Vec::new(),
         };
         loop {
--- a/crates/cellnode/src/forward_frame.rs
+++ b/crates/cellnode/src/forward_frame.rs
@@ -58,9 +58,12 @@
     /// The adviser's ticket; empty for none.
     #[prost(string, tag = "5")]
     pub(crate) ticket: String,
-    /// Payload of the job; `None` if an earlier frame of the session carried it.
+    /// Payload of the job; `None` if an earlier frame of the session carried it, or it is stored.
     #[prost(string, optional, tag = "6")]
     pub(crate) payload: Option<String>,
+    /// The payload is in a row of its own.
+    #[prost(bool, tag = "8")]
+    pub(crate) is_payload_stored: bool,
     /// Incarnation of the worker.
     #[prost(uint64, tag = "7")]
     pub(crate) incarnation: u64,
@@ -207,7 +210,7 @@
     Incarnation = 7,
     Unavailable = 8,
     Invalid = 9,
-    Expired = 10,
+    Unsent = 10,
 }
 
 /// [`RenewOutcome`] as a number.
@@ -243,7 +246,7 @@
                 StartRefusal::Incarnation => Self::Incarnation,
                 StartRefusal::Unavailable => Self::Unavailable,
                 StartRefusal::Invalid => Self::Invalid,
-                StartRefusal::Expired => Self::Expired,
+                StartRefusal::Unsent => Self::Unsent,
             },
         }
     }
@@ -262,7 +265,7 @@
             StartCode::Incarnation => StartRefusal::Incarnation,
             StartCode::Unavailable => StartRefusal::Unavailable,
             StartCode::Invalid => StartRefusal::Invalid,
-            StartCode::Expired => StartRefusal::Expired,
+            StartCode::Unsent => StartRefusal::Unsent,
         };
         Self::Refused(refusal)
     }
@@ -323,7 +326,7 @@
             incarnation: self.incarnation,
             task: self.task,
             number: self.number,
-            payload,
+            payload: Some(payload),
             deadline_ms: self.deadline_ms,
             checkpoint: self.checkpoint,
             ticket: self.ticket,
--- a/crates/cellnode/src/forward_router.rs
+++ b/crates/cellnode/src/forward_router.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        WorkerGateway, boot_ms,
+        OutsideLinks, WorkerGateway, boot_ms,
         forward_choice::{assign_daemons, needs_forwarding},
         forward_frame::{
             ForwardCall, ForwardFrame, ForwardResult, ForwardedFrame, ForwardedRenewal,
@@ -10,13 +10,14 @@
         },
         frame::{HelloFrame, LeaderBody},
         payload_cache::{PayloadCache, job_of_task},
+        payload_store::PayloadStore,
         running_list::RunningList,
         session_registry::SessionRegistry,
     },
     async_trait::async_trait,
     damaskrack_cell::{
-        EndedAttempt, RenewOutcome, RenewRequest, RenewResponse, StartOutcome, StartRequest,
-        StopRequest, WorkerReport,
+        EndedAttempt, RenewOutcome, RenewRequest, RenewResponse, StartOutcome, StartRefusal,
+        StartRequest, StopRequest, WorkerReport,
     },
     rustc_hash::{FxHashMap, FxHashSet},
     slog::{Logger, info},
@@ -74,6 +75,7 @@
 /// Calls workers for the leader.
 pub(crate) struct ForwardRouter {
     direct: Arc<dyn WorkerGateway>,
+    payloads: Arc<PayloadStore>,
     registry: Arc<SessionRegistry>,
     /// The leader's own daemon.
     own_id: u64,
@@ -84,20 +86,32 @@
 
 impl ForwardRouter {
     pub(crate) fn new(
-        direct: Arc<dyn WorkerGateway>,
+        external: &OutsideLinks,
         registry: Arc<SessionRegistry>,
         own_id: u64,
         link_bytes_per_s: u64,
         logger: Logger,
     ) -> Arc<Self> {
-        let state = Mutex::default();
-        Arc::new(Self { direct, registry, own_id, link_bytes_per_s, state, logger })
+        Arc::new(Self {
+            direct: external.workers.clone(),
+            payloads: PayloadStore::new(external.store.clone(), logger.clone()),
+            registry,
+            own_id,
+            link_bytes_per_s,
+            state: Mutex::default(),
+            logger,
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, RouterState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns whether the leader's link is narrow for its workers.
+    pub(crate) fn is_link_narrow(&self) -> bool {
+        needs_forwarding(self.link_bytes_per_s, self.lock().workers.len())
+    }
+
     /// Sets the workers.
     pub(crate) fn update_workers(&self, workers: Vec<WorkerReport>) {
         let mut state = self.lock();
@@ -188,6 +202,23 @@
         None
     }
 
+    async fn start_directly(
+        &self,
+        request: &StartRequest,
+        token: u64,
+    ) -> (StartOutcome, Option<u64>) {
+        if request.payload.is_some() {
+            return self.direct.start(request, token).await;
+        }
+        match self.payloads.get(job_of_task(&request.task)).await {
+            None => (StartOutcome::Refused(StartRefusal::Unsent), None),
+            payload => {
+                let request = StartRequest { payload, ..request.clone() };
+                self.direct.start(&request, token).await
+            }
+        }
+    }
+
     /// Handles a daemon's response.
     pub(crate) fn receive(&self, session: u64, frame: ForwardedFrame) {
         let mut state = self.lock();
@@ -232,18 +263,22 @@
     }
 
     fn start_call(&mut self, request: &StartRequest) -> ForwardCall {
-        let job = job_of_task(&request.task);
-        let is_known = self.payloads.get(job).is_some();
-        if !is_known {
-            self.payloads.insert(job, request.payload.clone());
-        }
+        let payload = request.payload.as_ref().and_then(|payload| {
+            let job = job_of_task(&request.task);
+            let is_known = self.payloads.get(job).is_some();
+            if !is_known {
+                self.payloads.insert(job, payload.clone());
+            }
+            (!is_known).then(|| payload.to_string())
+        });
         ForwardCall::Start(ForwardedStart {
             task: request.task.clone(),
             number: request.number,
             deadline_ms: request.deadline_ms,
             checkpoint: request.checkpoint.clone(),
             ticket: request.ticket.clone(),
-            payload: (!is_known).then(|| request.payload.to_string()),
+            payload,
+            is_payload_stored: request.payload.is_none(),
             incarnation: request.incarnation,
         })
     }
@@ -254,7 +289,7 @@
     async fn start(&self, request: &StartRequest, token: u64) -> (StartOutcome, Option<u64>) {
         let target = (&*request.address, &*request.worker_id);
         let Some(call) = self.send(target, token, |peer| peer.start_call(request)) else {
-            return self.direct.start(request, token).await;
+            return self.start_directly(request, token).await;
         };
         match self.wait(call, CALL_TIMEOUT_MS).await {
             Some(CallOutcome::Start(outcome, clock_ms)) => (outcome, clock_ms),
--- a/crates/cellnode/src/forward_session.rs
+++ b/crates/cellnode/src/forward_session.rs
@@ -16,6 +16,7 @@
         frame::{EntryBody, EntryFrame},
         frame_age::FrameAge,
         payload_cache::{PayloadCache, job_of_task},
+        payload_store::PayloadStore,
         running_list::RunningList,
     },
     damaskrack_cell::{RenewOutcome, RenewResponse},
@@ -37,6 +38,7 @@
 /// The requests that a leader's session forwards through this daemon.
 pub(crate) struct ForwardSession {
     workers: Arc<dyn WorkerGateway>,
+    payloads: Arc<PayloadStore>,
     outgoing: mpsc::Sender<EntryFrame>,
     age: FrameAge,
     state: Mutex<SessionState>,
@@ -45,9 +47,11 @@
 impl ForwardSession {
     pub(crate) fn new(
         workers: Arc<dyn WorkerGateway>,
+        payloads: Arc<PayloadStore>,
         outgoing: mpsc::Sender<EntryFrame>,
     ) -> Arc<Self> {
-        Arc::new(Self { workers, outgoing, age: FrameAge::default(), state: Mutex::default() })
+        let (age, state) = (FrameAge::default(), Mutex::default());
+        Arc::new(Self { workers, payloads, outgoing, age, state })
     }
 
     fn lock(&self) -> MutexGuard<'_, SessionState> {
@@ -84,14 +88,20 @@
         let ForwardFrame { request, sent_ms, token, address, worker_id, call } = frame;
         match call {
             Some(ForwardCall::Start(start)) => {
-                let is_expired = self.age.delay_ms(sent_ms, boot_ms()) > MAX_START_DELAY_MS;
+                let payload = match payload {
+                    None if start.is_payload_stored => {
+                        self.payloads.get(job_of_task(&start.task)).await
+                    }
+                    payload => payload,
+                };
+                let is_late = self.age.delay_ms(sent_ms, boot_ms()) > MAX_START_DELAY_MS;
                 let result = match payload {
-                    Some(payload) if !is_expired => {
+                    Some(payload) if !is_late => {
                         let start = start.request(&address, &worker_id, payload);
                         let (outcome, clock_ms) = self.workers.start(&start, token).await;
                         StartResult { code: StartCode::from(outcome) as i32, clock_ms }
                     }
-                    _ => StartResult { code: StartCode::Expired as i32, clock_ms: None },
+                    _ => StartResult { code: StartCode::Unsent as i32, clock_ms: None },
                 };
                 self.reply(request, ForwardResult::Started(result));
             }
--- a/crates/cellnode/src/frame.rs
+++ b/crates/cellnode/src/frame.rs
@@ -20,7 +20,7 @@
     /// Number that the leader's response repeats; 0 if none is expected.
     #[prost(uint64, tag = "1")]
     pub(crate) call: u64,
-    #[prost(oneof = "EntryBody", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "EntryBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub(crate) body: Option<EntryBody>,
 }
 
@@ -50,6 +50,12 @@
     /// What came of a request that the daemon forwarded to a worker.
     #[prost(message, tag = "9")]
     Forwarded(ForwardedFrame),
+    /// Asks whether the daemon may accept a job, which it then writes itself. The payload is left out.
+    #[prost(message, tag = "10")]
+    Offer(JobRecord),
+    /// The daemon has written the job with this id, which it offered before.
+    #[prost(string, tag = "11")]
+    Stored(String),
 }
 
 /// Identity and capacity of a daemon.
@@ -92,7 +98,7 @@
     /// Number of the request that this responds to; 0 for none.
     #[prost(uint64, tag = "1")]
     pub(crate) call: u64,
-    #[prost(oneof = "LeaderBody", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "LeaderBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub(crate) body: Option<LeaderBody>,
 }
 
@@ -119,15 +125,18 @@
     Refused(u64),
     /// The leader cannot tell: it does not know whether it still leads.
     #[prost(message, tag = "8")]
-    Unavailable(UnavailableFrame),
+    Unavailable(EmptyFrame),
     /// Asks the daemon to send a request to a worker.
     #[prost(message, tag = "9")]
     Forward(ForwardFrame),
+    /// The daemon may accept the job that it offered.
+    #[prost(message, tag = "10")]
+    Admitted(EmptyFrame),
 }
 
-/// A response without contents.
+/// A message without contents.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
-pub(crate) struct UnavailableFrame {}
+pub(crate) struct EmptyFrame {}
 
 /// A request to the adviser.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -161,13 +170,21 @@
     /// Time at which the leader sent the frame, in milliseconds since its host booted.
     #[prost(uint64, tag = "4")]
     pub(crate) sent_ms: u64,
+    /// The leader's link is narrow: daemons write the jobs that they accept.
+    #[prost(bool, tag = "5")]
+    pub(crate) is_link_narrow: bool,
 }
 
 impl EntryFrame {
     /// Returns what the frame is sent for.
     pub(crate) fn purpose(&self) -> LinkPurpose {
         match self.body {
-            Some(EntryBody::Submit(_) | EntryBody::Accepted(_)) => LinkPurpose::PeerSubmission,
+            Some(
+                EntryBody::Submit(_)
+                | EntryBody::Accepted(_)
+                | EntryBody::Offer(_)
+                | EntryBody::Stored(_),
+            ) => LinkPurpose::PeerSubmission,
             Some(EntryBody::AdviceResponse(_)) => LinkPurpose::PeerAdvice,
             Some(EntryBody::Forwarded(_)) => LinkPurpose::PeerForwarding,
             _ => LinkPurpose::PeerOther,
--- a/crates/cellnode/src/lane_writer.rs
+++ b/crates/cellnode/src/lane_writer.rs
@@ -5,7 +5,7 @@
         StorePut, StoreTransaction,
         guard::{GuardWriter, WriteOutcome},
         leader_event::{LeaderEvent, send_input},
-        rows::{job_key, progress_key},
+        rows::{job_key, payload_key, progress_key},
     },
     damaskrack_cell::{CellInput, CommitRequest, JobRecord, ProgressRecord},
     prost::Message,
@@ -63,7 +63,9 @@
         lease: 0,
     };
     let removed_jobs = request.removed_jobs.iter().map(|id| job_key(id));
-    let removals = removed_jobs.chain(request.removed_progress.iter().map(|id| progress_key(id)));
+    let removed_payloads = request.removed_payloads.iter().map(|id| payload_key(id));
+    let removed_progress = request.removed_progress.iter().map(|id| progress_key(id));
+    let removals = removed_jobs.chain(removed_payloads).chain(removed_progress);
     StoreTransaction {
         expected: Vec::new(),
         puts: request
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -13,8 +13,7 @@
         },
         forward_router::ForwardRouter,
         frame::{
-            AdviceRequestFrame, EntryBody, HelloFrame, LeaderBody, LeaderStatusFrame,
-            UnavailableFrame,
+            AdviceRequestFrame, EmptyFrame, EntryBody, HelloFrame, LeaderBody, LeaderStatusFrame,
         },
         guard::GuardWriter,
         job_sink::JobSink,
@@ -82,6 +81,8 @@
 const MAX_COUNT_AGE_MS: u64 = LEASE_TTL_MS;
 /// Interval between two status messages to all daemons, in milliseconds.
 const STATUS_INTERVAL_MS: u64 = 400;
+/// Time for which an offered job is remembered, in milliseconds: longer than its write may take.
+const OFFER_TIMEOUT_MS: u64 = 3_000;
 /// Time beyond the adviser's expected processing time after which a request has failed, in
 /// milliseconds.
 const ADVICE_MARGIN_MS: u64 = 4_500;
@@ -102,6 +103,12 @@
     pub(crate) logger: Logger,
 }
 
+/// A job that a daemon has offered.
+struct JobOffer {
+    record: JobRecord,
+    received_ms: u64,
+}
+
 struct LeaderRun {
     context: LeaderContext,
     core: CellCore,
@@ -115,6 +122,8 @@
     /// Session and call number of each request that waits for a commit, by the core's handle.
     pending_replies: FxHashMap<u64, (u64, u64)>,
     last_reply_id: u64,
+    /// Jobs that daemons have offered and may be writing, by id.
+    offers: FxHashMap<String, JobOffer>,
     next_transfer_ms: u64,
     tasks: JoinSet<()>,
 }
@@ -138,7 +147,7 @@
         commits: Vec::new(),
         leadership: leadership.clone(),
         router: ForwardRouter::new(
-            context.external.workers.clone(),
+            &context.external,
             context.registry.clone(),
             leader.id,
             context.link_bytes_per_s,
@@ -146,6 +155,7 @@
         ),
         pending_replies: FxHashMap::default(),
         last_reply_id: 0,
+        offers: FxHashMap::default(),
         next_transfer_ms: 0,
         tasks: JoinSet::new(),
         context,
@@ -390,7 +400,10 @@
             store_latency_ms: self.leadership.store_latency_ms(),
             max_leader_capacity,
             sent_ms: boot_ms(),
+            is_link_narrow: self.router.is_link_narrow(),
         };
+        let now_ms = boot_ms();
+        self.offers.retain(|_, offer| offer.received_ms + OFFER_TIMEOUT_MS > now_ms);
         self.context.registry.broadcast(&LeaderBody::Status(status));
     }
 
@@ -412,6 +425,18 @@
                 let reply = self.register_reply(session, frame.call);
                 self.core.apply(CellInput::Submitted { record, reply });
             }
+            Some(EntryBody::Offer(record)) => {
+                let reply = self.register_reply(session, frame.call);
+                self.core.apply(CellInput::Offered { record: record.clone(), reply });
+                let offer = JobOffer { record, received_ms: boot_ms() };
+                self.offers.insert(offer.record.id.clone(), offer);
+            }
+            Some(EntryBody::Stored(id)) => {
+                // An offer that is no longer known is found by the watch.
+                if let Some(offer) = self.offers.remove(&id) {
+                    self.core.apply(CellInput::Accepted(offer.record));
+                }
+            }
             Some(EntryBody::State(id)) => {
                 let state = self.core.state_of(&id).map_or(-1, |state| state as i32);
                 registry.send(session, frame.call, &LeaderBody::State(state));
@@ -419,7 +444,7 @@
             Some(EntryBody::Pending(queue)) => {
                 let response = match self.leadership.confirmation_age_ms() {
                     0..=MAX_COUNT_AGE_MS => LeaderBody::Pending(self.core.pending(&queue)),
-                    _ => LeaderBody::Unavailable(UnavailableFrame {}),
+                    _ => LeaderBody::Unavailable(EmptyFrame {}),
                 };
                 registry.send(session, frame.call, &response);
             }
@@ -486,6 +511,12 @@
                     self.context.registry.send(session, call, &LeaderBody::State(state));
                 }
             }
+            CellAction::Admit { reply } => {
+                if let Some((session, call)) = self.pending_replies.remove(&reply) {
+                    let body = LeaderBody::Admitted(EmptyFrame {});
+                    self.context.registry.send(session, call, &body);
+                }
+            }
             CellAction::Refuse { reply, retry_ms } => {
                 if let Some((session, call)) = self.pending_replies.remove(&reply) {
                     self.context.registry.send(session, call, &LeaderBody::Refused(retry_ms));
--- a/crates/cellnode/src/leader_connection.rs
+++ b/crates/cellnode/src/leader_connection.rs
@@ -8,6 +8,7 @@
             AdviceRequestFrame, AdviceResponseFrame, EntryBody, EntryFrame, HelloFrame, LeaderBody,
             LeaderFrame, LeaderStatusFrame, decode, encode, frame_codec,
         },
+        payload_store::PayloadStore,
         rows::{KnownLeader, LeaderRow},
         session_registry::{SessionFrame, SessionRegistry},
     },
@@ -59,6 +60,7 @@
     is_leaving: AtomicBool,
     adviser: Arc<dyn AdviserGateway>,
     workers: Arc<dyn WorkerGateway>,
+    payloads: Arc<PayloadStore>,
     registry: Arc<SessionRegistry>,
     logger: Logger,
 }
@@ -83,6 +85,7 @@
             is_leaving: AtomicBool::new(false),
             adviser: external.adviser.clone(),
             workers: external.workers.clone(),
+            payloads: PayloadStore::new(external.store.clone(), logger.clone()),
             registry,
             logger,
         })
@@ -211,11 +214,9 @@
         info!(self.logger, "leader_connected"; "address" => &row.address, "term" => row.term);
         let mut framed = Framed::new(socket, frame_codec());
         let mut outgoing = self.connect();
-        let forwarding = self
-            .lock()
-            .outgoing
-            .clone()
-            .map(|outgoing| ForwardSession::new(self.workers.clone(), outgoing));
+        let forwarding = self.lock().outgoing.clone().map(|outgoing| {
+            ForwardSession::new(self.workers.clone(), self.payloads.clone(), outgoing)
+        });
         let mut heartbeat = interval(Duration::from_millis(HEARTBEAT_MS));
         let silence_timeout = Duration::from_millis(SILENCE_TIMEOUT_MS);
         let mut last_frame_at = Instant::now();
--- a/crates/cellnode/src/lib.rs
+++ b/crates/cellnode/src/lib.rs
@@ -24,6 +24,7 @@
 mod link_meter;
 mod node;
 mod payload_cache;
+mod payload_store;
 mod rows;
 mod running_list;
 mod session_registry;
--- a/crates/cellnode/src/rows.rs
+++ b/crates/cellnode/src/rows.rs
@@ -5,6 +5,7 @@
 //! | `cell/leader` | [`LeaderRow`], attached to a lease | the leader |
 //! | `cell/guard/LANE` | [`GuardRow`] | the leader, in every transaction on the lane |
 //! | `cell/job/ID` | the accepted job | the daemon or the leader, on acceptance |
+//! | `cell/payload/ID` | the job's payload, if it is not in its row | the daemon, on acceptance |
 //! | `cell/progress/ID` | the job's progress | the leader |
 
 /// Key of the leader's row.
@@ -13,6 +14,8 @@
 pub(crate) const GUARD_PREFIX: &str = "cell/guard/";
 /// Prefix of the rows of accepted jobs.
 pub(crate) const JOB_PREFIX: &str = "cell/job/";
+/// Prefix of the payload rows.
+pub(crate) const PAYLOAD_PREFIX: &str = "cell/payload/";
 /// Prefix of the progress rows.
 pub(crate) const PROGRESS_PREFIX: &str = "cell/progress/";
 
@@ -63,6 +66,11 @@
     format!("{JOB_PREFIX}{id}")
 }
 
+/// Returns the key of a job's payload.
+pub(crate) fn payload_key(id: &str) -> String {
+    format!("{PAYLOAD_PREFIX}{id}")
+}
+
 /// Returns the key of a job's progress.
 pub(crate) fn progress_key(id: &str) -> String {
     format!("{PROGRESS_PREFIX}{id}")
