Read ended jobs after a takeover, and send a leader nothing before it serves

Change: a job that is over has one row under a prefix of its own, which a leader reads page by page while it serves; until then an unknown job is left to the daemon's conditional write. Daemons send requests only to a leader that has sent its status. Behind a narrow link prefixes are read one after the other.

--- a/crates/cell/src/core/commit.rs
+++ b/crates/cell/src/core/commit.rs
@@ -13,8 +13,8 @@
 /// Maximum number of rows in a transaction. The store accepts 32 entries, two of which are the
 /// leader's guard.
 const MAX_ROWS: usize = 30;
-/// Maximum number of rows per job: the job, its payload and its progress.
-const ROWS_PER_JOB: usize = 3;
+/// Maximum number of rows per job: the job, its payload, its progress and its end.
+const ROWS_PER_JOB: usize = 4;
 /// Number of changed jobs that fill a commit. Most of them take a row or two.
 const FULL_COMMIT_JOBS: usize = MAX_ROWS / 2;
 /// Time after which a commit in flight counts as slow and the next one does not wait for it, in
@@ -74,10 +74,12 @@
 /// Returns the number of rows that a commit takes in a transaction.
 fn row_count(request: &CommitRequest) -> usize {
     request.progress.len()
+        + request.ended.len()
         + request.jobs.len()
         + request.removed_jobs.len()
         + request.removed_payloads.len()
         + request.removed_progress.len()
+        + request.removed_ended.len()
 }
 
 impl CellCore {
@@ -154,8 +156,15 @@
             JobRowChange::Keep => {}
         }
         let job = &self.jobs[key];
-        if job.state.is_final() || job.has_started() {
-            request.progress.push((job.record.id.clone(), self.progress_record(job)));
+        let id = job.record.id.clone();
+        if job.job_row == JobRow::Removed {
+            request.ended.push((id.clone(), self.progress_record(job)));
+            request.removed_progress.extend(job.has_progress_row.then_some(id));
+            self.jobs[key].has_progress_row = false;
+            self.jobs[key].has_ended_row = true;
+        } else if job.state.is_final() || job.has_started() {
+            request.progress.push((id, self.progress_record(job)));
+            self.jobs[key].has_progress_row = true;
         }
     }
 
@@ -167,7 +176,9 @@
             request.removed_jobs.push(id.clone());
             request.removed_payloads.extend(job.record.has_stored_payload.then(|| id.clone()));
         }
-        request.removed_progress.push(job.record.id);
+        let id = job.record.id;
+        request.removed_progress.extend(job.has_progress_row.then(|| id.clone()));
+        request.removed_ended.extend(job.has_ended_row.then_some(id));
     }
 
     fn progress_record(&self, job: &JobEntry) -> ProgressRecord {
--- a/crates/cell/src/core/jobs.rs
+++ b/crates/cell/src/core/jobs.rs
@@ -16,6 +16,10 @@
         if let Some(&key) = self.job_ids.get(&record.id) {
             return self.mark_dirty(key, Some(AfterCommit::Reply(reply)));
         }
+        if !self.are_ended_known {
+            // The job may have ended before. The daemon's write fails if it has.
+            return self.offer(&record, reply);
+        }
         match self.admit(&record) {
             Admission::Admit => {
                 let key = self.add_job(record);
@@ -90,6 +94,7 @@
             return;
         };
         let job = &mut self.jobs[key];
+        job.has_progress_row = true;
         job.state = progress.state();
         job.has_begun = progress.shows_begin();
         job.ended_ms = progress.ended_ms;
@@ -122,6 +127,18 @@
         self.jobs[self.job_ids[id]].job_row = JobRow::Removed;
     }
 
+    /// Adds a job that ended under a former leader.
+    pub(super) fn learn_ended(&mut self, id: &str, progress: &ProgressRecord) {
+        if self.job_ids.contains_key(id) {
+            return;
+        }
+        self.restore_ended(id, progress);
+        if let Some(key) = self.job_ids.get(id) {
+            self.jobs[*key].has_progress_row = false;
+            self.jobs[*key].has_ended_row = true;
+        }
+    }
+
     fn restore_phase(&mut self, key: JobKey, stored: &PhaseProgress) {
         let job = &mut self.jobs[key];
         job.create_occurrences((stored.occurrence + 1).min(job.occurrences()));
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -63,6 +63,8 @@
     live: Vec<JobKey>,
     /// Jobs that have ended, oldest first.
     ended: VecDeque<JobKey>,
+    /// All jobs that ended under former leaders are known.
+    are_ended_known: bool,
     workers: SlotMap<WorkerKey, WorkerEntry>,
     worker_ids: FxHashMap<String, WorkerKey>,
     attempts: SlotMap<AttemptKey, AttemptEntry>,
@@ -109,6 +111,7 @@
             job_ids: FxHashMap::default(),
             live: Vec::new(),
             ended: VecDeque::new(),
+            are_ended_known: false,
             workers: SlotMap::with_key(),
             worker_ids: FxHashMap::default(),
             attempts: SlotMap::with_key(),
@@ -162,6 +165,8 @@
             CellInput::Workers(reports) => self.update_workers(reports),
             CellInput::Daemons(ids) => self.update_daemons(&ids),
             CellInput::Accepted(record) => self.accept(record),
+            CellInput::Ended { id, progress } => self.learn_ended(&id, &progress),
+            CellInput::EndedKnown => self.are_ended_known = true,
             CellInput::Submitted { record, reply } => self.submit(record, reply),
             CellInput::Offered { record, reply } => self.offer(&record, reply),
             CellInput::Cancel { id, reply } => self.cancel(&id, reply),
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -149,8 +149,18 @@
     Daemons(Vec<u64>),
     /// A job was accepted and is already in the store.
     Accepted(JobRecord),
+    /// A job ended under a former leader.
+    Ended {
+        /// Id of the job.
+        id: String,
+        /// The row of the ended job.
+        progress: ProgressRecord,
+    },
+    /// Every job that ended under a former leader is known.
+    EndedKnown,
     /// A caller submits a job that is not in the store yet. `reply` is returned in
-    /// [`CellAction::Reply`] once the job is durable, or in [`CellAction::Refuse`].
+    /// [`CellAction::Reply`] once the job is durable, or in [`CellAction::Refuse`]. As long as not every
+    /// ended job is known, the input is treated as [`CellInput::Offered`].
     Submitted {
         /// The job.
         record: JobRecord,
@@ -298,12 +308,16 @@
     pub jobs: Vec<JobRecord>,
     /// Progress rows to write, by job id.
     pub progress: Vec<(String, ProgressRecord)>,
+    /// Rows of ended jobs to write, by job id.
+    pub ended: Vec<(String, ProgressRecord)>,
     /// Ids of jobs whose job rows to remove.
     pub removed_jobs: Vec<String>,
     /// Ids of jobs whose payload rows to remove.
     pub removed_payloads: Vec<String>,
     /// Ids of jobs whose progress rows to remove.
     pub removed_progress: Vec<String>,
+    /// Ids of ended jobs whose rows to remove.
+    pub removed_ended: Vec<String>,
 }
 
 /// An action for the leader to perform.
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -1,7 +1,9 @@
 //! Records of jobs in the store and in messages between daemons.
 //!
 //! A job has two rows. The daemon that accepts it writes the [`JobRecord`], which never changes.
-//! The leader updates the [`ProgressRecord`] as the job proceeds. It writes the number and worker
+//! The leader updates the [`ProgressRecord`] as the job proceeds. Once the job has ended and nothing of
+//! it can run, both rows give way to a row of its own for the final [`ProgressRecord`], which a new
+//! leader need not read before it starts tasks. It writes the number and worker
 //! of an attempt before it sends the start request, so that a new leader knows of every attempt
 //! that may be running.
 
--- a/crates/cell/src/table/job.rs
+++ b/crates/cell/src/table/job.rs
@@ -25,7 +25,7 @@
     /// In the store, or in flight to it.
     Stored,
     /// Removed, or in flight to be removed: the job has ended and no attempt can be running. The
-    /// progress row keeps its final state.
+    /// row of the ended job keeps its final state.
     Removed,
 }
 
@@ -51,6 +51,10 @@
     /// Time at which the job ended, in Unix milliseconds; 0 if it has not.
     pub(crate) ended_ms: u64,
     pub(crate) job_row: JobRow,
+    /// The job has a progress row.
+    pub(crate) has_progress_row: bool,
+    /// The job has the row of an ended job.
+    pub(crate) has_ended_row: bool,
     /// The rows in the store are older than this entry.
     pub(crate) is_dirty: bool,
     pub(crate) after_commit: Vec<AfterCommit>,
@@ -68,6 +72,8 @@
             occurrences_created: 0,
             ended_ms: 0,
             job_row: JobRow::Stored,
+            has_progress_row: false,
+            has_ended_row: false,
             is_dirty: false,
             after_commit: Vec::new(),
         }
--- a/crates/cell/tests/cell/failures.rs
+++ b/crates/cell/tests/cell/failures.rs
@@ -538,8 +538,8 @@
     assert_eq!(cell.state("1"), Some(JobState::Cancelled));
     assert!(cell.jobs.contains_key("1"), "its task is still being stopped");
     cell.run(2_000);
-    assert!(cell.jobs.is_empty());
-    assert!(cell.progress["1"].phases.is_empty());
+    assert!(cell.jobs.is_empty() && cell.progress.is_empty());
+    assert!(cell.ended["1"].phases.is_empty());
     cell.start_leader();
     assert_eq!(cell.state("1"), Some(JobState::Cancelled));
     cell.submit(job("1", vec![step(1)]));
@@ -547,6 +547,36 @@
     assert_eq!(cell.starts.len(), 1, "a job submitted again is the same job");
 }
 
+/// The job is cancelled while its worker is unreachable, so its attempt may run on. Its end must not
+/// be in the row that a new leader reads later than the job's own.
+#[test]
+fn a_cancelled_job_that_may_still_run_is_known_to_the_next_leader_at_once() {
+    let mut cell = FakeCell::new(1);
+    cell.submit(job("1", vec![step(2)]));
+    cell.run(200);
+    cell.workers.get_mut("w0").unwrap().is_silent = true;
+    cell.apply(CellInput::Cancel { id: "1".to_owned(), reply: 7 });
+    cell.run(100);
+    assert!(cell.ended.is_empty() && cell.jobs.contains_key("1"));
+    cell.start_leader();
+    assert_eq!(cell.state("1"), Some(JobState::Cancelled));
+}
+
+/// A caller repeats a submission after a takeover, before the new leader has read all ended jobs.
+#[test]
+fn a_job_that_may_have_ended_is_left_to_a_conditional_write() {
+    let mut cell = FakeCell::new(1);
+    cell.core = damaskrack_cell::CellCore::new(damaskrack_cell::CellSettings::default());
+    cell.apply(CellInput::Submitted { record: job("1", vec![step(1)]), reply: 7 });
+    cell.run(100);
+    assert_eq!(cell.admitted, [7]);
+    assert!(cell.jobs.is_empty() && cell.replies.is_empty());
+    cell.apply(CellInput::EndedKnown);
+    cell.apply(CellInput::Submitted { record: job("1", vec![step(1)]), reply: 8 });
+    cell.run(100);
+    assert_eq!(cell.replies.first().map(|(reply, _)| *reply), Some(8));
+}
+
 #[test]
 fn rows_of_an_ended_job_go_after_their_time() {
     let mut cell = FakeCell::new(1);
@@ -555,7 +585,7 @@
     assert_eq!(cell.state("1"), Some(JobState::Completed));
     cell.run(140_000);
     assert_eq!(cell.state("1"), None);
-    assert!(cell.jobs.is_empty() && cell.progress.is_empty());
+    assert!(cell.jobs.is_empty() && cell.progress.is_empty() && cell.ended.is_empty());
 }
 
 quickcheck! {
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -157,6 +157,8 @@
     /// Job rows and progress rows in the store.
     pub(crate) jobs: BTreeMap<String, JobRecord>,
     pub(crate) progress: BTreeMap<String, ProgressRecord>,
+    /// Rows of ended jobs in the store.
+    pub(crate) ended: BTreeMap<String, ProgressRecord>,
     /// Every submitted job.
     pub(crate) records: BTreeMap<String, JobRecord>,
     /// Commits that wait because the store is down.
@@ -229,6 +231,7 @@
             workers: BTreeMap::new(),
             jobs: BTreeMap::new(),
             progress: BTreeMap::new(),
+            ended: BTreeMap::new(),
             records: BTreeMap::new(),
             held_commits: Vec::new(),
             is_store_down: false,
@@ -296,6 +299,10 @@
         for (id, row) in &self.progress {
             self.core.restore_ended(id, row);
         }
+        for (id, progress) in self.ended.clone() {
+            self.core.apply(CellInput::Ended { id, progress });
+        }
+        self.core.apply(CellInput::EndedKnown);
     }
 
     pub(crate) fn wall_ms(&self) -> u64 {
@@ -429,12 +436,16 @@
             self.jobs.insert(record.id.clone(), record);
         }
         self.progress.extend(request.progress);
+        self.ended.extend(request.ended);
         for id in request.removed_jobs {
             assert!(self.jobs.remove(&id).is_some(), "{id} has no row to remove");
         }
         for id in request.removed_progress {
             assert!(self.progress.remove(&id).is_some(), "{id} has no progress to remove");
         }
+        for id in request.removed_ended {
+            assert!(self.ended.remove(&id).is_some(), "{id} has no row of its end to remove");
+        }
         self.apply(CellInput::Committed { lane: request.lane });
     }
 
--- a/crates/cellnode/src/entry.rs
+++ b/crates/cellnode/src/entry.rs
@@ -2,10 +2,10 @@
 
 use {
     crate::{
-        CellStore, StoreError, StorePut, StoreTransaction, TransactionOutcome, boot_ms,
+        CellStore, StoreError, StoreItem, StorePut, StoreTransaction, TransactionOutcome, boot_ms,
         frame::{EntryBody, LeaderBody},
         leader_connection::LeaderConnection,
-        rows::{job_key, payload_key, progress_key},
+        rows::{ended_key, job_key, payload_key, progress_key},
     },
     cadence::{CountedExt, StatsdClient, Timed},
     damaskrack_cell::{CellConfig, JobRecord, JobState, ProgressRecord, QueueConfig},
@@ -78,6 +78,14 @@
     Lost,
 }
 
+/// Result of a daemon's write of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum JobWrite {
+    Written,
+    /// The same job was accepted before, and may have ended.
+    Existed,
+}
+
 /// Takes the payload out of a job, unless it is so short that a row of its own would cost more.
 fn split_payload(mut job: JobRecord) -> (JobRecord, Option<String>) {
     if job.payload.len() < MIN_SPLIT_BYTES {
@@ -200,7 +208,7 @@
             true => split_payload(job),
             false => (job, None),
         };
-        let response = match self.connection.is_connected() && !status.is_store_unresponsive {
+        let response = match self.connection.is_leader_serving() && !status.is_store_unresponsive {
             true => {
                 let leader_timeout_ms = (SUBMIT_TIMEOUT_MS + allowance_ms).min(timeout_ms);
                 self.consult_leader(&job, status.is_link_narrow, leader_timeout_ms).await
@@ -220,14 +228,16 @@
             }
         };
         match (result, response) {
-            (Ok(()), LeaderResponse::Admitted) => {
+            (Ok(JobWrite::Written), LeaderResponse::Admitted) => {
                 self.connection.notify(EntryBody::Stored(job.id));
                 Ok(())
             }
-            (Ok(()), _) => {
+            (Ok(JobWrite::Written), _) => {
                 self.connection.notify(EntryBody::Accepted(job));
                 Ok(())
             }
+            // The leader knows the job, has read that it ended, or will find its row.
+            (Ok(JobWrite::Existed), _) => Ok(()),
             // The leader may have written the job.
             (Err(_), LeaderResponse::Lost) => Err(EntryError::Unknown),
             (Err(error), _) => Err(error),
@@ -263,12 +273,16 @@
         payload: Option<String>,
         deadline_ms: u64,
         call_timeout_ms: u64,
-    ) -> Result<(), EntryError> {
+    ) -> Result<JobWrite, EntryError> {
         let put = |key, value| StorePut { key, value, lease: 0 };
         let job_row = put(job_key(&job.id), job.encode_to_vec());
         let payload_row = payload.map(|payload| put(payload_key(&job.id), payload.into_bytes()));
         let transaction = StoreTransaction {
-            expected: vec![(job_key(&job.id), 0), (progress_key(&job.id), 0)],
+            expected: vec![
+                (job_key(&job.id), 0),
+                (progress_key(&job.id), 0),
+                (ended_key(&job.id), 0),
+            ],
             puts: std::iter::once(job_row).chain(payload_row).collect(),
             removals: Vec::new(),
         };
@@ -276,10 +290,13 @@
             let call_timeout = Duration::from_millis(call_timeout_ms);
             let response = timeout(call_timeout, self.store.commit_transaction(&transaction)).await;
             match response.unwrap_or(Err(StoreError::Unknown)) {
-                // A conflict means that the same job was accepted earlier.
-                Ok(TransactionOutcome::Done(_) | TransactionOutcome::Conflict(_)) => {
+                Ok(TransactionOutcome::Done(_)) => {
+                    self.breaker_until_ms.store(0, Ordering::Relaxed);
+                    return Ok(JobWrite::Written);
+                }
+                Ok(TransactionOutcome::Conflict(_)) => {
                     self.breaker_until_ms.store(0, Ordering::Relaxed);
-                    return Ok(());
+                    return Ok(JobWrite::Existed);
                 }
                 Ok(TransactionOutcome::LeaseNotFound) => return Err(EntryError::Unavailable),
                 Err(StoreError::Refused | StoreError::Compacted) => {}
@@ -315,8 +332,12 @@
     ///
     /// Returns why the state could not be determined.
     pub async fn state(&self, id: &str) -> Result<Option<JobState>, EntryError> {
-        let response =
-            self.connection.request(EntryBody::State(id.to_owned()), LEADER_TIMEOUT_MS).await;
+        let response = match self.connection.is_leader_serving() {
+            true => {
+                self.connection.request(EntryBody::State(id.to_owned()), LEADER_TIMEOUT_MS).await
+            }
+            false => None,
+        };
         match response {
             Some(LeaderBody::State(state)) if state >= 0 => Ok(JobState::try_from(state).ok()),
             _ => self.stored_state(id).await,
@@ -324,14 +345,27 @@
     }
 
     async fn stored_state(&self, id: &str) -> Result<Option<JobState>, EntryError> {
-        let read = |key: String| async move {
-            self.store.get(&key).await.map_err(|_| EntryError::Unavailable)
-        };
-        if let Some(item) = read(progress_key(id)).await? {
-            let row = ProgressRecord::decode(item.value.as_slice());
-            return Ok(row.ok().map(|row| row.state()));
+        if let Some(state) = self.progress_state(progress_key(id)).await? {
+            return Ok(Some(state));
+        }
+        if let Some(state) = self.progress_state(ended_key(id)).await? {
+            return Ok(Some(state));
         }
-        Ok(read(job_key(id)).await?.map(|_| JobState::Queued))
+        if self.read_row(job_key(id)).await?.is_some() {
+            return Ok(Some(JobState::Queued));
+        }
+        // The job may have ended between the reads.
+        self.progress_state(ended_key(id)).await
+    }
+
+    async fn read_row(&self, key: String) -> Result<Option<StoreItem>, EntryError> {
+        self.store.get(&key).await.map_err(|_| EntryError::Unavailable)
+    }
+
+    async fn progress_state(&self, key: String) -> Result<Option<JobState>, EntryError> {
+        let item = self.read_row(key).await?;
+        let row = item.and_then(|item| ProgressRecord::decode(item.value.as_slice()).ok());
+        Ok(row.map(|row| row.state()))
     }
 
     /// Cancels a job. The cancellation is durable when this returns. `None` if there is no such
@@ -360,6 +394,9 @@
     ///
     /// Returns why the number could not be determined.
     pub async fn pending(&self, queue: &str) -> Result<u64, EntryError> {
+        if !self.connection.is_leader_serving() {
+            return Err(EntryError::Unavailable);
+        }
         match self.connection.request(EntryBody::Pending(queue.to_owned()), LEADER_TIMEOUT_MS).await
         {
             Some(LeaderBody::Pending(count)) => Ok(count),
--- a/crates/cellnode/src/forward_choice.rs
+++ b/crates/cellnode/src/forward_choice.rs
@@ -20,6 +20,9 @@
 /// Number of workers of a zone for each daemon that calls them.
 const WORKERS_PER_DAEMON: usize = 32;
 
+/// Number of workers that is assumed while their number is not known.
+pub(crate) const TYPICAL_WORKERS: usize = 100;
+
 /// Returns whether a leader with this link should leave the calls to its workers to other daemons.
 pub(crate) fn needs_forwarding(link_bytes_per_s: u64, workers: usize) -> bool {
     let needed = WORKER_BYTES_PER_S * workers as u64;
--- a/crates/cellnode/src/lane_writer.rs
+++ b/crates/cellnode/src/lane_writer.rs
@@ -5,7 +5,7 @@
         StorePut, StoreTransaction,
         guard::{GuardWriter, WriteOutcome},
         leader_event::{LeaderEvent, send_input},
-        rows::{job_key, payload_key, progress_key},
+        rows::{ended_key, job_key, payload_key, progress_key},
     },
     damaskrack_cell::{CellInput, CommitRequest, JobRecord, ProgressRecord},
     prost::Message,
@@ -57,6 +57,11 @@
         value: row.encode_to_vec(),
         lease: 0,
     };
+    let put_ended = |(id, row): &(String, ProgressRecord)| StorePut {
+        key: ended_key(id),
+        value: row.encode_to_vec(),
+        lease: 0,
+    };
     let put_job = |record: &JobRecord| StorePut {
         key: job_key(&record.id),
         value: record.encode_to_vec(),
@@ -65,7 +70,9 @@
     let removed_jobs = request.removed_jobs.iter().map(|id| job_key(id));
     let removed_payloads = request.removed_payloads.iter().map(|id| payload_key(id));
     let removed_progress = request.removed_progress.iter().map(|id| progress_key(id));
-    let removals = removed_jobs.chain(removed_payloads).chain(removed_progress);
+    let removed_ended = request.removed_ended.iter().map(|id| ended_key(id));
+    let removals =
+        removed_jobs.chain(removed_payloads).chain(removed_progress).chain(removed_ended);
     StoreTransaction {
         expected: Vec::new(),
         puts: request
@@ -73,6 +80,7 @@
             .iter()
             .map(put_job)
             .chain(request.progress.iter().map(put_progress))
+            .chain(request.ended.iter().map(put_ended))
             .collect(),
         removals: removals.collect(),
     }
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -8,9 +8,11 @@
 use {
     crate::{
         OutsideLinks, StoreItem, WorkerGateway, boot_ms,
+        ended_reader::read_ended,
         follow::{
             FollowTiming, ItemSink, LONG_PAGE_TIMEOUT_MS, follow_from, follow_prefix, read_all,
         },
+        forward_choice::{TYPICAL_WORKERS, needs_forwarding},
         forward_router::ForwardRouter,
         frame::{
             AdviceRequestFrame, EmptyFrame, EntryBody, HelloFrame, LeaderBody, LeaderStatusFrame,
@@ -197,12 +199,21 @@
     async fn load(&mut self) -> bool {
         let started_ms = boot_ms();
         let codec = self.context.external.codec.clone();
-        // Former leaders are fenced and cannot change rows, so the read order does not matter.
-        let ((workers, workers_revision), (jobs, jobs_revision), (progress, _)) = tokio::join!(
-            self.read_rows(codec.worker_prefix()),
-            self.read_rows(JOB_PREFIX),
-            self.read_rows(PROGRESS_PREFIX),
-        );
+        // Former leaders are fenced and cannot change rows, so the read order does not matter. On a
+        // narrow link, reads in parallel would delay the renewals of the leader's own lease.
+        let narrow = needs_forwarding(self.context.link_bytes_per_s, TYPICAL_WORKERS);
+        let ((workers, workers_revision), (jobs, jobs_revision), (progress, _)) = match narrow {
+            true => (
+                self.read_rows(codec.worker_prefix()).await,
+                self.read_rows(JOB_PREFIX).await,
+                self.read_rows(PROGRESS_PREFIX).await,
+            ),
+            false => tokio::join!(
+                self.read_rows(codec.worker_prefix()),
+                self.read_rows(JOB_PREFIX),
+                self.read_rows(PROGRESS_PREFIX),
+            ),
+        };
         self.core.set_time(boot_ms(), unix_ms());
         let config = self.context.config.borrow_and_update().clone();
         self.core.apply(CellInput::Config(config));
@@ -233,6 +244,8 @@
         info!(self.context.logger, "state_read"; "jobs" => jobs.len(), "progress" => progress.len(),
             "workers" => workers.len(), "took_ms" => boot_ms() - started_ms);
         self.follow((workers, workers_revision), jobs_revision);
+        let (store, events) = (self.context.external.store.clone(), self.events.clone());
+        self.tasks.spawn(read_ended(store, events, self.context.logger.clone()));
         self.is_leadership_confirmed()
     }
 
@@ -392,19 +405,24 @@
 
     fn send_status(&mut self) {
         let daemons = self.context.registry.daemons();
-        let max_leader_capacity =
-            daemons.iter().map(|hello| hello.leader_capacity).max().unwrap_or(0);
         self.update_daemons(&daemons);
-        let status = LeaderStatusFrame {
+        let now_ms = boot_ms();
+        self.offers.retain(|_, offer| offer.received_ms + OFFER_TIMEOUT_MS > now_ms);
+        self.context.registry.broadcast(&LeaderBody::Status(self.status(&daemons)));
+    }
+
+    fn status(&self, daemons: &[HelloFrame]) -> LeaderStatusFrame {
+        LeaderStatusFrame {
             is_store_unresponsive: self.is_store_unresponsive(),
             store_latency_ms: self.leadership.store_latency_ms(),
-            max_leader_capacity,
+            max_leader_capacity: daemons
+                .iter()
+                .map(|hello| hello.leader_capacity)
+                .max()
+                .unwrap_or(0),
             sent_ms: boot_ms(),
             is_link_narrow: self.router.is_link_narrow(),
-        };
-        let now_ms = boot_ms();
-        self.offers.retain(|_, offer| offer.received_ms + OFFER_TIMEOUT_MS > now_ms);
-        self.context.registry.broadcast(&LeaderBody::Status(status));
+        }
     }
 
     fn update_daemons(&mut self, daemons: &[HelloFrame]) {
@@ -418,18 +436,20 @@
         match frame.body {
             Some(EntryBody::Hello(_)) => {
                 let daemons = registry.daemons();
+                // A daemon sends no requests before it has the status.
+                registry.send(session, 0, &LeaderBody::Status(self.status(&daemons)));
                 self.update_daemons(&daemons);
             }
             Some(EntryBody::Accepted(record)) => self.core.apply(CellInput::Accepted(record)),
             Some(EntryBody::Submit(record)) => {
                 let reply = self.register_reply(session, frame.call);
+                self.remember_offer(&record);
                 self.core.apply(CellInput::Submitted { record, reply });
             }
             Some(EntryBody::Offer(record)) => {
                 let reply = self.register_reply(session, frame.call);
-                self.core.apply(CellInput::Offered { record: record.clone(), reply });
-                let offer = JobOffer { record, received_ms: boot_ms() };
-                self.offers.insert(offer.record.id.clone(), offer);
+                self.remember_offer(&record);
+                self.core.apply(CellInput::Offered { record, reply });
             }
             Some(EntryBody::Stored(id)) => {
                 // An offer that is no longer known is found by the watch.
@@ -464,6 +484,12 @@
         }
     }
 
+    /// Remembers a job that its daemon may write itself.
+    fn remember_offer(&mut self, record: &JobRecord) {
+        let offer = JobOffer { record: record.clone(), received_ms: boot_ms() };
+        self.offers.insert(record.id.clone(), offer);
+    }
+
     /// Records the origin of a request and returns a handle by which the core replies to it.
     fn register_reply(&mut self, session: u64, call: u64) -> u64 {
         self.last_reply_id += 1;
--- a/crates/cellnode/src/leader_connection.rs
+++ b/crates/cellnode/src/leader_connection.rs
@@ -48,6 +48,8 @@
     outgoing: Option<mpsc::Sender<EntryFrame>>,
     calls: FxHashMap<u64, oneshot::Sender<LeaderBody>>,
     status: LeaderStatusFrame,
+    /// The leader has sent its status on this connection, so it has read the state.
+    is_leader_serving: bool,
     /// Queue of the terms whose leaders ask this daemon to take over.
     transfer_requests: Option<mpsc::Sender<u64>>,
 }
@@ -76,11 +78,14 @@
         hello: HelloFrame,
         external: &OutsideLinks,
         registry: Arc<SessionRegistry>,
+        is_link_narrow: bool,
         logger: Logger,
     ) -> Arc<Self> {
+        // Until a leader has sent its status, it is taken for a host like this one.
+        let status = LeaderStatusFrame { is_link_narrow, ..LeaderStatusFrame::default() };
         Arc::new(Self {
             hello,
-            state: Mutex::default(),
+            state: Mutex::new(ConnectionState { status, ..ConnectionState::default() }),
             last_call: AtomicU64::new(0),
             is_leaving: AtomicBool::new(false),
             adviser: external.adviser.clone(),
@@ -111,6 +116,11 @@
         self.lock().outgoing.is_some()
     }
 
+    /// Returns whether a leader is connected that has read the state and responds to requests.
+    pub(crate) fn is_leader_serving(&self) -> bool {
+        self.lock().is_leader_serving
+    }
+
     /// Returns the last status that a leader sent.
     pub(crate) fn leader_status(&self) -> LeaderStatusFrame {
         self.lock().status
@@ -180,6 +190,7 @@
     fn disconnect(&self) {
         let mut state = self.lock();
         state.outgoing = None;
+        state.is_leader_serving = false;
         state.calls.clear();
     }
 
@@ -254,7 +265,9 @@
                 if let Some(forwarding) = forwarding {
                     forwarding.record_frame(status.sent_ms);
                 }
-                self.lock().status = status;
+                let mut state = self.lock();
+                state.status = status;
+                state.is_leader_serving = true;
             }
             Some(LeaderBody::Forward(request)) => {
                 if let Some(forwarding) = forwarding {
--- a/crates/cellnode/src/lib.rs
+++ b/crates/cellnode/src/lib.rs
@@ -3,6 +3,7 @@
 //! implements.
 
 mod clock;
+mod ended_reader;
 mod entry;
 mod external;
 mod follow;
--- a/crates/cellnode/src/node.rs
+++ b/crates/cellnode/src/node.rs
@@ -6,6 +6,7 @@
         AdviserGateway, CellStore, EntryService, LinkMeter, PlatformCodec, StoreItem,
         WorkerGateway,
         follow::{FollowTiming, ItemSink, SHORT_PAGE_TIMEOUT_MS, follow_prefix},
+        forward_choice::{TYPICAL_WORKERS, needs_forwarding},
         frame::HelloFrame,
         guard::GuardWriter,
         leader::{ISOLATION_MS, LEASE_TTL_MS, LeaderContext, lead},
@@ -69,6 +70,14 @@
     pub cell: CellSettings,
 }
 
+impl CellNodeConfig {
+    /// Returns what the daemon with this id tells a leader of itself.
+    fn hello(&self, daemon: u64) -> HelloFrame {
+        let (leader_capacity, zone) = (self.leader_capacity, self.zone.clone());
+        HelloFrame { daemon, leader_capacity, zone, is_leaving: false }
+    }
+}
+
 /// Clients of the external systems.
 #[derive(Clone)]
 pub struct OutsideLinks {
@@ -116,14 +125,15 @@
         let listener = TcpListener::bind(config.peer_address).await?;
         let id = rand::random_range(1..=u64::MAX);
         let registry = Arc::new(SessionRegistry::new(external.meter.clone()));
-        let hello = HelloFrame {
-            daemon: id,
-            leader_capacity: config.leader_capacity,
-            zone: config.zone,
-            is_leaving: false,
-        };
-        let connection =
-            LeaderConnection::new(hello.clone(), &external, registry.clone(), logger.clone());
+        let hello = config.hello(id);
+        let is_link_narrow = needs_forwarding(config.link_bytes_per_s, TYPICAL_WORKERS);
+        let connection = LeaderConnection::new(
+            hello.clone(),
+            &external,
+            registry.clone(),
+            is_link_narrow,
+            logger.clone(),
+        );
         let (config_sender, config_receiver) = watch::channel(Arc::new(CellConfig::default()));
         let config_confirmed_ms = Arc::new(AtomicU64::new(0));
         let is_shutting_down = Arc::new(AtomicBool::new(false));
@@ -142,10 +152,7 @@
         spawn_followers(&external, config_sender, config_confirmed_ms, leader_sender, &logger);
         let transfer_requests = connection.transfer_requests();
         tokio::spawn(connection.clone().run(leader_receiver.clone()));
-        let (accept_registry, accept_logger) = (registry.clone(), logger.clone());
-        tokio::spawn(
-            async move { serve_sessions(&accept_registry, listener, &accept_logger).await },
-        );
+        tokio::spawn(serve_sessions(registry.clone(), listener, logger.clone()));
         let mut settings = config.cell;
         settings.isolation_ms = ISOLATION_MS + LEASE_TTL_MS;
         let context = LeaderContext {
--- a/crates/cellnode/src/rows.rs
+++ b/crates/cellnode/src/rows.rs
@@ -7,6 +7,7 @@
 //! | `cell/job/ID` | the accepted job | the daemon or the leader, on acceptance |
 //! | `cell/payload/ID` | the job's payload, if it is not in its row | the daemon, on acceptance |
 //! | `cell/progress/ID` | the job's progress | the leader |
+//! | `cell/ended/ID` | the final state of an ended job, in place of its other rows | the leader |
 
 /// Key of the leader's row.
 pub(crate) const LEADER_KEY: &str = "cell/leader";
@@ -19,6 +20,9 @@
 /// Prefix of the progress rows.
 pub(crate) const PROGRESS_PREFIX: &str = "cell/progress/";
 
+/// Prefix of the rows of ended jobs.
+pub(crate) const ENDED_PREFIX: &str = "cell/ended/";
+
 /// Identity of the leader.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct LeaderRow {
@@ -75,3 +79,8 @@
 pub(crate) fn progress_key(id: &str) -> String {
     format!("{PROGRESS_PREFIX}{id}")
 }
+
+/// Returns the key of an ended job.
+pub(crate) fn ended_key(id: &str) -> String {
+    format!("{ENDED_PREFIX}{id}")
+}
--- a/crates/cellnode/src/session_registry.rs
+++ b/crates/cellnode/src/session_registry.rs
@@ -161,9 +161,9 @@
 
 /// Accepts connections from daemons until the task is dropped.
 pub(crate) async fn serve_sessions(
-    registry: &Arc<SessionRegistry>,
+    registry: Arc<SessionRegistry>,
     listener: TcpListener,
-    logger: &Logger,
+    logger: Logger,
 ) {
     loop {
         match listener.accept().await {
