--- a/crates/cell/src/core/request_window.rs
+++ b/crates/cell/src/core/request_window.rs
@@ -37,8 +37,8 @@
 const PLANNED_PER_REQUEST: f64 = 2.0;
 /// Interval over which the rate of confirmed requests is measured, in milliseconds.
 const RATE_INTERVAL_MS: u64 = 1_000;
-/// Time for which the window counts as the limit after it was full, in milliseconds.
-const LIMITING_MS: u64 = 1_000;
+/// Time after which a window that was not full again no longer limits the starts, in milliseconds.
+const FULL_GAP_MS: u64 = 250;
 
 /// Outcome of a request, as far as the window is concerned.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -65,6 +65,13 @@
     }
 }
 
+/// A time for which the window has been full.
+#[derive(Debug, Clone, Copy)]
+struct FullPeriod {
+    since_ms: u64,
+    last_ms: u64,
+}
+
 /// The window of requests in flight.
 #[derive(Debug)]
 pub(super) struct RequestWindow {
@@ -79,11 +86,13 @@
     next_cut_ms: u64,
     finished: u32,
     unanswered: u32,
-    /// Time at which the window was last full.
-    full_ms: Option<u64>,
+    /// Since when the window has been full, with short gaps, and when it last was.
+    full: Option<FullPeriod>,
+    /// Responses since the start of the current interval.
     responded: u64,
     rate_since_ms: u64,
-    rate_per_s: f64,
+    /// Rate of responses over the last interval in which the window was full all the time.
+    rate_per_s: Option<f64>,
 }
 
 impl Default for RequestWindow {
@@ -98,10 +107,10 @@
             next_cut_ms: 0,
             finished: 0,
             unanswered: 0,
-            full_ms: None,
+            full: None,
             responded: 0,
             rate_since_ms: 0,
-            rate_per_s: 0.0,
+            rate_per_s: None,
         }
     }
 }
@@ -110,7 +119,7 @@
     /// Reserves space for a request; `false` if the window is full.
     pub(super) fn try_send(&mut self, now_ms: u64) -> bool {
         if self.in_flight as f64 >= self.requests {
-            self.full_ms = Some(now_ms);
+            self.record_full(now_ms);
             return false;
         }
         self.in_flight += 1;
@@ -133,7 +142,7 @@
         // The window is at most a few thousand requests.
         let budget = ((self.requests * PLANNED_PER_REQUEST) as usize).saturating_sub(used);
         if budget == 0 {
-            self.full_ms = Some(now_ms);
+            self.record_full(now_ms);
         }
         budget
     }
@@ -172,10 +181,10 @@
     }
 
     /// Returns the rate of responses while the window limits the starts, in requests per second;
-    /// `None` while it does not.
+    /// `None` while it does not, or has not for long enough to tell.
     pub(super) fn limited_rate(&self, now_ms: u64) -> Option<f64> {
-        let is_limiting = self.full_ms.is_some_and(|full_ms| now_ms <= full_ms + LIMITING_MS);
-        is_limiting.then_some(self.rate_per_s.max(1.0))
+        let is_limiting = self.full.is_some_and(|full| now_ms <= full.last_ms + FULL_GAP_MS);
+        self.rate_per_s.filter(|_| is_limiting).map(|rate| rate.max(1.0))
     }
 
     /// Returns the size of the window, in requests.
@@ -201,14 +210,31 @@
         }
     }
 
+    fn record_full(&mut self, now_ms: u64) {
+        let since_ms = match self.full {
+            Some(full) if now_ms <= full.last_ms + FULL_GAP_MS => full.since_ms,
+            _ => {
+                self.rate_per_s = None;
+                now_ms
+            }
+        };
+        self.full = Some(FullPeriod { since_ms, last_ms: now_ms });
+    }
+
     fn record_rate(&mut self, now_ms: u64) {
         self.responded += 1;
         let elapsed_ms = now_ms.saturating_sub(self.rate_since_ms);
-        if elapsed_ms >= RATE_INTERVAL_MS {
-            self.rate_per_s = self.responded as f64 * 1_000.0 / elapsed_ms as f64;
-            self.responded = 0;
-            self.rate_since_ms = now_ms;
+        if elapsed_ms < RATE_INTERVAL_MS {
+            return;
+        }
+        let was_full = self.full.is_some_and(|full| {
+            full.since_ms <= self.rate_since_ms && now_ms <= full.last_ms + FULL_GAP_MS
+        });
+        if was_full {
+            self.rate_per_s = Some(self.responded as f64 * 1_000.0 / elapsed_ms as f64);
         }
+        self.responded = 0;
+        self.rate_since_ms = now_ms;
     }
 
     /// Shrinks the window, at most once per response time.
--- a/crates/cell/tests/cell/narrow_link.rs
+++ b/crates/cell/tests/cell/narrow_link.rs
@@ -83,3 +83,21 @@
     let done = completed(&cell, 0..400);
     assert!(done * 10 >= accepted * 9, "{done} of {accepted} accepted jobs completed");
 }
+
+/// A new leader has many jobs to start at once, and has started none yet, so it does not know how long
+/// that takes.
+#[test]
+fn a_new_leader_with_a_backlog_refuses_nothing_before_it_knows_its_rate() {
+    let mut cell = FakeCell::new(WORKERS);
+    for id in 0..100 {
+        submit(&mut cell, id, 2);
+    }
+    cell.link = Some(FakeLink::new(2_000));
+    for id in 100..140 {
+        let mut record = job(&id.to_string(), vec![step(1)]);
+        record.accepted_ms = cell.wall_ms();
+        cell.apply(CellInput::Submitted { record, reply: id });
+        cell.run(10);
+    }
+    assert!(cell.refusals.is_empty(), "{} jobs were refused", cell.refusals.len());
+}
