Let daemons commit a narrow leader's transactions

A transaction goes to another daemon compressed, which commits it: the store takes JSON in base64, twice the size. The lane's guard makes a repeated or late transaction harmless, as before. A daemon whose store calls fail commits none for 5 s, and the leader does itself.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -15,7 +15,8 @@
 const START_LEASE_MS: u64 = 2_000;
 /// Minimum remaining validity of a ticket when a start request is sent, in milliseconds.
 const SEND_MARGIN_MS: u64 = 20;
-/// Time after which a stop request is repeated, in milliseconds. It doubles with each repetition.
+/// Time after which a stop request is repeated, in milliseconds. It doubles with each repetition while
+/// responses are slow.
 const STOP_RETRY_MS: u64 = 600;
 /// Maximum number of doublings of that time.
 const MAX_STOP_DOUBLINGS: u32 = 2;
@@ -272,7 +273,10 @@
                 return self.log_window();
             }
             let attempt = &mut self.attempts[key];
-            let doublings = attempt.stop_tries.min(MAX_STOP_DOUBLINGS);
+            let doublings = match self.request_window.is_delayed() {
+                true => attempt.stop_tries.min(MAX_STOP_DOUBLINGS),
+                false => 0,
+            };
             attempt.stop_tries += 1;
             attempt.sent_ms = now_ms;
             attempt.stop_due_ms = now_ms + (STOP_RETRY_MS << doublings);
--- a/crates/cell/src/core/request_window.rs
+++ b/crates/cell/src/core/request_window.rs
@@ -159,7 +159,7 @@
             RequestEnd::Unanswered => {
                 self.unanswered += 1;
                 // Responses are slow already, so the request was late rather than lost.
-                if self.delay_ms() > MAX_DELAY_MS / 2.0 {
+                if self.is_delayed() {
                     self.shrink(DELAY_FACTOR, now_ms);
                 }
             }
@@ -176,8 +176,17 @@
 
     /// Returns by how much responses are slower than the fastest ones, in milliseconds.
     pub(super) fn delay_ms(&self) -> f64 {
-        let fastest_ms = self.fastest_ms.iter().flatten().copied().fold(MAX_FASTEST_MS, f64::min);
-        (self.smoothed_ms.unwrap_or(0.0) - fastest_ms).max(0.0)
+        (self.smoothed_ms.unwrap_or(0.0) - self.base_ms()).max(0.0)
+    }
+
+    /// Returns how long responses take without a queue, in milliseconds.
+    fn base_ms(&self) -> f64 {
+        self.fastest_ms.iter().flatten().copied().fold(MAX_FASTEST_MS, f64::min)
+    }
+
+    /// Returns whether responses are slow.
+    pub(super) fn is_delayed(&self) -> bool {
+        self.delay_ms() > MAX_DELAY_MS / 2.0
     }
 
     /// Returns the rate of responses while the window limits the starts, in requests per second;
@@ -204,7 +213,7 @@
         self.smoothed_ms = Some(smoothed_ms + (took_ms - smoothed_ms) * SMOOTHING);
         if self.delay_ms() > MAX_DELAY_MS {
             self.shrink(DELAY_FACTOR, now_ms);
-        } else if was_used && took_ms <= MAX_FASTEST_MS {
+        } else if was_used && took_ms <= self.base_ms() + MAX_DELAY_MS / 2.0 {
             let step = if self.is_probing { 1.0 } else { 1.0 / self.requests };
             self.requests = (self.requests + step).min(MAX_REQUESTS);
         }
--- a/crates/cellnode/src/forward_choice.rs
+++ b/crates/cellnode/src/forward_choice.rs
@@ -49,14 +49,22 @@
         let shards = workers.len().div_ceil(WORKERS_PER_DAEMON);
         for worker in workers {
             let shard = hash(worker.labels.last()) % shards as u64;
-            // Rendezvous hashing: when a daemon comes or goes, few workers change theirs.
-            let chosen = usable.iter().max_by_key(|daemon| hash((zone, shard, daemon)));
-            assigned.extend(chosen.map(|daemon| (worker.id.clone(), *daemon)));
+            let chosen = choose_by_rendezvous(usable.iter().copied(), (zone, shard));
+            assigned.extend(chosen.map(|daemon| (worker.id.clone(), daemon)));
         }
     }
     assigned
 }
 
+/// Chooses a daemon for a key by rendezvous hashing: when a daemon comes or goes, few keys change
+/// theirs.
+pub(crate) fn choose_by_rendezvous(
+    daemons: impl Iterator<Item = u64>,
+    key: impl Hash,
+) -> Option<u64> {
+    daemons.max_by_key(|daemon| hash((&key, daemon)))
+}
+
 fn hash(value: impl Hash) -> u64 {
     let mut hasher = FxHasher::default();
     value.hash(&mut hasher);
--- a/crates/cellnode/src/forward_frame.rs
+++ b/crates/cellnode/src/forward_frame.rs
@@ -1,6 +1,7 @@
-//! Messages with which a daemon calls workers for the leader.
+//! Messages with which a daemon calls workers and the store for the leader.
 
 use {
+    crate::write_frame::{ForwardedWrite, WriteResult},
     damaskrack_cell::{
         AttemptKey, EndKind, EndedAttempt, RenewOutcome, RenewRequest, StartOutcome, StartRefusal,
         StartRequest, StopRequest, WorkerKey,
@@ -8,7 +9,7 @@
     std::sync::Arc,
 };
 
-/// A request of the leader that a daemon sends to a worker.
+/// A request of the leader that a daemon sends to a worker or to the store.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct ForwardFrame {
     /// Number that the response repeats.
@@ -20,17 +21,17 @@
     /// The leader's fencing token.
     #[prost(uint64, tag = "3")]
     pub(crate) token: u64,
-    /// Address of the worker.
+    /// Address of the worker; empty for the store.
     #[prost(string, tag = "4")]
     pub(crate) address: String,
-    /// Id of the intended worker.
+    /// Id of the intended worker; empty for the store.
     #[prost(string, tag = "5")]
     pub(crate) worker_id: String,
-    #[prost(oneof = "ForwardCall", tags = "6, 7, 8")]
+    #[prost(oneof = "ForwardCall", tags = "6, 7, 8, 9")]
     pub(crate) call: Option<ForwardCall>,
 }
 
-/// What the worker is to do.
+/// What the worker or the store is to do.
 #[derive(Clone, PartialEq, prost::Oneof)]
 pub(crate) enum ForwardCall {
     #[prost(message, tag = "6")]
@@ -39,6 +40,8 @@
     Stop(ForwardedStop),
     #[prost(message, tag = "8")]
     Renew(ForwardedRenewal),
+    #[prost(message, tag = "9")]
+    Write(ForwardedWrite),
 }
 
 /// Starts an attempt.
@@ -105,7 +108,7 @@
     /// Number of the request.
     #[prost(uint64, tag = "1")]
     pub(crate) request: u64,
-    #[prost(oneof = "ForwardResult", tags = "2, 3, 4")]
+    #[prost(oneof = "ForwardResult", tags = "2, 3, 4, 5")]
     pub(crate) result: Option<ForwardResult>,
 }
 
@@ -119,6 +122,8 @@
     Stopped(bool),
     #[prost(message, tag = "4")]
     Renewed(RenewResult),
+    #[prost(message, tag = "5")]
+    Written(WriteResult),
 }
 
 /// Outcome of a start.
--- a/crates/cellnode/src/forward_router.rs
+++ b/crates/cellnode/src/forward_router.rs
@@ -1,9 +1,10 @@
-//! The leader's calls to workers, by itself or through other daemons.
+//! The leader's calls to workers and its transactions, by itself or through other daemons.
 
 use {
     crate::{
-        OutsideLinks, WorkerGateway, boot_ms,
-        forward_choice::{assign_daemons, needs_forwarding},
+        CellStore, OutsideLinks, StoreError, StoreTransaction, TransactionOutcome, WorkerGateway,
+        boot_ms,
+        forward_choice::{assign_daemons, choose_by_rendezvous, needs_forwarding},
         forward_frame::{
             ForwardCall, ForwardFrame, ForwardResult, ForwardedFrame, ForwardedRenewal,
             ForwardedStart, ForwardedStop, RenewCode, RenewResult,
@@ -13,6 +14,7 @@
         payload_store::PayloadStore,
         running_list::RunningList,
         session_registry::SessionRegistry,
+        write_frame::ForwardedWrite,
     },
     async_trait::async_trait,
     damaskrack_cell::{
@@ -33,6 +35,8 @@
 const CALL_TIMEOUT_MS: u64 = 750;
 /// Time added to the wait of a renewal to get the timeout of its forwarding, in milliseconds.
 const RENEW_MARGIN_MS: u64 = 900;
+/// Timeout of a transaction that a daemon commits, in milliseconds.
+const WRITE_TIMEOUT_MS: u64 = 1_000;
 /// Time for which a daemon that did not respond forwards nothing, in milliseconds.
 const AVOID_MS: u64 = 5_000;
 
@@ -42,6 +46,7 @@
     Start(StartOutcome, Option<u64>),
     Stop(bool),
     Renew(RenewOutcome),
+    Write(Result<TransactionOutcome, StoreError>),
 }
 
 /// A call that waits for its response.
@@ -65,6 +70,8 @@
     daemons: Vec<HelloFrame>,
     /// Daemons that did not respond, with the times until which they are avoided.
     avoided: FxHashMap<u64, u64>,
+    /// Daemons whose transactions failed, with the times until which they commit none.
+    avoided_writers: FxHashMap<u64, u64>,
     /// Daemon that calls a worker, by the worker's id.
     assigned: FxHashMap<String, u64>,
     peers: FxHashMap<u64, ForwardPeer>,
@@ -75,6 +82,7 @@
 /// Calls workers for the leader.
 pub(crate) struct ForwardRouter {
     direct: Arc<dyn WorkerGateway>,
+    store: Arc<dyn CellStore>,
     payloads: Arc<PayloadStore>,
     registry: Arc<SessionRegistry>,
     /// The leader's own daemon.
@@ -94,6 +102,7 @@
     ) -> Arc<Self> {
         Arc::new(Self {
             direct: external.workers.clone(),
+            store: external.store.clone(),
             payloads: PayloadStore::new(external.store.clone(), logger.clone()),
             registry,
             own_id,
@@ -161,6 +170,17 @@
     ) -> Option<(u64, u64, oneshot::Receiver<CallOutcome>)> {
         let mut state = self.lock();
         let daemon = *state.assigned.get(worker_id)?;
+        self.send_to(&mut state, daemon, (address, worker_id), token, build)
+    }
+
+    fn send_to(
+        &self,
+        state: &mut RouterState,
+        daemon: u64,
+        (address, worker_id): (&str, &str),
+        token: u64,
+        build: impl FnOnce(&mut ForwardPeer) -> ForwardCall,
+    ) -> Option<(u64, u64, oneshot::Receiver<CallOutcome>)> {
         let session = self.registry.session_of(daemon)?;
         state.last_request += 1;
         let request = state.last_request;
@@ -202,6 +222,43 @@
         None
     }
 
+    /// Commits a transaction of a lane. A daemon whose store calls fail commits no more for a while.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the transaction may not have taken effect.
+    pub(crate) async fn commit(
+        &self,
+        lane: usize,
+        transaction: &StoreTransaction,
+    ) -> Result<TransactionOutcome, StoreError> {
+        let Some(call) = self.send_write(lane, transaction) else {
+            return self.store.commit_transaction(transaction).await;
+        };
+        let daemon = call.1;
+        let outcome = match self.wait(call, WRITE_TIMEOUT_MS).await {
+            Some(CallOutcome::Write(outcome)) => outcome,
+            _ => Err(StoreError::Unknown),
+        };
+        if outcome.is_err() {
+            self.lock().avoided_writers.insert(daemon, boot_ms() + AVOID_MS);
+        }
+        outcome
+    }
+
+    fn send_write(
+        &self,
+        lane: usize,
+        transaction: &StoreTransaction,
+    ) -> Option<(u64, u64, oneshot::Receiver<CallOutcome>)> {
+        let mut state = self.lock();
+        let now_ms = boot_ms();
+        state.avoided_writers.retain(|_, until_ms| *until_ms > now_ms);
+        let daemon = state.writer_of(lane, self.own_id)?;
+        let write = ForwardedWrite::encode(transaction)?;
+        self.send_to(&mut state, daemon, ("", ""), 0, |_| ForwardCall::Write(write))
+    }
+
     async fn start_directly(
         &self,
         request: &StartRequest,
@@ -228,6 +285,7 @@
                 CallOutcome::Start(StartOutcome::from(result.code()), clock_ms)
             }
             Some(ForwardResult::Stopped(is_acknowledged)) => CallOutcome::Stop(is_acknowledged),
+            Some(ForwardResult::Written(result)) => CallOutcome::Write(result.into()),
             Some(ForwardResult::Renewed(result)) => {
                 let Some(peer) = state.peers.values_mut().find(|peer| peer.session == session)
                 else {
@@ -244,6 +302,23 @@
     }
 }
 
+impl RouterState {
+    /// Returns the daemon that commits the transactions of a lane; `None` if the leader does.
+    fn writer_of(&self, lane: usize, own_id: u64) -> Option<u64> {
+        // Workers are assigned to daemons only if the leader's link is narrow.
+        if self.assigned.is_empty() {
+            return None;
+        }
+        let is_usable = |hello: &&HelloFrame| {
+            hello.daemon != own_id
+                && !hello.is_leaving
+                && !self.avoided.contains_key(&hello.daemon)
+                && !self.avoided_writers.contains_key(&hello.daemon)
+        };
+        choose_by_rendezvous(self.daemons.iter().filter(is_usable).map(|hello| hello.daemon), lane)
+    }
+}
+
 impl ForwardPeer {
     fn renew_outcome(&mut self, result: RenewResult) -> RenewOutcome {
         match result.code() {
--- a/crates/cellnode/src/forward_session.rs
+++ b/crates/cellnode/src/forward_session.rs
@@ -1,14 +1,15 @@
-//! A daemon's side of forwarding: it sends the leader's requests to workers and returns what comes of
-//! them.
+//! A daemon's side of forwarding: it sends the leader's requests to workers and to the store and returns
+//! what comes of them.
 //!
 //! A start is authorized by the leader at the time of its frame. A daemon that stood still, or whose
 //! connection was slow, must not act on an authorization that may have been withdrawn meanwhile, so it
-//! checks the age of the frame just before it calls the worker. Stops and renewals are safe at any
-//! time: a stop only ends what the leader has given up, and a renewal names an absolute deadline.
+//! checks the age of the frame just before it calls the worker. The others are safe at any time: a stop
+//! only ends what the leader has given up, a renewal names an absolute deadline, and a transaction has
+//! no effect unless it is the leader's next one.
 
 use {
     crate::{
-        WorkerGateway, boot_ms,
+        CellStore, StoreError, WorkerGateway, boot_ms,
         forward_frame::{
             EndedFrame, ForwardCall, ForwardFrame, ForwardResult, ForwardedFrame, ForwardedRenewal,
             ForwardedStart, RenewCode, RenewResult, StartCode, StartResult,
@@ -38,6 +39,7 @@
 /// The requests that a leader's session forwards through this daemon.
 pub(crate) struct ForwardSession {
     workers: Arc<dyn WorkerGateway>,
+    store: Arc<dyn CellStore>,
     payloads: Arc<PayloadStore>,
     outgoing: mpsc::Sender<EntryFrame>,
     age: FrameAge,
@@ -46,12 +48,12 @@
 
 impl ForwardSession {
     pub(crate) fn new(
-        workers: Arc<dyn WorkerGateway>,
+        (workers, store): (Arc<dyn WorkerGateway>, Arc<dyn CellStore>),
         payloads: Arc<PayloadStore>,
         outgoing: mpsc::Sender<EntryFrame>,
     ) -> Arc<Self> {
         let (age, state) = (FrameAge::default(), Mutex::default());
-        Arc::new(Self { workers, payloads, outgoing, age, state })
+        Arc::new(Self { workers, store, payloads, outgoing, age, state })
     }
 
     fn lock(&self) -> MutexGuard<'_, SessionState> {
@@ -113,6 +115,13 @@
             Some(ForwardCall::Renew(renewal)) => {
                 self.renew(request, token, (&address, worker_id), renewal).await;
             }
+            Some(ForwardCall::Write(write)) => {
+                let outcome = match write.decode_transaction() {
+                    Some(transaction) => self.store.commit_transaction(&transaction).await,
+                    None => Err(StoreError::Refused),
+                };
+                self.reply(request, ForwardResult::Written(outcome.into()));
+            }
             None => {}
         }
     }
--- a/crates/cellnode/src/guard.rs
+++ b/crates/cellnode/src/guard.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::{
-        CellStore, StoreItem, StorePut, StoreTransaction, TransactionOutcome, boot_ms,
+        CellStore, StoreError, StoreItem, StorePut, StoreTransaction, TransactionOutcome, boot_ms,
         follow::{SHORT_PAGE_TIMEOUT_MS, read_all},
+        forward_router::ForwardRouter,
         leadership_status::LeadershipStatus,
         rows::{GUARD_PREFIX, GuardRow, LEADER_KEY, LeaderRow, guard_key},
     },
@@ -28,9 +29,30 @@
     LeaseNotFound,
 }
 
+/// How a transaction reaches the store.
+enum CommitPath {
+    /// This daemon commits it.
+    Store(Arc<dyn CellStore>),
+    /// The router may leave it to another daemon.
+    Router(Arc<ForwardRouter>),
+}
+
+impl CommitPath {
+    async fn commit(
+        &self,
+        lane: usize,
+        transaction: &StoreTransaction,
+    ) -> Result<TransactionOutcome, StoreError> {
+        match self {
+            Self::Store(store) => store.commit_transaction(transaction).await,
+            Self::Router(router) => router.commit(lane, transaction).await,
+        }
+    }
+}
+
 /// Writes transactions on one lane, conditional on the lane's [`GuardRow`].
 pub(crate) struct GuardWriter {
-    store: Arc<dyn CellStore>,
+    path: CommitPath,
     pub(crate) leader: LeaderRow,
     pub(crate) leadership: Arc<LeadershipStatus>,
     lane: usize,
@@ -71,7 +93,8 @@
         }
         let leadership = Arc::new(LeadershipStatus::new(boot_ms()));
         let revision = match commit_until_confirmed(
-            store.as_ref(),
+            &CommitPath::Store(store.clone()),
+            0,
             &transaction,
             &leadership,
             &logger,
@@ -84,7 +107,7 @@
             TransactionOutcome::LeaseNotFound => return None,
         };
         let writer = |lane| Self {
-            store: store.clone(),
+            path: CommitPath::Store(store.clone()),
             leader: leader.clone(),
             leadership: leadership.clone(),
             lane,
@@ -95,6 +118,11 @@
         Some((0..COMMIT_LANES).map(writer).collect())
     }
 
+    /// Commits the later transactions through a router.
+    pub(crate) fn route(&mut self, router: Arc<ForwardRouter>) {
+        self.path = CommitPath::Router(router);
+    }
+
     /// Writes the leader's row again, attached to a new lease, unless another daemon has become the
     /// leader.
     pub(crate) async fn attach_leader_row(&mut self, lease: u64) -> WriteOutcome {
@@ -114,7 +142,8 @@
             lease: 0,
         });
         let outcome = commit_until_confirmed(
-            self.store.as_ref(),
+            &self.path,
+            self.lane,
             &transaction,
             &self.leadership,
             &self.logger,
@@ -159,7 +188,8 @@
 
 /// Commits a transaction, retrying without limit until the store confirms its outcome.
 async fn commit_until_confirmed(
-    store: &dyn CellStore,
+    path: &CommitPath,
+    lane: usize,
     transaction: &StoreTransaction,
     leadership: &LeadershipStatus,
     logger: &Logger,
@@ -167,7 +197,7 @@
     let mut has_logged = false;
     loop {
         let sent_ms = boot_ms();
-        match store.commit_transaction(transaction).await {
+        match path.commit(lane, transaction).await {
             Ok(TransactionOutcome::Done(revision)) => {
                 leadership.record_confirmation(sent_ms);
                 return TransactionOutcome::Done(revision);
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -267,7 +267,8 @@
     /// Starts a writer for each lane; the first one also writes the leader's row.
     fn start_writers(&mut self, guards: Vec<GuardWriter>, new_leases: mpsc::Receiver<u64>) {
         let mut new_leases = Some(new_leases);
-        for (lane, guard) in guards.into_iter().enumerate() {
+        for (lane, mut guard) in guards.into_iter().enumerate() {
+            guard.route(self.router.clone());
             let (commits, inbox) = mpsc::channel(WRITER_QUEUE);
             self.commits.push(commits);
             let new_leases = new_leases.take().unwrap_or_else(|| mpsc::channel(WRITER_QUEUE).1);
--- a/crates/cellnode/src/leader_connection.rs
+++ b/crates/cellnode/src/leader_connection.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        AdviserGateway, OutsideLinks, WorkerGateway,
+        AdviserGateway, CellStore, OutsideLinks, WorkerGateway,
         forward_session::ForwardSession,
         frame::{
             AdviceRequestFrame, AdviceResponseFrame, EntryBody, EntryFrame, HelloFrame, LeaderBody,
@@ -62,6 +62,7 @@
     is_leaving: AtomicBool,
     adviser: Arc<dyn AdviserGateway>,
     workers: Arc<dyn WorkerGateway>,
+    store: Arc<dyn CellStore>,
     payloads: Arc<PayloadStore>,
     registry: Arc<SessionRegistry>,
     logger: Logger,
@@ -90,6 +91,7 @@
             is_leaving: AtomicBool::new(false),
             adviser: external.adviser.clone(),
             workers: external.workers.clone(),
+            store: external.store.clone(),
             payloads: PayloadStore::new(external.store.clone(), logger.clone()),
             registry,
             logger,
@@ -226,7 +228,11 @@
         let mut framed = Framed::new(socket, frame_codec());
         let mut outgoing = self.connect();
         let forwarding = self.lock().outgoing.clone().map(|outgoing| {
-            ForwardSession::new(self.workers.clone(), self.payloads.clone(), outgoing)
+            ForwardSession::new(
+                (self.workers.clone(), self.store.clone()),
+                self.payloads.clone(),
+                outgoing,
+            )
         });
         let mut heartbeat = interval(Duration::from_millis(HEARTBEAT_MS));
         let silence_timeout = Duration::from_millis(SILENCE_TIMEOUT_MS);
--- a/crates/cellnode/src/lib.rs
+++ b/crates/cellnode/src/lib.rs
@@ -30,6 +30,7 @@
 mod running_list;
 mod session_registry;
 mod worker_sink;
+mod write_frame;
 
 pub use {
     clock::{boot_ms, unix_ms},
