Start jobs that are too late for use after all others

Within what can be of use, priority comes first as before. Test: a_backlog_that_is_too_late_costs_no_job_that_can_be_in_time fails without it.

--- a/crates/cell/src/core/backlog.rs
+++ b/crates/cell/src/core/backlog.rs
@@ -2,7 +2,9 @@
 //!
 //! Steps are sorted by priority class. Within a class the step whose job has the least slack to its
 //! latency objective comes first, so that a burst of one kind of job does not make others miss
-//! their objectives. Jobs that can no longer finish in time come after those that can.
+//! their objectives. Jobs that can no longer finish in time come after those that can. After an
+//! outage a whole backlog may be too late to be useful to anyone: it comes last, whatever its class,
+//! or it would take the capacity of jobs that can still be useful.
 
 use {
     super::CellCore,
@@ -19,9 +21,11 @@
 /// A step's rank in the backlog; the lowest is placed first.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 struct BacklogRank {
+    /// The job can no longer be useful.
+    is_too_late: bool,
     priority: u32,
-    /// 0 if the job can meet its objective, 1 if it can still be useful, 2 otherwise.
-    lateness: u8,
+    /// The job can no longer meet its objective.
+    is_late: bool,
     latest_start_ms: f64,
 }
 
@@ -46,14 +50,13 @@
     fn backlog_rank(&self, job: &JobEntry) -> BacklogRank {
         let (due_ms, useful_until_ms) = self.deadlines(job);
         let left_ms = remaining_critical_path_ms(job);
-        let (lateness, end_ms) = match self.time.wall_ms as f64 + left_ms {
-            end if end <= due_ms => (0, due_ms),
-            end if end <= useful_until_ms => (1, useful_until_ms),
-            _ => (2, useful_until_ms),
-        };
+        let earliest_end_ms = self.time.wall_ms as f64 + left_ms;
+        let is_late = earliest_end_ms > due_ms;
+        let end_ms = if is_late { useful_until_ms } else { due_ms };
         BacklogRank {
+            is_too_late: earliest_end_ms > useful_until_ms,
             priority: self.priority_of(&job.record),
-            lateness,
+            is_late,
             latest_start_ms: end_ms - left_ms,
         }
     }
--- a/crates/cell/tests/cell/load.rs
+++ b/crates/cell/tests/cell/load.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::support::{FakeCell, job, step},
-    damaskrack_cell::{CellInput, QueueConfig, ResourceSet, TeamConfig},
+    damaskrack_cell::{CellInput, JobState, QueueConfig, ResourceSet, TeamConfig},
 };
 
 /// Number of jobs in a burst, more than fit into one commit.
@@ -123,3 +123,28 @@
     cell.run(100);
     assert!(cell.refusals.is_empty());
 }
+
+/// After an outage the backlog of an urgent queue is too late to be useful, and fresh jobs of another
+/// queue arrive.
+#[test]
+fn a_backlog_that_is_too_late_costs_no_job_that_can_be_in_time() {
+    let mut cell = FakeCell::new(2);
+    let normal = QueueConfig { priority: 1, ..cell.config.queues["queue"].clone() };
+    cell.config.queues.insert("later".to_owned(), normal);
+    cell.start_leader();
+    cell.run(100);
+    for id in 0..20 {
+        let mut old = job(&id.to_string(), vec![step(4)]);
+        old.accepted_ms = cell.wall_ms() - 30_000;
+        cell.submit(old);
+    }
+    for id in 100..104 {
+        submit_as(&mut cell, id, "team", "later");
+    }
+    cell.run(1_300);
+    let in_time = (100..104).filter(|id| cell.state(&id.to_string()) == Some(JobState::Completed));
+    assert_eq!(in_time.count(), 4);
+    cell.run(12_000);
+    let old = (0..20).filter(|id| cell.state(&id.to_string()) == Some(JobState::Completed));
+    assert_eq!(old.count(), 20, "what is too late is done all the same");
+}
