Give teams their shares by weight when the cell is full

A hot team's backlog came before the jobs of all others, in order of arrival, and others were refused for it. Within a priority class, jobs of teams below their share by weight (dominant resource, unused share lent; the policy crate's entitlements) come first, and a team whose own work fits its share is not refused for the work of others. Share error is not measured.

--- a/crates/cell/src/core/admission.rs
+++ b/crates/cell/src/core/admission.rs
@@ -4,7 +4,8 @@
 //! result is no longer useful is refused at once, with a delay after which to retry. Its caller can
 //! then still react, and its tasks take no capacity from jobs that can end in time. Work of a team
 //! beyond the team's limit waits for the team's own capacity only, so it counts against other teams
-//! only up to that limit.
+//! only up to that limit. A team whose own work fits its share of the cell is not refused for the work
+//! of others.
 //!
 //! While the window of start requests is full, the rate at which tasks start is the limit instead of
 //! the workers' capacity.
@@ -27,6 +28,8 @@
 /// the same time.
 const RETRY_SPREAD: f64 = 0.5;
 
+/// Smallest weight of a team.
+const MIN_WEIGHT: f64 = 0.01;
 /// Milliseconds in a second.
 const MS_PER_SECOND: f64 = 1_000.0;
 
@@ -139,7 +142,21 @@
         }
         let own = self.load.work_of(service, &record.team, priority);
         let by_limit = own.ratio(limit_of(&record.team));
-        by_limit.max(work.ratio(WorkAmount::of(capacity, within_ms)))
+        let whole = WorkAmount::of(capacity, within_ms);
+        // A team's own share is free for it however much work the others have.
+        let by_share = own.ratio(whole) / self.weight_share(service, &record.team);
+        by_limit.max(work.ratio(whole).min(by_share))
+    }
+
+    /// Returns a team's part of the weights of all teams with jobs at a service.
+    fn weight_share(&self, service: &str, team: &str) -> f64 {
+        let weight_of = |team: &str| {
+            let weight = self.config.teams.get(team).map_or(1.0, |team| team.weight);
+            weight.max(MIN_WEIGHT)
+        };
+        let teams = self.load.work.get(service).into_iter().flat_map(FxHashMap::keys);
+        let others: f64 = teams.filter(|other| *other != team).map(|other| weight_of(other)).sum();
+        weight_of(team) / (weight_of(team) + others)
     }
 
     /// Returns the number of tasks that start before a job's last one, as a multiple of the number
@@ -156,12 +173,9 @@
     }
 
     fn measure_load(&mut self) {
-        let mut load = BacklogLoad { measured_ms: self.time.now_ms, ..BacklogLoad::default() };
-        for worker in self.workers.values().filter(|worker| self.is_in_service(worker)) {
-            let report = &worker.report;
-            let known = load.capacity.entry(report.service.clone()).or_default();
-            *known = known.plus(&report.capacity);
-        }
+        let capacity = self.service_capacities();
+        let measured_ms = self.time.now_ms;
+        let mut load = BacklogLoad { measured_ms, capacity, ..BacklogLoad::default() };
         for job in self.live.iter().map(|key| &self.jobs[*key]) {
             if self.cannot_meet_deadline(job) {
                 continue;
--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -76,6 +76,7 @@
     pub(super) fn place_backlog(&mut self) {
         self.back_off_failing();
         self.forget_lost_calls();
+        self.update_shares();
         let mut prefetch_left = PREFETCH_STEPS;
         let available = self.available_workers();
         let is_planned = |attempt: &&AttemptEntry| attempt.state == AttemptState::Persisting;
--- a/crates/cell/src/core/backlog.rs
+++ b/crates/cell/src/core/backlog.rs
@@ -1,6 +1,7 @@
 //! The backlog: the order in which steps are placed.
 //!
-//! Steps are sorted by priority class. Within a class the step whose job has the least slack to its
+//! Steps are sorted by priority class, and within a class by whether their teams use less than their
+//! shares of the cell. Among these the step whose job has the least slack to its
 //! latency objective comes first, so that a burst of one kind of job does not make others miss
 //! their objectives. Jobs that can no longer finish in time come after those that can. After an
 //! outage a whole backlog may be too late to be useful to anyone: it comes last, whatever its class,
@@ -24,6 +25,8 @@
     /// The job can no longer be useful.
     is_too_late: bool,
     priority: u32,
+    /// The job's team uses its share of the cell or more.
+    is_share_full: bool,
     /// The job can no longer meet its objective.
     is_late: bool,
     latest_start_ms: f64,
@@ -56,6 +59,7 @@
         BacklogRank {
             is_too_late: earliest_end_ms > useful_until_ms,
             priority: self.priority_of(&job.record),
+            is_share_full: self.shares.is_full(self.service_of(&job.record), &job.record.team),
             is_late,
             latest_start_ms: end_ms - left_ms,
         }
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -18,6 +18,7 @@
 mod pending;
 mod placement;
 mod request_window;
+mod shares;
 mod worker_speed;
 mod workers;
 
@@ -31,6 +32,7 @@
     commit::CommitQueue,
     request_window::RequestWindow,
     rustc_hash::FxHashMap,
+    shares::TeamShares,
     slotmap::SlotMap,
     std::{collections::VecDeque, sync::Arc},
 };
@@ -77,6 +79,7 @@
     team_used: FxHashMap<String, ResourceSet>,
     commits: CommitQueue,
     load: BacklogLoad,
+    shares: TeamShares,
     request_window: RequestWindow,
     /// Attempts whose stop requests have not been acknowledged.
     stopping: Vec<AttemptKey>,
@@ -122,6 +125,7 @@
             team_used: FxHashMap::default(),
             commits: CommitQueue::default(),
             load: BacklogLoad::default(),
+            shares: TeamShares::default(),
             request_window: RequestWindow::default(),
             stopping: Vec::new(),
             ready: VecDeque::new(),
--- a/crates/cell/src/resources.rs
+++ b/crates/cell/src/resources.rs
@@ -45,6 +45,23 @@
             .min(times(self.accelerators, other.accelerators))
     }
 
+    /// Returns this amount `count` times.
+    ///
+    /// ```
+    /// use damaskrack_cell::ResourceSet;
+    ///
+    /// let task = ResourceSet { cpu_millis: 500, memory_mb: 64, accelerators: 0 };
+    /// assert_eq!(task.times(3).cpu_millis, 1_500);
+    /// ```
+    #[must_use]
+    pub fn times(&self, count: u64) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_mul(count),
+            memory_mb: self.memory_mb.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
+        }
+    }
+
     /// Returns the sum of both amounts.
     ///
     /// ```
--- a/crates/cell/tests/cell/load.rs
+++ b/crates/cell/tests/cell/load.rs
@@ -148,3 +148,31 @@
     let old = (0..20).filter(|id| cell.state(&id.to_string()) == Some(JobState::Completed));
     assert_eq!(old.count(), 20, "what is too late is done all the same");
 }
+
+/// One team sends three times as much as the cell can do, another one an eighth of it.
+#[test]
+fn a_hot_team_does_not_cost_the_others() {
+    let mut cell = FakeCell::new(2);
+    cell.config.teams.insert("hot".to_owned(), TeamConfig { weight: 1.0, ..TeamConfig::default() });
+    cell.config
+        .teams
+        .insert("calm".to_owned(), TeamConfig { weight: 1.0, ..TeamConfig::default() });
+    cell.start_leader();
+    cell.run(100);
+    let mut in_time = 0;
+    for round in 0..8 {
+        for job in 0..24 {
+            submit_as(&mut cell, round * 24 + job, "hot", "queue");
+        }
+        cell.run(250);
+        let calm = 1_000 + round;
+        submit_as(&mut cell, calm, "calm", "queue");
+        // The latency objective of the queue.
+        cell.run(1_500);
+        in_time += usize::from(cell.state(&calm.to_string()) == Some(JobState::Completed));
+    }
+    assert_eq!(in_time, 8, "jobs of the calm team in time");
+    // The cell does 56 jobs in this time, 8 of them for the calm team.
+    let hot = (0..192).filter(|id: &u64| cell.state(&id.to_string()) == Some(JobState::Completed));
+    assert!(hot.count() >= 40, "the hot team gets what the other one does not use");
+}
