--- a/crates/cell/tests/cell/load.rs
+++ b/crates/cell/tests/cell/load.rs
@@ -167,12 +167,12 @@
         cell.run(250);
         let calm = 1_000 + round;
         submit_as(&mut cell, calm, "calm", "queue");
-        // The latency objective of the queue.
-        cell.run(1_500);
+        // Within the latency objective of 1.5 s.
+        cell.run(1_250);
         in_time += usize::from(cell.state(&calm.to_string()) == Some(JobState::Completed));
     }
     assert_eq!(in_time, 8, "jobs of the calm team in time");
-    // The cell does 56 jobs in this time, 8 of them for the calm team.
+    // The cell does 48 jobs in this time, 8 of them for the calm team.
     let hot = (0..192).filter(|id: &u64| cell.state(&id.to_string()) == Some(JobState::Completed));
-    assert!(hot.count() >= 40, "the hot team gets what the other one does not use");
+    assert!(hot.count() >= 36, "the hot team gets what the other one does not use");
 }
