--- a/crates/cellnode/src/forward_session.rs
+++ b/crates/cellnode/src/forward_session.rs
@@ -159,3 +159,6 @@
         let _ = self.outgoing.try_send(EntryFrame { call: 0, body });
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/cellnode/src/frame.rs
+++ b/crates/cellnode/src/frame.rs
@@ -217,3 +217,6 @@
 pub(crate) fn decode<M: Message + Default>(bytes: BytesMut) -> Option<M> {
     M::decode(bytes.freeze()).ok()
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -34,7 +34,8 @@
     cadence::CountedExt,
     damaskrack_cell::{
         AdviceCallKey, AdviceRequest, CellAction, CellConfig, CellCore, CellInput, CellSettings,
-        CommitRequest, JobRecord, ProgressRecord, RenewOutcome, StopRequest, WorkerTicket,
+        CommitRequest, JobRecord, ProgressRecord, RenewOutcome, StartOutcome, StartRefusal,
+        StopRequest, WorkerTicket,
     },
     prost::Message,
     rustc_hash::FxHashMap,
@@ -388,7 +389,7 @@
     /// Returns whether the last confirmation is recent enough that no successor can have treated
     /// this leader's attempts as expired.
     fn is_leadership_confirmed(&self) -> bool {
-        self.leadership.confirmation_age_ms() < LEASE_TTL_MS + ISOLATION_MS
+        may_act(&self.leadership)
     }
 
     /// Returns whether daemons should write jobs themselves.
@@ -502,8 +503,13 @@
         match action {
             CellAction::Start(request) => {
                 let (workers, events, token) = self.gateway();
+                let leadership = self.leadership.clone();
                 tokio::spawn(async move {
-                    let (outcome, clock_ms) = workers.start(&request, token).await;
+                    // The host may have stood still since the core decided.
+                    let (outcome, clock_ms) = match may_act(&leadership) {
+                        true => workers.start(&request, token).await,
+                        false => (StartOutcome::Refused(StartRefusal::Unsent), None),
+                    };
                     let attempt = request.attempt;
                     send_input(&events, CellInput::StartFinished { attempt, outcome, clock_ms })
                         .await;
@@ -591,6 +597,11 @@
     }
 }
 
+/// Returns whether the store confirmed the leadership recently enough to send requests to workers.
+fn may_act(leadership: &LeadershipStatus) -> bool {
+    leadership.confirmation_age_ms() < LEASE_TTL_MS + ISOLATION_MS
+}
+
 /// Returns the pause after a tick of this duration, in milliseconds.
 fn tick_pause_ms(tick_duration: Duration) -> u64 {
     let pause_ms = u64::try_from(tick_duration.as_millis()).unwrap_or(MAX_TICK_PAUSE_MS)
