Repeat a start without a response at its worker

A request to start the same attempt at the same worker is idempotent, so it is repeated, three times in all, while the worker is responsive. A refusal of a repetition proves nothing about the first request, so the attempt is stopped then, not dropped. A worker backs off from the third unanswered request in a row.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -22,8 +22,13 @@
 const MAX_STOP_DOUBLINGS: u32 = 2;
 /// Minimum interval between two log entries about a full window of start requests, in milliseconds.
 const WINDOW_LOG_INTERVAL_MS: u64 = 1_000;
-/// Time for which a worker gets no new work after an unanswered start request, in milliseconds. It
-/// doubles with each further one.
+/// Maximum number of requests to start an attempt, of which all but the last had no response.
+const MAX_START_TRIES: u32 = 3;
+/// Number of unanswered start requests in a row up to which a worker counts as responsive. Requests to
+/// others are not repeated.
+const MAX_UNANSWERED_STARTS: u32 = 2;
+/// Time for which a worker that is not responsive gets no new work after an unanswered start request,
+/// in milliseconds. It doubles with each further one.
 const UNANSWERED_BACKOFF_MS: u64 = 150;
 /// Maximum number of doublings.
 const MAX_BACKOFF_DOUBLINGS: u32 = 5;
@@ -61,6 +66,7 @@
             percent: 0,
             is_gang_aborted: false,
             sent_ms: 0,
+            start_tries: 0,
             stop_due_ms: 0,
             stop_tries: 0,
         });
@@ -118,10 +124,13 @@
     /// whether it was sent.
     fn send_attempt(&mut self, key: AttemptKey) -> bool {
         let Some(attempt) = self.attempts.get(key) else { return false };
+        if !matches!(attempt.state, AttemptState::Persisting | AttemptState::Sent) {
+            return false;
+        }
         let (phase, worker) = (attempt.phase, attempt.worker);
         let Some(ticket) = self.ticket_for(attempt) else {
             self.log_attempt("ticket_outdated", key, "");
-            self.drop_attempt(key);
+            self.give_up_start(key);
             return false;
         };
         let is_wanted = !self.jobs[phase.job].state.is_final() && !attempt.is_gang_aborted;
@@ -130,7 +139,7 @@
         let lease_ms = START_LEASE_MS.min(self.settings.lease_ms);
         let deadline = self.workers[worker].deadline_for(now_ms, lease_ms);
         let (true, true, Some(deadline_ms)) = (is_wanted, is_schedulable, deadline) else {
-            self.drop_attempt(key);
+            self.give_up_start(key);
             return false;
         };
         let job = &self.jobs[phase.job];
@@ -138,6 +147,7 @@
         let attempt = &mut self.attempts[key];
         attempt.state = AttemptState::Sent;
         attempt.sent_ms = now_ms;
+        attempt.start_tries += 1;
         self.actions.push(CellAction::Start(StartRequest {
             attempt: key,
             address: worker.report.address.clone(),
@@ -179,22 +189,49 @@
                     self.stop_if_unwanted(key);
                 }
             }
-            StartOutcome::Unknown => {
-                let doublings = worker.unanswered_starts.min(MAX_BACKOFF_DOUBLINGS);
-                worker.unanswered_starts += 1;
-                worker.backoff_until_ms = now_ms + (UNANSWERED_BACKOFF_MS << doublings);
-                let job = &mut self.jobs[attempt.phase.job];
-                job.phases[attempt.phase.phase].retry.delay(now_ms);
-                if attempt.state == AttemptState::Sent {
-                    attempt.state = AttemptState::Uncertain;
-                    self.log_attempt("start_unanswered", key, "");
-                    self.stop_attempt(key);
-                }
-            }
+            StartOutcome::Unknown => self.repeat_start(key),
             StartOutcome::Refused(refusal) => self.refuse_start(key, refusal),
         }
     }
 
+    /// Repeats a start request that had no response, or gives the attempt up. A worker that gets a
+    /// request twice starts one run, so a repetition costs nothing if only the response was lost, and
+    /// spares a gang from being stopped if the request will be carried out late.
+    fn repeat_start(&mut self, key: AttemptKey) {
+        let now_ms = self.time.now_ms;
+        let attempt = &self.attempts[key];
+        let (tries, state, phase) = (attempt.start_tries, attempt.state, attempt.phase);
+        let is_wanted = !attempt.is_gang_aborted;
+        let worker = &mut self.workers[attempt.worker];
+        worker.unanswered_starts += 1;
+        let is_responsive = worker.unanswered_starts <= MAX_UNANSWERED_STARTS;
+        if !is_responsive {
+            let doublings =
+                (worker.unanswered_starts - MAX_UNANSWERED_STARTS - 1).min(MAX_BACKOFF_DOUBLINGS);
+            worker.backoff_until_ms = now_ms + (UNANSWERED_BACKOFF_MS << doublings);
+        }
+        if state != AttemptState::Sent {
+            return;
+        }
+        if is_wanted && is_responsive && tries < MAX_START_TRIES {
+            self.log_attempt("start_repeated", key, "");
+            self.ready.push_front(key);
+            return;
+        }
+        self.jobs[phase.job].phases[phase.phase].retry.delay(now_ms);
+        self.log_attempt("start_unanswered", key, "");
+        self.give_up_start(key);
+    }
+
+    /// Drops an attempt that no worker can have begun, and stops any other.
+    fn give_up_start(&mut self, key: AttemptKey) {
+        if self.attempts[key].start_tries == 0 {
+            return self.drop_attempt(key);
+        }
+        self.attempts[key].state = AttemptState::Uncertain;
+        self.stop_attempt(key);
+    }
+
     fn refuse_start(&mut self, key: AttemptKey, refusal: StartRefusal) {
         let now_ms = self.time.now_ms;
         self.log_attempt("start_refused", key, &format!("reason={refusal:?}"));
@@ -219,7 +256,11 @@
             }
             StartRefusal::Stale | StartRefusal::Invalid => {}
         }
-        self.drop_attempt(key);
+        match self.attempts[key].start_tries {
+            // The refused request was the only one.
+            0 | 1 => self.drop_attempt(key),
+            _ => self.give_up_start(key),
+        }
     }
 
     /// Stops a confirmed attempt that is no longer wanted.
--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -51,6 +51,8 @@
     pub(crate) is_gang_aborted: bool,
     /// Time at which the start request was sent; 0 if it was not.
     pub(crate) sent_ms: u64,
+    /// Number of start requests so far.
+    pub(crate) start_tries: u32,
     /// Number of stop requests so far.
     pub(crate) stop_tries: u32,
     /// Time at which an unacknowledged stop request is repeated.
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -57,6 +57,10 @@
     /// Start requests get no response and wait in `deferred_starts`.
     pub(crate) defers_starts: bool,
     pub(crate) deferred_starts: Vec<StartRequest>,
+    /// Number of the next start requests that are treated so.
+    pub(crate) defers_next_starts: usize,
+    /// All start requests after a deferred one are refused.
+    pub(crate) refuses_starts: bool,
     /// All tasks fail.
     pub(crate) fails: bool,
     /// Time that a stop takes, in milliseconds.
@@ -484,12 +488,18 @@
             });
             return;
         }
+        if worker.refuses_starts && !worker.deferred_starts.is_empty() {
+            let outcome = StartOutcome::Refused(StartRefusal::Unavailable);
+            self.apply(CellInput::StartFinished { attempt, outcome, clock_ms: None });
+            return;
+        }
         if worker.is_replaced {
             let outcome = StartOutcome::Refused(StartRefusal::Incarnation);
             self.apply(CellInput::StartFinished { attempt, outcome, clock_ms: None });
             return;
         }
-        if worker.defers_starts {
+        if worker.defers_next_starts > 0 || worker.defers_starts {
+            worker.defers_next_starts = worker.defers_next_starts.saturating_sub(1);
             worker.deferred_starts.push(request);
             self.apply(CellInput::StartFinished {
                 attempt,
@@ -521,6 +531,9 @@
             return StartOutcome::Refused(StartRefusal::Late);
         }
         let (task, attempt) = (request.task.clone(), request.number);
+        if worker.runs.iter().any(|run| run.task == task && run.attempt == attempt) {
+            return StartOutcome::Started;
+        }
         let is_stopped = false;
         worker.runs.push(FakeRun { task: task.clone(), attempt, ends_ms, is_stopped, resources });
         self.starts.push((task.clone(), attempt, request.address.clone()));
