--- a/crates/cell/src/core/admission.rs
+++ b/crates/cell/src/core/admission.rs
@@ -7,7 +7,7 @@
 //! only up to that limit. A team whose own work fits its share of the cell is not refused for the work
 //! of others.
 //!
-//! While the window of start requests is full, the rate at which tasks start is the limit instead of
+//! While the request window is full, the rate at which tasks start is the limit instead of
 //! the workers' capacity.
 
 use {
--- a/crates/cell/src/core/backlog.rs
+++ b/crates/cell/src/core/backlog.rs
@@ -1,11 +1,11 @@
 //! The backlog: the order in which steps are placed.
 //!
-//! Steps are sorted by priority class, and within a class by whether their teams use less than their
-//! shares of the cell. Among these the step whose job has the least slack to its
-//! latency objective comes first, so that a burst of one kind of job does not make others miss
-//! their objectives. Jobs that can no longer finish in time come after those that can. After an
-//! outage a whole backlog may be too late to be useful to anyone: it comes last, whatever its class,
-//! or it would take the capacity of jobs that can still be useful.
+//! Jobs that can still be useful come before those that cannot: after an outage a whole backlog may
+//! be too late for anyone, and would take the capacity of jobs that are not. Then steps are sorted
+//! by priority class, and within a class by whether their teams use less than their shares of the
+//! cell. Among these, steps of jobs that can meet their latency objective come first, and the one
+//! with the least slack before others, so that a burst of one kind of job does not make others miss
+//! their objectives.
 
 use {
     super::CellCore,
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -2,9 +2,9 @@
 //!
 //! A tick first expires leases, which frees the capacity of their attempts. Then it places tasks;
 //! no other pass reserves capacity for new attempts. For steps that lack tickets it calls the
-//! adviser. Last it sends the start requests for which the window has space and commits all changes.
-//! A start request is sent only after the attempt is in the
-//! store, so that a new leader always knows where a task may be running.
+//! adviser. Last it sends the requests for which the window has space and commits all changes. A
+//! start request is sent only after the attempt is in the store, so that a new leader always knows
+//! where a task may be running.
 
 mod admission;
 mod advice;
--- a/crates/cell/src/core/shares.rs
+++ b/crates/cell/src/core/shares.rs
@@ -47,9 +47,9 @@
         if self.time.now_ms < self.shares.measured_ms + MEASURE_INTERVAL_MS {
             return;
         }
-        let mut uses = self.team_uses();
+        let uses = self.team_uses();
         let capacities = self.service_capacities();
-        let full = uses.iter_mut().filter_map(|(service, teams)| {
+        let full = uses.iter().filter_map(|(service, teams)| {
             let capacity = capacities.get(service)?;
             Some((service.clone(), self.full_teams(*capacity, teams)))
         });
--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -49,7 +49,7 @@
     pub(crate) percent: u32,
     /// Another member of the gang ended, so this one must not run.
     pub(crate) is_gang_aborted: bool,
-    /// Time at which the start request was sent; 0 if it was not.
+    /// Time at which the last start or stop request was sent; 0 if none was.
     pub(crate) sent_ms: u64,
     /// Number of start requests so far.
     pub(crate) start_tries: u32,
--- a/crates/cellnode/src/forward_router.rs
+++ b/crates/cellnode/src/forward_router.rs
@@ -49,6 +49,15 @@
     Write(Result<TransactionOutcome, StoreError>),
 }
 
+/// A call that was sent to a daemon.
+#[derive(Debug)]
+struct SentCall {
+    /// Number of the request.
+    request: u64,
+    daemon: u64,
+    receiver: oneshot::Receiver<CallOutcome>,
+}
+
 /// A call that waits for its response.
 #[derive(Debug)]
 struct WaitingCall {
@@ -167,7 +176,7 @@
         (address, worker_id): (&str, &str),
         token: u64,
         build: impl FnOnce(&mut ForwardPeer) -> ForwardCall,
-    ) -> Option<(u64, u64, oneshot::Receiver<CallOutcome>)> {
+    ) -> Option<SentCall> {
         let mut state = self.lock();
         let daemon = *state.assigned.get(worker_id)?;
         self.send_to(&mut state, daemon, (address, worker_id), token, build)
@@ -180,7 +189,7 @@
         (address, worker_id): (&str, &str),
         token: u64,
         build: impl FnOnce(&mut ForwardPeer) -> ForwardCall,
-    ) -> Option<(u64, u64, oneshot::Receiver<CallOutcome>)> {
+    ) -> Option<SentCall> {
         let session = self.registry.session_of(daemon)?;
         state.last_request += 1;
         let request = state.last_request;
@@ -200,13 +209,13 @@
         state.waiting.insert(request, WaitingCall { session, sender });
         // A session whose queue is full has ended, and the call fails with it.
         self.registry.send(session, 0, &LeaderBody::Forward(frame));
-        Some((request, daemon, receiver))
+        Some(SentCall { request, daemon, receiver })
     }
 
     /// Waits for the outcome of a call; `None` if the daemon does not respond in time.
     async fn wait(
         &self,
-        (request, daemon, receiver): (u64, u64, oneshot::Receiver<CallOutcome>),
+        SentCall { request, daemon, receiver }: SentCall,
         timeout_ms: u64,
     ) -> Option<CallOutcome> {
         let outcome = timeout(Duration::from_millis(timeout_ms), receiver).await;
@@ -235,7 +244,7 @@
         let Some(call) = self.send_write(lane, transaction) else {
             return self.store.commit_transaction(transaction).await;
         };
-        let daemon = call.1;
+        let daemon = call.daemon;
         let outcome = match self.wait(call, WRITE_TIMEOUT_MS).await {
             Some(CallOutcome::Write(outcome)) => outcome,
             _ => Err(StoreError::Unknown),
@@ -246,11 +255,7 @@
         outcome
     }
 
-    fn send_write(
-        &self,
-        lane: usize,
-        transaction: &StoreTransaction,
-    ) -> Option<(u64, u64, oneshot::Receiver<CallOutcome>)> {
+    fn send_write(&self, lane: usize, transaction: &StoreTransaction) -> Option<SentCall> {
         let mut state = self.lock();
         let now_ms = boot_ms();
         state.avoided_writers.retain(|_, until_ms| *until_ms > now_ms);
