Never take a service for late

Change: jobs with a service have the rank of a job that can meet its objective. Test: a_service_task_that_fails_in_a_full_cell_starts_again_soon fails without it.

--- a/crates/cell/src/core/backlog.rs
+++ b/crates/cell/src/core/backlog.rs
@@ -51,6 +51,13 @@
     }
 
     fn backlog_rank(&self, job: &JobEntry) -> BacklogRank {
+        let priority = self.priority_of(&job.record);
+        if job.record.steps.iter().any(|step| step.is_service) {
+            // A service is wanted for as long as it is not cancelled, so it is never late.
+            let latest_start_ms = job.record.accepted_ms as f64;
+            let (is_too_late, is_share_full, is_late) = (false, false, false);
+            return BacklogRank { is_too_late, priority, is_share_full, is_late, latest_start_ms };
+        }
         let (due_ms, useful_until_ms) = self.deadlines(job);
         let left_ms = remaining_critical_path_ms(job);
         let earliest_end_ms = self.time.wall_ms as f64 + left_ms;
@@ -58,7 +65,7 @@
         let end_ms = if is_late { useful_until_ms } else { due_ms };
         BacklogRank {
             is_too_late: earliest_end_ms > useful_until_ms,
-            priority: self.priority_of(&job.record),
+            priority,
             is_share_full: self.shares.is_full(self.service_of(&job.record), &job.record.team),
             is_late,
             latest_start_ms: end_ms - left_ms,
--- a/crates/cell/tests/cell/load.rs
+++ b/crates/cell/tests/cell/load.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::support::{FakeCell, job, step},
-    damaskrack_cell::{CellInput, JobState, QueueConfig, ResourceSet, TeamConfig},
+    damaskrack_cell::{CellInput, JobState, QueueConfig, ResourceSet, StepSpec, TeamConfig},
 };
 
 /// Number of jobs in a burst, more than fit into one commit.
@@ -176,3 +176,26 @@
     let hot = (0..192).filter(|id: &u64| cell.state(&id.to_string()) == Some(JobState::Completed));
     assert!(hot.count() >= 36, "the hot team gets what the other one does not use");
 }
+
+/// The task of a service that has run for a long time fails while jobs of its class keep the cell full.
+#[test]
+fn a_service_task_that_fails_in_a_full_cell_starts_again_soon() {
+    let mut cell = FakeCell::new(1);
+    cell.run(100);
+    cell.run_ms = 20_000;
+    cell.submit(job("1", vec![StepSpec { is_service: true, ..step(1) }]));
+    cell.run(15_000);
+    cell.run_ms = 500;
+    for round in 0..40 {
+        for number in 0..4 {
+            submit_as(&mut cell, 100 + round * 4 + number, "team", "queue");
+        }
+        if round == 10 {
+            cell.workers.get_mut("w0").unwrap().fails = true;
+        }
+        cell.run(500);
+        cell.workers.get_mut("w0").unwrap().fails = false;
+    }
+    let starts = cell.starts.iter().filter(|(task, ..)| task.starts_with("1.")).count();
+    assert!(starts >= 2, "the task of the service does not start again");
+}
