Log each attempt that is lost with its worker

worker_empty has only a number, so a job's id led nowhere, and the culprit and its neighbours could not be told apart. attempt_lost names the attempt, its worker, for how long it ran, and its state. A worker that restarts under its id lost its attempts without a line. The time of the loss is taken from the connection that breaks.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -66,6 +66,7 @@
             percent: 0,
             is_gang_aborted: false,
             sent_ms: 0,
+            start_sent_ms: 0,
             start_tries: 0,
             stop_due_ms: 0,
             stop_tries: 0,
@@ -147,6 +148,7 @@
         let attempt = &mut self.attempts[key];
         attempt.state = AttemptState::Sent;
         attempt.sent_ms = now_ms;
+        attempt.start_sent_ms = now_ms;
         attempt.start_tries += 1;
         self.actions.push(CellAction::Start(StartRequest {
             attempt: key,
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -76,6 +76,7 @@
                 && worker.pending_ends == 0
                 && !worker.attempts.is_empty();
             worker.last_acknowledged_end = worker.last_durable_end;
+            worker.renew_wait_ms = if can_wait { RENEW_WAIT_MS } else { 0 };
             actions.push(CellAction::Renew(RenewRequest {
                 worker: key,
                 address: worker.report.address.clone(),
@@ -86,7 +87,7 @@
                     false => worker.deadline_for(time.now_ms, settings.lease_ms),
                 },
                 last_durable_end: worker.last_durable_end,
-                wait_ms: if can_wait { RENEW_WAIT_MS } else { 0 },
+                wait_ms: worker.renew_wait_ms,
             }));
         }
     }
@@ -105,6 +106,7 @@
         let sent_ms = worker.renew_sent_ms.take().unwrap_or(now_ms);
         let was_silent = worker.is_silent;
         worker.is_silent = !matches!(outcome, RenewOutcome::Answered(_));
+        worker.record_response(worker.is_silent, sent_ms, now_ms);
         if was_silent != worker.is_silent {
             let id = worker.report.id.clone();
             let event = if was_silent { "worker_heard" } else { "worker_silent" };
@@ -124,6 +126,8 @@
                 worker.next_renew_ms = now_ms + pause_ms;
                 if response.incarnation > worker.report.incarnation {
                     let id = worker.report.id.clone();
+                    self.log_crash(key);
+                    let worker = &mut self.workers[key];
                     worker.restart(response.incarnation);
                     worker.is_listed = false;
                     self.forget_advice(key);
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -15,6 +15,7 @@
 mod completion;
 mod jobs;
 mod leases;
+mod losses;
 mod pending;
 mod placement;
 mod request_window;
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -41,6 +41,8 @@
             return;
         }
         if report.incarnation > worker.report.incarnation {
+            self.log_crash(key);
+            let worker = &mut self.workers[key];
             worker.restart(report.incarnation);
             worker.next_renew_ms = 0;
             self.forget_advice(key);
@@ -90,6 +92,7 @@
             self.log("worker_empty", id, format!("reason={reason} attempts={}", attempts.len()));
         }
         for attempt in attempts {
+            self.log_lost(attempt, reason);
             let phase = self.attempts[attempt].phase;
             if let Some(entry) = self.jobs[phase.job].phases.get_mut(phase.phase) {
                 entry.retry.delay(self.time.now_ms);
--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -51,6 +51,8 @@
     pub(crate) is_gang_aborted: bool,
     /// Time at which the last start or stop request was sent; 0 if none was.
     pub(crate) sent_ms: u64,
+    /// Time at which the last start request was sent; 0 if this leader sent none.
+    pub(crate) start_sent_ms: u64,
     /// Number of start requests so far.
     pub(crate) start_tries: u32,
     /// Number of stop requests so far.
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -54,11 +54,15 @@
     pub(crate) pending_ends: usize,
     /// Time at which the renewal in flight was sent.
     pub(crate) renew_sent_ms: Option<u64>,
+    /// How long the worker may delay its response to that renewal, in milliseconds.
+    pub(crate) renew_wait_ms: u64,
     /// Earliest time of the next renewal.
     pub(crate) next_renew_ms: u64,
     /// The last renewal had no response. Until one has, renewals extend no lease, so that the
     /// leases of a lost worker expire.
     pub(crate) is_silent: bool,
+    /// Estimated time at which the worker stopped responding, since its last response.
+    pub(crate) lost_ms: Option<u64>,
     /// The worker gets no new work before this time.
     pub(crate) backoff_until_ms: u64,
     /// Number of failed attempts and refusals as unavailable since the last completed attempt.
@@ -86,8 +90,10 @@
             last_acknowledged_end: 0,
             pending_ends: 0,
             renew_sent_ms: None,
+            renew_wait_ms: 0,
             next_renew_ms: 0,
             is_silent: false,
+            lost_ms: None,
             backoff_until_ms: 0,
             failure_streak: 0,
             unanswered_starts: 0,
@@ -111,6 +117,7 @@
         self.failure_streak = 0;
         self.unanswered_starts = 0;
         self.slowness = 1.0;
+        self.lost_ms = None;
     }
 
     /// Records that the worker has accepted this leader's fencing token. No former leader can renew
@@ -123,6 +130,14 @@
         }
     }
 
+    /// Records that a renewal had a response or none. A connection that breaks while the worker may
+    /// still delay its response shows when the worker was lost.
+    pub(crate) fn record_response(&mut self, is_silent: bool, sent_ms: u64, now_ms: u64) {
+        let is_broken = now_ms < sent_ms + self.renew_wait_ms;
+        let lost_ms = if is_broken { now_ms } else { sent_ms };
+        self.lost_ms = is_silent.then_some(self.lost_ms.unwrap_or(lost_ms));
+    }
+
     /// Records a reading of the worker's clock.
     pub(crate) fn record_clock(&mut self, clock_ms: u64, now_ms: u64) {
         self.clock = Some(ClockReading { clock_ms, at_ms: now_ms });
