--- a/crates/cell/src/core/losses.rs
+++ b/crates/cell/src/core/losses.rs
@@ -6,7 +6,7 @@
 };
 
 impl CellCore {
-    /// Logs an attempt that is lost with its worker, with the time for which it ran.
+    /// Logs an attempt that is lost with its worker, and the time for which it ran.
     pub(super) fn log_lost(&mut self, key: AttemptKey, reason: &str) {
         let attempt = &self.attempts[key];
         let lost_ms = self.workers[attempt.worker].lost_ms.unwrap_or(self.time.now_ms);
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -1,5 +1,6 @@
 //! The scheduler core against fake workers, a fake store and a fake adviser.
 
+mod crashes;
 mod failures;
 mod load;
 mod narrow_link;
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -6,7 +6,10 @@
 
 #![expect(clippy::unwrap_used, reason = "a test that cannot go on should panic")]
 
+mod crash;
+
 use {
+    crash::CrashingTasks,
     damaskrack_cell::{
         AdviceRequest, AdviceTiming, AttemptKey, CellAction, CellConfig, CellCore, CellInput,
         CellSettings, CommitRequest, EndKind, EndedAttempt, JobRecord, JobState, ProgressRecord,
@@ -191,6 +194,7 @@
     /// Renewals that wait at their workers for an end, with the times until which they wait. Without
     /// a link, workers respond at once.
     waiting_renewals: Vec<(u64, RenewRequest)>,
+    pub(crate) crashing: CrashingTasks,
 }
 
 /// Creates a step whose tasks use one core each.
@@ -252,6 +256,7 @@
             allowed: BTreeSet::new(),
             link: None,
             waiting_renewals: Vec::new(),
+            crashing: CrashingTasks::default(),
         };
         for index in 0..workers {
             cell.add_worker(&format!("w{index}"), 1, &format!("r{}", index % 2));
@@ -331,6 +336,7 @@
         while self.now_ms < until_ms {
             self.now_ms += 10;
             self.end_runs();
+            self.crash_workers();
             self.run_link();
             for _ in 0..4 {
                 let actions = self.core.tick(self.now_ms, self.wall_ms());
@@ -538,6 +544,7 @@
         worker.runs.push(FakeRun { task: task.clone(), attempt, ends_ms, is_stopped, resources });
         self.starts.push((task.clone(), attempt, request.address.clone()));
         self.check_start(&task, &request.address);
+        self.note_start(&task, &request.address);
         StartOutcome::Started
     }
 
