Give up a job whose task crashes its workers

Cause: nothing remembered a crash. An attempt that was lost with its worker went back to the backlog as if it had never been placed, so max_attempts never ended it. Change: each crash under a task is counted, in the job's row, before the task can start again; a crash counts also if it is known only later, by another process at the address, or from a row of before it. The tasks started last before the loss are suspects. A suspect starts on probation: on a calm worker, with nothing else started there for a moment, on few workers at a time. If that worker crashes too, its job is given up; neighbours are not, however often they are hit. Workers lost at the same moment accuse no task.

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -155,6 +155,13 @@
         let has_free_capacity = |key: &WorkerKey| need.fits(&self.workers[*key].free());
         let (mut roomy, full): (Vec<WorkerKey>, Vec<WorkerKey>) =
             available.iter().copied().partition(has_free_capacity);
+        if self.has_waiting_suspect(phase) {
+            // A suspect goes to a worker with few attempts, known or not.
+            roomy.retain(|key| self.workers[*key].probations == 0);
+            roomy.sort_by_key(|key| self.workers[*key].attempts.len());
+            let calm = roomy.iter().filter(is_wanted).copied().collect();
+            return self.truncate_to_need(phase, calm);
+        }
         if step.is_gang {
             roomy.reverse();
         }
--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -65,6 +65,8 @@
                 || state != AttemptState::Persisting,
             percent: 0,
             is_gang_aborted: false,
+            is_on_probation: false,
+            is_loss_recorded: false,
             sent_ms: 0,
             start_sent_ms: 0,
             start_tries: 0,
--- a/crates/cell/src/core/completion.rs
+++ b/crates/cell/src/core/completion.rs
@@ -22,6 +22,7 @@
             phase.unassigned += usize::from(!task.is_done);
         }
         let worker = &mut self.workers[attempt.worker];
+        worker.probations -= usize::from(attempt.is_on_probation);
         worker.used = worker.used.minus(&attempt.resources);
         worker.attempts.remove(&(name, attempt.number));
         if let Some(used) = self.team_used.get_mut(&attempt.team) {
--- a/crates/cell/src/core/jobs.rs
+++ b/crates/cell/src/core/jobs.rs
@@ -161,7 +161,13 @@
         let worker = self.find_worker(&stored.worker, stored.incarnation);
         let since_ms = self.time.now_ms;
         let state = AttemptState::Inherited { since_ms };
-        self.insert_attempt(phase, index, stored.attempt, worker, state);
+        let key = self.insert_attempt(phase, index, stored.attempt, worker, state);
+        if self.workers[worker].report.incarnation > stored.incarnation {
+            self.count_inherited_crash(key);
+        }
+        if self.jobs[phase.job].phases[phase.phase].tasks[index].is_suspected() {
+            self.start_probation(phase, &[index]);
+        }
     }
 
     /// Creates the phases of occurrences that are due.
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -1,7 +1,7 @@
 //! Lease renewals, whose responses also report running and ended attempts.
 
 use {
-    super::CellCore,
+    super::{CellCore, losses::LossCause},
     crate::{
         AttemptKey, CellAction, EndKind, EndedAttempt, RenewOutcome, RenewRequest, RenewResponse,
         RunningAttempt, WorkerKey,
@@ -12,6 +12,8 @@
 
 /// Maximum time for which a worker delays its response until an attempt ends, in milliseconds.
 const RENEW_WAIT_MS: u64 = 1_200;
+/// Maximum of this time while an attempt is on probation, in milliseconds.
+const PROBATION_WAIT_MS: u64 = 150;
 /// Time between a response and the next renewal, in milliseconds, so that one response reports
 /// several ends.
 const RENEW_PAUSE_MS: u64 = 30;
@@ -76,7 +78,11 @@
                 && worker.pending_ends == 0
                 && !worker.attempts.is_empty();
             worker.last_acknowledged_end = worker.last_durable_end;
-            worker.renew_wait_ms = if can_wait { RENEW_WAIT_MS } else { 0 };
+            worker.renew_wait_ms = match can_wait {
+                true if worker.probations > 0 => PROBATION_WAIT_MS,
+                true => RENEW_WAIT_MS,
+                false => 0,
+            };
             actions.push(CellAction::Renew(RenewRequest {
                 worker: key,
                 address: worker.report.address.clone(),
@@ -107,6 +113,10 @@
         let was_silent = worker.is_silent;
         worker.is_silent = !matches!(outcome, RenewOutcome::Answered(_));
         worker.record_response(worker.is_silent, sent_ms, now_ms);
+        if let (false, Some(lost_ms)) = (was_silent, worker.lost_ms) {
+            self.loss_times.record(lost_ms);
+        }
+        let Some(worker) = self.workers.get_mut(key) else { return };
         if was_silent != worker.is_silent {
             let id = worker.report.id.clone();
             let event = if was_silent { "worker_heard" } else { "worker_silent" };
@@ -126,7 +136,7 @@
                 worker.next_renew_ms = now_ms + pause_ms;
                 if response.incarnation > worker.report.incarnation {
                     let id = worker.report.id.clone();
-                    self.log_crash(key);
+                    self.record_losses(key, LossCause::Crash);
                     let worker = &mut self.workers[key];
                     worker.restart(response.incarnation);
                     worker.is_listed = false;
@@ -140,6 +150,7 @@
                 worker.next_renew_ms = now_ms + REPLACED_RETRY_MS;
                 worker.has_accepted_token = false;
                 worker.clock = None;
+                self.record_losses(key, LossCause::Crash);
                 self.release_attempts(key, "another worker has its address");
             }
             RenewOutcome::Fenced => {
@@ -159,6 +170,7 @@
         let worker = &mut self.workers[key];
         worker.record_clock(response.clock_ms, now_ms);
         worker.accept_token(now_ms, self.settings.lease_ms);
+        self.forget_losses(key);
         for ended in &response.ended {
             self.apply_end(key, ended);
         }
@@ -260,6 +272,7 @@
             self.stop_if_unwanted(attempt);
         }
         self.sample_worker_speed(attempt, run_ms, running.percent);
+        self.observe_survival(attempt);
         Some(attempt)
     }
 
--- a/crates/cell/src/core/losses.rs
+++ b/crates/cell/src/core/losses.rs
@@ -1,29 +1,301 @@
-//! Attempts that were lost with their workers.
+//! Attempts that are lost with their workers, and the tasks that crash their workers.
+//!
+//! A worker that crashes takes along all that runs on it, and at most one task of it is the cause.
+//! The most likely one is the one that was started last, so the tasks that were started last, just
+//! before the worker was lost, are suspects. Suspects start on probation (see `probation.rs`): with
+//! nothing else started on their worker for a while. If the worker crashes once more in that time, the
+//! task is the only suspect, and its job is given up. A task that crashes its workers only some time
+//! after its start is not a suspect at first. It is one from the third crash on, and is then on
+//! probation for longer than it ran before. Workers that are lost at the same moment were not
+//! crashed by tasks.
+//!
+//! The number of crashes and the suspicion are in the job's row before the task can start again, so
+//! a new leader knows them.
 
 use {
     super::CellCore,
-    crate::{AttemptKey, WorkerKey},
+    crate::{
+        AttemptKey, JobKey, JobState, WorkerKey, WorkerReport,
+        keys::LossKey,
+        message::TaskRef,
+        table::{AttemptEntry, AttemptState, LossEntry, TaskEntry},
+    },
+    rustc_hash::FxHashSet,
+    std::collections::VecDeque,
 };
 
+/// Shortest probation, in milliseconds. A task that was started as long before the loss of its worker
+/// may be the cause.
+const MIN_PROBATION_MS: u64 = 150;
+/// Longest probation, in milliseconds.
+const MAX_PROBATION_MS: u64 = 5_000;
+/// Probation of a task of which it is not known how long it ran before the crash, in milliseconds.
+const DEFAULT_PROBATION_MS: u64 = 1_000;
+/// Factor by which a probation exceeds the time for which the task ran before the crash.
+const PROBATION_FACTOR: u64 = 2;
+/// Tasks that were started on a worker within this time count as started together, in milliseconds.
+const START_SPREAD_MS: u64 = 20;
+/// Number of crashes under a task after which its job is given up if it was the only suspect at the
+/// last one.
+const MIN_CRASHES: u32 = 2;
+/// Number of crashes under a task from which it is a suspect whenever it was started.
+const SUSPECT_CRASHES: u32 = 3;
+/// Number of crashes under a task after which its job is given up in any case.
+const MAX_CRASHES: u32 = 5;
+/// Time for which an attempt has to run until its task is no longer suspected, in milliseconds.
+const CLEARED_AFTER_MS: u64 = 30_000;
+/// Workers that are lost within this time of each other, in milliseconds, are lost together.
+const SIMULTANEOUS_MS: u64 = 15;
+/// Minimum number of workers that are lost together for a common cause.
+const MIN_SIMULTANEOUS: usize = 3;
+/// One in this many workers has to be lost together for a common cause.
+const SIMULTANEOUS_SHARE: usize = 32;
+/// Time for which it may become known that a lost worker crashed, in milliseconds.
+const UNRESOLVED_MS: u64 = 60_000;
+
+/// Why a job is given up whose task crashed its workers.
+pub(super) const CRASH_REASON: &str = "a task crashed its workers";
+
+/// What is known of the loss of a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum LossCause {
+    /// The worker's process has ended.
+    Crash,
+    /// The worker's leases have expired; it may be unreachable.
+    LeaseExpiry,
+}
+
+/// Times at which workers were lost, oldest first.
+#[derive(Debug, Default)]
+pub(super) struct LossTimes {
+    times_ms: VecDeque<u64>,
+}
+
+impl LossTimes {
+    pub(super) fn record(&mut self, lost_ms: u64) {
+        while self.times_ms.front().is_some_and(|time_ms| time_ms + UNRESOLVED_MS < lost_ms) {
+            self.times_ms.pop_front();
+        }
+        self.times_ms.push_back(lost_ms);
+    }
+
+    /// Returns the number of workers that were lost at about this time.
+    fn count_near(&self, lost_ms: u64) -> usize {
+        self.times_ms.iter().filter(|time_ms| time_ms.abs_diff(lost_ms) <= SIMULTANEOUS_MS).count()
+    }
+}
+
+impl TaskEntry {
+    /// Returns whether the task may have crashed a worker.
+    pub(super) fn is_suspected(&self) -> bool {
+        self.probation_ms > 0
+    }
+
+    /// Makes the task a suspect after it ran for some time on a worker that was lost.
+    fn suspect(&mut self, ran_ms: Option<u64>) {
+        let probation_ms = ran_ms.map_or(DEFAULT_PROBATION_MS, |ms| ms * PROBATION_FACTOR);
+        let probation_ms = probation_ms.clamp(MIN_PROBATION_MS, MAX_PROBATION_MS);
+        self.probation_ms = self.probation_ms.max(probation_ms);
+    }
+
+    /// Returns whether too many workers crashed under the task to start it again.
+    pub(super) fn has_crashed_too_often(&self) -> bool {
+        self.crashes >= MAX_CRASHES
+    }
+}
+
 impl CellCore {
-    /// Logs an attempt that is lost with its worker, and the time for which it ran.
-    pub(super) fn log_lost(&mut self, key: AttemptKey, reason: &str) {
-        let attempt = &self.attempts[key];
-        let lost_ms = self.workers[attempt.worker].lost_ms.unwrap_or(self.time.now_ms);
-        let ran = match attempt.start_sent_ms {
-            0 => "unknown".to_owned(),
-            sent_ms => lost_ms.saturating_sub(sent_ms).to_string(),
+    /// Records that all attempts on a worker are lost.
+    pub(super) fn record_losses(&mut self, worker: WorkerKey, cause: LossCause) {
+        if self.workers[worker].report.is_leaving {
+            return;
+        }
+        let lost_ms = self.workers[worker].lost_ms.unwrap_or(self.time.now_ms);
+        let lost: Vec<AttemptKey> = self.workers[worker]
+            .attempts
+            .values()
+            .copied()
+            .filter(|key| self.may_have_run(&self.attempts[*key]))
+            .collect();
+        let recent = match self.is_simultaneous(lost_ms) {
+            true => Vec::new(),
+            false => self.recent_attempts(&lost, lost_ms),
         };
-        let state = attempt.state;
-        let detail = format!("reason={reason:?} ran_ms={ran} state={state:?}");
+        let jobs: FxHashSet<JobKey> =
+            recent.iter().map(|key| self.attempts[*key].phase.job).collect();
+        let last_ms = recent.iter().map(|key| self.attempts[*key].start_sent_ms).max();
+        for key in lost {
+            let is_recent = recent.contains(&key);
+            let start_ms = self.attempts[key].start_sent_ms;
+            let is_suspect = is_recent && last_ms <= Some(start_ms + START_SPREAD_MS);
+            self.record_loss(key, cause, is_suspect, is_suspect && jobs.len() == 1);
+        }
+    }
+
+    /// Returns the attempts that may have crashed their worker: those that had just been started, and
+    /// those that had run for about as long before an earlier crash.
+    fn recent_attempts(&self, lost: &[AttemptKey], lost_ms: u64) -> Vec<AttemptKey> {
+        let is_recent = |key: &AttemptKey| {
+            let attempt = &self.attempts[*key];
+            let limit_ms = self.task(attempt.task()).probation_ms.max(MIN_PROBATION_MS);
+            attempt.ran_until(lost_ms).is_some_and(|ran_ms| ran_ms <= limit_ms)
+        };
+        lost.iter().copied().filter(is_recent).collect()
+    }
+
+    /// Returns whether an attempt of a live job may have been running and has not been recorded as
+    /// lost.
+    fn may_have_run(&self, attempt: &AttemptEntry) -> bool {
+        let was_sent = attempt.state != AttemptState::Persisting;
+        let job = &self.jobs[attempt.phase.job];
+        was_sent && !attempt.is_loss_recorded && !job.state.is_final()
+    }
+
+    fn is_simultaneous(&self, lost_ms: u64) -> bool {
+        let share = self.workers.len() / SIMULTANEOUS_SHARE;
+        self.loss_times.count_near(lost_ms) >= share.max(MIN_SIMULTANEOUS)
+    }
+
+    fn task(&self, task: TaskRef) -> &TaskEntry {
+        &self.jobs[task.phase.job].phases[task.phase.phase].tasks[task.index]
+    }
+
+    fn record_loss(
+        &mut self,
+        key: AttemptKey,
+        cause: LossCause,
+        is_suspect: bool,
+        is_sole_suspect: bool,
+    ) {
+        self.log_loss(key, cause, is_suspect);
+        let lost_ms = self.loss_ms(key);
+        let attempt = &mut self.attempts[key];
+        attempt.is_loss_recorded = true;
+        let (task, worker) = (attempt.task(), attempt.worker);
+        let ran_ms = attempt.ran_until(lost_ms);
+        if is_suspect {
+            self.task_mut(task).suspect(ran_ms);
+        }
+        self.mark_dirty(task.phase.job, None);
+        match cause {
+            LossCause::Crash => self.count_crash(task, ran_ms, is_sole_suspect),
+            LossCause::LeaseExpiry => {
+                let report = &self.workers[worker].report;
+                self.losses.insert(LossEntry {
+                    task,
+                    worker_id: report.id.clone(),
+                    address: report.address.clone(),
+                    incarnation: report.incarnation,
+                    ran_ms,
+                    is_sole_suspect,
+                    recorded_ms: self.time.now_ms,
+                });
+            }
+        }
+    }
+
+    fn task_mut(&mut self, task: TaskRef) -> &mut TaskEntry {
+        &mut self.jobs[task.phase.job].phases[task.phase.phase].tasks[task.index]
+    }
+
+    /// Returns the estimated time at which an attempt's worker was lost.
+    fn loss_ms(&self, key: AttemptKey) -> u64 {
+        self.workers[self.attempts[key].worker].lost_ms.unwrap_or(self.time.now_ms)
+    }
+
+    fn log_loss(&mut self, key: AttemptKey, cause: LossCause, is_suspect: bool) {
+        let attempt = &self.attempts[key];
+        let ran = attempt.ran_until(self.loss_ms(key));
+        let ran = ran.map_or("unknown".to_owned(), |ran_ms| ran_ms.to_string());
+        let crashes = self.task(attempt.task()).crashes;
+        let detail = format!("cause={cause:?} ran_ms={ran} crashes={crashes} suspect={is_suspect}");
         self.log_attempt("attempt_lost", key, &detail);
     }
 
-    /// Logs all attempts on a worker whose process has ended.
-    pub(super) fn log_crash(&mut self, worker: WorkerKey) {
-        let attempts: Vec<AttemptKey> = self.workers[worker].attempts.values().copied().collect();
-        for attempt in attempts {
-            self.log_lost(attempt, "the worker restarted");
+    /// Counts a crash under a task, and gives its job up if the task is to blame.
+    fn count_crash(&mut self, task: TaskRef, ran_ms: Option<u64>, is_sole_suspect: bool) {
+        let entry = self.task_mut(task);
+        entry.crashes += 1;
+        if entry.crashes >= SUSPECT_CRASHES {
+            entry.suspect(ran_ms);
+        }
+        let is_proved = is_sole_suspect && entry.crashes >= MIN_CRASHES;
+        if is_proved || entry.has_crashed_too_often() {
+            self.end_job(task.phase.job, JobState::Failed, CRASH_REASON);
+        }
+    }
+
+    /// Counts a crash of a worker of which only the row of an attempt tells.
+    pub(super) fn count_inherited_crash(&mut self, key: AttemptKey) {
+        let attempt = &mut self.attempts[key];
+        attempt.is_loss_recorded = true;
+        let task = attempt.task();
+        let entry = self.task_mut(task);
+        entry.crashes += 1;
+        if entry.crashes >= SUSPECT_CRASHES {
+            entry.suspect(None);
+        }
+        self.mark_dirty(task.phase.job, None);
+        self.log_loss(key, LossCause::Crash, false);
+    }
+
+    /// Counts the crashes that a worker's registration proves: those of processes that had its id or
+    /// its address before.
+    pub(super) fn resolve_losses(&mut self, report: &WorkerReport) {
+        let proves_crash = |loss: &LossEntry| {
+            let is_successor = loss.worker_id == report.id || loss.address == report.address;
+            is_successor && report.incarnation > loss.incarnation
+        };
+        for loss in self.take_losses(proves_crash) {
+            let phase = loss.task.phase;
+            let job = self.jobs.get(phase.job).filter(|job| !job.state.is_final());
+            if job.is_some_and(|job| job.phases.len() > phase.phase) {
+                self.count_crash(loss.task, loss.ran_ms, loss.is_sole_suspect);
+                self.mark_dirty(phase.job, None);
+            }
+        }
+    }
+
+    /// Forgets the losses on a worker that has responded: it was only unreachable.
+    pub(super) fn forget_losses(&mut self, worker: WorkerKey) {
+        if self.losses.is_empty() {
+            return;
+        }
+        let (id, incarnation) = {
+            let report = &self.workers[worker].report;
+            (report.id.clone(), report.incarnation)
+        };
+        let now_ms = self.time.now_ms;
+        self.take_losses(|loss| {
+            let is_same = loss.worker_id == id && loss.incarnation == incarnation;
+            is_same || loss.recorded_ms + UNRESOLVED_MS < now_ms
+        });
+    }
+
+    fn take_losses(&mut self, matches: impl Fn(&LossEntry) -> bool) -> Vec<LossEntry> {
+        let matching = self.losses.iter().filter(|(_, loss)| matches(loss));
+        let keys: Vec<LossKey> = matching.map(|(key, _)| key).collect();
+        keys.into_iter().filter_map(|key| self.losses.remove(key)).collect()
+    }
+
+    /// Updates what is known of a task from a run that its worker reports: after some time the
+    /// attempt is no longer on probation, and later the task is no longer suspected.
+    pub(super) fn observe_survival(&mut self, key: AttemptKey) {
+        let attempt = &mut self.attempts[key];
+        attempt.is_loss_recorded = false;
+        let AttemptState::Running { since_ms } = attempt.state else { return };
+        let started_ms = if attempt.start_sent_ms > 0 { attempt.start_sent_ms } else { since_ms };
+        let ran_ms = self.time.now_ms.saturating_sub(started_ms);
+        let (task, is_on_probation) = (attempt.task(), attempt.is_on_probation);
+        let entry = self.task_mut(task);
+        let is_known = entry.is_suspected() || entry.crashes > 0;
+        if is_known && ran_ms >= CLEARED_AFTER_MS {
+            entry.probation_ms = 0;
+            entry.crashes = 0;
+            self.mark_dirty(task.phase.job, None);
+        }
+        if is_on_probation && ran_ms >= self.task(task).probation_ms {
+            self.end_probation(key);
         }
     }
 }
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -18,6 +18,7 @@
 mod losses;
 mod pending;
 mod placement;
+mod probation;
 mod request_window;
 mod shares;
 mod worker_speed;
@@ -27,10 +28,12 @@
     crate::{
         AdviceCallKey, AttemptKey, CellAction, CellConfig, CellInput, CellSettings, JobKey,
         JobState, LogEntry, ResourceSet, WorkerKey,
-        table::{AdviceCallEntry, AttemptEntry, DaemonEntry, JobEntry, WorkerEntry},
+        keys::LossKey,
+        table::{AdviceCallEntry, AttemptEntry, DaemonEntry, JobEntry, LossEntry, WorkerEntry},
     },
     admission::BacklogLoad,
     commit::CommitQueue,
+    losses::LossTimes,
     request_window::RequestWindow,
     rustc_hash::FxHashMap,
     shares::TeamShares,
@@ -71,6 +74,9 @@
     workers: SlotMap<WorkerKey, WorkerEntry>,
     worker_ids: FxHashMap<String, WorkerKey>,
     attempts: SlotMap<AttemptKey, AttemptEntry>,
+    /// Lost attempts of which it is not known whether their workers crashed.
+    losses: SlotMap<LossKey, LossEntry>,
+    loss_times: LossTimes,
     advice_calls: SlotMap<AdviceCallKey, AdviceCallEntry>,
     daemons: Vec<DaemonEntry>,
     /// Moving average of the share of workers that the adviser allows, by queue.
@@ -119,6 +125,8 @@
             workers: SlotMap::with_key(),
             worker_ids: FxHashMap::default(),
             attempts: SlotMap::with_key(),
+            losses: SlotMap::with_key(),
+            loss_times: LossTimes::default(),
             advice_calls: SlotMap::with_key(),
             daemons: Vec::new(),
             grant_rate: FxHashMap::default(),
--- a/crates/cell/src/core/placement.rs
+++ b/crates/cell/src/core/placement.rs
@@ -35,6 +35,17 @@
     Blocked,
 }
 
+impl PlacementOutcome {
+    /// Returns the outcome for a step of which two parts were placed.
+    fn and(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Incomplete, _) | (_, Self::Incomplete) => Self::Incomplete,
+            (Self::Blocked, _) | (_, Self::Blocked) => Self::Blocked,
+            (Self::Placed, Self::Placed) => Self::Placed,
+        }
+    }
+}
+
 /// Resources and number of tasks that a plan has reserved on each worker.
 type Reservations = FxHashMap<WorkerKey, (ResourceSet, u32)>;
 
@@ -65,20 +76,46 @@
         available: &AvailableWorkers,
         budget: &mut usize,
     ) -> PlacementOutcome {
-        let job = &self.jobs[phase.job];
-        let step = &job.record.steps[job.phases[phase.phase].step];
-        let is_gang = step.is_gang;
-        let need = step.resources();
-        let entry = &job.phases[phase.phase];
+        let entry = &self.jobs[phase.job].phases[phase.phase];
+        let is_gang = self.is_gang(phase);
         if *budget == 0 || !entry.retry.is_due(self.time.now_ms) {
             return PlacementOutcome::Blocked;
         }
         if is_gang && entry.unassigned < entry.unfinished {
             return PlacementOutcome::Blocked;
         }
+        if self.gives_up_crashing(phase) {
+            return PlacementOutcome::Blocked;
+        }
+        let entry = &self.jobs[phase.job].phases[phase.phase];
+        let waiting = (0..entry.tasks.len()).filter(|index| entry.tasks[*index].is_waiting());
+        let (suspects, others): (Vec<usize>, Vec<usize>) =
+            waiting.partition(|index| entry.tasks[*index].is_suspected());
+        if suspects.is_empty() {
+            return self.place_tasks(phase, &others, available, budget);
+        }
+        if is_gang {
+            return self.place_suspect_gang(phase, available, budget);
+        }
+        let outcome = self.place_tasks(phase, &others, available, budget);
+        outcome.and(self.place_suspects(phase, &suspects, available, budget))
+    }
+
+    /// Places as many of these tasks of a step as possible, or all members of a gang.
+    fn place_tasks(
+        &mut self,
+        phase: PhaseRef,
+        tasks: &[usize],
+        available: &AvailableWorkers,
+        budget: &mut usize,
+    ) -> PlacementOutcome {
+        if tasks.is_empty() {
+            return PlacementOutcome::Placed;
+        }
+        let is_gang = self.is_gang(phase);
         // The members of a gang are sent together, even if the window is smaller.
-        let wanted = if is_gang { entry.unassigned } else { entry.unassigned.min(*budget) };
-        let allowed = self.within_limit(&job.record.team, &need, wanted);
+        let wanted = if is_gang { tasks.len() } else { tasks.len().min(*budget) };
+        let allowed = self.within_limit(phase, wanted);
         if allowed == 0 || (is_gang && allowed < wanted) {
             return PlacementOutcome::Blocked;
         }
@@ -89,7 +126,7 @@
         };
         let placed = plan.len();
         *budget = budget.saturating_sub(placed);
-        self.create_attempts(phase, &plan);
+        self.create_attempts(phase, tasks, &plan);
         match placed {
             _ if placed == wanted => PlacementOutcome::Placed,
             _ if placed == allowed => PlacementOutcome::Blocked,
@@ -97,26 +134,36 @@
         }
     }
 
-    /// Returns how many of `wanted` tasks the team's limit allows.
-    fn within_limit(&self, team: &str, need: &ResourceSet, wanted: usize) -> usize {
+    /// Returns how many of `wanted` tasks of a step the team's limit allows.
+    pub(super) fn within_limit(&self, phase: PhaseRef, wanted: usize) -> usize {
+        let job = &self.jobs[phase.job];
+        let need = job.record.steps[job.phases[phase.phase].step].resources();
+        let team = &job.record.team;
         let Some(limit) = self.config.teams.get(team).map(|team| team.limit) else { return wanted };
         let mut used = self.team_used.get(team).copied().unwrap_or_default();
         (0..wanted)
             .take_while(|_| {
-                used = used.plus(need);
+                used = used.plus(&need);
                 used.is_within(&limit)
             })
             .count()
     }
 
     /// Returns the workers that could run a task of a step now, in order of preference.
-    fn candidates(&self, phase: PhaseRef, available: &AvailableWorkers) -> Vec<WorkerKey> {
+    pub(super) fn candidates(
+        &self,
+        phase: PhaseRef,
+        available: &AvailableWorkers,
+    ) -> Vec<WorkerKey> {
         let job = &self.jobs[phase.job];
         let entry = &job.phases[phase.phase];
         let step = &job.record.steps[entry.step];
         let service = self.service_of(&job.record);
         let need = step.resources();
-        let has_free_capacity = |key: &WorkerKey| need.fits(&self.workers[*key].free());
+        let has_free_capacity = |key: &WorkerKey| {
+            let worker = &self.workers[*key];
+            worker.probations == 0 && need.fits(&worker.free())
+        };
         let mut workers: Vec<WorkerKey> = match self.advice_timing(phase) {
             // Few workers have tickets, so it is enough to check those.
             Some(_) => entry
@@ -148,7 +195,12 @@
         entry.allowed.get(&worker).is_some_and(|held| held.valid_until_ms > min_valid_ms)
     }
 
-    fn plan_tasks(&self, phase: PhaseRef, workers: &[WorkerKey], count: usize) -> Vec<WorkerKey> {
+    pub(super) fn plan_tasks(
+        &self,
+        phase: PhaseRef,
+        workers: &[WorkerKey],
+        count: usize,
+    ) -> Vec<WorkerKey> {
         let job = &self.jobs[phase.job];
         let entry = &job.phases[phase.phase];
         let step = &job.record.steps[entry.step];
@@ -165,7 +217,12 @@
         plan
     }
 
-    fn plan_gang(&self, phase: PhaseRef, workers: &[WorkerKey], count: usize) -> Vec<WorkerKey> {
+    pub(super) fn plan_gang(
+        &self,
+        phase: PhaseRef,
+        workers: &[WorkerKey],
+        count: usize,
+    ) -> Vec<WorkerKey> {
         let job = &self.jobs[phase.job];
         let step = &job.record.steps[job.phases[phase.phase].step];
         let mut plan = Vec::new();
@@ -206,18 +263,15 @@
         worker.used.plus(&resources).plus(&step.resources()).fits(&worker.report.capacity)
     }
 
-    fn create_attempts(&mut self, phase: PhaseRef, plan: &[WorkerKey]) {
+    /// Creates attempts at tasks of a step on the planned workers.
+    pub(super) fn create_attempts(&mut self, phase: PhaseRef, tasks: &[usize], plan: &[WorkerKey]) {
         if plan.is_empty() {
             return;
         }
         let entry = &self.jobs[phase.job].phases[phase.phase];
-        let is_unassigned =
-            |task: &crate::table::TaskEntry| !task.is_done && task.attempt.is_none();
-        let unassigned: Vec<usize> =
-            (0..entry.tasks.len()).filter(|i| is_unassigned(&entry.tasks[*i])).collect();
         let gang_number = entry.tasks.iter().map(|task| task.last_number).max().unwrap_or(0) + 1;
         let is_gang = self.jobs[phase.job].record.steps[entry.step].is_gang;
-        for (index, worker) in unassigned.into_iter().zip(plan) {
+        for (&index, worker) in tasks.iter().zip(plan) {
             let own = self.jobs[phase.job].phases[phase.phase].tasks[index].last_number + 1;
             let number = if is_gang { gang_number } else { own };
             let key = self.insert_attempt(phase, index, number, *worker, AttemptState::Persisting);
--- /dev/null
+++ b/crates/cell/src/core/probation.rs
@@ -0,0 +1,142 @@
+//! Placement of tasks that are suspected of having crashed a worker.
+//!
+//! A suspect starts on the worker with the fewest other attempts, and for some time nothing else is
+//! placed there: if it crashes the worker, little is lost, and no other task can be the cause. Few
+//! workers at a time run suspects, so that not many are down at once; suspects that turn out to be
+//! harmless make room after a moment.
+
+use {
+    super::{
+        CellCore, available::AvailableWorkers, losses::CRASH_REASON, placement::PlacementOutcome,
+    },
+    crate::{AttemptKey, JobState, WorkerKey, message::PhaseRef, table::TaskEntry},
+};
+
+/// One in this many workers may run a suspect on probation.
+const PROBATION_SHARE: usize = 16;
+/// One in this many idle workers may, if that is more.
+const IDLE_SHARE: usize = 2;
+/// Minimum number of workers that may.
+const MIN_PROBATION_WORKERS: usize = 2;
+/// Number of attempts by which a suspect's worker may exceed the worker with the fewest.
+const MAX_EXTRA_ATTEMPTS: usize = 2;
+
+impl CellCore {
+    /// Returns whether a suspected task of a phase waits to be placed.
+    pub(super) fn has_waiting_suspect(&self, phase: PhaseRef) -> bool {
+        let tasks = &self.jobs[phase.job].phases[phase.phase].tasks;
+        tasks.iter().any(|task| task.is_waiting() && task.is_suspected())
+    }
+
+    /// Gives up a job with a task that has crashed too many workers under former leaders.
+    pub(super) fn gives_up_crashing(&mut self, phase: PhaseRef) -> bool {
+        let tasks = &self.jobs[phase.job].phases[phase.phase].tasks;
+        let has_crashed = tasks.iter().any(TaskEntry::has_crashed_too_often);
+        if has_crashed {
+            self.end_job(phase.job, JobState::Failed, CRASH_REASON);
+        }
+        has_crashed
+    }
+
+    /// Places a phase's suspects, each on a worker of its own.
+    pub(super) fn place_suspects(
+        &mut self,
+        phase: PhaseRef,
+        suspects: &[usize],
+        available: &AvailableWorkers,
+        budget: &mut usize,
+    ) -> PlacementOutcome {
+        for index in suspects {
+            if *budget == 0 || !self.has_probation_worker() || self.within_limit(phase, 1) == 0 {
+                return PlacementOutcome::Blocked;
+            }
+            let workers = self.calm_candidates(phase, available);
+            let plan = self.plan_tasks(phase, &workers, 1);
+            if plan.is_empty() {
+                return PlacementOutcome::Incomplete;
+            }
+            *budget -= 1;
+            self.create_attempts(phase, &[*index], &plan);
+            self.start_probation(phase, &[*index]);
+        }
+        PlacementOutcome::Placed
+    }
+
+    /// Places a gang with a suspected member. All of its members are on probation, and share no worker
+    /// with others if there is another way.
+    pub(super) fn place_suspect_gang(
+        &mut self,
+        phase: PhaseRef,
+        available: &AvailableWorkers,
+        budget: &mut usize,
+    ) -> PlacementOutcome {
+        let members: Vec<usize> =
+            (0..self.jobs[phase.job].phases[phase.phase].tasks.len()).collect();
+        let is_allowed = self.within_limit(phase, members.len()) == members.len();
+        if !self.has_probation_worker() || !is_allowed {
+            return PlacementOutcome::Blocked;
+        }
+        let mut workers = self.candidates(phase, available);
+        workers.sort_by_key(|key| self.workers[*key].attempts.len());
+        let plan = self.plan_gang(phase, &workers, members.len());
+        if plan.is_empty() {
+            return PlacementOutcome::Incomplete;
+        }
+        *budget = budget.saturating_sub(plan.len());
+        self.create_attempts(phase, &members, &plan);
+        self.start_probation(phase, &members);
+        PlacementOutcome::Placed
+    }
+
+    /// Returns whether another worker may run a suspect. More workers may while many are idle.
+    fn has_probation_worker(&self) -> bool {
+        let used = self.workers.values().filter(|worker| worker.probations > 0).count();
+        let idle = self.workers.values().filter(|worker| worker.attempts.is_empty()).count();
+        let limit = (self.workers.len() / PROBATION_SHARE).max(idle / IDLE_SHARE);
+        used < limit.max(MIN_PROBATION_WORKERS)
+    }
+
+    /// Returns the workers that could run a suspect of a phase now, those with the fewest attempts
+    /// first. With an adviser, busier workers than necessary are left out, so that it is asked about
+    /// the others.
+    fn calm_candidates(&self, phase: PhaseRef, available: &AvailableWorkers) -> Vec<WorkerKey> {
+        let job = &self.jobs[phase.job];
+        let entry = &job.phases[phase.phase];
+        let need = job.record.steps[entry.step].resources();
+        let load = |key: &WorkerKey| self.workers[*key].attempts.len();
+        let could_run = |key: &&WorkerKey| {
+            let worker = &self.workers[**key];
+            let has_room = worker.probations == 0 && need.fits(&worker.free());
+            has_room && !entry.denied.contains(*key)
+        };
+        let all = available.of(self.service_of(&job.record)).iter();
+        let fewest = all.filter(could_run).map(load).min().unwrap_or(0);
+        let mut workers = self.candidates(phase, available);
+        workers.retain(|key| load(key) <= fewest + MAX_EXTRA_ATTEMPTS);
+        workers.sort_by_key(load);
+        workers
+    }
+
+    /// Puts the new attempts at tasks of a phase on probation.
+    pub(super) fn start_probation(&mut self, phase: PhaseRef, indexes: &[usize]) {
+        for index in indexes {
+            let attempt = self.jobs[phase.job].phases[phase.phase].tasks[*index].attempt;
+            if let Some(key) = attempt {
+                self.attempts[key].is_on_probation = true;
+                let worker = self.attempts[key].worker;
+                self.workers[worker].probations += 1;
+                self.log_attempt("attempt_on_probation", key, "");
+            }
+        }
+    }
+
+    /// Ends the probation of an attempt that has not crashed its worker.
+    pub(super) fn end_probation(&mut self, key: AttemptKey) {
+        let attempt = &mut self.attempts[key];
+        if std::mem::take(&mut attempt.is_on_probation) {
+            let worker = &mut self.workers[attempt.worker];
+            worker.probations = worker.probations.saturating_sub(1);
+            self.is_placement_due = true;
+        }
+    }
+}
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -1,7 +1,7 @@
 //! Registration, removal and lease expiry of workers.
 
 use {
-    super::CellCore,
+    super::{CellCore, losses::LossCause},
     crate::{
         AttemptKey, WorkerKey, WorkerReport,
         table::{WorkerEntry, longest_lease_ms},
@@ -32,6 +32,7 @@
     }
 
     fn update_worker(&mut self, report: WorkerReport) {
+        self.resolve_losses(&report);
         let Some(&key) = self.worker_ids.get(&report.id) else {
             self.insert_worker(report);
             return;
@@ -41,7 +42,7 @@
             return;
         }
         if report.incarnation > worker.report.incarnation {
-            self.log_crash(key);
+            self.record_losses(key, LossCause::Crash);
             let worker = &mut self.workers[key];
             worker.restart(report.incarnation);
             worker.next_renew_ms = 0;
@@ -92,7 +93,6 @@
             self.log("worker_empty", id, format!("reason={reason} attempts={}", attempts.len()));
         }
         for attempt in attempts {
-            self.log_lost(attempt, reason);
             let phase = self.attempts[attempt].phase;
             if let Some(entry) = self.jobs[phase.job].phases.get_mut(phase.phase) {
                 entry.retry.delay(self.time.now_ms);
@@ -115,6 +115,7 @@
             .map(|(key, worker)| (key, worker.is_listed))
             .collect();
         for (key, is_listed) in expired {
+            self.record_losses(key, LossCause::LeaseExpiry);
             match is_listed {
                 true => self.release_attempts(key, "leases lapsed"),
                 false => self.remove_worker(key, "leases lapsed, not listed"),
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -373,3 +373,10 @@
     pub(crate) job: JobKey,
     pub(crate) phase: usize,
 }
+
+/// Reference to a task by its phase and its index in the phase.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct TaskRef {
+    pub(crate) phase: PhaseRef,
+    pub(crate) index: usize,
+}
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -202,6 +202,13 @@
     /// Last checkpoint; empty for none.
     #[prost(string, tag = "6")]
     pub checkpoint: String,
+    /// Number of workers that crashed while they may have been running the task.
+    #[prost(uint32, tag = "7")]
+    pub crashes: u32,
+    /// Time for which the next attempt is on probation, because the task may have crashed a worker, in
+    /// milliseconds; 0 if it is not suspected.
+    #[prost(uint64, tag = "8")]
+    pub probation_ms: u64,
 }
 
 /// Progress of one step of one occurrence.
--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -1,6 +1,9 @@
 //! Attempts to run a task on a worker.
 
-use crate::{ResourceSet, WorkerKey, message::PhaseRef};
+use crate::{
+    ResourceSet, WorkerKey,
+    message::{PhaseRef, TaskRef},
+};
 
 /// State of an attempt, as far as it is known. In every state the attempt counts against its
 /// worker's capacity and its team's limit.
@@ -49,6 +52,10 @@
     pub(crate) percent: u32,
     /// Another member of the gang ended, so this one must not run.
     pub(crate) is_gang_aborted: bool,
+    /// Nothing else is placed on the worker, because the task may crash it.
+    pub(crate) is_on_probation: bool,
+    /// The attempt is recorded as lost with its worker.
+    pub(crate) is_loss_recorded: bool,
     /// Time at which the last start or stop request was sent; 0 if none was.
     pub(crate) sent_ms: u64,
     /// Time at which the last start request was sent; 0 if this leader sent none.
@@ -62,6 +69,17 @@
 }
 
 impl AttemptEntry {
+    /// Returns the task that the attempt runs.
+    pub(crate) fn task(&self) -> TaskRef {
+        TaskRef { phase: self.phase, index: self.index }
+    }
+
+    /// Returns for how long the attempt ran until its worker was lost, in milliseconds, if this leader
+    /// started it.
+    pub(crate) fn ran_until(&self, lost_ms: u64) -> Option<u64> {
+        (self.start_sent_ms > 0).then(|| lost_ms.saturating_sub(self.start_sent_ms))
+    }
+
     /// Returns the known run time; 0 if the start was not observed or earlier work was resumed.
     pub(crate) fn run_ms(&self, now_ms: u64) -> u64 {
         match self.state {
--- a/crates/cell/src/table/mod.rs
+++ b/crates/cell/src/table/mod.rs
@@ -3,6 +3,7 @@
 mod advice_call;
 mod attempt;
 mod job;
+mod loss;
 mod phase;
 mod phase_retry;
 mod task;
@@ -12,6 +13,7 @@
     advice_call::{AdviceCallEntry, DaemonEntry},
     attempt::{AttemptEntry, AttemptState},
     job::{AfterCommit, JobEntry, JobRow, JobRowChange},
+    loss::LossEntry,
     phase::{PhaseEntry, TicketEntry},
     phase_retry::PhaseRetry,
     task::TaskEntry,
--- a/crates/cell/src/table/phase.rs
+++ b/crates/cell/src/table/phase.rs
@@ -71,6 +71,8 @@
             let Some(task) = self.tasks.get_mut(stored.index as usize) else { continue };
             task.last_number = stored.attempt;
             task.failures = stored.failures;
+            task.crashes = stored.crashes;
+            task.probation_ms = stored.probation_ms;
             task.checkpoint.clone_from(&stored.checkpoint);
         }
         self.unfinished = self.tasks.iter().filter(|task| !task.is_done).count();
@@ -96,6 +98,8 @@
                     worker,
                     incarnation,
                     checkpoint: task.checkpoint.clone(),
+                    crashes: task.crashes,
+                    probation_ms: task.probation_ms,
                 });
             }
         }
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -37,6 +37,8 @@
     pub(crate) orphans: Vec<(String, ResourceSet)>,
     /// Attempts that the worker may be running, by task and number.
     pub(crate) attempts: FxHashMap<(String, u32), AttemptKey>,
+    /// Number of attempts on probation; while there are any, nothing else is placed on the worker.
+    pub(crate) probations: usize,
     /// The worker has accepted this leader's fencing token.
     pub(crate) has_accepted_token: bool,
     pub(crate) clock: Option<ClockReading>,
@@ -81,6 +83,7 @@
             used: ResourceSet::default(),
             orphans: Vec::new(),
             attempts: FxHashMap::default(),
+            probations: 0,
             has_accepted_token: false,
             clock: None,
             deadline_ms: 0,
