Keep gangs apart from a queue whose tasks crash workers

Cause: placement packs, so the fullest worker crashes; each first crash takes a dozen attempts along, and a gang loses all of its members by one. Change: when workers are lost again just after starts of one queue's tasks, the queue's next tasks go to workers without gang members and with few attempts, idle ones last, and others' tasks elsewhere, as far as there is capacity. A job's suspects share a probation, and the suspects beside a task that is given up are cleared. Workers lost at the same moment: within 30 ms, four at least. Test: gangs_are_kept_apart_from_a_queue_that_crashes_workers (7 members lost without the change).

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -165,6 +165,13 @@
         if step.is_gang {
             roomy.reverse();
         }
+        let suits = |key: &WorkerKey| self.risk(phase, *key) == 0;
+        let (suitable, mixed): (Vec<WorkerKey>, Vec<WorkerKey>) =
+            roomy.iter().copied().partition(suits);
+        let mut roomy = if suitable.is_empty() { mixed } else { suitable };
+        if self.is_kept_apart(phase) {
+            roomy.sort_by_key(|key| self.exposure(*key));
+        }
         let (rotated, rest) = roomy.split_at(roomy.len().div_ceil(ROTATED_SHARE));
         let rotation = self.advice_call_count * ROTATION_STRIDE;
         let (last, first) = rotated.split_at(rotation.checked_rem(rotated.len()).unwrap_or(0));
--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -45,6 +45,8 @@
         worker: WorkerKey,
         state: AttemptState,
     ) -> AttemptKey {
+        let is_kept_apart = self.is_kept_apart(phase);
+        let is_gang_member = self.is_gang(phase);
         let job = &mut self.jobs[phase.job];
         let entry = &job.phases[phase.phase];
         let resources = job.record.steps[entry.step].resources();
@@ -65,6 +67,8 @@
                 || state != AttemptState::Persisting,
             percent: 0,
             is_gang_aborted: false,
+            is_kept_apart,
+            is_gang_member,
             is_on_probation: false,
             is_loss_recorded: false,
             sent_ms: 0,
@@ -80,6 +84,8 @@
         let worker = &mut self.workers[worker];
         worker.used = worker.used.plus(&resources);
         worker.attempts.insert((name, number), key);
+        worker.kept_apart += usize::from(is_kept_apart);
+        worker.gang_members += usize::from(is_gang_member);
         key
     }
 
--- a/crates/cell/src/core/completion.rs
+++ b/crates/cell/src/core/completion.rs
@@ -22,6 +22,8 @@
             phase.unassigned += usize::from(!task.is_done);
         }
         let worker = &mut self.workers[attempt.worker];
+        worker.kept_apart -= usize::from(attempt.is_kept_apart);
+        worker.gang_members -= usize::from(attempt.is_gang_member);
         worker.probations -= usize::from(attempt.is_on_probation);
         worker.used = worker.used.minus(&attempt.resources);
         worker.attempts.remove(&(name, attempt.number));
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -115,6 +115,7 @@
         worker.record_response(worker.is_silent, sent_ms, now_ms);
         if let (false, Some(lost_ms)) = (was_silent, worker.lost_ms) {
             self.loss_times.record(lost_ms);
+            self.suspect_queue(key);
         }
         let Some(worker) = self.workers.get_mut(key) else { return };
         if was_silent != worker.is_silent {
--- a/crates/cell/src/core/losses.rs
+++ b/crates/cell/src/core/losses.rs
@@ -45,9 +45,9 @@
 /// Time for which an attempt has to run until its task is no longer suspected, in milliseconds.
 const CLEARED_AFTER_MS: u64 = 30_000;
 /// Workers that are lost within this time of each other, in milliseconds, are lost together.
-const SIMULTANEOUS_MS: u64 = 15;
+const SIMULTANEOUS_MS: u64 = 30;
 /// Minimum number of workers that are lost together for a common cause.
-const MIN_SIMULTANEOUS: usize = 3;
+const MIN_SIMULTANEOUS: usize = 4;
 /// One in this many workers has to be lost together for a common cause.
 const SIMULTANEOUS_SHARE: usize = 32;
 /// Time for which it may become known that a lost worker crashed, in milliseconds.
@@ -104,6 +104,13 @@
     }
 }
 
+/// The suspects of one crash.
+#[derive(Debug)]
+pub(super) struct SuspectGroup {
+    tasks: Vec<TaskRef>,
+    recorded_ms: u64,
+}
+
 impl CellCore {
     /// Records that all attempts on a worker are lost.
     pub(super) fn record_losses(&mut self, worker: WorkerKey, cause: LossCause) {
@@ -124,17 +131,48 @@
         let jobs: FxHashSet<JobKey> =
             recent.iter().map(|key| self.attempts[*key].phase.job).collect();
         let last_ms = recent.iter().map(|key| self.attempts[*key].start_sent_ms).max();
+        let is_last =
+            |key: &AttemptKey| last_ms <= Some(self.attempts[*key].start_sent_ms + START_SPREAD_MS);
+        let suspects: Vec<AttemptKey> = recent.iter().copied().filter(is_last).collect();
+        self.add_suspect_group(&suspects);
         for key in lost {
-            let is_recent = recent.contains(&key);
-            let start_ms = self.attempts[key].start_sent_ms;
-            let is_suspect = is_recent && last_ms <= Some(start_ms + START_SPREAD_MS);
+            let is_suspect = suspects.contains(&key);
             self.record_loss(key, cause, is_suspect, is_suspect && jobs.len() == 1);
         }
     }
 
+    fn add_suspect_group(&mut self, suspects: &[AttemptKey]) {
+        let recorded_ms = self.time.now_ms;
+        let oldest_ms = recorded_ms.saturating_sub(UNRESOLVED_MS);
+        self.suspect_groups.retain(|group| group.recorded_ms >= oldest_ms);
+        if suspects.len() > 1 {
+            let tasks = suspects.iter().map(|key| self.attempts[*key].task()).collect();
+            self.suspect_groups.push(SuspectGroup { tasks, recorded_ms });
+        }
+    }
+
+    /// Clears the tasks that were suspected only beside a task of a job that was given up.
+    fn clear_suspects_beside(&mut self, job: JobKey) {
+        let is_beside = |group: &SuspectGroup| group.tasks.iter().any(|task| task.phase.job == job);
+        let (explained, left) =
+            std::mem::take(&mut self.suspect_groups).into_iter().partition(is_beside);
+        self.suspect_groups = left;
+        let explained: Vec<SuspectGroup> = explained;
+        for task in explained.into_iter().flat_map(|group| group.tasks) {
+            let entry = self.jobs.get_mut(task.phase.job).filter(|job| !job.state.is_final());
+            let phase = entry.and_then(|job| job.phases.get_mut(task.phase.phase));
+            if let Some(entry) = phase.and_then(|phase| phase.tasks.get_mut(task.index))
+                && entry.crashes < MIN_CRASHES
+            {
+                entry.probation_ms = 0;
+                self.mark_dirty(task.phase.job, None);
+            }
+        }
+    }
+
     /// Returns the attempts that may have crashed their worker: those that had just been started, and
     /// those that had run for about as long before an earlier crash.
-    fn recent_attempts(&self, lost: &[AttemptKey], lost_ms: u64) -> Vec<AttemptKey> {
+    pub(super) fn recent_attempts(&self, lost: &[AttemptKey], lost_ms: u64) -> Vec<AttemptKey> {
         let is_recent = |key: &AttemptKey| {
             let attempt = &self.attempts[*key];
             let limit_ms = self.task(attempt.task()).probation_ms.max(MIN_PROBATION_MS);
@@ -151,7 +189,7 @@
         was_sent && !attempt.is_loss_recorded && !job.state.is_final()
     }
 
-    fn is_simultaneous(&self, lost_ms: u64) -> bool {
+    pub(super) fn is_simultaneous(&self, lost_ms: u64) -> bool {
         let share = self.workers.len() / SIMULTANEOUS_SHARE;
         self.loss_times.count_near(lost_ms) >= share.max(MIN_SIMULTANEOUS)
     }
@@ -222,6 +260,7 @@
         let is_proved = is_sole_suspect && entry.crashes >= MIN_CRASHES;
         if is_proved || entry.has_crashed_too_often() {
             self.end_job(task.phase.job, JobState::Failed, CRASH_REASON);
+            self.clear_suspects_beside(task.phase.job);
         }
     }
 
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -20,6 +20,7 @@
 mod placement;
 mod probation;
 mod request_window;
+mod segregation;
 mod shares;
 mod worker_speed;
 mod workers;
@@ -33,9 +34,10 @@
     },
     admission::BacklogLoad,
     commit::CommitQueue,
-    losses::LossTimes,
+    losses::{LossTimes, SuspectGroup},
     request_window::RequestWindow,
     rustc_hash::FxHashMap,
+    segregation::SuspectQueues,
     shares::TeamShares,
     slotmap::SlotMap,
     std::{collections::VecDeque, sync::Arc},
@@ -77,6 +79,8 @@
     /// Lost attempts of which it is not known whether their workers crashed.
     losses: SlotMap<LossKey, LossEntry>,
     loss_times: LossTimes,
+    suspect_groups: Vec<SuspectGroup>,
+    suspect_queues: SuspectQueues,
     advice_calls: SlotMap<AdviceCallKey, AdviceCallEntry>,
     daemons: Vec<DaemonEntry>,
     /// Moving average of the share of workers that the adviser allows, by queue.
@@ -127,6 +131,8 @@
             attempts: SlotMap::with_key(),
             losses: SlotMap::with_key(),
             loss_times: LossTimes::default(),
+            suspect_groups: Vec::new(),
+            suspect_queues: SuspectQueues::default(),
             advice_calls: SlotMap::with_key(),
             daemons: Vec::new(),
             grant_rate: FxHashMap::default(),
--- a/crates/cell/src/core/placement.rs
+++ b/crates/cell/src/core/placement.rs
@@ -182,10 +182,17 @@
                     .collect()
             }
         };
-        workers.sort_by_key(|key| {
+        workers.sort_by_cached_key(|key| {
             let worker = &self.workers[*key];
             let is_remote = !step.data_rack.is_empty() && worker.rack() != step.data_rack;
-            (is_remote, is_slow(worker.slowness), worker.free().cpu_millis)
+            let load = if self.is_kept_apart(phase) { self.exposure(*key) } else { (false, 0) };
+            (
+                self.risk(phase, *key) > 0,
+                is_remote,
+                is_slow(worker.slowness),
+                load,
+                worker.free().cpu_millis,
+            )
         });
         workers
     }
--- a/crates/cell/src/core/probation.rs
+++ b/crates/cell/src/core/probation.rs
@@ -38,7 +38,8 @@
         has_crashed
     }
 
-    /// Places a phase's suspects, each on a worker of its own.
+    /// Places a phase's suspects together on calm workers: if one of them crashes its worker, the others
+    /// belong to the same job.
     pub(super) fn place_suspects(
         &mut self,
         phase: PhaseRef,
@@ -46,18 +47,23 @@
         available: &AvailableWorkers,
         budget: &mut usize,
     ) -> PlacementOutcome {
-        for index in suspects {
-            if *budget == 0 || !self.has_probation_worker() || self.within_limit(phase, 1) == 0 {
+        let mut waiting = suspects;
+        while !waiting.is_empty() {
+            let allowed = self.within_limit(phase, waiting.len()).min(*budget);
+            if allowed == 0 || !self.has_probation_worker() {
                 return PlacementOutcome::Blocked;
             }
             let workers = self.calm_candidates(phase, available);
-            let plan = self.plan_tasks(phase, &workers, 1);
+            let calmest = &workers[..workers.len().min(1)];
+            let plan = self.plan_tasks(phase, calmest, allowed);
             if plan.is_empty() {
                 return PlacementOutcome::Incomplete;
             }
-            *budget -= 1;
-            self.create_attempts(phase, &[*index], &plan);
-            self.start_probation(phase, &[*index]);
+            let (placed, left) = waiting.split_at(plan.len());
+            *budget -= plan.len();
+            self.create_attempts(phase, placed, &plan);
+            self.start_probation(phase, placed);
+            waiting = left;
         }
         PlacementOutcome::Placed
     }
@@ -113,7 +119,7 @@
         let fewest = all.filter(could_run).map(load).min().unwrap_or(0);
         let mut workers = self.candidates(phase, available);
         workers.retain(|key| load(key) <= fewest + MAX_EXTRA_ATTEMPTS);
-        workers.sort_by_key(load);
+        workers.sort_by_key(|key| (self.workers[*key].gang_members, load(key)));
         workers
     }
 
--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -52,6 +52,10 @@
     pub(crate) percent: u32,
     /// Another member of the gang ended, so this one must not run.
     pub(crate) is_gang_aborted: bool,
+    /// The attempt's queue is kept apart from others.
+    pub(crate) is_kept_apart: bool,
+    /// The attempt is a member of a gang.
+    pub(crate) is_gang_member: bool,
     /// Nothing else is placed on the worker, because the task may crash it.
     pub(crate) is_on_probation: bool,
     /// The attempt is recorded as lost with its worker.
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -37,6 +37,10 @@
     pub(crate) orphans: Vec<(String, ResourceSet)>,
     /// Attempts that the worker may be running, by task and number.
     pub(crate) attempts: FxHashMap<(String, u32), AttemptKey>,
+    /// Number of attempts that are kept apart from those of other queues.
+    pub(crate) kept_apart: usize,
+    /// Number of attempts that are members of gangs.
+    pub(crate) gang_members: usize,
     /// Number of attempts on probation; while there are any, nothing else is placed on the worker.
     pub(crate) probations: usize,
     /// The worker has accepted this leader's fencing token.
@@ -83,6 +87,8 @@
             used: ResourceSet::default(),
             orphans: Vec::new(),
             attempts: FxHashMap::default(),
+            kept_apart: 0,
+            gang_members: 0,
             probations: 0,
             has_accepted_token: false,
             clock: None,
--- a/crates/cell/tests/cell/crashes.rs
+++ b/crates/cell/tests/cell/crashes.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::support::{FakeCell, job, step},
-    damaskrack_cell::JobState,
+    damaskrack_cell::{JobRecord, JobState, QueueConfig, StepSpec},
 };
 
 /// Number of workers that may crash under a task before it is given up.
@@ -57,3 +57,151 @@
         assert_eq!(cell.state(&id.to_string()), Some(JobState::Completed), "job {id}");
     }
 }
+
+/// The workers crash before they respond to the start, so it is not known whether it took effect.
+#[test]
+fn a_start_without_response_that_crashes_its_worker_counts() {
+    let mut cell = FakeCell::new(4);
+    cell.crashing.after_ms = 0;
+    cell.make_crashing("1");
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(60_000);
+    assert_eq!(cell.state("1"), Some(JobState::Failed));
+    let crashes = cell.crashing.caused_by("1");
+    assert!((2..=MAX_CRASHES).contains(&crashes), "{crashes} workers crashed");
+}
+
+/// Crashed workers are away for longer than their leases last, so the task starts elsewhere before
+/// it is known that the first worker has crashed.
+#[test]
+fn a_crash_that_is_known_only_after_the_lease_counts() {
+    let mut cell = FakeCell::new(8);
+    cell.crashing.down_ms = 9_000;
+    cell.make_crashing("1");
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(90_000);
+    assert_eq!(cell.state("1"), Some(JobState::Failed));
+    let crashes = cell.crashing.caused_by("1");
+    assert!((2..=5).contains(&crashes), "{crashes} workers crashed");
+}
+
+#[test]
+fn a_task_that_crashes_its_workers_some_time_after_its_start_is_given_up() {
+    let mut cell = FakeCell::new(6);
+    cell.crashing.after_ms = 1_200;
+    cell.run_ms = 2_000;
+    cell.make_crashing("1");
+    for id in 10..20 {
+        cell.submit(job(&id.to_string(), vec![step(2)]));
+    }
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(90_000);
+    assert_eq!(cell.state("1"), Some(JobState::Failed));
+    let crashes = cell.crashing.caused_by("1");
+    assert!(crashes <= 5, "{crashes} workers crashed");
+    for id in 10..20 {
+        assert_eq!(cell.state(&id.to_string()), Some(JobState::Completed), "job {id}");
+    }
+}
+
+/// Power fails, and again as soon as the workers have started their work once more.
+#[test]
+fn workers_that_are_lost_together_accuse_no_task() {
+    let mut cell = FakeCell::new(8);
+    for id in 10..18 {
+        cell.submit(job(&id.to_string(), vec![step(4)]));
+    }
+    for _ in 0..3 {
+        for _ in 0..500 {
+            if cell.workers.values().any(|worker| worker.runs.is_empty()) {
+                cell.run(10);
+            }
+        }
+        for id in cell.workers.keys().cloned().collect::<Vec<String>>() {
+            cell.crash(&id);
+        }
+    }
+    cell.run(20_000);
+    for id in 10..18 {
+        assert_eq!(cell.state(&id.to_string()), Some(JobState::Completed), "job {id}");
+    }
+}
+
+#[test]
+fn a_gang_whose_member_crashes_its_workers_is_given_up() {
+    let mut cell = FakeCell::new(6);
+    cell.make_crashing("1");
+    cell.submit(job("1", vec![StepSpec { is_gang: true, ..step(3) }]));
+    cell.submit(job("2", vec![StepSpec { is_gang: true, ..step(3) }]));
+    cell.run(60_000);
+    assert_eq!(cell.state("1"), Some(JobState::Failed));
+    assert_eq!(cell.state("2"), Some(JobState::Completed));
+    let crashes = cell.crashing.caused_by("1");
+    assert!((2..=MAX_CRASHES).contains(&crashes), "{crashes} workers crashed");
+}
+
+/// A service's task may fail as often as it likes, but not crash worker after worker.
+#[test]
+fn a_service_that_crashes_its_workers_is_given_up() {
+    let mut cell = FakeCell::new(4);
+    cell.make_crashing("1");
+    cell.submit(job("1", vec![StepSpec { is_service: true, ..step(2) }]));
+    cell.run(60_000);
+    assert_eq!(cell.state("1"), Some(JobState::Failed));
+    let crashes = cell.crashing.caused_by("1");
+    assert!((2..=MAX_CRASHES).contains(&crashes), "{crashes} workers crashed");
+}
+
+/// Workers of a service crash one after the other, each for reasons of its own.
+#[test]
+fn a_service_survives_crashes_that_it_does_not_cause() {
+    let mut cell = FakeCell::new(4);
+    cell.run_ms = 10_000_000;
+    cell.submit(job("1", vec![StepSpec { is_service: true, ..step(4) }]));
+    for round in 0..12 {
+        cell.run(40_000);
+        cell.crash(&format!("w{}", round % 4));
+    }
+    cell.run(10_000);
+    assert_eq!(cell.state("1"), Some(JobState::Running));
+    let running: usize = cell.workers.values().map(|worker| worker.runs.len()).sum();
+    assert_eq!(running, 4);
+}
+
+/// One in ten short jobs of a queue crashes its workers, while another queue's gangs run.
+#[test]
+fn gangs_are_kept_apart_from_a_queue_that_crashes_workers() {
+    let mut cell = FakeCell::new(36);
+    cell.run_ms = 2_000;
+    let gangs = QueueConfig { name: "gangs".to_owned(), ..cell.config.queues["queue"].clone() };
+    cell.config.queues.insert("gangs".to_owned(), gangs);
+    cell.start_leader();
+    cell.run(100);
+    let mut submitted = Vec::new();
+    for round in 0..100 {
+        if round == 40 {
+            // The first crashes show that the queue crashes workers.
+            cell.crashing.crashes.clear();
+        }
+        let id = 1_000 + round;
+        if round % 10 == 5 {
+            cell.make_crashing(&id.to_string());
+        } else {
+            submitted.push(id);
+        }
+        cell.submit(job(&id.to_string(), vec![step(2)]));
+        if round % 3 == 0 {
+            let gang = StepSpec { is_gang: true, max_per_worker: 1, ..step(6) };
+            submitted.push(2_000 + round);
+            let record = job(&(2_000 + round).to_string(), vec![gang]);
+            cell.submit(JobRecord { queue: "gangs".to_owned(), ..record });
+        }
+        cell.run(100);
+    }
+    cell.run(30_000);
+    for id in submitted {
+        assert_eq!(cell.state(&id.to_string()), Some(JobState::Completed), "job {id}");
+    }
+    let lost = cell.crashing.crashes.keys().filter(|task| task.starts_with('2')).count();
+    assert!(lost <= 1, "{lost} members of gangs were lost with their workers");
+}
--- a/crates/cell/tests/cell/support/crash.rs
+++ b/crates/cell/tests/cell/support/crash.rs
@@ -66,6 +66,15 @@
         }
     }
 
+    /// Crashes a worker that is due before it can respond to the start.
+    pub(super) fn crashes_at_once(&mut self, worker: &str) -> bool {
+        let is_due = self.crashing.due_ms.get(worker) == Some(&self.now_ms);
+        if is_due {
+            self.crash(worker);
+        }
+        is_due
+    }
+
     /// Crashes the workers whose crashes are due, and starts those whose time is over again.
     pub(super) fn crash_workers(&mut self) {
         let now_ms = self.now_ms;
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -515,6 +515,14 @@
             return;
         }
         let outcome = self.start_now(&request);
+        if self.crashes_at_once(&request.address) {
+            self.apply(CellInput::StartFinished {
+                attempt,
+                outcome: StartOutcome::Unknown,
+                clock_ms: None,
+            });
+            return;
+        }
         let clock_ms = Some(self.workers[&request.address].clock_ms(self.now_ms));
         self.apply(CellInput::StartFinished { attempt, outcome, clock_ms });
     }
