Send no start to a worker whose capacity has shrunk since

A worker's capacity may shrink while it runs. Placement goes by the newest report, but a start that had been placed before, and waited for its row or for the request window, was sent regardless and brought the worker above its capacity (LIMIT). Change: a start is sent, or repeated, only while what is reserved on the worker fits what it reports. Otherwise it is given up like one that is no longer wanted, which stops it where it may have begun, and its task is placed again. Paths checked: placement and repeated starts (above), adoption at a takeover (starts nothing, and counts), forwarded starts (authorized when the frame is sent, at most 300 ms before), advice (chooses among the newest reports).

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -143,6 +143,11 @@
             return false;
         };
         let is_wanted = !self.jobs[phase.job].state.is_final() && !attempt.is_gang_aborted;
+        if is_wanted && self.workers[worker].is_overcommitted() {
+            self.log_attempt("capacity_reduced", key, "");
+            self.give_up_start(key);
+            return false;
+        }
         let is_schedulable = self.is_schedulable(&self.workers[worker]);
         let now_ms = self.time.now_ms;
         let lease_ms = START_LEASE_MS.min(self.settings.lease_ms);
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -157,6 +157,11 @@
         !self.attempts.is_empty() || !self.orphans.is_empty()
     }
 
+    /// Returns whether more is reserved than the worker has, because its capacity has shrunk since.
+    pub(crate) fn is_overcommitted(&self) -> bool {
+        !self.used.fits(&self.report.capacity)
+    }
+
     /// Returns the free capacity.
     pub(crate) fn free(&self) -> ResourceSet {
         self.report.capacity.minus(&self.used)
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -286,6 +286,12 @@
         self.config.queues.get_mut("queue").unwrap().advice = Some(timing);
     }
 
+    /// Changes the capacity of a worker while it runs, and reports it.
+    pub(crate) fn resize_worker(&mut self, id: &str, cpu_millis: u64) {
+        self.workers.get_mut(id).unwrap().report.capacity.cpu_millis = cpu_millis;
+        self.list_workers();
+    }
+
     /// Sends the list of workers to the core.
     pub(crate) fn list_workers(&mut self) {
         let reports = self.workers.values().map(|worker| worker.report.clone()).collect();
@@ -585,9 +591,10 @@
         // A service's tasks start again however they end.
         let is_over = self.done.contains_key(task) && !self.step_of(task).is_service;
         assert!(!is_over, "{task} starts again after it was done");
-        let runs = self.workers[at].runs.iter();
+        let worker = &self.workers[at];
+        let runs = worker.runs.iter();
         let used = runs.fold(ResourceSet::default(), |sum, run| sum.plus(&run.resources));
-        assert!(used.fits(&CAPACITY), "{at} runs more than it has");
+        assert!(used.fits(&worker.report.capacity), "{at} runs more than it has");
     }
 
     fn stop(&mut self, request: &StopRequest) {
