Know of crashes across takeovers, and give up only for crashes that are certain

Causes: (1) a worker that crashed comes back under another id; a leader that only has the row of its attempt knew no address to ask, waited for the lease and never learnt of the crash. (2) what a leader knew of a lost attempt whose lease had expired was gone at the next takeover. (3) a start without response on a worker that crashed for another reason counted like one that had begun. Change: the row of an attempt has its worker's address, so a new leader asks there at once; an attempt lost with its lease stays in its task's row until it is known what became of the worker; crashes under starts that may not have taken effect are counted apart, and it takes one more of them. A worker that a suspect crashed no longer counts towards a common cause. Tests: across_leaders_when_ids_change and a_task_that_may_not_have_run_is_not_given_up fail without it.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -70,6 +70,7 @@
             is_kept_apart,
             is_gang_member,
             is_on_probation: false,
+            has_begun: matches!(state, AttemptState::Running { .. }),
             is_loss_recorded: false,
             sent_ms: 0,
             start_sent_ms: 0,
@@ -199,6 +200,7 @@
                 let job = &mut self.jobs[attempt.phase.job];
                 job.has_begun = true;
                 job.phases[attempt.phase.phase].retry.reset();
+                attempt.has_begun = true;
                 if attempt.state == AttemptState::Sent {
                     attempt.state = AttemptState::Running { since_ms: now_ms };
                     self.stop_if_unwanted(key);
--- a/crates/cell/src/core/commit.rs
+++ b/crates/cell/src/core/commit.rs
@@ -4,7 +4,7 @@
     super::CellCore,
     crate::{
         COMMIT_LANES, CellAction, CellSettings, CommitRequest, JobKey, JobState, ProgressRecord,
-        table::{AfterCommit, JobEntry, JobRow, JobRowChange},
+        table::{AfterCommit, AttemptLocation, JobEntry, JobRow, JobRowChange},
     },
     rustc_hash::FxHashSet,
     std::collections::VecDeque,
@@ -185,7 +185,11 @@
         let locate = |key| {
             let attempt = self.attempts.get(key)?;
             let worker = self.workers.get(attempt.worker)?;
-            Some((worker.report.id.clone(), worker.report.incarnation))
+            Some(AttemptLocation {
+                worker: worker.report.id.clone(),
+                incarnation: worker.report.incarnation,
+                address: worker.report.address.clone(),
+            })
         };
         let phases = match job.state.is_final() {
             true => Vec::new(),
--- a/crates/cell/src/core/jobs.rs
+++ b/crates/cell/src/core/jobs.rs
@@ -4,7 +4,7 @@
     super::{CellCore, admission::Admission},
     crate::{
         CellAction, JobKey, JobRecord, JobState, PhaseProgress, ProgressRecord, TaskProgress,
-        message::PhaseRef,
+        message::{PhaseRef, TaskRef},
         table::{AfterCommit, AttemptState, JobEntry, JobRow},
     },
 };
@@ -148,8 +148,12 @@
             return;
         }
         job.phases[phase].restore(stored);
+        let phase = PhaseRef { job: key, phase };
         for task in stored.tasks.iter().filter(|task| !task.worker.is_empty()) {
-            self.restore_attempt(PhaseRef { job: key, phase }, task);
+            self.restore_attempt(phase, task);
+        }
+        for task in &stored.tasks {
+            self.restore_loss(TaskRef { phase, index: task.index as usize }, task.lost.as_ref());
         }
     }
 
@@ -158,7 +162,7 @@
         if index >= self.jobs[phase.job].phases[phase.phase].tasks.len() {
             return;
         }
-        let worker = self.find_worker(&stored.worker, stored.incarnation);
+        let worker = self.find_worker(stored);
         let since_ms = self.time.now_ms;
         let state = AttemptState::Inherited { since_ms };
         let key = self.insert_attempt(phase, index, stored.attempt, worker, state);
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -114,7 +114,10 @@
         worker.is_silent = !matches!(outcome, RenewOutcome::Answered(_));
         worker.record_response(worker.is_silent, sent_ms, now_ms);
         if let (false, Some(lost_ms)) = (was_silent, worker.lost_ms) {
-            self.loss_times.record(lost_ms);
+            // A worker that a suspect has crashed does not show a common cause.
+            if worker.probations == 0 {
+                self.loss_times.record(lost_ms);
+            }
             self.suspect_queue(key);
         }
         let Some(worker) = self.workers.get_mut(key) else { return };
@@ -259,6 +262,7 @@
             return self.adopt_or_stop(key, running);
         };
         let entry = &mut self.attempts[attempt];
+        entry.has_begun = true;
         self.jobs[entry.phase.job].has_begun = true;
         let run_ms = entry.run_ms(now_ms);
         if running.percent > entry.percent {
--- a/crates/cell/src/core/losses.rs
+++ b/crates/cell/src/core/losses.rs
@@ -15,7 +15,7 @@
 use {
     super::CellCore,
     crate::{
-        AttemptKey, JobKey, JobState, WorkerKey, WorkerReport,
+        AttemptKey, JobKey, JobState, LostAttempt, WorkerKey, WorkerReport,
         keys::LossKey,
         message::TaskRef,
         table::{AttemptEntry, AttemptState, LossEntry, TaskEntry},
@@ -98,9 +98,26 @@
         self.probation_ms = self.probation_ms.max(probation_ms);
     }
 
+    /// Counts a crash of a worker that ran the task, or may have.
+    fn add_crash(&mut self, ran_ms: Option<u64>, has_begun: bool) {
+        match has_begun {
+            true => self.crashes += 1,
+            false => self.possible_crashes += 1,
+        }
+        if self.crashes + self.possible_crashes >= SUSPECT_CRASHES {
+            self.suspect(ran_ms);
+        }
+    }
+
+    /// Returns whether so many workers crashed under the task, with and without proof that they ran it,
+    /// that at least [`MIN_CRASHES`] of them did.
+    fn has_crashed_workers(&self) -> bool {
+        self.crashes >= MIN_CRASHES || self.crashes + self.possible_crashes > MIN_CRASHES
+    }
+
     /// Returns whether too many workers crashed under the task to start it again.
     pub(super) fn has_crashed_too_often(&self) -> bool {
-        self.crashes >= MAX_CRASHES
+        self.crashes + self.possible_crashes >= MAX_CRASHES
     }
 }
 
@@ -159,12 +176,8 @@
         self.suspect_groups = left;
         let explained: Vec<SuspectGroup> = explained;
         for task in explained.into_iter().flat_map(|group| group.tasks) {
-            let entry = self.jobs.get_mut(task.phase.job).filter(|job| !job.state.is_final());
-            let phase = entry.and_then(|job| job.phases.get_mut(task.phase.phase));
-            if let Some(entry) = phase.and_then(|phase| phase.tasks.get_mut(task.index))
-                && entry.crashes < MIN_CRASHES
-            {
-                entry.probation_ms = 0;
+            if self.has_task(task) && !self.task(task).has_crashed_workers() {
+                self.task_mut(task).probation_ms = 0;
                 self.mark_dirty(task.phase.job, None);
             }
         }
@@ -175,8 +188,13 @@
     pub(super) fn recent_attempts(&self, lost: &[AttemptKey], lost_ms: u64) -> Vec<AttemptKey> {
         let is_recent = |key: &AttemptKey| {
             let attempt = &self.attempts[*key];
-            let limit_ms = self.task(attempt.task()).probation_ms.max(MIN_PROBATION_MS);
-            attempt.ran_until(lost_ms).is_some_and(|ran_ms| ran_ms <= limit_ms)
+            let task = self.task(attempt.task());
+            let limit_ms = task.probation_ms.max(MIN_PROBATION_MS);
+            match attempt.ran_until(lost_ms) {
+                Some(ran_ms) => ran_ms <= limit_ms,
+                // A former leader started it, and nobody has seen it run.
+                None => task.is_suspected() && !attempt.has_begun,
+            }
         };
         lost.iter().copied().filter(is_recent).collect()
     }
@@ -209,29 +227,37 @@
         let lost_ms = self.loss_ms(key);
         let attempt = &mut self.attempts[key];
         attempt.is_loss_recorded = true;
-        let (task, worker) = (attempt.task(), attempt.worker);
+        let (task, worker, has_begun) = (attempt.task(), attempt.worker, attempt.has_begun);
         let ran_ms = attempt.ran_until(lost_ms);
         if is_suspect {
             self.task_mut(task).suspect(ran_ms);
         }
         self.mark_dirty(task.phase.job, None);
+        let report = &self.workers[worker].report;
+        let lost = LostAttempt {
+            worker: report.id.clone(),
+            incarnation: report.incarnation,
+            address: report.address.clone(),
+            has_begun,
+            is_sole_suspect,
+        };
         match cause {
-            LossCause::Crash => self.count_crash(task, ran_ms, is_sole_suspect),
+            LossCause::Crash => self.count_crash(task, ran_ms, &lost),
             LossCause::LeaseExpiry => {
-                let report = &self.workers[worker].report;
-                self.losses.insert(LossEntry {
-                    task,
-                    worker_id: report.id.clone(),
-                    address: report.address.clone(),
-                    incarnation: report.incarnation,
-                    ran_ms,
-                    is_sole_suspect,
-                    recorded_ms: self.time.now_ms,
-                });
+                self.task_mut(task).lost = Some(lost.clone());
+                self.restore_loss(task, Some(&lost));
             }
         }
     }
 
+    /// Adds a lost attempt of which it is not known yet whether its worker crashed.
+    pub(super) fn restore_loss(&mut self, task: TaskRef, lost: Option<&LostAttempt>) {
+        if let Some(lost) = lost {
+            let recorded_ms = self.time.now_ms;
+            self.losses.insert(LossEntry { task, attempt: lost.clone(), recorded_ms });
+        }
+    }
+
     fn task_mut(&mut self, task: TaskRef) -> &mut TaskEntry {
         &mut self.jobs[task.phase.job].phases[task.phase.phase].tasks[task.index]
     }
@@ -245,19 +271,23 @@
         let attempt = &self.attempts[key];
         let ran = attempt.ran_until(self.loss_ms(key));
         let ran = ran.map_or("unknown".to_owned(), |ran_ms| ran_ms.to_string());
-        let crashes = self.task(attempt.task()).crashes;
-        let detail = format!("cause={cause:?} ran_ms={ran} crashes={crashes} suspect={is_suspect}");
+        let TaskEntry { crashes, possible_crashes, .. } = self.task(attempt.task());
+        let has_begun = attempt.has_begun;
+        let detail = format!(
+            "cause={cause:?} ran_ms={ran} begun={has_begun} crashes={crashes}+{possible_crashes} \
+             suspect={is_suspect}"
+        );
         self.log_attempt("attempt_lost", key, &detail);
     }
 
     /// Counts a crash under a task, and gives its job up if the task is to blame.
-    fn count_crash(&mut self, task: TaskRef, ran_ms: Option<u64>, is_sole_suspect: bool) {
+    fn count_crash(&mut self, task: TaskRef, ran_ms: Option<u64>, lost: &LostAttempt) {
         let entry = self.task_mut(task);
-        entry.crashes += 1;
-        if entry.crashes >= SUSPECT_CRASHES {
-            entry.suspect(ran_ms);
+        if entry.is_done {
+            return;
         }
-        let is_proved = is_sole_suspect && entry.crashes >= MIN_CRASHES;
+        entry.add_crash(ran_ms, lost.has_begun);
+        let is_proved = lost.is_sole_suspect && entry.has_crashed_workers();
         if is_proved || entry.has_crashed_too_often() {
             self.end_job(task.phase.job, JobState::Failed, CRASH_REASON);
             self.clear_suspects_beside(task.phase.job);
@@ -269,11 +299,7 @@
         let attempt = &mut self.attempts[key];
         attempt.is_loss_recorded = true;
         let task = attempt.task();
-        let entry = self.task_mut(task);
-        entry.crashes += 1;
-        if entry.crashes >= SUSPECT_CRASHES {
-            entry.suspect(None);
-        }
+        self.task_mut(task).add_crash(None, false);
         self.mark_dirty(task.phase.job, None);
         self.log_loss(key, LossCause::Crash, false);
     }
@@ -281,16 +307,14 @@
     /// Counts the crashes that a worker's registration proves: those of processes that had its id or
     /// its address before.
     pub(super) fn resolve_losses(&mut self, report: &WorkerReport) {
-        let proves_crash = |loss: &LossEntry| {
-            let is_successor = loss.worker_id == report.id || loss.address == report.address;
-            is_successor && report.incarnation > loss.incarnation
+        let proves_crash = |LossEntry { attempt, .. }: &LossEntry| {
+            let has_address = !report.address.is_empty() && attempt.address == report.address;
+            let is_successor = attempt.worker == report.id || has_address;
+            is_successor && report.incarnation > attempt.incarnation
         };
         for loss in self.take_losses(proves_crash) {
-            let phase = loss.task.phase;
-            let job = self.jobs.get(phase.job).filter(|job| !job.state.is_final());
-            if job.is_some_and(|job| job.phases.len() > phase.phase) {
-                self.count_crash(loss.task, loss.ran_ms, loss.is_sole_suspect);
-                self.mark_dirty(phase.job, None);
+            if self.has_task(loss.task) {
+                self.count_crash(loss.task, None, &loss.attempt);
             }
         }
     }
@@ -300,21 +324,35 @@
         if self.losses.is_empty() {
             return;
         }
-        let (id, incarnation) = {
-            let report = &self.workers[worker].report;
-            (report.id.clone(), report.incarnation)
-        };
+        let report = &self.workers[worker].report;
+        let (id, incarnation) = (report.id.clone(), report.incarnation);
         let now_ms = self.time.now_ms;
         self.take_losses(|loss| {
-            let is_same = loss.worker_id == id && loss.incarnation == incarnation;
+            let is_same = loss.attempt.worker == id && loss.attempt.incarnation == incarnation;
             is_same || loss.recorded_ms + UNRESOLVED_MS < now_ms
         });
     }
 
+    /// Returns whether the job of a task has not ended.
+    fn has_task(&self, task: TaskRef) -> bool {
+        let job = self.jobs.get(task.phase.job).filter(|job| !job.state.is_final());
+        let phase = job.and_then(|job| job.phases.get(task.phase.phase));
+        phase.is_some_and(|phase| task.index < phase.tasks.len())
+    }
+
+    /// Removes the losses that match, also from their jobs' rows.
     fn take_losses(&mut self, matches: impl Fn(&LossEntry) -> bool) -> Vec<LossEntry> {
         let matching = self.losses.iter().filter(|(_, loss)| matches(loss));
         let keys: Vec<LossKey> = matching.map(|(key, _)| key).collect();
-        keys.into_iter().filter_map(|key| self.losses.remove(key)).collect()
+        let losses: Vec<LossEntry> =
+            keys.into_iter().filter_map(|key| self.losses.remove(key)).collect();
+        for loss in &losses {
+            if self.has_task(loss.task) {
+                self.task_mut(loss.task).lost = None;
+                self.mark_dirty(loss.task.phase.job, None);
+            }
+        }
+        losses
     }
 
     /// Updates what is known of a task from a run that its worker reports: after some time the
@@ -327,10 +365,11 @@
         let ran_ms = self.time.now_ms.saturating_sub(started_ms);
         let (task, is_on_probation) = (attempt.task(), attempt.is_on_probation);
         let entry = self.task_mut(task);
-        let is_known = entry.is_suspected() || entry.crashes > 0;
-        if is_known && ran_ms >= CLEARED_AFTER_MS {
+        let crashes = entry.crashes + entry.possible_crashes;
+        if (entry.is_suspected() || crashes > 0) && ran_ms >= CLEARED_AFTER_MS {
             entry.probation_ms = 0;
             entry.crashes = 0;
+            entry.possible_crashes = 0;
             self.mark_dirty(task.phase.job, None);
         }
         if is_on_probation && ran_ms >= self.task(task).probation_ms {
--- a/crates/cell/src/core/placement.rs
+++ b/crates/cell/src/core/placement.rs
@@ -127,6 +127,9 @@
         let placed = plan.len();
         *budget = budget.saturating_sub(placed);
         self.create_attempts(phase, tasks, &plan);
+        if placed < allowed {
+            self.suspect_backlog.record_other();
+        }
         match placed {
             _ if placed == wanted => PlacementOutcome::Placed,
             _ if placed == allowed => PlacementOutcome::Blocked,
--- a/crates/cell/src/core/probation.rs
+++ b/crates/cell/src/core/probation.rs
@@ -14,13 +14,40 @@
 
 /// One in this many workers may run a suspect on probation.
 const PROBATION_SHARE: usize = 16;
-/// One in this many idle workers may, if that is more.
-const IDLE_SHARE: usize = 2;
 /// Minimum number of workers that may.
 const MIN_PROBATION_WORKERS: usize = 2;
+/// One worker for this many steps with suspects that wait may, if that is more.
+const WAITING_SHARE: usize = 16;
+/// One in this many workers may at most for those that wait.
+const MAX_WAITING_SHARE: usize = 8;
 /// Number of attempts by which a suspect's worker may exceed the worker with the fewest.
 const MAX_EXTRA_ATTEMPTS: usize = 2;
 
+/// Steps that could not be placed.
+#[derive(Debug, Default)]
+pub(super) struct SuspectBacklog {
+    /// Number of steps with suspects that waited at the last placement.
+    waiting: usize,
+    /// Other steps waited for capacity then.
+    is_capacity_scarce: bool,
+    /// The same of the present placement, so far.
+    blocked: usize,
+    has_others: bool,
+}
+
+impl SuspectBacklog {
+    /// Begins a placement.
+    pub(super) fn begin(&mut self) {
+        self.waiting = std::mem::take(&mut self.blocked);
+        self.is_capacity_scarce = std::mem::take(&mut self.has_others);
+    }
+
+    /// Records that a step without suspects waits for capacity.
+    pub(super) fn record_other(&mut self) {
+        self.has_others = true;
+    }
+}
+
 impl CellCore {
     /// Returns whether a suspected task of a phase waits to be placed.
     pub(super) fn has_waiting_suspect(&self, phase: PhaseRef) -> bool {
@@ -94,12 +121,20 @@
         PlacementOutcome::Placed
     }
 
-    /// Returns whether another worker may run a suspect. More workers may while many are idle.
-    fn has_probation_worker(&self) -> bool {
+    /// Returns whether another worker may run a suspect. More workers may while many suspects wait, and
+    /// all that are idle while nothing else waits for capacity.
+    fn has_probation_worker(&mut self) -> bool {
+        let SuspectBacklog { waiting, is_capacity_scarce, .. } = self.suspect_backlog;
+        let workers = self.workers.len();
         let used = self.workers.values().filter(|worker| worker.probations > 0).count();
         let idle = self.workers.values().filter(|worker| worker.attempts.is_empty()).count();
-        let limit = (self.workers.len() / PROBATION_SHARE).max(idle / IDLE_SHARE);
-        used < limit.max(MIN_PROBATION_WORKERS)
+        let limit = (workers / PROBATION_SHARE)
+            .max((waiting / WAITING_SHARE).min(workers / MAX_WAITING_SHARE))
+            .max(if is_capacity_scarce { 0 } else { used + idle })
+            .max(MIN_PROBATION_WORKERS);
+        let has_worker = used < limit;
+        self.suspect_backlog.blocked += usize::from(!has_worker);
+        has_worker
     }
 
     /// Returns the workers that could run a suspect of a phase now, those with the fewest attempts
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -3,7 +3,7 @@
 use {
     super::{CellCore, losses::LossCause},
     crate::{
-        AttemptKey, WorkerKey, WorkerReport,
+        AttemptKey, TaskProgress, WorkerKey, WorkerReport,
         table::{WorkerEntry, longest_lease_ms},
     },
     rustc_hash::FxHashSet,
@@ -64,11 +64,16 @@
     }
 
     /// Finds the entry of a worker that a former leader used, or adds an unlisted one.
-    pub(super) fn find_worker(&mut self, id: &str, incarnation: u64) -> WorkerKey {
-        if let Some(&key) = self.worker_ids.get(id) {
+    pub(super) fn find_worker(&mut self, attempt: &TaskProgress) -> WorkerKey {
+        if let Some(&key) = self.worker_ids.get(&attempt.worker) {
             return key;
         }
-        let report = WorkerReport { id: id.to_owned(), incarnation, ..WorkerReport::default() };
+        let report = WorkerReport {
+            id: attempt.worker.clone(),
+            incarnation: attempt.incarnation,
+            address: attempt.worker_address.clone(),
+            ..WorkerReport::default()
+        };
         let key = self.insert_worker(report);
         self.workers[key].is_listed = false;
         key
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -24,7 +24,8 @@
         StartRefusal, StartRequest, StopRequest, WorkerReport, WorkerTicket,
     },
     record::{
-        AdviceTiming, JobRecord, JobState, PhaseProgress, ProgressRecord, StepSpec, TaskProgress,
+        AdviceTiming, JobRecord, JobState, LostAttempt, PhaseProgress, ProgressRecord, StepSpec,
+        TaskProgress,
     },
     resources::ResourceSet,
     settings::CellSettings,
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -181,6 +181,27 @@
     }
 }
 
+/// An attempt whose leases expired on a worker that did not respond. It counts as a crash under its
+/// task once another process has the worker's id or address.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LostAttempt {
+    /// Id of the worker.
+    #[prost(string, tag = "1")]
+    pub worker: String,
+    /// Incarnation of the worker.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Address of the worker.
+    #[prost(string, tag = "3")]
+    pub address: String,
+    /// The worker had confirmed that it began the attempt.
+    #[prost(bool, tag = "4")]
+    pub has_begun: bool,
+    /// No other job had just started a task on the worker.
+    #[prost(bool, tag = "5")]
+    pub is_sole_suspect: bool,
+}
+
 /// Progress of a task with at least one attempt that has not completed.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct TaskProgress {
@@ -202,13 +223,23 @@
     /// Last checkpoint; empty for none.
     #[prost(string, tag = "6")]
     pub checkpoint: String,
-    /// Number of workers that crashed while they may have been running the task.
+    /// Number of workers that crashed while they ran the task.
     #[prost(uint32, tag = "7")]
     pub crashes: u32,
     /// Time for which the next attempt is on probation, because the task may have crashed a worker, in
     /// milliseconds; 0 if it is not suspected.
     #[prost(uint64, tag = "8")]
     pub probation_ms: u64,
+    /// Number of workers that crashed after a request to start the task of which it is not known whether
+    /// it took effect.
+    #[prost(uint32, tag = "9")]
+    pub possible_crashes: u32,
+    /// Address of the worker that may be running the last attempt; empty if it is not known.
+    #[prost(string, tag = "10")]
+    pub worker_address: String,
+    /// The last attempt that was lost with a worker of which it is not known whether it crashed.
+    #[prost(message, optional, tag = "11")]
+    pub lost: Option<LostAttempt>,
 }
 
 /// Progress of one step of one occurrence.
--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -58,6 +58,8 @@
     pub(crate) is_gang_member: bool,
     /// Nothing else is placed on the worker, because the task may crash it.
     pub(crate) is_on_probation: bool,
+    /// The worker confirmed the start to this leader.
+    pub(crate) has_begun: bool,
     /// The attempt is recorded as lost with its worker.
     pub(crate) is_loss_recorded: bool,
     /// Time at which the last start or stop request was sent; 0 if none was.
--- a/crates/cell/src/table/mod.rs
+++ b/crates/cell/src/table/mod.rs
@@ -14,7 +14,7 @@
     attempt::{AttemptEntry, AttemptState},
     job::{AfterCommit, JobEntry, JobRow, JobRowChange},
     loss::LossEntry,
-    phase::{PhaseEntry, TicketEntry},
+    phase::{AttemptLocation, PhaseEntry, TicketEntry},
     phase_retry::PhaseRetry,
     task::TaskEntry,
     worker::{WorkerEntry, longest_lease_ms},
--- a/crates/cell/src/table/phase.rs
+++ b/crates/cell/src/table/phase.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{PhaseRetry, TaskEntry},
-    crate::{AdviceCallKey, PhaseProgress, TaskProgress, WorkerKey},
+    crate::{AdviceCallKey, AttemptKey, PhaseProgress, TaskProgress, WorkerKey},
     rustc_hash::{FxHashMap, FxHashSet},
 };
 
@@ -13,6 +13,15 @@
     pub(crate) valid_until_ms: u64,
 }
 
+/// Where an attempt may be running.
+#[derive(Debug, Default)]
+pub(crate) struct AttemptLocation {
+    /// Id of the worker.
+    pub(crate) worker: String,
+    pub(crate) incarnation: u64,
+    pub(crate) address: String,
+}
+
 /// One step of one occurrence of a job.
 #[derive(Debug, Default)]
 pub(crate) struct PhaseEntry {
@@ -72,17 +81,19 @@
             task.last_number = stored.attempt;
             task.failures = stored.failures;
             task.crashes = stored.crashes;
+            task.possible_crashes = stored.possible_crashes;
             task.probation_ms = stored.probation_ms;
+            task.lost.clone_from(&stored.lost);
             task.checkpoint.clone_from(&stored.checkpoint);
         }
         self.unfinished = self.tasks.iter().filter(|task| !task.is_done).count();
         self.unassigned = self.unfinished;
     }
 
-    /// Builds the stored progress; `locate` returns an attempt's worker id and incarnation.
+    /// Builds the stored progress; `locate` returns where an attempt may be running.
     pub(crate) fn progress(
         &self,
-        locate: impl Fn(crate::AttemptKey) -> Option<(String, u64)>,
+        locate: impl Fn(AttemptKey) -> Option<AttemptLocation>,
     ) -> PhaseProgress {
         let mut done = vec![0; self.tasks.len().div_ceil(8)];
         let mut tasks = Vec::new();
@@ -90,16 +101,19 @@
             if task.is_done {
                 done[index / 8] |= 1 << (index % 8);
             } else if task.last_number > 0 {
-                let (worker, incarnation) = task.attempt.and_then(&locate).unwrap_or_default();
+                let location = task.attempt.and_then(&locate).unwrap_or_default();
                 tasks.push(TaskProgress {
                     index: u32::try_from(index).unwrap_or(u32::MAX),
                     attempt: task.last_number,
                     failures: task.failures,
-                    worker,
-                    incarnation,
+                    worker: location.worker,
+                    incarnation: location.incarnation,
+                    worker_address: location.address,
                     checkpoint: task.checkpoint.clone(),
                     crashes: task.crashes,
+                    possible_crashes: task.possible_crashes,
                     probation_ms: task.probation_ms,
+                    lost: task.lost.clone(),
                 });
             }
         }
--- a/crates/cell/tests/cell/crashes.rs
+++ b/crates/cell/tests/cell/crashes.rs
@@ -36,6 +36,26 @@
     assert!((2..=MAX_CRASHES + 2).contains(&crashes), "{crashes} workers crashed");
 }
 
+/// As above, but crashed workers lose their registrations and come back under other ids: a new leader
+/// knows the former ones from the rows of their attempts only.
+#[test]
+fn a_task_that_crashes_its_workers_is_given_up_across_leaders_when_ids_change() {
+    for leader_ms in [700, 1_300, 2_900, 4_100] {
+        let mut cell = FakeCell::new(4);
+        cell.crashing.renames = true;
+        cell.make_crashing("1");
+        cell.submit(job("1", vec![step(1)]));
+        for _ in 0..60_000 / leader_ms {
+            cell.run(leader_ms);
+            cell.start_leader();
+        }
+        cell.run(10_000);
+        assert_eq!(cell.state("1"), Some(JobState::Failed));
+        let crashes = cell.crashing.caused_by("1");
+        assert!((2..=MAX_CRASHES + 2).contains(&crashes), "{crashes} workers crashed");
+    }
+}
+
 /// Jobs with long runs share all workers with jobs that crash them.
 #[test]
 fn the_neighbours_of_a_task_that_crashes_its_workers_complete() {
@@ -71,6 +91,33 @@
     assert!((2..=MAX_CRASHES).contains(&crashes), "{crashes} workers crashed");
 }
 
+/// Workers carry requests out late and crash meanwhile, under other tasks: it is not known whether they
+/// had begun this one.
+#[test]
+fn a_task_that_may_not_have_run_is_not_given_up() {
+    let mut cell = FakeCell::new(4);
+    cell.submit(job("1", vec![step(1)]));
+    let mut crashes = 0;
+    for _ in 0..1_000 {
+        cell.workers.values_mut().for_each(|worker| worker.defers_starts = true);
+        cell.run(10);
+        let mut workers = cell.workers.values();
+        let at = workers.find(|worker| !worker.is_silent && !worker.deferred_starts.is_empty());
+        if let Some(id) = at.map(|worker| worker.report.id.clone()) {
+            cell.crash(&id);
+            crashes += 1;
+        }
+        if crashes == 2 {
+            break;
+        }
+    }
+    assert_eq!(crashes, 2);
+    cell.run(3_100);
+    cell.workers.values_mut().for_each(|worker| worker.defers_starts = false);
+    cell.run(10_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+}
+
 /// Crashed workers are away for longer than their leases last, so the task starts elsewhere before
 /// it is known that the first worker has crashed.
 #[test]
--- a/crates/cell/tests/cell/support/crash.rs
+++ b/crates/cell/tests/cell/support/crash.rs
@@ -17,6 +17,8 @@
     pub(crate) jobs: BTreeSet<String>,
     pub(crate) after_ms: u64,
     pub(crate) down_ms: u64,
+    /// Crashed workers lose their registrations, and come back under new ids at their addresses.
+    pub(crate) renames: bool,
     /// Times at which crashed workers are back, and times of crashes that are due, by worker.
     back_ms: BTreeMap<String, u64>,
     due_ms: BTreeMap<String, u64>,
@@ -32,6 +34,7 @@
             jobs: BTreeSet::new(),
             after_ms: CRASH_AFTER_MS,
             down_ms: DOWN_MS,
+            renames: false,
             back_ms: BTreeMap::new(),
             due_ms: BTreeMap::new(),
             crashes: BTreeMap::new(),
@@ -100,13 +103,18 @@
         for run in worker.runs.drain(..) {
             *self.crashing.crashes.entry(run.task).or_default() += 1;
         }
+        worker.is_unlisted = self.crashing.renames;
+        self.list_workers();
     }
 
-    /// Starts the next incarnation of a crashed worker under its id.
+    /// Starts the next incarnation of a crashed worker, under its id or another one.
     fn restart_worker(&mut self, id: &str) {
         let worker = self.workers.get_mut(id).unwrap();
         let mut report = worker.report.clone();
         report.incarnation += 1;
+        if self.crashing.renames {
+            report.id = format!("{id}-{}", report.incarnation);
+        }
         *worker = FakeWorker { report, started_ms: self.now_ms, ..FakeWorker::default() };
         self.list_workers();
     }
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -64,6 +64,8 @@
     pub(crate) defers_next_starts: usize,
     /// All start requests after a deferred one are refused.
     pub(crate) refuses_starts: bool,
+    /// The worker's registration has expired.
+    pub(crate) is_unlisted: bool,
     /// All tasks fail.
     pub(crate) fails: bool,
     /// Time that a stop takes, in milliseconds.
@@ -294,7 +296,8 @@
 
     /// Sends the list of workers to the core.
     pub(crate) fn list_workers(&mut self) {
-        let reports = self.workers.values().map(|worker| worker.report.clone()).collect();
+        let listed = self.workers.values().filter(|worker| !worker.is_unlisted);
+        let reports = listed.map(|worker| worker.report.clone()).collect();
         self.apply(CellInput::Workers(reports));
     }
 
@@ -539,6 +542,9 @@
         let resources = self.step_of(&request.task).resources();
         let ends_ms = now_ms + self.run_ms;
         let worker = self.workers.get_mut(&request.address).unwrap();
+        if worker.report.id != request.worker_id {
+            return StartOutcome::Refused(StartRefusal::Incarnation);
+        }
         if token < worker.token {
             return StartOutcome::Refused(StartRefusal::Fenced);
         }
@@ -601,7 +607,8 @@
         let attempt: AttemptKey = request.attempt;
         let token = self.token;
         let worker = self.workers.get_mut(&request.address).unwrap();
-        let is_acknowledged = !worker.is_silent && token >= worker.token;
+        let is_same = worker.report.id == request.worker_id;
+        let is_acknowledged = !worker.is_silent && is_same && token >= worker.token;
         if is_acknowledged {
             worker.token = token;
             worker.fenced.insert((request.task.clone(), request.number));
@@ -619,7 +626,7 @@
         let worker = self.workers.get_mut(&request.address).unwrap();
         let outcome = if worker.is_silent {
             RenewOutcome::Unknown
-        } else if worker.is_replaced {
+        } else if worker.is_replaced || worker.report.id != request.worker_id {
             RenewOutcome::Incarnation
         } else if token < worker.token {
             RenewOutcome::Fenced
