Send no stop to a worker that does not respond

Cause, from the logs: request_window_full with requests=8 ready=51 from second 12 to 16, unchanged. Stops come first, each takes a place in the window until it times out after 350 ms, and is repeated every 600 ms: 14 attempts to stop on workers that are down fill a window of eight for as long as their leases last, and as half of all requests are lost, the window stays at its minimum. Change: a worker that does not respond to renewals gets its stops once it does; renewals go on as the probe. Test: stops_at_silent_workers_do_not_delay_starts, 0 of 40 started before.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -321,14 +321,18 @@
     }
 
     /// Sends the stop requests that are due, and repeats those that were not acknowledged, as far as
-    /// the window has space.
+    /// the window has space. A worker that does not respond to renewals gets them once it does: until
+    /// then they would time out, and keep other requests waiting.
     pub(super) fn send_stops(&mut self) {
         let now_ms = self.time.now_ms;
         let CellCore { attempts, stopping, .. } = self;
         stopping.retain(|key| {
             attempts.get(*key).is_some_and(|attempt| attempt.state == AttemptState::Stopping)
         });
-        let is_due = |key: &AttemptKey| self.attempts[*key].stop_due_ms <= now_ms;
+        let is_due = |key: &AttemptKey| {
+            let attempt = &self.attempts[*key];
+            attempt.stop_due_ms <= now_ms && !self.workers[attempt.worker].is_silent
+        };
         let due: Vec<AttemptKey> = self.stopping.iter().copied().filter(is_due).collect();
         for key in due {
             if !self.request_window.try_send(now_ms) {
--- a/crates/cell/tests/cell/load.rs
+++ b/crates/cell/tests/cell/load.rs
@@ -199,3 +199,33 @@
     let starts = cell.starts.iter().filter(|(task, ..)| task.starts_with("1.")).count();
     assert!(starts >= 2, "the task of the service does not start again");
 }
+
+/// A tenth of the workers do not respond while all that runs on them is cancelled. Their stop requests
+/// time out, and must not keep the starts of others waiting.
+#[test]
+fn stops_at_silent_workers_do_not_delay_starts() {
+    let mut cell = FakeCell::new(40);
+    cell.has_timeouts = true;
+    cell.run_ms = 5_000;
+    for id in 0..32 {
+        cell.submit(job(&id.to_string(), vec![step(5)]));
+    }
+    cell.run(500);
+    let busy = cell.workers.values().filter(|worker| !worker.runs.is_empty());
+    let silent: Vec<String> = busy.map(|worker| worker.report.id.clone()).take(20).collect();
+    for id in &silent {
+        cell.workers.get_mut(id).unwrap().is_silent = true;
+    }
+    for id in 0..32 {
+        cell.apply(CellInput::Cancel { id: id.to_string(), reply: id });
+    }
+    cell.run(2_000);
+    for id in 100..140 {
+        let mut record = job(&id.to_string(), vec![step(1)]);
+        record.accepted_ms = cell.wall_ms();
+        cell.submit(record);
+    }
+    cell.run(1_500);
+    let started = cell.starts.iter().filter(|(task, ..)| task.len() == "100.0.0.0".len()).count();
+    assert_eq!(started, 40);
+}
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -197,6 +197,11 @@
     /// a link, workers respond at once.
     waiting_renewals: Vec<(u64, RenewRequest)>,
     pub(crate) crashing: CrashingTasks,
+    /// Requests to workers that do not respond take as long as a request may. Otherwise they fail at
+    /// once.
+    pub(crate) has_timeouts: bool,
+    /// Requests without a response, with the times at which they time out.
+    unanswered: Vec<(u64, CellAction)>,
 }
 
 /// Creates a step whose tasks use one core each.
@@ -259,6 +264,8 @@
             link: None,
             waiting_renewals: Vec::new(),
             crashing: CrashingTasks::default(),
+            has_timeouts: false,
+            unanswered: Vec::new(),
         };
         for index in 0..workers {
             cell.add_worker(&format!("w{index}"), 1, &format!("r{}", index % 2));
@@ -347,6 +354,7 @@
             self.end_runs();
             self.crash_workers();
             self.run_link();
+            self.time_out_requests();
             for _ in 0..4 {
                 let actions = self.core.tick(self.now_ms, self.wall_ms());
                 actions.into_iter().for_each(|action| self.perform(action));
@@ -378,6 +386,7 @@
     }
 
     fn perform(&mut self, action: CellAction) {
+        let Some(action) = self.hold_unanswered(action) else { return };
         if let Some(link) = &mut self.link
             && let CellAction::Start(_) | CellAction::Stop(_) | CellAction::Renew(_) = &action
         {
@@ -386,6 +395,38 @@
         self.deliver(action);
     }
 
+    /// Holds a request to a worker that does not respond until it times out.
+    fn hold_unanswered(&mut self, action: CellAction) -> Option<CellAction> {
+        let (address, timeout_ms) = match &action {
+            CellAction::Start(request) => (&request.address, REQUEST_TIMEOUT_MS),
+            CellAction::Stop(request) => (&request.address, REQUEST_TIMEOUT_MS),
+            CellAction::Renew(request) => (&request.address, request.wait_ms + REQUEST_TIMEOUT_MS),
+            _ => return Some(action),
+        };
+        if !self.has_timeouts || !self.workers[address].is_silent {
+            return Some(action);
+        }
+        self.unanswered.push((self.now_ms + timeout_ms, action));
+        None
+    }
+
+    fn time_out_requests(&mut self) {
+        let now_ms = self.now_ms;
+        let requests = std::mem::take(&mut self.unanswered);
+        let (late, left): (Vec<_>, Vec<_>) =
+            requests.into_iter().partition(|(at, _)| *at <= now_ms);
+        self.unanswered = left;
+        for (_, action) in late {
+            match action {
+                CellAction::Start(StartRequest { attempt, .. }) => {
+                    let outcome = StartOutcome::Unknown;
+                    self.apply(CellInput::StartFinished { attempt, outcome, clock_ms: None });
+                }
+                other => self.lose(other),
+            }
+        }
+    }
+
     fn answer_waiting_renewals(&mut self) {
         let waiting = std::mem::take(&mut self.waiting_renewals);
         let (due, later): (Vec<_>, Vec<_>) =
