Split what is known of crashes into modules of one type each

No change of behaviour: the task's counts, the times of losses, the suspects of a crash, the suspected queues and what a placement left waiting have files of their own.

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -166,11 +166,12 @@
         if step.is_gang {
             roomy.reverse();
         }
-        let suits = |key: &WorkerKey| self.risk(phase, *key) == 0;
+        let is_kept_apart = self.is_kept_apart(phase);
+        let suits = |key: &WorkerKey| !self.is_risky(*key, is_kept_apart);
         let (suitable, mixed): (Vec<WorkerKey>, Vec<WorkerKey>) =
             roomy.iter().copied().partition(suits);
         let mut roomy = if suitable.is_empty() { mixed } else { suitable };
-        if self.is_kept_apart(phase) {
+        if is_kept_apart {
             roomy.sort_by_key(|key| self.exposure(*key));
         }
         let (rotated, rest) = roomy.split_at(roomy.len().div_ceil(ROTATED_SHARE));
--- a/crates/cell/src/core/losses.rs
+++ b/crates/cell/src/core/losses.rs
@@ -18,38 +18,15 @@
         AttemptKey, JobKey, JobState, LostAttempt, WorkerKey, WorkerReport,
         keys::LossKey,
         message::TaskRef,
-        table::{AttemptEntry, AttemptState, LossEntry, TaskEntry},
+        table::{AttemptEntry, AttemptState, LossEntry, MIN_PROBATION_MS, TaskEntry},
     },
     rustc_hash::FxHashSet,
-    std::collections::VecDeque,
 };
 
-/// Shortest probation, in milliseconds. A task that was started as long before the loss of its worker
-/// may be the cause.
-const MIN_PROBATION_MS: u64 = 150;
-/// Longest probation, in milliseconds.
-const MAX_PROBATION_MS: u64 = 5_000;
-/// Probation of a task of which it is not known how long it ran before the crash, in milliseconds.
-const DEFAULT_PROBATION_MS: u64 = 1_000;
-/// Factor by which a probation exceeds the time for which the task ran before the crash.
-const PROBATION_FACTOR: u64 = 2;
 /// Tasks that were started on a worker within this time count as started together, in milliseconds.
 const START_SPREAD_MS: u64 = 20;
-/// Number of crashes under a task after which its job is given up if it was the only suspect at the
-/// last one.
-const MIN_CRASHES: u32 = 2;
-/// Number of crashes under a task from which it is a suspect whenever it was started.
-const SUSPECT_CRASHES: u32 = 3;
-/// Number of crashes under a task after which its job is given up in any case.
-const MAX_CRASHES: u32 = 5;
 /// Time for which an attempt has to run until its task is no longer suspected, in milliseconds.
 const CLEARED_AFTER_MS: u64 = 30_000;
-/// Workers that are lost within this time of each other, in milliseconds, are lost together.
-const SIMULTANEOUS_MS: u64 = 30;
-/// Minimum number of workers that are lost together for a common cause.
-const MIN_SIMULTANEOUS: usize = 4;
-/// One in this many workers has to be lost together for a common cause.
-const SIMULTANEOUS_SHARE: usize = 32;
 /// Time for which it may become known that a lost worker crashed, in milliseconds.
 const UNRESOLVED_MS: u64 = 60_000;
 
@@ -65,69 +42,6 @@
     LeaseExpiry,
 }
 
-/// Times at which workers were lost, oldest first.
-#[derive(Debug, Default)]
-pub(super) struct LossTimes {
-    times_ms: VecDeque<u64>,
-}
-
-impl LossTimes {
-    pub(super) fn record(&mut self, lost_ms: u64) {
-        while self.times_ms.front().is_some_and(|time_ms| time_ms + UNRESOLVED_MS < lost_ms) {
-            self.times_ms.pop_front();
-        }
-        self.times_ms.push_back(lost_ms);
-    }
-
-    /// Returns the number of workers that were lost at about this time.
-    fn count_near(&self, lost_ms: u64) -> usize {
-        self.times_ms.iter().filter(|time_ms| time_ms.abs_diff(lost_ms) <= SIMULTANEOUS_MS).count()
-    }
-}
-
-impl TaskEntry {
-    /// Returns whether the task may have crashed a worker.
-    pub(super) fn is_suspected(&self) -> bool {
-        self.probation_ms > 0
-    }
-
-    /// Makes the task a suspect after it ran for some time on a worker that was lost.
-    fn suspect(&mut self, ran_ms: Option<u64>) {
-        let probation_ms = ran_ms.map_or(DEFAULT_PROBATION_MS, |ms| ms * PROBATION_FACTOR);
-        let probation_ms = probation_ms.clamp(MIN_PROBATION_MS, MAX_PROBATION_MS);
-        self.probation_ms = self.probation_ms.max(probation_ms);
-    }
-
-    /// Counts a crash of a worker that ran the task, or may have.
-    fn add_crash(&mut self, ran_ms: Option<u64>, has_begun: bool) {
-        match has_begun {
-            true => self.crashes += 1,
-            false => self.possible_crashes += 1,
-        }
-        if self.crashes + self.possible_crashes >= SUSPECT_CRASHES {
-            self.suspect(ran_ms);
-        }
-    }
-
-    /// Returns whether so many workers crashed under the task, with and without proof that they ran it,
-    /// that at least [`MIN_CRASHES`] of them did.
-    fn has_crashed_workers(&self) -> bool {
-        self.crashes >= MIN_CRASHES || self.crashes + self.possible_crashes > MIN_CRASHES
-    }
-
-    /// Returns whether too many workers crashed under the task to start it again.
-    pub(super) fn has_crashed_too_often(&self) -> bool {
-        self.crashes + self.possible_crashes >= MAX_CRASHES
-    }
-}
-
-/// The suspects of one crash.
-#[derive(Debug)]
-pub(super) struct SuspectGroup {
-    tasks: Vec<TaskRef>,
-    recorded_ms: u64,
-}
-
 impl CellCore {
     /// Records that all attempts on a worker are lost.
     pub(super) fn record_losses(&mut self, worker: WorkerKey, cause: LossCause) {
@@ -151,31 +65,17 @@
         let is_last =
             |key: &AttemptKey| last_ms <= Some(self.attempts[*key].start_sent_ms + START_SPREAD_MS);
         let suspects: Vec<AttemptKey> = recent.iter().copied().filter(is_last).collect();
-        self.add_suspect_group(&suspects);
+        let tasks = suspects.iter().map(|key| self.attempts[*key].task()).collect();
+        self.suspect_groups.add(tasks, self.time.now_ms);
         for key in lost {
             let is_suspect = suspects.contains(&key);
             self.record_loss(key, cause, is_suspect, is_suspect && jobs.len() == 1);
         }
     }
 
-    fn add_suspect_group(&mut self, suspects: &[AttemptKey]) {
-        let recorded_ms = self.time.now_ms;
-        let oldest_ms = recorded_ms.saturating_sub(UNRESOLVED_MS);
-        self.suspect_groups.retain(|group| group.recorded_ms >= oldest_ms);
-        if suspects.len() > 1 {
-            let tasks = suspects.iter().map(|key| self.attempts[*key].task()).collect();
-            self.suspect_groups.push(SuspectGroup { tasks, recorded_ms });
-        }
-    }
-
     /// Clears the tasks that were suspected only beside a task of a job that was given up.
     fn clear_suspects_beside(&mut self, job: JobKey) {
-        let is_beside = |group: &SuspectGroup| group.tasks.iter().any(|task| task.phase.job == job);
-        let (explained, left) =
-            std::mem::take(&mut self.suspect_groups).into_iter().partition(is_beside);
-        self.suspect_groups = left;
-        let explained: Vec<SuspectGroup> = explained;
-        for task in explained.into_iter().flat_map(|group| group.tasks) {
+        for task in self.suspect_groups.take_beside(job) {
             if self.has_task(task) && !self.task(task).has_crashed_workers() {
                 self.task_mut(task).probation_ms = 0;
                 self.mark_dirty(task.phase.job, None);
@@ -208,8 +108,7 @@
     }
 
     pub(super) fn is_simultaneous(&self, lost_ms: u64) -> bool {
-        let share = self.workers.len() / SIMULTANEOUS_SHARE;
-        self.loss_times.count_near(lost_ms) >= share.max(MIN_SIMULTANEOUS)
+        self.loss_times.have_common_cause(lost_ms, self.workers.len())
     }
 
     fn task(&self, task: TaskRef) -> &TaskEntry {
@@ -367,9 +266,7 @@
         let entry = self.task_mut(task);
         let crashes = entry.crashes + entry.possible_crashes;
         if (entry.is_suspected() || crashes > 0) && ran_ms >= CLEARED_AFTER_MS {
-            entry.probation_ms = 0;
-            entry.crashes = 0;
-            entry.possible_crashes = 0;
+            entry.clear();
             self.mark_dirty(task.phase.job, None);
         }
         if is_on_probation && ran_ms >= self.task(task).probation_ms {
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -15,6 +15,7 @@
 mod completion;
 mod jobs;
 mod leases;
+mod loss_times;
 mod losses;
 mod pending;
 mod placement;
@@ -22,6 +23,9 @@
 mod request_window;
 mod segregation;
 mod shares;
+mod suspect_backlog;
+mod suspect_groups;
+mod suspect_queues;
 mod worker_speed;
 mod workers;
 
@@ -34,14 +38,15 @@
     },
     admission::BacklogLoad,
     commit::CommitQueue,
-    losses::{LossTimes, SuspectGroup},
-    probation::SuspectBacklog,
+    loss_times::LossTimes,
     request_window::RequestWindow,
     rustc_hash::FxHashMap,
-    segregation::SuspectQueues,
     shares::TeamShares,
     slotmap::SlotMap,
     std::{collections::VecDeque, sync::Arc},
+    suspect_backlog::SuspectBacklog,
+    suspect_groups::SuspectGroups,
+    suspect_queues::SuspectQueues,
 };
 
 /// A time on both clocks.
@@ -80,7 +85,7 @@
     /// Lost attempts of which it is not known whether their workers crashed.
     losses: SlotMap<LossKey, LossEntry>,
     loss_times: LossTimes,
-    suspect_groups: Vec<SuspectGroup>,
+    suspect_groups: SuspectGroups,
     suspect_backlog: SuspectBacklog,
     suspect_queues: SuspectQueues,
     advice_calls: SlotMap<AdviceCallKey, AdviceCallEntry>,
@@ -133,7 +138,7 @@
             attempts: SlotMap::with_key(),
             losses: SlotMap::with_key(),
             loss_times: LossTimes::default(),
-            suspect_groups: Vec::new(),
+            suspect_groups: SuspectGroups::default(),
             suspect_backlog: SuspectBacklog::default(),
             suspect_queues: SuspectQueues::default(),
             advice_calls: SlotMap::with_key(),
--- a/crates/cell/src/core/placement.rs
+++ b/crates/cell/src/core/placement.rs
@@ -185,12 +185,13 @@
                     .collect()
             }
         };
+        let is_kept_apart = self.is_kept_apart(phase);
         workers.sort_by_cached_key(|key| {
             let worker = &self.workers[*key];
             let is_remote = !step.data_rack.is_empty() && worker.rack() != step.data_rack;
-            let load = if self.is_kept_apart(phase) { self.exposure(*key) } else { (false, 0) };
+            let load = if is_kept_apart { self.exposure(*key) } else { (false, 0) };
             (
-                self.risk(phase, *key) > 0,
+                self.is_risky(*key, is_kept_apart),
                 is_remote,
                 is_slow(worker.slowness),
                 load,
--- a/crates/cell/src/core/probation.rs
+++ b/crates/cell/src/core/probation.rs
@@ -8,6 +8,7 @@
 use {
     super::{
         CellCore, available::AvailableWorkers, losses::CRASH_REASON, placement::PlacementOutcome,
+        suspect_backlog::SuspectBacklog,
     },
     crate::{AttemptKey, JobState, WorkerKey, message::PhaseRef, table::TaskEntry},
 };
@@ -23,31 +24,6 @@
 /// Number of attempts by which a suspect's worker may exceed the worker with the fewest.
 const MAX_EXTRA_ATTEMPTS: usize = 2;
 
-/// Steps that could not be placed.
-#[derive(Debug, Default)]
-pub(super) struct SuspectBacklog {
-    /// Number of steps with suspects that waited at the last placement.
-    waiting: usize,
-    /// Other steps waited for capacity then.
-    is_capacity_scarce: bool,
-    /// The same of the present placement, so far.
-    blocked: usize,
-    has_others: bool,
-}
-
-impl SuspectBacklog {
-    /// Begins a placement.
-    pub(super) fn begin(&mut self) {
-        self.waiting = std::mem::take(&mut self.blocked);
-        self.is_capacity_scarce = std::mem::take(&mut self.has_others);
-    }
-
-    /// Records that a step without suspects waits for capacity.
-    pub(super) fn record_other(&mut self) {
-        self.has_others = true;
-    }
-}
-
 impl CellCore {
     /// Returns whether a suspected task of a phase waits to be placed.
     pub(super) fn has_waiting_suspect(&self, phase: PhaseRef) -> bool {
@@ -103,8 +79,8 @@
         available: &AvailableWorkers,
         budget: &mut usize,
     ) -> PlacementOutcome {
-        let members: Vec<usize> =
-            (0..self.jobs[phase.job].phases[phase.phase].tasks.len()).collect();
+        let tasks = &self.jobs[phase.job].phases[phase.phase].tasks;
+        let members: Vec<usize> = (0..tasks.len()).collect();
         let is_allowed = self.within_limit(phase, members.len()) == members.len();
         if !self.has_probation_worker() || !is_allowed {
             return PlacementOutcome::Blocked;
@@ -133,7 +109,9 @@
             .max(if is_capacity_scarce { 0 } else { used + idle })
             .max(MIN_PROBATION_WORKERS);
         let has_worker = used < limit;
-        self.suspect_backlog.blocked += usize::from(!has_worker);
+        if !has_worker {
+            self.suspect_backlog.record_suspects();
+        }
         has_worker
     }
 
--- a/crates/cell/src/core/segregation.rs
+++ b/crates/cell/src/core/segregation.rs
@@ -2,42 +2,15 @@
 //!
 //! The first crash under a task cannot be prevented, but it can be made to hit little. When workers
 //! are lost again and again just after tasks of one queue were started on them, the queue's next tasks
-//! are placed together on few workers, not many on each, and the tasks of other queues elsewhere, as
-//! long as there is capacity for that. No task waits for it.
+//! go to workers without members of gangs and with few attempts, and the tasks of other queues elsewhere,
+//! as long as there is capacity for that. No task waits for it.
 
 use {
     super::CellCore,
     crate::{AttemptKey, WorkerKey, message::PhaseRef},
-    rustc_hash::{FxHashMap, FxHashSet},
-    std::collections::VecDeque,
+    rustc_hash::FxHashSet,
 };
 
-/// Time for which the loss of a worker counts against a queue, in milliseconds.
-const SUSPICION_MS: u64 = 5_000;
-/// Number of such losses from which a queue is kept apart.
-const MIN_LOSSES: usize = 2;
-
-/// Recent losses of workers just after a task of one queue was started, by queue.
-#[derive(Debug, Default)]
-pub(super) struct SuspectQueues {
-    losses_ms: FxHashMap<String, VecDeque<u64>>,
-}
-
-impl SuspectQueues {
-    fn record(&mut self, queue: &str, now_ms: u64) {
-        let losses = self.losses_ms.entry(queue.to_owned()).or_default();
-        losses.push_back(now_ms);
-        while losses.len() > MIN_LOSSES {
-            losses.pop_front();
-        }
-    }
-
-    fn is_suspected(&self, queue: &str, now_ms: u64) -> bool {
-        let losses = self.losses_ms.get(queue).filter(|losses| losses.len() >= MIN_LOSSES);
-        losses.and_then(VecDeque::front).is_some_and(|first_ms| now_ms < first_ms + SUSPICION_MS)
-    }
-}
-
 impl CellCore {
     /// Records a queue whose task was the last to be started on a worker that was just lost.
     pub(super) fn suspect_queue(&mut self, worker: WorkerKey) {
@@ -52,9 +25,7 @@
         let mut queues = queues.into_iter();
         if let (Some(queue), None) = (queues.next(), queues.next()) {
             let queue = queue.to_owned();
-            let was_suspected = self.suspect_queues.is_suspected(&queue, lost_ms);
-            self.suspect_queues.record(&queue, lost_ms);
-            if !was_suspected && self.suspect_queues.is_suspected(&queue, lost_ms) {
+            if self.suspect_queues.record(&queue, lost_ms) {
                 self.log("queue_kept_apart", queue, "workers were lost after starts of its tasks");
             }
         }
@@ -73,12 +44,12 @@
         (attempts == 0, attempts)
     }
 
-    /// Returns how much would be lost if a task of a phase crashed a worker or was crashed there.
-    pub(super) fn risk(&self, phase: PhaseRef, key: WorkerKey) -> usize {
+    /// Returns whether tasks that are kept apart, or others, should not be placed on a worker.
+    pub(super) fn is_risky(&self, key: WorkerKey, is_kept_apart: bool) -> bool {
         let worker = &self.workers[key];
-        match (self.is_kept_apart(phase), self.is_gang(phase)) {
-            (true, _) => worker.gang_members,
-            (false, _) => worker.kept_apart,
+        match is_kept_apart {
+            true => worker.gang_members > 0,
+            false => worker.kept_apart > 0,
         }
     }
 }
--- a/crates/cell/src/table/mod.rs
+++ b/crates/cell/src/table/mod.rs
@@ -16,6 +16,6 @@
     loss::LossEntry,
     phase::{AttemptLocation, PhaseEntry, TicketEntry},
     phase_retry::PhaseRetry,
-    task::TaskEntry,
+    task::{MIN_PROBATION_MS, TaskEntry},
     worker::{WorkerEntry, longest_lease_ms},
 };
--- a/crates/cell/src/table/task.rs
+++ b/crates/cell/src/table/task.rs
@@ -1,7 +1,24 @@
-//! Tasks.
+//! Tasks, and how often workers crashed under them.
 
 use crate::{AttemptKey, LostAttempt};
 
+/// Shortest probation, in milliseconds. A task that was started as long before the loss of its worker
+/// may be the cause.
+pub(crate) const MIN_PROBATION_MS: u64 = 150;
+/// Longest probation, in milliseconds.
+const MAX_PROBATION_MS: u64 = 5_000;
+/// Probation of a task of which it is not known how long it ran before the crash, in milliseconds.
+const DEFAULT_PROBATION_MS: u64 = 1_000;
+/// Factor by which a probation exceeds the time for which the task ran before the crash.
+const PROBATION_FACTOR: u64 = 2;
+/// Number of crashes under a task after which its job is given up if it was the only suspect at the
+/// last one.
+const MIN_CRASHES: u32 = 2;
+/// Number of crashes under a task from which it is a suspect whenever it was started.
+const SUSPECT_CRASHES: u32 = 3;
+/// Number of crashes under a task after which its job is given up in any case.
+const MAX_CRASHES: u32 = 5;
+
 /// A task of a phase.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct TaskEntry {
@@ -29,4 +46,45 @@
     pub(crate) fn is_waiting(&self) -> bool {
         !self.is_done && self.attempt.is_none()
     }
+
+    /// Returns whether the task may have crashed a worker.
+    pub(crate) fn is_suspected(&self) -> bool {
+        self.probation_ms > 0
+    }
+
+    /// Makes the task a suspect after it ran for some time on a worker that was lost.
+    pub(crate) fn suspect(&mut self, ran_ms: Option<u64>) {
+        let probation_ms = ran_ms.map_or(DEFAULT_PROBATION_MS, |ms| ms * PROBATION_FACTOR);
+        let probation_ms = probation_ms.clamp(MIN_PROBATION_MS, MAX_PROBATION_MS);
+        self.probation_ms = self.probation_ms.max(probation_ms);
+    }
+
+    /// Counts a crash of a worker that ran the task, or may have.
+    pub(crate) fn add_crash(&mut self, ran_ms: Option<u64>, has_begun: bool) {
+        match has_begun {
+            true => self.crashes += 1,
+            false => self.possible_crashes += 1,
+        }
+        if self.crashes + self.possible_crashes >= SUSPECT_CRASHES {
+            self.suspect(ran_ms);
+        }
+    }
+
+    /// Returns whether so many workers crashed under the task, with and without proof that they ran it,
+    /// that at least [`MIN_CRASHES`] of them did.
+    pub(crate) fn has_crashed_workers(&self) -> bool {
+        self.crashes >= MIN_CRASHES || self.crashes + self.possible_crashes > MIN_CRASHES
+    }
+
+    /// Returns whether too many workers crashed under the task to start it again.
+    pub(crate) fn has_crashed_too_often(&self) -> bool {
+        self.crashes + self.possible_crashes >= MAX_CRASHES
+    }
+
+    /// Clears the task of all suspicion.
+    pub(crate) fn clear(&mut self) {
+        self.probation_ms = 0;
+        self.crashes = 0;
+        self.possible_crashes = 0;
+    }
 }
