--- a/crates/cli/src/job_timeline.rs
+++ b/crates/cli/src/job_timeline.rs
@@ -69,6 +69,10 @@
             ("start_unanswered" | "worker_silent", _) => {
                 "a worker was silent, and its leases had to run out"
             }
+            (_, "attempt_lost") => "a worker was lost, until it was known what became of it",
+            ("attempt_lost", _) => {
+                "a task had just been started on a worker that was lost, and waited to be tried alone"
+            }
             ("phase_placed" | "advice", "job_ended") => "the tasks ran",
             ("store_lost" | "write_unanswered", _) => "the store gave no usable answer",
             ("leading_ended" | "resigning" | "resigning_to_stronger", _) | (_, "leading") => {
--- a/crates/cli/tests/cli/explain.rs
+++ b/crates/cli/tests/cli/explain.rs
@@ -18,11 +18,25 @@
 {"msg":"leading_ended","level":"INFO","ts":"2026-02-01T00:00:09.000Z","host":"edge-b","term":1}
 "#;
 
+/// A task crashes a worker, and crashes another one when it is tried alone.
+const CRASH_LOG: &str = r#"
+{"msg":"phase_placed","ts":"2026-02-01T00:00:05.066Z","host":"edge-b","detail":"tasks=1","subject":"844365503ea47f00.0.0"}
+{"msg":"worker_silent","ts":"2026-02-01T00:00:05.085Z","host":"edge-b","detail":"waited_ms=13","subject":"i-a7"}
+{"msg":"attempt_lost","ts":"2026-02-01T00:00:08.355Z","host":"edge-b","detail":"attempt=1 worker=i-a7 cause=Crash ran_ms=16","subject":"844365503ea47f00.0.0.0"}
+{"msg":"attempt_on_probation","ts":"2026-02-01T00:00:13.421Z","host":"edge-b","detail":"attempt=2 worker=i-b1 ","subject":"844365503ea47f00.0.0.0"}
+{"msg":"job_ended","ts":"2026-02-01T00:00:16.900Z","host":"edge-b","detail":"state=Failed reason=a task crashed its workers","subject":"844365503ea47f00"}
+"#;
+
 fn explain(args: &[&str]) -> (Option<i32>, String) {
+    explain_logs(args, [EDGE_LOG, LEADER_LOG])
+}
+
+fn explain_logs(args: &[&str], logs: [&str; 2]) -> (Option<i32>, String) {
     let directory = tempfile::tempdir().expect("a directory");
     let paths = ["edge.log", "leader.log"].map(|name| directory.path().join(name));
-    fs::write(&paths[0], EDGE_LOG).expect("a written log");
-    fs::write(&paths[1], LEADER_LOG).expect("a written log");
+    for (path, log) in paths.iter().zip(logs) {
+        fs::write(path, log).expect("a written log");
+    }
     let paths = paths.each_ref().map(|path| path.to_str().expect("a UTF-8 path"));
     let run = run_tool(&[&["explain"], args, &paths[..]].concat(), &[]);
     (run.code, run.stdout)
@@ -42,6 +56,15 @@
     }
 }
 
+#[test]
+fn a_timeline_shows_why_a_job_that_crashes_workers_waited() {
+    let (code, text) = explain_logs(&["844365503ea47f00"], ["", CRASH_LOG]);
+    assert_eq!(code, Some(0));
+    let cause =
+        "5066 ms between attempt_lost and attempt_on_probation: a task had just been started";
+    assert!(text.contains(cause), "{text}");
+}
+
 #[test]
 fn a_timeline_can_be_printed_as_json() {
     let (code, text) = explain(&["844365503ea47f00", "--output", "json"]);
