Look for suspects only in steps of which a worker was lost

A placement looked through all tasks of each step in the backlog, 250 times a second, and kept a list of those to place also when no worker fits one. No change of behaviour.

--- a/crates/cell/src/core/losses.rs
+++ b/crates/cell/src/core/losses.rs
@@ -157,8 +157,11 @@
         }
     }
 
+    /// Returns a task whose attempt was lost.
     fn task_mut(&mut self, task: TaskRef) -> &mut TaskEntry {
-        &mut self.jobs[task.phase.job].phases[task.phase.phase].tasks[task.index]
+        let phase = &mut self.jobs[task.phase.job].phases[task.phase.phase];
+        phase.has_losses = true;
+        &mut phase.tasks[task.index]
     }
 
     /// Returns the estimated time at which an attempt's worker was lost.
@@ -263,10 +266,8 @@
         let started_ms = if attempt.start_sent_ms > 0 { attempt.start_sent_ms } else { since_ms };
         let ran_ms = self.time.now_ms.saturating_sub(started_ms);
         let (task, is_on_probation) = (attempt.task(), attempt.is_on_probation);
-        let entry = self.task_mut(task);
-        let crashes = entry.crashes + entry.possible_crashes;
-        if (entry.is_suspected() || crashes > 0) && ran_ms >= CLEARED_AFTER_MS {
-            entry.clear();
+        if self.task(task).has_losses() && ran_ms >= CLEARED_AFTER_MS {
+            self.task_mut(task).clear();
             self.mark_dirty(task.phase.job, None);
         }
         if is_on_probation && ran_ms >= self.task(task).probation_ms {
--- a/crates/cell/src/core/placement.rs
+++ b/crates/cell/src/core/placement.rs
@@ -84,37 +84,38 @@
         if is_gang && entry.unassigned < entry.unfinished {
             return PlacementOutcome::Blocked;
         }
+        if !entry.has_losses {
+            let count = entry.unassigned;
+            return self.place_tasks(phase, count, available, budget);
+        }
         if self.gives_up_crashing(phase) {
             return PlacementOutcome::Blocked;
         }
         let entry = &self.jobs[phase.job].phases[phase.phase];
-        let waiting = (0..entry.tasks.len()).filter(|index| entry.tasks[*index].is_waiting());
-        let (suspects, others): (Vec<usize>, Vec<usize>) =
-            waiting.partition(|index| entry.tasks[*index].is_suspected());
-        if suspects.is_empty() {
-            return self.place_tasks(phase, &others, available, budget);
-        }
-        if is_gang {
+        let suspects = entry.waiting_tasks(true);
+        let others = entry.unassigned.saturating_sub(suspects.len());
+        if is_gang && !suspects.is_empty() {
             return self.place_suspect_gang(phase, available, budget);
         }
-        let outcome = self.place_tasks(phase, &others, available, budget);
+        let outcome = self.place_tasks(phase, others, available, budget);
         outcome.and(self.place_suspects(phase, &suspects, available, budget))
     }
 
-    /// Places as many of these tasks of a step as possible, or all members of a gang.
+    /// Places as many as possible of the `count` tasks of a step that are not suspected of having
+    /// crashed a worker, or all members of a gang.
     fn place_tasks(
         &mut self,
         phase: PhaseRef,
-        tasks: &[usize],
+        count: usize,
         available: &AvailableWorkers,
         budget: &mut usize,
     ) -> PlacementOutcome {
-        if tasks.is_empty() {
+        if count == 0 {
             return PlacementOutcome::Placed;
         }
         let is_gang = self.is_gang(phase);
         // The members of a gang are sent together, even if the window is smaller.
-        let wanted = if is_gang { tasks.len() } else { tasks.len().min(*budget) };
+        let wanted = if is_gang { count } else { count.min(*budget) };
         let allowed = self.within_limit(phase, wanted);
         if allowed == 0 || (is_gang && allowed < wanted) {
             return PlacementOutcome::Blocked;
@@ -126,7 +127,10 @@
         };
         let placed = plan.len();
         *budget = budget.saturating_sub(placed);
-        self.create_attempts(phase, tasks, &plan);
+        if placed > 0 {
+            let tasks = self.jobs[phase.job].phases[phase.phase].waiting_tasks(false);
+            self.create_attempts(phase, &tasks, &plan);
+        }
         if placed < allowed {
             self.suspect_backlog.record_other();
         }
@@ -276,9 +280,6 @@
 
     /// Creates attempts at tasks of a step on the planned workers.
     pub(super) fn create_attempts(&mut self, phase: PhaseRef, tasks: &[usize], plan: &[WorkerKey]) {
-        if plan.is_empty() {
-            return;
-        }
         let entry = &self.jobs[phase.job].phases[phase.phase];
         let gang_number = entry.tasks.iter().map(|task| task.last_number).max().unwrap_or(0) + 1;
         let is_gang = self.jobs[phase.job].record.steps[entry.step].is_gang;
--- a/crates/cell/src/core/probation.rs
+++ b/crates/cell/src/core/probation.rs
@@ -27,8 +27,8 @@
 impl CellCore {
     /// Returns whether a suspected task of a phase waits to be placed.
     pub(super) fn has_waiting_suspect(&self, phase: PhaseRef) -> bool {
-        let tasks = &self.jobs[phase.job].phases[phase.phase].tasks;
-        tasks.iter().any(|task| task.is_waiting() && task.is_suspected())
+        let entry = &self.jobs[phase.job].phases[phase.phase];
+        entry.has_losses && !entry.waiting_tasks(true).is_empty()
     }
 
     /// Gives up a job with a task that has crashed too many workers under former leaders.
@@ -80,7 +80,8 @@
         budget: &mut usize,
     ) -> PlacementOutcome {
         let tasks = &self.jobs[phase.job].phases[phase.phase].tasks;
-        let members: Vec<usize> = (0..tasks.len()).collect();
+        let members: Vec<usize> =
+            (0..tasks.len()).filter(|index| tasks[*index].is_waiting()).collect();
         let is_allowed = self.within_limit(phase, members.len()) == members.len();
         if !self.has_probation_worker() || !is_allowed {
             return PlacementOutcome::Blocked;
--- a/crates/cell/src/table/phase.rs
+++ b/crates/cell/src/table/phase.rs
@@ -38,6 +38,8 @@
     pub(crate) denied: FxHashSet<WorkerKey>,
     pub(crate) advice_call: Option<AdviceCallKey>,
     pub(crate) retry: PhaseRetry,
+    /// Workers have been lost with tasks of the phase, so some may be suspected.
+    pub(crate) has_losses: bool,
     /// Attempt number of the last gang run that was counted as failed.
     failed_run: u32,
 }
@@ -63,6 +65,16 @@
         }
     }
 
+    /// Returns the indexes of the tasks without an attempt that are suspected of having crashed a
+    /// worker, or of the others.
+    pub(crate) fn waiting_tasks(&self, are_suspected: bool) -> Vec<usize> {
+        let tasks = self.tasks.iter().enumerate().filter(|(_, task)| task.is_waiting());
+        tasks
+            .filter(|(_, task)| task.is_suspected() == are_suspected)
+            .map(|(index, _)| index)
+            .collect()
+    }
+
     pub(crate) fn has_started(&self) -> bool {
         self.tasks.iter().any(|task| task.last_number > 0)
     }
@@ -84,6 +96,7 @@
             task.possible_crashes = stored.possible_crashes;
             task.probation_ms = stored.probation_ms;
             task.lost.clone_from(&stored.lost);
+            self.has_losses |= task.has_losses();
             task.checkpoint.clone_from(&stored.checkpoint);
         }
         self.unfinished = self.tasks.iter().filter(|task| !task.is_done).count();
--- a/crates/cell/src/table/task.rs
+++ b/crates/cell/src/table/task.rs
@@ -47,6 +47,11 @@
         !self.is_done && self.attempt.is_none()
     }
 
+    /// Returns whether workers were lost with the task.
+    pub(crate) fn has_losses(&self) -> bool {
+        self.is_suspected() || self.crashes + self.possible_crashes > 0
+    }
+
     /// Returns whether the task may have crashed a worker.
     pub(crate) fn is_suspected(&self) -> bool {
         self.probation_ms > 0
