Blame no task for a crash by a job that has ended; test alone before giving up

Change: attempts of jobs that have ended are possible causes as well, and a job is given up only for a crash during the probation of its task. Test: a_neighbour_is_not_given_up_for_a_job_that_was_cancelled fails without it.

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -77,7 +77,7 @@
         self.back_off_failing();
         self.forget_lost_calls();
         self.update_shares();
-        self.suspect_backlog.begin();
+        self.begin_suspect_backlog();
         let mut prefetch_left = PREFETCH_STEPS;
         let available = self.available_workers();
         let is_planned = |attempt: &&AttemptEntry| attempt.state == AttemptState::Persisting;
--- a/crates/cell/src/core/losses.rs
+++ b/crates/cell/src/core/losses.rs
@@ -42,6 +42,11 @@
     LeaseExpiry,
 }
 
+/// Returns whether an attempt may have been running and has not been recorded as lost.
+fn may_have_run(attempt: &AttemptEntry) -> bool {
+    attempt.state != AttemptState::Persisting && !attempt.is_loss_recorded
+}
+
 impl CellCore {
     /// Records that all attempts on a worker are lost.
     pub(super) fn record_losses(&mut self, worker: WorkerKey, cause: LossCause) {
@@ -49,11 +54,12 @@
             return;
         }
         let lost_ms = self.workers[worker].lost_ms.unwrap_or(self.time.now_ms);
+        // An attempt of a job that has ended may be the cause as well.
         let lost: Vec<AttemptKey> = self.workers[worker]
             .attempts
             .values()
             .copied()
-            .filter(|key| self.may_have_run(&self.attempts[*key]))
+            .filter(|key| may_have_run(&self.attempts[*key]))
             .collect();
         let recent = match self.is_simultaneous(lost_ms) {
             true => Vec::new(),
@@ -67,9 +73,12 @@
         let suspects: Vec<AttemptKey> = recent.iter().copied().filter(is_last).collect();
         let tasks = suspects.iter().map(|key| self.attempts[*key].task()).collect();
         self.suspect_groups.add(tasks, self.time.now_ms);
-        for key in lost {
+        let live: Vec<AttemptKey> =
+            lost.into_iter().filter(|key| self.has_task(self.attempts[*key].task())).collect();
+        for key in live {
             let is_suspect = suspects.contains(&key);
-            self.record_loss(key, cause, is_suspect, is_suspect && jobs.len() == 1);
+            let is_sole = jobs.len() == 1 && is_suspect && self.attempts[key].is_on_probation;
+            self.record_loss(key, cause, is_suspect, is_sole);
         }
     }
 
@@ -99,14 +108,6 @@
         lost.iter().copied().filter(is_recent).collect()
     }
 
-    /// Returns whether an attempt of a live job may have been running and has not been recorded as
-    /// lost.
-    fn may_have_run(&self, attempt: &AttemptEntry) -> bool {
-        let was_sent = attempt.state != AttemptState::Persisting;
-        let job = &self.jobs[attempt.phase.job];
-        was_sent && !attempt.is_loss_recorded && !job.state.is_final()
-    }
-
     pub(super) fn is_simultaneous(&self, lost_ms: u64) -> bool {
         self.loss_times.have_common_cause(lost_ms, self.workers.len())
     }
--- a/crates/cell/src/core/probation.rs
+++ b/crates/cell/src/core/probation.rs
@@ -8,7 +8,6 @@
 use {
     super::{
         CellCore, available::AvailableWorkers, losses::CRASH_REASON, placement::PlacementOutcome,
-        suspect_backlog::SuspectBacklog,
     },
     crate::{AttemptKey, JobState, WorkerKey, message::PhaseRef, table::TaskEntry},
 };
@@ -99,23 +98,36 @@
     }
 
     /// Returns whether another worker may run a suspect. More workers may while many suspects wait, and
-    /// all that are idle while nothing else waits for capacity.
+    /// all that are idle while nothing else needs them.
     fn has_probation_worker(&mut self) -> bool {
-        let SuspectBacklog { waiting, is_capacity_scarce, .. } = self.suspect_backlog;
         let workers = self.workers.len();
         let used = self.workers.values().filter(|worker| worker.probations > 0).count();
-        let idle = self.workers.values().filter(|worker| worker.attempts.is_empty()).count();
+        let for_waiting = self.suspect_backlog.waiting() / WAITING_SHARE;
+        let idle = match self.suspect_backlog.may_use_idle(self.time.now_ms) {
+            true => self.workers.values().filter(|worker| worker.attempts.is_empty()).count(),
+            false => 0,
+        };
         let limit = (workers / PROBATION_SHARE)
-            .max((waiting / WAITING_SHARE).min(workers / MAX_WAITING_SHARE))
-            .max(if is_capacity_scarce { 0 } else { used + idle })
+            .max(for_waiting.min(workers / MAX_WAITING_SHARE))
             .max(MIN_PROBATION_WORKERS);
-        let has_worker = used < limit;
+        let has_worker = used < limit || idle > 0;
         if !has_worker {
             self.suspect_backlog.record_suspects();
         }
         has_worker
     }
 
+    /// Begins a placement: takes stock of what the last one left waiting.
+    pub(super) fn begin_suspect_backlog(&mut self) {
+        let Self { suspect_backlog, workers, time, .. } = self;
+        suspect_backlog.begin(time.now_ms, || {
+            let responsive = || workers.values().filter(|worker| !worker.is_silent);
+            let used: u64 = responsive().map(|worker| worker.used.cpu_millis).sum();
+            let capacity: u64 = responsive().map(|worker| worker.report.capacity.cpu_millis).sum();
+            used * 2 < capacity
+        });
+    }
+
     /// Returns the workers that could run a suspect of a phase now, those with the fewest attempts
     /// first. With an adviser, busier workers than necessary are left out, so that it is asked about
     /// the others.
--- a/crates/cell/src/core/suspect_backlog.rs
+++ b/crates/cell/src/core/suspect_backlog.rs
@@ -1,31 +1,57 @@
-//! Steps that a placement left waiting, as far as the number of probations depends on them.
+//! What placements left waiting, as far as the number of probations depends on it.
 
-/// Steps that could not be placed.
+/// Time for which little of the capacity has to be in use until suspects get all idle workers, in
+/// milliseconds.
+const LOW_USE_MS: u64 = 1_000;
+
+/// Steps that placements left waiting.
 #[derive(Debug, Default)]
 pub(super) struct SuspectBacklog {
     /// Number of steps with suspects that waited at the last placement.
-    pub(super) waiting: usize,
-    /// Other steps waited for capacity then.
-    pub(super) is_capacity_scarce: bool,
+    waiting: usize,
+    /// Other steps waited then, for capacity or tickets.
+    have_others_waited: bool,
     /// The same of the present placement, so far.
     blocked: usize,
     has_others: bool,
+    /// Suspects have waited since this leader began.
+    have_suspects_waited: bool,
+    /// Since when little of the capacity has been in use, once suspects have waited.
+    low_use_since_ms: Option<u64>,
 }
 
 impl SuspectBacklog {
-    /// Begins a placement.
-    pub(super) fn begin(&mut self) {
+    /// Begins a placement. `is_use_low` tells whether little of the capacity is in use, and is called
+    /// only if suspects have ever waited.
+    pub(super) fn begin(&mut self, now_ms: u64, is_use_low: impl FnOnce() -> bool) {
         self.waiting = std::mem::take(&mut self.blocked);
-        self.is_capacity_scarce = std::mem::take(&mut self.has_others);
+        self.have_others_waited = std::mem::take(&mut self.has_others);
+        self.low_use_since_ms = match self.have_suspects_waited && is_use_low() {
+            true => self.low_use_since_ms.or(Some(now_ms)),
+            false => None,
+        };
     }
 
     /// Records that a step's suspects wait for workers.
     pub(super) fn record_suspects(&mut self) {
         self.blocked += 1;
+        self.have_suspects_waited = true;
     }
 
-    /// Records that a step without suspects waits for capacity.
+    /// Records that a step without suspects waits.
     pub(super) fn record_other(&mut self) {
         self.has_others = true;
     }
+
+    /// Returns the number of steps with suspects that waited at the last placement.
+    pub(super) fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    /// Returns whether suspects may have all idle workers: nothing else waits, or little of the capacity
+    /// has been in use for some time.
+    pub(super) fn may_use_idle(&self, now_ms: u64) -> bool {
+        let is_use_low = self.low_use_since_ms.is_some_and(|since| now_ms >= since + LOW_USE_MS);
+        is_use_low || !self.have_others_waited
+    }
 }
--- a/crates/cell/tests/cell/crashes.rs
+++ b/crates/cell/tests/cell/crashes.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::support::{FakeCell, job, step},
-    damaskrack_cell::{JobRecord, JobState, QueueConfig, StepSpec},
+    damaskrack_cell::{CellInput, JobRecord, JobState, QueueConfig, StepSpec},
 };
 
 /// Number of workers that may crash under a task before it is given up.
@@ -91,6 +91,28 @@
     assert!((2..=MAX_CRASHES).contains(&crashes), "{crashes} workers crashed");
 }
 
+/// The job that crashes its workers is cancelled just before the second crash, so it is not among the
+/// tasks that have to be started again. The other one ran beside it both times.
+#[test]
+fn a_neighbour_is_not_given_up_for_a_job_that_was_cancelled() {
+    let mut cell = FakeCell::new(1);
+    cell.make_crashing("1");
+    cell.submit(job("2", vec![step(1)]));
+    cell.run(100);
+    cell.submit(job("1", vec![step(1)]));
+    for _ in 0..1_000 {
+        cell.run(10);
+        if cell.starts.iter().filter(|(task, ..)| task.starts_with("1.")).count() == 2 {
+            break;
+        }
+    }
+    cell.apply(CellInput::Cancel { id: "1".to_owned(), reply: 1 });
+    cell.run(20_000);
+    assert_eq!(cell.crashing.crashes.get("2.0.0.0"), Some(&2));
+    assert_eq!(cell.state("1"), Some(JobState::Cancelled));
+    assert_eq!(cell.state("2"), Some(JobState::Completed));
+}
+
 /// Workers carry requests out late and crash meanwhile, under other tasks: it is not known whether they
 /// had begun this one.
 #[test]
