Store a worker's address only with attempts that had just been started when it was lost

Only the tasks started last are suspects, so only their rows need the address, and they are written again when the worker is lost. Test: across_leaders_when_ids_change holds.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -71,6 +71,7 @@
             is_gang_member,
             is_on_probation: false,
             has_begun: matches!(state, AttemptState::Running { .. }),
+            is_address_stored: false,
             is_loss_recorded: false,
             sent_ms: 0,
             start_sent_ms: 0,
--- a/crates/cell/src/core/commit.rs
+++ b/crates/cell/src/core/commit.rs
@@ -185,11 +185,12 @@
         let locate = |key| {
             let attempt = self.attempts.get(key)?;
             let worker = self.workers.get(attempt.worker)?;
-            Some(AttemptLocation {
-                worker: worker.report.id.clone(),
-                incarnation: worker.report.incarnation,
-                address: worker.report.address.clone(),
-            })
+            let address = match attempt.is_address_stored {
+                true => worker.report.address.clone(),
+                false => String::new(),
+            };
+            let (worker, incarnation) = (worker.report.id.clone(), worker.report.incarnation);
+            Some(AttemptLocation { worker, incarnation, address })
         };
         let phases = match job.state.is_final() {
             true => Vec::new(),
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -118,7 +118,7 @@
             if worker.probations == 0 {
                 self.loss_times.record(lost_ms);
             }
-            self.suspect_queue(key);
+            self.record_recent_starts(key);
         }
         let Some(worker) = self.workers.get_mut(key) else { return };
         if was_silent != worker.is_silent {
--- a/crates/cell/src/core/losses.rs
+++ b/crates/cell/src/core/losses.rs
@@ -241,7 +241,7 @@
     }
 
     /// Returns whether the job of a task has not ended.
-    fn has_task(&self, task: TaskRef) -> bool {
+    pub(super) fn has_task(&self, task: TaskRef) -> bool {
         let job = self.jobs.get(task.phase.job).filter(|job| !job.state.is_final());
         let phase = job.and_then(|job| job.phases.get(task.phase.phase));
         phase.is_some_and(|phase| task.index < phase.tasks.len())
--- a/crates/cell/src/core/segregation.rs
+++ b/crates/cell/src/core/segregation.rs
@@ -12,14 +12,22 @@
 };
 
 impl CellCore {
-    /// Records a queue whose task was the last to be started on a worker that was just lost.
-    pub(super) fn suspect_queue(&mut self, worker: WorkerKey) {
+    /// Records the attempts that had just been started on a worker that was just lost, and their queue
+    /// if they are of one.
+    pub(super) fn record_recent_starts(&mut self, worker: WorkerKey) {
         let Some(lost_ms) = self.workers[worker].lost_ms else { return };
         if self.is_simultaneous(lost_ms) {
             return;
         }
         let attempts: Vec<AttemptKey> = self.workers[worker].attempts.values().copied().collect();
         let recent = self.recent_attempts(&attempts, lost_ms);
+        for key in &recent {
+            let task = self.attempts[*key].task();
+            if self.has_task(task) {
+                self.attempts[*key].is_address_stored = true;
+                self.mark_dirty(task.phase.job, None);
+            }
+        }
         let queue_of = |key: &AttemptKey| &*self.jobs[self.attempts[*key].phase.job].record.queue;
         let queues: FxHashSet<&str> = recent.iter().map(queue_of).collect();
         let mut queues = queues.into_iter();
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -234,7 +234,8 @@
     /// it took effect.
     #[prost(uint32, tag = "9")]
     pub possible_crashes: u32,
-    /// Address of the worker that may be running the last attempt; empty if it is not known.
+    /// Address of the worker that may be running the last attempt, if the worker was lost just after the
+    /// start; otherwise empty.
     #[prost(string, tag = "10")]
     pub worker_address: String,
     /// The last attempt that was lost with a worker of which it is not known whether it crashed.
--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -60,6 +60,9 @@
     pub(crate) is_on_probation: bool,
     /// The worker confirmed the start to this leader.
     pub(crate) has_begun: bool,
+    /// The job's row has the worker's address, because the worker was lost just after the start. A new
+    /// leader can ask there even if the worker is no longer registered.
+    pub(crate) is_address_stored: bool,
     /// The attempt is recorded as lost with its worker.
     pub(crate) is_loss_recorded: bool,
     /// Time at which the last start or stop request was sent; 0 if none was.
--- a/crates/cell/src/table/phase.rs
+++ b/crates/cell/src/table/phase.rs
@@ -19,6 +19,7 @@
     /// Id of the worker.
     pub(crate) worker: String,
     pub(crate) incarnation: u64,
+    /// Address of the worker; empty if it need not be stored.
     pub(crate) address: String,
 }
 
