--- a/crates/cell/src/core/losses.rs
+++ b/crates/cell/src/core/losses.rs
@@ -189,10 +189,11 @@
 
     /// Counts a crash under a task, and gives its job up if the task is to blame.
     fn count_crash(&mut self, task: TaskRef, ran_ms: Option<u64>, lost: &LostAttempt) {
-        let entry = self.task_mut(task);
-        if entry.is_done {
+        // Another task of the job may have been to blame for the same crash.
+        if !self.has_task(task) || self.task(task).is_done {
             return;
         }
+        let entry = self.task_mut(task);
         entry.add_crash(ran_ms, lost.has_begun);
         let is_proved = lost.is_sole_suspect && entry.has_crashed_workers();
         if is_proved || entry.has_crashed_too_often() {
--- a/crates/cell/tests/cell/crashes.rs
+++ b/crates/cell/tests/cell/crashes.rs
@@ -269,3 +269,18 @@
     let lost = cell.crashing.crashes.keys().filter(|task| task.starts_with('2')).count();
     assert!(lost <= 1, "{lost} members of gangs were lost with their workers");
 }
+
+/// Two tasks of the job run on the worker that it crashes.
+#[test]
+fn a_job_with_several_tasks_to_blame_ends_once() {
+    let mut cell = FakeCell::new(4);
+    cell.make_crashing("1");
+    cell.submit(job("1", vec![step(3)]));
+    let mut ends = 0;
+    for _ in 0..2_000 {
+        cell.run(10);
+        ends += cell.take_logs().iter().filter(|entry| entry.event == "job_ended").count();
+    }
+    assert_given_up(&cell, MAX_CRASHES);
+    assert_eq!(ends, 1);
+}
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -12,10 +12,10 @@
     crash::CrashingTasks,
     damaskrack_cell::{
         AdviceRequest, AdviceTiming, AttemptKey, CellAction, CellConfig, CellCore, CellInput,
-        CellSettings, CommitRequest, EndKind, EndedAttempt, JobRecord, JobState, ProgressRecord,
-        QueueConfig, RenewOutcome, RenewRequest, RenewResponse, ResourceSet, RunningAttempt,
-        StartOutcome, StartRefusal, StartRequest, StepSpec, StopRequest, TeamConfig, WorkerReport,
-        WorkerTicket,
+        CellSettings, CommitRequest, EndKind, EndedAttempt, JobRecord, JobState, LogEntry,
+        ProgressRecord, QueueConfig, RenewOutcome, RenewRequest, RenewResponse, ResourceSet,
+        RunningAttempt, StartOutcome, StartRefusal, StartRequest, StepSpec, StopRequest,
+        TeamConfig, WorkerReport, WorkerTicket,
     },
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
@@ -197,6 +197,8 @@
     /// a link, workers respond at once.
     waiting_renewals: Vec<(u64, RenewRequest)>,
     pub(crate) crashing: CrashingTasks,
+    /// Entries of the log since they were last taken.
+    logs: Vec<LogEntry>,
     /// Requests to workers that do not respond take as long as a request may. Otherwise they fail at
     /// once.
     pub(crate) has_timeouts: bool,
@@ -264,6 +266,7 @@
             link: None,
             waiting_renewals: Vec::new(),
             crashing: CrashingTasks::default(),
+            logs: Vec::new(),
             has_timeouts: false,
             unanswered: Vec::new(),
         };
@@ -362,6 +365,11 @@
         }
     }
 
+    /// Returns the entries of the log since the last call.
+    pub(crate) fn take_logs(&mut self) -> Vec<LogEntry> {
+        std::mem::take(&mut self.logs)
+    }
+
     pub(crate) fn state(&self, id: &str) -> Option<JobState> {
         self.core.state_of(id)
     }
@@ -482,7 +490,7 @@
             CellAction::Reply { reply, state } => self.replies.push((reply, state)),
             CellAction::Admit { reply } => self.admitted.push(reply),
             CellAction::Refuse { reply, retry_ms } => self.refusals.push((reply, retry_ms)),
-            CellAction::Log(_) => {}
+            CellAction::Log(entry) => self.logs.push(entry),
         }
     }
 
