--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -64,6 +64,13 @@
     pub(crate) defers_next_starts: usize,
     /// All start requests after a deferred one are refused.
     pub(crate) refuses_starts: bool,
+    /// Renewals get no response and wait in `deferred_renewals`.
+    pub(crate) defers_renewals: bool,
+    pub(crate) deferred_renewals: Vec<RenewRequest>,
+    /// Maximum number of ends in a response; 0 for no maximum.
+    pub(crate) max_listed_ends: usize,
+    /// Last end before the leases expired.
+    last_expired_end: u64,
     /// The worker's registration has expired.
     pub(crate) is_unlisted: bool,
     /// All tasks fail.
@@ -381,6 +388,7 @@
                 while !worker.runs.is_empty() {
                     worker.end(0, EndKind::Interrupted);
                 }
+                worker.last_expired_end = worker.last_end;
             }
             while let Some(index) = worker.runs.iter().position(|run| run.ends_ms <= now_ms) {
                 let kind = match (worker.runs[index].is_stopped, worker.fails) {
@@ -671,35 +679,14 @@
     }
 
     fn renew(&mut self, request: &RenewRequest) {
-        let (now_ms, token) = (self.now_ms, self.token);
         let worker = self.workers.get_mut(&request.address).unwrap();
-        let outcome = if worker.is_silent {
+        let outcome = if worker.defers_renewals {
+            worker.deferred_renewals.push(request.clone());
+            RenewOutcome::Unknown
+        } else if worker.is_silent {
             RenewOutcome::Unknown
-        } else if worker.is_replaced || worker.report.id != request.worker_id {
-            RenewOutcome::Incarnation
-        } else if token < worker.token {
-            RenewOutcome::Fenced
         } else {
-            worker.token = token;
-            worker.extend(request.deadline_ms, now_ms);
-            let (acknowledged, left): (Vec<_>, Vec<_>) =
-                worker.ended.drain(..).partition(|ended| ended.number <= request.last_durable_end);
-            worker.ended = left;
-            for ended in acknowledged.into_iter().filter(|ended| ended.kind == EndKind::Done) {
-                *self.done.entry(ended.task).or_default() += 1;
-            }
-            let running = worker.runs.iter().map(|run| RunningAttempt {
-                task: run.task.clone(),
-                attempt: run.attempt,
-                checkpoint: String::new(),
-                percent: 50,
-            });
-            RenewOutcome::Answered(RenewResponse {
-                incarnation: worker.report.incarnation,
-                clock_ms: worker.clock_ms(now_ms),
-                running: running.collect(),
-                ended: worker.ended.clone(),
-            })
+            self.renew_now(request)
         };
         let input = CellInput::RenewFinished { worker: request.worker, outcome };
         match self.delays_renewals_of.as_deref() == Some(request.address.as_str()) {
@@ -707,4 +694,74 @@
             false => self.apply(input),
         }
     }
+
+    /// Processes a renewal on its worker.
+    fn renew_now(&mut self, request: &RenewRequest) -> RenewOutcome {
+        let (now_ms, token) = (self.now_ms, self.token);
+        let worker = self.workers.get_mut(&request.address).unwrap();
+        if worker.is_replaced || worker.report.id != request.worker_id {
+            return RenewOutcome::Incarnation;
+        }
+        if token < worker.token {
+            return RenewOutcome::Fenced;
+        }
+        worker.token = token;
+        worker.extend(request.deadline_ms, now_ms);
+        self.acknowledge_ends(&request.address, request.last_durable_end);
+        let worker = &self.workers[&request.address];
+        let running = worker.runs.iter().map(|run| RunningAttempt {
+            task: run.task.clone(),
+            attempt: run.attempt,
+            checkpoint: String::new(),
+            percent: 50,
+        });
+        let limit = if worker.max_listed_ends > 0 { worker.max_listed_ends } else { usize::MAX };
+        RenewOutcome::Answered(RenewResponse {
+            incarnation: worker.report.incarnation,
+            clock_ms: worker.clock_ms(now_ms),
+            running: running.collect(),
+            ended: worker.ended.iter().take(limit).cloned().collect(),
+        })
+    }
+
+    /// Discards the ends of a worker up to a number. A task must not have been started again since
+    /// it was done, unless the worker's leases have expired between.
+    fn acknowledge_ends(&mut self, id: &str, last: u64) {
+        let worker = self.workers.get_mut(id).unwrap();
+        let (acknowledged, left): (Vec<_>, Vec<_>) =
+            worker.ended.drain(..).partition(|ended| ended.number <= last);
+        worker.ended = left;
+        let last_expired_end = worker.last_expired_end;
+        for ended in acknowledged.into_iter().filter(|ended| ended.kind == EndKind::Done) {
+            let starts = self.starts.iter().filter(|(task, ..)| *task == ended.task);
+            let last_start = starts.map(|(_, attempt, _)| *attempt).max();
+            let is_current = last_start == Some(ended.attempt) || ended.number <= last_expired_end;
+            let is_service = self.step_of(&ended.task).is_service;
+            assert!(is_current || is_service, "{} started again after it was done", ended.task);
+            *self.done.entry(ended.task).or_default() += 1;
+        }
+    }
+
+    /// Processes the deferred renewals of a worker.
+    pub(crate) fn run_deferred_renewals(&mut self, id: &str) -> Vec<RenewOutcome> {
+        self.end_runs();
+        let late = std::mem::take(&mut self.workers.get_mut(id).unwrap().deferred_renewals);
+        late.iter().map(|request| self.renew_now(request)).collect()
+    }
+
+    /// Restarts a worker under its id, with nothing known of before. The list of workers does not
+    /// show it yet.
+    pub(crate) fn reincarnate(&mut self, id: &str) {
+        let former = self.workers.remove(id).unwrap();
+        let mut report = former.report;
+        report.incarnation += 1;
+        let worker = FakeWorker {
+            report,
+            started_ms: self.now_ms,
+            deferred_starts: former.deferred_starts,
+            deferred_renewals: former.deferred_renewals,
+            ..FakeWorker::default()
+        };
+        self.workers.insert(id.to_owned(), worker);
+    }
 }
