Log the age of the list of workers, attempts that vanish and ends that are missing

Added: worker_list_outdated and worker_list_current with the age, counted from the sending of the last answered call, since nothing is known of later changes; attempt_vanished, when a worker no longer lists an attempt that it had listed; ends_missing, when the numbers of a worker's ends have a gap. No decision changes.

--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -194,7 +194,14 @@
         if ended.number <= worker.last_recorded_end {
             return;
         }
+        let missing = ended.number - worker.last_recorded_end - 1;
         worker.last_recorded_end = ended.number;
+        if missing > 0 && worker.has_reported_ends {
+            let id = worker.report.id.clone();
+            self.log("ends_missing", id, format!("before={} missing={missing}", ended.number));
+        }
+        let worker = &mut self.workers[key];
+        worker.has_reported_ends = true;
         let name = (ended.task.clone(), ended.attempt);
         let Some(&attempt) = worker.attempts.get(&name) else {
             self.log("end_of_unknown", &ended.task, format!("attempt={}", ended.attempt));
@@ -369,6 +376,10 @@
             })
             .collect();
         for attempt in absent {
+            if let AttemptState::Running { since_ms } = self.attempts[attempt].state {
+                let ran_ms = self.time.now_ms - since_ms;
+                self.log_attempt("attempt_vanished", attempt, &format!("ran_ms={ran_ms}"));
+            }
             self.drop_attempt(attempt);
         }
     }
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -26,6 +26,7 @@
 mod suspect_backlog;
 mod suspect_groups;
 mod suspect_queues;
+mod worker_list;
 mod worker_speed;
 mod workers;
 
@@ -47,6 +48,7 @@
     suspect_backlog::SuspectBacklog,
     suspect_groups::SuspectGroups,
     suspect_queues::SuspectQueues,
+    worker_list::{ListChange, WorkerList},
 };
 
 /// A time on both clocks.
@@ -81,6 +83,7 @@
     are_ended_known: bool,
     workers: SlotMap<WorkerKey, WorkerEntry>,
     worker_ids: FxHashMap<String, WorkerKey>,
+    worker_list: WorkerList,
     attempts: SlotMap<AttemptKey, AttemptEntry>,
     /// Lost attempts of which it is not known whether their workers crashed.
     losses: SlotMap<LossKey, LossEntry>,
@@ -135,6 +138,7 @@
             are_ended_known: false,
             workers: SlotMap::with_key(),
             worker_ids: FxHashMap::default(),
+            worker_list: WorkerList::default(),
             attempts: SlotMap::with_key(),
             losses: SlotMap::with_key(),
             loss_times: LossTimes::default(),
@@ -186,10 +190,14 @@
     /// assert_eq!(core.state_of("1"), Some(JobState::Queued));
     /// ```
     pub fn apply(&mut self, input: CellInput) {
+        if let CellInput::WorkersConfirmed { as_of_ms } = input {
+            return self.worker_list.confirm(as_of_ms);
+        }
         self.is_placement_due = true;
         match input {
             CellInput::Config(config) => self.config = config,
             CellInput::Workers(reports) => self.update_workers(reports),
+            CellInput::WorkersConfirmed { .. } => {}
             CellInput::Daemons(ids) => self.update_daemons(&ids),
             CellInput::Accepted(record) => self.accept(record),
             CellInput::Ended { id, progress } => self.learn_ended(&id, &progress),
@@ -217,6 +225,7 @@
     /// ```
     pub fn tick(&mut self, now_ms: u64, wall_ms: u64) -> Vec<CellAction> {
         self.set_time(now_ms, wall_ms);
+        self.check_worker_list();
         self.expire_leases();
         if self.time.now_ms >= self.placement_due_ms() {
             self.is_placement_due = false;
@@ -282,6 +291,32 @@
         self.request_window.size()
     }
 
+    /// Returns the age of the list of workers, in milliseconds.
+    ///
+    /// ```
+    /// use damaskrack_cell::{CellCore, CellInput};
+    ///
+    /// let mut core = CellCore::new(Default::default());
+    /// core.set_time(5_000, 1_700_000_000_000);
+    /// core.apply(CellInput::WorkersConfirmed { as_of_ms: 4_900 });
+    /// assert_eq!(core.worker_list_age_ms(), 100);
+    /// ```
+    #[must_use]
+    pub fn worker_list_age_ms(&self) -> u64 {
+        self.worker_list.age_ms(self.time.now_ms)
+    }
+
+    /// Logs that the list of workers has become outdated, or is current again.
+    fn check_worker_list(&mut self) {
+        let (now_ms, max_age_ms) = (self.time.now_ms, self.settings.max_list_age_ms);
+        let event = match self.worker_list.check(now_ms, max_age_ms) {
+            ListChange::Outdated => "worker_list_outdated",
+            ListChange::Current => "worker_list_current",
+            ListChange::Unchanged => return,
+        };
+        self.log(event, "", format!("age_ms={}", self.worker_list_age_ms()));
+    }
+
     fn log(&mut self, event: &'static str, subject: impl Into<String>, detail: impl Into<String>) {
         let entry = LogEntry { event, subject: subject.into(), detail: detail.into() };
         self.actions.push(CellAction::Log(entry));
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -145,6 +145,11 @@
     Config(Arc<CellConfig>),
     /// The complete list of registered workers.
     Workers(Vec<WorkerReport>),
+    /// The list of workers has all changes that had been made at a time.
+    WorkersConfirmed {
+        /// The time, in milliseconds since the host's boot.
+        as_of_ms: u64,
+    },
     /// Ids of the connected daemons, through which the adviser is called.
     Daemons(Vec<u64>),
     /// A job was accepted and is already in the store.
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -8,6 +8,8 @@
     /// Time for which a former leader may continue to renew leases after it lost the store, in
     /// milliseconds.
     pub isolation_ms: u64,
+    /// Age of the list of workers from which it counts as outdated, in milliseconds.
+    pub max_list_age_ms: u64,
     /// Time for which the rows of an ended job are retained, in milliseconds.
     pub retention_ms: u64,
     /// Minimum interval between commits that are not full, in milliseconds.
@@ -38,6 +40,7 @@
         Self {
             lease_ms: 6_000,
             isolation_ms: 4_000,
+            max_list_age_ms: 1_200,
             retention_ms: 130_000,
             commit_interval_ms: 20,
             store_writes_per_s: 400,
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -52,6 +52,8 @@
     pub(crate) inherited_expiry_ms: u64,
     /// Last end that is recorded in the tables.
     pub(crate) last_recorded_end: u64,
+    /// The incarnation has reported ends to this leader, so the next ones follow without a gap.
+    pub(crate) has_reported_ends: bool,
     /// Last end that is durable.
     pub(crate) last_durable_end: u64,
     /// Last end that a renewal acknowledged to the worker.
@@ -95,6 +97,7 @@
             deadline_ms: 0,
             inherited_expiry_ms,
             last_recorded_end: 0,
+            has_reported_ends: false,
             last_durable_end: 0,
             last_acknowledged_end: 0,
             pending_ends: 0,
@@ -120,6 +123,7 @@
         self.clock = None;
         self.deadline_ms = 0;
         self.last_recorded_end = 0;
+        self.has_reported_ends = false;
         self.last_durable_end = 0;
         self.last_acknowledged_end = 0;
         self.pending_ends = 0;
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -180,6 +180,8 @@
     /// Commits that wait because the store is down.
     pub(crate) held_commits: Vec<CommitRequest>,
     pub(crate) is_store_down: bool,
+    /// The list of workers is not confirmed any more.
+    pub(crate) is_list_outdated: bool,
     /// Outcomes of renewals that are delayed.
     pub(crate) delayed_renewals: Vec<CellInput>,
     pub(crate) delays_renewals_of: Option<String>,
@@ -259,6 +261,7 @@
             records: BTreeMap::new(),
             held_commits: Vec::new(),
             is_store_down: false,
+            is_list_outdated: false,
             delayed_renewals: Vec::new(),
             delays_renewals_of: None,
             run_ms: 500,
@@ -365,6 +368,9 @@
             self.crash_workers();
             self.run_link();
             self.time_out_requests();
+            if !self.is_list_outdated {
+                self.apply(CellInput::WorkersConfirmed { as_of_ms: self.now_ms });
+            }
             for _ in 0..4 {
                 let actions = self.core.tick(self.now_ms, self.wall_ms());
                 actions.into_iter().for_each(|action| self.perform(action));
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -220,6 +220,7 @@
         self.core.apply(CellInput::Config(config));
         let reports = workers.iter().filter_map(|item| codec.read_worker(&item.key, &item.value));
         self.core.apply(CellInput::Workers(reports.collect()));
+        self.core.apply(CellInput::WorkersConfirmed { as_of_ms: started_ms });
         let mut rows: FxHashMap<&str, ProgressRecord> = progress
             .iter()
             .filter_map(|item| {
