Start nothing by an outdated list of workers

Cause: a long poll without a response was taken for a list without changes. The leader's watch of the workers waited 10 s and was given up 0.7 s later; a store that stops answering without closing its connections leaves it hanging, while the next write succeeds. The watch waits 0.4 s; workers' heartbeats answer it sooner. A follower that has a response again makes all others of its daemon repeat their calls, so the watches of jobs, leader and configuration do not hang either. A leader that cannot read the list for 3 s asks another daemon to take over.

--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -306,6 +306,10 @@
         self.worker_list.age_ms(self.time.now_ms)
     }
 
+    fn is_worker_list_current(&self) -> bool {
+        self.worker_list_age_ms() <= self.settings.max_list_age_ms
+    }
+
     /// Logs that the list of workers has become outdated, or is current again.
     fn check_worker_list(&mut self) {
         let (now_ms, max_age_ms) = (self.time.now_ms, self.settings.max_list_age_ms);
--- a/crates/cell/src/core/placement.rs
+++ b/crates/cell/src/core/placement.rs
@@ -50,9 +50,13 @@
 type Reservations = FxHashMap<WorkerKey, (ResourceSet, u32)>;
 
 impl CellCore {
-    /// Returns whether a worker may get new work, apart from a backoff.
+    /// Returns whether a worker may get new work, apart from a backoff. None may by an outdated list,
+    /// which does not tell which workers shut down or shrink.
     pub(super) fn is_schedulable(&self, worker: &WorkerEntry) -> bool {
-        self.is_in_service(worker) && worker.has_accepted_token && worker.clock.is_some()
+        self.is_worker_list_current()
+            && self.is_in_service(worker)
+            && worker.has_accepted_token
+            && worker.clock.is_some()
     }
 
     /// Returns whether a worker is registered, not shutting down and in an open zone, whether or
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -8,7 +8,8 @@
     /// Time for which a former leader may continue to renew leases after it lost the store, in
     /// milliseconds.
     pub isolation_ms: u64,
-    /// Age of the list of workers from which it counts as outdated, in milliseconds.
+    /// Age of the list of workers from which it counts as outdated, in milliseconds. Nothing starts by
+    /// an outdated list.
     pub max_list_age_ms: u64,
     /// Time for which the rows of an ended job are retained, in milliseconds.
     pub retention_ms: u64,
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -8,3 +8,4 @@
 mod narrow_link;
 mod pending;
 mod support;
+mod worker_list;
--- a/crates/cellnode/src/follow.rs
+++ b/crates/cellnode/src/follow.rs
@@ -1,7 +1,7 @@
 //! Reads and watches the items under a prefix of the store.
 
 use {
-    crate::{CellStore, StoreError, StoreItem, boot_ms},
+    crate::{CellStore, StoreError, StoreItem, boot_ms, store_regain::RegainSignal},
     slog::{Logger, info, warn},
     std::time::Duration,
     tokio::time::sleep,
@@ -13,6 +13,9 @@
 pub(crate) const LONG_PAGE_TIMEOUT_MS: u64 = 3_000;
 /// Delay before a failed call is retried, in milliseconds.
 const RETRY_MS: u64 = 300;
+/// Longest time for which a watch waits for changes after one had no response, in milliseconds, so that
+/// it is known soon that the store responds again.
+const PROBE_WAIT_MS: u64 = 100;
 
 /// Receives the items that a follower reads.
 pub(crate) trait ItemSink: Send {
@@ -38,36 +41,79 @@
     pub(crate) page_timeout_ms: u64,
 }
 
-/// Follows a prefix until the task is dropped.
-pub(crate) async fn follow_prefix(
-    store: &dyn CellStore,
-    prefix: &str,
-    timing: FollowTiming,
-    sink: &mut dyn ItemSink,
-    logger: &Logger,
-) {
-    let mut is_lost = false;
-    loop {
-        let sent_ms = boot_ms();
-        match read_all(store, prefix, timing.page_timeout_ms).await {
-            Ok((items, revision)) => {
-                if is_lost {
-                    info!(logger, "store_regained"; "prefix" => prefix);
+/// Follows the items under a prefix.
+pub(crate) struct PrefixFollower<'a> {
+    pub(crate) store: &'a dyn CellStore,
+    pub(crate) prefix: &'a str,
+    pub(crate) timing: FollowTiming,
+    pub(crate) regain: &'a RegainSignal,
+    pub(crate) logger: &'a Logger,
+}
+
+impl PrefixFollower<'_> {
+    /// Reads and follows the prefix until the task is dropped.
+    pub(crate) async fn run(&self, sink: &mut dyn ItemSink) {
+        let mut is_lost = false;
+        loop {
+            let sent_ms = boot_ms();
+            match read_all(self.store, self.prefix, self.timing.page_timeout_ms).await {
+                Ok((items, revision)) => {
+                    self.record_response(&mut is_lost);
+                    sink.replace(items);
+                    sink.caught_up(sent_ms);
+                    self.run_from(revision, sink).await;
                 }
-                is_lost = false;
-                sink.replace(items);
-                sink.caught_up(sent_ms);
-                follow_from(store, prefix, timing, revision, sink, logger).await;
+                Err(error) => self.wait_after_error(&mut is_lost, error).await,
             }
-            Err(error) => {
-                if !is_lost {
-                    warn!(logger, "store_lost"; "prefix" => prefix, "fault" => ?error);
+        }
+    }
+
+    /// Follows the changes after a revision until the store has compacted its history beyond it.
+    pub(crate) async fn run_from(&self, mut revision: u64, sink: &mut dyn ItemSink) {
+        let mut regained = self.regain.subscribe();
+        let mut is_lost = false;
+        loop {
+            let sent_ms = boot_ms();
+            let wait_ms = match is_lost {
+                true => PROBE_WAIT_MS.min(self.timing.wait_ms),
+                false => self.timing.wait_ms,
+            };
+            let response = tokio::select! {
+                response = self.store.watch(self.prefix, revision, wait_ms) => response,
+                () = regained.wait() => continue,
+            };
+            match response {
+                Ok(page) => {
+                    self.record_response(&mut is_lost);
+                    regained.ignore_past();
+                    page.items.into_iter().for_each(|item| sink.update(item));
+                    revision = page.revision.max(revision);
+                    sink.caught_up(sent_ms);
+                    sleep(Duration::from_millis(self.timing.interval_ms)).await;
+                }
+                Err(StoreError::Compacted) => {
+                    info!(self.logger, "store_history_gone"; "prefix" => self.prefix,
+                        "revision" => revision);
+                    return;
                 }
-                is_lost = true;
-                sleep(Duration::from_millis(RETRY_MS)).await;
+                Err(error) => self.wait_after_error(&mut is_lost, error).await,
             }
         }
     }
+
+    fn record_response(&self, is_lost: &mut bool) {
+        if std::mem::take(is_lost) {
+            info!(self.logger, "store_regained"; "prefix" => self.prefix);
+            self.regain.announce();
+        }
+    }
+
+    async fn wait_after_error(&self, is_lost: &mut bool, error: StoreError) {
+        if !std::mem::replace(is_lost, true) {
+            warn!(self.logger, "store_lost"; "prefix" => self.prefix, "fault" => ?error);
+        }
+        sleep(Duration::from_millis(RETRY_MS)).await;
+    }
 }
 
 /// Reads every item with a prefix. Also returns the revision from which to watch for changes.
@@ -90,41 +136,3 @@
         }
     }
 }
-
-/// Follows the changes after a revision until the store has compacted its history beyond it.
-pub(crate) async fn follow_from(
-    store: &dyn CellStore,
-    prefix: &str,
-    timing: FollowTiming,
-    mut revision: u64,
-    sink: &mut dyn ItemSink,
-    logger: &Logger,
-) {
-    let mut is_lost = false;
-    loop {
-        let sent_ms = boot_ms();
-        match store.watch(prefix, revision, timing.wait_ms).await {
-            Ok(page) => {
-                if is_lost {
-                    info!(logger, "store_regained"; "prefix" => prefix);
-                }
-                is_lost = false;
-                page.items.into_iter().for_each(|item| sink.update(item));
-                revision = page.revision.max(revision);
-                sink.caught_up(sent_ms);
-                sleep(Duration::from_millis(timing.interval_ms)).await;
-            }
-            Err(StoreError::Compacted) => {
-                info!(logger, "store_history_gone"; "prefix" => prefix, "revision" => revision);
-                return;
-            }
-            Err(error) => {
-                if !is_lost {
-                    warn!(logger, "store_lost"; "prefix" => prefix, "fault" => ?error);
-                }
-                is_lost = true;
-                sleep(Duration::from_millis(RETRY_MS)).await;
-            }
-        }
-    }
-}
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -9,9 +9,7 @@
     crate::{
         OutsideLinks, StoreItem, WorkerGateway, boot_ms,
         ended_reader::read_ended,
-        follow::{
-            FollowTiming, ItemSink, LONG_PAGE_TIMEOUT_MS, follow_from, follow_prefix, read_all,
-        },
+        follow::{FollowTiming, ItemSink, LONG_PAGE_TIMEOUT_MS, PrefixFollower, read_all},
         forward_choice::{TYPICAL_WORKERS, needs_forwarding},
         forward_router::ForwardRouter,
         frame::{
@@ -28,6 +26,7 @@
         lease_keeper::LeaseKeeper,
         rows::{JOB_PREFIX, PROGRESS_PREFIX},
         session_registry::{SessionFrame, SessionRegistry},
+        store_regain::RegainSignal,
         unix_ms,
         worker_sink::WorkerSink,
     },
@@ -61,6 +60,9 @@
 /// daemon to take over, in milliseconds. Assumes a store without latency and exceeds the interval
 /// of lease renewals.
 const TRANSFER_AFTER_MS: u64 = 450;
+/// Age of the list of workers from which a leader whose other calls may succeed asks another daemon to
+/// take over, in milliseconds.
+const LIST_TRANSFER_AFTER_MS: u64 = 3_000;
 /// Number of store round trips that are added to this time.
 const STORE_ROUND_TRIPS: u64 = 3;
 /// Interval between two transfer requests of a leader without access to the store, in milliseconds.
@@ -72,8 +74,11 @@
 const MAX_TICK_PAUSE_MS: u64 = 100;
 /// Interval between two checks while calls to the store fail, in milliseconds.
 const STORE_ERROR_CHECK_MS: u64 = 60;
-/// Longest time for which a watch waits for changes of workers or jobs, in milliseconds.
-const WATCH_WAIT_MS: u64 = 10_000;
+/// Longest time for which a watch waits for changes of workers, in milliseconds. Twice this time and the
+/// pause must be well below the age from which the list is outdated.
+const WORKER_WATCH_WAIT_MS: u64 = 400;
+/// Longest time for which a watch waits for accepted jobs, in milliseconds.
+const JOB_WATCH_WAIT_MS: u64 = 10_000;
 /// Pause between two watches of the workers, in milliseconds.
 const WORKER_WATCH_INTERVAL_MS: u64 = 150;
 /// Pause between two watches of the accepted jobs, in milliseconds. Daemons notify the leader of
@@ -103,6 +108,7 @@
     pub(crate) settings: CellSettings,
     /// Bandwidth of the host's network link, in bytes per second; 0 if it is not known.
     pub(crate) link_bytes_per_s: u64,
+    pub(crate) regain: Arc<RegainSignal>,
     pub(crate) logger: Logger,
 }
 
@@ -285,28 +291,39 @@
         let prefix = codec.worker_prefix().to_owned();
         let mut sink = WorkerSink::new(codec, self.events.clone(), self.router.clone());
         sink.replace(workers);
-        self.follow_one(prefix, WORKER_WATCH_INTERVAL_MS, workers_revision, sink);
+        let timing = FollowTiming {
+            wait_ms: WORKER_WATCH_WAIT_MS,
+            interval_ms: WORKER_WATCH_INTERVAL_MS,
+            page_timeout_ms: LONG_PAGE_TIMEOUT_MS,
+        };
+        self.follow_one(prefix, timing, workers_revision, sink);
         let sink = JobSink::new(self.events.clone(), self.context.logger.clone());
-        self.follow_one(JOB_PREFIX.to_owned(), JOB_WATCH_INTERVAL_MS, jobs_revision, sink);
+        let timing = FollowTiming {
+            wait_ms: JOB_WATCH_WAIT_MS,
+            interval_ms: JOB_WATCH_INTERVAL_MS,
+            page_timeout_ms: LONG_PAGE_TIMEOUT_MS,
+        };
+        self.follow_one(JOB_PREFIX.to_owned(), timing, jobs_revision, sink);
     }
 
     fn follow_one(
         &mut self,
         prefix: String,
-        interval_ms: u64,
+        timing: FollowTiming,
         revision: u64,
         mut sink: impl ItemSink + 'static,
     ) {
         let context = self.context.clone();
-        let timing = FollowTiming {
-            wait_ms: WATCH_WAIT_MS,
-            interval_ms,
-            page_timeout_ms: LONG_PAGE_TIMEOUT_MS,
-        };
         self.tasks.spawn(async move {
-            let (store, logger) = (context.external.store.as_ref(), &context.logger);
-            follow_from(store, &prefix, timing, revision, &mut sink, logger).await;
-            follow_prefix(store, &prefix, timing, &mut sink, logger).await;
+            let follower = PrefixFollower {
+                store: context.external.store.as_ref(),
+                prefix: &prefix,
+                timing,
+                regain: &context.regain,
+                logger: &context.logger,
+            };
+            follower.run_from(revision, &mut sink).await;
+            follower.run(&mut sink).await;
         });
     }
 
@@ -373,10 +390,11 @@
         }
     }
 
-    /// Asks another daemon to take over if this one cannot reach the store. If no daemon can reach
-    /// it, none can take over, and this one continues.
+    /// Asks another daemon to take over if this one cannot reach the store, or only writes to it. If no
+    /// daemon can reach it, none can take over, and this one continues.
     fn transfer_if_store_lost(&mut self, now_ms: u64) {
-        if !self.is_store_lost() || now_ms < self.next_transfer_ms {
+        let is_list_lost = self.core.worker_list_age_ms() >= LIST_TRANSFER_AFTER_MS;
+        if !(self.is_store_lost() || is_list_lost) || now_ms < self.next_transfer_ms {
             return;
         }
         self.next_transfer_ms = now_ms + TRANSFER_RETRY_MS;
--- a/crates/cellnode/src/node.rs
+++ b/crates/cellnode/src/node.rs
@@ -5,7 +5,7 @@
     crate::{
         AdviserGateway, CellStore, EntryService, LinkMeter, PlatformCodec, StoreItem,
         WorkerGateway,
-        follow::{FollowTiming, ItemSink, SHORT_PAGE_TIMEOUT_MS, follow_prefix},
+        follow::{FollowTiming, ItemSink, PrefixFollower, SHORT_PAGE_TIMEOUT_MS},
         forward_choice::{TYPICAL_WORKERS, needs_forwarding},
         frame::HelloFrame,
         guard::GuardWriter,
@@ -14,6 +14,7 @@
         leadership_transfer::LeadershipSignals,
         rows::{KnownLeader, LEADER_KEY, LeaderRow},
         session_registry::{SessionRegistry, serve_sessions},
+        store_regain::RegainSignal,
     },
     cadence::StatsdClient,
     damaskrack_cell::{CellConfig, CellSettings},
@@ -149,7 +150,8 @@
         });
         let (leader_sender, leader_receiver) = watch::channel(None);
         let (stop, stopped) = watch::channel(false);
-        spawn_followers(&external, config_sender, config_confirmed_ms, leader_sender, &logger);
+        let followed = FollowedStore::new(&external, &logger);
+        spawn_followers(&followed, config_sender, config_confirmed_ms, leader_sender);
         let transfer_requests = connection.transfer_requests();
         tokio::spawn(connection.clone().run(leader_receiver.clone()));
         tokio::spawn(serve_sessions(registry.clone(), listener, logger.clone()));
@@ -161,6 +163,7 @@
             config: config_receiver,
             settings,
             link_bytes_per_s: config.link_bytes_per_s,
+            regain: followed.regain,
             logger,
         };
         let address = config.peer_address.to_string();
@@ -277,43 +280,61 @@
     }
 }
 
+/// What a task that follows a prefix of the store uses.
+#[derive(Clone)]
+struct FollowedStore {
+    external: OutsideLinks,
+    regain: Arc<RegainSignal>,
+    logger: Logger,
+}
+
+impl FollowedStore {
+    fn new(external: &OutsideLinks, logger: &Logger) -> Self {
+        Self { external: external.clone(), regain: Arc::default(), logger: logger.clone() }
+    }
+
+    async fn follow(&self, prefix: &str, wait_ms: u64, sink: &mut dyn ItemSink) {
+        let timing =
+            FollowTiming { wait_ms, interval_ms: 0, page_timeout_ms: SHORT_PAGE_TIMEOUT_MS };
+        let follower = PrefixFollower {
+            store: self.external.store.as_ref(),
+            prefix,
+            timing,
+            regain: &self.regain,
+            logger: &self.logger,
+        };
+        follower.run(sink).await;
+    }
+}
+
 /// Starts the tasks that follow the configuration and the leader and report the link's use.
 fn spawn_followers(
-    external: &OutsideLinks,
+    followed: &FollowedStore,
     config_sender: watch::Sender<Arc<CellConfig>>,
     config_confirmed_ms: Arc<AtomicU64>,
     leader_sender: watch::Sender<Option<KnownLeader>>,
-    logger: &Logger,
 ) {
-    let (metrics, meter) = (external.metrics.clone(), external.meter.clone());
-    tokio::spawn(meter.report(metrics, logger.clone()));
-    let store = external.store.clone();
-    tokio::spawn(follow_leader(store, leader_sender, logger.clone()));
-    let external = external.clone();
-    tokio::spawn(follow_config(external, config_sender, config_confirmed_ms, logger.clone()));
+    let OutsideLinks { metrics, meter, .. } = followed.external.clone();
+    tokio::spawn(meter.report(metrics, followed.logger.clone()));
+    tokio::spawn(follow_leader(followed.clone(), leader_sender));
+    tokio::spawn(follow_config(followed.clone(), config_sender, config_confirmed_ms));
 }
 
 async fn follow_config(
-    external: OutsideLinks,
+    followed: FollowedStore,
     sender: watch::Sender<Arc<CellConfig>>,
     config_confirmed_ms: Arc<AtomicU64>,
-    logger: Logger,
 ) {
-    let codec = external.codec.clone();
+    let codec = followed.external.codec.clone();
     let mut sink = ConfigSink {
         codec: codec.clone(),
         sender,
         config_confirmed_ms,
         items: BTreeMap::new(),
         is_changed: false,
-        logger: logger.clone(),
-    };
-    let timing = FollowTiming {
-        wait_ms: CONFIG_WAIT_MS,
-        interval_ms: 0,
-        page_timeout_ms: SHORT_PAGE_TIMEOUT_MS,
+        logger: followed.logger.clone(),
     };
-    follow_prefix(external.store.as_ref(), codec.config_prefix(), timing, &mut sink, &logger).await;
+    followed.follow(codec.config_prefix(), CONFIG_WAIT_MS, &mut sink).await;
 }
 
 struct ConfigSink {
@@ -364,18 +385,9 @@
     }
 }
 
-async fn follow_leader(
-    store: Arc<dyn CellStore>,
-    sender: watch::Sender<Option<KnownLeader>>,
-    logger: Logger,
-) {
+async fn follow_leader(followed: FollowedStore, sender: watch::Sender<Option<KnownLeader>>) {
     let mut sink = LeaderSink { sender };
-    let timing = FollowTiming {
-        wait_ms: LEADER_WAIT_MS,
-        interval_ms: 0,
-        page_timeout_ms: SHORT_PAGE_TIMEOUT_MS,
-    };
-    follow_prefix(store.as_ref(), LEADER_KEY, timing, &mut sink, &logger).await;
+    followed.follow(LEADER_KEY, LEADER_WAIT_MS, &mut sink).await;
 }
 
 struct LeaderSink {
