A response that may leave out ends does not prove that a run is gone

Callers saw: a task that is done is started again, under a worker with many ends that are not acknowledged. Cause: a response lists 500 ends at most, the oldest first. An attempt that was neither among the running ones nor among these ends was taken for one that never ran. The same for a row that the adapter could not read and left out; the number of an unreadable end was acknowledged with the ones after it. Change: responses say whether they are partial, also when another daemon forwards them; nothing is concluded from what such a response lacks. Ends from the first unreadable one on are not acknowledged.

--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -44,9 +44,15 @@
         self.renew_sent_ms.is_none() && (has_work || (self.is_listed && !self.has_accepted_token))
     }
 
+    /// Returns the last end up to which all are durable.
+    fn last_complete_end(&self) -> u64 {
+        let limit = self.unreadable_end.map_or(u64::MAX, |number| number.saturating_sub(1));
+        self.last_durable_end.min(limit)
+    }
+
     /// Returns whether there are durable ends that have not been acknowledged to the worker.
     fn has_ends_to_acknowledge(&self) -> bool {
-        self.last_durable_end > self.last_acknowledged_end
+        self.last_complete_end() > self.last_acknowledged_end
     }
 
     /// Returns the last end that a renewal sent now acknowledges, or 0 for none.
@@ -58,7 +64,7 @@
     /// incarnation it is.
     fn acknowledgeable_end(&self, has_unlisted_start: bool) -> u64 {
         let is_safe = !self.is_silent && !has_unlisted_start && self.fence.allows_acknowledgement();
-        if is_safe && self.has_ends_to_acknowledge() { self.last_durable_end } else { 0 }
+        if is_safe && self.has_ends_to_acknowledge() { self.last_complete_end() } else { 0 }
     }
 
     fn renew_due_ms(&self) -> u64 {
@@ -227,6 +233,7 @@
         let worker = &mut self.workers[key];
         worker.record_clock(response.clock_ms, now_ms);
         worker.accept_token(now_ms, self.settings.lease_ms);
+        worker.unreadable_end = response.unreadable_end;
         self.forget_losses(key);
         for ended in &response.ended {
             self.apply_end(key, ended);
@@ -236,7 +243,9 @@
         for running in &response.running {
             listed.extend(self.apply_running(key, running));
         }
-        self.drop_unlisted_attempts(key, &listed, sent_ms);
+        if !response.is_partial {
+            self.drop_unlisted_attempts(key, &listed, sent_ms);
+        }
     }
 
     fn apply_end(&mut self, key: WorkerKey, ended: &EndedAttempt) {
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -77,8 +77,13 @@
     pub clock_ms: u64,
     /// Attempts that run.
     pub running: Vec<RunningAttempt>,
-    /// Ended attempts that the leader has not acknowledged.
+    /// Ended attempts that the leader has not acknowledged, as many as a response has space for.
     pub ended: Vec<EndedAttempt>,
+    /// Attempts may be missing: there are more ends than the response has space for, or an entry could
+    /// not be read.
+    pub is_partial: bool,
+    /// Number of the first end that could not be read.
+    pub unreadable_end: Option<u64>,
 }
 
 /// Why a worker refused to start an attempt; a refusal has no side effects.
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -57,6 +57,9 @@
     pub(crate) has_reported_ends: bool,
     /// Last end that is durable.
     pub(crate) last_durable_end: u64,
+    /// First end of the last response that could not be read. It is not acknowledged, and neither are
+    /// later ones.
+    pub(crate) unreadable_end: Option<u64>,
     /// Last end of which the worker has confirmed the acknowledgement.
     pub(crate) last_acknowledged_end: u64,
     pub(crate) fence: WorkerFence,
@@ -108,6 +111,7 @@
             last_recorded_end: 0,
             has_reported_ends: false,
             last_durable_end: 0,
+            unreadable_end: None,
             last_acknowledged_end: 0,
             fence,
             pending_ends: 0,
@@ -138,6 +142,7 @@
         self.last_recorded_end = 0;
         self.has_reported_ends = false;
         self.last_durable_end = 0;
+        self.unreadable_end = None;
         self.last_acknowledged_end = 0;
         self.fence.advance();
         self.pending_ends = 0;
--- a/crates/cell/tests/cell/incarnations.rs
+++ b/crates/cell/tests/cell/incarnations.rs
@@ -172,6 +172,7 @@
             let id = format!("w{}", next(3));
             let worker = cell.workers.get_mut(&id).unwrap();
             worker.defers_renewals = next(3) == 0;
+            worker.max_listed_ends = usize::try_from(next(4)).unwrap();
             match next(6) {
                 0 => {
                     cell.reincarnate(&id);
@@ -198,6 +199,7 @@
         }
         for worker in cell.workers.values_mut() {
             worker.defers_renewals = false;
+            worker.max_listed_ends = 0;
         }
         cell.restore_store();
         for _ in 0..30 {
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -747,6 +747,8 @@
             clock_ms: worker.clock_ms(now_ms),
             running: running.collect(),
             ended: worker.ended.iter().take(limit).cloned().collect(),
+            is_partial: worker.ended.len() >= limit,
+            unreadable_end: None,
         })
     }
 
--- a/crates/cellnode/src/forward_frame.rs
+++ b/crates/cellnode/src/forward_frame.rs
@@ -155,6 +155,12 @@
     /// Changes of the list of running attempts since the last response of the session.
     #[prost(message, optional, tag = "6")]
     pub(crate) running: Option<RunningChange>,
+    /// Attempts may be missing.
+    #[prost(bool, tag = "7")]
+    pub(crate) is_partial: bool,
+    /// Number of the first end that could not be read.
+    #[prost(uint64, optional, tag = "8")]
+    pub(crate) unreadable_end: Option<u64>,
 }
 
 /// An ended attempt.
--- a/crates/cellnode/src/forward_router.rs
+++ b/crates/cellnode/src/forward_router.rs
@@ -334,6 +334,8 @@
                     clock_ms: result.clock_ms,
                     running: list.apply(result.running.unwrap_or_default()),
                     ended: result.ended.into_iter().map(EndedAttempt::from).collect(),
+                    is_partial: result.is_partial,
+                    unreadable_end: result.unreadable_end,
                 })
             }
             RenewCode::Fenced => RenewOutcome::Fenced,
--- a/crates/cellnode/src/forward_session.rs
+++ b/crates/cellnode/src/forward_session.rs
@@ -20,7 +20,7 @@
         payload_store::PayloadStore,
         running_list::RunningList,
     },
-    damaskrack_cell::{RenewOutcome, RenewResponse},
+    damaskrack_cell::RenewOutcome,
     rustc_hash::FxHashMap,
     std::sync::{Arc, Mutex, MutexGuard, PoisonError},
     tokio::sync::mpsc,
@@ -139,14 +139,14 @@
             RenewResult { code: RenewCode::from(&outcome) as i32, ..RenewResult::default() };
         // Locked until the reply is queued, because the leader applies the changes in that order.
         let mut state = self.lock();
-        if let RenewOutcome::Answered(RenewResponse { incarnation, clock_ms, running, ended }) =
-            outcome
-        {
+        if let RenewOutcome::Answered(response) = outcome {
             let list = state.lists.entry(worker_id.clone()).or_default();
-            result.incarnation = incarnation;
-            result.clock_ms = clock_ms;
-            result.ended = ended.iter().map(EndedFrame::from).collect();
-            result.running = Some(list.diff(&running));
+            result.incarnation = response.incarnation;
+            result.clock_ms = response.clock_ms;
+            result.ended = response.ended.iter().map(EndedFrame::from).collect();
+            result.running = Some(list.diff(&response.running));
+            result.is_partial = response.is_partial;
+            result.unreadable_end = response.unreadable_end;
             result.worker_id = worker_id;
         }
         self.reply(request, ForwardResult::Renewed(result));
