Bound how long a start without a response delays acknowledgements; forget one across a restart

Causes: (1) a start without a response, which another incarnation could still carry out, delayed acknowledgements without end, while a full list of ends kept the attempt from being given up. It counts for 15 s now, and not at all with a ticket, which holds for one incarnation. (2) a renewal in flight during a restart was answered by the next incarnation, and the number that it had acknowledged to the former one was taken for the next one's; its ends were only acknowledged beyond that number.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -77,6 +77,7 @@
             sent_ms: 0,
             start_sent_ms: 0,
             start_tries: 0,
+            has_ticket: false,
             start_fence: 0,
             stop_due_ms: 0,
             stop_tries: 0,
@@ -168,6 +169,7 @@
         attempt.start_sent_ms = now_ms;
         attempt.start_tries += 1;
         attempt.start_fence = worker.fence.number_for_start();
+        attempt.has_ticket = !ticket.is_empty();
         self.actions.push(CellAction::Start(StartRequest {
             attempt: key,
             address: worker.report.address.clone(),
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -111,7 +111,7 @@
                 && worker.pending_ends == 0
                 && !worker.attempts.is_empty();
             let mut own = worker.attempts.values();
-            let has_unlisted_start = own.any(|key| attempts[*key].may_start_elsewhere());
+            let has_unlisted_start = own.any(|key| attempts[*key].may_start_elsewhere(time.now_ms));
             let acknowledged_end = worker.acknowledgeable_end(has_unlisted_start);
             if acknowledged_end > 0 {
                 worker.fence.open_acknowledgement();
--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -5,6 +5,9 @@
     message::{PhaseRef, TaskRef},
 };
 
+/// Time after which a request without a response is no longer carried out, in milliseconds.
+const MAX_REQUEST_DELAY_MS: u64 = 15_000;
+
 /// State of an attempt, as far as it is known. In every state the attempt counts against its
 /// worker's capacity and its team's limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -74,6 +77,8 @@
     pub(crate) start_sent_ms: u64,
     /// Number of start requests so far.
     pub(crate) start_tries: u32,
+    /// The start requests carried a ticket.
+    pub(crate) has_ticket: bool,
     /// Number of the fence that the last start request had.
     pub(crate) start_fence: u32,
     /// Number of stop requests so far.
@@ -89,9 +94,10 @@
     }
 
     /// Returns whether a start request of this leader may be carried out by another incarnation of the
-    /// worker.
-    pub(crate) fn may_start_elsewhere(&self) -> bool {
-        self.start_tries > 0 && !self.is_listed
+    /// worker. A ticket holds for one incarnation only.
+    pub(crate) fn may_start_elsewhere(&self, now_ms: u64) -> bool {
+        let is_recent = now_ms < self.start_sent_ms + MAX_REQUEST_DELAY_MS;
+        self.start_tries > 0 && !self.is_listed && !self.has_ticket && is_recent
     }
 
     /// Returns for how long the attempt ran until its worker was lost, in milliseconds, if this leader
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -144,6 +144,7 @@
         self.last_durable_end = 0;
         self.unreadable_end = None;
         self.last_acknowledged_end = 0;
+        self.renew_acknowledged_end = 0;
         self.fence.advance();
         self.pending_ends = 0;
         self.failure_streak = 0;
--- a/crates/cell/tests/cell/incarnations.rs
+++ b/crates/cell/tests/cell/incarnations.rs
@@ -86,6 +86,30 @@
     assert_eq!(cell.state("2"), Some(JobState::Completed));
 }
 
+/// A renewal that acknowledges an end of the former incarnation is answered by the next one, which the
+/// list of workers has shown meanwhile.
+#[test]
+fn ends_are_acknowledged_after_a_restart_during_a_renewal() {
+    let mut cell = FakeCell::new(1);
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(200);
+    cell.is_store_down = true;
+    cell.run(400);
+    cell.reincarnate("w0");
+    cell.delays_renewals_of = Some("w0".to_owned());
+    cell.restore_store();
+    cell.run(100);
+    assert!(!cell.delayed_renewals.is_empty());
+    cell.list_workers();
+    cell.delays_renewals_of = None;
+    let delayed = std::mem::take(&mut cell.delayed_renewals);
+    delayed.into_iter().for_each(|input| cell.apply(input));
+    cell.submit(job("2", vec![step(1)]));
+    cell.run(3_000);
+    assert_eq!(cell.state("2"), Some(JobState::Completed));
+    assert!(cell.workers["w0"].ended.is_empty(), "the end is not acknowledged");
+}
+
 /// More ends are outstanding than a response has space for: a run that is not listed may have ended.
 #[test]
 fn a_run_missing_from_a_full_response_is_not_started_again() {
