An item whose value cannot be read stays in its page

What callers saw: nothing yet; found by reading. A page of which no value is valid base64 ended the list, and what came after it was missing. A worker whose entry became unreadable kept its former entry. A job whose row could not be read was said not to exist.

Cause: the client left such items out of their pages, and took an unreadable row for no row.

Change: such an item stays in its page and counts as deleted, so that the next page begins after it and each follower treats it as it treats an entry that is gone; the lists of rows leave it out. A read of a single one has no answer.

--- a/crates/cellnode/src/ended_reader.rs
+++ b/crates/cellnode/src/ended_reader.rs
@@ -33,7 +33,7 @@
                 let is_last = !page.has_more || page.items.is_empty();
                 count += page.items.len();
                 after = page.items.last().map_or(after, |item| item.key.clone());
-                for item in &page.items {
+                for item in page.items.iter().filter(|item| !item.is_deleted) {
                     pass_on(item, &events, &logger).await;
                 }
                 if is_last {
--- a/crates/cellnode/src/external.rs
+++ b/crates/cellnode/src/external.rs
@@ -14,11 +14,12 @@
 pub struct StoreItem {
     /// Key.
     pub key: String,
-    /// Value; empty if the item was deleted.
+    /// Value; empty if there is none to read.
     pub value: Vec<u8>,
     /// Revision of the last change; 0 if the item does not exist.
     pub revision: u64,
-    /// Whether the item was deleted at that revision.
+    /// Whether the item was deleted at that revision, or its value cannot be read. An unreadable item is
+    /// part of its page all the same, because the next page may begin after it.
     pub is_deleted: bool,
 }
 
--- a/crates/cellnode/src/follow.rs
+++ b/crates/cellnode/src/follow.rs
@@ -124,13 +124,14 @@
 ) -> Result<(Vec<StoreItem>, u64), StoreError> {
     let mut items: Vec<StoreItem> = Vec::new();
     let mut revision = None;
+    let mut after = String::new();
     loop {
-        let after = items.last().map_or(String::new(), |item| item.key.clone());
         let page = store.range(prefix, &after, page_timeout_ms).await?;
         // Pages are not a snapshot, so the watch has to start at the revision of the first one.
         let first = *revision.get_or_insert(page.revision);
         let is_last = !page.has_more || page.items.is_empty();
-        items.extend(page.items);
+        after = page.items.last().map_or(after, |item| item.key.clone());
+        items.extend(page.items.into_iter().filter(|item| !item.is_deleted));
         if is_last {
             return Ok((items, first));
         }
