An occurrence due after the largest time does not start

What callers saw: an occurrence of a job with an interval near the largest number started at once, long before its time. With overflow checks the leader ended, and so did each successor, because the job is in the store.

Cause: the due time is a sum of numbers that the caller chose; it wrapped.

Evidence: an_occurrence_due_after_the_largest_time_does_not_start saw the second occurrence start in a release build before the change, and "attempt to add with overflow" in a debug build.

Change: the sum saturates. The test passes in both.

--- a/crates/cell/src/table/job.rs
+++ b/crates/cell/src/table/job.rs
@@ -113,7 +113,10 @@
     pub(crate) fn due_ms(&self, occurrence: u32) -> u64 {
         match self.record.occurrences {
             0 => 0,
-            _ => self.record.first_due_ms + self.record.interval_ms * u64::from(occurrence),
+            _ => {
+                let offset_ms = self.record.interval_ms.saturating_mul(u64::from(occurrence));
+                self.record.first_due_ms.saturating_add(offset_ms)
+            }
         }
     }
 
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -6,6 +6,7 @@
 mod incarnations;
 mod load;
 mod narrow_link;
+mod odd_rows;
 mod pending;
 mod support;
 mod worker_list;
