Amounts near the largest number concern their own job only

What callers saw: with a job of which a caller gave such amounts, the leader ended if overflow checks are on, and so did each successor, because the job is in the store. Without them the shares of the teams, the admission of jobs and the order of the backlog were computed from sums that had wrapped.

Cause: unchecked sums and products of estimates and resources that callers choose.

Evidence: amounts_near_the_largest_number_concern_their_own_job_only ended with "attempt to add with overflow" in crates/cell/src/core/backlog.rs before the change (debug build).

Change: these sums saturate or are computed as floating-point numbers, as their results are. The same for the times of an adviser.

--- a/crates/cell/src/core/admission.rs
+++ b/crates/cell/src/core/admission.rs
@@ -167,8 +167,8 @@
         };
         let priority = self.priority_of(record);
         let before: usize = self.load.tasks.range(..=priority).map(|(_, tasks)| tasks).sum();
-        let own: u32 = record.steps.iter().map(|step| step.tasks).sum();
-        let start_ms = (before as f64 + f64::from(own)) * MS_PER_SECOND / rate_per_s;
+        let own: f64 = record.steps.iter().map(|step| f64::from(step.tasks)).sum();
+        let start_ms = (before as f64 + own) * MS_PER_SECOND / rate_per_s;
         start_ms / within_ms.max(1.0)
     }
 
@@ -186,7 +186,7 @@
             let mut work = WorkAmount::default();
             for phase in job.phases.iter().filter(|phase| phase.unassigned > 0) {
                 let step = &job.record.steps[phase.step];
-                let ms = (step.estimate_ms * phase.unassigned as u64) as f64;
+                let ms = step.estimate_ms as f64 * phase.unassigned as f64;
                 work.add(WorkAmount::of(&step.resources(), ms));
             }
             let teams = load.work.entry(self.service_of(&job.record).to_owned()).or_default();
--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -272,7 +272,7 @@
         let Some(entry) = job.phases.get_mut(call.phase.phase) else { return };
         entry.advice_call = None;
         let Some(allowed) = allowed else { return };
-        let valid_until_ms = self.time.now_ms + timing.valid_ms;
+        let valid_until_ms = self.time.now_ms.saturating_add(timing.valid_ms);
         let mut granted = 0;
         for worker in &call.workers {
             let Some(known) = self.workers.get(*worker) else { continue };
--- a/crates/cell/src/core/backlog.rs
+++ b/crates/cell/src/core/backlog.rs
@@ -119,7 +119,7 @@
     for (index, step) in record.steps.iter().enumerate() {
         let own = if counts(index) { step.estimate_ms } else { 0 };
         let start = step.after.iter().filter_map(|after| ends.get(*after as usize)).max();
-        ends.push(start.copied().unwrap_or(0) + own);
+        ends.push(start.copied().unwrap_or(0).saturating_add(own));
     }
     ends.into_iter().max().unwrap_or(0) as f64
 }
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -108,7 +108,7 @@
     /// ```
     #[must_use]
     pub fn duration_us(&self, workers: usize) -> u64 {
-        self.call_us + self.worker_us * workers as u64
+        self.call_us.saturating_add(self.worker_us.saturating_mul(workers as u64))
     }
 }
 
--- a/crates/cell/src/resources.rs
+++ b/crates/cell/src/resources.rs
@@ -62,7 +62,7 @@
         }
     }
 
-    /// Returns the sum of both amounts.
+    /// Returns the sum of both amounts, saturating at the largest number.
     ///
     /// ```
     /// use damaskrack_cell::ResourceSet;
@@ -73,9 +73,9 @@
     #[must_use]
     pub fn plus(&self, other: &Self) -> Self {
         Self {
-            cpu_millis: self.cpu_millis + other.cpu_millis,
-            memory_mb: self.memory_mb + other.memory_mb,
-            accelerators: self.accelerators + other.accelerators,
+            cpu_millis: self.cpu_millis.saturating_add(other.cpu_millis),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 
--- a/crates/cell/tests/cell/odd_rows.rs
+++ b/crates/cell/tests/cell/odd_rows.rs
@@ -2,9 +2,43 @@
 
 use {
     super::support::{FakeCell, WALL_MS, job, step},
-    damaskrack_cell::JobRecord,
+    damaskrack_cell::{CellInput, JobRecord, JobState, StepSpec},
 };
 
+/// Amounts at which sums and products of 64-bit numbers overflow.
+const LARGE: [u64; 3] = [u64::MAX, u64::MAX / 2 + 1, u64::MAX / 3];
+
+fn large_step(amount: u64) -> StepSpec {
+    StepSpec {
+        cpu_millis: amount,
+        memory_mb: amount,
+        accelerators: amount,
+        estimate_ms: amount,
+        latency_objective_ms: amount,
+        ..step(3)
+    }
+}
+
+/// A caller's job may name any amounts.
+#[test]
+fn amounts_near_the_largest_number_concern_their_own_job_only() {
+    let mut cell = FakeCell::new(2);
+    for (index, amount) in LARGE.into_iter().enumerate() {
+        let after = StepSpec { after: vec![0], ..large_step(amount) };
+        let steps = vec![large_step(amount), after];
+        cell.submit(job(&format!("large{index}"), steps.clone()));
+        let record = job(&format!("submitted{index}"), steps);
+        cell.apply(CellInput::Submitted { record, reply: index as u64 });
+    }
+    cell.submit(job("small", vec![step(4)]));
+    cell.run(2_000);
+    assert_eq!(cell.state("small"), Some(JobState::Completed));
+    cell.start_leader();
+    cell.submit(job("later", vec![step(4)]));
+    cell.run(2_000);
+    assert_eq!(cell.state("later"), Some(JobState::Completed));
+}
+
 /// A sum that wraps is a time in the past.
 #[test]
 fn an_occurrence_due_after_the_largest_time_does_not_start() {
