A job with too many tasks is not taken

What callers saw: a caller could end every leader with one small request. A job of 1,000 phases with 100,000 tasks each was accepted; the leader has a table entry of 128 bytes for each task, and a new one reads the same row. Long before that the row of its progress exceeds the size of an item in the store, and the leader repeats a commit that the store can only refuse.

Cause: only the tasks of each phase were limited, and a row in the store was not checked at all.

Change: a job has at most 10,000 tasks. The case of one phase with 100,001 tasks is part of the new limit.

--- a/crates/cell/src/core/admission.rs
+++ b/crates/cell/src/core/admission.rs
@@ -107,6 +107,10 @@
 impl CellCore {
     /// Decides whether to admit a submitted job.
     pub(super) fn admit(&mut self, record: &JobRecord) -> Admission {
+        if record.is_too_large() {
+            // A float-to-integer cast saturates.
+            return Admission::Refuse { retry_ms: RETRY_RANGE_MS.1 as u64 };
+        }
         if record.occurrences > 0 || record.steps.iter().any(|step| step.is_service) {
             return Admission::Admit;
         }
--- a/crates/cell/src/core/jobs.rs
+++ b/crates/cell/src/core/jobs.rs
@@ -48,11 +48,20 @@
     }
 
     pub(super) fn accept(&mut self, record: JobRecord) {
-        if !self.job_ids.contains_key(&record.id) {
+        if !self.job_ids.contains_key(&record.id) && !self.rejects(&record) {
             self.add_job(record);
         }
     }
 
+    /// Returns whether a job that is in the store cannot be taken, because it is too large.
+    fn rejects(&mut self, record: &JobRecord) -> bool {
+        let is_too_large = record.is_too_large();
+        if is_too_large {
+            self.log("job_too_large", &record.id, format!("steps={}", record.steps.len()));
+        }
+        is_too_large
+    }
+
     fn add_job(&mut self, record: JobRecord) -> JobKey {
         let detail =
             format!("queue={} team={} steps={}", record.queue, record.team, record.steps.len());
@@ -85,7 +94,7 @@
     /// assert_eq!(core.state_of("1"), Some(JobState::Cancelled));
     /// ```
     pub fn restore(&mut self, record: JobRecord, progress: Option<&ProgressRecord>) {
-        if self.job_ids.contains_key(&record.id) {
+        if self.job_ids.contains_key(&record.id) || self.rejects(&record) {
             return;
         }
         let key = self.insert(record);
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -24,8 +24,8 @@
         StartRefusal, StartRequest, StopRequest, WorkerReport, WorkerTicket,
     },
     record::{
-        AdviceTiming, JobRecord, JobState, LostAttempt, PhaseProgress, ProgressRecord, StepSpec,
-        TaskProgress,
+        AdviceTiming, JobRecord, JobState, LostAttempt, MAX_JOB_TASKS, PhaseProgress,
+        ProgressRecord, StepSpec, TaskProgress,
     },
     resources::ResourceSet,
     settings::CellSettings,
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -9,6 +9,10 @@
 
 use crate::ResourceSet;
 
+/// Maximum number of tasks of one occurrence of a job. With more of them the row of its progress might
+/// exceed the size of an item in the store.
+pub const MAX_JOB_TASKS: u64 = 10_000;
+
 /// A step of a job: a set of identical tasks.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct StepSpec {
@@ -153,6 +157,21 @@
     pub has_stored_payload: bool,
 }
 
+impl JobRecord {
+    /// Returns whether the job has more than [`MAX_JOB_TASKS`] tasks.
+    ///
+    /// ```
+    /// use damaskrack_cell::{JobRecord, StepSpec};
+    ///
+    /// let step = StepSpec { tasks: u32::MAX, ..StepSpec::default() };
+    /// assert!(JobRecord { steps: vec![step], ..JobRecord::default() }.is_too_large());
+    /// ```
+    #[must_use]
+    pub fn is_too_large(&self) -> bool {
+        self.steps.iter().map(|step| u64::from(step.tasks)).sum::<u64>() > MAX_JOB_TASKS
+    }
+}
+
 /// State of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, prost::Enumeration)]
 #[repr(i32)]
--- a/crates/cell/tests/cell/odd_rows.rs
+++ b/crates/cell/tests/cell/odd_rows.rs
@@ -2,7 +2,7 @@
 
 use {
     super::support::{FakeCell, WALL_MS, job, step},
-    damaskrack_cell::{CellInput, JobRecord, JobState, StepSpec},
+    damaskrack_cell::{CellInput, JobRecord, JobState, MAX_JOB_TASKS, StepSpec},
 };
 
 /// Amounts at which sums and products of 64-bit numbers overflow.
@@ -53,3 +53,31 @@
     cell.run(2_000);
     assert_eq!(cell.starts.len(), 1, "{:?}", cell.starts);
 }
+
+/// A leader has a table entry for each task, and its successor reads the same row.
+#[test]
+fn a_job_with_too_many_tasks_is_not_taken() {
+    let mut cell = FakeCell::new(2);
+    let half = u32::try_from(MAX_JOB_TASKS / 2).expect("a small number");
+    cell.submit(job("largest", vec![step(half), step(half)]));
+    let records = [
+        job("many", vec![step(half), step(half + 1)]),
+        job("most", vec![step(u32::MAX)]),
+        JobRecord { occurrences: 1, ..job("timed", vec![step(u32::MAX), step(u32::MAX)]) },
+    ];
+    for (record, reply) in records.into_iter().zip(1..) {
+        cell.jobs.insert(record.id.clone(), record.clone());
+        cell.apply(CellInput::Accepted(record.clone()));
+        cell.apply(CellInput::Submitted { record: record.clone(), reply });
+        cell.apply(CellInput::Offered { record, reply: 10 * reply });
+    }
+    for _ in 0..2 {
+        cell.run(100);
+        assert!(cell.state("largest").is_some());
+        assert!(["many", "most", "timed"].iter().all(|id| cell.state(id).is_none()));
+        cell.start_leader();
+    }
+    let mut refused: Vec<u64> = cell.refusals.iter().map(|(reply, _)| *reply).collect();
+    refused.sort_unstable();
+    assert_eq!(refused, [1, 2, 3, 10, 20, 30]);
+}
