Occurrences of a job are created as earlier ones end

What callers saw: a caller could end every leader with one small request. All occurrences of a job that are due were created at once: with an interval of 0 and a count near 2^32 the leader ran out of memory, and so did each successor, because the job is in the store.

Cause: only the due time limited the occurrences in the tables.

Evidence: billions_of_due_occurrences_are_created_as_earlier_ones_end ended with a failed memory allocation before the change (run with 3 GB of address space).

Change: no further occurrence is created while the job has 2,000 unfinished tasks or more; one is as soon as it has fewer. Occurrences without tasks are not taken. A job with ten due occurrences of 500 tasks completes.

--- a/crates/cell/src/core/admission.rs
+++ b/crates/cell/src/core/admission.rs
@@ -107,7 +107,7 @@
 impl CellCore {
     /// Decides whether to admit a submitted job.
     pub(super) fn admit(&mut self, record: &JobRecord) -> Admission {
-        if record.is_too_large() {
+        if record.is_too_large() || record.has_empty_occurrences() {
             // A float-to-integer cast saturates.
             return Admission::Refuse { retry_ms: RETRY_RANGE_MS.1 as u64 };
         }
--- a/crates/cell/src/core/jobs.rs
+++ b/crates/cell/src/core/jobs.rs
@@ -53,13 +53,13 @@
         }
     }
 
-    /// Returns whether a job that is in the store cannot be taken, because it is too large.
+    /// Returns whether a job that is in the store cannot be taken.
     fn rejects(&mut self, record: &JobRecord) -> bool {
-        let is_too_large = record.is_too_large();
-        if is_too_large {
-            self.log("job_too_large", &record.id, format!("steps={}", record.steps.len()));
+        let is_rejected = record.is_too_large() || record.has_empty_occurrences();
+        if is_rejected {
+            self.log("job_rejected", &record.id, format!("steps={}", record.steps.len()));
         }
-        is_too_large
+        is_rejected
     }
 
     fn add_job(&mut self, record: JobRecord) -> JobKey {
@@ -187,12 +187,7 @@
     /// Creates the phases of occurrences that are due.
     pub(super) fn start_due_occurrences(&mut self) {
         for key in &self.live {
-            let job = &mut self.jobs[*key];
-            while job.occurrences_created < job.occurrences()
-                && job.due_ms(job.occurrences_created) <= self.time.wall_ms
-            {
-                job.create_occurrences(job.occurrences_created + 1);
-            }
+            self.jobs[*key].create_due_occurrences(self.time.wall_ms);
         }
     }
 
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -170,6 +170,18 @@
     pub fn is_too_large(&self) -> bool {
         self.steps.iter().map(|step| u64::from(step.tasks)).sum::<u64>() > MAX_JOB_TASKS
     }
+
+    /// Returns whether the job has occurrences without tasks, which would all begin at once.
+    ///
+    /// ```
+    /// use damaskrack_cell::JobRecord;
+    ///
+    /// assert!(JobRecord { occurrences: 1, ..JobRecord::default() }.has_empty_occurrences());
+    /// ```
+    #[must_use]
+    pub fn has_empty_occurrences(&self) -> bool {
+        self.occurrences > 0 && self.steps.iter().all(|step| step.tasks == 0)
+    }
 }
 
 /// State of a job.
--- a/crates/cell/src/table/job.rs
+++ b/crates/cell/src/table/job.rs
@@ -6,6 +6,9 @@
     std::sync::Arc,
 };
 
+/// Number of unfinished tasks of a job from which no further occurrence of it is created.
+const MAX_UNFINISHED_TASKS: usize = 2_000;
+
 /// A follow-up that waits until a job's row is durable.
 #[derive(Debug)]
 pub(crate) enum AfterCommit {
@@ -130,6 +133,20 @@
         }
     }
 
+    /// Creates the phases of the occurrences that are due, as long as earlier ones have fewer than
+    /// [`MAX_UNFINISHED_TASKS`] unfinished tasks.
+    pub(crate) fn create_due_occurrences(&mut self, wall_ms: u64) {
+        while self.occurrences_created < self.occurrences()
+            && self.due_ms(self.occurrences_created) <= wall_ms
+        {
+            let unfinished: usize = self.phases.iter().map(|phase| phase.unfinished).sum();
+            if unfinished >= MAX_UNFINISHED_TASKS {
+                return;
+            }
+            self.create_occurrences(self.occurrences_created + 1);
+        }
+    }
+
     /// Returns whether the steps that a phase depends on have completed.
     pub(crate) fn is_ready(&self, phase: usize) -> bool {
         let entry = &self.phases[phase];
--- a/crates/cell/tests/cell/odd_rows.rs
+++ b/crates/cell/tests/cell/odd_rows.rs
@@ -81,3 +81,32 @@
     refused.sort_unstable();
     assert_eq!(refused, [1, 2, 3, 10, 20, 30]);
 }
+
+/// The occurrences of a job may all be due at once.
+#[test]
+fn billions_of_due_occurrences_are_created_as_earlier_ones_end() {
+    let mut cell = FakeCell::new(2);
+    let record = JobRecord { occurrences: u32::MAX, ..job("timed", vec![step(2), step(3)]) };
+    cell.submit(record);
+    cell.submit(job("small", vec![step(4)]));
+    cell.run(1_500);
+    assert_eq!(cell.state("small"), Some(JobState::Completed));
+    assert_eq!(cell.state("timed"), Some(JobState::Running));
+    let before = cell.starts.len();
+    cell.start_leader();
+    cell.run(1_500);
+    assert!(cell.starts.len() > before, "the job goes on");
+}
+
+/// The next occurrence is created when the tasks of earlier ones have ended.
+#[test]
+fn a_job_with_many_due_occurrences_completes() {
+    let mut cell = FakeCell::new(2);
+    cell.run_ms = 10;
+    // Tasks that take no capacity all run at once.
+    let idle = StepSpec { tasks: 500, ..StepSpec::default() };
+    cell.submit(JobRecord { occurrences: 10, ..job("idle", vec![idle]) });
+    cell.run(2_000);
+    assert_eq!(cell.state("idle"), Some(JobState::Completed));
+    assert_eq!(cell.starts.len(), 5_000);
+}
