A damaged progress row concerns its own job only

What callers saw: nothing yet; found by reading. A leader that restored a row in which a task or a phase is named twice, or which names one that its job does not have, ended, and so did each successor, because the row stays.

Cause: the row was trusted. A second attempt at a task made the count of unassigned tasks wrap and left an attempt in the tables that outlived its job; the numbers of occurrences, attempts, failures and crashes overflowed; the phases up to any occurrence were created; a step beyond the last one was taken for one of the next occurrence.

Change: phases that the job cannot have, and second attempts at a task, are left out; counts saturate; a stored probation is at most the longest one.

--- a/crates/cell/src/core/completion.rs
+++ b/crates/cell/src/core/completion.rs
@@ -107,7 +107,8 @@
         if is_gang {
             entry.count_gang_failure(attempt.number);
         } else {
-            entry.tasks[attempt.index].failures += 1;
+            let task = &mut entry.tasks[attempt.index];
+            task.failures = task.failures.saturating_add(1);
         }
         let failures = entry.tasks[attempt.index].failures;
         let name = job.task_name(phase.phase, attempt.index);
--- a/crates/cell/src/core/jobs.rs
+++ b/crates/cell/src/core/jobs.rs
@@ -114,7 +114,7 @@
         }
         self.live.push(key);
         for stored in &progress.phases {
-            self.restore_phase(key, stored);
+            self.restore_phase(key, stored, progress.phases.len());
         }
     }
 
@@ -148,14 +148,13 @@
         }
     }
 
-    fn restore_phase(&mut self, key: JobKey, stored: &PhaseProgress) {
+    /// Restores one of a job's stored phases, unless the job cannot have such a phase.
+    fn restore_phase(&mut self, key: JobKey, stored: &PhaseProgress, stored_phases: usize) {
         let job = &mut self.jobs[key];
-        job.create_occurrences((stored.occurrence + 1).min(job.occurrences()));
-        let steps = job.record.steps.len();
-        let phase = stored.occurrence as usize * steps + stored.step as usize;
-        if phase >= job.phases.len() {
-            return;
-        }
+        let Some(phase) = job.restore_occurrences(stored, stored_phases) else {
+            let (id, detail) = (job.record.id.clone(), format!("occurrence={}", stored.occurrence));
+            return self.log("phase_rejected", id, detail);
+        };
         job.phases[phase].restore(stored);
         let phase = PhaseRef { job: key, phase };
         for task in stored.tasks.iter().filter(|task| !task.worker.is_empty()) {
@@ -168,7 +167,9 @@
 
     fn restore_attempt(&mut self, phase: PhaseRef, stored: &TaskProgress) {
         let index = stored.index as usize;
-        if index >= self.jobs[phase.job].phases[phase.phase].tasks.len() {
+        let task = self.jobs[phase.job].phases[phase.phase].tasks.get(index);
+        // A damaged row may name a task twice.
+        if task.is_none_or(|task| task.attempt.is_some()) {
             return;
         }
         let worker = self.find_worker(stored);
--- a/crates/cell/src/core/placement.rs
+++ b/crates/cell/src/core/placement.rs
@@ -285,11 +285,12 @@
     /// Creates attempts at tasks of a step on the planned workers.
     pub(super) fn create_attempts(&mut self, phase: PhaseRef, tasks: &[usize], plan: &[WorkerKey]) {
         let entry = &self.jobs[phase.job].phases[phase.phase];
-        let gang_number = entry.tasks.iter().map(|task| task.last_number).max().unwrap_or(0) + 1;
+        let last_number = entry.tasks.iter().map(|task| task.last_number).max().unwrap_or(0);
+        let gang_number = last_number.saturating_add(1);
         let is_gang = self.jobs[phase.job].record.steps[entry.step].is_gang;
         for (&index, worker) in tasks.iter().zip(plan) {
-            let own = self.jobs[phase.job].phases[phase.phase].tasks[index].last_number + 1;
-            let number = if is_gang { gang_number } else { own };
+            let own = self.jobs[phase.job].phases[phase.phase].tasks[index].last_number;
+            let number = if is_gang { gang_number } else { own.saturating_add(1) };
             let key = self.insert_attempt(phase, index, number, *worker, AttemptState::Persisting);
             self.mark_dirty(phase.job, Some(AfterCommit::Send(key)));
         }
--- a/crates/cell/src/table/job.rs
+++ b/crates/cell/src/table/job.rs
@@ -2,7 +2,7 @@
 
 use {
     super::PhaseEntry,
-    crate::{AttemptKey, JobRecord, JobState, WorkerKey},
+    crate::{AttemptKey, JobRecord, JobState, PhaseProgress, WorkerKey},
     std::sync::Arc,
 };
 
@@ -147,6 +147,26 @@
         }
     }
 
+    /// Creates the occurrences up to that of a stored phase and returns the phase's index; `None` if the
+    /// job has no such phase, or it is restored already.
+    pub(crate) fn restore_occurrences(
+        &mut self,
+        stored: &PhaseProgress,
+        stored_phases: usize,
+    ) -> Option<usize> {
+        let (occurrence, step) = (stored.occurrence as usize, stored.step as usize);
+        let steps = self.record.steps.len();
+        let tasks: usize = self.record.steps.iter().map(|step| step.tasks as usize).sum();
+        // Each earlier occurrence has a stored phase or is one of those with unfinished tasks only.
+        let max_occurrence = stored_phases + MAX_UNFINISHED_TASKS / tasks.max(1) + 1;
+        if stored.occurrence >= self.occurrences() || step >= steps || occurrence > max_occurrence {
+            return None;
+        }
+        self.create_occurrences(stored.occurrence + 1);
+        let phase = occurrence * steps + step;
+        (!self.phases[phase].has_started()).then_some(phase)
+    }
+
     /// Returns whether the steps that a phase depends on have completed.
     pub(crate) fn is_ready(&self, phase: usize) -> bool {
         let entry = &self.phases[phase];
--- a/crates/cell/src/table/phase.rs
+++ b/crates/cell/src/table/phase.rs
@@ -1,7 +1,7 @@
 //! Phases: one step of one occurrence of a job.
 
 use {
-    super::{PhaseRetry, TaskEntry},
+    super::{PhaseRetry, TaskEntry, task::MAX_PROBATION_MS},
     crate::{AdviceCallKey, AttemptKey, PhaseProgress, TaskProgress, WorkerKey},
     rustc_hash::{FxHashMap, FxHashSet},
 };
@@ -62,7 +62,8 @@
     pub(crate) fn count_gang_failure(&mut self, run: u32) {
         if run > self.failed_run {
             self.failed_run = run;
-            self.tasks.iter_mut().for_each(|task| task.failures += 1);
+            let failed = self.tasks.iter_mut();
+            failed.for_each(|task| task.failures = task.failures.saturating_add(1));
         }
     }
 
@@ -95,7 +96,7 @@
             task.failures = stored.failures;
             task.crashes = stored.crashes;
             task.possible_crashes = stored.possible_crashes;
-            task.probation_ms = stored.probation_ms;
+            task.probation_ms = stored.probation_ms.min(MAX_PROBATION_MS);
             task.lost.clone_from(&stored.lost);
             self.has_losses |= task.has_losses();
             task.checkpoint.clone_from(&stored.checkpoint);
--- a/crates/cell/src/table/task.rs
+++ b/crates/cell/src/table/task.rs
@@ -6,7 +6,7 @@
 /// may be the cause.
 pub(crate) const MIN_PROBATION_MS: u64 = 150;
 /// Longest probation, in milliseconds.
-const MAX_PROBATION_MS: u64 = 5_000;
+pub(crate) const MAX_PROBATION_MS: u64 = 5_000;
 /// Probation of a task of which it is not known how long it ran before the crash, in milliseconds.
 const DEFAULT_PROBATION_MS: u64 = 1_000;
 /// Factor by which a probation exceeds the time for which the task ran before the crash.
@@ -47,9 +47,14 @@
         !self.is_done && self.attempt.is_none()
     }
 
+    /// Returns the number of crashes under the task, with and without proof that it ran.
+    fn total_crashes(&self) -> u32 {
+        self.crashes.saturating_add(self.possible_crashes)
+    }
+
     /// Returns whether workers were lost with the task.
     pub(crate) fn has_losses(&self) -> bool {
-        self.is_suspected() || self.crashes + self.possible_crashes > 0
+        self.is_suspected() || self.total_crashes() > 0
     }
 
     /// Returns whether the task may have crashed a worker.
@@ -67,10 +72,10 @@
     /// Counts a crash of a worker that ran the task, or may have.
     pub(crate) fn add_crash(&mut self, ran_ms: Option<u64>, has_begun: bool) {
         match has_begun {
-            true => self.crashes += 1,
-            false => self.possible_crashes += 1,
+            true => self.crashes = self.crashes.saturating_add(1),
+            false => self.possible_crashes = self.possible_crashes.saturating_add(1),
         }
-        if self.crashes + self.possible_crashes >= SUSPECT_CRASHES {
+        if self.total_crashes() >= SUSPECT_CRASHES {
             self.suspect(ran_ms);
         }
     }
@@ -78,12 +83,12 @@
     /// Returns whether so many workers crashed under the task, with and without proof that they ran it,
     /// that at least [`MIN_CRASHES`] of them did.
     pub(crate) fn has_crashed_workers(&self) -> bool {
-        self.crashes >= MIN_CRASHES || self.crashes + self.possible_crashes > MIN_CRASHES
+        self.crashes >= MIN_CRASHES || self.total_crashes() > MIN_CRASHES
     }
 
     /// Returns whether too many workers crashed under the task to start it again.
     pub(crate) fn has_crashed_too_often(&self) -> bool {
-        self.crashes + self.possible_crashes >= MAX_CRASHES
+        self.total_crashes() >= MAX_CRASHES
     }
 
     /// Clears the task of all suspicion.
