A job whose progress cannot be read is not run

What callers saw: nothing yet; found by reading. After a takeover, the completed tasks of a job whose progress row was damaged were started again. A damaged job row that decoded as an empty one became a job without an id.

Cause: a progress row that could not be decoded counted as none, so its job was restored as one that had never begun. Whether a job's row is under the job's key was not checked.

Change: a job of which either row is damaged, or under the key of another job, is left out and logged.

--- a/crates/cellnode/src/job_sink.rs
+++ b/crates/cellnode/src/job_sink.rs
@@ -1,10 +1,9 @@
 //! Passes the rows of accepted jobs to the leader.
 
 use {
-    crate::{StoreItem, follow::ItemSink, leader_event::LeaderEvent},
+    crate::{StoreItem, follow::ItemSink, leader_event::LeaderEvent, stored_jobs::decode_job},
     damaskrack_cell::{CellInput, JobRecord},
-    prost::Message,
-    slog::{Logger, warn},
+    slog::Logger,
     std::collections::VecDeque,
     tokio::sync::mpsc,
 };
@@ -42,12 +41,7 @@
         if item.is_deleted {
             return;
         }
-        match JobRecord::decode(item.value.as_slice()) {
-            Ok(record) => self.unsent.push_back(record),
-            Err(error) => {
-                warn!(self.logger, "row_unreadable"; "key" => &item.key, "error" => %error);
-            }
-        }
+        self.unsent.extend(decode_job(&item, &self.logger));
     }
 
     fn caught_up(&mut self, _sent_ms: u64) {
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -27,16 +27,15 @@
         rows::{JOB_PREFIX, PROGRESS_PREFIX},
         session_registry::{SessionFrame, SessionRegistry},
         store_regain::RegainSignal,
+        stored_jobs::StoredJobs,
         unix_ms,
         worker_sink::WorkerSink,
     },
     cadence::CountedExt,
     damaskrack_cell::{
         AdviceCallKey, AdviceRequest, CellAction, CellConfig, CellCore, CellInput, CellSettings,
-        CommitRequest, JobRecord, ProgressRecord, StartOutcome, StartRefusal, StopRequest,
-        WorkerTicket,
+        CommitRequest, JobRecord, StartOutcome, StartRefusal, StopRequest, WorkerTicket,
     },
-    prost::Message,
     rustc_hash::FxHashMap,
     slog::{Logger, info, warn},
     slotmap::{Key, KeyData},
@@ -227,26 +226,11 @@
         let reports = workers.iter().filter_map(|item| codec.read_worker(&item.key, &item.value));
         self.core.apply(CellInput::Workers(reports.collect()));
         self.core.apply(CellInput::WorkersConfirmed { as_of_ms: started_ms });
-        let mut rows: FxHashMap<&str, ProgressRecord> = progress
-            .iter()
-            .filter_map(|item| {
-                let id = item.key.strip_prefix(PROGRESS_PREFIX)?;
-                Some((id, ProgressRecord::decode(item.value.as_slice()).ok()?))
-            })
-            .collect();
-        for item in &jobs {
-            match JobRecord::decode(item.value.as_slice()) {
-                Ok(record) => {
-                    let row = rows.remove(record.id.as_str());
-                    self.core.restore(record, row.as_ref());
-                }
-                Err(error) => {
-                    warn!(self.context.logger, "row_unreadable"; "key" => &item.key,
-                        "error" => %error);
-                }
-            }
+        let stored = StoredJobs::decode(&jobs, &progress, &self.context.logger);
+        for (record, row) in stored.jobs {
+            self.core.restore(record, row.as_ref());
         }
-        for (id, row) in &rows {
+        for (id, row) in &stored.ended {
             self.core.restore_ended(id, row);
         }
         info!(self.context.logger, "state_read"; "jobs" => jobs.len(), "progress" => progress.len(),
--- a/crates/cellnode/src/lib.rs
+++ b/crates/cellnode/src/lib.rs
@@ -30,6 +30,7 @@
 mod running_list;
 mod session_registry;
 mod store_regain;
+mod stored_jobs;
 mod worker_sink;
 mod write_frame;
 
