A row that cannot be read is not a job that does not exist

What callers saw: nothing yet; found by reading. Where the leader did not know a job, a daemon said from a damaged row of its end that there is no such job, or that it is queued.

Cause: a row that could not be decoded counted as none.

Evidence: damaged_rows_of_jobs_do_not_keep_a_leader_from_others got 200 for such a job before the change.

Change: the state cannot be determined then, which the caller is told (503). The test also shows that a leader beside damaged rows of all kinds serves other jobs.

--- a/crates/cellnode/src/entry.rs
+++ b/crates/cellnode/src/entry.rs
@@ -363,9 +363,10 @@
     }
 
     async fn progress_state(&self, key: String) -> Result<Option<JobState>, EntryError> {
-        let item = self.read_row(key).await?;
-        let row = item.and_then(|item| ProgressRecord::decode(item.value.as_slice()).ok());
-        Ok(row.map(|row| row.state()))
+        let Some(item) = self.read_row(key).await? else { return Ok(None) };
+        // A row that cannot be read is not a job that does not exist.
+        let row = ProgressRecord::decode(item.value.as_slice());
+        row.map(|row| Some(row.state())).map_err(|_| EntryError::Unavailable)
     }
 
     /// Cancels a job. The cancellation is durable when this returns. `None` if there is no such
