Tests that fail for entries under the id of a worker in use

An entry of another writer can have the id of a worker in use, with another address or another incarnation.

With the address of another worker, the leader asks there and is told that this is another worker (421). It takes this for proof that the worker it means has ended, and releases all attempts on it while they run: an_entry_with_the_address_of_another_worker_under_a_live_id_starts_no_task_twice and a_successor_that_finds_such_an_entry_starts_no_task_twice print "long.0.0.0 runs 2 times". 2. With a later incarnation, the responses of the worker count as those of a former one, and the corrected entry as outdated, for good: a_worker_is_of_use_again_after_an_entry_with_a_later_incarnation_is_corrected ends with its job queued. 3. Not an entry, but the same class: a worker that reports a run under an odd name. The index of its phase overflows: a_run_with_an_odd_name_is_taken_for_no_task ends with "attempt to add with overflow" in a debug build, and in a release build the index of another phase may come of it.

Two tests pass: entries under an id of their own at the address of a worker in use change nothing, and entries that are unreadable or older end nothing.

--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -6,6 +6,7 @@
 mod incarnations;
 mod load;
 mod narrow_link;
+mod odd_entries;
 mod odd_rows;
 mod pending;
 mod support;
