An odd row of the host list costs no other one

What callers saw: nothing yet; found by reading. With one row of another writer in the host list, with a port out of range or a number too large or nested deeply, a damaskrackd daemon went on with the list that it had read before: new workers got no work, and workers that left got it still.

Cause: the list was decoded as a whole.

Change: the array is split at its own commas, and a row that cannot be decoded is left out.

--- a/crates/outside/src/http_hosts.rs
+++ b/crates/outside/src/http_hosts.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         HostList, HostRow,
+        host_rows::decode_rows,
         http_client::{AddressClient, CallOutcome},
     },
     std::net::SocketAddr,
@@ -39,7 +40,7 @@
 impl HostList for HttpHosts {
     async fn read(&self, timeout_ms: u64) -> Option<Vec<HostRow>> {
         match self.client.get("/v1/hosts", timeout_ms).await {
-            CallOutcome::Answered(body) => serde_json::from_slice(&body).ok(),
+            CallOutcome::Answered(body) => decode_rows(&body),
             CallOutcome::NotServed | CallOutcome::Lost => None,
         }
     }
--- a/crates/outside/src/lib.rs
+++ b/crates/outside/src/lib.rs
@@ -4,6 +4,7 @@
 //! values, and the daemon executes them through the traits of this crate. Support for another
 //! protocol is another implementation of a trait.
 
+mod host_rows;
 mod hosts;
 mod http_client;
 mod http_hosts;
