--- a/crates/cell/src/core/jobs.rs
+++ b/crates/cell/src/core/jobs.rs
@@ -48,11 +48,20 @@
     }
 
     pub(super) fn accept(&mut self, record: JobRecord) {
-        if !self.job_ids.contains_key(&record.id) {
+        if !self.job_ids.contains_key(&record.id) && !self.rejects(&record) {
             self.add_job(record);
         }
     }
 
+    /// Returns whether a job that is in the store cannot be taken.
+    fn rejects(&mut self, record: &JobRecord) -> bool {
+        let is_rejected = record.is_too_large() || record.has_empty_occurrences();
+        if is_rejected {
+            self.log("job_rejected", &record.id, format!("steps={}", record.steps.len()));
+        }
+        is_rejected
+    }
+
     fn add_job(&mut self, record: JobRecord) -> JobKey {
         let detail =
             format!("queue={} team={} steps={}", record.queue, record.team, record.steps.len());
@@ -85,7 +94,7 @@
     /// assert_eq!(core.state_of("1"), Some(JobState::Cancelled));
     /// ```
     pub fn restore(&mut self, record: JobRecord, progress: Option<&ProgressRecord>) {
-        if self.job_ids.contains_key(&record.id) {
+        if self.job_ids.contains_key(&record.id) || self.rejects(&record) {
             return;
         }
         let key = self.insert(record);
@@ -105,7 +114,7 @@
         }
         self.live.push(key);
         for stored in &progress.phases {
-            self.restore_phase(key, stored);
+            self.restore_phase(key, stored, progress.phases.len());
         }
     }
 
@@ -139,14 +148,13 @@
         }
     }
 
-    fn restore_phase(&mut self, key: JobKey, stored: &PhaseProgress) {
+    /// Restores one of a job's stored phases, unless the job cannot have such a phase.
+    fn restore_phase(&mut self, key: JobKey, stored: &PhaseProgress, stored_phases: usize) {
         let job = &mut self.jobs[key];
-        job.create_occurrences((stored.occurrence + 1).min(job.occurrences()));
-        let steps = job.record.steps.len();
-        let phase = stored.occurrence as usize * steps + stored.step as usize;
-        if phase >= job.phases.len() {
-            return;
-        }
+        let Some(phase) = job.restore_occurrences(stored, stored_phases) else {
+            let (id, detail) = (job.record.id.clone(), format!("occurrence={}", stored.occurrence));
+            return self.log("phase_rejected", id, detail);
+        };
         job.phases[phase].restore(stored);
         let phase = PhaseRef { job: key, phase };
         for task in stored.tasks.iter().filter(|task| !task.worker.is_empty()) {
@@ -159,7 +167,9 @@
 
     fn restore_attempt(&mut self, phase: PhaseRef, stored: &TaskProgress) {
         let index = stored.index as usize;
-        if index >= self.jobs[phase.job].phases[phase.phase].tasks.len() {
+        let task = self.jobs[phase.job].phases[phase.phase].tasks.get(index);
+        // A damaged row may name a task twice.
+        if task.is_none_or(|task| task.attempt.is_some()) {
             return;
         }
         let worker = self.find_worker(stored);
@@ -178,12 +188,7 @@
     /// Creates the phases of occurrences that are due.
     pub(super) fn start_due_occurrences(&mut self) {
         for key in &self.live {
-            let job = &mut self.jobs[*key];
-            while job.occurrences_created < job.occurrences()
-                && job.due_ms(job.occurrences_created) <= self.time.wall_ms
-            {
-                job.create_occurrences(job.occurrences_created + 1);
-            }
+            self.jobs[*key].create_due_occurrences(self.time.wall_ms);
         }
     }
 
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -9,6 +9,10 @@
 
 use crate::ResourceSet;
 
+/// Maximum number of tasks of one occurrence of a job. With more of them the row of its progress might
+/// exceed the size of an item in the store.
+pub const MAX_JOB_TASKS: u64 = 10_000;
+
 /// A step of a job: a set of identical tasks.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct StepSpec {
@@ -108,7 +112,7 @@
     /// ```
     #[must_use]
     pub fn duration_us(&self, workers: usize) -> u64 {
-        self.call_us + self.worker_us * workers as u64
+        self.call_us.saturating_add(self.worker_us.saturating_mul(workers as u64))
     }
 }
 
@@ -153,6 +157,33 @@
     pub has_stored_payload: bool,
 }
 
+impl JobRecord {
+    /// Returns whether the job has more than [`MAX_JOB_TASKS`] tasks.
+    ///
+    /// ```
+    /// use damaskrack_cell::{JobRecord, StepSpec};
+    ///
+    /// let step = StepSpec { tasks: u32::MAX, ..StepSpec::default() };
+    /// assert!(JobRecord { steps: vec![step], ..JobRecord::default() }.is_too_large());
+    /// ```
+    #[must_use]
+    pub fn is_too_large(&self) -> bool {
+        self.steps.iter().map(|step| u64::from(step.tasks)).sum::<u64>() > MAX_JOB_TASKS
+    }
+
+    /// Returns whether the job has occurrences without tasks, which would all begin at once.
+    ///
+    /// ```
+    /// use damaskrack_cell::JobRecord;
+    ///
+    /// assert!(JobRecord { occurrences: 1, ..JobRecord::default() }.has_empty_occurrences());
+    /// ```
+    #[must_use]
+    pub fn has_empty_occurrences(&self) -> bool {
+        self.occurrences > 0 && self.steps.iter().all(|step| step.tasks == 0)
+    }
+}
+
 /// State of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, prost::Enumeration)]
 #[repr(i32)]
--- a/crates/cell/src/table/job.rs
+++ b/crates/cell/src/table/job.rs
@@ -2,10 +2,13 @@
 
 use {
     super::PhaseEntry,
-    crate::{AttemptKey, JobRecord, JobState, WorkerKey},
+    crate::{AttemptKey, JobRecord, JobState, PhaseProgress, WorkerKey},
     std::sync::Arc,
 };
 
+/// Number of unfinished tasks of a job from which no further occurrence of it is created.
+const MAX_UNFINISHED_TASKS: usize = 2_000;
+
 /// A follow-up that waits until a job's row is durable.
 #[derive(Debug)]
 pub(crate) enum AfterCommit {
@@ -113,7 +116,10 @@
     pub(crate) fn due_ms(&self, occurrence: u32) -> u64 {
         match self.record.occurrences {
             0 => 0,
-            _ => self.record.first_due_ms + self.record.interval_ms * u64::from(occurrence),
+            _ => {
+                let offset_ms = self.record.interval_ms.saturating_mul(u64::from(occurrence));
+                self.record.first_due_ms.saturating_add(offset_ms)
+            }
         }
     }
 
@@ -127,6 +133,40 @@
         }
     }
 
+    /// Creates the phases of the occurrences that are due, as long as earlier ones have fewer than
+    /// [`MAX_UNFINISHED_TASKS`] unfinished tasks.
+    pub(crate) fn create_due_occurrences(&mut self, wall_ms: u64) {
+        while self.occurrences_created < self.occurrences()
+            && self.due_ms(self.occurrences_created) <= wall_ms
+        {
+            let unfinished: usize = self.phases.iter().map(|phase| phase.unfinished).sum();
+            if unfinished >= MAX_UNFINISHED_TASKS {
+                return;
+            }
+            self.create_occurrences(self.occurrences_created + 1);
+        }
+    }
+
+    /// Creates the occurrences up to that of a stored phase and returns the phase's index; `None` if the
+    /// job has no such phase, or it is restored already.
+    pub(crate) fn restore_occurrences(
+        &mut self,
+        stored: &PhaseProgress,
+        stored_phases: usize,
+    ) -> Option<usize> {
+        let (occurrence, step) = (stored.occurrence as usize, stored.step as usize);
+        let steps = self.record.steps.len();
+        let tasks: usize = self.record.steps.iter().map(|step| step.tasks as usize).sum();
+        // Each earlier occurrence has a stored phase or is one of those with unfinished tasks only.
+        let max_occurrence = stored_phases + MAX_UNFINISHED_TASKS / tasks.max(1) + 1;
+        if stored.occurrence >= self.occurrences() || step >= steps || occurrence > max_occurrence {
+            return None;
+        }
+        self.create_occurrences(stored.occurrence + 1);
+        let phase = occurrence * steps + step;
+        (!self.phases[phase].has_started()).then_some(phase)
+    }
+
     /// Returns whether the steps that a phase depends on have completed.
     pub(crate) fn is_ready(&self, phase: usize) -> bool {
         let entry = &self.phases[phase];
