A confirmed start does not delay acknowledgements until it is listed

A start request that was confirmed cannot be carried out again. If the same incarnation responds to a later renewal, it was the one, listed or not.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -71,7 +71,7 @@
             is_gang_member,
             is_on_probation: false,
             has_begun: matches!(state, AttemptState::Running { .. }),
-            is_listed: false,
+            is_start_settled: false,
             is_address_stored: false,
             is_loss_recorded: false,
             sent_ms: 0,
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -59,11 +59,12 @@
     ///
     /// A renewal may be carried out late, by another incarnation under the worker's id, whose ends have
     /// other numbers. It discards none if that incarnation has run nothing for this leader, or refuses the
-    /// renewal: so every start so far must have been listed by the present incarnation, and later ones
-    /// have a higher fence. A worker that did not respond may have restarted, and must first say which
+    /// renewal: so the present incarnation must be known to have carried out every start so far, and
+    /// later ones have a higher fence. A worker that did not respond may have restarted, and must first say which
     /// incarnation it is.
-    fn acknowledgeable_end(&self, has_unlisted_start: bool) -> u64 {
-        let is_safe = !self.is_silent && !has_unlisted_start && self.fence.allows_acknowledgement();
+    fn acknowledgeable_end(&self, has_unsettled_start: bool) -> u64 {
+        let is_safe =
+            !self.is_silent && !has_unsettled_start && self.fence.allows_acknowledgement();
         if is_safe && self.has_ends_to_acknowledge() { self.last_complete_end() } else { 0 }
     }
 
@@ -111,8 +112,9 @@
                 && worker.pending_ends == 0
                 && !worker.attempts.is_empty();
             let mut own = worker.attempts.values();
-            let has_unlisted_start = own.any(|key| attempts[*key].may_start_elsewhere(time.now_ms));
-            let acknowledged_end = worker.acknowledgeable_end(has_unlisted_start);
+            let has_unsettled_start =
+                own.any(|key| attempts[*key].may_start_elsewhere(time.now_ms));
+            let acknowledged_end = worker.acknowledgeable_end(has_unsettled_start);
             if acknowledged_end > 0 {
                 worker.fence.open_acknowledgement();
             }
@@ -238,6 +240,9 @@
         for ended in &response.ended {
             self.apply_end(key, ended);
         }
+        for attempt in self.workers[key].attempts.values() {
+            self.attempts[*attempt].settle_start(sent_ms);
+        }
         self.release_orphans(key);
         let mut listed = Vec::with_capacity(response.running.len());
         for running in &response.running {
@@ -332,7 +337,7 @@
         };
         let entry = &mut self.attempts[attempt];
         entry.has_begun = true;
-        entry.is_listed = true;
+        entry.is_start_settled = true;
         self.jobs[entry.phase.job].has_begun = true;
         let run_ms = entry.run_ms(now_ms);
         if running.percent > entry.percent {
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -57,7 +57,7 @@
         let worker = &mut self.workers[key];
         worker.restart(incarnation);
         for attempt in worker.attempts.values() {
-            self.attempts[*attempt].is_listed = false;
+            self.attempts[*attempt].is_start_settled = false;
         }
     }
 
--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -63,9 +63,8 @@
     pub(crate) is_on_probation: bool,
     /// The worker confirmed the start to this leader.
     pub(crate) has_begun: bool,
-    /// The worker's incarnation lists the attempt, or has listed it, so no start request of the attempt
-    /// needs to be carried out by another one.
-    pub(crate) is_listed: bool,
+    /// The present incarnation of the worker is known to have carried out the start.
+    pub(crate) is_start_settled: bool,
     /// The job's row has the worker's address, because the worker was lost just after the start. A new
     /// leader can ask there even if the worker is no longer registered.
     pub(crate) is_address_stored: bool,
@@ -88,6 +87,14 @@
 }
 
 impl AttemptEntry {
+    /// Records that the worker's incarnation responded to a renewal sent at `sent_ms`. If the only start
+    /// request was confirmed before, the same incarnation has carried it out.
+    pub(crate) fn settle_start(&mut self, sent_ms: u64) {
+        if let AttemptState::Running { since_ms } = self.state {
+            self.is_start_settled |= self.start_tries == 1 && since_ms < sent_ms;
+        }
+    }
+
     /// Returns the task that the attempt runs.
     pub(crate) fn task(&self) -> TaskRef {
         TaskRef { phase: self.phase, index: self.index }
@@ -97,7 +104,7 @@
     /// worker. A ticket holds for one incarnation only.
     pub(crate) fn may_start_elsewhere(&self, now_ms: u64) -> bool {
         let is_recent = now_ms < self.start_sent_ms + MAX_REQUEST_DELAY_MS;
-        self.start_tries > 0 && !self.is_listed && !self.has_ticket && is_recent
+        self.start_tries > 0 && !self.is_start_settled && !self.has_ticket && is_recent
     }
 
     /// Returns for how long the attempt ran until its worker was lost, in milliseconds, if this leader
