A run with an odd name is taken for no task

A worker that reports a run whose numbers are out of range ended the leader's process in a debug build ("attempt to add with overflow" in find_task), and a step beyond the job's steps was taken for a step of a later occurrence. a_run_with_an_odd_name_is_taken_for_no_task failed before; its entry leaves KNOWN-RED.txt with the next commit.

--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -383,7 +383,11 @@
         let mut number = || parts.next()?.parse::<usize>().ok();
         let (occurrence, step, index) = (number()?, number()?, number()?);
         let job = &self.jobs[key];
-        let phase = occurrence * job.record.steps.len() + step;
+        let steps = job.record.steps.len();
+        if step >= steps {
+            return None;
+        }
+        let phase = occurrence.checked_mul(steps)?.checked_add(step)?;
         let task = job.phases.get(phase)?.tasks.get(index)?;
         let is_unfinished = !job.state.is_final() && !task.is_done;
         is_unfinished.then_some((PhaseRef { job: key, phase }, index))
