An entry of the list does not prove that a worker's incarnation is over

Cause: the leader believed the entry more than the worker. It switched to the entry's incarnation and address, another worker answered there, and that was taken for proof that the process was gone. A lower incarnation was then ignored for good. Change: an entry is a claim (core/worker_claims.rs). A worker that responds stays the incarnation that it says it is, where it responds; a claim counts once it does not. Another worker at an address proves that the process is gone only if the worker has responded there, or a start was recorded with that address. An incarnation that never responded is corrected by the first response.

--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -181,6 +181,10 @@
                 worker.next_renew_ms = now_ms + pause_ms;
                 self.finish_answered_renewal(key, &response, sent_ms);
             }
+            RenewOutcome::Incarnation if !worker.is_gone_if_replaced() => {
+                // The address may be wrong.
+                worker.next_renew_ms = now_ms + REPLACED_RETRY_MS;
+            }
             RenewOutcome::Incarnation => {
                 // The worker's process has ended: another one listens on its address.
                 worker.next_renew_ms = now_ms + REPLACED_RETRY_MS;
@@ -201,6 +205,9 @@
                 worker.backoff_until_ms = now_ms + SILENCE_BACKOFF_MS;
             }
         }
+        if self.workers.get(key).is_some_and(|worker| worker.is_silent) {
+            self.adopt_claim(key);
+        }
     }
 
     fn finish_answered_renewal(&mut self, key: WorkerKey, response: &RenewResponse, sent_ms: u64) {
@@ -213,6 +220,10 @@
             worker.next_renew_ms = worker.next_renew_ms.max(due_ms);
         }
         match response.incarnation.cmp(&worker.report.incarnation) {
+            Ordering::Less if !worker.has_responded => {
+                self.restart_worker(key, response.incarnation);
+                self.log("worker_corrected", id, format!("born={}", response.incarnation));
+            }
             Ordering::Less => {
                 worker.next_renew_ms = now_ms;
                 self.log("hold_outdated", id, "a former incarnation answered");
@@ -233,6 +244,7 @@
     fn apply_response(&mut self, key: WorkerKey, response: &RenewResponse, sent_ms: u64) {
         let now_ms = self.time.now_ms;
         let worker = &mut self.workers[key];
+        worker.record_presence();
         worker.record_clock(response.clock_ms, now_ms);
         worker.accept_token(now_ms, self.settings.lease_ms);
         worker.unreadable_end = response.unreadable_end;
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -26,6 +26,7 @@
 mod suspect_backlog;
 mod suspect_groups;
 mod suspect_queues;
+mod worker_claims;
 mod worker_list;
 mod worker_speed;
 mod workers;
--- /dev/null
+++ b/crates/cell/src/core/worker_claims.rs
@@ -0,0 +1,80 @@
+//! Entries of the list of workers that disagree with what a worker says of itself.
+//!
+//! An entry may come from another writer, or be older than the worker's last response. So it is only a
+//! claim: a worker that responds is the incarnation that it says it is, at the address where it
+//! responds. The claim counts once the worker no longer responds there, and even then it proves nothing
+//! of what the former incarnation runs.
+
+use {
+    super::{CellCore, losses::LossCause},
+    crate::{WorkerKey, WorkerReport, table::WorkerEntry},
+};
+
+/// What to do with an entry of a known worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ClaimStep {
+    /// It describes the worker.
+    Adopt,
+    /// It is of a former incarnation.
+    Ignore,
+    /// The worker responds, so it is asked.
+    Ask,
+}
+
+impl WorkerEntry {
+    fn claim_step(&self, report: &WorkerReport) -> ClaimStep {
+        let is_same =
+            report.incarnation == self.report.incarnation && report.address == self.report.address;
+        if is_same || !self.has_responded {
+            return ClaimStep::Adopt;
+        }
+        if report.incarnation < self.report.incarnation {
+            return ClaimStep::Ignore;
+        }
+        if self.is_busy() && !self.is_silent { ClaimStep::Ask } else { ClaimStep::Adopt }
+    }
+}
+
+impl CellCore {
+    /// Applies an entry of the list to a known worker.
+    pub(super) fn update_known_worker(&mut self, key: WorkerKey, report: WorkerReport) {
+        match self.workers[key].claim_step(&report) {
+            ClaimStep::Adopt => self.adopt_report(key, report),
+            ClaimStep::Ignore => {}
+            ClaimStep::Ask => self.ask_for_claim(key, report),
+        }
+    }
+
+    /// Adopts the claim of an entry about a worker that no longer responds.
+    pub(super) fn adopt_claim(&mut self, key: WorkerKey) {
+        if let Some(claim) = self.workers[key].claim.take() {
+            self.adopt_report(key, claim);
+        }
+    }
+
+    fn ask_for_claim(&mut self, key: WorkerKey, report: WorkerReport) {
+        let detail = format!("incarnation={} address={}", report.incarnation, report.address);
+        let worker = &mut self.workers[key];
+        worker.is_listed = false;
+        worker.next_renew_ms = worker.next_renew_ms.min(self.time.now_ms);
+        worker.claim = Some(report);
+        let id = worker.report.id.clone();
+        self.log("worker_contradicted", id, detail);
+    }
+
+    fn adopt_report(&mut self, key: WorkerKey, report: WorkerReport) {
+        let current = self.workers[key].report.incarnation;
+        if report.incarnation > current {
+            self.record_losses(key, LossCause::Crash);
+        }
+        if report.incarnation != current {
+            self.restart_worker(key, report.incarnation);
+            self.workers[key].next_renew_ms = 0;
+            self.forget_advice(key);
+        }
+        let worker = &mut self.workers[key];
+        worker.is_listed = true;
+        worker.claim = None;
+        worker.report = report;
+    }
+}
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -33,23 +33,12 @@
 
     fn update_worker(&mut self, report: WorkerReport) {
         self.resolve_losses(&report);
-        let Some(&key) = self.worker_ids.get(&report.id) else {
-            self.insert_worker(report);
-            return;
-        };
-        let worker = &mut self.workers[key];
-        if report.incarnation < worker.report.incarnation {
-            return;
-        }
-        if report.incarnation > worker.report.incarnation {
-            self.record_losses(key, LossCause::Crash);
-            self.restart_worker(key, report.incarnation);
-            self.workers[key].next_renew_ms = 0;
-            self.forget_advice(key);
+        match self.worker_ids.get(&report.id) {
+            Some(&key) => self.update_known_worker(key, report),
+            None => {
+                self.insert_worker(report);
+            }
         }
-        let worker = &mut self.workers[key];
-        worker.is_listed = true;
-        worker.report = report;
     }
 
     /// Switches to another incarnation of a worker, which has listed no attempt yet.
@@ -84,7 +73,10 @@
             ..WorkerReport::default()
         };
         let key = self.insert_worker(report);
-        self.workers[key].is_listed = false;
+        let worker = &mut self.workers[key];
+        worker.is_listed = false;
+        // A former leader has sent the start there.
+        worker.responded_address.clone_from(&worker.report.address);
         key
     }
 
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -30,6 +30,12 @@
     pub(crate) report: WorkerReport,
     /// The worker is in the last list of registered workers.
     pub(crate) is_listed: bool,
+    /// The incarnation has responded to this leader.
+    pub(crate) has_responded: bool,
+    /// Address at which the worker, this incarnation or a former one, has responded; empty if it has not.
+    pub(crate) responded_address: String,
+    /// The last entry of the list, if it contradicts what the worker says of itself.
+    pub(crate) claim: Option<WorkerReport>,
     /// Resources reserved by attempts and orphans.
     pub(crate) used: ResourceSet,
     /// Teams and resources of the orphans: runs that the worker reports but that belong to no
@@ -98,6 +104,9 @@
         Self {
             report,
             is_listed: true,
+            has_responded: false,
+            responded_address: String::new(),
+            claim: None,
             used: ResourceSet::default(),
             orphans: Vec::new(),
             attempts: FxHashMap::default(),
@@ -136,6 +145,7 @@
     pub(crate) fn restart(&mut self, incarnation: u64) {
         self.inherited_expiry_ms = self.lease_expiry_ms();
         self.report.incarnation = incarnation;
+        self.has_responded = false;
         self.has_accepted_token = false;
         self.clock = None;
         self.deadline_ms = 0;
@@ -171,6 +181,19 @@
         self.lost_ms = is_silent.then_some(self.lost_ms.unwrap_or(lost_ms));
     }
 
+    /// Records that the present incarnation has responded.
+    pub(crate) fn record_presence(&mut self) {
+        self.has_responded = true;
+        if self.responded_address != self.report.address {
+            self.responded_address.clone_from(&self.report.address);
+        }
+    }
+
+    /// Returns whether the worker's process has ended if another worker responds at its address.
+    pub(crate) fn is_gone_if_replaced(&self) -> bool {
+        self.responded_address == self.report.address
+    }
+
     /// Records a reading of the worker's clock.
     pub(crate) fn record_clock(&mut self, clock_ms: u64, now_ms: u64) {
         self.clock = Some(ClockReading { clock_ms, at_ms: now_ms });
