Send a job's write without a response once more

Cause, traced: when the leader takes longer than 250 ms, the daemon writes the job itself. If the response to that write is lost, it gave up at once, although the same conditional write tells whether the first one took effect. Change: the write is sent once more within the caller's time; a second loss is still 504. The circuit breaker is as before.

--- a/crates/cellnode/src/entry.rs
+++ b/crates/cellnode/src/entry.rs
@@ -286,6 +286,7 @@
             puts: std::iter::once(job_row).chain(payload_row).collect(),
             removals: Vec::new(),
         };
+        let mut is_uncertain = false;
         loop {
             let call_timeout = Duration::from_millis(call_timeout_ms);
             let response = timeout(call_timeout, self.store.commit_transaction(&transaction)).await;
@@ -302,11 +303,17 @@
                 Err(StoreError::Refused | StoreError::Compacted) => {}
                 Err(StoreError::Unknown) => {
                     self.breaker_until_ms.store(boot_ms() + BREAKER_OPEN_MS, Ordering::Relaxed);
-                    return Err(EntryError::Unknown);
+                    // The same write again tells whether the first one took effect.
+                    if std::mem::replace(&mut is_uncertain, true) {
+                        return Err(EntryError::Unknown);
+                    }
                 }
             }
             if boot_ms() + WRITE_RETRY_MS >= deadline_ms {
-                return Err(EntryError::Unavailable);
+                return Err(match is_uncertain {
+                    true => EntryError::Unknown,
+                    false => EntryError::Unavailable,
+                });
             }
             sleep(Duration::from_millis(WRITE_RETRY_MS)).await;
         }
