Failing test: each takeover begins the wait for inherited leases anew

Callers saw a service's task that did not run for 19 s although there was capacity for it: its worker had stopped responding, and leaders changed after that.

--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -3,6 +3,7 @@
 mod capacity;
 mod crashes;
 mod failures;
+mod inherited_leases;
 mod load;
 mod narrow_link;
 mod pending;
