Keep what is known of a silent worker's leases across takeovers

Cause: a new leader waited for one lease and the isolation time from its own start for each worker that did not respond, whatever its predecessors knew. Change: the leader writes silent workers into the row cell/lease-bounds, with incarnation, address and remaining time of their leases. From the sending of that write until a later one without the worker is confirmed, no leader extends a lease of the worker. A successor counts from its own reading. Guards carry the first term since which all leaders have known the row, so that bounds from before a leader of an older version count for nothing; older versions ignore both.

--- a/crates/cell/src/core/commit.rs
+++ b/crates/cell/src/core/commit.rs
@@ -59,6 +59,14 @@
         self.lanes.iter().any(|lane| lane.in_flight.contains(id))
     }
 
+    /// Returns whether a commit has been in flight for some time.
+    pub(super) fn is_stalled(&self, now_ms: u64, limit_ms: u64) -> bool {
+        self.lanes
+            .iter()
+            .filter_map(|lane| lane.sent_ms)
+            .any(|sent_ms| sent_ms + limit_ms <= now_ms)
+    }
+
     /// Returns the lane of the next commit and the time from which it may be sent.
     fn next_lane(&self, settings: &CellSettings) -> Option<(usize, u64)> {
         let free = self.lanes.iter().position(|lane| lane.sent_ms.is_none())?;
@@ -80,6 +88,7 @@
         + request.removed_payloads.len()
         + request.removed_progress.len()
         + request.removed_ended.len()
+        + usize::from(request.lease_bounds.is_some())
 }
 
 impl CellCore {
@@ -95,8 +104,9 @@
 
     pub(super) fn next_commit_ms(&self) -> u64 {
         let queue = &self.commits;
+        let is_empty = queue.dirty.is_empty() && queue.expired.is_empty();
         match queue.next_lane(&self.settings) {
-            Some((_, due_ms)) if !(queue.dirty.is_empty() && queue.expired.is_empty()) => due_ms,
+            Some((_, due_ms)) if !is_empty || self.lease_bounds.is_write_due() => due_ms,
             _ => u64::MAX,
         }
     }
@@ -108,6 +118,9 @@
         }
         let Some((lane, _)) = self.commits.next_lane(&self.settings) else { return };
         let mut request = CommitRequest { lane, ..CommitRequest::default() };
+        if self.lease_bounds.is_write_due() {
+            request.lease_bounds = Some(self.take_lease_bounds(lane));
+        }
         let mut left = self.commits.dirty.len();
         while left > 0 && row_count(&request) + ROWS_PER_JOB <= MAX_ROWS {
             left -= 1;
@@ -209,6 +222,7 @@
 
     /// Runs the follow-ups of a commit that is durable.
     pub(super) fn finish_commit(&mut self, lane: usize) {
+        self.finish_lease_bounds(lane);
         let lane = std::mem::take(&mut self.commits.lanes[lane]);
         for (after, state) in lane.waiting {
             match after {
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -60,7 +60,7 @@
     }
 
     pub(super) fn renew_leases(&mut self) {
-        let CellCore { time, settings, workers, actions, .. } = self;
+        let CellCore { time, settings, workers, actions, lease_bounds, .. } = self;
         let is_first = |w: &WorkerEntry| !w.has_accepted_token && w.renew_sent_ms.is_some();
         let mut first_renewals = workers.values().filter(|worker| is_first(worker)).count();
         for (key, worker) in workers.iter_mut() {
@@ -74,7 +74,9 @@
                 first_renewals += 1;
             }
             worker.renew_sent_ms = Some(time.now_ms);
+            let is_bounded = lease_bounds.contain(&worker.report.id);
             let can_wait = worker.has_accepted_token
+                && !is_bounded
                 && worker.pending_ends == 0
                 && !worker.attempts.is_empty();
             // A worker that did not respond may have restarted and count its ends anew, so none is
@@ -91,7 +93,7 @@
                 address: worker.report.address.clone(),
                 worker_id: worker.report.id.clone(),
                 incarnation: worker.report.incarnation,
-                deadline_ms: match worker.is_silent {
+                deadline_ms: match worker.is_silent || is_bounded {
                     true => None,
                     false => worker.deadline_for(time.now_ms, settings.lease_ms),
                 },
@@ -101,16 +103,22 @@
         }
     }
 
-    /// Returns the time between a response and the next renewal, in milliseconds.
-    fn renew_pause_ms(&self) -> u64 {
+    /// Returns the time between a worker's response and the next renewal, in milliseconds. A worker
+    /// is renewed at once when its bound is removed.
+    fn renew_pause_ms(&self, key: WorkerKey) -> u64 {
         // A float-to-integer cast saturates.
         let delay_ms = (self.request_window.delay_ms() * RENEW_PAUSE_DELAYS) as u64;
-        (RENEW_PAUSE_MS + delay_ms).min(MAX_RENEW_PAUSE_MS)
+        let pause_ms = (RENEW_PAUSE_MS + delay_ms).min(MAX_RENEW_PAUSE_MS);
+        let worker = self.workers.get(key);
+        match worker.is_some_and(|worker| self.lease_bounds.contain(&worker.report.id)) {
+            true => pause_ms.max(RENEW_RETRY_MS),
+            false => pause_ms,
+        }
     }
 
     pub(super) fn finish_renewal(&mut self, key: WorkerKey, outcome: RenewOutcome) {
         let now_ms = self.time.now_ms;
-        let pause_ms = self.renew_pause_ms();
+        let pause_ms = self.renew_pause_ms(key);
         let Some(worker) = self.workers.get_mut(key) else { return };
         let sent_ms = worker.renew_sent_ms.take().unwrap_or(now_ms);
         let was_silent = worker.is_silent;
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -14,6 +14,7 @@
 mod commit;
 mod completion;
 mod jobs;
+mod lease_bounds;
 mod leases;
 mod loss_times;
 mod losses;
@@ -38,6 +39,7 @@
     },
     admission::BacklogLoad,
     commit::CommitQueue,
+    lease_bounds::LeaseBounds,
     loss_times::LossTimes,
     request_window::RequestWindow,
     rustc_hash::FxHashMap,
@@ -85,6 +87,7 @@
     /// Lost attempts of which it is not known whether their workers crashed.
     losses: SlotMap<LossKey, LossEntry>,
     loss_times: LossTimes,
+    lease_bounds: LeaseBounds,
     suspect_groups: SuspectGroups,
     suspect_backlog: SuspectBacklog,
     suspect_queues: SuspectQueues,
@@ -138,6 +141,7 @@
             attempts: SlotMap::with_key(),
             losses: SlotMap::with_key(),
             loss_times: LossTimes::default(),
+            lease_bounds: LeaseBounds::default(),
             suspect_groups: SuspectGroups::default(),
             suspect_backlog: SuspectBacklog::default(),
             suspect_queues: SuspectQueues::default(),
@@ -218,6 +222,7 @@
     pub fn tick(&mut self, now_ms: u64, wall_ms: u64) -> Vec<CellAction> {
         self.set_time(now_ms, wall_ms);
         self.expire_leases();
+        self.review_lease_bounds();
         if self.time.now_ms >= self.placement_due_ms() {
             self.is_placement_due = false;
             self.last_placement_ms = self.time.now_ms;
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -8,6 +8,7 @@
 mod config;
 mod core;
 mod keys;
+mod lease_bound;
 mod message;
 mod record;
 mod resources;
@@ -18,6 +19,7 @@
     config::{CellConfig, QueueConfig, TeamConfig},
     core::CellCore,
     keys::{AdviceCallKey, AttemptKey, JobKey, WorkerKey},
+    lease_bound::LeaseBound,
     message::{
         AdviceRequest, COMMIT_LANES, CellAction, CellInput, CommitRequest, EndKind, EndedAttempt,
         LogEntry, RenewOutcome, RenewRequest, RenewResponse, RunningAttempt, StartOutcome,
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        AdviceCallKey, AttemptKey, CellConfig, JobKey, JobRecord, JobState, ProgressRecord,
-        ResourceSet, WorkerKey,
+        AdviceCallKey, AttemptKey, CellConfig, JobKey, JobRecord, JobState, LeaseBound,
+        ProgressRecord, ResourceSet, WorkerKey,
     },
     std::sync::Arc,
 };
@@ -318,6 +318,9 @@
     pub removed_progress: Vec<String>,
     /// Ids of ended jobs whose rows to remove.
     pub removed_ended: Vec<String>,
+    /// Complete list of the bounds on the leases of workers that do not respond, if its row is to
+    /// be written.
+    pub lease_bounds: Option<Vec<LeaseBound>>,
 }
 
 /// An action for the leader to perform.
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -7,6 +7,7 @@
 #![expect(clippy::unwrap_used, reason = "a test that cannot go on should panic")]
 
 mod crash;
+mod former;
 
 use {
     crash::CrashingTasks,
@@ -17,6 +18,7 @@
         RunningAttempt, StartOutcome, StartRefusal, StartRequest, StepSpec, StopRequest,
         TeamConfig, WorkerReport, WorkerTicket,
     },
+    former::{FormerLeader, StoredBounds},
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
         sync::Arc,
@@ -82,6 +84,12 @@
         self.lease_expiry_ms = self.lease_expiry_ms.max(deadline_ms);
     }
 
+    /// Checks that the leases do not outlast the worker's bound in the store.
+    fn check_bound(&self, bounds: &StoredBounds) {
+        let expiry_ms = self.started_ms + self.lease_expiry_ms;
+        bounds.check(&self.report.id, self.report.incarnation, expiry_ms);
+    }
+
     fn end(&mut self, index: usize, kind: EndKind) {
         let run = self.runs.remove(index);
         self.last_end += 1;
@@ -166,6 +174,10 @@
     /// Job rows and progress rows in the store.
     pub(crate) jobs: BTreeMap<String, JobRecord>,
     pub(crate) progress: BTreeMap<String, ProgressRecord>,
+    /// Bounds on the leases of workers that do not respond, in the store.
+    pub(crate) lease_bounds: StoredBounds,
+    /// A former leader that still acts.
+    former: Option<FormerLeader>,
     /// Rows of ended jobs in the store.
     pub(crate) ended: BTreeMap<String, ProgressRecord>,
     /// Every submitted job.
@@ -248,6 +260,8 @@
             workers: BTreeMap::new(),
             jobs: BTreeMap::new(),
             progress: BTreeMap::new(),
+            lease_bounds: StoredBounds::default(),
+            former: None,
             ended: BTreeMap::new(),
             records: BTreeMap::new(),
             held_commits: Vec::new(),
@@ -327,6 +341,7 @@
         for (id, row) in &self.progress {
             self.core.restore_ended(id, row);
         }
+        self.core.restore_lease_bounds(&self.lease_bounds.bounds);
         for (id, progress) in self.ended.clone() {
             self.core.apply(CellInput::Ended { id, progress });
         }
@@ -362,6 +377,7 @@
                 let actions = self.core.tick(self.now_ms, self.wall_ms());
                 actions.into_iter().for_each(|action| self.perform(action));
             }
+            self.run_former();
         }
     }
 
@@ -499,12 +515,22 @@
             self.held_commits.push(request);
             return;
         }
+        let lane = request.lane;
+        self.write_rows(request);
+        self.apply(CellInput::Committed { lane });
+    }
+
+    /// Applies a transaction to the rows.
+    fn write_rows(&mut self, request: CommitRequest) {
         for record in request.jobs {
             self.records.insert(record.id.clone(), record.clone());
             self.jobs.insert(record.id.clone(), record);
         }
         self.progress.extend(request.progress);
         self.ended.extend(request.ended);
+        if let Some(bounds) = request.lease_bounds {
+            self.lease_bounds.write(bounds, self.now_ms);
+        }
         for id in request.removed_jobs {
             assert!(self.jobs.remove(&id).is_some(), "{id} has no row to remove");
         }
@@ -514,7 +540,6 @@
         for id in request.removed_ended {
             assert!(self.ended.remove(&id).is_some(), "{id} has no row of its end to remove");
         }
-        self.apply(CellInput::Committed { lane: request.lane });
     }
 
     /// Restores the store, which applies the waiting commits.
@@ -599,6 +624,7 @@
         }
         worker.token = token;
         worker.extend(Some(request.deadline_ms), now_ms);
+        worker.check_bound(&self.lease_bounds);
         if worker.fenced.contains(&(request.task.clone(), request.number)) {
             return StartOutcome::Refused(StartRefusal::Stale);
         }
@@ -682,6 +708,7 @@
         } else {
             worker.token = token;
             worker.extend(request.deadline_ms, now_ms);
+            worker.check_bound(&self.lease_bounds);
             let (acknowledged, left): (Vec<_>, Vec<_>) =
                 worker.ended.drain(..).partition(|ended| ended.number <= request.last_durable_end);
             worker.ended = left;
--- a/crates/cellnode/src/guard.rs
+++ b/crates/cellnode/src/guard.rs
@@ -6,7 +6,7 @@
         follow::{SHORT_PAGE_TIMEOUT_MS, read_all},
         forward_router::ForwardRouter,
         leadership_status::LeadershipStatus,
-        rows::{GUARD_PREFIX, GuardRow, LEADER_KEY, LeaderRow, guard_key},
+        rows::{GUARD_PREFIX, GuardRow, LEADER_KEY, LeaderRow, guard_key, next_bounds_since},
     },
     damaskrack_cell::COMMIT_LANES,
     prost::Message,
@@ -58,6 +58,8 @@
     lane: usize,
     revision: u64,
     write: u64,
+    /// First term since which all leaders have known the row of lease bounds.
+    pub(crate) bounds_since: u64,
     logger: Logger,
 }
 
@@ -75,11 +77,13 @@
         let (guards, _) =
             read_all(store.as_ref(), GUARD_PREFIX, SHORT_PAGE_TIMEOUT_MS).await.ok()?;
         let rows = guards.iter().filter_map(|item| GuardRow::decode(item.value.as_slice()).ok());
-        let term = rows.map(|row| row.term).max().unwrap_or(0) + 1;
+        let rows: Vec<GuardRow> = rows.collect();
+        let term = rows.iter().map(|row| row.term).max().unwrap_or(0) + 1;
+        let bounds_since = next_bounds_since(&rows, term);
         let leader = LeaderRow { id, address, term };
         let mut transaction = leader_transaction(&leader, lease);
         transaction.expected.push((LEADER_KEY.into(), leader_revision));
-        let guard = GuardRow { term, id, write: 0 };
+        let guard = GuardRow { term, id, write: 0, bounds_since };
         for lane in 0..COMMIT_LANES {
             let key = guard_key(lane);
             let known = guards.iter().find(|item| item.key == key);
@@ -113,6 +117,7 @@
             lane,
             revision,
             write: 0,
+            bounds_since,
             logger: logger.clone(),
         };
         Some((0..COMMIT_LANES).map(writer).collect())
@@ -134,7 +139,12 @@
     pub(crate) async fn write(&mut self, mut transaction: StoreTransaction) -> WriteOutcome {
         self.write += 1;
         let key = guard_key(self.lane);
-        let guard = GuardRow { term: self.leader.term, id: self.leader.id, write: self.write };
+        let guard = GuardRow {
+            term: self.leader.term,
+            id: self.leader.id,
+            write: self.write,
+            bounds_since: self.bounds_since,
+        };
         transaction.expected.push((key.clone(), self.revision));
         transaction.puts.push(StorePut {
             key: key.clone(),
--- a/crates/cellnode/src/lane_writer.rs
+++ b/crates/cellnode/src/lane_writer.rs
@@ -5,9 +5,9 @@
         StorePut, StoreTransaction,
         guard::{GuardWriter, WriteOutcome},
         leader_event::{LeaderEvent, send_input},
-        rows::{ended_key, job_key, payload_key, progress_key},
+        rows::{LEASE_BOUNDS_KEY, LeaseBoundsRow, ended_key, job_key, payload_key, progress_key},
     },
-    damaskrack_cell::{CellInput, CommitRequest, JobRecord, ProgressRecord},
+    damaskrack_cell::{CellInput, CommitRequest, JobRecord, LeaseBound, ProgressRecord},
     prost::Message,
     tokio::sync::mpsc,
 };
@@ -29,7 +29,8 @@
         loop {
             let (outcome, is_commit) = tokio::select! {
                 Some(request) = commits.recv() => {
-                    (self.guard.write(build_transaction(&request)).await, true)
+                    let transaction = build_transaction(&request, self.guard.leader.term);
+                    (self.guard.write(transaction).await, true)
                 }
                 Some(lease) = new_leases.recv() => {
                     (self.guard.attach_leader_row(lease).await, false)
@@ -51,7 +52,7 @@
     }
 }
 
-fn build_transaction(request: &CommitRequest) -> StoreTransaction {
+fn build_transaction(request: &CommitRequest, term: u64) -> StoreTransaction {
     let put_progress = |(id, row): &(String, ProgressRecord)| StorePut {
         key: progress_key(id),
         value: row.encode_to_vec(),
@@ -67,6 +68,11 @@
         value: record.encode_to_vec(),
         lease: 0,
     };
+    let put_bounds = |bounds: &Vec<LeaseBound>| StorePut {
+        key: LEASE_BOUNDS_KEY.into(),
+        value: LeaseBoundsRow { term, bounds: bounds.clone() }.encode_to_vec(),
+        lease: 0,
+    };
     let removed_jobs = request.removed_jobs.iter().map(|id| job_key(id));
     let removed_payloads = request.removed_payloads.iter().map(|id| payload_key(id));
     let removed_progress = request.removed_progress.iter().map(|id| progress_key(id));
@@ -81,6 +87,7 @@
             .map(put_job)
             .chain(request.progress.iter().map(put_progress))
             .chain(request.ended.iter().map(put_ended))
+            .chain(request.lease_bounds.iter().map(put_bounds))
             .collect(),
         removals: removals.collect(),
     }
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -26,7 +26,7 @@
             LeadershipSignals, choose_highest_capacity, transfer_to_higher_capacity,
         },
         lease_keeper::LeaseKeeper,
-        rows::{JOB_PREFIX, PROGRESS_PREFIX},
+        rows::{JOB_PREFIX, LEASE_BOUNDS_KEY, LeaseBoundsRow, PROGRESS_PREFIX},
         session_registry::{SessionFrame, SessionRegistry},
         unix_ms,
         worker_sink::WorkerSink,
@@ -116,6 +116,8 @@
     context: LeaderContext,
     core: CellCore,
     token: u64,
+    /// First term since which all leaders have known the row of lease bounds.
+    bounds_since: u64,
     id: u64,
     events: mpsc::Sender<LeaderEvent>,
     /// Queues of the lanes' writers.
@@ -145,6 +147,7 @@
     let mut run = LeaderRun {
         core: CellCore::new(context.settings.clone()),
         token: leader.term,
+        bounds_since: guards[0].bounds_since,
         id: leader.id,
         events: events.clone(),
         commits: Vec::new(),
@@ -203,18 +206,21 @@
         // Former leaders are fenced and cannot change rows, so the read order does not matter. On a
         // narrow link, reads in parallel would delay the renewals of the leader's own lease.
         let narrow = needs_forwarding(self.context.link_bytes_per_s, TYPICAL_WORKERS);
-        let ((workers, workers_revision), (jobs, jobs_revision), (progress, _)) = match narrow {
-            true => (
-                self.read_rows(codec.worker_prefix()).await,
-                self.read_rows(JOB_PREFIX).await,
-                self.read_rows(PROGRESS_PREFIX).await,
-            ),
-            false => tokio::join!(
-                self.read_rows(codec.worker_prefix()),
-                self.read_rows(JOB_PREFIX),
-                self.read_rows(PROGRESS_PREFIX),
-            ),
-        };
+        let ((workers, workers_revision), (jobs, jobs_revision), (progress, _), (bounds, _)) =
+            match narrow {
+                true => (
+                    self.read_rows(codec.worker_prefix()).await,
+                    self.read_rows(JOB_PREFIX).await,
+                    self.read_rows(PROGRESS_PREFIX).await,
+                    self.read_rows(LEASE_BOUNDS_KEY).await,
+                ),
+                false => tokio::join!(
+                    self.read_rows(codec.worker_prefix()),
+                    self.read_rows(JOB_PREFIX),
+                    self.read_rows(PROGRESS_PREFIX),
+                    self.read_rows(LEASE_BOUNDS_KEY),
+                ),
+            };
         self.core.set_time(boot_ms(), unix_ms());
         let config = self.context.config.borrow_and_update().clone();
         self.core.apply(CellInput::Config(config));
@@ -242,6 +248,7 @@
         for (id, row) in &rows {
             self.core.restore_ended(id, row);
         }
+        self.restore_lease_bounds(&bounds);
         info!(self.context.logger, "state_read"; "jobs" => jobs.len(), "progress" => progress.len(),
             "workers" => workers.len(), "took_ms" => boot_ms() - started_ms);
         self.follow((workers, workers_revision), jobs_revision);
@@ -250,6 +257,18 @@
         self.is_leadership_confirmed()
     }
 
+    fn restore_lease_bounds(&mut self, items: &[StoreItem]) {
+        for item in items.iter().filter(|item| item.key == LEASE_BOUNDS_KEY) {
+            match LeaseBoundsRow::decode(item.value.as_slice()) {
+                Ok(row) => self.core.restore_lease_bounds(row.valid_bounds(self.bounds_since)),
+                Err(error) => {
+                    warn!(self.context.logger, "row_unreadable"; "key" => &item.key,
+                        "error" => %error);
+                }
+            }
+        }
+    }
+
     /// Reads all rows with a prefix and the revision from which to watch for changes.
     async fn read_rows(&self, prefix: &str) -> (Vec<StoreItem>, u64) {
         loop {
--- a/crates/cellnode/src/rows.rs
+++ b/crates/cellnode/src/rows.rs
@@ -8,6 +8,9 @@
 //! | `cell/payload/ID` | the job's payload, if it is not in its row | the daemon, on acceptance |
 //! | `cell/progress/ID` | the job's progress | the leader |
 //! | `cell/ended/ID` | the final state of an ended job, in place of its other rows | the leader |
+//! | `cell/lease-bounds` | [`LeaseBoundsRow`] | the leader |
+
+use damaskrack_cell::LeaseBound;
 
 /// Key of the leader's row.
 pub(crate) const LEADER_KEY: &str = "cell/leader";
@@ -23,6 +26,9 @@
 /// Prefix of the rows of ended jobs.
 pub(crate) const ENDED_PREFIX: &str = "cell/ended/";
 
+/// Key of the row of lease bounds.
+pub(crate) const LEASE_BOUNDS_KEY: &str = "cell/lease-bounds";
+
 /// Identity of the leader.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct LeaderRow {
@@ -58,6 +64,41 @@
     /// Number of the write within the term and lane.
     #[prost(uint64, tag = "3")]
     pub(crate) write: u64,
+    /// First term since which all leaders have known [`LeaseBoundsRow`]; 0 if the leader that wrote
+    /// this does not know it.
+    #[prost(uint64, tag = "4")]
+    pub(crate) bounds_since: u64,
+}
+
+/// Bounds on the leases of workers that do not respond. No leader extends a lease of a worker in it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct LeaseBoundsRow {
+    /// Term of the leader that wrote it.
+    #[prost(uint64, tag = "1")]
+    pub(crate) term: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub(crate) bounds: Vec<LeaseBound>,
+}
+
+impl LeaseBoundsRow {
+    /// Returns the bounds to rely on. A leader of a version that does not know the row may have
+    /// extended leases since it was written, so one from before such a leader's term is outdated.
+    pub(crate) fn valid_bounds(&self, bounds_since: u64) -> &[LeaseBound] {
+        match self.term >= bounds_since {
+            true => &self.bounds,
+            false => &[],
+        }
+    }
+}
+
+/// Returns the first term since which all leaders have known [`LeaseBoundsRow`], for a leader whose
+/// predecessors wrote these guards.
+pub(crate) fn next_bounds_since(guards: &[GuardRow], term: u64) -> u64 {
+    let last = guards.iter().max_by_key(|guard| guard.term);
+    match last.map_or(0, |guard| guard.bounds_since) {
+        0 => term,
+        since => since,
+    }
 }
 
 /// Returns the key of a lane's guard row.
@@ -84,3 +125,6 @@
 pub(crate) fn ended_key(id: &str) -> String {
     format!("{ENDED_PREFIX}{id}")
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -15,8 +15,8 @@
     explore::{Counterexample, ExplorationOutcome, SpecMachine, explore},
     machine_name::{MachineName, ParseMachineError},
     machines::{
-        IsolationMachine, JournalMachine, LeadershipMachine, ManifestMachine, OwnershipMachine,
-        RackMachine, ResubmissionMachine, TeamMachine,
+        IsolationMachine, JournalMachine, LeadershipMachine, LeaseBoundsMachine, ManifestMachine,
+        OwnershipMachine, RackMachine, ResubmissionMachine, TeamMachine,
     },
     mutation::{Mutation, ParseMutationError},
 };
--- a/crates/spec/src/machine_name.rs
+++ b/crates/spec/src/machine_name.rs
@@ -2,9 +2,9 @@
 
 use {
     crate::{
-        ExplorationOutcome, IsolationMachine, JournalMachine, LeadershipMachine, ManifestMachine,
-        Mutation, OwnershipMachine, RackMachine, ResubmissionMachine, SpecMachine, TeamMachine,
-        explore,
+        ExplorationOutcome, IsolationMachine, JournalMachine, LeadershipMachine,
+        LeaseBoundsMachine, ManifestMachine, Mutation, OwnershipMachine, RackMachine,
+        ResubmissionMachine, SpecMachine, TeamMachine, explore,
     },
     std::{fmt, str::FromStr},
 };
@@ -28,6 +28,8 @@
     Resubmission,
     /// Change of a cell's leader, with its term, commit guard and rows in the store.
     Leadership,
+    /// Durable bound on the leases of a worker that does not respond, while leaders change.
+    LeaseBounds,
 }
 
 /// Error for a text that is not the name of a machine.
@@ -45,7 +47,7 @@
 
 impl MachineName {
     /// All machines, in the order in which they are explored.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Ownership,
         Self::Isolation,
         Self::RackTakeover,
@@ -54,6 +56,7 @@
         Self::ManifestChange,
         Self::Resubmission,
         Self::Leadership,
+        Self::LeaseBounds,
     ];
 
     /// Returns the name that selects the machine on the command line.
@@ -68,6 +71,7 @@
             Self::ManifestChange => "manifest_change",
             Self::Resubmission => "resubmission",
             Self::Leadership => "leadership",
+            Self::LeaseBounds => "lease_bounds",
         }
     }
 
@@ -92,6 +96,7 @@
             Self::ManifestChange => explore(&ManifestMachine::new(removed)),
             Self::Resubmission => explore(&ResubmissionMachine::new(removed)),
             Self::Leadership => explore(&LeadershipMachine::new(removed)),
+            Self::LeaseBounds => explore(&LeaseBoundsMachine::new(removed)),
         }
     }
 }
--- a/crates/spec/src/machines.rs
+++ b/crates/spec/src/machines.rs
@@ -3,6 +3,7 @@
 mod isolation;
 mod journal;
 mod leadership;
+mod lease_bounds;
 mod manifest;
 mod ownership;
 mod rack;
@@ -11,6 +12,6 @@
 
 pub use {
     isolation::IsolationMachine, journal::JournalMachine, leadership::LeadershipMachine,
-    manifest::ManifestMachine, ownership::OwnershipMachine, rack::RackMachine,
-    resubmission::ResubmissionMachine, team::TeamMachine,
+    lease_bounds::LeaseBoundsMachine, manifest::ManifestMachine, ownership::OwnershipMachine,
+    rack::RackMachine, resubmission::ResubmissionMachine, team::TeamMachine,
 };
--- a/crates/spec/src/mutation.rs
+++ b/crates/spec/src/mutation.rs
@@ -111,8 +111,33 @@
     InheritedAttempt,
     /// An attempt whose start was not confirmed is stopped before the task is retried elsewhere.
     StopBeforeRetry,
+    /// No lease is extended from the moment at which the write of a bound is sent.
+    BoundFromSending,
+    /// A lease is extended again only after the removal of its bound is durable.
+    DurableRemoval,
+    /// A new leader extends no lease whose bound is in the store.
+    InheritedBound,
+    /// A new leader that finds no bound allows for a former leader that acts until its isolation
+    /// ends.
+    InheritedIsolation,
+    /// A former leader can no longer write a bound.
+    BoundGuard,
 }
 
+/// Mechanisms of the isolation rule.
+const ISOLATION_MECHANISMS: &[Mutation] = &[
+    Mutation::IsolationRule,
+    Mutation::TakerHalf,
+    Mutation::ExactHalf,
+    Mutation::PassedOnNews,
+    Mutation::RenewalDate,
+    Mutation::ToldNews,
+    Mutation::ToldHalf,
+    Mutation::AgreedRoster,
+    Mutation::JointRoster,
+    Mutation::SettledRegistration,
+];
+
 /// Error for a text that is not the name of a mutation.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ParseMutationError;
@@ -153,18 +178,7 @@
     pub fn of(machine: MachineName) -> &'static [Self] {
         match machine {
             MachineName::Ownership => &[Self::RecordSwap, Self::EpochGrows, Self::BootNumber],
-            MachineName::Isolation => &[
-                Self::IsolationRule,
-                Self::TakerHalf,
-                Self::ExactHalf,
-                Self::PassedOnNews,
-                Self::RenewalDate,
-                Self::ToldNews,
-                Self::ToldHalf,
-                Self::AgreedRoster,
-                Self::JointRoster,
-                Self::SettledRegistration,
-            ],
+            MachineName::Isolation => ISOLATION_MECHANISMS,
             MachineName::RackTakeover => &[
                 Self::WorkerFence,
                 Self::AbsoluteLease,
@@ -208,6 +222,13 @@
                 Self::InheritedAttempt,
                 Self::StopBeforeRetry,
             ],
+            MachineName::LeaseBounds => &[
+                Self::BoundFromSending,
+                Self::DurableRemoval,
+                Self::InheritedBound,
+                Self::InheritedIsolation,
+                Self::BoundGuard,
+            ],
         }
     }
 }
--- a/crates/spec/tests/exploration.rs
+++ b/crates/spec/tests/exploration.rs
@@ -47,6 +47,11 @@
     check(MachineName::Leadership);
 }
 
+#[test]
+fn lease_bounds_need_each_mechanism() {
+    check(MachineName::LeaseBounds);
+}
+
 #[test]
 fn rack_takeover_needs_each_mechanism() {
     check(MachineName::RackTakeover);
