Place nothing on a worker that does not respond until it responds again

Callers saw tasks that did not run although other workers had capacity for them, and steps that were placed again and again. Cause: a worker whose leases had expired was empty and still registered, so a second after its last failed renewal it got new work. Its leases had expired already, so the next tick took the work for lost, and placement chose the same worker again. An idle worker was not renewed, so it was not known whether it responded. The test saw four placements instead of one. Change: a silent worker is not available, and is renewed each 500 ms while it is registered and idle. Test: a_worker_that_does_not_respond_gets_nothing_new_until_it_responds (failed before).

--- a/crates/cell/src/core/available.rs
+++ b/crates/cell/src/core/available.rs
@@ -46,8 +46,10 @@
 
     /// Returns whether a worker may get new work now; `false` if it has been removed.
     pub(super) fn is_available(&self, key: WorkerKey) -> bool {
-        let worker = self.workers.get(key);
-        worker.is_some_and(|w| w.backoff_until_ms <= self.time.now_ms && self.is_schedulable(w))
+        let Some(worker) = self.workers.get(key) else { return false };
+        !worker.is_silent
+            && worker.backoff_until_ms <= self.time.now_ms
+            && self.is_schedulable(worker)
     }
 
     /// Returns whether a worker could run a task of a step if it ran nothing else.
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -28,6 +28,9 @@
 const MAX_FIRST_RENEWALS: usize = 128;
 /// Retry interval after a failed renewal, in milliseconds.
 const RENEW_RETRY_MS: u64 = 250;
+/// Retry interval after a failed renewal of a worker on which nothing runs, in milliseconds. It gets
+/// nothing new until it responds.
+const IDLE_RETRY_MS: u64 = 500;
 /// Retry interval for a worker whose address another worker has taken over, in milliseconds. The
 /// lost worker remains registered for some time.
 const REPLACED_RETRY_MS: u64 = 1_000;
@@ -37,7 +40,16 @@
 impl WorkerEntry {
     fn needs_renewal(&self) -> bool {
         let has_work = self.is_busy() || self.pending_ends > 0 || self.has_ends_to_acknowledge();
-        self.renew_sent_ms.is_none() && (has_work || (self.is_listed && !self.has_accepted_token))
+        let is_awaited = self.is_listed && (!self.has_accepted_token || self.is_silent);
+        self.renew_sent_ms.is_none() && (has_work || is_awaited)
+    }
+
+    /// Returns the time after which a failed renewal is retried, in milliseconds.
+    fn renew_retry_ms(&self) -> u64 {
+        match self.has_accepted_token && !self.is_busy() {
+            true => IDLE_RETRY_MS,
+            false => RENEW_RETRY_MS,
+        }
     }
 
     /// Returns whether there are durable ends that have not been acknowledged to the worker.
@@ -174,7 +186,7 @@
                 self.log("worker_fenced", id, "it has seen a higher fencing token");
             }
             RenewOutcome::Unknown => {
-                worker.next_renew_ms = now_ms + pause_ms.max(RENEW_RETRY_MS);
+                worker.next_renew_ms = now_ms + pause_ms.max(worker.renew_retry_ms());
                 worker.backoff_until_ms = now_ms + SILENCE_BACKOFF_MS;
             }
         }
--- a/crates/cell/tests/cell/failures.rs
+++ b/crates/cell/tests/cell/failures.rs
@@ -225,6 +225,28 @@
     assert!(cell.starts.len() > 5);
 }
 
+/// Guards against tasks that are placed again and again on a worker that does not respond although it
+/// is registered: it is empty, and whatever is placed there is taken for lost at once.
+#[test]
+fn a_worker_that_does_not_respond_gets_nothing_new_until_it_responds() {
+    let mut cell = FakeCell::new(2);
+    cell.run_ms = 600_000;
+    cell.submit(job("1", vec![StepSpec { is_service: true, ..step(1) }]));
+    cell.run(1_000);
+    let lost = cell.starts[0].2.clone();
+    cell.workers.get_mut(&lost).unwrap().is_silent = true;
+    cell.run(10_000);
+    assert_eq!(cell.starts.len(), 2);
+    cell.take_logs();
+    cell.submit(job("2", vec![step(6)]));
+    cell.run(5_000);
+    let placed = cell.take_logs().iter().filter(|entry| entry.event == "phase_placed").count();
+    assert_eq!(placed, 1, "three tasks fit the other worker");
+    cell.workers.get_mut(&lost).unwrap().is_silent = false;
+    cell.run(3_000);
+    assert!(cell.starts[2..].iter().any(|(_, _, worker)| *worker == lost), "it is used again");
+}
+
 /// Guards against overcommitting a worker: runs of a job that had ended at the takeover were not
 /// counted while they were being stopped.
 #[test]
