Count attempts that are lost together once in their step's backoff

Callers saw services that did not run for seconds after the leases of lost workers had expired, with capacity for them. Cause: each attempt that was lost with its worker doubled the step's backoff, also within one tick: twelve tasks of a step on ten workers made it 3.2 s at once, and the next loss 3.2 s more. Change: attempts that are lost while the step waits already do not make it wait longer. Test: tasks_that_are_lost_together_start_again_without_a_long_backoff (failed before).

--- a/crates/cell/src/table/phase_retry.rs
+++ b/crates/cell/src/table/phase_retry.rs
@@ -22,6 +22,14 @@
         self.due_ms = now_ms + delay_ms;
     }
 
+    /// Records that an attempt was lost with its worker. Attempts that are lost together count once,
+    /// however many workers they ran on.
+    pub(crate) fn delay_after_loss(&mut self, now_ms: u64) {
+        if self.is_due(now_ms) {
+            self.delay(now_ms);
+        }
+    }
+
     /// Records that a worker confirmed a start.
     pub(crate) fn reset(&mut self) {
         self.given_up = 0;
--- a/crates/cell/tests/cell/failures.rs
+++ b/crates/cell/tests/cell/failures.rs
@@ -247,6 +247,29 @@
     assert!(cell.starts[2..].iter().any(|(_, _, worker)| *worker == lost), "it is used again");
 }
 
+/// Guards against a backoff that doubles with each of the attempts that are lost together.
+#[test]
+fn tasks_that_are_lost_together_start_again_without_a_long_backoff() {
+    let mut cell = FakeCell::new(8);
+    cell.run_ms = 600_000;
+    cell.submit(job("1", vec![StepSpec { is_service: true, ..step(16) }]));
+    cell.run(1_000);
+    let lost: BTreeSet<String> = cell.starts.iter().map(|(_, _, worker)| worker.clone()).collect();
+    for id in &lost {
+        cell.workers.get_mut(id).unwrap().is_silent = true;
+    }
+    cell.take_logs();
+    while !cell.take_logs().iter().any(|entry| entry.event == "worker_empty") {
+        cell.run(10);
+    }
+    let released_ms = cell.now_ms;
+    while cell.starts.len() < 32 && cell.now_ms < released_ms + 20_000 {
+        cell.run(10);
+    }
+    let waited_ms = cell.now_ms - released_ms;
+    assert!(waited_ms <= 500, "started again after {waited_ms} ms");
+}
+
 /// Guards against overcommitting a worker: runs of a job that had ended at the takeover were not
 /// counted while they were being stopped.
 #[test]
