--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -32,6 +32,9 @@
 const MAX_FIRST_RENEWALS: usize = 128;
 /// Retry interval after a failed renewal, in milliseconds.
 const RENEW_RETRY_MS: u64 = 250;
+/// Retry interval after a failed renewal of a worker on which nothing runs, in milliseconds. It gets
+/// nothing new until it responds.
+const IDLE_RETRY_MS: u64 = 500;
 /// Retry interval for a worker whose address another worker has taken over, in milliseconds. The
 /// lost worker remains registered for some time.
 const REPLACED_RETRY_MS: u64 = 1_000;
@@ -41,7 +44,16 @@
 impl WorkerEntry {
     fn needs_renewal(&self) -> bool {
         let has_work = self.is_busy() || self.pending_ends > 0 || self.has_ends_to_acknowledge();
-        self.renew_sent_ms.is_none() && (has_work || (self.is_listed && !self.has_accepted_token))
+        let is_awaited = self.is_listed && (!self.has_accepted_token || self.is_silent);
+        self.renew_sent_ms.is_none() && (has_work || is_awaited)
+    }
+
+    /// Returns the time after which a failed renewal is retried, in milliseconds.
+    fn renew_retry_ms(&self) -> u64 {
+        match self.has_accepted_token && !self.is_busy() {
+            true => IDLE_RETRY_MS,
+            false => RENEW_RETRY_MS,
+        }
     }
 
     /// Returns the last end up to which all are durable.
@@ -94,7 +106,7 @@
     }
 
     pub(super) fn renew_leases(&mut self) {
-        let CellCore { time, settings, workers, attempts, actions, .. } = self;
+        let CellCore { time, settings, workers, attempts, actions, lease_bounds, .. } = self;
         let is_first = |w: &WorkerEntry| !w.has_accepted_token && w.renew_sent_ms.is_some();
         let mut first_renewals = workers.values().filter(|worker| is_first(worker)).count();
         for (key, worker) in workers.iter_mut() {
@@ -108,7 +120,9 @@
                 first_renewals += 1;
             }
             worker.renew_sent_ms = Some(time.now_ms);
+            let is_bounded = lease_bounds.contain(&worker.report.id);
             let can_wait = worker.has_accepted_token
+                && !is_bounded
                 && worker.pending_ends == 0
                 && !worker.attempts.is_empty();
             let mut own = worker.attempts.values();
@@ -133,7 +147,7 @@
                 worker_id: worker.report.id.clone(),
                 incarnation: worker.report.incarnation,
                 fence: worker.renew_fence,
-                deadline_ms: match worker.is_silent {
+                deadline_ms: match worker.is_silent || is_bounded {
                     true => None,
                     false => worker.deadline_for(time.now_ms, settings.lease_ms),
                 },
@@ -143,16 +157,22 @@
         }
     }
 
-    /// Returns the time between a response and the next renewal, in milliseconds.
-    fn renew_pause_ms(&self) -> u64 {
+    /// Returns the time between a worker's response and the next renewal, in milliseconds. A worker
+    /// is renewed at once when its bound is removed.
+    fn renew_pause_ms(&self, key: WorkerKey) -> u64 {
         // A float-to-integer cast saturates.
         let delay_ms = (self.request_window.delay_ms() * RENEW_PAUSE_DELAYS) as u64;
-        (RENEW_PAUSE_MS + delay_ms).min(MAX_RENEW_PAUSE_MS)
+        let pause_ms = (RENEW_PAUSE_MS + delay_ms).min(MAX_RENEW_PAUSE_MS);
+        let worker = self.workers.get(key);
+        match worker.is_some_and(|worker| self.lease_bounds.contain(&worker.report.id)) {
+            true => pause_ms.max(RENEW_RETRY_MS),
+            false => pause_ms,
+        }
     }
 
     pub(super) fn finish_renewal(&mut self, key: WorkerKey, outcome: RenewOutcome) {
         let now_ms = self.time.now_ms;
-        let pause_ms = self.renew_pause_ms();
+        let pause_ms = self.renew_pause_ms(key);
         let Some(worker) = self.workers.get_mut(key) else { return };
         let sent_ms = worker.renew_sent_ms.take().unwrap_or(now_ms);
         let was_silent = worker.is_silent;
@@ -201,7 +221,7 @@
                 self.actions.push(CellAction::Resign);
             }
             RenewOutcome::Unknown => {
-                worker.next_renew_ms = now_ms + pause_ms.max(RENEW_RETRY_MS);
+                worker.next_renew_ms = now_ms + pause_ms.max(worker.renew_retry_ms());
                 worker.backoff_until_ms = now_ms + SILENCE_BACKOFF_MS;
             }
         }
--- a/crates/cell/src/core/placement.rs
+++ b/crates/cell/src/core/placement.rs
@@ -57,6 +57,7 @@
             && self.is_in_service(worker)
             && worker.has_accepted_token
             && worker.clock.is_some()
+            && !self.lease_bounds.contain(&worker.report.id)
     }
 
     /// Returns whether a worker is registered, not shutting down and in an open zone, whether or
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod failures;
 mod incarnations;
+mod inherited_leases;
 mod load;
 mod narrow_link;
 mod odd_entries;
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -7,6 +7,7 @@
 #![expect(clippy::unwrap_used, reason = "a test that cannot go on should panic")]
 
 mod crash;
+mod former;
 
 use {
     crash::CrashingTasks,
@@ -17,6 +18,7 @@
         RunningAttempt, StartOutcome, StartRefusal, StartRequest, StepSpec, StopRequest,
         TeamConfig, WorkerReport, WorkerTicket,
     },
+    former::{FormerLeader, StoredBounds},
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
         sync::Arc,
@@ -97,6 +99,12 @@
         self.lease_expiry_ms = self.lease_expiry_ms.max(deadline_ms);
     }
 
+    /// Checks that the leases do not outlast the worker's bound in the store.
+    fn check_bound(&self, bounds: &StoredBounds) {
+        let expiry_ms = self.started_ms + self.lease_expiry_ms;
+        bounds.check(&self.report.id, self.report.incarnation, expiry_ms);
+    }
+
     fn end(&mut self, index: usize, kind: EndKind) {
         let run = self.runs.remove(index);
         self.last_end += 1;
@@ -181,6 +189,10 @@
     /// Job rows and progress rows in the store.
     pub(crate) jobs: BTreeMap<String, JobRecord>,
     pub(crate) progress: BTreeMap<String, ProgressRecord>,
+    /// Bounds on the leases of workers that do not respond, in the store.
+    pub(crate) lease_bounds: StoredBounds,
+    /// A former leader that still acts.
+    former: Option<FormerLeader>,
     /// Rows of ended jobs in the store.
     pub(crate) ended: BTreeMap<String, ProgressRecord>,
     /// Every submitted job.
@@ -267,6 +279,8 @@
             workers: BTreeMap::new(),
             jobs: BTreeMap::new(),
             progress: BTreeMap::new(),
+            lease_bounds: StoredBounds::default(),
+            former: None,
             ended: BTreeMap::new(),
             records: BTreeMap::new(),
             held_commits: Vec::new(),
@@ -353,6 +367,7 @@
         for (id, row) in &self.progress {
             self.core.restore_ended(id, row);
         }
+        self.core.restore_lease_bounds(&self.lease_bounds.bounds);
         for (id, progress) in self.ended.clone() {
             self.core.apply(CellInput::Ended { id, progress });
         }
@@ -391,6 +406,7 @@
                 let actions = self.core.tick(self.now_ms, self.wall_ms());
                 actions.into_iter().for_each(|action| self.perform(action));
             }
+            self.run_former();
         }
     }
 
@@ -531,12 +547,22 @@
             self.held_commits.push(request);
             return;
         }
+        let lane = request.lane;
+        self.write_rows(request);
+        self.apply(CellInput::Committed { lane });
+    }
+
+    /// Applies a transaction to the rows.
+    fn write_rows(&mut self, request: CommitRequest) {
         for record in request.jobs {
             self.records.insert(record.id.clone(), record.clone());
             self.jobs.insert(record.id.clone(), record);
         }
         self.progress.extend(request.progress);
         self.ended.extend(request.ended);
+        if let Some(bounds) = request.lease_bounds {
+            self.lease_bounds.write(bounds, self.now_ms);
+        }
         for id in request.removed_jobs {
             assert!(self.jobs.remove(&id).is_some(), "{id} has no row to remove");
         }
@@ -546,7 +572,6 @@
         for id in request.removed_ended {
             assert!(self.ended.remove(&id).is_some(), "{id} has no row of its end to remove");
         }
-        self.apply(CellInput::Committed { lane: request.lane });
     }
 
     /// Restores the store, which applies the waiting commits.
@@ -632,6 +657,7 @@
         }
         worker.token = token;
         worker.extend(Some(request.deadline_ms), now_ms);
+        worker.check_bound(&self.lease_bounds);
         if worker.fenced.contains(&(request.task.clone(), request.number)) {
             return StartOutcome::Refused(StartRefusal::Stale);
         }
@@ -733,6 +759,7 @@
         }
         worker.token = token;
         worker.extend(request.deadline_ms, now_ms);
+        worker.check_bound(&self.lease_bounds);
         self.acknowledge_ends(&request.address, request.last_durable_end);
         let worker = &self.workers[&request.address];
         let running = worker.runs.iter().map(|run| RunningAttempt {
