Use a worker again that the list and its own response agree on

The response confirmed it, but nothing adopted the claim, and an unchanged list is not sent again, so the worker got no work. a_worker_that_restarted_while_busy_gets_work_again failed before with "left: Some(Running), right: Some(Completed)".

--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -256,6 +256,7 @@
                 self.workers[key].is_listed = false;
                 self.forget_advice(key);
                 self.log("worker_restarted", id, format!("born={}", response.incarnation));
+                self.adopt_confirmed_claim(key);
             }
         }
         self.apply_response(key, response, sent_ms);
--- a/crates/cell/src/core/worker_claims.rs
+++ b/crates/cell/src/core/worker_claims.rs
@@ -52,6 +52,19 @@
         }
     }
 
+    /// Adopts the claim of an entry that the worker has confirmed.
+    pub(super) fn adopt_confirmed_claim(&mut self, key: WorkerKey) {
+        let worker = &self.workers[key];
+        let (incarnation, address) = (worker.report.incarnation, &worker.report.address);
+        let is_confirmed = worker
+            .claim
+            .as_ref()
+            .is_some_and(|claim| claim.incarnation == incarnation && claim.address == *address);
+        if is_confirmed {
+            self.adopt_claim(key);
+        }
+    }
+
     fn ask_for_claim(&mut self, key: WorkerKey, report: WorkerReport) {
         let detail = format!("incarnation={} address={}", report.incarnation, report.address);
         let worker = &mut self.workers[key];
--- a/crates/cell/tests/cell/odd_entries.rs
+++ b/crates/cell/tests/cell/odd_entries.rs
@@ -53,6 +53,21 @@
     assert_eq!(cell.state("long"), Some(JobState::Completed));
 }
 
+/// The list shows a restart before the worker's next response does.
+#[test]
+fn a_worker_that_restarted_while_busy_gets_work_again() {
+    let mut cell = FakeCell::new(1);
+    cell.submit(job("first", vec![step(2)]));
+    cell.run(100);
+    cell.reincarnate("w0");
+    cell.list_workers();
+    cell.run(1_000);
+    cell.submit(job("second", vec![step(2)]));
+    cell.run(10_000);
+    assert_eq!(cell.state("first"), Some(JobState::Completed));
+    assert_eq!(cell.state("second"), Some(JobState::Completed));
+}
+
 /// The same with a leader that finds the entry.
 #[test]
 fn a_successor_that_finds_such_an_entry_starts_no_task_twice() {
