--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -273,7 +273,8 @@
     fn follow(&mut self, (workers, workers_revision): (Vec<StoreItem>, u64), jobs_revision: u64) {
         let codec = self.context.external.codec.clone();
         let prefix = codec.worker_prefix().to_owned();
-        let mut sink = WorkerSink::new(codec, self.events.clone(), self.router.clone());
+        let (events, router) = (self.events.clone(), self.router.clone());
+        let mut sink = WorkerSink::new(codec, events, router, self.context.logger.clone());
         sink.replace(workers);
         let timing = FollowTiming {
             wait_ms: WORKER_WATCH_WAIT_MS,
--- a/crates/cellnode/src/worker_sink.rs
+++ b/crates/cellnode/src/worker_sink.rs
@@ -6,7 +6,11 @@
         leader_event::LeaderEvent,
     },
     damaskrack_cell::{CellInput, WorkerReport},
-    std::{collections::BTreeMap, sync::Arc},
+    slog::{Logger, warn},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
     tokio::sync::mpsc,
 };
 
@@ -16,7 +20,10 @@
     events: mpsc::Sender<LeaderEvent>,
     router: Arc<ForwardRouter>,
     reports: BTreeMap<String, WorkerReport>,
+    /// Keys of the entries that describe no usable worker.
+    unusable: BTreeSet<String>,
     is_changed: bool,
+    logger: Logger,
 }
 
 impl WorkerSink {
@@ -24,14 +31,26 @@
         codec: Arc<dyn PlatformCodec>,
         events: mpsc::Sender<LeaderEvent>,
         router: Arc<ForwardRouter>,
+        logger: Logger,
     ) -> Self {
-        Self { codec, events, router, reports: BTreeMap::new(), is_changed: false }
+        let (reports, unusable) = (BTreeMap::new(), BTreeSet::new());
+        Self { codec, events, router, reports, unusable, is_changed: false, logger }
+    }
+
+    /// Records whether an entry exists but describes no usable worker.
+    fn record_unusable(&mut self, key: &str, is_unusable: bool) {
+        if !is_unusable {
+            self.unusable.remove(key);
+        } else if self.unusable.insert(key.to_owned()) {
+            warn!(self.logger, "worker_entry_unusable"; "key" => key);
+        }
     }
 }
 
 impl ItemSink for WorkerSink {
     fn replace(&mut self, items: Vec<StoreItem>) {
         self.reports.clear();
+        self.unusable.clear();
         items.into_iter().for_each(|item| self.update(item));
         self.is_changed = true;
     }
@@ -41,6 +60,7 @@
             true => None,
             false => self.codec.read_worker(&item.key, &item.value),
         };
+        self.record_unusable(&item.key, report.is_none() && !item.is_deleted);
         let is_same = self.reports.get(&item.key) == report.as_ref();
         self.is_changed |= !is_same;
         match report {
