--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -20,6 +20,7 @@
 mod pending;
 mod placement;
 mod probation;
+mod report_validity;
 mod request_window;
 mod segregation;
 mod shares;
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -48,6 +48,7 @@
             worker.next_renew_ms = 0;
             self.forget_advice(key);
         }
+        self.log_resize(key, &report);
         let worker = &mut self.workers[key];
         worker.is_listed = true;
         worker.report = report;
