Start nothing on a list of workers that is not known to be up to date

Callers saw LIMIT whenever workers shrank while the store was down, late requests or not: workers do not guard their capacity, and the leader goes by their entries in the store. Cause, in two parts; both are of the class "an old reading taken for a current one, because nothing says how old it is": - The watch of the entries waited 10 s. The hypothesis that late requests come on top of room that was given away was not confirmed: a request without a response keeps its room until a stop is acknowledged and the worker no longer lists the attempt, and no such start was found. The daemon does so for 2 s after a response to a watch, and not before the workers have had a heartbeat and 0.5 s to report after 2 s without any response of the store (store_contact.rs, which also counts the configuration's watch, so that a new leader knows of an outage before its election). A watch of entries or jobs waits 250 ms; after a failed one, calls ask for an answer at once. The interval of heartbeats is a new setting, filled in from the platform's. The fake cell confirms the list every 500 ms as a leader's watch does.

--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -82,6 +82,8 @@
     are_ended_known: bool,
     workers: SlotMap<WorkerKey, WorkerEntry>,
     worker_ids: FxHashMap<String, WorkerKey>,
+    /// Time until which starts may rely on the workers' reports.
+    reports_valid_until_ms: u64,
     attempts: SlotMap<AttemptKey, AttemptEntry>,
     /// Lost attempts of which it is not known whether their workers crashed.
     losses: SlotMap<LossKey, LossEntry>,
@@ -136,6 +138,7 @@
             are_ended_known: false,
             workers: SlotMap::with_key(),
             worker_ids: FxHashMap::default(),
+            reports_valid_until_ms: 0,
             attempts: SlotMap::with_key(),
             losses: SlotMap::with_key(),
             loss_times: LossTimes::default(),
@@ -191,6 +194,7 @@
         match input {
             CellInput::Config(config) => self.config = config,
             CellInput::Workers(reports) => self.update_workers(reports),
+            CellInput::WorkersConfirmed { valid_until_ms } => self.confirm_reports(valid_until_ms),
             CellInput::Daemons(ids) => self.update_daemons(&ids),
             CellInput::Accepted(record) => self.accept(record),
             CellInput::Ended { id, progress } => self.learn_ended(&id, &progress),
--- a/crates/cell/src/core/placement.rs
+++ b/crates/cell/src/core/placement.rs
@@ -52,7 +52,10 @@
 impl CellCore {
     /// Returns whether a worker may get new work, apart from a backoff.
     pub(super) fn is_schedulable(&self, worker: &WorkerEntry) -> bool {
-        self.is_in_service(worker) && worker.has_accepted_token && worker.clock.is_some()
+        self.are_reports_valid()
+            && self.is_in_service(worker)
+            && worker.has_accepted_token
+            && worker.clock.is_some()
     }
 
     /// Returns whether a worker is registered, not shutting down and in an open zone, whether or
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -145,6 +145,12 @@
     Config(Arc<CellConfig>),
     /// The complete list of registered workers.
     Workers(Vec<WorkerReport>),
+    /// The list of workers is up to date. Without it nothing is started, because the capacity of a
+    /// worker may have shrunk.
+    WorkersConfirmed {
+        /// Time until which starts may rely on the list, in milliseconds since the host's boot.
+        valid_until_ms: u64,
+    },
     /// Ids of the connected daemons, through which the adviser is called.
     Daemons(Vec<u64>),
     /// A job was accepted and is already in the store.
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -27,6 +27,10 @@
 pub(crate) const WALL_MS: u64 = 1_700_000_000_000;
 /// Time after which a request on a [`FakeLink`] has failed, in milliseconds.
 const REQUEST_TIMEOUT_MS: u64 = 350;
+/// Interval at which the leader learns that its list of workers is up to date, in milliseconds.
+const CONFIRM_INTERVAL_MS: u64 = 500;
+/// Time for which it may then rely on the list, in milliseconds.
+const LIST_VALID_MS: u64 = 2_000;
 /// Capacity of a fake worker.
 pub(crate) const CAPACITY: ResourceSet =
     ResourceSet { cpu_millis: 4_000, memory_mb: 4_096, accelerators: 0 };
@@ -175,6 +179,8 @@
     pub(crate) is_store_down: bool,
     /// The leader does not learn of changes of the workers' entries.
     pub(crate) is_list_lost: bool,
+    /// Time at which the leader next learns that its list of workers is up to date.
+    next_confirm_ms: u64,
     /// Outcomes of renewals that are delayed.
     pub(crate) delayed_renewals: Vec<CellInput>,
     pub(crate) delays_renewals_of: Option<String>,
@@ -255,6 +261,7 @@
             held_commits: Vec::new(),
             is_store_down: false,
             is_list_lost: false,
+            next_confirm_ms: 0,
             delayed_renewals: Vec::new(),
             delays_renewals_of: None,
             run_ms: 500,
@@ -313,6 +320,13 @@
     pub(crate) fn restore_list(&mut self) {
         self.is_list_lost = false;
         self.list_workers();
+        self.confirm_list();
+    }
+
+    fn confirm_list(&mut self) {
+        self.next_confirm_ms = self.now_ms + CONFIRM_INTERVAL_MS;
+        let valid_until_ms = self.now_ms + LIST_VALID_MS;
+        self.apply(CellInput::WorkersConfirmed { valid_until_ms });
     }
 
     /// Sends the list of workers to the core.
@@ -342,6 +356,7 @@
             self.core.apply(CellInput::Ended { id, progress });
         }
         self.core.apply(CellInput::EndedKnown);
+        self.confirm_list();
     }
 
     pub(crate) fn wall_ms(&self) -> u64 {
@@ -365,6 +380,9 @@
         let until_ms = self.now_ms + for_ms;
         while self.now_ms < until_ms {
             self.now_ms += 10;
+            if !self.is_list_lost && self.now_ms >= self.next_confirm_ms {
+                self.confirm_list();
+            }
             self.end_runs();
             self.crash_workers();
             self.run_link();
--- a/crates/cellnode/src/follow.rs
+++ b/crates/cellnode/src/follow.rs
@@ -103,7 +103,9 @@
     let mut is_lost = false;
     loop {
         let sent_ms = boot_ms();
-        match store.watch(prefix, revision, timing.wait_ms).await {
+        // A response at once shows that the store is back.
+        let wait_ms = if is_lost { 0 } else { timing.wait_ms };
+        match store.watch(prefix, revision, wait_ms).await {
             Ok(page) => {
                 if is_lost {
                     info!(logger, "store_regained"; "prefix" => prefix);
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -28,6 +28,7 @@
         lease_keeper::LeaseKeeper,
         rows::{JOB_PREFIX, PROGRESS_PREFIX},
         session_registry::{SessionFrame, SessionRegistry},
+        store_contact::StoreContact,
         unix_ms,
         worker_sink::WorkerSink,
     },
@@ -72,8 +73,10 @@
 const MAX_TICK_PAUSE_MS: u64 = 100;
 /// Interval between two checks while calls to the store fail, in milliseconds.
 const STORE_ERROR_CHECK_MS: u64 = 60;
-/// Longest time for which a watch waits for changes of workers or jobs, in milliseconds.
-const WATCH_WAIT_MS: u64 = 10_000;
+/// Longest time for which a watch waits for changes of workers or jobs, in milliseconds. Each response
+/// confirms that the list of workers is up to date, so this must be well below the age up to which
+/// starts rely on it.
+const WATCH_WAIT_MS: u64 = 250;
 /// Pause between two watches of the workers, in milliseconds.
 const WORKER_WATCH_INTERVAL_MS: u64 = 150;
 /// Pause between two watches of the accepted jobs, in milliseconds. Daemons notify the leader of
@@ -100,6 +103,7 @@
     pub(crate) external: OutsideLinks,
     pub(crate) registry: Arc<SessionRegistry>,
     pub(crate) config: watch::Receiver<Arc<CellConfig>>,
+    pub(crate) store_contact: Arc<StoreContact>,
     pub(crate) settings: CellSettings,
     /// Bandwidth of the host's network link, in bytes per second; 0 if it is not known.
     pub(crate) link_bytes_per_s: u64,
@@ -220,6 +224,10 @@
         self.core.apply(CellInput::Config(config));
         let reports = workers.iter().filter_map(|item| codec.read_worker(&item.key, &item.value));
         self.core.apply(CellInput::Workers(reports.collect()));
+        if let Some(valid_until_ms) = self.context.store_contact.entries_valid_until_ms(started_ms)
+        {
+            self.core.apply(CellInput::WorkersConfirmed { valid_until_ms });
+        }
         let mut rows: FxHashMap<&str, ProgressRecord> = progress
             .iter()
             .filter_map(|item| {
@@ -282,7 +290,8 @@
     fn follow(&mut self, (workers, workers_revision): (Vec<StoreItem>, u64), jobs_revision: u64) {
         let codec = self.context.external.codec.clone();
         let prefix = codec.worker_prefix().to_owned();
-        let mut sink = WorkerSink::new(codec, self.events.clone(), self.router.clone());
+        let contact = self.context.store_contact.clone();
+        let mut sink = WorkerSink::new(codec, self.events.clone(), self.router.clone(), contact);
         sink.replace(workers);
         self.follow_one(prefix, WORKER_WATCH_INTERVAL_MS, workers_revision, sink);
         let sink = JobSink::new(self.events.clone(), self.context.logger.clone());
--- a/crates/cellnode/src/lib.rs
+++ b/crates/cellnode/src/lib.rs
@@ -29,6 +29,7 @@
 mod rows;
 mod running_list;
 mod session_registry;
+mod store_contact;
 mod worker_sink;
 mod write_frame;
 
--- a/crates/cellnode/src/node.rs
+++ b/crates/cellnode/src/node.rs
@@ -14,6 +14,7 @@
         leadership_transfer::LeadershipSignals,
         rows::{KnownLeader, LEADER_KEY, LeaderRow},
         session_registry::{SessionRegistry, serve_sessions},
+        store_contact::StoreContact,
     },
     cadence::StatsdClient,
     damaskrack_cell::{CellConfig, CellSettings},
@@ -63,6 +64,8 @@
     pub link_bytes_per_s: u64,
     /// Age from which the configuration counts as outdated, in milliseconds.
     pub max_config_age_ms: u64,
+    /// Time within which every worker that reaches the store reports a change, in milliseconds.
+    pub report_delay_ms: u64,
     /// Longest time for which a leader that shuts down keeps leading until another daemon takes
     /// over, in milliseconds.
     pub transfer_timeout_ms: u64,
@@ -76,6 +79,11 @@
         let (leader_capacity, zone) = (self.leader_capacity, self.zone.clone());
         HelloFrame { daemon, leader_capacity, zone, is_leaving: false }
     }
+
+    /// Returns the settings of this daemon's scheduler core.
+    fn core_settings(&self) -> CellSettings {
+        CellSettings { isolation_ms: ISOLATION_MS + LEASE_TTL_MS, ..self.cell.clone() }
+    }
 }
 
 /// Clients of the external systems.
@@ -149,17 +157,20 @@
         });
         let (leader_sender, leader_receiver) = watch::channel(None);
         let (stop, stopped) = watch::channel(false);
-        spawn_followers(&external, config_sender, config_confirmed_ms, leader_sender, &logger);
+        let store_contact = Arc::new(StoreContact::new(config.report_delay_ms));
+        let codec = external.codec.clone();
+        let contacts = (config_confirmed_ms, store_contact.clone());
+        let config_sink = ConfigSink::new(codec, config_sender, contacts, logger.clone());
+        spawn_followers(&external, config_sink, leader_sender, &logger);
         let transfer_requests = connection.transfer_requests();
         tokio::spawn(connection.clone().run(leader_receiver.clone()));
         tokio::spawn(serve_sessions(registry.clone(), listener, logger.clone()));
-        let mut settings = config.cell;
-        settings.isolation_ms = ISOLATION_MS + LEASE_TTL_MS;
         let context = LeaderContext {
             external,
             registry,
             config: config_receiver,
-            settings,
+            store_contact,
+            settings: config.core_settings(),
             link_bytes_per_s: config.link_bytes_per_s,
             logger,
         };
@@ -280,8 +291,7 @@
 /// Starts the tasks that follow the configuration and the leader and report the link's use.
 fn spawn_followers(
     external: &OutsideLinks,
-    config_sender: watch::Sender<Arc<CellConfig>>,
-    config_confirmed_ms: Arc<AtomicU64>,
+    config_sink: ConfigSink,
     leader_sender: watch::Sender<Option<KnownLeader>>,
     logger: &Logger,
 ) {
@@ -290,24 +300,11 @@
     let store = external.store.clone();
     tokio::spawn(follow_leader(store, leader_sender, logger.clone()));
     let external = external.clone();
-    tokio::spawn(follow_config(external, config_sender, config_confirmed_ms, logger.clone()));
+    tokio::spawn(follow_config(external, config_sink, logger.clone()));
 }
 
-async fn follow_config(
-    external: OutsideLinks,
-    sender: watch::Sender<Arc<CellConfig>>,
-    config_confirmed_ms: Arc<AtomicU64>,
-    logger: Logger,
-) {
+async fn follow_config(external: OutsideLinks, mut sink: ConfigSink, logger: Logger) {
     let codec = external.codec.clone();
-    let mut sink = ConfigSink {
-        codec: codec.clone(),
-        sender,
-        config_confirmed_ms,
-        items: BTreeMap::new(),
-        is_changed: false,
-        logger: logger.clone(),
-    };
     let timing = FollowTiming {
         wait_ms: CONFIG_WAIT_MS,
         interval_ms: 0,
@@ -320,6 +317,7 @@
     codec: Arc<dyn PlatformCodec>,
     sender: watch::Sender<Arc<CellConfig>>,
     config_confirmed_ms: Arc<AtomicU64>,
+    store_contact: Arc<StoreContact>,
     items: BTreeMap<String, Vec<u8>>,
     is_changed: bool,
     logger: Logger,
@@ -347,10 +345,22 @@
             }
         }
         self.config_confirmed_ms.fetch_max(sent_ms, Ordering::Relaxed);
+        self.store_contact.record_response(sent_ms);
     }
 }
 
 impl ConfigSink {
+    fn new(
+        codec: Arc<dyn PlatformCodec>,
+        sender: watch::Sender<Arc<CellConfig>>,
+        (config_confirmed_ms, store_contact): (Arc<AtomicU64>, Arc<StoreContact>),
+        logger: Logger,
+    ) -> Self {
+        let items = BTreeMap::new();
+        let is_changed = false;
+        Self { codec, sender, config_confirmed_ms, store_contact, items, is_changed, logger }
+    }
+
     fn adopt(&self, config: CellConfig) {
         let known = self.sender.borrow().version;
         if config.version < known {
--- /dev/null
+++ b/crates/cellnode/src/store_contact.rs
@@ -0,0 +1,71 @@
+//! Since when a daemon has been in contact with the store.
+//!
+//! Workers report changes of their capacity to the store. While it is down they cannot, and their
+//! entries show what they had before. So the entries may be relied on only if they were read after
+//! the workers have had time to report, and only for a short time after that.
+
+use {
+    crate::boot_ms,
+    std::sync::{Mutex, MutexGuard, PoisonError},
+};
+
+/// Time after which entries that were read may not be relied on any more, in milliseconds. A longer
+/// time without contact counts as an outage of the store.
+const MAX_ENTRY_AGE_MS: u64 = 2_000;
+
+#[derive(Debug)]
+struct ContactState {
+    /// Time at which the last call was sent to which the store responded; at first the time at which
+    /// the daemon started.
+    confirmed_ms: u64,
+    /// Time of the first response after the last outage that the daemon has seen; 0 if it has seen none.
+    regained_ms: u64,
+}
+
+/// Tracks the responses of the store.
+#[derive(Debug)]
+pub(crate) struct StoreContact {
+    /// Time within which every worker that reaches the store reports a change, in milliseconds.
+    report_delay_ms: u64,
+    state: Mutex<ContactState>,
+}
+
+impl StoreContact {
+    /// Creates a tracker for a daemon that starts now.
+    pub(crate) fn new(report_delay_ms: u64) -> Self {
+        Self::starting_at(boot_ms(), report_delay_ms)
+    }
+
+    fn starting_at(started_ms: u64, report_delay_ms: u64) -> Self {
+        let state = ContactState { confirmed_ms: started_ms, regained_ms: 0 };
+        Self { report_delay_ms, state: Mutex::new(state) }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ContactState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records that the store has responded to a call sent at `sent_ms`, in milliseconds since the host
+    /// booted.
+    pub(crate) fn record_response(&self, sent_ms: u64) {
+        self.record(sent_ms, boot_ms());
+    }
+
+    fn record(&self, sent_ms: u64, received_ms: u64) {
+        let mut state = self.lock();
+        if sent_ms > state.confirmed_ms + MAX_ENTRY_AGE_MS {
+            state.regained_ms = received_ms;
+        }
+        state.confirmed_ms = state.confirmed_ms.max(sent_ms);
+    }
+
+    /// Returns the time until which starts may rely on the entries of all workers if they were read by
+    /// a call sent at `read_ms`; `None` if some may date from before the last outage.
+    pub(crate) fn entries_valid_until_ms(&self, read_ms: u64) -> Option<u64> {
+        let current_from_ms = self.lock().regained_ms + self.report_delay_ms;
+        (read_ms >= current_from_ms).then_some(read_ms + MAX_ENTRY_AGE_MS)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/cellnode/src/store_contact/tests.rs
@@ -0,0 +1,56 @@
+//! Tests of the contact with the store.
+
+use super::{MAX_ENTRY_AGE_MS, StoreContact};
+
+/// Time within which workers report a change, in milliseconds.
+const REPORT_DELAY_MS: u64 = 2_000;
+/// Interval between two calls to the store, in milliseconds.
+const CALL_INTERVAL_MS: u64 = 500;
+
+/// Records a response every [`CALL_INTERVAL_MS`].
+fn respond(contact: &StoreContact, from_ms: u64, to_ms: u64) {
+    let calls = (from_ms..to_ms).step_by(usize::try_from(CALL_INTERVAL_MS).unwrap_or(1));
+    calls.for_each(|sent_ms| contact.record(sent_ms, sent_ms + 5));
+}
+
+#[test]
+fn entries_are_valid_for_a_short_time() {
+    let contact = StoreContact::starting_at(10_000, REPORT_DELAY_MS);
+    respond(&contact, 10_000, 20_000);
+    let valid_until_ms = contact.entries_valid_until_ms(19_500);
+    assert_eq!(valid_until_ms, Some(19_500 + MAX_ENTRY_AGE_MS));
+}
+
+/// The store was down for four seconds, in which workers could report nothing.
+#[test]
+fn entries_are_not_valid_before_workers_can_report_after_an_outage() {
+    let contact = StoreContact::starting_at(10_000, REPORT_DELAY_MS);
+    respond(&contact, 10_000, 20_000);
+    respond(&contact, 24_000, 30_000);
+    assert_eq!(contact.entries_valid_until_ms(25_500), None);
+    assert!(contact.entries_valid_until_ms(26_500).is_some());
+}
+
+/// The store was down when the daemon started.
+#[test]
+fn entries_are_not_valid_before_workers_can_report_after_an_outage_at_the_start() {
+    let contact = StoreContact::starting_at(10_000, REPORT_DELAY_MS);
+    respond(&contact, 13_000, 17_000);
+    assert_eq!(contact.entries_valid_until_ms(14_500), None);
+    assert!(contact.entries_valid_until_ms(15_500).is_some());
+}
+
+#[test]
+fn entries_are_valid_at_once_if_the_store_responds_to_a_daemon_that_starts() {
+    let contact = StoreContact::starting_at(10_000, REPORT_DELAY_MS);
+    respond(&contact, 10_000, 11_000);
+    assert!(contact.entries_valid_until_ms(10_500).is_some());
+}
+
+#[test]
+fn a_response_that_is_missing_is_no_outage() {
+    let contact = StoreContact::starting_at(10_000, REPORT_DELAY_MS);
+    respond(&contact, 10_000, 20_000);
+    respond(&contact, 21_300, 22_000);
+    assert!(contact.entries_valid_until_ms(21_300).is_some());
+}
--- a/crates/cellnode/src/worker_sink.rs
+++ b/crates/cellnode/src/worker_sink.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         PlatformCodec, StoreItem, follow::ItemSink, forward_router::ForwardRouter,
-        leader_event::LeaderEvent,
+        leader_event::LeaderEvent, store_contact::StoreContact,
     },
     damaskrack_cell::{CellInput, WorkerReport},
     std::{collections::BTreeMap, sync::Arc},
@@ -15,6 +15,7 @@
     codec: Arc<dyn PlatformCodec>,
     events: mpsc::Sender<LeaderEvent>,
     router: Arc<ForwardRouter>,
+    contact: Arc<StoreContact>,
     reports: BTreeMap<String, WorkerReport>,
     is_changed: bool,
 }
@@ -24,8 +25,9 @@
         codec: Arc<dyn PlatformCodec>,
         events: mpsc::Sender<LeaderEvent>,
         router: Arc<ForwardRouter>,
+        contact: Arc<StoreContact>,
     ) -> Self {
-        Self { codec, events, router, reports: BTreeMap::new(), is_changed: false }
+        Self { codec, events, router, contact, reports: BTreeMap::new(), is_changed: false }
     }
 }
 
@@ -49,7 +51,8 @@
         };
     }
 
-    fn caught_up(&mut self, _sent_ms: u64) {
+    fn caught_up(&mut self, sent_ms: u64) {
+        self.contact.record_response(sent_ms);
         if std::mem::take(&mut self.is_changed) {
             let reports: Vec<WorkerReport> = self.reports.values().cloned().collect();
             self.router.update_workers(reports.clone());
@@ -57,5 +60,12 @@
             // If the queue is full, the list is sent again after the next watch.
             self.is_changed = self.events.try_send(LeaderEvent::Input(input)).is_err();
         }
+        if let (false, Some(valid_until_ms)) =
+            (self.is_changed, self.contact.entries_valid_until_ms(sent_ms))
+        {
+            let input = CellInput::WorkersConfirmed { valid_until_ms };
+            // If the queue is full, the next watch confirms the list.
+            let _ = self.events.try_send(LeaderEvent::Input(input));
+        }
     }
 }
