--- a/crates/cell/src/core/worker_claims.rs
+++ b/crates/cell/src/core/worker_claims.rs
@@ -75,6 +75,25 @@
         self.log("worker_contradicted", id, detail);
     }
 
+    /// Logs that a worker reports another capacity than before.
+    fn log_resize(&mut self, key: WorkerKey, report: &WorkerReport) {
+        let worker = &self.workers[key];
+        let (before, after) = (worker.report.capacity, report.capacity);
+        if before == after {
+            return;
+        }
+        let detail = format!(
+            "cpu={}>{} memory_mb={}>{} used_cpu={} used_memory_mb={}",
+            before.cpu_millis,
+            after.cpu_millis,
+            before.memory_mb,
+            after.memory_mb,
+            worker.used.cpu_millis,
+            worker.used.memory_mb
+        );
+        self.log("worker_resized", report.id.clone(), detail);
+    }
+
     fn adopt_report(&mut self, key: WorkerKey, report: WorkerReport) {
         let current = self.workers[key].report.incarnation;
         if report.incarnation > current {
@@ -85,6 +104,7 @@
             self.workers[key].next_renew_ms = 0;
             self.forget_advice(key);
         }
+        self.log_resize(key, &report);
         let worker = &mut self.workers[key];
         worker.is_listed = true;
         worker.claim = None;
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -9,6 +9,7 @@
 mod narrow_link;
 mod odd_entries;
 mod odd_rows;
+mod outdated_list;
 mod pending;
 mod support;
 mod worker_list;
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -200,8 +200,8 @@
     /// Commits that wait because the store is down.
     pub(crate) held_commits: Vec<CommitRequest>,
     pub(crate) is_store_down: bool,
-    /// The list of workers is not confirmed any more.
-    pub(crate) is_list_outdated: bool,
+    /// The leader does not learn of changes of the workers' entries.
+    pub(crate) is_list_lost: bool,
     /// Outcomes of renewals that are delayed.
     pub(crate) delayed_renewals: Vec<CellInput>,
     pub(crate) delays_renewals_of: Option<String>,
@@ -285,7 +285,7 @@
             records: BTreeMap::new(),
             held_commits: Vec::new(),
             is_store_down: false,
-            is_list_outdated: false,
+            is_list_lost: false,
             delayed_renewals: Vec::new(),
             delays_renewals_of: None,
             run_ms: 500,
@@ -333,12 +333,27 @@
         self.config.queues.get_mut("queue").unwrap().advice = Some(timing);
     }
 
-    /// Changes the capacity of a worker while it runs, and reports it.
+    /// Changes the capacity of a worker while it runs, and reports it unless the list is lost.
     pub(crate) fn resize_worker(&mut self, id: &str, cpu_millis: u64) {
         self.workers.get_mut(id).unwrap().report.capacity.cpu_millis = cpu_millis;
+        if !self.is_list_lost {
+            self.list_workers();
+        }
+    }
+
+    /// Lets the leader follow the workers' entries again.
+    pub(crate) fn restore_list(&mut self) {
+        self.is_list_lost = false;
         self.list_workers();
     }
 
+    /// Confirms the list of workers, unless it is lost.
+    fn confirm_list(&mut self) {
+        if !self.is_list_lost {
+            self.apply(CellInput::WorkersConfirmed { as_of_ms: self.now_ms });
+        }
+    }
+
     /// Returns the fencing token of a request of the present leader.
     fn token_of(&self, fence: u32) -> u64 {
         (self.token << u32::BITS) | u64::from(fence)
@@ -399,9 +414,7 @@
             self.crash_workers();
             self.run_link();
             self.time_out_requests();
-            if !self.is_list_outdated {
-                self.apply(CellInput::WorkersConfirmed { as_of_ms: self.now_ms });
-            }
+            self.confirm_list();
             for _ in 0..4 {
                 let actions = self.core.tick(self.now_ms, self.wall_ms());
                 actions.into_iter().for_each(|action| self.perform(action));
--- a/crates/cell/tests/cell/worker_list.rs
+++ b/crates/cell/tests/cell/worker_list.rs
@@ -13,7 +13,7 @@
 fn nothing_starts_by_an_outdated_list_of_workers() {
     let mut cell = FakeCell::new(2);
     cell.run(100);
-    cell.is_list_outdated = true;
+    cell.is_list_lost = true;
     cell.run(OUTDATED_MS);
     cell.workers.get_mut("w0").unwrap().report.is_leaving = true;
     cell.submit(job("1", vec![step(8)]));
@@ -21,7 +21,7 @@
     assert_eq!(cell.starts.len(), 0);
     assert!(cell.take_logs().iter().any(|entry| entry.event == "worker_list_outdated"));
     cell.list_workers();
-    cell.is_list_outdated = false;
+    cell.is_list_lost = false;
     cell.run(3_000);
     assert_eq!(cell.state("1"), Some(JobState::Completed));
     assert!(cell.starts.iter().all(|(_, _, worker)| worker == "w1"));
@@ -35,12 +35,12 @@
     cell.is_store_down = true;
     cell.submit(job("1", vec![step(1)]));
     cell.run(100);
-    cell.is_list_outdated = true;
+    cell.is_list_lost = true;
     cell.run(OUTDATED_MS);
     cell.restore_store();
     cell.run(100);
     assert_eq!(cell.starts.len(), 0);
-    cell.is_list_outdated = false;
+    cell.is_list_lost = false;
     cell.run(1_500);
     assert_eq!(cell.state("1"), Some(JobState::Completed));
 }
@@ -52,7 +52,7 @@
     cell.run_ms = 4_000;
     cell.submit(job("1", vec![step(2)]));
     cell.run(200);
-    cell.is_list_outdated = true;
+    cell.is_list_lost = true;
     cell.run(6_000);
     assert_eq!(cell.state("1"), Some(JobState::Completed));
     assert_eq!(cell.starts.len(), 2);
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -26,6 +26,7 @@
         lease_keeper::LeaseKeeper,
         rows::{JOB_PREFIX, LEASE_BOUNDS_KEY, LeaseBoundsRow, PROGRESS_PREFIX},
         session_registry::{SessionFrame, SessionRegistry},
+        store_contact::StoreContact,
         store_regain::RegainSignal,
         stored_jobs::StoredJobs,
         unix_ms,
@@ -109,6 +110,7 @@
     /// Bandwidth of the host's network link, in bytes per second; 0 if it is not known.
     pub(crate) link_bytes_per_s: u64,
     pub(crate) regain: Arc<RegainSignal>,
+    pub(crate) store_contact: Arc<StoreContact>,
     pub(crate) logger: Logger,
 }
 
@@ -232,7 +234,9 @@
         self.core.apply(CellInput::Config(config));
         let reports = workers.iter().filter_map(|item| codec.read_worker(&item.key, &item.value));
         self.core.apply(CellInput::Workers(reports.collect()));
-        self.core.apply(CellInput::WorkersConfirmed { as_of_ms: started_ms });
+        if self.context.store_contact.are_entries_current(started_ms) {
+            self.core.apply(CellInput::WorkersConfirmed { as_of_ms: started_ms });
+        }
         let stored = StoredJobs::decode(&jobs, &progress, &self.context.logger);
         for (record, row) in stored.jobs {
             self.core.restore(record, row.as_ref());
@@ -293,8 +297,9 @@
     fn follow(&mut self, (workers, workers_revision): (Vec<StoreItem>, u64), jobs_revision: u64) {
         let codec = self.context.external.codec.clone();
         let prefix = codec.worker_prefix().to_owned();
-        let (events, router) = (self.events.clone(), self.router.clone());
-        let mut sink = WorkerSink::new(codec, events, router, self.context.logger.clone());
+        let links = (self.router.clone(), self.context.store_contact.clone());
+        let logger = self.context.logger.clone();
+        let mut sink = WorkerSink::new(codec, self.events.clone(), links, logger);
         sink.replace(workers);
         let timing = FollowTiming {
             wait_ms: WORKER_WATCH_WAIT_MS,
--- a/crates/cellnode/src/node.rs
+++ b/crates/cellnode/src/node.rs
@@ -14,6 +14,7 @@
         leadership_transfer::LeadershipSignals,
         rows::{KnownLeader, LEADER_KEY, LeaderRow},
         session_registry::{SessionRegistry, serve_sessions},
+        store_contact::StoreContact,
         store_regain::RegainSignal,
     },
     cadence::StatsdClient,
@@ -64,6 +65,8 @@
     pub link_bytes_per_s: u64,
     /// Age from which the configuration counts as outdated, in milliseconds.
     pub max_config_age_ms: u64,
+    /// Time within which every worker that reaches the store reports a change, in milliseconds.
+    pub report_delay_ms: u64,
     /// Longest time for which a leader that shuts down keeps leading until another daemon takes
     /// over, in milliseconds.
     pub transfer_timeout_ms: u64,
@@ -77,6 +80,11 @@
         let (leader_capacity, zone) = (self.leader_capacity, self.zone.clone());
         HelloFrame { daemon, leader_capacity, zone, is_leaving: false }
     }
+
+    /// Returns the settings of this daemon's scheduler core.
+    fn core_settings(&self) -> CellSettings {
+        CellSettings { isolation_ms: ISOLATION_MS + LEASE_TTL_MS, ..self.cell.clone() }
+    }
 }
 
 /// Clients of the external systems.
@@ -150,20 +158,20 @@
         });
         let (leader_sender, leader_receiver) = watch::channel(None);
         let (stop, stopped) = watch::channel(false);
-        let followed = FollowedStore::new(&external, &logger);
+        let contact = Arc::new(StoreContact::new(config.report_delay_ms));
+        let followed = FollowedStore::new(&external, contact.clone(), &logger);
         spawn_followers(&followed, config_sender, config_confirmed_ms, leader_sender);
         let transfer_requests = connection.transfer_requests();
         tokio::spawn(connection.clone().run(leader_receiver.clone()));
         tokio::spawn(serve_sessions(registry.clone(), listener, logger.clone()));
-        let mut settings = config.cell;
-        settings.isolation_ms = ISOLATION_MS + LEASE_TTL_MS;
         let context = LeaderContext {
             external,
             registry,
             config: config_receiver,
-            settings,
+            settings: config.core_settings(),
             link_bytes_per_s: config.link_bytes_per_s,
             regain: followed.regain,
+            store_contact: contact,
             logger,
         };
         let address = config.peer_address.to_string();
@@ -285,12 +293,14 @@
 struct FollowedStore {
     external: OutsideLinks,
     regain: Arc<RegainSignal>,
+    contact: Arc<StoreContact>,
     logger: Logger,
 }
 
 impl FollowedStore {
-    fn new(external: &OutsideLinks, logger: &Logger) -> Self {
-        Self { external: external.clone(), regain: Arc::default(), logger: logger.clone() }
+    fn new(external: &OutsideLinks, contact: Arc<StoreContact>, logger: &Logger) -> Self {
+        let (external, logger) = (external.clone(), logger.clone());
+        Self { external, regain: Arc::default(), contact, logger }
     }
 
     async fn follow(&self, prefix: &str, wait_ms: u64, sink: &mut dyn ItemSink) {
@@ -330,6 +340,7 @@
         codec: codec.clone(),
         sender,
         config_confirmed_ms,
+        contact: followed.contact.clone(),
         items: BTreeMap::new(),
         is_changed: false,
         logger: followed.logger.clone(),
@@ -341,6 +352,7 @@
     codec: Arc<dyn PlatformCodec>,
     sender: watch::Sender<Arc<CellConfig>>,
     config_confirmed_ms: Arc<AtomicU64>,
+    contact: Arc<StoreContact>,
     items: BTreeMap<String, Vec<u8>>,
     is_changed: bool,
     logger: Logger,
@@ -368,6 +380,7 @@
             }
         }
         self.config_confirmed_ms.fetch_max(sent_ms, Ordering::Relaxed);
+        self.contact.record_response(sent_ms);
     }
 }
 
--- a/crates/cellnode/src/worker_sink.rs
+++ b/crates/cellnode/src/worker_sink.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         PlatformCodec, StoreItem, follow::ItemSink, forward_router::ForwardRouter,
-        leader_event::LeaderEvent,
+        leader_event::LeaderEvent, store_contact::StoreContact,
     },
     damaskrack_cell::{CellInput, WorkerReport},
     slog::{Logger, warn},
@@ -19,6 +19,7 @@
     codec: Arc<dyn PlatformCodec>,
     events: mpsc::Sender<LeaderEvent>,
     router: Arc<ForwardRouter>,
+    contact: Arc<StoreContact>,
     reports: BTreeMap<String, WorkerReport>,
     /// Keys of the entries that describe no usable worker.
     unusable: BTreeSet<String>,
@@ -30,11 +31,11 @@
     pub(crate) fn new(
         codec: Arc<dyn PlatformCodec>,
         events: mpsc::Sender<LeaderEvent>,
-        router: Arc<ForwardRouter>,
+        (router, contact): (Arc<ForwardRouter>, Arc<StoreContact>),
         logger: Logger,
     ) -> Self {
         let (reports, unusable) = (BTreeMap::new(), BTreeSet::new());
-        Self { codec, events, router, reports, unusable, is_changed: false, logger }
+        Self { codec, events, router, contact, reports, unusable, is_changed: false, logger }
     }
 
     /// Records whether an entry exists but describes no usable worker.
@@ -70,6 +71,7 @@
     }
 
     fn caught_up(&mut self, sent_ms: u64) {
+        self.contact.record_response(sent_ms);
         if std::mem::take(&mut self.is_changed) {
             let reports: Vec<WorkerReport> = self.reports.values().cloned().collect();
             self.router.update_workers(reports.clone());
@@ -77,7 +79,7 @@
             // If the queue is full, the list is sent again after the next watch.
             self.is_changed = self.events.try_send(LeaderEvent::Input(input)).is_err();
         }
-        if !self.is_changed {
+        if !self.is_changed && self.contact.are_entries_current(sent_ms) {
             let input = CellInput::WorkersConfirmed { as_of_ms: sent_ms };
             // If the queue is full, the next watch confirms the list.
             let _ = self.events.try_send(LeaderEvent::Input(input));
