--- a/crates/cell/src/core/worker_claims.rs
+++ b/crates/cell/src/core/worker_claims.rs
@@ -66,8 +66,11 @@
     }
 
     fn ask_for_claim(&mut self, key: WorkerKey, report: WorkerReport) {
-        let detail = format!("incarnation={} address={}", report.incarnation, report.address);
         let worker = &mut self.workers[key];
+        if worker.claim.as_ref() == Some(&report) {
+            return;
+        }
+        let detail = format!("incarnation={} address={}", report.incarnation, report.address);
         worker.is_listed = false;
         worker.next_renew_ms = worker.next_renew_ms.min(self.time.now_ms);
         worker.claim = Some(report);
