Read a worker's clock only from responses that tell the incarnation

A response of the former incarnation that is handled after a restart gives the next one a clock that is far ahead: it caps the lease at its own maximum, which is longer than the leader takes it to last, and the leader counts the attempts there as expired too early. Clocks are read from renewals only, whose responses tell the incarnation; attempts are renewed before they start.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -186,21 +186,13 @@
         true
     }
 
-    pub(super) fn finish_start(
-        &mut self,
-        key: AttemptKey,
-        outcome: StartOutcome,
-        clock_ms: Option<u64>,
-    ) {
+    pub(super) fn finish_start(&mut self, key: AttemptKey, outcome: StartOutcome) {
         let now_ms = self.time.now_ms;
         let sent_ms = self.attempts.get(key).map(|attempt| attempt.sent_ms);
         let is_answered = outcome != StartOutcome::Unknown;
         self.request_window.finish(RequestEnd::of(is_answered, sent_ms), now_ms);
         let Some(attempt) = self.attempts.get_mut(key) else { return };
         let worker = &mut self.workers[attempt.worker];
-        if let Some(clock_ms) = clock_ms {
-            worker.record_clock(clock_ms, now_ms);
-        }
         match outcome {
             StartOutcome::Started => {
                 worker.unanswered_starts = 0;
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -216,9 +216,7 @@
             CellInput::Submitted { record, reply } => self.submit(record, reply),
             CellInput::Offered { record, reply } => self.offer(&record, reply),
             CellInput::Cancel { id, reply } => self.cancel(&id, reply),
-            CellInput::StartFinished { attempt, outcome, clock_ms } => {
-                self.finish_start(attempt, outcome, clock_ms);
-            }
+            CellInput::StartFinished { attempt, outcome } => self.finish_start(attempt, outcome),
             CellInput::StopFinished { attempt, is_acknowledged } => {
                 self.finish_stop(attempt, is_acknowledged);
             }
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -198,8 +198,6 @@
         attempt: AttemptKey,
         /// Outcome of the request.
         outcome: StartOutcome,
-        /// The worker's clock, in milliseconds, if it responded.
-        clock_ms: Option<u64>,
     },
     /// A stop request finished, with or without a response.
     StopFinished {
--- a/crates/cellnode/src/external.rs
+++ b/crates/cellnode/src/external.rs
@@ -143,8 +143,8 @@
 /// Calls to the workers. Every call carries the leader's fencing token.
 #[async_trait]
 pub trait WorkerGateway: Send + Sync {
-    /// Starts an attempt. Returns the outcome, and the worker's clock if it responded.
-    async fn start(&self, request: &StartRequest, token: u64) -> (StartOutcome, Option<u64>);
+    /// Starts an attempt.
+    async fn start(&self, request: &StartRequest, token: u64) -> StartOutcome;
 
     /// Stops an attempt. Returns whether the worker acknowledged it.
     async fn stop(&self, request: &StopRequest, token: u64) -> bool;
--- a/crates/cellnode/src/forward_frame.rs
+++ b/crates/cellnode/src/forward_frame.rs
@@ -131,9 +131,6 @@
 pub(crate) struct StartResult {
     #[prost(enumeration = "StartCode", tag = "1")]
     pub(crate) code: i32,
-    /// The worker's clock, in milliseconds, if it responded.
-    #[prost(uint64, optional, tag = "2")]
-    pub(crate) clock_ms: Option<u64>,
 }
 
 /// Outcome of a renewal.
--- a/crates/cellnode/src/forward_router.rs
+++ b/crates/cellnode/src/forward_router.rs
@@ -43,7 +43,7 @@
 /// What came of a forwarded call.
 #[derive(Debug)]
 enum CallOutcome {
-    Start(StartOutcome, Option<u64>),
+    Start(StartOutcome),
     Stop(bool),
     Renew(RenewOutcome),
     Write(Result<TransactionOutcome, StoreError>),
@@ -264,16 +264,12 @@
         self.send_to(&mut state, daemon, ("", ""), 0, |_| ForwardCall::Write(write))
     }
 
-    async fn start_directly(
-        &self,
-        request: &StartRequest,
-        token: u64,
-    ) -> (StartOutcome, Option<u64>) {
+    async fn start_directly(&self, request: &StartRequest, token: u64) -> StartOutcome {
         if request.payload.is_some() {
             return self.direct.start(request, token).await;
         }
         match self.payloads.get(job_of_task(&request.task)).await {
-            None => (StartOutcome::Refused(StartRefusal::Unsent), None),
+            None => StartOutcome::Refused(StartRefusal::Unsent),
             payload => {
                 let request = StartRequest { payload, ..request.clone() };
                 self.direct.start(&request, token).await
@@ -286,8 +282,7 @@
         let mut state = self.lock();
         let outcome = match frame.result {
             Some(ForwardResult::Started(result)) => {
-                let clock_ms = result.clock_ms;
-                CallOutcome::Start(StartOutcome::from(result.code()), clock_ms)
+                CallOutcome::Start(StartOutcome::from(result.code()))
             }
             Some(ForwardResult::Stopped(is_acknowledged)) => CallOutcome::Stop(is_acknowledged),
             Some(ForwardResult::Written(result)) => CallOutcome::Write(result.into()),
@@ -368,14 +363,14 @@
 
 #[async_trait]
 impl WorkerGateway for ForwardRouter {
-    async fn start(&self, request: &StartRequest, token: u64) -> (StartOutcome, Option<u64>) {
+    async fn start(&self, request: &StartRequest, token: u64) -> StartOutcome {
         let target = (&*request.address, &*request.worker_id);
         let Some(call) = self.send(target, token, |peer| peer.start_call(request)) else {
             return self.start_directly(request, token).await;
         };
         match self.wait(call, CALL_TIMEOUT_MS).await {
-            Some(CallOutcome::Start(outcome, clock_ms)) => (outcome, clock_ms),
-            _ => (StartOutcome::Unknown, None),
+            Some(CallOutcome::Start(outcome)) => outcome,
+            _ => StartOutcome::Unknown,
         }
     }
 
--- a/crates/cellnode/src/forward_session.rs
+++ b/crates/cellnode/src/forward_session.rs
@@ -100,10 +100,10 @@
                 let result = match payload {
                     Some(payload) if !is_late => {
                         let start = start.request(&address, &worker_id, payload);
-                        let (outcome, clock_ms) = self.workers.start(&start, token).await;
-                        StartResult { code: StartCode::from(outcome) as i32, clock_ms }
+                        let outcome = self.workers.start(&start, token).await;
+                        StartResult { code: StartCode::from(outcome) as i32 }
                     }
-                    _ => StartResult { code: StartCode::Unsent as i32, clock_ms: None },
+                    _ => StartResult { code: StartCode::Unsent as i32 },
                 };
                 self.reply(request, ForwardResult::Started(result));
             }
--- a/crates/cellnode/src/forward_session/tests.rs
+++ b/crates/cellnode/src/forward_session/tests.rs
@@ -24,10 +24,10 @@
 
 #[async_trait]
 impl WorkerGateway for FakeWorkers {
-    async fn start(&self, request: &StartRequest, _: u64) -> (StartOutcome, Option<u64>) {
+    async fn start(&self, request: &StartRequest, _: u64) -> StartOutcome {
         let run = (request.task.clone(), request.payload.clone());
         self.started.lock().expect("runs").push(run);
-        (StartOutcome::Started, Some(1))
+        StartOutcome::Started
     }
 
     async fn stop(&self, _: &StopRequest, _: u64) -> bool {
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -535,13 +535,12 @@
                 let leadership = self.leadership.clone();
                 tokio::spawn(async move {
                     // The host may have stood still since the core decided.
-                    let (outcome, clock_ms) = match may_act(&leadership) {
+                    let outcome = match may_act(&leadership) {
                         true => workers.start(&request, token).await,
-                        false => (StartOutcome::Refused(StartRefusal::Unsent), None),
+                        false => StartOutcome::Refused(StartRefusal::Unsent),
                     };
                     let attempt = request.attempt;
-                    send_input(&events, CellInput::StartFinished { attempt, outcome, clock_ms })
-                        .await;
+                    send_input(&events, CellInput::StartFinished { attempt, outcome }).await;
                 });
             }
             CellAction::Stop(request) => self.stop(request),
