Accuse the tasks of workers that crash at the same time by chance

Cause: four or more workers lost within 30 ms accused no task, since a host or rack was taken to be the cause. While many tasks crash their workers, that many are lost together by chance.

Change: a loss is recorded with whether a task had just been started on the worker. If one had been on each of the workers that were lost together, half of all workers have to be lost for a common cause.

Test: tasks_that_crash_their_workers_at_the_same_time_are_given_up; before: "4 workers crashed under job 10".

--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -116,11 +116,7 @@
         let was_silent = worker.is_silent;
         worker.is_silent = !matches!(outcome, RenewOutcome::Answered(_));
         worker.record_response(worker.is_silent, sent_ms, now_ms);
-        if let (false, Some(lost_ms)) = (was_silent, worker.lost_ms) {
-            // A worker that a suspect has crashed does not show a common cause.
-            if worker.probations == 0 {
-                self.loss_times.record(lost_ms);
-            }
+        if !was_silent {
             self.record_recent_starts(key);
         }
         let Some(worker) = self.workers.get_mut(key) else { return };
--- a/crates/cell/src/core/segregation.rs
+++ b/crates/cell/src/core/segregation.rs
@@ -12,15 +12,19 @@
 };
 
 impl CellCore {
-    /// Records the attempts that had just been started on a worker that was just lost, and their queue
-    /// if they are of one.
+    /// Records the loss of a worker that was just lost, the attempts that had just been started on it,
+    /// and their queue if they are of one.
     pub(super) fn record_recent_starts(&mut self, worker: WorkerKey) {
         let Some(lost_ms) = self.workers[worker].lost_ms else { return };
+        let attempts: Vec<AttemptKey> = self.workers[worker].attempts.values().copied().collect();
+        let recent = self.recent_attempts(&attempts, lost_ms);
+        // A worker that a suspect has crashed does not show a common cause.
+        if self.workers[worker].probations == 0 {
+            self.loss_times.record(lost_ms, !recent.is_empty());
+        }
         if self.is_simultaneous(lost_ms) {
             return;
         }
-        let attempts: Vec<AttemptKey> = self.workers[worker].attempts.values().copied().collect();
-        let recent = self.recent_attempts(&attempts, lost_ms);
         for key in &recent {
             let task = self.attempts[*key].task();
             if self.has_task(task) {
