Ask the adviser for suspects before it is used up

Callers saw: jobs whose tasks were lost with a worker that another task had crashed waited for 20 s and more, many of them for no fault of their own, while workers that could have tested them did not.

Cause: suspects come late in the backlog, as their jobs are late by the time that the loss is known. Each pass asks the adviser for the steps that come first; while these used it up, no call was made for any suspect.

Change: the first 16 steps with suspects that need tickets come before all other steps. With more tests under load, fewer workers are taken for them: one in 12 instead of one in eight while many wait.

Test: a_suspect_is_tested_while_the_adviser_is_busy; before: "no call for the suspect among 120".

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -83,7 +83,8 @@
         let is_planned = |attempt: &&AttemptEntry| attempt.state == AttemptState::Persisting;
         let planned = self.attempts.values().filter(is_planned).count();
         let mut budget = self.request_window.planning_budget(planned, self.time.now_ms);
-        for phase in self.backlog() {
+        let backlog = self.backlog();
+        for phase in self.first_suspects(&backlog).into_iter().chain(backlog) {
             if self.place_phase(phase, &available, &mut budget) == PlacementOutcome::Incomplete {
                 self.request_advice(phase, &available, &mut prefetch_left);
             }
--- a/crates/cell/src/core/probation.rs
+++ b/crates/cell/src/core/probation.rs
@@ -9,7 +9,11 @@
     super::{
         CellCore, available::AvailableWorkers, losses::CRASH_REASON, placement::PlacementOutcome,
     },
-    crate::{AttemptKey, JobState, WorkerKey, message::PhaseRef, table::TaskEntry},
+    crate::{
+        AttemptKey, JobState, ResourceSet, WorkerKey,
+        message::PhaseRef,
+        table::{TaskEntry, WorkerEntry},
+    },
 };
 
 /// One in this many workers may run a suspect on probation.
@@ -19,7 +23,9 @@
 /// One worker for this many steps with suspects that wait may, if that is more.
 const WAITING_SHARE: usize = 16;
 /// One in this many workers may at most for those that wait.
-const MAX_WAITING_SHARE: usize = 8;
+const MAX_WAITING_SHARE: usize = 12;
+/// Maximum number of steps with suspects that come before all other steps.
+const MAX_FIRST_SUSPECTS: usize = 16;
 /// Number of attempts by which a suspect's worker may exceed the worker with the fewest.
 const MAX_EXTRA_ATTEMPTS: usize = 2;
 
@@ -30,6 +36,16 @@
         entry.has_losses && !entry.waiting_tasks(true).is_empty()
     }
 
+    /// Returns the first steps of the backlog with suspects that wait and need tickets. They come before all
+    /// others, since each step that comes before may use up the adviser; they are few, and so are the
+    /// workers for tests.
+    pub(super) fn first_suspects(&self, backlog: &[PhaseRef]) -> Vec<PhaseRef> {
+        let needs_ticket = |phase: &PhaseRef| {
+            self.has_waiting_suspect(*phase) && self.advice_timing(*phase).is_some()
+        };
+        backlog.iter().copied().filter(needs_ticket).take(MAX_FIRST_SUSPECTS).collect()
+    }
+
     /// Gives up a job with a task that has crashed too many workers under former leaders.
     pub(super) fn gives_up_crashing(&mut self, phase: PhaseRef) -> bool {
         let tasks = &self.jobs[phase.job].phases[phase.phase].tasks;
@@ -103,7 +119,7 @@
         let workers = self.workers.len();
         let used = self.workers.values().filter(|worker| worker.probations > 0).count();
         let for_waiting = self.suspect_backlog.waiting() / WAITING_SHARE;
-        let idle = match self.suspect_backlog.may_use_idle(self.time.now_ms) {
+        let idle = match self.may_use_idle() {
             true => self.workers.values().filter(|worker| worker.attempts.is_empty()).count(),
             false => 0,
         };
@@ -117,15 +133,28 @@
         has_worker
     }
 
+    /// Returns whether suspects may have idle workers: nothing else waits, or little of the capacity is
+    /// in use, and has been for some time.
+    fn may_use_idle(&self) -> bool {
+        let is_use_low = self.suspect_backlog.has_use_been_low(self.time.now_ms);
+        !self.suspect_backlog.have_others_waited() || (is_use_low && self.is_use_low())
+    }
+
+    /// Returns whether other work uses less than half of what the workers without suspects have.
+    fn is_use_low(&self) -> bool {
+        let (mut used, mut capacity) = (ResourceSet::default(), ResourceSet::default());
+        let is_regular = |worker: &&WorkerEntry| !worker.is_silent && worker.probations == 0;
+        for worker in self.workers.values().filter(is_regular) {
+            used = used.plus(&worker.used);
+            capacity = capacity.plus(&worker.report.capacity);
+        }
+        used.times(2).fits(&capacity)
+    }
+
     /// Begins a placement: takes stock of what the last one left waiting.
     pub(super) fn begin_suspect_backlog(&mut self) {
-        let Self { suspect_backlog, workers, time, .. } = self;
-        suspect_backlog.begin(time.now_ms, || {
-            let responsive = || workers.values().filter(|worker| !worker.is_silent);
-            let used: u64 = responsive().map(|worker| worker.used.cpu_millis).sum();
-            let capacity: u64 = responsive().map(|worker| worker.report.capacity.cpu_millis).sum();
-            used * 2 < capacity
-        });
+        let is_use_low = self.suspect_backlog.have_suspects_waited() && self.is_use_low();
+        self.suspect_backlog.begin(self.time.now_ms, is_use_low);
     }
 
     /// Returns the workers that could run a suspect of a phase now, those with the fewest attempts
--- a/crates/cell/src/core/suspect_backlog.rs
+++ b/crates/cell/src/core/suspect_backlog.rs
@@ -21,17 +21,27 @@
 }
 
 impl SuspectBacklog {
-    /// Begins a placement. `is_use_low` tells whether little of the capacity is in use, and is called
-    /// only if suspects have ever waited.
-    pub(super) fn begin(&mut self, now_ms: u64, is_use_low: impl FnOnce() -> bool) {
+    /// Begins a placement. `is_use_low` tells whether little of the capacity is in use; it matters only
+    /// once suspects have waited.
+    pub(super) fn begin(&mut self, now_ms: u64, is_use_low: bool) {
         self.waiting = std::mem::take(&mut self.blocked);
         self.have_others_waited = std::mem::take(&mut self.has_others);
-        self.low_use_since_ms = match self.have_suspects_waited && is_use_low() {
+        self.low_use_since_ms = match is_use_low {
             true => self.low_use_since_ms.or(Some(now_ms)),
             false => None,
         };
     }
 
+    /// Returns whether suspects have waited since this leader began.
+    pub(super) fn have_suspects_waited(&self) -> bool {
+        self.have_suspects_waited
+    }
+
+    /// Returns whether steps without suspects waited at the last placement.
+    pub(super) fn have_others_waited(&self) -> bool {
+        self.have_others_waited
+    }
+
     /// Records that a step's suspects wait for workers.
     pub(super) fn record_suspects(&mut self) {
         self.blocked += 1;
@@ -48,10 +58,8 @@
         self.waiting
     }
 
-    /// Returns whether suspects may have all idle workers: nothing else waits, or little of the capacity
-    /// has been in use for some time.
-    pub(super) fn may_use_idle(&self, now_ms: u64) -> bool {
-        let is_use_low = self.low_use_since_ms.is_some_and(|since| now_ms >= since + LOW_USE_MS);
-        is_use_low || !self.have_others_waited
+    /// Returns whether little of the capacity has been in use for some time.
+    pub(super) fn has_use_been_low(&self, now_ms: u64) -> bool {
+        self.low_use_since_ms.is_some_and(|since_ms| now_ms >= since_ms + LOW_USE_MS)
     }
 }
--- a/crates/cell/tests/cell/crash_storms.rs
+++ b/crates/cell/tests/cell/crash_storms.rs
@@ -1,8 +1,8 @@
 //! Many tasks that crash the workers that start them.
 
 use {
-    crate::support::{CAPACITY, FakeCell, job, step},
-    damaskrack_cell::{JobState, StepSpec},
+    crate::support::{CAPACITY, FakeCell, WALL_MS, job, step},
+    damaskrack_cell::{AdviceTiming, JobRecord, JobState, StepSpec},
 };
 
 /// Number of workers that may crash under a task before it is given up.
@@ -25,3 +25,23 @@
         assert!((2..=MAX_CRASHES).contains(&crashes), "{crashes} workers crashed under job {id}");
     }
 }
+
+/// Other jobs, which come first, have more calls for the adviser than it serves.
+#[test]
+fn a_suspect_is_tested_while_the_adviser_is_busy() {
+    let mut cell = FakeCell::new(8);
+    cell.add_adviser(AdviceTiming { call_us: 10_000, worker_us: 100, valid_ms: 2_000 });
+    cell.start_leader();
+    cell.make_crashing("1");
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(1_000);
+    let accepted_ms = WALL_MS + 60_000;
+    for id in 1_000..1_200 {
+        cell.submit(JobRecord { accepted_ms, ..job(&id.to_string(), vec![step(1)]) });
+    }
+    cell.lost_advice = usize::MAX;
+    cell.advice_requests.clear();
+    cell.run(6_000);
+    let asked = cell.advice_requests.iter().any(|request| request.phase == "1.0.0");
+    assert!(asked, "no call for the suspect among {}", cell.advice_requests.len());
+}
