Test jobs that were accused alone together

Change: whether a task was accused alone is known, also by the next leader (a field of its row, which a version before ignores). A suspect that survives its test is no longer one beside others, which may leave another one alone. Once four that were accused alone have in a row crashed the worker of their test, up to four of them are started on one worker at once, and all are given up if it crashes; the first that survives ends this. Suspects that were accused with others are asked for first, as many of them are innocent; while workers are idle, those that can share a worker come first.

Test: jobs_that_were_accused_alone_do_not_crash_a_worker_each; before: "65 workers crashed under 40 jobs".

--- a/crates/cell/src/core/completion.rs
+++ b/crates/cell/src/core/completion.rs
@@ -52,6 +52,9 @@
         if self.jobs[phase.job].state.is_final() {
             return;
         }
+        if attempt.is_on_probation {
+            self.record_survival(attempt.task());
+        }
         match kind {
             EndKind::Done => self.finish_task(phase, attempt.index),
             EndKind::Failed => self.fail_task(&attempt),
--- a/crates/cell/src/core/losses.rs
+++ b/crates/cell/src/core/losses.rs
@@ -4,7 +4,8 @@
 //! The most likely one is the one that was started last, so the tasks that were started last, just
 //! before the worker was lost, are suspects. Suspects start on probation (see `probation.rs`): with
 //! nothing else started on their worker for a while. If the worker crashes once more in that time, the
-//! task is the only suspect, and its job is given up. A task that crashes its workers only some time
+//! task is the only suspect, and its job is given up. A suspect that survives is not to blame for the
+//! crash, and may leave another one as the only suspect. A task that crashes its workers only some time
 //! after its start is not a suspect at first. It is one from the third crash on, and is then on
 //! probation for longer than it ran before. Workers that are lost at the same moment were not
 //! crashed by tasks.
@@ -71,17 +72,64 @@
         let is_last =
             |key: &AttemptKey| last_ms <= Some(self.attempts[*key].start_sent_ms + START_SPREAD_MS);
         let suspects: Vec<AttemptKey> = recent.iter().copied().filter(is_last).collect();
-        let tasks = suspects.iter().map(|key| self.attempts[*key].task()).collect();
-        self.suspect_groups.add(tasks, self.time.now_ms);
+        let is_shared_test = self.is_test_of_lone_suspects(&recent);
+        let tasks: Vec<TaskRef> = suspects.iter().map(|key| self.attempts[*key].task()).collect();
+        let is_alone = tasks.iter().all(|task| task.phase.job == tasks[0].phase.job);
+        self.record_lone_test(&recent, cause);
+        if !is_shared_test {
+            self.suspect_groups.add(tasks, self.time.now_ms);
+        }
         let live: Vec<AttemptKey> =
             lost.into_iter().filter(|key| self.has_task(self.attempts[*key].task())).collect();
         for key in live {
             let is_suspect = suspects.contains(&key);
-            let is_sole = jobs.len() == 1 && is_suspect && self.attempts[key].is_on_probation;
+            let is_test = is_suspect && self.attempts[key].is_on_probation;
+            let is_sole = is_test && (jobs.len() == 1 || is_shared_test);
+            if is_suspect {
+                self.task_mut(self.attempts[key].task()).is_accused_alone = is_alone;
+            }
             self.record_loss(key, cause, is_suspect, is_sole);
         }
     }
 
+    /// Returns whether all attempts that had just been started on a worker are tests of tasks that were
+    /// accused alone.
+    fn is_test_of_lone_suspects(&self, recent: &[AttemptKey]) -> bool {
+        let is_test = |key: &AttemptKey| {
+            let attempt = &self.attempts[*key];
+            let task = attempt.task();
+            attempt.is_on_probation && self.has_task(task) && self.task(task).is_accused_alone
+        };
+        !recent.is_empty() && recent.iter().all(is_test)
+    }
+
+    /// Records that a job that was accused alone crashed the worker on which it was tested, unless it was
+    /// tested with others.
+    fn record_lone_test(&mut self, recent: &[AttemptKey], cause: LossCause) {
+        let jobs: FxHashSet<JobKey> =
+            recent.iter().map(|key| self.attempts[*key].phase.job).collect();
+        if jobs.len() == 1 && cause == LossCause::Crash && self.is_test_of_lone_suspects(recent) {
+            self.lone_suspects.record_crash();
+        }
+    }
+
+    /// Records that a task has not crashed the worker on which it was tested.
+    pub(super) fn record_survival(&mut self, task: TaskRef) {
+        if !self.has_task(task) {
+            return;
+        }
+        if std::mem::take(&mut self.task_mut(task).is_accused_alone) {
+            self.lone_suspects.record_survival();
+            self.mark_dirty(task.phase.job, None);
+        }
+        for left in self.suspect_groups.clear(task) {
+            if self.has_task(left) && self.task(left).is_suspected() {
+                self.task_mut(left).is_accused_alone = true;
+                self.mark_dirty(left.phase.job, None);
+            }
+        }
+    }
+
     /// Clears the tasks that were suspected only beside a task of a job that was given up.
     fn clear_suspects_beside(&mut self, job: JobKey) {
         for task in self.suspect_groups.take_beside(job) {
@@ -277,6 +325,7 @@
             self.mark_dirty(task.phase.job, None);
         }
         if is_on_probation && ran_ms >= self.task(task).probation_ms {
+            self.record_survival(task);
             self.end_probation(key);
         }
     }
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -15,6 +15,7 @@
 mod completion;
 mod jobs;
 mod leases;
+mod lone_suspects;
 mod loss_times;
 mod losses;
 mod pending;
@@ -38,6 +39,7 @@
     },
     admission::BacklogLoad,
     commit::CommitQueue,
+    lone_suspects::LoneSuspects,
     loss_times::LossTimes,
     request_window::RequestWindow,
     rustc_hash::FxHashMap,
@@ -87,6 +89,7 @@
     loss_times: LossTimes,
     suspect_groups: SuspectGroups,
     suspect_backlog: SuspectBacklog,
+    lone_suspects: LoneSuspects,
     suspect_queues: SuspectQueues,
     advice_calls: SlotMap<AdviceCallKey, AdviceCallEntry>,
     daemons: Vec<DaemonEntry>,
@@ -140,6 +143,7 @@
             loss_times: LossTimes::default(),
             suspect_groups: SuspectGroups::default(),
             suspect_backlog: SuspectBacklog::default(),
+            lone_suspects: LoneSuspects::default(),
             suspect_queues: SuspectQueues::default(),
             advice_calls: SlotMap::with_key(),
             daemons: Vec::new(),
--- a/crates/cell/src/core/probation.rs
+++ b/crates/cell/src/core/probation.rs
@@ -3,7 +3,8 @@
 //! A suspect starts on the worker with the fewest other attempts, and for some time nothing else is
 //! placed there: if it crashes the worker, little is lost, and no other task can be the cause. Few
 //! workers at a time run suspects, so that not many are down at once; suspects that turn out to be
-//! harmless make room after a moment.
+//! harmless make room after a moment. Suspects that were accused alone may share a worker (see
+//! `lone_suspects.rs`).
 
 use {
     super::{
@@ -24,8 +25,10 @@
 const WAITING_SHARE: usize = 16;
 /// One in this many workers may at most for those that wait.
 const MAX_WAITING_SHARE: usize = 12;
-/// Maximum number of steps with suspects that come before all other steps.
-const MAX_FIRST_SUSPECTS: usize = 16;
+/// Maximum number of steps with suspects of a kind that come before all other steps.
+const MAX_FIRST_SUSPECTS: usize = 8;
+/// Number of workers that a step has tickets for while it waits to be tested together with others.
+const MIN_TICKETS: usize = 4;
 /// Number of attempts by which a suspect's worker may exceed the worker with the fewest.
 const MAX_EXTRA_ATTEMPTS: usize = 2;
 
@@ -38,12 +41,26 @@
 
     /// Returns the first steps of the backlog with suspects that wait and need tickets. They come before all
     /// others, since each step that comes before may use up the adviser; they are few, and so are the
-    /// workers for tests.
+    /// workers for tests. Those accused with others come first: many of these are not to blame, and a test
+    /// that crashes no worker is short. While workers are idle, those that can share workers come first.
     pub(super) fn first_suspects(&self, backlog: &[PhaseRef]) -> Vec<PhaseRef> {
         let needs_ticket = |phase: &PhaseRef| {
             self.has_waiting_suspect(*phase) && self.advice_timing(*phase).is_some()
         };
-        backlog.iter().copied().filter(needs_ticket).take(MAX_FIRST_SUSPECTS).collect()
+        let is_lone = |phase: &PhaseRef| {
+            let mut tasks = self.jobs[phase.job].phases[phase.phase].tasks.iter();
+            tasks.any(|task| task.is_accused_alone)
+        };
+        let suspects = backlog.iter().copied().filter(needs_ticket);
+        let (mut lone, mut others): (Vec<PhaseRef>, Vec<PhaseRef>) = suspects.partition(is_lone);
+        others.truncate(MAX_FIRST_SUSPECTS);
+        if self.lone_suspects.may_share() && self.may_use_idle() {
+            lone.append(&mut others);
+            return lone;
+        }
+        lone.truncate(MAX_FIRST_SUSPECTS);
+        others.append(&mut lone);
+        others
     }
 
     /// Gives up a job with a task that has crashed too many workers under former leaders.
@@ -65,12 +82,22 @@
         available: &AvailableWorkers,
         budget: &mut usize,
     ) -> PlacementOutcome {
+        let may_share = self.may_share_test(phase, suspects);
+        if may_share && self.join_test(phase, suspects, budget) {
+            return PlacementOutcome::Placed;
+        }
         let mut waiting = suspects;
         while !waiting.is_empty() {
             let allowed = self.within_limit(phase, waiting.len()).min(*budget);
-            if allowed == 0 || !self.has_probation_worker() {
+            if allowed == 0 {
                 return PlacementOutcome::Blocked;
             }
+            if (may_share && !self.lone_suspects.is_round()) || !self.has_probation_worker() {
+                return match may_share && self.gathers_tickets(phase) {
+                    true => PlacementOutcome::Incomplete,
+                    false => PlacementOutcome::Blocked,
+                };
+            }
             let workers = self.calm_candidates(phase, available);
             let calmest = &workers[..workers.len().min(1)];
             let plan = self.plan_tasks(phase, calmest, allowed);
@@ -81,11 +108,59 @@
             *budget -= plan.len();
             self.create_attempts(phase, placed, &plan);
             self.start_probation(phase, placed);
+            if may_share && placed.len() == suspects.len() {
+                self.lone_suspects.join(plan[0]);
+            }
             waiting = left;
         }
         PlacementOutcome::Placed
     }
 
+    /// Returns whether the suspects of a phase may be tested together with those of other jobs.
+    fn may_share_test(&self, phase: PhaseRef, suspects: &[usize]) -> bool {
+        let tasks = &self.jobs[phase.job].phases[phase.phase].tasks;
+        self.lone_suspects.may_share()
+            && suspects.iter().all(|index| tasks[*index].is_accused_alone)
+    }
+
+    /// Places all suspects of a phase on a worker where this placement has begun a test; returns whether
+    /// there is one.
+    fn join_test(&mut self, phase: PhaseRef, suspects: &[usize], budget: &mut usize) -> bool {
+        let count = suspects.len();
+        if count == 0 || self.within_limit(phase, count).min(*budget) < count {
+            return false;
+        }
+        let Some(plan) = self.plan_test(phase, count) else { return false };
+        *budget -= count;
+        self.create_attempts(phase, suspects, &plan);
+        self.start_probation(phase, suspects);
+        self.lone_suspects.join(plan[0]);
+        true
+    }
+
+    /// Plans to place tasks of a phase on a worker where this placement has begun a test.
+    fn plan_test(&self, phase: PhaseRef, count: usize) -> Option<Vec<WorkerKey>> {
+        let job = &self.jobs[phase.job];
+        let entry = &job.phases[phase.phase];
+        let needs_ticket = self.advice_timing(phase).is_some();
+        let may_host = |worker: &WorkerKey| {
+            let is_allowed = !needs_ticket || self.has_ticket(entry, *worker);
+            is_allowed && self.could_host(*worker, &job.record.steps[entry.step])
+        };
+        let plan = |worker| self.plan_tasks(phase, &[worker], count);
+        let mut plans = self.lone_suspects.open_groups().filter(may_host).map(plan);
+        plans.find(|plan| plan.len() == count)
+    }
+
+    /// Returns whether a phase that waits to be tested with others should get tickets meanwhile, so that
+    /// they have some for the same worker.
+    fn gathers_tickets(&mut self, phase: PhaseRef) -> bool {
+        let entry = &self.jobs[phase.job].phases[phase.phase];
+        let has_few =
+            entry.allowed.keys().filter(|key| self.has_ticket(entry, **key)).count() < MIN_TICKETS;
+        self.lone_suspects.gather() && has_few
+    }
+
     /// Places a gang with a suspected member. All of its members are on probation, and share no worker
     /// with others if there is another way.
     pub(super) fn place_suspect_gang(
@@ -153,6 +228,7 @@
 
     /// Begins a placement: takes stock of what the last one left waiting.
     pub(super) fn begin_suspect_backlog(&mut self) {
+        self.lone_suspects.begin(self.time.now_ms);
         let is_use_low = self.suspect_backlog.have_suspects_waited() && self.is_use_low();
         self.suspect_backlog.begin(self.time.now_ms, is_use_low);
     }
--- a/crates/cell/src/core/suspect_groups.rs
+++ b/crates/cell/src/core/suspect_groups.rs
@@ -36,4 +36,20 @@
         self.groups = left;
         explained.into_iter().flat_map(|group| group.tasks).collect()
     }
+
+    /// Removes a task that is not to blame from the suspects of all crashes. Returns the tasks of the jobs
+    /// that are left as the only suspects of a crash.
+    pub(super) fn clear(&mut self, task: TaskRef) -> Vec<TaskRef> {
+        let mut left_alone = Vec::new();
+        for SuspectGroup { tasks, .. } in &mut self.groups {
+            let before = tasks.len();
+            tasks.retain(|suspect| *suspect != task);
+            let is_alone = tasks.windows(2).all(|pair| pair[0].phase.job == pair[1].phase.job);
+            if tasks.len() < before && is_alone {
+                left_alone.append(tasks);
+            }
+        }
+        self.groups.retain(|group| !group.tasks.is_empty());
+        left_alone
+    }
 }
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -241,6 +241,9 @@
     /// The last attempt that was lost with a worker of which it is not known whether it crashed.
     #[prost(message, optional, tag = "11")]
     pub lost: Option<LostAttempt>,
+    /// No other job was suspected of the last crash.
+    #[prost(bool, tag = "12")]
+    pub is_accused_alone: bool,
 }
 
 /// Progress of one step of one occurrence.
--- a/crates/cell/src/table/phase.rs
+++ b/crates/cell/src/table/phase.rs
@@ -96,6 +96,7 @@
             task.crashes = stored.crashes;
             task.possible_crashes = stored.possible_crashes;
             task.probation_ms = stored.probation_ms;
+            task.is_accused_alone = stored.is_accused_alone;
             task.lost.clone_from(&stored.lost);
             self.has_losses |= task.has_losses();
             task.checkpoint.clone_from(&stored.checkpoint);
@@ -127,6 +128,7 @@
                     crashes: task.crashes,
                     possible_crashes: task.possible_crashes,
                     probation_ms: task.probation_ms,
+                    is_accused_alone: task.is_accused_alone,
                     lost: task.lost.clone(),
                 });
             }
--- a/crates/cell/src/table/task.rs
+++ b/crates/cell/src/table/task.rs
@@ -36,6 +36,8 @@
     /// Time for which the task's next attempt is on probation, because the task may have crashed a
     /// worker, in milliseconds; 0 if it is not suspected.
     pub(crate) probation_ms: u64,
+    /// No other job was suspected of the last crash.
+    pub(crate) is_accused_alone: bool,
     /// Attempt that may be running.
     pub(crate) attempt: Option<AttemptKey>,
     pub(crate) checkpoint: String,
--- a/crates/cell/tests/cell/crash_storms.rs
+++ b/crates/cell/tests/cell/crash_storms.rs
@@ -26,6 +26,26 @@
     }
 }
 
+/// Each job is the only one that had just been started on the worker that it crashed first.
+#[test]
+fn jobs_that_were_accused_alone_do_not_crash_a_worker_each() {
+    let mut cell = FakeCell::new(8);
+    let ids: Vec<String> = (10..50).map(|id| id.to_string()).collect();
+    for id in &ids {
+        cell.make_crashing(id);
+        cell.submit(job(id, vec![step(1)]));
+        cell.run(400);
+    }
+    cell.run(60_000);
+    for id in &ids {
+        assert_eq!(cell.state(id), Some(JobState::Failed), "job {id}");
+        let crashes = cell.crashing.caused_by(id);
+        assert!(crashes <= MAX_CRASHES, "{crashes} workers crashed under job {id}");
+    }
+    let crashed = cell.crashing.crashed_workers;
+    assert!(crashed <= ids.len() * 3 / 2, "{crashed} workers crashed under {} jobs", ids.len());
+}
+
 /// Other jobs, which come first, have more calls for the adviser than it serves.
 #[test]
 fn a_suspect_is_tested_while_the_adviser_is_busy() {
--- a/crates/cell/tests/cell/support/crash.rs
+++ b/crates/cell/tests/cell/support/crash.rs
@@ -26,6 +26,8 @@
     pub(crate) crashes: BTreeMap<String, u32>,
     /// Number of runs that were lost with their workers.
     pub(crate) lost_runs: usize,
+    /// Number of workers that crashed.
+    pub(crate) crashed_workers: usize,
 }
 
 impl Default for CrashingTasks {
@@ -39,6 +41,7 @@
             due_ms: BTreeMap::new(),
             crashes: BTreeMap::new(),
             lost_runs: 0,
+            crashed_workers: 0,
         }
     }
 }
@@ -99,6 +102,7 @@
         self.crashing.back_ms.insert(id.to_owned(), self.now_ms + self.crashing.down_ms);
         let worker = self.workers.get_mut(id).unwrap();
         worker.is_silent = true;
+        self.crashing.crashed_workers += 1;
         self.crashing.lost_runs += worker.runs.len();
         for run in worker.runs.drain(..) {
             *self.crashing.crashes.entry(run.task).or_default() += 1;
