--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -16,6 +16,7 @@
 mod jobs;
 mod lease_bounds;
 mod leases;
+mod lone_suspects;
 mod loss_times;
 mod losses;
 mod pending;
@@ -45,6 +46,7 @@
     admission::BacklogLoad,
     commit::CommitQueue,
     lease_bounds::LeaseBounds,
+    lone_suspects::LoneSuspects,
     loss_times::LossTimes,
     request_window::RequestWindow,
     rustc_hash::FxHashMap,
@@ -99,6 +101,7 @@
     lease_bounds: LeaseBounds,
     suspect_groups: SuspectGroups,
     suspect_backlog: SuspectBacklog,
+    lone_suspects: LoneSuspects,
     suspect_queues: SuspectQueues,
     advice_calls: SlotMap<AdviceCallKey, AdviceCallEntry>,
     daemons: Vec<DaemonEntry>,
@@ -155,6 +158,7 @@
             lease_bounds: LeaseBounds::default(),
             suspect_groups: SuspectGroups::default(),
             suspect_backlog: SuspectBacklog::default(),
+            lone_suspects: LoneSuspects::default(),
             suspect_queues: SuspectQueues::default(),
             advice_calls: SlotMap::with_key(),
             daemons: Vec::new(),
