--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -3,8 +3,8 @@
 use {
     super::{CellCore, request_window::RequestEnd},
     crate::{
-        AttemptKey, CellAction, JobKey, JobState, RunningAttempt, StartOutcome, StartRefusal,
-        StartRequest, StopRequest, WorkerKey,
+        AttemptKey, CellAction, JobKey, JobState, StartOutcome, StartRefusal, StartRequest,
+        StopRequest, WorkerKey,
         message::PhaseRef,
         table::{AttemptEntry, AttemptState},
     },
@@ -374,22 +374,6 @@
         }
     }
 
-    /// Stops a run that belongs to no attempt in the tables.
-    pub(super) fn stop_orphan(&mut self, worker: WorkerKey, running: &RunningAttempt) {
-        self.request_window.send();
-        let worker = &self.workers[worker];
-        self.actions.push(CellAction::Stop(StopRequest {
-            attempt: AttemptKey::default(),
-            address: worker.report.address.clone(),
-            worker_id: worker.report.id.clone(),
-            incarnation: worker.report.incarnation,
-            fence: worker.fence.number(),
-            task: running.task.clone(),
-            number: running.attempt,
-        }));
-        self.log("stray_stopped", &running.task, format!("attempt={}", running.attempt));
-    }
-
     pub(super) fn finish_stop(&mut self, key: AttemptKey, is_acknowledged: bool) {
         let now_ms = self.time.now_ms;
         let sent_ms = self.attempts.get(key).map(|attempt| attempt.sent_ms);
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -19,6 +19,7 @@
 mod lone_suspects;
 mod loss_times;
 mod losses;
+mod orphans;
 mod pending;
 mod placement;
 mod probation;
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -13,4 +13,3 @@
 mod outdated_list;
 mod pending;
 mod support;
-mod worker_list;
--- a/crates/cell/tests/cell/outdated_list.rs
+++ b/crates/cell/tests/cell/outdated_list.rs
@@ -1,4 +1,4 @@
-//! Workers whose capacity changes while the leader does not learn of it. The fake cell checks that no
+//! Workers that shrink or shut down while the leader does not learn of it. The fake cell checks that no
 //! start brings a worker above the capacity that it has.
 
 use {
@@ -73,3 +73,22 @@
     assert_eq!(cell.state("1"), Some(JobState::Completed));
     assert_eq!(cell.starts.len(), 2);
 }
+
+/// A worker shuts down while the list is not confirmed.
+#[test]
+fn nothing_starts_on_a_leaving_worker_by_an_outdated_list() {
+    let mut cell = FakeCell::new(2);
+    cell.run(100);
+    cell.is_list_lost = true;
+    cell.run(OUTDATED_MS);
+    cell.workers.get_mut("w0").unwrap().report.is_leaving = true;
+    cell.submit(job("1", vec![step(8)]));
+    cell.run(3_000);
+    assert_eq!(cell.starts.len(), 0);
+    assert!(cell.take_logs().iter().any(|entry| entry.event == "worker_list_outdated"));
+    cell.list_workers();
+    cell.is_list_lost = false;
+    cell.run(3_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+    assert!(cell.starts.iter().all(|(_, _, worker)| worker == "w1"));
+}
