A new leader's first read does not hide the outage that it ends

After an outage of the store the workers' entries count only once the workers have had time to report. Change: reading the entries is itself a response that is recorded, in one call with the question whether they are current. Test: entries_that_are_read_first_after_an_outage_are_not_valid fails without it ("assertion failed: !contact.are_entries_current"). The other tests of the file ask the same through the new call.

--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -234,7 +234,7 @@
         self.core.apply(CellInput::Config(config));
         let reports = workers.iter().filter_map(|item| codec.read_worker(&item.key, &item.value));
         self.core.apply(CellInput::Workers(reports.collect()));
-        if self.context.store_contact.are_entries_current(started_ms) {
+        if self.context.store_contact.record_entries(started_ms) {
             self.core.apply(CellInput::WorkersConfirmed { as_of_ms: started_ms });
         }
         let stored = StoredJobs::decode(&jobs, &progress, &self.context.logger);
--- a/crates/cellnode/src/store_contact.rs
+++ b/crates/cellnode/src/store_contact.rs
@@ -58,9 +58,14 @@
         state.confirmed_ms = state.confirmed_ms.max(sent_ms);
     }
 
-    /// Returns whether the entries of all workers date from after the last outage if they were read by a
-    /// call sent at `read_ms`.
-    pub(crate) fn are_entries_current(&self, read_ms: u64) -> bool {
+    /// Records that the entries of all workers were read by a call sent at `read_ms`, and returns whether
+    /// they date from after the last outage, which this response may have ended.
+    pub(crate) fn record_entries(&self, read_ms: u64) -> bool {
+        self.record_entries_at(read_ms, boot_ms())
+    }
+
+    fn record_entries_at(&self, read_ms: u64, received_ms: u64) -> bool {
+        self.record(read_ms, received_ms);
         read_ms >= self.lock().regained_ms + self.report_delay_ms
     }
 }
--- a/crates/cellnode/src/store_contact/tests.rs
+++ b/crates/cellnode/src/store_contact/tests.rs
@@ -19,8 +19,16 @@
     let contact = StoreContact::starting_at(10_000, REPORT_DELAY_MS);
     respond(&contact, 10_000, 20_000);
     respond(&contact, 24_000, 30_000);
-    assert!(!contact.are_entries_current(25_500));
-    assert!(contact.are_entries_current(26_500));
+    assert!(!contact.record_entries_at(25_500, 25_500));
+    assert!(contact.record_entries_at(26_500, 26_500));
+}
+
+/// A daemon is elected as soon as the store is back, and reads the entries before any other response.
+#[test]
+fn entries_that_are_read_first_after_an_outage_are_not_valid() {
+    let contact = StoreContact::starting_at(10_000, REPORT_DELAY_MS);
+    respond(&contact, 10_000, 20_000);
+    assert!(!contact.record_entries_at(24_000, 24_000));
 }
 
 /// The store was down when the daemon started.
@@ -28,15 +36,15 @@
 fn entries_are_not_valid_before_workers_can_report_after_an_outage_at_the_start() {
     let contact = StoreContact::starting_at(10_000, REPORT_DELAY_MS);
     respond(&contact, 13_000, 17_000);
-    assert!(!contact.are_entries_current(14_500));
-    assert!(contact.are_entries_current(15_500));
+    assert!(!contact.record_entries_at(14_500, 14_500));
+    assert!(contact.record_entries_at(15_500, 15_500));
 }
 
 #[test]
 fn entries_are_valid_at_once_if_the_store_responds_to_a_daemon_that_starts() {
     let contact = StoreContact::starting_at(10_000, REPORT_DELAY_MS);
     respond(&contact, 10_000, 11_000);
-    assert!(contact.are_entries_current(10_500));
+    assert!(contact.record_entries_at(10_500, 10_500));
 }
 
 #[test]
@@ -44,5 +52,5 @@
     let contact = StoreContact::starting_at(10_000, REPORT_DELAY_MS);
     respond(&contact, 10_000, 20_000);
     respond(&contact, 21_300, 22_000);
-    assert!(contact.are_entries_current(21_300));
+    assert!(contact.record_entries_at(21_300, 21_300));
 }
--- a/crates/cellnode/src/worker_sink.rs
+++ b/crates/cellnode/src/worker_sink.rs
@@ -71,7 +71,7 @@
     }
 
     fn caught_up(&mut self, sent_ms: u64) {
-        self.contact.record_response(sent_ms);
+        let are_current = self.contact.record_entries(sent_ms);
         if std::mem::take(&mut self.is_changed) {
             let reports: Vec<WorkerReport> = self.reports.values().cloned().collect();
             self.router.update_workers(reports.clone());
@@ -79,7 +79,7 @@
             // If the queue is full, the list is sent again after the next watch.
             self.is_changed = self.events.try_send(LeaderEvent::Input(input)).is_err();
         }
-        if !self.is_changed && self.contact.are_entries_current(sent_ms) {
+        if !self.is_changed && are_current {
             let input = CellInput::WorkersConfirmed { as_of_ms: sent_ms };
             // If the queue is full, the next watch confirms the list.
             let _ = self.events.try_send(LeaderEvent::Input(input));
