--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -141,6 +141,7 @@
                 true => RENEW_WAIT_MS,
                 false => 0,
             };
+            worker.renew_address.clone_from(&worker.report.address);
             actions.push(CellAction::Renew(RenewRequest {
                 worker: key,
                 address: worker.report.address.clone(),
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -17,6 +17,10 @@
             listed.insert(report.id.clone());
             self.update_worker(report);
         }
+        for worker in self.workers.values_mut().filter(|worker| !listed.contains(&worker.report.id))
+        {
+            worker.claim = None;
+        }
         let unlisted: Vec<WorkerKey> = self
             .workers
             .iter()
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -75,6 +75,8 @@
     pub(crate) renew_sent_ms: Option<u64>,
     /// Number of the fence that this renewal has.
     pub(crate) renew_fence: u32,
+    /// Address that this renewal was sent to.
+    pub(crate) renew_address: String,
     /// Last end that this renewal acknowledges; 0 for none.
     pub(crate) renew_acknowledged_end: u64,
     /// Ends could not be acknowledged by this renewal, because a start may still be carried out by
@@ -128,6 +130,7 @@
             renew_fence: 0,
             renew_acknowledged_end: 0,
             is_acknowledgement_delayed: false,
+            renew_address: String::new(),
             renew_wait_ms: 0,
             next_renew_ms: 0,
             is_silent: false,
@@ -181,17 +184,20 @@
         self.lost_ms = is_silent.then_some(self.lost_ms.unwrap_or(lost_ms));
     }
 
-    /// Records that the present incarnation has responded.
+    /// Records that the present incarnation has responded to the renewal, where that was sent.
     pub(crate) fn record_presence(&mut self) {
         self.has_responded = true;
-        if self.responded_address != self.report.address {
-            self.responded_address.clone_from(&self.report.address);
+        if self.responded_address != self.renew_address {
+            self.responded_address.clone_from(&self.renew_address);
+        }
+        if self.report.address != self.renew_address {
+            self.report.address.clone_from(&self.renew_address);
         }
     }
 
-    /// Returns whether the worker's process has ended if another worker responds at its address.
+    /// Returns whether the worker's process has ended if another worker responded to the renewal.
     pub(crate) fn is_gone_if_replaced(&self) -> bool {
-        self.responded_address == self.report.address
+        self.responded_address == self.renew_address
     }
 
     /// Records a reading of the worker's clock.
--- a/crates/cell/tests/cell/odd_entries.rs
+++ b/crates/cell/tests/cell/odd_entries.rs
@@ -85,6 +85,63 @@
     assert_eq!(cell.state("long"), Some(JobState::Completed));
 }
 
+/// A renewal is refused at the address of an odd entry, which is corrected before the refusal arrives.
+#[test]
+fn a_refusal_at_an_address_that_was_corrected_says_nothing() {
+    let mut cell = busy_cell();
+    let (busy, idle) = busy_and_idle(&cell);
+    lose_one_response(&mut cell, &busy);
+    let report = cell.workers[&busy].report.clone();
+    cell.delays_renewals_of = Some(idle.clone());
+    list_with(&mut cell, WorkerReport { address: idle, ..report });
+    await_delayed_renewal(&mut cell);
+    cell.list_workers();
+    deliver_delayed_renewals(&mut cell);
+    cell.run(3 * LONG_RUN_MS);
+    assert_eq!(cell.state("long"), Some(JobState::Completed));
+    assert_eq!(cell.starts.len(), 12);
+}
+
+/// The worker responds at its own address after an odd entry has named another one.
+#[test]
+fn a_response_from_the_former_address_does_not_vouch_for_another_one() {
+    let mut cell = busy_cell();
+    let (busy, idle) = busy_and_idle(&cell);
+    lose_one_response(&mut cell, &busy);
+    cell.delays_renewals_of = Some(busy.clone());
+    await_delayed_renewal(&mut cell);
+    let report = cell.workers[&busy].report.clone();
+    list_with(&mut cell, WorkerReport { address: idle, ..report });
+    deliver_delayed_renewals(&mut cell);
+    cell.run(1_000);
+    cell.list_workers();
+    cell.run(3 * LONG_RUN_MS);
+    assert_eq!(cell.state("long"), Some(JobState::Completed));
+    assert_eq!(cell.starts.len(), 12);
+}
+
+fn lose_one_response(cell: &mut FakeCell, id: &str) {
+    cell.workers.get_mut(id).expect("a worker").is_silent = true;
+    cell.run(1_500);
+    cell.workers.get_mut(id).expect("a worker").is_silent = false;
+}
+
+fn await_delayed_renewal(cell: &mut FakeCell) {
+    for _ in 0..100 {
+        cell.run(10);
+        if !cell.delayed_renewals.is_empty() {
+            return;
+        }
+    }
+    panic!("no renewal is delayed");
+}
+
+fn deliver_delayed_renewals(cell: &mut FakeCell) {
+    cell.delays_renewals_of = None;
+    let delayed = std::mem::take(&mut cell.delayed_renewals);
+    delayed.into_iter().for_each(|input| cell.apply(input));
+}
+
 /// The entry names an incarnation that does not exist. Once it is corrected, the worker is of use again.
 #[test]
 fn a_worker_is_of_use_again_after_an_entry_with_a_later_incarnation_is_corrected() {
