--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -265,7 +265,11 @@
         worker.record_presence();
         worker.record_clock(response.clock_ms, now_ms);
         worker.accept_token(now_ms, self.settings.lease_ms);
-        worker.unreadable_end = response.unreadable_end;
+        let former = std::mem::replace(&mut worker.unreadable_end, response.unreadable_end);
+        if let (None, Some(number)) = (former, response.unreadable_end) {
+            let id = worker.report.id.clone();
+            self.log("end_unreadable", id, format!("number={number}"));
+        }
         self.forget_losses(key);
         for ended in &response.ended {
             self.apply_end(key, ended);
