Take a request for settled only by what proves it

A worker had restarted between two renewals; the adviser was asked after that, so the start's ticket was of the next incarnation, which carried it out; the acknowledgement sent with it, still for the former one, discarded the end. Cause: starts with a ticket never delayed acknowledgements, as if the leader had known the incarnation when it asked. They do now until the worker's incarnation has responded to a request sent after them. Tests, each failed before with "2.0.0.0 starts again after it was done": an_end_is_not_acknowledged_while_a_start_with_a_ticket_..., a_second_acknowledgement_does_not_settle_the_first, a_listed_run_does_not_settle_an_earlier_request_to_start_it.

--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -88,6 +88,14 @@
         }
     }
 
+    /// Makes later requests supersede the renewal in flight, which may be carried out late, if it
+    /// acknowledges ends.
+    fn supersede_acknowledgement(&mut self) {
+        if self.renew_acknowledged_end > 0 {
+            self.fence.advance();
+        }
+    }
+
     /// Records that an incarnation has responded to the renewal in flight.
     fn record_acknowledgement(&mut self, incarnation: u64) {
         if incarnation == self.report.incarnation {
@@ -126,13 +134,14 @@
                 && worker.pending_ends == 0
                 && !worker.attempts.is_empty();
             let mut own = worker.attempts.values();
-            let has_unsettled_start =
-                own.any(|key| attempts[*key].may_start_elsewhere(time.now_ms));
+            let has_unsettled_start = time.now_ms < worker.unsettled_until_ms
+                || own.any(|key| attempts[*key].may_start_elsewhere(time.now_ms));
             let acknowledged_end = worker.acknowledgeable_end(has_unsettled_start);
             if acknowledged_end > 0 {
                 worker.fence.open_acknowledgement();
             }
             worker.renew_fence = worker.fence.number();
+            worker.renew_address.clone_from(&worker.report.address);
             worker.renew_acknowledged_end = acknowledged_end;
             worker.is_acknowledgement_delayed =
                 acknowledged_end == 0 && worker.has_ends_to_acknowledge();
@@ -141,7 +150,6 @@
                 true => RENEW_WAIT_MS,
                 false => 0,
             };
-            worker.renew_address.clone_from(&worker.report.address);
             actions.push(CellAction::Renew(RenewRequest {
                 worker: key,
                 address: worker.report.address.clone(),
@@ -218,6 +226,7 @@
                 self.actions.push(CellAction::Resign);
             }
             RenewOutcome::Unknown => {
+                worker.supersede_acknowledgement();
                 worker.next_renew_ms = now_ms + pause_ms.max(worker.renew_retry_ms());
                 worker.backoff_until_ms = now_ms + SILENCE_BACKOFF_MS;
             }
@@ -312,7 +321,9 @@
             EndKind::Interrupted => {}
         }
         worker.pending_ends += 1;
-        let job = self.attempts[attempt].phase.job;
+        let entry = &mut self.attempts[attempt];
+        entry.is_start_settled |= entry.start_tries <= 1;
+        let job = entry.phase.job;
         self.jobs[job].has_begun = true;
         if ended.kind == EndKind::Done {
             let run_ms = self.attempts[attempt].run_ms(self.time.now_ms);
@@ -371,7 +382,7 @@
         };
         let entry = &mut self.attempts[attempt];
         entry.has_begun = true;
-        entry.is_start_settled = true;
+        entry.is_start_settled |= entry.start_tries <= 1;
         self.jobs[entry.phase.job].has_begun = true;
         let run_ms = entry.run_ms(now_ms);
         if running.percent > entry.percent {
--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -88,11 +88,15 @@
 
 impl AttemptEntry {
     /// Records that the worker's incarnation responded to a renewal sent at `sent_ms`. If the only start
-    /// request was confirmed before, the same incarnation has carried it out.
+    /// request was confirmed before, the same incarnation has carried it out. If requests with tickets
+    /// were sent before, the tickets are of this incarnation or a former one, so no later one accepts them.
     pub(crate) fn settle_start(&mut self, sent_ms: u64) {
-        if let AttemptState::Running { since_ms } = self.state {
-            self.is_start_settled |= self.start_tries == 1 && since_ms < sent_ms;
-        }
+        let is_confirmed = match self.state {
+            AttemptState::Running { since_ms } => self.start_tries == 1 && since_ms < sent_ms,
+            _ => false,
+        };
+        let is_ticket_known = self.has_ticket && self.start_sent_ms < sent_ms;
+        self.is_start_settled |= self.start_tries > 0 && (is_confirmed || is_ticket_known);
     }
 
     /// Returns the task that the attempt runs.
@@ -101,10 +105,18 @@
     }
 
     /// Returns whether a start request of this leader may be carried out by another incarnation of the
-    /// worker. A ticket holds for one incarnation only.
+    /// worker.
     pub(crate) fn may_start_elsewhere(&self, now_ms: u64) -> bool {
-        let is_recent = now_ms < self.start_sent_ms + MAX_REQUEST_DELAY_MS;
-        self.start_tries > 0 && !self.is_start_settled && !self.has_ticket && is_recent
+        now_ms < self.unsettled_until_ms()
+    }
+
+    /// Returns the time until which a start request of this leader may be carried out by another
+    /// incarnation of the worker; 0 if none can be.
+    pub(crate) fn unsettled_until_ms(&self) -> u64 {
+        match self.start_tries > 0 && !self.is_start_settled {
+            true => self.start_sent_ms + MAX_REQUEST_DELAY_MS,
+            false => 0,
+        }
     }
 
     /// Returns for how long the attempt ran until its worker was lost, in milliseconds, if this leader
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -61,6 +61,8 @@
     pub(crate) last_recorded_end: u64,
     /// The incarnation has reported ends to this leader, so the next ones follow without a gap.
     pub(crate) has_reported_ends: bool,
+    /// Time until which a start request of an attempt that is no longer in the tables may be carried out.
+    pub(crate) unsettled_until_ms: u64,
     /// Last end that is durable.
     pub(crate) last_durable_end: u64,
     /// First end of the last response that could not be read. It is not acknowledged, and neither are
@@ -73,10 +75,10 @@
     pub(crate) pending_ends: usize,
     /// Time at which the renewal in flight was sent.
     pub(crate) renew_sent_ms: Option<u64>,
-    /// Number of the fence that this renewal has.
-    pub(crate) renew_fence: u32,
     /// Address that this renewal was sent to.
     pub(crate) renew_address: String,
+    /// Number of the fence that this renewal has.
+    pub(crate) renew_fence: u32,
     /// Last end that this renewal acknowledges; 0 for none.
     pub(crate) renew_acknowledged_end: u64,
     /// Ends could not be acknowledged by this renewal, because a start may still be carried out by
@@ -121,16 +123,17 @@
             inherited_expiry_ms,
             last_recorded_end: 0,
             has_reported_ends: false,
+            unsettled_until_ms: 0,
             last_durable_end: 0,
             unreadable_end: None,
             last_acknowledged_end: 0,
             fence,
             pending_ends: 0,
             renew_sent_ms: None,
+            renew_address: String::new(),
             renew_fence: 0,
             renew_acknowledged_end: 0,
             is_acknowledgement_delayed: false,
-            renew_address: String::new(),
             renew_wait_ms: 0,
             next_renew_ms: 0,
             is_silent: false,
--- a/crates/cell/tests/cell/incarnations.rs
+++ b/crates/cell/tests/cell/incarnations.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::support::{FakeCell, job, step},
-    damaskrack_cell::{JobState, RenewOutcome, StepSpec},
+    damaskrack_cell::{AdviceTiming, JobState, RenewOutcome, StepSpec},
 };
 
 /// Creates a cell whose only worker has run job "1", so that the leader has ends to acknowledge, and
@@ -64,7 +64,20 @@
 /// out the start at once and the acknowledgement after the end of the task.
 #[test]
 fn an_end_is_not_acknowledged_while_a_start_may_have_reached_another_incarnation() {
+    acknowledge_after_a_start_at_the_next_incarnation(FakeCell::new(1));
+}
+
+/// The adviser was asked after the restart, so the ticket is of the next incarnation.
+#[test]
+fn an_end_is_not_acknowledged_while_a_start_with_a_ticket_may_have_reached_another_incarnation() {
     let mut cell = FakeCell::new(1);
+    cell.add_adviser(AdviceTiming { call_us: 1_000, worker_us: 100, valid_ms: 1_500 });
+    cell.start_leader();
+    acknowledge_after_a_start_at_the_next_incarnation(cell);
+}
+
+/// Lets a start be carried out by the next incarnation, and an acknowledgement after the end of the task.
+fn acknowledge_after_a_start_at_the_next_incarnation(mut cell: FakeCell) {
     cell.submit(job("1", vec![step(1)]));
     cell.run(200);
     cell.is_store_down = true;
@@ -73,14 +86,14 @@
     cell.run(20);
     cell.run_ms = 50;
     cell.reincarnate("w0");
-    cell.workers.get_mut("w0").unwrap().defers_renewals = true;
+    cell.workers.get_mut("w0").expect("a worker").defers_renewals = true;
     cell.restore_store();
     cell.run(20);
     assert_eq!(cell.workers["w0"].runs.len(), 1);
     assert!(!cell.workers["w0"].deferred_renewals.is_empty());
     cell.now_ms += cell.run_ms;
     cell.run_deferred_renewals("w0");
-    cell.workers.get_mut("w0").unwrap().defers_renewals = false;
+    cell.workers.get_mut("w0").expect("a worker").defers_renewals = false;
     cell.list_workers();
     cell.run(3_000);
     assert_eq!(cell.state("2"), Some(JobState::Completed));
@@ -110,6 +123,65 @@
     assert!(cell.workers["w0"].ended.is_empty(), "the end is not acknowledged");
 }
 
+/// Of two acknowledgements only the second has a response; the first is carried out by the next incarnation.
+#[test]
+fn a_second_acknowledgement_does_not_settle_the_first() {
+    let mut cell = FakeCell::new(1);
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(200);
+    cell.is_store_down = true;
+    cell.run(400);
+    cell.workers.get_mut("w0").unwrap().defers_renewals = true;
+    cell.restore_store();
+    cell.run(100);
+    let late = &cell.workers["w0"].deferred_renewals;
+    assert!(late.iter().any(|late| late.request.last_durable_end == 1));
+    cell.workers.get_mut("w0").unwrap().defers_renewals = false;
+    cell.run(2_500);
+    assert!(cell.workers["w0"].ended.is_empty());
+    cell.run_ms = 50;
+    cell.reincarnate("w0");
+    cell.workers.get_mut("w0").unwrap().defers_renewals = true;
+    cell.submit(job("2", vec![step(1)]));
+    cell.run(30);
+    assert_eq!(cell.workers["w0"].runs.len(), 1);
+    cell.now_ms += cell.run_ms;
+    cell.run_deferred_renewals("w0");
+    cell.workers.get_mut("w0").unwrap().defers_renewals = false;
+    cell.list_workers();
+    cell.run(3_000);
+    assert_eq!(cell.state("2"), Some(JobState::Completed));
+}
+
+/// The second request to start a task is carried out, the first one by the next incarnation.
+#[test]
+fn a_listed_run_does_not_settle_an_earlier_request_to_start_it() {
+    let mut cell = FakeCell::new(1);
+    cell.run_ms = 100;
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(60);
+    cell.run_ms = 60_000;
+    cell.workers.get_mut("w0").unwrap().defers_next_starts = 1;
+    cell.submit(job("2", vec![step(1)]));
+    cell.run(40);
+    cell.is_store_down = true;
+    cell.run(400);
+    assert_eq!(cell.workers["w0"].runs.len(), 1);
+    cell.workers.get_mut("w0").unwrap().defers_renewals = true;
+    cell.restore_store();
+    cell.run(100);
+    cell.run_ms = 50;
+    cell.reincarnate("w0");
+    cell.run_deferred_starts("w0");
+    cell.workers.get_mut("w0").unwrap().defers_renewals = true;
+    cell.now_ms += cell.run_ms;
+    cell.run_deferred_renewals("w0");
+    cell.workers.get_mut("w0").unwrap().defers_renewals = false;
+    cell.list_workers();
+    cell.run(3_000);
+    assert_eq!(cell.state("2"), Some(JobState::Completed));
+}
+
 /// More ends are outstanding than a response has space for: a run that is not listed may have ended.
 #[test]
 fn a_run_missing_from_a_full_response_is_not_started_again() {
