--- a/crates/cellnode/src/forward_session.rs
+++ b/crates/cellnode/src/forward_session.rs
@@ -137,6 +137,8 @@
         let outcome = self.workers.renew(&renewal, token).await;
         let mut result =
             RenewResult { code: RenewCode::from(&outcome) as i32, ..RenewResult::default() };
+        // A change that is not sent must not be recorded, or the two lists would differ from then on.
+        let Ok(permit) = self.outgoing.try_reserve() else { return };
         // Locked until the reply is queued, because the leader applies the changes in that order.
         let mut state = self.lock();
         if let RenewOutcome::Answered(response) = outcome {
@@ -149,16 +151,19 @@
             result.unreadable_end = response.unreadable_end;
             result.worker_id = worker_id;
         }
-        self.reply(request, ForwardResult::Renewed(result));
+        permit.send(reply_frame(request, ForwardResult::Renewed(result)));
     }
 
     fn reply(&self, request: u64, result: ForwardResult) {
-        let frame = ForwardedFrame { request, result: Some(result) };
-        let body = Some(EntryBody::Forwarded(frame));
-        // A full queue belongs to a connection that is about to fail; the leader's call times out.
-        let _ = self.outgoing.try_send(EntryFrame { call: 0, body });
+        // If the queue is full, the leader's call times out.
+        let _ = self.outgoing.try_send(reply_frame(request, result));
     }
 }
 
+fn reply_frame(request: u64, result: ForwardResult) -> EntryFrame {
+    let frame = ForwardedFrame { request, result: Some(result) };
+    EntryFrame { call: 0, body: Some(EntryBody::Forwarded(frame)) }
+}
+
 #[cfg(test)]
 mod tests;
