Transfer the leadership for a list that cannot be read, not for one that does not count yet

The time since the list was last read decides now. The watches of jobs and of the leader's row wait 2 s and 4 s, as one connection alone can fall silent while all others work.

--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -307,17 +307,7 @@
     }
 
     /// Returns the age of the list of workers, in milliseconds.
-    ///
-    /// ```
-    /// use damaskrack_cell::{CellCore, CellInput};
-    ///
-    /// let mut core = CellCore::new(Default::default());
-    /// core.set_time(5_000, 1_700_000_000_000);
-    /// core.apply(CellInput::WorkersConfirmed { as_of_ms: 4_900 });
-    /// assert_eq!(core.worker_list_age_ms(), 100);
-    /// ```
-    #[must_use]
-    pub fn worker_list_age_ms(&self) -> u64 {
+    fn worker_list_age_ms(&self) -> u64 {
         self.worker_list.age_ms(self.time.now_ms)
     }
 
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -41,7 +41,13 @@
     rustc_hash::FxHashMap,
     slog::{Logger, info, warn},
     slotmap::{Key, KeyData},
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
     tokio::{
         sync::{mpsc, watch},
         task::JoinSet,
@@ -61,8 +67,8 @@
 /// daemon to take over, in milliseconds. Assumes a store without latency and exceeds the interval
 /// of lease renewals.
 const TRANSFER_AFTER_MS: u64 = 450;
-/// Age of the list of workers from which a leader whose other calls may succeed asks another daemon to
-/// take over, in milliseconds.
+/// Time for which the list of workers could not be read from which a leader whose other calls may
+/// succeed asks another daemon to take over, in milliseconds.
 const LIST_TRANSFER_AFTER_MS: u64 = 3_000;
 /// Number of store round trips that are added to this time.
 const STORE_ROUND_TRIPS: u64 = 3;
@@ -79,7 +85,7 @@
 /// pause must be well below the age from which the list is outdated.
 const WORKER_WATCH_WAIT_MS: u64 = 400;
 /// Longest time for which a watch waits for accepted jobs, in milliseconds.
-const JOB_WATCH_WAIT_MS: u64 = 10_000;
+const JOB_WATCH_WAIT_MS: u64 = 2_000;
 /// Pause between two watches of the workers, in milliseconds.
 const WORKER_WATCH_INTERVAL_MS: u64 = 150;
 /// Pause between two watches of the accepted jobs, in milliseconds. Daemons notify the leader of
@@ -138,6 +144,8 @@
     /// Jobs that daemons have offered and may be writing, by id.
     offers: FxHashMap<String, JobOffer>,
     next_transfer_ms: u64,
+    /// Time at which the list of workers was last read, in milliseconds since the host booted.
+    list_read_ms: Arc<AtomicU64>,
     tasks: JoinSet<()>,
 }
 
@@ -171,6 +179,7 @@
         last_reply_id: 0,
         offers: FxHashMap::default(),
         next_transfer_ms: 0,
+        list_read_ms: Arc::default(),
         tasks: JoinSet::new(),
         context,
     };
@@ -297,7 +306,9 @@
     fn follow(&mut self, (workers, workers_revision): (Vec<StoreItem>, u64), jobs_revision: u64) {
         let codec = self.context.external.codec.clone();
         let prefix = codec.worker_prefix().to_owned();
-        let links = (self.router.clone(), self.context.store_contact.clone());
+        self.list_read_ms.store(boot_ms(), Ordering::Relaxed);
+        let contact = self.context.store_contact.clone();
+        let links = (self.router.clone(), contact, self.list_read_ms.clone());
         let logger = self.context.logger.clone();
         let mut sink = WorkerSink::new(codec, self.events.clone(), links, logger);
         sink.replace(workers);
@@ -403,7 +414,8 @@
     /// Asks another daemon to take over if this one cannot reach the store, or only writes to it. If no
     /// daemon can reach it, none can take over, and this one continues.
     fn transfer_if_store_lost(&mut self, now_ms: u64) {
-        let is_list_lost = self.core.worker_list_age_ms() >= LIST_TRANSFER_AFTER_MS;
+        let list_age_ms = now_ms.saturating_sub(self.list_read_ms.load(Ordering::Relaxed));
+        let is_list_lost = list_age_ms >= LIST_TRANSFER_AFTER_MS;
         if !(self.is_store_lost() || is_list_lost) || now_ms < self.next_transfer_ms {
             return;
         }
--- a/crates/cellnode/src/node.rs
+++ b/crates/cellnode/src/node.rs
@@ -43,7 +43,7 @@
 /// which it counts as outdated.
 const CONFIG_WAIT_MS: u64 = 1_200;
 /// Longest time for which a watch waits for changes of the leader's row, in milliseconds.
-const LEADER_WAIT_MS: u64 = 8_000;
+const LEADER_WAIT_MS: u64 = 4_000;
 /// Maximum random delay before a campaign, in milliseconds.
 const CAMPAIGN_JITTER_MS: u64 = 60;
 /// Maximum delay of a daemon with low capacity before a campaign, in milliseconds, so that daemons
--- a/crates/cellnode/src/worker_sink.rs
+++ b/crates/cellnode/src/worker_sink.rs
@@ -2,14 +2,17 @@
 
 use {
     crate::{
-        PlatformCodec, StoreItem, follow::ItemSink, forward_router::ForwardRouter,
+        PlatformCodec, StoreItem, boot_ms, follow::ItemSink, forward_router::ForwardRouter,
         leader_event::LeaderEvent, store_contact::StoreContact,
     },
     damaskrack_cell::{CellInput, WorkerReport},
     slog::{Logger, warn},
     std::{
         collections::{BTreeMap, BTreeSet},
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
     },
     tokio::sync::mpsc,
 };
@@ -20,6 +23,8 @@
     events: mpsc::Sender<LeaderEvent>,
     router: Arc<ForwardRouter>,
     contact: Arc<StoreContact>,
+    /// Time at which the list was last read, in milliseconds since the host booted.
+    read_ms: Arc<AtomicU64>,
     reports: BTreeMap<String, WorkerReport>,
     /// Keys of the entries that describe no usable worker.
     unusable: BTreeSet<String>,
@@ -31,11 +36,12 @@
     pub(crate) fn new(
         codec: Arc<dyn PlatformCodec>,
         events: mpsc::Sender<LeaderEvent>,
-        (router, contact): (Arc<ForwardRouter>, Arc<StoreContact>),
+        (router, contact, read_ms): (Arc<ForwardRouter>, Arc<StoreContact>, Arc<AtomicU64>),
         logger: Logger,
     ) -> Self {
         let (reports, unusable) = (BTreeMap::new(), BTreeSet::new());
-        Self { codec, events, router, contact, reports, unusable, is_changed: false, logger }
+        let is_changed = false;
+        Self { codec, events, router, contact, read_ms, reports, unusable, is_changed, logger }
     }
 
     /// Records whether an entry exists but describes no usable worker.
@@ -71,6 +77,7 @@
     }
 
     fn caught_up(&mut self, sent_ms: u64) {
+        self.read_ms.store(boot_ms(), Ordering::Relaxed);
         let are_current = self.contact.record_entries(sent_ms);
         if std::mem::take(&mut self.is_changed) {
             let reports: Vec<WorkerReport> = self.reports.values().cloned().collect();
