Number terms so that leaders of this version and the one before may follow one another

A row's term is now the highest token that its leader may use, so the former version's next term lies above it.

--- a/crates/cellnode/src/guard.rs
+++ b/crates/cellnode/src/guard.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         CellStore, StoreError, StoreItem, StorePut, StoreTransaction, TransactionOutcome, boot_ms,
+        fencing_token::next_term,
         follow::{SHORT_PAGE_TIMEOUT_MS, read_all},
         forward_router::ForwardRouter,
         leadership_status::LeadershipStatus,
@@ -78,7 +79,7 @@
             read_all(store.as_ref(), GUARD_PREFIX, SHORT_PAGE_TIMEOUT_MS).await.ok()?;
         let rows = guards.iter().filter_map(|item| GuardRow::decode(item.value.as_slice()).ok());
         let rows: Vec<GuardRow> = rows.collect();
-        let term = rows.iter().map(|row| row.term).max().unwrap_or(0) + 1;
+        let term = next_term(rows.iter().map(|row| row.term).max().unwrap_or(0));
         let bounds_since = next_bounds_since(&rows, term);
         let leader = LeaderRow { id, address, term };
         let mut transaction = leader_transaction(&leader, lease);
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -9,6 +9,7 @@
     crate::{
         OutsideLinks, StoreItem, WorkerGateway, boot_ms,
         ended_reader::read_ended,
+        fencing_token::fencing_token,
         follow::{FollowTiming, ItemSink, LONG_PAGE_TIMEOUT_MS, PrefixFollower, read_all},
         forward_choice::{TYPICAL_WORKERS, needs_forwarding},
         forward_router::ForwardRouter,
@@ -642,12 +643,6 @@
     leadership.confirmation_age_ms() < LEASE_TTL_MS + ISOLATION_MS
 }
 
-/// Returns the fencing token of a request: the leader's term, then the number by which the worker orders
-/// the requests of one term.
-fn fencing_token(term: u64, fence: u32) -> u64 {
-    (term << u32::BITS) | u64::from(fence)
-}
-
 /// Returns the pause after a tick of this duration, in milliseconds.
 fn tick_pause_ms(tick_duration: Duration) -> u64 {
     let pause_ms = u64::try_from(tick_duration.as_millis()).unwrap_or(MAX_TICK_PAUSE_MS)
--- a/crates/cellnode/src/lib.rs
+++ b/crates/cellnode/src/lib.rs
@@ -6,6 +6,7 @@
 mod ended_reader;
 mod entry;
 mod external;
+mod fencing_token;
 mod follow;
 mod forward_choice;
 mod forward_frame;
