Settle starts before the ends of the same response

An attempt that had ended before any response listed it was removed while its repeated start still counted as unsettled, so ends were not acknowledged for 15 s although a ticket made the request useless elsewhere. a_repeated_start_with_a_ticket_does_not_delay_acknowledgements failed before with "the end is not acknowledged".

--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -70,10 +70,10 @@
     /// Returns the last end that a renewal sent now acknowledges, or 0 for none.
     ///
     /// A renewal may be carried out late, by another incarnation under the worker's id, whose ends have
-    /// other numbers. It discards none if that incarnation has run nothing for this leader, or refuses the
-    /// renewal: so the present incarnation must be known to have carried out every start so far, and
-    /// later ones have a higher fence. A worker that did not respond may have restarted, and must first say which
-    /// incarnation it is.
+    /// other numbers. It discards none if that incarnation has run nothing for this leader, or refuses
+    /// the renewal: so the present incarnation must be known to have carried out every start so far, and
+    /// later ones have a higher fence. A worker that did not respond may have restarted, and must first
+    /// say which incarnation it is.
     fn acknowledgeable_end(&self, has_unsettled_start: bool) -> u64 {
         let is_safe =
             !self.is_silent && !has_unsettled_start && self.fence.allows_acknowledgement();
@@ -280,12 +280,12 @@
             self.log("end_unreadable", id, format!("number={number}"));
         }
         self.forget_losses(key);
-        for ended in &response.ended {
-            self.apply_end(key, ended);
-        }
         for attempt in self.workers[key].attempts.values() {
             self.attempts[*attempt].settle_start(sent_ms);
         }
+        for ended in &response.ended {
+            self.apply_end(key, ended);
+        }
         self.release_orphans(key);
         let mut listed = Vec::with_capacity(response.running.len());
         for running in &response.running {
--- a/crates/cell/tests/cell/incarnations.rs
+++ b/crates/cell/tests/cell/incarnations.rs
@@ -182,6 +182,20 @@
     assert_eq!(cell.state("2"), Some(JobState::Completed));
 }
 
+/// A start request has no response, but its ticket cannot be used at a later incarnation.
+#[test]
+fn a_repeated_start_with_a_ticket_does_not_delay_acknowledgements() {
+    let mut cell = FakeCell::new(1);
+    cell.add_adviser(AdviceTiming { call_us: 1_000, worker_us: 100, valid_ms: 1_500 });
+    cell.start_leader();
+    cell.run_ms = 0;
+    cell.workers.get_mut("w0").unwrap().defers_next_starts = 1;
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(1_500);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+    assert!(cell.workers["w0"].ended.is_empty(), "the end is not acknowledged");
+}
+
 /// More ends are outstanding than a response has space for: a run that is not listed may have ended.
 #[test]
 fn a_run_missing_from_a_full_response_is_not_started_again() {
