Decode and log damaged rows in one place

Rows of jobs, progress, ended jobs and lease bounds each had their own match with the same log entry `row_unreadable`. All use `rows::decode_row` now; what is logged and left out stays as it was.

--- a/crates/cellnode/src/ended_reader.rs
+++ b/crates/cellnode/src/ended_reader.rs
@@ -8,10 +8,9 @@
         CellStore, StoreItem,
         follow::LONG_PAGE_TIMEOUT_MS,
         leader_event::{LeaderEvent, send_input},
-        rows::ENDED_PREFIX,
+        rows::{ENDED_PREFIX, decode_row},
     },
     damaskrack_cell::{CellInput, ProgressRecord},
-    prost::Message,
     slog::{Logger, info, warn},
     std::{sync::Arc, time::Duration},
     tokio::{sync::mpsc, time::sleep},
@@ -50,10 +49,6 @@
 
 async fn pass_on(item: &StoreItem, events: &mpsc::Sender<LeaderEvent>, logger: &Logger) {
     let Some(id) = item.key.strip_prefix(ENDED_PREFIX) else { return };
-    match ProgressRecord::decode(item.value.as_slice()) {
-        Ok(progress) => send_input(events, CellInput::Ended { id: id.to_owned(), progress }).await,
-        Err(error) => {
-            warn!(logger, "row_unreadable"; "key" => &item.key, "error" => %error);
-        }
-    }
+    let Some(progress) = decode_row::<ProgressRecord>(item, logger) else { return };
+    send_input(events, CellInput::Ended { id: id.to_owned(), progress }).await;
 }
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -25,7 +25,7 @@
             LeadershipSignals, choose_highest_capacity, transfer_to_higher_capacity,
         },
         lease_keeper::LeaseKeeper,
-        rows::{JOB_PREFIX, LEASE_BOUNDS_KEY, LeaseBoundsRow, PROGRESS_PREFIX},
+        rows::{JOB_PREFIX, LEASE_BOUNDS_KEY, LeaseBoundsRow, PROGRESS_PREFIX, decode_row},
         session_registry::{SessionFrame, SessionRegistry},
         store_contact::StoreContact,
         store_regain::RegainSignal,
@@ -38,7 +38,6 @@
         AdviceCallKey, AdviceRequest, CellAction, CellConfig, CellCore, CellInput, CellSettings,
         CommitRequest, JobRecord, StartOutcome, StartRefusal, StopRequest, WorkerTicket,
     },
-    prost::Message,
     rustc_hash::FxHashMap,
     slog::{Logger, info, warn},
     slotmap::{Key, KeyData},
@@ -265,12 +264,8 @@
 
     fn restore_lease_bounds(&mut self, items: &[StoreItem]) {
         for item in items.iter().filter(|item| item.key == LEASE_BOUNDS_KEY) {
-            match LeaseBoundsRow::decode(item.value.as_slice()) {
-                Ok(row) => self.core.restore_lease_bounds(row.valid_bounds(self.bounds_since)),
-                Err(error) => {
-                    warn!(self.context.logger, "row_unreadable"; "key" => &item.key,
-                        "error" => %error);
-                }
+            if let Some(row) = decode_row::<LeaseBoundsRow>(item, &self.context.logger) {
+                self.core.restore_lease_bounds(row.valid_bounds(self.bounds_since));
             }
         }
     }
--- a/crates/cellnode/src/rows.rs
+++ b/crates/cellnode/src/rows.rs
@@ -10,7 +10,12 @@
 //! | `cell/ended/ID` | the final state of an ended job, in place of its other rows | the leader |
 //! | `cell/lease-bounds` | [`LeaseBoundsRow`] | the leader |
 
-use damaskrack_cell::LeaseBound;
+use {
+    crate::StoreItem,
+    damaskrack_cell::LeaseBound,
+    prost::Message,
+    slog::{Logger, warn},
+};
 
 /// Key of the leader's row.
 pub(crate) const LEADER_KEY: &str = "cell/leader";
@@ -101,6 +106,15 @@
     }
 }
 
+/// Decodes the row of an item; `None` if it is damaged, which is logged.
+pub(crate) fn decode_row<T: Message + Default>(item: &StoreItem, logger: &Logger) -> Option<T> {
+    let row = T::decode(item.value.as_slice());
+    let log = |error: &_| {
+        warn!(logger, "row_unreadable"; "key" => &item.key, "error" => %error);
+    };
+    row.inspect_err(log).ok()
+}
+
 /// Returns the key of a lane's guard row.
 pub(crate) fn guard_key(lane: usize) -> String {
     format!("{GUARD_PREFIX}{lane}")
--- a/crates/cellnode/src/stored_jobs.rs
+++ b/crates/cellnode/src/stored_jobs.rs
@@ -3,23 +3,16 @@
 use {
     crate::{
         StoreItem,
-        rows::{JOB_PREFIX, PROGRESS_PREFIX},
+        rows::{JOB_PREFIX, PROGRESS_PREFIX, decode_row},
     },
     damaskrack_cell::{JobRecord, ProgressRecord},
-    prost::Message,
     rustc_hash::{FxHashMap, FxHashSet},
     slog::{Logger, warn},
 };
 
 /// Decodes the row of an accepted job; `None` if it is damaged.
 pub(crate) fn decode_job(item: &StoreItem, logger: &Logger) -> Option<JobRecord> {
-    let record = match JobRecord::decode(item.value.as_slice()) {
-        Ok(record) => record,
-        Err(error) => {
-            warn!(logger, "row_unreadable"; "key" => &item.key, "error" => %error);
-            return None;
-        }
-    };
+    let record: JobRecord = decode_row(item, logger)?;
     if item.key.strip_prefix(JOB_PREFIX) == Some(&record.id) {
         return Some(record);
     }
@@ -44,12 +37,9 @@
         let mut damaged: FxHashSet<&str> = FxHashSet::default();
         for item in progress {
             let Some(id) = item.key.strip_prefix(PROGRESS_PREFIX) else { continue };
-            match ProgressRecord::decode(item.value.as_slice()) {
-                Ok(row) => drop(ended.insert(id.to_owned(), row)),
-                Err(error) => {
-                    warn!(logger, "row_unreadable"; "key" => &item.key, "error" => %error);
-                    damaged.insert(id);
-                }
+            match decode_row::<ProgressRecord>(item, logger) {
+                Some(row) => drop(ended.insert(id.to_owned(), row)),
+                None => drop(damaged.insert(id)),
             }
         }
         let records = jobs.iter().filter_map(|item| decode_job(item, logger));
