--- a/crates/cell/src/core/admission.rs
+++ b/crates/cell/src/core/admission.rs
@@ -107,7 +107,7 @@
 impl CellCore {
     /// Decides whether to admit a submitted job.
     pub(super) fn admit(&mut self, record: &JobRecord) -> Admission {
-        if record.is_too_large() || record.has_empty_occurrences() {
+        if !record.can_be_taken() {
             // A float-to-integer cast saturates.
             return Admission::Refuse { retry_ms: RETRY_RANGE_MS.1 as u64 };
         }
@@ -171,8 +171,8 @@
         };
         let priority = self.priority_of(record);
         let before: usize = self.load.tasks.range(..=priority).map(|(_, tasks)| tasks).sum();
-        let own: f64 = record.steps.iter().map(|step| f64::from(step.tasks)).sum();
-        let start_ms = (before as f64 + own) * MS_PER_SECOND / rate_per_s;
+        let own = record.task_count();
+        let start_ms = (before as f64 + own as f64) * MS_PER_SECOND / rate_per_s;
         start_ms / within_ms.max(1.0)
     }
 
--- a/crates/cell/src/core/jobs.rs
+++ b/crates/cell/src/core/jobs.rs
@@ -55,7 +55,7 @@
 
     /// Returns whether a job that is in the store cannot be taken.
     fn rejects(&mut self, record: &JobRecord) -> bool {
-        let is_rejected = record.is_too_large() || record.has_empty_occurrences();
+        let is_rejected = !record.can_be_taken();
         if is_rejected {
             self.log("job_rejected", &record.id, format!("steps={}", record.steps.len()));
         }
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -168,7 +168,32 @@
     /// ```
     #[must_use]
     pub fn is_too_large(&self) -> bool {
-        self.steps.iter().map(|step| u64::from(step.tasks)).sum::<u64>() > MAX_JOB_TASKS
+        self.task_count() > MAX_JOB_TASKS
+    }
+
+    /// Returns the number of tasks of one occurrence.
+    ///
+    /// ```
+    /// use damaskrack_cell::{JobRecord, StepSpec};
+    ///
+    /// let step = StepSpec { tasks: 3, ..StepSpec::default() };
+    /// assert_eq!(JobRecord { steps: vec![step.clone(), step], ..JobRecord::default() }.task_count(), 6);
+    /// ```
+    #[must_use]
+    pub fn task_count(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.tasks)).sum()
+    }
+
+    /// Returns whether a leader can take the job, which it refuses otherwise.
+    ///
+    /// ```
+    /// use damaskrack_cell::JobRecord;
+    ///
+    /// assert!(JobRecord::default().can_be_taken());
+    /// ```
+    #[must_use]
+    pub fn can_be_taken(&self) -> bool {
+        !self.is_too_large() && !self.has_empty_occurrences()
     }
 
     /// Returns whether the job has occurrences without tasks, which would all begin at once.
--- a/crates/cell/src/table/job.rs
+++ b/crates/cell/src/table/job.rs
@@ -156,7 +156,7 @@
     ) -> Option<usize> {
         let (occurrence, step) = (stored.occurrence as usize, stored.step as usize);
         let steps = self.record.steps.len();
-        let tasks: usize = self.record.steps.iter().map(|step| step.tasks as usize).sum();
+        let tasks = self.record.task_count() as usize;
         // Each earlier occurrence has a stored phase or is one of those with unfinished tasks only.
         let max_occurrence = stored_phases + MAX_UNFINISHED_TASKS / tasks.max(1) + 1;
         if stored.occurrence >= self.occurrences() || step >= steps || occurrence > max_occurrence {
