Say once in the core what stood twice

The switch to another incarnation, the settling of a listed start, and whether a later request has overtaken one each stood in two places. Whether a crash was the test of lone suspects was computed twice a loss, and the confirmation of the list had a dead branch. Behaviour stays.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -254,7 +254,7 @@
         let attempt = &self.attempts[key];
         let (phase, worker) = (attempt.phase, attempt.worker);
         let is_overtaken = refusal == StartRefusal::Fenced
-            && attempt.start_fence < self.workers[worker].fence.number();
+            && self.workers[worker].fence.supersedes(attempt.start_fence);
         if is_overtaken
             && attempt.state == AttemptState::Sent
             && attempt.start_tries < MAX_START_TRIES
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -187,7 +187,7 @@
         let was_silent = worker.is_silent;
         // A later request of this leader was carried out first.
         let is_overtaken =
-            outcome == RenewOutcome::Fenced && worker.renew_fence < worker.fence.number();
+            outcome == RenewOutcome::Fenced && worker.fence.supersedes(worker.renew_fence);
         worker.is_silent = !is_overtaken && !matches!(outcome, RenewOutcome::Answered(_));
         worker.record_response(worker.is_silent, sent_ms, now_ms);
         if !was_silent {
@@ -257,10 +257,8 @@
             }
             Ordering::Equal => {}
             Ordering::Greater => {
-                self.record_losses(key, LossCause::Crash);
-                self.restart_worker(key, response.incarnation);
+                self.switch_incarnation(key, response.incarnation);
                 self.workers[key].is_listed = false;
-                self.forget_advice(key);
                 self.log("worker_restarted", id, format!("born={}", response.incarnation));
                 self.adopt_confirmed_claim(key);
             }
@@ -322,7 +320,7 @@
         }
         worker.pending_ends += 1;
         let entry = &mut self.attempts[attempt];
-        entry.is_start_settled |= entry.start_tries <= 1;
+        entry.settle_listed_start();
         let job = entry.phase.job;
         self.jobs[job].has_begun = true;
         if ended.kind == EndKind::Done {
@@ -382,7 +380,7 @@
         };
         let entry = &mut self.attempts[attempt];
         entry.has_begun = true;
-        entry.is_start_settled |= entry.start_tries <= 1;
+        entry.settle_listed_start();
         self.jobs[entry.phase.job].has_begun = true;
         let run_ms = entry.run_ms(now_ms);
         if running.percent > entry.percent {
--- a/crates/cell/src/core/losses.rs
+++ b/crates/cell/src/core/losses.rs
@@ -72,11 +72,13 @@
         let is_last =
             |key: &AttemptKey| last_ms <= Some(self.attempts[*key].start_sent_ms + START_SPREAD_MS);
         let suspects: Vec<AttemptKey> = recent.iter().copied().filter(is_last).collect();
-        let is_shared_test = self.is_test_of_lone_suspects(&recent);
+        let is_lone_test = self.is_test_of_lone_suspects(&recent);
         let tasks: Vec<TaskRef> = suspects.iter().map(|key| self.attempts[*key].task()).collect();
         let is_alone = tasks.iter().all(|task| task.phase.job == tasks[0].phase.job);
-        self.record_lone_test(&recent, cause);
-        if !is_shared_test {
+        if is_lone_test && jobs.len() == 1 && cause == LossCause::Crash {
+            self.lone_suspects.record_crash();
+        }
+        if !is_lone_test {
             self.suspect_groups.add(tasks, self.time.now_ms);
         }
         let live: Vec<AttemptKey> =
@@ -84,7 +86,7 @@
         for key in live {
             let is_suspect = suspects.contains(&key);
             let is_test = is_suspect && self.attempts[key].is_on_probation;
-            let is_sole = is_test && (jobs.len() == 1 || is_shared_test);
+            let is_sole = is_test && (jobs.len() == 1 || is_lone_test);
             if is_suspect {
                 self.task_mut(self.attempts[key].task()).is_accused_alone = is_alone;
             }
@@ -103,16 +105,6 @@
         !recent.is_empty() && recent.iter().all(is_test)
     }
 
-    /// Records that a job that was accused alone crashed the worker on which it was tested, unless it was
-    /// tested with others.
-    fn record_lone_test(&mut self, recent: &[AttemptKey], cause: LossCause) {
-        let jobs: FxHashSet<JobKey> =
-            recent.iter().map(|key| self.attempts[*key].phase.job).collect();
-        if jobs.len() == 1 && cause == LossCause::Crash && self.is_test_of_lone_suspects(recent) {
-            self.lone_suspects.record_crash();
-        }
-    }
-
     /// Records that a task has not crashed the worker on which it was tested.
     pub(super) fn record_survival(&mut self, task: TaskRef) {
         if !self.has_task(task) {
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -206,14 +206,12 @@
     /// assert_eq!(core.state_of("1"), Some(JobState::Queued));
     /// ```
     pub fn apply(&mut self, input: CellInput) {
-        if let CellInput::WorkersConfirmed { as_of_ms } = input {
-            return self.worker_list.confirm(as_of_ms);
-        }
-        self.is_placement_due = true;
+        // A list that has not changed is no reason to place anything.
+        self.is_placement_due |= !matches!(input, CellInput::WorkersConfirmed { .. });
         match input {
             CellInput::Config(config) => self.config = config,
             CellInput::Workers(reports) => self.update_workers(reports),
-            CellInput::WorkersConfirmed { .. } => {}
+            CellInput::WorkersConfirmed { as_of_ms } => self.worker_list.confirm(as_of_ms),
             CellInput::Daemons(ids) => self.update_daemons(&ids),
             CellInput::Accepted(record) => self.accept(record),
             CellInput::Ended { id, progress } => self.learn_ended(&id, &progress),
--- a/crates/cell/src/core/worker_claims.rs
+++ b/crates/cell/src/core/worker_claims.rs
@@ -6,7 +6,7 @@
 //! of what the former incarnation runs.
 
 use {
-    super::{CellCore, losses::LossCause},
+    super::CellCore,
     crate::{WorkerKey, WorkerReport, table::WorkerEntry},
 };
 
@@ -98,14 +98,9 @@
     }
 
     fn adopt_report(&mut self, key: WorkerKey, report: WorkerReport) {
-        let current = self.workers[key].report.incarnation;
-        if report.incarnation > current {
-            self.record_losses(key, LossCause::Crash);
-        }
-        if report.incarnation != current {
-            self.restart_worker(key, report.incarnation);
+        if report.incarnation != self.workers[key].report.incarnation {
+            self.switch_incarnation(key, report.incarnation);
             self.workers[key].next_renew_ms = 0;
-            self.forget_advice(key);
         }
         self.log_resize(key, &report);
         let worker = &mut self.workers[key];
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -54,6 +54,16 @@
         }
     }
 
+    /// Switches to another incarnation of a worker and forgets what was known of the present one. If the
+    /// other one is later, the present one has crashed.
+    pub(super) fn switch_incarnation(&mut self, key: WorkerKey, incarnation: u64) {
+        if incarnation > self.workers[key].report.incarnation {
+            self.record_losses(key, LossCause::Crash);
+        }
+        self.restart_worker(key, incarnation);
+        self.forget_advice(key);
+    }
+
     fn insert_worker(&mut self, report: WorkerReport) -> WorkerKey {
         // A former leader may have renewed the leases until its isolation ended.
         let inherited_ms =
--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -99,6 +99,12 @@
         self.is_start_settled |= self.start_tries > 0 && (is_confirmed || is_ticket_known);
     }
 
+    /// Records that the worker's incarnation lists the attempt. An earlier one of several requests may still
+    /// be carried out by another.
+    pub(crate) fn settle_listed_start(&mut self) {
+        self.is_start_settled |= self.start_tries <= 1;
+    }
+
     /// Returns the task that the attempt runs.
     pub(crate) fn task(&self) -> TaskRef {
         TaskRef { phase: self.phase, index: self.index }
--- a/crates/cell/src/table/worker_fence.rs
+++ b/crates/cell/src/table/worker_fence.rs
@@ -30,6 +30,11 @@
         self.number
     }
 
+    /// Returns whether a request with a number is refused once a later one has been carried out.
+    pub(crate) fn supersedes(self, number: u32) -> bool {
+        number < self.number
+    }
+
     /// Returns the number of a start request sent now.
     pub(crate) fn number_for_start(&mut self) -> u32 {
         if self.has_open_acknowledgement {
