--- a/crates/cell/tests/cell/capacity.rs
+++ b/crates/cell/tests/cell/capacity.rs
@@ -2,7 +2,7 @@
 //! a worker above the capacity that it has reported.
 
 use {
-    crate::support::{CAPACITY, FakeCell, job, step},
+    crate::support::{CAPACITY, FakeCell, job, random_numbers, step},
     damaskrack_cell::{JobState, StepSpec},
 };
 
@@ -64,11 +64,7 @@
 fn no_worker_runs_more_than_it_has_while_capacities_change() {
     for seed in 0..20_u64 {
         let mut cell = FakeCell::new(4);
-        let mut state = seed * 2 + 1;
-        let mut next = |below: u64| {
-            state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
-            (state >> 33) % below
-        };
+        let mut next = random_numbers(seed);
         for round in 0..60 {
             cell.submit(job(&round.to_string(), vec![step(1 + u32::try_from(next(4)).unwrap())]));
             cell.is_store_down = next(4) == 0;
--- a/crates/cell/tests/cell/incarnations.rs
+++ b/crates/cell/tests/cell/incarnations.rs
@@ -2,7 +2,7 @@
 //! the one they were meant for. The fake cell checks that no task is started again after it was done.
 
 use {
-    crate::support::{FakeCell, job, step},
+    crate::support::{FakeCell, job, random_numbers, step},
     damaskrack_cell::{AdviceTiming, JobState, RenewOutcome, StepSpec},
 };
 
@@ -17,20 +17,45 @@
     cell
 }
 
-/// A renewal that acknowledges an end has no response and is carried out by the next incarnation,
-/// which has ended a task meanwhile.
-#[test]
-fn a_late_renewal_discards_no_end_of_the_next_incarnation() {
+/// Creates a cell whose only worker has run job "1" while the store was down, so that its end is not durable.
+fn cell_with_end_to_record() -> FakeCell {
     let mut cell = FakeCell::new(1);
+    end_while_store_is_down(&mut cell);
+    cell
+}
+
+fn end_while_store_is_down(cell: &mut FakeCell) {
     cell.submit(job("1", vec![step(1)]));
     cell.run(200);
     cell.is_store_down = true;
     cell.run(400);
-    cell.workers.get_mut("w0").unwrap().defers_renewals = true;
+}
+
+/// Makes the end durable. The worker receives its acknowledgement, but carries it out later.
+fn defer_acknowledgement(cell: &mut FakeCell) {
+    cell.workers.get_mut("w0").expect("a worker").defers_renewals = true;
     cell.restore_store();
     cell.run(100);
     let late = &cell.workers["w0"].deferred_renewals;
     assert!(late.iter().any(|late| late.request.last_durable_end == 1));
+}
+
+/// Lets the runs end, and only then the deferred renewals be carried out; asserts that job "2" completes.
+fn assert_end_survives_late_renewals(cell: &mut FakeCell) {
+    cell.now_ms += cell.run_ms;
+    cell.run_deferred_renewals("w0");
+    cell.workers.get_mut("w0").expect("a worker").defers_renewals = false;
+    cell.list_workers();
+    cell.run(3_000);
+    assert_eq!(cell.state("2"), Some(JobState::Completed));
+}
+
+/// A renewal that acknowledges an end has no response and is carried out by the next incarnation,
+/// which has ended a task meanwhile.
+#[test]
+fn a_late_renewal_discards_no_end_of_the_next_incarnation() {
+    let mut cell = cell_with_end_to_record();
+    defer_acknowledgement(&mut cell);
     cell.reincarnate("w0");
     cell.list_workers();
     cell.run(1_500);
@@ -78,10 +103,7 @@
 
 /// Lets a start be carried out by the next incarnation, and an acknowledgement after the end of the task.
 fn acknowledge_after_a_start_at_the_next_incarnation(mut cell: FakeCell) {
-    cell.submit(job("1", vec![step(1)]));
-    cell.run(200);
-    cell.is_store_down = true;
-    cell.run(400);
+    end_while_store_is_down(&mut cell);
     cell.submit(job("2", vec![step(1)]));
     cell.run(20);
     cell.run_ms = 50;
@@ -91,32 +113,21 @@
     cell.run(20);
     assert_eq!(cell.workers["w0"].runs.len(), 1);
     assert!(!cell.workers["w0"].deferred_renewals.is_empty());
-    cell.now_ms += cell.run_ms;
-    cell.run_deferred_renewals("w0");
-    cell.workers.get_mut("w0").expect("a worker").defers_renewals = false;
-    cell.list_workers();
-    cell.run(3_000);
-    assert_eq!(cell.state("2"), Some(JobState::Completed));
+    assert_end_survives_late_renewals(&mut cell);
 }
 
 /// A renewal that acknowledges an end of the former incarnation is answered by the next one, which the
 /// list of workers has shown meanwhile.
 #[test]
 fn ends_are_acknowledged_after_a_restart_during_a_renewal() {
-    let mut cell = FakeCell::new(1);
-    cell.submit(job("1", vec![step(1)]));
-    cell.run(200);
-    cell.is_store_down = true;
-    cell.run(400);
+    let mut cell = cell_with_end_to_record();
     cell.reincarnate("w0");
     cell.delays_renewals_of = Some("w0".to_owned());
     cell.restore_store();
     cell.run(100);
     assert!(!cell.delayed_renewals.is_empty());
     cell.list_workers();
-    cell.delays_renewals_of = None;
-    let delayed = std::mem::take(&mut cell.delayed_renewals);
-    delayed.into_iter().for_each(|input| cell.apply(input));
+    cell.deliver_delayed_renewals();
     cell.submit(job("2", vec![step(1)]));
     cell.run(3_000);
     assert_eq!(cell.state("2"), Some(JobState::Completed));
@@ -126,16 +137,8 @@
 /// Of two acknowledgements only the second has a response; the first is carried out by the next incarnation.
 #[test]
 fn a_second_acknowledgement_does_not_settle_the_first() {
-    let mut cell = FakeCell::new(1);
-    cell.submit(job("1", vec![step(1)]));
-    cell.run(200);
-    cell.is_store_down = true;
-    cell.run(400);
-    cell.workers.get_mut("w0").unwrap().defers_renewals = true;
-    cell.restore_store();
-    cell.run(100);
-    let late = &cell.workers["w0"].deferred_renewals;
-    assert!(late.iter().any(|late| late.request.last_durable_end == 1));
+    let mut cell = cell_with_end_to_record();
+    defer_acknowledgement(&mut cell);
     cell.workers.get_mut("w0").unwrap().defers_renewals = false;
     cell.run(2_500);
     assert!(cell.workers["w0"].ended.is_empty());
@@ -145,12 +148,7 @@
     cell.submit(job("2", vec![step(1)]));
     cell.run(30);
     assert_eq!(cell.workers["w0"].runs.len(), 1);
-    cell.now_ms += cell.run_ms;
-    cell.run_deferred_renewals("w0");
-    cell.workers.get_mut("w0").unwrap().defers_renewals = false;
-    cell.list_workers();
-    cell.run(3_000);
-    assert_eq!(cell.state("2"), Some(JobState::Completed));
+    assert_end_survives_late_renewals(&mut cell);
 }
 
 /// The second request to start a task is carried out, the first one by the next incarnation.
@@ -174,12 +172,7 @@
     cell.reincarnate("w0");
     cell.run_deferred_starts("w0");
     cell.workers.get_mut("w0").unwrap().defers_renewals = true;
-    cell.now_ms += cell.run_ms;
-    cell.run_deferred_renewals("w0");
-    cell.workers.get_mut("w0").unwrap().defers_renewals = false;
-    cell.list_workers();
-    cell.run(3_000);
-    assert_eq!(cell.state("2"), Some(JobState::Completed));
+    assert_end_survives_late_renewals(&mut cell);
 }
 
 /// A start request has no response, but its ticket cannot be used at a later incarnation.
@@ -214,11 +207,7 @@
 /// Two requests to a worker overtake each other: the renewal was sent first and arrives last.
 #[test]
 fn a_renewal_overtaken_by_a_start_does_not_end_the_leadership() {
-    let mut cell = FakeCell::new(1);
-    cell.submit(job("1", vec![step(1)]));
-    cell.run(200);
-    cell.is_store_down = true;
-    cell.run(400);
+    let mut cell = cell_with_end_to_record();
     cell.workers.get_mut("w0").unwrap().defers_renewals = true;
     cell.restore_store();
     cell.submit(job("2", vec![step(1)]));
@@ -268,11 +257,7 @@
 fn no_task_runs_twice_while_workers_restart_and_renewals_are_late() {
     for seed in 0..40_u64 {
         let mut cell = FakeCell::new(3);
-        let mut state = seed * 2 + 1;
-        let mut next = |below: u64| {
-            state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
-            (state >> 33) % below
-        };
+        let mut next = random_numbers(seed);
         for round in 0..40 {
             cell.run_ms = 20 + 10 * next(40);
             let tasks = 1 + u32::try_from(next(3)).unwrap();
--- a/crates/cell/tests/cell/odd_entries.rs
+++ b/crates/cell/tests/cell/odd_entries.rs
@@ -96,7 +96,7 @@
     list_with(&mut cell, WorkerReport { address: idle, ..report });
     await_delayed_renewal(&mut cell);
     cell.list_workers();
-    deliver_delayed_renewals(&mut cell);
+    cell.deliver_delayed_renewals();
     cell.run(3 * LONG_RUN_MS);
     assert_eq!(cell.state("long"), Some(JobState::Completed));
     assert_eq!(cell.starts.len(), 12);
@@ -112,7 +112,7 @@
     await_delayed_renewal(&mut cell);
     let report = cell.workers[&busy].report.clone();
     list_with(&mut cell, WorkerReport { address: idle, ..report });
-    deliver_delayed_renewals(&mut cell);
+    cell.deliver_delayed_renewals();
     cell.run(1_000);
     cell.list_workers();
     cell.run(3 * LONG_RUN_MS);
@@ -136,12 +136,6 @@
     panic!("no renewal is delayed");
 }
 
-fn deliver_delayed_renewals(cell: &mut FakeCell) {
-    cell.delays_renewals_of = None;
-    let delayed = std::mem::take(&mut cell.delayed_renewals);
-    delayed.into_iter().for_each(|input| cell.apply(input));
-}
-
 /// The entry names an incarnation that does not exist. Once it is corrected, the worker is of use again.
 #[test]
 fn a_worker_is_of_use_again_after_an_entry_with_a_later_incarnation_is_corrected() {
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -238,6 +238,15 @@
 }
 
 /// Creates a step whose tasks use one core each.
+/// Returns a source of random numbers below a limit.
+pub(crate) fn random_numbers(seed: u64) -> impl FnMut(u64) -> u64 {
+    let mut state = seed * 2 + 1;
+    move |below| {
+        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        (state >> 33) % below
+    }
+}
+
 pub(crate) fn step(tasks: u32) -> StepSpec {
     StepSpec { tasks, cpu_millis: 1_000, memory_mb: 64, estimate_ms: 500, ..StepSpec::default() }
 }
@@ -389,6 +398,13 @@
         self.core.apply(CellInput::EndedKnown);
     }
 
+    /// Delivers the outcomes of the renewals that were delayed, and delays no others.
+    pub(crate) fn deliver_delayed_renewals(&mut self) {
+        self.delays_renewals_of = None;
+        let delayed = std::mem::take(&mut self.delayed_renewals);
+        delayed.into_iter().for_each(|input| self.apply(input));
+    }
+
     pub(crate) fn wall_ms(&self) -> u64 {
         WALL_MS + self.now_ms
     }
