Apply the adviser's responses only to the leader that asked

Cause: a response on advice has only a key that each leader counts anew, and its daemon sends it to whoever leads when it arrives. The successor took it for the response to its own call with the same key, about another step, and denied the workers that may run the step.

Change: the number of a request to the adviser is a RequestNumber, a term and a counter, and only the leader of that term can read the counter. Others are dropped and logged (advice_outdated).

--- a/crates/cellnode/src/frame.rs
+++ b/crates/cellnode/src/frame.rs
@@ -4,6 +4,7 @@
     crate::{
         LinkPurpose,
         forward_frame::{ForwardFrame, ForwardedFrame},
+        request_number::RequestNumber,
     },
     bytes::{Bytes, BytesMut},
     damaskrack_cell::JobRecord,
@@ -78,9 +79,9 @@
 /// The adviser's response.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct AdviceResponseFrame {
-    /// The leader's key of the advice call.
-    #[prost(uint64, tag = "1")]
-    pub(crate) advice_call: u64,
+    /// Number of the leader's request.
+    #[prost(message, optional, tag = "5")]
+    pub(crate) request: Option<RequestNumber>,
     /// Whether the adviser responded at all.
     #[prost(bool, tag = "2")]
     pub(crate) is_answered: bool,
@@ -141,9 +142,9 @@
 /// A request to the adviser.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct AdviceRequestFrame {
-    /// The leader's key of the advice call.
-    #[prost(uint64, tag = "1")]
-    pub(crate) advice_call: u64,
+    /// Number that the response repeats.
+    #[prost(message, optional, tag = "5")]
+    pub(crate) request: Option<RequestNumber>,
     /// Name of the step.
     #[prost(string, tag = "2")]
     pub(crate) phase: String,
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -14,7 +14,8 @@
         forward_choice::{TYPICAL_WORKERS, needs_forwarding},
         forward_router::ForwardRouter,
         frame::{
-            AdviceRequestFrame, EmptyFrame, EntryBody, HelloFrame, LeaderBody, LeaderStatusFrame,
+            AdviceRequestFrame, AdviceResponseFrame, EmptyFrame, EntryBody, HelloFrame, LeaderBody,
+            LeaderStatusFrame,
         },
         guard::GuardWriter,
         job_sink::JobSink,
@@ -25,6 +26,7 @@
             LeadershipSignals, choose_highest_capacity, transfer_to_higher_capacity,
         },
         lease_keeper::LeaseKeeper,
+        request_number::RequestNumber,
         rows::{JOB_PREFIX, LEASE_BOUNDS_KEY, LeaseBoundsRow, PROGRESS_PREFIX, decode_row},
         session_registry::{SessionFrame, SessionRegistry},
         store_contact::StoreContact,
@@ -511,18 +513,29 @@
                 let reply = self.register_reply(session, frame.call);
                 self.core.apply(CellInput::Cancel { id, reply });
             }
-            Some(EntryBody::AdviceResponse(response)) => {
-                let tickets = response.workers.into_iter().zip(response.tickets);
-                let allowed = tickets.map(|(worker, ticket)| WorkerTicket { worker, ticket });
-                let allowed = response.is_answered.then(|| allowed.collect());
-                let call = AdviceCallKey::from(KeyData::from_ffi(response.advice_call));
-                self.core.apply(CellInput::Advice { call, allowed });
-            }
+            Some(EntryBody::AdviceResponse(response)) => self.receive_advice(session, response),
             Some(EntryBody::Forwarded(forwarded)) => self.router.receive(session, forwarded),
             None => {}
         }
     }
 
+    /// Handles the adviser's response to a request, unless a former leader sent that.
+    fn receive_advice(&mut self, session: u64, response: AdviceResponseFrame) {
+        let number = response.request.and_then(|request| request.in_term(self.token));
+        let Some(number) = number else {
+            // The client's error handler reports failures.
+            let _ = self.context.external.metrics.incr("advice_outdated");
+            info!(self.context.logger, "advice_outdated"; "term" => self.token,
+                "session" => session, "request" => ?response.request);
+            return;
+        };
+        let tickets = response.workers.into_iter().zip(response.tickets);
+        let allowed = tickets.map(|(worker, ticket)| WorkerTicket { worker, ticket });
+        let allowed = response.is_answered.then(|| allowed.collect());
+        let call = AdviceCallKey::from(KeyData::from_ffi(number));
+        self.core.apply(CellInput::Advice { call, allowed });
+    }
+
     /// Remembers a job that its daemon may write itself.
     fn remember_offer(&mut self, record: &JobRecord) {
         let offer = JobOffer { record: record.clone(), received_ms: boot_ms() };
@@ -615,7 +628,7 @@
         let (registry, events) = (self.context.registry.clone(), self.events.clone());
         let response_timeout = Duration::from_millis(request.expected_ms + ADVICE_MARGIN_MS);
         let frame = AdviceRequestFrame {
-            advice_call: request.call.data().as_ffi(),
+            request: Some(RequestNumber::new(self.token, request.call.data().as_ffi())),
             phase: request.phase,
             workers: request.workers,
             expected_ms: request.expected_ms,
--- a/crates/cellnode/src/leader_connection.rs
+++ b/crates/cellnode/src/leader_connection.rs
@@ -16,7 +16,6 @@
     futures_util::{SinkExt, StreamExt},
     rustc_hash::FxHashMap,
     slog::{Logger, info},
-    slotmap::KeyData,
     std::{
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
@@ -135,7 +134,8 @@
         receiver
     }
 
-    /// Sends a message to the leader without waiting for a response; it may be lost.
+    /// Sends a message to whoever leads, without waiting for a response; it may be lost. A response to a
+    /// request of a leader must have its `RequestNumber`.
     pub(crate) fn notify(&self, body: EntryBody) {
         self.send(0, body);
     }
@@ -305,7 +305,8 @@
 
     async fn forward_to_adviser(&self, frame: AdviceRequestFrame) {
         let request = AdviceRequest {
-            call: AdviceCallKey::from(KeyData::from_ffi(frame.advice_call)),
+            // Only the leader knows the call by its key.
+            call: AdviceCallKey::default(),
             daemon: self.hello.daemon,
             phase: frame.phase,
             workers: frame.workers,
@@ -316,7 +317,7 @@
         let (workers, tickets) =
             allowed.into_iter().flatten().map(|allowed| (allowed.worker, allowed.ticket)).unzip();
         let response =
-            AdviceResponseFrame { advice_call: frame.advice_call, is_answered, workers, tickets };
+            AdviceResponseFrame { request: frame.request, is_answered, workers, tickets };
         self.notify(EntryBody::AdviceResponse(response));
     }
 }
--- a/crates/cellnode/src/lib.rs
+++ b/crates/cellnode/src/lib.rs
@@ -27,6 +27,7 @@
 mod node;
 mod payload_cache;
 mod payload_store;
+mod request_number;
 mod rows;
 mod running_list;
 mod session_registry;
