End calls to the adviser whatever became of their queue

Cause: finish_advice looked the queue's adviser up in the present configuration and returned before it cleared the step's advice_call, so the step waited for ever for a call that had ended. Calls that are lost and calls of daemons that leave ended in the same way.

Change: a call is first removed from all tables, in one function, and judged afterwards. The validity of its tickets is kept with the call, so nothing has to be looked up when the response comes.

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -11,7 +11,9 @@
     crate::{
         AdviceCallKey, AdviceRequest, AdviceTiming, CellAction, WorkerKey, WorkerTicket,
         message::PhaseRef,
-        table::{AdviceCallEntry, AttemptEntry, AttemptState, DaemonEntry, TicketEntry},
+        table::{
+            AdviceCallEntry, AttemptEntry, AttemptState, DaemonEntry, PhaseEntry, TicketEntry,
+        },
     },
 };
 
@@ -131,7 +133,15 @@
         }
         let expected_ms = timing.duration_us(workers.len()) / 1_000 + CALL_OVERHEAD_MS;
         *prefetch_left = prefetch_left.saturating_sub(1);
-        self.send_advice_request(phase, daemon, workers, expected_ms);
+        let call = AdviceCallEntry {
+            phase,
+            daemon: self.daemons[daemon].id,
+            workers,
+            expected_ms,
+            sent_ms: self.time.now_ms,
+            valid_ms: timing.valid_ms,
+        };
+        self.send_advice_request(daemon, call);
     }
 
     /// Chooses the workers of a call, no more than are likely to be needed. Workers with free
@@ -237,43 +247,49 @@
             .filter(|index| self.daemons[*index].busy_until_ms <= now_ms + limit_ms)
     }
 
-    fn send_advice_request(
-        &mut self,
-        phase: PhaseRef,
-        daemon: usize,
-        workers: Vec<WorkerKey>,
-        expected_ms: u64,
-    ) {
-        let now_ms = self.time.now_ms;
+    fn send_advice_request(&mut self, daemon: usize, call: AdviceCallEntry) {
         let daemon = &mut self.daemons[daemon];
-        daemon.busy_until_ms = daemon.busy_until_ms.max(now_ms) + expected_ms;
+        daemon.busy_until_ms = daemon.busy_until_ms.max(call.sent_ms) + call.expected_ms;
         daemon.calls += 1;
-        let daemon = daemon.id;
-        let ids = workers.iter().map(|key| self.workers[*key].report.id.clone()).collect();
-        let call = self.advice_calls.insert(AdviceCallEntry {
-            phase,
-            daemon,
-            workers,
-            expected_ms,
-            sent_ms: now_ms,
-        });
-        let job = &mut self.jobs[phase.job];
-        job.phases[phase.phase].advice_call = Some(call);
-        let phase = job.phase_name(phase.phase);
-        let request = AdviceRequest { call, daemon, phase, workers: ids, expected_ms };
+        let PhaseRef { job, phase } = call.phase;
+        let (daemon, expected_ms) = (call.daemon, call.expected_ms);
+        let workers = call.workers.iter().map(|key| self.workers[*key].report.id.clone()).collect();
+        let call = self.advice_calls.insert(call);
+        let job = &mut self.jobs[job];
+        job.phases[phase].advice_call = Some(call);
+        let phase = job.phase_name(phase);
+        let request = AdviceRequest { call, daemon, phase, workers, expected_ms };
         self.actions.push(CellAction::RequestAdvice(request));
         self.advice_call_count += 1;
     }
 
+    /// Ends a call, and records the adviser's decisions if it responded.
     pub(super) fn finish_advice(&mut self, key: AdviceCallKey, allowed: Option<Vec<WorkerTicket>>) {
-        let Some(call) = self.advice_calls.remove(key) else { return };
+        let Some(call) = self.remove_advice_call(key) else { return };
+        if let Some(allowed) = allowed {
+            self.record_advice(&call, &allowed);
+        }
+    }
+
+    /// Removes a call from all tables, whatever became of its job, queue or daemon.
+    fn remove_advice_call(&mut self, key: AdviceCallKey) -> Option<AdviceCallEntry> {
+        let call = self.advice_calls.remove(key)?;
         self.release_daemon(&call);
-        let Some(timing) = self.advice_timing(call.phase) else { return };
+        if let Some(entry) = self.phase_mut(call.phase) {
+            entry.advice_call = None;
+        }
+        Some(call)
+    }
+
+    /// Returns a phase, unless its job was removed or has ended.
+    fn phase_mut(&mut self, phase: PhaseRef) -> Option<&mut PhaseEntry> {
+        self.jobs.get_mut(phase.job)?.phases.get_mut(phase.phase)
+    }
+
+    fn record_advice(&mut self, call: &AdviceCallEntry, allowed: &[WorkerTicket]) {
         let Some(job) = self.jobs.get_mut(call.phase.job) else { return };
         let Some(entry) = job.phases.get_mut(call.phase.phase) else { return };
-        entry.advice_call = None;
-        let Some(allowed) = allowed else { return };
-        let valid_until_ms = self.time.now_ms.saturating_add(timing.valid_ms);
+        let valid_until_ms = self.time.now_ms.saturating_add(call.valid_ms);
         let mut granted = 0;
         for worker in &call.workers {
             let Some(known) = self.workers.get(*worker) else { continue };
--- a/crates/cell/src/table/advice_call.rs
+++ b/crates/cell/src/table/advice_call.rs
@@ -10,6 +10,8 @@
     pub(crate) workers: Vec<WorkerKey>,
     pub(crate) expected_ms: u64,
     pub(crate) sent_ms: u64,
+    /// Validity of the tickets that the response brings, in milliseconds.
+    pub(crate) valid_ms: u64,
 }
 
 /// A daemon through which the adviser is called. The adviser serves one call of a daemon at a time.
--- /dev/null
+++ b/crates/cell/tests/cell/advice.rs
@@ -0,0 +1,90 @@
+//! Tests of calls to the adviser whose job, queue or workers change before the response.
+
+use {
+    crate::support::{FakeCell, job, step},
+    damaskrack_cell::{AdviceTiming, CellInput, JobState},
+};
+
+/// Timing of the adviser.
+const TIMING: AdviceTiming = AdviceTiming { call_us: 450_000, worker_us: 6_400, valid_ms: 1_500 };
+
+/// Creates a cell with an adviser, whose workers start nothing without a ticket.
+fn advised_cell(workers: usize) -> FakeCell {
+    let mut cell = FakeCell::new(workers);
+    cell.workers.values_mut().for_each(|worker| worker.needs_tickets = true);
+    cell.add_adviser(TIMING);
+    cell.start_leader();
+    cell.run(200);
+    cell
+}
+
+/// Removes a queue from the configuration while the adviser works, and adds it again, with the response
+/// in between.
+fn remove_and_restore_queue(cell: &mut FakeCell, respond: impl FnOnce(&mut FakeCell)) {
+    let queues = cell.config.queues.clone();
+    cell.reconfigure(|config| config.queues.clear());
+    cell.run(20);
+    respond(cell);
+    cell.run(20);
+    cell.reconfigure(|config| config.queues = queues);
+}
+
+/// Guards against a step that waits for ever for a call that has ended while its queue was not configured.
+#[test]
+fn a_step_is_started_whose_queue_was_removed_when_its_tickets_came() {
+    let mut cell = advised_cell(2);
+    cell.holds_advice = true;
+    cell.submit(job("1", vec![step(2)]));
+    cell.run(100);
+    assert_eq!(cell.advice_requests.len(), 1);
+    remove_and_restore_queue(&mut cell, FakeCell::deliver_held_advice);
+    cell.run(4_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+}
+
+/// The same when the adviser did not respond.
+#[test]
+fn a_step_is_started_whose_queue_was_removed_when_its_call_was_lost() {
+    let mut cell = advised_cell(2);
+    cell.lost_advice = 1;
+    cell.submit(job("1", vec![step(2)]));
+    cell.run(100);
+    remove_and_restore_queue(&mut cell, |cell| cell.run(4_000));
+    cell.run(4_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+}
+
+/// The same when the daemon that made the call has left.
+#[test]
+fn a_step_is_started_whose_queue_was_removed_when_its_daemon_left() {
+    let mut cell = advised_cell(2);
+    cell.holds_advice = true;
+    cell.submit(job("1", vec![step(2)]));
+    cell.run(100);
+    let daemon = cell.advice_requests[0].daemon;
+    cell.holds_advice = false;
+    remove_and_restore_queue(&mut cell, |cell| {
+        let others = (1..=3).filter(|id| *id != daemon).collect();
+        cell.apply(CellInput::Daemons(others));
+    });
+    cell.run(4_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+}
+
+/// The queue stays, and has no adviser for a while.
+#[test]
+fn a_step_is_started_whose_queue_had_no_adviser_when_its_tickets_came() {
+    let mut cell = advised_cell(2);
+    cell.holds_advice = true;
+    cell.submit(job("1", vec![step(2)]));
+    cell.run(100);
+    let queues = cell.config.queues.clone();
+    cell.reconfigure(|config| {
+        config.queues.values_mut().for_each(|queue| queue.advice = None);
+    });
+    cell.deliver_held_advice();
+    cell.run(20);
+    cell.reconfigure(|config| config.queues = queues);
+    cell.run(4_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+}
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -1,5 +1,6 @@
 //! The scheduler core against fake workers, a fake store and a fake adviser.
 
+mod advice;
 mod capacity;
 mod crash_storms;
 mod crashes;
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -85,6 +85,10 @@
     pub(crate) is_unlisted: bool,
     /// All tasks fail.
     pub(crate) fails: bool,
+    /// Starts without a ticket are refused.
+    pub(crate) needs_tickets: bool,
+    /// Number of starts that were refused for their tickets.
+    pub(crate) refused_tickets: usize,
     /// Time that a stop takes, in milliseconds.
     pub(crate) stop_ms: u64,
 }
@@ -218,6 +222,9 @@
     pub(crate) advice_requests: Vec<AdviceRequest>,
     /// Number of the adviser's next responses to lose.
     pub(crate) lost_advice: usize,
+    /// The adviser's responses wait in `held_advice`.
+    pub(crate) holds_advice: bool,
+    held_advice: Vec<CellInput>,
     /// Workers that the adviser allows; all workers if empty.
     pub(crate) allowed: BTreeSet<String>,
     /// The leader's network link; requests take no time without one.
@@ -305,6 +312,8 @@
             starts: Vec::new(),
             advice_requests: Vec::new(),
             lost_advice: 0,
+            holds_advice: false,
+            held_advice: Vec::new(),
             allowed: BTreeSet::new(),
             link: None,
             waiting_renewals: Vec::new(),
@@ -621,11 +630,26 @@
             CellInput::Advice { call: request.call, allowed: Some(allowed.map(ticket).collect()) };
         self.advice_requests.push(request);
         match self.lost_advice {
+            0 if self.holds_advice => self.held_advice.push(input),
             0 => self.apply(input),
             _ => self.lost_advice -= 1,
         }
     }
 
+    /// Delivers the adviser's responses that were held, and holds no more.
+    pub(crate) fn deliver_held_advice(&mut self) {
+        self.holds_advice = false;
+        let held = std::mem::take(&mut self.held_advice);
+        held.into_iter().for_each(|input| self.apply(input));
+    }
+
+    /// Puts a version of the configuration in force that differs from the last one by a change.
+    pub(crate) fn reconfigure(&mut self, change: impl FnOnce(&mut CellConfig)) {
+        self.config.version += 1;
+        change(&mut self.config);
+        self.apply(CellInput::Config(Arc::new(self.config.clone())));
+    }
+
     fn start(&mut self, request: StartRequest) {
         let attempt = request.attempt;
         let token = self.token_of(request.fence);
@@ -672,6 +696,10 @@
             return StartOutcome::Refused(StartRefusal::Fenced);
         }
         worker.token = token;
+        if worker.needs_tickets && request.ticket.is_empty() {
+            worker.refused_tickets += 1;
+            return StartOutcome::Refused(StartRefusal::Ticket);
+        }
         worker.extend(Some(request.deadline_ms), now_ms);
         worker.check_bound(&self.lease_bounds);
         if worker.fenced.contains(&(request.task.clone(), request.number)) {
