Start the steps of a removed queue with tickets

Cause: whether a step needs tickets was looked up in the present configuration only, though the job's record stands in for the service and max_attempts of a removed queue.

Change: the record of a job has the timing of its queue's adviser, as the daemon that accepted it knew it.

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -68,10 +68,12 @@
         }
     }
 
-    /// Returns the timing of the adviser of a phase's queue, if it has one.
+    /// Returns the timing of the adviser of a phase's queue, if it has one. The job's record has that of
+    /// a queue which is no longer configured.
     pub(super) fn advice_timing(&self, phase: PhaseRef) -> Option<AdviceTiming> {
-        let queue = &self.jobs[phase.job].record.queue;
-        self.config.queues.get(queue)?.advice
+        let record = &self.jobs[phase.job].record;
+        let queue = self.config.queues.get(&record.queue);
+        queue.map_or(record.advice, |queue| queue.advice)
     }
 
     /// Places the backlog, and requests tickets for steps that could not be placed without them.
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -155,6 +155,10 @@
     /// The payload is in a row of its own, and `payload` is empty.
     #[prost(bool, tag = "12")]
     pub has_stored_payload: bool,
+    /// Timing of the adviser that decides where the job's steps may run, if the job's queue is no longer
+    /// configured.
+    #[prost(message, optional, tag = "13")]
+    pub advice: Option<AdviceTiming>,
 }
 
 impl JobRecord {
--- a/crates/cell/tests/cell/advice.rs
+++ b/crates/cell/tests/cell/advice.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::support::{FakeCell, job, step},
-    damaskrack_cell::{AdviceTiming, CellInput, JobState},
+    damaskrack_cell::{AdviceTiming, CellInput, JobRecord, JobState},
 };
 
 /// Timing of the adviser.
@@ -88,3 +88,34 @@
     cell.run(4_000);
     assert_eq!(cell.state("1"), Some(JobState::Completed));
 }
+
+/// A job of the queue with the adviser, as daemons accept it.
+fn advised_job(id: &str) -> JobRecord {
+    JobRecord { advice: Some(TIMING), ..job(id, vec![step(2)]) }
+}
+
+/// Guards against starts without tickets, which are refused many times a second, once a job's queue is gone.
+#[test]
+fn a_step_of_a_removed_queue_is_started_with_tickets() {
+    let mut cell = advised_cell(2);
+    cell.reconfigure(|config| config.queues.clear());
+    cell.submit(advised_job("1"));
+    cell.run(4_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+    assert!(cell.workers.values().all(|worker| worker.refused_tickets == 0));
+}
+
+/// The same under a leader that has never known the queue.
+#[test]
+fn a_new_leader_starts_a_step_of_a_removed_queue_with_tickets() {
+    let mut cell = advised_cell(2);
+    cell.holds_advice = true;
+    cell.submit(advised_job("1"));
+    cell.run(100);
+    cell.reconfigure(|config| config.queues.clear());
+    cell.start_leader();
+    cell.holds_advice = false;
+    cell.run(4_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+    assert!(cell.workers.values().all(|worker| worker.refused_tickets == 0));
+}
