Repeat starts that are refused for want of a ticket more and more slowly

What callers saw: workers were called some 40 times a second for a step whose starts they refused, in vain, while the leader knew of no adviser.

Cause: a refusal for the ticket only forgets the ticket. Without one there is nothing to forget, and the step was placed again at once.

Evidence: a_start_that_is_refused_for_want_of_a_ticket_is_repeated_more_and_more_slowly failed before: refused 200 times in 4 s.

Change: the step backs off, once for the attempts that are refused together.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -268,7 +268,12 @@
         }
         match refusal {
             StartRefusal::Ticket => {
-                self.jobs[phase.job].phases[phase.phase].allowed.remove(&worker);
+                let entry = &mut self.jobs[phase.job].phases[phase.phase];
+                entry.allowed.remove(&worker);
+                if !attempt.has_ticket {
+                    // The adviser of the queue is not known.
+                    entry.retry.delay_once(now_ms);
+                }
             }
             StartRefusal::Unavailable => {
                 self.workers[worker].backoff_until_ms = now_ms + REFUSAL_BACKOFF_MS;
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -116,7 +116,7 @@
         for attempt in attempts {
             let phase = self.attempts[attempt].phase;
             if let Some(entry) = self.jobs[phase.job].phases.get_mut(phase.phase) {
-                entry.retry.delay_after_loss(self.time.now_ms);
+                entry.retry.delay_once(self.time.now_ms);
             }
             self.drop_attempt(attempt);
         }
--- a/crates/cell/src/table/phase_retry.rs
+++ b/crates/cell/src/table/phase_retry.rs
@@ -6,7 +6,7 @@
 /// Maximum number of doublings of that time.
 const MAX_DOUBLINGS: u32 = 6;
 
-/// Backoff of a phase whose attempts were given up because their workers did not respond.
+/// Backoff of a phase whose attempts were given up because their workers did not respond or refused them.
 #[derive(Debug, Default)]
 pub(crate) struct PhaseRetry {
     /// Number of attempts given up since the last confirmed start.
@@ -22,9 +22,9 @@
         self.due_ms = now_ms + delay_ms;
     }
 
-    /// Records that an attempt was lost with its worker. Attempts that are lost together count once,
-    /// however many workers they ran on.
-    pub(crate) fn delay_after_loss(&mut self, now_ms: u64) {
+    /// Records that an attempt was lost with its worker or refused. Attempts for which this happens
+    /// together count once, on however many workers.
+    pub(crate) fn delay_once(&mut self, now_ms: u64) {
         if self.is_due(now_ms) {
             self.delay(now_ms);
         }
--- a/crates/cell/tests/cell/advice.rs
+++ b/crates/cell/tests/cell/advice.rs
@@ -8,6 +8,9 @@
 /// Timing of the adviser.
 const TIMING: AdviceTiming = AdviceTiming { call_us: 450_000, worker_us: 6_400, valid_ms: 1_500 };
 
+/// Number of refusals within four seconds if each wait is twice as long as the one before, from 50 ms on.
+const MAX_REFUSALS: usize = 7;
+
 /// Creates a cell with an adviser, whose workers start nothing without a ticket.
 fn advised_cell(workers: usize) -> FakeCell {
     let mut cell = FakeCell::new(workers);
@@ -119,3 +122,14 @@
     assert_eq!(cell.state("1"), Some(JobState::Completed));
     assert!(cell.workers.values().all(|worker| worker.refused_tickets == 0));
 }
+
+/// Guards against a flood of starts that are refused because the leader does not know of an adviser.
+#[test]
+fn a_start_that_is_refused_for_want_of_a_ticket_is_repeated_more_and_more_slowly() {
+    let mut cell = FakeCell::new(1);
+    cell.workers.values_mut().for_each(|worker| worker.needs_tickets = true);
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(4_000);
+    let refused = cell.workers["w0"].refused_tickets;
+    assert!((1..=MAX_REFUSALS).contains(&refused), "refused {refused} times in 4 s");
+}
