Box the inputs in a leader's queue

A job's record has grown by the adviser's timing, and an event without contents need not have its size (clippy: large_enum_variant). No change of behaviour.

--- a/crates/cellnode/src/job_sink.rs
+++ b/crates/cellnode/src/job_sink.rs
@@ -26,7 +26,7 @@
             && let Ok(permit) = self.events.try_reserve()
             && let Some(record) = self.unsent.pop_front()
         {
-            permit.send(LeaderEvent::Input(CellInput::Accepted(record)));
+            permit.send(CellInput::Accepted(record).into());
         }
     }
 }
--- a/crates/cellnode/src/job_sink/tests.rs
+++ b/crates/cellnode/src/job_sink/tests.rs
@@ -21,7 +21,9 @@
 
 fn received(events: &mut mpsc::Receiver<LeaderEvent>) -> Vec<String> {
     let mut ids = Vec::new();
-    while let Ok(LeaderEvent::Input(CellInput::Accepted(record))) = events.try_recv() {
+    while let Ok(LeaderEvent::Input(input)) = events.try_recv()
+        && let CellInput::Accepted(record) = *input
+    {
         ids.push(record.id);
     }
     ids
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -384,7 +384,7 @@
             self.core.set_time(boot_ms(), unix_ms());
             tokio::select! {
                 event = inbox.recv() => match event {
-                    Some(LeaderEvent::Input(input)) => self.core.apply(input),
+                    Some(LeaderEvent::Input(input)) => self.core.apply(*input),
                     Some(LeaderEvent::Deposed) | None => return,
                 },
                 frame = sessions.recv() => {
@@ -399,7 +399,7 @@
             self.core.set_time(boot_ms(), unix_ms());
             while let Ok(event) = inbox.try_recv() {
                 match event {
-                    LeaderEvent::Input(input) => self.core.apply(input),
+                    LeaderEvent::Input(input) => self.core.apply(*input),
                     LeaderEvent::Deposed => return,
                 }
             }
--- a/crates/cellnode/src/worker_sink.rs
+++ b/crates/cellnode/src/worker_sink.rs
@@ -84,12 +84,12 @@
             self.router.update_workers(reports.clone());
             let input = CellInput::Workers(reports);
             // If the queue is full, the list is sent again after the next watch.
-            self.is_changed = self.events.try_send(LeaderEvent::Input(input)).is_err();
+            self.is_changed = self.events.try_send(input.into()).is_err();
         }
         if !self.is_changed && are_current {
             let input = CellInput::WorkersConfirmed { as_of_ms: sent_ms };
             // If the queue is full, the next watch confirms the list.
-            let _ = self.events.try_send(LeaderEvent::Input(input));
+            let _ = self.events.try_send(input.into());
         }
     }
 }
