Remove the entry of a request to the leader however it ends

Cause: LeaderConnection::request returned on a time-out before it removed the entry, and a caller that goes away ends it at any point.

Evidence: read in the code.

Change: the requests in flight are a type of their own, whose entries last as long as their requests.

--- a/crates/cellnode/src/leader_connection.rs
+++ b/crates/cellnode/src/leader_connection.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         AdviserGateway, CellStore, OutsideLinks, WorkerGateway,
+        call_table::CallTable,
         forward_session::ForwardSession,
         frame::{
             AdviceRequestFrame, AdviceResponseFrame, EntryBody, EntryFrame, HelloFrame, LeaderBody,
@@ -14,18 +15,17 @@
     },
     damaskrack_cell::{AdviceCallKey, AdviceRequest},
     futures_util::{SinkExt, StreamExt},
-    rustc_hash::FxHashMap,
     slog::{Logger, info},
     std::{
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicBool, AtomicU64, Ordering},
+            atomic::{AtomicBool, Ordering},
         },
         time::Duration,
     },
     tokio::{
         net::TcpStream,
-        sync::{mpsc, oneshot, watch},
+        sync::{mpsc, watch},
         time::{Instant, interval, sleep, timeout},
     },
     tokio_util::codec::Framed,
@@ -45,7 +45,6 @@
 #[derive(Debug, Default)]
 struct ConnectionState {
     outgoing: Option<mpsc::Sender<EntryFrame>>,
-    calls: FxHashMap<u64, oneshot::Sender<LeaderBody>>,
     status: LeaderStatusFrame,
     /// The leader has sent its status on this connection, so it has read the state.
     is_leader_serving: bool,
@@ -57,7 +56,7 @@
 pub(crate) struct LeaderConnection {
     hello: HelloFrame,
     state: Mutex<ConnectionState>,
-    last_call: AtomicU64,
+    calls: CallTable,
     is_leaving: AtomicBool,
     adviser: Arc<dyn AdviserGateway>,
     workers: Arc<dyn WorkerGateway>,
@@ -86,7 +85,7 @@
         Arc::new(Self {
             hello,
             state: Mutex::new(ConnectionState { status, ..ConnectionState::default() }),
-            last_call: AtomicU64::new(0),
+            calls: CallTable::default(),
             is_leaving: AtomicBool::new(false),
             adviser: external.adviser.clone(),
             workers: external.workers.clone(),
@@ -149,15 +148,11 @@
     /// Sends a request to the leader; `None` if no response arrives within `timeout_ms`
     /// milliseconds.
     pub(crate) async fn request(&self, body: EntryBody, timeout_ms: u64) -> Option<LeaderBody> {
-        let call = self.last_call.fetch_add(1, Ordering::Relaxed) + 1;
-        let (sender, receiver) = oneshot::channel();
-        self.lock().calls.insert(call, sender);
-        let response = match self.send(call, body) {
-            true => timeout(Duration::from_millis(timeout_ms), receiver).await.ok()?.ok(),
+        let call = self.calls.add();
+        match self.send(call.number(), body) {
+            true => call.wait(timeout_ms).await,
             false => None,
-        };
-        self.lock().calls.remove(&call);
-        response
+        }
     }
 
     /// Connects to the current leader, and to each later one, until the task is dropped.
@@ -193,7 +188,7 @@
         let mut state = self.lock();
         state.outgoing = None;
         state.is_leader_serving = false;
-        state.calls.clear();
+        self.calls.clear();
     }
 
     /// Exchanges frames in memory while this daemon leads.
@@ -292,13 +287,7 @@
                 let connection = self.clone();
                 tokio::spawn(async move { connection.forward_to_adviser(request).await });
             }
-            Some(body) => {
-                let waiting = self.lock().calls.remove(&frame.call);
-                if let Some(waiting) = waiting {
-                    // Fails if the request has timed out.
-                    let _ = waiting.send(body);
-                }
-            }
+            Some(body) => self.calls.respond(frame.call, body),
             None => {}
         }
     }
--- a/crates/cellnode/src/lib.rs
+++ b/crates/cellnode/src/lib.rs
@@ -2,6 +2,7 @@
 //! between daemons and the requests of callers. External systems are traits that an adapter
 //! implements.
 
+mod call_table;
 mod clock;
 mod ended_reader;
 mod entry;
