Apply no advice on a former incarnation of a worker to the next one

What callers saw: nothing yet.

Cause: a call to the adviser keeps its workers by key, and a worker keeps its key when it restarts under its id. Advice in hand is discarded then, as the next incarnation may be of another kind, but advice on its way was recorded for the new one, where a denial holds for ever.

Evidence: an_answer_about_a_former_incarnation_denies_nothing failed before.

Change: a worker that restarts is removed from the calls in flight.

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -321,9 +321,12 @@
         self.log("advice", name, detail);
     }
 
-    /// Discards the adviser's decisions about a worker. They hold for one incarnation only, because
-    /// the next one may be of another kind.
+    /// Discards the adviser's decisions about a worker, and those that are to come of the calls in flight.
+    /// They hold for one incarnation only, because the next one may be of another kind.
     pub(super) fn forget_advice(&mut self, key: WorkerKey) {
+        for call in self.advice_calls.values_mut() {
+            call.workers.retain(|worker| *worker != key);
+        }
         for job in &self.live {
             for entry in &mut self.jobs[*job].phases {
                 entry.allowed.remove(&key);
--- a/crates/cell/tests/cell/advice.rs
+++ b/crates/cell/tests/cell/advice.rs
@@ -133,3 +133,22 @@
     let refused = cell.workers["w0"].refused_tickets;
     assert!((1..=MAX_REFUSALS).contains(&refused), "refused {refused} times in 4 s");
 }
+
+/// Guards against an answer about a worker that has restarted since, and may be of another kind: a denial
+/// would hold for the new incarnation for ever.
+#[test]
+fn an_answer_about_a_former_incarnation_denies_nothing() {
+    let mut cell = advised_cell(1);
+    cell.allowed.insert("none".to_owned());
+    cell.holds_advice = true;
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(100);
+    assert_eq!(cell.advice_requests.len(), 1);
+    cell.allowed.clear();
+    cell.reincarnate("w0");
+    cell.list_workers();
+    cell.run(100);
+    cell.deliver_held_advice();
+    cell.run(4_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+}
