Fence an incarnation that answered only what was meant for a former one

What callers saw (TWICE): a task that had ended is run again on a worker that had said that it leaves and returned under its id.

Cause: the next incarnation answers a renewal that was meant for the former one, with the same fencing token as a start request that is still to be carried out late. The leader learns of the restart by the answer, or by the list just before, and gives the worker a higher fence, but counted the answer as one under that fence and asked nothing more. So the incarnation refused nothing that was meant for the former one.

Change: an incarnation counts as fenced once it has answered a request with a fence of its own, and is asked at once until it has; it is kept in the table for that long. A contradicted entry of the list stays as a claim also when the worker's answer came after it, so the worker is in use again once it confirms.

--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -45,7 +45,7 @@
     fn needs_renewal(&self) -> bool {
         let has_work = self.is_busy() || self.pending_ends > 0 || self.has_ends_to_acknowledge();
         let is_awaited = self.is_listed && (!self.has_accepted_token || self.is_silent);
-        self.renew_sent_ms.is_none() && (has_work || is_awaited)
+        self.renew_sent_ms.is_none() && (has_work || is_awaited || self.needs_fence())
     }
 
     /// Returns the time after which a failed renewal is retried, in milliseconds.
@@ -247,7 +247,9 @@
         }
         match response.incarnation.cmp(&worker.report.incarnation) {
             Ordering::Less if !worker.has_responded => {
+                let claim = worker.report.clone();
                 self.restart_worker(key, response.incarnation);
+                self.workers[key].claim = Some(claim);
                 self.log("worker_corrected", id, format!("born={}", response.incarnation));
             }
             Ordering::Less => {
@@ -270,6 +272,11 @@
         let now_ms = self.time.now_ms;
         let worker = &mut self.workers[key];
         worker.record_presence();
+        worker.record_fence();
+        if worker.needs_fence() {
+            // Requests to the former incarnation that are carried out late must find this one fenced.
+            worker.next_renew_ms = now_ms;
+        }
         worker.record_clock(response.clock_ms, now_ms);
         worker.accept_token(now_ms, self.settings.lease_ms);
         let former = std::mem::replace(&mut worker.unreadable_end, response.unreadable_end);
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -131,7 +131,10 @@
             .iter()
             .filter(|(_, worker)| match worker.is_busy() {
                 true => worker.lease_expiry_ms() <= now_ms,
-                false => !worker.is_listed && worker.pending_ends == 0,
+                false => {
+                    let is_fencing = worker.needs_fence() && !worker.is_silent;
+                    !worker.is_listed && worker.pending_ends == 0 && !is_fencing
+                }
             })
             .map(|(key, worker)| (key, worker.is_listed))
             .collect();
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -71,6 +71,11 @@
     /// Last end of which the worker has confirmed the acknowledgement.
     pub(crate) last_acknowledged_end: u64,
     pub(crate) fence: WorkerFence,
+    /// Number of the fence from which on requests are of this incarnation.
+    first_fence: u32,
+    /// The incarnation has responded to a request with such a number, so it refuses all requests to a
+    /// former one.
+    has_accepted_fence: bool,
     /// Number of recorded ends that are not durable yet.
     pub(crate) pending_ends: usize,
     /// Time at which the renewal in flight was sent.
@@ -128,6 +133,8 @@
             unreadable_end: None,
             last_acknowledged_end: 0,
             fence,
+            first_fence: fence.number(),
+            has_accepted_fence: false,
             pending_ends: 0,
             renew_sent_ms: None,
             renew_address: String::new(),
@@ -162,6 +169,8 @@
         self.last_acknowledged_end = 0;
         self.renew_acknowledged_end = 0;
         self.fence.advance();
+        self.first_fence = self.fence.number();
+        self.has_accepted_fence = false;
         self.pending_ends = 0;
         self.failure_streak = 0;
         self.unanswered_starts = 0;
@@ -198,6 +207,18 @@
         }
     }
 
+    /// Records that the present incarnation has responded to the renewal, which may have been meant for
+    /// a former one.
+    pub(crate) fn record_fence(&mut self) {
+        self.has_accepted_fence |= self.renew_fence >= self.first_fence;
+    }
+
+    /// Returns whether the incarnation would still carry out requests to a former one, although it has
+    /// responded.
+    pub(crate) fn needs_fence(&self) -> bool {
+        self.has_responded && !self.has_accepted_fence
+    }
+
     /// Returns whether the worker's process has ended if another worker responded to the renewal.
     pub(crate) fn is_gone_if_replaced(&self) -> bool {
         self.responded_address == self.renew_address
--- a/crates/cell/tests/cell/incarnations.rs
+++ b/crates/cell/tests/cell/incarnations.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::support::{FakeCell, job, random_numbers, step},
-    damaskrack_cell::{AdviceTiming, JobState, RenewOutcome, StepSpec},
+    damaskrack_cell::{AdviceTiming, JobState, RenewOutcome, StartOutcome, StartRefusal, StepSpec},
 };
 
 /// Creates a cell whose only worker has run job "1", so that the leader has ends to acknowledge, and
@@ -309,3 +309,44 @@
         assert!(!cell.has_resigned, "seed {seed}");
     }
 }
+
+/// A cell whose only worker has completed a task by the second of two start requests; the first one may still
+/// be carried out.
+fn cell_with_repeated_start() -> FakeCell {
+    let mut cell = FakeCell::new(1);
+    cell.run(100);
+    cell.workers.get_mut("w0").expect("a worker").defers_next_starts = 1;
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(1_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+    assert_eq!(cell.workers["w0"].deferred_starts.len(), 1);
+    cell
+}
+
+fn assert_late_start_is_refused(cell: &mut FakeCell) {
+    let outcomes = cell.run_deferred_starts("w0");
+    assert_eq!(outcomes, [StartOutcome::Refused(StartRefusal::Fenced)]);
+}
+
+/// Guards against a task that runs twice: the next incarnation answers a renewal that was meant for the former
+/// one, and has therefore seen no number above that of the late start.
+#[test]
+fn a_late_start_is_refused_by_an_incarnation_that_answered_a_renewal_of_the_former_one() {
+    let mut cell = cell_with_repeated_start();
+    cell.reincarnate("w0");
+    cell.run(300);
+    assert_late_start_is_refused(&mut cell);
+}
+
+/// The same if the list of workers tells of the next incarnation before its answer arrives.
+#[test]
+fn a_late_start_is_refused_by_an_incarnation_that_was_listed_before_it_answered() {
+    let mut cell = cell_with_repeated_start();
+    cell.reincarnate("w0");
+    cell.delays_renewals_of = Some("w0".to_owned());
+    cell.run(200);
+    cell.list_workers();
+    cell.deliver_delayed_renewals();
+    cell.run(100);
+    assert_late_start_is_refused(&mut cell);
+}
