Ask the adviser through daemons that respond while others are silent

Cause: the leader asks the adviser through all daemons in turn. A call through a silent connection counts as lost after a second, and then the step may be sent to the next silent daemon.

Change: a daemon that has not responded in time is asked only if all are so, and the step of an overdue call asks through another daemon as well. Either response serves, so a slow adviser or daemon costs nothing but a second call.

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -15,6 +15,7 @@
             AdviceCallEntry, AttemptEntry, AttemptState, DaemonEntry, PhaseEntry, TicketEntry,
         },
     },
+    rustc_hash::FxHashSet,
 };
 
 /// Base duration from which calls count as long, in milliseconds.
@@ -38,6 +39,9 @@
 const LOST_CALL_FACTOR: u64 = 3;
 /// Constant part of that time, in milliseconds.
 const LOST_CALL_MS: u64 = 1_000;
+/// Time beyond the expected end of a call after which its step asks through another daemon as well, in
+/// milliseconds. Either response serves.
+const OVERDUE_MS: u64 = 200;
 /// Maximum number of workers in a call.
 const MAX_WORKERS: usize = 100;
 /// Factor by which the expected number of allowed places exceeds the number of tasks.
@@ -59,7 +63,8 @@
         self.daemons.retain(|daemon| ids.contains(&daemon.id));
         for id in ids {
             if !self.daemons.iter().any(|daemon| daemon.id == *id) {
-                self.daemons.push(DaemonEntry { id: *id, busy_until_ms: 0, calls: 0 });
+                let daemon = DaemonEntry { id: *id, busy_until_ms: 0, calls: 0, is_overdue: false };
+                self.daemons.push(daemon);
             }
         }
         self.daemons.sort_by_key(|daemon| daemon.id);
@@ -80,6 +85,7 @@
     pub(super) fn place_backlog(&mut self) {
         self.back_off_failing();
         self.forget_lost_calls();
+        self.review_daemons();
         self.update_shares();
         self.begin_suspect_backlog();
         let mut prefetch_left = PREFETCH_STEPS;
@@ -115,6 +121,20 @@
         }
     }
 
+    /// Returns whether the response to a call should have come by now.
+    fn is_overdue(&self, call: &AdviceCallEntry) -> bool {
+        self.time.now_ms > call.due_ms + OVERDUE_MS
+    }
+
+    /// Finds out which daemons do not respond in time.
+    fn review_daemons(&mut self) {
+        let calls = self.advice_calls.values().filter(|call| self.is_overdue(call));
+        let overdue: FxHashSet<u64> = calls.map(|call| call.daemon).collect();
+        for daemon in &mut self.daemons {
+            daemon.is_overdue = overdue.contains(&daemon.id);
+        }
+    }
+
     fn request_advice(
         &mut self,
         phase: PhaseRef,
@@ -122,25 +142,34 @@
         prefetch_left: &mut usize,
     ) {
         let Some(timing) = self.advice_timing(phase) else { return };
-        if self.jobs[phase.job].phases[phase.phase].advice_call.is_some() {
+        let present = self.jobs[phase.job].phases[phase.phase].advice_call;
+        let present = present.and_then(|key| self.advice_calls.get(key));
+        if present.is_some_and(|call| !self.is_overdue(call)) {
             *prefetch_left = prefetch_left.saturating_sub(1);
             return;
         }
+        let is_repeated = present.is_some();
         let is_long = timing.call_us / 1_000 >= LONG_CALL_MS;
         let may_prefetch = is_long && *prefetch_left > 0;
         let Some(daemon) = self.pick_daemon(is_long) else { return };
+        if is_repeated && self.daemons[daemon].is_overdue {
+            // Asking there once more would be of no use.
+            return;
+        }
         let workers = self.workers_to_name(phase, available, may_prefetch);
         if workers.is_empty() {
             return;
         }
         let expected_ms = timing.duration_us(workers.len()) / 1_000 + CALL_OVERHEAD_MS;
         *prefetch_left = prefetch_left.saturating_sub(1);
+        let now_ms = self.time.now_ms;
         let call = AdviceCallEntry {
             phase,
             daemon: self.daemons[daemon].id,
             workers,
             expected_ms,
-            sent_ms: self.time.now_ms,
+            sent_ms: now_ms,
+            due_ms: self.daemons[daemon].busy_until_ms.max(now_ms) + expected_ms,
             valid_ms: timing.valid_ms,
         };
         self.send_advice_request(daemon, call);
@@ -231,8 +260,8 @@
     }
 
     /// Chooses the daemon that can serve a call first. A daemon whose calls take longer than
-    /// expected, for example because of calls of a former leader, gets no more until it has
-    /// responded.
+    /// expected, for example because of calls of a former leader or of a connection that has gone silent,
+    /// is asked only if all do, and gets no more than a few until it has responded.
     fn pick_daemon(&self, is_long: bool) -> Option<usize> {
         let now_ms = self.time.now_ms;
         let reserved = self
@@ -245,13 +274,16 @@
         let max_calls = if is_long { MAX_LONG_CALLS } else { MAX_SHORT_CALLS };
         (first..self.daemons.len())
             .filter(|index| self.daemons[*index].calls < max_calls)
-            .min_by_key(|index| self.daemons[*index].busy_until_ms)
+            .min_by_key(|index| {
+                let daemon = &self.daemons[*index];
+                (daemon.is_overdue, daemon.busy_until_ms)
+            })
             .filter(|index| self.daemons[*index].busy_until_ms <= now_ms + limit_ms)
     }
 
     fn send_advice_request(&mut self, daemon: usize, call: AdviceCallEntry) {
         let daemon = &mut self.daemons[daemon];
-        daemon.busy_until_ms = daemon.busy_until_ms.max(call.sent_ms) + call.expected_ms;
+        daemon.busy_until_ms = call.due_ms;
         daemon.calls += 1;
         let PhaseRef { job, phase } = call.phase;
         let (daemon, expected_ms) = (call.daemon, call.expected_ms);
@@ -277,7 +309,9 @@
     fn remove_advice_call(&mut self, key: AdviceCallKey) -> Option<AdviceCallEntry> {
         let call = self.advice_calls.remove(key)?;
         self.release_daemon(&call);
-        if let Some(entry) = self.phase_mut(call.phase) {
+        if let Some(entry) = self.phase_mut(call.phase)
+            && entry.advice_call == Some(key)
+        {
             entry.advice_call = None;
         }
         Some(call)
--- a/crates/cell/src/table/advice_call.rs
+++ b/crates/cell/src/table/advice_call.rs
@@ -10,6 +10,8 @@
     pub(crate) workers: Vec<WorkerKey>,
     pub(crate) expected_ms: u64,
     pub(crate) sent_ms: u64,
+    /// Time at which the response is expected.
+    pub(crate) due_ms: u64,
     /// Validity of the tickets that the response brings, in milliseconds.
     pub(crate) valid_ms: u64,
 }
@@ -22,4 +24,6 @@
     pub(crate) busy_until_ms: u64,
     /// Number of calls in flight.
     pub(crate) calls: usize,
+    /// The response to one of them should have come by now.
+    pub(crate) is_overdue: bool,
 }
--- a/crates/cell/tests/cell/advice.rs
+++ b/crates/cell/tests/cell/advice.rs
@@ -152,3 +152,27 @@
     cell.run(4_000);
     assert_eq!(cell.state("1"), Some(JobState::Completed));
 }
+
+/// Timing of an adviser that decides quickly.
+const QUICK_TIMING: AdviceTiming = AdviceTiming { call_us: 9_000, worker_us: 100, valid_ms: 1_500 };
+/// Time within which a job of one task is done while only some daemons respond, in milliseconds: the run time
+/// of its task, and half of the time after which a call counts as lost whatever others do.
+const DONE_DESPITE_SILENCE_MS: u64 = 1_000;
+
+/// Guards against steps that wait a second for a daemon whose connection has gone silent, one after the other.
+#[test]
+fn steps_ask_through_daemons_that_respond_while_others_are_silent() {
+    let mut cell = FakeCell::new(8);
+    cell.add_adviser(QUICK_TIMING);
+    cell.start_leader();
+    cell.run(200);
+    cell.silent_daemons = [1, 2].into();
+    for round in 0..10 {
+        let ids: Vec<String> = (0..2).map(|index| format!("{round}-{index}")).collect();
+        ids.iter().for_each(|id| cell.submit(job(id, vec![step(1)])));
+        cell.run(DONE_DESPITE_SILENCE_MS);
+        for id in &ids {
+            assert_eq!(cell.state(id), Some(JobState::Completed), "{id}");
+        }
+    }
+}
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -222,6 +222,8 @@
     pub(crate) advice_requests: Vec<AdviceRequest>,
     /// Number of the adviser's next responses to lose.
     pub(crate) lost_advice: usize,
+    /// Daemons whose calls to the adviser get no response.
+    pub(crate) silent_daemons: BTreeSet<u64>,
     /// The adviser's responses wait in `held_advice`.
     pub(crate) holds_advice: bool,
     held_advice: Vec<CellInput>,
@@ -312,6 +314,7 @@
             starts: Vec::new(),
             advice_requests: Vec::new(),
             lost_advice: 0,
+            silent_daemons: BTreeSet::new(),
             holds_advice: false,
             held_advice: Vec::new(),
             allowed: BTreeSet::new(),
@@ -628,8 +631,10 @@
         let ticket = |id: &String| WorkerTicket { worker: id.clone(), ticket: "t".to_owned() };
         let input =
             CellInput::Advice { call: request.call, allowed: Some(allowed.map(ticket).collect()) };
+        let is_silent = self.silent_daemons.contains(&request.daemon);
         self.advice_requests.push(request);
         match self.lost_advice {
+            _ if is_silent => {}
             0 if self.holds_advice => self.held_advice.push(input),
             0 => self.apply(input),
             _ => self.lost_advice -= 1,
