Ask a daemon at once that has connected anew

Cause: calls through a former connection of a daemon counted as in flight until they counted as lost, and the daemon as overdue for that long.

Change: the leader knows by the first frame of a new session that the former one is over, and ends its calls (DaemonReconnected).

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -68,7 +68,12 @@
             }
         }
         self.daemons.sort_by_key(|daemon| daemon.id);
-        for key in self.advice_calls_where(|call| !ids.contains(&call.daemon)) {
+        self.finish_advice_through(|daemon| !ids.contains(&daemon));
+    }
+
+    /// Ends the calls through daemons whose connections have ended.
+    pub(super) fn finish_advice_through(&mut self, is_lost: impl Fn(u64) -> bool) {
+        for key in self.advice_calls_where(|call| is_lost(call.daemon)) {
             self.finish_advice(key, None);
         }
     }
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -213,6 +213,7 @@
             CellInput::Workers(reports) => self.update_workers(reports),
             CellInput::WorkersConfirmed { as_of_ms } => self.worker_list.confirm(as_of_ms),
             CellInput::Daemons(ids) => self.update_daemons(&ids),
+            CellInput::DaemonReconnected(id) => self.finish_advice_through(|daemon| daemon == id),
             CellInput::Accepted(record) => self.accept(record),
             CellInput::Ended { id, progress } => self.learn_ended(&id, &progress),
             CellInput::EndedKnown => self.are_ended_known = true,
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -157,6 +157,8 @@
     },
     /// Ids of the connected daemons, through which the adviser is called.
     Daemons(Vec<u64>),
+    /// The daemon with this id has a new connection, so calls through the former one may have been lost.
+    DaemonReconnected(u64),
     /// A job was accepted and is already in the store.
     Accepted(JobRecord),
     /// A job ended under a former leader.
--- a/crates/cell/tests/cell/advice.rs
+++ b/crates/cell/tests/cell/advice.rs
@@ -176,3 +176,23 @@
         }
     }
 }
+
+/// Guards against a daemon that is back, and is not asked until the calls through its former connection count as
+/// lost.
+#[test]
+fn a_daemon_that_has_connected_anew_is_asked_at_once() {
+    let mut cell = FakeCell::new(8);
+    cell.add_adviser(QUICK_TIMING);
+    cell.start_leader();
+    cell.run(200);
+    cell.silent_daemons = [1, 2, 3].into();
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(800);
+    assert_eq!(cell.advice_requests.len(), 3, "each daemon has been asked");
+    cell.silent_daemons.clear();
+    cell.apply(CellInput::DaemonReconnected(2));
+    cell.run(50);
+    assert_eq!(cell.advice_requests.last().map(|request| request.daemon), Some(2));
+    cell.run(DONE_DESPITE_SILENCE_MS);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+}
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -143,6 +143,8 @@
     /// Session and call number of each request that waits for a commit, by the core's handle.
     pending_replies: FxHashMap<u64, (u64, u64)>,
     last_reply_id: u64,
+    /// Session of each connected daemon.
+    daemon_sessions: FxHashMap<u64, u64>,
     /// Jobs that daemons have offered and may be writing, by id.
     offers: FxHashMap<String, JobOffer>,
     next_transfer_ms: u64,
@@ -179,6 +181,7 @@
         ),
         pending_replies: FxHashMap::default(),
         last_reply_id: 0,
+        daemon_sessions: FxHashMap::default(),
         offers: FxHashMap::default(),
         next_transfer_ms: 0,
         list_read_ms: Arc::default(),
@@ -466,19 +469,35 @@
         }
     }
 
+    /// Records which session a daemon uses now.
+    fn record_session(&mut self, daemon: u64, session: u64) {
+        let former = self.daemon_sessions.get(&daemon).copied();
+        if former.is_some_and(|former| former >= session) {
+            return;
+        }
+        self.daemon_sessions.insert(daemon, session);
+        if former.is_some() {
+            info!(self.context.logger, "daemon_reconnected"; "daemon" => daemon,
+                "session" => session);
+            self.core.apply(CellInput::DaemonReconnected(daemon));
+        }
+    }
+
     fn update_daemons(&mut self, daemons: &[HelloFrame]) {
         self.router.update_daemons(daemons);
-        let ids = daemons.iter().map(|hello| hello.daemon).collect();
+        let ids: Vec<u64> = daemons.iter().map(|hello| hello.daemon).collect();
+        self.daemon_sessions.retain(|daemon, _| ids.contains(daemon));
         self.core.apply(CellInput::Daemons(ids));
     }
 
     fn handle_frame(&mut self, SessionFrame { session, frame }: SessionFrame) {
         let registry = &self.context.registry;
         match frame.body {
-            Some(EntryBody::Hello(_)) => {
+            Some(EntryBody::Hello(hello)) => {
                 let daemons = registry.daemons();
                 // A daemon sends no requests before it has the status.
                 registry.send(session, 0, &LeaderBody::Status(self.status(&daemons)));
+                self.record_session(hello.daemon, session);
                 self.update_daemons(&daemons);
             }
             Some(EntryBody::Accepted(record)) => self.core.apply(CellInput::Accepted(record)),
