Let a late frame of a former session not end the present one

What callers saw: nothing known.

Cause: identify_session ended all other sessions of the daemon, also later ones.

Evidence: a_late_heartbeat_of_a_former_session_does_not_end_the_present_one failed before.

Change: only earlier sessions end.

--- a/crates/cellnode/src/session_registry.rs
+++ b/crates/cellnode/src/session_registry.rs
@@ -97,11 +97,12 @@
         Some((session, inbox, receiver))
     }
 
-    /// Records which daemon a session belongs to and ends any older session of that daemon.
+    /// Records which daemon a session belongs to and ends any older session of that daemon, whose
+    /// frames may still come.
     pub(crate) fn identify_session(&self, session: u64, hello: HelloFrame) {
         let mut state = self.lock();
         let is_other = |entry: &SessionEntry| entry.hello.daemon != hello.daemon;
-        state.sessions.retain(|entry| entry.session == session || is_other(entry));
+        state.sessions.retain(|entry| entry.session >= session || is_other(entry));
         if let Some(entry) = state.sessions.iter_mut().find(|entry| entry.session == session) {
             entry.hello = hello;
         }
@@ -232,3 +233,6 @@
     }
     inbox.send(SessionFrame { session, frame }).await.is_ok()
 }
+
+#[cfg(test)]
+mod tests;
