Take a lower number for the next incarnation of a worker that has answered

Cause: `born` was read as an order. Answers with a lower one were dropped as those of a former incarnation, while they kept the leases alive in the leader's books, and entries with a lower one were ignored.

In the core, a_worker_that_restarts_with_a_lower_number_is_its_next_incarnation and a_worker_that_restarts_elsewhere_with_a_lower_number_is_found_by_its_entry failed before.

Change: at most one renewal is in flight, so once the known incarnation has responded, another one is later whatever its number. An entry with a lower number is a claim, which counts once the worker does not respond.

--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -245,6 +245,9 @@
             let due_ms = now_ms + DELAYED_ACKNOWLEDGEMENT_PAUSE_MS;
             worker.next_renew_ms = worker.next_renew_ms.max(due_ms);
         }
+        // At most one renewal is in flight. So if the known incarnation has responded, this renewal was
+        // sent after that, and another incarnation is a later one, also if its host's clock has jumped
+        // back and its number is lower.
         match response.incarnation.cmp(&worker.report.incarnation) {
             Ordering::Less if !worker.has_responded => {
                 let claim = worker.report.clone();
@@ -252,13 +255,9 @@
                 self.workers[key].claim = Some(claim);
                 self.log("worker_corrected", id, format!("born={}", response.incarnation));
             }
-            Ordering::Less => {
-                worker.next_renew_ms = now_ms;
-                self.log("hold_outdated", id, "a former incarnation answered");
-                return;
-            }
             Ordering::Equal => {}
-            Ordering::Greater => {
+            Ordering::Less | Ordering::Greater => {
+                self.record_losses(key, LossCause::Crash);
                 self.switch_incarnation(key, response.incarnation);
                 self.workers[key].is_listed = false;
                 self.log("worker_restarted", id, format!("born={}", response.incarnation));
--- a/crates/cell/src/core/worker_claims.rs
+++ b/crates/cell/src/core/worker_claims.rs
@@ -6,7 +6,7 @@
 //! of what the former incarnation runs.
 
 use {
-    super::CellCore,
+    super::{CellCore, losses::LossCause},
     crate::{WorkerKey, WorkerReport, table::WorkerEntry},
 };
 
@@ -15,8 +15,8 @@
 enum ClaimStep {
     /// It describes the worker.
     Adopt,
-    /// It is of a former incarnation.
-    Ignore,
+    /// It is of a former incarnation, or of a next one on a host whose clock has jumped back.
+    Remember,
     /// The worker responds, so it is asked.
     Ask,
 }
@@ -29,7 +29,10 @@
             return ClaimStep::Adopt;
         }
         if report.incarnation < self.report.incarnation {
-            return ClaimStep::Ignore;
+            return match self.is_silent {
+                true => ClaimStep::Adopt,
+                false => ClaimStep::Remember,
+            };
         }
         if self.is_busy() && !self.is_silent { ClaimStep::Ask } else { ClaimStep::Adopt }
     }
@@ -40,7 +43,7 @@
     pub(super) fn update_known_worker(&mut self, key: WorkerKey, report: WorkerReport) {
         match self.workers[key].claim_step(&report) {
             ClaimStep::Adopt => self.adopt_report(key, report),
-            ClaimStep::Ignore => {}
+            ClaimStep::Remember => self.workers[key].claim = Some(report),
             ClaimStep::Ask => self.ask_for_claim(key, report),
         }
     }
@@ -99,6 +102,9 @@
 
     fn adopt_report(&mut self, key: WorkerKey, report: WorkerReport) {
         if report.incarnation != self.workers[key].report.incarnation {
+            if report.incarnation > self.workers[key].report.incarnation {
+                self.record_losses(key, LossCause::Crash);
+            }
             self.switch_incarnation(key, report.incarnation);
             self.workers[key].next_renew_ms = 0;
         }
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -54,12 +54,8 @@
         }
     }
 
-    /// Switches to another incarnation of a worker and forgets what was known of the present one. If the
-    /// other one is later, the present one has crashed.
+    /// Switches to another incarnation of a worker and forgets what was known of the present one.
     pub(super) fn switch_incarnation(&mut self, key: WorkerKey, incarnation: u64) {
-        if incarnation > self.workers[key].report.incarnation {
-            self.record_losses(key, LossCause::Crash);
-        }
         self.restart_worker(key, incarnation);
         self.forget_advice(key);
     }
--- a/crates/cell/tests/cell/incarnations.rs
+++ b/crates/cell/tests/cell/incarnations.rs
@@ -3,7 +3,9 @@
 
 use {
     crate::support::{FakeCell, job, random_numbers, step},
-    damaskrack_cell::{AdviceTiming, JobState, RenewOutcome, StartOutcome, StartRefusal, StepSpec},
+    damaskrack_cell::{
+        AdviceTiming, CellInput, JobState, RenewOutcome, StartOutcome, StartRefusal, StepSpec,
+    },
 };
 
 /// Creates a cell whose only worker has run job "1", so that the leader has ends to acknowledge, and
@@ -350,3 +352,66 @@
     cell.run(100);
     assert_late_start_is_refused(&mut cell);
 }
+
+/// Restarts a worker under its id on a host whose time of day has jumped back, so the number of the new
+/// incarnation is lower.
+fn restart_after_clock_jump(cell: &mut FakeCell, id: &str) {
+    cell.reincarnate(id);
+    cell.workers.get_mut(id).expect("a worker").report.incarnation -= 3;
+}
+
+/// A cell whose only worker has a number that can fall.
+fn cell_with_high_incarnation() -> FakeCell {
+    let mut cell = FakeCell::new(1);
+    cell.add_worker("w0", 9, "r0");
+    cell.list_workers();
+    cell.run(200);
+    cell
+}
+
+/// Guards against a worker whose answers are dropped for ever, while what it lost counts as running.
+#[test]
+fn a_worker_that_restarts_with_a_lower_number_is_its_next_incarnation() {
+    let mut cell = cell_with_high_incarnation();
+    cell.run_ms = 2_000;
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(500);
+    restart_after_clock_jump(&mut cell, "w0");
+    cell.list_workers();
+    cell.run(6_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+    cell.submit(job("2", vec![step(1)]));
+    cell.run(3_000);
+    assert_eq!(cell.state("2"), Some(JobState::Completed));
+}
+
+/// The same if the next incarnation listens at another address, which only its entry tells.
+#[test]
+fn a_worker_that_restarts_elsewhere_with_a_lower_number_is_found_by_its_entry() {
+    let mut cell = cell_with_high_incarnation();
+    cell.run_ms = 2_000;
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(500);
+    let former = cell.workers.get_mut("w0").expect("a worker");
+    former.runs.clear();
+    former.is_silent = true;
+    former.is_unlisted = true;
+    cell.add_worker("w1", 6, "r0");
+    cell.workers.get_mut("w1").expect("a worker").report.id = "w0".to_owned();
+    cell.list_workers();
+    cell.run(14_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+}
+
+/// An entry with a lower number than that of the worker, which goes on, changes nothing.
+#[test]
+fn an_entry_with_a_lower_number_takes_no_worker_out_of_service() {
+    let mut cell = cell_with_high_incarnation();
+    let mut report = cell.workers["w0"].report.clone();
+    report.incarnation = 5;
+    cell.apply(CellInput::Workers(vec![report]));
+    cell.run(300);
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(1_500);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+}
