Blame no task for a crash of a worker that was out of reach

Cause: when a worker came back with a later incarnation, all attempts that the leader still had there counted as crashed with it, whatever had happened since the last answer.

Evidence: in logs, 513 of 513 losses with workers that tasks had crashed came with a connection that broke within 0.4 s; 747 of 765 with workers that had been cut off came after a time-out. a_task_whose_workers_restart_behind_a_cut_is_not_given_up failed before.

Change: only a connection that broke, or a restart between two answers, counts as a crash under what ran there. The rest is logged with cause=Unreachable.

--- a/crates/cell/src/core/losses.rs
+++ b/crates/cell/src/core/losses.rs
@@ -41,6 +41,8 @@
     Crash,
     /// The worker's leases have expired; it may be unreachable.
     LeaseExpiry,
+    /// The worker could not be reached, whether it has crashed since or not.
+    Unreachable,
 }
 
 /// Returns whether an attempt may have been running and has not been recorded as lost.
@@ -55,6 +57,9 @@
             return;
         }
         let lost_ms = self.workers[worker].lost_ms.unwrap_or(self.time.now_ms);
+        if !self.workers[worker].was_reached_until_loss() {
+            return self.log_unreachable(worker);
+        }
         // An attempt of a job that has ended may be the cause as well.
         let lost: Vec<AttemptKey> = self.workers[worker]
             .attempts
@@ -94,6 +99,16 @@
         }
     }
 
+    /// Logs the attempts that were lost with a worker that could not be reached. None counts as crashed.
+    fn log_unreachable(&mut self, worker: WorkerKey) {
+        let attempts: Vec<AttemptKey> = self.workers[worker].attempts.values().copied().collect();
+        for key in attempts {
+            if may_have_run(&self.attempts[key]) && self.has_task(self.attempts[key].task()) {
+                self.log_loss(key, LossCause::Unreachable, false);
+            }
+        }
+    }
+
     /// Returns whether all attempts that had just been started on a worker are tests of tasks that were
     /// accused alone.
     fn is_test_of_lone_suspects(&self, recent: &[AttemptKey]) -> bool {
@@ -191,6 +206,7 @@
                 self.task_mut(task).lost = Some(lost.clone());
                 self.restore_loss(task, Some(&lost));
             }
+            LossCause::Unreachable => {}
         }
     }
 
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -13,6 +13,9 @@
     pub(crate) at_ms: u64,
 }
 
+/// Shortest time beyond its wait after which a renewal without a response has timed out, in milliseconds.
+/// One that fails sooner was on a connection that broke.
+const MIN_RENEW_TIMEOUT_MS: u64 = 300;
 /// Slowest rate of a worker's clock relative to the local clock, in percent.
 const SLOWEST_CLOCK_PERCENT: u64 = 97;
 /// Margin after a lease's deadline before its attempts count as expired, in milliseconds.
@@ -98,6 +101,9 @@
     pub(crate) is_silent: bool,
     /// Estimated time at which the worker stopped responding, since its last response.
     pub(crate) lost_ms: Option<u64>,
+    /// The connection to the worker broke at that time, as it does when its process ends. Otherwise
+    /// requests timed out, and what became of the worker since is not known.
+    is_lost_by_break: bool,
     /// The worker gets no new work before this time.
     pub(crate) backoff_until_ms: u64,
     /// Number of failed attempts and refusals as unavailable since the last completed attempt.
@@ -145,6 +151,7 @@
             next_renew_ms: 0,
             is_silent: false,
             lost_ms: None,
+            is_lost_by_break: false,
             backoff_until_ms: 0,
             failure_streak: 0,
             unanswered_starts: 0,
@@ -188,12 +195,24 @@
         }
     }
 
-    /// Records that a renewal had a response or none. A connection that breaks while the worker may
-    /// still delay its response shows when the worker was lost.
+    /// Records that a renewal had a response or none. A connection that breaks shows when the worker was
+    /// lost.
     pub(crate) fn record_response(&mut self, is_silent: bool, sent_ms: u64, now_ms: u64) {
-        let is_broken = now_ms < sent_ms + self.renew_wait_ms;
-        let lost_ms = if is_broken { now_ms } else { sent_ms };
-        self.lost_ms = is_silent.then_some(self.lost_ms.unwrap_or(lost_ms));
+        let is_broken = now_ms < sent_ms + self.renew_wait_ms + MIN_RENEW_TIMEOUT_MS;
+        if is_silent && self.lost_ms.is_none() {
+            self.lost_ms = Some(if is_broken { now_ms } else { sent_ms });
+            self.is_lost_by_break = is_broken;
+        }
+        if !is_silent {
+            self.lost_ms = None;
+        }
+    }
+
+    /// Returns whether the worker could be reached until it was lost, so that a crash which is known of now
+    /// was the cause. One that happened while the worker could not be reached says nothing about what
+    /// had been started there: it may have ended, or never begun.
+    pub(crate) fn was_reached_until_loss(&self) -> bool {
+        self.lost_ms.is_none() || self.is_lost_by_break
     }
 
     /// Records that the present incarnation has responded to the renewal, where that was sent.
--- a/crates/cell/tests/cell/crashes.rs
+++ b/crates/cell/tests/cell/crashes.rs
@@ -315,3 +315,38 @@
     cell.run(1_000);
     assert_eq!(cell.state("2"), Some(JobState::Completed));
 }
+
+/// Cuts the worker off that runs the job's task. The run ends there, and the worker restarts before it can be
+/// reached again.
+fn cut_off_and_restart(cell: &mut FakeCell) {
+    let (id, _) = cell.workers.iter().find(|(_, worker)| !worker.runs.is_empty()).expect("a run");
+    let id = id.clone();
+    cell.workers.get_mut(&id).expect("a worker").is_silent = true;
+    cell.run(2_500);
+    cell.reincarnate(&id);
+    cell.workers.get_mut(&id).expect("a worker").is_silent = true;
+    cell.list_workers();
+    cell.run(3_000);
+    cell.workers.get_mut(&id).expect("a worker").is_silent = false;
+}
+
+/// Guards against a job that is given up for crashes behind a cut, where its task had ended before.
+#[test]
+fn a_task_whose_workers_restart_behind_a_cut_is_not_given_up() {
+    let mut cell = FakeCell::new(6);
+    cell.has_timeouts = true;
+    cell.run_ms = 1_500;
+    cell.submit(job("1", vec![step(1)]));
+    for _ in 0..8 {
+        for _ in 0..300 {
+            cell.run(50);
+            if cell.workers.values().any(|worker| !worker.runs.is_empty() && !worker.is_silent) {
+                break;
+            }
+        }
+        cell.run(500);
+        cut_off_and_restart(&mut cell);
+    }
+    cell.run(20_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed));
+}
