Take a watch that waits for no outage of the store

Cause: a daemon measures how long it has had no contact with the store by the times at which its answered calls were sent. A follower's only calls are watches, which wait for 1.2 s, so while one waits the last answered one was sent up to 2.6 s ago, which counts as an outage. A leader that is elected then waits until the workers' entries can have been renewed.

Evidence: a_watch_that_waits_is_no_outage failed before.

Change: contact is measured by the times of the responses. An outage that a waiting watch survives is noticed as well (an_outage_that_a_watch_survives_is_noticed).

--- a/crates/cellnode/src/node.rs
+++ b/crates/cellnode/src/node.rs
@@ -380,7 +380,7 @@
             }
         }
         self.config_confirmed_ms.fetch_max(sent_ms, Ordering::Relaxed);
-        self.contact.record_response(sent_ms);
+        self.contact.record_response();
     }
 }
 
--- a/crates/cellnode/src/store_contact.rs
+++ b/crates/cellnode/src/store_contact.rs
@@ -14,9 +14,8 @@
 
 #[derive(Debug)]
 struct ContactState {
-    /// Time at which the last call was sent to which the store responded; at first the time at which
-    /// the daemon started.
-    confirmed_ms: u64,
+    /// Time of the last response; at first the time at which the daemon started.
+    responded_ms: u64,
     /// Time of the first response after the last outage that the daemon has seen; 0 if it has seen none.
     regained_ms: u64,
 }
@@ -36,7 +35,7 @@
     }
 
     fn starting_at(started_ms: u64, report_delay_ms: u64) -> Self {
-        let state = ContactState { confirmed_ms: started_ms, regained_ms: 0 };
+        let state = ContactState { responded_ms: started_ms, regained_ms: 0 };
         Self { report_delay_ms, state: Mutex::new(state) }
     }
 
@@ -44,18 +43,23 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that the store has responded to a call sent at `sent_ms`, in milliseconds since the host
-    /// booted.
-    pub(crate) fn record_response(&self, sent_ms: u64) {
-        self.record(sent_ms, boot_ms());
+    /// Records that the store has responded to a watch. It may have been down while the watch waited, for as
+    /// long as no other response came.
+    pub(crate) fn record_response(&self) {
+        self.record_response_at(boot_ms());
     }
 
-    fn record(&self, sent_ms: u64, received_ms: u64) {
+    fn record_response_at(&self, received_ms: u64) {
+        self.record(received_ms, received_ms);
+    }
+
+    /// Records a response, and that the store was in contact by `contact_ms`.
+    fn record(&self, contact_ms: u64, received_ms: u64) {
         let mut state = self.lock();
-        if sent_ms > state.confirmed_ms + OUTAGE_MS {
+        if contact_ms > state.responded_ms + OUTAGE_MS {
             state.regained_ms = received_ms;
         }
-        state.confirmed_ms = state.confirmed_ms.max(sent_ms);
+        state.responded_ms = state.responded_ms.max(received_ms);
     }
 
     /// Records that the entries of all workers were read by a call sent at `read_ms`, and returns whether
--- a/crates/cellnode/src/store_contact/tests.rs
+++ b/crates/cellnode/src/store_contact/tests.rs
@@ -10,7 +10,7 @@
 /// Records a response every [`CALL_INTERVAL_MS`].
 fn respond(contact: &StoreContact, from_ms: u64, to_ms: u64) {
     let calls = (from_ms..to_ms).step_by(usize::try_from(CALL_INTERVAL_MS).unwrap_or(1));
-    calls.for_each(|sent_ms| contact.record(sent_ms, sent_ms + 5));
+    calls.for_each(|sent_ms| contact.record_response_at(sent_ms + 5));
 }
 
 /// The store was down for four seconds, in which workers could report nothing.
@@ -54,3 +54,32 @@
     respond(&contact, 21_300, 22_000);
     assert!(contact.record_entries_at(21_300, 21_300));
 }
+
+/// Duration of a watch that ends without changes, in milliseconds.
+const WATCH_MS: u64 = 1_330;
+
+/// Records the responses to watches of a daemon that does nothing else.
+fn follow(contact: &StoreContact, from_ms: u64, watches: u64) -> u64 {
+    let responses = (1..=watches).map(|watch| from_ms + watch * WATCH_MS);
+    responses.clone().for_each(|received_ms| contact.record_response_at(received_ms));
+    responses.last().unwrap_or(from_ms)
+}
+
+/// Guards against a new leader that starts nothing for two seconds, because it was elected while a watch of
+/// its own waited.
+#[test]
+fn a_watch_that_waits_is_no_outage() {
+    let contact = StoreContact::starting_at(10_000, REPORT_DELAY_MS);
+    let responded_ms = follow(&contact, 10_000, 10);
+    assert!(contact.record_entries_at(responded_ms + WATCH_MS - 100, responded_ms + WATCH_MS));
+}
+
+/// The store stopped while a watch waited, and responded to it later.
+#[test]
+fn an_outage_that_a_watch_survives_is_noticed() {
+    let contact = StoreContact::starting_at(10_000, REPORT_DELAY_MS);
+    let responded_ms = follow(&contact, 10_000, 10);
+    contact.record_response_at(responded_ms + 3 * WATCH_MS);
+    let read_ms = responded_ms + 3 * WATCH_MS + 50;
+    assert!(!contact.record_entries_at(read_ms, read_ms + 5));
+}
