--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -315,7 +315,8 @@
         worker.has_reported_ends = true;
         let name = (ended.task.clone(), ended.attempt);
         let Some(&attempt) = worker.attempts.get(&name) else {
-            self.log("end_of_unknown", &ended.task, format!("attempt={}", ended.attempt));
+            let detail = format!("attempt={} kind={:?}", ended.attempt, ended.kind);
+            self.log("end_of_unknown", &ended.task, detail);
             self.apply_unknown_end(key, ended);
             return;
         };
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -13,6 +13,7 @@
 mod backlog;
 mod commit;
 mod completion;
+mod expired_attempts;
 mod jobs;
 mod lease_bounds;
 mod leases;
@@ -46,6 +47,7 @@
     },
     admission::BacklogLoad,
     commit::CommitQueue,
+    expired_attempts::ExpiredAttempts,
     lease_bounds::LeaseBounds,
     lone_suspects::LoneSuspects,
     loss_times::LossTimes,
@@ -98,6 +100,7 @@
     attempts: SlotMap<AttemptKey, AttemptEntry>,
     /// Lost attempts of which it is not known whether their workers crashed.
     losses: SlotMap<LossKey, LossEntry>,
+    expired_attempts: ExpiredAttempts,
     loss_times: LossTimes,
     lease_bounds: LeaseBounds,
     suspect_groups: SuspectGroups,
@@ -155,6 +158,7 @@
             worker_list: WorkerList::default(),
             attempts: SlotMap::with_key(),
             losses: SlotMap::with_key(),
+            expired_attempts: ExpiredAttempts::default(),
             loss_times: LossTimes::default(),
             lease_bounds: LeaseBounds::default(),
             suspect_groups: SuspectGroups::default(),
--- a/crates/cell/src/core/orphans.rs
+++ b/crates/cell/src/core/orphans.rs
@@ -16,6 +16,7 @@
         key: WorkerKey,
         running: &RunningAttempt,
     ) -> Option<AttemptKey> {
+        self.check_expiry(key, running);
         let unfinished = self.find_task(&running.task).filter(|(phase, index)| {
             let task = &self.jobs[phase.job].phases[phase.phase].tasks[*index];
             task.attempt.is_none() && task.last_number <= running.attempt && !self.is_gang(*phase)
@@ -33,6 +34,18 @@
         Some(attempt)
     }
 
+    /// Logs a run that has outlasted the end of its lease.
+    fn check_expiry(&mut self, key: WorkerKey, running: &RunningAttempt) {
+        let report = &self.workers[key].report;
+        let incarnation = (report.id.as_str(), report.incarnation);
+        let (task, number) = (running.task.as_str(), running.attempt);
+        if let Some(released_ms) = self.expired_attempts.released_ms(incarnation, task, number) {
+            let ago_ms = self.time.now_ms - released_ms;
+            let detail = format!("attempt={number} worker={} released_ms_ago={ago_ms}", report.id);
+            self.log("lease_outlasted", task, detail);
+        }
+    }
+
     /// Finds an unfinished task of a live job by its name.
     pub(super) fn find_task(&self, name: &str) -> Option<(PhaseRef, usize)> {
         let mut parts = name.split('.');
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -47,11 +47,20 @@
 
     /// Switches to another incarnation of a worker, which has listed no attempt yet.
     pub(super) fn restart_worker(&mut self, key: WorkerKey, incarnation: u64) {
+        let now_ms = self.time.now_ms;
         let worker = &mut self.workers[key];
+        let id = worker.report.id.clone();
+        let detail = format!(
+            "born={incarnation} former={} renewal_open={} deadline_sent_ms_ago={}",
+            worker.report.incarnation,
+            worker.renew_sent_ms.is_some(),
+            now_ms.saturating_sub(worker.deadline_sent_ms)
+        );
         worker.restart(incarnation);
         for attempt in worker.attempts.values() {
             self.attempts[*attempt].is_start_settled = false;
         }
+        self.log("incarnation_switched", id, detail);
     }
 
     /// Switches to another incarnation of a worker and forgets what was known of the present one.
@@ -118,6 +127,15 @@
         }
     }
 
+    /// Remembers the attempts on a worker whose leases have expired.
+    fn record_expiry(&mut self, key: WorkerKey) {
+        let worker = &self.workers[key];
+        let incarnation = (worker.report.id.as_str(), worker.report.incarnation);
+        for (task, number) in worker.attempts.keys() {
+            self.expired_attempts.record(incarnation, task.clone(), *number, self.time.now_ms);
+        }
+    }
+
     /// Releases the attempts on workers whose leases have expired, and removes unlisted idle
     /// workers.
     pub(super) fn expire_leases(&mut self) {
@@ -136,6 +154,7 @@
             .collect();
         for (key, is_listed) in expired {
             self.record_losses(key, LossCause::LeaseExpiry);
+            self.record_expiry(key);
             match is_listed {
                 true => self.release_attempts(key, "leases lapsed"),
                 false => self.remove_worker(key, "leases lapsed, not listed"),
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -58,6 +58,8 @@
     pub(crate) clock: Option<ClockReading>,
     /// Latest lease deadline in any request, on the worker's clock.
     pub(crate) deadline_ms: u64,
+    /// Time at which the last request with a deadline was sent to any incarnation; 0 if none was.
+    pub(crate) deadline_sent_ms: u64,
     /// Latest time at which the leases granted by former leaders expire.
     pub(crate) inherited_expiry_ms: u64,
     /// Last end that is recorded in the tables.
@@ -131,6 +133,7 @@
             has_accepted_token: false,
             clock: None,
             deadline_ms: 0,
+            deadline_sent_ms: 0,
             inherited_expiry_ms,
             last_recorded_end: 0,
             has_reported_ends: false,
@@ -269,6 +272,7 @@
         let reading = self.clock?;
         let deadline = reading.clock_ms + now_ms.saturating_sub(reading.at_ms) + lease_ms;
         self.deadline_ms = self.deadline_ms.max(deadline);
+        self.deadline_sent_ms = now_ms;
         Some(deadline)
     }
 
