Tests: leases of workers that restart under their ids, failing

A deadline for a former incarnation reaches the next one, whose clock began anew. The fakes granted exactly as long a lease as the leader asks for, so no test could tell.

--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -13,4 +13,5 @@
 mod odd_rows;
 mod outdated_list;
 mod pending;
+mod restarted_leases;
 mod support;
--- /dev/null
+++ b/crates/cell/tests/cell/restarted_leases.rs
@@ -0,0 +1,158 @@
+//! Leases of workers that restart under their ids. A deadline that was meant for a former incarnation is
+//! far away on the clock of the next one, which then grants the longest lease that it grants at all. The
+//! fake cell checks that no task runs twice.
+
+use {
+    crate::support::{FakeCell, MAX_LEASE_MS, job, random_numbers, step},
+    damaskrack_cell::{CellInput, StepSpec},
+};
+
+/// Time after which the clock of a worker's first incarnation is far ahead of that of the next one, in
+/// milliseconds.
+const FORMER_LIFE_MS: u64 = 30_000;
+/// Time in which any lease of a worker that does not respond has expired, in milliseconds.
+const LAPSE_MS: u64 = 2 * MAX_LEASE_MS;
+
+/// Creates a cell whose only worker runs a task that lasts, with a renewal that has no response and a
+/// deadline on the worker's clock.
+fn cell_with_open_renewal() -> FakeCell {
+    let mut cell = FakeCell::new(1);
+    cell.run(FORMER_LIFE_MS);
+    cell.run_ms = 600_000;
+    cell.submit(job("1", vec![StepSpec { is_service: true, ..step(1) }]));
+    cell.run(500);
+    cell.workers.get_mut("w0").expect("a worker").defers_renewals = true;
+    cell.run(100);
+    let late = &cell.workers["w0"].deferred_renewals;
+    assert!(late.iter().any(|late| late.request.deadline_ms.is_some()));
+    cell
+}
+
+/// Restarts the worker, lets its next incarnation carry out the renewal, and responds again.
+fn restart_with_late_renewal(cell: &mut FakeCell) {
+    cell.reincarnate("w0");
+    cell.run_deferred_renewals("w0");
+    cell.workers.get_mut("w0").expect("a worker").defers_renewals = false;
+}
+
+/// Lets the task start on the present incarnation of the worker, and then cuts that off. Another worker
+/// could run the task.
+fn lose_worker_with_task(cell: &mut FakeCell) {
+    cell.list_workers();
+    cell.run(1_500);
+    assert_eq!(cell.workers["w0"].runs.len(), 1, "the task does not run");
+    cell.add_worker("w1", 1, "r0");
+    cell.list_workers();
+    cell.workers.get_mut("w0").expect("a worker").is_silent = true;
+    let starts = cell.starts.len();
+    cell.run(LAPSE_MS);
+    assert_eq!(cell.starts.len(), starts + 1, "the task does not start elsewhere");
+}
+
+/// Guards against a task that runs twice, because the lease of its worker lasts longer than the leader
+/// asked for.
+#[test]
+fn a_lease_extended_by_a_renewal_for_a_former_incarnation_counts() {
+    let mut cell = cell_with_open_renewal();
+    restart_with_late_renewal(&mut cell);
+    lose_worker_with_task(&mut cell);
+}
+
+/// The same if the renewal was sent by a former leader.
+#[test]
+fn a_lease_extended_by_a_renewal_of_a_former_leader_for_a_former_incarnation_counts() {
+    let mut cell = cell_with_open_renewal();
+    restart_with_late_renewal(&mut cell);
+    cell.start_leader();
+    lose_worker_with_task(&mut cell);
+}
+
+/// The same if the worker was forgotten between its two incarnations.
+#[test]
+fn a_lease_extended_by_a_renewal_for_a_forgotten_incarnation_counts() {
+    let mut cell = cell_with_open_renewal();
+    cell.workers.get_mut("w0").expect("a worker").is_unlisted = true;
+    cell.list_workers();
+    cell.run(LAPSE_MS);
+    restart_with_late_renewal(&mut cell);
+    lose_worker_with_task(&mut cell);
+}
+
+/// The same if the next leader never hears from the worker.
+#[test]
+fn a_lease_extended_by_a_renewal_for_a_former_incarnation_counts_for_the_next_leader() {
+    let mut cell = cell_with_open_renewal();
+    restart_with_late_renewal(&mut cell);
+    cell.list_workers();
+    cell.run(1_500);
+    assert_eq!(cell.workers["w0"].runs.len(), 1, "the task does not run");
+    cell.add_worker("w1", 1, "r0");
+    cell.workers.get_mut("w0").expect("a worker").is_silent = true;
+    cell.run(800);
+    cell.start_leader();
+    let starts = cell.starts.len();
+    cell.run(LAPSE_MS);
+    assert_eq!(cell.starts.len(), starts + 1, "the task does not start elsewhere");
+}
+
+/// Guards against a lease that is extended after the leader has placed work, by a request that was meant
+/// for a former incarnation.
+#[test]
+fn nothing_starts_on_an_incarnation_that_may_accept_requests_to_a_former_one() {
+    let mut cell = FakeCell::new(1);
+    cell.run_ms = 600_000;
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(500);
+    cell.reincarnate("w0");
+    cell.delays_renewals_of = Some("w0".to_owned());
+    cell.run(2_000);
+    cell.list_workers();
+    let starts = cell.starts.len();
+    // The response to the renewal of the former incarnation arrives, the one after it does not.
+    cell.deliver_delayed_renewals();
+    cell.workers.get_mut("w0").expect("a worker").defers_renewals = true;
+    cell.run(200);
+    assert_eq!(cell.starts.len(), starts, "a task was started");
+    cell.workers.get_mut("w0").expect("a worker").defers_renewals = false;
+    cell.run(2_000);
+    assert_eq!(cell.starts.len(), starts + 1);
+}
+
+/// Workers restart, are cut off and carry renewals out late, at random moments, while leaders change.
+#[test]
+fn no_task_runs_twice_while_restarted_workers_are_cut_off() {
+    for seed in 0..60_u64 {
+        let mut cell = FakeCell::new(3);
+        let mut next = random_numbers(seed);
+        cell.run(FORMER_LIFE_MS);
+        for round in 0..25_u64 {
+            cell.run_ms = 2_000 + 1_000 * next(20);
+            cell.submit(job(&round.to_string(), vec![step(2)]));
+            let id = format!("w{}", next(3));
+            let worker = cell.workers.get_mut(&id).expect("a worker");
+            match next(6) {
+                0 => worker.defers_renewals = true,
+                1 => {
+                    cell.reincarnate(&id);
+                    let worker = cell.workers.get_mut(&id).expect("a worker");
+                    // Their tickets are of the former incarnation.
+                    worker.deferred_starts.clear();
+                    if next(2) == 0 {
+                        cell.run_deferred_renewals(&id);
+                    }
+                }
+                2 => {
+                    cell.run_deferred_renewals(&id);
+                }
+                3 => worker.is_silent = !worker.is_silent,
+                4 => worker.defers_renewals = false,
+                _ if next(3) == 0 => cell.start_leader(),
+                _ => {}
+            }
+            cell.list_workers();
+            cell.run(100 * (1 + next(40)));
+        }
+        assert!(!cell.has_resigned, "seed {seed}");
+        cell.apply(CellInput::Workers(Vec::new()));
+    }
+}
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -29,6 +29,8 @@
 pub(crate) const WALL_MS: u64 = 1_700_000_000_000;
 /// Time after which a request on a [`FakeLink`] has failed, in milliseconds.
 const REQUEST_TIMEOUT_MS: u64 = 350;
+/// Longest lease that a fake worker grants, in milliseconds. Leaders ask for less.
+pub(crate) const MAX_LEASE_MS: u64 = 10_000;
 /// Capacity of a fake worker.
 pub(crate) const CAPACITY: ResourceSet =
     ResourceSet { cpu_millis: 4_000, memory_mb: 4_096, accelerators: 0 };
@@ -99,7 +101,7 @@
     }
 
     fn extend(&mut self, deadline_ms: Option<u64>, now_ms: u64) {
-        let deadline_ms = deadline_ms.unwrap_or(0).min(self.clock_ms(now_ms) + 6_000);
+        let deadline_ms = deadline_ms.unwrap_or(0).min(self.clock_ms(now_ms) + MAX_LEASE_MS);
         self.lease_expiry_ms = self.lease_expiry_ms.max(deadline_ms);
     }
 
