Count the leases that requests to a former incarnation may have extended

Callers saw a task run twice at the same time (TWICE) after its worker had started again under its id and was then cut off.

Cause: a deadline is a time on the worker's clock, which begins anew with each incarnation, and requests name the worker by an id that survives a restart. A renewal that was open when the worker went down is carried out by the next incarnation. The leader counted the longest lease that it asks for itself (5 s) from the first response on, and released the tasks while they ran.

Change: from the first response to a request that supersedes all others (that is when the incarnation refuses what was meant for a former one) other leases last for the longest lease that a worker grants, `max_worker_lease_ms`. Nothing is placed before that response. A leader that never hears from a worker waits for that time as well, counted from its election: its predecessors placed nothing on an incarnation that could still accept such requests. All that bounds a worker's leases is in one type, WorkerLease.

Two older tests stated how soon a lost worker's tasks start elsewhere, with a worker that had responded for the first time less than a second before. For such a worker the bound was wrong; the tests keep their bounds, for a worker known for 11 s, and a new one states it for the other.

--- a/crates/cell/src/core/lease_bounds.rs
+++ b/crates/cell/src/core/lease_bounds.rs
@@ -90,7 +90,7 @@
                 continue;
             }
             let expiry_ms = self.time.now_ms.saturating_add(bound.remaining_ms);
-            worker.inherited_expiry_ms = worker.inherited_expiry_ms.min(expiry_ms);
+            worker.lease.limit_others(expiry_ms);
             if worker.report.address.is_empty() {
                 worker.report.address.clone_from(&bound.address);
                 worker.responded_address.clone_from(&bound.address);
@@ -144,7 +144,7 @@
                 worker: worker.report.id.clone(),
                 incarnation: worker.report.incarnation,
                 address: worker.responded_address.clone(),
-                remaining_ms: worker.lease_expiry_ms().saturating_sub(now_ms),
+                remaining_ms: worker.lease.expiry_ms().saturating_sub(now_ms),
             }
         };
         let bounds: Vec<LeaseBound> = self.bounded_workers().into_iter().map(bound).collect();
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -158,7 +158,7 @@
                 fence: worker.renew_fence,
                 deadline_ms: match worker.is_silent || is_bounded {
                     true => None,
-                    false => worker.deadline_for(time.now_ms, settings.lease_ms),
+                    false => worker.lease.deadline_for(time.now_ms, settings.lease_ms),
                 },
                 last_durable_end: acknowledged_end,
                 wait_ms: worker.renew_wait_ms,
@@ -214,7 +214,7 @@
                 // The worker's process has ended: another one listens on its address.
                 worker.next_renew_ms = now_ms + REPLACED_RETRY_MS;
                 worker.has_accepted_token = false;
-                worker.clock = None;
+                worker.lease.forget_clock();
                 self.record_losses(key, LossCause::Crash);
                 self.release_attempts(key, "another worker has its address");
             }
@@ -271,13 +271,13 @@
         let now_ms = self.time.now_ms;
         let worker = &mut self.workers[key];
         worker.record_presence();
-        worker.record_fence();
+        worker.record_fence(now_ms, self.settings.max_worker_lease_ms);
         if worker.needs_fence() {
             // Requests to the former incarnation that are carried out late must find this one fenced.
             worker.next_renew_ms = now_ms;
         }
-        worker.record_clock(response.clock_ms, now_ms);
-        worker.accept_token(now_ms, self.settings.lease_ms);
+        worker.lease.record_clock(response.clock_ms, now_ms);
+        worker.has_accepted_token = true;
         let former = std::mem::replace(&mut worker.unreadable_end, response.unreadable_end);
         if let (None, Some(number)) = (former, response.unreadable_end) {
             let id = worker.report.id.clone();
--- a/crates/cell/src/core/placement.rs
+++ b/crates/cell/src/core/placement.rs
@@ -51,12 +51,14 @@
 
 impl CellCore {
     /// Returns whether a worker may get new work, apart from a backoff. None may by an outdated list,
-    /// which does not tell which workers shut down or shrink.
+    /// which does not tell which workers shut down or shrink, or while requests to a former incarnation
+    /// may still extend its leases.
     pub(super) fn is_schedulable(&self, worker: &WorkerEntry) -> bool {
         self.is_worker_list_current()
             && self.is_in_service(worker)
             && worker.has_accepted_token
-            && worker.clock.is_some()
+            && !worker.needs_fence()
+            && worker.lease.has_clock()
             && !self.lease_bounds.contain(&worker.report.id)
     }
 
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -4,7 +4,7 @@
     super::{CellCore, losses::LossCause},
     crate::{
         AttemptKey, TaskProgress, WorkerKey, WorkerReport,
-        table::{WorkerEntry, longest_lease_ms},
+        table::{WorkerEntry, WorkerLease, longest_lease_ms},
     },
     rustc_hash::FxHashSet,
 };
@@ -54,7 +54,7 @@
             "born={incarnation} former={} renewal_open={} deadline_sent_ms_ago={}",
             worker.report.incarnation,
             worker.renew_sent_ms.is_some(),
-            now_ms.saturating_sub(worker.deadline_sent_ms)
+            worker.lease.deadline_age_ms(now_ms)
         );
         worker.restart(incarnation);
         for attempt in worker.attempts.values() {
@@ -70,16 +70,24 @@
     }
 
     fn insert_worker(&mut self, report: WorkerReport) -> WorkerKey {
-        // A former leader may have renewed the leases until its isolation ended.
-        let inherited_ms =
-            self.started_ms + longest_lease_ms(self.settings.lease_ms) + self.settings.isolation_ms;
+        let lease = WorkerLease::new(self.inherited_expiry_ms());
         let id = report.id.clone();
         let fence = self.former_fence.next();
-        let key = self.workers.insert(WorkerEntry::new(report, inherited_ms, fence));
+        let key = self.workers.insert(WorkerEntry::new(report, lease, fence));
         self.worker_ids.insert(id, key);
         key
     }
 
+    /// Returns the latest time at which the leases expire that former leaders have given to a worker. One of
+    /// them may have renewed them until its isolation ended. It has placed nothing on an incarnation that
+    /// could still accept requests to a former one, so the leases of these were granted before it was
+    /// replaced.
+    fn inherited_expiry_ms(&self) -> u64 {
+        let settings = &self.settings;
+        let renewed_ms = longest_lease_ms(settings.lease_ms) + settings.isolation_ms;
+        self.started_ms + renewed_ms.max(longest_lease_ms(settings.max_worker_lease_ms))
+    }
+
     /// Finds the entry of a worker that a former leader used, or adds an unlisted one.
     pub(super) fn find_worker(&mut self, attempt: &TaskProgress) -> WorkerKey {
         if let Some(&key) = self.worker_ids.get(&attempt.worker) {
@@ -144,7 +152,7 @@
             .workers
             .iter()
             .filter(|(_, worker)| match worker.is_busy() {
-                true => worker.lease_expiry_ms() <= now_ms,
+                true => worker.lease.expiry_ms() <= now_ms,
                 false => {
                     let is_fencing = worker.needs_fence() && !worker.is_silent;
                     !worker.is_listed && worker.pending_ends == 0 && !is_fencing
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -3,8 +3,11 @@
 /// Timing settings and limits of the scheduler.
 #[derive(Debug, Clone)]
 pub struct CellSettings {
-    /// Maximum duration of a worker's leases, in milliseconds.
+    /// Duration of the leases that leaders request, in milliseconds.
     pub lease_ms: u64,
+    /// Duration of the longest lease that a worker grants, in milliseconds. A request that was meant for a
+    /// former incarnation of a worker may get it.
+    pub max_worker_lease_ms: u64,
     /// Time for which a former leader may continue to renew leases after it lost the store, in
     /// milliseconds.
     pub isolation_ms: u64,
@@ -40,6 +43,7 @@
     fn default() -> Self {
         Self {
             lease_ms: 6_000,
+            max_worker_lease_ms: 10_000,
             isolation_ms: 4_000,
             max_list_age_ms: 1_200,
             retention_ms: 130_000,
--- a/crates/cell/src/table/mod.rs
+++ b/crates/cell/src/table/mod.rs
@@ -9,6 +9,7 @@
 mod task;
 mod worker;
 mod worker_fence;
+mod worker_lease;
 
 pub(crate) use {
     advice_call::{AdviceCallEntry, DaemonEntry},
@@ -18,6 +19,7 @@
     phase::{AttemptLocation, PhaseEntry, TicketEntry},
     phase_retry::PhaseRetry,
     task::{MIN_PROBATION_MS, TaskEntry},
-    worker::{WorkerEntry, longest_lease_ms},
+    worker::WorkerEntry,
     worker_fence::WorkerFence,
+    worker_lease::{WorkerLease, longest_lease_ms},
 };
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -1,32 +1,14 @@
 //! Workers.
 
 use {
-    super::WorkerFence,
+    super::{WorkerFence, WorkerLease},
     crate::{AttemptKey, ResourceSet, WorkerReport},
     rustc_hash::FxHashMap,
 };
 
-/// A reading of a worker's clock at a time on the local clock.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct ClockReading {
-    pub(crate) clock_ms: u64,
-    pub(crate) at_ms: u64,
-}
-
 /// Shortest time beyond its wait after which a renewal without a response has timed out, in milliseconds.
 /// One that fails sooner was on a connection that broke.
 const MIN_RENEW_TIMEOUT_MS: u64 = 300;
-/// Slowest rate of a worker's clock relative to the local clock, in percent.
-const SLOWEST_CLOCK_PERCENT: u64 = 97;
-/// Margin after a lease's deadline before its attempts count as expired, in milliseconds.
-const EXPIRY_MARGIN_MS: u64 = 300;
-
-/// Returns the longest time on the local clock until a lease of `lease_ms` milliseconds on a worker's
-/// clock has expired, in milliseconds.
-pub(crate) fn longest_lease_ms(lease_ms: u64) -> u64 {
-    lease_ms * 100 / SLOWEST_CLOCK_PERCENT + EXPIRY_MARGIN_MS
-}
-
 /// One incarnation of a worker.
 #[derive(Debug)]
 pub(crate) struct WorkerEntry {
@@ -55,13 +37,7 @@
     pub(crate) probations: usize,
     /// The worker has accepted this leader's fencing token.
     pub(crate) has_accepted_token: bool,
-    pub(crate) clock: Option<ClockReading>,
-    /// Latest lease deadline in any request, on the worker's clock.
-    pub(crate) deadline_ms: u64,
-    /// Time at which the last request with a deadline was sent to any incarnation; 0 if none was.
-    pub(crate) deadline_sent_ms: u64,
-    /// Latest time at which the leases granted by former leaders expire.
-    pub(crate) inherited_expiry_ms: u64,
+    pub(crate) lease: WorkerLease,
     /// Last end that is recorded in the tables.
     pub(crate) last_recorded_end: u64,
     /// The incarnation has reported ends to this leader, so the next ones follow without a gap.
@@ -117,7 +93,7 @@
 }
 
 impl WorkerEntry {
-    pub(crate) fn new(report: WorkerReport, inherited_expiry_ms: u64, fence: WorkerFence) -> Self {
+    pub(crate) fn new(report: WorkerReport, lease: WorkerLease, fence: WorkerFence) -> Self {
         Self {
             report,
             is_listed: true,
@@ -131,10 +107,7 @@
             gang_members: 0,
             probations: 0,
             has_accepted_token: false,
-            clock: None,
-            deadline_ms: 0,
-            deadline_sent_ms: 0,
-            inherited_expiry_ms,
+            lease,
             last_recorded_end: 0,
             has_reported_ends: false,
             unsettled_until_ms: 0,
@@ -166,12 +139,10 @@
     /// incarnation has reported what it runs, because it may have received a request for the former
     /// one.
     pub(crate) fn restart(&mut self, incarnation: u64) {
-        self.inherited_expiry_ms = self.lease_expiry_ms();
+        self.lease.restart();
         self.report.incarnation = incarnation;
         self.has_responded = false;
         self.has_accepted_token = false;
-        self.clock = None;
-        self.deadline_ms = 0;
         self.last_recorded_end = 0;
         self.has_reported_ends = false;
         self.last_durable_end = 0;
@@ -188,16 +159,6 @@
         self.lost_ms = None;
     }
 
-    /// Records that the worker has accepted this leader's fencing token. No former leader can renew
-    /// its leases any more, so the inherited ones expire within one lease duration.
-    pub(crate) fn accept_token(&mut self, now_ms: u64, lease_ms: u64) {
-        if !self.has_accepted_token {
-            self.has_accepted_token = true;
-            let lease_expiry_ms = now_ms + longest_lease_ms(lease_ms);
-            self.inherited_expiry_ms = self.inherited_expiry_ms.min(lease_expiry_ms);
-        }
-    }
-
     /// Records that a renewal had a response or none. A connection that breaks shows when the worker was
     /// lost.
     pub(crate) fn record_response(&mut self, is_silent: bool, sent_ms: u64, now_ms: u64) {
@@ -230,9 +191,12 @@
     }
 
     /// Records that the present incarnation has responded to the renewal, which may have been meant for
-    /// a former one.
-    pub(crate) fn record_fence(&mut self) {
-        self.has_accepted_fence |= self.renew_fence >= self.first_fence;
+    /// a former one, and that a worker's leases last `max_lease_ms` milliseconds at most.
+    pub(crate) fn record_fence(&mut self, now_ms: u64, max_lease_ms: u64) {
+        if !self.has_accepted_fence && self.renew_fence >= self.first_fence {
+            self.has_accepted_fence = true;
+            self.lease.refuse_others(now_ms, max_lease_ms);
+        }
     }
 
     /// Returns whether the incarnation would still carry out requests to a former one, although it has
@@ -246,11 +210,6 @@
         self.responded_address == self.renew_address
     }
 
-    /// Records a reading of the worker's clock.
-    pub(crate) fn record_clock(&mut self, clock_ms: u64, now_ms: u64) {
-        self.clock = Some(ClockReading { clock_ms, at_ms: now_ms });
-    }
-
     /// Returns whether anything may be running on the worker.
     pub(crate) fn is_busy(&self) -> bool {
         !self.attempts.is_empty() || !self.orphans.is_empty()
@@ -266,25 +225,6 @@
         self.report.capacity.minus(&self.used)
     }
 
-    /// Returns the lease deadline for a request sent now, on the worker's clock; `None` if the
-    /// clock is not known.
-    pub(crate) fn deadline_for(&mut self, now_ms: u64, lease_ms: u64) -> Option<u64> {
-        let reading = self.clock?;
-        let deadline = reading.clock_ms + now_ms.saturating_sub(reading.at_ms) + lease_ms;
-        self.deadline_ms = self.deadline_ms.max(deadline);
-        self.deadline_sent_ms = now_ms;
-        Some(deadline)
-    }
-
-    /// Returns the time at which all leases have expired if the worker does not respond again.
-    pub(crate) fn lease_expiry_ms(&self) -> u64 {
-        let own = self.clock.map_or(0, |reading| {
-            let left = self.deadline_ms.saturating_sub(reading.clock_ms);
-            reading.at_ms + longest_lease_ms(left)
-        });
-        own.max(self.inherited_expiry_ms)
-    }
-
     /// Returns whether the worker has a label.
     pub(crate) fn is_labelled(&self, label: &str) -> bool {
         self.report.labels.iter().any(|own| own == label)
--- /dev/null
+++ b/crates/cell/src/table/worker_lease.rs
@@ -0,0 +1,102 @@
+//! How long the leases on a worker can last.
+//!
+//! A deadline is a time on the worker's clock, which begins anew with each incarnation, and a request
+//! names the worker by an id that survives a restart. So a request that was meant for a former
+//! incarnation may be carried out by the present one. Its deadline is far away for that, which grants the
+//! longest lease that a worker grants; and a deadline never shortens. This ends when the incarnation
+//! accepts a request that supersedes all of them: from then on the leases of other requests are bounded.
+
+/// Slowest rate of a worker's clock relative to the local clock, in percent.
+const SLOWEST_CLOCK_PERCENT: u64 = 97;
+/// Margin after a lease's deadline before its attempts count as expired, in milliseconds.
+const EXPIRY_MARGIN_MS: u64 = 300;
+
+/// Returns the longest time on the local clock until a lease of `lease_ms` milliseconds on a worker's
+/// clock has expired, in milliseconds.
+pub(crate) fn longest_lease_ms(lease_ms: u64) -> u64 {
+    lease_ms * 100 / SLOWEST_CLOCK_PERCENT + EXPIRY_MARGIN_MS
+}
+
+/// A reading of a worker's clock at a time on the local clock.
+#[derive(Debug, Clone, Copy)]
+struct ClockReading {
+    clock_ms: u64,
+    at_ms: u64,
+}
+
+/// The leases on the present incarnation of a worker.
+#[derive(Debug)]
+pub(crate) struct WorkerLease {
+    clock: Option<ClockReading>,
+    /// Latest deadline in any request to the incarnation, on its clock.
+    deadline_ms: u64,
+    /// Time at which the last request with a deadline was sent to any incarnation; 0 if none was.
+    deadline_sent_ms: u64,
+    /// Latest time at which the leases expire that were granted on other requests: those of former leaders,
+    /// and those that were meant for a former incarnation.
+    other_expiry_ms: u64,
+}
+
+impl WorkerLease {
+    /// Returns the leases of a worker that has not responded to this leader.
+    pub(crate) fn new(other_expiry_ms: u64) -> Self {
+        Self { clock: None, deadline_ms: 0, deadline_sent_ms: 0, other_expiry_ms }
+    }
+
+    /// Switches to another incarnation. Until it responds, the leases on the former one count.
+    pub(crate) fn restart(&mut self) {
+        self.other_expiry_ms = self.expiry_ms();
+        self.clock = None;
+        self.deadline_ms = 0;
+    }
+
+    /// Records a reading of the worker's clock.
+    pub(crate) fn record_clock(&mut self, clock_ms: u64, now_ms: u64) {
+        self.clock = Some(ClockReading { clock_ms, at_ms: now_ms });
+    }
+
+    /// Forgets the reading of the worker's clock.
+    pub(crate) fn forget_clock(&mut self) {
+        self.clock = None;
+    }
+
+    /// Returns whether the worker's clock is known.
+    pub(crate) fn has_clock(&self) -> bool {
+        self.clock.is_some()
+    }
+
+    /// Records that the incarnation refuses all other requests from now on, and grants leases of
+    /// `max_lease_ms` milliseconds at most.
+    pub(crate) fn refuse_others(&mut self, now_ms: u64, max_lease_ms: u64) {
+        self.other_expiry_ms = now_ms + longest_lease_ms(max_lease_ms);
+    }
+
+    /// Records that the leases granted on other requests expire at this time at the latest.
+    pub(crate) fn limit_others(&mut self, expiry_ms: u64) {
+        self.other_expiry_ms = self.other_expiry_ms.min(expiry_ms);
+    }
+
+    /// Returns the deadline for a request sent now, on the worker's clock; `None` if the clock is not
+    /// known.
+    pub(crate) fn deadline_for(&mut self, now_ms: u64, lease_ms: u64) -> Option<u64> {
+        let reading = self.clock?;
+        let deadline = reading.clock_ms + now_ms.saturating_sub(reading.at_ms) + lease_ms;
+        self.deadline_ms = self.deadline_ms.max(deadline);
+        self.deadline_sent_ms = now_ms;
+        Some(deadline)
+    }
+
+    /// Returns how long ago the last request with a deadline was sent to any incarnation, in milliseconds.
+    pub(crate) fn deadline_age_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.deadline_sent_ms)
+    }
+
+    /// Returns the time at which all leases have expired if the worker does not respond again.
+    pub(crate) fn expiry_ms(&self) -> u64 {
+        let own = self.clock.map_or(0, |reading| {
+            let left = self.deadline_ms.saturating_sub(reading.clock_ms);
+            reading.at_ms + longest_lease_ms(left)
+        });
+        own.max(self.other_expiry_ms)
+    }
+}
--- a/crates/cell/tests/cell/failures.rs
+++ b/crates/cell/tests/cell/failures.rs
@@ -1,7 +1,7 @@
 //! Jobs without failures, and a test for each failure that occurred.
 
 use {
-    crate::support::{FakeCell, job, step},
+    crate::support::{FakeCell, OTHER_LEASES_MS, job, step},
     damaskrack_cell::{
         AdviceTiming, CellInput, EndKind, EndedAttempt, JobState, RenewOutcome, RenewResponse,
         ResourceSet, StartOutcome, StartRefusal, StepSpec, TeamConfig,
@@ -213,6 +213,8 @@
 #[test]
 fn tasks_of_a_worker_that_is_gone_start_elsewhere_once_its_leases_are_over() {
     let mut cell = FakeCell::new(2);
+    // Until then requests to a former incarnation may have extended the leases.
+    cell.run(OTHER_LEASES_MS);
     cell.run_ms = 20_000;
     cell.submit(job("1", vec![step(5)]));
     cell.run(300);
--- a/crates/cell/tests/cell/inherited_leases.rs
+++ b/crates/cell/tests/cell/inherited_leases.rs
@@ -1,7 +1,7 @@
 //! Workers that stop responding shortly before the leader is replaced.
 
 use {
-    crate::support::{FakeCell, job, step},
+    crate::support::{FakeCell, OTHER_LEASES_MS, job, step},
     damaskrack_cell::StepSpec,
     quickcheck::quickcheck,
 };
@@ -19,6 +19,8 @@
 /// Creates a cell whose worker runs the only task of a service, and returns the worker's id.
 fn cell_with_service() -> (FakeCell, String) {
     let mut cell = FakeCell::new(2);
+    // Until then requests to a former incarnation may have extended the leases.
+    cell.run(OTHER_LEASES_MS);
     cell.run_ms = 600_000;
     cell.submit(job("1", vec![StepSpec { is_service: true, ..step(1) }]));
     cell.run(1_000);
--- a/crates/cell/tests/cell/restarted_leases.rs
+++ b/crates/cell/tests/cell/restarted_leases.rs
@@ -3,8 +3,8 @@
 //! fake cell checks that no task runs twice.
 
 use {
-    crate::support::{FakeCell, MAX_LEASE_MS, job, random_numbers, step},
-    damaskrack_cell::{CellInput, StepSpec},
+    crate::support::{FakeCell, MAX_LEASE_MS, OTHER_LEASES_MS, job, random_numbers, step},
+    damaskrack_cell::StepSpec,
 };
 
 /// Time after which the clock of a worker's first incarnation is far ahead of that of the next one, in
@@ -78,7 +78,21 @@
     lose_worker_with_task(&mut cell);
 }
 
-/// The same if the next leader never hears from the worker.
+/// Guards against a wait that is longer than the leases can last: the bound counts from the first response.
+#[test]
+fn tasks_of_a_worker_that_is_lost_after_its_first_response_wait_for_the_longest_lease() {
+    let mut cell = FakeCell::new(1);
+    cell.run_ms = 600_000;
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(300);
+    cell.add_worker("w1", 1, "r0");
+    cell.list_workers();
+    cell.workers.get_mut("w0").expect("a worker").is_silent = true;
+    cell.run(OTHER_LEASES_MS);
+    assert_eq!(cell.starts.len(), 2);
+}
+
+/// Guards against a task that runs twice under a leader that never hears from its worker.
 #[test]
 fn a_lease_extended_by_a_renewal_for_a_former_incarnation_counts_for_the_next_leader() {
     let mut cell = cell_with_open_renewal();
@@ -153,6 +167,5 @@
             cell.run(100 * (1 + next(40)));
         }
         assert!(!cell.has_resigned, "seed {seed}");
-        cell.apply(CellInput::Workers(Vec::new()));
     }
 }
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -31,6 +31,8 @@
 const REQUEST_TIMEOUT_MS: u64 = 350;
 /// Longest lease that a fake worker grants, in milliseconds. Leaders ask for less.
 pub(crate) const MAX_LEASE_MS: u64 = 10_000;
+/// Time after a worker's first response in which the leases of other requests have expired, in milliseconds.
+pub(crate) const OTHER_LEASES_MS: u64 = 11_000;
 /// Capacity of a fake worker.
 pub(crate) const CAPACITY: ResourceSet =
     ResourceSet { cpu_millis: 4_000, memory_mb: 4_096, accelerators: 0 };
