Keep what a former leader knew of a worker's leases, and put services where leases are bounded

Cause: a new leader cannot tell whether an incarnation has just started, so it takes each for one with leases of other requests. Its predecessor knew.

Change: the row of an attempt says that its worker's leases are bounded: the incarnation refuses what was meant for a former one, and no lease from before outlasts one that the leader asks for. Rows of older versions do not say so. Services go to other workers while there are any.

--- a/crates/cell/src/core/commit.rs
+++ b/crates/cell/src/core/commit.rs
@@ -202,8 +202,12 @@
                 true => worker.report.address.clone(),
                 false => String::new(),
             };
-            let (worker, incarnation) = (worker.report.id.clone(), worker.report.incarnation);
-            Some(AttemptLocation { worker, incarnation, address })
+            Some(AttemptLocation {
+                worker: worker.report.id.clone(),
+                incarnation: worker.report.incarnation,
+                address,
+                has_bounded_leases: self.has_bounded_leases(worker),
+            })
         };
         let phases = match job.state.is_final() {
             true => Vec::new(),
--- a/crates/cell/src/core/jobs.rs
+++ b/crates/cell/src/core/jobs.rs
@@ -173,6 +173,7 @@
             return;
         }
         let worker = self.find_worker(stored);
+        self.inherit_leases(worker, stored);
         let since_ms = self.time.now_ms;
         let state = AttemptState::Inherited { since_ms };
         let key = self.insert_attempt(phase, index, stored.attempt, worker, state);
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -271,7 +271,7 @@
         let now_ms = self.time.now_ms;
         let worker = &mut self.workers[key];
         worker.record_presence();
-        worker.record_fence(now_ms, self.settings.max_worker_lease_ms);
+        worker.record_fence(now_ms);
         if worker.needs_fence() {
             // Requests to the former incarnation that are carried out late must find this one fenced.
             worker.next_renew_ms = now_ms;
--- a/crates/cell/src/core/placement.rs
+++ b/crates/cell/src/core/placement.rs
@@ -201,8 +201,11 @@
             let worker = &self.workers[*key];
             let is_remote = !step.data_rack.is_empty() && worker.rack() != step.data_rack;
             let load = if is_kept_apart { self.exposure(*key) } else { (false, 0) };
+            // If such a worker is lost, its tasks wait for longer than a service may stand still.
+            let has_long_leases = step.is_service && !self.has_bounded_leases(worker);
             (
                 self.is_risky(*key, is_kept_apart),
+                has_long_leases,
                 is_remote,
                 is_slow(worker.slowness),
                 load,
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -3,7 +3,7 @@
 use {
     super::{CellCore, losses::LossCause},
     crate::{
-        AttemptKey, TaskProgress, WorkerKey, WorkerReport,
+        AttemptKey, CellSettings, TaskProgress, WorkerKey, WorkerReport,
         table::{WorkerEntry, WorkerLease, longest_lease_ms},
     },
     rustc_hash::FxHashSet,
@@ -56,7 +56,7 @@
             worker.renew_sent_ms.is_some(),
             worker.lease.deadline_age_ms(now_ms)
         );
-        worker.restart(incarnation);
+        worker.restart(incarnation, self.settings.max_worker_lease_ms);
         for attempt in worker.attempts.values() {
             self.attempts[*attempt].is_start_settled = false;
         }
@@ -70,7 +70,7 @@
     }
 
     fn insert_worker(&mut self, report: WorkerReport) -> WorkerKey {
-        let lease = WorkerLease::new(self.inherited_expiry_ms());
+        let lease = WorkerLease::new(self.inherited_expiry_ms(), self.settings.max_worker_lease_ms);
         let id = report.id.clone();
         let fence = self.former_fence.next();
         let key = self.workers.insert(WorkerEntry::new(report, lease, fence));
@@ -78,14 +78,34 @@
         key
     }
 
-    /// Returns the latest time at which the leases expire that former leaders have given to a worker. One of
-    /// them may have renewed them until its isolation ended. It has placed nothing on an incarnation that
-    /// could still accept requests to a former one, so the leases of these were granted before it was
-    /// replaced.
+    /// Returns whether a worker's leases last no longer than those that this leader asks for.
+    pub(super) fn has_bounded_leases(&self, worker: &WorkerEntry) -> bool {
+        worker.has_bounded_leases(self.time.now_ms, self.settings.lease_ms)
+    }
+
+    /// Returns the latest time at which the leases expire that former leaders have given to a worker. They
+    /// have placed nothing on an incarnation that could still accept requests to a former one, so the leases
+    /// of these were granted before the last of them was replaced.
     fn inherited_expiry_ms(&self) -> u64 {
-        let settings = &self.settings;
-        let renewed_ms = longest_lease_ms(settings.lease_ms) + settings.isolation_ms;
-        self.started_ms + renewed_ms.max(longest_lease_ms(settings.max_worker_lease_ms))
+        let longest_ms = longest_lease_ms(self.settings.max_worker_lease_ms);
+        self.renewed_expiry_ms().max(self.started_ms + longest_ms)
+    }
+
+    /// Returns the latest time at which the leases expire that a former leader has renewed. It may have done
+    /// so until its isolation ended.
+    fn renewed_expiry_ms(&self) -> u64 {
+        let CellSettings { lease_ms, isolation_ms, .. } = self.settings;
+        self.started_ms + longest_lease_ms(lease_ms) + isolation_ms
+    }
+
+    /// Takes over what the row of an attempt tells of the leases on its worker.
+    pub(super) fn inherit_leases(&mut self, key: WorkerKey, attempt: &TaskProgress) {
+        let (expiry_ms, lease_ms) = (self.renewed_expiry_ms(), self.settings.lease_ms);
+        let worker = &mut self.workers[key];
+        if attempt.has_bounded_leases && attempt.incarnation == worker.report.incarnation {
+            worker.lease.limit_others(expiry_ms);
+            worker.lease.limit_others_to(lease_ms);
+        }
     }
 
     /// Finds the entry of a worker that a former leader used, or adds an unlisted one.
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -304,6 +304,10 @@
     /// No other job was suspected of the last crash.
     #[prost(bool, tag = "12")]
     pub is_accused_alone: bool,
+    /// The worker refuses requests that were meant for a former incarnation, and the leases that these
+    /// have extended do not outlast those that its leader asks for.
+    #[prost(bool, tag = "13")]
+    pub has_bounded_leases: bool,
 }
 
 /// Progress of one step of one occurrence.
--- a/crates/cell/src/table/phase.rs
+++ b/crates/cell/src/table/phase.rs
@@ -21,6 +21,8 @@
     pub(crate) incarnation: u64,
     /// Address of the worker; empty if it need not be stored.
     pub(crate) address: String,
+    /// The incarnation's leases end within the time that its leader asks for.
+    pub(crate) has_bounded_leases: bool,
 }
 
 /// One step of one occurrence of a job.
@@ -125,6 +127,7 @@
                     worker: location.worker,
                     incarnation: location.incarnation,
                     worker_address: location.address,
+                    has_bounded_leases: location.has_bounded_leases,
                     checkpoint: task.checkpoint.clone(),
                     crashes: task.crashes,
                     possible_crashes: task.possible_crashes,
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -138,8 +138,8 @@
     /// Switches to another incarnation with the same id. Attempts are kept until the new
     /// incarnation has reported what it runs, because it may have received a request for the former
     /// one.
-    pub(crate) fn restart(&mut self, incarnation: u64) {
-        self.lease.restart();
+    pub(crate) fn restart(&mut self, incarnation: u64, max_lease_ms: u64) {
+        self.lease.restart(max_lease_ms);
         self.report.incarnation = incarnation;
         self.has_responded = false;
         self.has_accepted_token = false;
@@ -191,11 +191,11 @@
     }
 
     /// Records that the present incarnation has responded to the renewal, which may have been meant for
-    /// a former one, and that a worker's leases last `max_lease_ms` milliseconds at most.
-    pub(crate) fn record_fence(&mut self, now_ms: u64, max_lease_ms: u64) {
+    /// a former one.
+    pub(crate) fn record_fence(&mut self, now_ms: u64) {
         if !self.has_accepted_fence && self.renew_fence >= self.first_fence {
             self.has_accepted_fence = true;
-            self.lease.refuse_others(now_ms, max_lease_ms);
+            self.lease.refuse_others(now_ms);
         }
     }
 
@@ -205,6 +205,13 @@
         self.has_responded && !self.has_accepted_fence
     }
 
+    /// Returns whether requests to former incarnations have given the present one no lease that outlasts one of
+    /// `lease_ms` milliseconds which is extended now, and can give it none any more.
+    pub(crate) fn has_bounded_leases(&self, now_ms: u64, lease_ms: u64) -> bool {
+        let is_past = self.has_accepted_fence && self.lease.outlasts_others(now_ms, lease_ms);
+        is_past || self.lease.are_others_limited_to(lease_ms)
+    }
+
     /// Returns whether the worker's process has ended if another worker responded to the renewal.
     pub(crate) fn is_gone_if_replaced(&self) -> bool {
         self.responded_address == self.renew_address
--- a/crates/cell/src/table/worker_lease.rs
+++ b/crates/cell/src/table/worker_lease.rs
@@ -35,17 +35,27 @@
     /// Latest time at which the leases expire that were granted on other requests: those of former leaders,
     /// and those that were meant for a former incarnation.
     other_expiry_ms: u64,
+    /// Duration of the longest lease that such a request can have been granted, in milliseconds.
+    longest_other_ms: u64,
 }
 
 impl WorkerLease {
-    /// Returns the leases of a worker that has not responded to this leader.
-    pub(crate) fn new(other_expiry_ms: u64) -> Self {
-        Self { clock: None, deadline_ms: 0, deadline_sent_ms: 0, other_expiry_ms }
+    /// Returns the leases of a worker that has not responded to this leader and grants leases of
+    /// `max_lease_ms` milliseconds at most.
+    pub(crate) fn new(other_expiry_ms: u64, max_lease_ms: u64) -> Self {
+        Self {
+            clock: None,
+            deadline_ms: 0,
+            deadline_sent_ms: 0,
+            other_expiry_ms,
+            longest_other_ms: max_lease_ms,
+        }
     }
 
     /// Switches to another incarnation. Until it responds, the leases on the former one count.
-    pub(crate) fn restart(&mut self) {
+    pub(crate) fn restart(&mut self, max_lease_ms: u64) {
         self.other_expiry_ms = self.expiry_ms();
+        self.longest_other_ms = max_lease_ms;
         self.clock = None;
         self.deadline_ms = 0;
     }
@@ -65,10 +75,25 @@
         self.clock.is_some()
     }
 
-    /// Records that the incarnation refuses all other requests from now on, and grants leases of
-    /// `max_lease_ms` milliseconds at most.
-    pub(crate) fn refuse_others(&mut self, now_ms: u64, max_lease_ms: u64) {
-        self.other_expiry_ms = now_ms + longest_lease_ms(max_lease_ms);
+    /// Records that the incarnation refuses all other requests from now on.
+    pub(crate) fn refuse_others(&mut self, now_ms: u64) {
+        self.other_expiry_ms = now_ms + longest_lease_ms(self.longest_other_ms);
+    }
+
+    /// Records that other requests can have been granted leases of `lease_ms` milliseconds at most.
+    pub(crate) fn limit_others_to(&mut self, lease_ms: u64) {
+        self.longest_other_ms = self.longest_other_ms.min(lease_ms);
+    }
+
+    /// Returns whether other requests can have been granted leases of `lease_ms` milliseconds at most.
+    pub(crate) fn are_others_limited_to(&self, lease_ms: u64) -> bool {
+        self.longest_other_ms <= lease_ms
+    }
+
+    /// Returns whether the leases granted on other requests expire before one of `lease_ms` milliseconds that
+    /// is extended now.
+    pub(crate) fn outlasts_others(&self, now_ms: u64, lease_ms: u64) -> bool {
+        self.other_expiry_ms <= now_ms + longest_lease_ms(lease_ms)
     }
 
     /// Records that the leases granted on other requests expire at this time at the latest.
--- a/crates/cell/tests/cell/restarted_leases.rs
+++ b/crates/cell/tests/cell/restarted_leases.rs
@@ -10,6 +10,9 @@
 /// Time after which the clock of a worker's first incarnation is far ahead of that of the next one, in
 /// milliseconds.
 const FORMER_LIFE_MS: u64 = 30_000;
+/// Time in which a lease that a leader of the fakes asks for has expired, and its task is placed again, in
+/// milliseconds.
+const REQUESTED_LEASE_MS: u64 = 7_500;
 /// Time in which any lease of a worker that does not respond has expired, in milliseconds.
 const LAPSE_MS: u64 = 2 * MAX_LEASE_MS;
 
@@ -132,6 +135,45 @@
     assert_eq!(cell.starts.len(), starts + 1);
 }
 
+/// Guards against a task that waits for the longest lease after each takeover, although its former leader knew
+/// that its worker had none.
+#[test]
+fn a_worker_that_is_lost_after_a_takeover_has_the_leases_that_its_former_leader_knew() {
+    let mut cell = FakeCell::new(2);
+    cell.run(OTHER_LEASES_MS);
+    cell.run_ms = 600_000;
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(1_000);
+    for _ in 0..2 {
+        cell.start_leader();
+        cell.run(300);
+    }
+    let worker = cell.starts[0].2.clone();
+    cell.workers.get_mut(&worker).expect("a worker").is_silent = true;
+    cell.run(REQUESTED_LEASE_MS);
+    assert_eq!(cell.starts.len(), 2);
+}
+
+/// Guards against a service that waits for the longest lease of a worker that had just restarted.
+#[test]
+fn a_service_starts_on_a_worker_without_leases_of_other_requests() {
+    let mut cell = FakeCell::new(1);
+    cell.run(OTHER_LEASES_MS);
+    cell.add_worker("w1", 1, "r0");
+    cell.list_workers();
+    cell.run_ms = 600_000;
+    // The other worker has less free capacity, so it would come first.
+    cell.workers.get_mut("w1").expect("a worker").report.capacity.cpu_millis -= 1_000;
+    cell.list_workers();
+    cell.run(300);
+    cell.submit(job("1", vec![StepSpec { is_service: true, ..step(1) }]));
+    cell.run(300);
+    assert_eq!(cell.starts[0].2, "w0");
+    cell.submit(job("2", vec![StepSpec { is_service: true, ..step(5) }]));
+    cell.run(300);
+    assert!(cell.starts.iter().any(|(_, _, worker)| worker == "w1"), "it never waits for another");
+}
+
 /// Workers restart, are cut off and carry renewals out late, at random moments, while leaders change.
 #[test]
 fn no_task_runs_twice_while_restarted_workers_are_cut_off() {
