Spec: machine of incarnations, in which late renewals extend the leases of the next one

Without fence_before_placement and known_leases it finds the two ways that a smaller fix would leave.

--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -15,8 +15,9 @@
     explore::{Counterexample, ExplorationOutcome, SpecMachine, explore},
     machine_name::{MachineName, ParseMachineError},
     machines::{
-        IsolationMachine, JournalMachine, LeadershipMachine, LeaseBoundsMachine, ManifestMachine,
-        OwnershipMachine, RackMachine, ResubmissionMachine, TeamMachine,
+        IncarnationsMachine, IsolationMachine, JournalMachine, LeadershipMachine,
+        LeaseBoundsMachine, ManifestMachine, OwnershipMachine, RackMachine, ResubmissionMachine,
+        TeamMachine,
     },
     mutation::{Mutation, ParseMutationError},
 };
--- a/crates/spec/src/machine_name.rs
+++ b/crates/spec/src/machine_name.rs
@@ -2,9 +2,9 @@
 
 use {
     crate::{
-        ExplorationOutcome, IsolationMachine, JournalMachine, LeadershipMachine,
-        LeaseBoundsMachine, ManifestMachine, Mutation, OwnershipMachine, RackMachine,
-        ResubmissionMachine, SpecMachine, TeamMachine, explore,
+        ExplorationOutcome, IncarnationsMachine, IsolationMachine, JournalMachine,
+        LeadershipMachine, LeaseBoundsMachine, ManifestMachine, Mutation, OwnershipMachine,
+        RackMachine, ResubmissionMachine, SpecMachine, TeamMachine, explore,
     },
     std::{fmt, str::FromStr},
 };
@@ -30,6 +30,8 @@
     Leadership,
     /// Durable bound on the leases of a worker that does not respond, while leaders change.
     LeaseBounds,
+    /// Leases on a worker that restarts under its id, while requests to a former incarnation are late.
+    Incarnations,
 }
 
 /// Error for a text that is not the name of a machine.
@@ -47,7 +49,7 @@
 
 impl MachineName {
     /// All machines, in the order in which they are explored.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Ownership,
         Self::Isolation,
         Self::RackTakeover,
@@ -57,6 +59,7 @@
         Self::Resubmission,
         Self::Leadership,
         Self::LeaseBounds,
+        Self::Incarnations,
     ];
 
     /// Returns the name that selects the machine on the command line.
@@ -72,6 +75,7 @@
             Self::Resubmission => "resubmission",
             Self::Leadership => "leadership",
             Self::LeaseBounds => "lease_bounds",
+            Self::Incarnations => "incarnations",
         }
     }
 
@@ -97,6 +101,7 @@
             Self::Resubmission => explore(&ResubmissionMachine::new(removed)),
             Self::Leadership => explore(&LeadershipMachine::new(removed)),
             Self::LeaseBounds => explore(&LeaseBoundsMachine::new(removed)),
+            Self::Incarnations => explore(&IncarnationsMachine::new(removed)),
         }
     }
 }
--- a/crates/spec/src/machines.rs
+++ b/crates/spec/src/machines.rs
@@ -1,5 +1,6 @@
 //! State machines of the protocol, one module each.
 
+mod incarnations;
 mod isolation;
 mod journal;
 mod leadership;
@@ -11,7 +12,8 @@
 mod team;
 
 pub use {
-    isolation::IsolationMachine, journal::JournalMachine, leadership::LeadershipMachine,
-    lease_bounds::LeaseBoundsMachine, manifest::ManifestMachine, ownership::OwnershipMachine,
-    rack::RackMachine, resubmission::ResubmissionMachine, team::TeamMachine,
+    incarnations::IncarnationsMachine, isolation::IsolationMachine, journal::JournalMachine,
+    leadership::LeadershipMachine, lease_bounds::LeaseBoundsMachine, manifest::ManifestMachine,
+    ownership::OwnershipMachine, rack::RackMachine, resubmission::ResubmissionMachine,
+    team::TeamMachine,
 };
--- a/crates/spec/src/mutation.rs
+++ b/crates/spec/src/mutation.rs
@@ -122,6 +122,12 @@
     InheritedIsolation,
     /// A former leader can no longer write a bound.
     BoundGuard,
+    /// Requests to a former incarnation may have been granted the longest lease of a worker.
+    OtherLeases,
+    /// Nothing is placed on an incarnation that may accept requests to a former one.
+    FenceBeforePlacement,
+    /// A row says that leases are bounded only once those of other requests are over.
+    KnownLeases,
 }
 
 /// Mechanisms of the isolation rule.
@@ -229,6 +235,9 @@
                 Self::InheritedIsolation,
                 Self::BoundGuard,
             ],
+            MachineName::Incarnations => {
+                &[Self::OtherLeases, Self::FenceBeforePlacement, Self::KnownLeases]
+            }
         }
     }
 }
--- a/crates/spec/tests/exploration.rs
+++ b/crates/spec/tests/exploration.rs
@@ -52,6 +52,11 @@
     check(MachineName::LeaseBounds);
 }
 
+#[test]
+fn incarnations_need_each_mechanism() {
+    check(MachineName::Incarnations);
+}
+
 #[test]
 fn rack_takeover_needs_each_mechanism() {
     check(MachineName::RackTakeover);
