Scenario: a script's ports stay reserved while its daemons are down

What was seen: with 16 or 26 scripts of the `processes` tests at once, three runs failed with "a daemon ended: channel closed" or "config-spread: node-1 holds 0, not 1"; the daemon's log was "cannot listen for peers: Address already in use".

Cause: `free_address` bound a port, released it and returned its address. Another script bound it, for a daemon or a relay, before the daemon did, or while the daemon was down.

Change: the new crate `damaskrack-ports` has `PortReservation`. It binds without SO_REUSEADDR, which fails if any socket has the port, and sets the option afterwards, so that a listener that has set it (std, tokio) may share the port while the reservation holds it. It does not listen, so connections are refused. The launcher of a daemon holds one over the restarts of the daemon, and relays listen on theirs.

--- a/crates/scenario/src/processes/daemon.rs
+++ b/crates/scenario/src/processes/daemon.rs
@@ -4,12 +4,13 @@
     super::{
         ProcessOptions,
         platform_servers::PlatformServers,
-        ports::{bind_free, free_address},
+        ports::reserve_port,
         relay::{RewritePlan, SocketRelay},
     },
     crate::script::CellPlan,
     anyhow::Context,
     damaskrack_manifest::make_key,
+    damaskrack_ports::PortReservation,
     nix::{
         sys::signal::{Signal, kill},
         unistd::Pid,
@@ -22,6 +23,7 @@
         net::SocketAddr,
         path::{Path, PathBuf},
         process::{Child, Command, Stdio},
+        sync::Arc,
         time::Duration,
     },
     tokio::{sync::oneshot, time::timeout},
@@ -74,6 +76,8 @@
     settings: PathBuf,
     log: Option<PathBuf>,
     program: PathBuf,
+    /// Keeps the port on which it listens for peers while it is down.
+    _peer_port: Arc<PortReservation>,
     /// Relay through which its peers reach it.
     pub(crate) peer_relay: SocketRelay,
     /// Relay through which it reaches the store.
@@ -90,15 +94,16 @@
         options: &ProcessOptions,
         rng: &mut SmallRng,
     ) -> anyhow::Result<Self> {
-        let peer = free_address(rng)?;
+        let peer_port = Arc::new(reserve_port(rng)?);
+        let peer = peer_port.address();
         let name = node_name(index);
         let others = (0..cell.nodes).filter(|&other| other != index).map(node_name).collect();
-        let peer_relay = SocketRelay::start(bind_free(rng)?, peer, others, None)?;
+        let peer_relay = SocketRelay::start(reserve_port(rng)?.listen()?, peer, others, None)?;
         let rewrite = RewritePlan { from: peer.to_string(), to: peer_relay.address().to_string() };
         let own_name = vec![name.clone()];
         let store_address = platform.store.address();
-        let store_relay =
-            SocketRelay::start(bind_free(rng)?, store_address, own_name, Some(rewrite))?;
+        let listener = reserve_port(rng)?.listen()?;
+        let store_relay = SocketRelay::start(listener, store_address, own_name, Some(rewrite))?;
         let zone = format!("zone-{}", index % cell.zones + 1);
         let document =
             build_settings(&name, &zone, peer, store_relay.address(), platform.hosts.address())?;
@@ -106,7 +111,14 @@
         std::fs::write(&settings, document.to_string())?;
         let log =
             options.log_directory.as_ref().map(|directory| directory.join(format!("{name}.log")));
-        Ok(Self { settings, log, program: options.program.clone(), peer_relay, store_relay })
+        Ok(Self {
+            settings,
+            log,
+            program: options.program.clone(),
+            _peer_port: peer_port,
+            peer_relay,
+            store_relay,
+        })
     }
 
     /// Starts the daemon and waits until it listens.
