Bench: a daemon's ports stay reserved while it is down

Cause, read in the code and not seen in a run: `choose_ports` bound three ports, released them and returned their addresses, so another program or an outgoing connection could get one before the daemon listened, or while it was killed and not yet started again.

Change: `DaemonPorts` holds a `PortReservation` each for as long as the cell.

--- a/crates/bench/src/daemons/cell.rs
+++ b/crates/bench/src/daemons/cell.rs
@@ -7,6 +7,7 @@
         ManifestDocument, QueueEntry, TeamEntry, TeamLimit, ZoneEntry, ZoneState, make_key,
     },
     damaskrack_model::{KeyName, PriorityClass, Resources, TeamName},
+    damaskrack_ports::PortReservation,
     damaskrack_standin::{PlatformPlan, StandinPlatform},
     nix::{
         sys::signal::{Signal, kill},
@@ -15,7 +16,7 @@
     serde_json::{Value, json},
     std::{
         fs,
-        net::{SocketAddr, TcpListener},
+        net::SocketAddr,
         path::{Path, PathBuf},
         process::{Child, Command, Stdio},
         time::{Duration, Instant},
@@ -23,6 +24,9 @@
     tokio::time::sleep,
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Availability zones; each has two racks of eight workers.
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
@@ -44,12 +48,24 @@
 /// Longest time for the cell to serve every team.
 const READY_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Addresses on which a daemon listens.
-#[derive(Debug, Clone, Copy)]
+/// Ports on which a daemon listens; reserved while it is down.
+#[derive(Debug)]
 pub(super) struct DaemonPorts {
-    pub(super) caller: SocketAddr,
-    pub(super) operator: SocketAddr,
-    pub(super) peer: SocketAddr,
+    caller: PortReservation,
+    operator: PortReservation,
+    peer: PortReservation,
+}
+
+impl DaemonPorts {
+    fn reserve() -> Result<Self> {
+        let reserve = || PortReservation::any().context("no port for a daemon");
+        Ok(Self { caller: reserve()?, operator: reserve()?, peer: reserve()? })
+    }
+
+    /// Returns the addresses for callers, operators and peers.
+    pub(super) fn addresses(&self) -> [SocketAddr; 3] {
+        [&self.caller, &self.operator, &self.peer].map(PortReservation::address)
+    }
 }
 
 /// The settings file of a daemon and its process while it runs.
@@ -78,13 +94,13 @@
         let directory =
             std::env::temp_dir().join(format!("damaskrack-bench-{}", std::process::id()));
         fs::create_dir_all(&directory).context("cannot create a directory for the settings")?;
-        let ports = (0..daemons).map(|_| choose_ports()).collect::<Result<Vec<_>>>()?;
+        let ports = (0..daemons).map(|_| DaemonPorts::reserve()).collect::<Result<Vec<_>>>()?;
         let mut cell = Self {
             program: program.to_owned(),
             directory,
             platform,
             processes: Vec::new(),
-            client: CellClient::new(ports.iter().map(|ports| ports.caller).collect()),
+            client: CellClient::new(ports.iter().map(|ports| ports.caller.address()).collect()),
             ports,
         };
         for index in 0..daemons {
@@ -96,14 +112,14 @@
     }
 
     fn write_settings(&self, index: usize) -> Result<PathBuf> {
-        let ports = self.ports[index];
+        let [caller, operator_address, peer] = self.ports[index].addresses();
         let operator = operator_entry()?;
         let settings = json!({
             "member": member_name(index),
             "availability_zone": ZONES[index % ZONES.len()],
-            "caller_address": ports.caller,
-            "operator_address": ports.operator,
-            "peer_address": ports.peer,
+            "caller_address": caller,
+            "operator_address": operator_address,
+            "peer_address": peer,
             "store_address": self.platform.store_address(),
             "hosts_address": self.platform.hosts_address(),
             "operator_keys": [operator],
@@ -208,7 +224,7 @@
     /// Returns the operator address of a live daemon.
     fn live_operator(&self) -> Option<SocketAddr> {
         let index = (0..self.daemons()).find(|&index| self.client.is_live(index))?;
-        Some(self.ports[index].operator)
+        Some(self.ports[index].operator.address())
     }
 
     /// Kills the daemons and removes their settings and logs.
@@ -233,13 +249,6 @@
     format!("entry-{}", index + 1)
 }
 
-fn choose_ports() -> Result<DaemonPorts> {
-    let listeners =
-        (0..3).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<Vec<_>, _>>()?;
-    let address = |index: usize| listeners[index].local_addr();
-    Ok(DaemonPorts { caller: address(0)?, operator: address(1)?, peer: address(2)? })
-}
-
 fn operator_key() -> String {
     format!("operator.{SECRET}")
 }
--- a/crates/bench/src/daemons/usage.rs
+++ b/crates/bench/src/daemons/usage.rs
@@ -1,7 +1,7 @@
 //! Measures processor time, memory, network traffic and store calls of the daemons.
 
 use {
-    super::cell::DaemonCell,
+    super::cell::{DaemonCell, DaemonPorts},
     damaskrack_standin::StoreStats,
     serde::Serialize,
     std::{
@@ -139,7 +139,7 @@
 /// Reads with `ss` the bytes sent and received on the open connections of each daemon, by process id.
 fn read_bytes(cell: &DaemonCell) -> Option<HashMap<u32, (u64, u64)>> {
     let addresses = cell.platform.addresses();
-    let daemons = cell.ports.iter().flat_map(|ports| [ports.caller, ports.operator, ports.peer]);
+    let daemons = cell.ports.iter().flat_map(DaemonPorts::addresses);
     let workers = addresses.workers.iter().map(|row| row.address);
     let others = addresses.store.into_iter().chain(addresses.hosts);
     let ports = daemons.chain(workers).chain(others).map(|address| address.port());
