Tests: an address that nothing listens on stays so

Cause, read in the code and not seen in a run: `closed_port` and `closed_address`, in the tests of damaskrack-outside and damaskrack-cli, bound a port and released it, so another test's server could get it before the call that must fail, and a connection from the same ephemeral port to itself could succeed.

Change: the tests hold a `PortReservation`, which refuses connections. What the tests expect is unchanged.

--- a/crates/cli/tests/cli/work.rs
+++ b/crates/cli/tests/cli/work.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::support::{FakeDaemon, run_against, run_tool},
+    damaskrack_ports::PortReservation,
     serde_json::{Value, json},
-    std::net::TcpListener,
 };
 
 const JOB: &str = "harbour~checks~00000000000000ff";
@@ -160,7 +160,8 @@
 #[test]
 fn the_next_address_is_used_when_one_is_unreachable() {
     let daemon = FakeDaemon::responding_with(200, &response("done", "ok").to_string());
-    let addresses = format!("{},{}", closed_address(), daemon.address);
+    let closed = closed_port();
+    let addresses = format!("{},{}", closed.address(), daemon.address);
     let args = ["submit", "checks", "--address", &addresses];
     let run = run_tool(&args, &[("DAMASKRACK_KEY", "")]);
     assert_eq!(run.code, Some(0), "{run:?}");
@@ -175,7 +176,8 @@
     let run = run_tool(&["submit", "checks", "--address", &addresses], &[]);
     assert_eq!(run.code, Some(0), "{run:?}");
 
-    let addresses = format!("{},{}", leaving.address, closed_address());
+    let closed = closed_port();
+    let addresses = format!("{},{}", leaving.address, closed.address());
     let run = run_tool(&["submit", "checks", "--address", &addresses], &[]);
     assert_eq!(run.code, Some(1), "{run:?}");
     assert!(run.stdout.contains("leaving"), "{run:?}");
@@ -183,14 +185,14 @@
 
 #[test]
 fn no_daemon_at_all_is_unreachable() {
-    let run = run_tool(&["submit", "checks", "--address", &closed_address()], &[]);
+    let closed = closed_port();
+    let run = run_tool(&["submit", "checks", "--address", &closed.address().to_string()], &[]);
     assert_eq!(run.code, Some(5), "{run:?}");
     assert!(run.stderr.contains("DAMASKRACK_ADDRESS"), "{run:?}");
     assert_eq!(run.stdout, "");
 }
 
-/// Returns an address that nothing listens on.
-fn closed_address() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address").to_string()
+/// Reserves a port that nothing listens on.
+fn closed_port() -> PortReservation {
+    PortReservation::any().expect("a free port")
 }
--- a/crates/outside/tests/call_failures.rs
+++ b/crates/outside/tests/call_failures.rs
@@ -6,6 +6,7 @@
         HostList, HttpHosts, HttpStore, HttpWorker, PlatformStore, StoreCall, StoreError,
         StoreReply, WorkerBody, WorkerCall, WorkerClient, WorkerError, WorkerReply,
     },
+    damaskrack_ports::PortReservation,
     std::{
         net::SocketAddr,
         sync::{
@@ -130,11 +131,6 @@
     let _ = stream.write_all(text.as_bytes()).await;
 }
 
-async fn closed_port() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback can be bound");
-    listener.local_addr().expect("a bound listener has an address")
-}
-
 fn put_call() -> StoreCall {
     StoreCall::Put { key: "a".to_owned(), expected: 0, value: "1".to_owned(), lease: 0 }
 }
@@ -150,7 +146,8 @@
 
 #[tokio::test]
 async fn a_closed_port_was_not_sent_to() {
-    let address = closed_port().await;
+    let closed = PortReservation::any().expect("a free port");
+    let address = closed.address();
     assert_eq!(put(address, 1_000).await, Err(StoreError::Unavailable));
     let worker_result = HttpWorker::new().call(address, &stop_call(), 1_000).await;
     assert_eq!(worker_result, Err(WorkerError::Unreachable));
