--- a/crates/cell/tests/cell/crashes.rs
+++ b/crates/cell/tests/cell/crashes.rs
@@ -61,6 +61,26 @@
     }
 }
 
+/// Guards against a job that crashes worker after worker because those come back under other ids and addresses,
+/// so nothing proves that they have crashed.
+#[test]
+fn a_task_whose_crashed_workers_never_come_back_is_given_up() {
+    let mut cell = FakeCell::new(4);
+    cell.crashing.down_ms = u64::MAX / 2;
+    cell.crashing.renames = true;
+    cell.make_crashing("1");
+    cell.submit(job("1", vec![step(1)]));
+    for round in 0..10 {
+        cell.add_worker(&format!("n{round}"), 1, "r0");
+        cell.list_workers();
+        cell.run(15_000);
+        if round % 2 == 0 {
+            cell.start_leader();
+        }
+    }
+    assert_given_up(&cell, MOST_CRASHES);
+}
+
 /// Jobs with long runs share all workers with jobs that crash them.
 #[test]
 fn the_neighbours_of_a_task_that_crashes_its_workers_complete() {
