--- a/crates/cell/src/core/losses.rs
+++ b/crates/cell/src/core/losses.rs
@@ -202,14 +202,27 @@
         };
         match cause {
             LossCause::Crash => self.count_crash(task, ran_ms, &lost),
-            LossCause::LeaseExpiry => {
-                self.task_mut(task).lost = Some(lost.clone());
-                self.restore_loss(task, Some(&lost));
-            }
+            LossCause::LeaseExpiry => self.add_loss(task, &lost),
             LossCause::Unreachable => {}
         }
     }
 
+    /// Counts the loss of a worker under a task, which may have crashed. The job is given up if too many may
+    /// have: a worker that comes back under another id and address never proves that it did.
+    fn add_loss(&mut self, task: TaskRef, lost: &LostAttempt) {
+        if !self.has_task(task) {
+            return;
+        }
+        let entry = self.task_mut(task);
+        entry.lost = Some(lost.clone());
+        entry.unresolved_losses = entry.unresolved_losses.saturating_add(1);
+        if entry.has_crashed_too_often() {
+            self.end_job(task.phase.job, JobState::Failed, CRASH_REASON);
+            return self.clear_suspects_beside(task.phase.job);
+        }
+        self.restore_loss(task, Some(lost));
+    }
+
     /// Adds a lost attempt of which it is not known yet whether its worker crashed.
     pub(super) fn restore_loss(&mut self, task: TaskRef, lost: Option<&LostAttempt>) {
         if let Some(lost) = lost {
@@ -312,7 +325,7 @@
             keys.into_iter().filter_map(|key| self.losses.remove(key)).collect();
         for loss in &losses {
             if self.has_task(loss.task) {
-                self.task_mut(loss.task).lost = None;
+                self.task_mut(loss.task).resolve_loss();
                 self.mark_dirty(loss.task.phase.job, None);
             }
         }
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -308,6 +308,9 @@
     /// have extended do not outlast those that its leader asks for.
     #[prost(bool, tag = "13")]
     pub has_bounded_leases: bool,
+    /// Number of workers that were lost with the task, and of which it is not known whether they crashed.
+    #[prost(uint32, tag = "14")]
+    pub unresolved_losses: u32,
 }
 
 /// Progress of one step of one occurrence.
--- a/crates/cell/src/table/phase.rs
+++ b/crates/cell/src/table/phase.rs
@@ -98,6 +98,7 @@
             task.failures = stored.failures;
             task.crashes = stored.crashes;
             task.possible_crashes = stored.possible_crashes;
+            task.unresolved_losses = stored.unresolved_losses;
             task.probation_ms = stored.probation_ms.min(MAX_PROBATION_MS);
             task.is_accused_alone = stored.is_accused_alone;
             task.lost.clone_from(&stored.lost);
@@ -131,6 +132,7 @@
                     checkpoint: task.checkpoint.clone(),
                     crashes: task.crashes,
                     possible_crashes: task.possible_crashes,
+                    unresolved_losses: task.unresolved_losses,
                     probation_ms: task.probation_ms,
                     is_accused_alone: task.is_accused_alone,
                     lost: task.lost.clone(),
--- a/crates/cell/src/table/task.rs
+++ b/crates/cell/src/table/task.rs
@@ -31,7 +31,9 @@
     /// Number of workers that crashed after a start request of which it is not known whether it took
     /// effect.
     pub(crate) possible_crashes: u32,
-    /// The last attempt that was lost with a worker of which it is not known whether it crashed.
+    /// Number of workers that were lost with the task, and of which it is not known whether they crashed.
+    pub(crate) unresolved_losses: u32,
+    /// The last attempt that was lost with such a worker.
     pub(crate) lost: Option<LostAttempt>,
     /// Time for which the task's next attempt is on probation, because the task may have crashed a
     /// worker, in milliseconds; 0 if it is not suspected.
@@ -88,9 +90,15 @@
         self.crashes >= MIN_CRASHES || self.total_crashes() > MIN_CRASHES
     }
 
-    /// Returns whether too many workers crashed under the task to start it again.
+    /// Returns whether too many workers crashed under the task, or may have, to start it again.
     pub(crate) fn has_crashed_too_often(&self) -> bool {
-        self.total_crashes() >= MAX_CRASHES
+        self.total_crashes().saturating_add(self.unresolved_losses) >= MAX_CRASHES
+    }
+
+    /// Records that it is known whether a worker that was lost with the task has crashed.
+    pub(crate) fn resolve_loss(&mut self) {
+        self.lost = None;
+        self.unresolved_losses = self.unresolved_losses.saturating_sub(1);
     }
 
     /// Clears the task of all suspicion.
@@ -98,5 +106,6 @@
         self.probation_ms = 0;
         self.crashes = 0;
         self.possible_crashes = 0;
+        self.unresolved_losses = 0;
     }
 }
