--- a/crates/cell/tests/cell/restarted_leases.rs
+++ b/crates/cell/tests/cell/restarted_leases.rs
@@ -174,6 +174,134 @@
     assert!(cell.starts.iter().any(|(_, _, worker)| worker == "w1"), "it never waits for another");
 }
 
+/// Runs a service that was placed `known_ms` after its worker's first response, replaces the leader a minute
+/// later, and loses the worker after it has responded to that. Returns whether the service runs elsewhere
+/// within the lease that a leader asks for.
+fn restarts_in_time(known_ms: u64) -> bool {
+    let mut cell = FakeCell::new(2);
+    cell.run(known_ms);
+    cell.run_ms = 600_000;
+    cell.submit(job("1", vec![StepSpec { is_service: true, ..step(1) }]));
+    cell.run(60_000);
+    cell.start_leader();
+    cell.run(300);
+    let worker = cell.starts[0].2.clone();
+    cell.workers.get_mut(&worker).expect("a worker").is_silent = true;
+    cell.run(REQUESTED_LEASE_MS);
+    cell.starts.len() == 2
+}
+
+/// The same for a service that was placed late, which needs nothing of its row to be written again.
+#[test]
+fn a_service_that_was_placed_late_starts_elsewhere_in_time_a_minute_later() {
+    assert!(restarts_in_time(OTHER_LEASES_MS));
+}
+
+/// Guards against a service that stands still for the longest lease, because the row that was written when it was
+/// placed is never written again.
+#[test]
+fn a_service_that_was_placed_early_starts_elsewhere_in_time_a_minute_later() {
+    assert!(restarts_in_time(300));
+}
+
+/// Guards against a row that names a former incarnation while the attempt runs on the present one.
+#[test]
+fn the_row_of_an_attempt_names_the_incarnation_that_gets_the_start() {
+    let mut cell = FakeCell::new(1);
+    cell.run(30_000);
+    cell.run_ms = 600_000;
+    cell.is_store_down = true;
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(100);
+    cell.reincarnate("w0");
+    cell.list_workers();
+    cell.run(300);
+    cell.restore_store();
+    cell.run(1_000);
+    assert_eq!(cell.workers["w0"].runs.len(), 1, "the task does not run");
+    let row = &cell.progress["1"].phases[0].tasks[0];
+    let incarnation = cell.workers["w0"].report.incarnation;
+    assert_eq!((row.incarnation, row.has_bounded_leases), (incarnation, false));
+}
+
+/// Lets a worker restart and carry out a start (without a ticket) that was meant for its former incarnation, while
+/// nobody hears from it again. The fake cell checks that the task does not run twice.
+fn run_start_for_former_incarnation(is_restart_known: bool) {
+    let mut cell = FakeCell::new(1);
+    cell.run(30_000);
+    cell.run_ms = 600_000;
+    cell.workers.get_mut("w0").expect("a worker").defers_starts = true;
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(50);
+    cell.reincarnate("w0");
+    cell.workers.get_mut("w0").expect("a worker").is_silent = true;
+    if is_restart_known {
+        cell.list_workers();
+    }
+    assert!(!cell.run_deferred_starts("w0").is_empty());
+    assert_eq!(cell.workers["w0"].runs.len(), 1, "the task does not run");
+    cell.run(300);
+    cell.add_worker("w1", 1, "r0");
+    cell.workers.get_mut("w0").expect("a worker").is_unlisted = !is_restart_known;
+    cell.list_workers();
+    cell.run(LAPSE_MS);
+}
+
+/// Guards against a task that runs twice, because a start for a former incarnation gave the next one, which is
+/// never heard from, a longer lease than the former one had.
+#[test]
+fn a_lease_extended_by_a_start_for_a_former_incarnation_counts() {
+    run_start_for_former_incarnation(true);
+}
+
+/// The same if nobody knows of the restart.
+#[test]
+fn a_lease_extended_by_a_start_counts_if_nobody_knows_of_the_restart() {
+    run_start_for_former_incarnation(false);
+}
+
+/// Guards against a task that runs twice after a takeover, because its worker was idle for long before the
+/// start, and its clock is slow.
+#[test]
+fn a_lease_by_an_old_reading_of_a_slow_clock_counts_for_the_next_leader() {
+    let mut cell = FakeCell::new(1);
+    cell.workers.get_mut("w0").expect("a worker").lost_clock_percent = 2;
+    cell.run(400_000);
+    cell.run_ms = 600_000;
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(50);
+    assert_eq!(cell.starts.len(), 1);
+    cell.start_leader();
+    cell.run(50);
+    cell.workers.get_mut("w0").expect("a worker").is_silent = true;
+    cell.add_worker("w1", 1, "r0");
+    cell.list_workers();
+    // The fake cell checks that no task runs twice.
+    cell.run(LAPSE_MS);
+}
+
+/// Guards against a crash that is counted under a task which runs, because its row names a former incarnation.
+#[test]
+fn a_takeover_counts_no_crash_of_an_incarnation_on_which_the_task_never_ran() {
+    let mut cell = FakeCell::new(1);
+    cell.run(30_000);
+    cell.run_ms = 600_000;
+    cell.is_store_down = true;
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(100);
+    cell.reincarnate("w0");
+    cell.list_workers();
+    cell.run(300);
+    cell.restore_store();
+    cell.run(5_000);
+    assert_eq!(cell.workers["w0"].runs.len(), 1, "the task does not run");
+    assert_eq!(cell.progress["1"].phases[0].tasks[0].crashes, 0, "before the takeover");
+    cell.start_leader();
+    cell.run(1_000);
+    assert_eq!(cell.workers["w0"].runs.len(), 1, "the task does not run");
+    assert_eq!(cell.progress["1"].phases[0].tasks[0].crashes, 0);
+}
+
 /// Workers restart, are cut off and carry renewals out late, at random moments, while leaders change.
 #[test]
 fn no_task_runs_twice_while_restarted_workers_are_cut_off() {
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -60,6 +60,8 @@
 pub(crate) struct FakeWorker {
     pub(crate) report: WorkerReport,
     pub(crate) started_ms: u64,
+    /// Share of the time by which the worker's clock is slow, in percent.
+    pub(crate) lost_clock_percent: u64,
     pub(crate) token: u64,
     pub(crate) runs: Vec<FakeRun>,
     pub(crate) ended: Vec<EndedAttempt>,
@@ -99,7 +101,7 @@
 
 impl FakeWorker {
     fn clock_ms(&self, now_ms: u64) -> u64 {
-        now_ms - self.started_ms
+        (now_ms - self.started_ms) * (100 - self.lost_clock_percent) / 100
     }
 
     fn extend(&mut self, deadline_ms: Option<u64>, now_ms: u64) {
