Write rows again once a worker's leases are bounded

Callers would see a service stand still for the longest lease after a change of leader, however long it had run: its row was written when it was placed, seconds after its worker's first response, and never again. Now the rows are written once more when the leases become bounded.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -88,7 +88,9 @@
         entry.unassigned -= usize::from(!task.is_done);
         let worker = &mut self.workers[worker];
         worker.used = worker.used.plus(&resources);
+        let is_bounded = self.has_bounded_leases(&self.workers[worker]);
         worker.attempts.insert((name, number), key);
+        worker.has_unbounded_rows |= !is_bounded;
         worker.kept_apart += usize::from(is_kept_apart);
         worker.gang_members += usize::from(is_gang_member);
         key
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -244,6 +244,7 @@
         self.set_time(now_ms, wall_ms);
         self.check_worker_list();
         self.expire_leases();
+        self.record_bounded_leases();
         self.review_lease_bounds();
         if self.time.now_ms >= self.placement_due_ms() {
             self.is_placement_due = false;
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -83,6 +83,22 @@
         worker.has_bounded_leases(self.time.now_ms, self.settings.lease_ms)
     }
 
+    /// Writes the rows of attempts again whose workers' leases have become bounded since, so that a new leader
+    /// knows.
+    pub(super) fn record_bounded_leases(&mut self) {
+        let (now_ms, lease_ms) = (self.time.now_ms, self.settings.lease_ms);
+        let mut jobs = FxHashSet::default();
+        for worker in self.workers.values_mut().filter(|worker| worker.has_unbounded_rows) {
+            if worker.has_bounded_leases(now_ms, lease_ms) {
+                worker.has_unbounded_rows = false;
+                jobs.extend(worker.attempts.values().map(|key| self.attempts[*key].phase.job));
+            }
+        }
+        for job in jobs {
+            self.mark_dirty(job, None);
+        }
+    }
+
     /// Returns the latest time at which the leases expire that former leaders have given to a worker. They
     /// have placed nothing on an incarnation that could still accept requests to a former one, so the leases
     /// of these were granted before the last of them was replaced.
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -29,6 +29,8 @@
     pub(crate) orphans: Vec<(String, ResourceSet)>,
     /// Attempts that the worker may be running, by task and number.
     pub(crate) attempts: FxHashMap<(String, u32), AttemptKey>,
+    /// Rows of attempts may not say that the worker's leases are bounded.
+    pub(crate) has_unbounded_rows: bool,
     /// Number of attempts that are kept apart from those of other queues.
     pub(crate) kept_apart: usize,
     /// Number of attempts that are members of gangs.
@@ -103,6 +105,7 @@
             used: ResourceSet::default(),
             orphans: Vec::new(),
             attempts: FxHashMap::default(),
+            has_unbounded_rows: false,
             kept_apart: 0,
             gang_members: 0,
             probations: 0,
