Ask for leases that are no longer than meant on a slow clock

Callers would see a task run twice. A deadline is computed from the last reading of the worker's clock. Of an idle worker that may be minutes old, and its clock may have lost 2 % of them, so its lease lasts longer than the leader asked for. The leader itself counts that, its successor does not. Now the deadline allows for the slowest clock, a start asks for what that may take off, and the clocks of idle workers are read once a minute.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -157,8 +157,9 @@
         }
         let is_schedulable = self.is_schedulable(&self.workers[worker]);
         let now_ms = self.time.now_ms;
-        let lease_ms = START_LEASE_MS.min(self.settings.lease_ms);
-        let deadline = self.workers[worker].lease.deadline_for(now_ms, lease_ms);
+        let lease = &mut self.workers[worker].lease;
+        let lease_ms = (START_LEASE_MS + lease.drift_ms(now_ms)).min(self.settings.lease_ms);
+        let deadline = lease.deadline_for(now_ms, lease_ms);
         let (true, true, Some(deadline_ms)) = (is_wanted, is_schedulable, deadline) else {
             self.give_up_start(key);
             return false;
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -82,7 +82,11 @@
 
     fn renew_due_ms(&self) -> u64 {
         match (self.needs_renewal(), self.pending_ends) {
-            (false, _) => u64::MAX,
+            (false, _) if self.renew_sent_ms.is_some() || !self.is_listed => u64::MAX,
+            (false, _) => {
+                let reading_ms = self.lease.reading_due_ms().unwrap_or(u64::MAX);
+                reading_ms.max(self.next_renew_ms)
+            }
             (true, 0) => self.next_renew_ms,
             (true, _) => self.next_renew_ms + PENDING_ENDS_RENEW_MS,
         }
--- a/crates/cell/src/table/worker_lease.rs
+++ b/crates/cell/src/table/worker_lease.rs
@@ -11,6 +11,10 @@
 /// Margin after a lease's deadline before its attempts count as expired, in milliseconds.
 const EXPIRY_MARGIN_MS: u64 = 300;
 
+/// Longest time between two readings of the clock of a worker on which nothing runs, in milliseconds. What it
+/// may be slow by in this time is well below the duration of a lease.
+const READING_INTERVAL_MS: u64 = 60_000;
+
 /// Returns the longest time on the local clock until a lease of `lease_ms` milliseconds on a worker's
 /// clock has expired, in milliseconds.
 pub(crate) fn longest_lease_ms(lease_ms: u64) -> u64 {
@@ -102,15 +106,29 @@
     }
 
     /// Returns the deadline for a request sent now, on the worker's clock; `None` if the clock is not
-    /// known.
+    /// known. The lease is at most `lease_ms` milliseconds long, also if the clock is slow; if it is exact, the
+    /// lease is shorter by [`drift_ms`](Self::drift_ms).
     pub(crate) fn deadline_for(&mut self, now_ms: u64, lease_ms: u64) -> Option<u64> {
         let reading = self.clock?;
-        let deadline = reading.clock_ms + now_ms.saturating_sub(reading.at_ms) + lease_ms;
+        let age_ms = now_ms.saturating_sub(reading.at_ms);
+        let deadline = reading.clock_ms + age_ms * SLOWEST_CLOCK_PERCENT / 100 + lease_ms;
         self.deadline_ms = self.deadline_ms.max(deadline);
         self.deadline_sent_ms = now_ms;
         Some(deadline)
     }
 
+    /// Returns by how much the worker's clock may be slow since it was read, in milliseconds.
+    pub(crate) fn drift_ms(&self, now_ms: u64) -> u64 {
+        let age_ms = self.clock.map_or(0, |reading| now_ms.saturating_sub(reading.at_ms));
+        age_ms * (100 - SLOWEST_CLOCK_PERCENT) / 100
+    }
+
+    /// Returns the time from which the worker's clock should be read again, in milliseconds; `None` if it was
+    /// never read.
+    pub(crate) fn reading_due_ms(&self) -> Option<u64> {
+        self.clock.map(|reading| reading.at_ms + READING_INTERVAL_MS)
+    }
+
     /// Returns how long ago the last request with a deadline was sent to any incarnation, in milliseconds.
     pub(crate) fn deadline_age_ms(&self, now_ms: u64) -> u64 {
         now_ms.saturating_sub(self.deadline_sent_ms)
