Send a start only to the incarnation that its row names

Callers would see a task run twice or blamed for a crash under which it never ran: a worker restarted while the row of an attempt was being written, and the start went to the next incarnation. A successor then read the former one's bound and took the difference for a crash. Now such an attempt is dropped and placed anew, and rows name the incarnation of the attempt, not that of the worker.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -53,6 +53,7 @@
         let team = job.record.team.clone();
         let name = job.task_name(phase.phase, index);
         let entry = &mut job.phases[phase.phase];
+        let incarnation = self.workers[worker].report.incarnation;
         let used = self.team_used.entry(team.clone()).or_default();
         *used = used.plus(&resources);
         let key = self.attempts.insert(AttemptEntry {
@@ -60,6 +61,7 @@
             index,
             number,
             worker,
+            incarnation,
             resources,
             team,
             state,
@@ -86,11 +88,11 @@
         task.last_number = number;
         task.attempt = Some(key);
         entry.unassigned -= usize::from(!task.is_done);
+        let is_bounded = self.has_bounded_leases(&self.workers[worker]);
         let worker = &mut self.workers[worker];
+        worker.has_unbounded_rows |= !is_bounded;
         worker.used = worker.used.plus(&resources);
-        let is_bounded = self.has_bounded_leases(&self.workers[worker]);
         worker.attempts.insert((name, number), key);
-        worker.has_unbounded_rows |= !is_bounded;
         worker.kept_apart += usize::from(is_kept_apart);
         worker.gang_members += usize::from(is_gang_member);
         key
@@ -150,6 +152,12 @@
             return false;
         };
         let is_wanted = !self.jobs[phase.job].state.is_final() && !attempt.is_gang_aborted;
+        if attempt.incarnation != self.workers[worker].report.incarnation {
+            // The row names the former one.
+            self.log_attempt("incarnation_changed", key, "");
+            self.give_up_start(key);
+            return false;
+        }
         if is_wanted && self.workers[worker].is_overcommitted() {
             self.log_attempt("capacity_reduced", key, "");
             self.give_up_start(key);
--- a/crates/cell/src/core/commit.rs
+++ b/crates/cell/src/core/commit.rs
@@ -204,9 +204,10 @@
             };
             Some(AttemptLocation {
                 worker: worker.report.id.clone(),
-                incarnation: worker.report.incarnation,
+                incarnation: attempt.incarnation,
                 address,
-                has_bounded_leases: self.has_bounded_leases(worker),
+                has_bounded_leases: attempt.incarnation == worker.report.incarnation
+                    && self.has_bounded_leases(worker),
             })
         };
         let phases = match job.state.is_final() {
--- a/crates/cell/src/core/jobs.rs
+++ b/crates/cell/src/core/jobs.rs
@@ -177,6 +177,7 @@
         let since_ms = self.time.now_ms;
         let state = AttemptState::Inherited { since_ms };
         let key = self.insert_attempt(phase, index, stored.attempt, worker, state);
+        self.attempts[key].incarnation = stored.incarnation;
         self.attempts[key].is_address_stored = !stored.worker_address.is_empty();
         if self.workers[worker].report.incarnation > stored.incarnation {
             self.count_inherited_crash(key);
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -390,6 +390,7 @@
             return self.adopt_or_stop(key, running);
         };
         let entry = &mut self.attempts[attempt];
+        entry.incarnation = self.workers[key].report.incarnation;
         entry.has_begun = true;
         entry.settle_listed_start();
         self.jobs[entry.phase.job].has_begun = true;
--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -45,6 +45,8 @@
     pub(crate) index: usize,
     pub(crate) number: u32,
     pub(crate) worker: WorkerKey,
+    /// Incarnation of the worker that the attempt was placed on, or that has listed it.
+    pub(crate) incarnation: u64,
     pub(crate) resources: ResourceSet,
     pub(crate) team: String,
     pub(crate) state: AttemptState,
