--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -134,6 +134,7 @@
             worker.renew_sent_ms = Some(time.now_ms);
             let is_bounded = lease_bounds.contain(&worker.report.id);
             let can_wait = worker.has_accepted_token
+                && !worker.needs_fence()
                 && !is_bounded
                 && worker.pending_ends == 0
                 && !worker.attempts.is_empty();
