Tests of the mechanisms of the leases after a restart that no test needed

By the reviewer, who removed each mechanism in turn: a successor that never hears from the worker, a limit that ends with its incarnation, a row written early, a row of a former incarnation (with more time to place the task, which is now placed anew).

--- a/crates/cell/tests/cell/restarted_leases.rs
+++ b/crates/cell/tests/cell/restarted_leases.rs
@@ -302,6 +302,116 @@
     assert_eq!(cell.progress["1"].phases[0].tasks[0].crashes, 0);
 }
 
+/// Guards against a task that runs twice, because its row names a former incarnation with bounded leases, and the next
+/// leader never hears from the present one, which it does not find listed either.
+#[test]
+fn a_row_that_names_a_former_incarnation_bounds_no_leases_of_the_present_one() {
+    let mut cell = FakeCell::new(1);
+    // Else the wait for a former leader's isolation hides the bound.
+    cell.settings.isolation_ms = 1_000;
+    cell.run(30_000);
+    cell.run_ms = 600_000;
+    cell.submit(job("9", vec![step(1)]));
+    cell.run(500);
+    cell.is_store_down = true;
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(50);
+    cell.workers.get_mut("w0").expect("a worker").defers_renewals = true;
+    cell.run(100);
+    cell.reincarnate("w0");
+    cell.run_deferred_renewals("w0");
+    cell.workers.get_mut("w0").expect("a worker").defers_renewals = false;
+    cell.list_workers();
+    cell.run(300);
+    cell.restore_store();
+    cell.run(1_500);
+    let runs = &cell.workers["w0"].runs;
+    assert!(runs.iter().any(|run| run.task == "1.0.0.0"), "the task does not run");
+    let worker = cell.workers.get_mut("w0").expect("a worker");
+    (worker.is_silent, worker.is_unlisted) = (true, true);
+    cell.add_worker("w1", 1, "r0");
+    cell.start_leader();
+    // The fake cell checks that no task runs twice.
+    cell.run(LAPSE_MS);
+}
+
+/// Guards against an incarnation that keeps the limit which the row of an attempt on the former one stated.
+#[test]
+fn a_limit_on_leases_ends_with_its_incarnation() {
+    let mut cell = FakeCell::new(1);
+    cell.run(30_000);
+    cell.run_ms = 600_000;
+    cell.submit(job("1", vec![StepSpec { is_service: true, ..step(1) }]));
+    cell.run(500);
+    // The next leader takes over from the row that the leases are bounded.
+    cell.start_leader();
+    cell.run(500);
+    cell.workers.get_mut("w0").expect("a worker").defers_renewals = true;
+    cell.run(100);
+    cell.reincarnate("w0");
+    cell.run_deferred_renewals("w0");
+    cell.workers.get_mut("w0").expect("a worker").defers_renewals = false;
+    cell.list_workers();
+    cell.run(1_500);
+    assert_eq!(cell.workers["w0"].runs.len(), 1, "the task does not run");
+    cell.add_worker("w1", 1, "r0");
+    cell.list_workers();
+    cell.workers.get_mut("w0").expect("a worker").is_silent = true;
+    // The fake cell checks that no task runs twice.
+    cell.run(LAPSE_MS);
+}
+
+/// Guards against a leader that never hears from a worker and counts the leases that it asks for only.
+#[test]
+fn a_leader_that_never_hears_from_a_worker_waits_for_the_longest_lease() {
+    let mut cell = FakeCell::new(1);
+    // Else the wait for a former leader's isolation hides the bound.
+    cell.settings.isolation_ms = 1_000;
+    cell.run(30_000);
+    cell.run_ms = 600_000;
+    cell.submit(job("1", vec![StepSpec { is_service: true, ..step(1) }]));
+    cell.run(500);
+    cell.workers.get_mut("w0").expect("a worker").defers_renewals = true;
+    cell.run(100);
+    cell.reincarnate("w0");
+    cell.run_deferred_renewals("w0");
+    cell.workers.get_mut("w0").expect("a worker").defers_renewals = false;
+    cell.list_workers();
+    cell.run(1_500);
+    assert_eq!(cell.workers["w0"].runs.len(), 1, "the task does not run");
+    cell.add_worker("w1", 1, "r0");
+    cell.workers.get_mut("w0").expect("a worker").is_silent = true;
+    cell.start_leader();
+    // The fake cell checks that no task runs twice.
+    cell.run(LAPSE_MS);
+}
+
+/// Guards against a row that states bounded leases too early, so that the next leader, which hears from the worker
+/// once, counts too short ones.
+#[test]
+fn a_row_of_an_early_attempt_bounds_no_leases() {
+    let mut cell = FakeCell::new(1);
+    cell.run(30_000);
+    cell.run_ms = 600_000;
+    cell.submit(job("1", vec![StepSpec { is_service: true, ..step(1) }]));
+    cell.run(500);
+    cell.workers.get_mut("w0").expect("a worker").defers_renewals = true;
+    cell.run(100);
+    cell.reincarnate("w0");
+    cell.run_deferred_renewals("w0");
+    cell.workers.get_mut("w0").expect("a worker").defers_renewals = false;
+    cell.list_workers();
+    cell.run(1_500);
+    assert_eq!(cell.workers["w0"].runs.len(), 1, "the task does not run");
+    cell.start_leader();
+    cell.run(100);
+    cell.add_worker("w1", 1, "r0");
+    cell.list_workers();
+    cell.workers.get_mut("w0").expect("a worker").is_silent = true;
+    // The fake cell checks that no task runs twice.
+    cell.run(LAPSE_MS);
+}
+
 /// Workers restart, are cut off and carry renewals out late, at random moments, while leaders change.
 #[test]
 fn no_task_runs_twice_while_restarted_workers_are_cut_off() {
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -192,6 +192,8 @@
 /// The core under test with its fake environment.
 pub(crate) struct FakeCell {
     pub(crate) core: CellCore,
+    /// Settings of the next leaders.
+    pub(crate) settings: CellSettings,
     pub(crate) now_ms: u64,
     pub(crate) token: u64,
     pub(crate) config: CellConfig,
@@ -297,6 +299,7 @@
         config.teams.insert("team".to_owned(), TeamConfig::default());
         let mut cell = Self {
             core: CellCore::new(CellSettings::default()),
+            settings: CellSettings::default(),
             now_ms: 10_000,
             token: 1,
             config,
@@ -395,7 +398,7 @@
 
     /// Replaces the leader by a new one that reads the store.
     pub(crate) fn start_leader(&mut self) {
-        self.core = CellCore::new(CellSettings::default());
+        self.core = CellCore::new(self.settings.clone());
         self.token += 1;
         self.held_commits.clear();
         self.delayed_renewals.clear();
