--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -15,3 +15,4 @@
 mod pending;
 mod restarted_leases;
 mod support;
+mod where_to_run;
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -234,6 +234,11 @@
     pub(crate) silent_daemons: BTreeSet<u64>,
     /// The adviser's responses wait in `held_advice`.
     pub(crate) holds_advice: bool,
+    /// The adviser takes as long as expected, and serves one call a daemon at a time. Otherwise it responds
+    /// at once.
+    pub(crate) has_slow_adviser: bool,
+    /// Responses of the slow adviser with the times at which they come, by daemon.
+    slow_advice: Vec<(u64, u64, CellInput)>,
     held_advice: Vec<CellInput>,
     /// Workers that the adviser allows; all workers if empty.
     pub(crate) allowed: BTreeSet<String>,
@@ -325,6 +330,8 @@
             lost_advice: 0,
             silent_daemons: BTreeSet::new(),
             holds_advice: false,
+            has_slow_adviser: false,
+            slow_advice: Vec::new(),
             held_advice: Vec::new(),
             allowed: BTreeSet::new(),
             link: None,
@@ -402,6 +409,7 @@
         self.token += 1;
         self.held_commits.clear();
         self.delayed_renewals.clear();
+        self.slow_advice.clear();
         self.core.set_time(self.now_ms, self.wall_ms());
         self.core.apply(CellInput::Config(Arc::new(self.config.clone())));
         self.list_workers();
@@ -451,6 +459,7 @@
             self.crash_workers();
             self.run_link();
             self.time_out_requests();
+            self.deliver_slow_advice();
             self.confirm_list();
             for _ in 0..4 {
                 let actions = self.core.tick(self.now_ms, self.wall_ms());
@@ -640,16 +649,35 @@
         let ticket = |id: &String| WorkerTicket { worker: id.clone(), ticket: "t".to_owned() };
         let input =
             CellInput::Advice { call: request.call, allowed: Some(allowed.map(ticket).collect()) };
-        let is_silent = self.silent_daemons.contains(&request.daemon);
+        let (daemon, expected_ms) = (request.daemon, request.expected_ms);
+        let is_silent = self.silent_daemons.contains(&daemon);
         self.advice_requests.push(request);
         match self.lost_advice {
             _ if is_silent => {}
+            0 if self.has_slow_adviser => self.respond_later(daemon, expected_ms, input),
             0 if self.holds_advice => self.held_advice.push(input),
             0 => self.apply(input),
             _ => self.lost_advice -= 1,
         }
     }
 
+    /// Queues a response of the slow adviser behind the others through its daemon.
+    fn respond_later(&mut self, daemon: u64, expected_ms: u64, input: CellInput) {
+        let own = self.slow_advice.iter().filter(|(_, through, _)| *through == daemon);
+        let free_ms = own.map(|(at_ms, ..)| *at_ms).max().unwrap_or(0).max(self.now_ms);
+        self.slow_advice.push((free_ms + expected_ms, daemon, input));
+    }
+
+    /// Delivers the responses of the slow adviser that are due.
+    fn deliver_slow_advice(&mut self) {
+        let now_ms = self.now_ms;
+        let waiting = std::mem::take(&mut self.slow_advice);
+        let (due, later): (Vec<_>, Vec<_>) =
+            waiting.into_iter().partition(|(at_ms, ..)| *at_ms <= now_ms);
+        self.slow_advice = later;
+        due.into_iter().for_each(|(.., input)| self.apply(input));
+    }
+
     /// Delivers the adviser's responses that were held, and holds no more.
     pub(crate) fn deliver_held_advice(&mut self) {
         self.holds_advice = false;
--- /dev/null
+++ b/crates/cell/tests/cell/where_to_run.rs
@@ -0,0 +1,207 @@
+//! Which workers a step may run on: each way to choose one goes by the same conditions.
+
+use {
+    crate::support::{FakeCell, job, step},
+    damaskrack_cell::{AdviceTiming, JobRecord, QueueConfig, StepSpec},
+};
+
+/// Timing of an adviser whose tickets expire after three calls.
+const SLOW_TIMING: AdviceTiming =
+    AdviceTiming { call_us: 450_000, worker_us: 6_400, valid_ms: 1_500 };
+/// Timing of an adviser that decides quickly.
+const QUICK_TIMING: AdviceTiming =
+    AdviceTiming { call_us: 10_000, worker_us: 100, valid_ms: 1_500 };
+/// Number of workers that the slow adviser allows, of 48.
+const ALLOWED_WORKERS: u32 = 26;
+/// Longer than any test, in milliseconds.
+const FOR_EVER_MS: u64 = 1_000_000_000;
+/// Time for which a queue is kept apart, and some more, in milliseconds.
+const SUSPICION_MS: u64 = 7_000;
+
+/// Creates a step whose small tasks run until their job is cancelled.
+fn lasting(tasks: u32) -> StepSpec {
+    StepSpec { is_service: true, cpu_millis: 500, ..step(tasks) }
+}
+
+/// Creates a cell whose slow adviser allows the first workers.
+fn slowly_advised_cell(workers: usize, allowed: u32) -> FakeCell {
+    let mut cell = FakeCell::new(workers);
+    cell.add_adviser(SLOW_TIMING);
+    cell.has_slow_adviser = true;
+    cell.allowed = (0..allowed).map(|index| format!("w{index}")).collect();
+    cell.run_ms = FOR_EVER_MS;
+    cell.start_leader();
+    cell.run(200);
+    cell
+}
+
+/// Returns the number of runs on all workers that respond.
+fn runs(cell: &FakeCell) -> usize {
+    let up = cell.workers.values().filter(|worker| !worker.is_silent);
+    up.map(|worker| worker.runs.len()).sum()
+}
+
+/// Gives a worker another kind.
+fn set_kind(cell: &mut FakeCell, id: &str, kind: &str) {
+    let worker = cell.workers.get_mut(id);
+    worker.into_iter().for_each(|worker| worker.report.labels[0] = kind.to_owned());
+}
+
+/// Returns the id of the worker that runs the first task of a job.
+fn worker_of(cell: &FakeCell, id: &str) -> Option<String> {
+    let task = format!("{id}.0.0.0");
+    let runs_it = |name: &&String| cell.workers[*name].runs.iter().any(|run| run.task == task);
+    cell.workers.keys().find(runs_it).cloned()
+}
+
+/// Adds a queue with a service of its own name or of another.
+fn add_queue(cell: &mut FakeCell, name: &str, service: &str, advice: Option<AdviceTiming>) {
+    let queue = QueueConfig {
+        name: name.to_owned(),
+        service: service.to_owned(),
+        advice,
+        ..cell.config.queues["queue"].clone()
+    };
+    cell.reconfigure(|config| {
+        config.queues.insert(name.to_owned(), queue);
+    });
+}
+
+/// Creates a job of another queue.
+fn job_of(queue: &str, id: &str, steps: Vec<StepSpec>) -> JobRecord {
+    JobRecord { queue: queue.to_owned(), ..job(id, steps) }
+}
+
+/// Guards against calls about workers that run a sibling, which leave no time for the one that is back.
+#[test]
+fn a_lasting_task_runs_again_on_the_only_worker_without_a_sibling() {
+    let mut cell = slowly_advised_cell(48, ALLOWED_WORKERS);
+    let whole = StepSpec { cpu_millis: 2_000, max_per_worker: 1, ..lasting(ALLOWED_WORKERS) };
+    cell.submit(job("1", vec![whole]));
+    cell.run(15_000);
+    assert_eq!(runs(&cell), ALLOWED_WORKERS as usize);
+    cell.crash("w3");
+    cell.run(15_000);
+    assert_eq!(runs(&cell), ALLOWED_WORKERS as usize);
+}
+
+/// The same without a crash: small tasks, of which a worker could hold more than it may.
+#[test]
+fn small_tasks_with_a_limit_a_worker_all_start() {
+    let mut cell = slowly_advised_cell(48, ALLOWED_WORKERS);
+    cell.submit(job("1", vec![StepSpec { max_per_worker: 1, ..lasting(ALLOWED_WORKERS) }]));
+    cell.run(20_000);
+    assert_eq!(runs(&cell), ALLOWED_WORKERS as usize);
+}
+
+/// Guards against tickets of a gang's first workers that expire before the last ones have been asked about.
+#[test]
+fn a_wide_gang_with_a_limit_a_worker_starts() {
+    for members in [90, 180] {
+        let mut cell = slowly_advised_cell(members + 30, u32::try_from(members).unwrap() + 10);
+        let tasks = u32::try_from(members).unwrap();
+        let wide = StepSpec { is_gang: true, max_per_worker: 1, ..lasting(tasks) };
+        cell.submit(job("1", vec![wide]));
+        cell.run(20_000);
+        assert_eq!(runs(&cell), members);
+    }
+}
+
+/// Guards against a count of attempts that takes in workers which may not run the task.
+#[test]
+fn a_suspect_starts_while_workers_without_its_label_are_idle() {
+    let mut cell = FakeCell::new(8);
+    (4..8).for_each(|index| set_kind(&mut cell, &format!("w{index}"), "gpu"));
+    cell.list_workers();
+    cell.run_ms = FOR_EVER_MS;
+    cell.run(200);
+    let labelled = |tasks| StepSpec { required_label: "gpu".to_owned(), ..lasting(tasks) };
+    for id in ["1", "2", "3", "4"] {
+        cell.submit(job(id, vec![StepSpec { max_per_worker: 1, ..labelled(4) }]));
+    }
+    cell.run(1_000);
+    cell.submit(job("5", vec![labelled(1)]));
+    cell.run(50);
+    cell.crashing.down_ms = FOR_EVER_MS;
+    let lost = worker_of(&cell, "5").unwrap();
+    cell.crash(&lost);
+    cell.run(20_000);
+    assert!(worker_of(&cell, "5").is_some());
+}
+
+/// The same for a limit a worker: the worker with the fewest attempts runs a sibling.
+#[test]
+fn a_suspect_starts_while_its_sibling_has_the_calmest_worker() {
+    let mut cell = FakeCell::new(2);
+    cell.run_ms = FOR_EVER_MS;
+    cell.run(200);
+    cell.submit(job("1", vec![StepSpec { max_per_worker: 1, ..lasting(2) }]));
+    cell.run(50);
+    assert_eq!(runs(&cell), 2);
+    cell.crashing.down_ms = FOR_EVER_MS;
+    cell.crash("w0");
+    cell.add_worker("w2", 1, "r0");
+    set_kind(&mut cell, "w2", "large");
+    cell.list_workers();
+    cell.submit(job("2", vec![StepSpec { required_label: "large".to_owned(), ..lasting(5) }]));
+    cell.run(1_000);
+    assert_eq!(cell.workers["w2"].runs.len(), 5);
+    cell.run(20_000);
+    assert_eq!(cell.workers["w2"].runs.len(), 6);
+}
+
+/// Guards against tasks that count as kept apart as long as they run, and keep the adviser from being asked
+/// about their workers.
+#[test]
+fn a_step_starts_beside_tasks_that_were_kept_apart_once() {
+    let mut cell = FakeCell::new(8);
+    for id in ["w6", "w7"] {
+        cell.workers.get_mut(id).unwrap().report.labels[1] = "r3".to_owned();
+    }
+    cell.list_workers();
+    add_queue(&mut cell, "other", "service", Some(QUICK_TIMING));
+    cell.run(200);
+    cell.crashing.down_ms = 800;
+    for id in ["1", "2"] {
+        cell.submit(job(id, vec![StepSpec { cpu_millis: 500, ..step(1) }]));
+        cell.run(50);
+        let worker = worker_of(&cell, id).unwrap();
+        cell.crash(&worker);
+        cell.run(1_000);
+    }
+    cell.run_ms = FOR_EVER_MS;
+    let beside_data = StepSpec { max_per_worker: 1, data_rack: "r3".to_owned(), ..lasting(2) };
+    cell.submit(job("3", vec![beside_data]));
+    cell.run(SUSPICION_MS);
+    cell.allowed = ["w6".to_owned(), "w7".to_owned()].into();
+    let on_data = |id: &str| cell.workers[id].runs.iter().any(|run| run.task.starts_with("3."));
+    assert!(on_data("w6") && on_data("w7"));
+    cell.submit(job_of("other", "4", vec![step(1)]));
+    cell.run(5_000);
+    assert!(worker_of(&cell, "4").is_some());
+}
+
+/// Guards against tests that suspects of two services join on one worker.
+#[test]
+fn suspects_of_two_services_are_not_tested_on_one_worker() {
+    let mut cell = FakeCell::new(24);
+    for index in 12..24 {
+        let worker = cell.workers.get_mut(&format!("w{index}")).unwrap();
+        worker.report.service = "another".to_owned();
+    }
+    cell.list_workers();
+    add_queue(&mut cell, "other", "another", None);
+    cell.run(200);
+    let services = [("queue", "service"), ("other", "another")];
+    for number in 10..90 {
+        let (id, (queue, _)) = (number.to_string(), services[number % 2]);
+        cell.make_crashing(&id);
+        cell.submit(job_of(queue, &id, vec![step(1)]));
+        cell.run(200);
+    }
+    cell.run(30_000);
+    for (task, _, worker) in &cell.starts {
+        let number: usize = task.split('.').next().unwrap().parse().unwrap();
+        assert_eq!(cell.workers[worker].report.service, services[number % 2].1, "{task}");
+    }
+}
