One type says why a worker may not run a task of a step

No change of behaviour: WorkerExclusion names the reasons, StepHosts has their conditions, and placement, the advice, probation and segregation ask it with a list of the reasons that count there, instead of conditions of their own in nine functions of five files. The lists are as the functions were, so their gaps show: OF_TEST lacks the service, OF_CALMEST the label and the limit a worker, OF_ADVICE the limit a worker. What a step runs on each worker is counted once a step, no longer once a worker.

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -7,7 +7,10 @@
 //! later calls only renew the tickets of allowed workers.
 
 use {
-    super::{CellCore, available::AvailableWorkers, placement::PlacementOutcome},
+    super::{
+        CellCore, available::AvailableWorkers, placement::PlacementOutcome, step_hosts::StepHosts,
+        worker_exclusion::WorkerExclusion,
+    },
     crate::{
         AdviceCallKey, AdviceRequest, AdviceTiming, CellAction, WorkerKey, WorkerTicket,
         message::PhaseRef,
@@ -194,11 +197,10 @@
         let entry = &job.phases[phase.phase];
         let step = &job.record.steps[entry.step];
         let need = step.resources();
-        let available = available.of(self.service_of(&job.record));
+        let hosts = StepHosts::new(self, phase);
+        let available = available.of(hosts.service());
         let is_wanted = |key: &&WorkerKey| {
-            !entry.denied.contains(*key)
-                && self.could_host(**key, step)
-                && !self.has_ticket(entry, **key)
+            hosts.allows(**key, WorkerExclusion::OF_ADVICE) && !hosts.has_ticket(**key)
         };
         let has_free_capacity = |key: &WorkerKey| need.fits(&self.workers[*key].free());
         let (mut roomy, full): (Vec<WorkerKey>, Vec<WorkerKey>) =
@@ -214,7 +216,7 @@
             roomy.reverse();
         }
         let is_kept_apart = self.is_kept_apart(phase);
-        let suits = |key: &WorkerKey| !self.is_risky(*key, is_kept_apart);
+        let suits = |key: &WorkerKey| hosts.allows(*key, &[WorkerExclusion::Segregation]);
         let (suitable, mixed): (Vec<WorkerKey>, Vec<WorkerKey>) =
             roomy.iter().copied().partition(suits);
         let mut roomy = if suitable.is_empty() { mixed } else { suitable };
--- a/crates/cell/src/core/available.rs
+++ b/crates/cell/src/core/available.rs
@@ -4,11 +4,7 @@
 //! of steps in the backlog, that is most of the work of a pass. The order may become stale as the
 //! pass reserves capacity; free capacity is checked again for each step.
 
-use {
-    super::CellCore,
-    crate::{StepSpec, WorkerKey},
-    rustc_hash::FxHashMap,
-};
+use {super::CellCore, crate::WorkerKey, rustc_hash::FxHashMap};
 
 /// Available workers by service, sorted by free CPU in ascending order.
 #[derive(Debug, Default)]
@@ -43,19 +39,4 @@
         }
         available
     }
-
-    /// Returns whether a worker may get new work now; `false` if it has been removed.
-    pub(super) fn is_available(&self, key: WorkerKey) -> bool {
-        let Some(worker) = self.workers.get(key) else { return false };
-        !worker.is_silent
-            && worker.backoff_until_ms <= self.time.now_ms
-            && self.is_schedulable(worker)
-    }
-
-    /// Returns whether a worker could run a task of a step if it ran nothing else.
-    pub(super) fn could_host(&self, key: WorkerKey, step: &StepSpec) -> bool {
-        let worker = &self.workers[key];
-        step.resources().fits(&worker.report.capacity)
-            && (step.required_label.is_empty() || worker.is_labelled(&step.required_label))
-    }
 }
--- a/crates/cell/src/core/placement.rs
+++ b/crates/cell/src/core/placement.rs
@@ -6,18 +6,18 @@
 //! are coupled and a rack has enough free capacity.
 
 use {
-    super::{CellCore, available::AvailableWorkers, worker_speed::is_slow},
+    super::{
+        CellCore, available::AvailableWorkers, step_hosts::StepHosts,
+        worker_exclusion::WorkerExclusion,
+    },
     crate::{
-        JobRecord, JobState, ResourceSet, StepSpec, WorkerKey,
+        JobRecord, JobState, WorkerKey,
         message::PhaseRef,
-        table::{AfterCommit, AttemptState, PhaseEntry, WorkerEntry},
+        table::{AfterCommit, AttemptState, WorkerEntry},
     },
     rustc_hash::FxHashMap,
 };
 
-/// Minimum remaining validity of a ticket when a task is placed, in milliseconds. It covers the
-/// commit and the start request.
-const TICKET_MARGIN_MS: u64 = 120;
 /// Number of failures in a row after which a worker gets no new work for a while.
 const FAILURE_STREAK_LIMIT: u32 = 3;
 /// Time for which a worker gets no new work after that, in milliseconds.
@@ -46,9 +46,6 @@
     }
 }
 
-/// Resources and number of tasks that a plan has reserved on each worker.
-type Reservations = FxHashMap<WorkerKey, (ResourceSet, u32)>;
-
 impl CellCore {
     /// Returns whether a worker may get new work, apart from a backoff. None may by an outdated list,
     /// which does not tell which workers shut down or shrink, or while requests to a former incarnation
@@ -127,10 +124,11 @@
         if allowed == 0 || (is_gang && allowed < wanted) {
             return PlacementOutcome::Blocked;
         }
-        let workers = self.candidates(phase, available);
+        let hosts = StepHosts::new(self, phase);
+        let workers = self.candidates(&hosts, available);
         let plan = match is_gang {
-            true => self.plan_gang(phase, &workers, wanted),
-            false => self.plan_tasks(phase, &workers, allowed),
+            true => self.plan_gang(&hosts, &workers, wanted),
+            false => hosts.plan_tasks(&workers, allowed),
         };
         let placed = plan.len();
         *budget = budget.saturating_sub(placed);
@@ -163,131 +161,62 @@
             .count()
     }
 
-    /// Returns the workers that could run a task of a step now, in order of preference.
+    /// Returns the workers that may run a task of a step now, in order of preference.
     pub(super) fn candidates(
         &self,
-        phase: PhaseRef,
+        hosts: &StepHosts<'_>,
         available: &AvailableWorkers,
     ) -> Vec<WorkerKey> {
-        let job = &self.jobs[phase.job];
-        let entry = &job.phases[phase.phase];
-        let step = &job.record.steps[entry.step];
-        let service = self.service_of(&job.record);
-        let need = step.resources();
-        let has_free_capacity = |key: &WorkerKey| {
-            let worker = &self.workers[*key];
-            worker.probations == 0 && need.fits(&worker.free())
-        };
-        let mut workers: Vec<WorkerKey> = match self.advice_timing(phase) {
+        let mut workers: Vec<WorkerKey> = match hosts.needs_ticket() {
             // Few workers have tickets, so it is enough to check those.
-            Some(_) => entry
-                .allowed
-                .keys()
-                .filter(|key| self.has_ticket(entry, **key) && self.is_available(**key))
-                .filter(|key| self.workers[**key].report.service == service)
-                .filter(|key| has_free_capacity(key) && self.could_host(**key, step))
-                .copied()
-                .collect(),
-            None => {
-                let available = available.of(service).iter();
-                available
-                    .filter(|key| has_free_capacity(key) && self.could_host(**key, step))
-                    .copied()
-                    .collect()
+            true => {
+                let advised = hosts.entry().allowed.keys().copied();
+                advised.filter(|key| hosts.allows(*key, WorkerExclusion::HARD)).collect()
+            }
+            false => {
+                let available = available.of(hosts.service()).iter().copied();
+                available.filter(|key| hosts.allows(*key, WorkerExclusion::OF_AVAILABLE)).collect()
             }
         };
-        let is_kept_apart = self.is_kept_apart(phase);
         workers.sort_by_cached_key(|key| {
-            let worker = &self.workers[*key];
-            let is_remote = !step.data_rack.is_empty() && worker.rack() != step.data_rack;
-            let load = if is_kept_apart { self.exposure(*key) } else { (false, 0) };
-            // If such a worker is lost, its tasks wait for longer than a service may stand still.
-            let has_long_leases = step.is_service && !self.has_bounded_leases(worker);
-            (
-                self.is_risky(*key, is_kept_apart),
-                has_long_leases,
-                is_remote,
-                is_slow(worker.slowness),
-                load,
-                worker.free().cpu_millis,
-            )
+            let load = if hosts.is_kept_apart() { self.exposure(*key) } else { (false, 0) };
+            let free_cpu = self.workers[*key].free().cpu_millis;
+            let is_excluded = |reason| !hosts.allows(*key, &[reason]);
+            (WorkerExclusion::SOFT.map(is_excluded), load, free_cpu)
         });
         workers
     }
 
-    pub(super) fn has_ticket(&self, entry: &PhaseEntry, worker: WorkerKey) -> bool {
-        let min_valid_ms = self.time.now_ms + TICKET_MARGIN_MS;
-        entry.allowed.get(&worker).is_some_and(|held| held.valid_until_ms > min_valid_ms)
-    }
-
-    pub(super) fn plan_tasks(
-        &self,
-        phase: PhaseRef,
-        workers: &[WorkerKey],
-        count: usize,
-    ) -> Vec<WorkerKey> {
-        let job = &self.jobs[phase.job];
-        let entry = &job.phases[phase.phase];
-        let step = &job.record.steps[entry.step];
-        let mut reserved = Reservations::default();
-        let mut plan = Vec::with_capacity(count);
-        for key in workers {
-            while plan.len() < count && self.can_host(entry, step, *key, &reserved) {
-                let (resources, tasks) = reserved.entry(*key).or_default();
-                *resources = resources.plus(&step.resources());
-                *tasks += 1;
-                plan.push(*key);
-            }
-        }
-        plan
-    }
-
     pub(super) fn plan_gang(
         &self,
-        phase: PhaseRef,
+        hosts: &StepHosts<'_>,
         workers: &[WorkerKey],
         count: usize,
     ) -> Vec<WorkerKey> {
-        let job = &self.jobs[phase.job];
-        let step = &job.record.steps[job.phases[phase.phase].step];
         let mut plan = Vec::new();
-        if step.is_rack_coupled {
-            plan = self.plan_in_rack(phase, workers, count);
+        if hosts.step().is_rack_coupled {
+            plan = self.plan_in_rack(hosts, workers, count);
         }
         if plan.len() < count {
-            plan = self.plan_tasks(phase, workers, count);
+            plan = hosts.plan_tasks(workers, count);
         }
         if plan.len() < count { Vec::new() } else { plan }
     }
 
-    fn plan_in_rack(&self, phase: PhaseRef, workers: &[WorkerKey], count: usize) -> Vec<WorkerKey> {
+    fn plan_in_rack(
+        &self,
+        hosts: &StepHosts<'_>,
+        workers: &[WorkerKey],
+        count: usize,
+    ) -> Vec<WorkerKey> {
         let mut racks: FxHashMap<&str, Vec<WorkerKey>> = FxHashMap::default();
         for key in workers {
             racks.entry(self.workers[*key].rack()).or_default().push(*key);
         }
-        let plans = racks.values().map(|rack| self.plan_tasks(phase, rack, count));
+        let plans = racks.values().map(|rack| hosts.plan_tasks(rack, count));
         plans.max_by_key(Vec::len).unwrap_or_default()
     }
 
-    fn can_host(
-        &self,
-        entry: &PhaseEntry,
-        step: &StepSpec,
-        key: WorkerKey,
-        reserved: &Reservations,
-    ) -> bool {
-        let worker = &self.workers[key];
-        let (resources, tasks) = reserved.get(&key).copied().unwrap_or_default();
-        if step.max_per_worker > 0 {
-            let own = entry.tasks.iter().filter_map(|task| task.attempt);
-            let placed = own.filter(|attempt| self.attempts[*attempt].worker == key).count();
-            if placed + tasks as usize >= step.max_per_worker as usize {
-                return false;
-            }
-        }
-        worker.used.plus(&resources).plus(&step.resources()).fits(&worker.report.capacity)
-    }
-
     /// Creates attempts at tasks of a step on the planned workers.
     pub(super) fn create_attempts(&mut self, phase: PhaseRef, tasks: &[usize], plan: &[WorkerKey]) {
         let entry = &self.jobs[phase.job].phases[phase.phase];
--- a/crates/cell/src/core/probation.rs
+++ b/crates/cell/src/core/probation.rs
@@ -9,6 +9,7 @@
 use {
     super::{
         CellCore, available::AvailableWorkers, losses::CRASH_REASON, placement::PlacementOutcome,
+        step_hosts::StepHosts, worker_exclusion::WorkerExclusion,
     },
     crate::{
         AttemptKey, JobState, ResourceSet, WorkerKey,
@@ -98,9 +99,10 @@
                     false => PlacementOutcome::Blocked,
                 };
             }
-            let workers = self.calm_candidates(phase, available);
+            let hosts = self.calm_hosts(phase, available);
+            let workers = self.calm_candidates(&hosts, available);
             let calmest = &workers[..workers.len().min(1)];
-            let plan = self.plan_tasks(phase, calmest, allowed);
+            let plan = hosts.plan_tasks(calmest, allowed);
             if plan.is_empty() {
                 return PlacementOutcome::Incomplete;
             }
@@ -140,24 +142,19 @@
 
     /// Plans to place tasks of a phase on a worker where this placement has begun a test.
     fn plan_test(&self, phase: PhaseRef, count: usize) -> Option<Vec<WorkerKey>> {
-        let job = &self.jobs[phase.job];
-        let entry = &job.phases[phase.phase];
-        let needs_ticket = self.advice_timing(phase).is_some();
-        let may_host = |worker: &WorkerKey| {
-            let is_allowed = !needs_ticket || self.has_ticket(entry, *worker);
-            is_allowed && self.could_host(*worker, &job.record.steps[entry.step])
-        };
-        let plan = |worker| self.plan_tasks(phase, &[worker], count);
-        let mut plans = self.lone_suspects.open_groups().filter(may_host).map(plan);
+        let hosts = StepHosts::new(self, phase);
+        let groups = self.lone_suspects.open_groups();
+        let fitting = groups.filter(|worker| hosts.allows(*worker, WorkerExclusion::OF_TEST));
+        let mut plans = fitting.map(|worker| hosts.plan_tasks(&[worker], count));
         plans.find(|plan| plan.len() == count)
     }
 
     /// Returns whether a phase that waits to be tested with others should get tickets meanwhile, so that
     /// they have some for the same worker.
     fn gathers_tickets(&mut self, phase: PhaseRef) -> bool {
-        let entry = &self.jobs[phase.job].phases[phase.phase];
-        let has_few =
-            entry.allowed.keys().filter(|key| self.has_ticket(entry, **key)).count() < MIN_TICKETS;
+        let hosts = StepHosts::new(self, phase);
+        let may_test = |key: &&WorkerKey| hosts.allows(**key, WorkerExclusion::OF_TEST);
+        let has_few = hosts.entry().allowed.keys().filter(may_test).count() < MIN_TICKETS;
         self.lone_suspects.gather() && has_few
     }
 
@@ -176,9 +173,10 @@
         if !self.has_probation_worker() || !is_allowed {
             return PlacementOutcome::Blocked;
         }
-        let mut workers = self.candidates(phase, available);
+        let hosts = StepHosts::new(self, phase);
+        let mut workers = self.candidates(&hosts, available);
         workers.sort_by_key(|key| self.workers[*key].attempts.len());
-        let plan = self.plan_gang(phase, &workers, members.len());
+        let plan = self.plan_gang(&hosts, &workers, members.len());
         if plan.is_empty() {
             return PlacementOutcome::Incomplete;
         }
@@ -233,24 +231,29 @@
         self.suspect_backlog.begin(self.time.now_ms, is_use_low);
     }
 
-    /// Returns the workers that could run a suspect of a phase now, those with the fewest attempts
-    /// first. With an adviser, busier workers than necessary are left out, so that it is asked about
-    /// the others.
-    fn calm_candidates(&self, phase: PhaseRef, available: &AvailableWorkers) -> Vec<WorkerKey> {
-        let job = &self.jobs[phase.job];
-        let entry = &job.phases[phase.phase];
-        let need = job.record.steps[entry.step].resources();
+    /// Returns what decides which workers may run a suspect of a phase. With an adviser, busier workers than
+    /// necessary are left out, so that it is asked about the others.
+    fn calm_hosts(&self, phase: PhaseRef, available: &AvailableWorkers) -> StepHosts<'_> {
+        let hosts = StepHosts::new(self, phase);
+        let could_run = |key: &&WorkerKey| hosts.allows(**key, WorkerExclusion::OF_CALMEST);
         let load = |key: &WorkerKey| self.workers[*key].attempts.len();
-        let could_run = |key: &&WorkerKey| {
-            let worker = &self.workers[**key];
-            let has_room = worker.probations == 0 && need.fits(&worker.free());
-            has_room && !entry.denied.contains(*key)
-        };
-        let all = available.of(self.service_of(&job.record)).iter();
+        let all = available.of(hosts.service()).iter();
         let fewest = all.filter(could_run).map(load).min().unwrap_or(0);
-        let mut workers = self.candidates(phase, available);
-        workers.retain(|key| load(key) <= fewest + MAX_EXTRA_ATTEMPTS);
-        workers.sort_by_key(|key| (self.workers[*key].gang_members, load(key)));
+        hosts.with_max_load(fewest + MAX_EXTRA_ATTEMPTS)
+    }
+
+    /// Returns the workers that may run a suspect now, those with the fewest attempts first.
+    fn calm_candidates(
+        &self,
+        hosts: &StepHosts<'_>,
+        available: &AvailableWorkers,
+    ) -> Vec<WorkerKey> {
+        let mut workers = self.candidates(hosts, available);
+        workers.retain(|key| hosts.allows(*key, &[WorkerExclusion::Load]));
+        workers.sort_by_key(|key| {
+            let worker = &self.workers[*key];
+            (worker.gang_members, worker.attempts.len())
+        });
         workers
     }
 
--- a/crates/cell/src/core/segregation.rs
+++ b/crates/cell/src/core/segregation.rs
@@ -55,13 +55,4 @@
         let attempts = self.workers[key].attempts.len();
         (attempts == 0, attempts)
     }
-
-    /// Returns whether tasks that are kept apart, or others, should not be placed on a worker.
-    pub(super) fn is_risky(&self, key: WorkerKey, is_kept_apart: bool) -> bool {
-        let worker = &self.workers[key];
-        match is_kept_apart {
-            true => worker.gang_members > 0,
-            false => worker.kept_apart > 0,
-        }
-    }
 }
--- /dev/null
+++ b/crates/cell/src/core/step_hosts.rs
@@ -0,0 +1,190 @@
+//! Which workers may run the tasks of a step.
+
+use {
+    super::{CellCore, worker_exclusion::WorkerExclusion, worker_speed::is_slow},
+    crate::{
+        ResourceSet, StepSpec, WorkerKey,
+        message::PhaseRef,
+        table::{PhaseEntry, WorkerEntry},
+    },
+    rustc_hash::FxHashMap,
+    std::iter,
+};
+
+/// Minimum remaining validity of a ticket when a task is placed, in milliseconds. It covers the
+/// commit and the start request.
+const TICKET_MARGIN_MS: u64 = 120;
+
+/// What decides which workers may run the tasks of a step, as of one moment of a placement.
+#[derive(Debug)]
+pub(super) struct StepHosts<'a> {
+    core: &'a CellCore,
+    entry: &'a PhaseEntry,
+    step: &'a StepSpec,
+    service: &'a str,
+    need: ResourceSet,
+    needs_ticket: bool,
+    is_kept_apart: bool,
+    /// Attempts at tasks of the step by worker, if the step limits them.
+    siblings: FxHashMap<WorkerKey, u64>,
+    /// Number of attempts beside which a task should be placed at most.
+    max_load: usize,
+}
+
+impl<'a> StepHosts<'a> {
+    pub(super) fn new(core: &'a CellCore, phase: PhaseRef) -> Self {
+        let job = &core.jobs[phase.job];
+        let entry = &job.phases[phase.phase];
+        let step = &job.record.steps[entry.step];
+        let mut siblings = FxHashMap::default();
+        if step.max_per_worker > 0 {
+            for attempt in entry.tasks.iter().filter_map(|task| task.attempt) {
+                *siblings.entry(core.attempts[attempt].worker).or_default() += 1;
+            }
+        }
+        Self {
+            core,
+            entry,
+            step,
+            service: core.service_of(&job.record),
+            need: step.resources(),
+            needs_ticket: core.advice_timing(phase).is_some(),
+            is_kept_apart: core.is_kept_apart(phase),
+            siblings,
+            max_load: usize::MAX,
+        }
+    }
+
+    /// Sets the number of attempts beside which a task should be placed at most.
+    pub(super) fn with_max_load(self, max_load: usize) -> Self {
+        Self { max_load, ..self }
+    }
+
+    /// Returns the step.
+    pub(super) fn step(&self) -> &'a StepSpec {
+        self.step
+    }
+
+    /// Returns the step's phase.
+    pub(super) fn entry(&self) -> &'a PhaseEntry {
+        self.entry
+    }
+
+    /// Returns the service whose workers run the step.
+    pub(super) fn service(&self) -> &'a str {
+        self.service
+    }
+
+    /// Returns whether the step's queue has an adviser.
+    pub(super) fn needs_ticket(&self) -> bool {
+        self.needs_ticket
+    }
+
+    /// Returns whether the step's queue is kept apart from others.
+    pub(super) fn is_kept_apart(&self) -> bool {
+        self.is_kept_apart
+    }
+
+    /// Returns whether none of some reasons holds for a worker.
+    pub(super) fn allows(&self, worker: WorkerKey, reasons: &[WorkerExclusion]) -> bool {
+        self.exclusion(worker, reasons).is_none()
+    }
+
+    /// Returns the first of some reasons that holds for a worker.
+    pub(super) fn exclusion(
+        &self,
+        worker: WorkerKey,
+        reasons: &[WorkerExclusion],
+    ) -> Option<WorkerExclusion> {
+        let Some(entry) = self.core.workers.get(worker) else {
+            return Some(WorkerExclusion::Registration);
+        };
+        let mut reasons = reasons.iter().copied();
+        reasons.find(|reason| self.is_excluded(worker, entry, *reason))
+    }
+
+    /// Returns whether a reason holds for a worker.
+    fn is_excluded(&self, key: WorkerKey, worker: &WorkerEntry, reason: WorkerExclusion) -> bool {
+        let step = self.step;
+        match reason {
+            WorkerExclusion::Registration | WorkerExclusion::Lease | WorkerExclusion::Backoff => {
+                self.core.is_unavailable(worker, reason)
+            }
+            WorkerExclusion::Service => worker.report.service != self.service,
+            WorkerExclusion::Label => {
+                !step.required_label.is_empty() && !worker.is_labelled(&step.required_label)
+            }
+            WorkerExclusion::Capacity => !self.need.fits(&worker.report.capacity),
+            WorkerExclusion::Denial => self.needs_ticket && self.entry.denied.contains(&key),
+            WorkerExclusion::Ticket => self.needs_ticket && !self.has_ticket(key),
+            WorkerExclusion::Probation => worker.probations > 0,
+            WorkerExclusion::Limit => self.left_by_limit(key) == 0,
+            WorkerExclusion::Room => !worker.used.plus(&self.need).fits(&worker.report.capacity),
+            WorkerExclusion::Segregation if self.is_kept_apart => worker.gang_members > 0,
+            WorkerExclusion::Segregation => worker.kept_apart > 0,
+            WorkerExclusion::LongLease => step.is_service && !self.core.has_bounded_leases(worker),
+            WorkerExclusion::Rack => !step.data_rack.is_empty() && worker.rack() != step.data_rack,
+            WorkerExclusion::Slowness => is_slow(worker.slowness),
+            WorkerExclusion::Load => worker.attempts.len() > self.max_load,
+        }
+    }
+
+    /// Returns whether there is a ticket for a worker that is valid for long enough to start a task.
+    pub(super) fn has_ticket(&self, worker: WorkerKey) -> bool {
+        let min_valid_ms = self.core.time.now_ms + TICKET_MARGIN_MS;
+        let held = self.entry.allowed.get(&worker);
+        held.is_some_and(|held| held.valid_until_ms > min_valid_ms)
+    }
+
+    /// Returns how many more tasks of the step fit on a worker and are within its limit.
+    pub(super) fn places(&self, key: WorkerKey) -> u64 {
+        let worker = &self.core.workers[key];
+        if worker.is_overcommitted() {
+            return 0;
+        }
+        worker.free().count_fitting(&self.need).min(self.left_by_limit(key))
+    }
+
+    /// Plans to place up to `count` tasks of the step on workers, as many as possible on the first ones.
+    pub(super) fn plan_tasks(&self, workers: &[WorkerKey], count: usize) -> Vec<WorkerKey> {
+        let mut plan = Vec::with_capacity(count);
+        for key in workers {
+            let left = count - plan.len();
+            if left == 0 {
+                break;
+            }
+            let places = usize::try_from(self.places(*key)).unwrap_or(usize::MAX);
+            plan.extend(iter::repeat_n(*key, places.min(left)));
+        }
+        plan
+    }
+
+    /// Returns how many more tasks of the step the limit a worker leaves.
+    fn left_by_limit(&self, worker: WorkerKey) -> u64 {
+        match u64::from(self.step.max_per_worker) {
+            0 => u64::MAX,
+            limit => limit.saturating_sub(self.siblings.get(&worker).copied().unwrap_or(0)),
+        }
+    }
+}
+
+impl CellCore {
+    /// Returns whether a reason that does not depend on the step keeps a worker from getting new work.
+    fn is_unavailable(&self, worker: &WorkerEntry, reason: WorkerExclusion) -> bool {
+        match reason {
+            WorkerExclusion::Registration => !self.is_in_service(worker),
+            WorkerExclusion::Lease => worker.is_silent || !self.is_schedulable(worker),
+            WorkerExclusion::Backoff => worker.backoff_until_ms > self.time.now_ms,
+            _ => false,
+        }
+    }
+
+    /// Returns whether a worker may get new work now; `false` if it has been removed.
+    pub(super) fn is_available(&self, key: WorkerKey) -> bool {
+        let is_unavailable = |worker: &WorkerEntry| {
+            let mut reasons = WorkerExclusion::OF_WORKER.iter();
+            reasons.any(|reason| self.is_unavailable(worker, *reason))
+        };
+        self.workers.get(key).is_some_and(|worker| !is_unavailable(worker))
+    }
+}
