Suspects of two services are not tested on one worker

Cause: a suspect may join a test that has just begun on a worker. Its free capacity, label and ticket were compared, its service was not. Change: the service, and with it the limit a worker, are among the reasons asked there (WorkerExclusion::OF_TEST).

--- a/crates/cell/src/core/worker_exclusion.rs
+++ b/crates/cell/src/core/worker_exclusion.rs
@@ -63,8 +63,16 @@
         Self::Limit,
     ];
     /// Reasons that keep a suspect off a worker where a test has just begun.
-    pub(super) const OF_TEST: &'static [Self] =
-        &[Self::Ticket, Self::Registration, Self::Lease, Self::Backoff, Self::Room, Self::Label];
+    pub(super) const OF_TEST: &'static [Self] = &[
+        Self::Ticket,
+        Self::Registration,
+        Self::Lease,
+        Self::Backoff,
+        Self::Service,
+        Self::Room,
+        Self::Label,
+        Self::Limit,
+    ];
     /// Reasons for which an available worker is not among those that a suspect's worker is compared with.
     pub(super) const OF_CALMEST: &'static [Self] = &[Self::Probation, Self::Room, Self::Denial];
     /// Reasons for which the adviser is not asked about an available worker.
