A suspect's worker is compared with workers that may run the suspect alone

Cause: a suspect starts on a worker with at most two attempts more than the calmest one. The calmest was looked for among workers of the service with free capacity, also those without the required label and those that run as many tasks of the step as they may; and only the calmest was tried. Change: who chooses workers now asks for all hard reasons but those that it leaves out by name (ExclusionSet), so that a reason that is forgotten, or a new one, counts. The workers that a suspect's is compared with are those that may run it once they have a ticket.

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -8,8 +8,8 @@
 
 use {
     super::{
-        CellCore, available::AvailableWorkers, placement::PlacementOutcome, step_hosts::StepHosts,
-        worker_exclusion::WorkerExclusion,
+        CellCore, available::AvailableWorkers, exclusion_set::ExclusionSet,
+        placement::PlacementOutcome, step_hosts::StepHosts, worker_exclusion::WorkerExclusion,
     },
     crate::{
         AdviceCallKey, AdviceRequest, AdviceTiming, CellAction, WorkerKey, WorkerTicket,
@@ -200,7 +200,7 @@
         let hosts = StepHosts::new(self, phase);
         let available = available.of(hosts.service());
         let is_wanted = |key: &&WorkerKey| {
-            hosts.allows(**key, WorkerExclusion::OF_ADVICE) && !hosts.has_ticket(**key)
+            hosts.allows(**key, ExclusionSet::TO_START_LATER) && !hosts.has_ticket(**key)
         };
         let has_free_capacity = |key: &WorkerKey| need.fits(&self.workers[*key].free());
         let (mut roomy, full): (Vec<WorkerKey>, Vec<WorkerKey>) =
@@ -216,7 +216,7 @@
             roomy.reverse();
         }
         let is_kept_apart = self.is_kept_apart(phase);
-        let suits = |key: &WorkerKey| hosts.allows(*key, &[WorkerExclusion::Segregation]);
+        let suits = |key: &WorkerKey| hosts.allows(*key, WorkerExclusion::Segregation);
         let (suitable, mixed): (Vec<WorkerKey>, Vec<WorkerKey>) =
             roomy.iter().copied().partition(suits);
         let mut roomy = if suitable.is_empty() { mixed } else { suitable };
--- /dev/null
+++ b/crates/cell/src/core/exclusion_set.rs
@@ -0,0 +1,62 @@
+//! Sets of reasons why a worker may not run a task.
+
+use super::worker_exclusion::WorkerExclusion;
+
+/// A set of reasons why a worker may not run a task, or should not.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ExclusionSet(u32);
+
+impl ExclusionSet {
+    /// The reasons that never yield, also not to want of another worker.
+    pub(super) const HARD: Self = {
+        let mut set = 0;
+        let mut index = 0;
+        while index < WorkerExclusion::ALL.len() {
+            let reason = WorkerExclusion::ALL[index];
+            if !reason.is_soft() {
+                set |= 1 << reason as u32;
+            }
+            index += 1;
+        }
+        Self(set)
+    };
+    /// What may keep a worker with a ticket from running a task now.
+    pub(super) const TO_START: Self = Self::HARD;
+    /// What may keep an available worker of the step's service from running a task now; what it has to do
+    /// with the worker alone is known.
+    pub(super) const TO_START_ON_AVAILABLE: Self =
+        Self::HARD.but(&WorkerExclusion::OF_AVAILABILITY);
+    /// What may keep a suspect from joining a test that has just begun on a worker.
+    pub(super) const TO_JOIN_TEST: Self = Self::HARD.but(&[WorkerExclusion::Probation]);
+    /// What may keep an available worker of the step's service from running a task once it has a ticket.
+    pub(super) const TO_START_WITH_TICKET: Self =
+        Self::TO_START_ON_AVAILABLE.but(&[WorkerExclusion::Ticket]);
+    /// What keeps such a worker from running a task also once the tasks that it runs have ended.
+    pub(super) const TO_START_LATER: Self = Self::TO_START_WITH_TICKET.but(&[
+        WorkerExclusion::Probation,
+        WorkerExclusion::Limit,
+        WorkerExclusion::Room,
+    ]);
+
+    /// Returns the set without some reasons.
+    const fn but(self, reasons: &[WorkerExclusion]) -> Self {
+        let mut set = self.0;
+        let mut index = 0;
+        while index < reasons.len() {
+            set &= !(1 << reasons[index] as u32);
+            index += 1;
+        }
+        Self(set)
+    }
+
+    /// Returns whether a reason is in the set.
+    pub(super) const fn contains(self, reason: WorkerExclusion) -> bool {
+        self.0 & (1 << reason as u32) != 0
+    }
+}
+
+impl From<WorkerExclusion> for ExclusionSet {
+    fn from(reason: WorkerExclusion) -> Self {
+        Self(1 << reason as u32)
+    }
+}
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -13,6 +13,7 @@
 mod backlog;
 mod commit;
 mod completion;
+mod exclusion_set;
 mod expired_attempts;
 mod jobs;
 mod lease_bounds;
--- a/crates/cell/src/core/placement.rs
+++ b/crates/cell/src/core/placement.rs
@@ -7,7 +7,7 @@
 
 use {
     super::{
-        CellCore, available::AvailableWorkers, step_hosts::StepHosts,
+        CellCore, available::AvailableWorkers, exclusion_set::ExclusionSet, step_hosts::StepHosts,
         worker_exclusion::WorkerExclusion,
     },
     crate::{
@@ -170,19 +170,22 @@
         let mut workers: Vec<WorkerKey> = match hosts.needs_ticket() {
             // Few workers have tickets, so it is enough to check those.
             true => {
-                let advised = hosts.entry().allowed.keys().copied();
-                advised.filter(|key| hosts.allows(*key, WorkerExclusion::HARD)).collect()
+                let with_ticket = |key: &WorkerKey| hosts.allows(*key, WorkerExclusion::Ticket);
+                let advised = hosts.entry().allowed.keys().copied().filter(with_ticket);
+                advised.filter(|key| hosts.allows(*key, ExclusionSet::TO_START)).collect()
             }
             false => {
                 let available = available.of(hosts.service()).iter().copied();
-                available.filter(|key| hosts.allows(*key, WorkerExclusion::OF_AVAILABLE)).collect()
+                available
+                    .filter(|key| hosts.allows(*key, ExclusionSet::TO_START_ON_AVAILABLE))
+                    .collect()
             }
         };
         workers.sort_by_cached_key(|key| {
             let load = if hosts.is_kept_apart() { self.exposure(*key) } else { (false, 0) };
             let free_cpu = self.workers[*key].free().cpu_millis;
-            let is_excluded = |reason| !hosts.allows(*key, &[reason]);
-            (WorkerExclusion::SOFT.map(is_excluded), load, free_cpu)
+            let is_excluded = |reason| !hosts.allows(*key, reason);
+            (WorkerExclusion::OF_PREFERENCE.map(is_excluded), load, free_cpu)
         });
         workers
     }
--- a/crates/cell/src/core/probation.rs
+++ b/crates/cell/src/core/probation.rs
@@ -8,8 +8,8 @@
 
 use {
     super::{
-        CellCore, available::AvailableWorkers, losses::CRASH_REASON, placement::PlacementOutcome,
-        step_hosts::StepHosts, worker_exclusion::WorkerExclusion,
+        CellCore, available::AvailableWorkers, exclusion_set::ExclusionSet, losses::CRASH_REASON,
+        placement::PlacementOutcome, step_hosts::StepHosts, worker_exclusion::WorkerExclusion,
     },
     crate::{
         AttemptKey, JobState, ResourceSet, WorkerKey,
@@ -144,7 +144,7 @@
     fn plan_test(&self, phase: PhaseRef, count: usize) -> Option<Vec<WorkerKey>> {
         let hosts = StepHosts::new(self, phase);
         let groups = self.lone_suspects.open_groups();
-        let fitting = groups.filter(|worker| hosts.allows(*worker, WorkerExclusion::OF_TEST));
+        let fitting = groups.filter(|worker| hosts.allows(*worker, ExclusionSet::TO_JOIN_TEST));
         let mut plans = fitting.map(|worker| hosts.plan_tasks(&[worker], count));
         plans.find(|plan| plan.len() == count)
     }
@@ -153,7 +153,7 @@
     /// they have some for the same worker.
     fn gathers_tickets(&mut self, phase: PhaseRef) -> bool {
         let hosts = StepHosts::new(self, phase);
-        let may_test = |key: &&WorkerKey| hosts.allows(**key, WorkerExclusion::OF_TEST);
+        let may_test = |key: &&WorkerKey| hosts.allows(**key, ExclusionSet::TO_JOIN_TEST);
         let has_few = hosts.entry().allowed.keys().filter(may_test).count() < MIN_TICKETS;
         self.lone_suspects.gather() && has_few
     }
@@ -235,7 +235,7 @@
     /// necessary are left out, so that it is asked about the others.
     fn calm_hosts(&self, phase: PhaseRef, available: &AvailableWorkers) -> StepHosts<'_> {
         let hosts = StepHosts::new(self, phase);
-        let could_run = |key: &&WorkerKey| hosts.allows(**key, WorkerExclusion::OF_CALMEST);
+        let could_run = |key: &&WorkerKey| hosts.allows(**key, ExclusionSet::TO_START_WITH_TICKET);
         let load = |key: &WorkerKey| self.workers[*key].attempts.len();
         let all = available.of(hosts.service()).iter();
         let fewest = all.filter(could_run).map(load).min().unwrap_or(0);
@@ -249,7 +249,7 @@
         available: &AvailableWorkers,
     ) -> Vec<WorkerKey> {
         let mut workers = self.candidates(hosts, available);
-        workers.retain(|key| hosts.allows(*key, &[WorkerExclusion::Load]));
+        workers.retain(|key| hosts.allows(*key, WorkerExclusion::Load));
         workers.sort_by_key(|key| {
             let worker = &self.workers[*key];
             (worker.gang_members, worker.attempts.len())
--- a/crates/cell/src/core/step_hosts.rs
+++ b/crates/cell/src/core/step_hosts.rs
@@ -1,7 +1,10 @@
 //! Which workers may run the tasks of a step.
 
 use {
-    super::{CellCore, worker_exclusion::WorkerExclusion, worker_speed::is_slow},
+    super::{
+        CellCore, exclusion_set::ExclusionSet, worker_exclusion::WorkerExclusion,
+        worker_speed::is_slow,
+    },
     crate::{
         ResourceSet, StepSpec, WorkerKey,
         message::PhaseRef,
@@ -86,7 +89,7 @@
     }
 
     /// Returns whether none of some reasons holds for a worker.
-    pub(super) fn allows(&self, worker: WorkerKey, reasons: &[WorkerExclusion]) -> bool {
+    pub(super) fn allows(&self, worker: WorkerKey, reasons: impl Into<ExclusionSet>) -> bool {
         self.exclusion(worker, reasons).is_none()
     }
 
@@ -94,13 +97,14 @@
     pub(super) fn exclusion(
         &self,
         worker: WorkerKey,
-        reasons: &[WorkerExclusion],
+        reasons: impl Into<ExclusionSet>,
     ) -> Option<WorkerExclusion> {
         let Some(entry) = self.core.workers.get(worker) else {
             return Some(WorkerExclusion::Registration);
         };
-        let mut reasons = reasons.iter().copied();
-        reasons.find(|reason| self.is_excluded(worker, entry, *reason))
+        let reasons = reasons.into();
+        let mut asked = WorkerExclusion::ALL.into_iter().filter(|reason| reasons.contains(*reason));
+        asked.find(|reason| self.is_excluded(worker, entry, *reason))
     }
 
     /// Returns whether a reason holds for a worker.
@@ -173,7 +177,7 @@
     fn is_unavailable(&self, worker: &WorkerEntry, reason: WorkerExclusion) -> bool {
         match reason {
             WorkerExclusion::Registration => !self.is_in_service(worker),
-            WorkerExclusion::Lease => worker.is_silent || !self.is_schedulable(worker),
+            WorkerExclusion::Lease => !self.is_schedulable(worker) || worker.is_silent,
             WorkerExclusion::Backoff => worker.backoff_until_ms > self.time.now_ms,
             _ => false,
         }
--- a/crates/cell/src/core/worker_exclusion.rs
+++ b/crates/cell/src/core/worker_exclusion.rs
@@ -2,8 +2,9 @@
 
 /// Why a worker may not run a task of a step, or should not while there is another.
 ///
-/// The conditions are in [`StepHosts`](super::step_hosts::StepHosts). Whoever chooses workers asks for the
-/// reasons that count there, in one of the lists below, and has no conditions of its own.
+/// The conditions are in [`StepHosts`](super::step_hosts::StepHosts). Whoever chooses workers asks for all
+/// reasons but those that an [`ExclusionSet`](super::exclusion_set::ExclusionSet) leaves out, and has no
+/// conditions of its own, so a new reason counts everywhere.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum WorkerExclusion {
     /// The worker is not registered, shuts down, or is in a closed zone.
@@ -41,40 +42,49 @@
 }
 
 impl WorkerExclusion {
-    /// Reasons that do not depend on the step.
-    pub(super) const OF_WORKER: &'static [Self] = &[Self::Registration, Self::Lease, Self::Backoff];
-    /// Reasons that keep an available worker of the step's service from running a task now, without an
-    /// adviser. A worker with enough free capacity is large enough.
-    pub(super) const OF_AVAILABLE: &'static [Self] =
-        &[Self::Probation, Self::Room, Self::Label, Self::Limit];
-    /// Reasons for which another worker is preferred, the strongest first. They yield if there is none.
-    pub(super) const SOFT: [Self; 4] =
-        [Self::Segregation, Self::LongLease, Self::Rack, Self::Slowness];
-    /// Reasons that keep a worker from running a task now.
-    pub(super) const HARD: &'static [Self] = &[
-        Self::Ticket,
+    /// All reasons, in the order in which they are looked for.
+    pub(super) const ALL: [Self; 16] = [
         Self::Registration,
         Self::Lease,
         Self::Backoff,
         Self::Service,
-        Self::Probation,
-        Self::Room,
         Self::Label,
-        Self::Limit,
-    ];
-    /// Reasons that keep a suspect off a worker where a test has just begun.
-    pub(super) const OF_TEST: &'static [Self] = &[
+        Self::Capacity,
+        Self::Denial,
         Self::Ticket,
-        Self::Registration,
-        Self::Lease,
-        Self::Backoff,
-        Self::Service,
-        Self::Room,
-        Self::Label,
+        Self::Probation,
         Self::Limit,
+        Self::Room,
+        Self::Segregation,
+        Self::LongLease,
+        Self::Rack,
+        Self::Slowness,
+        Self::Load,
     ];
-    /// Reasons for which an available worker is not among those that a suspect's worker is compared with.
-    pub(super) const OF_CALMEST: &'static [Self] = &[Self::Probation, Self::Room, Self::Denial];
-    /// Reasons for which the adviser is not asked about an available worker.
-    pub(super) const OF_ADVICE: &'static [Self] = &[Self::Denial, Self::Capacity, Self::Label];
+    /// Reasons that do not depend on the step.
+    pub(super) const OF_WORKER: [Self; 3] = [Self::Registration, Self::Lease, Self::Backoff];
+    /// Reasons that hold for no available worker of the step's service.
+    pub(super) const OF_AVAILABILITY: [Self; 4] =
+        [Self::Registration, Self::Lease, Self::Backoff, Self::Service];
+    /// Reasons for which another worker is preferred for any task, the strongest first.
+    pub(super) const OF_PREFERENCE: [Self; 4] =
+        [Self::Segregation, Self::LongLease, Self::Rack, Self::Slowness];
+
+    /// Returns whether the reason yields if no other worker may run the task.
+    pub(super) const fn is_soft(self) -> bool {
+        match self {
+            Self::Registration
+            | Self::Lease
+            | Self::Backoff
+            | Self::Service
+            | Self::Label
+            | Self::Capacity
+            | Self::Denial
+            | Self::Ticket
+            | Self::Probation
+            | Self::Limit
+            | Self::Room => false,
+            Self::Segregation | Self::LongLease | Self::Rack | Self::Slowness | Self::Load => true,
+        }
+    }
 }
