A task counts as kept apart as long as its queue does

Cause: the adviser is not asked about workers that run tasks which are kept apart, while there are others. A lasting task that was placed while its queue was kept apart bore the mark as long as it ran, although the queue had not been suspected for long. Change: the marks end with the suspicion of their queue, which the log says (queue_no_longer_kept_apart).

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -95,6 +95,7 @@
         self.forget_lost_calls();
         self.review_daemons();
         self.update_shares();
+        self.end_segregation();
         self.begin_suspect_backlog();
         let mut prefetch_left = PREFETCH_STEPS;
         let available = self.available_workers();
--- a/crates/cell/src/core/segregation.rs
+++ b/crates/cell/src/core/segregation.rs
@@ -49,6 +49,24 @@
         self.suspect_queues.is_suspected(queue, self.time.now_ms)
     }
 
+    /// Ends the marks of attempts whose queues are no longer suspected, however long they run.
+    pub(super) fn end_segregation(&mut self) {
+        let queues = self.suspect_queues.review(self.time.now_ms);
+        if queues.is_empty() {
+            return;
+        }
+        let CellCore { attempts, jobs, workers, .. } = self;
+        for attempt in attempts.values_mut().filter(|attempt| attempt.is_kept_apart) {
+            if queues.contains(&jobs[attempt.phase.job].record.queue) {
+                attempt.is_kept_apart = false;
+                workers[attempt.worker].kept_apart -= 1;
+            }
+        }
+        for queue in queues {
+            self.log("queue_no_longer_kept_apart", queue, "");
+        }
+    }
+
     /// Returns the order of workers for tasks that may crash them: few attempts are lost on a worker
     /// with few, and idle ones are left to larger tasks.
     pub(super) fn exposure(&self, key: WorkerKey) -> (bool, usize) {
--- a/crates/cell/src/core/suspect_queues.rs
+++ b/crates/cell/src/core/suspect_queues.rs
@@ -1,6 +1,9 @@
 //! Queues after starts of whose tasks workers were lost.
 
-use {rustc_hash::FxHashMap, std::collections::VecDeque};
+use {
+    rustc_hash::{FxHashMap, FxHashSet},
+    std::collections::VecDeque,
+};
 
 /// Time for which the loss of a worker counts against a queue, in milliseconds.
 const SUSPICION_MS: u64 = 5_000;
@@ -11,6 +14,8 @@
 #[derive(Debug, Default)]
 pub(super) struct SuspectQueues {
     losses_ms: FxHashMap<String, VecDeque<u64>>,
+    /// Queues that were suspected at the last review.
+    kept_apart: FxHashSet<String>,
 }
 
 impl SuspectQueues {
@@ -30,4 +35,13 @@
         let losses = self.losses_ms.get(queue).filter(|losses| losses.len() >= MIN_LOSSES);
         losses.and_then(VecDeque::front).is_some_and(|first_ms| now_ms < first_ms + SUSPICION_MS)
     }
+
+    /// Returns the queues whose suspicion has ended since the last review.
+    pub(super) fn review(&mut self, now_ms: u64) -> Vec<String> {
+        let suspected = self.losses_ms.keys().filter(|queue| self.is_suspected(queue, now_ms));
+        let suspected: FxHashSet<String> = suspected.cloned().collect();
+        let ended = self.kept_apart.difference(&suspected).cloned().collect();
+        self.kept_apart = suspected;
+        ended
+    }
 }
