Each worker that may run a task of a step is named to the adviser

Cause: a call names the workers known to be allowed first, and ends once they have room for the missing tasks. The limit a worker was not looked at, so workers that run a sibling filled each call, and their tickets expired before the list got to its end. Workers that run tasks which are kept apart were left out as long as there were others, also if all those had been denied. Change (core/call_workers.rs): a call names workers that may run a task once they have a ticket, by all hard reasons, and counts the places that the limit leaves. Some of them have not been asked about: 3, and twice as many with each response that led to no start, 96 at most. A gang whose known workers suffice names these alone. Workers beside tasks that are kept apart come last, and are not left out. A suspect goes to a busier worker once three responses have led to no start.

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -7,10 +7,7 @@
 //! later calls only renew the tickets of allowed workers.
 
 use {
-    super::{
-        CellCore, available::AvailableWorkers, exclusion_set::ExclusionSet,
-        placement::PlacementOutcome, step_hosts::StepHosts, worker_exclusion::WorkerExclusion,
-    },
+    super::{CellCore, available::AvailableWorkers, placement::PlacementOutcome},
     crate::{
         AdviceCallKey, AdviceRequest, AdviceTiming, CellAction, WorkerKey, WorkerTicket,
         message::PhaseRef,
@@ -45,19 +42,8 @@
 /// Time beyond the expected end of a call after which its step asks through another daemon as well, in
 /// milliseconds. Either response serves.
 const OVERDUE_MS: u64 = 200;
-/// Maximum number of workers in a call.
-const MAX_WORKERS: usize = 100;
-/// Factor by which the expected number of allowed places exceeds the number of tasks.
-const SPARE_FACTOR: f64 = 1.6;
-/// Number of additional workers in a call.
-const SPARE_WORKERS: usize = 3;
-/// The first one in this many of the workers with free capacity are rotated from call to call.
-const ROTATED_SHARE: usize = 3;
-/// Offset between the first workers of two consecutive calls; a prime, so that the rotation covers
-/// lists of any length.
-const ROTATION_STRIDE: usize = 7_919;
 /// Assumed share of allowed workers before a queue has had a response.
-const INITIAL_GRANT_RATE: f64 = 0.4;
+pub(super) const INITIAL_GRANT_RATE: f64 = 0.4;
 /// Weight of a new response in a queue's share of allowed workers.
 const GRANT_RATE_WEIGHT: f64 = 0.1;
 
@@ -184,89 +170,6 @@
         self.send_advice_request(daemon, call);
     }
 
-    /// Chooses the workers of a call, no more than are likely to be needed. Workers with free
-    /// capacity come first, and among these the ones known to be allowed. Gangs start with the
-    /// workers with the most free capacity and other steps with those with the least, so that large
-    /// blocks of free capacity remain for gangs. Consecutive calls start with different workers.
-    fn workers_to_name(
-        &self,
-        phase: PhaseRef,
-        available: &AvailableWorkers,
-        may_prefetch: bool,
-    ) -> Vec<WorkerKey> {
-        let job = &self.jobs[phase.job];
-        let entry = &job.phases[phase.phase];
-        let step = &job.record.steps[entry.step];
-        let need = step.resources();
-        let hosts = StepHosts::new(self, phase);
-        let available = available.of(hosts.service());
-        let is_wanted = |key: &&WorkerKey| {
-            hosts.allows(**key, ExclusionSet::TO_START_LATER) && !hosts.has_ticket(**key)
-        };
-        let has_free_capacity = |key: &WorkerKey| need.fits(&self.workers[*key].free());
-        let (mut roomy, full): (Vec<WorkerKey>, Vec<WorkerKey>) =
-            available.iter().copied().partition(has_free_capacity);
-        if self.has_waiting_suspect(phase) {
-            // A suspect goes to a worker with few attempts, known or not.
-            roomy.retain(|key| self.workers[*key].probations == 0);
-            roomy.sort_by_key(|key| self.workers[*key].attempts.len());
-            let calm = roomy.iter().filter(is_wanted).copied().collect();
-            return self.truncate_to_need(phase, calm);
-        }
-        if step.is_gang {
-            roomy.reverse();
-        }
-        let is_kept_apart = self.is_kept_apart(phase);
-        let suits = |key: &WorkerKey| hosts.allows(*key, WorkerExclusion::Segregation);
-        let (suitable, mixed): (Vec<WorkerKey>, Vec<WorkerKey>) =
-            roomy.iter().copied().partition(suits);
-        let mut roomy = if suitable.is_empty() { mixed } else { suitable };
-        if is_kept_apart {
-            roomy.sort_by_key(|key| self.exposure(*key));
-        }
-        let (rotated, rest) = roomy.split_at(roomy.len().div_ceil(ROTATED_SHARE));
-        let rotation = self.advice_call_count * ROTATION_STRIDE;
-        let (last, first) = rotated.split_at(rotation.checked_rem(rotated.len()).unwrap_or(0));
-        let mut known = Vec::new();
-        let mut fresh = Vec::new();
-        for key in first.iter().chain(last).chain(rest).filter(is_wanted) {
-            match entry.allowed.contains_key(key) {
-                true => known.push(*key),
-                false => fresh.push(*key),
-            }
-            if fresh.len() >= MAX_WORKERS {
-                break;
-            }
-        }
-        known.append(&mut fresh);
-        if may_prefetch {
-            known.extend(full.iter().rev().filter(is_wanted).take(MAX_WORKERS));
-        }
-        self.truncate_to_need(phase, known)
-    }
-
-    /// Truncates a list of workers to as many as are likely to be needed.
-    fn truncate_to_need(&self, phase: PhaseRef, mut workers: Vec<WorkerKey>) -> Vec<WorkerKey> {
-        let job = &self.jobs[phase.job];
-        let entry = &job.phases[phase.phase];
-        let need = job.record.steps[entry.step].resources();
-        let share = self.grant_rate.get(&job.record.queue).copied().unwrap_or(INITIAL_GRANT_RATE);
-        let mut expected_tasks = 0.0;
-        let wanted = entry.unassigned as f64 * SPARE_FACTOR;
-        let mut count = 0;
-        for key in &workers {
-            if expected_tasks >= wanted {
-                break;
-            }
-            let fitting = self.workers[*key].free().count_fitting(&need).max(1);
-            let chance = if entry.allowed.contains_key(key) { 1.0 } else { share };
-            expected_tasks += fitting.min(entry.unassigned as u64) as f64 * chance;
-            count += 1;
-        }
-        workers.truncate((count + SPARE_WORKERS).min(MAX_WORKERS));
-        workers
-    }
-
     /// Chooses the daemon that can serve a call first. A daemon whose calls take longer than
     /// expected, for example because of calls of a former leader or of a connection that has gone silent,
     /// is asked only if all do, and gets no more than a few until it has responded.
@@ -333,6 +236,7 @@
     fn record_advice(&mut self, call: &AdviceCallEntry, allowed: &[WorkerTicket]) {
         let Some(job) = self.jobs.get_mut(call.phase.job) else { return };
         let Some(entry) = job.phases.get_mut(call.phase.phase) else { return };
+        entry.fruitless_calls = entry.fruitless_calls.saturating_add(1);
         let valid_until_ms = self.time.now_ms.saturating_add(call.valid_ms);
         let mut granted = 0;
         for worker in &call.workers {
--- /dev/null
+++ b/crates/cell/src/core/call_workers.rs
@@ -0,0 +1,161 @@
+//! The workers of a call to the adviser.
+//!
+//! A call names the workers that are likely to be needed, those known to be allowed first, and some that
+//! the adviser has not been asked about. The longer calls lead to no start, the more of these: so each
+//! worker that may run a task of the step is named within a bounded number of calls, whatever the
+//! order, however soon tickets expire, and however many workers are known to be allowed.
+
+use {
+    super::{
+        CellCore, advice::INITIAL_GRANT_RATE, available::AvailableWorkers,
+        exclusion_set::ExclusionSet, step_hosts::StepHosts, worker_exclusion::WorkerExclusion,
+    },
+    crate::{WorkerKey, message::PhaseRef},
+};
+
+/// Maximum number of workers in a call.
+const MAX_WORKERS: usize = 100;
+/// Factor by which the expected number of allowed places exceeds the number of tasks.
+const SPARE_FACTOR: f64 = 1.6;
+/// Number of additional workers in a call, and of those among them that have not been asked about. It
+/// doubles with each response that leads to no start.
+const SPARE_WORKERS: usize = 3;
+/// Maximum number of doublings.
+const MAX_SPARE_DOUBLINGS: u32 = 5;
+/// The first one in this many of the workers with free capacity are rotated from call to call.
+const ROTATED_SHARE: usize = 3;
+/// Offset between the first workers of two consecutive calls; a prime, so that the rotation covers
+/// lists of any length.
+const ROTATION_STRIDE: usize = 7_919;
+
+/// Workers without tickets that a call could name, in order of preference.
+#[derive(Debug, Default)]
+struct CallCandidates {
+    /// Workers that may run a task once they have a ticket, and are known to be allowed.
+    known: Vec<WorkerKey>,
+    /// Other workers that may.
+    fresh: Vec<WorkerKey>,
+}
+
+impl CellCore {
+    /// Chooses the workers of a call.
+    pub(super) fn workers_to_name(
+        &self,
+        phase: PhaseRef,
+        available: &AvailableWorkers,
+        may_prefetch: bool,
+    ) -> Vec<WorkerKey> {
+        let hosts = StepHosts::new(self, phase);
+        let available = available.of(hosts.service());
+        let has_suspect = self.has_waiting_suspect(phase);
+        let order = match has_suspect {
+            true => self.calmest_first(&hosts, available),
+            false => self.preferred_first(&hosts, available),
+        };
+        let candidates = self.call_candidates(&hosts, &order);
+        let reserved = self.reserved_for_fresh(&hosts, &candidates);
+        let mut likely = [candidates.known.as_slice(), candidates.fresh.as_slice()].concat();
+        if has_suspect {
+            // A suspect goes to a worker with few attempts, known or not.
+            likely.sort_by_key(|key| self.workers[*key].attempts.len());
+        }
+        let able = likely.len();
+        if may_prefetch && !has_suspect {
+            let later = available.iter().rev().copied();
+            let later = later.filter(|key| !hosts.has_ticket(*key) && hosts.may_allow_later(*key));
+            likely.extend(later.take(MAX_WORKERS));
+        }
+        let count = self.likely_count(&hosts, phase, &likely).min(MAX_WORKERS - reserved);
+        let (named, left) = likely.split_at(count);
+        let is_fresh = |key: &&WorkerKey| !hosts.entry().allowed.contains_key(*key);
+        let left_able = &left[..able.saturating_sub(count)];
+        let fresh: Vec<WorkerKey> =
+            left_able.iter().filter(is_fresh).take(reserved).copied().collect();
+        let others = left.iter().filter(|key| !fresh.contains(key));
+        let others = others.take(SPARE_WORKERS.saturating_sub(fresh.len()));
+        let all = named.iter().chain(&fresh).chain(others);
+        all.take(MAX_WORKERS).copied().collect()
+    }
+
+    /// Returns the available workers with room for a task, those with the fewest attempts first.
+    fn calmest_first(&self, hosts: &StepHosts<'_>, available: &[WorkerKey]) -> Vec<WorkerKey> {
+        let has_room = |key: &WorkerKey| !hosts.holds(WorkerExclusion::Room, *key);
+        let mut workers: Vec<WorkerKey> = available.iter().copied().filter(has_room).collect();
+        workers.sort_by_key(|key| self.workers[*key].attempts.len());
+        workers
+    }
+
+    /// Returns the available workers with room for a task in the order in which calls name them. Gangs
+    /// start with the workers with the most free capacity and other steps with those with the least, so
+    /// that large blocks of free capacity remain for gangs. Consecutive calls start with different workers.
+    fn preferred_first(&self, hosts: &StepHosts<'_>, available: &[WorkerKey]) -> Vec<WorkerKey> {
+        let has_room = |key: &WorkerKey| !hosts.holds(WorkerExclusion::Room, *key);
+        let mut roomy: Vec<WorkerKey> = available.iter().copied().filter(has_room).collect();
+        if hosts.step().is_gang {
+            roomy.reverse();
+        }
+        let suits = |key: &WorkerKey| !hosts.holds(WorkerExclusion::Segregation, *key);
+        let (mut suitable, mixed): (Vec<WorkerKey>, Vec<WorkerKey>) =
+            roomy.into_iter().partition(suits);
+        if hosts.is_kept_apart() {
+            suitable.sort_by_key(|key| self.exposure(*key));
+        }
+        let rotated_count = suitable.len().div_ceil(ROTATED_SHARE);
+        let rotated = &mut suitable[..rotated_count];
+        let rotation = self.advice_call_count * ROTATION_STRIDE;
+        rotated.rotate_left(rotation.checked_rem(rotated.len()).unwrap_or(0));
+        suitable.extend(mixed);
+        suitable
+    }
+
+    /// Returns those of some workers that a call could name.
+    fn call_candidates(&self, hosts: &StepHosts<'_>, order: &[WorkerKey]) -> CallCandidates {
+        let mut candidates = CallCandidates::default();
+        let needs_call = |key: &&WorkerKey| {
+            !hosts.has_ticket(**key) && hosts.allows(**key, ExclusionSet::TO_START_WITH_TICKET)
+        };
+        for key in order.iter().filter(needs_call) {
+            match hosts.entry().allowed.contains_key(key) {
+                true => candidates.known.push(*key),
+                false => candidates.fresh.push(*key),
+            }
+            if candidates.fresh.len() >= MAX_WORKERS {
+                break;
+            }
+        }
+        candidates
+    }
+
+    /// Returns how many workers of a call must be ones that have not been asked about. A gang needs none if
+    /// there are enough that are known, whose tickets must be valid at one time.
+    fn reserved_for_fresh(&self, hosts: &StepHosts<'_>, candidates: &CallCandidates) -> usize {
+        let entry = hosts.entry();
+        if hosts.step().is_gang {
+            let may_run = |key: &WorkerKey| hosts.allows(*key, ExclusionSet::TO_START_WITH_TICKET);
+            let known = entry.allowed.keys().copied().filter(may_run);
+            let places = known.map(|key| hosts.places(key)).fold(0, u64::saturating_add);
+            if places >= entry.unassigned as u64 {
+                return 0;
+            }
+        }
+        let spare = SPARE_WORKERS << entry.fruitless_calls.min(MAX_SPARE_DOUBLINGS);
+        spare.min(candidates.fresh.len())
+    }
+
+    /// Returns how many of some workers are likely to be needed, from the first on.
+    fn likely_count(&self, hosts: &StepHosts<'_>, phase: PhaseRef, workers: &[WorkerKey]) -> usize {
+        let entry = hosts.entry();
+        let queue = &self.jobs[phase.job].record.queue;
+        let share = self.grant_rate.get(queue).copied().unwrap_or(INITIAL_GRANT_RATE);
+        let mut expected_tasks = 0.0;
+        let wanted = entry.unassigned as f64 * SPARE_FACTOR;
+        let is_needed = |key: &&WorkerKey| {
+            let is_needed = expected_tasks < wanted;
+            let places = hosts.places(**key).clamp(1, entry.unassigned.max(1) as u64);
+            let chance = if entry.allowed.contains_key(*key) { 1.0 } else { share };
+            expected_tasks += places as f64 * chance;
+            is_needed
+        };
+        workers.iter().take_while(is_needed).count()
+    }
+}
--- a/crates/cell/src/core/exclusion_set.rs
+++ b/crates/cell/src/core/exclusion_set.rs
@@ -1,6 +1,6 @@
 //! Sets of reasons why a worker may not run a task.
 
-use super::worker_exclusion::WorkerExclusion;
+use {super::worker_exclusion::WorkerExclusion, std::iter};
 
 /// A set of reasons why a worker may not run a task, or should not.
 #[derive(Debug, Clone, Copy)]
@@ -13,8 +13,9 @@
         let mut index = 0;
         while index < WorkerExclusion::ALL.len() {
             let reason = WorkerExclusion::ALL[index];
+            assert!(reason as usize == index, "all reasons are in the order of their declaration");
             if !reason.is_soft() {
-                set |= 1 << reason as u32;
+                set |= 1_u32 << index;
             }
             index += 1;
         }
@@ -31,12 +32,6 @@
     /// What may keep an available worker of the step's service from running a task once it has a ticket.
     pub(super) const TO_START_WITH_TICKET: Self =
         Self::TO_START_ON_AVAILABLE.but(&[WorkerExclusion::Ticket]);
-    /// What keeps such a worker from running a task also once the tasks that it runs have ended.
-    pub(super) const TO_START_LATER: Self = Self::TO_START_WITH_TICKET.but(&[
-        WorkerExclusion::Probation,
-        WorkerExclusion::Limit,
-        WorkerExclusion::Room,
-    ]);
 
     /// Returns the set without some reasons.
     const fn but(self, reasons: &[WorkerExclusion]) -> Self {
@@ -49,14 +44,13 @@
         Self(set)
     }
 
-    /// Returns whether a reason is in the set.
-    pub(super) const fn contains(self, reason: WorkerExclusion) -> bool {
-        self.0 & (1 << reason as u32) != 0
-    }
-}
-
-impl From<WorkerExclusion> for ExclusionSet {
-    fn from(reason: WorkerExclusion) -> Self {
-        Self(1 << reason as u32)
+    /// Returns the reasons of the set, in the order in which they are looked for.
+    pub(super) fn iter(self) -> impl Iterator<Item = WorkerExclusion> {
+        let mut left = self.0;
+        iter::from_fn(move || {
+            let index = left.trailing_zeros() as usize;
+            left &= left.saturating_sub(1);
+            WorkerExclusion::ALL.get(index).copied()
+        })
     }
 }
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -11,6 +11,7 @@
 mod attempts;
 mod available;
 mod backlog;
+mod call_workers;
 mod commit;
 mod completion;
 mod exclusion_set;
--- a/crates/cell/src/core/placement.rs
+++ b/crates/cell/src/core/placement.rs
@@ -170,7 +170,7 @@
         let mut workers: Vec<WorkerKey> = match hosts.needs_ticket() {
             // Few workers have tickets, so it is enough to check those.
             true => {
-                let with_ticket = |key: &WorkerKey| hosts.allows(*key, WorkerExclusion::Ticket);
+                let with_ticket = |key: &WorkerKey| !hosts.holds(WorkerExclusion::Ticket, *key);
                 let advised = hosts.entry().allowed.keys().copied().filter(with_ticket);
                 advised.filter(|key| hosts.allows(*key, ExclusionSet::TO_START)).collect()
             }
@@ -184,7 +184,7 @@
         workers.sort_by_cached_key(|key| {
             let load = if hosts.is_kept_apart() { self.exposure(*key) } else { (false, 0) };
             let free_cpu = self.workers[*key].free().cpu_millis;
-            let is_excluded = |reason| !hosts.allows(*key, reason);
+            let is_excluded = |reason| hosts.holds(reason, *key);
             (WorkerExclusion::OF_PREFERENCE.map(is_excluded), load, free_cpu)
         });
         workers
@@ -233,6 +233,7 @@
             self.mark_dirty(phase.job, Some(AfterCommit::Send(key)));
         }
         let job = &mut self.jobs[phase.job];
+        job.phases[phase.phase].fruitless_calls = 0;
         if job.state == JobState::Queued {
             job.state = JobState::Running;
         }
--- a/crates/cell/src/core/probation.rs
+++ b/crates/cell/src/core/probation.rs
@@ -32,6 +32,8 @@
 const MIN_TICKETS: usize = 4;
 /// Number of attempts by which a suspect's worker may exceed the worker with the fewest.
 const MAX_EXTRA_ATTEMPTS: usize = 2;
+/// Number of the adviser's responses that lead to no start, from which a suspect goes to any worker.
+const MAX_CALM_CALLS: u32 = 3;
 
 impl CellCore {
     /// Returns whether a suspected task of a phase waits to be placed.
@@ -232,9 +234,12 @@
     }
 
     /// Returns what decides which workers may run a suspect of a phase. With an adviser, busier workers than
-    /// necessary are left out, so that it is asked about the others.
+    /// necessary are left out, so that it is asked about the others, a few times.
     fn calm_hosts(&self, phase: PhaseRef, available: &AvailableWorkers) -> StepHosts<'_> {
         let hosts = StepHosts::new(self, phase);
+        if hosts.entry().fruitless_calls >= MAX_CALM_CALLS {
+            return hosts;
+        }
         let could_run = |key: &&WorkerKey| hosts.allows(**key, ExclusionSet::TO_START_WITH_TICKET);
         let load = |key: &WorkerKey| self.workers[*key].attempts.len();
         let all = available.of(hosts.service()).iter();
@@ -249,7 +254,7 @@
         available: &AvailableWorkers,
     ) -> Vec<WorkerKey> {
         let mut workers = self.candidates(hosts, available);
-        workers.retain(|key| hosts.allows(*key, WorkerExclusion::Load));
+        workers.retain(|key| !hosts.holds(WorkerExclusion::Load, *key));
         workers.sort_by_key(|key| {
             let worker = &self.workers[*key];
             (worker.gang_members, worker.attempts.len())
--- a/crates/cell/src/core/step_hosts.rs
+++ b/crates/cell/src/core/step_hosts.rs
@@ -89,7 +89,7 @@
     }
 
     /// Returns whether none of some reasons holds for a worker.
-    pub(super) fn allows(&self, worker: WorkerKey, reasons: impl Into<ExclusionSet>) -> bool {
+    pub(super) fn allows(&self, worker: WorkerKey, reasons: ExclusionSet) -> bool {
         self.exclusion(worker, reasons).is_none()
     }
 
@@ -97,14 +97,28 @@
     pub(super) fn exclusion(
         &self,
         worker: WorkerKey,
-        reasons: impl Into<ExclusionSet>,
+        reasons: ExclusionSet,
     ) -> Option<WorkerExclusion> {
         let Some(entry) = self.core.workers.get(worker) else {
             return Some(WorkerExclusion::Registration);
         };
-        let reasons = reasons.into();
-        let mut asked = WorkerExclusion::ALL.into_iter().filter(|reason| reasons.contains(*reason));
-        asked.find(|reason| self.is_excluded(worker, entry, *reason))
+        reasons.iter().find(|reason| self.is_excluded(worker, entry, *reason))
+    }
+
+    /// Returns whether a reason holds for a worker.
+    pub(super) fn holds(&self, reason: WorkerExclusion, worker: WorkerKey) -> bool {
+        let entry = self.core.workers.get(worker);
+        entry.is_none_or(|entry| self.is_excluded(worker, entry, reason))
+    }
+
+    /// Returns whether an available worker may run a task of the step only once tasks that it runs have
+    /// ended. Those of a service do not end.
+    pub(super) fn may_allow_later(&self, worker: WorkerKey) -> bool {
+        match self.exclusion(worker, ExclusionSet::TO_START_WITH_TICKET) {
+            Some(WorkerExclusion::Probation | WorkerExclusion::Room) => true,
+            Some(WorkerExclusion::Limit) => !self.step.is_service,
+            _ => false,
+        }
     }
 
     /// Returns whether a reason holds for a worker.
--- a/crates/cell/src/core/worker_exclusion.rs
+++ b/crates/cell/src/core/worker_exclusion.rs
@@ -42,7 +42,8 @@
 }
 
 impl WorkerExclusion {
-    /// All reasons, in the order in which they are looked for.
+    /// All reasons, in the order in which they are looked for: those that end with other tasks are the last
+    /// of the hard ones, so the others do not hold when one of these is found.
     pub(super) const ALL: [Self; 16] = [
         Self::Registration,
         Self::Lease,
--- a/crates/cell/src/table/phase.rs
+++ b/crates/cell/src/table/phase.rs
@@ -40,6 +40,8 @@
     /// Workers that the adviser denies.
     pub(crate) denied: FxHashSet<WorkerKey>,
     pub(crate) advice_call: Option<AdviceCallKey>,
+    /// Number of the adviser's responses since a task was last placed.
+    pub(crate) fruitless_calls: u32,
     pub(crate) retry: PhaseRetry,
     /// Workers have been lost with tasks of the phase, so some may be suspected.
     pub(crate) has_losses: bool,
--- a/crates/cell/tests/cell/where_to_run.rs
+++ b/crates/cell/tests/cell/where_to_run.rs
@@ -15,7 +15,7 @@
 const ALLOWED_WORKERS: u32 = 26;
 /// Longer than any test, in milliseconds.
 const FOR_EVER_MS: u64 = 1_000_000_000;
-/// Time for which a queue is kept apart, and some more, in milliseconds.
+/// Time for which a queue is suspected, and some more, in milliseconds.
 const SUSPICION_MS: u64 = 7_000;
 
 /// Creates a step whose small tasks run until their job is cancelled.
@@ -150,13 +150,12 @@
     assert_eq!(cell.workers["w2"].runs.len(), 6);
 }
 
-/// Guards against tasks that count as kept apart as long as they run, and keep the adviser from being asked
-/// about their workers.
-#[test]
-fn a_step_starts_beside_tasks_that_were_kept_apart_once() {
+/// Creates a cell of eight workers in which a queue has just become suspected, and runs a lasting task of it on
+/// the first two workers of rack `r3` each. The adviser of the other queue allows these two.
+fn cell_with_suspected_queue() -> FakeCell {
     let mut cell = FakeCell::new(8);
-    for id in ["w6", "w7"] {
-        cell.workers.get_mut(id).unwrap().report.labels[1] = "r3".to_owned();
+    for (_, worker) in cell.workers.iter_mut().skip(6) {
+        worker.report.labels[1] = "r3".to_owned();
     }
     cell.list_workers();
     add_queue(&mut cell, "other", "service", Some(QUICK_TIMING));
@@ -172,15 +171,33 @@
     cell.run_ms = FOR_EVER_MS;
     let beside_data = StepSpec { max_per_worker: 1, data_rack: "r3".to_owned(), ..lasting(2) };
     cell.submit(job("3", vec![beside_data]));
-    cell.run(SUSPICION_MS);
+    cell.run(300);
     cell.allowed = ["w6".to_owned(), "w7".to_owned()].into();
     let on_data = |id: &str| cell.workers[id].runs.iter().any(|run| run.task.starts_with("3."));
     assert!(on_data("w6") && on_data("w7"));
+    cell
+}
+
+/// Guards against tasks that count as kept apart as long as they run, and keep the adviser from being asked
+/// about their workers.
+#[test]
+fn a_step_starts_beside_tasks_that_were_kept_apart_once() {
+    let mut cell = cell_with_suspected_queue();
+    cell.run(SUSPICION_MS);
     cell.submit(job_of("other", "4", vec![step(1)]));
     cell.run(5_000);
     assert!(worker_of(&cell, "4").is_some());
 }
 
+/// Guards against the same while the queue is still suspected: no other worker may run the step.
+#[test]
+fn a_step_starts_beside_tasks_that_are_kept_apart_if_it_may_nowhere_else() {
+    let mut cell = cell_with_suspected_queue();
+    cell.submit(job_of("other", "4", vec![step(1)]));
+    cell.run(1_500);
+    assert!(worker_of(&cell, "4").is_some());
+}
+
 /// Guards against tests that suspects of two services join on one worker.
 #[test]
 fn suspects_of_two_services_are_not_tested_on_one_worker() {
