Steps that ask the adviser in vain take turns with others

Change: a gang for which there are too few places, were all workers allowed, asks only in advance, as far as that goes (PREFETCH_STEPS). A step with three responses in a row that led to no start comes after the others, and takes turns with those like it. A gang's call renews the tickets that expire before it ends, so that they are valid at one time.

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -42,6 +42,8 @@
 /// Time beyond the expected end of a call after which its step asks through another daemon as well, in
 /// milliseconds. Either response serves.
 const OVERDUE_MS: u64 = 200;
+/// Number of the adviser's responses that lead to no start, from which a step comes after others.
+const MAX_FRUITLESS_CALLS: u32 = 3;
 /// Assumed share of allowed workers before a queue has had a response.
 pub(super) const INITIAL_GRANT_RATE: f64 = 0.4;
 /// Weight of a new response in a queue's share of allowed workers.
@@ -89,11 +91,25 @@
         let planned = self.attempts.values().filter(is_planned).count();
         let mut budget = self.request_window.planning_budget(planned, self.time.now_ms);
         let backlog = self.backlog();
+        let mut incomplete = Vec::new();
         for phase in self.first_suspects(&backlog).into_iter().chain(backlog) {
             if self.place_phase(phase, &available, &mut budget) == PlacementOutcome::Incomplete {
-                self.request_advice(phase, &available, &mut prefetch_left);
+                incomplete.push(phase);
             }
         }
+        incomplete.retain(|phase| self.phase(*phase).is_some());
+        incomplete.sort_by_key(|phase| self.advice_turn(*phase));
+        for phase in incomplete {
+            self.request_advice(phase, &available, &mut prefetch_left);
+        }
+    }
+
+    /// Returns the order in which steps ask the adviser. Those that have asked in vain again and again come
+    /// last and take turns, so that they do not use it up.
+    fn advice_turn(&self, phase: PhaseRef) -> (bool, usize) {
+        let entry = self.phase(phase);
+        let in_vain = entry.filter(|entry| entry.fruitless_calls >= MAX_FRUITLESS_CALLS);
+        in_vain.map_or((false, 0), |entry| (true, entry.last_call))
     }
 
     fn advice_calls_where(&self, matches: impl Fn(&AdviceCallEntry) -> bool) -> Vec<AdviceCallKey> {
@@ -202,6 +218,7 @@
         let call = self.advice_calls.insert(call);
         let job = &mut self.jobs[job];
         job.phases[phase].advice_call = Some(call);
+        job.phases[phase].last_call = self.advice_call_count;
         let phase = job.phase_name(phase);
         let request = AdviceRequest { call, daemon, phase, workers, expected_ms };
         self.actions.push(CellAction::RequestAdvice(request));
@@ -228,6 +245,11 @@
         Some(call)
     }
 
+    /// Returns a phase, unless its job was removed or has ended.
+    fn phase(&self, phase: PhaseRef) -> Option<&PhaseEntry> {
+        self.jobs.get(phase.job)?.phases.get(phase.phase)
+    }
+
     /// Returns a phase, unless its job was removed or has ended.
     fn phase_mut(&mut self, phase: PhaseRef) -> Option<&mut PhaseEntry> {
         self.jobs.get_mut(phase.job)?.phases.get_mut(phase.phase)
--- a/crates/cell/src/core/call_workers.rs
+++ b/crates/cell/src/core/call_workers.rs
@@ -52,7 +52,12 @@
             true => self.calmest_first(&hosts, available),
             false => self.preferred_first(&hosts, available),
         };
-        let candidates = self.call_candidates(&hosts, &order);
+        let has_places = self.has_enough_places(&hosts, &order);
+        if !has_places && !may_prefetch {
+            return Vec::new();
+        }
+        let call_ms = if has_places { self.gang_call_ms(&hosts, phase) } else { 0 };
+        let candidates = self.call_candidates(&hosts, &order, call_ms);
         let reserved = self.reserved_for_fresh(&hosts, &candidates);
         let mut likely = [candidates.known.as_slice(), candidates.fresh.as_slice()].concat();
         if has_suspect {
@@ -108,11 +113,39 @@
         suitable
     }
 
-    /// Returns those of some workers that a call could name.
-    fn call_candidates(&self, hosts: &StepHosts<'_>, order: &[WorkerKey]) -> CallCandidates {
+    /// Returns whether a step could be placed if there were tickets for all of some workers. Only a gang needs
+    /// more than one place.
+    fn has_enough_places(&self, hosts: &StepHosts<'_>, workers: &[WorkerKey]) -> bool {
+        let needed = hosts.entry().unassigned as u64;
+        let may_run = |key: &&WorkerKey| hosts.allows(**key, ExclusionSet::TO_START_WITH_TICKET);
+        let mut places = 0_u64;
+        let mut able = workers.iter().filter(may_run);
+        !hosts.step().is_gang
+            || able.any(|key| {
+                places = places.saturating_add(hosts.places(*key));
+                places >= needed
+            })
+    }
+
+    /// Returns the duration of a call for a gang, in milliseconds; 0 for another step. The tickets of a gang must be
+    /// valid at one time, so those that expire before the call ends are renewed by it.
+    fn gang_call_ms(&self, hosts: &StepHosts<'_>, phase: PhaseRef) -> u64 {
+        let timing = self.advice_timing(phase).filter(|_| hosts.step().is_gang);
+        let workers = hosts.entry().unassigned.min(MAX_WORKERS);
+        timing.map_or(0, |timing| timing.duration_us(workers) / 1_000)
+    }
+
+    /// Returns those of some workers that a call could name: those without a ticket that is valid for some time.
+    fn call_candidates(
+        &self,
+        hosts: &StepHosts<'_>,
+        order: &[WorkerKey],
+        valid_ms: u64,
+    ) -> CallCandidates {
         let mut candidates = CallCandidates::default();
         let needs_call = |key: &&WorkerKey| {
-            !hosts.has_ticket(**key) && hosts.allows(**key, ExclusionSet::TO_START_WITH_TICKET)
+            !hosts.has_ticket_for(**key, valid_ms)
+                && hosts.allows(**key, ExclusionSet::TO_START_WITH_TICKET)
         };
         for key in order.iter().filter(needs_call) {
             match hosts.entry().allowed.contains_key(key) {
--- a/crates/cell/src/core/step_hosts.rs
+++ b/crates/cell/src/core/step_hosts.rs
@@ -149,7 +149,13 @@
 
     /// Returns whether there is a ticket for a worker that is valid for long enough to start a task.
     pub(super) fn has_ticket(&self, worker: WorkerKey) -> bool {
-        let min_valid_ms = self.core.time.now_ms + TICKET_MARGIN_MS;
+        self.has_ticket_for(worker, 0)
+    }
+
+    /// Returns whether there is a ticket for a worker that is valid for long enough to start a task after
+    /// some time.
+    pub(super) fn has_ticket_for(&self, worker: WorkerKey, wait_ms: u64) -> bool {
+        let min_valid_ms = self.core.time.now_ms + wait_ms + TICKET_MARGIN_MS;
         let held = self.entry.allowed.get(&worker);
         held.is_some_and(|held| held.valid_until_ms > min_valid_ms)
     }
--- a/crates/cell/tests/cell/where_to_run.rs
+++ b/crates/cell/tests/cell/where_to_run.rs
@@ -107,6 +107,39 @@
     }
 }
 
+/// Guards against steps that cannot be placed and use up a slow adviser.
+#[test]
+fn a_step_is_asked_about_while_others_ask_in_vain() {
+    let mut cell = slowly_advised_cell(4, 4);
+    for id in 10..30 {
+        cell.submit(job(&id.to_string(), vec![StepSpec { is_gang: true, ..lasting(40) }]));
+    }
+    cell.run(10_000);
+    let accepted_ms = cell.wall_ms();
+    cell.submit(JobRecord { accepted_ms, ..job("1", vec![lasting(1)]) });
+    cell.run(15_000);
+    assert!(worker_of(&cell, "1").is_some());
+}
+
+/// Guards against tickets of a gang's workers that are renewed in turns, and are never valid at one time.
+#[test]
+fn a_gang_starts_for_which_a_worker_comes_later() {
+    for wait_ms in (0..2_000).step_by(100) {
+        let mut cell = slowly_advised_cell(3, 4);
+        let timing = AdviceTiming { valid_ms: 600, ..SLOW_TIMING };
+        cell.reconfigure(|config| {
+            config.queues.values_mut().for_each(|queue| queue.advice = Some(timing));
+        });
+        let limited = StepSpec { is_gang: true, max_per_worker: 1, ..lasting(4) };
+        cell.submit(job("1", vec![limited]));
+        cell.run(2_000 + wait_ms);
+        cell.add_worker("w3", 1, "r0");
+        cell.list_workers();
+        cell.run(10_000);
+        assert_eq!(runs(&cell), 4, "the worker came after {wait_ms} ms");
+    }
+}
+
 /// Guards against a count of attempts that takes in workers which may not run the task.
 #[test]
 fn a_suspect_starts_while_workers_without_its_label_are_idle() {
