--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -16,3 +16,4 @@
 mod restarted_leases;
 mod support;
 mod where_to_run;
+mod where_to_run_at_random;
--- /dev/null
+++ b/crates/cell/tests/cell/support/reference.rs
@@ -0,0 +1,123 @@
+//! Where a task may run by the rules alone, written apart from the core.
+
+use {
+    super::{FakeCell, FakeWorker},
+    damaskrack_cell::{AdviceRequest, JobRecord, ResourceSet, StepSpec},
+    std::collections::BTreeMap,
+};
+
+/// Tickets that the adviser has issued, by step and worker, with the times until which they are valid.
+#[derive(Debug, Default)]
+pub(crate) struct IssuedTickets {
+    valid_until_ms: BTreeMap<(String, String), u64>,
+}
+
+impl IssuedTickets {
+    /// Records a ticket for a worker, which is valid from now on.
+    pub(super) fn issue(&mut self, step: &str, worker: &str, valid_until_ms: u64) {
+        self.valid_until_ms.insert((step.to_owned(), worker.to_owned()), valid_until_ms);
+    }
+
+    /// Returns whether a ticket of a step for a worker is valid.
+    fn is_valid(&self, step: &str, worker: &str, now_ms: u64) -> bool {
+        let key = (step.to_owned(), worker.to_owned());
+        self.valid_until_ms.get(&key).is_some_and(|until_ms| now_ms <= *until_ms)
+    }
+}
+
+/// Returns the name of a task's step.
+fn step_name(task: &str) -> &str {
+    task.rsplit_once('.').map_or(task, |(step, _)| step)
+}
+
+impl FakeCell {
+    /// Records the tickets of a response to come, which are valid from then on. When a response comes that a
+    /// test holds is not known.
+    pub(super) fn issue_tickets(&mut self, request: &AdviceRequest, respond_ms: u64) {
+        let record = &self.records[request.phase.split('.').next().unwrap_or_default()];
+        let queue = self.config.queues.get(&record.queue);
+        let advice = queue.map_or(record.advice, |queue| queue.advice);
+        let valid_ms = advice.map_or(0, |advice| advice.valid_ms);
+        let valid_until_ms = if self.holds_advice { u64::MAX } else { respond_ms + valid_ms };
+        for worker in &request.workers {
+            self.tickets.issue(&request.phase, worker, valid_until_ms);
+        }
+    }
+
+    /// Returns whether the rules allow a task on a worker, apart from what else runs there and from tickets.
+    fn is_suitable(&self, record: &JobRecord, step: &StepSpec, worker: &FakeWorker) -> bool {
+        let queue = self.config.queues.get(&record.queue);
+        let service = queue.map_or(&record.service, |queue| &queue.service);
+        let report = &worker.report;
+        let has_adviser = queue.map_or(record.advice, |queue| queue.advice).is_some();
+        let is_allowed = self.allowed.is_empty() || self.allowed.contains(&report.id);
+        *service == report.service
+            && (step.required_label.is_empty() || report.labels.contains(&step.required_label))
+            && (!has_adviser || is_allowed)
+    }
+
+    /// Returns how many more tasks of a step the rules allow on a worker now.
+    fn places(&self, name: &str, worker: &FakeWorker) -> u64 {
+        let record = &self.records[name.split('.').next().unwrap_or_default()];
+        let step = self.step_of(&format!("{name}.0"));
+        let is_closed = self.config.closed_zones.contains(&worker.report.zone);
+        if worker.is_silent || worker.report.is_leaving || is_closed {
+            return 0;
+        }
+        if !self.is_suitable(record, step, worker) {
+            return 0;
+        }
+        let used = |sum: ResourceSet, more: &ResourceSet| sum.plus(more);
+        let used = worker.runs.iter().map(|run| &run.resources).fold(ResourceSet::default(), used);
+        let fitting = worker.report.capacity.minus(&used).count_fitting(&step.resources());
+        let siblings = worker.runs.iter().filter(|run| step_name(&run.task) == name).count();
+        match u64::from(step.max_per_worker) {
+            0 => fitting,
+            limit => fitting.min(limit.saturating_sub(siblings as u64)),
+        }
+    }
+
+    /// Asserts that the rules allow a task that has just started where it has.
+    pub(super) fn check_place(&self, task: &str, at: &str) {
+        let (worker, name) = (&self.workers[at], step_name(task));
+        let record = &self.records[task.split('.').next().unwrap_or_default()];
+        let step = self.step_of(task);
+        assert!(self.is_suitable(record, step, worker), "{task} may not run on {at}");
+        let siblings = worker.runs.iter().filter(|run| step_name(&run.task) == name).count();
+        let is_within = step.max_per_worker == 0 || siblings <= step.max_per_worker as usize;
+        assert!(is_within, "{siblings} tasks of {name} run on {at}");
+        let has_adviser =
+            self.config.queues.get(&record.queue).is_some_and(|queue| queue.advice.is_some());
+        let is_valid = self.tickets.is_valid(name, at, self.now_ms);
+        assert!(!has_adviser || is_valid, "{task} started on {at} without a valid ticket");
+    }
+
+    /// Returns the tasks of the first steps of jobs that have not ended, do not run, and may by the rules: those of
+    /// a gang only if all of them may.
+    pub(crate) fn startable_tasks(&self) -> Vec<String> {
+        let mut found = Vec::new();
+        for (id, record) in &self.jobs {
+            if self.core.state_of(id).is_none_or(|state| state.is_final()) {
+                continue;
+            }
+            let name = format!("{id}.0.0");
+            let up = || self.workers.values().filter(|worker| !worker.is_silent);
+            let runs = |task: &String| up().any(|at| at.runs.iter().any(|run| run.task == *task));
+            let tasks = (0..record.steps[0].tasks).map(|index| format!("{name}.{index}"));
+            let waiting: Vec<String> =
+                tasks.filter(|task| !runs(task) && !self.has_ended(task)).collect();
+            let places: u64 =
+                up().map(|worker| self.places(&name, worker).min(waiting.len() as u64)).sum();
+            let needed = if record.steps[0].is_gang { waiting.len() as u64 } else { 1 };
+            if !waiting.is_empty() && places >= needed {
+                found.extend(waiting);
+            }
+        }
+        found
+    }
+
+    /// Returns whether a task that ends is done.
+    fn has_ended(&self, task: &str) -> bool {
+        self.done.contains_key(task) && !self.step_of(task).is_service
+    }
+}
