--- a/crates/cell/src/core/call_workers.rs
+++ b/crates/cell/src/core/call_workers.rs
@@ -82,26 +82,28 @@
         all.take(MAX_WORKERS).copied().collect()
     }
 
-    /// Returns the available workers with room for a task, those with the fewest attempts first.
+    /// Returns the available workers with free capacity for a task, those with the fewest attempts first.
     fn calmest_first(&self, hosts: &StepHosts<'_>, available: &[WorkerKey]) -> Vec<WorkerKey> {
-        let has_room = |key: &WorkerKey| !hosts.holds(WorkerExclusion::Room, *key);
-        let mut workers: Vec<WorkerKey> = available.iter().copied().filter(has_room).collect();
+        let has_free_capacity = |key: &WorkerKey| !hosts.holds(WorkerExclusion::FreeCapacity, *key);
+        let mut workers: Vec<WorkerKey> =
+            available.iter().copied().filter(has_free_capacity).collect();
         workers.sort_by_key(|key| self.workers[*key].attempts.len());
         workers
     }
 
-    /// Returns the available workers with room for a task in the order in which calls name them. Gangs
+    /// Returns the available workers with free capacity for a task in the order in which calls name them. Gangs
     /// start with the workers with the most free capacity and other steps with those with the least, so
     /// that large blocks of free capacity remain for gangs. Consecutive calls start with different workers.
     fn preferred_first(&self, hosts: &StepHosts<'_>, available: &[WorkerKey]) -> Vec<WorkerKey> {
-        let has_room = |key: &WorkerKey| !hosts.holds(WorkerExclusion::Room, *key);
-        let mut roomy: Vec<WorkerKey> = available.iter().copied().filter(has_room).collect();
+        let has_free_capacity = |key: &WorkerKey| !hosts.holds(WorkerExclusion::FreeCapacity, *key);
+        let mut with_capacity: Vec<WorkerKey> =
+            available.iter().copied().filter(has_free_capacity).collect();
         if hosts.step().is_gang {
-            roomy.reverse();
+            with_capacity.reverse();
         }
         let suits = |key: &WorkerKey| !hosts.holds(WorkerExclusion::Segregation, *key);
         let (mut suitable, mixed): (Vec<WorkerKey>, Vec<WorkerKey>) =
-            roomy.into_iter().partition(suits);
+            with_capacity.into_iter().partition(suits);
         if hosts.is_kept_apart() {
             suitable.sort_by_key(|key| self.exposure(*key));
         }
--- a/crates/cell/src/core/step_hosts.rs
+++ b/crates/cell/src/core/step_hosts.rs
@@ -115,7 +115,7 @@
     /// ended. Those of a service do not end.
     pub(super) fn may_allow_later(&self, worker: WorkerKey) -> bool {
         match self.exclusion(worker, ExclusionSet::TO_START_WITH_TICKET) {
-            Some(WorkerExclusion::Probation | WorkerExclusion::Room) => true,
+            Some(WorkerExclusion::Probation | WorkerExclusion::FreeCapacity) => true,
             Some(WorkerExclusion::Limit) => !self.step.is_service,
             _ => false,
         }
@@ -137,7 +137,9 @@
             WorkerExclusion::Ticket => self.needs_ticket && !self.has_ticket(key),
             WorkerExclusion::Probation => worker.probations > 0,
             WorkerExclusion::Limit => self.left_by_limit(key) == 0,
-            WorkerExclusion::Room => !worker.used.plus(&self.need).fits(&worker.report.capacity),
+            WorkerExclusion::FreeCapacity => {
+                !worker.used.plus(&self.need).fits(&worker.report.capacity)
+            }
             WorkerExclusion::Segregation if self.is_kept_apart => worker.gang_members > 0,
             WorkerExclusion::Segregation => worker.kept_apart > 0,
             WorkerExclusion::LongLease => step.is_service && !self.core.has_bounded_leases(worker),
--- a/crates/cell/src/core/worker_exclusion.rs
+++ b/crates/cell/src/core/worker_exclusion.rs
@@ -28,7 +28,7 @@
     /// The worker runs as many tasks of the step as it may.
     Limit,
     /// The worker has too little free capacity.
-    Room,
+    FreeCapacity,
     /// The step's queue is kept apart from gangs, or the worker runs tasks that are kept apart.
     Segregation,
     /// The worker's leases may last long: if it is lost, a service stands still for too long.
@@ -55,7 +55,7 @@
         Self::Ticket,
         Self::Probation,
         Self::Limit,
-        Self::Room,
+        Self::FreeCapacity,
         Self::Segregation,
         Self::LongLease,
         Self::Rack,
@@ -84,7 +84,7 @@
             | Self::Ticket
             | Self::Probation
             | Self::Limit
-            | Self::Room => false,
+            | Self::FreeCapacity => false,
             Self::Segregation | Self::LongLease | Self::Rack | Self::Slowness | Self::Load => true,
         }
     }
