A submission is read and cancelled by its own team on its own route only

A submission with an id that another team had used was answered 200 and never ran.

Cause: the leader's table, the daemons' messages and the rows in the store are looked up by the id alone.

Change: a request for a state or a cancellation carries the caller's route and team (`JobCaller`, a field of its own in the daemons' frames); the leader's table and the rows are answered for the owner only, for any other caller as for an unknown id (410). On a public route any caller may, as no call there needs a key. A submission with the id of another owner's job is answered 409, whether the leader knows the job, a daemon's conditional write meets its row, or it has ended. Rows of ended jobs have the owner; a row of a version before has none and is answered to anybody, as it was. Two owners' offers of one id are left to the store, since the notice of a written offer names the id only.

`CellInput::Cancel` has a caller now, so tests that cancel name it (`None`: a daemon of the version before); `Cancel` and `Submit` answers in them are checked as they were.

--- a/crates/cell/src/core/commit.rs
+++ b/crates/cell/src/core/commit.rs
@@ -3,7 +3,8 @@
 use {
     super::CellCore,
     crate::{
-        COMMIT_LANES, CellAction, CellSettings, CommitRequest, JobKey, JobState, ProgressRecord,
+        COMMIT_LANES, CellAction, CellSettings, CommitRequest, JobKey, JobOwner, JobState,
+        ProgressRecord,
         table::{AfterCommit, AttemptLocation, JobEntry, JobRow, JobRowChange},
     },
     rustc_hash::FxHashSet,
@@ -171,7 +172,9 @@
         let job = &self.jobs[key];
         let id = job.record.id.clone();
         if job.job_row == JobRow::Removed {
-            request.ended.push((id.clone(), self.progress_record(job)));
+            let owner = Some(job.record.owner()).filter(JobOwner::is_known);
+            let row = ProgressRecord { owner, ..self.progress_record(job) };
+            request.ended.push((id.clone(), row));
             request.removed_progress.extend(job.has_progress_row.then_some(id));
             self.jobs[key].has_progress_row = false;
             self.jobs[key].has_ended_row = true;
@@ -222,6 +225,7 @@
             phases,
             ended_ms: job.ended_ms,
             has_begun: job.has_begun,
+            owner: None,
         }
     }
 
--- a/crates/cell/src/core/jobs.rs
+++ b/crates/cell/src/core/jobs.rs
@@ -3,7 +3,8 @@
 use {
     super::{CellCore, admission::Admission},
     crate::{
-        CellAction, JobKey, JobRecord, JobState, PhaseProgress, ProgressRecord, TaskProgress,
+        CellAction, JobCaller, JobKey, JobOwner, JobRecord, JobState, PhaseProgress,
+        ProgressRecord, TaskProgress,
         message::{PhaseRef, TaskRef},
         table::{AfterCommit, AttemptState, JobEntry, JobRow},
     },
@@ -14,7 +15,7 @@
     /// placed at once, because its first attempts are committed together with the job or after it.
     pub(super) fn submit(&mut self, record: JobRecord, reply: u64) {
         if let Some(&key) = self.job_ids.get(&record.id) {
-            return self.mark_dirty(key, Some(AfterCommit::Reply(reply)));
+            return self.resubmit(key, &record, reply);
         }
         if !self.are_ended_known {
             // The job may have ended before. The daemon's write fails if it has.
@@ -33,7 +34,7 @@
     /// Decides whether a daemon may write a job.
     pub(super) fn offer(&mut self, record: &JobRecord, reply: u64) {
         if let Some(&key) = self.job_ids.get(&record.id) {
-            return self.mark_dirty(key, Some(AfterCommit::Reply(reply)));
+            return self.resubmit(key, record, reply);
         }
         match self.admit(record) {
             Admission::Admit => self.actions.push(CellAction::Admit { reply }),
@@ -41,6 +42,19 @@
         }
     }
 
+    /// Replies to the submission of a job whose id is known, which is the same job if its owner is the same.
+    fn resubmit(&mut self, key: JobKey, record: &JobRecord, reply: u64) {
+        if self.jobs[key].record.owner().resubmits(&record.owner()) {
+            return self.mark_dirty(key, Some(AfterCommit::Reply(reply)));
+        }
+        self.log(
+            "job_id_taken",
+            &record.id,
+            format!("queue={} team={}", record.queue, record.team),
+        );
+        self.actions.push(CellAction::ReportTaken { reply });
+    }
+
     fn refuse(&mut self, record: &JobRecord, reply: u64, retry_ms: u64) {
         let detail = format!("queue={} team={} retry_ms={retry_ms}", record.queue, record.team);
         self.log("job_refused", &record.id, detail);
@@ -132,7 +146,9 @@
         if !progress.state().is_final() || self.job_ids.contains_key(id) {
             return;
         }
-        self.restore(JobRecord { id: id.to_owned(), ..JobRecord::default() }, Some(progress));
+        let JobOwner { queue, team } = progress.owner_or_unknown();
+        let record = JobRecord { id: id.to_owned(), queue, team, ..JobRecord::default() };
+        self.restore(record, Some(progress));
         self.jobs[self.job_ids[id]].job_row = JobRow::Removed;
     }
 
@@ -194,8 +210,11 @@
         }
     }
 
-    pub(super) fn cancel(&mut self, id: &str, reply: u64) {
-        let Some(&key) = self.job_ids.get(id) else {
+    pub(super) fn cancel(&mut self, id: &str, caller: Option<&JobCaller>, reply: u64) {
+        let may_access = |key: &JobKey| {
+            caller.is_none_or(|caller| caller.may_access(&self.jobs[*key].record.owner()))
+        };
+        let Some(key) = self.job_ids.get(id).copied().filter(may_access) else {
             self.actions.push(CellAction::Reply { reply, state: None });
             return;
         };
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -41,8 +41,8 @@
 
 use {
     crate::{
-        AdviceCallKey, AttemptKey, CellAction, CellConfig, CellInput, CellSettings, JobKey,
-        JobState, LogEntry, ResourceSet, WorkerKey,
+        AdviceCallKey, AttemptKey, CellAction, CellConfig, CellInput, CellSettings, JobCaller,
+        JobKey, JobState, LogEntry, ResourceSet, WorkerKey,
         keys::LossKey,
         table::{
             AdviceCallEntry, AttemptEntry, DaemonEntry, JobEntry, LossEntry, WorkerEntry,
@@ -227,7 +227,7 @@
             CellInput::EndedKnown => self.are_ended_known = true,
             CellInput::Submitted { record, reply } => self.submit(record, reply),
             CellInput::Offered { record, reply } => self.offer(&record, reply),
-            CellInput::Cancel { id, reply } => self.cancel(&id, reply),
+            CellInput::Cancel { id, caller, reply } => self.cancel(&id, caller.as_ref(), reply),
             CellInput::StartFinished { attempt, outcome } => self.finish_start(attempt, outcome),
             CellInput::StopFinished { attempt, is_acknowledged } => {
                 self.finish_stop(attempt, is_acknowledged);
@@ -303,6 +303,28 @@
         }
     }
 
+    /// Returns the state of a job for a caller, or `None` if there is no job with this id that the caller may
+    /// read.
+    ///
+    /// ```
+    /// use damaskrack_cell::{CellCore, CellInput, JobCaller, JobRecord, JobState};
+    ///
+    /// let mut core = CellCore::new(Default::default());
+    /// let record = JobRecord { id: "1".into(), queue: "q".into(), team: "a".into(), ..Default::default() };
+    /// core.apply(CellInput::Accepted(record));
+    /// let caller = JobCaller { queue: "q".into(), team: "a".into(), is_queue_open: false };
+    /// assert_eq!(core.state_for("1", &caller), Some(JobState::Queued));
+    /// assert_eq!(core.state_for("1", &JobCaller { team: "b".into(), ..caller }), None);
+    /// ```
+    #[must_use]
+    pub fn state_for(&self, id: &str, caller: &JobCaller) -> Option<JobState> {
+        let job = &self.jobs[*self.job_ids.get(id)?];
+        match caller.may_access(&job.record.owner()) {
+            true => self.state_of(id),
+            false => None,
+        }
+    }
+
     /// Returns the largest number of start and stop requests that may be in flight.
     ///
     /// ```
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -7,6 +7,8 @@
 
 mod config;
 mod core;
+mod job_caller;
+mod job_owner;
 mod keys;
 mod lease_bound;
 mod message;
@@ -18,6 +20,8 @@
 pub use {
     config::{CellConfig, QueueConfig, TeamConfig},
     core::CellCore,
+    job_caller::JobCaller,
+    job_owner::JobOwner,
     keys::{AdviceCallKey, AttemptKey, JobKey, WorkerKey},
     lease_bound::LeaseBound,
     message::{
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        AdviceCallKey, AttemptKey, CellConfig, JobKey, JobRecord, JobState, LeaseBound,
+        AdviceCallKey, AttemptKey, CellConfig, JobCaller, JobKey, JobRecord, JobState, LeaseBound,
         ProgressRecord, ResourceSet, WorkerKey,
     },
     std::sync::Arc,
@@ -171,8 +171,9 @@
     /// Every job that ended under a former leader is known.
     EndedKnown,
     /// A caller submits a job that is not in the store yet. `reply` is returned in
-    /// [`CellAction::Reply`] once the job is durable, or in [`CellAction::Refuse`]. As long as not every
-    /// ended job is known, the input is treated as [`CellInput::Offered`].
+    /// [`CellAction::Reply`] once the job is durable, in [`CellAction::Refuse`], or in
+    /// [`CellAction::ReportTaken`] if another owner's job has the id. As long as not every ended job is known,
+    /// the input is treated as [`CellInput::Offered`].
     Submitted {
         /// The job.
         record: JobRecord,
@@ -180,17 +181,21 @@
         reply: u64,
     },
     /// A caller submits a job that a daemon writes if it is admitted. `reply` is returned in
-    /// [`CellAction::Admit`] or [`CellAction::Refuse`], or in [`CellAction::Reply`] if the job is known.
+    /// [`CellAction::Admit`] or [`CellAction::Refuse`], in [`CellAction::Reply`] if the job is known, or in
+    /// [`CellAction::ReportTaken`] if another owner's job has the id.
     Offered {
         /// The job.
         record: JobRecord,
         /// Handle of the reply.
         reply: u64,
     },
-    /// A caller cancels a job; `reply` is returned once the cancellation is durable.
+    /// A caller cancels a job; `reply` is returned once the cancellation is durable, or without a state if
+    /// the caller has no such job.
     Cancel {
         /// Id of the job.
         id: String,
+        /// The caller; `None` if a daemon of a former version passes the call on, which does not tell.
+        caller: Option<JobCaller>,
         /// Handle of the reply.
         reply: u64,
     },
@@ -365,6 +370,11 @@
         /// Handle of the reply.
         reply: u64,
     },
+    /// Tell a caller that the id of its job is that of another owner's job.
+    ReportTaken {
+        /// Handle of the reply.
+        reply: u64,
+    },
     /// Refuse a submitted job because it could not complete in time.
     Refuse {
         /// Handle of the reply.
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -7,7 +7,7 @@
 //! of an attempt before it sends the start request, so that a new leader knows of every attempt
 //! that may be running.
 
-use crate::ResourceSet;
+use crate::{JobOwner, ResourceSet};
 
 /// Maximum number of tasks of one occurrence of a job. With more of them the row of its progress might
 /// exceed the size of an item in the store.
@@ -162,6 +162,20 @@
 }
 
 impl JobRecord {
+    /// Returns the queue and the team that the job was submitted with.
+    ///
+    /// ```
+    /// use damaskrack_cell::{JobOwner, JobRecord};
+    ///
+    /// let owner = JobOwner { queue: "q".into(), team: "a".into() };
+    /// let record = JobRecord { queue: "q".into(), team: "a".into(), ..JobRecord::default() };
+    /// assert_eq!(record.owner(), owner);
+    /// ```
+    #[must_use]
+    pub fn owner(&self) -> JobOwner {
+        JobOwner { queue: self.queue.clone(), team: self.team.clone() }
+    }
+
     /// Returns whether the job has more than [`MAX_JOB_TASKS`] tasks.
     ///
     /// ```
@@ -345,9 +359,22 @@
     /// A worker is known to have begun a task of the job. May be `false` for some time after it has.
     #[prost(bool, tag = "4")]
     pub has_begun: bool,
+    /// Owner of the job, in the row of an ended job. Its own row shows the owner of any other.
+    #[prost(message, optional, tag = "5")]
+    pub owner: Option<JobOwner>,
 }
 
 impl ProgressRecord {
+    /// Returns the owner of the job; an unknown one if the row does not name it.
+    ///
+    /// ```
+    /// assert!(!damaskrack_cell::ProgressRecord::default().owner_or_unknown().is_known());
+    /// ```
+    #[must_use]
+    pub fn owner_or_unknown(&self) -> JobOwner {
+        self.owner.clone().unwrap_or_default()
+    }
+
     /// Returns whether the row shows that a worker has begun a task of the job.
     ///
     /// ```
--- a/crates/cell/tests/cell/crashes.rs
+++ b/crates/cell/tests/cell/crashes.rs
@@ -129,7 +129,7 @@
             break;
         }
     }
-    cell.apply(CellInput::Cancel { id: "1".to_owned(), reply: 1 });
+    cell.apply(CellInput::Cancel { id: "1".to_owned(), caller: None, reply: 1 });
     cell.run(20_000);
     assert_eq!(cell.crashing.crashes.get("2.0.0.0"), Some(&2));
     assert_eq!(cell.state("1"), Some(JobState::Cancelled));
--- a/crates/cell/tests/cell/failures.rs
+++ b/crates/cell/tests/cell/failures.rs
@@ -99,7 +99,7 @@
     let mut cell = FakeCell::new(1);
     cell.submit(job("1", vec![step(6)]));
     cell.run(200);
-    cell.apply(CellInput::Cancel { id: "1".to_owned(), reply: 1 });
+    cell.apply(CellInput::Cancel { id: "1".to_owned(), caller: None, reply: 1 });
     cell.run(300);
     assert_eq!(cell.state("1"), Some(JobState::Cancelled));
     let started = cell.starts.len();
@@ -281,7 +281,7 @@
     cell.submit(job("1", vec![step(4)]));
     cell.run(300);
     cell.workers.get_mut("w0").unwrap().stop_ms = 900;
-    cell.apply(CellInput::Cancel { id: "1".to_owned(), reply: 1 });
+    cell.apply(CellInput::Cancel { id: "1".to_owned(), caller: None, reply: 1 });
     cell.run(100);
     cell.start_leader();
     cell.submit(job("2", vec![step(4)]));
@@ -590,7 +590,7 @@
     cell.lost_advice = 1;
     cell.submit(job("1", vec![step(1)]));
     cell.run(100);
-    cell.apply(CellInput::Cancel { id: "1".to_owned(), reply: 1 });
+    cell.apply(CellInput::Cancel { id: "1".to_owned(), caller: None, reply: 1 });
     cell.run(100);
     cell.submit(job("2", vec![step(1)]));
     cell.run(4_000);
@@ -619,7 +619,7 @@
     cell.workers.get_mut("w0").unwrap().stop_ms = 400;
     cell.submit(job("1", vec![step(1)]));
     cell.run(200);
-    cell.apply(CellInput::Cancel { id: "1".to_owned(), reply: 7 });
+    cell.apply(CellInput::Cancel { id: "1".to_owned(), caller: None, reply: 7 });
     cell.run(100);
     assert_eq!(cell.state("1"), Some(JobState::Cancelled));
     assert!(cell.jobs.contains_key("1"), "its task is still being stopped");
@@ -641,7 +641,7 @@
     cell.submit(job("1", vec![step(2)]));
     cell.run(200);
     cell.workers.get_mut("w0").unwrap().is_silent = true;
-    cell.apply(CellInput::Cancel { id: "1".to_owned(), reply: 7 });
+    cell.apply(CellInput::Cancel { id: "1".to_owned(), caller: None, reply: 7 });
     cell.run(100);
     assert!(cell.ended.is_empty() && cell.jobs.contains_key("1"));
     cell.start_leader();
--- a/crates/cell/tests/cell/load.rs
+++ b/crates/cell/tests/cell/load.rs
@@ -217,7 +217,7 @@
         cell.workers.get_mut(id).unwrap().is_silent = true;
     }
     for id in 0..32 {
-        cell.apply(CellInput::Cancel { id: id.to_string(), reply: id });
+        cell.apply(CellInput::Cancel { id: id.to_string(), caller: None, reply: id });
     }
     cell.run(2_000);
     for id in 100..140 {
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -12,6 +12,7 @@
 mod odd_entries;
 mod odd_rows;
 mod outdated_list;
+mod owners;
 mod pending;
 mod restarted_leases;
 mod support;
--- a/crates/cell/tests/cell/odd_rows.rs
+++ b/crates/cell/tests/cell/odd_rows.rs
@@ -168,7 +168,7 @@
     cell.submit(job("good", vec![step(4)]));
     cell.run(12_000);
     assert_eq!(cell.state("good"), Some(JobState::Completed));
-    cell.apply(CellInput::Cancel { id, reply: 1 });
+    cell.apply(CellInput::Cancel { id, caller: None, reply: 1 });
     cell.run(1_000);
     cell.now_ms += 200_000;
     cell.run(100);
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -228,6 +228,8 @@
     pub(crate) replies: Vec<(u64, Option<JobState>)>,
     /// Replies to offers that were admitted.
     pub(crate) admitted: Vec<u64>,
+    /// Replies to submissions whose id is that of another owner's job.
+    pub(crate) taken: Vec<u64>,
     /// Refused submissions with their retry delays in milliseconds.
     pub(crate) refusals: Vec<(u64, u64)>,
     pub(crate) starts: Vec<(String, u32, String)>,
@@ -331,6 +333,7 @@
             done: BTreeMap::new(),
             replies: Vec::new(),
             admitted: Vec::new(),
+            taken: Vec::new(),
             refusals: Vec::new(),
             starts: Vec::new(),
             advice_requests: Vec::new(),
@@ -603,6 +606,7 @@
             CellAction::Commit(request) => self.commit(request),
             CellAction::Reply { reply, state } => self.replies.push((reply, state)),
             CellAction::Admit { reply } => self.admitted.push(reply),
+            CellAction::ReportTaken { reply } => self.taken.push(reply),
             CellAction::Refuse { reply, retry_ms } => self.refusals.push((reply, retry_ms)),
             CellAction::Resign => self.has_resigned = true,
             CellAction::Log(entry) => self.logs.push(entry),
--- a/crates/cellnode/src/entry.rs
+++ b/crates/cellnode/src/entry.rs
@@ -8,7 +8,9 @@
         rows::{ended_key, job_key, payload_key, progress_key},
     },
     cadence::{CountedExt, StatsdClient, Timed},
-    damaskrack_cell::{CellConfig, JobRecord, JobState, ProgressRecord, QueueConfig},
+    damaskrack_cell::{
+        CellConfig, JobCaller, JobOwner, JobRecord, JobState, ProgressRecord, QueueConfig,
+    },
     prost::Message,
     std::{
         sync::{
@@ -53,6 +55,8 @@
     QueueNotFound,
     /// The key belongs to no team.
     InvalidKey,
+    /// Another owner's job has the id of the submitted job. The call had no effect.
+    IdTaken,
     /// The store or the leader is unreachable. The call had no effect.
     Unavailable,
     /// The cell has too much load to finish the job within its time. The call had no effect.
@@ -84,6 +88,8 @@
     Written,
     /// The same job was accepted before, and may have ended.
     Existed,
+    /// Another owner's job has the id.
+    Taken,
 }
 
 /// Takes the payload out of a job, unless it is so short that a row of its own would cost more.
@@ -96,6 +102,22 @@
     (job, Some(payload))
 }
 
+/// Finds out from the rows that a job's write conflicts with whose job has the id; `None` if they cannot be
+/// read.
+fn find_conflict(items: &[StoreItem], job: &JobRecord) -> Option<JobWrite> {
+    let row = |key: &str| items.iter().find(|item| item.key == key && item.revision > 0);
+    let (job_row, ended_row) = (row(&job_key(&job.id)), row(&ended_key(&job.id)));
+    let owner = match (job_row, ended_row) {
+        (Some(item), _) => JobRecord::decode(item.value.as_slice()).ok()?.owner(),
+        (None, Some(item)) => {
+            ProgressRecord::decode(item.value.as_slice()).ok()?.owner_or_unknown()
+        }
+        // A former version keeps the progress of an ended job, which does not name the owner.
+        (None, None) => row(&progress_key(&job.id)).map(|_| JobOwner::default())?,
+    };
+    Some(if owner.resubmits(&job.owner()) { JobWrite::Existed } else { JobWrite::Taken })
+}
+
 /// A caller's authorization to use a queue.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EntryAccess {
@@ -105,6 +127,17 @@
     pub team: String,
 }
 
+impl EntryAccess {
+    /// Returns the caller of a request about a job of the queue.
+    fn caller(&self) -> JobCaller {
+        JobCaller {
+            queue: self.queue.name.clone(),
+            team: self.team.clone(),
+            is_queue_open: self.queue.is_open,
+        }
+    }
+}
+
 /// A daemon's service for callers.
 pub struct EntryService {
     pub(crate) store: Arc<dyn CellStore>,
@@ -238,6 +271,7 @@
             }
             // The leader knows the job, has read that it ended, or will find its row.
             (Ok(JobWrite::Existed), _) => Ok(()),
+            (Ok(JobWrite::Taken), _) => Err(EntryError::IdTaken),
             // The leader may have written the job.
             (Err(_), LeaderResponse::Lost) => Err(EntryError::Unknown),
             (Err(error), _) => Err(error),
@@ -261,6 +295,7 @@
             Some(LeaderBody::Refused(retry_ms)) => {
                 LeaderResponse::Refused(EntryError::Overloaded { retry_ms })
             }
+            Some(LeaderBody::Taken(_)) => LeaderResponse::Refused(EntryError::IdTaken),
             Some(LeaderBody::Admitted(_)) => LeaderResponse::Admitted,
             _ => unanswered,
         }
@@ -295,9 +330,9 @@
                     self.breaker_until_ms.store(0, Ordering::Relaxed);
                     return Ok(JobWrite::Written);
                 }
-                Ok(TransactionOutcome::Conflict(_)) => {
+                Ok(TransactionOutcome::Conflict(items)) => {
                     self.breaker_until_ms.store(0, Ordering::Relaxed);
-                    return Ok(JobWrite::Existed);
+                    return find_conflict(&items, job).ok_or(EntryError::Unknown);
                 }
                 Ok(TransactionOutcome::LeaseNotFound) => return Err(EntryError::Unavailable),
                 Err(StoreError::Refused | StoreError::Compacted) => {}
@@ -333,61 +368,89 @@
         false
     }
 
-    /// Returns the state of a job, or `None` if there is no such job.
+    /// Returns the state of a job, or `None` if there is no job with this id that the caller may read.
     ///
     /// # Errors
     ///
     /// Returns why the state could not be determined.
-    pub async fn state(&self, id: &str) -> Result<Option<JobState>, EntryError> {
+    pub async fn state(
+        &self,
+        id: &str,
+        access: &EntryAccess,
+    ) -> Result<Option<JobState>, EntryError> {
+        let caller = access.caller();
         let response = match self.connection.is_leader_serving() {
             true => {
-                self.connection.request(EntryBody::State(id.to_owned()), LEADER_TIMEOUT_MS).await
+                let (caller, body) = (Some(caller.clone()), EntryBody::State(id.to_owned()));
+                self.connection.request_for(caller, body, LEADER_TIMEOUT_MS).await
             }
             false => None,
         };
         match response {
             Some(LeaderBody::State(state)) if state >= 0 => Ok(JobState::try_from(state).ok()),
-            _ => self.stored_state(id).await,
+            _ => self.stored_state(id, &caller).await,
         }
     }
 
-    async fn stored_state(&self, id: &str) -> Result<Option<JobState>, EntryError> {
-        if let Some(state) = self.progress_state(progress_key(id)).await? {
-            return Ok(Some(state));
-        }
-        if let Some(state) = self.progress_state(ended_key(id)).await? {
-            return Ok(Some(state));
+    async fn stored_state(
+        &self,
+        id: &str,
+        caller: &JobCaller,
+    ) -> Result<Option<JobState>, EntryError> {
+        let Some(job) = self.read_row::<JobRecord>(job_key(id)).await? else {
+            return self.ended_state(id, caller).await;
+        };
+        if !caller.may_access(&job.owner()) {
+            return Ok(None);
         }
-        if self.read_row(job_key(id)).await?.is_some() {
-            return Ok(Some(JobState::Queued));
+        if let Some(progress) = self.read_row::<ProgressRecord>(progress_key(id)).await? {
+            return Ok(Some(progress.state()));
         }
         // The job may have ended between the reads.
-        self.progress_state(ended_key(id)).await
+        let ended = self.ended_state(id, caller).await?;
+        Ok(Some(ended.unwrap_or(JobState::Queued)))
     }
 
-    async fn read_row(&self, key: String) -> Result<Option<StoreItem>, EntryError> {
-        self.store.get(&key).await.map_err(|_| EntryError::Unavailable)
+    /// Returns the state of a job that has no row of its own any more.
+    async fn ended_state(
+        &self,
+        id: &str,
+        caller: &JobCaller,
+    ) -> Result<Option<JobState>, EntryError> {
+        let row = match self.read_row::<ProgressRecord>(ended_key(id)).await? {
+            // A former version keeps the progress of an ended job.
+            None => self.read_row::<ProgressRecord>(progress_key(id)).await?,
+            row => row,
+        };
+        let row = row.filter(|row| caller.may_access(&row.owner_or_unknown()));
+        Ok(row.map(|row| row.state()))
     }
 
-    async fn progress_state(&self, key: String) -> Result<Option<JobState>, EntryError> {
-        let Some(item) = self.read_row(key).await? else { return Ok(None) };
+    /// Reads a row; `None` if there is none.
+    async fn read_row<T: Message + Default>(&self, key: String) -> Result<Option<T>, EntryError> {
+        let item = self.store.get(&key).await.map_err(|_| EntryError::Unavailable)?;
         // A row that cannot be read is not a job that does not exist.
-        let row = ProgressRecord::decode(item.value.as_slice());
-        row.map(|row| Some(row.state())).map_err(|_| EntryError::Unavailable)
+        let row = item.map(|item| T::decode(item.value.as_slice())).transpose();
+        row.map_err(|_| EntryError::Unavailable)
     }
 
-    /// Cancels a job. The cancellation is durable when this returns. `None` if there is no such
-    /// job.
+    /// Cancels a job. The cancellation is durable when this returns. `None` if there is no job with this id
+    /// that the caller may cancel.
     ///
     /// # Errors
     ///
     /// Returns why the job is not known to be cancelled.
-    pub async fn cancel(&self, id: &str) -> Result<Option<JobState>, EntryError> {
+    pub async fn cancel(
+        &self,
+        id: &str,
+        access: &EntryAccess,
+    ) -> Result<Option<JobState>, EntryError> {
+        let (caller, body) = (access.caller(), EntryBody::Cancel(id.to_owned()));
         let response =
-            self.connection.request(EntryBody::Cancel(id.to_owned()), CANCEL_TIMEOUT_MS).await;
+            self.connection.request_for(Some(caller.clone()), body, CANCEL_TIMEOUT_MS).await;
         match response {
             Some(LeaderBody::State(state)) if state >= 0 => Ok(JobState::try_from(state).ok()),
-            Some(LeaderBody::State(_)) => match self.stored_state(id).await? {
+            Some(LeaderBody::State(_)) => match self.stored_state(id, &caller).await? {
                 // The job is in the store but has not reached the leader yet.
                 Some(_) => Err(EntryError::Unavailable),
                 None => Ok(None),
--- a/crates/cellnode/src/forward_session.rs
+++ b/crates/cellnode/src/forward_session.rs
@@ -162,7 +162,7 @@
 
 fn reply_frame(request: u64, result: ForwardResult) -> EntryFrame {
     let frame = ForwardedFrame { request, result: Some(result) };
-    EntryFrame { call: 0, body: Some(EntryBody::Forwarded(frame)) }
+    EntryFrame { body: Some(EntryBody::Forwarded(frame)), ..EntryFrame::default() }
 }
 
 #[cfg(test)]
--- a/crates/cellnode/src/frame.rs
+++ b/crates/cellnode/src/frame.rs
@@ -7,7 +7,7 @@
         request_number::RequestNumber,
     },
     bytes::{Bytes, BytesMut},
-    damaskrack_cell::JobRecord,
+    damaskrack_cell::{JobCaller, JobRecord},
     prost::Message,
     tokio_util::codec::LengthDelimitedCodec,
 };
@@ -23,6 +23,9 @@
     pub(crate) call: u64,
     #[prost(oneof = "EntryBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub(crate) body: Option<EntryBody>,
+    /// Who asks for a job's state or its cancellation. A daemon of a former version does not tell.
+    #[prost(message, optional, tag = "12")]
+    pub(crate) caller: Option<JobCaller>,
 }
 
 #[derive(Clone, PartialEq, prost::Oneof)]
@@ -99,7 +102,7 @@
     /// Number of the request that this responds to; 0 for none.
     #[prost(uint64, tag = "1")]
     pub(crate) call: u64,
-    #[prost(oneof = "LeaderBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "LeaderBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub(crate) body: Option<LeaderBody>,
 }
 
@@ -133,6 +136,9 @@
     /// The daemon may accept the job that it offered.
     #[prost(message, tag = "10")]
     Admitted(EmptyFrame),
+    /// The id of the submitted job is that of another owner's job.
+    #[prost(message, tag = "11")]
+    Taken(EmptyFrame),
 }
 
 /// A message without contents.
--- a/crates/cellnode/src/frame/tests.rs
+++ b/crates/cellnode/src/frame/tests.rs
@@ -17,7 +17,7 @@
     }
 
     fn a_damaged_frame_is_decoded_or_refused(call: u64, text: String, place: usize, byte: u8) -> bool {
-        let entry = EntryFrame { call, body: Some(EntryBody::State(text)) };
+        let entry = EntryFrame { call, body: Some(EntryBody::State(text)), caller: None };
         let leader = LeaderFrame { call, body: Some(LeaderBody::Pending(call)) };
         for frame in [encode(&entry), encode(&leader)] {
             let mut bytes = BytesMut::from(&frame[..]);
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -124,7 +124,8 @@
 
 /// A job that a daemon has offered.
 struct JobOffer {
-    record: JobRecord,
+    /// The job; `None` if jobs of several owners were offered with its id, of which one at most is written.
+    record: Option<JobRecord>,
     received_ms: u64,
 }
 
@@ -512,13 +513,19 @@
                 self.core.apply(CellInput::Offered { record, reply });
             }
             Some(EntryBody::Stored(id)) => {
-                // An offer that is no longer known is found by the watch.
-                if let Some(offer) = self.offers.remove(&id) {
-                    self.core.apply(CellInput::Accepted(offer.record));
+                // A job whose offer is no longer known, or is one of several, is found by the watch.
+                let offered = self.offers.get_mut(&id).and_then(|offer| offer.record.take());
+                if let Some(record) = offered {
+                    self.offers.remove(&id);
+                    self.core.apply(CellInput::Accepted(record));
                 }
             }
             Some(EntryBody::State(id)) => {
-                let state = self.core.state_of(&id).map_or(-1, |state| state as i32);
+                let state = match &frame.caller {
+                    Some(caller) => self.core.state_for(&id, caller),
+                    None => self.core.state_of(&id),
+                };
+                let state = state.map_or(-1, |state| state as i32);
                 registry.send(session, frame.call, &LeaderBody::State(state));
             }
             Some(EntryBody::Pending(queue)) => {
@@ -530,7 +537,7 @@
             }
             Some(EntryBody::Cancel(id)) => {
                 let reply = self.register_reply(session, frame.call);
-                self.core.apply(CellInput::Cancel { id, reply });
+                self.core.apply(CellInput::Cancel { id, caller: frame.caller, reply });
             }
             Some(EntryBody::AdviceResponse(response)) => self.receive_advice(session, response),
             Some(EntryBody::Forwarded(forwarded)) => self.router.receive(session, forwarded),
@@ -557,7 +564,12 @@
 
     /// Remembers a job that its daemon may write itself.
     fn remember_offer(&mut self, record: &JobRecord) {
-        let offer = JobOffer { record: record.clone(), received_ms: boot_ms() };
+        let received_ms = boot_ms();
+        let former = self.offers.get(&record.id);
+        let former = former.filter(|offer| offer.received_ms + OFFER_TIMEOUT_MS > received_ms);
+        let is_same = |other: &JobRecord| other.owner() == record.owner();
+        let is_clear = former.is_none_or(|offer| offer.record.as_ref().is_some_and(is_same));
+        let offer = JobOffer { record: is_clear.then(|| record.clone()), received_ms };
         self.offers.insert(record.id.clone(), offer);
     }
 
@@ -568,6 +580,13 @@
         self.last_reply_id
     }
 
+    /// Responds to the request that has this handle.
+    fn respond(&mut self, reply: u64, body: &LeaderBody) {
+        if let Some((session, call)) = self.pending_replies.remove(&reply) {
+            self.context.registry.send(session, call, body);
+        }
+    }
+
     async fn execute(&mut self, action: CellAction) {
         match action {
             CellAction::Start(request) => {
@@ -602,21 +621,16 @@
                 let _ = self.commits[request.lane].send(request).await;
             }
             CellAction::Reply { reply, state } => {
-                if let Some((session, call)) = self.pending_replies.remove(&reply) {
-                    let state = state.map_or(-1, |state| state as i32);
-                    self.context.registry.send(session, call, &LeaderBody::State(state));
-                }
+                self.respond(reply, &LeaderBody::State(state.map_or(-1, |state| state as i32)));
             }
             CellAction::Admit { reply } => {
-                if let Some((session, call)) = self.pending_replies.remove(&reply) {
-                    let body = LeaderBody::Admitted(EmptyFrame {});
-                    self.context.registry.send(session, call, &body);
-                }
+                self.respond(reply, &LeaderBody::Admitted(EmptyFrame {}));
+            }
+            CellAction::ReportTaken { reply } => {
+                self.respond(reply, &LeaderBody::Taken(EmptyFrame {}));
             }
             CellAction::Refuse { reply, retry_ms } => {
-                if let Some((session, call)) = self.pending_replies.remove(&reply) {
-                    self.context.registry.send(session, call, &LeaderBody::Refused(retry_ms));
-                }
+                self.respond(reply, &LeaderBody::Refused(retry_ms));
             }
             CellAction::Resign => {
                 // The queue is full only if the leader is about to end for another cause.
--- a/crates/cellnode/src/leader_connection.rs
+++ b/crates/cellnode/src/leader_connection.rs
@@ -13,7 +13,7 @@
         rows::{KnownLeader, LeaderRow},
         session_registry::{SessionFrame, SessionRegistry},
     },
-    damaskrack_cell::{AdviceCallKey, AdviceRequest},
+    damaskrack_cell::{AdviceCallKey, AdviceRequest, JobCaller},
     futures_util::{SinkExt, StreamExt},
     slog::{Logger, info},
     std::{
@@ -136,11 +136,11 @@
     /// Sends a message to whoever leads, without waiting for a response; it may be lost. A response to a
     /// request of a leader must have its `RequestNumber`.
     pub(crate) fn notify(&self, body: EntryBody) {
-        self.send(0, body);
+        self.send(0, body, None);
     }
 
-    fn send(&self, call: u64, body: EntryBody) -> bool {
-        let frame = EntryFrame { call, body: Some(body) };
+    fn send(&self, call: u64, body: EntryBody, caller: Option<JobCaller>) -> bool {
+        let frame = EntryFrame { call, body: Some(body), caller };
         let state = self.lock();
         state.outgoing.as_ref().is_some_and(|outgoing| outgoing.try_send(frame).is_ok())
     }
@@ -148,8 +148,19 @@
     /// Sends a request to the leader; `None` if no response arrives within `timeout_ms`
     /// milliseconds.
     pub(crate) async fn request(&self, body: EntryBody, timeout_ms: u64) -> Option<LeaderBody> {
+        self.request_for(None, body, timeout_ms).await
+    }
+
+    /// Sends a caller's request about a job to the leader; `None` if no response arrives within `timeout_ms`
+    /// milliseconds.
+    pub(crate) async fn request_for(
+        &self,
+        caller: Option<JobCaller>,
+        body: EntryBody,
+        timeout_ms: u64,
+    ) -> Option<LeaderBody> {
         let call = self.calls.add();
-        match self.send(call.number(), body) {
+        match self.send(call.number(), body, caller) {
             true => call.wait(timeout_ms).await,
             false => None,
         }
@@ -177,7 +188,7 @@
 
     fn connect(&self) -> mpsc::Receiver<EntryFrame> {
         let (sender, receiver) = mpsc::channel(OUTGOING_QUEUE);
-        let hello = EntryFrame { call: 0, body: Some(EntryBody::Hello(self.hello())) };
+        let hello = hello_frame(self.hello());
         // Cannot fail: the queue is empty.
         let _ = sender.try_send(hello);
         self.lock().outgoing = Some(sender);
@@ -247,8 +258,7 @@
                 }
                 _ = heartbeat.tick() => {
                     if last_frame_at.elapsed() > silence_timeout { break }
-                    let hello = EntryBody::Hello(self.hello());
-                    encode(&EntryFrame { call: 0, body: Some(hello) })
+                    encode(&hello_frame(self.hello()))
                 }
             };
             let Ok(Ok(())) = timeout(silence_timeout, framed.send(bytes)).await else { break };
@@ -310,3 +320,7 @@
         self.notify(EntryBody::AdviceResponse(response));
     }
 }
+
+fn hello_frame(hello: HelloFrame) -> EntryFrame {
+    EntryFrame { body: Some(EntryBody::Hello(hello)), ..EntryFrame::default() }
+}
