A new leader counts the attempts of an ended job that are being stopped

Cause: the row of a job in a final state had no attempts, although the job's own row was kept for them.

Change: the row has the place of each attempt that may be running; a new leader takes these over like those of live jobs, and drops them as the workers answer or the leases end.

--- a/crates/cell/src/core/commit.rs
+++ b/crates/cell/src/core/commit.rs
@@ -213,12 +213,10 @@
                     && self.has_bounded_leases(worker),
             })
         };
+        let started = job.phases.iter().filter(|phase| phase.has_started());
         let phases = match job.state.is_final() {
-            true => Vec::new(),
-            false => {
-                let started = job.phases.iter().filter(|phase| phase.has_started());
-                started.map(|phase| phase.progress(locate)).collect()
-            }
+            true => started.map(|phase| phase.remaining_attempts(locate)).collect(),
+            false => started.map(|phase| phase.progress(locate)).collect(),
         };
         ProgressRecord {
             state: job.state as i32,
--- a/crates/cell/src/core/jobs.rs
+++ b/crates/cell/src/core/jobs.rs
@@ -121,15 +121,17 @@
         job.state = progress.state();
         job.has_begun = progress.shows_begin();
         job.ended_ms = progress.ended_ms;
-        if job.state.is_final() {
-            job.phases.clear();
-            self.ended.push_back(key);
-            return;
+        match job.state.is_final() {
+            true => self.ended.push_back(key),
+            false => self.live.push(key),
         }
-        self.live.push(key);
         for stored in &progress.phases {
             self.restore_phase(key, stored, progress.phases.len());
         }
+        let job = &mut self.jobs[key];
+        if job.state.is_final() && job.attempt_count() == 0 {
+            job.phases.clear();
+        }
     }
 
     /// Restores an ended job of which only the progress row is left.
--- a/crates/cell/src/table/phase.rs
+++ b/crates/cell/src/table/phase.rs
@@ -113,6 +113,28 @@
         self.unassigned = self.unfinished;
     }
 
+    /// Builds the stored progress of an ended job's phase: only the attempts that may be running; `locate`
+    /// returns where.
+    pub(crate) fn remaining_attempts(
+        &self,
+        locate: impl Fn(AttemptKey) -> Option<AttemptLocation>,
+    ) -> PhaseProgress {
+        let located = self.tasks.iter().enumerate().filter_map(|(index, task)| {
+            let location = locate(task.attempt?)?;
+            Some(TaskProgress {
+                index: u32::try_from(index).unwrap_or(u32::MAX),
+                attempt: task.last_number,
+                worker: location.worker,
+                incarnation: location.incarnation,
+                worker_address: location.address,
+                ..TaskProgress::default()
+            })
+        });
+        let step = u32::try_from(self.step).unwrap_or(u32::MAX);
+        let (occurrence, tasks) = (self.occurrence, located.collect());
+        PhaseProgress { occurrence, step, done: Vec::new(), tasks }
+    }
+
     /// Builds the stored progress; `locate` returns where an attempt may be running.
     pub(crate) fn progress(
         &self,
--- a/crates/cell/tests/cell/failures.rs
+++ b/crates/cell/tests/cell/failures.rs
@@ -1,10 +1,10 @@
 //! Jobs without failures, and a test for each failure that occurred.
 
 use {
-    crate::support::{FakeCell, OTHER_LEASES_MS, job, step},
+    crate::support::{FakeCell, OTHER_LEASES_MS, WALL_MS, job, step},
     damaskrack_cell::{
-        AdviceTiming, CellInput, EndKind, EndedAttempt, JobState, RenewOutcome, RenewResponse,
-        ResourceSet, StartOutcome, StartRefusal, StepSpec, TeamConfig,
+        AdviceTiming, CellInput, EndKind, EndedAttempt, JobRecord, JobState, RenewOutcome,
+        RenewResponse, ResourceSet, StartOutcome, StartRefusal, StepSpec, TeamConfig,
     },
     quickcheck::quickcheck,
     std::collections::BTreeSet,
@@ -648,6 +648,44 @@
     assert_eq!(cell.state("1"), Some(JobState::Cancelled));
 }
 
+/// What is being stopped still counts: a new leader started the team's next job beside it, above the limit.
+#[test]
+fn a_new_leader_counts_attempts_that_are_being_stopped_against_the_limit() {
+    for occurrences in [0, 1] {
+        let mut cell = FakeCell::new(1);
+        cell.run_ms = 60_000;
+        cell.reconfigure(|config| {
+            config.teams.get_mut("team").unwrap().limit.cpu_millis = 4_000;
+        });
+        let timed = JobRecord { occurrences, first_due_ms: WALL_MS, ..job("1", vec![step(4)]) };
+        cell.submit(timed);
+        cell.run(200);
+        cell.workers.get_mut("w0").unwrap().stop_ms = 3_000;
+        cell.apply(CellInput::Cancel { id: "1".to_owned(), caller: None, reply: 7 });
+        cell.run(100);
+        cell.workers.get_mut("w0").unwrap().is_silent = true;
+        cell.add_worker("w1", 1, "r1");
+        cell.start_leader();
+        assert_eq!(cell.state("1"), Some(JobState::Cancelled));
+        cell.submit(job("2", vec![step(4)]));
+        cell.run(1_000);
+        assert_eq!(
+            cell.starts.len(),
+            4,
+            "the limit allows none beside those that are being stopped"
+        );
+        cell.workers.get_mut("w0").unwrap().is_silent = false;
+        cell.run(1_000);
+        assert_eq!(cell.starts.len(), 4, "they are still being stopped");
+        cell.run(4_000);
+        assert_eq!(cell.starts.len(), 8, "the limit is free again");
+        assert!(!cell.progress.contains_key("1") && !cell.jobs.contains_key("1"));
+        assert!(cell.ended["1"].phases.is_empty());
+        cell.start_leader();
+        assert_eq!(cell.state("1"), Some(JobState::Cancelled));
+    }
+}
+
 /// A caller repeats a submission after a takeover, before the new leader has read all ended jobs.
 #[test]
 fn a_job_that_may_have_ended_is_left_to_a_conditional_write() {
