A daemon ends after SIGTERM although its store never responds

Cause: a campaign repeats its transaction until the store confirms the outcome, and the shutdown waits for the election's task.

Change: a shutdown ends the campaign.

Evidence: a_daemon_whose_store_is_gone_ends_within_its_grace_period (a store that refuses and one that is silent, a candidate and a leader) failed on the code before at the first of its four forms, a candidate whose store refuses: not ended after 3 s of grace.

--- a/crates/cellnode/src/node.rs
+++ b/crates/cellnode/src/node.rs
@@ -277,7 +277,12 @@
         let Ok(lease) = context.external.store.grant_lease(LEASE_TTL_MS).await else { return };
         let (store, logger) = (context.external.store.clone(), context.logger.clone());
         let identity = (self.hello.daemon, self.address.clone());
-        let guards = GuardWriter::campaign(store, identity, lease, leader_revision, logger).await;
+        let mut stop = self.signals.stop.clone();
+        let guards = tokio::select! {
+            guards = GuardWriter::campaign(store, identity, lease, leader_revision, logger) => guards,
+            // A campaign goes on until the store responds, which may be never.
+            _ = stop.wait_for(|stop| *stop) => None,
+        };
         if let Some(guards) = guards {
             lead(context.clone(), guards, lease, self.hello.leader_capacity, self.signals.clone())
                 .await;
