A job whose rows the store rejects ends, and no other commit waits for it

The lane writes the rows of each job by themselves; the core ends a job whose rows are rejected as failed, writes a row without its tasks, and lets follow-ups (replies, acknowledgements of ends) wait for that row. The job's own row is written by itself if it was among them, so that it is known whether it exists. A daemon that writes a job itself answers 503 at the first 400. The row of bounds on leases is repeated as before.

--- a/crates/cell/src/core/commit.rs
+++ b/crates/cell/src/core/commit.rs
@@ -3,8 +3,8 @@
 use {
     super::CellCore,
     crate::{
-        COMMIT_LANES, CellAction, CellSettings, CommitRequest, JobKey, JobOwner, JobState,
-        ProgressRecord,
+        AttemptKey, COMMIT_LANES, CellAction, CellSettings, CommitRequest, JobKey, JobOwner,
+        JobState, ProgressRecord, RejectedJob,
         table::{AfterCommit, AttemptLocation, JobEntry, JobRow, JobRowChange},
     },
     rustc_hash::FxHashSet,
@@ -27,8 +27,10 @@
 struct CommitLane {
     /// Ids of the jobs in the commit in flight.
     in_flight: FxHashSet<String>,
-    /// Follow-ups of the commit in flight, with the jobs' states.
-    waiting: Vec<(AfterCommit, JobState)>,
+    /// Follow-ups of the commit in flight, with their jobs and the jobs' states.
+    waiting: Vec<(JobKey, AfterCommit, JobState)>,
+    /// Jobs whose row of progress the commit in flight is the first to have.
+    new_progress: FxHashSet<JobKey>,
     /// Time at which the commit was sent; `None` if none is in flight.
     sent_ms: Option<u64>,
 }
@@ -156,7 +158,7 @@
         let Some(job) = self.jobs.get_mut(key) else { return };
         job.is_dirty = false;
         let state = job.state;
-        let waiting = job.after_commit.drain(..).map(|after| (after, state));
+        let waiting = job.after_commit.drain(..).map(|after| (key, after, state));
         let lane = &mut self.commits.lanes[request.lane];
         lane.waiting.extend(waiting);
         lane.in_flight.insert(job.record.id.clone());
@@ -180,6 +182,9 @@
             self.jobs[key].has_ended_row = true;
         } else if job.state.is_final() || job.has_started() {
             request.progress.push((id, self.progress_record(job)));
+            if !job.has_progress_row {
+                self.commits.lanes[request.lane].new_progress.insert(key);
+            }
             self.jobs[key].has_progress_row = true;
         }
     }
@@ -215,6 +220,7 @@
         };
         let started = job.phases.iter().filter(|phase| phase.has_started());
         let phases = match job.state.is_final() {
+            true if job.is_rejected => Vec::new(),
             true => started.map(|phase| phase.remaining_attempts(locate)).collect(),
             false => started.map(|phase| phase.progress(locate)).collect(),
         };
@@ -227,11 +233,46 @@
         }
     }
 
+    /// Ends the jobs whose rows the store rejects. Without their rows none of their tasks may start or be
+    /// recorded as done, and the commits of other jobs must not wait for them. The follow-ups wait for the
+    /// rows of the ended jobs, which have only the final state.
+    pub(super) fn reject_rows(&mut self, lane: usize, jobs: &[RejectedJob]) {
+        for RejectedJob { id, is_stored } in jobs {
+            let Some(&key) = self.job_ids.get(id) else { continue };
+            self.log("rows_rejected", id, "");
+            let lane = &mut self.commits.lanes[lane];
+            lane.in_flight.remove(id);
+            let own = |(job, ..): &mut (JobKey, AfterCommit, JobState)| *job == key;
+            let waiting: Vec<AfterCommit> =
+                lane.waiting.extract_if(.., own).map(|(_, after, _)| after).collect();
+            let job = &mut self.jobs[key];
+            job.has_progress_row &= !lane.new_progress.remove(&key);
+            job.is_rejected = true;
+            job.after_commit.extend(waiting);
+            match job.state.is_final() {
+                true => self.mark_dirty(key, None),
+                false => self.end_job(key, JobState::Failed, "the store rejects its rows"),
+            }
+            if !is_stored {
+                self.withdraw_job_row(key);
+            }
+        }
+    }
+
+    /// Leaves out the own row of a job that the store rejects. No attempt has been sent before that row is
+    /// durable.
+    fn withdraw_job_row(&mut self, key: JobKey) {
+        let tasks = self.jobs[key].phases.iter().flat_map(|phase| &phase.tasks);
+        let attempts: Vec<AttemptKey> = tasks.filter_map(|task| task.attempt).collect();
+        attempts.into_iter().for_each(|attempt| self.drop_attempt(attempt));
+        self.jobs[key].job_row = JobRow::Removed;
+    }
+
     /// Runs the follow-ups of a commit that is durable.
     pub(super) fn finish_commit(&mut self, lane: usize) {
         self.finish_lease_bounds(lane);
         let lane = std::mem::take(&mut self.commits.lanes[lane]);
-        for (after, state) in lane.waiting {
+        for (_, after, state) in lane.waiting {
             match after {
                 AfterCommit::Send(attempt) => self.ready.push_back(attempt),
                 AfterCommit::AcknowledgeEnd(worker, incarnation) => {
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -234,6 +234,7 @@
             }
             CellInput::RenewFinished { worker, outcome } => self.finish_renewal(worker, outcome),
             CellInput::Advice { call, allowed } => self.finish_advice(call, allowed),
+            CellInput::RowsRejected { lane, jobs } => self.reject_rows(lane, &jobs),
             CellInput::Committed { lane } => self.finish_commit(lane),
         }
     }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -26,8 +26,8 @@
     lease_bound::LeaseBound,
     message::{
         AdviceRequest, COMMIT_LANES, CellAction, CellInput, CommitRequest, EndKind, EndedAttempt,
-        LogEntry, RenewOutcome, RenewRequest, RenewResponse, RunningAttempt, StartOutcome,
-        StartRefusal, StartRequest, StopRequest, WorkerReport, WorkerTicket,
+        LogEntry, RejectedJob, RenewOutcome, RenewRequest, RenewResponse, RunningAttempt,
+        StartOutcome, StartRefusal, StartRequest, StopRequest, WorkerReport, WorkerTicket,
     },
     record::{
         AdviceTiming, JobRecord, JobState, LostAttempt, MAX_JOB_TASKS, PhaseProgress,
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -5,7 +5,7 @@
         AdviceCallKey, AttemptKey, CellConfig, JobCaller, JobKey, JobRecord, JobState, LeaseBound,
         ProgressRecord, ResourceSet, WorkerKey,
     },
-    std::sync::Arc,
+    std::{collections::BTreeMap, sync::Arc},
 };
 
 /// A worker's registration.
@@ -143,6 +143,15 @@
     Unknown,
 }
 
+/// A job whose rows the store rejects.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RejectedJob {
+    /// Id of the job.
+    pub id: String,
+    /// The job's own row is in the store, and only the others are rejected.
+    pub is_stored: bool,
+}
+
 /// An event that the scheduler reacts to.
 #[derive(Debug, Clone)]
 pub enum CellInput {
@@ -227,6 +236,14 @@
         /// Workers that may run the step; `None` if the adviser did not respond.
         allowed: Option<Vec<WorkerTicket>>,
     },
+    /// The store rejects the rows of some jobs in the commit in flight on this lane, and would reject them
+    /// again. [`CellInput::Committed`] follows for the others.
+    RowsRejected {
+        /// The lane.
+        lane: usize,
+        /// The jobs.
+        jobs: Vec<RejectedJob>,
+    },
     /// The commit in flight on this lane is durable.
     Committed {
         /// The lane.
@@ -345,6 +362,65 @@
     pub lease_bounds: Option<Vec<LeaseBound>>,
 }
 
+impl CommitRequest {
+    /// Splits the rows of jobs into one request a job, by the job's id.
+    ///
+    /// ```
+    /// use damaskrack_cell::{CommitRequest, ProgressRecord};
+    ///
+    /// let row = |id: &str| (id.to_owned(), ProgressRecord::default());
+    /// let request = CommitRequest {
+    ///     progress: vec![row("1"), row("2")],
+    ///     removed_jobs: vec!["1".into()],
+    ///     ..CommitRequest::default()
+    /// };
+    /// let parts = request.split_by_job();
+    /// assert_eq!(parts.len(), 2);
+    /// assert_eq!((parts["1"].progress.len(), parts["1"].removed_jobs.len()), (1, 1));
+    /// ```
+    #[must_use]
+    pub fn split_by_job(&self) -> BTreeMap<String, Self> {
+        let mut parts = JobParts { lane: self.lane, requests: BTreeMap::new() };
+        for record in &self.jobs {
+            parts.of(&record.id).jobs.push(record.clone());
+        }
+        for row in &self.progress {
+            parts.of(&row.0).progress.push(row.clone());
+        }
+        for row in &self.ended {
+            parts.of(&row.0).ended.push(row.clone());
+        }
+        for id in &self.removed_jobs {
+            parts.of(id).removed_jobs.push(id.clone());
+        }
+        for id in &self.removed_payloads {
+            parts.of(id).removed_payloads.push(id.clone());
+        }
+        for id in &self.removed_progress {
+            parts.of(id).removed_progress.push(id.clone());
+        }
+        for id in &self.removed_ended {
+            parts.of(id).removed_ended.push(id.clone());
+        }
+        parts.requests
+    }
+}
+
+/// Requests of one job each.
+struct JobParts {
+    lane: usize,
+    requests: BTreeMap<String, CommitRequest>,
+}
+
+impl JobParts {
+    /// Returns the request of a job.
+    fn of(&mut self, id: &str) -> &mut CommitRequest {
+        let part = self.requests.entry(id.to_owned()).or_default();
+        part.lane = self.lane;
+        part
+    }
+}
+
 /// An action for the leader to perform.
 #[derive(Debug, Clone, PartialEq)]
 pub enum CellAction {
--- a/crates/cell/src/table/job.rs
+++ b/crates/cell/src/table/job.rs
@@ -58,6 +58,8 @@
     pub(crate) has_progress_row: bool,
     /// The job has the row of an ended job.
     pub(crate) has_ended_row: bool,
+    /// The store rejected the job's rows, so they must have no more than its final state.
+    pub(crate) is_rejected: bool,
     /// The rows in the store are older than this entry.
     pub(crate) is_dirty: bool,
     pub(crate) after_commit: Vec<AfterCommit>,
@@ -77,6 +79,7 @@
             job_row: JobRow::Stored,
             has_progress_row: false,
             has_ended_row: false,
+            is_rejected: false,
             is_dirty: false,
             after_commit: Vec::new(),
         }
--- a/crates/cell/tests/cell/failures.rs
+++ b/crates/cell/tests/cell/failures.rs
@@ -686,6 +686,42 @@
     }
 }
 
+/// The commits of all jobs waited for a row that the store never took.
+#[test]
+fn a_job_whose_rows_the_store_rejects_ends_and_concerns_no_other() {
+    let mut cell = FakeCell::new(2);
+    cell.run_ms = 300;
+    cell.submit(job("begun", vec![step(2), StepSpec { after: vec![0], ..step(2) }]));
+    cell.submit(job("other", vec![step(2), StepSpec { after: vec![0], ..step(2) }]));
+    cell.run(150);
+    // Its attempts run, and their ends find the row too large.
+    let ids = ["begun", "stored", "large", "larger"];
+    cell.rejected = ids.iter().map(|id| ((*id).to_owned(), *id != "larger")).collect();
+    cell.submit(job("stored", vec![step(1)]));
+    for (id, reply) in ["large", "larger"].into_iter().zip(1..) {
+        cell.apply(CellInput::Submitted { record: job(id, vec![step(1)]), reply });
+    }
+    cell.run(3_000);
+    assert_eq!(cell.state("other"), Some(JobState::Completed));
+    let failed = Some(JobState::Failed);
+    assert_eq!(cell.replies.len(), 2, "{:?}", cell.replies);
+    assert!(cell.replies.iter().all(|(_, state)| *state == failed), "{:?}", cell.replies);
+    for _ in 0..2 {
+        for id in ids {
+            assert_eq!(cell.state(id), Some(JobState::Failed), "{id}");
+            assert!(cell.ended.contains_key(id) && !cell.jobs.contains_key(id), "{id}");
+        }
+        cell.start_leader();
+    }
+    let ends = cell.workers.values().map(|worker| worker.ended.len()).sum::<usize>();
+    assert_eq!(ends, 0, "every end is acknowledged");
+    let is_started = |id: &&str| cell.starts.iter().any(|(task, ..)| task.starts_with(*id));
+    assert_eq!(ids.iter().copied().filter(is_started).collect::<Vec<_>>(), ["begun"]);
+    cell.submit(job("later", vec![step(8)]));
+    cell.run(2_000);
+    assert_eq!(cell.state("later"), Some(JobState::Completed));
+}
+
 /// A caller repeats a submission after a takeover, before the new leader has read all ended jobs.
 #[test]
 fn a_job_that_may_have_ended_is_left_to_a_conditional_write() {
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -15,9 +15,9 @@
     damaskrack_cell::{
         AdviceRequest, AdviceTiming, AttemptKey, CellAction, CellConfig, CellCore, CellInput,
         CellSettings, CommitRequest, EndKind, EndedAttempt, JobRecord, JobState, LogEntry,
-        ProgressRecord, QueueConfig, RenewOutcome, RenewRequest, RenewResponse, ResourceSet,
-        RunningAttempt, StartOutcome, StartRefusal, StartRequest, StepSpec, StopRequest,
-        TeamConfig, WorkerReport, WorkerTicket,
+        ProgressRecord, QueueConfig, RejectedJob, RenewOutcome, RenewRequest, RenewResponse,
+        ResourceSet, RunningAttempt, StartOutcome, StartRefusal, StartRequest, StepSpec,
+        StopRequest, TeamConfig, WorkerReport, WorkerTicket,
     },
     former::{FormerLeader, StoredBounds},
     reference::IssuedTickets,
@@ -214,6 +214,8 @@
     /// Commits that wait because the store is down.
     pub(crate) held_commits: Vec<CommitRequest>,
     pub(crate) is_store_down: bool,
+    /// Jobs of which the store takes no row of progress with steps, and whether it takes their own row.
+    pub(crate) rejected: BTreeMap<String, bool>,
     /// The leader does not learn of changes of the workers' entries.
     pub(crate) is_list_lost: bool,
     /// Outcomes of renewals that are delayed.
@@ -325,6 +327,7 @@
             records: BTreeMap::new(),
             held_commits: Vec::new(),
             is_store_down: false,
+            rejected: BTreeMap::new(),
             is_list_lost: false,
             delayed_renewals: Vec::new(),
             delays_renewals_of: None,
@@ -619,10 +622,39 @@
             return;
         }
         let lane = request.lane;
-        self.write_rows(request);
+        match self.is_rejected(&request) {
+            true => self.commit_by_job(&request),
+            false => self.write_rows(request),
+        }
         self.apply(CellInput::Committed { lane });
     }
 
+    /// Returns whether the store rejects a transaction.
+    fn is_rejected(&self, request: &CommitRequest) -> bool {
+        let mut jobs = request.jobs.iter().map(|record| &record.id);
+        let mut rows = request.progress.iter().filter(|(_, row)| !row.phases.is_empty());
+        jobs.any(|id| self.rejected.get(id) == Some(&false))
+            || rows.any(|(id, _)| self.rejected.contains_key(id))
+    }
+
+    /// Writes the rows of each job by themselves, as far as the store takes them.
+    fn commit_by_job(&mut self, request: &CommitRequest) {
+        let mut jobs = Vec::new();
+        for (id, part) in request.split_by_job() {
+            if !self.is_rejected(&part) {
+                self.write_rows(part);
+                continue;
+            }
+            let own = CommitRequest { jobs: part.jobs.clone(), ..CommitRequest::default() };
+            let is_stored = !self.is_rejected(&own);
+            if is_stored {
+                self.write_rows(own);
+            }
+            jobs.push(RejectedJob { id, is_stored });
+        }
+        self.apply(CellInput::RowsRejected { lane: request.lane, jobs });
+    }
+
     /// Applies a transaction to the rows.
     fn write_rows(&mut self, request: CommitRequest) {
         for record in request.jobs {
--- a/crates/cellnode/src/entry.rs
+++ b/crates/cellnode/src/entry.rs
@@ -335,6 +335,8 @@
                     return find_conflict(&items, job).ok_or(EntryError::Unknown);
                 }
                 Ok(TransactionOutcome::LeaseNotFound) => return Err(EntryError::Unavailable),
+                // It would be refused again.
+                Err(StoreError::Invalid) => return Err(EntryError::Unavailable),
                 Err(StoreError::Refused | StoreError::Compacted) => {}
                 Err(StoreError::Unknown) => {
                     self.breaker_until_ms.store(boot_ms() + BREAKER_OPEN_MS, Ordering::Relaxed);
--- a/crates/cellnode/src/external.rs
+++ b/crates/cellnode/src/external.rs
@@ -39,6 +39,8 @@
 pub enum StoreError {
     /// The store did not execute the call.
     Refused,
+    /// The store did not execute the call because it is not valid, and would not execute it later either.
+    Invalid,
     /// There is no usable response; the call may have been executed or may still be executed.
     Unknown,
     /// The requested history has been compacted.
--- a/crates/cellnode/src/forward_router.rs
+++ b/crates/cellnode/src/forward_router.rs
@@ -249,7 +249,7 @@
             Some(CallOutcome::Write(outcome)) => outcome,
             _ => Err(StoreError::Unknown),
         };
-        if outcome.is_err() {
+        if outcome.as_ref().is_err_and(|error| *error != StoreError::Invalid) {
             self.lock().avoided_writers.insert(daemon, boot_ms() + AVOID_MS);
         }
         outcome
--- a/crates/cellnode/src/guard.rs
+++ b/crates/cellnode/src/guard.rs
@@ -28,8 +28,14 @@
     Deposed,
     /// The lease of a written item has expired.
     LeaseNotFound,
+    /// The store does not take the transaction, however often it is repeated.
+    Invalid,
 }
 
+/// A transaction that the store does not take, however often it is repeated.
+#[derive(Debug)]
+struct InvalidTransaction;
+
 /// How a transaction reaches the store.
 enum CommitPath {
     /// This daemon commits it.
@@ -105,6 +111,7 @@
             &logger,
         )
         .await
+        .ok()?
         {
             TransactionOutcome::Done(revision) => revision,
             // If the response was lost, the leader's row shows whether the transaction took effect.
@@ -136,7 +143,8 @@
         self.write(transaction).await
     }
 
-    /// Commits a fenced transaction, retrying without limit until the store confirms its outcome.
+    /// Commits a fenced transaction, retrying without limit until the store confirms its outcome or rejects
+    /// it as invalid.
     pub(crate) async fn write(&mut self, mut transaction: StoreTransaction) -> WriteOutcome {
         self.write += 1;
         let key = guard_key(self.lane);
@@ -160,6 +168,7 @@
             &self.logger,
         )
         .await;
+        let Ok(outcome) = outcome else { return WriteOutcome::Invalid };
         match outcome {
             TransactionOutcome::Done(revision) => {
                 self.revision = revision;
@@ -197,24 +206,28 @@
     (row == *leader).then_some(item.revision)
 }
 
-/// Commits a transaction, retrying without limit until the store confirms its outcome.
+/// Commits a transaction, retrying without limit until the store confirms its outcome or rejects it as
+/// invalid.
 async fn commit_until_confirmed(
     path: &CommitPath,
     lane: usize,
     transaction: &StoreTransaction,
     leadership: &LeadershipStatus,
     logger: &Logger,
-) -> TransactionOutcome {
+) -> Result<TransactionOutcome, InvalidTransaction> {
     let mut has_logged = false;
     loop {
         let sent_ms = boot_ms();
         match path.commit(lane, transaction).await {
             Ok(TransactionOutcome::Done(revision)) => {
                 leadership.record_confirmation(sent_ms);
-                return TransactionOutcome::Done(revision);
+                return Ok(TransactionOutcome::Done(revision));
+            }
+            Ok(outcome) => return Ok(outcome),
+            Err(StoreError::Invalid) => {
+                warn!(logger, "write_invalid"; "lane" => lane, "rows" => transaction.puts.len());
+                return Err(InvalidTransaction);
             }
-            Ok(TransactionOutcome::LeaseNotFound) => return TransactionOutcome::LeaseNotFound,
-            Ok(TransactionOutcome::Conflict(items)) => return TransactionOutcome::Conflict(items),
             Err(error) => {
                 leadership.record_error();
                 if !has_logged {
--- a/crates/cellnode/src/lane_writer.rs
+++ b/crates/cellnode/src/lane_writer.rs
@@ -7,11 +7,31 @@
         leader_event::{LeaderEvent, send_input},
         rows::{LEASE_BOUNDS_KEY, LeaseBoundsRow, ended_key, job_key, payload_key, progress_key},
     },
-    damaskrack_cell::{CellInput, CommitRequest, JobRecord, LeaseBound, ProgressRecord},
+    damaskrack_cell::{
+        CellInput, CommitRequest, JobRecord, LeaseBound, ProgressRecord, RejectedJob,
+    },
     prost::Message,
-    tokio::sync::mpsc,
+    std::time::Duration,
+    tokio::{sync::mpsc, time::sleep},
 };
 
+/// Pause after the store rejected a commit as invalid, in milliseconds.
+const REJECTION_PAUSE_MS: u64 = 150;
+
+/// Result of writing the rows of one job.
+#[derive(Debug, Clone, Copy)]
+enum JobOutcome {
+    /// They are durable.
+    Done,
+    /// Another daemon has become the leader.
+    Deposed,
+    /// The store rejects them.
+    Rejected {
+        /// The job's own row is in the store.
+        is_stored: bool,
+    },
+}
+
 /// Writes the commits of one lane, and the leader's row after its lease has expired.
 pub(crate) struct LaneWriter {
     pub(crate) lane: usize,
@@ -28,10 +48,7 @@
     ) {
         loop {
             let (outcome, is_commit) = tokio::select! {
-                Some(request) = commits.recv() => {
-                    let transaction = build_transaction(&request, self.guard.leader.term);
-                    (self.guard.write(transaction).await, true)
-                }
+                Some(request) = commits.recv() => (self.commit(&request).await, true),
                 Some(lease) = new_leases.recv() => {
                     (self.guard.attach_leader_row(lease).await, false)
                 }
@@ -41,7 +58,7 @@
                 WriteOutcome::Done if is_commit => {
                     send_input(&self.events, CellInput::Committed { lane: self.lane }).await;
                 }
-                WriteOutcome::Done | WriteOutcome::LeaseNotFound => {}
+                WriteOutcome::Done | WriteOutcome::LeaseNotFound | WriteOutcome::Invalid => {}
                 WriteOutcome::Deposed => {
                     // Fails only if the leader has stopped already.
                     let _ = self.events.send(LeaderEvent::Deposed).await;
@@ -52,6 +69,72 @@
     }
 }
 
+impl LaneWriter {
+    /// Writes a commit. If the store rejects it as invalid, writes the rows of each job by themselves, so that
+    /// only the job whose rows it rejects is concerned.
+    async fn commit(&mut self, request: &CommitRequest) -> WriteOutcome {
+        let outcome = self.write(request).await;
+        if outcome != WriteOutcome::Invalid {
+            return outcome;
+        }
+        let mut rejected = Vec::new();
+        for (id, part) in request.split_by_job() {
+            let is_stored = match self.commit_job(&part).await {
+                JobOutcome::Done => continue,
+                JobOutcome::Deposed => return WriteOutcome::Deposed,
+                JobOutcome::Rejected { is_stored } => is_stored,
+            };
+            rejected.push(RejectedJob { id, is_stored });
+        }
+        let lane = self.lane;
+        send_input(&self.events, CellInput::RowsRejected { lane, jobs: rejected }).await;
+        sleep(Duration::from_millis(REJECTION_PAUSE_MS)).await;
+        self.commit_lease_bounds(request).await
+    }
+
+    /// Writes the rows of one job. If the store rejects them, writes the job's own row by itself: another daemon
+    /// may have written it too, so it must be known whether it exists.
+    async fn commit_job(&mut self, request: &CommitRequest) -> JobOutcome {
+        match self.write(request).await {
+            WriteOutcome::Done | WriteOutcome::LeaseNotFound => return JobOutcome::Done,
+            WriteOutcome::Deposed => return JobOutcome::Deposed,
+            WriteOutcome::Invalid if request.jobs.is_empty() => {
+                return JobOutcome::Rejected { is_stored: true };
+            }
+            WriteOutcome::Invalid => {}
+        }
+        let (lane, jobs) = (request.lane, request.jobs.clone());
+        match self.write(&CommitRequest { lane, jobs, ..CommitRequest::default() }).await {
+            WriteOutcome::Deposed => JobOutcome::Deposed,
+            outcome => JobOutcome::Rejected { is_stored: outcome == WriteOutcome::Done },
+        }
+    }
+
+    /// Writes the lease bounds of a commit that the store rejected. Nothing else can take their place, so they
+    /// are written again until the store takes them.
+    async fn commit_lease_bounds(&mut self, request: &CommitRequest) -> WriteOutcome {
+        if request.lease_bounds.is_none() {
+            return WriteOutcome::Done;
+        }
+        let bounds = CommitRequest {
+            lane: request.lane,
+            lease_bounds: request.lease_bounds.clone(),
+            ..CommitRequest::default()
+        };
+        loop {
+            match self.write(&bounds).await {
+                WriteOutcome::Invalid => sleep(Duration::from_millis(REJECTION_PAUSE_MS)).await,
+                outcome => return outcome,
+            }
+        }
+    }
+
+    async fn write(&mut self, request: &CommitRequest) -> WriteOutcome {
+        let transaction = build_transaction(request, self.guard.leader.term);
+        self.guard.write(transaction).await
+    }
+}
+
 fn build_transaction(request: &CommitRequest, term: u64) -> StoreTransaction {
     let put_progress = |(id, row): &(String, ProgressRecord)| StorePut {
         key: progress_key(id),
--- a/crates/cellnode/src/write_frame.rs
+++ b/crates/cellnode/src/write_frame.rs
@@ -118,6 +118,7 @@
     Conflict = 2,
     LeaseNotFound = 3,
     Refused = 4,
+    Invalid = 5,
 }
 
 impl From<Result<TransactionOutcome, StoreError>> for WriteResult {
@@ -135,6 +136,7 @@
             }
             Ok(TransactionOutcome::LeaseNotFound) => result(WriteCode::LeaseNotFound),
             Err(StoreError::Refused) => result(WriteCode::Refused),
+            Err(StoreError::Invalid) => result(WriteCode::Invalid),
             Err(StoreError::Unknown | StoreError::Compacted) => result(WriteCode::Unknown),
         }
     }
@@ -155,6 +157,7 @@
             }
             WriteCode::LeaseNotFound => Ok(TransactionOutcome::LeaseNotFound),
             WriteCode::Refused => Err(StoreError::Refused),
+            WriteCode::Invalid => Err(StoreError::Invalid),
             WriteCode::Unknown => Err(StoreError::Unknown),
         }
     }
--- a/crates/cellnode/src/write_frame/tests.rs
+++ b/crates/cellnode/src/write_frame/tests.rs
@@ -37,6 +37,7 @@
         Ok(TransactionOutcome::Conflict(vec![item])),
         Ok(TransactionOutcome::LeaseNotFound),
         Err(StoreError::Refused),
+        Err(StoreError::Invalid),
         Err(StoreError::Unknown),
     ];
     for outcome in outcomes {
