--- a/crates/cellnode/src/frame/tests.rs
+++ b/crates/cellnode/src/frame/tests.rs
@@ -31,3 +31,12 @@
         true
     }
 }
+
+/// While daemons of two versions run side by side, requests of the older ones are still answered.
+#[test]
+fn a_request_of_a_former_version_names_no_caller() {
+    let bytes: &[u8] = b"\x08\x07\x22\x011";
+    let frame: EntryFrame = decode(bytes.into()).expect("a frame");
+    let body = Some(EntryBody::State("1".to_owned()));
+    assert_eq!(frame, EntryFrame { call: 7, body, caller: None });
+}
