--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -7,6 +7,8 @@
 
 mod config;
 mod core;
+mod job_caller;
+mod job_owner;
 mod keys;
 mod lease_bound;
 mod message;
@@ -18,12 +20,14 @@
 pub use {
     config::{CellConfig, QueueConfig, TeamConfig},
     core::CellCore,
+    job_caller::JobCaller,
+    job_owner::JobOwner,
     keys::{AdviceCallKey, AttemptKey, JobKey, WorkerKey},
     lease_bound::LeaseBound,
     message::{
         AdviceRequest, COMMIT_LANES, CellAction, CellInput, CommitRequest, EndKind, EndedAttempt,
-        LogEntry, RenewOutcome, RenewRequest, RenewResponse, RunningAttempt, StartOutcome,
-        StartRefusal, StartRequest, StopRequest, WorkerReport, WorkerTicket,
+        LogEntry, RejectedJob, RenewOutcome, RenewRequest, RenewResponse, RunningAttempt,
+        StartOutcome, StartRefusal, StartRequest, StopRequest, WorkerReport, WorkerTicket,
     },
     record::{
         AdviceTiming, JobRecord, JobState, LostAttempt, MAX_JOB_TASKS, PhaseProgress,
--- a/crates/cell/tests/cell/failures.rs
+++ b/crates/cell/tests/cell/failures.rs
@@ -1,10 +1,10 @@
 //! Jobs without failures, and a test for each failure that occurred.
 
 use {
-    crate::support::{FakeCell, OTHER_LEASES_MS, job, step},
+    crate::support::{FakeCell, OTHER_LEASES_MS, WALL_MS, job, step},
     damaskrack_cell::{
-        AdviceTiming, CellInput, EndKind, EndedAttempt, JobState, RenewOutcome, RenewResponse,
-        ResourceSet, StartOutcome, StartRefusal, StepSpec, TeamConfig,
+        AdviceTiming, CellInput, EndKind, EndedAttempt, JobRecord, JobState, RenewOutcome,
+        RenewResponse, ResourceSet, StartOutcome, StartRefusal, StepSpec, TeamConfig,
     },
     quickcheck::quickcheck,
     std::collections::BTreeSet,
@@ -99,7 +99,7 @@
     let mut cell = FakeCell::new(1);
     cell.submit(job("1", vec![step(6)]));
     cell.run(200);
-    cell.apply(CellInput::Cancel { id: "1".to_owned(), reply: 1 });
+    cell.apply(CellInput::Cancel { id: "1".to_owned(), caller: None, reply: 1 });
     cell.run(300);
     assert_eq!(cell.state("1"), Some(JobState::Cancelled));
     let started = cell.starts.len();
@@ -281,7 +281,7 @@
     cell.submit(job("1", vec![step(4)]));
     cell.run(300);
     cell.workers.get_mut("w0").unwrap().stop_ms = 900;
-    cell.apply(CellInput::Cancel { id: "1".to_owned(), reply: 1 });
+    cell.apply(CellInput::Cancel { id: "1".to_owned(), caller: None, reply: 1 });
     cell.run(100);
     cell.start_leader();
     cell.submit(job("2", vec![step(4)]));
@@ -590,7 +590,7 @@
     cell.lost_advice = 1;
     cell.submit(job("1", vec![step(1)]));
     cell.run(100);
-    cell.apply(CellInput::Cancel { id: "1".to_owned(), reply: 1 });
+    cell.apply(CellInput::Cancel { id: "1".to_owned(), caller: None, reply: 1 });
     cell.run(100);
     cell.submit(job("2", vec![step(1)]));
     cell.run(4_000);
@@ -619,7 +619,7 @@
     cell.workers.get_mut("w0").unwrap().stop_ms = 400;
     cell.submit(job("1", vec![step(1)]));
     cell.run(200);
-    cell.apply(CellInput::Cancel { id: "1".to_owned(), reply: 7 });
+    cell.apply(CellInput::Cancel { id: "1".to_owned(), caller: None, reply: 7 });
     cell.run(100);
     assert_eq!(cell.state("1"), Some(JobState::Cancelled));
     assert!(cell.jobs.contains_key("1"), "its task is still being stopped");
@@ -641,13 +641,87 @@
     cell.submit(job("1", vec![step(2)]));
     cell.run(200);
     cell.workers.get_mut("w0").unwrap().is_silent = true;
-    cell.apply(CellInput::Cancel { id: "1".to_owned(), reply: 7 });
+    cell.apply(CellInput::Cancel { id: "1".to_owned(), caller: None, reply: 7 });
     cell.run(100);
     assert!(cell.ended.is_empty() && cell.jobs.contains_key("1"));
     cell.start_leader();
     assert_eq!(cell.state("1"), Some(JobState::Cancelled));
 }
 
+/// What is being stopped still counts: a new leader started the team's next job beside it, above the limit.
+#[test]
+fn a_new_leader_counts_attempts_that_are_being_stopped_against_the_limit() {
+    for occurrences in [0, 1] {
+        let mut cell = FakeCell::new(1);
+        cell.run_ms = 60_000;
+        cell.reconfigure(|config| {
+            config.teams.get_mut("team").unwrap().limit.cpu_millis = 4_000;
+        });
+        let timed = JobRecord { occurrences, first_due_ms: WALL_MS, ..job("1", vec![step(4)]) };
+        cell.submit(timed);
+        cell.run(200);
+        cell.workers.get_mut("w0").unwrap().stop_ms = 3_000;
+        cell.apply(CellInput::Cancel { id: "1".to_owned(), caller: None, reply: 7 });
+        cell.run(100);
+        cell.workers.get_mut("w0").unwrap().is_silent = true;
+        cell.add_worker("w1", 1, "r1");
+        cell.start_leader();
+        assert_eq!(cell.state("1"), Some(JobState::Cancelled));
+        cell.submit(job("2", vec![step(4)]));
+        cell.run(1_000);
+        assert_eq!(
+            cell.starts.len(),
+            4,
+            "the limit allows none beside those that are being stopped"
+        );
+        cell.workers.get_mut("w0").unwrap().is_silent = false;
+        cell.run(1_000);
+        assert_eq!(cell.starts.len(), 4, "they are still being stopped");
+        cell.run(4_000);
+        assert_eq!(cell.starts.len(), 8, "the limit is free again");
+        assert!(!cell.progress.contains_key("1") && !cell.jobs.contains_key("1"));
+        assert!(cell.ended["1"].phases.is_empty());
+        cell.start_leader();
+        assert_eq!(cell.state("1"), Some(JobState::Cancelled));
+    }
+}
+
+/// The commits of all jobs waited for a row that the store never took.
+#[test]
+fn a_job_whose_rows_the_store_rejects_ends_and_concerns_no_other() {
+    let mut cell = FakeCell::new(2);
+    cell.run_ms = 300;
+    cell.submit(job("begun", vec![step(2), StepSpec { after: vec![0], ..step(2) }]));
+    cell.submit(job("other", vec![step(2), StepSpec { after: vec![0], ..step(2) }]));
+    cell.run(150);
+    // Its attempts run, and their ends find the row too large.
+    let ids = ["begun", "stored", "large", "larger"];
+    cell.rejected = ids.iter().map(|id| ((*id).to_owned(), *id != "larger")).collect();
+    cell.submit(job("stored", vec![step(1)]));
+    for (id, reply) in ["large", "larger"].into_iter().zip(1..) {
+        cell.apply(CellInput::Submitted { record: job(id, vec![step(1)]), reply });
+    }
+    cell.run(3_000);
+    assert_eq!(cell.state("other"), Some(JobState::Completed));
+    let failed = Some(JobState::Failed);
+    assert_eq!(cell.replies.len(), 2, "{:?}", cell.replies);
+    assert!(cell.replies.iter().all(|(_, state)| *state == failed), "{:?}", cell.replies);
+    for _ in 0..2 {
+        for id in ids {
+            assert_eq!(cell.state(id), Some(JobState::Failed), "{id}");
+            assert!(cell.ended.contains_key(id) && !cell.jobs.contains_key(id), "{id}");
+        }
+        cell.start_leader();
+    }
+    let ends = cell.workers.values().map(|worker| worker.ended.len()).sum::<usize>();
+    assert_eq!(ends, 0, "every end is acknowledged");
+    let is_started = |id: &&str| cell.starts.iter().any(|(task, ..)| task.starts_with(*id));
+    assert_eq!(ids.iter().copied().filter(is_started).collect::<Vec<_>>(), ["begun"]);
+    cell.submit(job("later", vec![step(8)]));
+    cell.run(2_000);
+    assert_eq!(cell.state("later"), Some(JobState::Completed));
+}
+
 /// A caller repeats a submission after a takeover, before the new leader has read all ended jobs.
 #[test]
 fn a_job_that_may_have_ended_is_left_to_a_conditional_write() {
