A call's workers are looked for once, by all reasons

Change: the workers that may run a task are found first, and if there are too few places the call ends there.

--- a/crates/cell/src/core/call_workers.rs
+++ b/crates/cell/src/core/call_workers.rs
@@ -47,17 +47,19 @@
     ) -> Vec<WorkerKey> {
         let hosts = StepHosts::new(self, phase);
         let available = available.of(hosts.service());
-        let has_suspect = self.has_waiting_suspect(phase);
-        let order = match has_suspect {
-            true => self.calmest_first(&hosts, available),
-            false => self.preferred_first(&hosts, available),
-        };
-        let has_places = self.has_enough_places(&hosts, &order);
+        let may_run = |key: &WorkerKey| hosts.allows(*key, ExclusionSet::TO_START_WITH_TICKET);
+        let able: Vec<WorkerKey> = available.iter().copied().filter(may_run).collect();
+        let has_places = has_enough_places(&hosts, &able);
         if !has_places && !may_prefetch {
             return Vec::new();
         }
+        let has_suspect = self.has_waiting_suspect(phase);
+        let order = match has_suspect {
+            true => self.calmest_first(able),
+            false => self.preferred_first(&hosts, able),
+        };
         let call_ms = if has_places { self.gang_call_ms(&hosts, phase) } else { 0 };
-        let candidates = self.call_candidates(&hosts, &order, call_ms);
+        let candidates = call_candidates(&hosts, &order, call_ms);
         let reserved = self.reserved_for_fresh(&hosts, &candidates);
         let mut likely = [candidates.known.as_slice(), candidates.fresh.as_slice()].concat();
         if has_suspect {
@@ -82,28 +84,26 @@
         all.take(MAX_WORKERS).copied().collect()
     }
 
-    /// Returns the available workers with free capacity for a task, those with the fewest attempts first.
-    fn calmest_first(&self, hosts: &StepHosts<'_>, available: &[WorkerKey]) -> Vec<WorkerKey> {
-        let has_free_capacity = |key: &WorkerKey| !hosts.holds(WorkerExclusion::FreeCapacity, *key);
-        let mut workers: Vec<WorkerKey> =
-            available.iter().copied().filter(has_free_capacity).collect();
+    /// Returns workers in the order of their numbers of attempts.
+    fn calmest_first(&self, mut workers: Vec<WorkerKey>) -> Vec<WorkerKey> {
         workers.sort_by_key(|key| self.workers[*key].attempts.len());
         workers
     }
 
-    /// Returns the available workers with free capacity for a task in the order in which calls name them. Gangs
-    /// start with the workers with the most free capacity and other steps with those with the least, so
-    /// that large blocks of free capacity remain for gangs. Consecutive calls start with different workers.
-    fn preferred_first(&self, hosts: &StepHosts<'_>, available: &[WorkerKey]) -> Vec<WorkerKey> {
-        let has_free_capacity = |key: &WorkerKey| !hosts.holds(WorkerExclusion::FreeCapacity, *key);
-        let mut with_capacity: Vec<WorkerKey> =
-            available.iter().copied().filter(has_free_capacity).collect();
+    /// Returns available workers in the order in which calls name them. Gangs start with the workers with
+    /// the most free capacity and other steps with those with the least, so that large blocks of free
+    /// capacity remain for gangs. Consecutive calls start with different workers.
+    fn preferred_first(
+        &self,
+        hosts: &StepHosts<'_>,
+        mut workers: Vec<WorkerKey>,
+    ) -> Vec<WorkerKey> {
         if hosts.step().is_gang {
-            with_capacity.reverse();
+            workers.reverse();
         }
         let suits = |key: &WorkerKey| !hosts.holds(WorkerExclusion::Segregation, *key);
         let (mut suitable, mixed): (Vec<WorkerKey>, Vec<WorkerKey>) =
-            with_capacity.into_iter().partition(suits);
+            workers.into_iter().partition(suits);
         if hosts.is_kept_apart() {
             suitable.sort_by_key(|key| self.exposure(*key));
         }
@@ -115,20 +115,6 @@
         suitable
     }
 
-    /// Returns whether a step could be placed if there were tickets for all of some workers. Only a gang needs
-    /// more than one place.
-    fn has_enough_places(&self, hosts: &StepHosts<'_>, workers: &[WorkerKey]) -> bool {
-        let needed = hosts.entry().unassigned as u64;
-        let may_run = |key: &&WorkerKey| hosts.allows(**key, ExclusionSet::TO_START_WITH_TICKET);
-        let mut places = 0_u64;
-        let mut able = workers.iter().filter(may_run);
-        !hosts.step().is_gang
-            || able.any(|key| {
-                places = places.saturating_add(hosts.places(*key));
-                places >= needed
-            })
-    }
-
     /// Returns the duration of a call for a gang, in milliseconds; 0 for another step. The tickets of a gang must be
     /// valid at one time, so those that expire before the call ends are renewed by it.
     fn gang_call_ms(&self, hosts: &StepHosts<'_>, phase: PhaseRef) -> u64 {
@@ -137,30 +123,6 @@
         timing.map_or(0, |timing| timing.duration_us(workers) / 1_000)
     }
 
-    /// Returns those of some workers that a call could name: those without a ticket that is valid for some time.
-    fn call_candidates(
-        &self,
-        hosts: &StepHosts<'_>,
-        order: &[WorkerKey],
-        valid_ms: u64,
-    ) -> CallCandidates {
-        let mut candidates = CallCandidates::default();
-        let needs_call = |key: &&WorkerKey| {
-            !hosts.has_ticket_for(**key, valid_ms)
-                && hosts.allows(**key, ExclusionSet::TO_START_WITH_TICKET)
-        };
-        for key in order.iter().filter(needs_call) {
-            match hosts.entry().allowed.contains_key(key) {
-                true => candidates.known.push(*key),
-                false => candidates.fresh.push(*key),
-            }
-            if candidates.fresh.len() >= MAX_WORKERS {
-                break;
-            }
-        }
-        candidates
-    }
-
     /// Returns how many workers of a call must be ones that have not been asked about. A gang needs none if
     /// there are enough that are known, whose tickets must be valid at one time.
     fn reserved_for_fresh(&self, hosts: &StepHosts<'_>, candidates: &CallCandidates) -> usize {
@@ -194,3 +156,32 @@
         workers.iter().take_while(is_needed).count()
     }
 }
+
+/// Returns whether a step could be placed if there were tickets for all of some workers. Only a gang needs
+/// more than one place.
+fn has_enough_places(hosts: &StepHosts<'_>, workers: &[WorkerKey]) -> bool {
+    if !hosts.step().is_gang {
+        return !workers.is_empty();
+    }
+    let needed = hosts.entry().unassigned as u64;
+    let mut places = 0_u64;
+    workers.iter().any(|key| {
+        places = places.saturating_add(hosts.places(*key));
+        places >= needed
+    })
+}
+
+/// Returns those of some workers that a call could name: those without a ticket that is valid for some time.
+fn call_candidates(hosts: &StepHosts<'_>, order: &[WorkerKey], valid_ms: u64) -> CallCandidates {
+    let mut candidates = CallCandidates::default();
+    for key in order.iter().filter(|key| !hosts.has_ticket_for(**key, valid_ms)) {
+        match hosts.entry().allowed.contains_key(key) {
+            true => candidates.known.push(*key),
+            false => candidates.fresh.push(*key),
+        }
+        if candidates.fresh.len() >= MAX_WORKERS {
+            break;
+        }
+    }
+    candidates
+}
--- a/crates/cell/src/core/step_hosts.rs
+++ b/crates/cell/src/core/step_hosts.rs
@@ -121,7 +121,7 @@
         }
     }
 
-    /// Returns whether a reason holds for a worker.
+    /// Returns whether a reason holds for a worker, which has this entry.
     fn is_excluded(&self, key: WorkerKey, worker: &WorkerEntry, reason: WorkerExclusion) -> bool {
         let step = self.step;
         match reason {
