Ask former leaders whether they have ended, before their isolation is waited for

Cause: a successor allows for a former leader that goes on without the store until its isolation ends. Its wait for a worker that never responds was one lease (5.45 s) and the isolation (5.2 s), from its election (1 s after the loss). The former leader was gone, and its host ran another process 0.3 s later.

Change: the write that elects a leader adds it to the row cell/open-terms, which names the leaders that may still act. The new leader tells the daemon at the address of each one to end its term (EndTerms, a connection of its own). A daemon confirms only if it runs no such term and never will: one that runs is stopped first, one whose election is confirmed late does not begin. Once all have confirmed, the core counts inherited leases from then (CellInput::FormerLeadersEnded). No answer and a refused connection prove nothing. When all have confirmed, or the isolation time is over, the row is cut to the present leader.

--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -134,6 +134,8 @@
     last_placement_ms: u64,
     /// Time at which this leader's core started.
     started_ms: u64,
+    /// Time at which every former leader was known to have ended.
+    former_ended_ms: Option<u64>,
     /// Number of calls to the adviser so far.
     advice_call_count: usize,
 }
@@ -185,6 +187,7 @@
             is_placement_due: false,
             last_placement_ms: 0,
             started_ms: 0,
+            former_ended_ms: None,
             advice_call_count: 0,
         }
     }
@@ -235,6 +238,7 @@
             CellInput::RenewFinished { worker, outcome } => self.finish_renewal(worker, outcome),
             CellInput::Advice { call, allowed } => self.finish_advice(call, allowed),
             CellInput::RowsRejected { lane, jobs } => self.reject_rows(lane, &jobs),
+            CellInput::FormerLeadersEnded => self.end_former_leaders(),
             CellInput::Committed { lane } => self.finish_commit(lane),
         }
     }
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -108,10 +108,21 @@
     }
 
     /// Returns the latest time at which the leases expire that a former leader has renewed. It may have done
-    /// so until its isolation ended.
+    /// so until it ended, or until its isolation ended.
     fn renewed_expiry_ms(&self) -> u64 {
         let CellSettings { lease_ms, isolation_ms, .. } = self.settings;
-        self.started_ms + longest_lease_ms(lease_ms) + isolation_ms
+        let isolated_ms = self.started_ms + isolation_ms;
+        let ended_ms = self.former_ended_ms.unwrap_or(isolated_ms).min(isolated_ms);
+        ended_ms + longest_lease_ms(lease_ms)
+    }
+
+    /// Records that no former leader renews leases any more.
+    pub(super) fn end_former_leaders(&mut self) {
+        self.former_ended_ms.get_or_insert(self.time.now_ms);
+        let (renewed_ms, started_ms) = (self.renewed_expiry_ms(), self.started_ms);
+        for worker in self.workers.values_mut() {
+            worker.lease.limit_inherited(renewed_ms, started_ms);
+        }
     }
 
     /// Takes over what the row of an attempt tells of the leases on its worker.
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -244,6 +244,8 @@
         /// The jobs.
         jobs: Vec<RejectedJob>,
     },
+    /// No former leader decides on requests any more. What they decided on before may still arrive.
+    FormerLeadersEnded,
     /// The commit in flight on this lane is durable.
     Committed {
         /// The lane.
--- a/crates/cell/src/table/worker_lease.rs
+++ b/crates/cell/src/table/worker_lease.rs
@@ -41,6 +41,8 @@
     other_expiry_ms: u64,
     /// Duration of the longest lease that such a request can have been granted, in milliseconds.
     longest_other_ms: u64,
+    /// The worker has not responded to this leader, so these are leases of former ones.
+    is_inherited: bool,
 }
 
 impl WorkerLease {
@@ -53,6 +55,7 @@
             deadline_sent_ms: 0,
             other_expiry_ms,
             longest_other_ms: max_lease_ms,
+            is_inherited: true,
         }
     }
 
@@ -60,6 +63,7 @@
     pub(crate) fn restart(&mut self, max_lease_ms: u64) {
         self.other_expiry_ms = self.expiry_ms();
         self.longest_other_ms = max_lease_ms;
+        self.is_inherited = false;
         self.clock = None;
         self.deadline_ms = 0;
     }
@@ -82,6 +86,7 @@
     /// Records that the incarnation refuses all other requests from now on.
     pub(crate) fn refuse_others(&mut self, now_ms: u64) {
         self.other_expiry_ms = now_ms + longest_lease_ms(self.longest_other_ms);
+        self.is_inherited = false;
     }
 
     /// Records that other requests can have been granted leases of `lease_ms` milliseconds at most.
@@ -105,6 +110,15 @@
         self.other_expiry_ms = self.other_expiry_ms.min(expiry_ms);
     }
 
+    /// Records that the leases which former leaders have renewed expire by `renewed_ms`, and that they have
+    /// placed nothing after `election_ms`.
+    pub(crate) fn limit_inherited(&mut self, renewed_ms: u64, election_ms: u64) {
+        if self.is_inherited {
+            let granted_ms = election_ms + longest_lease_ms(self.longest_other_ms);
+            self.limit_others(renewed_ms.max(granted_ms));
+        }
+    }
+
     /// Returns the deadline for a request sent now, on the worker's clock; `None` if the clock is not
     /// known. The lease is at most `lease_ms` milliseconds long, also if the clock is slow; if it is exact, the
     /// lease is shorter by [`drift_ms`](Self::drift_ms).
--- a/crates/cell/tests/cell/inherited_leases.rs
+++ b/crates/cell/tests/cell/inherited_leases.rs
@@ -1,7 +1,7 @@
 //! Workers that stop responding shortly before the leader is replaced.
 
 use {
-    crate::support::{FakeCell, OTHER_LEASES_MS, job, step},
+    crate::support::{FakeCell, MAX_LEASE_MS, OTHER_LEASES_MS, job, step},
     damaskrack_cell::StepSpec,
     quickcheck::quickcheck,
 };
@@ -21,11 +21,16 @@
     let mut cell = FakeCell::new(2);
     // Until then requests to a former incarnation may have extended the leases.
     cell.run(OTHER_LEASES_MS);
+    let worker = start_service(&mut cell);
+    (cell, worker)
+}
+
+/// Starts a service with one task, and returns its worker's id.
+fn start_service(cell: &mut FakeCell) -> String {
     cell.run_ms = 600_000;
     cell.submit(job("1", vec![StepSpec { is_service: true, ..step(1) }]));
     cell.run(1_000);
-    let worker = cell.starts[0].2.clone();
-    (cell, worker)
+    cell.starts[0].2.clone()
 }
 
 /// Guards against a wait for inherited leases that starts anew with each takeover.
@@ -64,6 +69,91 @@
     assert!(cell.now_ms <= takeover_ms + ISOLATION_MS + 2 * LEASE_MS);
 }
 
+/// Guards against a wait for the isolation of a former leader that has ended.
+#[test]
+fn a_task_of_a_worker_lost_with_its_leader_starts_again_after_one_lease() {
+    let (mut cell, lost) = cell_with_service();
+    cell.workers.get_mut(&lost).unwrap().is_silent = true;
+    cell.start_leader();
+    cell.run(100);
+    cell.end_former_leader();
+    let ended_ms = cell.now_ms;
+    cell.run(LEASE_MS);
+    assert_eq!(cell.starts.len(), 1, "a lease may have been extended until the leader was lost");
+    cell.run(LONGEST_LEASE_MS + 500 - LEASE_MS);
+    assert_eq!(cell.starts.len(), 2, "started again by {} ms", cell.now_ms - ended_ms);
+}
+
+/// The fakes check that the task does not run twice.
+#[test]
+fn a_lease_that_a_former_leader_extended_until_it_ended_is_waited_for() {
+    let (mut cell, lost) = cell_with_service();
+    cell.workers.get_mut(&lost).unwrap().is_silent = true;
+    cell.start_leader_beside_former(&lost, ISOLATION_MS);
+    cell.run(2_500);
+    cell.end_former_leader();
+    cell.run(LEASE_MS - 200);
+    assert_eq!(cell.workers[&lost].runs.len(), 1, "the former leader has extended the lease");
+    assert_eq!(cell.starts.len(), 1);
+    cell.run(1_000);
+    assert_eq!(cell.starts.len(), 2);
+}
+
+/// The isolation time is over without a word of the former leaders.
+#[test]
+fn an_end_of_former_leaders_that_is_known_late_extends_no_wait() {
+    let (mut cell, lost) = cell_with_service();
+    cell.workers.get_mut(&lost).unwrap().is_silent = true;
+    cell.start_leader();
+    cell.run(ISOLATION_MS + 2_000);
+    cell.end_former_leader();
+    cell.run(LONGEST_LEASE_MS + 500 - 2_000);
+    assert_eq!(cell.starts.len(), 2);
+}
+
+#[test]
+fn the_end_of_former_leaders_shortens_no_lease_of_the_present_one() {
+    let (mut cell, lost) = cell_with_service();
+    cell.start_leader();
+    cell.run(3_000);
+    cell.end_former_leader();
+    cell.run(1_000);
+    cell.workers.get_mut(&lost).unwrap().is_silent = true;
+    cell.run(LEASE_MS - 1_000);
+    assert_eq!(cell.starts.len(), 1);
+    cell.run(LEASE_MS);
+    assert_eq!(cell.starts.len(), 2);
+}
+
+/// A request that was meant for a former incarnation may have been carried out until the election.
+#[test]
+fn the_end_of_former_leaders_shortens_no_lease_that_a_former_incarnation_was_meant_to_get() {
+    let mut cell = FakeCell::new(2);
+    let lost = start_service(&mut cell);
+    cell.workers.get_mut(&lost).unwrap().is_silent = true;
+    cell.start_leader();
+    cell.run(100);
+    cell.end_former_leader();
+    cell.run(MAX_LEASE_MS);
+    assert_eq!(cell.starts.len(), 1);
+    cell.run(1_000);
+    assert_eq!(cell.starts.len(), 2);
+}
+
+/// What is known of a silent worker is in the store; the next leader need not have it confirmed again.
+#[test]
+fn a_bound_counts_from_the_end_of_the_former_leaders() {
+    let (mut cell, lost) = cell_with_service();
+    cell.workers.get_mut(&lost).unwrap().is_silent = true;
+    cell.start_leader();
+    cell.run(100);
+    cell.end_former_leader();
+    cell.run(2_000);
+    cell.start_leader();
+    cell.run(LONGEST_LEASE_MS + 500 + MAX_BOUND_AGE_MS - 2_000);
+    assert_eq!(cell.starts.len(), 2);
+}
+
 /// The fakes check that no lease outlasts the bound of its worker in the store.
 #[test]
 fn a_worker_that_responds_again_keeps_its_tasks_once_its_bound_is_removed() {
@@ -181,19 +271,23 @@
 quickcheck! {
     /// For any sequence of faults, no task of a service runs twice and no lease outlasts its bound,
     /// which the fakes check, and all tasks run once the faults are over.
-    fn every_service_runs_once(faults: Vec<(u8, u8, u16)>) -> bool {
+    fn every_service_runs_once(faults: Vec<(u8, u8, u16)>, are_leases_bounded: bool) -> bool {
         let mut cell = FakeCell::new(3);
+        if are_leases_bounded {
+            cell.run(OTHER_LEASES_MS);
+        }
         cell.run_ms = 600_000;
         cell.submit(job("1", vec![StepSpec { is_service: true, ..step(3) }]));
         cell.run(1_000);
         for (kind, worker, pause_ms) in faults.into_iter().take(12) {
             let id = format!("w{}", worker % 3);
-            match kind % 7 {
+            match kind % 8 {
                 0 => cell.start_leader(),
                 1 => cell.start_leader_beside_former(&id, ISOLATION_MS),
                 2 | 3 => cell.workers.get_mut(&id).unwrap().is_silent = true,
                 4 => cell.workers.get_mut(&id).unwrap().is_silent = false,
                 5 => cell.is_store_down = true,
+                6 => cell.end_former_leader(),
                 _ => {
                     if worker % 2 == 0 {
                         cell.land_held_commits();
--- a/crates/cell/tests/cell/support/former.rs
+++ b/crates/cell/tests/cell/support/former.rs
@@ -55,6 +55,12 @@
         self.start_leader();
     }
 
+    /// Ends the former leader, if one still acts, and tells the present one.
+    pub(crate) fn end_former_leader(&mut self) {
+        self.former = None;
+        self.apply(CellInput::FormerLeadersEnded);
+    }
+
     /// Applies the writes in flight without a response to the leader.
     pub(crate) fn land_held_commits(&mut self) {
         for request in mem::take(&mut self.held_commits) {
--- a/crates/cellnode/src/frame.rs
+++ b/crates/cellnode/src/frame.rs
@@ -21,7 +21,7 @@
     /// Number that the leader's response repeats; 0 if none is expected.
     #[prost(uint64, tag = "1")]
     pub(crate) call: u64,
-    #[prost(oneof = "EntryBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "EntryBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 13")]
     pub(crate) body: Option<EntryBody>,
     /// Who asks for a job's state or its cancellation. A daemon of a former version does not tell.
     #[prost(message, optional, tag = "12")]
@@ -60,6 +60,10 @@
     /// The daemon has written the job with this id, which it offered before.
     #[prost(string, tag = "11")]
     Stored(String),
+    /// First and only frame of a connection: a later leader has been elected, so no term up to this one is
+    /// to be led any more.
+    #[prost(uint64, tag = "13")]
+    EndTerms(u64),
 }
 
 /// Identity and capacity of a daemon.
@@ -102,7 +106,7 @@
     /// Number of the request that this responds to; 0 for none.
     #[prost(uint64, tag = "1")]
     pub(crate) call: u64,
-    #[prost(oneof = "LeaderBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "LeaderBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub(crate) body: Option<LeaderBody>,
 }
 
@@ -139,6 +143,9 @@
     /// The id of the submitted job is that of another owner's job.
     #[prost(message, tag = "11")]
     Taken(EmptyFrame),
+    /// Whether the daemon's process leads none of the terms that it was told to end.
+    #[prost(bool, tag = "12")]
+    TermsEnded(bool),
 }
 
 /// A message without contents.
--- a/crates/cellnode/src/guard.rs
+++ b/crates/cellnode/src/guard.rs
@@ -7,7 +7,12 @@
         follow::{SHORT_PAGE_TIMEOUT_MS, read_all},
         forward_router::ForwardRouter,
         leadership_status::LeadershipStatus,
-        rows::{GUARD_PREFIX, GuardRow, LEADER_KEY, LeaderRow, guard_key, next_bounds_since},
+        open_terms::OpenTermsRow,
+        rows::{
+            GUARD_PREFIX, GuardRow, LEADER_KEY, LeaderRow, OPEN_TERMS_KEY, decode_row, guard_key,
+            next_bounds_since,
+        },
+        won_election::WonElection,
     },
     damaskrack_cell::COMMIT_LANES,
     prost::Message,
@@ -71,8 +76,8 @@
 }
 
 impl GuardWriter {
-    /// Tries to become the leader and returns a writer for each lane; `None` if another daemon won
-    /// or the store does not answer. `leader_revision` is the revision of the row of a leader that
+    /// Tries to become the leader and returns a writer for each lane and the leaders that may still act;
+    /// `None` if another daemon won or the store does not answer. `leader_revision` is the revision of the row of a leader that
     /// asked for a transfer, or 0 if there is no leader.
     pub(crate) async fn campaign(
         store: Arc<dyn CellStore>,
@@ -80,23 +85,36 @@
         lease: u64,
         leader_revision: u64,
         logger: Logger,
-    ) -> Option<Vec<Self>> {
-        let (guards, _) =
-            read_all(store.as_ref(), GUARD_PREFIX, SHORT_PAGE_TIMEOUT_MS).await.ok()?;
+    ) -> Option<WonElection> {
+        let (guards, open_terms) = tokio::join!(
+            read_all(store.as_ref(), GUARD_PREFIX, SHORT_PAGE_TIMEOUT_MS),
+            read_all(store.as_ref(), OPEN_TERMS_KEY, SHORT_PAGE_TIMEOUT_MS),
+        );
+        let ((guards, _), (open_terms, _)) = (guards.ok()?, open_terms.ok()?);
         let rows = guards.iter().filter_map(|item| GuardRow::decode(item.value.as_slice()).ok());
         let rows: Vec<GuardRow> = rows.collect();
-        let term = next_term(rows.iter().map(|row| row.term).max().unwrap_or(0));
+        let last_term = rows.iter().map(|row| row.term).max().unwrap_or(0);
+        let term = next_term(last_term);
         let bounds_since = next_bounds_since(&rows, term);
         let leader = LeaderRow { id, address, term };
+        let former = open_terms.iter().find(|item| item.key == OPEN_TERMS_KEY);
+        let stored = former.and_then(|item| decode_row(item, &logger));
+        let last_term = (!guards.is_empty()).then_some(last_term);
+        let open_terms = OpenTermsRow::next(stored, last_term, leader.clone());
         let mut transaction = leader_transaction(&leader, lease);
         transaction.expected.push((LEADER_KEY.into(), leader_revision));
+        transaction.puts.push(open_terms_put(&open_terms));
         let guard = GuardRow { term, id, write: 0, bounds_since };
+        if leader_revision == 0 {
+            let revision = former.map_or(0, |item| item.revision);
+            transaction.expected.push((OPEN_TERMS_KEY.into(), revision));
+        }
         for lane in 0..COMMIT_LANES {
             let key = guard_key(lane);
             let known = guards.iter().find(|item| item.key == key);
-            // Without a leader, another term may have begun and ended since the guards were read.
-            // In a transfer the guards change because the leader keeps writing, but no other term
-            // can begin while its row exists.
+            // Without a leader, another term may have begun and ended since the rows were read.
+            // In a transfer they change because the leader keeps writing, but no other term can begin
+            // while its row exists.
             if leader_revision == 0 {
                 transaction.expected.push((key.clone(), known.map_or(0, |item| item.revision)));
             }
@@ -128,7 +146,7 @@
             bounds_since,
             logger: logger.clone(),
         };
-        Some((0..COMMIT_LANES).map(writer).collect())
+        Some(WonElection { writers: (0..COMMIT_LANES).map(writer).collect(), open_terms })
     }
 
     /// Commits the later transactions through a router.
@@ -143,6 +161,13 @@
         self.write(transaction).await
     }
 
+    /// Records that every former leader has ended.
+    pub(crate) async fn settle_terms(&mut self) -> WriteOutcome {
+        let row = OpenTermsRow::of_one(self.leader.clone());
+        let puts = vec![open_terms_put(&row)];
+        self.write(StoreTransaction { puts, ..StoreTransaction::default() }).await
+    }
+
     /// Commits a fenced transaction, retrying without limit until the store confirms its outcome or rejects
     /// it as invalid.
     pub(crate) async fn write(&mut self, mut transaction: StoreTransaction) -> WriteOutcome {
@@ -192,6 +217,10 @@
     StoreTransaction { puts: vec![row], ..StoreTransaction::default() }
 }
 
+fn open_terms_put(row: &OpenTermsRow) -> StorePut {
+    StorePut { key: OPEN_TERMS_KEY.into(), value: row.encode_to_vec(), lease: 0 }
+}
+
 /// Returns the revision of a guard's item if it contains exactly this row.
 fn find_guard(items: &[StoreItem], key: &str, guard: &GuardRow) -> Option<u64> {
     let item = items.iter().find(|item| item.key == key)?;
--- a/crates/cellnode/src/lane_writer.rs
+++ b/crates/cellnode/src/lane_writer.rs
@@ -5,6 +5,7 @@
         StorePut, StoreTransaction,
         guard::{GuardWriter, WriteOutcome},
         leader_event::{LeaderEvent, send_input},
+        row_update::RowUpdate,
         rows::{LEASE_BOUNDS_KEY, LeaseBoundsRow, ended_key, job_key, payload_key, progress_key},
     },
     damaskrack_cell::{
@@ -32,7 +33,7 @@
     },
 }
 
-/// Writes the commits of one lane, and the leader's row after its lease has expired.
+/// Writes the commits of one lane, and the rows that identify leaders when these change.
 pub(crate) struct LaneWriter {
     pub(crate) lane: usize,
     pub(crate) guard: GuardWriter,
@@ -44,13 +45,17 @@
     pub(crate) async fn run(
         mut self,
         mut commits: mpsc::Receiver<CommitRequest>,
-        mut new_leases: mpsc::Receiver<u64>,
+        mut row_updates: mpsc::Receiver<RowUpdate>,
     ) {
         loop {
             let (outcome, is_commit) = tokio::select! {
                 Some(request) = commits.recv() => (self.commit(&request).await, true),
-                Some(lease) = new_leases.recv() => {
-                    (self.guard.attach_leader_row(lease).await, false)
+                Some(update) = row_updates.recv() => {
+                    let outcome = match update {
+                        RowUpdate::Lease(lease) => self.guard.attach_leader_row(lease).await,
+                        RowUpdate::TermsEnded => self.guard.settle_terms().await,
+                    };
+                    (outcome, false)
                 }
                 else => return,
             };
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -4,6 +4,8 @@
 //! bounds: a leader sends nothing to workers once the store has not confirmed its leadership until
 //! [`ISOLATION_MS`] after its lease has expired, and a successor treats the attempts on an
 //! unreachable worker as running until all leases that such a leader may have renewed have expired.
+//! The successor need not wait for the isolation once every former leader is known to have ended
+//! ([`TermCloser`]).
 
 use {
     crate::{
@@ -26,13 +28,17 @@
             LeadershipSignals, choose_highest_capacity, transfer_to_higher_capacity,
         },
         lease_keeper::LeaseKeeper,
+        open_terms::OpenTermsRow,
         request_number::RequestNumber,
+        row_update::RowUpdate,
         rows::{JOB_PREFIX, LEASE_BOUNDS_KEY, LeaseBoundsRow, PROGRESS_PREFIX, decode_row},
         session_registry::{SessionFrame, SessionRegistry},
         store_contact::StoreContact,
         store_regain::RegainSignal,
         stored_jobs::StoredJobs,
+        term_closer::TermCloser,
         unix_ms,
+        won_election::WonElection,
         worker_sink::WorkerSink,
     },
     cadence::CountedExt,
@@ -157,11 +163,15 @@
 /// Leads until another daemon takes over or this daemon shuts down.
 pub(crate) async fn lead(
     context: LeaderContext,
-    guards: Vec<GuardWriter>,
+    WonElection { writers: guards, open_terms }: WonElection,
     lease: u64,
     leader_capacity: u32,
     mut signals: LeadershipSignals,
 ) {
+    let Some(mut sessions) = context.registry.start_leading(guards[0].leader.term) else {
+        info!(context.logger, "term_ended_before"; "term" => guards[0].leader.term);
+        return;
+    };
     let (events, mut inbox) = mpsc::channel(INPUT_QUEUE);
     let leadership = guards[0].leadership.clone();
     let leader = guards[0].leader.clone();
@@ -170,7 +180,7 @@
         token: leader.term,
         bounds_since: guards[0].bounds_since,
         id: leader.id,
-        events: events.clone(),
+        events,
         commits: Vec::new(),
         leadership: leadership.clone(),
         router: ForwardRouter::new(
@@ -190,22 +200,24 @@
         context,
     };
     let context = run.context.clone();
-    let mut sessions = context.registry.start_leading();
-    let (new_leases, new_lease_inbox) = mpsc::channel(WRITER_QUEUE);
-    run.start_writers(guards, new_lease_inbox);
+    let (row_updates, row_update_inbox) = mpsc::channel(WRITER_QUEUE);
+    run.start_writers(guards, row_update_inbox);
+    run.close_former_terms(open_terms, row_updates.clone());
     let keeper = LeaseKeeper {
         store: context.external.store.clone(),
         leadership,
         logger: context.logger.clone(),
     };
-    run.tasks.spawn(keeper.run(lease, new_leases));
+    run.tasks.spawn(keeper.run(lease, row_updates));
     let (registry, logger) = (context.registry.clone(), context.logger.clone());
     run.tasks.spawn(transfer_to_higher_capacity(registry, run.token, leader_capacity, logger));
     tokio::select! {
         () = run.load_and_run(&mut inbox, &mut sessions) => {}
         () = signals.wait_for_end(&leader, &context.registry, &context.logger) => {}
+        () = context.registry.wait_until_ended(leader.term) => {}
     }
     info!(context.logger, "leading_ended"; "term" => run.token);
+    // The core does not run any more. From now on the daemon may say that the term has ended.
     context.registry.stop_leading();
     run.tasks.shutdown().await;
 }
@@ -291,19 +303,36 @@
         }
     }
 
-    /// Starts a writer for each lane; the first one also writes the leader's row.
-    fn start_writers(&mut self, guards: Vec<GuardWriter>, new_leases: mpsc::Receiver<u64>) {
-        let mut new_leases = Some(new_leases);
+    /// Starts a writer for each lane; the first one also writes the rows that identify leaders.
+    fn start_writers(&mut self, guards: Vec<GuardWriter>, row_updates: mpsc::Receiver<RowUpdate>) {
+        let mut row_updates = Some(row_updates);
         for (lane, mut guard) in guards.into_iter().enumerate() {
             guard.route(self.router.clone());
             let (commits, inbox) = mpsc::channel(WRITER_QUEUE);
             self.commits.push(commits);
-            let new_leases = new_leases.take().unwrap_or_else(|| mpsc::channel(WRITER_QUEUE).1);
+            let row_updates = row_updates.take().unwrap_or_else(|| mpsc::channel(WRITER_QUEUE).1);
             let writer = LaneWriter { lane, guard, events: self.events.clone() };
-            self.tasks.spawn(writer.run(inbox, new_leases));
+            self.tasks.spawn(writer.run(inbox, row_updates));
         }
     }
 
+    /// Tells the former leaders to end.
+    fn close_former_terms(
+        &mut self,
+        open_terms: OpenTermsRow,
+        row_updates: mpsc::Sender<RowUpdate>,
+    ) {
+        let closer = TermCloser {
+            open_terms,
+            isolation: Duration::from_millis(self.context.settings.isolation_ms),
+            events: self.events.clone(),
+            row_updates,
+            meter: self.context.external.meter.clone(),
+            logger: self.context.logger.clone(),
+        };
+        self.tasks.spawn(closer.run());
+    }
+
     /// Follows workers and jobs from the revisions at which they were read.
     fn follow(&mut self, (workers, workers_revision): (Vec<StoreItem>, u64), jobs_revision: u64) {
         let codec = self.context.external.codec.clone();
@@ -541,7 +570,8 @@
             }
             Some(EntryBody::AdviceResponse(response)) => self.receive_advice(session, response),
             Some(EntryBody::Forwarded(forwarded)) => self.router.receive(session, forwarded),
-            None => {}
+            // Responded to where it is the first frame of a connection.
+            Some(EntryBody::EndTerms(_)) | None => {}
         }
     }
 
--- a/crates/cellnode/src/lease_keeper.rs
+++ b/crates/cellnode/src/lease_keeper.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         CellStore, StoreError, boot_ms, leader::LEASE_TTL_MS, leadership_status::LeadershipStatus,
+        row_update::RowUpdate,
     },
     slog::{Logger, info, warn},
     std::{sync::Arc, time::Duration},
@@ -26,8 +27,8 @@
 
 impl LeaseKeeper {
     /// Renews the lease until the task is dropped. After the lease has expired, gets a new one and
-    /// sends it to `new_leases`, so that the leader's row is written again.
-    pub(crate) async fn run(self, mut lease: u64, new_leases: mpsc::Sender<u64>) {
+    /// sends it to `row_updates`, so that the leader's row is written again.
+    pub(crate) async fn run(self, mut lease: u64, row_updates: mpsc::Sender<RowUpdate>) {
         loop {
             sleep(Duration::from_millis(RENEW_INTERVAL_MS)).await;
             let sent_ms = boot_ms();
@@ -39,7 +40,7 @@
                     info!(self.logger, "lease_ended"; "lease" => lease);
                     if let Ok(granted) = self.store.grant_lease(LEASE_TTL_MS).await {
                         lease = granted;
-                        let _ = new_leases.send(lease).await;
+                        let _ = row_updates.send(RowUpdate::Lease(lease)).await;
                     }
                 }
                 Err(error) => {
--- a/crates/cellnode/src/node.rs
+++ b/crates/cellnode/src/node.rs
@@ -278,13 +278,13 @@
         let (store, logger) = (context.external.store.clone(), context.logger.clone());
         let identity = (self.hello.daemon, self.address.clone());
         let mut stop = self.signals.stop.clone();
-        let guards = tokio::select! {
-            guards = GuardWriter::campaign(store, identity, lease, leader_revision, logger) => guards,
+        let won = tokio::select! {
+            won = GuardWriter::campaign(store, identity, lease, leader_revision, logger) => won,
             // A campaign goes on until the store responds, which may be never.
             _ = stop.wait_for(|stop| *stop) => None,
         };
-        if let Some(guards) = guards {
-            lead(context.clone(), guards, lease, self.hello.leader_capacity, self.signals.clone())
+        if let Some(won) = won {
+            lead(context.clone(), won, lease, self.hello.leader_capacity, self.signals.clone())
                 .await;
         }
         if let Err(error) = context.external.store.revoke_lease(lease).await {
--- a/crates/cellnode/src/session_registry.rs
+++ b/crates/cellnode/src/session_registry.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        LinkMeter,
+        LinkMeter, LinkPurpose,
         frame::{
             EntryBody, EntryFrame, HelloFrame, LeaderBody, LeaderFrame, decode, encode, frame_codec,
         },
@@ -16,7 +16,7 @@
     },
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::mpsc,
+        sync::{mpsc, watch},
         time::timeout,
     },
     tokio_util::codec::{Framed, LengthDelimitedCodec},
@@ -50,37 +50,66 @@
     last_session: u64,
     /// Queue of received frames; `None` while this daemon does not lead.
     inbox: Option<mpsc::Sender<SessionFrame>>,
+    /// Term in which this daemon leads.
+    leading_term: Option<u64>,
 }
 
 /// The sessions of other daemons, and of this one, with this daemon as the leader.
 #[derive(Debug, Default)]
 pub(crate) struct SessionRegistry {
     state: Mutex<RegistryState>,
+    /// Highest term that a later leader has told this daemon to end.
+    ended_term: watch::Sender<u64>,
     meter: Arc<LinkMeter>,
 }
 
 impl SessionRegistry {
     pub(crate) fn new(meter: Arc<LinkMeter>) -> Self {
-        Self { state: Mutex::default(), meter }
+        Self { meter, ..Self::default() }
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, RegistryState> {
         self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
-    /// Starts to accept sessions and returns the receiver of their frames.
-    pub(crate) fn start_leading(&self) -> mpsc::Receiver<SessionFrame> {
+    /// Starts to accept sessions and returns the receiver of their frames; `None` if a later leader has told
+    /// this daemon to end the term, which was elected by a write with a late response.
+    pub(crate) fn start_leading(&self, term: u64) -> Option<mpsc::Receiver<SessionFrame>> {
         let (sender, receiver) = mpsc::channel(INBOX_QUEUE);
         let mut state = self.lock();
+        if *self.ended_term.borrow() >= term {
+            return None;
+        }
         state.sessions.clear();
         state.inbox = Some(sender);
-        receiver
+        state.leading_term = Some(term);
+        Some(receiver)
+    }
+
+    /// Ends all terms up to this one. Returns whether this daemon leads none of them; if not, its leader is
+    /// about to stop. None of them begins here any more.
+    pub(crate) fn end_terms(&self, term: u64) -> bool {
+        let state = self.lock();
+        self.ended_term.send_if_modified(|ended| {
+            let is_later = term > *ended;
+            *ended = term.max(*ended);
+            is_later
+        });
+        state.leading_term.is_none_or(|own| own > term)
+    }
+
+    /// Waits until a later leader has told this daemon to end a term.
+    pub(crate) async fn wait_until_ended(&self, term: u64) {
+        let mut ended_term = self.ended_term.subscribe();
+        // The channel closes only with the registry.
+        let _ = ended_term.wait_for(|ended| *ended >= term).await;
     }
 
     /// Ends every session and accepts no more.
     pub(crate) fn stop_leading(&self) {
         let mut state = self.lock();
         state.inbox = None;
+        state.leading_term = None;
         state.sessions.clear();
     }
 
@@ -182,10 +211,22 @@
 
 async fn serve_session(registry: &SessionRegistry, socket: TcpStream) {
     let _ = socket.set_nodelay(true);
-    let Some((session, inbox, mut outgoing)) = registry.add_session() else { return };
+    let silence_timeout = Duration::from_millis(SILENCE_TIMEOUT_MS);
     let mut framed = Framed::new(socket, frame_codec());
+    let Ok(Some(Ok(first))) = timeout(silence_timeout, framed.next()).await else { return };
+    if let Some(term) = terms_to_end(&first) {
+        let body = LeaderBody::TermsEnded(registry.end_terms(term));
+        let frame = LeaderFrame { call: 0, body: Some(body) };
+        registry.meter.record_received(LinkPurpose::PeerOther, first.len());
+        send_last(registry, framed, &frame).await;
+        return;
+    }
+    let Some((session, inbox, mut outgoing)) = registry.add_session() else { return };
+    if !handle_frame(registry, &inbox, session, first).await {
+        registry.remove_session(session);
+        return;
+    }
     loop {
-        let silence_timeout = Duration::from_millis(SILENCE_TIMEOUT_MS);
         tokio::select! {
             frame = timeout(silence_timeout, framed.next()) => {
                 let Ok(Some(Ok(bytes))) = frame else { break };
@@ -200,6 +241,25 @@
     registry.remove_session(session);
 }
 
+/// Returns the term up to which the first frame of a connection ends all, if that is what it asks for.
+fn terms_to_end(frame: &BytesMut) -> Option<u64> {
+    match decode::<EntryFrame>(frame.clone())?.body {
+        Some(EntryBody::EndTerms(term)) => Some(term),
+        _ => None,
+    }
+}
+
+/// Writes the only frame of a connection. If that fails, the other daemon asks again.
+async fn send_last(
+    registry: &SessionRegistry,
+    mut framed: Framed<TcpStream, LengthDelimitedCodec>,
+    frame: &LeaderFrame,
+) {
+    let bytes = encode(frame);
+    registry.meter.record_sent(frame.purpose(), bytes.len());
+    let _ = framed.send(bytes).await;
+}
+
 /// Writes a frame and all queued ones, then flushes; `false` if the connection failed.
 async fn write_frames(
     registry: &SessionRegistry,
--- a/crates/spec/src/machines/lease_bounds.rs
+++ b/crates/spec/src/machines/lease_bounds.rs
@@ -1,9 +1,10 @@
 //! Model of successive leaders of a cell and one worker that runs a task, with the durable bound on
 //! the worker's leases.
 //!
-//! Time passes in units. A former leader acts until its isolation ends, its requests arrive at any
-//! later time, and its writes too. A leader that takes the task for over while the worker's lease
-//! has not expired would run it twice.
+//! Time passes in units. A former leader acts until its isolation ends or a later leader has reached
+//! and stopped it. Its requests arrive at any later time, and its writes too. A leader may learn late that
+//! it was elected. One that takes the task for over while the worker's lease has not expired would run it
+//! twice.
 
 use crate::{Mutation, SpecMachine};
 
@@ -36,6 +37,32 @@
     left: u8,
 }
 
+/// A set of leaders.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+struct LeaderSet(u8);
+
+impl LeaderSet {
+    const fn one(index: usize) -> Self {
+        Self(1 << index)
+    }
+
+    fn contains(self, index: usize) -> bool {
+        self.0 & Self::one(index).0 != 0
+    }
+
+    fn with(self, index: usize) -> Self {
+        Self(self.0 | Self::one(index).0)
+    }
+
+    fn without(self, index: usize) -> Self {
+        Self(self.0 & !Self::one(index).0)
+    }
+
+    fn is_empty(self) -> bool {
+        self.0 == 0
+    }
+}
+
 /// State of a leader.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub(super) struct BoundLeader {
@@ -45,6 +72,10 @@
     isolation_left: Option<u8>,
     /// Time after which it takes all leases for expired.
     bound: u8,
+    /// It does not know yet that it was elected.
+    is_unaware: bool,
+    /// Former leaders that are not known to have ended.
+    open_terms: LeaderSet,
     /// The worker has responded to it.
     has_contact: bool,
     /// The store has a bound that it knows.
@@ -54,7 +85,7 @@
 
 impl BoundLeader {
     fn acts(&self) -> bool {
-        self.has_begun && !self.has_stopped
+        self.has_begun && !self.has_stopped && !self.is_unaware
     }
 
     /// Stops; what the leader knew no longer matters.
@@ -71,6 +102,8 @@
     elected: usize,
     /// Bound in the store.
     row: Option<u8>,
+    /// Leaders in the store that may still act.
+    open_terms: LeaderSet,
     leaders: [BoundLeader; LEADERS],
     /// Highest term that the worker has seen.
     worker_term: usize,
@@ -86,8 +119,14 @@
 pub enum LeaseBoundsStep {
     /// A unit of time passes.
     Tick,
-    /// The next leader is elected and reads the bound.
-    Lead(usize),
+    /// The next leader is elected and reads the bound. It may not know yet.
+    Lead(usize, bool),
+    /// A leader learns that it was elected.
+    Learn(usize),
+    /// A leader reaches a former one, which ends.
+    End(usize, usize),
+    /// A leader writes that every former one has ended.
+    Settle(usize),
     /// The worker responds to a leader for the first time.
     Contact(usize),
     /// A leader sends a renewal that extends the lease.
@@ -129,11 +168,22 @@
 
     fn leader_steps(&self, state: &LeaseBoundsState, index: usize) -> Vec<LeaseBoundsStep> {
         let leader = &state.leaders[index];
+        if leader.is_unaware && !leader.has_stopped {
+            return vec![LeaseBoundsStep::Learn(index)];
+        }
         if !leader.acts() {
             let is_next = index == state.elected + 1;
-            return if is_next { vec![LeaseBoundsStep::Lead(index)] } else { Vec::new() };
+            let step = |is_unaware| LeaseBoundsStep::Lead(index, is_unaware);
+            return if is_next { vec![step(false), step(true)] } else { Vec::new() };
         }
         let mut steps = Vec::new();
+        let is_open = |former: &usize| leader.open_terms.contains(*former);
+        steps.extend((0..index).filter(is_open).map(|former| LeaseBoundsStep::End(index, former)));
+        // A settled set is written once; a former leader cannot write it.
+        let is_settled = state.open_terms == LeaderSet::one(index);
+        if index == state.elected && leader.open_terms.is_empty() && !is_settled {
+            steps.push(LeaseBoundsStep::Settle(index));
+        }
         if !leader.has_contact {
             steps.push(LeaseBoundsStep::Contact(index));
         }
@@ -167,17 +217,44 @@
         }
     }
 
-    fn begin_term(&self, state: &mut LeaseBoundsState, index: usize) {
+    fn begin_term(&self, state: &mut LeaseBoundsState, index: usize, is_unaware: bool) {
         let former = &mut state.leaders[state.elected];
-        former.isolation_left = former.acts().then_some(ISOLATION);
+        let may_act = former.has_begun && !former.has_stopped;
+        former.isolation_left = may_act.then_some(ISOLATION);
+        let open_terms = match self.is_removed(Mutation::SeriesOfLeaders) {
+            true => LeaderSet::one(state.elected),
+            false => state.open_terms,
+        };
+        state.open_terms = open_terms.with(index);
         state.elected = index;
         let isolation = if self.is_removed(Mutation::InheritedIsolation) { 0 } else { ISOLATION };
         let leader = &mut state.leaders[index];
         leader.has_begun = true;
+        leader.is_unaware = is_unaware;
+        leader.open_terms = open_terms;
         leader.bound = state.row.unwrap_or(u8::MAX).min(LEASE + isolation);
         leader.is_stored = state.row.is_some() && !self.is_removed(Mutation::InheritedBound);
     }
 
+    /// Stops a former leader that is reached, and cuts the bound once none may act any more.
+    fn end(&self, state: &mut LeaseBoundsState, index: usize, former: usize) {
+        let reached = &mut state.leaders[former];
+        let keeps_acting = match reached.is_unaware {
+            true => self.is_removed(Mutation::EndedForGood),
+            false => self.is_removed(Mutation::EndedFirst),
+        };
+        if !keeps_acting {
+            reached.stop();
+        }
+        let leader = &mut state.leaders[index];
+        leader.open_terms = leader.open_terms.without(former);
+        if leader.open_terms.is_empty() {
+            let lease = if self.is_removed(Mutation::LeaseAfterEnd) { 0 } else { LEASE };
+            // A lease of its own is not one of a former leader.
+            leader.bound = leader.bound.min(if leader.has_contact { LEASE } else { lease });
+        }
+    }
+
     fn contact(state: &mut LeaseBoundsState, index: usize) {
         let leader = &mut state.leaders[index];
         if index < state.worker_term {
@@ -214,7 +291,10 @@
     fn apply(&self, state: &mut LeaseBoundsState, step: LeaseBoundsStep) {
         match step {
             LeaseBoundsStep::Tick => Self::tick(state),
-            LeaseBoundsStep::Lead(index) => self.begin_term(state, index),
+            LeaseBoundsStep::Lead(index, is_unaware) => self.begin_term(state, index, is_unaware),
+            LeaseBoundsStep::Learn(index) => state.leaders[index].is_unaware = false,
+            LeaseBoundsStep::End(index, former) => self.end(state, index, former),
+            LeaseBoundsStep::Settle(index) => state.open_terms = LeaderSet::one(index),
             LeaseBoundsStep::Contact(index) => Self::contact(state, index),
             LeaseBoundsStep::Renew(index) => {
                 let leader = &mut state.leaders[index];
@@ -271,6 +351,7 @@
             ticks: 0,
             elected: 0,
             row: None,
+            open_terms: LeaderSet::one(0),
             leaders: [first, BoundLeader::default(), BoundLeader::default()],
             worker_term: 0,
             lease: LEASE,
--- a/crates/spec/src/mutation.rs
+++ b/crates/spec/src/mutation.rs
@@ -122,6 +122,14 @@
     InheritedIsolation,
     /// A former leader can no longer write a bound.
     BoundGuard,
+    /// A former leader counts as ended only once it has stopped.
+    EndedFirst,
+    /// A former leader that counts as ended does not begin later.
+    EndedForGood,
+    /// All former leaders that may act must have ended, not only the last one.
+    SeriesOfLeaders,
+    /// Leases last for their whole duration after the former leaders have ended.
+    LeaseAfterEnd,
     /// Requests to a former incarnation may have been granted the longest lease of a worker.
     OtherLeases,
     /// Nothing is placed on an incarnation that may accept requests to a former one.
@@ -144,6 +152,19 @@
     Mutation::SettledRegistration,
 ];
 
+/// Mechanisms of the bound on the leases of a worker that does not respond.
+const LEASE_BOUNDS_MECHANISMS: &[Mutation] = &[
+    Mutation::BoundFromSending,
+    Mutation::DurableRemoval,
+    Mutation::InheritedBound,
+    Mutation::InheritedIsolation,
+    Mutation::BoundGuard,
+    Mutation::EndedFirst,
+    Mutation::EndedForGood,
+    Mutation::SeriesOfLeaders,
+    Mutation::LeaseAfterEnd,
+];
+
 /// Error for a text that is not the name of a mutation.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ParseMutationError;
@@ -228,13 +249,7 @@
                 Self::InheritedAttempt,
                 Self::StopBeforeRetry,
             ],
-            MachineName::LeaseBounds => &[
-                Self::BoundFromSending,
-                Self::DurableRemoval,
-                Self::InheritedBound,
-                Self::InheritedIsolation,
-                Self::BoundGuard,
-            ],
+            MachineName::LeaseBounds => LEASE_BOUNDS_MECHANISMS,
             MachineName::Incarnations => {
                 &[Self::OtherLeases, Self::FenceBeforePlacement, Self::KnownLeases]
             }
