--- a/crates/bench/benches/decisions.rs
+++ b/crates/bench/benches/decisions.rs
@@ -1,12 +1,18 @@
-//! Criterion benchmarks of the inner loops of the policy.
+//! Criterion benchmarks of the inner loops of the policy, and of a placement pass of the scheduler core.
+
+mod placement_cell;
 
 use {
     criterion::Criterion,
     damaskrack_model::Resources,
     damaskrack_policy::{RackFreeCapacity, TeamDemand, entitlements, rank_racks},
-    std::hint::black_box,
+    placement_cell::PlacementCell,
+    std::{hint::black_box, time::Duration},
 };
 
+/// Numbers of workers of the cells whose placement pass is measured.
+const CELL_WORKERS: [usize; 4] = [48, 370, 3_000, 23_000];
+
 fn worker() -> Resources {
     Resources { millicores: 16_000, memory_bytes: 32 << 30, accelerators: 0 }
 }
@@ -49,9 +55,23 @@
     }
 }
 
+/// One pass over a backlog of steps that wait: for a label, for free capacity, or for the adviser.
+fn bench_placement(criterion: &mut Criterion) {
+    for workers in CELL_WORKERS {
+        for has_adviser in [false, true] {
+            let mut cell = PlacementCell::new(workers, has_adviser);
+            let kind = if has_adviser { "advised" } else { "plain" };
+            criterion.bench_function(&format!("placement/{kind}/{workers}"), |bencher| {
+                bencher.iter_custom(|passes| (0..passes).map(|_| cell.place()).sum::<Duration>());
+            });
+        }
+    }
+}
+
 fn main() {
     let mut criterion = Criterion::default().configure_from_args();
     bench_ranking(&mut criterion);
     bench_entitlements(&mut criterion);
+    bench_placement(&mut criterion);
     criterion.final_summary();
 }
