Remember only released attempts as expired; tests of restarted leases share their set-up

An attempt that is kept for a late start was noted as released, so lease_outlasted could be logged for it without cause. No other change of behaviour.

--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -185,11 +185,12 @@
         }
     }
 
-    /// Remembers the attempts on a worker whose leases have expired.
-    fn record_expiry(&mut self, key: WorkerKey) {
+    /// Remembers attempts on a worker whose leases have expired.
+    fn record_expiry(&mut self, key: WorkerKey, attempts: &[AttemptKey]) {
         let worker = &self.workers[key];
         let incarnation = (worker.report.id.as_str(), worker.report.incarnation);
-        for (task, number) in worker.attempts.keys() {
+        for ((task, number), _) in worker.attempts.iter().filter(|(_, key)| attempts.contains(key))
+        {
             self.expired_attempts.record(incarnation, task.clone(), *number, self.time.now_ms);
         }
     }
@@ -217,7 +218,7 @@
                 continue;
             }
             self.record_losses(key, LossCause::LeaseExpiry);
-            self.record_expiry(key);
+            self.record_expiry(key, &over);
             match is_empty && !is_listed {
                 true => self.remove_worker(key, "leases lapsed, not listed"),
                 false => self.release(key, over, "leases lapsed"),
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -9,6 +9,7 @@
 /// Shortest time beyond its wait after which a renewal without a response has timed out, in milliseconds.
 /// One that fails sooner was on a connection that broke.
 const MIN_RENEW_TIMEOUT_MS: u64 = 300;
+
 /// One incarnation of a worker.
 #[derive(Debug)]
 pub(crate) struct WorkerEntry {
--- a/crates/cell/tests/cell/restarted_leases.rs
+++ b/crates/cell/tests/cell/restarted_leases.rs
@@ -364,18 +364,10 @@
 /// Guards against a leader that never hears from a worker and counts the leases that it asks for only.
 #[test]
 fn a_leader_that_never_hears_from_a_worker_waits_for_the_longest_lease() {
-    let mut cell = FakeCell::new(1);
+    let mut cell = cell_with_open_renewal();
     // Else the wait for a former leader's isolation hides the bound.
     cell.settings.isolation_ms = 1_000;
-    cell.run(30_000);
-    cell.run_ms = 600_000;
-    cell.submit(job("1", vec![StepSpec { is_service: true, ..step(1) }]));
-    cell.run(500);
-    cell.workers.get_mut("w0").expect("a worker").defers_renewals = true;
-    cell.run(100);
-    cell.reincarnate("w0");
-    cell.run_deferred_renewals("w0");
-    cell.workers.get_mut("w0").expect("a worker").defers_renewals = false;
+    restart_with_late_renewal(&mut cell);
     cell.list_workers();
     cell.run(1_500);
     assert_eq!(cell.workers["w0"].runs.len(), 1, "the task does not run");
@@ -390,16 +382,8 @@
 /// once, counts too short ones.
 #[test]
 fn a_row_of_an_early_attempt_bounds_no_leases() {
-    let mut cell = FakeCell::new(1);
-    cell.run(30_000);
-    cell.run_ms = 600_000;
-    cell.submit(job("1", vec![StepSpec { is_service: true, ..step(1) }]));
-    cell.run(500);
-    cell.workers.get_mut("w0").expect("a worker").defers_renewals = true;
-    cell.run(100);
-    cell.reincarnate("w0");
-    cell.run_deferred_renewals("w0");
-    cell.workers.get_mut("w0").expect("a worker").defers_renewals = false;
+    let mut cell = cell_with_open_renewal();
+    restart_with_late_renewal(&mut cell);
     cell.list_workers();
     cell.run(1_500);
     assert_eq!(cell.workers["w0"].runs.len(), 1, "the task does not run");
