Release attempts on a silent worker by its leases again, also those without a ticket

Cause: kept such an attempt until a run that an unheard incarnation might begin must have ended. That closed a way to TWICE which needs a restart, a late start and a cut at once, at the price of a wait in an everyday case. The renewal that fences an incarnation still does not wait for an end.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -74,7 +74,6 @@
             is_on_probation: false,
             has_begun: matches!(state, AttemptState::Running { .. }),
             is_start_settled: false,
-            is_start_executed: false,
             is_address_stored: false,
             is_loss_recorded: false,
             sent_ms: 0,
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -166,13 +166,10 @@
     }
 
     pub(super) fn release_attempts(&mut self, key: WorkerKey, reason: &str) {
-        let attempts = self.workers[key].attempts.values().copied().collect();
-        self.release(key, attempts, reason);
-    }
-
-    fn release(&mut self, key: WorkerKey, attempts: Vec<AttemptKey>, reason: &str) {
         self.release_orphans(key);
-        let id = self.workers[key].report.id.clone();
+        let worker = &self.workers[key];
+        let id = worker.report.id.clone();
+        let attempts: Vec<AttemptKey> = worker.attempts.values().copied().collect();
         if !attempts.is_empty() {
             self.log("worker_empty", id, format!("reason={reason} attempts={}", attempts.len()));
         }
@@ -185,12 +182,11 @@
         }
     }
 
-    /// Remembers attempts on a worker whose leases have expired.
-    fn record_expiry(&mut self, key: WorkerKey, attempts: &[AttemptKey]) {
+    /// Remembers the attempts on a worker whose leases have expired.
+    fn record_expiry(&mut self, key: WorkerKey) {
         let worker = &self.workers[key];
         let incarnation = (worker.report.id.as_str(), worker.report.incarnation);
-        for ((task, number), _) in worker.attempts.iter().filter(|(_, key)| attempts.contains(key))
-        {
+        for (task, number) in worker.attempts.keys() {
             self.expired_attempts.record(incarnation, task.clone(), *number, self.time.now_ms);
         }
     }
@@ -212,28 +208,12 @@
             .map(|(key, worker)| (key, worker.is_listed))
             .collect();
         for (key, is_listed) in expired {
-            let over = self.attempts_over(key);
-            let is_empty = over.len() == self.workers[key].attempts.len();
-            if over.is_empty() && !is_empty {
-                continue;
-            }
             self.record_losses(key, LossCause::LeaseExpiry);
-            self.record_expiry(key, &over);
-            match is_empty && !is_listed {
-                true => self.remove_worker(key, "leases lapsed, not listed"),
-                false => self.release(key, over, "leases lapsed"),
+            self.record_expiry(key);
+            match is_listed {
+                true => self.release_attempts(key, "leases lapsed"),
+                false => self.remove_worker(key, "leases lapsed, not listed"),
             }
         }
     }
-
-    /// Returns the attempts on a worker that no incarnation can be running once the leases that are known have
-    /// expired.
-    fn attempts_over(&self, key: WorkerKey) -> Vec<AttemptKey> {
-        let longest_ms = longest_lease_ms(self.settings.max_worker_lease_ms);
-        let is_over = |key: &AttemptKey| match self.attempts[*key].late_start_until_ms() {
-            0 => true,
-            until_ms => until_ms + longest_ms <= self.time.now_ms,
-        };
-        self.workers[key].attempts.values().copied().filter(is_over).collect()
-    }
 }
--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -67,8 +67,6 @@
     pub(crate) has_begun: bool,
     /// The present incarnation of the worker is known to have carried out the start.
     pub(crate) is_start_settled: bool,
-    /// Every start request is known to have been carried out by some incarnation.
-    pub(crate) is_start_executed: bool,
     /// The job's row has the worker's address, because the worker was lost just after the start. A new
     /// leader can ask there even if the worker is no longer registered.
     pub(crate) is_address_stored: bool,
@@ -100,26 +98,15 @@
             _ => false,
         };
         let is_ticket_known = self.has_ticket && self.start_sent_ms < sent_ms;
-        self.is_start_executed |= is_confirmed;
         self.is_start_settled |= self.start_tries > 0 && (is_confirmed || is_ticket_known);
     }
 
     /// Records that the worker's incarnation lists the attempt. An earlier one of several requests may still
     /// be carried out by another.
     pub(crate) fn settle_listed_start(&mut self) {
-        self.is_start_executed |= self.start_tries <= 1;
         self.is_start_settled |= self.start_tries <= 1;
     }
 
-    /// Returns the time until which an incarnation that nobody has heard from may begin the attempt; 0 if none
-    /// can. One refuses a ticket that is of another.
-    pub(crate) fn late_start_until_ms(&self) -> u64 {
-        match self.start_tries == 0 || self.has_ticket || self.is_start_executed {
-            true => 0,
-            false => self.start_sent_ms + MAX_REQUEST_DELAY_MS,
-        }
-    }
-
     /// Returns the task that the attempt runs.
     pub(crate) fn task(&self) -> TaskRef {
         TaskRef { phase: self.phase, index: self.index }
