--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -16,5 +16,6 @@
 mod pending;
 mod restarted_leases;
 mod support;
+mod where_suspects_run;
 mod where_to_run;
 mod where_to_run_at_random;
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -8,6 +8,7 @@
 
 mod crash;
 mod former;
+pub(crate) mod layout;
 mod reference;
 
 use {
--- a/crates/cell/tests/cell/where_to_run.rs
+++ b/crates/cell/tests/cell/where_to_run.rs
@@ -1,81 +1,26 @@
 //! Which workers a step may run on: each way to choose one goes by the same conditions.
 
 use {
-    crate::support::{FakeCell, job, step},
-    damaskrack_cell::{AdviceTiming, JobRecord, QueueConfig, StepSpec},
+    crate::support::{
+        FakeCell, job,
+        layout::{
+            FOR_EVER_MS, QUICK_TIMING, SLOW_TIMING, add_queue, job_of, lasting, runs, set_kind,
+            slowly_advised_cell, worker_of,
+        },
+        step,
+    },
+    damaskrack_cell::{AdviceTiming, JobRecord, StepSpec},
 };
 
-/// Timing of an adviser whose tickets expire after three calls.
-const SLOW_TIMING: AdviceTiming =
-    AdviceTiming { call_us: 450_000, worker_us: 6_400, valid_ms: 1_500 };
-/// Timing of an adviser that decides quickly.
-const QUICK_TIMING: AdviceTiming =
-    AdviceTiming { call_us: 10_000, worker_us: 100, valid_ms: 1_500 };
 /// Number of workers that the slow adviser allows, of 48.
 const ALLOWED_WORKERS: u32 = 26;
 /// Number of calls in which fewer workers are named that have not been asked about.
 const FIRST_CALLS: usize = 5;
 /// Number of such workers in later calls.
 const FRESH_WORKERS: usize = 96;
-/// Longer than any test, in milliseconds.
-const FOR_EVER_MS: u64 = 1_000_000_000;
 /// Time for which a queue is suspected, and some more, in milliseconds.
 const SUSPICION_MS: u64 = 7_000;
 
-/// Creates a step whose small tasks run until their job is cancelled.
-fn lasting(tasks: u32) -> StepSpec {
-    StepSpec { is_service: true, cpu_millis: 500, ..step(tasks) }
-}
-
-/// Creates a cell whose slow adviser allows the first workers.
-fn slowly_advised_cell(workers: usize, allowed: u32) -> FakeCell {
-    let mut cell = FakeCell::new(workers);
-    cell.add_adviser(SLOW_TIMING);
-    cell.has_slow_adviser = true;
-    cell.allowed = (0..allowed).map(|index| format!("w{index}")).collect();
-    cell.run_ms = FOR_EVER_MS;
-    cell.start_leader();
-    cell.run(200);
-    cell
-}
-
-/// Returns the number of runs on all workers that respond.
-fn runs(cell: &FakeCell) -> usize {
-    let up = cell.workers.values().filter(|worker| !worker.is_silent);
-    up.map(|worker| worker.runs.len()).sum()
-}
-
-/// Gives a worker another kind.
-fn set_kind(cell: &mut FakeCell, id: &str, kind: &str) {
-    let worker = cell.workers.get_mut(id);
-    worker.into_iter().for_each(|worker| worker.report.labels[0] = kind.to_owned());
-}
-
-/// Returns the id of the worker that runs the first task of a job.
-fn worker_of(cell: &FakeCell, id: &str) -> Option<String> {
-    let task = format!("{id}.0.0.0");
-    let runs_it = |name: &&String| cell.workers[*name].runs.iter().any(|run| run.task == task);
-    cell.workers.keys().find(runs_it).cloned()
-}
-
-/// Adds a queue with a service of its own name or of another.
-fn add_queue(cell: &mut FakeCell, name: &str, service: &str, advice: Option<AdviceTiming>) {
-    let queue = QueueConfig {
-        name: name.to_owned(),
-        service: service.to_owned(),
-        advice,
-        ..cell.config.queues["queue"].clone()
-    };
-    cell.reconfigure(|config| {
-        config.queues.insert(name.to_owned(), queue);
-    });
-}
-
-/// Creates a job of another queue.
-fn job_of(queue: &str, id: &str, steps: Vec<StepSpec>) -> JobRecord {
-    JobRecord { queue: queue.to_owned(), ..job(id, steps) }
-}
-
 /// Guards against calls about workers that run a sibling, which leave no time for the one that is back.
 #[test]
 fn a_lasting_task_runs_again_on_the_only_worker_without_a_sibling() {
