A suspect's calls name known workers after a few calls

Callers would see a task that had just started on a lost worker wait longer than it must: in a cell of 370 workers, of which the adviser allows 40 busy ones, it asked about all calmer workers first, 8 calls of 0.5 to 1.1 s each, while allowed workers with free capacity were known (test: 6.0 s from the loss to the start). From three responses in a row on a suspect may run on any worker, but its calls went on to name the calmest, and those that are known to be allowed were left out behind the first hundred that are not. Change: calls go by the same number of responses as placement does, and known workers are candidates wherever they are in the order. Result: a_suspect_starts_on_a_busy_worker_after_a_few_calls failed before ("8 calls") and passes (5 at most).

--- a/crates/cell/src/core/call_workers.rs
+++ b/crates/cell/src/core/call_workers.rs
@@ -29,7 +29,7 @@
 const ROTATION_STRIDE: usize = 7_919;
 
 /// Workers without tickets that a call could name, in order of preference.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct CallCandidates {
     /// Workers that may run a task once they have a ticket, and are known to be allowed.
     known: Vec<WorkerKey>,
@@ -54,7 +54,8 @@
             return Vec::new();
         }
         let has_suspect = self.has_waiting_suspect(phase);
-        let order = match has_suspect {
+        let needs_calm = has_suspect && hosts.needs_calm();
+        let order = match needs_calm {
             true => self.calmest_first(able),
             false => self.preferred_first(&hosts, able),
         };
@@ -62,7 +63,7 @@
         let candidates = call_candidates(&hosts, &order, call_ms);
         let reserved = self.reserved_for_fresh(&hosts, &candidates);
         let mut likely = [candidates.known.as_slice(), candidates.fresh.as_slice()].concat();
-        if has_suspect {
+        if needs_calm {
             // A suspect goes to a worker with few attempts, known or not.
             likely.sort_by_key(|key| self.workers[*key].attempts.len());
         }
@@ -173,15 +174,9 @@
 
 /// Returns those of some workers that a call could name: those without a ticket that is valid for some time.
 fn call_candidates(hosts: &StepHosts<'_>, order: &[WorkerKey], valid_ms: u64) -> CallCandidates {
-    let mut candidates = CallCandidates::default();
-    for key in order.iter().filter(|key| !hosts.has_ticket_for(**key, valid_ms)) {
-        match hosts.entry().allowed.contains_key(key) {
-            true => candidates.known.push(*key),
-            false => candidates.fresh.push(*key),
-        }
-        if candidates.fresh.len() >= MAX_WORKERS {
-            break;
-        }
-    }
-    candidates
+    let needs_call = order.iter().copied().filter(|key| !hosts.has_ticket_for(*key, valid_ms));
+    let (known, mut fresh): (Vec<WorkerKey>, Vec<WorkerKey>) =
+        needs_call.partition(|key| hosts.entry().allowed.contains_key(key));
+    fresh.truncate(MAX_WORKERS);
+    CallCandidates { known, fresh }
 }
--- a/crates/cell/src/core/probation.rs
+++ b/crates/cell/src/core/probation.rs
@@ -32,8 +32,6 @@
 const MIN_TICKETS: usize = 4;
 /// Number of attempts by which a suspect's worker may exceed the worker with the fewest.
 const MAX_EXTRA_ATTEMPTS: usize = 2;
-/// Number of the adviser's responses that lead to no start, from which a suspect goes to any worker.
-const MAX_CALM_CALLS: u32 = 3;
 
 impl CellCore {
     /// Returns whether a suspected task of a phase waits to be placed.
@@ -237,7 +235,7 @@
     /// necessary are left out, so that it is asked about the others, a few times.
     fn calm_hosts(&self, phase: PhaseRef, available: &AvailableWorkers) -> StepHosts<'_> {
         let hosts = StepHosts::new(self, phase);
-        if hosts.entry().fruitless_calls >= MAX_CALM_CALLS {
+        if !hosts.needs_calm() {
             return hosts;
         }
         let could_run = |key: &&WorkerKey| hosts.allows(**key, ExclusionSet::TO_START_WITH_TICKET);
--- a/crates/cell/src/core/step_hosts.rs
+++ b/crates/cell/src/core/step_hosts.rs
@@ -17,6 +17,8 @@
 /// Minimum remaining validity of a ticket when a task is placed, in milliseconds. It covers the
 /// commit and the start request.
 const TICKET_MARGIN_MS: u64 = 120;
+/// Number of the adviser's responses that lead to no start, from which a suspect goes to any worker.
+const MAX_CALM_CALLS: u32 = 3;
 
 /// What decides which workers may run the tasks of a step, as of one moment of a placement.
 #[derive(Debug)]
@@ -83,6 +85,11 @@
         self.needs_ticket
     }
 
+    /// Returns whether a suspect of the step still goes to calm workers alone.
+    pub(super) fn needs_calm(&self) -> bool {
+        self.entry.fruitless_calls < MAX_CALM_CALLS
+    }
+
     /// Returns whether the step's queue is kept apart from others.
     pub(super) fn is_kept_apart(&self) -> bool {
         self.is_kept_apart
--- a/crates/cell/tests/cell/where_suspects_run.rs
+++ b/crates/cell/tests/cell/where_suspects_run.rs
@@ -16,9 +16,10 @@
 
 /// Time within which every task starts that may, in milliseconds: a probation, and the calls that name all workers.
 const START_BOUND_MS: u64 = 20_000;
-
 /// Time in which a lease of 6 s expires on a slow clock, and what was released is placed, in milliseconds.
 const LEASES_MS: u64 = 7_000;
+/// Number of calls after which a suspect goes to any worker, and those that are under way meanwhile.
+const FEW_CALLS: usize = 5;
 
 /// Adds a queue without an adviser, and runs some of its tasks on each of the first workers.
 fn load_first_workers(cell: &mut FakeCell, workers: u32, tasks: u32) {
@@ -215,6 +216,19 @@
     assert!(worker_of(&cell, "7").is_some());
 }
 
+/// Guards against a suspect that waits until the adviser has been asked about each calmer worker.
+#[test]
+fn a_suspect_starts_on_a_busy_worker_after_a_few_calls() {
+    let mut cell = slowly_advised_cell(370, 40);
+    load_first_workers(&mut cell, 40, 5);
+    lose_worker_just_after_start(&mut cell, "1", lasting(1));
+    let calls = cell.advice_requests.len();
+    cell.run(START_BOUND_MS);
+    assert!(worker_of(&cell, "1").is_some());
+    let calls = cell.advice_requests.len() - calls;
+    assert!(calls <= FEW_CALLS, "{calls} calls");
+}
+
 /// Guards against marks of tasks that are kept apart which outlive a change of leader.
 #[test]
 fn a_step_starts_beside_tasks_that_a_former_leader_kept_apart() {
