Steps ask the adviser in the order of the backlog, one call in four by the longest waiting

Cause: any response counts as in vain that leads to no start at once, also one that allows workers which others take or which are full, and only a start resets the count. While a third of the workers are cut off that is true of most steps. Change: steps ask in the order of the backlog. One call in four is made by the step that has waited for the most calls of others, so that steps which ask again and again do not use the adviser up. Result: an_urgent_step_asks_first_although_it_has_asked_in_vain failed before and passes. Without turns, a_step_is_asked_about_while_others_ask_in_vain and the random cells with an adviser fail, as they should; with them they pass.

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -7,7 +7,10 @@
 //! later calls only renew the tickets of allowed workers.
 
 use {
-    super::{CellCore, available::AvailableWorkers, placement::PlacementOutcome},
+    super::{
+        CellCore, advance_calls::AdvanceCalls, available::AvailableWorkers,
+        placement::PlacementOutcome,
+    },
     crate::{
         AdviceCallKey, AdviceRequest, AdviceTiming, CellAction, WorkerKey, WorkerTicket,
         message::PhaseRef,
@@ -30,8 +33,6 @@
 const MAX_SHORT_CALLS: usize = 8;
 /// Maximum time for which a long call may be queued, in milliseconds.
 const LONG_WAIT_MS: u64 = 250;
-/// Number of steps for which long calls are made before the cell has free capacity for them.
-const PREFETCH_STEPS: usize = 4;
 /// Round-trip time to the adviser, in milliseconds.
 const CALL_OVERHEAD_MS: u64 = 4;
 /// A call without a response counts as lost after this multiple of its expected duration plus
@@ -42,13 +43,22 @@
 /// Time beyond the expected end of a call after which its step asks through another daemon as well, in
 /// milliseconds. Either response serves.
 const OVERDUE_MS: u64 = 200;
-/// Number of the adviser's responses that lead to no start, from which a step comes after others.
-const MAX_FRUITLESS_CALLS: u32 = 3;
 /// Assumed share of allowed workers before a queue has had a response.
 pub(super) const INITIAL_GRANT_RATE: f64 = 0.4;
 /// Weight of a new response in a queue's share of allowed workers.
 const GRANT_RATE_WEIGHT: f64 = 0.1;
 
+/// What became of a step that asks the adviser.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AskOutcome {
+    /// A call is in flight.
+    Asked,
+    /// No daemon is free for a call.
+    Busy,
+    /// There is no worker to ask about.
+    Pointless,
+}
+
 impl CellCore {
     pub(super) fn update_daemons(&mut self, ids: &[u64]) {
         self.daemons.retain(|daemon| ids.contains(&daemon.id));
@@ -85,7 +95,6 @@
         self.update_shares();
         self.end_segregation();
         self.begin_suspect_backlog();
-        let mut prefetch_left = PREFETCH_STEPS;
         let available = self.available_workers();
         let is_planned = |attempt: &&AttemptEntry| attempt.state == AttemptState::Persisting;
         let planned = self.attempts.values().filter(is_planned).count();
@@ -98,18 +107,51 @@
             }
         }
         incomplete.retain(|phase| self.phase(*phase).is_some());
-        incomplete.sort_by_key(|phase| self.advice_turn(*phase));
-        for phase in incomplete {
-            self.request_advice(phase, &available, &mut prefetch_left);
+        self.ask_adviser(&incomplete, &available);
+    }
+
+    /// Asks the adviser for steps that could not be placed, in the order of the backlog. The step whose turn it
+    /// is comes first, so that others which ask in vain again and again do not use the adviser up.
+    fn ask_adviser(&mut self, waiting: &[PhaseRef], available: &AvailableWorkers) {
+        if let Some(phase) = self.next_turn(waiting) {
+            let outcome = self.request_advice(phase, available, &mut AdvanceCalls::none());
+            self.finish_turn(phase, outcome);
+        }
+        let mut advance = AdvanceCalls::default();
+        for phase in waiting {
+            self.request_advice(*phase, available, &mut advance);
+        }
+    }
+
+    /// Returns the step whose turn it is, if one is due: the one without a call in flight that has waited for
+    /// the most calls of others.
+    fn next_turn(&mut self, waiting: &[PhaseRef]) -> Option<PhaseRef> {
+        let calls = self.advice_turns.calls();
+        for phase in waiting {
+            if let Some(entry) = self.phase_mut(*phase) {
+                entry.asked_at_call.get_or_insert(calls);
+            }
         }
+        let asked_at = |phase: &PhaseRef| {
+            let entry = self.phase(*phase).filter(|entry| entry.advice_call.is_none());
+            entry.and_then(|entry| Some((entry.asked_at_call?, *phase)))
+        };
+        let oldest = waiting.iter().filter_map(asked_at).min_by_key(|(calls, _)| *calls);
+        oldest.map(|(_, phase)| phase).filter(|_| self.advice_turns.is_due())
     }
 
-    /// Returns the order in which steps ask the adviser. Those that have asked in vain again and again come
-    /// last and take turns, so that they do not use it up.
-    fn advice_turn(&self, phase: PhaseRef) -> (bool, usize) {
-        let entry = self.phase(phase);
-        let in_vain = entry.filter(|entry| entry.fruitless_calls >= MAX_FRUITLESS_CALLS);
-        in_vain.map_or((false, 0), |entry| (true, entry.last_call))
+    /// Ends a step's turn, unless it still has to wait for a daemon.
+    fn finish_turn(&mut self, phase: PhaseRef, outcome: AskOutcome) {
+        match outcome {
+            AskOutcome::Asked => self.advice_turns.end_turn(),
+            AskOutcome::Pointless => {
+                let calls = self.advice_turns.calls();
+                if let Some(entry) = self.phase_mut(phase) {
+                    entry.asked_at_call = Some(calls);
+                }
+            }
+            AskOutcome::Busy => {}
+        }
     }
 
     fn advice_calls_where(&self, matches: impl Fn(&AdviceCallEntry) -> bool) -> Vec<AdviceCallKey> {
@@ -150,29 +192,28 @@
         &mut self,
         phase: PhaseRef,
         available: &AvailableWorkers,
-        prefetch_left: &mut usize,
-    ) {
-        let Some(timing) = self.advice_timing(phase) else { return };
+        advance: &mut AdvanceCalls,
+    ) -> AskOutcome {
+        let Some(timing) = self.advice_timing(phase) else { return AskOutcome::Pointless };
+        let is_long = timing.call_us / 1_000 >= LONG_CALL_MS;
         let present = self.jobs[phase.job].phases[phase.phase].advice_call;
         let present = present.and_then(|key| self.advice_calls.get(key));
         if present.is_some_and(|call| !self.is_overdue(call)) {
-            *prefetch_left = prefetch_left.saturating_sub(1);
-            return;
+            advance.record_call();
+            return AskOutcome::Asked;
         }
         let is_repeated = present.is_some();
-        let is_long = timing.call_us / 1_000 >= LONG_CALL_MS;
-        let may_prefetch = is_long && *prefetch_left > 0;
-        let Some(daemon) = self.pick_daemon(is_long) else { return };
+        let Some(daemon) = self.pick_daemon(is_long) else { return AskOutcome::Busy };
         if is_repeated && self.daemons[daemon].is_overdue {
             // Asking there once more would be of no use.
-            return;
+            return AskOutcome::Busy;
         }
-        let workers = self.workers_to_name(phase, available, may_prefetch);
+        let workers = self.workers_to_name(phase, available, advance.may_ask(is_long));
         if workers.is_empty() {
-            return;
+            return AskOutcome::Pointless;
         }
         let expected_ms = timing.duration_us(workers.len()) / 1_000 + CALL_OVERHEAD_MS;
-        *prefetch_left = prefetch_left.saturating_sub(1);
+        advance.record_call();
         let now_ms = self.time.now_ms;
         let call = AdviceCallEntry {
             phase,
@@ -184,6 +225,7 @@
             valid_ms: timing.valid_ms,
         };
         self.send_advice_request(daemon, call);
+        AskOutcome::Asked
     }
 
     /// Chooses the daemon that can serve a call first. A daemon whose calls take longer than
@@ -218,11 +260,11 @@
         let call = self.advice_calls.insert(call);
         let job = &mut self.jobs[job];
         job.phases[phase].advice_call = Some(call);
-        job.phases[phase].last_call = self.advice_call_count;
+        job.phases[phase].asked_at_call = Some(self.advice_turns.calls());
         let phase = job.phase_name(phase);
         let request = AdviceRequest { call, daemon, phase, workers, expected_ms };
         self.actions.push(CellAction::RequestAdvice(request));
-        self.advice_call_count += 1;
+        self.advice_turns.record_call();
     }
 
     /// Ends a call, and records the adviser's decisions if it responded.
--- a/crates/cell/src/core/call_workers.rs
+++ b/crates/cell/src/core/call_workers.rs
@@ -110,7 +110,7 @@
         }
         let rotated_count = suitable.len().div_ceil(ROTATED_SHARE);
         let rotated = &mut suitable[..rotated_count];
-        let rotation = self.advice_call_count * ROTATION_STRIDE;
+        let rotation = self.advice_turns.calls() * ROTATION_STRIDE;
         rotated.rotate_left(rotation.checked_rem(rotated.len()).unwrap_or(0));
         suitable.extend(mixed);
         suitable
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -7,7 +7,9 @@
 //! where a task may be running.
 
 mod admission;
+mod advance_calls;
 mod advice;
+mod advice_turns;
 mod attempts;
 mod available;
 mod backlog;
@@ -50,6 +52,7 @@
         },
     },
     admission::BacklogLoad,
+    advice_turns::AdviceTurns,
     commit::CommitQueue,
     expired_attempts::ExpiredAttempts,
     lease_bounds::LeaseBounds,
@@ -136,8 +139,7 @@
     started_ms: u64,
     /// Time at which every former leader was known to have ended.
     former_ended_ms: Option<u64>,
-    /// Number of calls to the adviser so far.
-    advice_call_count: usize,
+    advice_turns: AdviceTurns,
 }
 
 impl CellCore {
@@ -188,7 +190,7 @@
             last_placement_ms: 0,
             started_ms: 0,
             former_ended_ms: None,
-            advice_call_count: 0,
+            advice_turns: AdviceTurns::default(),
         }
     }
 
--- a/crates/cell/src/table/phase.rs
+++ b/crates/cell/src/table/phase.rs
@@ -42,8 +42,8 @@
     pub(crate) advice_call: Option<AdviceCallKey>,
     /// Number of the adviser's responses since a task was last placed.
     pub(crate) fruitless_calls: u32,
-    /// Number of calls of all steps before the last one.
-    pub(crate) last_call: usize,
+    /// Number of calls of all steps before the last one, or before the phase began to wait; `None` if it has not.
+    pub(crate) asked_at_call: Option<usize>,
     pub(crate) retry: PhaseRetry,
     /// Workers have been lost with tasks of the phase, so some may be suspected.
     pub(crate) has_losses: bool,
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -1,6 +1,7 @@
 //! The scheduler core against fake workers, a fake store and a fake adviser.
 
 mod advice;
+mod advice_order;
 mod capacity;
 mod crash_storms;
 mod crashes;
