Steps with short calls ask the adviser before there is capacity for them

Cause: a step without tickets asked only once there was free capacity for it, and while it waited for the response, steps that had tickets took that; only steps with long calls asked in advance.

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -199,7 +199,7 @@
         let present = self.jobs[phase.job].phases[phase.phase].advice_call;
         let present = present.and_then(|key| self.advice_calls.get(key));
         if present.is_some_and(|call| !self.is_overdue(call)) {
-            advance.record_call();
+            advance.record_call(is_long);
             return AskOutcome::Asked;
         }
         let is_repeated = present.is_some();
@@ -213,7 +213,7 @@
             return AskOutcome::Pointless;
         }
         let expected_ms = timing.duration_us(workers.len()) / 1_000 + CALL_OVERHEAD_MS;
-        advance.record_call();
+        advance.record_call(is_long);
         let now_ms = self.time.now_ms;
         let call = AdviceCallEntry {
             phase,
--- a/crates/cell/tests/cell/advice_order.rs
+++ b/crates/cell/tests/cell/advice_order.rs
@@ -3,7 +3,8 @@
 use {
     crate::support::{
         FakeCell, job,
-        layout::{FOR_EVER_MS, SLOW_TIMING, add_queue, job_of, lasting},
+        layout::{FOR_EVER_MS, QUICK_TIMING, SLOW_TIMING, add_queue, job_of, lasting},
+        step,
     },
     damaskrack_cell::{AdviceTiming, StepSpec},
 };
@@ -62,3 +63,19 @@
         cell.advice_requests[before..].iter().take(2).map(|call| call.phase.as_str()).collect();
     assert!(first.contains(&"1.0.0"), "{first:?} asked first");
 }
+
+/// Guards against an urgent step that asks only once there is free capacity, which others take meanwhile.
+#[test]
+fn a_step_with_short_calls_asks_before_there_is_capacity() {
+    let mut cell = cell_with_urgent_queue(4, QUICK_TIMING);
+    add_queue(&mut cell, "plain", "service", None);
+    cell.submit(job_of(
+        "plain",
+        "1",
+        vec![StepSpec { cpu_millis: WHOLE_WORKER_MILLIS, ..step(4) }],
+    ));
+    cell.run(200);
+    cell.submit(job("2", vec![step(1)]));
+    cell.run(200);
+    assert!(cell.advice_requests.iter().any(|request| request.phase == "2.0.0"));
+}
