The log says why a step waits, with workers by reason

From its second second of waiting on a step is logged every two seconds, four steps in half a second at most, with the number of workers that each reason keeps away, the same reasons by which it is placed. The event names the reason closest to a start, so the counters of events count by it; `damaskrack explain` shows the lines and what they mean. Tests: three of the core (counts by reason, steps that may run nowhere, a team's limit), one of the tool.

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -101,13 +101,15 @@
         let mut budget = self.request_window.planning_budget(planned, self.time.now_ms);
         let backlog = self.backlog();
         let mut incomplete = Vec::new();
-        for phase in self.first_suspects(&backlog).into_iter().chain(backlog) {
+        let first = self.first_suspects(&backlog);
+        for phase in first.into_iter().chain(backlog.iter().copied()) {
             if self.place_phase(phase, &available, &mut budget) == PlacementOutcome::Incomplete {
                 incomplete.push(phase);
             }
         }
         incomplete.retain(|phase| self.phase(*phase).is_some());
         self.ask_adviser(&incomplete, &available);
+        self.explain_waiting(&backlog);
     }
 
     /// Asks the adviser for steps that could not be placed, in the order of the backlog. The step whose turn it
@@ -293,7 +295,7 @@
     }
 
     /// Returns a phase, unless its job was removed or has ended.
-    fn phase_mut(&mut self, phase: PhaseRef) -> Option<&mut PhaseEntry> {
+    pub(super) fn phase_mut(&mut self, phase: PhaseRef) -> Option<&mut PhaseEntry> {
         self.jobs.get_mut(phase.job)?.phases.get_mut(phase.phase)
     }
 
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -35,6 +35,7 @@
 mod suspect_backlog;
 mod suspect_groups;
 mod suspect_queues;
+mod waiting_steps;
 mod worker_claims;
 mod worker_exclusion;
 mod worker_list;
@@ -131,6 +132,8 @@
     ready: VecDeque<AttemptKey>,
     /// Time from which the state of the request window may be logged again.
     window_log_due_ms: u64,
+    /// Time from which it may be logged again why steps wait.
+    explanation_due_ms: u64,
     actions: Vec<CellAction>,
     /// Something changed since the last placement that may allow tasks to be placed.
     is_placement_due: bool,
@@ -185,6 +188,7 @@
             stopping: Vec::new(),
             ready: VecDeque::new(),
             window_log_due_ms: 0,
+            explanation_due_ms: 0,
             actions: Vec::new(),
             is_placement_due: false,
             last_placement_ms: 0,
--- a/crates/cell/src/core/placement.rs
+++ b/crates/cell/src/core/placement.rs
@@ -234,6 +234,7 @@
         }
         let job = &mut self.jobs[phase.job];
         job.phases[phase.phase].fruitless_calls = 0;
+        job.phases[phase.phase].explained_ms = None;
         if job.state == JobState::Queued {
             job.state = JobState::Running;
         }
--- /dev/null
+++ b/crates/cell/src/core/waiting_steps.rs
@@ -0,0 +1,119 @@
+//! Why steps wait.
+//!
+//! A step that has waited for some time is logged with the number of workers that each reason keeps away,
+//! the same reasons as those by which it is placed. The event names the reason that is closest to a
+//! start, so that the counters of events show what most steps wait for.
+
+use {
+    super::{
+        CellCore, exclusion_set::ExclusionSet, step_hosts::StepHosts,
+        worker_exclusion::WorkerExclusion,
+    },
+    crate::message::PhaseRef,
+    std::fmt::Write,
+};
+
+/// Time that a step waits until it is logged, and between two lines about it, in milliseconds.
+const LINE_INTERVAL_MS: u64 = 2_000;
+/// Time between placements that log steps, in milliseconds.
+const ROUND_MS: u64 = 500;
+/// Maximum number of steps that such a placement logs.
+const MAX_LINES: usize = 4;
+
+/// Numbers of workers by the first reason for which they may not run a task of a step now.
+#[derive(Debug, Default)]
+struct ReasonCounts {
+    by_reason: [usize; WorkerExclusion::ALL.len()],
+    /// Number of workers that may run one.
+    able: usize,
+}
+
+impl ReasonCounts {
+    fn record(&mut self, reason: Option<WorkerExclusion>) {
+        match reason {
+            Some(reason) => self.by_reason[reason as usize] += 1,
+            None => self.able += 1,
+        }
+    }
+
+    /// Returns the reason that is closest to a start: the last one at which a worker is excluded.
+    fn closest(&self) -> Option<WorkerExclusion> {
+        let reasons = WorkerExclusion::ALL.into_iter().rev();
+        reasons.filter(|_| self.able == 0).find(|reason| self.by_reason[*reason as usize] > 0)
+    }
+
+    /// Returns the counts as the detail of a log entry.
+    fn detail(&self, tasks: usize) -> String {
+        let mut detail = format!("tasks={tasks} able={}", self.able);
+        let counted = WorkerExclusion::ALL.into_iter().zip(self.by_reason);
+        for (reason, count) in counted.filter(|(_, count)| *count > 0) {
+            // Writing to a string cannot fail.
+            let _ = write!(detail, " {reason:?}={count}");
+        }
+        detail
+    }
+}
+
+impl CellCore {
+    /// Logs why steps wait, those first that have not been logged for longest.
+    pub(super) fn explain_waiting(&mut self, waiting: &[PhaseRef]) {
+        let now_ms = self.time.now_ms;
+        if now_ms < self.explanation_due_ms {
+            return;
+        }
+        self.explanation_due_ms = now_ms + ROUND_MS;
+        let mut due = Vec::new();
+        for phase in waiting {
+            let Some(entry) = self.phase_mut(*phase).filter(|entry| entry.unassigned > 0) else {
+                continue;
+            };
+            let explained_ms = *entry.explained_ms.get_or_insert(now_ms);
+            if explained_ms + LINE_INTERVAL_MS <= now_ms {
+                due.push((explained_ms, *phase));
+            }
+        }
+        due.sort_by_key(|(explained_ms, _)| *explained_ms);
+        for (_, phase) in due.into_iter().take(MAX_LINES) {
+            self.explain_step(phase);
+        }
+    }
+
+    fn explain_step(&mut self, phase: PhaseRef) {
+        let counts = self.reason_counts(phase);
+        let event = self.wait_event(phase, &counts);
+        let job = &mut self.jobs[phase.job];
+        let entry = &mut job.phases[phase.phase];
+        entry.explained_ms = Some(self.time.now_ms);
+        let detail = counts.detail(entry.unassigned);
+        let name = job.phase_name(phase.phase);
+        self.log(event, name, detail);
+    }
+
+    /// Counts the workers by the reason for which they may not run a task of a step now.
+    fn reason_counts(&self, phase: PhaseRef) -> ReasonCounts {
+        let hosts = StepHosts::new(self, phase);
+        let mut counts = ReasonCounts::default();
+        for key in self.workers.keys() {
+            counts.record(hosts.exclusion(key, ExclusionSet::TO_START));
+        }
+        counts
+    }
+
+    /// Returns the event that names what a step waits for.
+    fn wait_event(&self, phase: PhaseRef, counts: &ReasonCounts) -> &'static str {
+        let entry = &self.jobs[phase.job].phases[phase.phase];
+        if self.is_gang(phase) && entry.unassigned < entry.unfinished {
+            return "step_waits_for_gang_members";
+        }
+        if !entry.retry.is_due(self.time.now_ms) {
+            return "step_waits_for_retry";
+        }
+        if self.within_limit(phase, 1) == 0 {
+            return "step_waits_for_team_limit";
+        }
+        match counts.closest() {
+            Some(reason) => reason.wait_event(),
+            None => "step_waits_for_places",
+        }
+    }
+}
--- a/crates/cell/src/core/worker_exclusion.rs
+++ b/crates/cell/src/core/worker_exclusion.rs
@@ -71,6 +71,26 @@
     pub(super) const OF_PREFERENCE: [Self; 4] =
         [Self::Segregation, Self::LongLease, Self::Rack, Self::Slowness];
 
+    /// Returns the log event of a step that waits for this reason to end.
+    pub(super) const fn wait_event(self) -> &'static str {
+        match self {
+            Self::Registration => "step_waits_for_registration",
+            Self::Lease => "step_waits_for_lease",
+            Self::Backoff => "step_waits_for_backoff",
+            Self::Service => "step_waits_for_service",
+            Self::Label => "step_waits_for_label",
+            Self::Capacity => "step_waits_for_capacity",
+            Self::Denial => "step_waits_for_other_workers",
+            Self::Ticket => "step_waits_for_ticket",
+            Self::Probation => "step_waits_for_probation",
+            Self::Limit => "step_waits_for_worker_limit",
+            Self::FreeCapacity => "step_waits_for_free_capacity",
+            Self::Segregation | Self::LongLease | Self::Rack | Self::Slowness | Self::Load => {
+                "step_waits_for_preference"
+            }
+        }
+    }
+
     /// Returns whether the reason yields if no other worker may run the task.
     pub(super) const fn is_soft(self) -> bool {
         match self {
--- a/crates/cell/src/table/phase.rs
+++ b/crates/cell/src/table/phase.rs
@@ -44,6 +44,8 @@
     pub(crate) fruitless_calls: u32,
     /// Number of calls of all steps before the last one, or before the phase began to wait; `None` if it has not.
     pub(crate) asked_at_call: Option<usize>,
+    /// Time at which it was last logged why the phase waits, or at which it began to wait.
+    pub(crate) explained_ms: Option<u64>,
     pub(crate) retry: PhaseRetry,
     /// Workers have been lost with tasks of the phase, so some may be suspected.
     pub(crate) has_losses: bool,
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -17,6 +17,7 @@
 mod pending;
 mod restarted_leases;
 mod support;
+mod waiting_steps;
 mod where_suspects_run;
 mod where_to_run;
 mod where_to_run_at_random;
--- a/crates/cli/src/job_timeline.rs
+++ b/crates/cli/src/job_timeline.rs
@@ -58,7 +58,11 @@
 
     /// Returns the most likely cause of a gap, from the events around it.
     pub(crate) fn likely_cause(before: &LogLine, after: &LogLine) -> &'static str {
-        match (before.event.as_str(), after.event.as_str()) {
+        let (before, after) = (before.event.as_str(), after.event.as_str());
+        if let Some(cause) = wait_cause(before).or_else(|| wait_cause(after)) {
+            return cause;
+        }
+        match (before, after) {
             ("job_taken" | "submit", "advice") => "the adviser was asked, or its askers were busy",
             ("advice", "advice" | "phase_placed") => {
                 "allowed workers had no room, or the team was at its limit"
@@ -82,3 +86,18 @@
         }
     }
 }
+
+/// Returns what a step waited for, if this event says so.
+fn wait_cause(event: &str) -> Option<&'static str> {
+    let reason = event.strip_prefix("step_waits_for_")?;
+    Some(match reason {
+        "free_capacity" => "allowed workers had no free capacity",
+        "ticket" => "the adviser had not allowed a worker yet",
+        "other_workers" => "the adviser denied all workers that could run it",
+        "label" | "service" | "capacity" => "no worker can run it: see the counts by reason",
+        "team_limit" => "the team was at its limit",
+        "gang_members" => "members of the gang were still running",
+        "places" => "there were too few places for the gang, or tests of suspects were under way",
+        _ => "no worker could take it then: see the counts by reason",
+    })
+}
--- a/crates/cli/tests/cli/explain.rs
+++ b/crates/cli/tests/cli/explain.rs
@@ -27,6 +27,14 @@
 {"msg":"job_ended","ts":"2026-02-01T00:00:16.900Z","host":"edge-b","detail":"state=Failed reason=a task crashed its workers","subject":"844365503ea47f00"}
 "#;
 
+/// A step waits for free capacity, and says so.
+const WAIT_LOG: &str = r#"
+{"msg":"job_taken","ts":"2026-02-01T00:00:00.100Z","host":"edge-b","detail":"queue=q team=t steps=1","subject":"844365503ea47f00"}
+{"msg":"step_waits_for_free_capacity","ts":"2026-02-01T00:00:02.300Z","host":"edge-b","detail":"tasks=3 able=0 Label=4 FreeCapacity=2","subject":"844365503ea47f00.0.0"}
+{"msg":"phase_placed","ts":"2026-02-01T00:00:04.100Z","host":"edge-b","detail":"tasks=3","subject":"844365503ea47f00.0.0"}
+{"msg":"job_ended","ts":"2026-02-01T00:00:05.100Z","host":"edge-b","detail":"state=Completed reason=every task is done","subject":"844365503ea47f00"}
+"#;
+
 fn explain(args: &[&str]) -> (Option<i32>, String) {
     explain_logs(args, [EDGE_LOG, LEADER_LOG])
 }
@@ -65,6 +73,16 @@
     assert!(text.contains(cause), "{text}");
 }
 
+#[test]
+fn a_timeline_shows_what_a_step_waited_for() {
+    let (code, text) = explain_logs(&["844365503ea47f00"], ["", WAIT_LOG]);
+    assert_eq!(code, Some(0));
+    assert!(text.contains("tasks=3 able=0 Label=4 FreeCapacity=2"), "{text}");
+    let cause =
+        "2200 ms between job_taken and step_waits_for_free_capacity: allowed workers had no";
+    assert!(text.contains(cause), "{text}");
+}
+
 #[test]
 fn a_timeline_can_be_printed_as_json() {
     let (code, text) = explain(&["844365503ea47f00", "--output", "json"]);
