Wait for a start that a listed incarnation may have carried out

Callers would see a task run twice: a start without a ticket is under way when its worker restarts, the next incarnation carries it out with the longest lease that it grants, and is cut off before it responds. Cause: the leader had seen the entry of the next incarnation, and released the attempt by the leases of the former one.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -74,6 +74,7 @@
             is_on_probation: false,
             has_begun: matches!(state, AttemptState::Running { .. }),
             is_start_settled: false,
+            may_run_on_next: false,
             is_address_stored: false,
             is_loss_recorded: false,
             sent_ms: 0,
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -58,7 +58,7 @@
         );
         worker.restart(incarnation, self.settings.max_worker_lease_ms);
         for attempt in worker.attempts.values() {
-            self.attempts[*attempt].is_start_settled = false;
+            self.attempts[*attempt].record_restart();
         }
         self.log("incarnation_switched", id, detail);
     }
@@ -166,10 +166,13 @@
     }
 
     pub(super) fn release_attempts(&mut self, key: WorkerKey, reason: &str) {
+        let attempts = self.workers[key].attempts.values().copied().collect();
+        self.release(key, attempts, reason);
+    }
+
+    fn release(&mut self, key: WorkerKey, attempts: Vec<AttemptKey>, reason: &str) {
         self.release_orphans(key);
-        let worker = &self.workers[key];
-        let id = worker.report.id.clone();
-        let attempts: Vec<AttemptKey> = worker.attempts.values().copied().collect();
+        let id = self.workers[key].report.id.clone();
         if !attempts.is_empty() {
             self.log("worker_empty", id, format!("reason={reason} attempts={}", attempts.len()));
         }
@@ -208,12 +211,32 @@
             .map(|(key, worker)| (key, worker.is_listed))
             .collect();
         for (key, is_listed) in expired {
+            let over = self.attempts_over(key);
+            let are_all_over = over.len() == self.workers[key].attempts.len();
+            if over.is_empty() && !are_all_over {
+                continue;
+            }
             self.record_losses(key, LossCause::LeaseExpiry);
             self.record_expiry(key);
-            match is_listed {
-                true => self.release_attempts(key, "leases lapsed"),
+            match is_listed || !are_all_over {
+                true => self.release(key, over, "leases lapsed"),
                 false => self.remove_worker(key, "leases lapsed, not listed"),
             }
         }
     }
+
+    /// Returns the attempts that no incarnation of a worker can be running once the leases have expired that
+    /// are known. One that has not been heard from may have carried out a start that was under way when the worker
+    /// restarted, and have granted the longest lease on it.
+    fn attempts_over(&self, key: WorkerKey) -> Vec<AttemptKey> {
+        let worker = &self.workers[key];
+        let longest_ms = longest_lease_ms(self.settings.max_worker_lease_ms);
+        let is_over = |key: &AttemptKey| match self.attempts[*key].unheard_start_until_ms() {
+            until_ms if until_ms > 0 && !worker.has_responded => {
+                until_ms + longest_ms <= self.time.now_ms
+            }
+            _ => true,
+        };
+        worker.attempts.values().copied().filter(is_over).collect()
+    }
 }
--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -67,6 +67,8 @@
     pub(crate) has_begun: bool,
     /// The present incarnation of the worker is known to have carried out the start.
     pub(crate) is_start_settled: bool,
+    /// Another incarnation of the worker, of which the leader knows, may have carried out the start.
+    pub(crate) may_run_on_next: bool,
     /// The job's row has the worker's address, because the worker was lost just after the start. A new
     /// leader can ask there even if the worker is no longer registered.
     pub(crate) is_address_stored: bool,
@@ -107,6 +109,23 @@
         self.is_start_settled |= self.start_tries <= 1;
     }
 
+    /// Records that the worker has restarted. Unless the former incarnation is known to have carried out the
+    /// start, the next one may, if it needs no ticket: those are of an incarnation.
+    pub(crate) fn record_restart(&mut self) {
+        let is_open = self.start_tries > 0 && !self.is_start_settled && !self.has_ticket;
+        self.may_run_on_next |= is_open;
+        self.is_start_settled = false;
+    }
+
+    /// Returns the time until which an incarnation that has not been heard from may begin the attempt; 0 if none
+    /// is known of that can.
+    pub(crate) fn unheard_start_until_ms(&self) -> u64 {
+        match self.may_run_on_next {
+            true => self.start_sent_ms + MAX_REQUEST_DELAY_MS,
+            false => 0,
+        }
+    }
+
     /// Returns the task that the attempt runs.
     pub(crate) fn task(&self) -> TaskRef {
         TaskRef { phase: self.phase, index: self.index }
--- a/crates/cell/tests/cell/restarted_leases.rs
+++ b/crates/cell/tests/cell/restarted_leases.rs
@@ -16,6 +16,9 @@
 /// Time in which any lease of a worker that does not respond has expired, in milliseconds.
 const LAPSE_MS: u64 = 2 * MAX_LEASE_MS;
 
+/// Time after which a request without a response is no longer carried out, in milliseconds.
+const LATE_START_MS: u64 = 15_000;
+
 /// Creates a cell whose only worker runs a task that lasts, with a renewal that has no response and a
 /// deadline on the worker's clock.
 fn cell_with_open_renewal() -> FakeCell {
@@ -247,6 +250,28 @@
     cell.run(LAPSE_MS);
 }
 
+/// Guards against a task that runs twice, because a start that was under way when its worker restarted was carried out
+/// by the next incarnation, which is listed and never heard from.
+#[test]
+fn a_start_under_way_when_its_worker_restarts_may_run_on_the_next_incarnation() {
+    let mut cell = FakeCell::new(1);
+    cell.run(FORMER_LIFE_MS);
+    cell.run_ms = 600_000;
+    let worker = cell.workers.get_mut("w0").expect("a worker");
+    (worker.defers_starts, worker.drops_stops) = (true, true);
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(50);
+    cell.reincarnate("w0");
+    cell.workers.get_mut("w0").expect("a worker").is_silent = true;
+    cell.list_workers();
+    assert!(!cell.run_deferred_starts("w0").is_empty());
+    assert_eq!(cell.workers["w0"].runs.len(), 1, "the task does not run");
+    cell.add_worker("w1", 1, "r0");
+    cell.list_workers();
+    cell.run(LATE_START_MS + LAPSE_MS);
+    assert_eq!(cell.workers["w1"].runs.len(), 1, "the task does not start elsewhere");
+}
+
 /// Guards against a task that runs twice, because a start for a former incarnation gave the next one, which is
 /// never heard from, a longer lease than the former one had.
 #[test]
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -81,6 +81,8 @@
     pub(crate) deferred_starts: Vec<LateRequest<StartRequest>>,
     /// Number of the next start requests that are treated so.
     pub(crate) defers_next_starts: usize,
+    /// Stop requests get no response and are not carried out.
+    pub(crate) drops_stops: bool,
     /// All start requests after a deferred one are refused.
     pub(crate) refuses_starts: bool,
     /// Renewals get no response and wait in `deferred_renewals`.
@@ -855,7 +857,8 @@
         let token = self.token_of(request.fence);
         let worker = self.workers.get_mut(&request.address).unwrap();
         let is_same = worker.report.id == request.worker_id;
-        let is_acknowledged = !worker.is_silent && is_same && token >= worker.token;
+        let is_heard = !worker.is_silent && !worker.drops_stops;
+        let is_acknowledged = is_heard && is_same && token >= worker.token;
         if is_acknowledged {
             worker.token = token;
             worker.fenced.insert((request.task.clone(), request.number));
