--- a/crates/cell/src/core/call_workers.rs
+++ b/crates/cell/src/core/call_workers.rs
@@ -8,7 +8,8 @@
 use {
     super::{
         CellCore, advice::INITIAL_GRANT_RATE, available::AvailableWorkers,
-        exclusion_set::ExclusionSet, step_hosts::StepHosts, worker_exclusion::WorkerExclusion,
+        exclusion_set::ExclusionSet, host_outlook::HostOutlook, step_hosts::StepHosts,
+        worker_exclusion::WorkerExclusion,
     },
     crate::{WorkerKey, message::PhaseRef},
 };
@@ -46,11 +47,10 @@
         may_prefetch: bool,
     ) -> Vec<WorkerKey> {
         let hosts = StepHosts::new(self, phase);
-        let available = available.of(hosts.service());
-        let may_run = |key: &WorkerKey| hosts.allows(*key, ExclusionSet::TO_START_WITH_TICKET);
-        let able: Vec<WorkerKey> = available.iter().copied().filter(may_run).collect();
+        let (able, later) = workers_by_outlook(&hosts, available.of(hosts.service()));
         let has_places = has_enough_places(&hosts, &able);
-        if !has_places && !may_prefetch {
+        let may_wait = may_prefetch && !(able.is_empty() && later.is_empty());
+        if !has_places && !may_wait {
             return Vec::new();
         }
         let has_suspect = self.has_waiting_suspect(phase);
@@ -69,8 +69,7 @@
         }
         let able = likely.len();
         if may_prefetch && !has_suspect {
-            let later = available.iter().rev().copied();
-            let later = later.filter(|key| !hosts.has_ticket(*key) && hosts.may_allow_later(*key));
+            let later = later.iter().rev().copied().filter(|key| !hosts.has_ticket(*key));
             likely.extend(later.take(MAX_WORKERS));
         }
         let count = self.likely_count(&hosts, phase, &likely).min(MAX_WORKERS - reserved);
@@ -158,6 +157,22 @@
     }
 }
 
+/// Returns the workers that may run a task of a step now once they have tickets, and those that may later.
+fn workers_by_outlook(
+    hosts: &StepHosts<'_>,
+    workers: &[WorkerKey],
+) -> (Vec<WorkerKey>, Vec<WorkerKey>) {
+    let (mut able, mut later) = (Vec::new(), Vec::new());
+    for key in workers {
+        match hosts.outlook(*key) {
+            HostOutlook::Now => able.push(*key),
+            HostOutlook::Later => later.push(*key),
+            HostOutlook::Never => {}
+        }
+    }
+    (able, later)
+}
+
 /// Returns whether a step could be placed if there were tickets for all of some workers. Only a gang needs
 /// more than one place.
 fn has_enough_places(hosts: &StepHosts<'_>, workers: &[WorkerKey]) -> bool {
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -18,6 +18,7 @@
 mod completion;
 mod exclusion_set;
 mod expired_attempts;
+mod host_outlook;
 mod jobs;
 mod lease_bounds;
 mod leases;
--- a/crates/cell/src/core/step_hosts.rs
+++ b/crates/cell/src/core/step_hosts.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        CellCore, exclusion_set::ExclusionSet, worker_exclusion::WorkerExclusion,
-        worker_speed::is_slow,
+        CellCore, exclusion_set::ExclusionSet, host_outlook::HostOutlook,
+        worker_exclusion::WorkerExclusion, worker_speed::is_slow,
     },
     crate::{
         ResourceSet, StepSpec, WorkerKey,
@@ -118,14 +118,10 @@
         entry.is_none_or(|entry| self.is_excluded(worker, entry, reason))
     }
 
-    /// Returns whether an available worker may run a task of the step only once tasks that it runs have
-    /// ended. Those of a service do not end.
-    pub(super) fn may_allow_later(&self, worker: WorkerKey) -> bool {
-        match self.exclusion(worker, ExclusionSet::TO_START_WITH_TICKET) {
-            Some(WorkerExclusion::Probation | WorkerExclusion::FreeCapacity) => true,
-            Some(WorkerExclusion::Limit) => !self.step.is_service,
-            _ => false,
-        }
+    /// Returns when an available worker of the step's service may run a task once it has a ticket.
+    pub(super) fn outlook(&self, worker: WorkerKey) -> HostOutlook {
+        let exclusion = self.exclusion(worker, ExclusionSet::TO_START_WITH_TICKET);
+        HostOutlook::of(exclusion, self.step.is_service)
     }
 
     /// Returns whether a reason holds for a worker, which has this entry.
