--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -8,8 +8,8 @@
 
 use {
     super::{
-        CellCore, advance_calls::AdvanceCalls, available::AvailableWorkers,
-        placement::PlacementOutcome,
+        CellCore, advance_calls::AdvanceCalls, ask_outcome::AskOutcome,
+        available::AvailableWorkers, placement::PlacementOutcome,
     },
     crate::{
         AdviceCallKey, AdviceRequest, AdviceTiming, CellAction, WorkerKey, WorkerTicket,
@@ -48,17 +48,6 @@
 /// Weight of a new response in a queue's share of allowed workers.
 const GRANT_RATE_WEIGHT: f64 = 0.1;
 
-/// What became of a step that asks the adviser.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum AskOutcome {
-    /// A call is in flight.
-    Asked,
-    /// No daemon is free for a call.
-    Busy,
-    /// There is no worker to ask about.
-    Pointless,
-}
-
 impl CellCore {
     pub(super) fn update_daemons(&mut self, ids: &[u64]) {
         self.daemons.retain(|daemon| ids.contains(&daemon.id));
--- a/crates/cell/src/core/waiting_steps.rs
+++ b/crates/cell/src/core/waiting_steps.rs
@@ -6,11 +6,9 @@
 
 use {
     super::{
-        CellCore, exclusion_set::ExclusionSet, step_hosts::StepHosts,
-        worker_exclusion::WorkerExclusion,
+        CellCore, exclusion_set::ExclusionSet, reason_counts::ReasonCounts, step_hosts::StepHosts,
     },
     crate::message::PhaseRef,
-    std::fmt::Write,
 };
 
 /// Time that a step waits until it is logged, and between two lines about it, in milliseconds.
@@ -20,40 +18,6 @@
 /// Maximum number of steps that such a placement logs.
 const MAX_LINES: usize = 4;
 
-/// Numbers of workers by the first reason for which they may not run a task of a step now.
-#[derive(Debug, Default)]
-struct ReasonCounts {
-    by_reason: [usize; WorkerExclusion::ALL.len()],
-    /// Number of workers that may run one.
-    able: usize,
-}
-
-impl ReasonCounts {
-    fn record(&mut self, reason: Option<WorkerExclusion>) {
-        match reason {
-            Some(reason) => self.by_reason[reason as usize] += 1,
-            None => self.able += 1,
-        }
-    }
-
-    /// Returns the reason that is closest to a start: the last one at which a worker is excluded.
-    fn closest(&self) -> Option<WorkerExclusion> {
-        let reasons = WorkerExclusion::ALL.into_iter().rev();
-        reasons.filter(|_| self.able == 0).find(|reason| self.by_reason[*reason as usize] > 0)
-    }
-
-    /// Returns the counts as the detail of a log entry.
-    fn detail(&self, tasks: usize) -> String {
-        let mut detail = format!("tasks={tasks} able={}", self.able);
-        let counted = WorkerExclusion::ALL.into_iter().zip(self.by_reason);
-        for (reason, count) in counted.filter(|(_, count)| *count > 0) {
-            // Writing to a string cannot fail.
-            let _ = write!(detail, " {reason:?}={count}");
-        }
-        detail
-    }
-}
-
 impl CellCore {
     /// Logs why steps wait, those first that have not been logged for longest.
     pub(super) fn explain_waiting(&mut self, waiting: &[PhaseRef]) {
