--- a/crates/cell/tests/cell/crashes.rs
+++ b/crates/cell/tests/cell/crashes.rs
@@ -370,3 +370,16 @@
     cell.run(20_000);
     assert_eq!(cell.state("1"), Some(JobState::Completed));
 }
+
+/// Guards against a task that crashes workers without end, because requests to them time out instead of breaking, so
+/// that none of the crashes counts.
+#[test]
+fn a_task_that_crashes_workers_whose_requests_time_out_is_given_up() {
+    let mut cell = FakeCell::new(12);
+    cell.has_timeouts = true;
+    cell.run(200);
+    cell.make_crashing("1");
+    cell.submit(job("1", vec![step(1)]));
+    cell.run(90_000);
+    assert_given_up(&cell, 5);
+}
