A gang that its team's limit holds back says so: one check for placement and the log

Read again: the log had checks of its own beside those of placement, and one differed. Placement takes all members of a gang or none within the team's limit; the log asked whether one task fits, so a gang of which a part fits was logged as waiting for places. Both ask has_running_members and placeable_tasks now, as does the placement of suspected gangs. What is placed does not change. a_gang_of_which_its_teams_limit_allows_a_part_says_so failed before ("step_waits_for_places") and passes.

--- a/crates/cell/src/core/placement.rs
+++ b/crates/cell/src/core/placement.rs
@@ -85,7 +85,7 @@
         if *budget == 0 || !entry.retry.is_due(self.time.now_ms) {
             return PlacementOutcome::Blocked;
         }
-        if is_gang && entry.unassigned < entry.unfinished {
+        if self.has_running_members(phase) {
             return PlacementOutcome::Blocked;
         }
         if !entry.has_losses {
@@ -120,8 +120,8 @@
         let is_gang = self.is_gang(phase);
         // The members of a gang are sent together, even if the window is smaller.
         let wanted = if is_gang { count } else { count.min(*budget) };
-        let allowed = self.within_limit(phase, wanted);
-        if allowed == 0 || (is_gang && allowed < wanted) {
+        let allowed = self.placeable_tasks(phase, wanted);
+        if allowed == 0 {
             return PlacementOutcome::Blocked;
         }
         let hosts = StepHosts::new(self, phase);
@@ -146,6 +146,20 @@
         }
     }
 
+    /// Returns whether members of a gang are still running, so that it cannot be placed as a whole.
+    pub(super) fn has_running_members(&self, phase: PhaseRef) -> bool {
+        let entry = &self.jobs[phase.job].phases[phase.phase];
+        self.is_gang(phase) && entry.unassigned < entry.unfinished
+    }
+
+    /// Returns how many of `wanted` tasks of a step may be placed within the team's limit: of a gang, all or none.
+    pub(super) fn placeable_tasks(&self, phase: PhaseRef, wanted: usize) -> usize {
+        match self.within_limit(phase, wanted) {
+            allowed if allowed < wanted && self.is_gang(phase) => 0,
+            allowed => allowed,
+        }
+    }
+
     /// Returns how many of `wanted` tasks of a step the team's limit allows.
     pub(super) fn within_limit(&self, phase: PhaseRef, wanted: usize) -> usize {
         let job = &self.jobs[phase.job];
--- a/crates/cell/src/core/probation.rs
+++ b/crates/cell/src/core/probation.rs
@@ -169,7 +169,7 @@
         let tasks = &self.jobs[phase.job].phases[phase.phase].tasks;
         let members: Vec<usize> =
             (0..tasks.len()).filter(|index| tasks[*index].is_waiting()).collect();
-        let is_allowed = self.within_limit(phase, members.len()) == members.len();
+        let is_allowed = self.placeable_tasks(phase, members.len()) == members.len();
         if !self.has_probation_worker() || !is_allowed {
             return PlacementOutcome::Blocked;
         }
--- a/crates/cell/src/core/waiting_steps.rs
+++ b/crates/cell/src/core/waiting_steps.rs
@@ -66,13 +66,13 @@
     /// Returns the event that names what a step waits for.
     fn wait_event(&self, phase: PhaseRef, counts: &ReasonCounts) -> &'static str {
         let entry = &self.jobs[phase.job].phases[phase.phase];
-        if self.is_gang(phase) && entry.unassigned < entry.unfinished {
+        if self.has_running_members(phase) {
             return "step_waits_for_gang_members";
         }
         if !entry.retry.is_due(self.time.now_ms) {
             return "step_waits_for_retry";
         }
-        if self.within_limit(phase, 1) == 0 {
+        if self.placeable_tasks(phase, entry.unassigned) == 0 {
             return "step_waits_for_team_limit";
         }
         match counts.closest() {
--- a/crates/cell/tests/cell/waiting_steps.rs
+++ b/crates/cell/tests/cell/waiting_steps.rs
@@ -24,6 +24,15 @@
     cell
 }
 
+/// Gives the team a limit with room for one small task.
+fn limit_team(cell: &mut FakeCell) {
+    let limit = ResourceSet { cpu_millis: 700, memory_mb: 4_096, accelerators: 0 };
+    cell.reconfigure(|config| {
+        let team = TeamConfig { limit, ..TeamConfig::default() };
+        config.teams.insert("team".to_owned(), team);
+    });
+}
+
 /// Returns the events and details of the lines that say why a step waits.
 fn waits_of(cell: &mut FakeCell, step: &str) -> Vec<(&'static str, String)> {
     let lines = cell.take_logs().into_iter();
@@ -69,11 +78,7 @@
 #[test]
 fn a_step_that_waits_for_its_teams_limit_says_so_until_it_starts() {
     let mut cell = cell_of_two_kinds();
-    let limit = ResourceSet { cpu_millis: 700, memory_mb: 4_096, accelerators: 0 };
-    cell.reconfigure(|config| {
-        let team = TeamConfig { limit, ..TeamConfig::default() };
-        config.teams.insert("team".to_owned(), team);
-    });
+    limit_team(&mut cell);
     cell.submit(job_of("plain", "1", vec![lasting(2)]));
     cell.run(LOGGED_AFTER_MS);
     let waits = waits_of(&mut cell, "1.0.0");
@@ -86,3 +91,14 @@
     cell.run(LOGGED_AFTER_MS);
     assert_eq!(waits_of(&mut cell, "1.0.0"), []);
 }
+
+/// Guards against a gang that its team's limit holds back as a whole, and that passes for one without places.
+#[test]
+fn a_gang_of_which_its_teams_limit_allows_a_part_says_so() {
+    let mut cell = cell_of_two_kinds();
+    limit_team(&mut cell);
+    cell.submit(job_of("plain", "1", vec![StepSpec { is_gang: true, ..lasting(3) }]));
+    cell.run(LOGGED_AFTER_MS);
+    let waits = waits_of(&mut cell, "1.0.0");
+    assert_eq!(waits.first().map(|wait| wait.0), Some("step_waits_for_team_limit"));
+}
