--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -185,11 +185,12 @@
         }
     }
 
-    /// Remembers the attempts on a worker whose leases have expired.
-    fn record_expiry(&mut self, key: WorkerKey) {
+    /// Remembers attempts that are released because their worker's leases have expired.
+    fn record_expiry(&mut self, key: WorkerKey, released: &[AttemptKey]) {
         let worker = &self.workers[key];
         let incarnation = (worker.report.id.as_str(), worker.report.incarnation);
-        for (task, number) in worker.attempts.keys() {
+        let attempts = worker.attempts.iter().filter(|(_, attempt)| released.contains(attempt));
+        for ((task, number), _) in attempts {
             self.expired_attempts.record(incarnation, task.clone(), *number, self.time.now_ms);
         }
     }
@@ -217,10 +218,10 @@
                 continue;
             }
             self.record_losses(key, LossCause::LeaseExpiry);
-            self.record_expiry(key);
-            match is_listed || !are_all_over {
-                true => self.release(key, over, "leases lapsed"),
-                false => self.remove_worker(key, "leases lapsed, not listed"),
+            self.record_expiry(key, &over);
+            match are_all_over && !is_listed {
+                true => self.remove_worker(key, "leases lapsed, not listed"),
+                false => self.release(key, over, "leases lapsed"),
             }
         }
     }
@@ -231,11 +232,10 @@
     fn attempts_over(&self, key: WorkerKey) -> Vec<AttemptKey> {
         let worker = &self.workers[key];
         let longest_ms = longest_lease_ms(self.settings.max_worker_lease_ms);
-        let is_over = |key: &AttemptKey| match self.attempts[*key].unheard_start_until_ms() {
-            until_ms if until_ms > 0 && !worker.has_responded => {
-                until_ms + longest_ms <= self.time.now_ms
-            }
-            _ => true,
+        let is_over = |attempt: &AttemptKey| {
+            let until_ms = self.attempts[*attempt].unheard_start_until_ms();
+            worker.has_responded
+                || until_ms.is_none_or(|until_ms| until_ms + longest_ms <= self.time.now_ms)
         };
         worker.attempts.values().copied().filter(is_over).collect()
     }
--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -117,13 +117,15 @@
         self.is_start_settled = false;
     }
 
-    /// Returns the time until which an incarnation that has not been heard from may begin the attempt; 0 if none
-    /// is known of that can.
-    pub(crate) fn unheard_start_until_ms(&self) -> u64 {
-        match self.may_run_on_next {
-            true => self.start_sent_ms + MAX_REQUEST_DELAY_MS,
-            false => 0,
-        }
+    /// Returns the time until which an incarnation that has not been heard from may begin the attempt, if the
+    /// leader knows of one that may.
+    pub(crate) fn unheard_start_until_ms(&self) -> Option<u64> {
+        self.may_run_on_next.then(|| self.last_start_until_ms())
+    }
+
+    /// Returns the time until which the last start request may be carried out.
+    fn last_start_until_ms(&self) -> u64 {
+        self.start_sent_ms + MAX_REQUEST_DELAY_MS
     }
 
     /// Returns the task that the attempt runs.
@@ -141,7 +143,7 @@
     /// incarnation of the worker; 0 if none can be.
     pub(crate) fn unsettled_until_ms(&self) -> u64 {
         match self.start_tries > 0 && !self.is_start_settled {
-            true => self.start_sent_ms + MAX_REQUEST_DELAY_MS,
+            true => self.last_start_until_ms(),
             false => 0,
         }
     }
