Look for the step whose turn it is only when one is due; accessors of phases beside the jobs

Read again: each placement searched all waiting steps for the one that has waited longest, also when no turn was due. phase and phase_mut are used by more than the advice, and stand with the jobs. The tests of where steps run share how a queue is made suspected and how an adviser's timing is changed, which stood twice and three times.

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -14,9 +14,7 @@
     crate::{
         AdviceCallKey, AdviceRequest, AdviceTiming, CellAction, WorkerKey, WorkerTicket,
         message::PhaseRef,
-        table::{
-            AdviceCallEntry, AttemptEntry, AttemptState, DaemonEntry, PhaseEntry, TicketEntry,
-        },
+        table::{AdviceCallEntry, AttemptEntry, AttemptState, DaemonEntry, TicketEntry},
     },
     rustc_hash::FxHashSet,
 };
@@ -123,12 +121,14 @@
                 entry.asked_at_call.get_or_insert(calls);
             }
         }
-        let asked_at = |phase: &PhaseRef| {
-            let entry = self.phase(*phase).filter(|entry| entry.advice_call.is_none());
-            entry.and_then(|entry| Some((entry.asked_at_call?, *phase)))
+        if !self.advice_turns.is_due() {
+            return None;
+        }
+        let may_ask = |phase: &&PhaseRef| {
+            self.phase(**phase).is_some_and(|entry| entry.advice_call.is_none())
         };
-        let oldest = waiting.iter().filter_map(asked_at).min_by_key(|(calls, _)| *calls);
-        oldest.map(|(_, phase)| phase).filter(|_| self.advice_turns.is_due())
+        let asked_at_call = |phase: &&PhaseRef| self.phase(**phase)?.asked_at_call;
+        waiting.iter().filter(may_ask).min_by_key(asked_at_call).copied()
     }
 
     /// Ends a step's turn, unless it still has to wait for a daemon.
@@ -278,16 +278,6 @@
         Some(call)
     }
 
-    /// Returns a phase, unless its job was removed or has ended.
-    fn phase(&self, phase: PhaseRef) -> Option<&PhaseEntry> {
-        self.jobs.get(phase.job)?.phases.get(phase.phase)
-    }
-
-    /// Returns a phase, unless its job was removed or has ended.
-    pub(super) fn phase_mut(&mut self, phase: PhaseRef) -> Option<&mut PhaseEntry> {
-        self.jobs.get_mut(phase.job)?.phases.get_mut(phase.phase)
-    }
-
     fn record_advice(&mut self, call: &AdviceCallEntry, allowed: &[WorkerTicket]) {
         let Some(job) = self.jobs.get_mut(call.phase.job) else { return };
         let Some(entry) = job.phases.get_mut(call.phase.phase) else { return };
--- a/crates/cell/src/core/jobs.rs
+++ b/crates/cell/src/core/jobs.rs
@@ -6,7 +6,7 @@
         CellAction, JobCaller, JobKey, JobOwner, JobRecord, JobState, PhaseProgress,
         ProgressRecord, TaskProgress,
         message::{PhaseRef, TaskRef},
-        table::{AfterCommit, AttemptState, JobEntry, JobRow},
+        table::{AfterCommit, AttemptState, JobEntry, JobRow, PhaseEntry},
     },
 };
 
@@ -244,4 +244,14 @@
             self.stop_job(key);
         }
     }
+
+    /// Returns a phase, unless its job was removed or has ended.
+    pub(super) fn phase(&self, phase: PhaseRef) -> Option<&PhaseEntry> {
+        self.jobs.get(phase.job)?.phases.get(phase.phase)
+    }
+
+    /// Returns a phase, unless its job was removed or has ended.
+    pub(super) fn phase_mut(&mut self, phase: PhaseRef) -> Option<&mut PhaseEntry> {
+        self.jobs.get_mut(phase.job)?.phases.get_mut(phase.phase)
+    }
 }
--- a/crates/cell/src/core/reason_counts.rs
+++ b/crates/cell/src/core/reason_counts.rs
@@ -21,8 +21,11 @@
 
     /// Returns the reason that is closest to a start: the last one at which a worker is excluded.
     pub(super) fn closest(&self) -> Option<WorkerExclusion> {
-        let reasons = WorkerExclusion::ALL.into_iter().rev();
-        reasons.filter(|_| self.able == 0).find(|reason| self.by_reason[*reason as usize] > 0)
+        if self.able > 0 {
+            return None;
+        }
+        let mut reasons = WorkerExclusion::ALL.into_iter().rev();
+        reasons.find(|reason| self.by_reason[*reason as usize] > 0)
     }
 
     /// Returns the counts as the detail of a log entry.
--- a/crates/cell/tests/cell/support/layout.rs
+++ b/crates/cell/tests/cell/support/layout.rs
@@ -72,3 +72,21 @@
 pub(crate) fn job_of(queue: &str, id: &str, steps: Vec<StepSpec>) -> JobRecord {
     JobRecord { queue: queue.to_owned(), ..job(id, steps) }
 }
+
+/// Changes the timing of the advisers of all queues.
+pub(crate) fn set_advice(cell: &mut FakeCell, timing: AdviceTiming) {
+    cell.reconfigure(|config| {
+        config.queues.values_mut().for_each(|queue| queue.advice = Some(timing));
+    });
+}
+
+/// Loses workers just after starts of a queue's tasks, so that the queue is kept apart.
+pub(crate) fn make_queue_suspected(cell: &mut FakeCell, queue: &str, ids: [&str; 2]) {
+    cell.crashing.down_ms = 800;
+    for id in ids {
+        cell.submit(job_of(queue, id, vec![StepSpec { cpu_millis: 500, ..step(1) }]));
+        cell.run(50);
+        worker_of(cell, id).into_iter().for_each(|worker| cell.crash(&worker));
+        cell.run(1_000);
+    }
+}
--- a/crates/cell/tests/cell/where_suspects_run.rs
+++ b/crates/cell/tests/cell/where_suspects_run.rs
@@ -6,8 +6,8 @@
     crate::support::{
         FakeCell, OTHER_LEASES_MS, job,
         layout::{
-            FOR_EVER_MS, QUICK_TIMING, SLOW_TIMING, add_queue, job_of, lasting, runs, set_kind,
-            slowly_advised_cell, worker_of,
+            FOR_EVER_MS, QUICK_TIMING, SLOW_TIMING, add_queue, job_of, lasting,
+            make_queue_suspected, runs, set_advice, set_kind, slowly_advised_cell, worker_of,
         },
         step,
     },
@@ -63,9 +63,7 @@
 fn a_suspect_gang_starts_again_where_the_adviser_allows_it_alone() {
     for timing in [QUICK_TIMING, SLOW_TIMING] {
         let mut cell = slowly_advised_cell(24, 4);
-        cell.reconfigure(|config| {
-            config.queues.values_mut().for_each(|queue| queue.advice = Some(timing));
-        });
+        set_advice(&mut cell, timing);
         load_first_workers(&mut cell, 4, 3);
         let gang = StepSpec { is_gang: true, max_per_worker: 1, ..lasting(3) };
         lose_worker_just_after_start(&mut cell, "1", gang);
@@ -93,9 +91,7 @@
     for valid_ms in [600, 900, 1_500] {
         let mut cell = slowly_advised_cell(12, 6);
         let timing = AdviceTiming { valid_ms, ..SLOW_TIMING };
-        cell.reconfigure(|config| {
-            config.queues.values_mut().for_each(|queue| queue.advice = Some(timing));
-        });
+        set_advice(&mut cell, timing);
         load_first_workers(&mut cell, 6, 1);
         for id in 10..22 {
             cell.submit(job(&id.to_string(), vec![lasting(1)]));
@@ -124,17 +120,6 @@
     assert!(worker_of(&cell, "1").is_some());
 }
 
-/// Loses workers just after starts of a queue's tasks, so that the queue is kept apart.
-fn make_queue_suspected(cell: &mut FakeCell, queue: &str, ids: [&str; 2]) {
-    cell.crashing.down_ms = 800;
-    for id in ids {
-        cell.submit(job_of(queue, id, vec![StepSpec { cpu_millis: 500, ..step(1) }]));
-        cell.run(50);
-        worker_of(cell, id).into_iter().for_each(|worker| cell.crash(&worker));
-        cell.run(1_000);
-    }
-}
-
 /// Creates a cell in which two queues are kept apart, each with a lasting task on `w6` and on `w7`. The adviser of a
 /// third one allows these two alone.
 fn cell_with_two_suspected_queues() -> FakeCell {
--- a/crates/cell/tests/cell/where_to_run.rs
+++ b/crates/cell/tests/cell/where_to_run.rs
@@ -4,8 +4,8 @@
     crate::support::{
         FakeCell, job,
         layout::{
-            FOR_EVER_MS, QUICK_TIMING, SLOW_TIMING, add_queue, job_of, lasting, runs, set_kind,
-            slowly_advised_cell, worker_of,
+            FOR_EVER_MS, QUICK_TIMING, SLOW_TIMING, add_queue, job_of, lasting,
+            make_queue_suspected, runs, set_advice, set_kind, slowly_advised_cell, worker_of,
         },
         step,
     },
@@ -91,9 +91,7 @@
     for wait_ms in (0..2_000).step_by(100) {
         let mut cell = slowly_advised_cell(3, 4);
         let timing = AdviceTiming { valid_ms: 600, ..SLOW_TIMING };
-        cell.reconfigure(|config| {
-            config.queues.values_mut().for_each(|queue| queue.advice = Some(timing));
-        });
+        set_advice(&mut cell, timing);
         let limited = StepSpec { is_gang: true, max_per_worker: 1, ..lasting(4) };
         cell.submit(job("1", vec![limited]));
         cell.run(2_000 + wait_ms);
@@ -157,13 +155,7 @@
     cell.list_workers();
     add_queue(&mut cell, "other", "service", Some(QUICK_TIMING));
     cell.run(200);
-    cell.crashing.down_ms = 800;
-    for id in ["1", "2"] {
-        cell.submit(job(id, vec![StepSpec { cpu_millis: 500, ..step(1) }]));
-        cell.run(50);
-        worker_of(&cell, id).into_iter().for_each(|worker| cell.crash(&worker));
-        cell.run(1_000);
-    }
+    make_queue_suspected(&mut cell, "queue", ["1", "2"]);
     cell.run_ms = FOR_EVER_MS;
     let beside_data = StepSpec { max_per_worker: 1, data_rack: "r3".to_owned(), ..lasting(2) };
     cell.submit(job("3", vec![beside_data]));
