--- a/crates/cell/tests/cell/where_to_run_at_random.rs
+++ b/crates/cell/tests/cell/where_to_run_at_random.rs
@@ -5,6 +5,7 @@
     crate::support::{FakeCell, job, random_numbers, step},
     damaskrack_cell::{AdviceTiming, JobRecord, QueueConfig, StepSpec, WaitPolicy},
     quickcheck::QuickCheck,
+    std::panic::{self, AssertUnwindSafe},
 };
 
 /// Number of random cells of each kind.
@@ -136,11 +137,24 @@
 
 /// Returns whether every task of a random cell starts where and when it may.
 fn starts_all(seed: u64, has_adviser: bool) -> bool {
-    let waiting = RandomCell::new(random_numbers(seed), has_adviser).waiting_in_the_end();
-    if !waiting.is_empty() {
-        eprintln!("seed {seed}: {waiting:?} could run and do not");
+    ends_without_waiting(seed, RandomCell::new(random_numbers(seed), has_adviser))
+}
+
+/// Returns whether no task of a random cell waits in the end that could run, and prints the seed otherwise, also if
+/// the fake cell panics.
+fn ends_without_waiting(seed: u64, cell: RandomCell<impl FnMut(u64) -> u64>) -> bool {
+    let run = panic::catch_unwind(AssertUnwindSafe(|| cell.waiting_in_the_end()));
+    match run {
+        Ok(waiting) if waiting.is_empty() => true,
+        Ok(waiting) => {
+            eprintln!("seed {seed}: {waiting:?} could run and do not");
+            false
+        }
+        Err(cause) => {
+            eprintln!("seed {seed}: a rule is broken");
+            panic::resume_unwind(cause)
+        }
     }
-    waiting.is_empty()
 }
 
 fn starts_all_without_adviser(seed: u32) -> bool {
@@ -153,8 +167,9 @@
 
 /// Returns whether every task of a random cell starts although steps wait for better workers.
 fn starts_all_after_waits(seed: u32) -> bool {
-    let cell = RandomCell::new(random_numbers(u64::from(seed)), seed.is_multiple_of(2));
-    cell.waiting_by_choice().waiting_in_the_end().is_empty()
+    let seed = u64::from(seed);
+    let cell = RandomCell::new(random_numbers(seed), seed.is_multiple_of(2));
+    ends_without_waiting(seed, cell.waiting_by_choice())
 }
 
 /// Checks a property for random seeds.
