Log by which bound each attempt is released

The logs did not tell by which way an attempt was released without an end, and for expired leases not which bound was over and which incarnation had given it; after a stop, a refusal or a list without the attempt there was no line at all.

Change: each release has a ReleaseCause, expired leases with a LeaseLimit, and is logged as attempt_released. worker_empty has cause= and listed= in place of the texts in reason=. Listed ends are not logged. No change of logic.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -1,7 +1,7 @@
 //! Requests to start and stop attempts, and their outcomes.
 
 use {
-    super::{CellCore, request_window::RequestEnd},
+    super::{CellCore, release_cause::ReleaseCause, request_window::RequestEnd},
     crate::{
         AttemptKey, CellAction, JobKey, JobState, StartOutcome, StartRefusal, StartRequest,
         StopRequest, WorkerKey,
@@ -256,7 +256,7 @@
     /// Drops an attempt that no worker can have begun, and stops any other.
     fn give_up_start(&mut self, key: AttemptKey) {
         if self.attempts[key].start_tries == 0 {
-            return self.drop_attempt(key);
+            return self.drop_attempt(key, ReleaseCause::Unsent);
         }
         self.attempts[key].state = AttemptState::Uncertain;
         self.stop_attempt(key);
@@ -306,7 +306,7 @@
         }
         match self.attempts[key].start_tries {
             // The refused request was the only one.
-            0 | 1 => self.drop_attempt(key),
+            0 | 1 => self.drop_attempt(key, ReleaseCause::Refused),
             _ => self.give_up_start(key),
         }
     }
--- a/crates/cell/src/core/commit.rs
+++ b/crates/cell/src/core/commit.rs
@@ -1,7 +1,7 @@
 //! Commits: transactions that write the rows of as many changed jobs as fit.
 
 use {
-    super::CellCore,
+    super::{CellCore, release_cause::ReleaseCause},
     crate::{
         AttemptKey, COMMIT_LANES, CellAction, CellSettings, CommitRequest, JobKey, JobOwner,
         JobState, ProgressRecord, RejectedJob,
@@ -273,7 +273,9 @@
     fn withdraw_job_row(&mut self, key: JobKey) {
         let tasks = self.jobs[key].phases.iter().flat_map(|phase| &phase.tasks);
         let attempts: Vec<AttemptKey> = tasks.filter_map(|task| task.attempt).collect();
-        attempts.into_iter().for_each(|attempt| self.drop_attempt(attempt));
+        attempts
+            .into_iter()
+            .for_each(|attempt| self.drop_attempt(attempt, ReleaseCause::RowRejected));
         self.jobs[key].job_row = JobRow::Removed;
     }
 
--- a/crates/cell/src/core/completion.rs
+++ b/crates/cell/src/core/completion.rs
@@ -1,7 +1,7 @@
 //! Ends of attempts, and their effects on tasks and jobs.
 
 use {
-    super::CellCore,
+    super::{CellCore, release_cause::ReleaseCause},
     crate::{
         AttemptKey, EndKind, JobState,
         message::PhaseRef,
@@ -37,7 +37,8 @@
 
     /// Removes an attempt that never ran or whose end was not reported, so that its task can be
     /// placed again.
-    pub(super) fn drop_attempt(&mut self, key: AttemptKey) {
+    pub(super) fn drop_attempt(&mut self, key: AttemptKey, cause: ReleaseCause) {
+        self.log_release(key, cause);
         let Some(attempt) = self.remove_attempt(key) else { return };
         if self.settings.features.admission && !attempt.has_begun {
             self.undo_class_start(attempt.phase);
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -1,7 +1,7 @@
 //! Lease renewals, whose responses also report running and ended attempts.
 
 use {
-    super::{CellCore, losses::LossCause},
+    super::{CellCore, losses::LossCause, release_cause::ReleaseCause},
     crate::{
         AttemptKey, CellAction, EndKind, EndedAttempt, RenewOutcome, RenewRequest, RenewResponse,
         RunningAttempt, WorkerKey,
@@ -221,7 +221,7 @@
                 worker.has_accepted_token = false;
                 worker.lease.forget_clock();
                 self.record_losses(key, LossCause::Crash);
-                self.release_attempts(key, "another worker has its address");
+                self.release_attempts(key, ReleaseCause::Replaced);
             }
             RenewOutcome::Fenced if is_overtaken => worker.next_renew_ms = now_ms,
             RenewOutcome::Fenced => {
@@ -434,7 +434,11 @@
                 let ran_ms = self.time.now_ms - since_ms;
                 self.log_attempt("attempt_vanished", attempt, &format!("ran_ms={ran_ms}"));
             }
-            self.drop_attempt(attempt);
+            let cause = match self.attempts[attempt].state {
+                AttemptState::StopAcknowledged { .. } => ReleaseCause::Stopped,
+                _ => ReleaseCause::Unlisted,
+            };
+            self.drop_attempt(attempt, cause);
         }
     }
 }
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -43,6 +43,7 @@
 mod probation;
 mod queue_run_times;
 mod reason_counts;
+mod release_cause;
 mod request_window;
 mod reservations;
 mod room_hosts;
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -1,7 +1,7 @@
 //! Registration, removal and lease expiry of workers.
 
 use {
-    super::{CellCore, losses::LossCause},
+    super::{CellCore, losses::LossCause, release_cause::ReleaseCause},
     crate::{
         AttemptKey, CellSettings, TaskProgress, WorkerKey, WorkerReport,
         table::{WorkerEntry, WorkerLease, longest_lease_ms},
@@ -157,8 +157,8 @@
     }
 
     /// Removes a worker on which nothing can be running any more.
-    fn remove_worker(&mut self, key: WorkerKey, reason: &str) {
-        self.release_attempts(key, reason);
+    fn remove_worker(&mut self, key: WorkerKey, cause: ReleaseCause) {
+        self.release_attempts(key, cause);
         if let Some(worker) = self.workers.remove(key)
             && self.worker_ids.get(&worker.report.id) == Some(&key)
         {
@@ -168,23 +168,29 @@
         }
     }
 
-    pub(super) fn release_attempts(&mut self, key: WorkerKey, reason: &str) {
+    pub(super) fn release_attempts(&mut self, key: WorkerKey, cause: ReleaseCause) {
         let attempts = self.workers[key].attempts.values().copied().collect();
-        self.release(key, attempts, reason);
+        self.release(key, attempts, cause);
     }
 
-    fn release(&mut self, key: WorkerKey, attempts: Vec<AttemptKey>, reason: &str) {
+    fn release(&mut self, key: WorkerKey, attempts: Vec<AttemptKey>, cause: ReleaseCause) {
         self.release_orphans(key);
         let id = self.workers[key].report.id.clone();
         if !attempts.is_empty() {
-            self.log("worker_empty", id, format!("reason={reason} attempts={}", attempts.len()));
+            let is_listed = self.workers[key].is_listed;
+            let count = attempts.len();
+            self.log(
+                "worker_empty",
+                id,
+                format!("cause={cause:?} listed={is_listed} attempts={count}"),
+            );
         }
         for attempt in attempts {
             let phase = self.attempts[attempt].phase;
             if let Some(entry) = self.jobs[phase.job].phases.get_mut(phase.phase) {
                 entry.retry.delay_once(self.time.now_ms);
             }
-            self.drop_attempt(attempt);
+            self.drop_attempt(attempt, cause);
         }
     }
 
@@ -220,11 +226,12 @@
             if over.is_empty() && !are_all_over {
                 continue;
             }
+            let cause = ReleaseCause::LeaseExpiry(self.workers[key].lease_limit());
             self.record_losses(key, LossCause::LeaseExpiry);
             self.record_expiry(key, &over);
             match are_all_over && !is_listed {
-                true => self.remove_worker(key, "leases lapsed, not listed"),
-                false => self.release(key, over, "leases lapsed"),
+                true => self.remove_worker(key, cause),
+                false => self.release(key, over, cause),
             }
         }
     }
--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -152,6 +152,12 @@
         }
     }
 
+    /// Returns the number of start requests of which another incarnation of the worker may carry one out; 0 if
+    /// it can carry out none.
+    pub(crate) fn open_starts(&self, now_ms: u64) -> u32 {
+        if self.may_start_elsewhere(now_ms) { self.start_tries } else { 0 }
+    }
+
     /// Returns for how long the attempt ran until its worker was lost, in milliseconds, if this leader
     /// started it.
     pub(crate) fn ran_until(&self, lost_ms: u64) -> Option<u64> {
--- a/crates/cell/src/table/mod.rs
+++ b/crates/cell/src/table/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod chosen_wait;
 mod job;
+mod lease_limit;
 mod log_estimate;
 mod loss;
 mod phase;
@@ -19,6 +20,7 @@
     attempt::{AttemptEntry, AttemptState},
     chosen_wait::ChosenWait,
     job::{AfterCommit, JobEntry, JobRow, JobRowChange},
+    lease_limit::LeaseLimit,
     log_estimate::{LogEstimate, restored_variance, stored_variance},
     loss::LossEntry,
     phase::{AttemptLocation, PhaseEntry, StepRatio, TicketEntry},
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -1,7 +1,7 @@
 //! Workers.
 
 use {
-    super::{WorkerFence, WorkerLease, WorkerSpeed},
+    super::{LeaseLimit, WorkerFence, WorkerLease, WorkerSpeed},
     crate::{AttemptKey, ResourceSet, WorkerReport},
     rustc_hash::FxHashMap,
 };
@@ -210,6 +210,21 @@
         self.has_responded && !self.has_accepted_fence
     }
 
+    /// Returns whether the incarnation refuses all requests to a former one.
+    pub(crate) fn has_accepted_fence(&self) -> bool {
+        self.has_accepted_fence
+    }
+
+    /// Returns what bounds the leases on the worker.
+    pub(crate) fn lease_limit(&self) -> LeaseLimit {
+        match (self.lease.is_bound_by_others(), self.has_accepted_fence) {
+            (false, _) => LeaseLimit::Deadline,
+            (true, true) => LeaseLimit::OtherRequests,
+            (true, false) if self.lease.is_inherited() => LeaseLimit::FormerLeaders,
+            (true, false) => LeaseLimit::FormerIncarnation,
+        }
+    }
+
     /// Returns whether requests to former incarnations have given the present one no lease that outlasts one of
     /// `lease_ms` milliseconds which is extended now, and can give it none any more.
     pub(crate) fn has_bounded_leases(&self, now_ms: u64, lease_ms: u64) -> bool {
--- a/crates/cell/src/table/worker_lease.rs
+++ b/crates/cell/src/table/worker_lease.rs
@@ -131,6 +131,22 @@
         Some(deadline)
     }
 
+    /// Returns whether the leases that other requests were granted can expire later than those that this
+    /// leader asked for.
+    pub(crate) fn is_bound_by_others(&self) -> bool {
+        self.own_expiry_ms() < self.other_expiry_ms
+    }
+
+    /// Returns whether the other leases are those of former leaders, to which the worker may still respond.
+    pub(crate) fn is_inherited(&self) -> bool {
+        self.is_inherited
+    }
+
+    /// Returns the age of the last reading of the worker's clock, in milliseconds; `None` if there is none.
+    pub(crate) fn reading_age_ms(&self, now_ms: u64) -> Option<u64> {
+        self.clock.map(|reading| now_ms.saturating_sub(reading.at_ms))
+    }
+
     /// Returns by how much the worker's clock may be slow since it was read, in milliseconds.
     pub(crate) fn drift_ms(&self, now_ms: u64) -> u64 {
         let age_ms = self.clock.map_or(0, |reading| now_ms.saturating_sub(reading.at_ms));
@@ -150,10 +166,14 @@
 
     /// Returns the time at which all leases have expired if the worker does not respond again.
     pub(crate) fn expiry_ms(&self) -> u64 {
-        let own = self.clock.map_or(0, |reading| {
+        self.own_expiry_ms().max(self.other_expiry_ms)
+    }
+
+    /// Returns the time at which the leases have expired that this leader asked for.
+    fn own_expiry_ms(&self) -> u64 {
+        self.clock.map_or(0, |reading| {
             let left = self.deadline_ms.saturating_sub(reading.clock_ms);
             reading.at_ms + longest_lease_ms(left)
-        });
-        own.max(self.other_expiry_ms)
+        })
     }
 }
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -19,6 +19,7 @@
 mod pending;
 mod place_wait;
 mod preemption;
+mod release_causes;
 mod restarted_leases;
 mod support;
 mod waiting_steps;
