Tests of starts without a ticket that a later incarnation carries out

A test for each way to release such an attempt, and for what a remedy must not cost:

- released, and then carried out by a later incarnation: stop acknowledged; several restarts; listed end `failed`; repetition refused; another process at the address; leases expired while the worker is listed; the run lost with a restart, and another one after; takeover before an answer; takeover after a repetition; takeover after the release; member of a gang.
Random cells with single late starts, restarts and takeovers.
- not to be lost: a worker that is gone holds no task; the same worker runs the task at once; a worker that leaves, or answers no start, holds it for 15 s at most; a start with a ticket holds nothing.

The fakes: late requests know when they were sent, so that a test can drop those that are too old, and a run can be ended by a test.

--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -21,6 +21,7 @@
 mod preemption;
 mod release_causes;
 mod restarted_leases;
+mod starts_without_ticket;
 mod support;
 mod waiting_steps;
 mod where_suspects_run;
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -39,6 +39,8 @@
 pub(crate) const MAX_LEASE_MS: u64 = 10_000;
 /// Time after a worker's first response in which the leases of other requests have expired, in milliseconds.
 pub(crate) const OTHER_LEASES_MS: u64 = 11_000;
+/// Time after which a request without a response is no longer carried out, in milliseconds.
+pub(crate) const MAX_REQUEST_DELAY_MS: u64 = 15_000;
 /// Capacity of a fake worker.
 pub(crate) const CAPACITY: ResourceSet =
     ResourceSet { cpu_millis: 4_000, memory_mb: 4_096, accelerators: 0 };
@@ -56,6 +58,7 @@
 /// A request that had no response and is carried out late.
 #[derive(Debug)]
 pub(crate) struct LateRequest<R> {
+    sent_ms: u64,
     /// The fencing token that it was sent with.
     token: u64,
     pub(crate) request: R,
@@ -626,7 +629,8 @@
                 let attempt = request.attempt;
                 let token = self.token_of(request.fence);
                 let worker = self.workers.get_mut(&request.address).unwrap();
-                worker.deferred_starts.push(LateRequest { token, request });
+                let sent_ms = self.now_ms;
+                worker.deferred_starts.push(LateRequest { sent_ms, token, request });
                 CellInput::StartFinished { attempt, outcome: StartOutcome::Unknown }
             }
             CellAction::Stop(request) => {
@@ -806,7 +810,8 @@
         }
         if worker.defers_next_starts > 0 || worker.defers_starts {
             worker.defers_next_starts = worker.defers_next_starts.saturating_sub(1);
-            worker.deferred_starts.push(LateRequest { token, request });
+            let sent_ms = self.now_ms;
+            worker.deferred_starts.push(LateRequest { sent_ms, token, request });
             self.apply(CellInput::StartFinished { attempt, outcome: StartOutcome::Unknown });
             return;
         }
@@ -865,6 +870,20 @@
         StartOutcome::Started
     }
 
+    /// Drops the deferred start requests of a worker that are too old to be carried out, and those of tasks whose ends
+    /// are acknowledged.
+    pub(crate) fn expire_deferred_starts(&mut self, id: &str) {
+        let now_ms = self.now_ms;
+        let is_done = |late: &LateRequest<StartRequest>| self.done.contains_key(&late.request.task);
+        let late = &mut self.workers.get_mut(id).unwrap().deferred_starts;
+        late.retain(|late| now_ms < late.sent_ms + MAX_REQUEST_DELAY_MS && !is_done(late));
+    }
+
+    /// Ends the first run of a worker.
+    pub(crate) fn end_first_run(&mut self, id: &str, kind: EndKind) {
+        self.workers.get_mut(id).unwrap().end(0, kind, self.now_ms);
+    }
+
     /// Processes the deferred start requests of a worker.
     pub(crate) fn run_deferred_starts(&mut self, id: &str) -> Vec<StartOutcome> {
         let late = std::mem::take(&mut self.workers.get_mut(id).unwrap().deferred_starts);
@@ -924,7 +943,8 @@
         let token = self.token_of(request.fence);
         let worker = self.workers.get_mut(&request.address).unwrap();
         let outcome = if worker.defers_renewals {
-            worker.deferred_renewals.push(LateRequest { token, request: request.clone() });
+            let (sent_ms, request) = (self.now_ms, request.clone());
+            worker.deferred_renewals.push(LateRequest { sent_ms, token, request });
             RenewOutcome::Unknown
         } else if worker.is_silent {
             RenewOutcome::Unknown
