Core tests: failures.rs by subject

789 lines with 44 tests of all parts of the core, in the order in which their faults were found, made it hard to see what was covered. They are in seven files by what they are about. The tests are unchanged; the harness lists the same 265 names before and after.

--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -1,16 +1,20 @@
 //! The scheduler core against fake workers, a fake store and a fake adviser.
 
+mod acknowledged_ends;
 mod admission;
 mod advice;
 mod advice_order;
+mod advised_starts;
+mod allowed_workers;
 mod capacity;
 mod contention;
 mod crash_storms;
 mod crashes;
-mod failures;
 mod incarnations;
 mod inherited_leases;
+mod job_lifecycle;
 mod load;
+mod lost_workers;
 mod narrow_link;
 mod odd_entries;
 mod odd_rows;
@@ -23,6 +27,8 @@
 mod restarted_leases;
 mod starts_without_ticket;
 mod support;
+mod takeovers;
+mod unanswered_starts;
 mod waiting_steps;
 mod where_suspects_run;
 mod where_to_run;
