A task whose start without a ticket may be late runs on the same worker only

A start request without a ticket has no response; its task is released in one of a dozen ways and runs elsewhere; a later incarnation of the first worker carries the request out, up to 15 s after it was sent.

Cause: every way of release concludes from what it knows of *one* incarnation (a stop, an end, a lease, a restart), and nothing in the request names an incarnation. A later one can be told only once it is there.

Change: the task is bound to the worker's id for as long as the request may be carried out (core/bound_tasks.rs). - table/start_requests.rs is all that is known of an attempt's start requests: what is_start_settled, may_run_on_next and unsettled_until_ms were, and which requests without a ticket are open: in flight or without a response. A response closes its own copy only. - remove_attempt, the only place where attempts leave the tables, binds the task. A bound task starts only on that worker, once the present incarnation has accepted a higher fence or has acknowledged the stop of the attempt, and runs no orphan of the task. Three lost attempts in a row at most, so that a worker which answers no start holds a task for some 16 s and not for ever. A successor counts 15 s from the former leader's end. A single request that a silent worker with an unchanged entry may have got counts as answered, as before: inherited_leases.rs asks for that. - Starts with tickets are never open: no write, no wait, no pass over tasks for these.

Left as it is: attempts_over still keeps an attempt on a worker that is known to have restarted and is not heard. Released and bound it would no longer count against the team's limit while it may run. Only its state has moved into StartRequests.

Two tests of before ask for what this forbids, and are replaced by ones that are as strict: - unanswered_starts::a_start_carried_out_late_is_fenced_by_its_stop wanted the task done elsewhere within 4 s while its worker goes on losing all starts. That is the situation of a_start_may_run_on_the_next_incarnation_after_its_stop_was_acknowledged, where it ran twice. The worker responds again now, the late starts are refused and the task is done within the same 4 s; for a worker that answers no start a_task_with_a_lost_start_runs_elsewhere_once_that_is_too_old has the bound. - where_suspects_run::a_task_whose_start_was_under_way_starts_elsewhere_when_the_leases_expire wanted the same of a worker lost for good whose entry stays for ever.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -6,7 +6,7 @@
         AttemptKey, CellAction, JobKey, JobState, StartOutcome, StartRefusal, StartRequest,
         StopRequest, WorkerKey,
         message::PhaseRef,
-        table::{AttemptEntry, AttemptState},
+        table::{AfterCommit, AttemptEntry, AttemptState, StartRequests},
     },
 };
 
@@ -74,15 +74,10 @@
             is_gang_member,
             is_on_probation: false,
             has_begun: matches!(state, AttemptState::Running { .. }),
-            is_start_settled: false,
-            may_run_on_next: false,
+            start: StartRequests::default(),
             is_address_stored: false,
             is_loss_recorded: false,
             sent_ms: 0,
-            start_sent_ms: 0,
-            start_tries: 0,
-            has_ticket: false,
-            start_fence: 0,
             preempted_ms: None,
             stop_due_ms: 0,
             stop_tries: 0,
@@ -180,16 +175,14 @@
         let attempt = &mut self.attempts[key];
         attempt.state = AttemptState::Sent;
         attempt.sent_ms = now_ms;
-        attempt.start_sent_ms = now_ms;
-        attempt.start_tries += 1;
-        attempt.start_fence = worker.fence.number_for_start();
-        attempt.has_ticket = !ticket.is_empty();
+        let fence = worker.fence.number_for_start();
+        attempt.start.send(fence, !ticket.is_empty(), now_ms);
         self.actions.push(CellAction::Start(StartRequest {
             attempt: key,
             address: worker.report.address.clone(),
             worker_id: worker.report.id.clone(),
             incarnation: worker.report.incarnation,
-            fence: attempt.start_fence,
+            fence,
             task: job.task_name(phase.phase, attempt.index),
             number: attempt.number,
             payload: (!job.record.has_stored_payload).then(|| job.payload.clone()),
@@ -206,6 +199,7 @@
         let is_answered = outcome != StartOutcome::Unknown;
         self.request_window.finish(RequestEnd::of(is_answered, sent_ms), now_ms);
         let Some(attempt) = self.attempts.get_mut(key) else { return };
+        attempt.start.finish(is_answered);
         let worker = &mut self.workers[attempt.worker];
         match outcome {
             StartOutcome::Started => {
@@ -230,7 +224,7 @@
     fn repeat_start(&mut self, key: AttemptKey) {
         let now_ms = self.time.now_ms;
         let attempt = &self.attempts[key];
-        let (tries, state, phase) = (attempt.start_tries, attempt.state, attempt.phase);
+        let (tries, state, phase) = (attempt.start.tries, attempt.state, attempt.phase);
         let is_wanted = !attempt.is_gang_aborted;
         let worker = &mut self.workers[attempt.worker];
         worker.unanswered_starts += 1;
@@ -245,17 +239,27 @@
         }
         if is_wanted && is_responsive && tries < MAX_START_TRIES {
             self.log_attempt("start_repeated", key, "");
-            self.ready.push_front(key);
-            return;
+            return self.queue_repetition(key);
         }
         self.jobs[phase.job].phases[phase.phase].retry.delay(now_ms);
         self.log_attempt("start_unanswered", key, "");
         self.give_up_start(key);
     }
 
+    /// Sends another request to start an attempt, once the job's row tells that there are several.
+    fn queue_repetition(&mut self, key: AttemptKey) {
+        let attempt = &mut self.attempts[key];
+        if !attempt.start.needs_row_to_repeat() {
+            return self.ready.push_front(key);
+        }
+        attempt.start.is_repeated = true;
+        let job = attempt.phase.job;
+        self.mark_dirty(job, Some(AfterCommit::Send(key)));
+    }
+
     /// Drops an attempt that no worker can have begun, and stops any other.
     fn give_up_start(&mut self, key: AttemptKey) {
-        if self.attempts[key].start_tries == 0 {
+        if self.attempts[key].start.tries == 0 {
             return self.drop_attempt(key, ReleaseCause::Unsent);
         }
         self.attempts[key].state = AttemptState::Uncertain;
@@ -268,13 +272,13 @@
         let attempt = &self.attempts[key];
         let (phase, worker) = (attempt.phase, attempt.worker);
         let is_overtaken = refusal == StartRefusal::Fenced
-            && self.workers[worker].fence.supersedes(attempt.start_fence);
+            && self.workers[worker].fence.supersedes(attempt.start.fence);
         if is_overtaken
             && attempt.state == AttemptState::Sent
-            && attempt.start_tries < MAX_START_TRIES
+            && attempt.start.tries < MAX_START_TRIES
         {
             // A later request to the worker was carried out first.
-            return self.ready.push_front(key);
+            return self.queue_repetition(key);
         }
         if refusal != StartRefusal::Unsent {
             // The worker responded.
@@ -284,7 +288,7 @@
             StartRefusal::Ticket => {
                 let entry = &mut self.jobs[phase.job].phases[phase.phase];
                 entry.allowed.remove(&worker);
-                if !attempt.has_ticket {
+                if !attempt.start.has_ticket {
                     // The adviser of the queue is not known.
                     entry.retry.delay_once(now_ms);
                 }
@@ -304,7 +308,7 @@
             }
             StartRefusal::Stale | StartRefusal::Invalid => {}
         }
-        match self.attempts[key].start_tries {
+        match self.attempts[key].start.tries {
             // The refused request was the only one.
             0 | 1 => self.drop_attempt(key, ReleaseCause::Refused),
             _ => self.give_up_start(key),
--- a/crates/cell/src/core/chosen_waits.rs
+++ b/crates/cell/src/core/chosen_waits.rs
@@ -295,7 +295,7 @@
         self.run_ms_at(phase, hosts, worker) as u64
     }
 
-    fn is_service_step(&self, phase: PhaseRef) -> bool {
+    pub(super) fn is_service_step(&self, phase: PhaseRef) -> bool {
         let job = &self.jobs[phase.job];
         job.record.steps[job.phases[phase.phase].step].is_service
     }
--- a/crates/cell/src/core/commit.rs
+++ b/crates/cell/src/core/commit.rs
@@ -225,6 +225,7 @@
                 address,
                 has_bounded_leases: attempt.incarnation == worker.report.incarnation
                     && self.has_bounded_leases(worker),
+                has_open_start: attempt.start.is_repeated,
             })
         };
         let started = job.phases.iter().filter(|phase| phase.has_started());
--- a/crates/cell/src/core/completion.rs
+++ b/crates/cell/src/core/completion.rs
@@ -10,9 +10,13 @@
 };
 
 impl CellCore {
-    /// Removes an attempt from all tables.
-    fn remove_attempt(&mut self, key: AttemptKey) -> Option<AttemptEntry> {
+    /// Removes an attempt from all tables. Unless its task is done, that may start again where the attempt may
+    /// still start.
+    fn remove_attempt(&mut self, key: AttemptKey, is_task_done: bool) -> Option<AttemptEntry> {
         let attempt = self.attempts.remove(key)?;
+        if !is_task_done {
+            self.bind_task(&attempt);
+        }
         let job = &mut self.jobs[attempt.phase.job];
         let name = job.task_name(attempt.phase.phase, attempt.index);
         let phase = &mut job.phases[attempt.phase.phase];
@@ -22,7 +26,8 @@
             phase.unassigned += usize::from(!task.is_done);
         }
         let worker = &mut self.workers[attempt.worker];
-        worker.unsettled_until_ms = worker.unsettled_until_ms.max(attempt.unsettled_until_ms());
+        worker.unsettled_until_ms =
+            worker.unsettled_until_ms.max(attempt.start.unsettled_until_ms());
         worker.kept_apart -= usize::from(attempt.is_kept_apart);
         worker.gang_members -= usize::from(attempt.is_gang_member);
         worker.probations -= usize::from(attempt.is_on_probation);
@@ -39,7 +44,7 @@
     /// placed again.
     pub(super) fn drop_attempt(&mut self, key: AttemptKey, cause: ReleaseCause) {
         self.log_release(key, cause);
-        let Some(attempt) = self.remove_attempt(key) else { return };
+        let Some(attempt) = self.remove_attempt(key, false) else { return };
         if self.settings.features.admission && !attempt.has_begun {
             self.undo_class_start(attempt.phase);
         }
@@ -49,8 +54,9 @@
 
     /// Applies an end that the worker reported.
     pub(super) fn end_attempt(&mut self, key: AttemptKey, kind: EndKind, checkpoint: &str) {
-        let Some(attempt) = self.remove_attempt(key) else { return };
-        let phase = attempt.phase;
+        let Some(phase) = self.attempts.get(key).map(|attempt| attempt.phase) else { return };
+        let is_task_done = kind == EndKind::Done && !self.is_service_step(phase);
+        let Some(attempt) = self.remove_attempt(key, is_task_done) else { return };
         if !checkpoint.is_empty() {
             self.keep_checkpoint(phase, attempt.index, checkpoint);
         }
--- a/crates/cell/src/core/jobs.rs
+++ b/crates/cell/src/core/jobs.rs
@@ -9,7 +9,7 @@
         CellAction, JobCaller, JobKey, JobOwner, JobRecord, JobState, PhaseProgress,
         ProgressRecord, TaskProgress,
         message::{PhaseRef, TaskRef},
-        table::{AfterCommit, AttemptState, JobEntry, JobRow, PhaseEntry},
+        table::{AfterCommit, AttemptState, JobEntry, JobRow, PhaseEntry, StartRequests},
     },
 };
 
@@ -186,6 +186,9 @@
         for task in stored.tasks.iter().filter(|task| !task.worker.is_empty()) {
             self.restore_attempt(phase, task);
         }
+        for task in stored.tasks.iter().filter(|task| !task.bound_worker.is_empty()) {
+            self.restore_binding(TaskRef { phase, index: task.index as usize }, &task.bound_worker);
+        }
         for task in &stored.tasks {
             self.restore_loss(TaskRef { phase, index: task.index as usize }, task.lost.as_ref());
         }
@@ -204,6 +207,7 @@
         let state = AttemptState::Inherited { since_ms };
         let key = self.insert_attempt(phase, index, stored.attempt, worker, state);
         self.attempts[key].incarnation = stored.incarnation;
+        self.attempts[key].start = StartRequests::inherited(stored.has_open_start);
         self.attempts[key].is_address_stored = !stored.worker_address.is_empty();
         if self.workers[worker].report.incarnation > stored.incarnation {
             self.count_inherited_crash(key);
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -38,6 +38,8 @@
 /// Retry interval for a worker whose address another worker has taken over, in milliseconds. The
 /// lost worker remains registered for some time.
 const REPLACED_RETRY_MS: u64 = 1_000;
+/// Time between renewals of an unlisted worker on which nothing runs and to which tasks are bound, in milliseconds.
+const BOUND_RENEW_MS: u64 = 500;
 /// Time for which a worker gets no new work after a renewal without a response, in milliseconds.
 const SILENCE_BACKOFF_MS: u64 = 1_000;
 
@@ -45,7 +47,8 @@
     fn needs_renewal(&self) -> bool {
         let has_work = self.is_busy() || self.pending_ends > 0 || self.has_ends_to_acknowledge();
         let is_awaited = self.is_listed && (!self.has_accepted_token || self.is_silent);
-        self.renew_sent_ms.is_none() && (has_work || is_awaited || self.needs_fence())
+        let needs_fence = self.needs_fence() || self.needs_fence_for_bound();
+        self.renew_sent_ms.is_none() && (has_work || is_awaited || needs_fence)
     }
 
     /// Returns the time after which a failed renewal is retried, in milliseconds.
@@ -82,16 +85,24 @@
 
     fn renew_due_ms(&self) -> u64 {
         match (self.needs_renewal(), self.pending_ends) {
-            (false, _) if self.renew_sent_ms.is_some() || !self.is_listed => u64::MAX,
-            (false, _) => {
-                let reading_ms = self.lease.reading_due_ms().unwrap_or(u64::MAX);
-                reading_ms.max(self.next_renew_ms)
-            }
+            (false, _) if self.renew_sent_ms.is_some() => u64::MAX,
+            (false, _) => self.idle_renew_due_ms().max(self.next_renew_ms),
             (true, 0) => self.next_renew_ms,
             (true, _) => self.next_renew_ms + PENDING_ENDS_RENEW_MS,
         }
     }
 
+    /// Returns the time at which a worker that has nothing to report is asked, in milliseconds.
+    fn idle_renew_due_ms(&self) -> u64 {
+        let reading_ms = self.lease.reading_due_ms().filter(|_| self.is_listed);
+        let bound_ms = self.awaited_until_ms().map(|until_ms| match self.is_listed {
+            true => until_ms + 1,
+            // Whether it is gone shows only if it is asked.
+            false => self.heard_ms + BOUND_RENEW_MS,
+        });
+        reading_ms.into_iter().chain(bound_ms).min().unwrap_or(u64::MAX)
+    }
+
     /// Makes later requests supersede the renewal in flight, which may be carried out late, if it
     /// acknowledges ends.
     fn supersede_acknowledgement(&mut self) {
@@ -135,12 +146,13 @@
             let is_bounded = lease_bounds.contain(&worker.report.id);
             let can_wait = worker.has_accepted_token
                 && !worker.needs_fence()
+                && !worker.needs_fence_for_bound()
                 && !is_bounded
                 && worker.pending_ends == 0
                 && !worker.attempts.is_empty();
             let mut own = worker.attempts.values();
             let has_unsettled_start = time.now_ms < worker.unsettled_until_ms
-                || own.any(|key| attempts[*key].may_start_elsewhere(time.now_ms));
+                || own.any(|key| attempts[*key].start.may_reach_another(time.now_ms));
             let acknowledged_end = worker.acknowledgeable_end(has_unsettled_start);
             if acknowledged_end > 0 {
                 worker.fence.open_acknowledgement();
@@ -277,6 +289,9 @@
         let worker = &mut self.workers[key];
         worker.record_presence();
         worker.record_fence(now_ms);
+        if !response.is_partial {
+            worker.heard_ms = sent_ms;
+        }
         if worker.needs_fence() {
             // Requests to the former incarnation that are carried out late must find this one fenced.
             worker.next_renew_ms = now_ms;
@@ -290,7 +305,8 @@
         }
         self.forget_losses(key);
         for attempt in self.workers[key].attempts.values() {
-            self.attempts[*attempt].settle_start(sent_ms);
+            let attempt = &mut self.attempts[*attempt];
+            attempt.start.settle(attempt.state, sent_ms);
         }
         for ended in &response.ended {
             self.apply_end(key, ended);
@@ -332,7 +348,7 @@
         }
         worker.pending_ends += 1;
         let entry = &mut self.attempts[attempt];
-        entry.settle_listed_start();
+        entry.start.settle_listed();
         let job = entry.phase.job;
         self.jobs[job].has_begun = true;
         if ended.kind == EndKind::Done {
@@ -392,7 +408,7 @@
         let entry = &mut self.attempts[attempt];
         entry.incarnation = self.workers[key].report.incarnation;
         entry.has_begun = true;
-        entry.settle_listed_start();
+        entry.start.settle_listed();
         self.jobs[entry.phase.job].has_begun = true;
         if running.percent > entry.percent {
             entry.percent = running.percent;
--- a/crates/cell/src/core/losses.rs
+++ b/crates/cell/src/core/losses.rs
@@ -73,9 +73,9 @@
         };
         let jobs: FxHashSet<JobKey> =
             recent.iter().map(|key| self.attempts[*key].phase.job).collect();
-        let last_ms = recent.iter().map(|key| self.attempts[*key].start_sent_ms).max();
+        let last_ms = recent.iter().map(|key| self.attempts[*key].start.sent_ms).max();
         let is_last =
-            |key: &AttemptKey| last_ms <= Some(self.attempts[*key].start_sent_ms + START_SPREAD_MS);
+            |key: &AttemptKey| last_ms <= Some(self.attempts[*key].start.sent_ms + START_SPREAD_MS);
         let suspects: Vec<AttemptKey> = recent.iter().copied().filter(is_last).collect();
         let is_lone_test = self.is_test_of_lone_suspects(&recent);
         let tasks: Vec<TaskRef> = suspects.iter().map(|key| self.attempts[*key].task()).collect();
@@ -338,7 +338,7 @@
         let attempt = &mut self.attempts[key];
         attempt.is_loss_recorded = false;
         let AttemptState::Running { since_ms } = attempt.state else { return };
-        let started_ms = if attempt.start_sent_ms > 0 { attempt.start_sent_ms } else { since_ms };
+        let started_ms = if attempt.start.sent_ms > 0 { attempt.start.sent_ms } else { since_ms };
         let ran_ms = self.time.now_ms.saturating_sub(started_ms);
         let (task, is_on_probation) = (attempt.task(), attempt.is_on_probation);
         if self.task(task).has_losses() && ran_ms >= CLEARED_AFTER_MS {
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -15,6 +15,7 @@
 mod available;
 mod backlog;
 mod better_places;
+mod bound_tasks;
 mod call_room;
 mod call_workers;
 mod chosen_waits;
@@ -72,6 +73,7 @@
         AdviceCallKey, AttemptKey, CellAction, CellConfig, CellInput, CellSettings, JobCaller,
         JobKey, JobState, LogEntry, ResourceSet, WorkerKey,
         keys::LossKey,
+        message::TaskRef,
         table::{
             AdviceCallEntry, AttemptEntry, DaemonEntry, JobEntry, LossEntry, WorkerEntry,
             WorkerFence,
@@ -140,6 +142,8 @@
     former_fence: WorkerFence,
     worker_list: WorkerList,
     attempts: SlotMap<AttemptKey, AttemptEntry>,
+    /// Tasks that may run on one worker only.
+    bound_tasks: Vec<TaskRef>,
     /// Lost attempts of which it is not known whether their workers crashed.
     losses: SlotMap<LossKey, LossEntry>,
     expired_attempts: ExpiredAttempts,
@@ -210,6 +214,7 @@
             former_fence: WorkerFence::default(),
             worker_list: WorkerList::default(),
             attempts: SlotMap::with_key(),
+            bound_tasks: Vec::new(),
             losses: SlotMap::with_key(),
             expired_attempts: ExpiredAttempts::default(),
             loss_times: LossTimes::default(),
@@ -309,6 +314,7 @@
         self.set_time(now_ms, wall_ms);
         self.check_worker_list();
         self.expire_leases();
+        self.review_bindings();
         self.record_bounded_leases();
         self.review_lease_bounds();
         self.review_worker_speeds();
--- a/crates/cell/src/core/orphans.rs
+++ b/crates/cell/src/core/orphans.rs
@@ -3,8 +3,9 @@
 use {
     super::CellCore,
     crate::{
-        AttemptKey, CellAction, RunningAttempt, StopRequest, WorkerKey, message::PhaseRef,
-        table::AttemptState,
+        AttemptKey, CellAction, RunningAttempt, StopRequest, WorkerKey,
+        message::PhaseRef,
+        table::{AttemptState, OrphanRun},
     },
 };
 
@@ -64,7 +65,7 @@
     }
 
     pub(super) fn release_orphans(&mut self, key: WorkerKey) {
-        for (team, resources) in std::mem::take(&mut self.workers[key].orphans) {
+        for OrphanRun { team, resources, .. } in std::mem::take(&mut self.workers[key].orphans) {
             let worker = &mut self.workers[key];
             worker.used = worker.used.minus(&resources);
             if let Some(used) = self.team_used.get_mut(&team) {
@@ -92,7 +93,7 @@
         worker.used = worker.used.plus(&resources);
         let used = self.team_used.entry(team.clone()).or_default();
         *used = used.plus(&resources);
-        worker.orphans.push((team, resources));
+        worker.orphans.push(OrphanRun { task: running.task.clone(), team, resources });
     }
 
     /// Stops a run that belongs to no attempt in the tables.
--- a/crates/cell/src/core/placement.rs
+++ b/crates/cell/src/core/placement.rs
@@ -89,21 +89,26 @@
         if self.has_running_members(phase) {
             return PlacementOutcome::Blocked;
         }
-        if !entry.has_losses {
+        if !entry.has_losses && !entry.has_bindings() {
             let count = entry.unassigned;
             return self.place_tasks(phase, count, available, budget);
         }
         if self.gives_up_crashing(phase) {
             return PlacementOutcome::Blocked;
         }
+        let bound = self.place_bound_tasks(phase, budget);
+        if is_gang && bound != PlacementOutcome::Placed {
+            return bound;
+        }
         let entry = &self.jobs[phase.job].phases[phase.phase];
         let suspects = entry.waiting_tasks(true);
-        let others = entry.unassigned.saturating_sub(suspects.len());
+        let others = entry.waiting_tasks(false).len();
         if is_gang && !suspects.is_empty() {
             return self.place_suspect_gang(phase, available, budget);
         }
         let outcome = self.place_tasks(phase, others, available, budget);
-        outcome.and(self.place_suspects(phase, &suspects, available, budget))
+        let suspected = self.place_suspects(phase, &suspects, available, budget);
+        outcome.and(suspected).and(bound)
     }
 
     /// Places as many as possible of the `count` tasks of a step that are not suspected of having
--- a/crates/cell/src/core/preemption.rs
+++ b/crates/cell/src/core/preemption.rs
@@ -78,7 +78,9 @@
 
     /// Returns whether room should be made for a step now.
     fn needs_room(&self, phase: PhaseRef) -> bool {
-        self.jobs[phase.job].phases[phase.phase].room_due_ms <= self.time.now_ms
+        let entry = &self.jobs[phase.job].phases[phase.phase];
+        entry.room_due_ms <= self.time.now_ms
+            && entry.bound_tasks().is_empty()
             && self.is_entitled_to_room(phase)
             && !self.reservations.is_freeing(phase)
             && self.has_waited_noticeably(phase)
--- a/crates/cell/src/core/release_cause.rs
+++ b/crates/cell/src/core/release_cause.rs
@@ -37,9 +37,9 @@
         let worker = &self.workers[attempt.worker];
         let open_starts = match cause {
             ReleaseCause::Refused => 0,
-            _ => attempt.open_starts(now_ms),
+            _ => attempt.start.unsettled(now_ms),
         };
-        let started_ms = (attempt.start_sent_ms > 0).then_some(attempt.start_sent_ms);
+        let started_ms = (attempt.start.sent_ms > 0).then_some(attempt.start.sent_ms);
         let start_age_ms = started_ms.map(|started_ms| now_ms.saturating_sub(started_ms));
         let detail = format!(
             "cause={cause:?} born={} responded={} fenced={} read_ms_ago={} open_starts={open_starts} \
@@ -48,7 +48,7 @@
             worker.has_responded,
             worker.has_accepted_fence(),
             age_text(worker.lease.reading_age_ms(now_ms)),
-            attempt.has_ticket,
+            attempt.start.has_ticket,
             age_text(start_age_ms),
         );
         self.log_attempt("attempt_released", key, &detail);
--- a/crates/cell/src/core/waiting_steps.rs
+++ b/crates/cell/src/core/waiting_steps.rs
@@ -120,6 +120,10 @@
         if !entry.retry.is_due(self.time.now_ms) {
             return "step_waits_for_retry";
         }
+        let bound = entry.bound_tasks().len();
+        if bound == entry.unassigned || (bound > 0 && self.is_gang(phase)) {
+            return "step_waits_for_late_start";
+        }
         if self.placeable_tasks(phase, entry.unassigned) == 0 {
             return "step_waits_for_team_limit";
         }
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -3,7 +3,7 @@
 use {
     super::{CellCore, losses::LossCause, release_cause::ReleaseCause},
     crate::{
-        AttemptKey, CellSettings, TaskProgress, WorkerKey, WorkerReport,
+        AttemptKey, TaskProgress, WorkerKey, WorkerReport,
         table::{WorkerEntry, WorkerLease, longest_lease_ms},
     },
     rustc_hash::FxHashSet,
@@ -17,9 +17,11 @@
             listed.insert(report.id.clone());
             self.update_worker(report);
         }
-        for worker in self.workers.values_mut().filter(|worker| !listed.contains(&worker.report.id))
-        {
-            worker.claim = None;
+        for worker in self.workers.values_mut() {
+            worker.has_entry = listed.contains(&worker.report.id);
+            if !worker.has_entry {
+                worker.claim = None;
+            }
         }
         let unlisted: Vec<WorkerKey> = self
             .workers
@@ -58,7 +60,7 @@
         );
         worker.restart(incarnation, self.settings.max_worker_lease_ms);
         for attempt in worker.attempts.values() {
-            self.attempts[*attempt].record_restart();
+            self.attempts[*attempt].start.record_restart();
         }
         self.log("incarnation_switched", id, detail);
     }
@@ -112,10 +114,13 @@
     /// Returns the latest time at which the leases expire that a former leader has renewed. It may have done
     /// so until it ended, or until its isolation ended.
     fn renewed_expiry_ms(&self) -> u64 {
-        let CellSettings { lease_ms, isolation_ms, .. } = self.settings;
-        let isolated_ms = self.started_ms + isolation_ms;
-        let ended_ms = self.former_ended_ms.unwrap_or(isolated_ms).min(isolated_ms);
-        ended_ms + longest_lease_ms(lease_ms)
+        self.former_end_ms() + longest_lease_ms(self.settings.lease_ms)
+    }
+
+    /// Returns the latest time at which a former leader may have sent a request: it has ended, or its isolation has.
+    pub(super) fn former_end_ms(&self) -> u64 {
+        let isolated_ms = self.started_ms + self.settings.isolation_ms;
+        self.former_ended_ms.unwrap_or(isolated_ms).min(isolated_ms)
     }
 
     /// Records that no former leader renews leases any more.
@@ -151,6 +156,7 @@
         let key = self.insert_worker(report);
         let worker = &mut self.workers[key];
         worker.is_listed = false;
+        worker.has_entry = false;
         // A former leader has sent the start there.
         worker.responded_address.clone_from(&worker.report.address);
         key
@@ -215,7 +221,8 @@
                 true => worker.lease.expiry_ms() <= now_ms,
                 false => {
                     let is_fencing = worker.needs_fence() && !worker.is_silent;
-                    !worker.is_listed && worker.pending_ends == 0 && !is_fencing
+                    let is_over = worker.pending_ends == 0 && !is_fencing;
+                    !worker.is_listed && is_over && !worker.is_kept_for_bound()
                 }
             })
             .map(|(key, worker)| (key, worker.is_listed))
@@ -243,7 +250,7 @@
         let worker = &self.workers[key];
         let longest_ms = longest_lease_ms(self.settings.max_worker_lease_ms);
         let is_over = |attempt: &AttemptKey| {
-            let until_ms = self.attempts[*attempt].unheard_start_until_ms();
+            let until_ms = self.attempts[*attempt].start.unheard_until_ms();
             worker.has_responded
                 || until_ms.is_none_or(|until_ms| until_ms + longest_ms <= self.time.now_ms)
         };
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -328,6 +328,13 @@
     /// Number of times that the task was stopped for a more urgent step.
     #[prost(uint32, tag = "15")]
     pub preemptions: u32,
+    /// Id of the worker that may still carry out a start of a former attempt, so that the task runs nowhere else; empty
+    /// for none.
+    #[prost(string, tag = "16")]
+    pub bound_worker: String,
+    /// More than one request to start the last attempt may be without a response.
+    #[prost(bool, tag = "17")]
+    pub has_open_start: bool,
 }
 
 /// Progress of one step of one occurrence.
--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -1,13 +1,13 @@
 //! Attempts to run a task on a worker.
 
-use crate::{
-    ResourceSet, WorkerKey,
-    message::{PhaseRef, TaskRef},
+use {
+    super::StartRequests,
+    crate::{
+        ResourceSet, WorkerKey,
+        message::{PhaseRef, TaskRef},
+    },
 };
 
-/// Time after which a request without a response is no longer carried out, in milliseconds.
-const MAX_REQUEST_DELAY_MS: u64 = 15_000;
-
 /// State of an attempt, as far as it is known. In every state the attempt counts against its
 /// worker's capacity and its team's limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -67,10 +67,8 @@
     pub(crate) is_on_probation: bool,
     /// The worker confirmed the start to this leader.
     pub(crate) has_begun: bool,
-    /// The present incarnation of the worker is known to have carried out the start.
-    pub(crate) is_start_settled: bool,
-    /// Another incarnation of the worker, of which the leader knows, may have carried out the start.
-    pub(crate) may_run_on_next: bool,
+    /// The requests to start the attempt.
+    pub(crate) start: StartRequests,
     /// The job's row has the worker's address, because the worker was lost just after the start. A new
     /// leader can ask there even if the worker is no longer registered.
     pub(crate) is_address_stored: bool,
@@ -78,14 +76,6 @@
     pub(crate) is_loss_recorded: bool,
     /// Time at which the last start or stop request was sent; 0 if none was.
     pub(crate) sent_ms: u64,
-    /// Time at which the last start request was sent; 0 if this leader sent none.
-    pub(crate) start_sent_ms: u64,
-    /// Number of start requests so far.
-    pub(crate) start_tries: u32,
-    /// The start requests carried a ticket.
-    pub(crate) has_ticket: bool,
-    /// Number of the fence that the last start request had.
-    pub(crate) start_fence: u32,
     /// Time at which it was decided to stop the attempt for a more urgent step.
     pub(crate) preempted_ms: Option<u64>,
     /// Number of stop requests so far.
@@ -95,73 +85,15 @@
 }
 
 impl AttemptEntry {
-    /// Records that the worker's incarnation responded to a renewal sent at `sent_ms`. If the only start
-    /// request was confirmed before, the same incarnation has carried it out. If requests with tickets
-    /// were sent before, the tickets are of this incarnation or a former one, so no later one accepts them.
-    pub(crate) fn settle_start(&mut self, sent_ms: u64) {
-        let is_confirmed = match self.state {
-            AttemptState::Running { since_ms } => self.start_tries == 1 && since_ms < sent_ms,
-            _ => false,
-        };
-        let is_ticket_known = self.has_ticket && self.start_sent_ms < sent_ms;
-        self.is_start_settled |= self.start_tries > 0 && (is_confirmed || is_ticket_known);
-    }
-
-    /// Records that the worker's incarnation lists the attempt. An earlier one of several requests may still
-    /// be carried out by another.
-    pub(crate) fn settle_listed_start(&mut self) {
-        self.is_start_settled |= self.start_tries <= 1;
-    }
-
-    /// Records that the worker has restarted. Unless the former incarnation is known to have carried out the
-    /// start, the next one may, if it needs no ticket: those are of an incarnation.
-    pub(crate) fn record_restart(&mut self) {
-        let is_open = self.start_tries > 0 && !self.is_start_settled && !self.has_ticket;
-        self.may_run_on_next |= is_open;
-        self.is_start_settled = false;
-    }
-
-    /// Returns the time until which an incarnation that has not been heard from may begin the attempt, if the
-    /// leader knows of one that may.
-    pub(crate) fn unheard_start_until_ms(&self) -> Option<u64> {
-        self.may_run_on_next.then(|| self.last_start_until_ms())
-    }
-
-    /// Returns the time until which the last start request may be carried out.
-    fn last_start_until_ms(&self) -> u64 {
-        self.start_sent_ms + MAX_REQUEST_DELAY_MS
-    }
-
     /// Returns the task that the attempt runs.
     pub(crate) fn task(&self) -> TaskRef {
         TaskRef { phase: self.phase, index: self.index }
     }
 
-    /// Returns whether a start request of this leader may be carried out by another incarnation of the
-    /// worker.
-    pub(crate) fn may_start_elsewhere(&self, now_ms: u64) -> bool {
-        now_ms < self.unsettled_until_ms()
-    }
-
-    /// Returns the time until which a start request of this leader may be carried out by another
-    /// incarnation of the worker; 0 if none can be.
-    pub(crate) fn unsettled_until_ms(&self) -> u64 {
-        match self.start_tries > 0 && !self.is_start_settled {
-            true => self.last_start_until_ms(),
-            false => 0,
-        }
-    }
-
-    /// Returns the number of start requests of which another incarnation of the worker may carry one out; 0 if
-    /// it can carry out none.
-    pub(crate) fn open_starts(&self, now_ms: u64) -> u32 {
-        if self.may_start_elsewhere(now_ms) { self.start_tries } else { 0 }
-    }
-
     /// Returns for how long the attempt ran until its worker was lost, in milliseconds, if this leader
     /// started it.
     pub(crate) fn ran_until(&self, lost_ms: u64) -> Option<u64> {
-        (self.start_sent_ms > 0).then(|| lost_ms.saturating_sub(self.start_sent_ms))
+        (self.start.sent_ms > 0).then(|| lost_ms.saturating_sub(self.start.sent_ms))
     }
 
     /// Returns the known run time; 0 if the start was not observed or earlier work was resumed.
--- a/crates/cell/src/table/mod.rs
+++ b/crates/cell/src/table/mod.rs
@@ -7,8 +7,11 @@
 mod lease_limit;
 mod log_estimate;
 mod loss;
+mod orphan_run;
 mod phase;
 mod phase_retry;
+mod start_binding;
+mod start_requests;
 mod task;
 mod worker;
 mod worker_fence;
@@ -23,8 +26,11 @@
     lease_limit::LeaseLimit,
     log_estimate::{LogEstimate, restored_variance, stored_variance},
     loss::LossEntry,
+    orphan_run::OrphanRun,
     phase::{AttemptLocation, PhaseEntry, StepRatio, TicketEntry},
     phase_retry::PhaseRetry,
+    start_binding::StartBinding,
+    start_requests::{FormerStarts, MAX_REQUEST_DELAY_MS, StartRequests},
     task::{MIN_PROBATION_MS, TaskEntry},
     worker::WorkerEntry,
     worker_fence::WorkerFence,
--- a/crates/cell/src/table/phase.rs
+++ b/crates/cell/src/table/phase.rs
@@ -1,7 +1,7 @@
 //! Phases: one step of one occurrence of a job.
 
 use {
-    super::{ChosenWait, LogEstimate, PhaseRetry, TaskEntry, task::MAX_PROBATION_MS},
+    super::{ChosenWait, LogEstimate, PhaseRetry, StartBinding, TaskEntry, task::MAX_PROBATION_MS},
     crate::{AdviceCallKey, AttemptKey, PhaseProgress, TaskProgress, WorkerKey},
     rustc_hash::{FxHashMap, FxHashSet},
 };
@@ -32,6 +32,8 @@
     pub(crate) address: String,
     /// The incarnation's leases end within the time that its leader asks for.
     pub(crate) has_bounded_leases: bool,
+    /// More than one start request may be without a response.
+    pub(crate) has_open_start: bool,
 }
 
 /// One step of one occurrence of a job.
@@ -73,6 +75,8 @@
     pub(crate) chosen_wait: Option<ChosenWait>,
     /// Workers have been lost with tasks of the phase, so some may be suspected.
     pub(crate) has_losses: bool,
+    /// Number of tasks that may run on one worker only.
+    bindings: usize,
     /// Attempt number of the last gang run that was counted as failed.
     failed_run: u32,
 }
@@ -99,10 +103,39 @@
         }
     }
 
-    /// Returns the indexes of the tasks without an attempt that are suspected of having crashed a
-    /// worker, or of the others.
+    /// Binds a task to a worker; returns whether it was not bound before.
+    pub(crate) fn bind(&mut self, index: usize, binding: StartBinding) -> bool {
+        let task = &mut self.tasks[index];
+        let former = task.binding.take();
+        let is_new = former.is_none();
+        self.bindings += usize::from(is_new);
+        task.binding = Some(Box::new(binding.after(former.map(|former| *former))));
+        is_new
+    }
+
+    /// Lets a task run on any worker again.
+    pub(crate) fn unbind(&mut self, index: usize) {
+        self.bindings -= usize::from(self.tasks[index].binding.take().is_some());
+    }
+
+    /// Returns whether some tasks may run on one worker only.
+    pub(crate) fn has_bindings(&self) -> bool {
+        self.bindings > 0
+    }
+
+    /// Returns the indexes of the tasks that wait and may run on one worker only.
+    pub(crate) fn bound_tasks(&self) -> Vec<usize> {
+        match self.has_bindings() {
+            true => (0..self.tasks.len()).filter(|index| self.tasks[*index].is_bound()).collect(),
+            false => Vec::new(),
+        }
+    }
+
+    /// Returns the indexes of the tasks without an attempt that may run on any worker, of those that are suspected
+    /// of having crashed one, or of the others.
     pub(crate) fn waiting_tasks(&self, are_suspected: bool) -> Vec<usize> {
-        let tasks = self.tasks.iter().enumerate().filter(|(_, task)| task.is_waiting());
+        let is_free = |task: &TaskEntry| task.is_waiting() && task.binding.is_none();
+        let tasks = self.tasks.iter().enumerate().filter(|(_, task)| is_free(task));
         tasks
             .filter(|(_, task)| task.is_suspected() == are_suspected)
             .map(|(index, _)| index)
@@ -180,6 +213,7 @@
                 done[index / 8] |= 1 << (index % 8);
             } else if task.last_number > 0 {
                 let location = task.attempt.and_then(&locate).unwrap_or_default();
+                let bound = task.binding.as_ref().map(|binding| binding.worker.clone());
                 tasks.push(TaskProgress {
                     index: u32::try_from(index).unwrap_or(u32::MAX),
                     attempt: task.last_number,
@@ -196,6 +230,8 @@
                     is_accused_alone: task.is_accused_alone,
                     lost: task.lost.clone(),
                     preemptions: task.preemptions,
+                    bound_worker: bound.unwrap_or_default(),
+                    has_open_start: location.has_open_start,
                 });
             }
         }
--- a/crates/cell/src/table/task.rs
+++ b/crates/cell/src/table/task.rs
@@ -1,6 +1,9 @@
 //! Tasks, and how often workers crashed under them.
 
-use crate::{AttemptKey, LostAttempt};
+use {
+    super::StartBinding,
+    crate::{AttemptKey, LostAttempt},
+};
 
 /// Shortest probation, in milliseconds. A task that was started as long before the loss of its worker
 /// may be the cause.
@@ -51,6 +54,8 @@
     /// Attempt that may be running.
     pub(crate) attempt: Option<AttemptKey>,
     pub(crate) checkpoint: String,
+    /// The task may run on one worker only. Boxed, as nearly all tasks have none.
+    pub(crate) binding: Option<Box<StartBinding>>,
 }
 
 impl TaskEntry {
@@ -59,6 +64,11 @@
         !self.is_done && self.attempt.is_none()
     }
 
+    /// Returns whether the task waits and may run on one worker only.
+    pub(crate) fn is_bound(&self) -> bool {
+        self.is_waiting() && self.binding.is_some()
+    }
+
     /// Returns the number of crashes under the task, with and without proof that it ran.
     fn total_crashes(&self) -> u32 {
         self.crashes.saturating_add(self.possible_crashes)
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -1,7 +1,7 @@
 //! Workers.
 
 use {
-    super::{LeaseLimit, WorkerFence, WorkerLease, WorkerSpeed},
+    super::{LeaseLimit, OrphanRun, WorkerFence, WorkerLease, WorkerSpeed},
     crate::{AttemptKey, ResourceSet, WorkerReport},
     rustc_hash::FxHashMap,
 };
@@ -16,6 +16,8 @@
     pub(crate) report: WorkerReport,
     /// The worker is in the last list of registered workers.
     pub(crate) is_listed: bool,
+    /// The last list has an entry under the worker's id, of whichever incarnation.
+    pub(crate) has_entry: bool,
     /// The incarnation has responded to this leader.
     pub(crate) has_responded: bool,
     /// Address at which the worker, this incarnation or a former one, has responded; empty if it has not.
@@ -24,10 +26,7 @@
     pub(crate) claim: Option<WorkerReport>,
     /// Resources reserved by attempts and orphans.
     pub(crate) used: ResourceSet,
-    /// Teams and resources of the orphans: runs that the worker reports but that belong to no
-    /// attempt in the tables. They are being stopped, and count as used until they are no longer
-    /// reported.
-    pub(crate) orphans: Vec<(String, ResourceSet)>,
+    pub(crate) orphans: Vec<OrphanRun>,
     /// Attempts that the worker may be running, by task and number.
     pub(crate) attempts: FxHashMap<(String, u32), AttemptKey>,
     /// Rows of attempts may not say that the worker's leases are bounded.
@@ -57,9 +56,15 @@
     pub(crate) fence: WorkerFence,
     /// Number of the fence from which on requests are of this incarnation.
     first_fence: u32,
-    /// The incarnation has responded to a request with such a number, so it refuses all requests to a
-    /// former one.
-    has_accepted_fence: bool,
+    /// Highest number in a renewal to which the incarnation has responded; 0 for none. It refuses requests with lower
+    /// ones.
+    accepted_fence: u32,
+    /// Lowest number that the incarnation has to accept before tasks that are bound to it start; 0 for none.
+    bound_fence: u32,
+    /// Time until which starts of tasks that are bound to the worker may be carried out; `None` if no task was.
+    bound_until_ms: Option<u64>,
+    /// Time at which the last renewal was sent to which the incarnation responded with all that it runs.
+    pub(crate) heard_ms: u64,
     /// Number of recorded ends that are not durable yet.
     pub(crate) pending_ends: usize,
     /// Time at which the renewal in flight was sent.
@@ -101,6 +106,7 @@
         Self {
             report,
             is_listed: true,
+            has_entry: true,
             has_responded: false,
             responded_address: String::new(),
             claim: None,
@@ -121,7 +127,10 @@
             last_acknowledged_end: 0,
             fence,
             first_fence: fence.number(),
-            has_accepted_fence: false,
+            accepted_fence: 0,
+            bound_fence: 0,
+            bound_until_ms: None,
+            heard_ms: 0,
             pending_ends: 0,
             renew_sent_ms: None,
             renew_address: String::new(),
@@ -156,7 +165,9 @@
         self.renew_acknowledged_end = 0;
         self.fence.advance();
         self.first_fence = self.fence.number();
-        self.has_accepted_fence = false;
+        self.accepted_fence = 0;
+        self.bound_fence = 0;
+        self.heard_ms = 0;
         self.pending_ends = 0;
         self.failure_streak = 0;
         self.unanswered_starts = 0;
@@ -198,26 +209,75 @@
     /// Records that the present incarnation has responded to the renewal, which may have been meant for
     /// a former one.
     pub(crate) fn record_fence(&mut self, now_ms: u64) {
-        if !self.has_accepted_fence && self.renew_fence >= self.first_fence {
-            self.has_accepted_fence = true;
+        let had_accepted = self.has_accepted_fence();
+        self.accepted_fence = self.accepted_fence.max(self.renew_fence);
+        if !had_accepted && self.has_accepted_fence() {
             self.lease.refuse_others(now_ms);
         }
     }
 
+    /// Returns whether the incarnation has responded to a request of its own, so it refuses all requests to a
+    /// former one.
+    pub(crate) fn has_accepted_fence(&self) -> bool {
+        self.accepted_fence >= self.first_fence
+    }
+
+    /// Returns the lowest number of a fence with which the present incarnation refuses a start request that had this
+    /// number. Later requests have at least that.
+    pub(crate) fn fence_above(&mut self, start_fence: u32) -> u32 {
+        if !self.fence.supersedes(start_fence) {
+            self.fence.advance();
+        }
+        start_fence.saturating_add(1)
+    }
+
+    /// Returns whether the incarnation may still carry out requests to a former one, or with numbers below this one.
+    pub(crate) fn may_carry_out_below(&self, fence: u32) -> bool {
+        self.accepted_fence < fence.max(self.first_fence)
+    }
+
+    /// Records that a task is bound to the worker: starts that the incarnation refuses once it has accepted a fence may
+    /// be carried out until a time.
+    pub(crate) fn await_bound(&mut self, min_fence: u32, until_ms: u64) {
+        self.bound_fence = self.bound_fence.max(min_fence);
+        self.bound_until_ms = self.bound_until_ms.max(Some(until_ms));
+    }
+
+    /// Returns whether the incarnation might still carry out a start of a task that is bound to the worker.
+    pub(crate) fn needs_fence_for_bound(&self) -> bool {
+        self.has_responded && self.accepted_fence < self.bound_fence
+    }
+
+    /// Returns the time after which the worker has to report what it runs, for tasks that are bound to it.
+    pub(crate) fn awaited_until_ms(&self) -> Option<u64> {
+        self.bound_until_ms.filter(|until_ms| self.heard_ms <= *until_ms)
+    }
+
+    /// Returns whether an unlisted worker on which nothing runs stays in the tables for tasks that are bound to it.
+    pub(crate) fn is_kept_for_bound(&self) -> bool {
+        self.awaited_until_ms().is_some() && (self.has_entry || !self.is_silent)
+    }
+
+    /// Returns whether the worker is gone: its entry has expired, and it does not respond or cannot be asked.
+    pub(crate) fn is_gone(&self) -> bool {
+        let is_unreachable = !self.has_accepted_token && self.report.address.is_empty();
+        !self.has_entry && (self.is_silent || is_unreachable)
+    }
+
+    /// Returns whether a run of a task that belongs to no attempt is being stopped on the worker.
+    pub(crate) fn runs_orphan_of(&self, task: &str) -> bool {
+        self.orphans.iter().any(|orphan| orphan.task == task)
+    }
+
     /// Returns whether the incarnation would still carry out requests to a former one, although it has
     /// responded.
     pub(crate) fn needs_fence(&self) -> bool {
-        self.has_responded && !self.has_accepted_fence
-    }
-
-    /// Returns whether the incarnation refuses all requests to a former one.
-    pub(crate) fn has_accepted_fence(&self) -> bool {
-        self.has_accepted_fence
+        self.has_responded && !self.has_accepted_fence()
     }
 
     /// Returns what bounds the leases on the worker.
     pub(crate) fn lease_limit(&self) -> LeaseLimit {
-        match (self.lease.is_bound_by_others(), self.has_accepted_fence) {
+        match (self.lease.is_bound_by_others(), self.has_accepted_fence()) {
             (false, _) => LeaseLimit::Deadline,
             (true, true) => LeaseLimit::OtherRequests,
             (true, false) if self.lease.is_inherited() => LeaseLimit::FormerLeaders,
@@ -228,7 +288,7 @@
     /// Returns whether requests to former incarnations have given the present one no lease that outlasts one of
     /// `lease_ms` milliseconds which is extended now, and can give it none any more.
     pub(crate) fn has_bounded_leases(&self, now_ms: u64, lease_ms: u64) -> bool {
-        let is_past = self.has_accepted_fence && self.lease.outlasts_others(now_ms, lease_ms);
+        let is_past = self.has_accepted_fence() && self.lease.outlasts_others(now_ms, lease_ms);
         is_past || self.lease.are_others_limited_to(lease_ms)
     }
 
--- a/crates/cell/tests/cell/starts_without_ticket.rs
+++ b/crates/cell/tests/cell/starts_without_ticket.rs
@@ -176,6 +176,14 @@
     cell.run_deferred_starts("w0");
 }
 
+/// Guards against two late starts of a task that the next incarnation carries out one after the other.
+#[test]
+fn late_starts_of_two_attempts_do_not_both_run_on_the_next_incarnation() {
+    let mut cell = cell_with_lost_starts(MAX_START_TRIES, step(1));
+    worker(&mut cell).defers_next_starts = MAX_START_TRIES;
+    run_late_starts(&mut cell, 1);
+}
+
 /// Guards against a gang that runs elsewhere while a member may still start.
 #[test]
 fn a_start_of_a_gang_member_may_run_on_the_next_incarnation() {
--- a/crates/cell/tests/cell/unanswered_starts.rs
+++ b/crates/cell/tests/cell/unanswered_starts.rs
@@ -54,6 +54,8 @@
     for outcome in outcomes {
         assert_eq!(outcome, StartOutcome::Refused(StartRefusal::Stale));
     }
+    // Until these are too old, the task runs on this worker only.
+    cell.workers.get_mut("w0").unwrap().defers_starts = false;
     cell.run(4_000);
     assert_eq!(cell.state("1"), Some(JobState::Completed));
 }
--- a/crates/cell/tests/cell/where_suspects_run.rs
+++ b/crates/cell/tests/cell/where_suspects_run.rs
@@ -18,6 +18,8 @@
 const START_BOUND_MS: u64 = 20_000;
 /// Time in which a lease of 6 s expires on a slow clock, and what was released is placed, in milliseconds.
 const LEASES_MS: u64 = 7_000;
+/// Time after which the entry of a lost worker has expired, three heartbeats and more, in milliseconds.
+const ENTRY_MS: u64 = 6_000;
 /// Number of calls after which a suspect goes to any worker, and those that are under way meanwhile.
 const FEW_CALLS: usize = 5;
 
@@ -116,7 +118,10 @@
     let lost = cell.workers.keys().find(is_asked).unwrap().clone();
     cell.crash(&lost);
     cell.workers.values_mut().for_each(|worker| worker.defers_starts = false);
-    cell.run(LEASES_MS);
+    cell.run(ENTRY_MS);
+    cell.workers.get_mut(&lost).unwrap().is_unlisted = true;
+    cell.list_workers();
+    cell.run(LEASES_MS - ENTRY_MS);
     assert!(worker_of(&cell, "1").is_some());
 }
 
--- a/crates/cli/src/job_timeline.rs
+++ b/crates/cli/src/job_timeline.rs
@@ -101,6 +101,7 @@
         "other_workers" => "the adviser denied all workers that could run it",
         "label" | "service" | "capacity" => "no worker can run it: see the counts by reason",
         "team_limit" => "the team was at its limit",
+        "late_start" => "a worker might still carry out an earlier order to start its tasks",
         "gang_members" => "members of the gang were still running",
         "places" => "there were too few places for the gang, or tests of suspects were under way",
         _ => "no worker could take it then: see the counts by reason",
