Test of a start of a former leader on a silent worker

A leader that takes over an attempt of which at most one request was sent, on a worker that does not respond and whose entry does not change, releases it by the inherited leases, as before. The worker may restart after that, and carry the request out within its 15 s: "1.0.0.0 runs 2 times".

--- a/crates/cell/tests/cell/starts_without_ticket.rs
+++ b/crates/cell/tests/cell/starts_without_ticket.rs
@@ -30,10 +30,15 @@
     cell
 }
 
-/// Submits a step, and then offers another worker, which is preferred as it has less free capacity.
+/// Submits a step, and then offers another worker.
 fn submit(cell: &mut FakeCell, step: StepSpec) {
     cell.submit(job("1", vec![step]));
     cell.run(50);
+    offer_another_worker(cell);
+}
+
+/// Offers another worker, which is preferred as it has less free capacity.
+fn offer_another_worker(cell: &mut FakeCell) {
     cell.add_worker("w1", 1, "r0");
     cell.workers.get_mut("w1").expect("a worker").report.capacity.cpu_millis -= 1_000;
     cell.list_workers();
@@ -164,6 +169,24 @@
     run_late_starts(&mut cell, 1);
 }
 
+/// Guards against inherited leases that are taken for all that a silent worker may still run.
+#[test]
+fn a_start_of_a_former_leader_may_run_on_the_next_incarnation_after_the_leases_expired() {
+    let mut cell = cell_with_one_worker();
+    worker(&mut cell).defers_starts = true;
+    cell.submit(job("1", vec![step(1)]));
+    // No request has been repeated, so the row does not tell of several.
+    while worker(&mut cell).deferred_starts.is_empty() {
+        cell.run(10);
+    }
+    cell.start_leader();
+    cell.end_former_leader();
+    worker(&mut cell).is_silent = true;
+    offer_another_worker(&mut cell);
+    cell.run(REQUESTED_LEASE_MS + 4_000);
+    run_late_starts(&mut cell, 1);
+}
+
 /// Guards against an acknowledgement of a former leader's end, after which the next incarnation starts the task again.
 #[test]
 fn an_end_is_not_acknowledged_while_a_repeated_start_of_a_former_leader_may_be_late() {
