Remember only the offers that were admitted

What callers saw: submissions that were refused cost the leader's memory too, up to some level: with 120, 400 and 2,000 of 260,000 bytes, of which the same 41 are accepted, the peak was 64, 110 and 125 MB.

Cause: the leader kept a copy of each submitted or offered job for 3 to 3.4 s, before it was decided on, so as long as the crowd's rate times 3 s. It needs one only of a job that a daemon is told to write, which then names it by id.

Change: CellAction::Admit carries the job, and the leader remembers that. A daemon that writes a job after no answer sends the whole job, as before.

--- a/crates/cell/src/core/jobs.rs
+++ b/crates/cell/src/core/jobs.rs
@@ -22,7 +22,7 @@
         }
         if !self.are_ended_known {
             // The job may have ended before. The daemon's write fails if it has.
-            return self.offer(&record, reply);
+            return self.offer(record, reply);
         }
         match self.admit(&record) {
             Admission::Admit => {
@@ -35,13 +35,13 @@
     }
 
     /// Decides whether a daemon may write a job.
-    pub(super) fn offer(&mut self, record: &JobRecord, reply: u64) {
+    pub(super) fn offer(&mut self, record: JobRecord, reply: u64) {
         if let Some(&key) = self.job_ids.get(&record.id) {
-            return self.resubmit(key, record, reply);
+            return self.resubmit(key, &record, reply);
         }
-        match self.admit(record) {
-            Admission::Admit => self.actions.push(CellAction::Admit { reply }),
-            Admission::Refuse(refusal) => self.refuse(record, reply, refusal),
+        match self.admit(&record) {
+            Admission::Admit => self.actions.push(CellAction::Admit { reply, record }),
+            Admission::Refuse(refusal) => self.refuse(&record, reply, refusal),
         }
     }
 
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -290,7 +290,7 @@
             CellInput::Ended { id, progress } => self.learn_ended(&id, &progress),
             CellInput::EndedKnown => self.are_ended_known = true,
             CellInput::Submitted { record, reply } => self.submit(record, reply),
-            CellInput::Offered { record, reply } => self.offer(&record, reply),
+            CellInput::Offered { record, reply } => self.offer(record, reply),
             CellInput::Cancel { id, caller, reply } => self.cancel(&id, caller.as_ref(), reply),
             CellInput::StartFinished { attempt, outcome } => self.finish_start(attempt, outcome),
             CellInput::StopFinished { attempt, is_acknowledged } => {
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -449,6 +449,8 @@
     Admit {
         /// Handle of the reply.
         reply: u64,
+        /// The job.
+        record: JobRecord,
     },
     /// Tell a caller that the id of its job is that of another owner's job.
     ReportTaken {
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -655,7 +655,7 @@
             CellAction::RequestAdvice(request) => self.advise(request),
             CellAction::Commit(request) => self.commit(request),
             CellAction::Reply { reply, state } => self.replies.push((reply, state)),
-            CellAction::Admit { reply } => self.admitted.push(reply),
+            CellAction::Admit { reply, .. } => self.admitted.push(reply),
             CellAction::ReportTaken { reply } => self.taken.push(reply),
             CellAction::Refuse { reply, retry_ms } => self.refusals.push((reply, retry_ms)),
             CellAction::Resign => self.has_resigned = true,
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -554,12 +554,10 @@
             Some(EntryBody::Accepted(record)) => self.core.apply(CellInput::Accepted(record)),
             Some(EntryBody::Submit(record)) => {
                 let reply = self.register_reply(session, frame.call);
-                self.remember_offer(&record);
                 self.core.apply(CellInput::Submitted { record, reply });
             }
             Some(EntryBody::Offer(record)) => {
                 let reply = self.register_reply(session, frame.call);
-                self.remember_offer(&record);
                 self.core.apply(CellInput::Offered { record, reply });
             }
             Some(EntryBody::Stored(id)) => {
@@ -614,14 +612,15 @@
     }
 
     /// Remembers a job that its daemon may write itself.
-    fn remember_offer(&mut self, record: &JobRecord) {
+    fn remember_offer(&mut self, record: JobRecord) {
         let received_ms = boot_ms();
         let former = self.offers.get(&record.id);
         let former = former.filter(|offer| offer.received_ms + OFFER_TIMEOUT_MS > received_ms);
         let is_same = |other: &JobRecord| other.owner() == record.owner();
         let is_clear = former.is_none_or(|offer| offer.record.as_ref().is_some_and(is_same));
-        let offer = JobOffer { record: is_clear.then(|| record.clone()), received_ms };
-        self.offers.insert(record.id.clone(), offer);
+        let id = record.id.clone();
+        let offer = JobOffer { record: is_clear.then_some(record), received_ms };
+        self.offers.insert(id, offer);
     }
 
     /// Records the origin of a request and returns a handle by which the core replies to it.
@@ -674,7 +673,8 @@
             CellAction::Reply { reply, state } => {
                 self.respond(reply, &LeaderBody::State(state.map_or(-1, |state| state as i32)));
             }
-            CellAction::Admit { reply } => {
+            CellAction::Admit { reply, record } => {
+                self.remember_offer(record);
                 self.respond(reply, &LeaderBody::Admitted(EmptyFrame {}));
             }
             CellAction::ReportTaken { reply } => {
