Bound the memory of the jobs that a leader keeps

What callers saw: sound submissions were accepted until the leader's host had no memory left: 31 services of 10,000 tasks (a body of 70 bytes), 67 jobs of 1,000 steps (12 KB), 47 with labels of their own, 81 with lists of earlier steps, 65 with a step that names another one 130,000 times, 44 with 1,000,000 occurrences took it beyond 64 MB.

Cause: there were budgets for what is being received, and none for what is kept. An accepted job is never dropped, so it has to be decided before the 2xx.

Change: JobMemory holds what each team's jobs take, by a cost that follows from the record (JobRecord::memory_bytes), charged when a job is accepted or its daemon told to write it, given back as it ends and is forgotten. A team may hold three times what is then free; beyond that its jobs are refused with 429 and the time after which it is expected to have given back enough. A job beyond three quarters of the budget is refused like one with too many tasks. Occurrences after the first wait for memory. A daemon on whose submission no leader has decided writes at most an eighth of its own budget between two statuses (UnaskedJobs); statuses have the memory that the leader has left. Setting clients.job_bytes, three eighths of the memory by default.

--- a/crates/cell/src/core/admission.rs
+++ b/crates/cell/src/core/admission.rs
@@ -14,7 +14,7 @@
 //! the workers' capacity.
 
 use {
-    super::{CellCore, expected_end::Verdict},
+    super::{CellCore, expected_end::Verdict, job_memory::MemoryVerdict},
     crate::{JobRecord, ResourceSet},
     rustc_hash::{FxHashMap, FxHasher},
     std::{
@@ -65,8 +65,15 @@
 /// Why a job is refused.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) enum RefusalCause {
-    /// It has more tasks than a job may have.
+    /// It has more tasks than a job may have, or takes more memory than a team can ever have.
     TooLarge,
+    /// Its team holds too much of the memory for jobs.
+    Memory {
+        /// Memory that the team's jobs take, in bytes.
+        held: usize,
+        /// Memory that is free, in bytes.
+        free: usize,
+    },
     /// The work before it is more than can be done while its result is useful.
     Backlog,
     /// Its result would no longer be useful at its expected end.
@@ -85,10 +92,20 @@
     },
 }
 
+impl RefusalCause {
+    /// Returns whether the job was refused for its memory.
+    pub(super) fn is_memory(self) -> bool {
+        matches!(self, Self::Memory { .. })
+    }
+}
+
 impl Display for RefusalCause {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         match self {
             Self::TooLarge => write!(formatter, "reason=too_large"),
+            Self::Memory { held, free } => {
+                write!(formatter, "reason=memory held_bytes={held} free_bytes={free}")
+            }
             Self::Backlog => write!(formatter, "reason=backlog"),
             Self::TooLate { expected_end_ms: end, limit_ms } => {
                 write!(formatter, "reason=too_late expected_end_ms={end} limit_ms={limit_ms}")
@@ -163,10 +180,21 @@
 impl CellCore {
     /// Decides whether to admit a submitted job.
     pub(super) fn admit(&mut self, record: &JobRecord) -> Admission {
-        if !record.can_be_taken() {
-            // A float-to-integer cast saturates.
-            let retry_ms = RETRY_RANGE_MS.1 as u64;
-            return Admission::Refuse(Refusal { retry_ms, cause: RefusalCause::TooLarge });
+        let memory = match record.can_be_taken() {
+            true => self.job_memory.decide(&record.team, record.memory_bytes(), self.time.now_ms),
+            false => MemoryVerdict::TooLarge,
+        };
+        match memory {
+            MemoryVerdict::Admit => {}
+            MemoryVerdict::TooLarge => {
+                // A float-to-integer cast saturates.
+                let retry_ms = RETRY_RANGE_MS.1 as u64;
+                return Admission::Refuse(Refusal { retry_ms, cause: RefusalCause::TooLarge });
+            }
+            MemoryVerdict::Refuse { held, wait_ms } => {
+                let cause = RefusalCause::Memory { held, free: self.job_memory.free() };
+                return Admission::refuse(record, wait_ms, cause);
+            }
         }
         if record.occurrences > 0 || record.steps.iter().any(|step| step.is_service) {
             return Admission::Admit;
--- a/crates/cell/src/core/commit.rs
+++ b/crates/cell/src/core/commit.rs
@@ -180,6 +180,7 @@
             }
             JobRowChange::Keep => {}
         }
+        self.update_charge(key);
         let job = &self.jobs[key];
         let id = job.record.id.clone();
         if job.job_row == JobRow::Removed {
@@ -201,6 +202,7 @@
     fn add_removal(&mut self, key: JobKey, request: &mut CommitRequest) {
         let Some(job) = self.jobs.remove(key) else { return };
         self.job_ids.remove(&job.record.id);
+        self.job_memory.release(&job.record.team, job.charged_bytes, self.time.now_ms);
         if job.job_row == JobRow::Stored {
             let id = &job.record.id;
             request.removed_jobs.push(id.clone());
--- a/crates/cell/src/core/jobs.rs
+++ b/crates/cell/src/core/jobs.rs
@@ -40,7 +40,11 @@
             return self.resubmit(key, &record, reply);
         }
         match self.admit(&record) {
-            Admission::Admit => self.actions.push(CellAction::Admit { reply, record }),
+            Admission::Admit => {
+                let (bytes, now_ms) = (record.memory_bytes(), self.time.now_ms);
+                self.job_memory.reserve(&record.id, &record.team, bytes, now_ms);
+                self.actions.push(CellAction::Admit { reply, record });
+            }
             Admission::Refuse(refusal) => self.refuse(&record, reply, refusal),
         }
     }
@@ -61,10 +65,11 @@
     fn refuse(&mut self, record: &JobRecord, reply: u64, refusal: Refusal) {
         let (retry_ms, cause) = (refusal.retry_ms, refusal.cause);
         let mut detail = format!("queue={} team={} retry_ms={retry_ms}", record.queue, record.team);
-        if self.settings.features.admission {
+        if self.settings.features.admission || cause.is_memory() {
             detail.push_str(&format!(" {cause}"));
         }
-        self.log("job_refused", &record.id, detail);
+        let event = if cause.is_memory() { "job_memory_refused" } else { "job_refused" };
+        self.log(event, &record.id, detail);
         self.actions.push(CellAction::Refuse { reply, retry_ms });
     }
 
@@ -94,14 +99,28 @@
 
     fn insert(&mut self, record: JobRecord) -> JobKey {
         let id = record.id.clone();
+        self.job_memory.end_reservation(&id);
         let key = self.jobs.insert(JobEntry::new(record));
         self.job_ids.insert(id, key);
         if self.jobs[key].record.occurrences == 0 {
             self.jobs[key].create_occurrences(1);
         }
+        self.update_charge(key);
         key
     }
 
+    /// Charges what a job occupies now to its team, in place of what it was charged with.
+    pub(super) fn update_charge(&mut self, key: JobKey) {
+        let job = &mut self.jobs[key];
+        let bytes = job.memory_bytes();
+        let former = std::mem::replace(&mut job.charged_bytes, bytes);
+        let (memory, team) = (&mut self.job_memory, &job.record.team);
+        match bytes.checked_sub(former) {
+            Some(more) => memory.charge(team, more),
+            None => memory.release(team, former - bytes, self.time.now_ms),
+        }
+    }
+
     /// Restores a job and its progress from the store. The list of workers must have been applied
     /// before.
     ///
@@ -140,6 +159,7 @@
         if job.state.is_final() && job.attempt_count() == 0 {
             job.phases.clear();
         }
+        self.update_charge(key);
     }
 
     /// Restores an ended job of which only the progress row is left.
@@ -217,10 +237,18 @@
         }
     }
 
-    /// Creates the phases of occurrences that are due.
+    /// Creates the phases of occurrences that are due. Beside the first one, for which there is memory since the
+    /// job was accepted, an occurrence waits until its team may hold it.
     pub(super) fn start_due_occurrences(&mut self) {
-        for key in &self.live {
-            self.jobs[*key].create_due_occurrences(self.time.wall_ms);
+        for index in 0..self.live.len() {
+            let key = self.live[index];
+            while let Some(bytes) = self.jobs[key].due_occurrence_bytes(self.time.wall_ms)
+                && self.job_memory.has_space(&self.jobs[key].record.team, bytes)
+            {
+                let job = &mut self.jobs[key];
+                job.create_occurrences(job.occurrences_created + 1);
+                self.update_charge(key);
+            }
         }
     }
 
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -28,6 +28,7 @@
 mod expired_attempts;
 mod gang_plans;
 mod host_outlook;
+mod job_memory;
 mod jobs;
 mod lease_bounds;
 mod leases;
@@ -85,6 +86,7 @@
     class_load::ClassLoad,
     commit::CommitQueue,
     expired_attempts::ExpiredAttempts,
+    job_memory::JobMemory,
     lease_bounds::LeaseBounds,
     lone_suspects::LoneSuspects,
     loss_times::LossTimes,
@@ -130,6 +132,7 @@
     config: Arc<CellConfig>,
     jobs: SlotMap<JobKey, JobEntry>,
     job_ids: FxHashMap<String, JobKey>,
+    job_memory: JobMemory,
     /// Jobs that have not ended.
     live: Vec<JobKey>,
     /// Jobs that have ended, oldest first.
@@ -201,6 +204,7 @@
     #[must_use]
     pub fn new(settings: CellSettings) -> Self {
         Self {
+            job_memory: JobMemory::new(settings.job_memory_bytes),
             settings,
             time: CellTime::default(),
             config: Arc::default(),
@@ -396,6 +400,19 @@
         }
     }
 
+    /// Returns the memory that is left for jobs, in bytes.
+    ///
+    /// ```
+    /// use damaskrack_cell::{CellCore, CellSettings};
+    ///
+    /// let core = CellCore::new(CellSettings { job_memory_bytes: 1_000, ..CellSettings::default() });
+    /// assert_eq!(core.free_job_bytes(), 1_000);
+    /// ```
+    #[must_use]
+    pub fn free_job_bytes(&self) -> usize {
+        self.job_memory.free()
+    }
+
     /// Returns the largest number of start and stop requests that may be in flight.
     ///
     /// ```
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -9,6 +9,7 @@
 mod core;
 mod feature_settings;
 mod job_caller;
+mod job_cost;
 mod job_owner;
 mod keys;
 mod lease_bound;
--- a/crates/cell/src/settings.rs
+++ b/crates/cell/src/settings.rs
@@ -22,6 +22,8 @@
     pub commit_interval_ms: u64,
     /// Number of write calls per second that the store accepts from all daemons.
     pub store_writes_per_s: u64,
+    /// Memory for the jobs that a leader keeps, in bytes.
+    pub job_memory_bytes: usize,
     /// Factor by which a task runs longer away from its data, or outside the rack of its coupled gang; 1.0 if
     /// that is not known.
     pub remote_factor: f64,
@@ -56,6 +58,7 @@
             retention_ms: 130_000,
             commit_interval_ms: 20,
             store_writes_per_s: 400,
+            job_memory_bytes: usize::MAX,
             remote_factor: 1.0,
             features: FeatureSettings::default(),
         }
--- a/crates/cell/src/table/job.rs
+++ b/crates/cell/src/table/job.rs
@@ -67,11 +67,15 @@
     /// The rows in the store are older than this entry.
     pub(crate) is_dirty: bool,
     pub(crate) after_commit: Vec<AfterCommit>,
+    /// Memory that the job's team is charged with for it, in bytes.
+    pub(crate) charged_bytes: usize,
 }
 
 impl JobEntry {
     pub(crate) fn new(mut record: JobRecord) -> Self {
         let payload = Arc::from(std::mem::take(&mut record.payload));
+        record.steps.shrink_to_fit();
+        record.steps.iter_mut().for_each(|step| step.after.shrink_to_fit());
         Self {
             record,
             payload,
@@ -87,6 +91,7 @@
             is_rejected: false,
             is_dirty: false,
             after_commit: Vec::new(),
+            charged_bytes: 0,
         }
     }
 
@@ -110,6 +115,17 @@
         change
     }
 
+    /// Returns the memory that the job occupies, in bytes. One occurrence always counts, so that there is memory
+    /// for the first one.
+    pub(crate) fn memory_bytes(&self) -> usize {
+        let occurrences = match self.state.is_final() && self.phases.is_empty() {
+            true => 0,
+            false => self.occurrences_created.max(1) as usize,
+        };
+        let phases = self.record.occurrence_bytes().saturating_mul(occurrences);
+        (self.record.fixed_bytes() + self.payload.len()).saturating_add(phases)
+    }
+
     /// Returns the job as submitted, including the payload.
     pub(crate) fn full_record(&self) -> JobRecord {
         JobRecord { payload: self.payload.to_string(), ..self.record.clone() }
@@ -133,6 +149,9 @@
 
     /// Creates the phases of the first `count` occurrences.
     pub(crate) fn create_occurrences(&mut self, count: u32) {
+        if self.occurrences_created == 0 {
+            self.phases.reserve_exact(self.record.steps.len());
+        }
         while self.occurrences_created < count {
             for (step, spec) in self.record.steps.iter().enumerate() {
                 self.phases.push(PhaseEntry::new(self.occurrences_created, step, spec.tasks));
@@ -141,18 +160,18 @@
         }
     }
 
-    /// Creates the phases of the occurrences that are due, as long as earlier ones have fewer than
-    /// [`MAX_UNFINISHED_TASKS`] unfinished tasks.
-    pub(crate) fn create_due_occurrences(&mut self, wall_ms: u64) {
-        while self.occurrences_created < self.occurrences()
-            && self.due_ms(self.occurrences_created) <= wall_ms
-        {
-            let unfinished: usize = self.phases.iter().map(|phase| phase.unfinished).sum();
-            if unfinished >= MAX_UNFINISHED_TASKS {
-                return;
-            }
-            self.create_occurrences(self.occurrences_created + 1);
+    /// Returns the memory that the next occurrence takes beyond what the job is charged with, in bytes; `None` if
+    /// it is not due, or earlier ones have [`MAX_UNFINISHED_TASKS`] unfinished tasks.
+    pub(crate) fn due_occurrence_bytes(&self, wall_ms: u64) -> Option<usize> {
+        let created = self.occurrences_created;
+        if created >= self.occurrences() || self.due_ms(created) > wall_ms {
+            return None;
+        }
+        let unfinished: usize = self.phases.iter().map(|phase| phase.unfinished).sum();
+        if unfinished >= MAX_UNFINISHED_TASKS {
+            return None;
         }
+        Some(if created == 0 { 0 } else { self.record.occurrence_bytes() })
     }
 
     /// Creates the occurrences up to that of a stored phase and returns the phase's index; `None` if the
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -13,6 +13,7 @@
 mod incarnations;
 mod inherited_leases;
 mod job_lifecycle;
+mod job_memory;
 mod load;
 mod lost_workers;
 mod narrow_link;
--- a/crates/cellnode/src/entry.rs
+++ b/crates/cellnode/src/entry.rs
@@ -3,9 +3,10 @@
 use {
     crate::{
         CellStore, StoreError, StoreItem, StorePut, StoreTransaction, TransactionOutcome, boot_ms,
-        frame::{EntryBody, LeaderBody},
+        frame::{EntryBody, LeaderBody, LeaderStatusFrame},
         leader_connection::LeaderConnection,
         rows::{ended_key, job_key, payload_key, progress_key},
+        unasked_jobs::UnaskedJobs,
     },
     cadence::{CountedExt, StatsdClient, Timed},
     damaskrack_cell::{
@@ -152,6 +153,7 @@
     /// Until when the circuit breaker refuses writes, in milliseconds since the host booted; 0
     /// while it is closed.
     pub(crate) breaker_until_ms: AtomicU64,
+    pub(crate) unasked: UnaskedJobs,
     pub(crate) metrics: Arc<StatsdClient>,
 }
 
@@ -253,7 +255,9 @@
             LeaderResponse::Refused(error) => return Err(error),
             LeaderResponse::Admitted | LeaderResponse::None | LeaderResponse::Lost => {}
         }
-        let result = match self.is_breaker_open() {
+        let may_write =
+            response == LeaderResponse::Admitted || self.may_write_unasked(&job, &status);
+        let result = match !may_write || self.is_breaker_open() {
             true => Err(EntryError::Unavailable),
             false => {
                 let call_timeout_ms = WRITE_CALL_TIMEOUT_MS + allowance_ms;
@@ -278,6 +282,16 @@
         }
     }
 
+    /// Returns whether the daemon may write a job on which the leader has not decided.
+    fn may_write_unasked(&self, job: &JobRecord, status: &LeaderStatusFrame) -> bool {
+        let may_write = self.unasked.admit(job.memory_bytes(), status);
+        if !may_write {
+            // The client's error handler reports failures.
+            let _ = self.metrics.incr("submit.unasked_refused");
+        }
+        may_write
+    }
+
     /// Passes a job to the leader, which writes it together with others. If the leader's link is
     /// narrow, only asks it whether to accept the job.
     async fn consult_leader(
--- a/crates/cellnode/src/frame.rs
+++ b/crates/cellnode/src/frame.rs
@@ -187,6 +187,9 @@
     /// The leader's link is narrow: daemons write the jobs that they accept.
     #[prost(bool, tag = "5")]
     pub(crate) is_link_narrow: bool,
+    /// Memory that the leader has left for jobs, in bytes. A leader of a former version does not tell.
+    #[prost(uint64, optional, tag = "6")]
+    pub(crate) free_job_bytes: Option<u64>,
 }
 
 impl EntryFrame {
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -517,6 +517,7 @@
                 .unwrap_or(0),
             sent_ms: boot_ms(),
             is_link_narrow: self.router.is_link_narrow(),
+            free_job_bytes: u64::try_from(self.core.free_job_bytes()).ok(),
         }
     }
 
--- a/crates/cellnode/src/lib.rs
+++ b/crates/cellnode/src/lib.rs
@@ -40,6 +40,7 @@
 mod store_regain;
 mod stored_jobs;
 mod term_closer;
+mod unasked_jobs;
 mod won_election;
 mod worker_sink;
 mod write_frame;
--- a/crates/listen/src/client_limits.rs
+++ b/crates/listen/src/client_limits.rs
@@ -17,6 +17,8 @@
 const LARGE_BODY_DIVISOR: u64 = 8;
 /// The part of the memory for small bodies, as a divisor.
 const SMALL_BODY_DIVISOR: u64 = 32;
+/// The part of the memory for jobs that a leader keeps, in eighths.
+const JOB_EIGHTHS: u64 = 3;
 /// Bytes of the budget of large bodies for each of its slots: smaller bodies end before their number
 /// matters.
 const BYTES_PER_LARGE_SLOT: usize = 65_536;
@@ -135,6 +137,8 @@
     pub peer_connections: usize,
     /// Bytes of frames of other daemons that are being received.
     pub peer_frame_bytes: usize,
+    /// Bytes of the jobs that the process keeps while it leads.
+    pub job_bytes: usize,
 }
 
 impl ClientLimits {
@@ -153,6 +157,7 @@
     /// let limits = ClientLimits::for_host(HostResources::default())?;
     /// assert_eq!(limits.callers.connections, 1_200);
     /// assert_eq!(limits.bodies.large.bytes, 15 << 20);
+    /// assert_eq!(limits.job_bytes, 45 << 20);
     /// let host = HostResources { max_fds: 200, ..HostResources::default() };
     /// assert_eq!(ClientLimits::for_host(host).unwrap_err().limit, "max_fds");
     /// # Ok::<(), damaskrack_listen::LimitFault>(())
@@ -178,6 +183,7 @@
             },
             peer_connections: saturate((fds / 4).clamp(16, 256)),
             peer_frame_bytes: large,
+            job_bytes: saturate(bytes / 8 * JOB_EIGHTHS),
         }
     }
 }
