--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -90,6 +90,17 @@
         TaskRef { phase: self.phase, index: self.index }
     }
 
+    /// Returns the number of start requests of which an incarnation of the worker other than the one that has
+    /// begun the attempt may carry one out, while `incarnation` is the last that is known; 0 if it can carry out
+    /// none.
+    pub(crate) fn open_starts(&self, now_ms: u64, incarnation: u64) -> u32 {
+        // None is sent once another incarnation is known.
+        let is_settled_before =
+            self.incarnation != incarnation && self.start.unheard_until_ms().is_none();
+        let is_open = self.start.may_reach_another(now_ms) && !is_settled_before;
+        if is_open { self.start.tries } else { 0 }
+    }
+
     /// Returns for how long the attempt ran until its worker was lost, in milliseconds, if this leader
     /// started it.
     pub(crate) fn ran_until(&self, lost_ms: u64) -> Option<u64> {
--- a/crates/cell/src/table/start_requests.rs
+++ b/crates/cell/src/table/start_requests.rs
@@ -129,12 +129,6 @@
         now_ms < self.unsettled_until_ms()
     }
 
-    /// Returns the number of requests of this leader of which another incarnation may carry one out; 0 if it can
-    /// carry out none.
-    pub(crate) fn unsettled(&self, now_ms: u64) -> u32 {
-        if self.may_reach_another(now_ms) { self.tries } else { 0 }
-    }
-
     /// Returns the time until which a request of this leader, with a ticket or without one, may be carried out by
     /// another incarnation of the worker; 0 if none can be.
     pub(crate) fn unsettled_until_ms(&self) -> u64 {
--- a/crates/cell/tests/cell/release_causes.rs
+++ b/crates/cell/tests/cell/release_causes.rs
@@ -73,3 +73,15 @@
     cell.run(1_500);
     assert!(released(&mut cell).contains("cause=Replaced"));
 }
+
+#[test]
+fn a_start_that_a_former_incarnation_carried_out_is_not_logged_as_open() {
+    let mut cell = cell_with_service(OTHER_LEASES_MS);
+    cell.reincarnate("w0");
+    cell.workers.get_mut("w0").expect("a worker").is_silent = true;
+    cell.list_workers();
+    cell.run(LAPSE_MS);
+    let detail = released(&mut cell);
+    assert!(detail.contains("cause=LeaseExpiry(FormerIncarnation)"), "{detail}");
+    assert!(detail.contains("open_starts=0"), "{detail}");
+}
