Tests of late starts past the binding of their tasks, found in review

Written by somebody who had not seen the fix: ways by which a start without a ticket that is carried out late still breaks a rule.

--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -25,6 +25,7 @@
 mod place_wait;
 mod preemption;
 mod release_causes;
+mod late_starts;
 mod restarted_leases;
 mod starts_without_ticket;
 mod support;
