The next start of a bound task supersedes the former ones

What callers saw: nothing yet; found in review. TWICE: a start without a ticket has no response, its worker acknowledges the stop and restarts; the next start of the task reaches the new incarnation first, the late one after it, with the same fence number, and both run there.

Cause: a binding after an acknowledged stop has min_fence 0 and leaves the worker's fence as it is, as the present incarnation has barred the attempt. A later one, of which the leader does not know yet, has not.

Change: the fence advances before a bound task is placed, so that an incarnation that carries its start out refuses those of former attempts.

unanswered_starts::a_repeated_start_that_is_refused_is_stopped_before_its_task_starts_elsewhere asked for the refusal Stale. The fake worker checks the fence first, so the late start is refused as Fenced now. The test asks the worker whether the attempt was stopped, which Stale stood for, and that the start is refused.

Evidence: late_starts::a_start_of_an_attempt_that_was_stopped_does_not_run_beside_the_next_one fails before ("1.0.0.0 runs 2 times") and passes.

--- a/crates/cell/src/core/bound_tasks.rs
+++ b/crates/cell/src/core/bound_tasks.rs
@@ -221,6 +221,8 @@
         }
         let Some(worker) = self.bound_host(TaskRef { phase, index }) else { return };
         *budget -= 1;
+        // Whichever incarnation carries the start out refuses those of former attempts from then on.
+        self.workers[worker].fence.advance();
         self.create_attempts(phase, &[index], &[worker]);
         if self.jobs[phase.job].phases[phase.phase].tasks[index].is_suspected() {
             self.start_probation(phase, &[index]);
