No end is acknowledged while a former leader's start may be late

Cause: ends wait for the requests of the present leader only. A former leader's count for nothing, neither those of an attempt that it repeated, nor those of one that the worker does not list, nor those that a row's bound_worker stands for.

Change: ends wait for them too: for a running attempt that was repeated (may_reach_another), for an attempt that leaves the tables with an open start (remove_attempt), and for each task that is bound to the worker (await_bound). Queues with an adviser have none of these.

--- a/crates/cell/src/core/bound_tasks.rs
+++ b/crates/cell/src/core/bound_tasks.rs
@@ -102,7 +102,7 @@
     }
 
     /// Returns the time until which a start request of an attempt may be carried out late, `None` if none may.
-    fn open_start_until_ms(&self, attempt: &AttemptEntry) -> Option<u64> {
+    pub(super) fn open_start_until_ms(&self, attempt: &AttemptEntry) -> Option<u64> {
         let until_ms = attempt.start.open_until_ms(self.former_starts_until_ms())?;
         (!self.counts_as_confirmed(attempt)).then_some(until_ms)
     }
@@ -119,7 +119,7 @@
     }
 
     /// Returns the time until which requests of former leaders may be carried out.
-    fn former_starts_until_ms(&self) -> u64 {
+    pub(super) fn former_starts_until_ms(&self) -> u64 {
         self.former_end_ms() + MAX_REQUEST_DELAY_MS
     }
 
--- a/crates/cell/src/core/completion.rs
+++ b/crates/cell/src/core/completion.rs
@@ -14,6 +14,7 @@
     /// still start.
     fn remove_attempt(&mut self, key: AttemptKey, is_task_done: bool) -> Option<AttemptEntry> {
         let attempt = self.attempts.remove(key)?;
+        let open_until_ms = self.open_start_until_ms(&attempt).unwrap_or(0);
         if !is_task_done {
             self.bind_task(&attempt);
         }
@@ -27,7 +28,7 @@
         }
         let worker = &mut self.workers[attempt.worker];
         worker.unsettled_until_ms =
-            worker.unsettled_until_ms.max(attempt.start.unsettled_until_ms());
+            worker.unsettled_until_ms.max(attempt.start.unsettled_until_ms()).max(open_until_ms);
         worker.kept_apart -= usize::from(attempt.is_kept_apart);
         worker.gang_members -= usize::from(attempt.is_gang_member);
         worker.probations -= usize::from(attempt.is_on_probation);
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -129,6 +129,7 @@
     }
 
     pub(super) fn renew_leases(&mut self) {
+        let former_until_ms = self.former_starts_until_ms();
         let CellCore { time, settings, workers, attempts, actions, lease_bounds, .. } = self;
         let is_first = |w: &WorkerEntry| !w.has_accepted_token && w.renew_sent_ms.is_some();
         let mut first_renewals = workers.values().filter(|worker| is_first(worker)).count();
@@ -152,7 +153,9 @@
                 && !worker.attempts.is_empty();
             let mut own = worker.attempts.values();
             let has_unsettled_start = time.now_ms < worker.unsettled_until_ms
-                || own.any(|key| attempts[*key].start.may_reach_another(time.now_ms));
+                || own.any(|key| {
+                    attempts[*key].start.may_reach_another(former_until_ms, time.now_ms)
+                });
             let acknowledged_end = worker.acknowledgeable_end(has_unsettled_start);
             if acknowledged_end > 0 {
                 worker.fence.open_acknowledgement();
--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -97,7 +97,7 @@
         // None is sent once another incarnation is known.
         let is_settled_before =
             self.incarnation != incarnation && self.start.unheard_until_ms().is_none();
-        let is_open = self.start.may_reach_another(now_ms) && !is_settled_before;
+        let is_open = now_ms < self.start.unsettled_until_ms() && !is_settled_before;
         if is_open { self.start.tries } else { 0 }
     }
 
--- a/crates/cell/src/table/start_requests.rs
+++ b/crates/cell/src/table/start_requests.rs
@@ -124,9 +124,11 @@
         self.sent_ms + MAX_REQUEST_DELAY_MS
     }
 
-    /// Returns whether a request of this leader may be carried out by another incarnation of the worker.
-    pub(crate) fn may_reach_another(&self, now_ms: u64) -> bool {
-        now_ms < self.unsettled_until_ms()
+    /// Returns whether a request may be carried out by another incarnation of the worker. Those of former leaders may
+    /// be until `former_until_ms`, if there are more than the one that an incarnation lists.
+    pub(crate) fn may_reach_another(&self, former_until_ms: u64, now_ms: u64) -> bool {
+        let is_former_open = self.former == FormerStarts::Several && now_ms < former_until_ms;
+        is_former_open || now_ms < self.unsettled_until_ms()
     }
 
     /// Returns the time until which a request of this leader, with a ticket or without one, may be carried out by
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -241,6 +241,7 @@
     pub(crate) fn await_bound(&mut self, min_fence: u32, until_ms: u64) {
         self.bound_fence = self.bound_fence.max(min_fence);
         self.bound_until_ms = self.bound_until_ms.max(Some(until_ms));
+        self.unsettled_until_ms = self.unsettled_until_ms.max(until_ms);
     }
 
     /// Returns whether the incarnation might still carry out a start of a task that is bound to the worker.
--- a/crates/cell/tests/cell/late_starts.rs
+++ b/crates/cell/tests/cell/late_starts.rs
@@ -151,8 +151,7 @@
 
 #[test]
 fn a_service_whose_worker_drains_is_back_in_time_after_a_lost_start() {
-    let mut cell =
-        cell_with_lost_starts(MAX_START_TRIES, StepSpec { is_service: true, ..step(1) });
+    let mut cell = cell_with_lost_starts(MAX_START_TRIES, StepSpec { is_service: true, ..step(1) });
     worker(&mut cell).report.is_leaving = true;
     cell.list_workers();
     cell.run(9_000);
