A new leader acknowledges no recorded end while a start may be late

What callers saw: nothing yet; found in review. TWICE: the second of two requests without a ticket runs and ends done; the leader writes the end, and is replaced while it waits for the first request. The next leader finds the task done, acknowledges the end at once, the worker restarts and carries the first request out.

Cause: a done task has no row of its own, so the next leader knows of no request. apply_unknown_end acknowledges such an end as soon as the job's row is durable.

Change: for jobs without an adviser, the ends of a worker that lists such an end wait until no request of a former leader can be carried out, 15 s after its end.

The random test no_task_runs_twice_while_workers_restart_and_starts_are_late dropped late starts of tasks whose ends were acknowledged. It keeps them now.

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -12,7 +12,7 @@
         available::AvailableWorkers, placement::PlacementOutcome,
     },
     crate::{
-        AdviceCallKey, AdviceRequest, AdviceTiming, CellAction, WorkerKey, WorkerTicket,
+        AdviceCallKey, AdviceRequest, AdviceTiming, CellAction, JobKey, WorkerKey, WorkerTicket,
         message::PhaseRef,
         table::{AdviceCallEntry, AttemptEntry, AttemptState, DaemonEntry, TicketEntry},
     },
@@ -69,11 +69,20 @@
     /// Returns the timing of the adviser of a phase's queue, if it has one. The job's record has that of
     /// a queue which is no longer configured.
     pub(super) fn advice_timing(&self, phase: PhaseRef) -> Option<AdviceTiming> {
-        let record = &self.jobs[phase.job].record;
+        self.job_advice_timing(phase.job)
+    }
+
+    fn job_advice_timing(&self, job: JobKey) -> Option<AdviceTiming> {
+        let record = &self.jobs[job].record;
         let queue = self.config.queues.get(&record.queue);
         queue.map_or(record.advice, |queue| queue.advice)
     }
 
+    /// Returns whether a job's starts need tickets.
+    pub(super) fn has_adviser(&self, job: JobKey) -> bool {
+        self.job_advice_timing(job).is_some()
+    }
+
     /// Places the backlog, and requests tickets for steps that could not be placed without them.
     pub(super) fn place_backlog(&mut self) {
         self.back_off_failing();
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -379,7 +379,13 @@
                 self.stop_attempt(other);
             }
         }
+        // A former leader may have recorded the end and not told of another request to start the task.
+        let former_until_ms = match self.has_adviser(job) {
+            true => 0,
+            false => self.former_starts_until_ms(),
+        };
         let worker = &mut self.workers[key];
+        worker.unsettled_until_ms = worker.unsettled_until_ms.max(former_until_ms);
         worker.pending_ends += 1;
         let incarnation = worker.report.incarnation;
         self.mark_dirty(job, Some(AfterCommit::AcknowledgeEnd(key, incarnation)));
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -874,9 +874,8 @@
     /// are acknowledged.
     pub(crate) fn expire_deferred_starts(&mut self, id: &str) {
         let now_ms = self.now_ms;
-        let is_done = |late: &LateRequest<StartRequest>| self.done.contains_key(&late.request.task);
         let late = &mut self.workers.get_mut(id).unwrap().deferred_starts;
-        late.retain(|late| now_ms < late.sent_ms + MAX_REQUEST_DELAY_MS && !is_done(late));
+        late.retain(|late| now_ms < late.sent_ms + MAX_REQUEST_DELAY_MS);
     }
 
     /// Ends the first run of a worker.
