A task waits for a late start also where its worker's entry has expired

TWICE: a start without a ticket has no response, its worker is lost and its entry expires, the task runs elsewhere; the worker comes back within 15 s, or is never heard from again, and its next incarnation carries the start out.

Cause: a binding ended as soon as the entry had expired. "An entry that is still missing after that time is to be treated as gone" tells that nothing runs there, not that the id does not come back.

Change: only a service leaves at once, as it may stand still for 9 s (LOST). Any other task waits until its start can no longer be carried out, 15 s after it was sent; that is within finish_s and the 3 s that LOST allows (17 s). A run begun in the last moment by an incarnation that nobody hears from lasts for a lease longer; that is left.

--- a/crates/cell/src/core/bound_tasks.rs
+++ b/crates/cell/src/core/bound_tasks.rs
@@ -3,7 +3,8 @@
 //! A start request without a ticket names its worker by an id only. While its response is missing, whichever
 //! incarnation has the id may carry it out, so the task starts again on that worker only, once the present
 //! incarnation refuses the request. It is free again when no incarnation carries the request out any more and what
-//! the worker runs is known, or when the worker is gone: its entry has expired and it does not respond.
+//! the worker runs is known, or the worker is gone: its entry has expired and it does not respond. A service leaves
+//! such a worker at once.
 
 use {
     super::{
@@ -161,7 +162,7 @@
         let key = self.worker_ids.get(&binding.worker).copied();
         let is_gone = key.is_none_or(|key| self.workers[key].is_gone());
         match key {
-            _ if is_gone && self.are_missing_entries_gone() => {
+            _ if is_gone && self.may_leave_gone_worker(task, binding.until_ms) => {
                 BindingState::Over(UnbindCause::WorkerGone)
             }
             None => BindingState::Held,
@@ -181,6 +182,13 @@
             && self.worker_list.has_been_current_for(ENTRY_DELAY_MS, now_ms)
     }
 
+    /// Returns whether a task may leave a worker without an entry that does not respond. The worker may come back and
+    /// carry the request out, but a service cannot stand still for that long.
+    fn may_leave_gone_worker(&self, task: TaskRef, until_ms: u64) -> bool {
+        let is_due = self.is_service_step(task.phase) || self.time.now_ms >= until_ms;
+        is_due && self.are_missing_entries_gone()
+    }
+
     /// Returns what becomes of the binding of a task to a worker that is not gone.
     fn binding_state(
         &self,
