Bound tasks: others of their step still have room made, and are counted without a pass

Found in review: one bound task kept a whole step from having room made for it, though its other tasks may run anywhere; and placing a step with losses passed over all of its tasks to count the free ones. One predicate, waits_for_late_starts, serves the log and preemption; the count is a subtraction again.

--- a/crates/cell/src/core/bound_tasks.rs
+++ b/crates/cell/src/core/bound_tasks.rs
@@ -213,6 +213,14 @@
         }
     }
 
+    /// Returns whether a step has no task that may run on any worker, because all of those that wait are bound, or a
+    /// member of the gang is.
+    pub(super) fn waits_for_late_starts(&self, phase: PhaseRef) -> bool {
+        let entry = &self.jobs[phase.job].phases[phase.phase];
+        let bound = entry.bound_tasks().len();
+        bound > 0 && (bound == entry.unassigned || self.is_gang(phase))
+    }
+
     /// Places the bound tasks of a step that their workers may run now. The members of a gang wait until none is
     /// bound.
     pub(super) fn place_bound_tasks(
--- a/crates/cell/src/core/placement.rs
+++ b/crates/cell/src/core/placement.rs
@@ -102,7 +102,7 @@
         }
         let entry = &self.jobs[phase.job].phases[phase.phase];
         let suspects = entry.waiting_tasks(true);
-        let others = entry.waiting_tasks(false).len();
+        let others = entry.unassigned.saturating_sub(suspects.len() + entry.bound_tasks().len());
         if is_gang && !suspects.is_empty() {
             return self.place_suspect_gang(phase, available, budget);
         }
--- a/crates/cell/src/core/preemption.rs
+++ b/crates/cell/src/core/preemption.rs
@@ -80,7 +80,7 @@
     fn needs_room(&self, phase: PhaseRef) -> bool {
         let entry = &self.jobs[phase.job].phases[phase.phase];
         entry.room_due_ms <= self.time.now_ms
-            && entry.bound_tasks().is_empty()
+            && !self.waits_for_late_starts(phase)
             && self.is_entitled_to_room(phase)
             && !self.reservations.is_freeing(phase)
             && self.has_waited_noticeably(phase)
--- a/crates/cell/src/core/waiting_steps.rs
+++ b/crates/cell/src/core/waiting_steps.rs
@@ -120,8 +120,7 @@
         if !entry.retry.is_due(self.time.now_ms) {
             return "step_waits_for_retry";
         }
-        let bound = entry.bound_tasks().len();
-        if bound == entry.unassigned || (bound > 0 && self.is_gang(phase)) {
+        if self.waits_for_late_starts(phase) {
             return "step_waits_for_late_start";
         }
         if self.placeable_tasks(phase, entry.unassigned) == 0 {
