Model of starts without a ticket that a later incarnation carries out

No machine had such starts: `leadership` has no restarts, and in `incarnations` another incarnation refuses the start.

Change: machine `open_starts`: one worker with three incarnations, another worker, two leaders in succession and a former one that still sends, two starts that are late or lost, repetition, stop, release, the next start there or elsewhere, a worker that is gone. Besides runs in two places, a start after an acknowledged end `done` is a violation. Mechanisms: binds_task, fences_before_start, row_carries_binding, waits_for_response_after_delay, and three that the search has shown to be needed as well: durable_repeat (a row that does not have the repeated start lets the next leader take the first one's end for the only one), delay_after_isolation (a former leader sends a start after its successor's election) and end_after_open_starts (an acknowledged end, then a restart, then the other copy of the start). Two assumptions: gone_for_good and one_run_after_restart.

--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -16,8 +16,8 @@
     machine_name::{MachineName, ParseMachineError},
     machines::{
         IncarnationsMachine, IsolationMachine, JournalMachine, LeadershipMachine,
-        LeaseBoundsMachine, ManifestMachine, OwnershipMachine, RackMachine, ResubmissionMachine,
-        TeamMachine,
+        LeaseBoundsMachine, ManifestMachine, OpenStartsMachine, OwnershipMachine, RackMachine,
+        ResubmissionMachine, TeamMachine,
     },
     mutation::{Mutation, ParseMutationError},
 };
--- a/crates/spec/src/machine_name.rs
+++ b/crates/spec/src/machine_name.rs
@@ -3,8 +3,8 @@
 use {
     crate::{
         ExplorationOutcome, IncarnationsMachine, IsolationMachine, JournalMachine,
-        LeadershipMachine, LeaseBoundsMachine, ManifestMachine, Mutation, OwnershipMachine,
-        RackMachine, ResubmissionMachine, SpecMachine, TeamMachine, explore,
+        LeadershipMachine, LeaseBoundsMachine, ManifestMachine, Mutation, OpenStartsMachine,
+        OwnershipMachine, RackMachine, ResubmissionMachine, SpecMachine, TeamMachine, explore,
     },
     std::{fmt, str::FromStr},
 };
@@ -32,6 +32,8 @@
     LeaseBounds,
     /// Leases on a worker that restarts under its id, while requests to a former incarnation are late.
     Incarnations,
+    /// Starts without a ticket that a later incarnation of the worker may carry out.
+    OpenStarts,
 }
 
 /// Error for a text that is not the name of a machine.
@@ -49,7 +51,7 @@
 
 impl MachineName {
     /// All machines, in the order in which they are explored.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Ownership,
         Self::Isolation,
         Self::RackTakeover,
@@ -60,6 +62,7 @@
         Self::Leadership,
         Self::LeaseBounds,
         Self::Incarnations,
+        Self::OpenStarts,
     ];
 
     /// Returns the name that selects the machine on the command line.
@@ -76,6 +79,7 @@
             Self::Leadership => "leadership",
             Self::LeaseBounds => "lease_bounds",
             Self::Incarnations => "incarnations",
+            Self::OpenStarts => "open_starts",
         }
     }
 
@@ -102,6 +106,7 @@
             Self::Leadership => explore(&LeadershipMachine::new(removed)),
             Self::LeaseBounds => explore(&LeaseBoundsMachine::new(removed)),
             Self::Incarnations => explore(&IncarnationsMachine::new(removed)),
+            Self::OpenStarts => explore(&OpenStartsMachine::new(removed)),
         }
     }
 }
--- a/crates/spec/src/machines.rs
+++ b/crates/spec/src/machines.rs
@@ -6,6 +6,7 @@
 mod leadership;
 mod lease_bounds;
 mod manifest;
+mod open_starts;
 mod ownership;
 mod rack;
 mod resubmission;
@@ -14,6 +15,6 @@
 pub use {
     incarnations::IncarnationsMachine, isolation::IsolationMachine, journal::JournalMachine,
     leadership::LeadershipMachine, lease_bounds::LeaseBoundsMachine, manifest::ManifestMachine,
-    ownership::OwnershipMachine, rack::RackMachine, resubmission::ResubmissionMachine,
-    team::TeamMachine,
+    open_starts::OpenStartsMachine, ownership::OwnershipMachine, rack::RackMachine,
+    resubmission::ResubmissionMachine, team::TeamMachine,
 };
--- a/crates/spec/src/mutation.rs
+++ b/crates/spec/src/mutation.rs
@@ -136,6 +136,27 @@
     FenceBeforePlacement,
     /// A row says that leases are bounded only once those of other requests are over.
     KnownLeases,
+    /// A task of which a start may still be carried out starts on no other worker, unless its worker is
+    /// gone.
+    BindsTask,
+    /// Such a task starts again only on an incarnation that refuses the former starts.
+    FencesBeforeStart,
+    /// The task's row tells the next leader of starts that may still be carried out.
+    RowCarriesBinding,
+    /// Once the starts can no longer be carried out, the worker must respond, or the longest lease pass.
+    WaitsForResponseAfterDelay,
+    /// A start is repeated only once the row has it.
+    DurableRepeat,
+    /// A new leader allows for starts that a former one sends until its isolation ends.
+    DelayAfterIsolation,
+    /// An end is acknowledged only once no start of its task can be carried out.
+    EndAfterOpenStarts,
+    /// A worker whose entry has been removed does not start again under its id while a start may be
+    /// carried out.
+    GoneForGood,
+    /// A worker that runs an attempt of a task starts no other one that was meant for a former
+    /// incarnation.
+    OneRunAfterRestart,
 }
 
 /// Mechanisms of the isolation rule.
@@ -165,6 +186,19 @@
     Mutation::LeaseAfterEnd,
 ];
 
+/// Mechanisms, and two assumptions, for starts that a later incarnation of the worker may carry out.
+const OPEN_STARTS_MECHANISMS: &[Mutation] = &[
+    Mutation::BindsTask,
+    Mutation::FencesBeforeStart,
+    Mutation::RowCarriesBinding,
+    Mutation::WaitsForResponseAfterDelay,
+    Mutation::DurableRepeat,
+    Mutation::DelayAfterIsolation,
+    Mutation::EndAfterOpenStarts,
+    Mutation::GoneForGood,
+    Mutation::OneRunAfterRestart,
+];
+
 /// Error for a text that is not the name of a mutation.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ParseMutationError;
@@ -253,6 +287,7 @@
             MachineName::Incarnations => {
                 &[Self::OtherLeases, Self::FenceBeforePlacement, Self::KnownLeases]
             }
+            MachineName::OpenStarts => OPEN_STARTS_MECHANISMS,
         }
     }
 }
