Keep fewer copies of what submissions hold

The leader's side of PayloadCache keeps ids; both sides still forget the same ones. The rows are freed before the jobs are restored.

--- a/crates/cellnode/src/forward_router.rs
+++ b/crates/cellnode/src/forward_router.rs
@@ -69,7 +69,7 @@
 #[derive(Debug, Default)]
 struct ForwardPeer {
     session: u64,
-    payloads: PayloadCache,
+    payloads: PayloadCache<()>,
     lists: FxHashMap<String, RunningList>,
 }
 
@@ -344,7 +344,7 @@
             let job = job_of_task(&request.task);
             let is_known = self.payloads.get(job).is_some();
             if !is_known {
-                self.payloads.insert(job, payload.clone());
+                self.payloads.insert(job, ());
             }
             (!is_known).then(|| payload.to_string())
         });
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -276,6 +276,9 @@
             self.core.apply(CellInput::WorkersConfirmed { as_of_ms: started_ms });
         }
         let stored = StoredJobs::decode(&jobs, &progress, &self.context.logger);
+        let (job_rows, progress_rows) = (jobs.len(), progress.len());
+        // The jobs take as much memory again once they are restored.
+        drop((jobs, progress));
         for (record, row) in stored.jobs {
             self.core.restore(record, row.as_ref());
         }
@@ -284,7 +287,7 @@
         }
         self.restore_lease_bounds(&bounds);
         self.restore_worker_speeds(&speeds);
-        info!(self.context.logger, "state_read"; "jobs" => jobs.len(), "progress" => progress.len(),
+        info!(self.context.logger, "state_read"; "jobs" => job_rows, "progress" => progress_rows,
             "workers" => workers.len(), "took_ms" => boot_ms() - started_ms);
         self.follow((workers, workers_revision), jobs_revision);
         let (store, events) = (self.context.external.store.clone(), self.events.clone());
--- a/crates/cellnode/src/payload_cache.rs
+++ b/crates/cellnode/src/payload_cache.rs
@@ -9,22 +9,23 @@
 /// they forget the same ones too.
 const MAX_PAYLOADS: usize = 1_024;
 
-/// The payloads that a session has carried last, by job id.
+/// What is known of the payloads that a session has carried last, by job id: the payloads, or `()` where it is
+/// enough that they were carried.
 #[derive(Debug, Default)]
-pub(crate) struct PayloadCache {
-    payloads: FxHashMap<String, Arc<str>>,
+pub(crate) struct PayloadCache<T = Arc<str>> {
+    payloads: FxHashMap<String, T>,
     /// Job ids, oldest first.
     order: VecDeque<String>,
 }
 
-impl PayloadCache {
+impl<T> PayloadCache<T> {
     /// Returns the payload of a job if the session has carried it.
-    pub(crate) fn get(&self, job: &str) -> Option<&Arc<str>> {
+    pub(crate) fn get(&self, job: &str) -> Option<&T> {
         self.payloads.get(job)
     }
 
     /// Adds the payload of a job, in place of the oldest one if there are too many.
-    pub(crate) fn insert(&mut self, job: &str, payload: Arc<str>) {
+    pub(crate) fn insert(&mut self, job: &str, payload: T) {
         if self.payloads.insert(job.to_owned(), payload).is_some() {
             return;
         }
--- a/crates/cellnode/src/payload_cache/tests.rs
+++ b/crates/cellnode/src/payload_cache/tests.rs
@@ -4,10 +4,10 @@
 
 #[test]
 fn the_oldest_payload_is_forgotten_first() {
-    let mut cache = PayloadCache::default();
+    let mut cache = PayloadCache::<&str>::default();
     for job in 0..=MAX_PAYLOADS {
-        cache.insert(&job.to_string(), "payload".into());
-        cache.insert("0", "payload".into());
+        cache.insert(&job.to_string(), "payload");
+        cache.insert("0", "payload");
     }
     assert!(cache.get("1").is_some() != cache.get("0").is_some());
     assert!(cache.get(&MAX_PAYLOADS.to_string()).is_some());
