Bound the submissions that are being decided on

Cause: such a body counts as a small one while it is received and until it is answered, but its steps take 15 times as much once they are decoded, in each copy on the way to the leader and to the store.

Change: SubmissionSpace holds what the records of all submissions take that a daemon is deciding on, at most an eighth of clients.job_bytes, with a quarter kept for those of up to 16 KB. Beyond that they are refused with 503 before anything is handed on.

--- a/crates/cell/src/job_cost.rs
+++ b/crates/cell/src/job_cost.rs
@@ -32,11 +32,17 @@
     /// ```
     #[must_use]
     pub fn memory_bytes(&self) -> usize {
-        self.fixed_bytes().saturating_add(self.occurrence_bytes())
+        self.record_bytes().saturating_add(self.occurrence_bytes())
     }
 
-    /// Returns the part of the memory that the job takes until it is forgotten, in bytes.
-    pub(crate) fn fixed_bytes(&self) -> usize {
+    /// Returns the memory of the job's entries, texts and steps, which it takes until it is forgotten, in bytes.
+    ///
+    /// ```
+    /// let job = damaskrack_cell::JobRecord::default();
+    /// assert_eq!(job.record_bytes(), job.memory_bytes());
+    /// ```
+    #[must_use]
+    pub fn record_bytes(&self) -> usize {
         let texts = [&self.id, &self.id, &self.queue, &self.team, &self.service, &self.payload];
         let texts: usize = texts.into_iter().map(|text| block_bytes(text.len())).sum();
         let steps: usize = self.steps.iter().map(step_bytes).sum();
--- a/crates/cell/src/table/job.rs
+++ b/crates/cell/src/table/job.rs
@@ -123,7 +123,7 @@
             false => self.occurrences_created.max(1) as usize,
         };
         let phases = self.record.occurrence_bytes().saturating_mul(occurrences);
-        (self.record.fixed_bytes() + self.payload.len()).saturating_add(phases)
+        (self.record.record_bytes() + self.payload.len()).saturating_add(phases)
     }
 
     /// Returns the job as submitted, including the payload.
--- a/crates/cellnode/src/entry.rs
+++ b/crates/cellnode/src/entry.rs
@@ -6,7 +6,7 @@
         frame::{EntryBody, LeaderBody, LeaderStatusFrame},
         leader_connection::LeaderConnection,
         rows::{ended_key, job_key, payload_key, progress_key},
-        unasked_jobs::UnaskedJobs,
+        submission_limits::SubmissionLimits,
     },
     cadence::{CountedExt, StatsdClient, Timed},
     damaskrack_cell::{
@@ -153,7 +153,7 @@
     /// Until when the circuit breaker refuses writes, in milliseconds since the host booted; 0
     /// while it is closed.
     pub(crate) breaker_until_ms: AtomicU64,
-    pub(crate) unasked: UnaskedJobs,
+    pub(crate) limits: SubmissionLimits,
     pub(crate) metrics: Arc<StatsdClient>,
 }
 
@@ -236,6 +236,9 @@
     }
 
     async fn submit_job(&self, job: JobRecord, timeout_ms: u64) -> Result<(), EntryError> {
+        let Some(_space) = self.limits.space.take(job.record_bytes()) else {
+            return Err(EntryError::Unavailable);
+        };
         let deadline_ms = boot_ms() + timeout_ms.min(WRITE_TIMEOUT_MS);
         let status = self.connection.leader_status();
         let allowance_ms = STORE_ROUND_TRIPS * status.store_latency_ms;
@@ -284,7 +287,7 @@
 
     /// Returns whether the daemon may write a job on which the leader has not decided.
     fn may_write_unasked(&self, job: &JobRecord, status: &LeaderStatusFrame) -> bool {
-        let may_write = self.unasked.admit(job.memory_bytes(), status);
+        let may_write = self.limits.unasked.admit(job.memory_bytes(), status);
         if !may_write {
             // The client's error handler reports failures.
             let _ = self.metrics.incr("submit.unasked_refused");
--- a/crates/cellnode/src/lib.rs
+++ b/crates/cellnode/src/lib.rs
@@ -39,6 +39,8 @@
 mod store_contact;
 mod store_regain;
 mod stored_jobs;
+mod submission_limits;
+mod submission_space;
 mod term_closer;
 mod unasked_jobs;
 mod won_election;
--- a/crates/cellnode/src/node.rs
+++ b/crates/cellnode/src/node.rs
@@ -17,7 +17,7 @@
         session_registry::{SessionRegistry, serve_sessions},
         store_contact::StoreContact,
         store_regain::RegainSignal,
-        unasked_jobs::UnaskedJobs,
+        submission_limits::SubmissionLimits,
     },
     cadence::StatsdClient,
     damaskrack_cell::{CellConfig, CellSettings},
@@ -164,7 +164,7 @@
             max_config_age_ms: config.max_config_age_ms,
             is_shutting_down: is_shutting_down.clone(),
             breaker_until_ms: AtomicU64::new(0),
-            unasked: UnaskedJobs::new(config.cell.job_memory_bytes),
+            limits: SubmissionLimits::new(config.cell.job_memory_bytes),
             metrics: external.metrics.clone(),
         });
         let (leader_sender, leader_receiver) = watch::channel(None);
