An entry of a silent worker ends the wait for a late start only for a service

What callers saw: nothing yet; found with the model. TWICE: a worker restarts within the last second in which a start without a ticket may be late, carries it out, and reaches neither the store nor the leader. The entry of its former incarnation stays for three heartbeats; the leader took it for a proof that there is no later one, and started the task elsewhere.

--- a/crates/cell/src/core/bound_tasks.rs
+++ b/crates/cell/src/core/bound_tasks.rs
@@ -31,7 +31,8 @@
 enum UnbindCause {
     /// The worker has reported what it runs since the request could be carried out last.
     Heard,
-    /// The worker's entry names an incarnation that refuses the request, so no later one has carried it out.
+    /// The worker's entry names an incarnation that refuses the request, so no later one that reaches the store has
+    /// carried it out.
     Listed,
     /// What the request may have started has no lease any more.
     LeaseExpiry,
@@ -198,7 +199,9 @@
     ) -> BindingState {
         let name = self.jobs[task.phase.job].task_name(task.phase.phase, task.index);
         let listed_ms = self.time.now_ms.saturating_sub(self.worker_list_age_ms());
-        let is_named = worker.is_listed && !worker.may_carry_out_below(binding.min_fence);
+        let is_service = self.is_service_step(task.phase);
+        let is_named =
+            is_service && worker.is_listed && !worker.may_carry_out_below(binding.min_fence);
         let lapse_ms = binding.until_ms + longest_lease_ms(self.settings.max_worker_lease_ms);
         if worker.runs_orphan_of(&name) {
             BindingState::Held
--- a/crates/cell/tests/cell/late_starts.rs
+++ b/crates/cell/tests/cell/late_starts.rs
@@ -1,7 +1,7 @@
 //! Starts without a ticket that are carried out late: ways past the binding of their tasks.
 
 use {
-    crate::support::{FakeCell, FakeWorker, job, step},
+    crate::support::{FakeCell, FakeWorker, MAX_LEASE_MS, MAX_REQUEST_DELAY_MS, job, step},
     damaskrack_cell::{EndKind, StepSpec},
 };
 
@@ -170,3 +170,19 @@
     }
     assert_eq!(cell.workers["w1"].runs.len(), 1, "the task does not start elsewhere");
 }
+
+/// Guards against an entry of a former incarnation that is taken for a proof that there is no later one: it stays for
+/// three heartbeats after the incarnation that wrote it last has ended.
+#[test]
+fn a_start_does_not_run_on_an_incarnation_that_reaches_neither_the_store_nor_the_leader() {
+    let mut cell = cell_with_lost_starts(MAX_START_TRIES, step(1));
+    worker(&mut cell).defers_starts = true;
+    cell.run(MAX_REQUEST_DELAY_MS - 1_000);
+    let late = worker(&mut cell).deferred_starts.pop();
+    cell.reincarnate("w0");
+    worker(&mut cell).deferred_starts = late.into_iter().collect();
+    assert_eq!(cell.run_deferred_starts("w0").len(), 1, "no start is late");
+    worker(&mut cell).is_silent = true;
+    // The fake cell checks that no task runs twice.
+    cell.run(MAX_LEASE_MS + 2_000);
+}
