--- a/crates/cell/src/core/bound_tasks.rs
+++ b/crates/cell/src/core/bound_tasks.rs
@@ -2,9 +2,9 @@
 //!
 //! A start request without a ticket names its worker by an id only. While its response is missing, whichever
 //! incarnation has the id may carry it out, so the task starts again on that worker only, once the present
-//! incarnation refuses the request. It is free again when no incarnation carries the request out any more and what
-//! the worker runs is known, or the worker is gone: its entry has expired and it does not respond. A service leaves
-//! such a worker at once.
+//! incarnation refuses the request. It is free again when no incarnation carries the request out any more and either
+//! what the worker runs is known, or its longest lease has expired, or the worker is gone: its entry has expired and it
+//! does not respond. A service leaves a worker that is gone at once.
 
 use {
     super::{
@@ -32,7 +32,7 @@
     /// The worker has reported what it runs since the request could be carried out last.
     Heard,
     /// The worker's entry names an incarnation that refuses the request, so no later one that reaches the store has
-    /// carried it out.
+    /// carried it out. Only a service relies on that.
     Listed,
     /// What the request may have started has no lease any more.
     LeaseExpiry,
@@ -202,14 +202,14 @@
         let is_service = self.is_service_step(task.phase);
         let is_named =
             is_service && worker.is_listed && !worker.may_carry_out_below(binding.min_fence);
-        let lapse_ms = binding.until_ms + longest_lease_ms(self.settings.max_worker_lease_ms);
+        let expiry_ms = binding.until_ms + longest_lease_ms(self.settings.max_worker_lease_ms);
         if worker.runs_orphan_of(&name) {
             BindingState::Held
         } else if worker.heard_ms > binding.until_ms {
             BindingState::Over(UnbindCause::Heard)
         } else if is_named && listed_ms >= binding.until_ms + ENTRY_DELAY_MS {
             BindingState::Over(UnbindCause::Listed)
-        } else if self.time.now_ms >= lapse_ms {
+        } else if self.time.now_ms >= expiry_ms {
             BindingState::Over(UnbindCause::LeaseExpiry)
         } else {
             BindingState::Held
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -223,7 +223,7 @@
     }
 
     /// Returns the lowest number of a fence with which the present incarnation refuses a start request that had this
-    /// number. Later requests have at least that.
+    /// number, and advances the fence if needed, so that later requests have at least that.
     pub(crate) fn fence_above(&mut self, start_fence: u32) -> u32 {
         if !self.fence.supersedes(start_fence) {
             self.fence.advance();
--- a/crates/cell/tests/cell/starts_without_ticket.rs
+++ b/crates/cell/tests/cell/starts_without_ticket.rs
@@ -298,7 +298,6 @@
                 cell.submit(job(&round.to_string(), vec![StepSpec { is_gang, ..step(tasks) }]));
             }
             let id = format!("w{}", next(3));
-            // What is late after an acknowledged end has a test of its own.
             cell.expire_deferred_starts(&id);
             match next(8) {
                 0..=2 => {
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -870,8 +870,7 @@
         StartOutcome::Started
     }
 
-    /// Drops the deferred start requests of a worker that are too old to be carried out, and those of tasks whose ends
-    /// are acknowledged.
+    /// Drops the deferred start requests of a worker that are too old to be carried out.
     pub(crate) fn expire_deferred_starts(&mut self, id: &str) {
         let now_ms = self.now_ms;
         let late = &mut self.workers.get_mut(id).unwrap().deferred_starts;
