A daemon counts the jobs that it writes by the status of the moment

What callers saw: nothing yet; found by reading. While leaders change, submissions that had waited for a leader came with its former status and others with the next one, and each change of status set the count of unasked jobs to nothing, so its bound did not hold. The status is read when the daemon decides. By reading only; unasked_jobs/tests.rs passes.

--- a/crates/cellnode/src/entry.rs
+++ b/crates/cellnode/src/entry.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         CellStore, StoreError, StoreItem, StorePut, StoreTransaction, TransactionOutcome, boot_ms,
-        frame::{EntryBody, LeaderBody, LeaderStatusFrame},
+        frame::{EntryBody, LeaderBody},
         leader_connection::LeaderConnection,
         rows::{ended_key, job_key, payload_key, progress_key},
         submission_limits::SubmissionLimits,
@@ -258,8 +258,7 @@
             LeaderResponse::Refused(error) => return Err(error),
             LeaderResponse::Admitted | LeaderResponse::None | LeaderResponse::Lost => {}
         }
-        let may_write =
-            response == LeaderResponse::Admitted || self.may_write_unasked(&job, &status);
+        let may_write = response == LeaderResponse::Admitted || self.may_write_unasked(&job);
         let result = match !may_write || self.is_breaker_open() {
             true => Err(EntryError::Unavailable),
             false => {
@@ -286,8 +285,10 @@
     }
 
     /// Returns whether the daemon may write a job on which the leader has not decided.
-    fn may_write_unasked(&self, job: &JobRecord, status: &LeaderStatusFrame) -> bool {
-        let may_write = self.limits.unasked.admit(job.memory_bytes(), status);
+    fn may_write_unasked(&self, job: &JobRecord) -> bool {
+        // The status may have changed since the leader was asked.
+        let status = self.connection.leader_status();
+        let may_write = self.limits.unasked.admit(job.memory_bytes(), &status);
         if !may_write {
             // The client's error handler reports failures.
             let _ = self.metrics.incr("submit.unasked_refused");
