Memory of offered jobs is given back in time, and serves the job that has it

What callers saw: nothing yet; found by reading. Memory reserved for a job that its daemon was told to write, and did not, counted until the next submission; and a daemon that asked once more for the same job could be refused for the memory that the job has, though its first copy may be in the store.

Change: reservations end with each tick; a job with a reservation of its team is admitted.

--- a/crates/cell/src/core/admission.rs
+++ b/crates/cell/src/core/admission.rs
@@ -180,8 +180,9 @@
 impl CellCore {
     /// Decides whether to admit a submitted job.
     pub(super) fn admit(&mut self, record: &JobRecord) -> Admission {
+        let (bytes, now_ms) = (record.memory_bytes(), self.time.now_ms);
         let memory = match record.can_be_taken() {
-            true => self.job_memory.decide(&record.team, record.memory_bytes(), self.time.now_ms),
+            true => self.job_memory.decide(&record.id, &record.team, bytes, now_ms),
             false => MemoryVerdict::TooLarge,
         };
         match memory {
--- a/crates/cell/src/core/job_memory.rs
+++ b/crates/cell/src/core/job_memory.rs
@@ -14,7 +14,7 @@
 const FREE_FACTOR: usize = 3;
 /// Time for which memory is reserved for a job that its daemon may write, in milliseconds: longer than the
 /// write may take.
-pub(crate) const RESERVATION_MS: u64 = 3_000;
+const RESERVATION_MS: u64 = 3_000;
 /// Time in which a sum of freed memory fades to 37 % of itself, in milliseconds.
 const FADE_MS: f64 = 5_000.0;
 
@@ -103,10 +103,17 @@
         self.held_by(team) + bytes <= free.saturating_mul(FREE_FACTOR)
     }
 
-    /// Decides on a job of a team.
-    pub(super) fn decide(&mut self, team: &str, bytes: usize, now_ms: u64) -> MemoryVerdict {
+    /// Decides on a job of a team. One that its daemon may already write has its memory.
+    pub(super) fn decide(
+        &mut self,
+        job: &str,
+        team: &str,
+        bytes: usize,
+        now_ms: u64,
+    ) -> MemoryVerdict {
         self.end_reservations(now_ms);
-        if self.has_space(team, bytes) {
+        let is_reserved = self.reserved.get(job).is_some_and(|own| own.team == team);
+        if is_reserved || self.has_space(team, bytes) {
             return MemoryVerdict::Admit;
         }
         if bytes > self.limit / (FREE_FACTOR + 1) * FREE_FACTOR {
@@ -168,7 +175,7 @@
     }
 
     /// Ends the reservations whose time has passed.
-    fn end_reservations(&mut self, now_ms: u64) {
+    pub(super) fn end_reservations(&mut self, now_ms: u64) {
         while let Some((until_ms, _)) = self.order.front()
             && *until_ms <= now_ms
             && let Some((until_ms, job)) = self.order.pop_front()
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -316,6 +316,7 @@
     /// ```
     pub fn tick(&mut self, now_ms: u64, wall_ms: u64) -> Vec<CellAction> {
         self.set_time(now_ms, wall_ms);
+        self.job_memory.end_reservations(self.time.now_ms);
         self.check_worker_list();
         self.expire_leases();
         self.review_bindings();
