The first occurrence of a timed job starts whatever memory is left

What callers saw: nothing yet; found by reading. A job is charged with its first occurrence when it is accepted, but the occurrence waited all the same where its team's part was used up, or under a new leader with a smaller budget: without end if nothing was given back.

--- a/crates/cell/src/core/jobs.rs
+++ b/crates/cell/src/core/jobs.rs
@@ -157,7 +157,7 @@
         }
         let job = &mut self.jobs[key];
         if job.state.is_final() && job.attempt_count() == 0 {
-            job.phases.clear();
+            job.phases = Vec::new();
         }
         self.update_charge(key);
     }
@@ -243,7 +243,7 @@
         for index in 0..self.live.len() {
             let key = self.live[index];
             while let Some(bytes) = self.jobs[key].due_occurrence_bytes(self.time.wall_ms)
-                && self.job_memory.has_space(&self.jobs[key].record.team, bytes)
+                && (bytes == 0 || self.job_memory.has_space(&self.jobs[key].record.team, bytes))
             {
                 let job = &mut self.jobs[key];
                 job.create_occurrences(job.occurrences_created + 1);
--- a/crates/cell/tests/cell/job_memory.rs
+++ b/crates/cell/tests/cell/job_memory.rs
@@ -130,12 +130,31 @@
     (0..20).for_each(|id| offer(&mut cell, id));
     cell.run(10);
     assert_eq!((cell.admitted.len(), cell.refusals.len()), (12, 8));
+    // A daemon that asks once more is not refused for the memory that it has.
+    offer(&mut cell, 11);
+    cell.run(10);
+    assert_eq!((cell.admitted.len(), cell.refusals.len()), (13, 8));
     cell.submit(large(0, "a"));
     assert!(cell.core.free_job_bytes().abs_diff(limit / 4) < SPARE_BYTES);
     cell.run(4_000);
     (20..40).for_each(|id| offer(&mut cell, id));
     cell.run(10);
-    assert_eq!(cell.admitted.len(), 12 + 11);
+    assert_eq!(cell.admitted.len(), 13 + 11);
+    cell.run(4_000);
+    let held = limit - cell.core.free_job_bytes();
+    assert!(held < large(0, "a").memory_bytes() + SPARE_BYTES, "offers count after their time");
+}
+
+/// Guards against an accepted job that never starts because no memory is left beside its own.
+#[test]
+fn the_first_occurrence_starts_although_no_memory_is_left() {
+    let mut cell = cell();
+    let timed = JobRecord { occurrences: 1, first_due_ms: WALL_MS + 5_000, ..small(1, "b") };
+    assert!(submit(&mut cell, 1, timed));
+    cell.settings.job_memory_bytes = 1;
+    cell.start_leader();
+    cell.run(7_000);
+    assert!(cell.done.contains_key("1.0.0.0"));
 }
 
 /// Guards against accepted jobs that take memory beyond the budget once their occurrences are due.
