Tests: a bound task leaves a silent listed worker when the longest lease is over

No test bounded the end of a binding by UnbindCause::LeaseExpiry: a task that is no service, bound to a worker that keeps its entry and is never heard again. It has to be free 15 s and the longest lease (10,609 ms) after the last start without a response, not before and within half a second.

The test passes on the code as it is. With the LeaseExpiry branch taken away it fails ("the task does not start elsewhere"); with the lease left out of the bound it fails too ("the task starts elsewhere too early"). Both taken back.

--- a/crates/cell/tests/cell/starts_without_ticket.rs
+++ b/crates/cell/tests/cell/starts_without_ticket.rs
@@ -17,6 +17,10 @@
 const REQUESTED_LEASE_MS: u64 = 7_500;
 /// Time in which any lease of a worker that does not respond has expired, in milliseconds.
 const LAPSE_MS: u64 = 2 * MAX_LEASE_MS;
+/// Time for which the longest lease of a worker counts, on the slowest clock, in milliseconds.
+const LONGEST_LEASE_MS: u64 = MAX_LEASE_MS * 100 / 97 + 300;
+/// Time between a submission and the offer of another worker, in milliseconds.
+const OFFER_DELAY_MS: u64 = 50;
 
 fn worker(cell: &mut FakeCell) -> &mut FakeWorker {
     cell.workers.get_mut("w0").expect("a worker")
@@ -33,7 +37,7 @@
 /// Submits a step, and then offers another worker.
 fn submit(cell: &mut FakeCell, step: StepSpec) {
     cell.submit(job("1", vec![step]));
-    cell.run(50);
+    cell.run(OFFER_DELAY_MS);
     offer_another_worker(cell);
 }
 
@@ -259,6 +263,19 @@
     assert_eq!(cell.workers["w1"].runs.len(), 1, "the task does not start elsewhere");
 }
 
+/// Guards against a task that waits for good for a worker which keeps its entry and does not respond, and against one
+/// that runs elsewhere before a run that the late start has begun there has lost its lease.
+#[test]
+fn a_task_leaves_a_listed_worker_that_does_not_respond_when_the_longest_lease_of_a_late_start_is_over()
+ {
+    let mut cell = cell_with_repeated_start();
+    worker(&mut cell).is_silent = true;
+    cell.run(MAX_REQUEST_DELAY_MS + LONGEST_LEASE_MS - OFFER_DELAY_MS);
+    assert!(cell.workers["w1"].runs.is_empty(), "the task starts elsewhere too early");
+    cell.run(500);
+    assert_eq!(cell.workers["w1"].runs.len(), 1, "the task does not start elsewhere");
+}
+
 /// Guards against a wait for a start with a ticket, which no other incarnation accepts.
 #[test]
 fn a_task_with_a_lost_start_with_a_ticket_waits_for_no_worker() {
