Tests: one copy of the time in which any lease expires

starts_without_ticket, restarted_leases and release_causes each had LAPSE_MS with the same value. It stands beside MAX_LEASE_MS in the shared module now. No test changes what it checks.

--- a/crates/cell/tests/cell/release_causes.rs
+++ b/crates/cell/tests/cell/release_causes.rs
@@ -1,13 +1,10 @@
 //! Log entries of attempts that are released without an end: by which bound, and which incarnation it is of.
 
 use {
-    crate::support::{FakeCell, MAX_LEASE_MS, OTHER_LEASES_MS, job, step},
+    crate::support::{FakeCell, LAPSE_MS, OTHER_LEASES_MS, job, step},
     damaskrack_cell::StepSpec,
 };
 
-/// Time in which any lease of a worker that does not respond has expired, in milliseconds.
-const LAPSE_MS: u64 = 2 * MAX_LEASE_MS;
-
 /// Returns the only entry of a released attempt since the last call.
 fn released(cell: &mut FakeCell) -> String {
     let logs = cell.take_logs();
--- a/crates/cell/tests/cell/restarted_leases.rs
+++ b/crates/cell/tests/cell/restarted_leases.rs
@@ -3,7 +3,7 @@
 //! fake cell checks that no task runs twice.
 
 use {
-    crate::support::{FakeCell, MAX_LEASE_MS, OTHER_LEASES_MS, job, random_numbers, step},
+    crate::support::{FakeCell, LAPSE_MS, OTHER_LEASES_MS, job, random_numbers, step},
     damaskrack_cell::StepSpec,
 };
 
@@ -13,9 +13,6 @@
 /// Time in which a lease that a leader of the fakes asks for has expired, and its task is placed again, in
 /// milliseconds.
 const REQUESTED_LEASE_MS: u64 = 7_500;
-/// Time in which any lease of a worker that does not respond has expired, in milliseconds.
-const LAPSE_MS: u64 = 2 * MAX_LEASE_MS;
-
 /// Time after which a request without a response is no longer carried out, in milliseconds.
 const LATE_START_MS: u64 = 15_000;
 
--- a/crates/cell/tests/cell/starts_without_ticket.rs
+++ b/crates/cell/tests/cell/starts_without_ticket.rs
@@ -4,7 +4,8 @@
 
 use {
     crate::support::{
-        FakeCell, FakeWorker, MAX_LEASE_MS, MAX_REQUEST_DELAY_MS, job, random_numbers, step,
+        FakeCell, FakeWorker, LAPSE_MS, MAX_LEASE_MS, MAX_REQUEST_DELAY_MS, job, random_numbers,
+        step,
     },
     damaskrack_cell::{AdviceTiming, EndKind, JobState, StepSpec},
 };
@@ -15,8 +16,6 @@
 const MAX_START_TRIES: usize = 3;
 /// Time in which a lease that a leader asks for has expired, and its task is placed again, in milliseconds.
 const REQUESTED_LEASE_MS: u64 = 7_500;
-/// Time in which any lease of a worker that does not respond has expired, in milliseconds.
-const LAPSE_MS: u64 = 2 * MAX_LEASE_MS;
 /// Time for which the longest lease of a worker counts, on the slowest clock, in milliseconds.
 const LONGEST_LEASE_MS: u64 = MAX_LEASE_MS * 100 / 97 + 300;
 /// Time between a submission and the offer of another worker, in milliseconds.
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -37,6 +37,8 @@
 const REQUEST_TIMEOUT_MS: u64 = 350;
 /// Longest lease that a fake worker grants, in milliseconds. Leaders ask for less.
 pub(crate) const MAX_LEASE_MS: u64 = 10_000;
+/// Time in which any lease of a worker that does not respond has expired, in milliseconds.
+pub(crate) const LAPSE_MS: u64 = 2 * MAX_LEASE_MS;
 /// Time after a worker's first response in which the leases of other requests have expired, in milliseconds.
 pub(crate) const OTHER_LEASES_MS: u64 = 11_000;
 /// Time after which a request without a response is no longer carried out, in milliseconds.
