A worker that was forgotten keeps the time of its late starts

What callers could see: a task starts again after it was done. An end is not acknowledged while a start without a response may still be carried out, but that time stood in the worker's entry alone. A worker whose registration has expired and on which nothing runs is removed; when it came back as the same incarnation, its ends were acknowledged at once, and the next incarnation could carry the late start out.

Times that are not over are kept by the worker's id when it is removed, taken by the entry that is added for it, and forgotten when they are over.

By reading, a takeover doesn't need the kept times: the next leader counts its own from the end of the former ones.

--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -46,6 +46,7 @@
 mod queue_run_times;
 mod reason_counts;
 mod release_cause;
+mod removed_starts;
 mod request_window;
 mod reservations;
 mod room_hosts;
@@ -93,6 +94,7 @@
     place_index::PlaceIndex,
     preemption_limits::PreemptionLimits,
     queue_run_times::QueueRunTimes,
+    removed_starts::RemovedStarts,
     request_window::RequestWindow,
     reservations::Reservations,
     room_index::RoomIndex,
@@ -143,6 +145,8 @@
     worker_ids: FxHashMap<String, WorkerKey>,
     /// Fence that was the highest one of the removed workers, which may come back.
     former_fence: WorkerFence,
+    /// Starts that removed workers may still carry out.
+    removed_starts: RemovedStarts,
     worker_list: WorkerList,
     attempts: SlotMap<AttemptKey, AttemptEntry>,
     /// Tasks that may run on one worker only.
@@ -216,6 +220,7 @@
             workers: SlotMap::with_key(),
             worker_ids: FxHashMap::default(),
             former_fence: WorkerFence::default(),
+            removed_starts: RemovedStarts::default(),
             worker_list: WorkerList::default(),
             attempts: SlotMap::with_key(),
             bound_tasks: Vec::new(),
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -77,6 +77,7 @@
         let fence = self.former_fence.next();
         let speed = self.stored_speeds.take(&id);
         let key = self.workers.insert(WorkerEntry::new(report, lease, fence));
+        self.workers[key].unsettled_until_ms = self.removed_starts.take(&id);
         *self.workers[key].speed = speed;
         self.worker_ids.insert(id, key);
         key
@@ -171,6 +172,8 @@
             self.worker_ids.remove(&worker.report.id);
             self.stored_speeds.keep(&worker.report.id, *worker.speed, self.time.now_ms);
             self.former_fence = self.former_fence.max(worker.fence);
+            let until_ms = worker.unsettled_until_ms;
+            self.removed_starts.keep(&worker.report.id, until_ms, self.time.now_ms);
         }
     }
 
@@ -214,6 +217,7 @@
     /// workers.
     pub(super) fn expire_leases(&mut self) {
         let now_ms = self.time.now_ms;
+        self.removed_starts.expire(now_ms);
         let expired: Vec<(WorkerKey, bool)> = self
             .workers
             .iter()
--- a/crates/cell/tests/cell/late_starts.rs
+++ b/crates/cell/tests/cell/late_starts.rs
@@ -104,6 +104,25 @@
     cell.run_deferred_starts("w0");
 }
 
+/// Guards against a late start that is forgotten with the entry of a worker that nothing runs on.
+#[test]
+fn an_end_is_not_acknowledged_on_a_worker_that_was_forgotten_while_a_start_may_be_late() {
+    let mut cell = cell_with_lost_starts(1, step(1));
+    cell.end_first_run("w0", EndKind::Done);
+    cell.run(300);
+    assert!(cell.done.is_empty(), "the end is acknowledged");
+    worker(&mut cell).is_silent = true;
+    worker(&mut cell).is_unlisted = true;
+    cell.list_workers();
+    cell.run(REQUESTED_LEASE_MS);
+    worker(&mut cell).is_silent = false;
+    worker(&mut cell).is_unlisted = false;
+    cell.list_workers();
+    cell.run(1_000);
+    cell.reincarnate("w0");
+    assert_eq!(cell.run_deferred_starts("w0").len(), 1, "no start is late");
+}
+
 #[test]
 fn a_start_of_an_attempt_that_was_stopped_does_not_run_beside_the_next_one() {
     let mut cell = cell_with_lost_starts(MAX_START_TRIES, step(1));
