Tests: the name of the test of a service's start under way on a lost worker

`a_task_whose_start_was_under_way_starts_elsewhere_when_the_leases_expire` spoke of any task and of leases alone. Since only a service leaves before the start is too old, and only once the worker's entry has expired too, which is what the test sets up. The name and the comment say that; the test itself is unchanged.

--- a/crates/cell/tests/cell/where_suspects_run.rs
+++ b/crates/cell/tests/cell/where_suspects_run.rs
@@ -103,10 +103,10 @@
     }
 }
 
-/// Guards against a task whose start was under way when its worker was lost for good, and that waits until nobody can
-/// carry that start out any more.
+/// Guards against a service whose start was under way when its worker was lost for good, and that waits until nobody
+/// can carry that start out any more, although the worker's leases and its entry have expired.
 #[test]
-fn a_task_whose_start_was_under_way_starts_elsewhere_when_the_leases_expire() {
+fn a_service_with_a_start_under_way_leaves_a_lost_worker_once_its_leases_and_entry_have_expired() {
     let mut cell = FakeCell::new(3);
     cell.crashing.down_ms = FOR_EVER_MS;
     cell.run_ms = FOR_EVER_MS;
