Log a due occurrence that waits for memory

A timed job keeps the phases of its completed occurrences, which count for its team, until it ends. Once they fill the team's part of the memory for jobs, no later occurrence starts, and nothing said so.

--- a/crates/cell/src/core/jobs.rs
+++ b/crates/cell/src/core/jobs.rs
@@ -242,9 +242,11 @@
     pub(super) fn start_due_occurrences(&mut self) {
         for index in 0..self.live.len() {
             let key = self.live[index];
-            while let Some(bytes) = self.jobs[key].due_occurrence_bytes(self.time.wall_ms)
-                && (bytes == 0 || self.job_memory.has_space(&self.jobs[key].record.team, bytes))
-            {
+            while let Some(bytes) = self.jobs[key].due_occurrence_bytes(self.time.wall_ms) {
+                if bytes > 0 && !self.job_memory.has_space(&self.jobs[key].record.team, bytes) {
+                    self.log_memory_wait(key, bytes);
+                    break;
+                }
                 let job = &mut self.jobs[key];
                 job.create_occurrences(job.occurrences_created + 1);
                 self.update_charge(key);
@@ -252,6 +254,23 @@
         }
     }
 
+    /// Logs that a job's next occurrence is due and waits for memory, once for each occurrence.
+    fn log_memory_wait(&mut self, key: JobKey, bytes: usize) {
+        let job = &mut self.jobs[key];
+        let occurrence = job.occurrences_created;
+        if job.logged_wait.replace(occurrence) == Some(occurrence) {
+            return;
+        }
+        let (queue, team) = (&job.record.queue, &job.record.team);
+        let free = self.job_memory.free();
+        let detail = format!(
+            "queue={queue} team={team} occurrence={occurrence} reason=memory \
+             needed_bytes={bytes} free_bytes={free}"
+        );
+        let id = job.record.id.clone();
+        self.log("occurrence_waits", id, detail);
+    }
+
     pub(super) fn cancel(&mut self, id: &str, caller: Option<&JobCaller>, reply: u64) {
         let may_access = |key: &JobKey| {
             caller.is_none_or(|caller| caller.may_access(&self.jobs[*key].record.owner()))
--- a/crates/cell/src/table/job.rs
+++ b/crates/cell/src/table/job.rs
@@ -55,6 +55,8 @@
     pub(crate) phases: Vec<PhaseEntry>,
     /// Number of occurrences whose phases exist.
     pub(crate) occurrences_created: u32,
+    /// The occurrence of which it was last logged that it waits for memory.
+    pub(crate) logged_wait: Option<u32>,
     /// Time at which the job ended, in Unix milliseconds; 0 if it has not.
     pub(crate) ended_ms: u64,
     pub(crate) job_row: JobRow,
@@ -84,6 +86,7 @@
             has_begun: false,
             phases: Vec::new(),
             occurrences_created: 0,
+            logged_wait: None,
             ended_ms: 0,
             job_row: JobRow::Stored,
             has_progress_row: false,
--- a/crates/cell/tests/cell/job_memory.rs
+++ b/crates/cell/tests/cell/job_memory.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::support::{FakeCell, WALL_MS, job, step},
-    damaskrack_cell::{CellInput, CellSettings, JobRecord, StepSpec},
+    damaskrack_cell::{CellInput, CellSettings, JobRecord, JobState, StepSpec},
 };
 
 /// Number of large jobs that the budget of a cell holds, and the memory that is left then, in bytes.
@@ -178,3 +178,36 @@
     assert!(!cell.done.is_empty());
     assert!(submit(&mut cell, 100, small(100, "b")));
 }
+
+/// Returns a job with twenty occurrences, two of them a second, in a cell whose budget holds six of them at once.
+fn timed_job_in_a_small_budget(step: StepSpec) -> FakeCell {
+    let timed = JobRecord {
+        occurrences: 20,
+        first_due_ms: WALL_MS,
+        interval_ms: 500,
+        ..job("1", vec![step])
+    };
+    let mut cell = cell_with(8 * timed.memory_bytes());
+    assert!(submit(&mut cell, 1, timed));
+    cell
+}
+
+/// Guards against a job that its own completed occurrences keep from the rest of them.
+#[test]
+fn a_timed_job_completes_although_all_its_occurrences_exceed_the_budget() {
+    let mut cell = timed_job_in_a_small_budget(step(100));
+    cell.run(60_000);
+    assert_eq!(cell.state("1"), Some(JobState::Completed), "{} tasks done", cell.done.len());
+}
+
+/// Guards against a job that waits for memory without a trace of it.
+#[test]
+fn an_occurrence_that_waits_for_memory_is_logged_once() {
+    let mut cell = timed_job_in_a_small_budget(StepSpec { is_service: true, ..step(100) });
+    cell.run(60_000);
+    let logs = cell.take_logs();
+    let waits: Vec<_> = logs.iter().filter(|entry| entry.event == "occurrence_waits").collect();
+    assert_eq!(waits.len(), 1, "{waits:?}");
+    assert_eq!(waits[0].subject, "1");
+    assert!(waits[0].detail.contains("reason=memory"), "{}", waits[0].detail);
+}
