Read the rows again if a watch's response exceeds 8 MB

A daemon that watches a prefix reads 8 MB of a response. When more had changed between two watches, the response counted as lost, and the same revision was asked for again, until the store had compacted its history: the leader did not learn of accepted jobs that only the store knew.

The client tells such a response from a lost one now, and the follower reads the items again by pages, as it does after a compaction. For writes it counts as unknown, as before. A single page of more than 8 MB is still asked for again without end.

--- a/crates/cellnode/src/entry.rs
+++ b/crates/cellnode/src/entry.rs
@@ -356,7 +356,7 @@
                 // It would be refused again.
                 Err(StoreError::Invalid) => return Err(EntryError::Unavailable),
                 Err(StoreError::Refused | StoreError::Compacted) => {}
-                Err(StoreError::Unknown) => {
+                Err(StoreError::Unknown | StoreError::TooLarge) => {
                     self.breaker_until_ms.store(boot_ms() + BREAKER_OPEN_MS, Ordering::Relaxed);
                     // The same write again tells whether the first one took effect.
                     if std::mem::replace(&mut is_uncertain, true) {
--- a/crates/cellnode/src/external.rs
+++ b/crates/cellnode/src/external.rs
@@ -45,6 +45,8 @@
     Unknown,
     /// The requested history has been compacted.
     Compacted,
+    /// The response is larger than the client reads; the call has been executed.
+    TooLarge,
 }
 
 /// A value to write.
--- a/crates/cellnode/src/follow.rs
+++ b/crates/cellnode/src/follow.rs
@@ -68,7 +68,8 @@
         }
     }
 
-    /// Follows the changes after a revision until the store has compacted its history beyond it.
+    /// Follows the changes after a revision until the store has compacted its history beyond it, or there are
+    /// more changes than a response may have. Then the items have to be read again, by pages.
     pub(crate) async fn run_from(&self, mut revision: u64, sink: &mut dyn ItemSink) {
         let mut regained = self.regain.subscribe();
         let mut is_lost = false;
@@ -91,9 +92,9 @@
                     sink.caught_up(sent_ms);
                     sleep(Duration::from_millis(self.timing.interval_ms)).await;
                 }
-                Err(StoreError::Compacted) => {
+                Err(error @ (StoreError::Compacted | StoreError::TooLarge)) => {
                     info!(self.logger, "store_history_gone"; "prefix" => self.prefix,
-                        "revision" => revision);
+                        "revision" => revision, "fault" => ?error);
                     return;
                 }
                 Err(error) => self.wait_after_error(&mut is_lost, error).await,
--- a/crates/cellnode/src/write_frame.rs
+++ b/crates/cellnode/src/write_frame.rs
@@ -137,7 +137,9 @@
             Ok(TransactionOutcome::LeaseNotFound) => result(WriteCode::LeaseNotFound),
             Err(StoreError::Refused) => result(WriteCode::Refused),
             Err(StoreError::Invalid) => result(WriteCode::Invalid),
-            Err(StoreError::Unknown | StoreError::Compacted) => result(WriteCode::Unknown),
+            Err(StoreError::Unknown | StoreError::Compacted | StoreError::TooLarge) => {
+                result(WriteCode::Unknown)
+            }
         }
     }
 }
