Keep the time of an offer in one constant

The core reserved memory for an offered job for RESERVATION_MS, and the leader remembered the offer for OFFER_TIMEOUT_MS: the same 3 s, twice, and both had to change together. The core's constant is the only one now. No change of behaviour.

--- a/crates/cell/src/core/job_memory.rs
+++ b/crates/cell/src/core/job_memory.rs
@@ -12,9 +12,9 @@
 
 /// Multiple of the free memory that a team may hold.
 const FREE_FACTOR: usize = 3;
-/// Time for which memory is reserved for a job that its daemon may write, in milliseconds: longer than the
+/// Time for which an offered job is remembered, and its memory reserved, in milliseconds: longer than its
 /// write may take.
-const RESERVATION_MS: u64 = 3_000;
+pub const OFFER_TIMEOUT_MS: u64 = 3_000;
 /// Time in which a sum of freed memory fades to 37 % of itself, in milliseconds.
 const FADE_MS: f64 = 5_000.0;
 
@@ -161,7 +161,7 @@
     pub(super) fn reserve(&mut self, job: &str, team: &str, bytes: usize, now_ms: u64) {
         self.end_reservation(job);
         self.charge(team, bytes);
-        let until_ms = now_ms + RESERVATION_MS;
+        let until_ms = now_ms + OFFER_TIMEOUT_MS;
         self.order.push_back((until_ms, job.to_owned()));
         self.reserved
             .insert(job.to_owned(), Reservation { team: team.to_owned(), bytes, until_ms });
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -69,6 +69,8 @@
 mod worker_speed;
 mod workers;
 
+pub use job_memory::OFFER_TIMEOUT_MS;
+
 use {
     crate::{
         AdviceCallKey, AttemptKey, CellAction, CellConfig, CellInput, CellSettings, JobCaller,
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use {
     config::{CellConfig, HeaderLimits, QueueConfig, TeamConfig},
-    core::CellCore,
+    core::{CellCore, OFFER_TIMEOUT_MS},
     feature_settings::{FeatureSettings, WaitPolicy},
     job_caller::JobCaller,
     job_owner::JobOwner,
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -47,8 +47,8 @@
     cadence::CountedExt,
     damaskrack_cell::{
         AdviceCallKey, AdviceRequest, CellAction, CellConfig, CellCore, CellInput, CellSettings,
-        CommitRequest, JobRecord, StartOutcome, StartRefusal, StopRequest, WorkerSpeedsRecord,
-        WorkerTicket,
+        CommitRequest, JobRecord, OFFER_TIMEOUT_MS, StartOutcome, StartRefusal, StopRequest,
+        WorkerSpeedsRecord, WorkerTicket,
     },
     rustc_hash::FxHashMap,
     slog::{Logger, info, warn},
@@ -108,8 +108,6 @@
 const MAX_COUNT_AGE_MS: u64 = LEASE_TTL_MS;
 /// Interval between two status messages to all daemons, in milliseconds.
 const STATUS_INTERVAL_MS: u64 = 400;
-/// Time for which an offered job is remembered, in milliseconds: longer than its write may take.
-const OFFER_TIMEOUT_MS: u64 = 3_000;
 /// Time beyond the adviser's expected processing time after which a request has failed, in
 /// milliseconds.
 const ADVICE_MARGIN_MS: u64 = 4_500;
