Read the worker's clock in the response to a start

A start's response names no incarnation. Its clock_ms does tell incarnations apart, since the clock of each one begins anew, but nothing read it. So no log could say which incarnation had carried out a start.

The reading comes to the core with the outcome (StartResponse), also through a daemon that forwards the start. It is compared with what the known incarnation's clock would show; a reading off that is logged as start_by_other_incarnation. RenewFinished names the fence of its renewal. No decision changes.

--- a/crates/bench/benches/placement_cell/mod.rs
+++ b/crates/bench/benches/placement_cell/mod.rs
@@ -3,7 +3,8 @@
 use {
     damaskrack_cell::{
         AdviceTiming, CellAction, CellConfig, CellCore, CellInput, CellSettings, JobRecord,
-        QueueConfig, RenewOutcome, RenewResponse, ResourceSet, StepSpec, TeamConfig, WorkerReport,
+        QueueConfig, RenewOutcome, RenewRequest, RenewResponse, ResourceSet, StepSpec, TeamConfig,
+        WorkerReport,
     },
     std::{
         hint::black_box,
@@ -81,7 +82,8 @@
                     ..RenewResponse::default()
                 };
                 let outcome = RenewOutcome::Answered(response);
-                self.core.apply(CellInput::RenewFinished { worker: request.worker, outcome });
+                let RenewRequest { worker, fence, .. } = request;
+                self.core.apply(CellInput::RenewFinished { worker, fence, outcome });
             }
             CellAction::RequestAdvice(request) => {
                 self.core
--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -4,9 +4,9 @@
     super::{CellCore, release_cause::ReleaseCause, request_window::RequestEnd},
     crate::{
         AttemptKey, CellAction, JobKey, JobState, StartOutcome, StartRefusal, StartRequest,
-        StopRequest, WorkerKey,
+        StartResponse, StopRequest, WorkerKey,
         message::PhaseRef,
-        table::{AfterCommit, AttemptEntry, AttemptState, StartRequests},
+        table::{AfterCommit, AttemptEntry, AttemptState, ClockMatch, StartRequests},
     },
 };
 
@@ -193,9 +193,11 @@
         true
     }
 
-    pub(super) fn finish_start(&mut self, key: AttemptKey, outcome: StartOutcome) {
+    pub(super) fn finish_start(&mut self, key: AttemptKey, response: StartResponse) {
         let now_ms = self.time.now_ms;
+        let StartResponse { outcome, clock_ms } = response;
         let sent_ms = self.attempts.get(key).map(|attempt| attempt.sent_ms);
+        self.log_other_clock(key, clock_ms);
         let is_answered = outcome != StartOutcome::Unknown;
         self.request_window.finish(RequestEnd::of(is_answered, sent_ms), now_ms);
         let Some(attempt) = self.attempts.get_mut(key) else { return };
@@ -218,6 +220,16 @@
         }
     }
 
+    /// Logs that another incarnation than the known one has responded to a start request.
+    fn log_other_clock(&mut self, key: AttemptKey, clock_ms: Option<u64>) {
+        let (Some(attempt), Some(clock_ms)) = (self.attempts.get(key), clock_ms) else { return };
+        let sent_ms = attempt.start.sent_ms;
+        let lease = &self.workers[attempt.worker].lease;
+        if lease.match_clock(clock_ms, sent_ms, self.time.now_ms) == ClockMatch::Other {
+            self.log_attempt("start_by_other_incarnation", key, &format!("clock_ms={clock_ms}"));
+        }
+    }
+
     /// Repeats a start request that had no response, or gives the attempt up. A worker that gets a
     /// request twice starts one run, so a repetition costs nothing if only the response was lost, and
     /// spares a gang from being stopped if the request will be carried out late.
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -299,7 +299,7 @@
             // Requests to the former incarnation that are carried out late must find this one fenced.
             worker.next_renew_ms = now_ms;
         }
-        worker.lease.record_clock(response.clock_ms, now_ms);
+        worker.lease.record_clock(response.clock_ms, sent_ms, now_ms);
         worker.has_accepted_token = true;
         let former = std::mem::replace(&mut worker.unreadable_end, response.unreadable_end);
         if let (None, Some(number)) = (former, response.unreadable_end) {
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -303,11 +303,13 @@
             CellInput::Submitted { record, reply } => self.submit(record, reply),
             CellInput::Offered { record, reply } => self.offer(record, reply),
             CellInput::Cancel { id, caller, reply } => self.cancel(&id, caller.as_ref(), reply),
-            CellInput::StartFinished { attempt, outcome } => self.finish_start(attempt, outcome),
+            CellInput::StartFinished { attempt, response } => self.finish_start(attempt, response),
             CellInput::StopFinished { attempt, is_acknowledged } => {
                 self.finish_stop(attempt, is_acknowledged);
             }
-            CellInput::RenewFinished { worker, outcome } => self.finish_renewal(worker, outcome),
+            CellInput::RenewFinished { worker, fence: _, outcome } => {
+                self.finish_renewal(worker, outcome);
+            }
             CellInput::Advice { call, allowed } => self.finish_advice(call, allowed),
             CellInput::RowsRejected { lane, jobs } => self.reject_rows(lane, &jobs),
             CellInput::FormerLeadersEnded => self.end_former_leaders(),
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -31,7 +31,8 @@
     message::{
         AdviceRequest, COMMIT_LANES, CellAction, CellInput, CommitRequest, EndKind, EndedAttempt,
         LogEntry, RejectedJob, RenewOutcome, RenewRequest, RenewResponse, RunningAttempt,
-        StartOutcome, StartRefusal, StartRequest, StopRequest, WorkerReport, WorkerTicket,
+        StartOutcome, StartRefusal, StartRequest, StartResponse, StopRequest, WorkerReport,
+        WorkerTicket,
     },
     record::{
         AdviceTiming, JobRecord, JobState, LostAttempt, MAX_JOB_TASKS, PhaseProgress,
--- a/crates/cell/src/message.rs
+++ b/crates/cell/src/message.rs
@@ -121,6 +121,22 @@
     Unknown,
 }
 
+/// What comes of a start request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StartResponse {
+    /// Outcome of the request.
+    pub outcome: StartOutcome,
+    /// Reading of the worker's clock when it responded, in milliseconds; `None` if the response has none. Each
+    /// incarnation has a clock of its own.
+    pub clock_ms: Option<u64>,
+}
+
+impl From<StartOutcome> for StartResponse {
+    fn from(outcome: StartOutcome) -> Self {
+        Self { outcome, clock_ms: None }
+    }
+}
+
 /// A worker that the adviser allows to run a step, with its ticket.
 #[derive(Debug, Clone, PartialEq)]
 pub struct WorkerTicket {
@@ -212,8 +228,8 @@
     StartFinished {
         /// The attempt.
         attempt: AttemptKey,
-        /// Outcome of the request.
-        outcome: StartOutcome,
+        /// Outcome of the request, and the worker's clock.
+        response: StartResponse,
     },
     /// A stop request finished, with or without a response.
     StopFinished {
@@ -226,6 +242,8 @@
     RenewFinished {
         /// The worker.
         worker: WorkerKey,
+        /// Number of the fence that the renewal had.
+        fence: u32,
         /// Outcome of the renewal.
         outcome: RenewOutcome,
     },
--- a/crates/cell/src/table/mod.rs
+++ b/crates/cell/src/table/mod.rs
@@ -34,6 +34,6 @@
     task::{MIN_PROBATION_MS, TaskEntry},
     worker::WorkerEntry,
     worker_fence::WorkerFence,
-    worker_lease::{WorkerLease, longest_lease_ms},
+    worker_lease::{ClockMatch, WorkerLease, longest_lease_ms},
     worker_speed::{SpeedClass, WorkerSpeed},
 };
--- a/crates/cell/src/table/worker_lease.rs
+++ b/crates/cell/src/table/worker_lease.rs
@@ -21,13 +21,35 @@
     lease_ms * 100 / SLOWEST_CLOCK_PERCENT + EXPIRY_MARGIN_MS
 }
 
-/// A reading of a worker's clock at a time on the local clock.
+/// Longest time that a response takes on its way, for the comparison of clocks, in milliseconds.
+const MAX_RESPONSE_DELAY_MS: u64 = 50;
+/// Largest range in which the clock of the known incarnation is expected, in milliseconds. A range that is small
+/// beside the readings with which clocks begin hardly ever contains another incarnation's.
+const MAX_CLOCK_RANGE_MS: u64 = 200;
+/// Fastest rate of a worker's clock relative to the local clock, in percent.
+const FASTEST_CLOCK_PERCENT: u64 = 101;
+
+/// A reading of a worker's clock in a response.
 #[derive(Debug, Clone, Copy)]
 struct ClockReading {
     clock_ms: u64,
+    /// Time on the local clock at which the request was sent.
+    sent_ms: u64,
+    /// Time on the local clock at which the response was received.
     at_ms: u64,
 }
 
+/// Whose clock a reading is of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ClockMatch {
+    /// The known incarnation's.
+    Same,
+    /// Another incarnation's.
+    Other,
+    /// That cannot be told.
+    Unknown,
+}
+
 /// The leases on the present incarnation of a worker.
 #[derive(Debug)]
 pub(crate) struct WorkerLease {
@@ -68,9 +90,28 @@
         self.deadline_ms = 0;
     }
 
-    /// Records a reading of the worker's clock.
-    pub(crate) fn record_clock(&mut self, clock_ms: u64, now_ms: u64) {
-        self.clock = Some(ClockReading { clock_ms, at_ms: now_ms });
+    /// Records a reading of the worker's clock in the response to a request sent at `sent_ms`.
+    pub(crate) fn record_clock(&mut self, clock_ms: u64, sent_ms: u64, now_ms: u64) {
+        self.clock = Some(ClockReading { clock_ms, sent_ms, at_ms: now_ms });
+    }
+
+    /// Returns whose clock a reading is of, in a response received now to a request sent at `sent_ms`.
+    pub(crate) fn match_clock(&self, clock_ms: u64, sent_ms: u64, now_ms: u64) -> ClockMatch {
+        let Some(known) = self.clock else { return ClockMatch::Unknown };
+        let least_age_ms = sent_ms.saturating_sub(known.at_ms) * SLOWEST_CLOCK_PERCENT / 100;
+        let earliest_ms =
+            (known.clock_ms + least_age_ms).saturating_sub(known.at_ms.saturating_sub(sent_ms));
+        let most_age_ms = now_ms.saturating_sub(known.sent_ms) * FASTEST_CLOCK_PERCENT / 100;
+        let latest_ms = known.clock_ms + most_age_ms + 1;
+        let expected_ms =
+            known.clock_ms + now_ms.saturating_sub(known.at_ms) + MAX_RESPONSE_DELAY_MS;
+        if clock_ms < earliest_ms || clock_ms > latest_ms {
+            ClockMatch::Other
+        } else if clock_ms <= expected_ms && expected_ms - earliest_ms <= MAX_CLOCK_RANGE_MS {
+            ClockMatch::Same
+        } else {
+            ClockMatch::Unknown
+        }
     }
 
     /// Forgets the reading of the worker's clock.
--- a/crates/cell/tests/cell/acknowledged_ends.rs
+++ b/crates/cell/tests/cell/acknowledged_ends.rs
@@ -47,7 +47,7 @@
     let mut cell = FakeCell::new(1);
     cell.delays_renewals_of = Some("w0".to_owned());
     cell.run(100);
-    let Some(CellInput::RenewFinished { worker, .. }) = cell.delayed_renewals.pop() else {
+    let Some(CellInput::RenewFinished { worker, fence, .. }) = cell.delayed_renewals.pop() else {
         panic!("no renewal")
     };
     cell.delays_renewals_of = None;
@@ -65,7 +65,8 @@
         ended: (1..=9).map(ended).collect(),
         ..RenewResponse::default()
     };
-    cell.apply(CellInput::RenewFinished { worker, outcome: RenewOutcome::Answered(report) });
+    let outcome = RenewOutcome::Answered(report);
+    cell.apply(CellInput::RenewFinished { worker, fence, outcome });
     cell.submit(job("1", vec![step(4)]));
     cell.run(2_000);
     assert_eq!(cell.state("1"), Some(JobState::Completed));
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -19,8 +19,8 @@
         AdviceRequest, AdviceTiming, AttemptKey, CellAction, CellConfig, CellCore, CellInput,
         CellSettings, CommitRequest, EndKind, EndedAttempt, JobRecord, JobState, LogEntry,
         ProgressRecord, QueueConfig, RejectedJob, RenewOutcome, RenewRequest, RenewResponse,
-        ResourceSet, RunningAttempt, StartOutcome, StartRefusal, StartRequest, StepSpec,
-        StopRequest, TeamConfig, WorkerReport, WorkerSpeedsRecord, WorkerTicket,
+        ResourceSet, RunningAttempt, StartOutcome, StartRefusal, StartRequest, StartResponse,
+        StepSpec, StopRequest, TeamConfig, WorkerReport, WorkerSpeedsRecord, WorkerTicket,
     },
     former::{FormerLeader, StoredBounds},
     load_model::{LoadModel, RunWork},
@@ -594,8 +594,8 @@
         for (_, action) in late {
             match action {
                 CellAction::Start(StartRequest { attempt, .. }) => {
-                    let outcome = StartOutcome::Unknown;
-                    self.apply(CellInput::StartFinished { attempt, outcome });
+                    let response = StartOutcome::Unknown.into();
+                    self.apply(CellInput::StartFinished { attempt, response });
                 }
                 other => self.lose(other),
             }
@@ -633,13 +633,14 @@
                 let worker = self.workers.get_mut(&request.address).unwrap();
                 let sent_ms = self.now_ms;
                 worker.deferred_starts.push(LateRequest { sent_ms, token, request });
-                CellInput::StartFinished { attempt, outcome: StartOutcome::Unknown }
+                CellInput::StartFinished { attempt, response: StartOutcome::Unknown.into() }
             }
             CellAction::Stop(request) => {
                 CellInput::StopFinished { attempt: request.attempt, is_acknowledged: false }
             }
             CellAction::Renew(request) => {
-                CellInput::RenewFinished { worker: request.worker, outcome: RenewOutcome::Unknown }
+                let RenewRequest { worker, fence, .. } = request;
+                CellInput::RenewFinished { worker, fence, outcome: RenewOutcome::Unknown }
             }
             other => panic!("{other:?} does not pass the link"),
         };
@@ -797,32 +798,43 @@
         self.check_persisted(&request);
         let worker = self.workers.get_mut(&request.address).unwrap();
         if worker.is_silent {
-            self.apply(CellInput::StartFinished { attempt, outcome: StartOutcome::Unknown });
+            self.apply(CellInput::StartFinished {
+                attempt,
+                response: StartOutcome::Unknown.into(),
+            });
             return;
         }
         if worker.refuses_starts && !worker.deferred_starts.is_empty() {
-            let outcome = StartOutcome::Refused(StartRefusal::Unavailable);
-            self.apply(CellInput::StartFinished { attempt, outcome });
+            let response = StartOutcome::Refused(StartRefusal::Unavailable).into();
+            self.apply(CellInput::StartFinished { attempt, response });
             return;
         }
         if worker.is_replaced {
-            let outcome = StartOutcome::Refused(StartRefusal::Incarnation);
-            self.apply(CellInput::StartFinished { attempt, outcome });
+            let response = StartOutcome::Refused(StartRefusal::Incarnation).into();
+            self.apply(CellInput::StartFinished { attempt, response });
             return;
         }
         if worker.defers_next_starts > 0 || worker.defers_starts {
             worker.defers_next_starts = worker.defers_next_starts.saturating_sub(1);
             let sent_ms = self.now_ms;
             worker.deferred_starts.push(LateRequest { sent_ms, token, request });
-            self.apply(CellInput::StartFinished { attempt, outcome: StartOutcome::Unknown });
+            self.apply(CellInput::StartFinished {
+                attempt,
+                response: StartOutcome::Unknown.into(),
+            });
             return;
         }
         let outcome = self.start_now(&request, token);
         if self.crashes_at_once(&request.address) {
-            self.apply(CellInput::StartFinished { attempt, outcome: StartOutcome::Unknown });
+            self.apply(CellInput::StartFinished {
+                attempt,
+                response: StartOutcome::Unknown.into(),
+            });
             return;
         }
-        self.apply(CellInput::StartFinished { attempt, outcome });
+        let clock_ms = Some(self.workers[&request.address].clock_ms(self.now_ms));
+        let response = StartResponse { outcome, clock_ms };
+        self.apply(CellInput::StartFinished { attempt, response });
     }
 
     /// Processes a start request on its worker.
@@ -951,7 +963,8 @@
         } else {
             self.renew_now(request, token)
         };
-        let input = CellInput::RenewFinished { worker: request.worker, outcome };
+        let input =
+            CellInput::RenewFinished { worker: request.worker, fence: request.fence, outcome };
         match self.delays_renewals_of.as_deref() == Some(request.address.as_str()) {
             true => self.delayed_renewals.push(input),
             false => self.apply(input),
--- a/crates/cellnode/src/external.rs
+++ b/crates/cellnode/src/external.rs
@@ -3,7 +3,7 @@
 use {
     async_trait::async_trait,
     damaskrack_cell::{
-        AdviceRequest, CellConfig, RenewOutcome, RenewRequest, StartOutcome, StartRequest,
+        AdviceRequest, CellConfig, RenewOutcome, RenewRequest, StartRequest, StartResponse,
         StopRequest, WorkerReport, WorkerTicket,
     },
     std::collections::BTreeMap,
@@ -148,7 +148,7 @@
 #[async_trait]
 pub trait WorkerGateway: Send + Sync {
     /// Starts an attempt.
-    async fn start(&self, request: &StartRequest, token: u64) -> StartOutcome;
+    async fn start(&self, request: &StartRequest, token: u64) -> StartResponse;
 
     /// Stops an attempt. Returns whether the worker acknowledged it.
     async fn stop(&self, request: &StopRequest, token: u64) -> bool;
--- a/crates/cellnode/src/forward_frame.rs
+++ b/crates/cellnode/src/forward_frame.rs
@@ -4,7 +4,7 @@
     crate::write_frame::{ForwardedWrite, WriteResult},
     damaskrack_cell::{
         AttemptKey, EndKind, EndedAttempt, RenewOutcome, RenewRequest, StartOutcome, StartRefusal,
-        StartRequest, StopRequest, WorkerKey,
+        StartRequest, StartResponse, StopRequest, WorkerKey,
     },
     std::sync::Arc,
 };
@@ -131,6 +131,9 @@
 pub(crate) struct StartResult {
     #[prost(enumeration = "StartCode", tag = "1")]
     pub(crate) code: i32,
+    /// The worker's clock, in milliseconds.
+    #[prost(uint64, optional, tag = "2")]
+    pub(crate) clock_ms: Option<u64>,
 }
 
 /// Outcome of a renewal.
@@ -260,6 +263,18 @@
     }
 }
 
+impl From<StartResponse> for StartResult {
+    fn from(response: StartResponse) -> Self {
+        Self { code: StartCode::from(response.outcome) as i32, clock_ms: response.clock_ms }
+    }
+}
+
+impl From<StartResult> for StartResponse {
+    fn from(result: StartResult) -> Self {
+        Self { outcome: StartOutcome::from(result.code()), clock_ms: result.clock_ms }
+    }
+}
+
 impl From<StartCode> for StartOutcome {
     fn from(code: StartCode) -> Self {
         let refusal = match code {
--- a/crates/cellnode/src/forward_router.rs
+++ b/crates/cellnode/src/forward_router.rs
@@ -19,7 +19,7 @@
     async_trait::async_trait,
     damaskrack_cell::{
         EndedAttempt, RenewOutcome, RenewRequest, RenewResponse, StartOutcome, StartRefusal,
-        StartRequest, StopRequest, WorkerReport,
+        StartRequest, StartResponse, StopRequest, WorkerReport,
     },
     rustc_hash::{FxHashMap, FxHashSet},
     slog::{Logger, info},
@@ -43,7 +43,7 @@
 /// What came of a forwarded call.
 #[derive(Debug)]
 enum CallOutcome {
-    Start(StartOutcome),
+    Start(StartResponse),
     Stop(bool),
     Renew(RenewOutcome),
     Write(Result<TransactionOutcome, StoreError>),
@@ -264,12 +264,12 @@
         self.send_to(&mut state, daemon, ("", ""), 0, |_| ForwardCall::Write(write))
     }
 
-    async fn start_directly(&self, request: &StartRequest, token: u64) -> StartOutcome {
+    async fn start_directly(&self, request: &StartRequest, token: u64) -> StartResponse {
         if request.payload.is_some() {
             return self.direct.start(request, token).await;
         }
         match self.payloads.get(job_of_task(&request.task)).await {
-            None => StartOutcome::Refused(StartRefusal::Unsent),
+            None => StartOutcome::Refused(StartRefusal::Unsent).into(),
             payload => {
                 let request = StartRequest { payload, ..request.clone() };
                 self.direct.start(&request, token).await
@@ -281,9 +281,7 @@
     pub(crate) fn receive(&self, session: u64, frame: ForwardedFrame) {
         let mut state = self.lock();
         let outcome = match frame.result {
-            Some(ForwardResult::Started(result)) => {
-                CallOutcome::Start(StartOutcome::from(result.code()))
-            }
+            Some(ForwardResult::Started(result)) => CallOutcome::Start(StartResponse::from(result)),
             Some(ForwardResult::Stopped(is_acknowledged)) => CallOutcome::Stop(is_acknowledged),
             Some(ForwardResult::Written(result)) => CallOutcome::Write(result.into()),
             Some(ForwardResult::Renewed(result)) => {
@@ -363,14 +361,14 @@
 
 #[async_trait]
 impl WorkerGateway for ForwardRouter {
-    async fn start(&self, request: &StartRequest, token: u64) -> StartOutcome {
+    async fn start(&self, request: &StartRequest, token: u64) -> StartResponse {
         let target = (&*request.address, &*request.worker_id);
         let Some(call) = self.send(target, token, |peer| peer.start_call(request)) else {
             return self.start_directly(request, token).await;
         };
         match self.wait(call, CALL_TIMEOUT_MS).await {
-            Some(CallOutcome::Start(outcome)) => outcome,
-            _ => StartOutcome::Unknown,
+            Some(CallOutcome::Start(response)) => response,
+            _ => StartOutcome::Unknown.into(),
         }
     }
 
--- a/crates/cellnode/src/forward_session.rs
+++ b/crates/cellnode/src/forward_session.rs
@@ -100,10 +100,9 @@
                 let result = match payload {
                     Some(payload) if !is_late => {
                         let start = start.request(&address, &worker_id, payload);
-                        let outcome = self.workers.start(&start, token).await;
-                        StartResult { code: StartCode::from(outcome) as i32 }
+                        StartResult::from(self.workers.start(&start, token).await)
                     }
-                    _ => StartResult { code: StartCode::Unsent as i32 },
+                    _ => StartResult { code: StartCode::Unsent as i32, clock_ms: None },
                 };
                 self.reply(request, ForwardResult::Started(result));
             }
--- a/crates/cellnode/src/forward_session/tests.rs
+++ b/crates/cellnode/src/forward_session/tests.rs
@@ -10,7 +10,9 @@
         payload_store::PayloadStore,
     },
     async_trait::async_trait,
-    damaskrack_cell::{RenewOutcome, RenewRequest, StartOutcome, StartRequest, StopRequest},
+    damaskrack_cell::{
+        RenewOutcome, RenewRequest, StartOutcome, StartRequest, StartResponse, StopRequest,
+    },
     slog::{Discard, Logger, o},
     std::sync::{Arc, Mutex},
     tokio::sync::mpsc,
@@ -24,10 +26,10 @@
 
 #[async_trait]
 impl WorkerGateway for FakeWorkers {
-    async fn start(&self, request: &StartRequest, _: u64) -> StartOutcome {
+    async fn start(&self, request: &StartRequest, _: u64) -> StartResponse {
         let run = (request.task.clone(), request.payload.clone());
         self.started.lock().expect("runs").push(run);
-        StartOutcome::Started
+        StartOutcome::Started.into()
     }
 
     async fn stop(&self, _: &StopRequest, _: u64) -> bool {
--- a/crates/cellnode/src/leader.rs
+++ b/crates/cellnode/src/leader.rs
@@ -47,8 +47,8 @@
     cadence::CountedExt,
     damaskrack_cell::{
         AdviceCallKey, AdviceRequest, CellAction, CellConfig, CellCore, CellInput, CellSettings,
-        CommitRequest, JobRecord, OFFER_TIMEOUT_MS, StartOutcome, StartRefusal, StopRequest,
-        WorkerSpeedsRecord, WorkerTicket,
+        CommitRequest, JobRecord, OFFER_TIMEOUT_MS, RenewRequest, StartOutcome, StartRefusal,
+        StopRequest, WorkerSpeedsRecord, WorkerTicket,
     },
     rustc_hash::FxHashMap,
     slog::{Logger, info, warn},
@@ -646,12 +646,12 @@
                 let leadership = self.leadership.clone();
                 tokio::spawn(async move {
                     // The host may have stood still since the core decided.
-                    let outcome = match may_act(&leadership) {
+                    let response = match may_act(&leadership) {
                         true => workers.start(&request, token).await,
-                        false => StartOutcome::Refused(StartRefusal::Unsent),
+                        false => StartOutcome::Refused(StartRefusal::Unsent).into(),
                     };
                     let attempt = request.attempt;
-                    send_input(&events, CellInput::StartFinished { attempt, outcome }).await;
+                    send_input(&events, CellInput::StartFinished { attempt, response }).await;
                 });
             }
             CellAction::Stop(request) => self.stop(request),
@@ -659,11 +659,8 @@
                 let (workers, events, token) = self.gateway(request.fence);
                 tokio::spawn(async move {
                     let outcome = workers.renew(&request, token).await;
-                    send_input(
-                        &events,
-                        CellInput::RenewFinished { worker: request.worker, outcome },
-                    )
-                    .await;
+                    let RenewRequest { worker, fence, .. } = request;
+                    send_input(&events, CellInput::RenewFinished { worker, fence, outcome }).await;
                 });
             }
             CellAction::RequestAdvice(request) => self.request_advice(request),
