Fakes of the core: tickets of one incarnation, clocks of their own, renewals that wait

The fake adviser gave every incarnation the same ticket, without an end; all clocks began at 0; and without a link each renewal was answered at once. So no test of the core could show a start that an incarnation accepts which the leader does not know.

A ticket is now of the incarnation that is up when the adviser decides, and of one step, and expires after valid_ms. A worker that needs tickets refuses any other, also after a restart. Each incarnation's clock begins 10,000 s below the former one's, so that a deadline for a former incarnation is far away. lets_renewals_wait keeps renewals at their workers until an end or the requested time; one whose worker restarts meanwhile gets no response and times out. A new leader gets no outcome of its predecessor's requests. The worker, the adviser and the renewals are in files of their own.

--- a/crates/cell/tests/cell/support/crash.rs
+++ b/crates/cell/tests/cell/support/crash.rs
@@ -1,7 +1,7 @@
 //! Tasks that crash the workers that start them.
 
 use {
-    super::{FakeCell, FakeWorker},
+    super::FakeCell,
     std::collections::{BTreeMap, BTreeSet},
 };
 
@@ -114,12 +114,10 @@
     /// Starts the next incarnation of a crashed worker, under its id or another one.
     fn restart_worker(&mut self, id: &str) {
         let worker = self.workers.get_mut(id).unwrap();
-        let mut report = worker.report.clone();
-        report.incarnation += 1;
+        *worker = worker.restarted(self.now_ms);
         if self.crashing.renames {
-            report.id = format!("{id}-{}", report.incarnation);
+            worker.report.id = format!("{id}-{}", worker.report.incarnation);
         }
-        *worker = FakeWorker { report, started_ms: self.now_ms, ..FakeWorker::default() };
         self.list_workers();
     }
 }
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -6,29 +6,36 @@
 
 #![expect(clippy::unwrap_used, reason = "a test that cannot go on should panic")]
 
+mod adviser;
 mod crash;
 mod former;
 pub(crate) mod layout;
 pub(crate) mod load_model;
 mod reference;
+mod renewals;
 pub(crate) mod speeds;
+mod worker;
+
+pub(crate) use worker::{FakeRun, FakeWorker};
 
 use {
+    adviser::IssuedTickets,
     crash::CrashingTasks,
     damaskrack_cell::{
         AdviceRequest, AdviceTiming, AttemptKey, CellAction, CellConfig, CellCore, CellInput,
-        CellSettings, CommitRequest, EndKind, EndedAttempt, JobRecord, JobState, LogEntry,
-        ProgressRecord, QueueConfig, RejectedJob, RenewOutcome, RenewRequest, RenewResponse,
-        ResourceSet, RunningAttempt, StartOutcome, StartRefusal, StartRequest, StartResponse,
-        StepSpec, StopRequest, TeamConfig, WorkerReport, WorkerSpeedsRecord, WorkerTicket,
+        CellSettings, CommitRequest, EndKind, JobRecord, JobState, LogEntry, ProgressRecord,
+        QueueConfig, RejectedJob, RenewOutcome, RenewRequest, ResourceSet, StartOutcome,
+        StartRefusal, StartRequest, StartResponse, StepSpec, StopRequest, TeamConfig, WorkerReport,
+        WorkerSpeedsRecord,
     },
     former::{FormerLeader, StoredBounds},
-    load_model::{LoadModel, RunWork},
-    reference::IssuedTickets,
+    load_model::LoadModel,
+    renewals::WaitingRenewal,
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
         sync::Arc,
     },
+    worker::LateRequest,
 };
 
 /// Unix time at the start of each test, in milliseconds.
@@ -47,113 +54,6 @@
 pub(crate) const CAPACITY: ResourceSet =
     ResourceSet { cpu_millis: 4_000, memory_mb: 4_096, accelerators: 0 };
 
-/// A task that runs on a fake worker.
-#[derive(Debug, Clone)]
-pub(crate) struct FakeRun {
-    pub(crate) task: String,
-    pub(crate) attempt: u32,
-    pub(crate) ends_ms: u64,
-    pub(crate) is_stopped: bool,
-    pub(crate) resources: ResourceSet,
-}
-
-/// A request that had no response and is carried out late.
-#[derive(Debug)]
-pub(crate) struct LateRequest<R> {
-    sent_ms: u64,
-    /// The fencing token that it was sent with.
-    token: u64,
-    pub(crate) request: R,
-}
-
-/// A fake worker, with one incarnation at a time.
-#[derive(Debug, Default)]
-pub(crate) struct FakeWorker {
-    pub(crate) report: WorkerReport,
-    pub(crate) started_ms: u64,
-    /// Share of the time by which the worker's clock is slow, in percent.
-    pub(crate) lost_clock_percent: u64,
-    pub(crate) token: u64,
-    pub(crate) runs: Vec<FakeRun>,
-    pub(crate) ended: Vec<EndedAttempt>,
-    pub(crate) last_end: u64,
-    pub(crate) lease_expiry_ms: u64,
-    /// Attempts that were stopped or have ended on this worker, which can never start again.
-    pub(crate) fenced: BTreeSet<(String, u32)>,
-    /// The worker does not respond.
-    pub(crate) is_silent: bool,
-    /// Another worker responds on its address.
-    pub(crate) is_replaced: bool,
-    /// Start requests get no response and wait in `deferred_starts`.
-    pub(crate) defers_starts: bool,
-    pub(crate) deferred_starts: Vec<LateRequest<StartRequest>>,
-    /// Number of the next start requests that are treated so.
-    pub(crate) defers_next_starts: usize,
-    /// Stop requests get no response and are not carried out.
-    pub(crate) drops_stops: bool,
-    /// All start requests after a deferred one are refused.
-    pub(crate) refuses_starts: bool,
-    /// Renewals get no response and wait in `deferred_renewals`.
-    pub(crate) defers_renewals: bool,
-    pub(crate) deferred_renewals: Vec<LateRequest<RenewRequest>>,
-    /// Maximum number of ends in a response; 0 for no maximum.
-    pub(crate) max_listed_ends: usize,
-    /// Last end before the leases expired.
-    last_expired_end: u64,
-    /// The worker's registration has expired.
-    pub(crate) is_unlisted: bool,
-    /// All tasks fail.
-    pub(crate) fails: bool,
-    /// Starts without a ticket are refused.
-    pub(crate) needs_tickets: bool,
-    /// Number of starts that were refused for their tickets.
-    pub(crate) refused_tickets: usize,
-    /// Time that a stop takes, in milliseconds.
-    pub(crate) stop_ms: u64,
-    /// Factor by which tasks take longer than usual; 0 counts as 1.
-    slowness: f64,
-    /// Times at which tasks were started.
-    task_starts_ms: BTreeMap<String, u64>,
-    /// Work of the runs, if a model says how long they take.
-    pub(crate) work: BTreeMap<(String, u32), RunWork>,
-    /// Progress is reported as 0 % until a task ends, and not as 50 %.
-    pub(crate) hides_progress: bool,
-    /// Time by which tasks run longer than elsewhere, in milliseconds.
-    pub(crate) extra_run_ms: u64,
-}
-
-impl FakeWorker {
-    fn clock_ms(&self, now_ms: u64) -> u64 {
-        (now_ms - self.started_ms) * (100 - self.lost_clock_percent) / 100
-    }
-
-    fn extend(&mut self, deadline_ms: Option<u64>, now_ms: u64) {
-        let deadline_ms = deadline_ms.unwrap_or(0).min(self.clock_ms(now_ms) + MAX_LEASE_MS);
-        self.lease_expiry_ms = self.lease_expiry_ms.max(deadline_ms);
-    }
-
-    /// Checks that the leases do not outlast the worker's bound in the store.
-    fn check_bound(&self, bounds: &StoredBounds) {
-        let expiry_ms = self.started_ms + self.lease_expiry_ms;
-        bounds.check(&self.report.id, self.report.incarnation, expiry_ms);
-    }
-
-    fn end(&mut self, index: usize, kind: EndKind, now_ms: u64) {
-        let run = self.runs.remove(index);
-        let work = self.work.remove(&(run.task.clone(), run.attempt));
-        let checkpoint = work.map_or_else(String::new, |work| work.checkpoint(now_ms));
-        self.last_end += 1;
-        self.fenced.insert((run.task.clone(), run.attempt));
-        self.ended.push(EndedAttempt {
-            number: self.last_end,
-            task: run.task,
-            attempt: run.attempt,
-            kind,
-            checkpoint,
-        });
-    }
-}
-
 /// A request on a [`FakeLink`].
 #[derive(Debug)]
 struct QueuedRequest {
@@ -280,16 +180,17 @@
     pub(crate) has_slow_adviser: bool,
     /// Tickets of the adviser.
     pub(crate) tickets: IssuedTickets,
-    /// Responses of the slow adviser with the times at which they come, by daemon.
-    slow_advice: Vec<(u64, u64, CellInput)>,
+    /// Calls to the slow adviser with the times at which it responds.
+    slow_advice: Vec<(u64, AdviceRequest)>,
     held_advice: Vec<CellInput>,
     /// Workers that the adviser allows; all workers if empty.
     pub(crate) allowed: BTreeSet<String>,
     /// The leader's network link; requests take no time without one.
     pub(crate) link: Option<FakeLink>,
-    /// Renewals that wait at their workers for an end, with the times until which they wait. Without
-    /// a link, workers respond at once.
-    waiting_renewals: Vec<(u64, RenewRequest)>,
+    /// Renewals wait at their workers for an end, as they always do behind a link. Otherwise workers respond at
+    /// once.
+    pub(crate) lets_renewals_wait: bool,
+    waiting_renewals: Vec<WaitingRenewal>,
     pub(crate) crashing: CrashingTasks,
     /// The leader has met the fencing token of a later one.
     pub(crate) has_resigned: bool,
@@ -392,6 +293,7 @@
             held_advice: Vec::new(),
             allowed: BTreeSet::new(),
             link: None,
+            lets_renewals_wait: false,
             waiting_renewals: Vec::new(),
             crashing: CrashingTasks::default(),
             has_resigned: false,
@@ -418,7 +320,7 @@
             capacity: CAPACITY,
             is_leaving: false,
         };
-        let worker = FakeWorker { report, started_ms: self.now_ms, ..FakeWorker::default() };
+        let worker = FakeWorker::new(report, self.now_ms);
         self.workers.insert(id.to_owned(), worker);
     }
 
@@ -469,6 +371,7 @@
         // Workers respond to the former leader, and not to this one.
         self.waiting_renewals.clear();
         self.slow_advice.clear();
+        self.unanswered.clear();
         self.core.set_time(self.now_ms, self.wall_ms());
         self.core.apply(CellInput::Config(Arc::new(self.config.clone())));
         self.list_workers();
@@ -602,17 +505,6 @@
         }
     }
 
-    fn answer_waiting_renewals(&mut self) {
-        let waiting = std::mem::take(&mut self.waiting_renewals);
-        let (due, later): (Vec<_>, Vec<_>) =
-            waiting.into_iter().partition(|(until_ms, request)| {
-                let mut ended = self.workers[&request.address].ended.iter();
-                *until_ms <= self.now_ms || ended.any(|end| end.number > request.last_durable_end)
-            });
-        self.waiting_renewals = later;
-        due.iter().for_each(|(_, request)| self.renew(request));
-    }
-
     /// Delivers requests that have passed the link, and reports those that have timed out.
     fn run_link(&mut self) {
         self.answer_waiting_renewals();
@@ -651,10 +543,7 @@
         match action {
             CellAction::Start(request) => self.start(request),
             CellAction::Stop(request) => self.stop(&request),
-            CellAction::Renew(request) if self.link.is_some() => {
-                self.waiting_renewals.push((self.now_ms + request.wait_ms, request));
-            }
-            CellAction::Renew(request) => self.renew(&request),
+            CellAction::Renew(request) => self.receive_renewal(request),
             CellAction::RequestAdvice(request) => self.advise(request),
             CellAction::Commit(request) => self.commit(request),
             CellAction::Reply { reply, state } => self.replies.push((reply, state)),
@@ -739,52 +628,6 @@
         }
     }
 
-    fn advise(&mut self, request: AdviceRequest) {
-        let allowed = request.workers.iter().filter(|id| self.is_advised(&request.phase, id));
-        let ticket = |id: &String| WorkerTicket { worker: id.clone(), ticket: "t".to_owned() };
-        let input =
-            CellInput::Advice { call: request.call, allowed: Some(allowed.map(ticket).collect()) };
-        let daemon = request.daemon;
-        let is_silent = self.silent_daemons.contains(&daemon);
-        let respond_ms = match self.has_slow_adviser {
-            true => self.slow_response_ms(&request),
-            false => self.now_ms,
-        };
-        self.issue_tickets(&request, respond_ms);
-        self.advice_requests.push(request);
-        match self.lost_advice {
-            _ if is_silent => {}
-            0 if self.has_slow_adviser => self.slow_advice.push((respond_ms, daemon, input)),
-            0 if self.holds_advice => self.held_advice.push(input),
-            0 => self.apply(input),
-            _ => self.lost_advice -= 1,
-        }
-    }
-
-    /// Returns the time at which the slow adviser responds, behind the other calls through its daemon.
-    fn slow_response_ms(&self, request: &AdviceRequest) -> u64 {
-        let own = self.slow_advice.iter().filter(|(_, daemon, _)| *daemon == request.daemon);
-        let free_ms = own.map(|(at_ms, ..)| *at_ms).max().unwrap_or(0).max(self.now_ms);
-        free_ms + request.expected_ms
-    }
-
-    /// Delivers the responses of the slow adviser that are due.
-    fn deliver_slow_advice(&mut self) {
-        let now_ms = self.now_ms;
-        let waiting = std::mem::take(&mut self.slow_advice);
-        let (due, later): (Vec<_>, Vec<_>) =
-            waiting.into_iter().partition(|(at_ms, ..)| *at_ms <= now_ms);
-        self.slow_advice = later;
-        due.into_iter().for_each(|(.., input)| self.apply(input));
-    }
-
-    /// Delivers the adviser's responses that were held, and holds no more.
-    pub(crate) fn deliver_held_advice(&mut self) {
-        self.holds_advice = false;
-        let held = std::mem::take(&mut self.held_advice);
-        held.into_iter().for_each(|input| self.apply(input));
-    }
-
     /// Puts a version of the configuration in force that differs from the last one by a change.
     pub(crate) fn reconfigure(&mut self, change: impl FnOnce(&mut CellConfig)) {
         self.config.version += 1;
@@ -849,6 +692,7 @@
         let factor = if is_remote { self.settings.remote_factor } else { 1.0 };
         let usual_ms = (self.duration_ms(request) as f64 * factor) as u64;
         let run_ms = work.as_ref().map_or(usual_ms, |work| work.run_ms);
+        let is_accepted = self.accepts_ticket(request);
         let worker = self.workers.get_mut(&request.address).unwrap();
         let ends_ms = if lasts { u64::MAX } else { now_ms + run_ms + worker.extra_run_ms };
         if worker.report.id != request.worker_id {
@@ -858,7 +702,7 @@
             return StartOutcome::Refused(StartRefusal::Fenced);
         }
         worker.token = token;
-        if worker.needs_tickets && request.ticket.is_empty() {
+        if worker.needs_tickets && !is_accepted {
             worker.refused_tickets += 1;
             return StartOutcome::Refused(StartRefusal::Ticket);
         }
@@ -951,116 +795,13 @@
         self.apply(CellInput::StopFinished { attempt, is_acknowledged });
     }
 
-    fn renew(&mut self, request: &RenewRequest) {
-        let token = self.token_of(request.fence);
-        let worker = self.workers.get_mut(&request.address).unwrap();
-        let outcome = if worker.defers_renewals {
-            let (sent_ms, request) = (self.now_ms, request.clone());
-            worker.deferred_renewals.push(LateRequest { sent_ms, token, request });
-            RenewOutcome::Unknown
-        } else if worker.is_silent {
-            RenewOutcome::Unknown
-        } else {
-            self.renew_now(request, token)
-        };
-        let input =
-            CellInput::RenewFinished { worker: request.worker, fence: request.fence, outcome };
-        match self.delays_renewals_of.as_deref() == Some(request.address.as_str()) {
-            true => self.delayed_renewals.push(input),
-            false => self.apply(input),
-        }
-    }
-
-    /// Processes a renewal on its worker.
-    fn renew_now(&mut self, request: &RenewRequest, token: u64) -> RenewOutcome {
-        let now_ms = self.now_ms;
-        let worker = self.workers.get_mut(&request.address).unwrap();
-        if worker.is_replaced || worker.report.id != request.worker_id {
-            return RenewOutcome::Incarnation;
-        }
-        if token < worker.token {
-            return RenewOutcome::Fenced;
-        }
-        worker.token = token;
-        worker.extend(request.deadline_ms, now_ms);
-        worker.check_bound(&self.lease_bounds);
-        self.acknowledge_ends(&request.address, request.last_durable_end);
-        let worker = &self.workers[&request.address];
-        let running = worker.runs.iter().map(|run| RunningAttempt {
-            task: run.task.clone(),
-            attempt: run.attempt,
-            checkpoint: String::new(),
-            percent: self.reported_percent(worker, run),
-        });
-        let limit = if worker.max_listed_ends > 0 { worker.max_listed_ends } else { usize::MAX };
-        RenewOutcome::Answered(RenewResponse {
-            incarnation: worker.report.incarnation,
-            clock_ms: worker.clock_ms(now_ms),
-            running: running.collect(),
-            ended: worker.ended.iter().take(limit).cloned().collect(),
-            is_partial: worker.ended.len() >= limit,
-            unreadable_end: None,
-        })
-    }
-
-    /// Returns the progress of a run that a worker reports, in percent.
-    fn reported_percent(&self, worker: &FakeWorker, run: &FakeRun) -> u32 {
-        match worker.modelled_percent(run, self.now_ms) {
-            Some(percent) => percent,
-            None if self.has_progress => worker.elapsed_percent(run, self.now_ms),
-            None if worker.hides_progress => 0,
-            None => self.estimated_percent(run),
-        }
-    }
-
-    /// Returns the progress of a run by its step's estimate, in percent; a half if tasks run for a fixed time.
-    fn estimated_percent(&self, run: &FakeRun) -> u32 {
-        if self.run_ms > 0 {
-            return 50;
-        }
-        let estimate_ms = self.step_of(&run.task).estimate_ms.max(1);
-        let left_ms = run.ends_ms.saturating_sub(self.now_ms).min(estimate_ms);
-        u32::try_from((estimate_ms - left_ms) * 100 / estimate_ms).unwrap_or(100)
-    }
-
-    /// Discards the ends of a worker up to a number. A task must not have been started again since
-    /// it was done, unless the worker's leases have expired between.
-    fn acknowledge_ends(&mut self, id: &str, last: u64) {
-        let worker = self.workers.get_mut(id).unwrap();
-        let (acknowledged, left): (Vec<_>, Vec<_>) =
-            worker.ended.drain(..).partition(|ended| ended.number <= last);
-        worker.ended = left;
-        let last_expired_end = worker.last_expired_end;
-        for ended in acknowledged.into_iter().filter(|ended| ended.kind == EndKind::Done) {
-            let starts = self.starts.iter().filter(|(task, ..)| *task == ended.task);
-            let last_start = starts.map(|(_, attempt, _)| *attempt).max();
-            let is_current = last_start == Some(ended.attempt) || ended.number <= last_expired_end;
-            let is_service = self.step_of(&ended.task).is_service;
-            assert!(is_current || is_service, "{} started again after it was done", ended.task);
-            *self.done.entry(ended.task).or_default() += 1;
-        }
-    }
-
-    /// Processes the deferred renewals of a worker.
-    pub(crate) fn run_deferred_renewals(&mut self, id: &str) -> Vec<RenewOutcome> {
-        self.end_runs();
-        let late = std::mem::take(&mut self.workers.get_mut(id).unwrap().deferred_renewals);
-        late.iter().map(|late| self.renew_now(&late.request, late.token)).collect()
-    }
-
     /// Restarts a worker under its id, with nothing known of before. The list of workers does not
     /// show it yet.
     pub(crate) fn reincarnate(&mut self, id: &str) {
         let former = self.workers.remove(id).unwrap();
-        let mut report = former.report;
-        report.incarnation += 1;
-        let worker = FakeWorker {
-            report,
-            started_ms: self.now_ms,
-            deferred_starts: former.deferred_starts,
-            deferred_renewals: former.deferred_renewals,
-            ..FakeWorker::default()
-        };
+        let mut worker = former.restarted(self.now_ms);
+        worker.deferred_starts = former.deferred_starts;
+        worker.deferred_renewals = former.deferred_renewals;
         self.workers.insert(id.to_owned(), worker);
     }
 }
--- a/crates/cell/tests/cell/support/reference.rs
+++ b/crates/cell/tests/cell/support/reference.rs
@@ -2,48 +2,15 @@
 
 use {
     super::{FakeCell, FakeWorker, load_model::job_id},
-    damaskrack_cell::{AdviceRequest, ResourceSet, StepSpec},
-    std::collections::BTreeMap,
+    damaskrack_cell::{ResourceSet, StepSpec},
 };
 
-/// Tickets that the adviser has issued, by step and worker, with the times until which they are valid.
-#[derive(Debug, Default)]
-pub(crate) struct IssuedTickets {
-    valid_until_ms: BTreeMap<(String, String), u64>,
-}
-
-impl IssuedTickets {
-    /// Records a ticket for a worker, which is valid from now on.
-    pub(super) fn issue(&mut self, step: &str, worker: &str, valid_until_ms: u64) {
-        self.valid_until_ms.insert((step.to_owned(), worker.to_owned()), valid_until_ms);
-    }
-
-    /// Returns whether a ticket of a step for a worker is valid.
-    fn is_valid(&self, step: &str, worker: &str, now_ms: u64) -> bool {
-        let key = (step.to_owned(), worker.to_owned());
-        self.valid_until_ms.get(&key).is_some_and(|until_ms| now_ms <= *until_ms)
-    }
-}
-
 /// Returns the name of a task's step.
-fn step_name(task: &str) -> &str {
+pub(super) fn step_name(task: &str) -> &str {
     task.rsplit_once('.').map_or(task, |(step, _)| step)
 }
 
 impl FakeCell {
-    /// Records the tickets of a response to come, which are valid from then on. When a response comes that a
-    /// test holds is not known.
-    pub(super) fn issue_tickets(&mut self, request: &AdviceRequest, respond_ms: u64) {
-        let record = &self.records[job_id(&request.phase)];
-        let queue = self.config.queues.get(&record.queue);
-        let advice = queue.map_or(record.advice, |queue| queue.advice);
-        let valid_ms = advice.map_or(0, |advice| advice.valid_ms);
-        let valid_until_ms = if self.holds_advice { u64::MAX } else { respond_ms + valid_ms };
-        for worker in &request.workers {
-            self.tickets.issue(&request.phase, worker, valid_until_ms);
-        }
-    }
-
     /// Returns whether the rules allow a task on a worker, apart from what else runs there and from tickets.
     fn is_suitable(&self, name: &str, step: &StepSpec, worker: &FakeWorker) -> bool {
         let record = &self.records[job_id(name)];
@@ -88,7 +55,7 @@
         assert!(is_within, "{siblings} tasks of {name} run on {at}");
         let has_adviser =
             self.config.queues.get(&record.queue).is_some_and(|queue| queue.advice.is_some());
-        let is_valid = self.tickets.is_valid(name, at, self.now_ms);
+        let is_valid = self.tickets.has_valid(name, at, self.now_ms);
         assert!(!has_adviser || is_valid, "{task} started on {at} without a valid ticket");
     }
 
