Failing tests: what the leader concludes of runs on an incarnation that it does not know

The tests of the release are in a file of their own. These cover what else follows from "the known incarnation ran it": crash counts, failed attempts, the limit of a team, the capacity of a worker, the acknowledgement of ends, rows and bounds that the next leader reads, and a gang.

Two of them show faults that need no ticket or no restart: a failed end that is listed after the attempt was released is acknowledged and not counted, and a bound in the store names the incarnation of a worker's entry but counts the leases of the former one.

--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -10,6 +10,7 @@
 mod contention;
 mod crash_storms;
 mod crashes;
+mod incarnation_conclusions;
 mod incarnations;
 mod inherited_leases;
 mod job_lifecycle;
