Test: a service lost with its leader does not wait for an unidentified start

A row is written before its start is sent, so it cannot say that the start is identified. A successor that waits for the end of a ticket and the longest lease wherever the row does not say so keeps a service standing for longer than today, although its worker had responded for a minute.

--- a/crates/cell/tests/cell/incarnation_conclusions.rs
+++ b/crates/cell/tests/cell/incarnation_conclusions.rs
@@ -13,6 +13,8 @@
 const FORMER_LIFE_MS: u64 = 30_000;
 /// Time in which a start is carried out, in milliseconds.
 const START_MS: u64 = 50;
+/// Time in which a lease that a leader asks for has expired, and its task is placed again, in milliseconds.
+const REQUESTED_LEASE_MS: u64 = 7_500;
 /// Time after which any start with a ticket and the longest lease of what it began are over, in milliseconds.
 const LONGEST_HOLD_MS: u64 = 16_000;
 /// Number of crashes after which a job is given up in any case.
@@ -349,6 +351,20 @@
     take_over_unheard(&mut cell);
 }
 
+/// Guards against a service that stands still because its row never says that its start is identified: the worker has
+/// responded for a minute, and is lost with the leader.
+#[test]
+fn a_service_with_a_ticket_whose_worker_is_lost_with_the_leader_waits_for_no_unidentified_start() {
+    let mut cell = cell_with_tickets();
+    cell.submit(job("1", vec![StepSpec { is_service: true, ..step(1) }]));
+    cell.run(60_000);
+    cut_off_from_store(&mut cell);
+    offer_another_worker(&mut cell);
+    cell.start_leader();
+    cell.run(REQUESTED_LEASE_MS + cell.settings.isolation_ms);
+    assert_eq!(cell.workers["w1"].runs.len(), 1, "the service does not start elsewhere");
+}
+
 /// Sends a start whose requests have no response, and replaces the leader. The next incarnation carries the start out
 /// two seconds later, and nobody hears from it.
 fn run_start_of_former_leader(cell: &mut FakeCell, cut: impl FnOnce(&mut FakeCell)) {
