Failing test: a delayed end on the former incarnation ends a run on the next one

A renewal is answered by the known incarnation, which lists the failed end of a run. The response is delayed; the worker restarts, and the next incarnation carries out a repetition of the start, with a newer ticket. The response then ends the attempt, and the task starts again beside that run (TWICE).

The test shares its first steps with that of the acknowledgement after a repetition, whose tickets now last 370 ms instead of 400, so that the adviser is asked before the start times out in both.

--- a/crates/cell/tests/cell/incarnation_conclusions.rs
+++ b/crates/cell/tests/cell/incarnation_conclusions.rs
@@ -3,7 +3,7 @@
 //! accepted there. The fake cell checks that no task runs twice and that no worker runs more than it has.
 
 use {
-    crate::support::{FakeCell, FakeWorker, job, step},
+    crate::support::{FakeCell, FakeRun, FakeWorker, job, step},
     damaskrack_cell::{
         AdviceTiming, CellInput, EndKind, JobRecord, JobState, StepSpec, TaskProgress,
     },
@@ -397,18 +397,33 @@
     run_start_of_former_leader(&mut cell_with_tickets(), cut_off);
 }
 
-/// Lets the known incarnation respond after the first request to start a task, restarts the worker, and lets the next
-/// incarnation carry out the second request, which has a newer ticket.
-fn repeat_start_on_next_incarnation(cell: &mut FakeCell) {
+/// Creates a cell whose tickets expire soon, so that the adviser is asked again while a start has no response.
+fn cell_with_short_tickets() -> FakeCell {
+    let mut cell = cell_with_tickets();
+    cell.reconfigure(|config| {
+        let queue = config.queues.get_mut("queue").expect("a queue");
+        queue.advice = Some(AdviceTiming { call_us: 1_000, worker_us: 100, valid_ms: 370 });
+    });
+    (cell.lets_renewals_wait, cell.has_timeouts) = (false, true);
+    cell
+}
+
+/// Lets the leader send a start that has no response before it times out. A second task waits for capacity, for which
+/// the adviser is asked again.
+fn send_start_without_response(cell: &mut FakeCell) {
+    cell.is_store_down = true;
+    cell.submit(job("1", vec![StepSpec { cpu_millis: 3_000, ..step(2) }]));
+    cell.run(10);
+    cell.restore_store();
     worker(cell, "w0").is_silent = true;
     cell.run(10);
     worker(cell, "w0").is_silent = false;
-    cell.run(50);
-    cell.is_store_down = true;
-    cell.end_first_run("w0", EndKind::Done);
-    cell.run(50);
+}
+
+/// Restarts the worker, and lets its next incarnation carry out the second request to start the task, which has a newer
+/// ticket.
+fn repeat_start_on_next_incarnation(cell: &mut FakeCell) {
     restart_unseen(cell, "w0");
-    cell.run_ms = START_MS;
     let starts = cell.starts.len();
     let until_ms = cell.now_ms + 1_000;
     while cell.starts.len() == starts && cell.now_ms < until_ms {
@@ -422,19 +437,15 @@
 #[test]
 fn an_end_is_not_acknowledged_while_a_repetition_with_a_newer_ticket_may_have_reached_another_incarnation()
  {
-    let mut cell = cell_with_tickets();
-    cell.reconfigure(|config| {
-        let queue = config.queues.get_mut("queue").expect("a queue");
-        queue.advice = Some(AdviceTiming { call_us: 1_000, worker_us: 100, valid_ms: 400 });
-    });
-    (cell.lets_renewals_wait, cell.has_timeouts) = (false, true);
+    let mut cell = cell_with_short_tickets();
     cell.submit(job("0", vec![step(1)]));
     cell.run(1_000);
+    send_start_without_response(&mut cell);
+    cell.run(50);
     cell.is_store_down = true;
-    // The second task waits for capacity, so the adviser is asked again.
-    cell.submit(job("1", vec![StepSpec { cpu_millis: 3_000, ..step(2) }]));
-    cell.run(10);
-    cell.restore_store();
+    cell.end_first_run("w0", EndKind::Done);
+    cell.run(50);
+    cell.run_ms = START_MS;
     repeat_start_on_next_incarnation(&mut cell);
     cell.restore_store();
     cell.run(2 * START_MS);
@@ -445,3 +456,27 @@
     cell.run(3_000);
     assert_eq!(cell.state("1"), Some(JobState::Completed));
 }
+
+/// Guards against a task that runs twice: the response that lists the end of its run on the former incarnation is
+/// delayed until the next one has carried out a repetition of the start.
+#[test]
+fn a_delayed_end_on_the_former_incarnation_ends_no_run_on_the_next_one() {
+    let mut cell = cell_with_short_tickets();
+    cell.submit(job("0", vec![step(1)]));
+    cell.run(1_000);
+    send_start_without_response(&mut cell);
+    // Only the response to the start was lost.
+    let (task, resources) = ("1.0.0.0".to_owned(), step(1).resources());
+    let run = FakeRun { task, attempt: 1, ends_ms: u64::MAX, is_stopped: false, resources };
+    worker(&mut cell, "w0").runs.insert(0, run);
+    cell.end_first_run("w0", EndKind::Failed);
+    cell.delays_renewals_of = Some("w0".to_owned());
+    cell.run(50);
+    assert!(!cell.delayed_renewals.is_empty(), "no response is delayed");
+    repeat_start_on_next_incarnation(&mut cell);
+    cell.deliver_delayed_renewals();
+    cell.run(1_000);
+    reach_again(&mut cell);
+    cell.run(1_000);
+    assert_eq!(cell.state("1"), Some(JobState::Running));
+}
