Tests of starts with a ticket of an incarnation that the leader does not know

The adviser's ticket is of the incarnation that is up when it answers, which may be one that the leader has not heard of. That incarnation grants the longest lease on the start, and the leader waits only for the lease that it asked the former one for.

--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -31,6 +31,7 @@
 mod starts_without_ticket;
 mod support;
 mod takeovers;
+mod tickets_of_the_next_incarnation;
 mod unanswered_starts;
 mod waiting_steps;
 mod where_suspects_run;
--- a/crates/cell/tests/cell/support/adviser.rs
+++ b/crates/cell/tests/cell/support/adviser.rs
@@ -57,6 +57,7 @@
         self.advice_requests.push(request.clone());
         match self.lost_advice {
             _ if is_silent => {}
+            0 if self.defers_calls => self.deferred_calls.push(request),
             0 if self.has_slow_adviser => {
                 self.slow_advice.push((self.slow_response_ms(&request), request));
             }
@@ -124,6 +125,13 @@
         }
     }
 
+    /// Lets the adviser decide on the last of the calls that were deferred.
+    pub(crate) fn decide_last_call(&mut self) {
+        let request = self.deferred_calls.pop().unwrap();
+        let response = self.decide(&request);
+        self.apply(response);
+    }
+
     /// Delivers the adviser's responses that were held, and holds no more.
     pub(crate) fn deliver_held_advice(&mut self) {
         self.holds_advice = false;
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -183,6 +183,9 @@
     /// Calls to the slow adviser with the times at which it responds.
     slow_advice: Vec<(u64, AdviceRequest)>,
     held_advice: Vec<CellInput>,
+    /// The adviser decides on the calls in `deferred_calls` only when a test asks it to.
+    pub(crate) defers_calls: bool,
+    pub(crate) deferred_calls: Vec<AdviceRequest>,
     /// Workers that the adviser allows; all workers if empty.
     pub(crate) allowed: BTreeSet<String>,
     /// The leader's network link; requests take no time without one.
@@ -291,6 +294,8 @@
             tickets: IssuedTickets::default(),
             slow_advice: Vec::new(),
             held_advice: Vec::new(),
+            defers_calls: false,
+            deferred_calls: Vec::new(),
             allowed: BTreeSet::new(),
             link: None,
             lets_renewals_wait: false,
@@ -358,7 +363,7 @@
     /// Sends the list of workers to the core.
     pub(crate) fn list_workers(&mut self) {
         let listed = self.workers.values().filter(|worker| !worker.is_unlisted);
-        let reports = listed.map(|worker| worker.report.clone()).collect();
+        let reports = listed.map(|worker| worker.entry().clone()).collect();
         self.apply(CellInput::Workers(reports));
     }
 
--- a/crates/cell/tests/cell/support/worker.rs
+++ b/crates/cell/tests/cell/support/worker.rs
@@ -70,6 +70,8 @@
     pub(super) last_expired_end: u64,
     /// The worker's registration has expired.
     pub(crate) is_unlisted: bool,
+    /// The worker's entry, if it is still that of a former incarnation.
+    pub(crate) former_entry: Option<WorkerReport>,
     /// All tasks fail.
     pub(crate) fails: bool,
     /// Starts without a valid ticket are refused.
@@ -106,6 +108,11 @@
         Self { needs_tickets: self.needs_tickets, ..Self::new(report, now_ms) }
     }
 
+    /// Returns the worker's entry in the list of workers.
+    pub(super) fn entry(&self) -> &WorkerReport {
+        self.former_entry.as_ref().unwrap_or(&self.report)
+    }
+
     pub(super) fn clock_ms(&self, now_ms: u64) -> u64 {
         let age_ms = now_ms - self.started_ms;
         self.first_clock_ms + age_ms * (100 - self.lost_clock_percent) / 100
