Model: tickets are of the incarnation that the adviser knows

No machine had tickets: `incarnations` lets every start arrive at once and has another incarnation refuse it, and `open_starts` has only starts without tickets.

The new machine `tickets` has the adviser's ticket of the incarnation that is up, starts that arrive at any later time within its validity, renewals whose responses name the incarnation and list the run, a leader that counts on the former incarnation, and the next leader, which knows the row only.

Two searches show that the machine does not hold a task for ever: an unidentified start of a silent worker is released in the end, and an identified one after the lease that was asked for. The search of `open_starts` takes any machine now; its three tests are unchanged.

--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -17,7 +17,7 @@
     machines::{
         IncarnationsMachine, IsolationMachine, JournalMachine, LeadershipMachine,
         LeaseBoundsMachine, ManifestMachine, OpenStartsMachine, OwnershipMachine, RackMachine,
-        ResubmissionMachine, TeamMachine,
+        ResubmissionMachine, TeamMachine, TicketsMachine,
     },
     mutation::{Mutation, ParseMutationError},
 };
--- a/crates/spec/src/machine_name.rs
+++ b/crates/spec/src/machine_name.rs
@@ -4,7 +4,8 @@
     crate::{
         ExplorationOutcome, IncarnationsMachine, IsolationMachine, JournalMachine,
         LeadershipMachine, LeaseBoundsMachine, ManifestMachine, Mutation, OpenStartsMachine,
-        OwnershipMachine, RackMachine, ResubmissionMachine, SpecMachine, TeamMachine, explore,
+        OwnershipMachine, RackMachine, ResubmissionMachine, SpecMachine, TeamMachine,
+        TicketsMachine, explore,
     },
     std::{fmt, str::FromStr},
 };
@@ -34,6 +35,8 @@
     Incarnations,
     /// Starts without a ticket that a later incarnation of the worker may carry out.
     OpenStarts,
+    /// Starts with tickets, which are of the incarnation that the adviser knows.
+    Tickets,
 }
 
 /// Error for a text that is not the name of a machine.
@@ -51,7 +54,7 @@
 
 impl MachineName {
     /// All machines, in the order in which they are explored.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::Ownership,
         Self::Isolation,
         Self::RackTakeover,
@@ -63,6 +66,7 @@
         Self::LeaseBounds,
         Self::Incarnations,
         Self::OpenStarts,
+        Self::Tickets,
     ];
 
     /// Returns the name that selects the machine on the command line.
@@ -80,6 +84,7 @@
             Self::LeaseBounds => "lease_bounds",
             Self::Incarnations => "incarnations",
             Self::OpenStarts => "open_starts",
+            Self::Tickets => "tickets",
         }
     }
 
@@ -107,6 +112,7 @@
             Self::LeaseBounds => explore(&LeaseBoundsMachine::new(removed)),
             Self::Incarnations => explore(&IncarnationsMachine::new(removed)),
             Self::OpenStarts => explore(&OpenStartsMachine::new(removed)),
+            Self::Tickets => explore(&TicketsMachine::new(removed)),
         }
     }
 }
--- a/crates/spec/src/machines.rs
+++ b/crates/spec/src/machines.rs
@@ -11,10 +11,11 @@
 mod rack;
 mod resubmission;
 mod team;
+mod tickets;
 
 pub use {
     incarnations::IncarnationsMachine, isolation::IsolationMachine, journal::JournalMachine,
     leadership::LeadershipMachine, lease_bounds::LeaseBoundsMachine, manifest::ManifestMachine,
     open_starts::OpenStartsMachine, ownership::OwnershipMachine, rack::RackMachine,
-    resubmission::ResubmissionMachine, team::TeamMachine,
+    resubmission::ResubmissionMachine, team::TeamMachine, tickets::TicketsMachine,
 };
--- a/crates/spec/src/mutation.rs
+++ b/crates/spec/src/mutation.rs
@@ -157,6 +157,19 @@
     /// A worker that runs an attempt of a task starts no other one that was meant for a former
     /// incarnation.
     OneRunAfterRestart,
+    /// A start whose ticket may be of an incarnation that the leader has not heard from holds its task until the
+    /// end of the ticket and the longest lease.
+    UnidentifiedStartHolds,
+    /// The longest lease counts from the end of the ticket, as a start may be carried out until then.
+    LeaseAfterTicketEnds,
+    /// Only a request that was sent after a ticket arrived tells of which incarnations the ticket can be.
+    TicketBeforeRequest,
+    /// A restart ends an attempt only if its ticket is known to be of a former incarnation.
+    OnlyIdentifiedIsLost,
+    /// A start may have been granted the longest lease by an incarnation that the leader heard from later.
+    LongestLeaseAfterSwitch,
+    /// The task's row tells the next leader whether the start was identified.
+    RowSaysIdentified,
 }
 
 /// Mechanisms of the isolation rule.
@@ -199,6 +212,16 @@
     Mutation::OneRunAfterRestart,
 ];
 
+/// Mechanisms for starts whose tickets are of the incarnation that the adviser knows.
+const TICKETS_MECHANISMS: &[Mutation] = &[
+    Mutation::UnidentifiedStartHolds,
+    Mutation::LeaseAfterTicketEnds,
+    Mutation::TicketBeforeRequest,
+    Mutation::OnlyIdentifiedIsLost,
+    Mutation::LongestLeaseAfterSwitch,
+    Mutation::RowSaysIdentified,
+];
+
 /// Error for a text that is not the name of a mutation.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ParseMutationError;
@@ -288,6 +311,7 @@
                 &[Self::OtherLeases, Self::FenceBeforePlacement, Self::KnownLeases]
             }
             MachineName::OpenStarts => OPEN_STARTS_MECHANISMS,
+            MachineName::Tickets => TICKETS_MECHANISMS,
         }
     }
 }
--- a/crates/spec/tests/exploration.rs
+++ b/crates/spec/tests/exploration.rs
@@ -4,7 +4,8 @@
 //! Explorations of one machine run one after another to limit the use of memory.
 
 use damaskrack_spec::{
-    ExplorationOutcome, MachineName, Mutation, OpenStartsMachine, SpecMachine, explore,
+    ExplorationOutcome, MachineName, Mutation, OpenStartsMachine, SpecMachine, TicketsMachine,
+    explore,
 };
 
 /// A complete exploration visits more states than this; fewer mean that it explored nothing.
@@ -64,6 +65,11 @@
     check(MachineName::OpenStarts);
 }
 
+#[test]
+fn tickets_need_each_mechanism() {
+    check(MachineName::Tickets);
+}
+
 #[test]
 fn rack_takeover_needs_each_mechanism() {
     check(MachineName::RackTakeover);
@@ -94,65 +100,72 @@
     check(MachineName::Isolation);
 }
 
-/// A state of the machine `open_starts`.
-type OpenStarts = <OpenStartsMachine as SpecMachine>::State;
-/// A step of the machine `open_starts`.
-type OpenStartsStep = <OpenStartsMachine as SpecMachine>::Step;
-
-/// The machine `open_starts`, explored for a state of interest instead of a violation.
+/// A machine explored for a state of interest instead of a violation.
 #[derive(Debug)]
-struct OpenStartsSearch {
-    machine: OpenStartsMachine,
-    /// The worker never responds.
-    is_silent: bool,
-    is_wanted: fn(&OpenStartsMachine, &OpenStarts) -> bool,
+struct StateSearch<M: SpecMachine> {
+    name: MachineName,
+    machine: M,
+    /// Whether a step may be taken.
+    is_possible: fn(&M::Step) -> bool,
+    is_wanted: fn(&M, &M::State) -> bool,
 }
 
-impl OpenStartsSearch {
+impl<M: SpecMachine> StateSearch<M> {
     /// Returns whether the machine reaches a state of interest.
     fn reaches(self) -> bool {
         let outcome = explore(&self);
-        print_outcome(MachineName::OpenStarts, &[], &outcome);
+        print_outcome(self.name, &[], &outcome);
         outcome.counterexample.is_some()
     }
 }
 
-impl SpecMachine for OpenStartsSearch {
-    type State = OpenStarts;
-    type Step = OpenStartsStep;
+impl<M: SpecMachine> SpecMachine for StateSearch<M> {
+    type State = M::State;
+    type Step = M::Step;
 
     fn new(removed: &[Mutation]) -> Self {
-        let machine = OpenStartsMachine::new(removed);
-        Self { machine, is_silent: false, is_wanted: |_, _| false }
+        Self {
+            name: MachineName::OpenStarts,
+            machine: M::new(removed),
+            is_possible: |_| true,
+            is_wanted: |_, _| false,
+        }
     }
 
     fn bounds(&self) -> &'static str {
         self.machine.bounds()
     }
 
-    fn initial(&self) -> OpenStarts {
+    fn initial(&self) -> M::State {
         self.machine.initial()
     }
 
-    fn successors(&self, state: &OpenStarts) -> Vec<(Self::Step, OpenStarts)> {
+    fn successors(&self, state: &M::State) -> Vec<(M::Step, M::State)> {
         let mut successors = self.machine.successors(state);
-        let has_response = |step: &Self::Step| {
-            matches!(
-                step,
-                OpenStartsStep::Renew(true)
-                    | OpenStartsStep::Stop(true)
-                    | OpenStartsStep::Deliver(_, true)
-            )
-        };
-        successors.retain(|(step, _)| !self.is_silent || !has_response(step));
+        successors.retain(|(step, _)| (self.is_possible)(step));
         successors
     }
 
-    fn violation(&self, state: &OpenStarts) -> Option<&'static str> {
+    fn violation(&self, state: &M::State) -> Option<&'static str> {
         (self.is_wanted)(&self.machine, state).then_some("the state of interest")
     }
 }
 
+/// A state of the machine `open_starts`.
+type OpenStarts = <OpenStartsMachine as SpecMachine>::State;
+/// A step of the machine `open_starts`.
+type OpenStartsStep = <OpenStartsMachine as SpecMachine>::Step;
+/// A search of the machine `open_starts`.
+type OpenStartsSearch = StateSearch<OpenStartsMachine>;
+
+/// Returns whether a step has no response of the worker.
+fn is_silent_open_start(step: &OpenStartsStep) -> bool {
+    !matches!(
+        step,
+        OpenStartsStep::Renew(true) | OpenStartsStep::Stop(true) | OpenStartsStep::Deliver(_, true)
+    )
+}
+
 #[test]
 fn a_task_whose_worker_is_gone_starts_elsewhere_while_its_start_is_open() {
     let is_wanted = |_: &OpenStartsMachine, state: &OpenStarts| {
@@ -166,7 +179,8 @@
     let is_wanted = |_: &OpenStartsMachine, state: &OpenStarts| {
         state.runs_elsewhere() && state.was_placed() && !state.is_worker_gone()
     };
-    let search = OpenStartsSearch { is_silent: true, is_wanted, ..OpenStartsSearch::new(&[]) };
+    let is_possible = is_silent_open_start;
+    let search = OpenStartsSearch { is_possible, is_wanted, ..OpenStartsSearch::new(&[]) };
     assert!(search.reaches());
 }
 
@@ -184,6 +198,37 @@
     assert!(!OpenStartsSearch { is_wanted, ..OpenStartsSearch::new(&[]) }.reaches());
 }
 
+/// A state of the machine `tickets`.
+type Tickets = <TicketsMachine as SpecMachine>::State;
+/// A step of the machine `tickets`.
+type TicketsStep = <TicketsMachine as SpecMachine>::Step;
+/// A search of the machine `tickets`.
+type TicketsSearch = StateSearch<TicketsMachine>;
+
+/// Guards against a task that waits for ever for a worker that is lost with an unidentified start.
+#[test]
+fn an_unidentified_start_of_a_silent_worker_is_released_in_the_end() {
+    let search = TicketsSearch {
+        name: MachineName::Tickets,
+        is_possible: |step| !matches!(step, TicketsStep::Respond | TicketsStep::Deliver(_, true)),
+        is_wanted: |_, state: &Tickets| state.runs_elsewhere(),
+        ..TicketsSearch::new(&[])
+    };
+    assert!(search.reaches());
+}
+
+/// Guards against identified starts that wait as long as unidentified ones.
+#[test]
+fn an_identified_start_is_released_once_the_lease_that_was_asked_for_is_over() {
+    let search = TicketsSearch {
+        name: MachineName::Tickets,
+        is_possible: |step| !matches!(step, TicketsStep::Restart),
+        is_wanted: |_, state: &Tickets| state.runs_elsewhere() && state.ticks() == 1,
+        ..TicketsSearch::new(&[])
+    };
+    assert!(search.reaches());
+}
+
 #[test]
 fn names_are_read_back() {
     for machine in MachineName::ALL {
