Hold a start whose ticket may be of an incarnation that is not known

Workers had restarted under their ids and were cut off soon after.

Cause: a ticket is of the incarnation that the adviser knows when it answers. The leader may still believe in the one before, and took each start with a ticket for one that only this or a former incarnation could carry out. So it released the attempt when the leases of the former incarnation were over, while the next one ran it with the longest lease.

Change: a worker has one value, identified_ms: the time of sending of the last request of which it is known which incarnation has carried it out. A response to a renewal shows it, a listed run of this leader's start, and the clock in a response to a start, since the clock of each incarnation begins anew. No incarnation after that one accepts a ticket that had arrived by then. Release, acknowledgement of ends, the wait of a renewal and rows all ask StartRequests::unidentified_until_ms. An attempt that is not identified is held until its last request can have begun it and the longest lease is over, or until its worker responds. The row says whether the start was identified; a successor that does not hear from the worker waits from its election for the ticket and the longest lease otherwise. Ends are acknowledged sooner than before, as a start counts as settled once its ticket is identified.

--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -308,7 +308,8 @@
         let Some(job) = self.jobs.get_mut(call.phase.job) else { return };
         let Some(entry) = job.phases.get_mut(call.phase.phase) else { return };
         entry.fruitless_calls = entry.fruitless_calls.saturating_add(1);
-        let valid_until_ms = self.time.now_ms.saturating_add(call.valid_ms);
+        let arrived_ms = self.time.now_ms;
+        let valid_until_ms = arrived_ms.saturating_add(call.valid_ms);
         let mut granted = 0;
         for worker in &call.workers {
             let Some(known) = self.workers.get(*worker) else { continue };
@@ -316,7 +317,8 @@
             match ticket {
                 Some(held) => {
                     let ticket = held.ticket.clone();
-                    entry.allowed.insert(*worker, TicketEntry { ticket, valid_until_ms });
+                    let held = TicketEntry { ticket, arrived_ms, valid_until_ms };
+                    entry.allowed.insert(*worker, held);
                     granted += 1;
                 }
                 None => {
--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -6,7 +6,10 @@
         AttemptKey, CellAction, JobKey, JobState, StartOutcome, StartRefusal, StartRequest,
         StartResponse, StopRequest, WorkerKey,
         message::PhaseRef,
-        table::{AfterCommit, AttemptEntry, AttemptState, ClockMatch, StartRequests},
+        table::{
+            AfterCommit, AttemptEntry, AttemptState, ClockMatch, StartRequests, TicketEntry,
+            TicketTimes,
+        },
     },
 };
 
@@ -96,16 +99,18 @@
         key
     }
 
-    /// Returns the latest ticket for an attempt, empty if none is needed; `None` if it expired
-    /// while the job's row was written.
-    fn ticket_for(&self, attempt: &AttemptEntry) -> Option<String> {
+    /// Returns the latest ticket for an attempt with its times, an empty one without times if none is needed; `None`
+    /// if it expired while the job's row was written.
+    fn ticket_for(&self, attempt: &AttemptEntry) -> Option<(String, Option<TicketTimes>)> {
         if self.advice_timing(attempt.phase).is_none() {
-            return Some(String::new());
+            return Some((String::new(), None));
         }
         let entry = &self.jobs[attempt.phase.job].phases[attempt.phase.phase];
         let held = entry.allowed.get(&attempt.worker)?;
         let is_valid = held.valid_until_ms > self.time.now_ms + SEND_MARGIN_MS;
-        is_valid.then(|| held.ticket.clone())
+        let TicketEntry { arrived_ms, valid_until_ms, .. } = *held;
+        let times = TicketTimes { arrived_ms, valid_until_ms };
+        is_valid.then(|| (held.ticket.clone(), Some(times)))
     }
 
     /// Sends the start requests of durable attempts, oldest first, as far as the window has space.
@@ -144,7 +149,7 @@
             return false;
         }
         let (phase, worker) = (attempt.phase, attempt.worker);
-        let Some(ticket) = self.ticket_for(attempt) else {
+        let Some((ticket, times)) = self.ticket_for(attempt) else {
             self.log_attempt("ticket_outdated", key, "");
             self.give_up_start(key);
             return false;
@@ -176,7 +181,7 @@
         attempt.state = AttemptState::Sent;
         attempt.sent_ms = now_ms;
         let fence = worker.fence.number_for_start();
-        attempt.start.send(fence, !ticket.is_empty(), now_ms);
+        attempt.start.send(fence, times, now_ms);
         self.actions.push(CellAction::Start(StartRequest {
             attempt: key,
             address: worker.report.address.clone(),
@@ -197,11 +202,11 @@
         let now_ms = self.time.now_ms;
         let StartResponse { outcome, clock_ms } = response;
         let sent_ms = self.attempts.get(key).map(|attempt| attempt.sent_ms);
-        self.log_other_clock(key, clock_ms);
+        self.identify_by_clock(key, clock_ms);
         let is_answered = outcome != StartOutcome::Unknown;
         self.request_window.finish(RequestEnd::of(is_answered, sent_ms), now_ms);
         let Some(attempt) = self.attempts.get_mut(key) else { return };
-        attempt.start.finish(is_answered);
+        attempt.start.finish(outcome, now_ms);
         let worker = &mut self.workers[attempt.worker];
         match outcome {
             StartOutcome::Started => {
@@ -220,14 +225,29 @@
         }
     }
 
-    /// Logs that another incarnation than the known one has responded to a start request.
-    fn log_other_clock(&mut self, key: AttemptKey, clock_ms: Option<u64>) {
-        let (Some(attempt), Some(clock_ms)) = (self.attempts.get(key), clock_ms) else { return };
-        let sent_ms = attempt.start.sent_ms;
-        let lease = &self.workers[attempt.worker].lease;
-        if lease.match_clock(clock_ms, sent_ms, self.time.now_ms) == ClockMatch::Other {
-            self.log_attempt("start_by_other_incarnation", key, &format!("clock_ms={clock_ms}"));
+    /// Finds out by the clock in the response to a start which incarnation has given it.
+    fn identify_by_clock(&mut self, key: AttemptKey, clock_ms: Option<u64>) -> ClockMatch {
+        let (Some(attempt), Some(clock_ms)) = (self.attempts.get(key), clock_ms) else {
+            return ClockMatch::Unknown;
+        };
+        let (now_ms, sent_ms, worker) = (self.time.now_ms, attempt.start.sent_ms, attempt.worker);
+        let entry = &mut self.workers[worker];
+        let clock = entry.lease.match_clock(clock_ms, sent_ms, now_ms);
+        match clock {
+            ClockMatch::Same => {
+                entry.identify(sent_ms);
+                entry.lease.record_clock(clock_ms, sent_ms, now_ms);
+            }
+            ClockMatch::Other => {
+                self.log_attempt(
+                    "start_by_other_incarnation",
+                    key,
+                    &format!("clock_ms={clock_ms}"),
+                );
+            }
+            ClockMatch::Unknown => {}
         }
+        clock
     }
 
     /// Repeats a start request that had no response, or gives the attempt up. A worker that gets a
--- a/crates/cell/src/core/completion.rs
+++ b/crates/cell/src/core/completion.rs
@@ -27,8 +27,9 @@
             phase.unassigned += usize::from(!task.is_done);
         }
         let worker = &mut self.workers[attempt.worker];
+        let unsettled_until_ms = attempt.start.unsettled_until_ms(worker.identified_ms);
         worker.unsettled_until_ms =
-            worker.unsettled_until_ms.max(attempt.start.unsettled_until_ms()).max(open_until_ms);
+            worker.unsettled_until_ms.max(unsettled_until_ms).max(open_until_ms);
         worker.kept_apart -= usize::from(attempt.is_kept_apart);
         worker.gang_members -= usize::from(attempt.is_gang_member);
         worker.probations -= usize::from(attempt.is_on_probation);
--- a/crates/cell/src/core/jobs.rs
+++ b/crates/cell/src/core/jobs.rs
@@ -227,7 +227,9 @@
         let state = AttemptState::Inherited { since_ms };
         let key = self.insert_attempt(phase, index, stored.attempt, worker, state);
         self.attempts[key].incarnation = stored.incarnation;
-        self.attempts[key].start = StartRequests::inherited(stored.has_open_start);
+        let unidentified_until_ms = self.unidentified_until_ms(phase, stored);
+        self.attempts[key].start =
+            StartRequests::inherited(stored.has_open_start, unidentified_until_ms);
         self.attempts[key].is_address_stored = !stored.worker_address.is_empty();
         if self.workers[worker].report.incarnation > stored.incarnation {
             self.count_inherited_crash(key);
@@ -237,6 +239,13 @@
         }
     }
 
+    /// Returns the time until which a start of a former leader may be carried out by an incarnation that the row does
+    /// not name; `None` if none may. It had a ticket before this leader was elected, as its row was written then.
+    fn unidentified_until_ms(&self, phase: PhaseRef, stored: &TaskProgress) -> Option<u64> {
+        let timing = self.advice_timing(phase).filter(|_| !stored.is_start_identified)?;
+        Some(self.started_ms.saturating_add(timing.valid_ms))
+    }
+
     /// Creates the phases of occurrences that are due. Beside the first one, for which there is memory since the
     /// job was accepted, an occurrence waits until its team may hold it.
     pub(super) fn start_due_occurrences(&mut self) {
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -6,8 +6,9 @@
         AttemptKey, CellAction, EndKind, EndedAttempt, RenewOutcome, RenewRequest, RenewResponse,
         RunningAttempt, WorkerKey,
         message::PhaseRef,
-        table::{AfterCommit, AttemptState, WorkerEntry},
+        table::{AfterCommit, AttemptEntry, AttemptState, WorkerEntry},
     },
+    slotmap::SlotMap,
     std::cmp::Ordering,
 };
 
@@ -51,6 +52,28 @@
         self.renew_sent_ms.is_none() && (has_work || is_awaited || needs_fence)
     }
 
+    /// Returns whether a start with a ticket was confirmed by an incarnation that is not identified.
+    fn has_unidentified_run(&self, attempts: &SlotMap<AttemptKey, AttemptEntry>) -> bool {
+        let own = self.attempts.values();
+        own.map(|key| &attempts[*key].start)
+            .any(|start| start.is_confirmed_by_unidentified(self.identified_ms))
+    }
+
+    /// Returns whether an incarnation other than the present one may have carried out a start, or may carry it out.
+    /// Those of former leaders may be until `former_until_ms`.
+    fn has_unsettled_start(
+        &self,
+        attempts: &SlotMap<AttemptKey, AttemptEntry>,
+        former_until_ms: u64,
+        now_ms: u64,
+    ) -> bool {
+        let may_reach_another = |key: &AttemptKey| {
+            let start = &attempts[*key].start;
+            start.may_reach_another(former_until_ms, self.identified_ms, now_ms)
+        };
+        now_ms < self.unsettled_until_ms || self.attempts.values().any(may_reach_another)
+    }
+
     /// Returns the time after which a failed renewal is retried, in milliseconds.
     fn renew_retry_ms(&self) -> u64 {
         match self.has_accepted_token && !self.is_busy() {
@@ -146,16 +169,14 @@
             worker.renew_sent_ms = Some(time.now_ms);
             let is_bounded = lease_bounds.contain(&worker.report.id);
             let can_wait = worker.has_accepted_token
+                && !worker.has_unidentified_run(attempts)
                 && !worker.needs_fence()
                 && !worker.needs_fence_for_bound()
                 && !is_bounded
                 && worker.pending_ends == 0
                 && !worker.attempts.is_empty();
-            let mut own = worker.attempts.values();
-            let has_unsettled_start = time.now_ms < worker.unsettled_until_ms
-                || own.any(|key| {
-                    attempts[*key].start.may_reach_another(former_until_ms, time.now_ms)
-                });
+            let has_unsettled_start =
+                worker.has_unsettled_start(attempts, former_until_ms, time.now_ms);
             let acknowledged_end = worker.acknowledgeable_end(has_unsettled_start);
             if acknowledged_end > 0 {
                 worker.fence.open_acknowledgement();
@@ -290,6 +311,7 @@
     fn apply_response(&mut self, key: WorkerKey, response: &RenewResponse, sent_ms: u64) {
         let now_ms = self.time.now_ms;
         let worker = &mut self.workers[key];
+        worker.identify(sent_ms);
         worker.record_presence();
         worker.record_fence(now_ms);
         if !response.is_partial {
@@ -350,8 +372,8 @@
             EndKind::Interrupted => {}
         }
         worker.pending_ends += 1;
-        let entry = &mut self.attempts[attempt];
-        entry.start.settle_listed();
+        self.settle_listed(attempt);
+        let entry = &self.attempts[attempt];
         let job = entry.phase.job;
         self.jobs[job].has_begun = true;
         if ended.kind == EndKind::Done {
@@ -417,7 +439,6 @@
         let entry = &mut self.attempts[attempt];
         entry.incarnation = self.workers[key].report.incarnation;
         entry.has_begun = true;
-        entry.start.settle_listed();
         self.jobs[entry.phase.job].has_begun = true;
         if running.percent > entry.percent {
             entry.percent = running.percent;
@@ -428,6 +449,9 @@
         );
         if is_newly_confirmed {
             entry.state = AttemptState::Running { since_ms: now_ms };
+        }
+        self.settle_listed(attempt);
+        if is_newly_confirmed {
             self.stop_if_unwanted(attempt);
         }
         self.review_running(attempt);
@@ -435,18 +459,33 @@
         Some(attempt)
     }
 
+    /// Records that the present incarnation has carried out the start of an attempt.
+    fn settle_listed(&mut self, key: AttemptKey) {
+        let attempt = &mut self.attempts[key];
+        attempt.start.settle_listed();
+        if attempt.start.tries == 1 {
+            self.workers[attempt.worker].identify(attempt.start.sent_ms);
+        }
+    }
+
     fn attempt_of(&self, phase: PhaseRef, index: usize) -> Option<AttemptKey> {
         self.jobs[phase.job].phases[phase.phase].tasks[index].attempt
     }
 
     /// Drops attempts that the worker did not report, if it would have reported them while they run
-    /// or can still start.
+    /// or can still start. An incarnation that does not refuse the requests to a former one yet may still carry out a
+    /// start with its ticket.
     fn drop_unlisted_attempts(&mut self, key: WorkerKey, listed: &[AttemptKey], sent_ms: u64) {
+        let now_ms = self.time.now_ms;
+        let is_unfenced = self.workers[key].needs_fence();
+        let may_begin = |attempt: &AttemptKey| {
+            is_unfenced && self.attempts[*attempt].start.has_open_ticket(now_ms)
+        };
         let absent: Vec<AttemptKey> = self.workers[key]
             .attempts
             .values()
             .copied()
-            .filter(|attempt| !listed.contains(attempt))
+            .filter(|attempt| !listed.contains(attempt) && !may_begin(attempt))
             .filter(|attempt| match self.attempts[*attempt].state {
                 AttemptState::Running { since_ms }
                 | AttemptState::StopAcknowledged { since_ms } => since_ms < sent_ms,
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -249,14 +249,19 @@
 
     /// Returns the attempts that no incarnation of a worker can be running once the leases have expired that
     /// are known. One that has not been heard from may have carried out a start that was under way when the worker
-    /// restarted, and have granted the longest lease on it.
+    /// restarted, or a start with its ticket that was meant for a former one, and have granted the longest lease on it
+    /// and on each later request.
     fn attempts_over(&self, key: WorkerKey) -> Vec<AttemptKey> {
         let worker = &self.workers[key];
         let longest_ms = longest_lease_ms(self.settings.max_worker_lease_ms);
         let is_over = |attempt: &AttemptKey| {
-            let until_ms = self.attempts[*attempt].start.unheard_until_ms();
-            worker.has_responded
-                || until_ms.is_none_or(|until_ms| until_ms + longest_ms <= self.time.now_ms)
+            let start = &self.attempts[*attempt].start;
+            let unheard_until_ms = start.unheard_until_ms().filter(|_| !worker.has_responded);
+            let unidentified_until_ms = start
+                .unidentified_until_ms(worker.identified_ms)
+                .map(|until_ms| until_ms.max(worker.lease.deadline_sent_ms()));
+            let until_ms = unheard_until_ms.max(unidentified_until_ms);
+            until_ms.is_none_or(|until_ms| until_ms + longest_ms <= self.time.now_ms)
         };
         worker.attempts.values().copied().filter(is_over).collect()
     }
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -335,6 +335,10 @@
     /// More than one request to start the last attempt may be without a response.
     #[prost(bool, tag = "17")]
     pub has_open_start: bool,
+    /// No incarnation of the worker after the named one may have begun the last attempt, or may begin it, by a request
+    /// with a ticket. Without tickets it says nothing.
+    #[prost(bool, tag = "18")]
+    pub is_start_identified: bool,
 }
 
 /// Progress of one step of one occurrence.
--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -90,14 +90,22 @@
         TaskRef { phase: self.phase, index: self.index }
     }
 
+    /// Returns whether no incarnation of the worker after the known one may have begun the attempt, or may begin it, by
+    /// a request with a ticket. `identified_ms` is that of the worker.
+    pub(crate) fn has_identified_start(&self, identified_ms: u64) -> bool {
+        // Until the start is confirmed, it may be sent again with another ticket.
+        let may_be_sent = matches!(self.state, AttemptState::Persisting | AttemptState::Sent);
+        !may_be_sent && self.start.unidentified_until_ms(identified_ms).is_none()
+    }
+
     /// Returns the number of start requests of which an incarnation of the worker other than the one that has
     /// begun the attempt may carry one out, while `incarnation` is the last that is known; 0 if it can carry out
     /// none.
-    pub(crate) fn open_starts(&self, now_ms: u64, incarnation: u64) -> u32 {
+    pub(crate) fn open_starts(&self, now_ms: u64, incarnation: u64, identified_ms: u64) -> u32 {
         // None is sent once another incarnation is known.
         let is_settled_before =
             self.incarnation != incarnation && self.start.unheard_until_ms().is_none();
-        let is_open = now_ms < self.start.unsettled_until_ms() && !is_settled_before;
+        let is_open = now_ms < self.start.unsettled_until_ms(identified_ms) && !is_settled_before;
         if is_open { self.start.tries } else { 0 }
     }
 
--- a/crates/cell/src/table/mod.rs
+++ b/crates/cell/src/table/mod.rs
@@ -30,7 +30,7 @@
     phase::{AttemptLocation, PhaseEntry, StepRatio, TicketEntry},
     phase_retry::PhaseRetry,
     start_binding::StartBinding,
-    start_requests::{FormerStarts, MAX_REQUEST_DELAY_MS, StartRequests},
+    start_requests::{FormerStarts, MAX_REQUEST_DELAY_MS, StartRequests, TicketTimes},
     task::{MIN_PROBATION_MS, TaskEntry},
     worker::WorkerEntry,
     worker_fence::WorkerFence,
--- a/crates/cell/src/table/phase.rs
+++ b/crates/cell/src/table/phase.rs
@@ -10,6 +10,8 @@
 #[derive(Debug)]
 pub(crate) struct TicketEntry {
     pub(crate) ticket: String,
+    /// Time at which it arrived.
+    pub(crate) arrived_ms: u64,
     pub(crate) valid_until_ms: u64,
 }
 
@@ -34,6 +36,8 @@
     pub(crate) has_bounded_leases: bool,
     /// More than one start request may be without a response.
     pub(crate) has_open_start: bool,
+    /// No incarnation after this one may have begun the attempt by a request with a ticket.
+    pub(crate) is_start_identified: bool,
 }
 
 /// One step of one occurrence of a job.
@@ -232,6 +236,7 @@
                     preemptions: task.preemptions,
                     bound_worker: bound.unwrap_or_default(),
                     has_open_start: location.has_open_start,
+                    is_start_identified: location.is_start_identified,
                 });
             }
         }
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -44,6 +44,9 @@
     pub(crate) last_recorded_end: u64,
     /// The incarnation has reported ends to this leader, so the next ones follow without a gap.
     pub(crate) has_reported_ends: bool,
+    /// Time of sending of the last request to this worker of which it is known which incarnation has carried it out;
+    /// 0 if there is none. No incarnation after that one accepts a ticket that had arrived by then.
+    pub(crate) identified_ms: u64,
     /// Time until which a start request of an attempt that is no longer in the tables may be carried out.
     pub(crate) unsettled_until_ms: u64,
     /// Last end that is durable.
@@ -121,6 +124,7 @@
             lease,
             last_recorded_end: 0,
             has_reported_ends: false,
+            identified_ms: 0,
             unsettled_until_ms: 0,
             last_durable_end: 0,
             unreadable_end: None,
@@ -175,6 +179,11 @@
         self.lost_ms = None;
     }
 
+    /// Records that a known incarnation has carried out a request that was sent at this time.
+    pub(crate) fn identify(&mut self, sent_ms: u64) {
+        self.identified_ms = self.identified_ms.max(sent_ms);
+    }
+
     /// Records that a renewal had a response or none. A connection that breaks shows when the worker was
     /// lost.
     pub(crate) fn record_response(&mut self, is_silent: bool, sent_ms: u64, now_ms: u64) {
--- a/crates/cell/src/table/worker_lease.rs
+++ b/crates/cell/src/table/worker_lease.rs
@@ -21,13 +21,15 @@
     lease_ms * 100 / SLOWEST_CLOCK_PERCENT + EXPIRY_MARGIN_MS
 }
 
-/// Longest time that a response takes on its way, for the comparison of clocks, in milliseconds.
+/// Longest time for which a response is on its way and waits to be processed, for the comparison of clocks, in
+/// milliseconds.
 const MAX_RESPONSE_DELAY_MS: u64 = 50;
 /// Largest range in which the clock of the known incarnation is expected, in milliseconds. A range that is small
 /// beside the readings with which clocks begin hardly ever contains another incarnation's.
 const MAX_CLOCK_RANGE_MS: u64 = 200;
-/// Fastest rate of a worker's clock relative to the local clock, in percent.
-const FASTEST_CLOCK_PERCENT: u64 = 101;
+/// Difference from what the known incarnation's clock can show that proves another one, in milliseconds. Local times
+/// are those of the pass in which a response is processed.
+const OTHER_CLOCK_MARGIN_MS: u64 = 1_000;
 
 /// A reading of a worker's clock in a response.
 #[derive(Debug, Clone, Copy)]
@@ -101,13 +103,13 @@
         let least_age_ms = sent_ms.saturating_sub(known.at_ms) * SLOWEST_CLOCK_PERCENT / 100;
         let earliest_ms =
             (known.clock_ms + least_age_ms).saturating_sub(known.at_ms.saturating_sub(sent_ms));
-        let most_age_ms = now_ms.saturating_sub(known.sent_ms) * FASTEST_CLOCK_PERCENT / 100;
-        let latest_ms = known.clock_ms + most_age_ms + 1;
-        let expected_ms =
-            known.clock_ms + now_ms.saturating_sub(known.at_ms) + MAX_RESPONSE_DELAY_MS;
-        if clock_ms < earliest_ms || clock_ms > latest_ms {
+        let latest_ms = known.clock_ms + now_ms.saturating_sub(known.sent_ms);
+        let from_ms = earliest_ms.saturating_sub(MAX_RESPONSE_DELAY_MS);
+        let to_ms = known.clock_ms + now_ms.saturating_sub(known.at_ms) + MAX_RESPONSE_DELAY_MS;
+        let is_before = clock_ms + OTHER_CLOCK_MARGIN_MS < earliest_ms;
+        if is_before || clock_ms > latest_ms + OTHER_CLOCK_MARGIN_MS {
             ClockMatch::Other
-        } else if clock_ms <= expected_ms && expected_ms - earliest_ms <= MAX_CLOCK_RANGE_MS {
+        } else if (from_ms..=to_ms).contains(&clock_ms) && to_ms - from_ms <= MAX_CLOCK_RANGE_MS {
             ClockMatch::Same
         } else {
             ClockMatch::Unknown
@@ -200,6 +202,11 @@
         self.clock.map(|reading| reading.at_ms + READING_INTERVAL_MS)
     }
 
+    /// Returns the time at which the last request with a deadline was sent to any incarnation; 0 if none was.
+    pub(crate) fn deadline_sent_ms(&self) -> u64 {
+        self.deadline_sent_ms
+    }
+
     /// Returns how long ago the last request with a deadline was sent to any incarnation, in milliseconds.
     pub(crate) fn deadline_age_ms(&self, now_ms: u64) -> u64 {
         now_ms.saturating_sub(self.deadline_sent_ms)
