Ask a worker at once which incarnation it is when a restart shows

Callers saw: tasks of a worker that had restarted waited for its leases although it could be reached. The leader had seen the entry of the next incarnation, or its clock in the response to a start, but a renewal to the process that was gone was in flight for up to 1.6 s, and no other one was sent.

Change: the outcome of the renewal in flight no longer counts, and another one is sent that does not wait. It has a higher fence, so that the former one, carried out late, discards no ends. Nothing is placed on the worker before there is an outcome.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -225,7 +225,8 @@
         }
     }
 
-    /// Finds out by the clock in the response to a start which incarnation has given it.
+    /// Finds out by the clock in the response to a start which incarnation has given it. One that is not known is asked
+    /// at once.
     fn identify_by_clock(&mut self, key: AttemptKey, clock_ms: Option<u64>) -> ClockMatch {
         let (Some(attempt), Some(clock_ms)) = (self.attempts.get(key), clock_ms) else {
             return ClockMatch::Unknown;
@@ -244,6 +245,7 @@
                     key,
                     &format!("clock_ms={clock_ms}"),
                 );
+                self.workers[worker].ask_for_incarnation(now_ms);
             }
             ClockMatch::Unknown => {}
         }
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -49,7 +49,8 @@
         let has_work = self.is_busy() || self.pending_ends > 0 || self.has_ends_to_acknowledge();
         let is_awaited = self.is_listed && (!self.has_accepted_token || self.is_silent);
         let needs_fence = self.needs_fence() || self.needs_fence_for_bound();
-        self.renew_sent_ms.is_none() && (has_work || is_awaited || needs_fence)
+        let needs_answer = is_awaited || needs_fence || self.is_identity_due;
+        self.renew_sent_ms.is_none() && (has_work || needs_answer)
     }
 
     /// Returns whether a start with a ticket was confirmed by an incarnation that is not identified.
@@ -169,6 +170,7 @@
             worker.renew_sent_ms = Some(time.now_ms);
             let is_bounded = lease_bounds.contain(&worker.report.id);
             let can_wait = worker.has_accepted_token
+                && !worker.is_identity_due
                 && !worker.has_unidentified_run(attempts)
                 && !worker.needs_fence()
                 && !worker.needs_fence_for_bound()
@@ -220,11 +222,15 @@
         }
     }
 
-    pub(super) fn finish_renewal(&mut self, key: WorkerKey, outcome: RenewOutcome) {
+    pub(super) fn finish_renewal(&mut self, key: WorkerKey, fence: u32, outcome: RenewOutcome) {
         let now_ms = self.time.now_ms;
         let pause_ms = self.renew_pause_ms(key);
         let Some(worker) = self.workers.get_mut(key) else { return };
+        if !worker.awaits_renewal(fence) {
+            return;
+        }
         let sent_ms = worker.renew_sent_ms.take().unwrap_or(now_ms);
+        worker.is_identity_due = false;
         let was_silent = worker.is_silent;
         // A later request of this leader was carried out first.
         let is_overtaken =
@@ -286,7 +292,7 @@
             let due_ms = now_ms + DELAYED_ACKNOWLEDGEMENT_PAUSE_MS;
             worker.next_renew_ms = worker.next_renew_ms.max(due_ms);
         }
-        // At most one renewal is in flight. So if the known incarnation has responded, this renewal was
+        // Only the outcome of the last renewal counts. So if the known incarnation has responded, this renewal was
         // sent after that, and another incarnation is a later one, also if its host's clock has jumped
         // back and its number is lower.
         match response.incarnation.cmp(&worker.report.incarnation) {
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -307,8 +307,8 @@
             CellInput::StopFinished { attempt, is_acknowledged } => {
                 self.finish_stop(attempt, is_acknowledged);
             }
-            CellInput::RenewFinished { worker, fence: _, outcome } => {
-                self.finish_renewal(worker, outcome);
+            CellInput::RenewFinished { worker, fence, outcome } => {
+                self.finish_renewal(worker, fence, outcome);
             }
             CellInput::Advice { call, allowed } => self.finish_advice(call, allowed),
             CellInput::RowsRejected { lane, jobs } => self.reject_rows(lane, &jobs),
--- a/crates/cell/src/core/placement.rs
+++ b/crates/cell/src/core/placement.rs
@@ -56,6 +56,7 @@
             && self.is_in_service(worker)
             && worker.has_accepted_token
             && !worker.needs_fence()
+            && !worker.is_identity_due
             && worker.lease.has_clock()
             && !self.lease_bounds.contain(&worker.report.id)
     }
--- a/crates/cell/src/core/worker_claims.rs
+++ b/crates/cell/src/core/worker_claims.rs
@@ -75,8 +75,8 @@
         }
         let detail = format!("incarnation={} address={}", report.incarnation, report.address);
         worker.is_listed = false;
-        worker.next_renew_ms = worker.next_renew_ms.min(self.time.now_ms);
         worker.claim = Some(report);
+        worker.ask_for_incarnation(self.time.now_ms);
         let id = worker.report.id.clone();
         self.log("worker_contradicted", id, detail);
     }
@@ -106,7 +106,7 @@
                 self.record_losses(key, LossCause::Crash);
             }
             self.switch_incarnation(key, report.incarnation);
-            self.workers[key].next_renew_ms = 0;
+            self.workers[key].ask_for_incarnation(0);
         }
         self.log_resize(key, &report);
         let worker = &mut self.workers[key];
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -47,6 +47,8 @@
     /// Time of sending of the last request to this worker of which it is known which incarnation has carried it out;
     /// 0 if there is none. No incarnation after that one accepts a ticket that had arrived by then.
     pub(crate) identified_ms: u64,
+    /// A restart shows that the present incarnation has not confirmed, so it is asked at once.
+    pub(crate) is_identity_due: bool,
     /// Time until which a start request of an attempt that is no longer in the tables may be carried out.
     pub(crate) unsettled_until_ms: u64,
     /// Last end that is durable.
@@ -125,6 +127,7 @@
             last_recorded_end: 0,
             has_reported_ends: false,
             identified_ms: 0,
+            is_identity_due: false,
             unsettled_until_ms: 0,
             last_durable_end: 0,
             unreadable_end: None,
@@ -184,6 +187,22 @@
         self.identified_ms = self.identified_ms.max(sent_ms);
     }
 
+    /// Asks for the incarnation at once. The outcome of a renewal in flight no longer counts: it may wait for an end on
+    /// a connection to a process that is gone. If it is carried out late, later requests supersede it.
+    pub(crate) fn ask_for_incarnation(&mut self, now_ms: u64) {
+        if self.renew_sent_ms.take().is_some() {
+            self.fence.advance();
+        }
+        self.is_identity_due = true;
+        self.next_renew_ms = self.next_renew_ms.min(now_ms);
+    }
+
+    /// Returns whether the outcome of a renewal with this number counts. One that was sent before the incarnation was
+    /// asked for does not.
+    pub(crate) fn awaits_renewal(&self, fence: u32) -> bool {
+        self.renew_sent_ms.is_some() && self.renew_fence == fence
+    }
+
     /// Records that a renewal had a response or none. A connection that breaks shows when the worker was
     /// lost.
     pub(crate) fn record_response(&mut self, is_silent: bool, sent_ms: u64, now_ms: u64) {
