Count no crash under a run of the next incarnation

A response or an entry of the next incarnation proved a crash of the former one under all that the leader had started on the worker, also under what the next one had carried out.

Change: an attempt counts as lost with the former incarnation unless the clock in its start's response, or the list of runs in the response, shows that the next one runs it.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -202,11 +202,14 @@
         let now_ms = self.time.now_ms;
         let StartResponse { outcome, clock_ms } = response;
         let sent_ms = self.attempts.get(key).map(|attempt| attempt.sent_ms);
-        self.identify_by_clock(key, clock_ms);
+        let clock = self.identify_by_clock(key, clock_ms);
         let is_answered = outcome != StartOutcome::Unknown;
         self.request_window.finish(RequestEnd::of(is_answered, sent_ms), now_ms);
         let Some(attempt) = self.attempts.get_mut(key) else { return };
         attempt.start.finish(outcome, now_ms);
+        if outcome == StartOutcome::Started && clock == ClockMatch::Other {
+            attempt.start.record_next();
+        }
         let worker = &mut self.workers[attempt.worker];
         match outcome {
             StartOutcome::Started => {
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -304,6 +304,7 @@
             }
             Ordering::Equal => {}
             Ordering::Less | Ordering::Greater => {
+                self.record_listed(key, response);
                 self.record_losses(key, LossCause::Crash);
                 self.switch_incarnation(key, response.incarnation);
                 self.workers[key].is_listed = false;
@@ -314,6 +315,17 @@
         self.apply_response(key, response, sent_ms);
     }
 
+    /// Records which attempts the next incarnation lists, so that they are not lost with the former one.
+    fn record_listed(&mut self, key: WorkerKey, response: &RenewResponse) {
+        let running = response.running.iter().map(|run| (run.task.clone(), run.attempt));
+        let ended = response.ended.iter().map(|end| (end.task.clone(), end.attempt));
+        for name in running.chain(ended) {
+            if let Some(attempt) = self.workers[key].attempts.get(&name) {
+                self.attempts[*attempt].start.record_next();
+            }
+        }
+    }
+
     fn apply_response(&mut self, key: WorkerKey, response: &RenewResponse, sent_ms: u64) {
         let now_ms = self.time.now_ms;
         let worker = &mut self.workers[key];
--- a/crates/cell/src/core/losses.rs
+++ b/crates/cell/src/core/losses.rs
@@ -45,9 +45,11 @@
     Unreachable,
 }
 
-/// Returns whether an attempt may have been running and has not been recorded as lost.
+/// Returns whether an attempt may have been running on the known incarnation and has not been recorded as lost.
 fn may_have_run(attempt: &AttemptEntry) -> bool {
-    attempt.state != AttemptState::Persisting && !attempt.is_loss_recorded
+    attempt.state != AttemptState::Persisting
+        && !attempt.is_loss_recorded
+        && !attempt.start.is_on_next()
 }
 
 impl CellCore {
--- a/crates/cell/src/table/start_requests.rs
+++ b/crates/cell/src/table/start_requests.rs
@@ -72,6 +72,8 @@
     ticketed_open_until_ms: Option<u64>,
     /// Time of the last confirmation of a request with a ticket.
     ticketed_begun_ms: Option<u64>,
+    /// An incarnation after the known one has confirmed the start.
+    is_on_next: bool,
 }
 
 impl StartRequests {
@@ -129,6 +131,16 @@
         self.ticketed_open_until_ms.is_some_and(|until_ms| now_ms <= until_ms)
     }
 
+    /// Records that an incarnation after the known one has confirmed the start.
+    pub(crate) fn record_next(&mut self) {
+        self.is_on_next = true;
+    }
+
+    /// Returns whether an incarnation after the known one has confirmed the start.
+    pub(crate) fn is_on_next(&self) -> bool {
+        self.is_on_next
+    }
+
     /// Returns whether a repetition has to wait until the job's row tells of it. A new leader takes a run that the
     /// worker lists for that of the only request otherwise.
     pub(crate) fn needs_row_to_repeat(&self) -> bool {
@@ -158,6 +170,7 @@
     /// be carried out by another.
     pub(crate) fn settle_listed(&mut self) {
         self.is_settled |= self.tries <= 1;
+        self.is_on_next = false;
         if self.tries <= 1 {
             self.ticketed_begun_ms = None;
             self.ticketed_open_until_ms = None;
@@ -172,6 +185,7 @@
     pub(crate) fn record_restart(&mut self) {
         self.may_run_on_next |= self.tries > 0 && !self.is_settled && !self.has_ticket;
         self.is_settled = false;
+        self.is_on_next = false;
     }
 
     /// Returns the time until which an incarnation that has not been heard from may begin the attempt, if the
