A start that the known incarnation's clock confirms is identified at once

The response identified what had arrived before the request was sent, not the request's own ticket if both were of one millisecond; and on a worker that had been idle the last reading of the clock was too old to compare with. Such a start was held for the longest lease if its worker was lost within the next 1.2 s.

All tickets of an attempt arrive before its last request is sent, so the response settles them. The first renewal of a worker whose clock was read more than 2.5 s ago does not wait.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -207,8 +207,10 @@
         self.request_window.finish(RequestEnd::of(is_answered, sent_ms), now_ms);
         let Some(attempt) = self.attempts.get_mut(key) else { return };
         attempt.start.finish(outcome, now_ms);
-        if outcome == StartOutcome::Started && clock == ClockMatch::Other {
-            attempt.start.record_next();
+        match (outcome, clock) {
+            (StartOutcome::Started, ClockMatch::Same) => attempt.start.identify(),
+            (StartOutcome::Started, ClockMatch::Other) => attempt.start.record_next(),
+            _ => {}
         }
         let worker = &mut self.workers[attempt.worker];
         match outcome {
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -172,6 +172,7 @@
             let can_wait = worker.has_accepted_token
                 && !worker.is_identity_due
                 && !worker.has_unidentified_run(attempts)
+                && worker.lease.has_comparable_clock(time.now_ms)
                 && !worker.needs_fence()
                 && !worker.needs_fence_for_bound()
                 && !is_bounded
--- a/crates/cell/src/table/start_requests.rs
+++ b/crates/cell/src/table/start_requests.rs
@@ -131,6 +131,12 @@
         self.ticketed_open_until_ms.is_some_and(|until_ms| now_ms <= until_ms)
     }
 
+    /// Records that the known incarnation has carried out the last request. All tickets arrived before that was sent.
+    pub(crate) fn identify(&mut self) {
+        self.ticketed_open_until_ms = None;
+        self.ticketed_begun_ms = None;
+    }
+
     /// Records that an incarnation after the known one has confirmed the start.
     pub(crate) fn record_next(&mut self) {
         self.is_on_next = true;
@@ -172,8 +178,7 @@
         self.is_settled |= self.tries <= 1;
         self.is_on_next = false;
         if self.tries <= 1 {
-            self.ticketed_begun_ms = None;
-            self.ticketed_open_until_ms = None;
+            self.identify();
         }
         if self.former == FormerStarts::One {
             self.former = FormerStarts::Settled;
--- a/crates/cell/src/table/worker_lease.rs
+++ b/crates/cell/src/table/worker_lease.rs
@@ -27,6 +27,8 @@
 /// Largest range in which the clock of the known incarnation is expected, in milliseconds. A range that is small
 /// beside the readings with which clocks begin hardly ever contains another incarnation's.
 const MAX_CLOCK_RANGE_MS: u64 = 200;
+/// Age of a reading from which on that range is too large, in milliseconds.
+const MAX_READING_AGE_MS: u64 = 2_500;
 /// Difference from what the known incarnation's clock can show that proves another one, in milliseconds. Local times
 /// are those of the pass in which a response is processed.
 const OTHER_CLOCK_MARGIN_MS: u64 = 1_000;
@@ -97,6 +99,11 @@
         self.clock = Some(ClockReading { clock_ms, sent_ms, at_ms: now_ms });
     }
 
+    /// Returns whether the clock was read so recently that a response shows whether it is of the same incarnation.
+    pub(crate) fn has_comparable_clock(&self, now_ms: u64) -> bool {
+        self.clock.is_some_and(|reading| now_ms < reading.at_ms + MAX_READING_AGE_MS)
+    }
+
     /// Returns whose clock a reading is of, in a response received now to a request sent at `sent_ms`.
     pub(crate) fn match_clock(&self, clock_ms: u64, sent_ms: u64, now_ms: u64) -> ClockMatch {
         let Some(known) = self.clock else { return ClockMatch::Unknown };
