An incarnation that has responded may hold the longest lease until it is fenced

A worker that restarts and responds to a renewal with a former fence still accepts requests that were meant for the former incarnation. If it was cut off before the next renewal, the leases of the former incarnation counted for what it had listed.

--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -239,7 +239,9 @@
     pub(crate) fn record_fence(&mut self, now_ms: u64) {
         let had_accepted = self.has_accepted_fence();
         self.accepted_fence = self.accepted_fence.max(self.renew_fence);
-        if !had_accepted && self.has_accepted_fence() {
+        if !self.has_accepted_fence() {
+            self.lease.accept_others(now_ms);
+        } else if !had_accepted {
             self.lease.refuse_others(now_ms);
         }
     }
--- a/crates/cell/src/table/worker_lease.rs
+++ b/crates/cell/src/table/worker_lease.rs
@@ -133,6 +133,13 @@
         self.clock.is_some()
     }
 
+    /// Records that the incarnation has responded and still accepts other requests, so it may have been granted the
+    /// longest lease on one.
+    pub(crate) fn accept_others(&mut self, now_ms: u64) {
+        let longest_ms = longest_lease_ms(self.longest_other_ms);
+        self.other_expiry_ms = self.other_expiry_ms.max(now_ms + longest_ms);
+    }
+
     /// Records that the incarnation refuses all other requests from now on.
     pub(crate) fn refuse_others(&mut self, now_ms: u64) {
         self.other_expiry_ms = now_ms + longest_lease_ms(self.longest_other_ms);
