Store no bound for an incarnation that has not responded

If only an entry told of a worker's incarnation, the stored bound named that one and counted the leases of the former. Such a bound names no incarnation now. It still keeps all leaders from extending leases.

--- a/crates/cell/src/core/lease_bounds.rs
+++ b/crates/cell/src/core/lease_bounds.rs
@@ -10,7 +10,7 @@
 
 use {
     super::CellCore,
-    crate::{LeaseBound, WorkerKey, table::WorkerEntry},
+    crate::{AttemptKey, LeaseBound, WorkerKey, table::WorkerEntry},
     rustc_hash::FxHashSet,
     slotmap::SecondaryMap,
 };
@@ -135,6 +135,15 @@
         silent.filter(|(key, since_ms)| is_bounded(key, **since_ms)).map(|(key, _)| key).collect()
     }
 
+    /// Returns the incarnation whose leases expire when the worker's do; 0 if those are of a former one, and the present
+    /// one has not responded.
+    fn bounded_incarnation(&self, worker: &WorkerEntry) -> u64 {
+        let incarnation = worker.report.incarnation;
+        let is_own = |key: &AttemptKey| self.attempts[*key].incarnation == incarnation;
+        let is_known = worker.has_responded || worker.attempts.values().all(is_own);
+        if is_known { incarnation } else { 0 }
+    }
+
     /// Returns the bounds for a write on a lane. From now on they hold.
     pub(super) fn take_lease_bounds(&mut self, lane: usize) -> Vec<LeaseBound> {
         let now_ms = self.time.now_ms;
@@ -142,7 +151,7 @@
             let worker = &self.workers[key];
             LeaseBound {
                 worker: worker.report.id.clone(),
-                incarnation: worker.report.incarnation,
+                incarnation: self.bounded_incarnation(worker),
                 address: worker.responded_address.clone(),
                 remaining_ms: worker.lease.expiry_ms().saturating_sub(now_ms),
             }
