Count the failed end of an attempt that was released

If a worker is cut off for longer than its leases, its attempts are released. It counts now, if this leader released the attempt; the memory of releases is not stored, so that a takeover in between forgets it.

--- a/crates/cell/src/core/completion.rs
+++ b/crates/cell/src/core/completion.rs
@@ -4,7 +4,7 @@
     super::{CellCore, release_cause::ReleaseCause},
     crate::{
         AttemptKey, EndKind, JobState,
-        message::PhaseRef,
+        message::{PhaseRef, TaskRef},
         table::{AttemptEntry, AttemptState},
     },
 };
@@ -111,31 +111,36 @@
     }
 
     fn fail_task(&mut self, attempt: &AttemptEntry) {
-        let phase = attempt.phase;
+        let worker = self.workers[attempt.worker].report.id.clone();
+        self.count_failure(attempt.task(), attempt.number, &worker);
+    }
+
+    /// Counts a failed attempt of a task, ends the job if it was the last one that is allowed, and stops the other
+    /// members of a gang's run.
+    pub(super) fn count_failure(&mut self, task: TaskRef, number: u32, worker: &str) {
+        let TaskRef { phase, index } = task;
         let is_gang = self.is_gang(phase);
         let limit = self.max_attempts(phase);
         let job = &mut self.jobs[phase.job];
         let entry = &mut job.phases[phase.phase];
-        if entry.tasks[attempt.index].is_done {
+        if entry.tasks[index].is_done {
             return;
         }
         let is_service = job.record.steps[entry.step].is_service;
         if is_gang {
-            entry.count_gang_failure(attempt.number);
+            entry.count_gang_failure(number);
         } else {
-            let task = &mut entry.tasks[attempt.index];
+            let task = &mut entry.tasks[index];
             task.failures = task.failures.saturating_add(1);
         }
-        let failures = entry.tasks[attempt.index].failures;
-        let name = job.task_name(phase.phase, attempt.index);
-        let worker = &self.workers[attempt.worker].report.id;
-        let number = attempt.number;
+        let failures = entry.tasks[index].failures;
+        let name = job.task_name(phase.phase, index);
         let detail = format!("attempt={number} worker={worker} failures={failures} limit={limit}");
         self.log("attempt_failed", name, detail);
         if !is_service && failures >= limit {
             self.end_job(phase.job, JobState::Failed, "a task failed too often");
         } else {
-            self.abort_gang(phase, attempt.number);
+            self.abort_gang(phase, number);
         }
     }
 
--- a/crates/cell/src/core/expired_attempts.rs
+++ b/crates/cell/src/core/expired_attempts.rs
@@ -45,6 +45,15 @@
         self.attempts.push_back(ExpiredAttempt { worker, incarnation, task, number, released_ms });
     }
 
+    /// Forgets an attempt on a worker, whichever incarnation ran it; returns whether it was released.
+    pub(super) fn take(&mut self, worker: &str, task: &str, number: u32) -> bool {
+        let is_same = |attempt: &ExpiredAttempt| {
+            attempt.task == task && attempt.number == number && attempt.worker == worker
+        };
+        let index = self.attempts.iter().position(is_same);
+        index.and_then(|index| self.attempts.remove(index)).is_some()
+    }
+
     /// Returns when an attempt on an incarnation of a worker was released, in milliseconds; `None` if it
     /// was not.
     pub(super) fn released_ms(
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -5,7 +5,7 @@
     crate::{
         AttemptKey, CellAction, EndKind, EndedAttempt, RenewOutcome, RenewRequest, RenewResponse,
         RunningAttempt, WorkerKey,
-        message::PhaseRef,
+        message::{PhaseRef, TaskRef},
         table::{AfterCommit, AttemptEntry, AttemptState, WorkerEntry},
     },
     slotmap::SlotMap,
@@ -420,6 +420,9 @@
                 self.stop_attempt(other);
             }
         }
+        if ended.kind == EndKind::Failed {
+            self.count_released_failure(key, ended);
+        }
         // A former leader may have recorded the end and not told of another request to start the task.
         let former_until_ms = match self.has_adviser(job) {
             true => 0,
@@ -432,6 +435,19 @@
         self.mark_dirty(job, Some(AfterCommit::AcknowledgeEnd(key, incarnation)));
     }
 
+    /// Counts the failure of an attempt that was released when its leases had expired. A gang's counts once for all
+    /// members.
+    fn count_released_failure(&mut self, key: WorkerKey, ended: &EndedAttempt) {
+        let worker = &self.workers[key].report.id;
+        if !self.expired_attempts.take(worker, &ended.task, ended.attempt) {
+            return;
+        }
+        if let Some((phase, index)) = self.find_task(&ended.task) {
+            let id = worker.clone();
+            self.count_failure(TaskRef { phase, index }, ended.attempt, &id);
+        }
+    }
+
     /// Records that an end is durable.
     pub(super) fn confirm_end(&mut self, key: WorkerKey, incarnation: u64) {
         let Some(worker) = self.workers.get_mut(key) else { return };
