Write the rows of services again once their starts are identified

A row is written before its start is sent, so it says that the start is not identified. A service whose worker was lost together with the leader would stand still for the ticket and the longest lease. Rows of other tasks are not written again for that: they wait so long only if worker and leader are lost within the same seconds.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -50,6 +50,8 @@
     ) -> AttemptKey {
         let is_kept_apart = self.is_kept_apart(phase);
         let is_gang_member = self.is_gang(phase);
+        let is_service = self.is_service_step(phase);
+        let needs_ticket = self.advice_timing(phase).is_some();
         let job = &mut self.jobs[phase.job];
         let entry = &job.phases[phase.phase];
         let resources = job.record.steps[entry.step].resources();
@@ -75,6 +77,7 @@
             is_gang_aborted: false,
             is_kept_apart,
             is_gang_member,
+            is_service,
             is_on_probation: false,
             has_begun: matches!(state, AttemptState::Running { .. }),
             start: StartRequests::default(),
@@ -93,6 +96,7 @@
         let worker = &mut self.workers[worker];
         worker.has_unbounded_rows |= !is_bounded;
         worker.used = worker.used.plus(&resources);
+        worker.has_unidentified_service_rows |= is_service && needs_ticket;
         worker.attempts.insert((name, number), key);
         worker.kept_apart += usize::from(is_kept_apart);
         worker.gang_members += usize::from(is_gang_member);
--- a/crates/cell/src/core/mod.rs
+++ b/crates/cell/src/core/mod.rs
@@ -330,6 +330,7 @@
         self.expire_leases();
         self.review_bindings();
         self.record_bounded_leases();
+        self.record_identified_services();
         self.review_lease_bounds();
         self.review_worker_speeds();
         if self.time.now_ms >= self.placement_due_ms() {
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -104,6 +104,27 @@
         }
     }
 
+    /// Writes the rows of services again whose starts have been identified since. A new leader that does not hear from the
+    /// worker holds the others for longer than a service may stand still.
+    pub(super) fn record_identified_services(&mut self) {
+        let mut jobs = FxHashSet::default();
+        for worker in
+            self.workers.values_mut().filter(|worker| worker.has_unidentified_service_rows)
+        {
+            let own = worker.attempts.values().map(|key| &self.attempts[*key]);
+            let services = own.filter(|attempt| attempt.is_service);
+            let (identified, open): (Vec<_>, Vec<_>) =
+                services.partition(|attempt| attempt.has_identified_start(worker.identified_ms));
+            if open.is_empty() {
+                worker.has_unidentified_service_rows = false;
+                jobs.extend(identified.iter().map(|attempt| attempt.phase.job));
+            }
+        }
+        for job in jobs {
+            self.mark_dirty(job, None);
+        }
+    }
+
     /// Returns the latest time at which the leases expire that former leaders have given to a worker. They
     /// have placed nothing on an incarnation that could still accept requests to a former one, so the leases
     /// of these were granted before the last of them was replaced.
--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -63,6 +63,8 @@
     pub(crate) is_kept_apart: bool,
     /// The attempt is a member of a gang.
     pub(crate) is_gang_member: bool,
+    /// The attempt runs a task of a service.
+    pub(crate) is_service: bool,
     /// Nothing else is placed on the worker, because the task may crash it.
     pub(crate) is_on_probation: bool,
     /// The worker confirmed the start to this leader.
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -29,6 +29,8 @@
     pub(crate) orphans: Vec<OrphanRun>,
     /// Attempts that the worker may be running, by task and number.
     pub(crate) attempts: FxHashMap<(String, u32), AttemptKey>,
+    /// Rows of attempts of services may not say that their starts are identified.
+    pub(crate) has_unidentified_service_rows: bool,
     /// Rows of attempts may not say that the worker's leases are bounded.
     pub(crate) has_unbounded_rows: bool,
     /// Number of attempts that are kept apart from those of other queues.
@@ -120,6 +122,7 @@
             attempts: FxHashMap::default(),
             has_unbounded_rows: false,
             kept_apart: 0,
+            has_unidentified_service_rows: false,
             gang_members: 0,
             probations: 0,
             has_accepted_token: false,
