Count a crash that an entry shows once the worker has listed what it runs

While a start is not identified, the crash counts when the worker has responded, for what it does not list. The row is written again when a run turns out to be on another incarnation.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -83,6 +83,7 @@
             start: StartRequests::default(),
             is_address_stored: false,
             is_loss_recorded: false,
+            is_crash_possible: false,
             sent_ms: 0,
             preempted_ms: None,
             stop_due_ms: 0,
@@ -95,8 +96,8 @@
         let is_bounded = self.has_bounded_leases(&self.workers[worker]);
         let worker = &mut self.workers[worker];
         worker.has_unbounded_rows |= !is_bounded;
-        worker.used = worker.used.plus(&resources);
         worker.has_unidentified_service_rows |= is_service && needs_ticket;
+        worker.used = worker.used.plus(&resources);
         worker.attempts.insert((name, number), key);
         worker.kept_apart += usize::from(is_kept_apart);
         worker.gang_members += usize::from(is_gang_member);
--- a/crates/cell/src/core/jobs.rs
+++ b/crates/cell/src/core/jobs.rs
@@ -232,7 +232,8 @@
             StartRequests::inherited(stored.has_open_start, unidentified_until_ms);
         self.attempts[key].is_address_stored = !stored.worker_address.is_empty();
         if self.workers[worker].report.incarnation > stored.incarnation {
-            self.count_inherited_crash(key);
+            // Unless the present incarnation lists the attempt.
+            self.attempts[key].is_crash_possible = true;
         }
         if self.jobs[phase.job].phases[phase.phase].tasks[index].is_suspected() {
             self.start_probation(phase, &[index]);
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -303,10 +303,14 @@
                 self.workers[key].claim = Some(claim);
                 self.log("worker_corrected", id, format!("born={}", response.incarnation));
             }
+            Ordering::Equal if self.workers[key].resume_crash() => {
+                self.record_crash(key, response);
+                self.workers[key].lost_ms = None;
+            }
             Ordering::Equal => {}
             Ordering::Less | Ordering::Greater => {
-                self.record_listed(key, response);
-                self.record_losses(key, LossCause::Crash);
+                self.workers[key].resume_crash();
+                self.record_crash(key, response);
                 self.switch_incarnation(key, response.incarnation);
                 self.workers[key].is_listed = false;
                 self.log("worker_restarted", id, format!("born={}", response.incarnation));
@@ -316,8 +320,8 @@
         self.apply_response(key, response, sent_ms);
     }
 
-    /// Records which attempts the next incarnation lists, so that they are not lost with the former one.
-    fn record_listed(&mut self, key: WorkerKey, response: &RenewResponse) {
+    /// Records the crash of a former incarnation. The attempts that the present one lists are not lost with it.
+    fn record_crash(&mut self, key: WorkerKey, response: &RenewResponse) {
         let running = response.running.iter().map(|run| (run.task.clone(), run.attempt));
         let ended = response.ended.iter().map(|end| (end.task.clone(), end.attempt));
         for name in running.chain(ended) {
@@ -325,6 +329,7 @@
                 self.attempts[*attempt].start.record_next();
             }
         }
+        self.record_losses(key, LossCause::Crash);
     }
 
     fn apply_response(&mut self, key: WorkerKey, response: &RenewResponse, sent_ms: u64) {
@@ -472,8 +477,10 @@
             return self.adopt_or_stop(key, running);
         };
         let entry = &mut self.attempts[attempt];
-        entry.incarnation = self.workers[key].report.incarnation;
+        let incarnation = self.workers[key].report.incarnation;
+        let former = std::mem::replace(&mut entry.incarnation, incarnation);
         entry.has_begun = true;
+        entry.is_crash_possible = false;
         self.jobs[entry.phase.job].has_begun = true;
         if running.percent > entry.percent {
             entry.percent = running.percent;
@@ -486,6 +493,9 @@
             entry.state = AttemptState::Running { since_ms: now_ms };
         }
         self.settle_listed(attempt);
+        if former != incarnation {
+            self.mark_dirty(self.attempts[attempt].phase.job, None);
+        }
         if is_newly_confirmed {
             self.stop_if_unwanted(attempt);
         }
@@ -537,6 +547,10 @@
                 AttemptState::StopAcknowledged { .. } => ReleaseCause::Stopped,
                 _ => ReleaseCause::Unlisted,
             };
+            let entry = &self.attempts[attempt];
+            if entry.is_crash_possible && self.has_task(entry.task()) {
+                self.count_inherited_crash(attempt);
+            }
             self.drop_attempt(attempt, cause);
         }
     }
--- a/crates/cell/src/core/worker_claims.rs
+++ b/crates/cell/src/core/worker_claims.rs
@@ -7,7 +7,7 @@
 
 use {
     super::{CellCore, losses::LossCause},
-    crate::{WorkerKey, WorkerReport, table::WorkerEntry},
+    crate::{AttemptKey, WorkerKey, WorkerReport, table::WorkerEntry},
 };
 
 /// What to do with an entry of a known worker.
@@ -100,10 +100,25 @@
         self.log("worker_resized", report.id.clone(), detail);
     }
 
+    /// Records that an entry shows the crash of the known incarnation. While the one that the entry names may have
+    /// carried out a start, the crash counts once that has listed what it runs.
+    fn record_crash_by_entry(&mut self, key: WorkerKey) {
+        let worker = &self.workers[key];
+        let is_unidentified = |attempt: &AttemptKey| {
+            let start = &self.attempts[*attempt].start;
+            start.unidentified_until_ms(worker.identified_ms).is_some()
+        };
+        let is_open = worker.attempts.values().any(is_unidentified);
+        match is_open && worker.was_reached_until_loss() {
+            true => self.workers[key].postpone_crash(self.time.now_ms),
+            false => self.record_losses(key, LossCause::Crash),
+        }
+    }
+
     fn adopt_report(&mut self, key: WorkerKey, report: WorkerReport) {
         if report.incarnation != self.workers[key].report.incarnation {
             if report.incarnation > self.workers[key].report.incarnation {
-                self.record_losses(key, LossCause::Crash);
+                self.record_crash_by_entry(key);
             }
             self.switch_incarnation(key, report.incarnation);
             self.workers[key].ask_for_incarnation(0);
--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -74,6 +74,8 @@
     /// The job's row has the worker's address, because the worker was lost just after the start. A new
     /// leader can ask there even if the worker is no longer registered.
     pub(crate) is_address_stored: bool,
+    /// The attempt was placed on a former incarnation, which crashed with it unless the present one lists it.
+    pub(crate) is_crash_possible: bool,
     /// The attempt is recorded as lost with its worker.
     pub(crate) is_loss_recorded: bool,
     /// Time at which the last start or stop request was sent; 0 if none was.
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -94,6 +94,8 @@
     pub(crate) is_silent: bool,
     /// Estimated time at which the worker stopped responding, since its last response.
     pub(crate) lost_ms: Option<u64>,
+    /// Time at which a former incarnation was lost whose crash counts once the present one has listed what it runs.
+    pending_crash_ms: Option<u64>,
     /// The connection to the worker broke at that time, as it does when its process ends. Otherwise
     /// requests timed out, and what became of the worker since is not known.
     is_lost_by_break: bool,
@@ -120,9 +122,9 @@
             used: ResourceSet::default(),
             orphans: Vec::new(),
             attempts: FxHashMap::default(),
+            has_unidentified_service_rows: false,
             has_unbounded_rows: false,
             kept_apart: 0,
-            has_unidentified_service_rows: false,
             gang_members: 0,
             probations: 0,
             has_accepted_token: false,
@@ -151,6 +153,7 @@
             next_renew_ms: 0,
             is_silent: false,
             lost_ms: None,
+            pending_crash_ms: None,
             is_lost_by_break: false,
             backoff_until_ms: 0,
             failure_streak: 0,
@@ -219,6 +222,19 @@
         }
     }
 
+    /// Lets the crash of the present incarnation count later.
+    pub(crate) fn postpone_crash(&mut self, now_ms: u64) {
+        self.pending_crash_ms = Some(self.lost_ms.unwrap_or(now_ms));
+    }
+
+    /// Returns whether a crash counts now that was postponed, and restores when the former incarnation was lost.
+    pub(crate) fn resume_crash(&mut self) -> bool {
+        let Some(lost_ms) = self.pending_crash_ms.take() else { return false };
+        self.lost_ms = Some(lost_ms);
+        self.is_lost_by_break = true;
+        true
+    }
+
     /// Returns whether the worker could be reached until it was lost, so that a crash which is known of now
     /// was the cause. One that happened while the worker could not be reached says nothing about what
     /// had been started there: it may have ended, or never begun.
