Hold a start that an incarnation may still carry out before it is fenced

A worker that has restarted may answer a renewal with a former fence. The start counted as identified then, but this incarnation itself still accepts a late one with its ticket until it has accepted a fence of its own. If it was cut off in between, the task could run twice; the row and the stored bound said the same.

WorkerEntry::unidentified_until_ms counts what has had no response as long as the worker needs a fence, and the release, the row and the bound ask it.

--- a/crates/cell/src/core/commit.rs
+++ b/crates/cell/src/core/commit.rs
@@ -228,7 +228,7 @@
                 has_bounded_leases: attempt.incarnation == worker.report.incarnation
                     && self.has_bounded_leases(worker),
                 has_open_start: attempt.start.is_repeated,
-                is_start_identified: attempt.has_identified_start(worker.identified_ms),
+                is_start_identified: attempt.has_identified_start(worker),
             })
         };
         let started = job.phases.iter().filter(|phase| phase.has_started());
--- a/crates/cell/src/core/jobs.rs
+++ b/crates/cell/src/core/jobs.rs
@@ -241,7 +241,8 @@
     }
 
     /// Returns the time until which a start of a former leader may be carried out by an incarnation that the row does
-    /// not name; `None` if none may. It had a ticket before this leader was elected, as its row was written then.
+    /// not name; `None` if none may. A former leader that takes a ticket which arrives after the election of this one is not
+    /// allowed for.
     fn unidentified_until_ms(&self, phase: PhaseRef, stored: &TaskProgress) -> Option<u64> {
         let timing = self.advice_timing(phase).filter(|_| !stored.is_start_identified)?;
         Some(self.started_ms.saturating_add(timing.valid_ms))
--- a/crates/cell/src/core/lease_bounds.rs
+++ b/crates/cell/src/core/lease_bounds.rs
@@ -136,11 +136,12 @@
     }
 
     /// Returns the incarnation whose leases expire when the worker's do; 0 if those are of a former one, and the present
-    /// one has not responded.
+    /// one may still carry out requests that were meant for that.
     fn bounded_incarnation(&self, worker: &WorkerEntry) -> u64 {
         let incarnation = worker.report.incarnation;
         let is_own = |key: &AttemptKey| self.attempts[*key].incarnation == incarnation;
-        let is_known = worker.has_responded || worker.attempts.values().all(is_own);
+        let has_own = !worker.needs_fence() && worker.attempts.values().all(is_own);
+        let is_known = worker.has_accepted_fence() || has_own;
         if is_known { incarnation } else { 0 }
     }
 
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -114,7 +114,7 @@
             let own = worker.attempts.values().map(|key| &self.attempts[*key]);
             let services = own.filter(|attempt| attempt.is_service);
             let (identified, open): (Vec<_>, Vec<_>) =
-                services.partition(|attempt| attempt.has_identified_start(worker.identified_ms));
+                services.partition(|attempt| attempt.has_identified_start(worker));
             if open.is_empty() {
                 worker.has_unidentified_service_rows = false;
                 jobs.extend(identified.iter().map(|attempt| attempt.phase.job));
@@ -278,8 +278,8 @@
         let is_over = |attempt: &AttemptKey| {
             let start = &self.attempts[*attempt].start;
             let unheard_until_ms = start.unheard_until_ms().filter(|_| !worker.has_responded);
-            let unidentified_until_ms = start
-                .unidentified_until_ms(worker.identified_ms)
+            let unidentified_until_ms = worker
+                .unidentified_until_ms(start)
                 .map(|until_ms| until_ms.max(worker.lease.deadline_sent_ms()));
             let until_ms = unheard_until_ms.max(unidentified_until_ms);
             until_ms.is_none_or(|until_ms| until_ms + longest_ms <= self.time.now_ms)
--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -1,7 +1,7 @@
 //! Attempts to run a task on a worker.
 
 use {
-    super::StartRequests,
+    super::{StartRequests, WorkerEntry},
     crate::{
         ResourceSet, WorkerKey,
         message::{PhaseRef, TaskRef},
@@ -95,11 +95,11 @@
     }
 
     /// Returns whether no incarnation of the worker after the known one may have begun the attempt, or may begin it, by
-    /// a request with a ticket. `identified_ms` is that of the worker.
-    pub(crate) fn has_identified_start(&self, identified_ms: u64) -> bool {
+    /// a request with a ticket.
+    pub(crate) fn has_identified_start(&self, worker: &WorkerEntry) -> bool {
         // Until the start is confirmed, it may be sent again with another ticket.
         let may_be_sent = matches!(self.state, AttemptState::Persisting | AttemptState::Sent);
-        !may_be_sent && self.start.unidentified_until_ms(identified_ms).is_none()
+        !may_be_sent && worker.unidentified_until_ms(&self.start).is_none()
     }
 
     /// Returns the number of start requests of which an incarnation of the worker other than the one that has
--- a/crates/cell/src/table/start_requests.rs
+++ b/crates/cell/src/table/start_requests.rs
@@ -117,8 +117,13 @@
     /// which incarnation has carried it out.
     pub(crate) fn unidentified_until_ms(&self, identified_ms: u64) -> Option<u64> {
         let begun_ms = self.ticketed_begun_ms;
-        let open_until_ms = self.ticketed_in_flight_until_ms.max(self.ticketed_open_until_ms);
-        begun_ms.max(open_until_ms).filter(|_| identified_ms <= self.ticket_ms)
+        begun_ms.max(self.ticketed_until_ms()).filter(|_| identified_ms <= self.ticket_ms)
+    }
+
+    /// Returns the time until which a request with a ticket that has had no response may be carried out, `None` if there
+    /// is none.
+    pub(crate) fn ticketed_until_ms(&self) -> Option<u64> {
+        self.ticketed_in_flight_until_ms.max(self.ticketed_open_until_ms)
     }
 
     /// Returns whether a request with a ticket was confirmed, and it is not known by which incarnation.
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -1,7 +1,7 @@
 //! Workers.
 
 use {
-    super::{LeaseLimit, OrphanRun, WorkerFence, WorkerLease, WorkerSpeed},
+    super::{LeaseLimit, OrphanRun, StartRequests, WorkerFence, WorkerLease, WorkerSpeed},
     crate::{AttemptKey, ResourceSet, WorkerReport},
     rustc_hash::FxHashMap,
 };
@@ -222,6 +222,14 @@
         }
     }
 
+    /// Returns the time until which an incarnation that the leader does not count on may have begun an attempt with
+    /// these start requests, or may begin it, by one with a ticket; `None` if none may. The present one may as well while
+    /// it does not refuse requests to a former one.
+    pub(crate) fn unidentified_until_ms(&self, start: &StartRequests) -> Option<u64> {
+        let open_until_ms = start.ticketed_until_ms().filter(|_| self.needs_fence());
+        start.unidentified_until_ms(self.identified_ms).max(open_until_ms)
+    }
+
     /// Lets the crash of the present incarnation count later.
     pub(crate) fn postpone_crash(&mut self, now_ms: u64) {
         self.pending_crash_ms = Some(self.lost_ms.unwrap_or(now_ms));
