Ask for the incarnation at once also while an end is not durable

The renewal that asks which incarnation a worker is waited for a second behind the write of an end, although the one in flight had been given up. It is sent at once now, and a second sign of the restart does not give it up again. A refusal by another worker at the address no longer counts as a reading of the known one's clock. Found in review.

--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -207,7 +207,9 @@
         let now_ms = self.time.now_ms;
         let StartResponse { outcome, clock_ms } = response;
         let sent_ms = self.attempts.get(key).map(|attempt| attempt.sent_ms);
-        let clock = self.identify_by_clock(key, clock_ms);
+        // One that refuses the request as another worker has a clock of its own.
+        let is_same_worker = outcome != StartOutcome::Refused(StartRefusal::Incarnation);
+        let clock = self.identify_by_clock(key, clock_ms.filter(|_| is_same_worker));
         let is_answered = outcome != StartOutcome::Unknown;
         self.request_window.finish(RequestEnd::of(is_answered, sent_ms), now_ms);
         let Some(attempt) = self.attempts.get_mut(key) else { return };
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -108,6 +108,9 @@
     }
 
     fn renew_due_ms(&self) -> u64 {
+        if self.is_identity_due && self.renew_sent_ms.is_none() {
+            return self.next_renew_ms;
+        }
         match (self.needs_renewal(), self.pending_ends) {
             (false, _) if self.renew_sent_ms.is_some() => u64::MAX,
             (false, _) => self.idle_renew_due_ms().max(self.next_renew_ms),
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -196,6 +196,9 @@
     /// Asks for the incarnation at once. The outcome of a renewal in flight no longer counts: it may wait for an end on
     /// a connection to a process that is gone. If it is carried out late, later requests supersede it.
     pub(crate) fn ask_for_incarnation(&mut self, now_ms: u64) {
+        if self.is_identity_due {
+            return;
+        }
         if self.renew_sent_ms.take().is_some() {
             self.fence.advance();
         }
