--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -216,7 +216,7 @@
         attempt.start.finish(outcome, now_ms);
         match (outcome, clock) {
             (StartOutcome::Started, ClockMatch::Same) => attempt.start.identify(),
-            (StartOutcome::Started, ClockMatch::Other) => attempt.start.record_next(),
+            (StartOutcome::Started, ClockMatch::Other) => attempt.start.record_next(true),
             _ => {}
         }
         let worker = &mut self.workers[attempt.worker];
--- a/crates/cell/src/core/jobs.rs
+++ b/crates/cell/src/core/jobs.rs
@@ -232,8 +232,11 @@
             StartRequests::inherited(stored.has_open_start, unidentified_until_ms);
         self.attempts[key].is_address_stored = !stored.worker_address.is_empty();
         if self.workers[worker].report.incarnation > stored.incarnation {
-            // Unless the present incarnation lists the attempt.
-            self.attempts[key].is_crash_possible = true;
+            match unidentified_until_ms {
+                // Unless the present incarnation lists the attempt.
+                Some(_) => self.attempts[key].is_crash_possible = true,
+                None => self.count_inherited_crash(key),
+            }
         }
         if self.jobs[phase.job].phases[phase.phase].tasks[index].is_suspected() {
             self.start_probation(phase, &[index]);
--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -302,18 +302,19 @@
         match response.incarnation.cmp(&worker.report.incarnation) {
             Ordering::Less if !worker.has_responded => {
                 let claim = worker.report.clone();
+                worker.cancel_crash();
                 self.restart_worker(key, response.incarnation);
                 self.workers[key].claim = Some(claim);
                 self.log("worker_corrected", id, format!("born={}", response.incarnation));
             }
             Ordering::Equal if self.workers[key].resume_crash() => {
-                self.record_crash(key, response);
+                self.record_crash(key, response, sent_ms);
                 self.workers[key].lost_ms = None;
             }
             Ordering::Equal => {}
             Ordering::Less | Ordering::Greater => {
                 self.workers[key].resume_crash();
-                self.record_crash(key, response);
+                self.record_crash(key, response, sent_ms);
                 self.switch_incarnation(key, response.incarnation);
                 self.workers[key].is_listed = false;
                 self.log("worker_restarted", id, format!("born={}", response.incarnation));
@@ -323,13 +324,21 @@
         self.apply_response(key, response, sent_ms);
     }
 
-    /// Records the crash of a former incarnation. The attempts that the present one lists are not lost with it.
-    fn record_crash(&mut self, key: WorkerKey, response: &RenewResponse) {
+    /// Records the crash of a former incarnation. The attempts that the present one lists are not lost with it. One that
+    /// an unknown incarnation confirmed before, and that is not listed, was lost with that.
+    fn record_crash(&mut self, key: WorkerKey, response: &RenewResponse, sent_ms: u64) {
+        for attempt in self.workers[key].attempts.values() {
+            let attempt = &mut self.attempts[*attempt];
+            let AttemptState::Running { since_ms } = attempt.state else { continue };
+            if since_ms < sent_ms && !response.is_partial {
+                attempt.start.record_next(false);
+            }
+        }
         let running = response.running.iter().map(|run| (run.task.clone(), run.attempt));
         let ended = response.ended.iter().map(|end| (end.task.clone(), end.attempt));
         for name in running.chain(ended) {
             if let Some(attempt) = self.workers[key].attempts.get(&name) {
-                self.attempts[*attempt].start.record_next();
+                self.attempts[*attempt].start.record_next(true);
             }
         }
         self.record_losses(key, LossCause::Crash);
@@ -551,7 +560,8 @@
                 _ => ReleaseCause::Unlisted,
             };
             let entry = &self.attempts[attempt];
-            if entry.is_crash_possible && self.has_task(entry.task()) {
+            let is_crash = entry.is_crash_possible && !entry.is_loss_recorded;
+            if is_crash && self.has_task(entry.task()) {
                 self.count_inherited_crash(attempt);
             }
             self.drop_attempt(attempt, cause);
--- a/crates/cell/src/core/losses.rs
+++ b/crates/cell/src/core/losses.rs
@@ -31,6 +31,9 @@
 /// Time for which it may become known that a lost worker crashed, in milliseconds.
 const UNRESOLVED_MS: u64 = 60_000;
 
+/// Stands for an incarnation that is not known, so that none proves its crash.
+const UNKNOWN_INCARNATION: u64 = u64::MAX;
+
 /// Why a job is given up whose task crashed its workers.
 pub(super) const CRASH_REASON: &str = "a task crashed its workers";
 
@@ -55,6 +58,16 @@
 impl CellCore {
     /// Records that all attempts on a worker are lost.
     pub(super) fn record_losses(&mut self, worker: WorkerKey, cause: LossCause) {
+        self.record_losses_except(worker, cause, &FxHashSet::default());
+    }
+
+    /// Records that all attempts on a worker but some are lost.
+    pub(super) fn record_losses_except(
+        &mut self,
+        worker: WorkerKey,
+        cause: LossCause,
+        excluded: &FxHashSet<AttemptKey>,
+    ) {
         if self.workers[worker].report.is_leaving {
             return;
         }
@@ -67,7 +80,7 @@
             .attempts
             .values()
             .copied()
-            .filter(|key| may_have_run(&self.attempts[*key]))
+            .filter(|key| !excluded.contains(key) && may_have_run(&self.attempts[*key]))
             .collect();
         let recent = match self.is_simultaneous(lost_ms) {
             true => Vec::new(),
@@ -194,10 +207,12 @@
             self.task_mut(task).suspect(ran_ms);
         }
         self.mark_dirty(task.phase.job, None);
+        let is_identified =
+            self.workers[worker].unidentified_until_ms(&self.attempts[key].start).is_none();
         let report = &self.workers[worker].report;
         let lost = LostAttempt {
             worker: report.id.clone(),
-            incarnation: report.incarnation,
+            incarnation: if is_identified { report.incarnation } else { UNKNOWN_INCARNATION },
             address: report.address.clone(),
             has_begun,
             is_sole_suspect,
--- a/crates/cell/src/core/worker_claims.rs
+++ b/crates/cell/src/core/worker_claims.rs
@@ -8,6 +8,7 @@
 use {
     super::{CellCore, losses::LossCause},
     crate::{AttemptKey, WorkerKey, WorkerReport, table::WorkerEntry},
+    rustc_hash::FxHashSet,
 };
 
 /// What to do with an entry of a known worker.
@@ -104,17 +105,33 @@
     /// carried out a start, the crash counts once that has listed what it runs.
     fn record_crash_by_entry(&mut self, key: WorkerKey) {
         let worker = &self.workers[key];
-        let is_unidentified = |attempt: &AttemptKey| {
-            let start = &self.attempts[*attempt].start;
-            start.unidentified_until_ms(worker.identified_ms).is_some()
-        };
-        let is_open = worker.attempts.values().any(is_unidentified);
+        let is_open = !self.unidentified_attempts(key).is_empty();
         match is_open && worker.was_reached_until_loss() {
             true => self.workers[key].postpone_crash(self.time.now_ms),
             false => self.record_losses(key, LossCause::Crash),
         }
     }
 
+    /// Returns the attempts on a worker that an incarnation may have begun which is not known.
+    fn unidentified_attempts(&self, key: WorkerKey) -> FxHashSet<AttemptKey> {
+        let worker = &self.workers[key];
+        let is_unidentified = |attempt: &AttemptKey| {
+            worker.unidentified_until_ms(&self.attempts[*attempt].start).is_some()
+        };
+        worker.attempts.values().copied().filter(is_unidentified).collect()
+    }
+
+    /// Counts a crash that was postponed until the next incarnation has listed what it runs, and which will not do that
+    /// before the leases expire.
+    pub(super) fn count_postponed_crash(&mut self, key: WorkerKey) {
+        let present = self.workers[key].loss();
+        if self.workers[key].resume_crash() {
+            let unidentified = self.unidentified_attempts(key);
+            self.record_losses_except(key, LossCause::Crash, &unidentified);
+            self.workers[key].restore_loss(present);
+        }
+    }
+
     fn adopt_report(&mut self, key: WorkerKey, report: WorkerReport) {
         if report.incarnation != self.workers[key].report.incarnation {
             if report.incarnation > self.workers[key].report.incarnation {
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -259,7 +259,10 @@
                 continue;
             }
             let cause = ReleaseCause::LeaseExpiry(self.workers[key].lease_limit());
-            self.record_losses(key, LossCause::LeaseExpiry);
+            self.count_postponed_crash(key);
+            let own = self.workers[key].attempts.values().copied();
+            let held: FxHashSet<AttemptKey> = own.filter(|key| !over.contains(key)).collect();
+            self.record_losses_except(key, LossCause::LeaseExpiry, &held);
             self.record_expiry(key, &over);
             match are_all_over && !is_listed {
                 true => self.remove_worker(key, cause),
--- a/crates/cell/src/table/start_requests.rs
+++ b/crates/cell/src/table/start_requests.rs
@@ -142,9 +142,9 @@
         self.ticketed_begun_ms = None;
     }
 
-    /// Records that an incarnation after the known one has confirmed the start.
-    pub(crate) fn record_next(&mut self) {
-        self.is_on_next = true;
+    /// Records whether an incarnation after the known one runs the attempt.
+    pub(crate) fn record_next(&mut self, is_on_next: bool) {
+        self.is_on_next = is_on_next;
     }
 
     /// Returns whether an incarnation after the known one has confirmed the start.
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -238,6 +238,22 @@
         self.pending_crash_ms = Some(self.lost_ms.unwrap_or(now_ms));
     }
 
+    /// Returns when the present incarnation was lost, if it was, and whether its connection broke then.
+    pub(crate) fn loss(&self) -> (Option<u64>, bool) {
+        (self.lost_ms, self.is_lost_by_break)
+    }
+
+    /// Restores when the present incarnation was lost.
+    pub(crate) fn restore_loss(&mut self, (lost_ms, is_lost_by_break): (Option<u64>, bool)) {
+        self.lost_ms = lost_ms;
+        self.is_lost_by_break = is_lost_by_break;
+    }
+
+    /// Forgets a crash that has been postponed, as there was none.
+    pub(crate) fn cancel_crash(&mut self) {
+        self.pending_crash_ms = None;
+    }
+
     /// Returns whether a crash counts now that was postponed, and restores when the former incarnation was lost.
     pub(crate) fn resume_crash(&mut self) -> bool {
         let Some(lost_ms) = self.pending_crash_ms.take() else { return false };
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -10,6 +10,7 @@
 mod contention;
 mod crash_storms;
 mod crashes;
+mod crashes_of_next_incarnations;
 mod incarnation_conclusions;
 mod incarnations;
 mod inherited_leases;
