--- a/crates/cell/src/table/start_requests.rs
+++ b/crates/cell/src/table/start_requests.rs
@@ -8,7 +8,7 @@
 //! the ticket is then of that incarnation or of a former one, and no later one accepts it. Until then, a response to
 //! the start does not tell who gave it, and the attempt may be running on an incarnation that is not known.
 
-use {super::attempt::AttemptState, crate::StartOutcome};
+use {super::attempt::AttemptState, crate::StartOutcome, std::num::NonZeroU64};
 
 /// Time after which a request without a response is no longer carried out, in milliseconds.
 pub(crate) const MAX_REQUEST_DELAY_MS: u64 = 15_000;
@@ -41,7 +41,8 @@
     }
 }
 
-/// The requests to start an attempt.
+/// The requests to start an attempt. Each of up to 10,000 tasks of a job may have them, so a time that may be missing takes
+/// no more space than a number.
 #[derive(Debug, Default)]
 pub(crate) struct StartRequests {
     /// Number of requests so far.
@@ -57,9 +58,9 @@
     /// Requests of former leaders.
     pub(crate) former: FormerStarts,
     /// Time at which the request in flight was sent, if that has no ticket.
-    in_flight_ms: Option<u64>,
+    in_flight_ms: Option<NonZeroU64>,
     /// Time at which the last request without a response and without a ticket was sent.
-    unanswered_ms: Option<u64>,
+    unanswered_ms: Option<NonZeroU64>,
     /// The present incarnation of the worker is known to have carried out the start.
     is_settled: bool,
     /// Another incarnation of the worker, of which the leader knows, may have carried out the start.
@@ -67,11 +68,11 @@
     /// Time at which the newest ticket of the requests arrived.
     ticket_ms: u64,
     /// Time until which the request in flight may be carried out, if that has a ticket.
-    ticketed_in_flight_until_ms: Option<u64>,
+    ticketed_in_flight_until_ms: Option<NonZeroU64>,
     /// Time until which requests with tickets that had no response may be carried out.
-    ticketed_open_until_ms: Option<u64>,
+    ticketed_open_until_ms: Option<NonZeroU64>,
     /// Time of the last confirmation of a request with a ticket.
-    ticketed_begun_ms: Option<u64>,
+    ticketed_begun_ms: Option<NonZeroU64>,
     /// An incarnation after the known one has confirmed the start.
     is_on_next: bool,
 }
@@ -81,7 +82,7 @@
     /// response. Those with a ticket that is not identified may be carried out until `unidentified_until_ms`.
     pub(crate) fn inherited(is_repeated: bool, unidentified_until_ms: Option<u64>) -> Self {
         let former = if is_repeated { FormerStarts::Several } else { FormerStarts::One };
-        let ticketed_open_until_ms = unidentified_until_ms;
+        let ticketed_open_until_ms = unidentified_until_ms.and_then(NonZeroU64::new);
         Self { is_repeated, former, ticketed_open_until_ms, ..Self::default() }
     }
 
@@ -91,8 +92,9 @@
         self.sent_ms = now_ms;
         self.fence = fence;
         self.has_ticket = ticket.is_some();
-        self.in_flight_ms = ticket.is_none().then_some(now_ms);
-        self.ticketed_in_flight_until_ms = ticket.map(|ticket| ticket.last_start_ms(now_ms));
+        let until_ms = ticket.map_or(0, |ticket| ticket.last_start_ms(now_ms));
+        self.in_flight_ms = NonZeroU64::new(now_ms).filter(|_| ticket.is_none());
+        self.ticketed_in_flight_until_ms = NonZeroU64::new(until_ms);
         self.ticket_ms = self.ticket_ms.max(ticket.map_or(0, |ticket| ticket.arrived_ms));
     }
 
@@ -106,7 +108,7 @@
                 self.ticketed_open_until_ms = self.ticketed_open_until_ms.max(ticketed_until_ms);
             }
             StartOutcome::Started if ticketed_until_ms.is_some() => {
-                self.ticketed_begun_ms = Some(now_ms);
+                self.ticketed_begun_ms = NonZeroU64::new(now_ms);
             }
             StartOutcome::Started | StartOutcome::Refused(_) => {}
         }
@@ -116,14 +118,15 @@
     /// request with a ticket; `None` if none may. `identified_ms` is the time of the last request of which it is known
     /// which incarnation has carried it out.
     pub(crate) fn unidentified_until_ms(&self, identified_ms: u64) -> Option<u64> {
-        let begun_ms = self.ticketed_begun_ms;
+        let begun_ms = self.ticketed_begun_ms.map(NonZeroU64::get);
         begun_ms.max(self.ticketed_until_ms()).filter(|_| identified_ms <= self.ticket_ms)
     }
 
     /// Returns the time until which a request with a ticket that has had no response may be carried out, `None` if there
     /// is none.
     pub(crate) fn ticketed_until_ms(&self) -> Option<u64> {
-        self.ticketed_in_flight_until_ms.max(self.ticketed_open_until_ms)
+        let until_ms = self.ticketed_in_flight_until_ms.max(self.ticketed_open_until_ms);
+        until_ms.map(NonZeroU64::get)
     }
 
     /// Returns whether a request with a ticket was confirmed, and it is not known by which incarnation.
@@ -133,7 +136,7 @@
 
     /// Returns whether a request with a ticket that had no response may still be carried out.
     pub(crate) fn has_open_ticket(&self, now_ms: u64) -> bool {
-        self.ticketed_open_until_ms.is_some_and(|until_ms| now_ms <= until_ms)
+        self.ticketed_open_until_ms.is_some_and(|until_ms| now_ms <= until_ms.get())
     }
 
     /// Records that the known incarnation has carried out the last request. All tickets arrived before that was sent.
@@ -162,7 +165,7 @@
     /// ticket, `None` if none may. Those of former leaders may be until `former_until_ms`.
     pub(crate) fn open_until_ms(&self, former_until_ms: u64) -> Option<u64> {
         let own_ms = self.in_flight_ms.max(self.unanswered_ms);
-        let own_until_ms = own_ms.map(|sent_ms| sent_ms + MAX_REQUEST_DELAY_MS);
+        let own_until_ms = own_ms.map(|sent_ms| sent_ms.get() + MAX_REQUEST_DELAY_MS);
         let former_until_ms = (self.former != FormerStarts::Settled).then_some(former_until_ms);
         own_until_ms.max(former_until_ms)
     }
