--- a/crates/cell/src/core/advice.rs
+++ b/crates/cell/src/core/advice.rs
@@ -14,7 +14,9 @@
     crate::{
         AdviceCallKey, AdviceRequest, AdviceTiming, CellAction, JobKey, WorkerKey, WorkerTicket,
         message::PhaseRef,
-        table::{AdviceCallEntry, AttemptEntry, AttemptState, DaemonEntry, TicketEntry},
+        table::{
+            AdviceCallEntry, AttemptEntry, AttemptState, DaemonEntry, TicketEntry, TicketTimes,
+        },
     },
     rustc_hash::FxHashSet,
 };
@@ -310,6 +312,7 @@
         entry.fruitless_calls = entry.fruitless_calls.saturating_add(1);
         let arrived_ms = self.time.now_ms;
         let valid_until_ms = arrived_ms.saturating_add(call.valid_ms);
+        let times = TicketTimes { arrived_ms, valid_until_ms };
         let mut granted = 0;
         for worker in &call.workers {
             let Some(known) = self.workers.get(*worker) else { continue };
@@ -317,8 +320,7 @@
             match ticket {
                 Some(held) => {
                     let ticket = held.ticket.clone();
-                    let held = TicketEntry { ticket, arrived_ms, valid_until_ms };
-                    entry.allowed.insert(*worker, held);
+                    entry.allowed.insert(*worker, TicketEntry { ticket, times });
                     granted += 1;
                 }
                 None => {
--- a/crates/cell/src/core/attempts.rs
+++ b/crates/cell/src/core/attempts.rs
@@ -6,10 +6,7 @@
         AttemptKey, CellAction, JobKey, JobState, StartOutcome, StartRefusal, StartRequest,
         StartResponse, StopRequest, WorkerKey,
         message::PhaseRef,
-        table::{
-            AfterCommit, AttemptEntry, AttemptState, ClockMatch, StartRequests, TicketEntry,
-            TicketTimes,
-        },
+        table::{AfterCommit, AttemptEntry, AttemptState, ClockMatch, StartRequests, TicketTimes},
     },
 };
 
@@ -112,10 +109,8 @@
         }
         let entry = &self.jobs[attempt.phase.job].phases[attempt.phase.phase];
         let held = entry.allowed.get(&attempt.worker)?;
-        let is_valid = held.valid_until_ms > self.time.now_ms + SEND_MARGIN_MS;
-        let TicketEntry { arrived_ms, valid_until_ms, .. } = *held;
-        let times = TicketTimes { arrived_ms, valid_until_ms };
-        is_valid.then(|| (held.ticket.clone(), Some(times)))
+        let is_valid = held.times.valid_until_ms > self.time.now_ms + SEND_MARGIN_MS;
+        is_valid.then(|| (held.ticket.clone(), Some(held.times)))
     }
 
     /// Sends the start requests of durable attempts, oldest first, as far as the window has space.
--- a/crates/cell/src/core/chosen_waits.rs
+++ b/crates/cell/src/core/chosen_waits.rs
@@ -254,7 +254,7 @@
         let call_us = self.advice_timing(phase).map_or(0, |timing| timing.duration_us(named));
         let valid_ms = |key: &WorkerKey| {
             let held = hosts.entry().allowed.get(key);
-            held.map_or(0, |held| held.valid_until_ms.saturating_sub(now_ms))
+            held.map_or(0, |held| held.times.valid_until_ms.saturating_sub(now_ms))
         };
         let ticket_ms = match hosts.needs_ticket() {
             true => plan.iter().map(valid_ms).min().unwrap_or(0) as f64,
--- a/crates/cell/src/core/preemption.rs
+++ b/crates/cell/src/core/preemption.rs
@@ -148,7 +148,7 @@
             return until_ms;
         }
         let tickets = plan.hosts.iter().filter_map(|host| entry.allowed.get(&host.worker));
-        tickets.map(|held| held.valid_until_ms).min().unwrap_or(until_ms)
+        tickets.map(|held| held.times.valid_until_ms).min().unwrap_or(until_ms)
     }
 
     /// Stops the victims of a plan once their marks are durable.
--- a/crates/cell/src/core/step_hosts.rs
+++ b/crates/cell/src/core/step_hosts.rs
@@ -241,7 +241,7 @@
     pub(super) fn has_ticket_for(&self, worker: WorkerKey, wait_ms: u64) -> bool {
         let min_valid_ms = self.core.time.now_ms + wait_ms + TICKET_MARGIN_MS;
         let held = self.entry.allowed.get(&worker);
-        held.is_some_and(|held| held.valid_until_ms > min_valid_ms)
+        held.is_some_and(|held| held.times.valid_until_ms > min_valid_ms)
     }
 
     /// Returns how many more tasks of the step fit on a worker and are within its limit.
--- a/crates/cell/src/table/phase.rs
+++ b/crates/cell/src/table/phase.rs
@@ -1,7 +1,10 @@
 //! Phases: one step of one occurrence of a job.
 
 use {
-    super::{ChosenWait, LogEstimate, PhaseRetry, StartBinding, TaskEntry, task::MAX_PROBATION_MS},
+    super::{
+        ChosenWait, LogEstimate, PhaseRetry, StartBinding, TaskEntry, TicketTimes,
+        task::MAX_PROBATION_MS,
+    },
     crate::{AdviceCallKey, AttemptKey, PhaseProgress, TaskProgress, WorkerKey},
     rustc_hash::{FxHashMap, FxHashSet},
 };
@@ -10,9 +13,7 @@
 #[derive(Debug)]
 pub(crate) struct TicketEntry {
     pub(crate) ticket: String,
-    /// Time at which it arrived.
-    pub(crate) arrived_ms: u64,
-    pub(crate) valid_until_ms: u64,
+    pub(crate) times: TicketTimes,
 }
 
 /// Ratio of run time to estimate of a step's tasks on an average worker, from those that completed.
