Simplify how renewals end and which attempts are held

- A renewal ends in one call (end_renewal), where its number was compared, its time taken and the sign of a restart cleared one after the other.
- The attempts of an expired worker are divided once into those that are over and those that are held; the second set was worked out again from the first.
- open_starts takes the worker that both of its last arguments came from.
- Whether a renewal may wait looks through the attempts last.

--- a/crates/cell/src/core/leases.rs
+++ b/crates/cell/src/core/leases.rs
@@ -174,13 +174,13 @@
             let is_bounded = lease_bounds.contain(&worker.report.id);
             let can_wait = worker.has_accepted_token
                 && !worker.is_identity_due
-                && !worker.has_unidentified_run(attempts)
                 && worker.lease.has_comparable_clock(time.now_ms)
                 && !worker.needs_fence()
                 && !worker.needs_fence_for_bound()
                 && !is_bounded
                 && worker.pending_ends == 0
-                && !worker.attempts.is_empty();
+                && !worker.attempts.is_empty()
+                && !worker.has_unidentified_run(attempts);
             let has_unsettled_start =
                 worker.has_unsettled_start(attempts, former_until_ms, time.now_ms);
             let acknowledged_end = worker.acknowledgeable_end(has_unsettled_start);
@@ -230,11 +230,7 @@
         let now_ms = self.time.now_ms;
         let pause_ms = self.renew_pause_ms(key);
         let Some(worker) = self.workers.get_mut(key) else { return };
-        if !worker.awaits_renewal(fence) {
-            return;
-        }
-        let sent_ms = worker.renew_sent_ms.take().unwrap_or(now_ms);
-        worker.is_identity_due = false;
+        let Some(sent_ms) = worker.end_renewal(fence) else { return };
         let was_silent = worker.is_silent;
         // A later request of this leader was carried out first.
         let is_overtaken =
--- a/crates/cell/src/core/losses.rs
+++ b/crates/cell/src/core/losses.rs
@@ -58,7 +58,7 @@
 impl CellCore {
     /// Records that all attempts on a worker are lost.
     pub(super) fn record_losses(&mut self, worker: WorkerKey, cause: LossCause) {
-        self.record_losses_except(worker, cause, &FxHashSet::default());
+        self.record_losses_except(worker, cause, &[]);
     }
 
     /// Records that all attempts on a worker but some are lost.
@@ -66,7 +66,7 @@
         &mut self,
         worker: WorkerKey,
         cause: LossCause,
-        excluded: &FxHashSet<AttemptKey>,
+        excluded: &[AttemptKey],
     ) {
         if self.workers[worker].report.is_leaving {
             return;
--- a/crates/cell/src/core/release_cause.rs
+++ b/crates/cell/src/core/release_cause.rs
@@ -37,7 +37,7 @@
         let worker = &self.workers[attempt.worker];
         let open_starts = match cause {
             ReleaseCause::Refused => 0,
-            _ => attempt.open_starts(now_ms, worker.report.incarnation, worker.identified_ms),
+            _ => attempt.open_starts(now_ms, worker),
         };
         let started_ms = (attempt.start.sent_ms > 0).then_some(attempt.start.sent_ms);
         let start_age_ms = started_ms.map(|started_ms| now_ms.saturating_sub(started_ms));
--- a/crates/cell/src/core/worker_claims.rs
+++ b/crates/cell/src/core/worker_claims.rs
@@ -8,7 +8,6 @@
 use {
     super::{CellCore, losses::LossCause},
     crate::{AttemptKey, WorkerKey, WorkerReport, table::WorkerEntry},
-    rustc_hash::FxHashSet,
 };
 
 /// What to do with an entry of a known worker.
@@ -113,7 +112,7 @@
     }
 
     /// Returns the attempts on a worker that an incarnation may have begun which is not known.
-    fn unidentified_attempts(&self, key: WorkerKey) -> FxHashSet<AttemptKey> {
+    fn unidentified_attempts(&self, key: WorkerKey) -> Vec<AttemptKey> {
         let worker = &self.workers[key];
         let is_unidentified = |attempt: &AttemptKey| {
             worker.unidentified_until_ms(&self.attempts[*attempt].start).is_some()
--- a/crates/cell/src/core/workers.rs
+++ b/crates/cell/src/core/workers.rs
@@ -253,29 +253,26 @@
             .map(|(key, worker)| (key, worker.is_listed))
             .collect();
         for (key, is_listed) in expired {
-            let over = self.attempts_over(key);
-            let are_all_over = over.len() == self.workers[key].attempts.len();
-            if over.is_empty() && !are_all_over {
+            let (over, held) = self.attempts_over_and_held(key);
+            if over.is_empty() && !held.is_empty() {
                 continue;
             }
             let cause = ReleaseCause::LeaseExpiry(self.workers[key].lease_limit());
             self.count_postponed_crash(key);
-            let own = self.workers[key].attempts.values().copied();
-            let held: FxHashSet<AttemptKey> = own.filter(|key| !over.contains(key)).collect();
             self.record_losses_except(key, LossCause::LeaseExpiry, &held);
             self.record_expiry(key, &over);
-            match are_all_over && !is_listed {
+            match held.is_empty() && !is_listed {
                 true => self.remove_worker(key, cause),
                 false => self.release(key, over, cause),
             }
         }
     }
 
-    /// Returns the attempts that no incarnation of a worker can be running once the leases have expired that
-    /// are known. One that has not been heard from may have carried out a start that was under way when the worker
-    /// restarted, or a start with its ticket that was meant for a former one, and have granted the longest lease on it
-    /// and on each later request.
-    fn attempts_over(&self, key: WorkerKey) -> Vec<AttemptKey> {
+    /// Returns the attempts that no incarnation of a worker can be running once the leases have expired that are known,
+    /// and the others. An incarnation that has not been heard from may have carried out a start that was under way when
+    /// the worker restarted, or a start with its ticket that was meant for a former one, and have granted the longest
+    /// lease on it and on each later request.
+    fn attempts_over_and_held(&self, key: WorkerKey) -> (Vec<AttemptKey>, Vec<AttemptKey>) {
         let worker = &self.workers[key];
         let longest_ms = longest_lease_ms(self.settings.max_worker_lease_ms);
         let is_over = |attempt: &AttemptKey| {
@@ -287,6 +284,6 @@
             let until_ms = unheard_until_ms.max(unidentified_until_ms);
             until_ms.is_none_or(|until_ms| until_ms + longest_ms <= self.time.now_ms)
         };
-        worker.attempts.values().copied().filter(is_over).collect()
+        worker.attempts.values().copied().partition(is_over)
     }
 }
--- a/crates/cell/src/table/attempt.rs
+++ b/crates/cell/src/table/attempt.rs
@@ -103,13 +103,13 @@
     }
 
     /// Returns the number of start requests of which an incarnation of the worker other than the one that has
-    /// begun the attempt may carry one out, while `incarnation` is the last that is known; 0 if it can carry out
-    /// none.
-    pub(crate) fn open_starts(&self, now_ms: u64, incarnation: u64, identified_ms: u64) -> u32 {
+    /// begun the attempt may carry one out; 0 if it can carry out none.
+    pub(crate) fn open_starts(&self, now_ms: u64, worker: &WorkerEntry) -> u32 {
         // None is sent once another incarnation is known.
-        let is_settled_before =
-            self.incarnation != incarnation && self.start.unheard_until_ms().is_none();
-        let is_open = now_ms < self.start.unsettled_until_ms(identified_ms) && !is_settled_before;
+        let is_settled_before = self.incarnation != worker.report.incarnation
+            && self.start.unheard_until_ms().is_none();
+        let unsettled_until_ms = self.start.unsettled_until_ms(worker.identified_ms);
+        let is_open = now_ms < unsettled_until_ms && !is_settled_before;
         if is_open { self.start.tries } else { 0 }
     }
 
--- a/crates/cell/src/table/worker.rs
+++ b/crates/cell/src/table/worker.rs
@@ -206,10 +206,12 @@
         self.next_renew_ms = self.next_renew_ms.min(now_ms);
     }
 
-    /// Returns whether the outcome of a renewal with this number counts. One that was sent before the incarnation was
-    /// asked for does not.
-    pub(crate) fn awaits_renewal(&self, fence: u32) -> bool {
-        self.renew_sent_ms.is_some() && self.renew_fence == fence
+    /// Ends the renewal in flight if it has this number, and returns when it was sent. The outcome of any other does not
+    /// count: it was sent before the incarnation was asked for.
+    pub(crate) fn end_renewal(&mut self, fence: u32) -> Option<u64> {
+        let sent_ms = self.renew_sent_ms.take_if(|_| self.renew_fence == fence)?;
+        self.is_identity_due = false;
+        Some(sent_ms)
     }
 
     /// Records that a renewal had a response or none. A connection that breaks shows when the worker was
