--- a/crates/cell/tests/cell/crashes_of_next_incarnations.rs
+++ b/crates/cell/tests/cell/crashes_of_next_incarnations.rs
@@ -1,19 +1,17 @@
 //! Crashes and restarts around starts with tickets that are not identified, found in a review of issue 55.
 
 use {
-    crate::support::{FakeCell, FakeWorker, job, step},
-    damaskrack_cell::{AdviceTiming, LogEntry, TaskProgress},
+    crate::support::{
+        FakeCell, FakeWorker, MAX_START_TRIES, adviser::cell_with_tickets, job, step,
+    },
+    damaskrack_cell::{LogEntry, TaskProgress},
 };
 
-/// Time after which requests to former incarnations have extended no lease, in milliseconds.
-const FORMER_LIFE_MS: u64 = 30_000;
 /// Time in which a start is carried out, in milliseconds.
 const START_MS: u64 = 50;
 /// Time after which all requests that may be carried out late are over, and the longest lease that they extended, in
 /// milliseconds.
 const LONGEST_HOLD_MS: u64 = 30_000;
-/// Number of requests to start an attempt of which none has a response.
-const MAX_START_TRIES: usize = 3;
 
 fn worker(cell: &mut FakeCell) -> &mut FakeWorker {
     cell.workers.get_mut("w0").expect("a worker")
@@ -26,14 +24,7 @@
 
 /// The same with some tasks in job 1.
 fn cell_with_tasks(tasks: u32) -> FakeCell {
-    let mut cell = FakeCell::new(1);
-    cell.add_adviser(AdviceTiming { call_us: 1_000, worker_us: 100, valid_ms: 2_500 });
-    cell.settings.isolation_ms = 1_000;
-    cell.start_leader();
-    worker(&mut cell).needs_tickets = true;
-    cell.lets_renewals_wait = true;
-    cell.run(FORMER_LIFE_MS);
-    cell.run_ms = 600_000;
+    let mut cell = cell_with_tickets();
     cell.submit(job("1", vec![step(tasks)]));
     cell.run(START_MS);
     assert_eq!(cell.workers["w0"].runs.len(), tasks as usize, "the tasks do not run");
@@ -235,9 +226,9 @@
     assert_no_crash_of_next_run(&mut cell);
 }
 
-/// Lets the next incarnation answer one renewal, whose response shows the restart, and be cut off before another
-/// request arrives. It then carries out a late start with its ticket, and its tasks start on the other worker.
-fn start_late_after_first_answer(offset_ms: u64, is_store_down: bool) {
+/// Restarts the worker, and lets its next incarnation answer one renewal, whose response is not delivered yet, before it
+/// is cut off. It has received start requests without a response. Another worker does not respond.
+fn cell_before_first_answer(offset_ms: u64, keeps_entry: bool) -> FakeCell {
     let mut cell = cell_with_run();
     cell.add_worker("w1", 1, "r1");
     let other = cell.workers.get_mut("w1").expect("a worker");
@@ -245,13 +236,17 @@
     cell.list_workers();
     cell.lets_renewals_wait = false;
     cell.run(3_000 + offset_ms);
+    let entry = worker(&mut cell).report.clone();
     cell.reincarnate("w0");
+    worker(&mut cell).former_entry = keeps_entry.then_some(entry);
     cell.delays_renewals_of = Some("w0".to_owned());
     lose_responses(&mut cell);
     worker(&mut cell).is_silent = true;
-    cell.is_store_down = is_store_down;
-    cell.deliver_delayed_renewals();
-    cell.run(2_200);
+    cell
+}
+
+/// Lets the next incarnation carry out a late start with its ticket, and asserts that its tasks start on the other worker.
+fn assert_late_start_is_held(cell: &mut FakeCell) {
     cell.run_deferred_starts("w0");
     assert_eq!(cell.workers["w0"].runs.len(), 1, "the start is refused");
     cell.restore_store();
@@ -260,6 +255,15 @@
     assert_eq!(cell.workers["w1"].runs.len(), 2, "the tasks do not run elsewhere");
 }
 
+/// Delivers the answer of an incarnation that is not fenced, and lets it carry out a late start.
+fn start_late_after_first_answer(offset_ms: u64, is_store_down: bool) {
+    let mut cell = cell_before_first_answer(offset_ms, false);
+    cell.is_store_down = is_store_down;
+    cell.deliver_delayed_renewals();
+    cell.run(2_200);
+    assert_late_start_is_held(&mut cell);
+}
+
 /// Guards against a stored bound below the lease of a late start: an incarnation that has answered carries out requests
 /// to the former one until it has accepted a fence.
 #[test]
@@ -281,19 +285,7 @@
 #[test]
 fn a_row_does_not_say_that_a_start_is_identified_on_an_incarnation_that_is_not_fenced() {
     for offset_ms in [10, 20, 30, 40] {
-        let mut cell = cell_with_run();
-        cell.add_worker("w1", 1, "r1");
-        let other = cell.workers.get_mut("w1").expect("a worker");
-        (other.needs_tickets, other.is_silent) = (true, true);
-        cell.list_workers();
-        cell.lets_renewals_wait = false;
-        cell.run(3_000 + offset_ms);
-        let entry = worker(&mut cell).report.clone();
-        cell.reincarnate("w0");
-        worker(&mut cell).former_entry = Some(entry);
-        cell.delays_renewals_of = Some("w0".to_owned());
-        lose_responses(&mut cell);
-        worker(&mut cell).is_silent = true;
+        let mut cell = cell_before_first_answer(offset_ms, true);
         cell.deliver_delayed_renewals();
         cell.run(300);
         cell.is_store_down = true;
@@ -301,12 +293,7 @@
         cell.start_leader();
         cell.end_former_leader();
         cell.run(1_900);
-        cell.run_deferred_starts("w0");
-        assert_eq!(cell.workers["w0"].runs.len(), 1, "the start is refused");
-        cell.restore_store();
-        cell.workers.get_mut("w1").expect("a worker").is_silent = false;
-        cell.run(LONGEST_HOLD_MS);
-        assert_eq!(cell.workers["w1"].runs.len(), 2, "the tasks do not run elsewhere");
+        assert_late_start_is_held(&mut cell);
     }
 }
 
--- a/crates/cell/tests/cell/incarnation_conclusions.rs
+++ b/crates/cell/tests/cell/incarnation_conclusions.rs
@@ -3,14 +3,14 @@
 //! accepted there. The fake cell checks that no task runs twice and that no worker runs more than it has.
 
 use {
-    crate::support::{FakeCell, FakeRun, FakeWorker, job, step},
+    crate::support::{
+        FORMER_LIFE_MS, FakeCell, FakeRun, FakeWorker, adviser::cell_with_tickets, job, step,
+    },
     damaskrack_cell::{
         AdviceTiming, CellInput, EndKind, JobRecord, JobState, StepSpec, TaskProgress,
     },
 };
 
-/// Time after which requests to former incarnations have extended no lease, in milliseconds.
-const FORMER_LIFE_MS: u64 = 30_000;
 /// Time in which a start is carried out, in milliseconds.
 const START_MS: u64 = 50;
 /// Time in which a lease that a leader asks for has expired, and its task is placed again, in milliseconds.
@@ -25,20 +25,6 @@
     cell.workers.get_mut(id).expect("a worker")
 }
 
-/// Creates a cell with one worker, which needs tickets.
-fn cell_with_tickets() -> FakeCell {
-    let mut cell = FakeCell::new(1);
-    cell.add_adviser(AdviceTiming { call_us: 1_000, worker_us: 100, valid_ms: 2_500 });
-    // Else the wait for a former leader's isolation hides others.
-    cell.settings.isolation_ms = 1_000;
-    cell.start_leader();
-    worker(&mut cell, "w0").needs_tickets = true;
-    cell.lets_renewals_wait = true;
-    cell.run(FORMER_LIFE_MS);
-    cell.run_ms = 600_000;
-    cell
-}
-
 /// Restarts the worker without a word of it. It answers starts, and no renewals.
 fn restart_unseen(cell: &mut FakeCell, id: &str) {
     cell.reincarnate(id);
--- a/crates/cell/tests/cell/late_starts.rs
+++ b/crates/cell/tests/cell/late_starts.rs
@@ -1,14 +1,13 @@
 //! Starts without a ticket that are carried out late: ways past the binding of their tasks.
 
 use {
-    crate::support::{FakeCell, FakeWorker, MAX_LEASE_MS, MAX_REQUEST_DELAY_MS, job, step},
+    crate::support::{
+        FORMER_LIFE_MS, FakeCell, FakeWorker, MAX_LEASE_MS, MAX_REQUEST_DELAY_MS, MAX_START_TRIES,
+        job, step,
+    },
     damaskrack_cell::{EndKind, StepSpec},
 };
 
-/// Time after which requests to former incarnations have extended no lease, in milliseconds.
-const FORMER_LIFE_MS: u64 = 30_000;
-/// Number of requests to start an attempt of which none has a response.
-const MAX_START_TRIES: usize = 3;
 /// Time in which a lease that a leader asks for has expired, and its task is placed again, in milliseconds.
 const REQUESTED_LEASE_MS: u64 = 7_500;
 
--- a/crates/cell/tests/cell/restarted_leases.rs
+++ b/crates/cell/tests/cell/restarted_leases.rs
@@ -3,13 +3,12 @@
 //! fake cell checks that no task runs twice.
 
 use {
-    crate::support::{FakeCell, LAPSE_MS, OTHER_LEASES_MS, job, random_numbers, step},
+    crate::support::{
+        FORMER_LIFE_MS, FakeCell, LAPSE_MS, OTHER_LEASES_MS, job, random_numbers, step,
+    },
     damaskrack_cell::StepSpec,
 };
 
-/// Time after which the clock of a worker's first incarnation is far ahead of that of the next one, in
-/// milliseconds.
-const FORMER_LIFE_MS: u64 = 30_000;
 /// Time in which a lease that a leader of the fakes asks for has expired, and its task is placed again, in
 /// milliseconds.
 const REQUESTED_LEASE_MS: u64 = 7_500;
--- a/crates/cell/tests/cell/starts_without_ticket.rs
+++ b/crates/cell/tests/cell/starts_without_ticket.rs
@@ -4,16 +4,12 @@
 
 use {
     crate::support::{
-        FakeCell, FakeWorker, LAPSE_MS, MAX_LEASE_MS, MAX_REQUEST_DELAY_MS, job, random_numbers,
-        step,
+        FORMER_LIFE_MS, FakeCell, FakeWorker, LAPSE_MS, MAX_LEASE_MS, MAX_REQUEST_DELAY_MS,
+        MAX_START_TRIES, job, random_numbers, step,
     },
     damaskrack_cell::{AdviceTiming, EndKind, JobState, StepSpec},
 };
 
-/// Time after which requests to former incarnations have extended no lease, in milliseconds.
-const FORMER_LIFE_MS: u64 = 30_000;
-/// Number of requests to start an attempt of which none has a response.
-const MAX_START_TRIES: usize = 3;
 /// Time in which a lease that a leader asks for has expired, and its task is placed again, in milliseconds.
 const REQUESTED_LEASE_MS: u64 = 7_500;
 /// Time for which the longest lease of a worker counts, on the slowest clock, in milliseconds.
--- a/crates/cell/tests/cell/support/adviser.rs
+++ b/crates/cell/tests/cell/support/adviser.rs
@@ -1,8 +1,8 @@
 //! A fake adviser, whose tickets are of the incarnations that are up when it responds.
 
 use {
-    super::{FakeCell, load_model::job_id, reference::step_name},
-    damaskrack_cell::{AdviceRequest, CellInput, StartRequest, WorkerTicket},
+    super::{FORMER_LIFE_MS, FakeCell, load_model::job_id, reference::step_name},
+    damaskrack_cell::{AdviceRequest, AdviceTiming, CellInput, StartRequest, WorkerTicket},
 };
 
 /// A ticket that the adviser has issued.
@@ -50,6 +50,20 @@
     }
 }
 
+/// Creates a cell with one worker, which needs tickets.
+pub(crate) fn cell_with_tickets() -> FakeCell {
+    let mut cell = FakeCell::new(1);
+    cell.add_adviser(AdviceTiming { call_us: 1_000, worker_us: 100, valid_ms: 2_500 });
+    // Else the wait for a former leader's isolation hides others.
+    cell.settings.isolation_ms = 1_000;
+    cell.start_leader();
+    cell.workers.get_mut("w0").expect("a worker").needs_tickets = true;
+    cell.lets_renewals_wait = true;
+    cell.run(FORMER_LIFE_MS);
+    cell.run_ms = 600_000;
+    cell
+}
+
 impl FakeCell {
     /// Processes a call to the adviser.
     pub(super) fn advise(&mut self, request: AdviceRequest) {
--- a/crates/cell/tests/cell/support/mod.rs
+++ b/crates/cell/tests/cell/support/mod.rs
@@ -6,7 +6,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a test that cannot go on should panic")]
 
-mod adviser;
+pub(crate) mod adviser;
 mod crash;
 mod former;
 pub(crate) mod layout;
@@ -50,6 +50,10 @@
 pub(crate) const OTHER_LEASES_MS: u64 = 11_000;
 /// Time after which a request without a response is no longer carried out, in milliseconds.
 pub(crate) const MAX_REQUEST_DELAY_MS: u64 = 15_000;
+/// Time after which requests to former incarnations of a worker have extended no lease, in milliseconds.
+pub(crate) const FORMER_LIFE_MS: u64 = 30_000;
+/// Number of requests to start an attempt of which none has a response.
+pub(crate) const MAX_START_TRIES: usize = 3;
 /// Capacity of a fake worker.
 pub(crate) const CAPACITY: ResourceSet =
     ResourceSet { cpu_millis: 4_000, memory_mb: 4_096, accelerators: 0 };
--- a/crates/cell/tests/cell/tickets_of_the_next_incarnation.rs
+++ b/crates/cell/tests/cell/tickets_of_the_next_incarnation.rs
@@ -4,17 +4,13 @@
 
 use {
     crate::support::{
-        FakeCell, FakeWorker, LAPSE_MS, MAX_LEASE_MS, MAX_REQUEST_DELAY_MS, OTHER_LEASES_MS, job,
-        random_numbers, step,
+        FORMER_LIFE_MS, FakeCell, FakeWorker, LAPSE_MS, MAX_LEASE_MS, MAX_REQUEST_DELAY_MS,
+        MAX_START_TRIES, OTHER_LEASES_MS, job, random_numbers, step,
     },
     damaskrack_cell::{AdviceTiming, EndKind, JobState, LogEntry, StepSpec},
 };
 
 const TIMING: AdviceTiming = AdviceTiming { call_us: 1_000, worker_us: 100, valid_ms: 1_500 };
-/// Time after which requests to former incarnations have extended no lease, in milliseconds.
-const FORMER_LIFE_MS: u64 = 30_000;
-/// Number of requests to start an attempt of which none has a response.
-const MAX_START_TRIES: usize = 3;
 /// Time in which a lease that a leader asks for has expired, and its task is placed again, in milliseconds.
 const REQUESTED_LEASE_MS: u64 = 7_500;
 /// Time for which the longest lease of a worker counts, on the slowest clock, in milliseconds.
